--- /dev/null
+++ b/crates/catalog/src/ids.rs
@@ -0,0 +1,24 @@
+//! Aliases for the names that link one object to another.
+
+/// Name of a client account.
+pub type ClientAccountId = String;
+/// Name of a failure domain, as the instance's settings give it.
+pub type FailureDomainId = String;
+/// Name of one instance of the system or of a target.
+pub type InstanceId = String;
+/// Name that callers put into the `model` field.
+pub type ModelId = String;
+/// Name of one version of a model.
+pub type ModelVersionId = String;
+/// Name of a placement rule.
+pub type PlacementRuleId = String;
+/// Name of a region.
+pub type RegionId = String;
+/// Id of one request, returned in `x-request-id`.
+pub type RequestId = String;
+/// Revision of the key-value service; rises with every accepted change.
+pub type Revision = u64;
+/// Name of a target.
+pub type TargetId = String;
+/// Digest of a version's weights, as the operator states it and the engine reports it.
+pub type VersionDigest = String;
--- /dev/null
+++ b/crates/cluster/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, ownership by rendezvous hashing and calls between entry instances.
--- /dev/null
+++ b/crates/decision/src/lib.rs
@@ -0,0 +1,5 @@
+//! Decision records, their log line, their retention and look-up.
+
+mod record;
+
+pub use record::{Outcome, Record, Step};
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers and operators.
--- /dev/null
+++ b/crates/idempotency/src/lib.rs
@@ -0,0 +1,1 @@
+//! Claims that let a non-idempotent request run at most once.
--- /dev/null
+++ b/crates/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Desired against observed state of targets, leases and fencing numbers.
--- /dev/null
+++ b/crates/rattan/src/bin/rattan.rs
@@ -0,0 +1,3 @@
+//! The command line for operators.
+
+fn main() {}
--- /dev/null
+++ b/crates/rattan/src/bin/rattand.rs
@@ -0,0 +1,3 @@
+//! The entry daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/rattan/src/lib.rs
@@ -0,0 +1,1 @@
+//! The library that ties the crates together, with the daemon `rattand` and the command line `rattan`.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs one stand-in.
+
+fn main() {}
