standin: the platform and the targets as small stand-ins

Cause: every test and the demo need the platform and the targets, with switches for their faults; without them nothing of the path can run.

Change: one library type and one subcommand for each role of docs/PROTOCOLS.md (kv, instances, engine, store, weights, service, relay), started in process or by the binary, with faults over POST /fault or Server::set_faults. Answers and block contents are functions of their ids, so a test can compute what must arrive; engines, stores and services keep what they did for a test to judge.

Ruled out: tearing a body at once. hyper drops bytes that it has not flushed, so a stream cut after two tokens delivered one; a cut now waits until they are sent.

--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,122 @@
+//! Prefix memory: least recently used blocks are evicted first.
+
+use std::collections::{BTreeMap, HashMap};
+
+/// What a cached block was computed for. A lookup that differs in any part finds nothing.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct CacheKey {
+    /// Cache salt of the run that computed it; `None` for an imported block until a run uses it.
+    pub salt: Option<String>,
+    /// Digest of the version that the engine took its weights for.
+    pub version: String,
+    /// Block key in hex.
+    pub key: String,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    last_use: u64,
+    content_version: String,
+}
+
+/// Blocks in engine memory.
+#[derive(Clone, Debug)]
+pub struct PrefixCache {
+    capacity_count: usize,
+    clock: u64,
+    entries: HashMap<CacheKey, Entry>,
+    by_use: BTreeMap<u64, CacheKey>,
+}
+
+impl PrefixCache {
+    /// Empty memory for `capacity_count` blocks.
+    #[must_use]
+    pub fn new(capacity_count: usize) -> Self {
+        Self {
+            capacity_count,
+            clock: 0,
+            entries: HashMap::new(),
+            by_use: BTreeMap::new(),
+        }
+    }
+
+    /// Number of blocks.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are no blocks.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Uses a block and returns the version whose weights computed it. An imported block without
+    /// a salt is bound to the salt of its first use.
+    pub fn hit(&mut self, wanted: &CacheKey) -> Option<String> {
+        let unbound = CacheKey {
+            salt: None,
+            ..wanted.clone()
+        };
+        let entry = self.take(wanted).or_else(|| self.take(&unbound))?;
+        let content_version = entry.content_version;
+        self.insert(wanted.clone(), content_version.clone());
+        Some(content_version)
+    }
+
+    /// Version whose weights computed a block, under whichever salt, without using the block.
+    #[must_use]
+    pub fn content_version(&self, version: &str, key: &str) -> Option<String> {
+        self.entries
+            .iter()
+            .find(|(entry, _)| entry.key == key && entry.version == version)
+            .map(|(_, entry)| entry.content_version.clone())
+    }
+
+    /// Whether the key is cached for the version under a salt other than `salt`.
+    #[must_use]
+    pub fn salt_differs(&self, wanted: &CacheKey) -> bool {
+        self.entries.keys().any(|entry| {
+            entry.key == wanted.key && entry.salt.is_some() && entry.salt != wanted.salt
+        })
+    }
+
+    /// Adds a block and returns the ones evicted for it.
+    pub fn insert(&mut self, key: CacheKey, content_version: String) -> Vec<CacheKey> {
+        self.take(&key);
+        self.clock += 1;
+        let entry = Entry {
+            last_use: self.clock,
+            content_version,
+        };
+        self.by_use.insert(self.clock, key.clone());
+        self.entries.insert(key, entry);
+        let mut evicted = Vec::new();
+        while self.entries.len() > self.capacity_count {
+            let Some((_, oldest)) = self.by_use.pop_first() else {
+                break;
+            };
+            self.entries.remove(&oldest);
+            evicted.push(oldest);
+        }
+        evicted
+    }
+
+    /// Removes everything.
+    pub fn clear(&mut self) -> Vec<CacheKey> {
+        self.by_use.clear();
+        self.entries.drain().map(|(key, _)| key).collect()
+    }
+
+    /// All blocks, in no order.
+    pub fn keys(&self) -> impl Iterator<Item = &CacheKey> {
+        self.entries.keys()
+    }
+
+    fn take(&mut self, key: &CacheKey) -> Option<Entry> {
+        let entry = self.entries.remove(key)?;
+        self.by_use.remove(&entry.last_use);
+        Some(entry)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/state.rs
@@ -0,0 +1,85 @@
+//! The part of an engine that changes.
+
+use {
+    super::{
+        audit::Audit, cache::PrefixCache, events::EventLog, load::EngineLoad, run::Run,
+        scheduler::Prefill, settings::EngineSettings,
+    },
+    std::{
+        collections::{BTreeSet, HashMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// How long a finished run can be resumed.
+const KEEP_RUN: Duration = Duration::from_mins(1);
+
+/// The part of an engine that changes.
+#[derive(Debug)]
+pub(super) struct State {
+    /// Digest of the weights that really are loaded.
+    pub(super) version: String,
+    pub(super) role: String,
+    pub(super) adapters: BTreeSet<String>,
+    pub(super) newest_fencing: u64,
+    pub(super) cache: PrefixCache,
+    pub(super) events: EventLog,
+    pub(super) audit: Audit,
+    pub(super) queue: Vec<Arc<Run>>,
+    pub(super) prefills: Vec<Prefill>,
+    pub(super) running_count: usize,
+    pub(super) load_history: VecDeque<(Instant, EngineLoad)>,
+    runs: HashMap<String, Arc<Run>>,
+    finished: VecDeque<(Instant, Arc<Run>)>,
+}
+
+impl State {
+    pub(super) fn new(settings: &EngineSettings) -> Self {
+        let capacity = settings.memory_tokens / settings.piece_tokens.max(1);
+        Self {
+            version: settings.version.clone(),
+            role: "engine".to_owned(),
+            adapters: BTreeSet::new(),
+            newest_fencing: 0,
+            cache: PrefixCache::new(usize::try_from(capacity).unwrap_or(usize::MAX)),
+            events: EventLog::default(),
+            audit: Audit::default(),
+            queue: Vec::new(),
+            prefills: Vec::new(),
+            running_count: 0,
+            load_history: VecDeque::new(),
+            runs: HashMap::new(),
+            finished: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn run(&self, request_id: &str) -> Option<Arc<Run>> {
+        self.runs.get(request_id).cloned()
+    }
+
+    pub(super) fn add_run(&mut self, run: &Arc<Run>) {
+        self.forget_old_runs();
+        self.runs.insert(run.request_id.clone(), Arc::clone(run));
+        self.queue.push(Arc::clone(run));
+    }
+
+    pub(super) fn finish_run(&mut self, run: Arc<Run>) {
+        self.running_count -= 1;
+        self.finished.push_back((Instant::now(), run));
+    }
+
+    fn forget_old_runs(&mut self) {
+        while let Some((at, run)) = self.finished.front() {
+            if at.elapsed() < KEEP_RUN {
+                return;
+            }
+            let newest = self.runs.get(&run.request_id);
+            if newest.is_some_and(|newest| Arc::ptr_eq(newest, run)) {
+                self.runs.remove(&run.request_id);
+            }
+            self.finished.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/stream.rs
@@ -0,0 +1,141 @@
+//! Answers of runs: as one object or as server-sent events, and their faults.
+
+use {
+    super::{Engine, run::Run},
+    crate::{
+        http::{self, Answer, Cut, torn},
+        sync::lock,
+    },
+    bytes::Bytes,
+    futures::{Stream, stream},
+    hyper::{Response, header::CONTENT_TYPE},
+    std::{future::pending, io, sync::Arc, time::Duration},
+    tokio::{sync::oneshot, time::timeout},
+};
+
+/// How long the first of two crossed streams waits for the second.
+const CROSS_WAIT: Duration = Duration::from_secs(5);
+
+/// The first of two crossed streams.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    run: Arc<Run>,
+    partner: oneshot::Sender<Arc<Run>>,
+}
+
+/// Faults of one stream.
+#[derive(Clone, Copy, Debug, Default)]
+struct StreamFaults {
+    cut_after_tokens: Option<u64>,
+    silent_after_tokens: Option<u64>,
+}
+
+/// One answer as server-sent events.
+struct EventStream {
+    run: Arc<Run>,
+    next_index: u64,
+    faults: StreamFaults,
+    done: bool,
+}
+
+impl Engine {
+    /// Answers a run from answer token `from_token` on.
+    pub(super) async fn answer_stream(&self, run: Arc<Run>, from_token: u64) -> Answer {
+        let run = self.crossed(run).await;
+        let events = EventStream {
+            run,
+            next_index: from_token,
+            faults: self.take_stream_faults(),
+            done: false,
+        };
+        let mut response = Response::new(http::streamed(events.chunks()));
+        response.headers_mut().insert(
+            CONTENT_TYPE,
+            hyper::header::HeaderValue::from_static("text/event-stream"),
+        );
+        Ok(response)
+    }
+
+    /// Answers a run as one object.
+    pub(super) async fn answer_whole(&self, run: Arc<Run>) -> Answer {
+        let run = self.crossed(run).await;
+        let faults = self.take_stream_faults();
+        if let Some(index) = faults.cut_after_tokens {
+            run.token_ready(index.saturating_sub(1)).await;
+            return Err(Cut);
+        }
+        if faults.silent_after_tokens.is_some() {
+            pending::<()>().await;
+        }
+        if !run.token_ready(run.max_tokens - 1).await {
+            return Err(Cut);
+        }
+        http::ok(&run.whole())
+    }
+
+    fn take_stream_faults(&self) -> StreamFaults {
+        self.switches.update(|faults| StreamFaults {
+            cut_after_tokens: faults.cut_after_tokens.take(),
+            silent_after_tokens: faults.silent_after_tokens.take(),
+        })
+    }
+
+    /// The run whose content is sent: the partner's if answers are to be crossed.
+    async fn crossed(&self, run: Arc<Run>) -> Arc<Run> {
+        if !self.switches.get().cross_answers {
+            return run;
+        }
+        let waiting = lock(&self.crossing).take();
+        if let Some(first) = waiting {
+            self.switches.update(|faults| faults.cross_answers = false);
+            let other = Arc::clone(&first.run);
+            return match first.partner.send(Arc::clone(&run)) {
+                Ok(()) => other,
+                Err(_) => run,
+            };
+        }
+        let (partner, arrival) = oneshot::channel();
+        *lock(&self.crossing) = Some(Waiting {
+            run: Arc::clone(&run),
+            partner,
+        });
+        match timeout(CROSS_WAIT, arrival).await {
+            Ok(Ok(other)) => other,
+            _ => run,
+        }
+    }
+}
+
+impl EventStream {
+    fn chunks(self) -> impl Stream<Item = io::Result<Bytes>> + Send {
+        stream::unfold(self, |mut events| async move {
+            let chunk = events.next().await?;
+            Some((chunk, events))
+        })
+    }
+
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        if self.done {
+            return None;
+        }
+        let index = self.next_index;
+        if self.faults.cut_after_tokens == Some(index) {
+            self.done = true;
+            return Some(Err(torn().await));
+        }
+        if self.faults.silent_after_tokens == Some(index) {
+            pending::<()>().await;
+        }
+        if index >= self.run.max_tokens {
+            self.done = true;
+            return Some(Ok(Bytes::from_static(b"data: [DONE]\n\n")));
+        }
+        if !self.run.token_ready(index).await {
+            self.done = true;
+            return Some(Err(torn().await));
+        }
+        self.next_index += 1;
+        let text = format!("data: {}\n\n", self.run.chunk(index));
+        Some(Ok(text.into()))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/faults.rs
@@ -0,0 +1,126 @@
+//! Switches for faults.
+
+use {
+    crate::sync::lock,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::{Map, Value},
+    snafu::Snafu,
+    std::sync::Mutex,
+    tokio::sync::watch,
+};
+
+/// Switches that every role has.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct CommonFaults {
+    /// Open connections are closed, and new ones as soon as they carry a request.
+    pub down: bool,
+    /// Delay of every answer in milliseconds.
+    pub delay_ms: u64,
+    /// Connections are accepted and requests are never answered.
+    pub hang: bool,
+}
+
+/// A switch could not be set.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum FaultError {
+    /// The body is not a JSON object.
+    #[snafu(display("faults are a JSON object of switches, for example {{\"down\": true}}"))]
+    NotAnObject,
+    /// The role has no such switch.
+    #[snafu(display("unknown switch {name:?}; GET /fault lists the switches of this role"))]
+    UnknownSwitch {
+        /// Its name.
+        name: String,
+    },
+    /// The value has the wrong type.
+    #[snafu(display("switch has a wrong value: {reason}; GET /fault shows the types"))]
+    WrongValue {
+        /// What the decoder said.
+        reason: String,
+    },
+}
+
+/// The current state of a set of switches; waiters are woken by every change.
+#[derive(Debug)]
+pub struct Switches<Faults> {
+    current: Mutex<Faults>,
+    changes_count: watch::Sender<u64>,
+}
+
+impl<Faults> Default for Switches<Faults>
+where
+    Faults: Default,
+{
+    fn default() -> Self {
+        Self {
+            current: Mutex::default(),
+            changes_count: watch::Sender::new(0),
+        }
+    }
+}
+
+impl<Faults> Switches<Faults>
+where
+    Faults: Clone + DeserializeOwned + Serialize,
+{
+    /// The current state.
+    #[must_use]
+    pub fn get(&self) -> Faults {
+        lock(&self.current).clone()
+    }
+
+    /// Changes the state and returns what `change` returns.
+    pub fn update<Output, Change>(&self, change: Change) -> Output
+    where
+        Change: FnOnce(&mut Faults) -> Output,
+    {
+        let output = change(&mut lock(&self.current));
+        self.changes_count.send_modify(|count| *count += 1);
+        output
+    }
+
+    /// Waits until `condition` holds.
+    pub async fn wait_for<Condition>(&self, condition: Condition)
+    where
+        Condition: Fn(&Faults) -> bool,
+    {
+        let mut changes = self.changes_count.subscribe();
+        while !condition(&lock(&self.current)) {
+            // The sender lives as long as `self`, so this cannot fail.
+            let _ = changes.changed().await;
+        }
+    }
+
+    /// Current state as a JSON object.
+    pub(crate) fn to_map(&self) -> Map<String, Value> {
+        match serde_json::to_value(self.get()) {
+            Ok(Value::Object(map)) => map,
+            _ => Map::new(),
+        }
+    }
+
+    /// Sets the switches that `changes` names and returns the ones that it does not have.
+    pub(crate) fn merge(
+        &self,
+        changes: Map<String, Value>,
+    ) -> Result<Map<String, Value>, FaultError> {
+        let mut merged = self.to_map();
+        let mut rest = Map::new();
+        for (name, value) in changes {
+            if merged.contains_key(&name) {
+                merged.insert(name, value);
+            } else {
+                rest.insert(name, value);
+            }
+        }
+        let faults = serde_json::from_value(Value::Object(merged)).map_err(|error| {
+            FaultError::WrongValue {
+                reason: error.to_string(),
+            }
+        })?;
+        self.update(|current| *current = faults);
+        Ok(rest)
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,40 @@
 //! Small stand-ins for the platform and the targets, for tests and the demo.
+//!
+//! Each role of `docs/PROTOCOLS.md` is one type that can be started in the calling process, on the
+//! current tokio runtime, or by the binary `standin`. A started stand-in is a [`Server`]: it has an
+//! address, switches for faults ([`Server::set_faults`], or `POST /fault` from outside) and
+//! [`Server::stop`].
+//!
+//! ```
+//! # tokio::runtime::Runtime::new().unwrap().block_on(async {
+//! use standin::kv::{Kv, KvSettings};
+//!
+//! let kv = Kv::start(KvSettings::default()).await.expect("port 0 can be bound");
+//! kv.set_faults(&serde_json::json!({"lose_answers": 1})).expect("known switch");
+//! kv.stop().await;
+//! # });
+//! ```
+
+pub mod content;
+pub mod engine;
+pub mod instances;
+pub mod kv;
+pub mod relay;
+pub mod service;
+pub mod store;
+pub mod weights;
+
+mod client;
+mod faults;
+mod http;
+mod link;
+mod server;
+mod sync;
+
+pub use {
+    content::{answer_text, answer_token, block_content, prompt_digest},
+    faults::{CommonFaults, FaultError, Switches},
+    http::{Answer, Body, Cut},
+    link::Link,
+    server::{Role, Server},
+};
--- /dev/null
+++ b/crates/standin/src/relay.rs
@@ -0,0 +1,236 @@
+//! A TCP relay that cuts, delays or silences the connections through it.
+
+use {
+    crate::{
+        faults::Switches,
+        http::{self, Answer},
+        server::{Role, Server},
+    },
+    hyper::{Request, body::Incoming},
+    serde::{Deserialize, Serialize},
+    std::{
+        future::pending,
+        io,
+        net::{Ipv4Addr, SocketAddr},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{
+            TcpListener, TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
+        sync::watch,
+        task::JoinSet,
+        time::sleep,
+    },
+};
+
+/// Bytes passed on at a time.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// Settings of a relay.
+#[derive(Clone, Copy, Debug)]
+pub struct RelaySettings {
+    /// Address to relay from.
+    pub listen: SocketAddr,
+    /// Address to relay to.
+    pub to: SocketAddr,
+    /// Address of the switches.
+    pub control: SocketAddr,
+}
+
+impl RelaySettings {
+    /// A relay to `to` on free ports of the loopback interface.
+    #[must_use]
+    pub fn to(to: SocketAddr) -> Self {
+        Self {
+            listen: (Ipv4Addr::LOCALHOST, 0).into(),
+            to,
+            control: (Ipv4Addr::LOCALHOST, 0).into(),
+        }
+    }
+}
+
+/// What the relay does with connections.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RelayMode {
+    /// Passes bytes on.
+    #[default]
+    Pass,
+    /// Closes open connections and every new one.
+    Cut,
+    /// Connections open at the switch go silent for good; new ones work.
+    Blackhole,
+    /// Every connection goes silent for good, new ones too.
+    BlackholeAll,
+}
+
+/// Switches of a relay.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct RelayFaults {
+    /// What happens to connections.
+    pub mode: RelayMode,
+    /// Delay of every piece of data in milliseconds.
+    pub delay_ms: u64,
+}
+
+/// A relay. The [`Server`] around it answers the switches; [`Relay::address`] is what to connect to.
+#[derive(Debug)]
+pub struct Relay {
+    /// Address that the relay listens on for data.
+    pub address: SocketAddr,
+    to: SocketAddr,
+    listener: TcpListener,
+    switches: Switches<RelayFaults>,
+    /// Counts changes of the switches.
+    epoch: watch::Sender<u64>,
+    passed_bytes: AtomicU64,
+}
+
+impl Relay {
+    /// Starts a relay that passes everything on.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound.
+    pub async fn start(settings: RelaySettings) -> io::Result<Server<Self>> {
+        let listener = TcpListener::bind(settings.listen).await?;
+        let relay = Arc::new(Self {
+            address: listener.local_addr()?,
+            to: settings.to,
+            listener,
+            switches: Switches::default(),
+            epoch: watch::Sender::new(0),
+            passed_bytes: AtomicU64::new(0),
+        });
+        Server::start(settings.control, relay).await
+    }
+
+    /// Bytes passed on since the start, both ways.
+    #[must_use]
+    pub fn passed_bytes(&self) -> u64 {
+        self.passed_bytes.load(Ordering::Relaxed)
+    }
+
+    async fn relay(self: Arc<Self>, caller: TcpStream) {
+        let Ok(target) = TcpStream::connect(self.to).await else {
+            return;
+        };
+        let _ = caller.set_nodelay(true);
+        let _ = target.set_nodelay(true);
+        let path = Path {
+            relay: Arc::clone(&self),
+            opened_epoch: *self.epoch.borrow(),
+            silent: AtomicBool::new(false),
+        };
+        let (caller_read, caller_write) = caller.into_split();
+        let (target_read, target_write) = target.into_split();
+        tokio::select! {
+            () = path.cut() => {}
+            _ = async {
+                tokio::join!(
+                    path.pass(caller_read, target_write),
+                    path.pass(target_read, caller_write),
+                )
+            } => {}
+        }
+    }
+}
+
+/// One connection through the relay.
+struct Path {
+    relay: Arc<Relay>,
+    opened_epoch: u64,
+    silent: AtomicBool,
+}
+
+impl Path {
+    /// Passes data one way until it ends; stops for good when the connection goes silent.
+    async fn pass(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        loop {
+            let read = tokio::select! {
+                read = from.read(&mut buffer) => read,
+                () = self.silenced() => return pending().await,
+            };
+            let Ok(length @ 1..) = read else {
+                let _ = to.shutdown().await;
+                return;
+            };
+            let delay_ms = self.relay.switches.get().delay_ms;
+            if delay_ms > 0 {
+                sleep(Duration::from_millis(delay_ms)).await;
+            }
+            if self.is_silent() {
+                return pending().await;
+            }
+            if to.write_all(&buffer[..length]).await.is_err() {
+                return;
+            }
+            self.relay
+                .passed_bytes
+                .fetch_add(length as u64, Ordering::Relaxed);
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        let silent = match self.relay.switches.get().mode {
+            RelayMode::BlackholeAll => true,
+            RelayMode::Blackhole => self.opened_epoch < *self.relay.epoch.borrow(),
+            RelayMode::Pass | RelayMode::Cut => false,
+        };
+        if silent {
+            self.silent.store(true, Ordering::Relaxed);
+        }
+        self.silent.load(Ordering::Relaxed)
+    }
+
+    async fn silenced(&self) {
+        let mut epoch = self.relay.epoch.subscribe();
+        while !self.is_silent() {
+            if epoch.changed().await.is_err() {
+                pending::<()>().await;
+            }
+        }
+    }
+
+    async fn cut(&self) {
+        self.relay
+            .switches
+            .wait_for(|faults| faults.mode == RelayMode::Cut)
+            .await;
+    }
+}
+
+impl Role for Relay {
+    type Faults = RelayFaults;
+
+    fn switches(&self) -> &Switches<RelayFaults> {
+        &self.switches
+    }
+
+    fn faults_changed(&self) {
+        self.epoch.send_modify(|epoch| *epoch += 1);
+    }
+
+    async fn background(self: Arc<Self>) {
+        let mut paths = JoinSet::new();
+        loop {
+            if let Ok((caller, _)) = self.listener.accept().await {
+                paths.spawn(Arc::clone(&self).relay(caller));
+            }
+            while paths.try_join_next().is_some() {}
+        }
+    }
+
+    async fn answer(self: Arc<Self>, _request: Request<Incoming>) -> Answer {
+        http::not_found()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,240 @@
+//! One started stand-in.
+
+use {
+    crate::{
+        faults::{CommonFaults, FaultError, Switches},
+        http::{self, Answer, Cut},
+    },
+    hyper::{
+        Method, Request, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    },
+    hyper_util::rt::TokioIo,
+    serde::{Serialize, de::DeserializeOwned},
+    serde_json::{Map, Value},
+    std::{
+        future::{Future, pending},
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        task::{JoinHandle, JoinSet},
+        time::sleep,
+    },
+};
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What one kind of stand-in does.
+pub trait Role: Send + Sync + Sized + 'static {
+    /// Switches of this role, besides [`CommonFaults`].
+    type Faults: Clone + Default + DeserializeOwned + Send + Serialize + Sync + 'static;
+
+    /// The switches.
+    fn switches(&self) -> &Switches<Self::Faults>;
+
+    /// Acts on switches that take effect at once; called after every change.
+    fn faults_changed(&self) {}
+
+    /// Work that goes on until the server stops.
+    fn background(self: Arc<Self>) -> impl Future<Output = ()> + Send {
+        pending()
+    }
+
+    /// Answers one request.
+    fn answer(self: Arc<Self>, request: Request<Incoming>) -> impl Future<Output = Answer> + Send;
+}
+
+/// A started stand-in; dropping it stops it.
+#[derive(Debug)]
+pub struct Server<Handler>
+where
+    Handler: Role,
+{
+    /// Address it listens on.
+    pub address: SocketAddr,
+    shared: Arc<Shared<Handler>>,
+    accepting: JoinHandle<()>,
+}
+
+impl<Handler> Server<Handler>
+where
+    Handler: Role,
+{
+    /// Listens on `listen` (port 0 picks a free one) and serves `role`.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn start(listen: SocketAddr, role: Arc<Handler>) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            role,
+            common: Switches::default(),
+        });
+        let accepting = tokio::spawn(accept(listener, Arc::clone(&shared)));
+        Ok(Self {
+            address,
+            shared,
+            accepting,
+        })
+    }
+
+    /// The role's state, to look into from a test.
+    #[must_use]
+    pub fn role(&self) -> &Arc<Handler> {
+        &self.shared.role
+    }
+
+    /// Sets the switches that the JSON object names, as `POST /fault` does.
+    ///
+    /// # Errors
+    ///
+    /// A switch is unknown or has a value of the wrong type; the others may have been set.
+    pub fn set_faults(&self, changes: &Value) -> Result<(), FaultError> {
+        self.shared.set_faults(changes)
+    }
+
+    /// Closes the listener and every connection and waits until this is done.
+    pub async fn stop(mut self) {
+        self.accepting.abort();
+        let _ = (&mut self.accepting).await;
+    }
+
+    /// Waits until the server ends, which it does only if it is stopped.
+    pub async fn wait(mut self) {
+        let _ = (&mut self.accepting).await;
+    }
+}
+
+impl<Handler> Drop for Server<Handler>
+where
+    Handler: Role,
+{
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Shared<Handler> {
+    role: Arc<Handler>,
+    common: Switches<CommonFaults>,
+}
+
+impl<Handler> Shared<Handler>
+where
+    Handler: Role,
+{
+    fn set_faults(&self, changes: &Value) -> Result<(), FaultError> {
+        let Value::Object(changes) = changes else {
+            return Err(FaultError::NotAnObject);
+        };
+        let rest = self.common.merge(changes.clone())?;
+        let unknown = self.role.switches().merge(rest)?;
+        if let Some(name) = unknown.keys().next() {
+            return Err(FaultError::UnknownSwitch { name: name.clone() });
+        }
+        self.role.faults_changed();
+        Ok(())
+    }
+
+    fn faults(&self) -> Map<String, Value> {
+        let mut all = self.common.to_map();
+        all.extend(self.role.switches().to_map());
+        all
+    }
+
+    async fn dispatch(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        control: Arc<AtomicBool>,
+    ) -> Answer {
+        if request.uri().path() == "/fault" {
+            control.store(true, Ordering::Relaxed);
+            return self.answer_fault(request).await;
+        }
+        self.pass_common_faults().await?;
+        Arc::clone(&self.role).answer(request).await
+    }
+
+    async fn answer_fault(&self, request: Request<Incoming>) -> Answer {
+        if request.method() != Method::POST {
+            return http::ok(&self.faults());
+        }
+        let changes: Value = match http::read_json(request).await? {
+            Ok(changes) => changes,
+            Err(refused) => return Ok(refused),
+        };
+        match self.set_faults(&changes) {
+            Ok(()) => http::ok(&self.faults()),
+            Err(problem) => http::error(StatusCode::BAD_REQUEST, &problem.to_string()),
+        }
+    }
+
+    async fn pass_common_faults(&self) -> Result<(), Cut> {
+        let faults = self.common.get();
+        if faults.hang {
+            self.common.wait_for(|faults| !faults.hang).await;
+            return Err(Cut);
+        }
+        if faults.delay_ms > 0 {
+            sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if self.common.get().down {
+            return Err(Cut);
+        }
+        Ok(())
+    }
+
+    /// Ends when the connection has to be closed because the stand-in is down.
+    async fn closed(&self, control: &AtomicBool) {
+        // A connection opened meanwhile stays until its first request, which may be `/fault`.
+        self.common.wait_for(|faults| !faults.down).await;
+        self.common.wait_for(|faults| faults.down).await;
+        if control.load(Ordering::Relaxed) {
+            pending::<()>().await;
+        }
+    }
+}
+
+async fn accept<Handler>(listener: TcpListener, shared: Arc<Shared<Handler>>)
+where
+    Handler: Role,
+{
+    let mut tasks = JoinSet::new();
+    tasks.spawn(Arc::clone(&shared.role).background());
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tasks.spawn(serve(stream, Arc::clone(&shared)));
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+        while tasks.try_join_next().is_some() {}
+    }
+}
+
+async fn serve<Handler>(stream: TcpStream, shared: Arc<Shared<Handler>>)
+where
+    Handler: Role,
+{
+    let _ = stream.set_nodelay(true);
+    let control = Arc::new(AtomicBool::new(false));
+    let service = service_fn(|request| {
+        let shared = Arc::clone(&shared);
+        shared.dispatch(request, Arc::clone(&control))
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        _ = connection => {}
+        () = shared.closed(&control) => {}
+    }
+}
