Decision records: ring, log line, explanation and copies

Cause: an operator asks any instance why a request went where it did, also after the instance that decided is gone. Ruled out: sending whole records on every change (a record changes three to five times); parts carry only the new steps, and merging one twice changes nothing. Change: Ring with bounds on count, bytes and age, RecordPart, log_line, explain.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -1,5 +1,50 @@
 //! Decision records, their log line, their retention and look-up.
+//!
+//! A [`Record`] holds every [`Step`] decided or observed for one request. [`log_line`] gives the
+//! log's line of its latest decision and [`explain`] the whole story in words. A [`Ring`] keeps
+//! records for a while inside bounds, and hands out their unsent steps as [`RecordPart`]s for
+//! another instance, so that explanations outlive the one that decided.
+//!
+//! ```
+//! use {
+//!     decision::{Record, Ring, RingLimits, Step, explain, log_line},
+//!     std::time::{Duration, Instant},
+//! };
+//!
+//! let refused = Step::Refused {
+//!     reason: "account \"a\" is at its limit; come back later".to_owned(),
+//!     retry_after_ms: 250,
+//!     rejected: Vec::new(),
+//! };
+//! let record = Record {
+//!     request: "r1".to_owned(),
+//!     client_account: "a".to_owned(),
+//!     instance: "entry-1".to_owned(),
+//!     model_version: "m-1".to_owned(),
+//!     revision: 7,
+//!     arrived: Duration::ZERO,
+//!     steps: vec![refused],
+//! };
+//! assert!(log_line(&record).unwrap().contains("request=r1"));
+//! assert!(explain(&record).contains("come back in 250 ms"));
+//!
+//! let mut ring = Ring::new(RingLimits::default());
+//! ring.insert(record, Instant::now());
+//! assert!(ring.get("r1").unwrap().visible_to("a"));
+//! ```
 
+mod explain;
+mod line;
+mod part;
 mod record;
+mod ring;
+mod size;
 
-pub use record::{Outcome, Record, Step};
+pub use {
+    explain::explain,
+    line::{log_decision, log_line},
+    part::RecordPart,
+    record::{Outcome, Record, Step},
+    ring::{Ring, RingLimits},
+    size::size_bytes,
+};
--- a/crates/decision/src/record.rs
+++ b/crates/decision/src/record.rs
@@ -105,3 +105,11 @@
     /// Steps in order.
     pub steps: Vec<Step>,
 }
+
+impl Record {
+    /// Whether a client account may read this record. Operators may read every record.
+    #[must_use]
+    pub fn visible_to(&self, client_account: &str) -> bool {
+        self.client_account == client_account
+    }
+}
--- /dev/null
+++ b/crates/decision/src/size.rs
@@ -0,0 +1,56 @@
+//! Memory that a record takes.
+
+use {
+    crate::{Record, Step},
+    routing::{Choice, Estimate, Rejected},
+    std::mem,
+};
+
+/// Bytes that `record` takes in memory, without the allocator's own share.
+#[must_use]
+pub fn size_bytes(record: &Record) -> usize {
+    let text = record.request.len()
+        + record.client_account.len()
+        + record.instance.len()
+        + record.model_version.len();
+    mem::size_of::<Record>() + text + record.steps.iter().map(step_bytes).sum::<usize>()
+}
+
+pub(crate) fn step_bytes(step: &Step) -> usize {
+    let heap = match step {
+        Step::Refused {
+            reason, rejected, ..
+        } => reason.len() + rejected_bytes(rejected),
+        Step::Routed { choice, missing } => choice_bytes(choice) + texts_bytes(missing),
+        Step::Attempt { target, error, .. } => target.len() + error.len(),
+        Step::Imported { store, missing, .. } => store.len() + missing.len(),
+        Step::Finished {
+            recompute_reason, ..
+        } => recompute_reason.len(),
+        Step::Exported { store, reason, .. } => store.len() + reason.len(),
+    };
+    mem::size_of::<Step>() + heap
+}
+
+fn choice_bytes(choice: &Choice) -> usize {
+    let others = choice.others.iter().map(estimate_bytes).sum::<usize>();
+    choice.chosen.target.len() + others + rejected_bytes(&choice.rejected)
+}
+
+fn estimate_bytes(estimate: &Estimate) -> usize {
+    mem::size_of::<Estimate>() + estimate.target.len()
+}
+
+fn rejected_bytes(rejected: &[Rejected]) -> usize {
+    rejected
+        .iter()
+        .map(|rejected| mem::size_of::<Rejected>() + rejected.target.len())
+        .sum()
+}
+
+fn texts_bytes(texts: &[String]) -> usize {
+    texts
+        .iter()
+        .map(|text| mem::size_of::<String>() + text.len())
+        .sum()
+}
--- /dev/null
+++ b/crates/decision/tests/support/mod.rs
@@ -0,0 +1,51 @@
+//! Records for tests.
+
+use {
+    decision::{Record, Step},
+    routing::{Choice, Estimate, FilterReason, Rejected, Source},
+    std::time::Duration,
+};
+
+/// A record without steps.
+pub fn record(request: &str) -> Record {
+    Record {
+        request: request.to_owned(),
+        client_account: "tasboulak".to_owned(),
+        instance: "entry-1".to_owned(),
+        model_version: "notes-2".to_owned(),
+        revision: 41,
+        arrived: Duration::from_secs(1_700_000_000),
+        steps: Vec::new(),
+    }
+}
+
+/// An estimate for a target.
+pub fn estimate(target: &str, source: Source) -> Estimate {
+    Estimate {
+        target: target.to_owned(),
+        source,
+        first_token: Duration::from_millis(120),
+        recomputed_tokens: 2_000,
+        link_bytes: 4_096,
+        cost: 0.5,
+        import_blocks: 1,
+    }
+}
+
+/// A routing step with this many other candidates and as many left out.
+pub fn routed(others_count: usize) -> Step {
+    let others =
+        (0..others_count).map(|index| estimate(&format!("other-{index}"), Source::Recompute));
+    let rejected = (0..others_count).map(|index| Rejected {
+        target: format!("rejected-{index}"),
+        reason: FilterReason::Leaving,
+    });
+    Step::Routed {
+        choice: Choice {
+            chosen: estimate("engine-1", Source::Import),
+            others: others.collect(),
+            rejected: rejected.collect(),
+        },
+        missing: vec!["directory owner entry-3 did not answer".to_owned()],
+    }
+}
