target: clients of engines, stores and plain services

Cause: the request path needs to know whether a failed request may have run. Change: one exchange a connection, a request is written at most once, and errors separate 'no byte left' and 'refused before running' from 'may have run'; answer streams are checked for request id, version, token count and end marker.

--- /dev/null
+++ b/crates/target/src/answer.rs
@@ -0,0 +1,135 @@
+//! The answer of a completion as it arrives.
+
+use {
+    crate::{Reply, SendError, SseParser, Usage, engine_wire::ChunkWire},
+    catalog::{RequestId, VersionDigest},
+    std::time::Duration,
+};
+
+/// Data of the event that ends a whole answer.
+const END_MARKER: &[u8] = b"[DONE]";
+
+/// One part of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Piece {
+    /// Text of one token.
+    Text(String),
+    /// The answer is whole.
+    End {
+        /// Why generation stopped, `length` or `stop`.
+        finish_reason: String,
+        /// Token counts.
+        usage: Usage,
+    },
+}
+
+/// The answer of a completion as it arrives, checked to belong to its request and version.
+pub struct Answer {
+    reply: Reply,
+    parser: SseParser,
+    request: RequestId,
+    version: VersionDigest,
+    finish: Option<(String, Usage)>,
+    received_count: u64,
+}
+
+impl Answer {
+    /// Reads `reply` as the answer to `request` by `version`, of which `received_count` tokens
+    /// arrived over an earlier connection.
+    #[must_use]
+    pub fn new(
+        reply: Reply,
+        request: RequestId,
+        version: VersionDigest,
+        received_count: u64,
+    ) -> Self {
+        Self {
+            reply,
+            parser: SseParser::default(),
+            request,
+            version,
+            finish: None,
+            received_count,
+        }
+    }
+
+    /// Tokens received so far, over all connections.
+    #[must_use]
+    pub fn received_count(&self) -> u64 {
+        self.received_count
+    }
+
+    /// The next part of the answer.
+    ///
+    /// # Errors
+    /// [`SendError::Unknown`] if the stream is torn or silent before its end marker;
+    /// [`SendError::Failed`] if it belongs to another request or version or cannot be read.
+    pub async fn next(&mut self, silence: Duration) -> Result<Piece, SendError> {
+        loop {
+            while let Some(data) = self.parser.next_data() {
+                if let Some(piece) = self.read_event(&data)? {
+                    return Ok(piece);
+                }
+            }
+            if self.parser.overflowed() {
+                return Err(self.failed("event too large"));
+            }
+            match self.reply.chunk(silence).await? {
+                Some(chunk) => self.parser.push(&chunk),
+                None => return Err(self.torn()),
+            }
+        }
+    }
+
+    fn read_event(&mut self, data: &[u8]) -> Result<Option<Piece>, SendError> {
+        if data == END_MARKER {
+            let Some((finish_reason, usage)) = self.finish.take() else {
+                return Err(self.torn());
+            };
+            if usage.completion_tokens != self.received_count {
+                return Err(self.failed("token count differs from the tokens received"));
+            }
+            return Ok(Some(Piece::End {
+                finish_reason,
+                usage,
+            }));
+        }
+        let chunk: ChunkWire =
+            serde_json::from_slice(data).map_err(|error| self.failed(&error.to_string()))?;
+        if chunk.id != self.request {
+            return Err(self.failed("answer belongs to another request"));
+        }
+        if chunk.system_fingerprint != self.version {
+            return Err(self.failed("answer comes from another version"));
+        }
+        Ok(self.read_chunk(chunk))
+    }
+
+    fn read_chunk(&mut self, chunk: ChunkWire) -> Option<Piece> {
+        let usage = chunk.usage;
+        let choice = chunk.choices.into_iter().next()?;
+        if let (Some(reason), Some(usage)) = (choice.finish_reason, usage) {
+            self.finish = Some((reason, usage));
+        }
+        if choice.text.is_empty() {
+            return None;
+        }
+        self.received_count += 1;
+        Some(Piece::Text(choice.text))
+    }
+
+    fn torn(&self) -> SendError {
+        SendError::Unknown {
+            address: self.reply.address(),
+            reason: "answer ended before its end marker".to_owned(),
+        }
+    }
+
+    fn failed(&self, reason: &str) -> SendError {
+        SendError::Failed {
+            address: self.reply.address(),
+            status: self.reply.status().as_u16(),
+            reason: reason.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/target/src/engine.rs
@@ -0,0 +1,212 @@
+//! Client of one model engine.
+
+use {
+    crate::{
+        Answer, CacheBlocks, CacheEvents, Client, Completion, ExportReply, ExportRequest,
+        ImportReply, ImportRequest, LoadReport, Order, OrderReply, Reply, Reuse, SendError,
+        engine_wire::OrderRequest, request,
+    },
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Method, Request},
+    serde::Serialize,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Longest wait for answers that an engine gives without computing.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest silence while an answer's body arrives.
+const BODY_SILENCE: Duration = Duration::from_secs(2);
+
+/// Client of one model engine. Cheap to make: connections belong to the shared [`Client`].
+#[derive(Clone)]
+pub struct EngineClient {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl EngineClient {
+    /// A client of the engine at `address`.
+    #[must_use]
+    pub fn new(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    /// Starts a completion and waits up to `first_byte` for the head of its answer.
+    ///
+    /// # Errors
+    /// Any [`SendError`].
+    pub async fn complete(
+        &self,
+        completion: &Completion,
+        reuse: Reuse,
+        first_byte: Duration,
+    ) -> Result<Answer, SendError> {
+        let request = request::post_json("/v1/completions", completion, self.address);
+        let reply = self
+            .client
+            .send(self.address, request, reuse, first_byte)
+            .await?;
+        self.answer(reply, completion, 0).await
+    }
+
+    /// Continues the answer of a run after `received_count` tokens, over a new connection.
+    ///
+    /// # Errors
+    /// Any [`SendError`]; [`SendError::Failed`] with status 404 if the engine does not know the run.
+    pub async fn resume(
+        &self,
+        completion: &Completion,
+        received_count: u64,
+        first_byte: Duration,
+    ) -> Result<Answer, SendError> {
+        let path = format!(
+            "/v1/runs/{}?from_token={received_count}",
+            completion.request_id
+        );
+        let reply = self
+            .client
+            .send(
+                self.address,
+                self.empty(Method::GET, &path),
+                Reuse::Fresh,
+                first_byte,
+            )
+            .await?;
+        self.answer(reply, completion, received_count).await
+    }
+
+    /// Cancels a run. Cancelling twice changes nothing.
+    ///
+    /// # Errors
+    /// Any [`SendError`].
+    pub async fn cancel(&self, run: &str) -> Result<(), SendError> {
+        let path = format!("/v1/runs/{run}");
+        let request = self.empty(Method::DELETE, &path);
+        let mut reply = self.control(request).await?;
+        reply.body(BODY_SILENCE).await?;
+        Ok(())
+    }
+
+    /// The engine's load report.
+    ///
+    /// # Errors
+    /// Any [`SendError`].
+    pub async fn load(&self) -> Result<LoadReport, SendError> {
+        let reply = self.control(self.empty(Method::GET, "/v1/load")).await?;
+        reply.json(BODY_SILENCE).await
+    }
+
+    /// Cache events after `after`; waits up to a second for the first.
+    ///
+    /// # Errors
+    /// Any [`SendError`].
+    pub async fn cache_events(&self, after: u64) -> Result<CacheEvents, SendError> {
+        let path = format!("/v1/cache/events?after={after}");
+        let reply = self.control(self.empty(Method::GET, &path)).await?;
+        reply.json(BODY_SILENCE).await
+    }
+
+    /// Everything in engine memory.
+    ///
+    /// # Errors
+    /// Any [`SendError`].
+    pub async fn cache_blocks(&self) -> Result<CacheBlocks, SendError> {
+        let reply = self
+            .control(self.empty(Method::GET, "/v1/cache/blocks"))
+            .await?;
+        reply.json(BODY_SILENCE).await
+    }
+
+    /// Has the engine write blocks to a store.
+    ///
+    /// # Errors
+    /// Any [`SendError`]; after [`SendError::Unknown`] the store may hold some of the blocks.
+    pub async fn export(
+        &self,
+        export: &ExportRequest,
+        bound: Duration,
+    ) -> Result<ExportReply, SendError> {
+        self.transfer("/v1/kv/export", export, bound).await
+    }
+
+    /// Has the engine read blocks from a store.
+    ///
+    /// # Errors
+    /// Any [`SendError`].
+    pub async fn import(
+        &self,
+        import: &ImportRequest,
+        bound: Duration,
+    ) -> Result<ImportReply, SendError> {
+        self.transfer("/v1/kv/import", import, bound).await
+    }
+
+    /// Orders the engine to reach a desired end, under a fencing number.
+    ///
+    /// # Errors
+    /// Any [`SendError`]; [`SendError::Refused`] with `stale_fencing` from engines that check.
+    pub async fn order(&self, fencing: u64, order: &Order) -> Result<OrderReply, SendError> {
+        let request =
+            request::post_json("/v1/orders", &OrderRequest { fencing, order }, self.address);
+        let reply = self
+            .client
+            .send(self.address, request, Reuse::Fresh, CONTROL_TIMEOUT)
+            .await?;
+        reply.json(BODY_SILENCE).await
+    }
+
+    async fn transfer<Body, Value>(
+        &self,
+        path: &str,
+        body: &Body,
+        bound: Duration,
+    ) -> Result<Value, SendError>
+    where
+        Body: Serialize,
+        Value: serde::de::DeserializeOwned,
+    {
+        let reply = self
+            .client
+            .send(
+                self.address,
+                request::post_json(path, body, self.address),
+                Reuse::Fresh,
+                bound,
+            )
+            .await?;
+        reply.json(BODY_SILENCE).await
+    }
+
+    async fn control(&self, request: Request<Full<Bytes>>) -> Result<Reply, SendError> {
+        let sent = self
+            .client
+            .send(self.address, request, Reuse::Allowed, CONTROL_TIMEOUT)
+            .await;
+        if sent.is_err() {
+            self.client.forget(self.address);
+        }
+        sent
+    }
+
+    async fn answer(
+        &self,
+        reply: Reply,
+        completion: &Completion,
+        received_count: u64,
+    ) -> Result<Answer, SendError> {
+        if !reply.status().is_success() {
+            return Err(reply.into_error(BODY_SILENCE).await);
+        }
+        Ok(Answer::new(
+            reply,
+            completion.request_id.clone(),
+            completion.version.clone(),
+            received_count,
+        ))
+    }
+
+    fn empty(&self, method: Method, path: &str) -> Request<Full<Bytes>> {
+        request::empty(method, path, self.address)
+    }
+}
--- /dev/null
+++ b/crates/target/src/error.rs
@@ -0,0 +1,68 @@
+//! Why an exchange with a target failed.
+
+use {
+    snafu::Snafu,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Why an exchange with a target failed, and whether the request may have arrived.
+#[derive(Clone, Debug, PartialEq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum SendError {
+    /// No byte of the request left this instance.
+    #[snafu(display("{address} cannot be reached: {reason}; check that the target runs"))]
+    NotSent {
+        /// Address that was tried.
+        address: SocketAddr,
+        /// What the connection reported.
+        reason: String,
+    },
+    /// The target answered that it did not run the request.
+    #[snafu(display("{address} refused the request before running it: {reason}"))]
+    Refused {
+        /// Address of the target.
+        address: SocketAddr,
+        /// Error type as the target names it, for example `version_mismatch`, `leaving`, `full`.
+        reason: String,
+        /// When the target asks to come back, if it does.
+        retry_after: Option<Duration>,
+    },
+    /// The request may have arrived, and its answer is missing or incomplete.
+    #[snafu(display("{address} gave no whole answer: {reason}; the request may have run"))]
+    Unknown {
+        /// Address of the target.
+        address: SocketAddr,
+        /// What happened to the answer.
+        reason: String,
+    },
+    /// The target answered with an error or with something that cannot be read.
+    #[snafu(display("{address} answered {status}: {reason}; check the target's version and logs"))]
+    Failed {
+        /// Address of the target.
+        address: SocketAddr,
+        /// HTTP status.
+        status: u16,
+        /// Its words, or what could not be read.
+        reason: String,
+    },
+}
+
+impl SendError {
+    /// Whether it is certain that no part of the request ran.
+    #[must_use]
+    pub fn not_run(&self) -> bool {
+        matches!(self, Self::NotSent { .. } | Self::Refused { .. })
+    }
+
+    /// Whether the target refused because another version is loaded.
+    #[must_use]
+    pub fn is_version_mismatch(&self) -> bool {
+        matches!(self, Self::Refused { reason, .. } if reason == "version_mismatch")
+    }
+
+    /// Whether the target refused because it takes no new work.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        matches!(self, Self::Refused { reason, .. } if reason == "leaving")
+    }
+}
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -1,1 +1,48 @@
-//! Clients of model engines, store instances and plain services, with connection health.
+//! Clients of model engines, store instances and plain services.
+//!
+//! [`Client`] keeps HTTP/1 connections by address, carries one exchange at a time on each, and
+//! tells apart requests of which no byte left ([`SendError::NotSent`]) from those that may have
+//! arrived ([`SendError::Unknown`]). [`EngineClient`], [`StoreClient`] and [`ServiceClient`] speak
+//! the protocols of `docs/PROTOCOLS.md` on top of it.
+//!
+//! ```no_run
+//! use {
+//!     std::time::Duration,
+//!     target::{Client, ClientSettings, EngineClient},
+//! };
+//!
+//! # async fn example() -> Result<(), target::SendError> {
+//! let client = Client::new(ClientSettings::default().idle(Duration::from_secs(30)));
+//! let engine = EngineClient::new(client, "127.0.0.1:19101".parse().unwrap());
+//! let load = engine.load().await?;
+//! println!("{} runs queued", load.queued_count);
+//! # Ok(())
+//! # }
+//! ```
+
+mod answer;
+mod client;
+mod engine;
+mod engine_wire;
+mod error;
+mod reply;
+mod request;
+mod service;
+mod sse;
+mod store;
+
+pub use {
+    answer::{Answer, Piece},
+    client::{Client, ClientSettings, Reuse},
+    engine::EngineClient,
+    engine_wire::{
+        BlockRef, CacheBlock, CacheBlocks, CacheEvent, CacheEventKind, CacheEvents, Completion,
+        ExportReply, ExportRequest, FailedBlock, ImportReply, ImportRequest, LoadReport, Order,
+        OrderReply, PromptDetails, Usage,
+    },
+    error::SendError,
+    reply::Reply,
+    service::{ServiceAnswer, ServiceClient, ServiceRequest},
+    sse::SseParser,
+    store::{StoreBlock, StoreBlocks, StoreClient, StoreUsage},
+};
--- /dev/null
+++ b/crates/target/src/reply.rs
@@ -0,0 +1,169 @@
+//! An answer whose body is still arriving.
+
+use {
+    crate::{Client, SendError, client::Sender},
+    bytes::{Bytes, BytesMut},
+    http_body_util::BodyExt,
+    hyper::{Response, StatusCode, body::Incoming, header::HeaderMap},
+    serde::de::DeserializeOwned,
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Largest answer read as a whole.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// An answer whose body is still arriving. Its connection is kept for later exchanges once the
+/// body has ended; dropped before, the connection closes.
+pub struct Reply {
+    client: Client,
+    address: SocketAddr,
+    sender: Option<Sender>,
+    response: Response<Incoming>,
+}
+
+impl Reply {
+    pub(crate) fn new(
+        client: Client,
+        address: SocketAddr,
+        sender: Sender,
+        response: Response<Incoming>,
+    ) -> Self {
+        Self {
+            client,
+            address,
+            sender: Some(sender),
+            response,
+        }
+    }
+
+    /// HTTP status.
+    #[must_use]
+    pub fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    /// Headers.
+    #[must_use]
+    pub fn headers(&self) -> &HeaderMap {
+        self.response.headers()
+    }
+
+    /// Address of the target.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The next part of the body; none at its declared end.
+    ///
+    /// # Errors
+    /// [`SendError::Unknown`] if the body is torn or nothing arrives within `silence`.
+    pub async fn chunk(&mut self, silence: Duration) -> Result<Option<Bytes>, SendError> {
+        loop {
+            let frame = timeout(silence, self.response.body_mut().frame())
+                .await
+                .map_err(|_| self.unknown(format!("silent for {} ms", silence.as_millis())))?;
+            let Some(frame) = frame else {
+                self.keep();
+                return Ok(None);
+            };
+            let frame = frame.map_err(|error| self.unknown(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// The whole body.
+    ///
+    /// # Errors
+    /// [`SendError::Unknown`] if the body is torn, silent or larger than 16 MiB.
+    pub async fn body(&mut self, silence: Duration) -> Result<Bytes, SendError> {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.chunk(silence).await? {
+            if body.len() + chunk.len() > MAX_ANSWER_BYTES {
+                return Err(self.unknown(format!("answer exceeds {MAX_ANSWER_BYTES} bytes")));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    }
+
+    /// The whole body of a successful answer, read as JSON.
+    ///
+    /// # Errors
+    /// As [`Self::body`]; [`SendError::Refused`] or [`SendError::Failed`] for other statuses.
+    pub async fn json<Value>(mut self, silence: Duration) -> Result<Value, SendError>
+    where
+        Value: DeserializeOwned,
+    {
+        if !self.status().is_success() {
+            return Err(self.into_error(silence).await);
+        }
+        let body = self.body(silence).await?;
+        serde_json::from_slice(&body).map_err(|error| SendError::Failed {
+            address: self.address,
+            status: self.status().as_u16(),
+            reason: format!("unreadable answer: {error}"),
+        })
+    }
+
+    /// The error that an unsuccessful answer states.
+    pub async fn into_error(mut self, silence: Duration) -> SendError {
+        let status = self.status();
+        let body = match self.body(silence).await {
+            Ok(body) => body,
+            Err(error) => return error,
+        };
+        let wire: Option<ErrorWire> = serde_json::from_slice(&body).ok();
+        let says_not_run = self
+            .headers()
+            .get("x-outcome")
+            .is_some_and(|outcome| outcome == "not_run");
+        let kind = wire.as_ref().map_or("", |wire| wire.error.kind.as_str());
+        if says_not_run
+            || matches!(
+                kind,
+                "version_mismatch" | "leaving" | "full" | "stale_fencing"
+            )
+        {
+            return SendError::Refused {
+                address: self.address,
+                reason: if kind.is_empty() { "not_run" } else { kind }.to_owned(),
+                retry_after: wire
+                    .and_then(|wire| wire.error.retry_after_ms.map(Duration::from_millis)),
+            };
+        }
+        SendError::Failed {
+            address: self.address,
+            status: status.as_u16(),
+            reason: String::from_utf8_lossy(&body).chars().take(200).collect(),
+        }
+    }
+
+    fn unknown(&self, reason: String) -> SendError {
+        SendError::Unknown {
+            address: self.address,
+            reason,
+        }
+    }
+
+    fn keep(&mut self) {
+        if let Some(sender) = self.sender.take() {
+            self.client.put_idle(self.address, sender);
+        }
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct ErrorWire {
+    error: ErrorBody,
+}
+
+#[derive(serde::Deserialize)]
+struct ErrorBody {
+    #[serde(rename = "type")]
+    kind: String,
+    retry_after_ms: Option<u64>,
+}
--- /dev/null
+++ b/crates/target/src/service.rs
@@ -0,0 +1,118 @@
+//! Client of one plain service.
+
+use {
+    crate::{Client, Reuse, SendError, request},
+    bytes::Bytes,
+    catalog::RequestId,
+    http_body_util::Full,
+    hyper::{
+        Method,
+        header::{self, HeaderName, HeaderValue},
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Longest silence while an answer's body arrives.
+const BODY_SILENCE: Duration = Duration::from_secs(2);
+
+/// A call of a plain service.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ServiceRequest {
+    /// Path at the service, with a leading slash.
+    pub path: String,
+    /// Body as the caller sent it.
+    pub body: Bytes,
+    /// Content type as the caller sent it; empty for none.
+    pub content_type: String,
+    /// Id of the request.
+    pub request: RequestId,
+    /// The caller's key, sent along; empty for none.
+    pub idempotency_key: String,
+    /// Client account, sent along as `x-client-account`.
+    pub client_account: String,
+}
+
+/// Whole answer of a plain service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type; empty if the service gave none.
+    pub content_type: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Client of one plain service.
+#[derive(Clone)]
+pub struct ServiceClient {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl ServiceClient {
+    /// A client of the service at `address`.
+    #[must_use]
+    pub fn new(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    /// Sends a call once, over a new connection, and waits up to `bound` for the head of its
+    /// answer.
+    ///
+    /// # Errors
+    /// [`SendError::NotSent`] or [`SendError::Refused`] if it did not run, else
+    /// [`SendError::Unknown`].
+    pub async fn call(
+        &self,
+        call: &ServiceRequest,
+        bound: Duration,
+    ) -> Result<ServiceAnswer, SendError> {
+        let body = Full::new(call.body.clone());
+        let mut request = request::build(body, Method::POST, &call.path, self.address);
+        for (name, value) in [
+            (header::CONTENT_TYPE, &call.content_type),
+            (HeaderName::from_static("x-request-id"), &call.request),
+            (
+                HeaderName::from_static("idempotency-key"),
+                &call.idempotency_key,
+            ),
+            (
+                HeaderName::from_static("x-client-account"),
+                &call.client_account,
+            ),
+        ] {
+            if let (false, Ok(value)) = (value.is_empty(), HeaderValue::from_str(value)) {
+                request.headers_mut().insert(name, value);
+            }
+        }
+        let mut reply = self
+            .client
+            .send(self.address, request, Reuse::Fresh, bound)
+            .await?;
+        if reply.headers().contains_key("x-outcome") {
+            return Err(reply.into_error(BODY_SILENCE).await);
+        }
+        let echoed = reply.headers().get("x-request-id");
+        if echoed.is_some_and(|id| id.as_bytes() != call.request.as_bytes()) {
+            return Err(SendError::Unknown {
+                address: self.address,
+                reason: "answer belongs to another request".to_owned(),
+            });
+        }
+        Ok(ServiceAnswer {
+            status: reply.status().as_u16(),
+            content_type: header_text(&reply, &header::CONTENT_TYPE),
+            body: reply.body(BODY_SILENCE).await?,
+        })
+    }
+}
+
+fn header_text(reply: &crate::Reply, name: &HeaderName) -> String {
+    reply
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
--- /dev/null
+++ b/crates/target/src/store.rs
@@ -0,0 +1,121 @@
+//! Client of one store instance.
+
+use {
+    crate::{Client, Reuse, SendError, request},
+    catalog::ClientAccountId,
+    hyper::{Method, StatusCode},
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Longest wait for a store's answer.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Blocks asked for in one page.
+const PAGE_BLOCKS: usize = 1_000;
+
+/// A block at a store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoreBlock {
+    /// Block key in hex.
+    pub key: String,
+    /// Generation.
+    pub generation: u64,
+    /// Size in bytes.
+    pub size_bytes: u64,
+    /// Client account it belongs to.
+    pub client_account: ClientAccountId,
+    /// `writing` or `committed`.
+    pub state: String,
+}
+
+/// One page of a store's content.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoreBlocks {
+    /// Blocks in key order.
+    pub blocks: Vec<StoreBlock>,
+    /// Key to ask after for the next page; none at the end.
+    #[serde(default)]
+    pub next: Option<String>,
+}
+
+/// How full and busy a store is.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct StoreUsage {
+    /// Capacity in bytes.
+    pub capacity_bytes: u64,
+    /// Bytes in use.
+    pub used_bytes: u64,
+    /// Rate of the store's link in bytes a second.
+    pub link_bytes_per_s: f64,
+    /// Bytes waiting for the link.
+    #[serde(default)]
+    pub link_queued_bytes: u64,
+    /// Age of the figures in milliseconds.
+    #[serde(default)]
+    pub age_ms: u64,
+}
+
+/// Client of one store instance.
+#[derive(Clone)]
+pub struct StoreClient {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl StoreClient {
+    /// A client of the store at `address`.
+    #[must_use]
+    pub fn new(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    /// Frees a block. Freeing twice changes nothing.
+    ///
+    /// # Errors
+    /// Any [`SendError`].
+    pub async fn free(&self, key: &str, generation: u64) -> Result<(), SendError> {
+        let path = format!("/v1/blocks/{key}?generation={generation}");
+        let request = request::empty(Method::DELETE, &path, self.address);
+        let mut reply = self
+            .client
+            .send(self.address, request, Reuse::Allowed, CONTROL_TIMEOUT)
+            .await?;
+        if reply.status().is_success() || reply.status() == StatusCode::NOT_FOUND {
+            reply.body(CONTROL_TIMEOUT).await?;
+            return Ok(());
+        }
+        Err(reply.into_error(CONTROL_TIMEOUT).await)
+    }
+
+    /// One page of the store's content, after the key `after` (empty for the first).
+    ///
+    /// # Errors
+    /// Any [`SendError`].
+    pub async fn blocks(&self, after: &str) -> Result<StoreBlocks, SendError> {
+        let path = format!("/v1/blocks?after={after}&limit={PAGE_BLOCKS}");
+        self.get(&path).await
+    }
+
+    /// How full and busy the store is.
+    ///
+    /// # Errors
+    /// Any [`SendError`].
+    pub async fn usage(&self) -> Result<StoreUsage, SendError> {
+        self.get("/v1/usage").await
+    }
+
+    async fn get<Value>(&self, path: &str) -> Result<Value, SendError>
+    where
+        Value: serde::de::DeserializeOwned,
+    {
+        let request = request::empty(Method::GET, path, self.address);
+        let sent = self
+            .client
+            .send(self.address, request, Reuse::Allowed, CONTROL_TIMEOUT)
+            .await;
+        if sent.is_err() {
+            self.client.forget(self.address);
+        }
+        sent?.json(CONTROL_TIMEOUT).await
+    }
+}
