--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,55 @@
+//! Body of an answer: whole, or streamed from a channel.
+
+use {
+    bytes::Bytes,
+    futures::channel::mpsc,
+    hyper::body::{Body, Frame, SizeHint},
+    std::{
+        convert::Infallible,
+        pin::Pin,
+        task::{Context, Poll},
+    },
+};
+
+/// Body of an answer.
+pub(crate) enum AnswerBody {
+    /// Known in full.
+    Full(Option<Bytes>),
+    /// Arrives part by part.
+    Stream(mpsc::Receiver<Bytes>),
+}
+
+impl AnswerBody {
+    pub(crate) fn full(bytes: Bytes) -> Self {
+        Self::Full(Some(bytes).filter(|bytes| !bytes.is_empty()))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match self.get_mut() {
+            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(parts) => {
+                let next = futures::Stream::poll_next(Pin::new(parts), context);
+                next.map(|part| part.map(|bytes| Ok(Frame::data(bytes))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Full(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/query.rs
@@ -0,0 +1,48 @@
+//! Reads bodies within their limits.
+
+use {
+    crate::{GatewaySettings, Kind, Refusal},
+    bytes::Bytes,
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::{body::Incoming, header::HeaderMap},
+    tokio::time::timeout,
+};
+
+/// The whole body of a request.
+pub(crate) async fn read_body(
+    body: Incoming,
+    settings: &GatewaySettings,
+) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, settings.max_body_bytes);
+    let collected = timeout(settings.body_timeout, limited.collect())
+        .await
+        .map_err(|_| {
+            Refusal::not_run(
+                Kind::Timeout,
+                format!(
+                    "the body did not arrive within {} ms; send it faster or make it smaller",
+                    settings.body_timeout.as_millis()
+                ),
+            )
+        })?;
+    match collected {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::not_run(
+            Kind::TooLarge,
+            format!(
+                "the body exceeds {} bytes; make it smaller",
+                settings.max_body_bytes
+            ),
+        )),
+        Err(error) => Err(Refusal::not_run(
+            Kind::Invalid,
+            format!("the body cannot be read: {error}; send it again"),
+        )),
+    }
+}
+
+/// Text of a header, if it is there and readable.
+pub(crate) fn header_text(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
--- /dev/null
+++ b/crates/gateway/src/router.rs
@@ -0,0 +1,182 @@
+//! Leads each request to what serves it.
+
+use {
+    crate::{
+        Backend, Caller, CompletionBody, GatewaySettings, Kind, OperatorCall, Refusal, Shape,
+        completion::Shaper,
+        keys,
+        query::{header_text, read_body},
+        respond::{self, Answer},
+        service,
+    },
+    catalog::{ClientAccountId, RequestId},
+    hyper::{Method, Request, body::Incoming, header::HeaderValue, http::request::Parts},
+    serde_json::json,
+};
+
+/// Path prefix of operators' requests.
+const OPERATOR_PREFIX: &str = "/v1/operator";
+/// Path prefix of look-ups of decisions.
+const DECISION_PREFIX: &str = "/v1/decisions/";
+
+/// Serves requests of one gateway.
+#[derive(Clone)]
+pub(crate) struct Router<Service> {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) backend: Service,
+}
+
+impl<Service> Router<Service>
+where
+    Service: Backend,
+{
+    /// Answers one request; refusals become answers too. Every answer names the request's id.
+    pub(crate) async fn serve(&self, request: Request<Incoming>) -> Answer {
+        let id = keys::new_request_id();
+        let mut answer = match self.route(request, &id).await {
+            Ok(answer) => answer,
+            Err(refusal) => {
+                log::info!(
+                    "request={id} refused={} outcome={:?} reason={:?}",
+                    refusal.kind.name(),
+                    refusal.outcome,
+                    refusal.message
+                );
+                respond::refusal(&refusal)
+            }
+        };
+        if let Ok(value) = HeaderValue::from_str(&id) {
+            answer.headers_mut().insert("x-request-id", value);
+        }
+        answer
+    }
+
+    async fn route(&self, request: Request<Incoming>, id: &RequestId) -> Result<Answer, Refusal> {
+        let (head, body) = request.into_parts();
+        if head.uri.path() == "/health" {
+            return Ok(respond::json(200, &json!({"status": "ok"})));
+        }
+        let caller = keys::authenticate(&self.backend, &head.headers)?;
+        let path = head.uri.path();
+        if path == OPERATOR_PREFIX || path.starts_with("/v1/operator/") {
+            return self.operator(&caller, &head, body).await;
+        }
+        if let Some(wanted) = path.strip_prefix(DECISION_PREFIX) {
+            return self.decision(&caller, &wanted.to_owned()).await;
+        }
+        let account = client_account(caller)?;
+        match (&head.method, path) {
+            (&Method::GET, "/v1/entries") => {
+                Ok(respond::json(200, &self.backend.entries(&account)))
+            }
+            (&Method::POST, "/v1/completions") => {
+                self.completion(Shape::Text, &head, body, id, account).await
+            }
+            (&Method::POST, "/v1/chat/completions") => {
+                self.completion(Shape::Chat, &head, body, id, account).await
+            }
+            (&Method::POST, path) if path.starts_with(service::PREFIX) => {
+                self.service(&head, body, id, account).await
+            }
+            _ => Err(not_found()),
+        }
+    }
+
+    async fn completion(
+        &self,
+        shape: Shape,
+        head: &Parts,
+        body: Incoming,
+        id: &RequestId,
+        account: ClientAccountId,
+    ) -> Result<Answer, Refusal> {
+        let idempotency_key = service::idempotency_key(&head.headers)?;
+        let body = read_body(body, &self.settings).await?;
+        let mut job = CompletionBody::parse(&body)?.into_job(shape, id.clone(), account)?;
+        job.idempotency_key = idempotency_key;
+        let shaper = Shaper {
+            shape,
+            request: id.clone(),
+            model: job.model.clone(),
+        };
+        let stream = job.stream;
+        let started = self.backend.complete(job).await?;
+        Ok(if stream {
+            shaper.stream(started)
+        } else {
+            shaper.whole(started).await
+        })
+    }
+
+    async fn service(
+        &self,
+        head: &Parts,
+        body: Incoming,
+        id: &RequestId,
+        account: ClientAccountId,
+    ) -> Result<Answer, Refusal> {
+        let body = read_body(body, &self.settings).await?;
+        let job = service::job(head.uri.path(), &head.headers, id.clone(), account, body)?;
+        let reply = self.backend.call_service(job).await?;
+        Ok(service::answer(reply))
+    }
+
+    async fn decision(&self, caller: &Caller, wanted: &RequestId) -> Result<Answer, Refusal> {
+        let record = self.backend.decision(wanted).await;
+        let visible = record.filter(|record| match caller {
+            Caller::Operator => true,
+            Caller::ClientAccount(account) => *account == record.client_account,
+        });
+        match visible {
+            Some(record) => Ok(respond::json(200, &record)),
+            None => Err(Refusal::not_run(
+                Kind::NotFound,
+                "no such decision; records are kept for hours, check the request id",
+            )),
+        }
+    }
+
+    async fn operator(
+        &self,
+        caller: &Caller,
+        head: &Parts,
+        body: Incoming,
+    ) -> Result<Answer, Refusal> {
+        if *caller != Caller::Operator {
+            return Err(Refusal::not_run(
+                Kind::Forbidden,
+                "this needs an operator's key",
+            ));
+        }
+        let body = read_body(body, &self.settings).await?;
+        let path = head.uri.path();
+        let call = OperatorCall {
+            method: head.method.as_str().to_owned(),
+            path: path[OPERATOR_PREFIX.len()..].to_owned(),
+            query: head.uri.query().unwrap_or_default().to_owned(),
+            if_match: header_text(&head.headers, "if-match"),
+            if_none_match: header_text(&head.headers, "if-none-match"),
+            change_id: header_text(&head.headers, "x-change-id"),
+            body,
+        };
+        let answer = self.backend.operate(call).await;
+        Ok(respond::json(answer.status, &answer.body))
+    }
+}
+
+fn client_account(caller: Caller) -> Result<ClientAccountId, Refusal> {
+    match caller {
+        Caller::ClientAccount(account) => Ok(account),
+        Caller::Operator => Err(Refusal::not_run(
+            Kind::Forbidden,
+            "this needs a client account's key",
+        )),
+    }
+}
+
+fn not_found() -> Refusal {
+    Refusal::not_run(
+        Kind::NotFound,
+        "no such interface; docs/API.md lists them all",
+    )
+}
