--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,23 @@
+//! What an instance knows of the targets: load, reachability and its own requests in flight.
+//!
+//! The control thread feeds [`Fleet`] from the catalog, the instance list and the targets' own
+//! reports; traffic threads read it without waiting and count their requests with [`InFlight`].
+//!
+//! ```
+//! use {catalog::Catalog, fleet::Fleet};
+//!
+//! let fleet = Fleet::default();
+//! fleet.sync(&Catalog::default());
+//! assert!(fleet.view("engine-1").is_none());
+//! ```
+
+#[allow(clippy::module_inception)]
+mod fleet;
+mod link;
+mod view;
+
+pub use {
+    fleet::Fleet,
+    link::LinkRate,
+    view::{InFlight, View},
+};
--- /dev/null
+++ b/crates/fleet/src/link.rs
@@ -0,0 +1,41 @@
+//! Measured rate of a link.
+
+/// Weight of the newest measurement.
+const NEWEST_WEIGHT: f64 = 0.25;
+/// Transfers shorter than this in bytes tell more of latency than of rate.
+const MIN_TRANSFER_BYTES: u64 = 4 * 1024;
+
+/// Exponentially weighted mean and variance of a link's rate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LinkRate {
+    /// Mean rate in bytes a second.
+    pub mean_bytes_per_s: f64,
+    /// Variance of the rate, in squared bytes a second.
+    pub variance: f64,
+}
+
+impl LinkRate {
+    /// A link of which only the configured rate is known.
+    #[must_use]
+    pub fn configured(bytes_per_s: u64) -> Self {
+        #[allow(clippy::cast_precision_loss)]
+        let mean_bytes_per_s = bytes_per_s.max(1) as f64;
+        Self {
+            mean_bytes_per_s,
+            variance: 0.0,
+        }
+    }
+
+    /// Takes in one transfer of `bytes` that took `seconds`.
+    pub fn measure(&mut self, bytes: u64, seconds: f64) {
+        if bytes < MIN_TRANSFER_BYTES || seconds <= 0.0 {
+            return;
+        }
+        #[allow(clippy::cast_precision_loss)]
+        let rate = bytes as f64 / seconds;
+        let difference = rate - self.mean_bytes_per_s;
+        self.mean_bytes_per_s += NEWEST_WEIGHT * difference;
+        self.variance =
+            (1.0 - NEWEST_WEIGHT) * (self.variance + NEWEST_WEIGHT * difference * difference);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,239 @@
+//! What is known of one target.
+
+use {
+    crate::LinkRate,
+    arc_swap::ArcSwapOption,
+    catalog::{Target, TargetId},
+    routing::EngineLoad,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    target::LoadReport,
+};
+
+/// Age at which a load report no longer vouches for its engine.
+const STALE_REPORT: Duration = Duration::from_secs(4);
+/// How long a target is left out after a connection to it failed, unless it reports sooner.
+const BLAME: Duration = Duration::from_secs(1);
+
+#[derive(Debug)]
+struct Received {
+    report: LoadReport,
+    at: Instant,
+}
+
+/// What is known of one target.
+#[derive(Debug)]
+pub struct View {
+    name: TargetId,
+    address: SocketAddr,
+    report: ArcSwapOption<Received>,
+    listed_leaving: AtomicBool,
+    refused_leaving: AtomicBool,
+    blamed: Mutex<Option<Instant>>,
+    in_flight_count: AtomicU32,
+    prefill_tokens: AtomicU64,
+    link_queued_bytes: AtomicU64,
+    link: Mutex<LinkRate>,
+}
+
+impl View {
+    /// A target of which only the configuration is known.
+    #[must_use]
+    pub fn new(target: &Target) -> Self {
+        Self {
+            name: target.name.clone(),
+            address: target.address,
+            report: ArcSwapOption::empty(),
+            listed_leaving: AtomicBool::new(false),
+            refused_leaving: AtomicBool::new(false),
+            blamed: Mutex::new(None),
+            in_flight_count: AtomicU32::new(0),
+            prefill_tokens: AtomicU64::new(0),
+            link_queued_bytes: AtomicU64::new(0),
+            link: Mutex::new(LinkRate::configured(target.link_bytes_per_s)),
+        }
+    }
+
+    /// Name of the target.
+    #[must_use]
+    pub fn name(&self) -> &TargetId {
+        &self.name
+    }
+
+    /// Address of the target.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes over an engine's load report, which also shows that the engine is reachable.
+    pub fn set_report(&self, report: LoadReport, now: Instant) {
+        self.refused_leaving
+            .store(report.leaving, Ordering::Relaxed);
+        self.report
+            .store(Some(Arc::new(Received { report, at: now })));
+        self.clear_blame();
+    }
+
+    /// Takes over whether the instance list shows the target as leaving.
+    pub fn set_listed_leaving(&self, leaving: bool) {
+        self.listed_leaving.store(leaving, Ordering::Relaxed);
+    }
+
+    /// Notes that the target itself refused work because it leaves.
+    pub fn set_refused_leaving(&self) {
+        self.refused_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the instance list or the target itself says that it leaves.
+    #[must_use]
+    pub fn leaving(&self) -> bool {
+        self.listed_leaving.load(Ordering::Relaxed) || self.refused_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Notes that new connections to the target fail.
+    pub fn blame(&self, now: Instant) {
+        *self.blamed.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+    }
+
+    /// Notes that the target answered.
+    pub fn clear_blame(&self) {
+        *self.blamed.lock().unwrap_or_else(PoisonError::into_inner) = None;
+    }
+
+    /// Whether new connections to the target failed a moment ago.
+    #[must_use]
+    pub fn blamed(&self, now: Instant) -> bool {
+        let blamed = *self.blamed.lock().unwrap_or_else(PoisonError::into_inner);
+        blamed.is_some_and(|at| now.saturating_duration_since(at) < BLAME)
+    }
+
+    /// Whether an engine can be vouched for: it reported lately and connections to it work.
+    #[must_use]
+    pub fn vouched(&self, now: Instant) -> bool {
+        let fresh = self
+            .report
+            .load()
+            .as_ref()
+            .is_some_and(|received| now.saturating_duration_since(received.at) < STALE_REPORT);
+        fresh && !self.blamed(now)
+    }
+
+    /// The engine's last report.
+    #[must_use]
+    pub fn report(&self) -> Option<LoadReport> {
+        let received = self.report.load();
+        received.as_ref().map(|received| received.report.clone())
+    }
+
+    /// Whether the engine has the version of this digest loaded.
+    #[must_use]
+    pub fn has_version(&self, digest: &str) -> bool {
+        let received = self.report.load();
+        received.as_ref().is_some_and(|received| {
+            let report = &received.report;
+            report.version == digest || report.versions.iter().any(|loaded| loaded == digest)
+        })
+    }
+
+    /// The engine's load, which is never less than this instance's own requests in flight.
+    #[must_use]
+    pub fn load(&self, now: Instant) -> EngineLoad {
+        let own_count = self.in_flight_count.load(Ordering::Relaxed);
+        let own_tokens = self.prefill_tokens.load(Ordering::Relaxed);
+        let received = self.report.load();
+        let Some(received) = received.as_ref() else {
+            return EngineLoad {
+                running_count: own_count,
+                queued_tokens: own_tokens,
+                ..EngineLoad::default()
+            };
+        };
+        let report = &received.report;
+        EngineLoad {
+            running_count: report.running_count.max(own_count),
+            queued_count: report.queued_count,
+            queued_tokens: report.queued_tokens.max(own_tokens),
+            age: now.saturating_duration_since(received.at) + Duration::from_millis(report.age_ms),
+        }
+    }
+
+    /// Counts a request of this instance as in flight until the guard is dropped. Its
+    /// `prefill_tokens` count until [`InFlight::first_token`].
+    #[must_use]
+    pub fn begin(self: &Arc<Self>, prefill_tokens: u64) -> InFlight {
+        self.in_flight_count.fetch_add(1, Ordering::Relaxed);
+        self.prefill_tokens
+            .fetch_add(prefill_tokens, Ordering::Relaxed);
+        InFlight {
+            view: Arc::clone(self),
+            prefill_tokens,
+        }
+    }
+
+    /// Requests of this instance in flight.
+    #[must_use]
+    pub fn in_flight_count(&self) -> u32 {
+        self.in_flight_count.load(Ordering::Relaxed)
+    }
+
+    /// Measured rate of the target's link.
+    #[must_use]
+    pub fn link(&self) -> LinkRate {
+        *self.link.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in one transfer over the target's link.
+    pub fn measure_link(&self, bytes: u64, seconds: f64) {
+        self.link
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .measure(bytes, seconds);
+    }
+
+    /// Bytes that wait for the target's link, as far as known.
+    #[must_use]
+    pub fn link_queued_bytes(&self) -> u64 {
+        self.link_queued_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Adds bytes that will cross the target's link.
+    pub fn queue_link_bytes(&self, bytes: u64) {
+        self.link_queued_bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Takes back bytes that crossed the link or will not.
+    pub fn unqueue_link_bytes(&self, bytes: u64) {
+        self.link_queued_bytes.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
+/// A request of this instance at a target, until dropped.
+#[derive(Debug)]
+pub struct InFlight {
+    view: Arc<View>,
+    prefill_tokens: u64,
+}
+
+impl InFlight {
+    /// The prompt has been computed; its tokens no longer wait.
+    pub fn first_token(&mut self) {
+        self.view
+            .prefill_tokens
+            .fetch_sub(self.prefill_tokens, Ordering::Relaxed);
+        self.prefill_tokens = 0;
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.first_token();
+        self.view.in_flight_count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
