--- a/crates/catalog/src/account.rs
+++ b/crates/catalog/src/account.rs
@@ -1,17 +1,23 @@
 //! Client accounts.
 
 use {
-    crate::{ClientAccountId, Labels},
+    crate::{ClientAccountId, Invalid, Labels, ObjectKind, check},
     serde::{Deserialize, Serialize},
+    std::collections::BTreeSet,
 };
 
+/// Most keys one account may have at once.
+const MAX_KEYS_COUNT: usize = 16;
+/// Largest weight of an account.
+const MAX_WEIGHT: u64 = 1_000_000;
+
 /// One client account: who may call, and how much at once.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(try_from = "RawClientAccount")]
 pub struct ClientAccount {
     /// Name, unique among client accounts.
     pub name: ClientAccountId,
     /// Labels that placement rules select by.
-    #[serde(default)]
     pub labels: Labels,
     /// BLAKE3 digests, in hex, of the account's bearer keys. Several are allowed during rotation.
     pub key_digests: Vec<String>,
@@ -22,3 +28,77 @@
     /// Share of a contended queue, store or link relative to other accounts; at least 1.
     pub weight: u32,
 }
+
+/// A client account as an operator wrote it, with its values unchecked.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawClientAccount {
+    /// `client_account`, or left out.
+    #[serde(default)]
+    pub kind: Option<ObjectKind>,
+    /// Becomes [`ClientAccount::name`].
+    pub name: String,
+    /// Becomes [`ClientAccount::labels`].
+    #[serde(default)]
+    pub labels: Labels,
+    /// Becomes [`ClientAccount::key_digests`].
+    #[serde(default)]
+    pub key_digests: Vec<String>,
+    /// Becomes [`ClientAccount::max_running_count`].
+    pub max_running_count: u32,
+    /// Becomes [`ClientAccount::tokens_per_s`].
+    pub tokens_per_s: u64,
+    /// Becomes [`ClientAccount::weight`]; 1 if left out.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+impl TryFrom<RawClientAccount> for ClientAccount {
+    type Error = Invalid;
+
+    fn try_from(raw: RawClientAccount) -> Result<Self, Invalid> {
+        check::kind(raw.kind, ObjectKind::ClientAccount)?;
+        check::name("name", &raw.name)?;
+        check::labels("labels", &raw.labels)?;
+        check_key_digests(&raw.key_digests)?;
+        check::at_least_one("max_running_count", raw.max_running_count.into())?;
+        check::at_least_one("tokens_per_s", raw.tokens_per_s)?;
+        check::at_least_one("weight", raw.weight.into())?;
+        check::at_most("weight", raw.weight.into(), MAX_WEIGHT)?;
+        Ok(Self {
+            name: raw.name,
+            labels: raw.labels,
+            key_digests: raw.key_digests,
+            max_running_count: raw.max_running_count,
+            tokens_per_s: raw.tokens_per_s,
+            weight: raw.weight,
+        })
+    }
+}
+
+fn check_key_digests(digests: &[String]) -> Result<(), Invalid> {
+    if digests.len() > MAX_KEYS_COUNT {
+        return Err(Invalid::new(
+            "key_digests",
+            format!("{} digests", digests.len()),
+            format!("use at most {MAX_KEYS_COUNT}; drop those of retired keys"),
+        ));
+    }
+    let mut seen = BTreeSet::new();
+    for (index, digest) in digests.iter().enumerate() {
+        let field = format!("key_digests[{index}]");
+        check::key_digest(&field, digest)?;
+        if !seen.insert(digest) {
+            return Err(Invalid::new(
+                &field,
+                "the digest stands twice",
+                "remove one of them",
+            ));
+        }
+    }
+    Ok(())
+}
--- a/crates/catalog/src/labels.rs
+++ b/crates/catalog/src/labels.rs
@@ -1,8 +1,9 @@
 //! Labels and the selectors that match them.
 
 use {
+    crate::{Invalid, check},
     serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, fmt, str::FromStr},
 };
 
 /// Labels of one object: key to value.
@@ -25,3 +26,35 @@
             .all(|(key, value)| labels.get(key) == Some(value))
     }
 }
+
+/// Reads `key=value,key=value`; an empty text is the empty selector.
+impl FromStr for Selector {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Invalid> {
+        let mut required = Labels::new();
+        for pair in text.split(',').filter(|pair| !pair.is_empty()) {
+            let Some((key, value)) = pair.split_once('=') else {
+                return Err(Invalid::new(
+                    "selector",
+                    format!("{pair:?} has no '='"),
+                    "write key=value,key=value",
+                ));
+            };
+            required.insert(key.to_owned(), value.to_owned());
+        }
+        check::labels("selector", &required)?;
+        Ok(Self { required })
+    }
+}
+
+impl fmt::Display for Selector {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let pairs: Vec<String> = self
+            .required
+            .iter()
+            .map(|(key, value)| format!("{key}={value}"))
+            .collect();
+        formatter.write_str(&pairs.join(","))
+    }
+}
--- a/crates/catalog/src/rule.rs
+++ b/crates/catalog/src/rule.rs
@@ -1,12 +1,13 @@
 //! Placement rules.
 
 use {
-    crate::{Labels, PlacementRuleId, Selector},
+    crate::{Invalid, Labels, ObjectKind, PlacementRuleId, Selector, check},
     serde::{Deserialize, Serialize},
 };
 
 /// What a rule weighs when it compares targets. Costs add up; lower is better.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct Objective {
     /// Cost of one second of time to first token.
     pub first_token_cost_per_s: f64,
@@ -28,31 +29,111 @@
 
 /// Which targets serve which client accounts and model versions, and by what objective.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(try_from = "RawPlacementRule")]
 pub struct PlacementRule {
     /// Name, unique among placement rules.
     pub name: PlacementRuleId,
     /// Labels of the rule itself.
-    #[serde(default)]
     pub labels: Labels,
     /// The matching rule with the highest precedence decides; ties go to the lower name.
-    #[serde(default)]
     pub precedence: i32,
     /// Client accounts the rule is for.
-    #[serde(default)]
     pub client_accounts: Selector,
     /// Model versions the rule is for.
-    #[serde(default)]
     pub model_versions: Selector,
     /// Engines (or plain services) that may be chosen.
-    #[serde(default)]
     pub targets: Selector,
     /// Store instances that may keep exported blocks.
-    #[serde(default)]
     pub stores: Selector,
     /// Priority handed to the engine; higher runs sooner.
-    #[serde(default)]
     pub priority: u8,
     /// What is weighed.
+    pub objective: Objective,
+}
+
+/// A placement rule as an operator wrote it, with its values unchecked.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPlacementRule {
+    /// `placement_rule`, or left out.
+    #[serde(default)]
+    pub kind: Option<ObjectKind>,
+    /// Becomes [`PlacementRule::name`].
+    pub name: String,
+    /// Becomes [`PlacementRule::labels`].
+    #[serde(default)]
+    pub labels: Labels,
+    /// Becomes [`PlacementRule::precedence`]; 0 if left out.
+    #[serde(default)]
+    pub precedence: i32,
+    /// Becomes [`PlacementRule::client_accounts`]; all if left out.
+    #[serde(default)]
+    pub client_accounts: Selector,
+    /// Becomes [`PlacementRule::model_versions`]; all if left out.
+    #[serde(default)]
+    pub model_versions: Selector,
+    /// Becomes [`PlacementRule::targets`]; all if left out.
+    #[serde(default)]
+    pub targets: Selector,
+    /// Becomes [`PlacementRule::stores`]; all if left out.
+    #[serde(default)]
+    pub stores: Selector,
+    /// Becomes [`PlacementRule::priority`]; 0 if left out.
+    #[serde(default)]
+    pub priority: u8,
+    /// Becomes [`PlacementRule::objective`].
     #[serde(default)]
     pub objective: Objective,
 }
+
+impl TryFrom<RawPlacementRule> for PlacementRule {
+    type Error = Invalid;
+
+    fn try_from(raw: RawPlacementRule) -> Result<Self, Invalid> {
+        check::kind(raw.kind, ObjectKind::PlacementRule)?;
+        check::name("name", &raw.name)?;
+        check::labels("labels", &raw.labels)?;
+        check::labels("client_accounts", &raw.client_accounts.required)?;
+        check::labels("model_versions", &raw.model_versions.required)?;
+        check::labels("targets", &raw.targets.required)?;
+        check::labels("stores", &raw.stores.required)?;
+        check_objective(&raw.objective)?;
+        Ok(Self {
+            name: raw.name,
+            labels: raw.labels,
+            precedence: raw.precedence,
+            client_accounts: raw.client_accounts,
+            model_versions: raw.model_versions,
+            targets: raw.targets,
+            stores: raw.stores,
+            priority: raw.priority,
+            objective: raw.objective,
+        })
+    }
+}
+
+fn check_objective(objective: &Objective) -> Result<(), Invalid> {
+    check::cost(
+        "objective.first_token_cost_per_s",
+        objective.first_token_cost_per_s,
+    )?;
+    check::cost(
+        "objective.recompute_cost_per_kilotoken",
+        objective.recompute_cost_per_kilotoken,
+    )?;
+    check::cost(
+        "objective.link_cost_per_mebibyte",
+        objective.link_cost_per_mebibyte,
+    )?;
+    let total = objective.first_token_cost_per_s
+        + objective.recompute_cost_per_kilotoken
+        + objective.link_cost_per_mebibyte;
+    if total > 0.0 {
+        return Ok(());
+    }
+    Err(Invalid::new(
+        "objective",
+        "every cost is 0, so all targets would look alike",
+        "give at least one cost above 0",
+    ))
+}
--- a/crates/catalog/src/target.rs
+++ b/crates/catalog/src/target.rs
@@ -1,11 +1,14 @@
 //! Targets: model engines, store instances and plain services.
 
 use {
-    crate::{FailureDomainId, Labels, RegionId, TargetId},
+    crate::{FailureDomainId, Invalid, Labels, ObjectKind, RegionId, TargetId, check},
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{collections::BTreeSet, net::SocketAddr},
 };
 
+/// Most calls one plain service may list.
+const MAX_CALLS_COUNT: usize = 256;
+
 /// What a target is.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -20,6 +23,7 @@
 
 /// One call of a plain service.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct ServiceCall {
     /// Path below the service, with a leading slash.
     pub path: String,
@@ -29,10 +33,12 @@
 
 /// One target.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(try_from = "RawTarget")]
 pub struct Target {
     /// Name, unique among targets; equal to its name in the instance list.
     pub name: TargetId,
-    /// What the target is.
+    /// What the target is; `target_kind` in JSON, where `kind` is the kind of object.
+    #[serde(rename = "target_kind")]
     pub kind: TargetKind,
     /// IP address and port.
     pub address: SocketAddr,
@@ -41,26 +47,161 @@
     /// Failure domain the target runs in.
     pub failure_domain: FailureDomainId,
     /// Labels that placement rules select by.
-    #[serde(default)]
     pub labels: Labels,
     /// Whether the target takes no new work.
-    #[serde(default)]
     pub leaving: bool,
     /// Whether the target refuses an order with an old fencing number.
-    #[serde(default)]
     pub checks_fencing: bool,
     /// Requests the target runs at once before it queues.
     pub max_running_count: u32,
     /// Link rate towards stores (engines) or engines (stores) in bytes a second; 0 for services.
-    #[serde(default)]
     pub link_bytes_per_s: u64,
     /// Capacity for exported blocks in bytes; 0 unless a store.
-    #[serde(default)]
     pub capacity_bytes: u64,
     /// Name of the plain service this target serves; empty unless a service.
-    #[serde(default)]
     pub service: String,
     /// Calls of the plain service. A call not listed is treated as not idempotent.
+    pub calls: Vec<ServiceCall>,
+}
+
+/// A target as an operator wrote it, with its values unchecked.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawTarget {
+    /// `target`, or left out.
+    #[serde(default)]
+    pub kind: Option<ObjectKind>,
+    /// Becomes [`Target::name`].
+    pub name: String,
+    /// Becomes [`Target::kind`].
+    pub target_kind: TargetKind,
+    /// Becomes [`Target::address`].
+    pub address: String,
+    /// Becomes [`Target::region`].
+    pub region: String,
+    /// Becomes [`Target::failure_domain`].
+    pub failure_domain: String,
+    /// Becomes [`Target::labels`].
+    #[serde(default)]
+    pub labels: Labels,
+    /// Becomes [`Target::leaving`]; `false` if left out.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Becomes [`Target::checks_fencing`]; `false` if left out.
+    #[serde(default)]
+    pub checks_fencing: bool,
+    /// Becomes [`Target::max_running_count`].
+    pub max_running_count: u32,
+    /// Becomes [`Target::link_bytes_per_s`]; 0 if left out.
+    #[serde(default)]
+    pub link_bytes_per_s: u64,
+    /// Becomes [`Target::capacity_bytes`]; 0 if left out.
+    #[serde(default)]
+    pub capacity_bytes: u64,
+    /// Becomes [`Target::service`]; empty if left out.
+    #[serde(default)]
+    pub service: String,
+    /// Becomes [`Target::calls`].
     #[serde(default)]
     pub calls: Vec<ServiceCall>,
 }
+
+impl TryFrom<RawTarget> for Target {
+    type Error = Invalid;
+
+    fn try_from(raw: RawTarget) -> Result<Self, Invalid> {
+        check::kind(raw.kind, ObjectKind::Target)?;
+        check::name("name", &raw.name)?;
+        let address = parse_address(&raw.address)?;
+        check::name("region", &raw.region)?;
+        check::name("failure_domain", &raw.failure_domain)?;
+        check::labels("labels", &raw.labels)?;
+        check::at_least_one("max_running_count", raw.max_running_count.into())?;
+        check_kind_fields(&raw)?;
+        check_calls(&raw.calls)?;
+        Ok(Self {
+            name: raw.name,
+            kind: raw.target_kind,
+            address,
+            region: raw.region,
+            failure_domain: raw.failure_domain,
+            labels: raw.labels,
+            leaving: raw.leaving,
+            checks_fencing: raw.checks_fencing,
+            max_running_count: raw.max_running_count,
+            link_bytes_per_s: raw.link_bytes_per_s,
+            capacity_bytes: raw.capacity_bytes,
+            service: raw.service,
+            calls: raw.calls,
+        })
+    }
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, Invalid> {
+    let address: Option<SocketAddr> = text.parse().ok();
+    match address {
+        Some(address) if address.port() != 0 => Ok(address),
+        _ => Err(Invalid::new(
+            "address",
+            format!("{text:?} is not an address"),
+            "use an IP address and a port above 0, for example 10.0.0.7:9101",
+        )),
+    }
+}
+
+/// Fields that only some kinds of target have must be given there and left out elsewhere.
+fn check_kind_fields(raw: &RawTarget) -> Result<(), Invalid> {
+    let is_store = raw.target_kind == TargetKind::Store;
+    let is_service = raw.target_kind == TargetKind::Service;
+    if is_store {
+        check::at_least_one("capacity_bytes", raw.capacity_bytes)?;
+    } else if raw.capacity_bytes != 0 {
+        return Err(only_for("capacity_bytes", "a store"));
+    }
+    if is_service {
+        check::name("service", &raw.service)?;
+        if raw.link_bytes_per_s != 0 {
+            return Err(only_for("link_bytes_per_s", "an engine or a store"));
+        }
+        return Ok(());
+    }
+    check::at_least_one("link_bytes_per_s", raw.link_bytes_per_s)?;
+    if !raw.service.is_empty() {
+        return Err(only_for("service", "a service"));
+    }
+    if !raw.calls.is_empty() {
+        return Err(only_for("calls", "a service"));
+    }
+    Ok(())
+}
+
+fn only_for(field: &str, kind: &str) -> Invalid {
+    Invalid::new(
+        field,
+        format!("only {kind} has this field"),
+        "leave it out or correct `target_kind`",
+    )
+}
+
+fn check_calls(calls: &[ServiceCall]) -> Result<(), Invalid> {
+    if calls.len() > MAX_CALLS_COUNT {
+        return Err(Invalid::new(
+            "calls",
+            format!("{} calls", calls.len()),
+            format!("use at most {MAX_CALLS_COUNT}"),
+        ));
+    }
+    let mut seen = BTreeSet::new();
+    for (index, call) in calls.iter().enumerate() {
+        let field = format!("calls[{index}].path");
+        check::path(&field, &call.path)?;
+        if !seen.insert(&call.path) {
+            return Err(Invalid::new(
+                &field,
+                format!("{:?} stands twice", call.path),
+                "keep one entry for each path",
+            ));
+        }
+    }
+    Ok(())
+}
