platform: etcd JSON adapter, instance list adapter and in-memory fakes

Cause: claims, leases and configuration need a key-value service whose failures are told apart, and tests need one whose failures can be switched.

Change: EtcdKv sends each call at most once. Unreachable is reported only if no byte left (no connection, or hyper handed the request back unwritten); everything after is Unknown, also 408, 499 and 5xx. A kept connection that went silent empties its pool, so that the next call connects anew. MemoryKv follows etcd's rules (one revision a transaction, no key written twice, leases, compaction) and loses calls, loses answers, applies calls late, pauses, cuts or silences watches by handle.

Ruled out: hyper-util's legacy client, since its pool may send a request again on another connection.

--- /dev/null
+++ b/crates/platform/src/etcd_answers.rs
@@ -0,0 +1,264 @@
+//! Bodies of the answers of etcd's JSON form.
+
+use {
+    crate::{Event, KvError, KvPair, LeaseId, Range, TxnOutcome},
+    base64::{Engine as _, engine::general_purpose::STANDARD},
+    bytes::Bytes,
+    catalog::Revision,
+    serde::{Deserialize, Deserializer, de::Error as _, de::IgnoredAny},
+    std::time::Duration,
+};
+
+#[derive(Debug, Default, Deserialize)]
+struct Header {
+    #[serde(default, deserialize_with = "number")]
+    revision: Revision,
+}
+
+#[derive(Debug, Deserialize)]
+struct KeyValuePair {
+    #[serde(default)]
+    key: String,
+    #[serde(default)]
+    value: String,
+    #[serde(default, alias = "createRevision", deserialize_with = "number")]
+    create_revision: Revision,
+    #[serde(default, alias = "modRevision", deserialize_with = "number")]
+    mod_revision: Revision,
+}
+
+/// Answer to a read.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RangeAnswer {
+    #[serde(default)]
+    header: Header,
+    #[serde(default)]
+    kvs: Vec<KeyValuePair>,
+}
+
+/// Answer to a transaction.
+#[derive(Debug, Deserialize)]
+pub(crate) struct TxnAnswer {
+    #[serde(default)]
+    header: Header,
+    #[serde(default)]
+    succeeded: bool,
+    #[serde(default)]
+    responses: Vec<ResponseOp>,
+}
+
+#[derive(Debug, Deserialize)]
+enum ResponseOp {
+    #[serde(rename = "response_range", alias = "responseRange")]
+    Range(RangeAnswer),
+    #[serde(rename = "response_txn", alias = "responseTxn")]
+    Txn(TxnAnswer),
+    #[serde(
+        rename = "response_put",
+        alias = "responsePut",
+        alias = "response_delete_range",
+        alias = "responseDeleteRange"
+    )]
+    Written(IgnoredAny),
+}
+
+/// Answer to a grant or to a renewal.
+#[derive(Debug, Deserialize)]
+pub(crate) struct LeaseAnswer {
+    /// Id.
+    #[serde(rename = "ID", default, deserialize_with = "number")]
+    pub(crate) id: LeaseId,
+    /// Time to live in seconds; 0 if the lease has lapsed.
+    #[serde(rename = "TTL", default, deserialize_with = "number")]
+    ttl_s: u64,
+}
+
+impl LeaseAnswer {
+    /// Time to live.
+    pub(crate) fn ttl(&self) -> Duration {
+        Duration::from_secs(self.ttl_s)
+    }
+}
+
+/// One message of a stream.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Streamed<Message> {
+    /// What it carries, unless it is an error.
+    pub(crate) result: Option<Message>,
+    /// An error that ends the stream.
+    #[serde(default)]
+    pub(crate) error: Option<Fault>,
+}
+
+/// An error in the service's own words.
+#[derive(Debug, Default, Deserialize)]
+pub(crate) struct Fault {
+    /// What is wrong.
+    #[serde(default)]
+    pub(crate) message: String,
+}
+
+/// One message of a watch.
+#[derive(Debug, Deserialize)]
+pub(crate) struct WatchAnswer {
+    #[serde(default)]
+    header: Header,
+    #[serde(default)]
+    created: bool,
+    #[serde(default)]
+    canceled: bool,
+    #[serde(default, alias = "compactRevision", deserialize_with = "number")]
+    compact_revision: Revision,
+    #[serde(default, alias = "cancelReason")]
+    cancel_reason: String,
+    #[serde(default)]
+    fragment: bool,
+    #[serde(default)]
+    events: Vec<WatchEvent>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WatchEvent {
+    #[serde(rename = "type", default)]
+    kind: EventKind,
+    kv: KeyValuePair,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "UPPERCASE")]
+enum EventKind {
+    #[default]
+    Put,
+    Delete,
+}
+
+impl TryFrom<KeyValuePair> for KvPair {
+    type Error = KvError;
+
+    fn try_from(raw: KeyValuePair) -> Result<Self, KvError> {
+        let key = decode(&raw.key)?;
+        Ok(Self {
+            key: String::from_utf8(key).map_err(malformed)?,
+            value: Bytes::from(decode(&raw.value)?),
+            create_revision: raw.create_revision,
+            mod_revision: raw.mod_revision,
+        })
+    }
+}
+
+impl TryFrom<RangeAnswer> for Range {
+    type Error = KvError;
+
+    fn try_from(raw: RangeAnswer) -> Result<Self, KvError> {
+        let pairs = raw.kvs.into_iter().map(KvPair::try_from);
+        Ok(Self {
+            pairs: pairs.collect::<Result<_, _>>()?,
+            revision: raw.header.revision,
+        })
+    }
+}
+
+impl TryFrom<TxnAnswer> for TxnOutcome {
+    type Error = KvError;
+
+    fn try_from(raw: TxnAnswer) -> Result<Self, KvError> {
+        let revision = raw.header.revision;
+        outcome(raw, revision)
+    }
+}
+
+/// Nested answers carry no revision of their own and get the outer one.
+fn outcome(raw: TxnAnswer, revision: Revision) -> Result<TxnOutcome, KvError> {
+    let mut outcome = TxnOutcome {
+        succeeded: raw.succeeded,
+        revision,
+        ..TxnOutcome::default()
+    };
+    for response in raw.responses {
+        match response {
+            ResponseOp::Range(range) => outcome.pairs.extend(Range::try_from(range)?.pairs),
+            ResponseOp::Txn(nested) => outcome.nested.push(self::outcome(nested, revision)?),
+            ResponseOp::Written(_) => {}
+        }
+    }
+    Ok(outcome)
+}
+
+impl WatchAnswer {
+    /// The changes that the message carries, followed by the progress they make.
+    pub(crate) fn into_events(self) -> Result<Vec<Event>, KvError> {
+        if self.canceled {
+            return Err(self.cancellation());
+        }
+        let mut events = Vec::with_capacity(self.events.len() + 1);
+        let mut last = self.header.revision;
+        let carries_events = !self.events.is_empty();
+        for event in self.events {
+            last = event.kv.mod_revision;
+            events.push(Event::try_from(event)?);
+        }
+        let complete = !self.fragment && (carries_events || !self.created);
+        if complete {
+            events.push(Event::Progress(last));
+        }
+        Ok(events)
+    }
+
+    fn cancellation(&self) -> KvError {
+        if self.compact_revision > 0 {
+            return KvError::Compacted {
+                revision: self.compact_revision,
+            };
+        }
+        KvError::Unknown {
+            reason: format!("watch was cancelled: {}", self.cancel_reason),
+        }
+    }
+}
+
+impl TryFrom<WatchEvent> for Event {
+    type Error = KvError;
+
+    fn try_from(raw: WatchEvent) -> Result<Self, KvError> {
+        let pair = KvPair::try_from(raw.kv)?;
+        Ok(match raw.kind {
+            EventKind::Put => Self::Put(pair),
+            EventKind::Delete => Self::Delete(pair.key, pair.mod_revision),
+        })
+    }
+}
+
+/// An answer that can't be understood leaves open what took effect.
+pub(crate) fn malformed<Reason>(reason: Reason) -> KvError
+where
+    Reason: std::fmt::Display,
+{
+    KvError::Unknown {
+        reason: format!("malformed answer: {reason}"),
+    }
+}
+
+fn decode(text: &str) -> Result<Vec<u8>, KvError> {
+    STANDARD.decode(text).map_err(malformed)
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum RawNumber {
+    Text(String),
+    Plain(i64),
+}
+
+/// Reads a 64-bit number in either of its forms, a decimal string or a plain number.
+fn number<'input, Source, Number>(source: Source) -> Result<Number, Source::Error>
+where
+    Source: Deserializer<'input>,
+    Number: TryFrom<i64>,
+{
+    let raw = match RawNumber::deserialize(source)? {
+        RawNumber::Text(text) => text.parse().map_err(Source::Error::custom)?,
+        RawNumber::Plain(plain) => plain,
+    };
+    let out_of_range = |_| Source::Error::custom(format!("number {raw} is out of range"));
+    Number::try_from(raw).map_err(out_of_range)
+}
--- /dev/null
+++ b/crates/platform/src/etcd_kv.rs
@@ -0,0 +1,246 @@
+//! The key-value service over HTTP, in etcd v3's JSON form.
+
+use {
+    crate::{
+        Event, KeyValue, KvError, Lease, LeaseId, Range, Txn, TxnOutcome,
+        etcd_answers::{Fault, LeaseAnswer, RangeAnswer, Streamed, TxnAnswer, malformed},
+        etcd_calls::{GrantCall, LeaseCall, RangeCall, TxnCall, WatchCall},
+        etcd_watch::{EtcdWatch, events},
+        http_pool::{Answer, CallError, Connection, HttpPool},
+    },
+    bytes::Bytes,
+    catalog::Revision,
+    futures::Stream,
+    http_body_util::Full,
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming,
+        header::{CONTENT_TYPE, HOST},
+    },
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// Where the key-value service is and how long it may take.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EtcdSettings {
+    /// Addresses of the service, any of which may be used.
+    pub endpoints: Vec<SocketAddr>,
+    /// Longest time for one call, connecting included, and for opening a watch.
+    pub timeout: Duration,
+}
+
+/// The key-value service over HTTP. Clones share connections.
+///
+/// A call that can't connect goes on to the next endpoint. Once any byte of it may have left, it
+/// is never sent again: a missing answer is [`KvError::Unknown`].
+#[derive(Clone, Debug)]
+pub struct EtcdKv {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    pools: Vec<HttpPool>,
+    preferred: AtomicUsize,
+    timeout: Duration,
+}
+
+impl EtcdKv {
+    /// Uses the service that `settings` name; connects with the first call.
+    #[must_use]
+    pub fn new(settings: EtcdSettings) -> Self {
+        let pools = settings.endpoints.into_iter().map(HttpPool::new);
+        Self {
+            shared: Arc::new(Shared {
+                pools: pools.collect(),
+                preferred: AtomicUsize::new(0),
+                timeout: settings.timeout,
+            }),
+        }
+    }
+
+    async fn call<Call, Decoded>(&self, path: &str, call: &Call) -> Result<Decoded, KvError>
+    where
+        Call: Serialize + Sync,
+        Decoded: DeserializeOwned,
+    {
+        let body = encode(call)?;
+        let deadline = Instant::now() + self.shared.timeout;
+        let mut failure = no_endpoint();
+        for index in self.shared.order() {
+            let pool = &self.shared.pools[index];
+            let request = post(pool.address(), path, body.clone())?;
+            let connect_by = self.shared.connect_by(deadline);
+            match pool.call(request, connect_by, deadline).await {
+                Ok(answer) => return decode(&answer),
+                Err(error) => failure = self.shared.failed(index, error),
+            }
+            if matches!(failure, KvError::Unknown { .. }) {
+                break;
+            }
+        }
+        Err(failure)
+    }
+
+    async fn open_watch(self, call: WatchCall) -> Result<EtcdWatch, KvError> {
+        let body = encode(&call)?;
+        let deadline = Instant::now() + self.shared.timeout;
+        let mut failure = no_endpoint();
+        for index in self.shared.order() {
+            let pool = &self.shared.pools[index];
+            let request = post(pool.address(), "/v3/watch", body.clone())?;
+            let connect_by = self.shared.connect_by(deadline);
+            match pool.send(request, connect_by, deadline).await {
+                Ok((response, connection)) => return opened(response, connection),
+                Err(error) => failure = self.shared.failed(index, error),
+            }
+        }
+        Err(failure)
+    }
+}
+
+impl Shared {
+    /// Endpoints, the one that answered last first.
+    fn order(&self) -> impl Iterator<Item = usize> + use<> {
+        let count = self.pools.len();
+        let first = self.preferred.load(Ordering::Relaxed);
+        (0..count).map(move |offset| (first + offset) % count)
+    }
+
+    /// Each endpoint may use an equal share of the time for connecting.
+    fn connect_by(&self, deadline: Instant) -> Instant {
+        let endpoint_count = u32::try_from(self.pools.len()).unwrap_or(u32::MAX).max(1);
+        deadline.min(Instant::now() + self.timeout / endpoint_count)
+    }
+
+    /// Prefers another endpoint from now on.
+    fn failed(&self, index: usize, error: CallError) -> KvError {
+        let next = (index + 1) % self.pools.len();
+        self.preferred.store(next, Ordering::Relaxed);
+        match error {
+            CallError::NoAnswer(reason) => KvError::Unknown { reason },
+            CallError::NotSent(reason) => KvError::Unreachable {
+                endpoint: self.pools[index].address().to_string(),
+                reason,
+            },
+        }
+    }
+}
+
+impl KeyValue for EtcdKv {
+    async fn range(&self, prefix: &str) -> Result<Range, KvError> {
+        let call = RangeCall::prefix(prefix);
+        let answer: RangeAnswer = self.call("/v3/kv/range", &call).await?;
+        Range::try_from(answer)
+    }
+
+    async fn txn(&self, txn: Txn) -> Result<TxnOutcome, KvError> {
+        let call = TxnCall::from(&txn);
+        let answer: TxnAnswer = self.call("/v3/kv/txn", &call).await?;
+        TxnOutcome::try_from(answer)
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<Lease, KvError> {
+        let call = GrantCall::new(ttl);
+        let answer: LeaseAnswer = self.call("/v3/lease/grant", &call).await?;
+        Ok(Lease {
+            id: answer.id,
+            ttl: answer.ttl(),
+        })
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<Lease, KvError> {
+        let call = LeaseCall::new(lease);
+        let answer: Streamed<LeaseAnswer> = self.call("/v3/lease/keepalive", &call).await?;
+        let Some(renewed) = answer.result else {
+            let reason = answer.error.unwrap_or_default().message;
+            return Err(KvError::Refused { reason });
+        };
+        if renewed.ttl().is_zero() {
+            let reason = format!("requested lease {lease} not found");
+            return Err(KvError::Refused { reason });
+        }
+        Ok(Lease {
+            id: lease,
+            ttl: renewed.ttl(),
+        })
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<(), KvError> {
+        let call = LeaseCall::new(lease);
+        let _: serde::de::IgnoredAny = self.call("/v3/lease/revoke", &call).await?;
+        Ok(())
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+    ) -> impl Stream<Item = Result<Event, KvError>> + Send + use<> {
+        events(self.clone().open_watch(WatchCall::prefix(prefix, from)))
+    }
+}
+
+fn encode<Call>(call: &Call) -> Result<Bytes, KvError>
+where
+    Call: Serialize,
+{
+    let body = serde_json::to_vec(call).map_err(|error| KvError::Refused {
+        reason: error.to_string(),
+    })?;
+    Ok(Bytes::from(body))
+}
+
+fn post(address: SocketAddr, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>, KvError> {
+    Request::post(path)
+        .header(HOST, address.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(|error| KvError::Refused {
+            reason: error.to_string(),
+        })
+}
+
+fn decode<Decoded>(answer: &Answer) -> Result<Decoded, KvError>
+where
+    Decoded: DeserializeOwned,
+{
+    if answer.status == StatusCode::OK {
+        return serde_json::from_slice(&answer.body).map_err(malformed);
+    }
+    let fault: Fault = serde_json::from_slice(&answer.body).unwrap_or_default();
+    Err(status_error(answer.status, &fault.message))
+}
+
+fn opened(response: Response<Incoming>, connection: Connection) -> Result<EtcdWatch, KvError> {
+    if response.status() != StatusCode::OK {
+        return Err(status_error(response.status(), "watch was not opened"));
+    }
+    Ok(EtcdWatch::new(response.into_body(), connection))
+}
+
+/// A call that the service rejected did nothing; one that it gave up on may still take effect.
+fn status_error(status: StatusCode, message: &str) -> KvError {
+    let given_up = status == StatusCode::REQUEST_TIMEOUT || status.as_u16() == 499;
+    let reason = format!("status {}: {message}", status.as_u16());
+    if status.is_client_error() && !given_up {
+        return KvError::Refused { reason };
+    }
+    KvError::Unknown { reason }
+}
+
+fn no_endpoint() -> KvError {
+    KvError::Unreachable {
+        endpoint: "(none)".to_owned(),
+        reason: "no endpoint is set".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http_instance_list.rs
@@ -0,0 +1,53 @@
+//! The instance list over HTTP.
+
+use {
+    crate::{
+        Instance, InstanceList, InstanceListError,
+        http_pool::{CallError, HttpPool},
+    },
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Request, StatusCode, header::HOST},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Reads the instance list by `GET /instances`.
+#[derive(Clone, Debug)]
+pub struct HttpInstanceList {
+    pool: Arc<HttpPool>,
+    timeout: Duration,
+}
+
+impl HttpInstanceList {
+    /// Reads the list from `address`; a read takes at most `timeout`.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            pool: Arc::new(HttpPool::new(address)),
+            timeout,
+        }
+    }
+}
+
+impl InstanceList for HttpInstanceList {
+    async fn instances(&self) -> Result<Vec<Instance>, InstanceListError> {
+        let request = Request::get("/instances")
+            .header(HOST, self.pool.address().to_string())
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| failed(error.to_string()))?;
+        let deadline = Instant::now() + self.timeout;
+        let answer = self.pool.call(request, deadline, deadline).await;
+        let answer = answer.map_err(|error| match error {
+            CallError::NotSent(reason) | CallError::NoAnswer(reason) => failed(reason),
+        })?;
+        if answer.status != StatusCode::OK {
+            return Err(failed(format!("status {}", answer.status)));
+        }
+        serde_json::from_slice(&answer.body).map_err(|error| failed(error.to_string()))
+    }
+}
+
+fn failed(reason: String) -> InstanceListError {
+    InstanceListError { reason }
+}
--- /dev/null
+++ b/crates/platform/src/http_pool.rs
@@ -0,0 +1,191 @@
+//! Connections to one address, kept for reuse.
+
+use {
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming,
+        client::conn::http1::{self, SendRequest},
+    },
+    hyper_util::rt::TokioIo,
+    std::{
+        net::SocketAddr,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        task::JoinHandle,
+        time::{Instant, timeout_at},
+    },
+};
+
+/// Longest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Connections unused for longer are closed, since a path in between may have forgotten them.
+const MAX_IDLE: Duration = Duration::from_secs(10);
+/// Connections kept for reuse.
+const MAX_IDLE_COUNT: usize = 32;
+
+/// Why a call has no answer.
+#[derive(Debug)]
+pub(crate) enum CallError {
+    /// No byte of it left.
+    NotSent(String),
+    /// It may have arrived.
+    NoAnswer(String),
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// Status line.
+    pub(crate) status: StatusCode,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
+/// One connection; dropping it closes it.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    used_at: Instant,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Connections to one address. A call is sent at most once.
+#[derive(Debug)]
+pub(crate) struct HttpPool {
+    address: SocketAddr,
+    idle: Mutex<Vec<Connection>>,
+}
+
+impl HttpPool {
+    /// A pool without connections.
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Address that the pool connects to.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a call and reads its whole answer.
+    pub(crate) async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        connect_by: Instant,
+        deadline: Instant,
+    ) -> Result<Answer, CallError> {
+        let (response, connection) = self.send(request, connect_by, deadline).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
+        match timeout_at(deadline, body).await {
+            Ok(Ok(body)) => {
+                self.keep(connection);
+                let body = body.to_bytes();
+                Ok(Answer { status, body })
+            }
+            Ok(Err(error)) => Err(CallError::NoAnswer(error.to_string())),
+            Err(_) => Err(self.timed_out()),
+        }
+    }
+
+    /// Sends a call and gives the answer's head, with the connection that its body comes on.
+    pub(crate) async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        connect_by: Instant,
+        deadline: Instant,
+    ) -> Result<(Response<Incoming>, Connection), CallError> {
+        loop {
+            let mut connection = self.connection(connect_by).await?;
+            let sent = connection.sender.try_send_request(request);
+            let Ok(result) = timeout_at(deadline, sent).await else {
+                return Err(self.timed_out());
+            };
+            let mut error = match result {
+                Ok(response) => return Ok((response, connection)),
+                Err(error) => error,
+            };
+            // Only a request that was handed back unwritten may go out on another connection.
+            match error.take_message() {
+                Some(unwritten) if Instant::now() < connect_by => request = unwritten,
+                Some(_) => return Err(CallError::NotSent(error.into_error().to_string())),
+                None => return Err(CallError::NoAnswer(error.into_error().to_string())),
+            }
+        }
+    }
+
+    async fn connection(&self, connect_by: Instant) -> Result<Connection, CallError> {
+        while let Some(mut connection) = self.take_idle() {
+            let ready = timeout_at(connect_by, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Ok(connection);
+            }
+        }
+        match timeout_at(connect_by, connect(self.address)).await {
+            Ok(connected) => connected,
+            Err(_) => Err(CallError::NotSent("connecting timed out".to_owned())),
+        }
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.lock();
+        idle.retain(|connection| {
+            !connection.sender.is_closed() && connection.used_at.elapsed() < MAX_IDLE
+        });
+        idle.pop()
+    }
+
+    fn keep(&self, mut connection: Connection) {
+        connection.used_at = Instant::now();
+        let mut idle = self.lock();
+        if idle.len() < MAX_IDLE_COUNT && !connection.sender.is_closed() {
+            idle.push(connection);
+        }
+    }
+
+    /// A connection that went silent makes the others suspect: the next call opens a fresh one.
+    fn timed_out(&self) -> CallError {
+        self.lock().clear();
+        CallError::NoAnswer("timed out".to_owned())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, CallError> {
+    let stream = TcpStream::connect(address).await.map_err(not_sent)?;
+    stream.set_nodelay(true).map_err(not_sent)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, driver) = handshake.map_err(not_sent)?;
+    let driver = tokio::spawn(async move {
+        let _ = driver.await;
+    });
+    Ok(Connection {
+        sender,
+        driver,
+        used_at: Instant::now(),
+    })
+}
+
+fn not_sent<Error>(error: Error) -> CallError
+where
+    Error: std::error::Error,
+{
+    CallError::NotSent(error.to_string())
+}
--- /dev/null
+++ b/crates/platform/src/kv_faults.rs
@@ -0,0 +1,79 @@
+//! Faults of the in-memory key-value service, switched by tests.
+
+use std::time::Duration;
+
+/// Faults that one [`crate::MemoryKv`] handle meets. Counts fall by one with each call they hit.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct KvFaults {
+    /// Every call and watch fails with [`crate::KvError::Unreachable`].
+    pub unreachable: bool,
+    /// Writes that take effect and whose answer is lost.
+    pub lost_answer_count: u32,
+    /// Writes that get lost before they take effect; the caller can't tell.
+    pub lost_call_count: u32,
+    /// Writes whose answer is lost and that take effect only `late_by` afterwards.
+    pub late_call_count: u32,
+    /// Delay of the writes that `late_call_count` counts.
+    pub late_by: Duration,
+    /// Reads whose answer is lost.
+    pub lost_read_count: u32,
+    /// Delay of each call before it takes effect.
+    pub call_delay: Duration,
+    /// Delay of each answer after its call took effect.
+    pub answer_delay: Duration,
+    /// Calls wait until this is switched off.
+    pub paused: bool,
+    /// Open watches deliver nothing until this is switched off.
+    pub watches_silent: bool,
+}
+
+/// What happens to one call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CallFate {
+    /// It is carried out and answered.
+    Answered,
+    /// It is not carried out; the caller knows.
+    Unreachable,
+    /// It is not carried out; the caller doesn't know.
+    LostCall,
+    /// It is carried out; the caller doesn't know.
+    LostAnswer,
+    /// It is carried out later; the caller doesn't know.
+    Late(Duration),
+}
+
+impl KvFaults {
+    /// Takes the fate of the next write from the switches.
+    pub(crate) fn next_write(&mut self) -> CallFate {
+        if self.unreachable {
+            return CallFate::Unreachable;
+        }
+        if take(&mut self.lost_call_count) {
+            return CallFate::LostCall;
+        }
+        if take(&mut self.lost_answer_count) {
+            return CallFate::LostAnswer;
+        }
+        if take(&mut self.late_call_count) {
+            return CallFate::Late(self.late_by);
+        }
+        CallFate::Answered
+    }
+
+    /// Takes the fate of the next read from the switches.
+    pub(crate) fn next_read(&mut self) -> CallFate {
+        if self.unreachable {
+            return CallFate::Unreachable;
+        }
+        if take(&mut self.lost_read_count) {
+            return CallFate::LostAnswer;
+        }
+        CallFate::Answered
+    }
+}
+
+fn take(count: &mut u32) -> bool {
+    let hit = *count > 0;
+    *count = count.saturating_sub(1);
+    hit
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,9 +1,45 @@
-//! The platform's key-value service and instance list: traits, HTTP adapters and an in-memory fake.
+//! The platform's key-value service and instance list: traits, HTTP adapters and in-memory fakes.
+//!
+//! Code that needs the platform takes a [`KeyValue`] or an [`InstanceList`]. The daemon hands it
+//! [`EtcdKv`] and [`HttpInstanceList`], a test hands it [`MemoryKv`] and [`MemoryInstances`].
+//!
+//! ```
+//! use platform::{Compare, KeyValue, MemoryKv, Op, Txn};
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> Result<(), platform::KvError> {
+//! let kv = MemoryKv::new();
+//! let create = Txn {
+//!     compares: vec![Compare::Absent("/greeting".to_owned())],
+//!     success: vec![Op::Put("/greeting".to_owned(), "hello".into(), None)],
+//!     failure: vec![Op::Get("/greeting".to_owned())],
+//! };
+//! assert!(kv.txn(create.clone()).await?.succeeded);
+//! let second = kv.txn(create).await?;
+//! assert_eq!(second.pairs[0].value, "hello");
+//! # Ok(())
+//! # }
+//! ```
 
+mod etcd_answers;
+mod etcd_calls;
+mod etcd_kv;
+mod etcd_watch;
+mod http_instance_list;
+mod http_pool;
 mod instance;
 mod kv;
+mod kv_faults;
+mod memory_instances;
+mod memory_kv;
+mod memory_state;
 
 pub use {
+    etcd_kv::{EtcdKv, EtcdSettings},
+    http_instance_list::HttpInstanceList,
     instance::{Instance, InstanceList, InstanceListError, InstanceState},
     kv::{Compare, Event, KeyValue, KvError, KvPair, Lease, LeaseId, Op, Range, Txn, TxnOutcome},
+    kv_faults::KvFaults,
+    memory_instances::MemoryInstances,
+    memory_kv::{KvCalls, MemoryKv},
 };
--- /dev/null
+++ b/crates/platform/src/memory_kv.rs
@@ -0,0 +1,363 @@
+//! An in-memory key-value service with switchable faults.
+
+use {
+    crate::{
+        Event, KeyValue, KvError, KvFaults, Lease, LeaseId, Range, Txn, TxnOutcome,
+        kv_faults::CallFate,
+        memory_state::{MemoryState, event_revision},
+    },
+    catalog::Revision,
+    futures::{Stream, StreamExt, stream},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep, sleep_until},
+    },
+};
+
+/// Calls that reached the service, counted over all handles.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct KvCalls {
+    /// Range reads.
+    pub range_count: u64,
+    /// Transactions.
+    pub txn_count: u64,
+    /// Leases granted, renewed or revoked.
+    pub lease_count: u64,
+}
+
+/// State that all handles share.
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<MemoryState>,
+    calls: Mutex<KvCalls>,
+    changed: watch::Sender<()>,
+}
+
+/// Faults of one handle and of its clones.
+#[derive(Debug)]
+struct HandleFaults {
+    switches: Mutex<KvFaults>,
+    changed: watch::Sender<()>,
+    watch_cut: watch::Sender<u64>,
+}
+
+/// A key-value service in memory, for tests of what uses [`KeyValue`].
+///
+/// Leases lapse by tokio's clock, so a test may pause time. Clones share one set of faults;
+/// [`MemoryKv::peer`] gives a handle to the same keys with faults of its own, as if it were
+/// another instance's.
+#[derive(Clone, Debug)]
+pub struct MemoryKv {
+    shared: Arc<Shared>,
+    faults: Arc<HandleFaults>,
+}
+
+impl Default for MemoryKv {
+    fn default() -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                state: Mutex::default(),
+                calls: Mutex::default(),
+                changed: watch::Sender::new(()),
+            }),
+            faults: new_faults(),
+        }
+    }
+}
+
+impl MemoryKv {
+    /// An empty service at revision 0.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A handle to the same service with no fault switched on.
+    #[must_use]
+    pub fn peer(&self) -> Self {
+        Self {
+            shared: self.shared.clone(),
+            faults: new_faults(),
+        }
+    }
+
+    /// Changes the faults of this handle and its clones.
+    pub fn set_faults<Change>(&self, change: Change)
+    where
+        Change: FnOnce(&mut KvFaults),
+    {
+        change(&mut lock(&self.faults.switches));
+        self.faults.changed.send_replace(());
+    }
+
+    /// The faults that are switched on now.
+    #[must_use]
+    pub fn faults(&self) -> KvFaults {
+        lock(&self.faults.switches).clone()
+    }
+
+    /// Ends this handle's open watches with [`KvError::Unknown`].
+    pub fn cut_watches(&self) {
+        self.faults.watch_cut.send_modify(|cut| *cut += 1);
+    }
+
+    /// Forgets all changes before the current revision.
+    pub fn compact(&self) {
+        lock(&self.shared.state).compact();
+    }
+
+    /// Revision of the last change.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        lock(&self.shared.state).revision()
+    }
+
+    /// Calls counted so far.
+    #[must_use]
+    pub fn calls(&self) -> KvCalls {
+        *lock(&self.shared.calls)
+    }
+
+    async fn write<Answer, Effect>(&self, effect: Effect) -> Result<Answer, KvError>
+    where
+        Answer: Send + 'static,
+        Effect: FnOnce(&mut MemoryState) -> Result<Answer, KvError> + Send + 'static,
+    {
+        self.wait_while_paused().await;
+        let fate = lock(&self.faults.switches).next_write();
+        self.call(fate, effect).await
+    }
+
+    async fn call<Answer, Effect>(&self, fate: CallFate, effect: Effect) -> Result<Answer, KvError>
+    where
+        Answer: Send + 'static,
+        Effect: FnOnce(&mut MemoryState) -> Result<Answer, KvError> + Send + 'static,
+    {
+        if fate == CallFate::Unreachable {
+            return Err(unreachable());
+        }
+        let faults = self.faults();
+        pause(faults.call_delay).await;
+        match fate {
+            CallFate::LostCall => return Err(no_answer()),
+            CallFate::Late(delay) => {
+                self.run_late(delay, effect);
+                return Err(no_answer());
+            }
+            _ => {}
+        }
+        let answer = self.effect(effect);
+        pause(faults.answer_delay).await;
+        if fate == CallFate::LostAnswer {
+            return Err(no_answer());
+        }
+        answer
+    }
+
+    fn run_late<Answer, Effect>(&self, delay: Duration, effect: Effect)
+    where
+        Answer: Send + 'static,
+        Effect: FnOnce(&mut MemoryState) -> Result<Answer, KvError> + Send + 'static,
+    {
+        let handle = self.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            let _ = handle.effect(effect);
+        });
+    }
+
+    fn effect<Answer, Effect>(&self, effect: Effect) -> Result<Answer, KvError>
+    where
+        Effect: FnOnce(&mut MemoryState) -> Result<Answer, KvError>,
+    {
+        let mut state = lock(&self.shared.state);
+        state.expire(Instant::now());
+        let before = state.revision();
+        let answer = effect(&mut state);
+        if state.revision() != before {
+            self.shared.changed.send_replace(());
+        }
+        answer
+    }
+
+    async fn wait_while_paused(&self) {
+        let mut changed = self.faults.changed.subscribe();
+        while self.faults().paused {
+            if changed.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn count<Change>(&self, change: Change)
+    where
+        Change: FnOnce(&mut KvCalls),
+    {
+        change(&mut lock(&self.shared.calls));
+    }
+}
+
+impl KeyValue for MemoryKv {
+    async fn range(&self, prefix: &str) -> Result<Range, KvError> {
+        self.count(|calls| calls.range_count += 1);
+        self.wait_while_paused().await;
+        let fate = lock(&self.faults.switches).next_read();
+        let prefix = prefix.to_owned();
+        self.call(fate, move |state| Ok(state.range(&prefix))).await
+    }
+
+    async fn txn(&self, txn: Txn) -> Result<TxnOutcome, KvError> {
+        self.count(|calls| calls.txn_count += 1);
+        self.write(move |state| state.txn(&txn)).await
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<Lease, KvError> {
+        self.count(|calls| calls.lease_count += 1);
+        self.write(move |state| Ok(state.grant(ttl, Instant::now())))
+            .await
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<Lease, KvError> {
+        self.count(|calls| calls.lease_count += 1);
+        self.write(move |state| state.keep_alive(lease, Instant::now()))
+            .await
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<(), KvError> {
+        self.count(|calls| calls.lease_count += 1);
+        self.write(move |state| state.revoke(lease)).await
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+    ) -> impl Stream<Item = Result<Event, KvError>> + Send + use<> {
+        let cursor = WatchCursor {
+            kv: self.clone(),
+            prefix: prefix.to_owned(),
+            next: from,
+            cut: self.faults.watch_cut.subscribe(),
+            changed: self.shared.changed.subscribe(),
+            faults_changed: self.faults.changed.subscribe(),
+            ended: false,
+        };
+        stream::unfold(cursor, |mut cursor| async move {
+            let batch = cursor.next_batch().await?;
+            Some((stream::iter(batch), cursor))
+        })
+        .flatten()
+    }
+}
+
+/// Place of one watch in the history of changes.
+struct WatchCursor {
+    kv: MemoryKv,
+    prefix: String,
+    next: Revision,
+    cut: watch::Receiver<u64>,
+    changed: watch::Receiver<()>,
+    faults_changed: watch::Receiver<()>,
+    ended: bool,
+}
+
+impl WatchCursor {
+    /// The next changes with the progress that follows them; none once the watch has ended.
+    async fn next_batch(&mut self) -> Option<Vec<Result<Event, KvError>>> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            self.changed.mark_unchanged();
+            self.faults_changed.mark_unchanged();
+            match self.ready() {
+                Err(error) => {
+                    self.ended = true;
+                    return Some(vec![Err(error)]);
+                }
+                Ok(events) if !events.is_empty() => return Some(self.advance(events)),
+                Ok(_) => self.wait().await,
+            }
+        }
+    }
+
+    fn ready(&mut self) -> Result<Vec<Event>, KvError> {
+        if self.cut.has_changed().unwrap_or(true) {
+            return Err(no_answer());
+        }
+        let faults = self.kv.faults();
+        if faults.unreachable {
+            return Err(unreachable());
+        }
+        if faults.watches_silent {
+            return Ok(Vec::new());
+        }
+        let (prefix, from) = (self.prefix.clone(), self.next);
+        self.kv.effect(move |state| state.events(&prefix, from))
+    }
+
+    fn advance(&mut self, events: Vec<Event>) -> Vec<Result<Event, KvError>> {
+        let last = events.iter().map(event_revision).max().unwrap_or(self.next);
+        self.next = last + 1;
+        let mut batch: Vec<Result<Event, KvError>> = events.into_iter().map(Ok).collect();
+        batch.push(Ok(Event::Progress(last)));
+        batch
+    }
+
+    async fn wait(&mut self) {
+        let expiry = lock(&self.kv.shared.state).next_expiry();
+        tokio::select! {
+            _ = self.changed.changed() => {}
+            _ = self.faults_changed.changed() => {}
+            () = cut_changed(self.cut.clone()) => {}
+            () = sleep_until_some(expiry) => {}
+        }
+    }
+}
+
+/// Waits for a cut without marking it as seen in the caller's receiver.
+async fn cut_changed(mut cut: watch::Receiver<u64>) {
+    let _ = cut.changed().await;
+}
+
+async fn sleep_until_some(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn pause(delay: Duration) {
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
+}
+
+fn new_faults() -> Arc<HandleFaults> {
+    Arc::new(HandleFaults {
+        switches: Mutex::default(),
+        changed: watch::Sender::new(()),
+        watch_cut: watch::Sender::new(0),
+    })
+}
+
+fn unreachable() -> KvError {
+    KvError::Unreachable {
+        endpoint: "memory".to_owned(),
+        reason: "switched off".to_owned(),
+    }
+}
+
+fn no_answer() -> KvError {
+    KvError::Unknown {
+        reason: "answer lost".to_owned(),
+    }
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/platform/src/memory_state.rs
@@ -0,0 +1,293 @@
+//! What the in-memory key-value service holds, without locks, faults or waiting.
+
+use {
+    crate::{Compare, Event, KvError, KvPair, Lease, LeaseId, Op, Range, Txn, TxnOutcome},
+    catalog::Revision,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// One lease that has not lapsed.
+#[derive(Clone, Copy, Debug)]
+struct Granted {
+    ttl: Duration,
+    expires_at: Instant,
+}
+
+/// Keys, leases and the history of changes since the last compaction.
+#[derive(Debug, Default)]
+pub(crate) struct MemoryState {
+    revision: Revision,
+    compacted: Revision,
+    pairs: BTreeMap<String, KvPair>,
+    key_leases: BTreeMap<String, LeaseId>,
+    leases: BTreeMap<LeaseId, Granted>,
+    last_lease: LeaseId,
+    history: Vec<(Revision, Event)>,
+}
+
+impl MemoryState {
+    /// Revision of the last change.
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Forgets all changes before the current revision.
+    pub(crate) fn compact(&mut self) {
+        self.compacted = self.revision;
+        let oldest = self.compacted;
+        self.history.retain(|(revision, _)| *revision >= oldest);
+    }
+
+    /// When the next lease lapses.
+    pub(crate) fn next_expiry(&self) -> Option<Instant> {
+        self.leases.values().map(|lease| lease.expires_at).min()
+    }
+
+    /// Deletes the keys of every lease that has lapsed by `now`.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        let lapsed: Vec<LeaseId> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.expires_at <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for lease in lapsed {
+            self.drop_lease(lease);
+        }
+    }
+
+    /// Every key that starts with `prefix`.
+    pub(crate) fn range(&self, prefix: &str) -> Range {
+        let pairs = self
+            .pairs
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(_, pair)| pair.clone())
+            .collect();
+        Range {
+            pairs,
+            revision: self.revision,
+        }
+    }
+
+    /// Grants a lease.
+    pub(crate) fn grant(&mut self, ttl: Duration, now: Instant) -> Lease {
+        self.last_lease += 1;
+        let expires_at = now + ttl;
+        self.leases
+            .insert(self.last_lease, Granted { ttl, expires_at });
+        Lease {
+            id: self.last_lease,
+            ttl,
+        }
+    }
+
+    /// Renews a lease.
+    pub(crate) fn keep_alive(&mut self, id: LeaseId, now: Instant) -> Result<Lease, KvError> {
+        let Some(granted) = self.leases.get_mut(&id) else {
+            return Err(lease_not_found(id));
+        };
+        granted.expires_at = now + granted.ttl;
+        Ok(Lease {
+            id,
+            ttl: granted.ttl,
+        })
+    }
+
+    /// Ends a lease at once.
+    pub(crate) fn revoke(&mut self, id: LeaseId) -> Result<(), KvError> {
+        if !self.leases.contains_key(&id) {
+            return Err(lease_not_found(id));
+        }
+        self.drop_lease(id);
+        Ok(())
+    }
+
+    /// Runs a transaction; all its writes share one revision.
+    pub(crate) fn txn(&mut self, txn: &Txn) -> Result<TxnOutcome, KvError> {
+        check_duplicates(txn, &mut BTreeSet::new())?;
+        self.check_leases(txn)?;
+        let writing = self.revision + 1;
+        let mut wrote = false;
+        let mut outcome = self.apply(txn, writing, &mut wrote);
+        if wrote {
+            self.revision = writing;
+        }
+        stamp(&mut outcome, self.revision);
+        Ok(outcome)
+    }
+
+    /// Changes of keys under `prefix` from revision `from` on, or the oldest revision kept.
+    pub(crate) fn events(&self, prefix: &str, from: Revision) -> Result<Vec<Event>, KvError> {
+        if from < self.compacted {
+            return Err(KvError::Compacted {
+                revision: self.compacted,
+            });
+        }
+        let start = self.history.partition_point(|(at, _)| *at < from);
+        let events = self.history[start..]
+            .iter()
+            .filter(|(_, event)| event_key(event).starts_with(prefix))
+            .map(|(_, event)| event.clone())
+            .collect();
+        Ok(events)
+    }
+
+    fn apply(&mut self, txn: &Txn, writing: Revision, wrote: &mut bool) -> TxnOutcome {
+        let succeeded = txn.compares.iter().all(|compare| self.holds(compare));
+        let ops = if succeeded {
+            &txn.success
+        } else {
+            &txn.failure
+        };
+        let mut outcome = TxnOutcome {
+            succeeded,
+            ..TxnOutcome::default()
+        };
+        for op in ops {
+            self.step(op, writing, wrote, &mut outcome);
+        }
+        outcome
+    }
+
+    fn step(&mut self, op: &Op, writing: Revision, wrote: &mut bool, outcome: &mut TxnOutcome) {
+        match op {
+            Op::Put(key, value, lease) => {
+                self.put(key, value.clone(), *lease, writing);
+                *wrote = true;
+            }
+            Op::Delete(key) => *wrote |= self.delete(key, writing),
+            Op::Get(key) => outcome.pairs.extend(self.pairs.get(key).cloned()),
+            Op::Txn(nested) => {
+                let nested = self.apply(nested, writing, wrote);
+                outcome.nested.push(nested);
+            }
+        }
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        match compare {
+            Compare::Absent(key) => !self.pairs.contains_key(key),
+            Compare::ModRevision(key, revision) => {
+                self.pairs.get(key).map_or(0, |pair| pair.mod_revision) == *revision
+            }
+            Compare::CreateRevision(key, revision) => {
+                self.pairs.get(key).map_or(0, |pair| pair.create_revision) == *revision
+            }
+        }
+    }
+
+    fn put(&mut self, key: &str, value: bytes::Bytes, lease: Option<LeaseId>, writing: Revision) {
+        let created = self.pairs.get(key).map(|pair| pair.create_revision);
+        let pair = KvPair {
+            key: key.to_owned(),
+            value,
+            create_revision: created.unwrap_or(writing),
+            mod_revision: writing,
+        };
+        self.key_leases.remove(key);
+        if let Some(lease) = lease {
+            self.key_leases.insert(key.to_owned(), lease);
+        }
+        self.pairs.insert(key.to_owned(), pair.clone());
+        self.history.push((writing, Event::Put(pair)));
+    }
+
+    fn delete(&mut self, key: &str, writing: Revision) -> bool {
+        if self.pairs.remove(key).is_none() {
+            return false;
+        }
+        self.key_leases.remove(key);
+        let event = Event::Delete(key.to_owned(), writing);
+        self.history.push((writing, event));
+        true
+    }
+
+    fn drop_lease(&mut self, lease: LeaseId) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .key_leases
+            .iter()
+            .filter(|(_, held)| **held == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        let writing = self.revision + 1;
+        for key in &keys {
+            self.delete(key, writing);
+        }
+        if !keys.is_empty() {
+            self.revision = writing;
+        }
+    }
+
+    fn check_leases(&self, txn: &Txn) -> Result<(), KvError> {
+        for op in txn.success.iter().chain(&txn.failure) {
+            match op {
+                Op::Put(_, _, Some(lease)) if !self.leases.contains_key(lease) => {
+                    return Err(lease_not_found(*lease));
+                }
+                Op::Txn(nested) => self.check_leases(nested)?,
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Key that an event is about; empty for progress.
+fn event_key(event: &Event) -> &str {
+    match event {
+        Event::Put(pair) => &pair.key,
+        Event::Delete(key, _) => key,
+        Event::Progress(_) => "",
+    }
+}
+
+/// Revision of a change.
+pub(crate) fn event_revision(event: &Event) -> Revision {
+    match event {
+        Event::Put(pair) => pair.mod_revision,
+        Event::Delete(_, revision) | Event::Progress(revision) => *revision,
+    }
+}
+
+fn lease_not_found(id: LeaseId) -> KvError {
+    KvError::Refused {
+        reason: format!("requested lease {id} not found"),
+    }
+}
+
+fn stamp(outcome: &mut TxnOutcome, revision: Revision) {
+    outcome.revision = revision;
+    for nested in &mut outcome.nested {
+        stamp(nested, revision);
+    }
+}
+
+/// Refuses a transaction that could write one key twice, as etcd does.
+fn check_duplicates(txn: &Txn, written: &mut BTreeSet<String>) -> Result<(), KvError> {
+    let mut failure_written = written.clone();
+    check_branch(&txn.success, written)?;
+    check_branch(&txn.failure, &mut failure_written)?;
+    written.append(&mut failure_written);
+    Ok(())
+}
+
+fn check_branch(ops: &[Op], written: &mut BTreeSet<String>) -> Result<(), KvError> {
+    for op in ops {
+        match op {
+            Op::Put(key, ..) | Op::Delete(key) if !written.insert(key.clone()) => {
+                return Err(KvError::Refused {
+                    reason: format!("duplicate key {key} in transaction"),
+                });
+            }
+            Op::Txn(nested) => check_duplicates(nested, written)?,
+            _ => {}
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/platform/tests/instance_list.rs
@@ -0,0 +1,32 @@
+//! The instance list over HTTP.
+
+use {
+    platform::{HttpInstanceList, InstanceList, InstanceState},
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+    },
+};
+
+const LIST: &str = r#"[{"name":"e1","role":"entry","address":"127.0.0.1:1","region":"r",
+    "failure_domain":"d","state":"leaving"}]"#;
+
+#[tokio::test]
+async fn a_list_is_read_and_a_closed_service_reported() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let list = HttpInstanceList::new(listener.local_addr().unwrap(), Duration::from_secs(5));
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let length = stream.read(&mut [0; 4096]).await.unwrap();
+        assert!(length > 0);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", LIST.len());
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(LIST.as_bytes()).await.unwrap();
+    });
+    let instances = list.instances().await.unwrap();
+    assert_eq!(instances[0].state, InstanceState::Leaving);
+    assert_eq!(instances[0].peer_address, None);
+    serving.await.unwrap();
+    assert!(list.instances().await.is_err());
+}
