--- /dev/null
+++ b/crates/configuration/src/follower.rs
@@ -0,0 +1,203 @@
+//! Keeps an instance's configuration at what the service holds.
+
+use {
+    crate::{
+        Handle, Snapshot,
+        keys::{CONFIG_PREFIX, GUARD_KEY},
+        writer::no_answer,
+    },
+    catalog::Revision,
+    futures::StreamExt,
+    platform::{Event, KeyValue, KvError, Range},
+    rand::RngExt,
+    std::{pin::pin, time::Duration},
+    tokio::time::{Instant, sleep, timeout},
+};
+
+/// Times of a [`Follower`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FollowerSettings {
+    /// Longest wait for one answer of the service.
+    pub call_timeout: Duration,
+    /// Longest time without a word from the watch before one small read asks whether anything
+    /// changed; a watch whose connection went silent is found out this way.
+    pub check_interval: Duration,
+    /// Pause after a failure; up to as much again is added at random, so that instances don't come
+    /// back all at once.
+    pub retry_delay: Duration,
+}
+
+impl Default for FollowerSettings {
+    fn default() -> Self {
+        Self {
+            call_timeout: Duration::from_secs(2),
+            check_interval: Duration::from_secs(3),
+            retry_delay: Duration::from_millis(250),
+        }
+    }
+}
+
+/// Reads the configuration, watches it, and publishes each state through its [`Handle`].
+///
+/// While the service is down the last state stays in force; [`Handle::status`] tells its age.
+#[derive(Clone, Debug)]
+pub struct Follower<Kv> {
+    kv: Kv,
+    settings: FollowerSettings,
+    handle: Handle,
+}
+
+/// Why a watch is over.
+enum WatchEnd {
+    /// It can go on from where it was.
+    Cut,
+    /// Changes may have been missed; read everything again.
+    Gap,
+}
+
+impl<Kv> Follower<Kv>
+where
+    Kv: KeyValue,
+{
+    /// A follower with no state yet, and no I/O until [`Follower::run`].
+    pub fn new(kv: Kv, settings: FollowerSettings) -> Self {
+        Self {
+            kv,
+            settings,
+            handle: Handle::default(),
+        }
+    }
+
+    /// The handle through which the state is read and peers' snapshots are offered.
+    #[must_use]
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Follows the configuration until dropped.
+    pub async fn run(self) {
+        loop {
+            self.read_all().await;
+            while let WatchEnd::Cut = self.watch().await {
+                self.pause().await;
+            }
+        }
+    }
+
+    /// Reads everything, trying until it succeeds.
+    async fn read_all(&self) {
+        loop {
+            let asked_at = Instant::now();
+            match self.range(CONFIG_PREFIX).await {
+                Ok(range)
+                    if self
+                        .handle
+                        .take_read(Snapshot::from_range(&range), asked_at) =>
+                {
+                    return;
+                }
+                Ok(range) => log::error!(
+                    "key-value service answers with revision {}, {} is in force; kept the newer; \
+                     check whether the service was restored from a copy",
+                    range.revision,
+                    self.handle.as_of()
+                ),
+                Err(error) => log::warn!("configuration can't be read: {error}"),
+            }
+            self.pause().await;
+        }
+    }
+
+    /// Takes changes as the watch delivers them.
+    async fn watch(&self) -> WatchEnd {
+        let from = self.handle.as_of() + 1;
+        let mut events = pin!(self.kv.watch(CONFIG_PREFIX, from));
+        let mut batch = Batch::default();
+        loop {
+            let event = match timeout(self.settings.check_interval, events.next()).await {
+                Ok(Some(Ok(event))) => event,
+                Ok(Some(Err(KvError::Compacted { .. }))) => return WatchEnd::Gap,
+                Ok(Some(Err(error))) => {
+                    log::info!("watch of the configuration ended: {error}");
+                    return WatchEnd::Cut;
+                }
+                Ok(None) => return WatchEnd::Cut,
+                Err(_) => {
+                    if let Some(end) = self.check().await {
+                        return end;
+                    }
+                    continue;
+                }
+            };
+            if let Some((revision, events)) = batch.push(event) {
+                self.handle.take_changes(revision, &events, Instant::now());
+            }
+        }
+    }
+
+    /// Asks whether anything changed that the watch did not tell.
+    async fn check(&self) -> Option<WatchEnd> {
+        let asked_at = Instant::now();
+        let range = match self.range(GUARD_KEY).await {
+            Ok(range) => range,
+            Err(error) => {
+                log::warn!("configuration can't be confirmed: {error}");
+                return None;
+            }
+        };
+        let changed = range.pairs.iter().map(|pair| pair.mod_revision).max();
+        let changed = changed.unwrap_or_default();
+        let in_force = self.handle.revision();
+        if changed > in_force {
+            log::warn!("watch missed revision {changed}; reading the configuration again");
+            return Some(WatchEnd::Gap);
+        }
+        if changed == in_force {
+            self.handle.unchanged_until(range.revision, asked_at);
+        }
+        None
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Range, KvError> {
+        let limit = self.settings.call_timeout;
+        timeout(limit, self.kv.range(prefix))
+            .await
+            .unwrap_or_else(|_| Err(no_answer(limit)))
+    }
+
+    async fn pause(&self) {
+        let extra = rand::rng().random_range(0.0..1.0);
+        sleep(self.settings.retry_delay.mul_f64(1.0 + extra)).await;
+    }
+}
+
+/// Collects the changes of one revision, which belong together.
+#[derive(Debug, Default)]
+struct Batch {
+    revision: Revision,
+    events: Vec<Event>,
+}
+
+impl Batch {
+    /// Adds an event; gives the changes of the revision that it completes.
+    fn push(&mut self, event: Event) -> Option<(Revision, Vec<Event>)> {
+        let revision = match &event {
+            Event::Progress(revision) => {
+                return (*revision >= self.revision).then(|| self.take()).flatten();
+            }
+            Event::Put(pair) => pair.mod_revision,
+            Event::Delete(_, revision) => *revision,
+        };
+        let complete = (revision != self.revision).then(|| self.take()).flatten();
+        self.revision = revision;
+        self.events.push(event);
+        complete
+    }
+
+    fn take(&mut self) -> Option<(Revision, Vec<Event>)> {
+        if self.events.is_empty() {
+            return None;
+        }
+        Some((self.revision, std::mem::take(&mut self.events)))
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/handle.rs
@@ -0,0 +1,171 @@
+//! Access to the configuration in force.
+
+use {
+    crate::{Snapshot, state::State},
+    arc_swap::ArcSwap,
+    bytes::Bytes,
+    catalog::{Catalog, Revision},
+    platform::Event,
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{sync::watch, time::Instant},
+};
+
+/// How current the configuration in force is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FollowerStatus {
+    /// Revision of the last change in force; 0 before the first state.
+    pub revision: Revision,
+    /// Time since the service last confirmed it; none before the first state.
+    pub confirmed_age: Option<Duration>,
+    /// Objects that this version of the software can't read and leaves out.
+    pub unreadable_count: usize,
+}
+
+/// Reads the configuration in force and takes in peers' snapshots. Clones share one state.
+#[derive(Clone, Debug, Default)]
+pub struct Handle {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    published: ArcSwap<Snapshot>,
+    state: Mutex<State>,
+    ready: watch::Sender<Readiness>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Readiness {
+    service_read: bool,
+    peers_asked: bool,
+    has_state: bool,
+}
+
+impl Handle {
+    /// The configuration in force. Cheap; for traffic threads.
+    #[must_use]
+    pub fn catalog(&self) -> Arc<Catalog> {
+        self.shared.published.load().catalog.clone()
+    }
+
+    /// The configuration in force with the revision of each object.
+    #[must_use]
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.shared.published.load_full()
+    }
+
+    /// How current the configuration in force is.
+    #[must_use]
+    pub fn status(&self) -> FollowerStatus {
+        let state = self.state();
+        FollowerStatus {
+            revision: state.revision(),
+            confirmed_age: state.confirmed_at.map(|at| at.elapsed()),
+            unreadable_count: state
+                .current
+                .as_ref()
+                .map_or(0, |current| current.unreadable.len()),
+        }
+    }
+
+    /// The snapshot in force as bytes for a peer; none before the first.
+    #[must_use]
+    pub fn export(&self) -> Option<Bytes> {
+        let state = self.state();
+        let current = state.current.clone()?;
+        let age = state.confirmed_at.map_or(Duration::MAX, |at| at.elapsed());
+        drop(state);
+        Some(current.to_json(age))
+    }
+
+    /// Takes in a peer's snapshot, confirmed by the service `confirmed_age` ago; `true` if it is
+    /// newer than what was in force and has taken its place.
+    #[expect(clippy::must_use_candidate, reason = "the offer takes effect either way")]
+    pub fn offer(&self, snapshot: Snapshot, confirmed_age: Duration) -> bool {
+        let now = Instant::now();
+        let confirmed_at = now.checked_sub(confirmed_age).unwrap_or(now);
+        self.change(|state| state.take_offer(snapshot, confirmed_at))
+    }
+
+    /// Tells that every peer that can be reached has been asked for its snapshot. While the
+    /// service is down, an instance is ready only after this.
+    pub fn peers_asked(&self) {
+        self.shared
+            .ready
+            .send_modify(|ready| ready.peers_asked = true);
+    }
+
+    /// Waits until there is a state to serve by: a read of the service, or the highest of the
+    /// peers' snapshots once all peers were asked.
+    pub async fn ready(&self) {
+        let mut ready = self.shared.ready.subscribe();
+        let is_ready =
+            |ready: &Readiness| ready.service_read || (ready.peers_asked && ready.has_state);
+        // Fails only if the sender is gone, which this handle owns.
+        let _ = ready.wait_for(is_ready).await;
+    }
+
+    pub(crate) fn as_of(&self) -> Revision {
+        self.state().as_of()
+    }
+
+    pub(crate) fn revision(&self) -> Revision {
+        self.state().revision()
+    }
+
+    pub(crate) fn take_read(&self, read: Snapshot, asked_at: Instant) -> bool {
+        let taken = self.change(|state| state.take_read(read, asked_at));
+        if taken {
+            self.shared
+                .ready
+                .send_modify(|ready| ready.service_read = true);
+        }
+        taken
+    }
+
+    pub(crate) fn take_changes(&self, revision: Revision, events: &[Event], seen_at: Instant) {
+        self.change(|state| state.take_changes(revision, events, seen_at));
+    }
+
+    pub(crate) fn unchanged_until(&self, as_of: Revision, asked_at: Instant) {
+        self.state().unchanged_until(as_of, asked_at);
+    }
+
+    /// Changes the state and publishes it before the lock is released, so that a reader never sees
+    /// a lower revision after a higher one.
+    fn change<Change>(&self, change: Change) -> bool
+    where
+        Change: FnOnce(&mut State) -> bool,
+    {
+        let mut state = self.state();
+        let changed = change(&mut state);
+        if changed && let Some(current) = &state.current {
+            self.shared.published.store(current.clone());
+            log::info!(
+                "configuration revision {} is in force, {} objects",
+                current.catalog.revision,
+                current.revisions.len()
+            );
+            for (key, reason) in &current.unreadable {
+                log::error!("{key} is left out: {reason}");
+            }
+        }
+        drop(state);
+        if changed {
+            self.shared
+                .ready
+                .send_modify(|ready| ready.has_state = true);
+        }
+        changed
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,32 @@
+//! The operators' configuration at the key-value service.
+//!
+//! [`Writer`] accepts changes: all changes of one call in one transaction, each under the condition
+//! that nobody changed its object meanwhile. [`Follower`] keeps one instance at what the service
+//! holds and publishes it through a [`Handle`]; it never goes back to a lower revision. Both are
+//! generic over [`platform::KeyValue`]. [`Snapshot`] is what peers exchange when the service is
+//! down.
+//!
+//! | key | value |
+//! |---|---|
+//! | `/rattan/config/{kind}/{name}` | JSON of one object |
+//! | `/rattan/config/last_change` | id of the last accepted change |
+//! | `/rattan/change/{change_id}` | what became of a change, under a lease of one hour |
+
+mod change;
+mod change_record;
+mod follower;
+mod handle;
+mod keys;
+mod plan;
+mod snapshot;
+mod state;
+mod writer;
+
+pub use {
+    change::{Accepted, ApplyError, Change, ChangeId, Expected, ObjectName, RawChange},
+    follower::{Follower, FollowerSettings},
+    handle::{FollowerStatus, Handle},
+    keys::{CONFIG_PREFIX, GUARD_KEY, change_key, object_key, parse_object_key},
+    snapshot::{Snapshot, SnapshotError, VersionedObject},
+    writer::Writer,
+};
--- /dev/null
+++ b/crates/configuration/src/plan.rs
@@ -0,0 +1,125 @@
+//! What a change writes, worked out against one snapshot.
+
+use {
+    crate::{Accepted, ApplyError, Change, Expected, Snapshot, keys::object_key, writer::compare},
+    catalog::{Catalog, Edit, Object, ObjectKind, Warning, warnings},
+    platform::{Compare, Op},
+};
+
+/// Most operations the service takes in one transaction.
+const MAX_TXN_OPS_COUNT: usize = 128;
+/// Operations of a transaction besides the objects: the change's record and the guard.
+const OWN_OPS_COUNT: usize = 2;
+/// Most bytes of values in one transaction.
+const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// Most objects that one transaction changes.
+const MAX_OBJECTS_COUNT: usize = MAX_TXN_OPS_COUNT - OWN_OPS_COUNT;
+/// Objects in one part of a change that may be split; as many again may be deactivated by it.
+pub(crate) const PART_OBJECTS_COUNT: usize = MAX_OBJECTS_COUNT / 2;
+
+/// Conditions and writes of a change, and what to tell whoever asked for it.
+pub(crate) struct Plan {
+    /// Each object is as it was read.
+    pub compares: Vec<Compare>,
+    /// Writes of objects.
+    pub ops: Vec<Op>,
+    deactivated: Vec<String>,
+    warnings: Vec<Warning>,
+}
+
+impl Plan {
+    /// Checks the changes against the snapshot.
+    pub(crate) fn new(snapshot: &Snapshot, changes: &[Change]) -> Result<Self, ApplyError> {
+        check_expected(snapshot, changes)?;
+        let edits: Vec<Edit> = changes.iter().map(|change| change.edit.clone()).collect();
+        let edited = snapshot.catalog.edited(&edits);
+        let edited = edited.map_err(|source| ApplyError::Invalid { source })?;
+        let mut plan = Self {
+            compares: Vec::new(),
+            ops: Vec::new(),
+            deactivated: Vec::new(),
+            warnings: warnings(&edited),
+        };
+        for edit in &edits {
+            plan.write(snapshot, edit);
+        }
+        plan.write_deactivated(snapshot, &edited, &edits);
+        plan.check_size()?;
+        Ok(plan)
+    }
+
+    /// The answer once the transaction is committed.
+    pub(crate) fn accepted(&self, revision: u64) -> Accepted {
+        Accepted {
+            revision,
+            deactivated: self.deactivated.clone(),
+            warnings: self.warnings.clone(),
+        }
+    }
+
+    fn write(&mut self, snapshot: &Snapshot, edit: &Edit) {
+        let key = object_key(edit.kind(), edit.name());
+        let current = snapshot.revision_of(edit.kind(), edit.name());
+        self.compares.push(compare(key.clone(), current));
+        self.ops.push(match edit {
+            Edit::Put(object) => Op::Put(key, object.to_json().into(), None),
+            Edit::Delete(..) => Op::Delete(key),
+        });
+    }
+
+    /// Model versions that the edits deactivate without naming them are written as well.
+    fn write_deactivated(&mut self, snapshot: &Snapshot, edited: &Catalog, edits: &[Edit]) {
+        let kind = ObjectKind::ModelVersion;
+        for (name, version) in &edited.model_versions {
+            let is_named = edits
+                .iter()
+                .any(|edit| edit.kind() == kind && edit.name() == name);
+            if is_named || snapshot.catalog.model_versions.get(name) == Some(version) {
+                continue;
+            }
+            let edit = Edit::Put(Object::ModelVersion(version.clone()));
+            self.write(snapshot, &edit);
+            self.deactivated.push(name.clone());
+        }
+    }
+
+    fn check_size(&self) -> Result<(), ApplyError> {
+        let value_bytes = self.ops.iter().map(value_len).sum();
+        if self.ops.len() <= MAX_OBJECTS_COUNT && value_bytes <= MAX_VALUE_BYTES {
+            return Ok(());
+        }
+        Err(ApplyError::TooLarge {
+            keys_count: self.ops.len(),
+            value_bytes,
+            max_keys_count: MAX_OBJECTS_COUNT,
+            max_value_bytes: MAX_VALUE_BYTES,
+        })
+    }
+}
+
+fn value_len(op: &Op) -> usize {
+    match op {
+        Op::Put(_, value, _) => value.len(),
+        _ => 0,
+    }
+}
+
+fn check_expected(snapshot: &Snapshot, changes: &[Change]) -> Result<(), ApplyError> {
+    for change in changes {
+        let (kind, name) = (change.edit.kind(), change.edit.name());
+        let current = snapshot.revision_of(kind, name);
+        let expected = match change.expected {
+            Expected::Absent => 0,
+            Expected::Revision(revision) => revision,
+        };
+        if current != expected {
+            return Err(ApplyError::Conflict {
+                kind,
+                name: name.to_owned(),
+                current,
+            });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/configuration/src/snapshot.rs
@@ -0,0 +1,199 @@
+//! All objects at one revision, with the revision of each.
+
+use {
+    crate::keys::{GUARD_KEY, parse_object_key},
+    bytes::Bytes,
+    catalog::{Catalog, Edit, Object, ObjectKind, Revision},
+    platform::{Event, KvPair, Range},
+    serde::{Deserialize, Serialize},
+    snafu::{ResultExt, Snafu},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+/// The configuration as of one revision of the key-value service.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Snapshot {
+    /// The objects; its revision is that of the last change of the configuration.
+    pub catalog: Arc<Catalog>,
+    /// Revision of each object's last change, which a writer states to replace it.
+    pub revisions: BTreeMap<(ObjectKind, String), Revision>,
+    /// Revision up to which the objects are known to be as they are here; at least the catalog's.
+    pub as_of: Revision,
+    /// Objects that this version of the software can't read, by key.
+    pub unreadable: BTreeMap<String, String>,
+}
+
+/// A peer's snapshot could not be read.
+#[derive(Debug, Snafu)]
+#[snafu(display("snapshot cannot be read: {source}; ask another peer or wait for the service"))]
+pub struct SnapshotError {
+    source: serde_json::Error,
+}
+
+/// The JSON form that peers exchange.
+#[derive(Debug, Deserialize, Serialize)]
+struct SnapshotDto {
+    revision: Revision,
+    as_of: Revision,
+    confirmed_age_ms: u64,
+    objects: Vec<VersionedObject>,
+}
+
+/// One object with the revision of its last change.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct VersionedObject {
+    /// Revision of the object's last change.
+    pub revision: Revision,
+    /// The object.
+    pub object: Object,
+}
+
+impl Snapshot {
+    /// The snapshot that a complete read of the configuration's prefix gives.
+    #[must_use]
+    pub fn from_range(range: &Range) -> Self {
+        let mut snapshot = Self {
+            as_of: range.revision,
+            ..Self::default()
+        };
+        let mut objects = Vec::new();
+        let mut revision = 0;
+        for pair in &range.pairs {
+            revision = revision.max(pair.mod_revision);
+            objects.extend(snapshot.read_pair(pair));
+        }
+        snapshot.catalog = Arc::new(Catalog::from_objects(revision, objects));
+        snapshot
+    }
+
+    /// The snapshot after all changes of one revision.
+    #[must_use]
+    pub fn after(&self, revision: Revision, events: &[Event]) -> Self {
+        let mut next = self.clone();
+        let mut catalog = Catalog::clone(&self.catalog);
+        for event in events {
+            match event {
+                Event::Put(pair) => {
+                    if let Some(object) = next.read_pair(pair) {
+                        catalog.put(object);
+                    }
+                }
+                Event::Delete(key, _) => next.delete_key(&mut catalog, key),
+                Event::Progress(_) => {}
+            }
+        }
+        catalog.revision = revision;
+        next.catalog = Arc::new(catalog);
+        next.as_of = revision;
+        next
+    }
+
+    /// The configuration after `edits`, unchanged if they are refused.
+    ///
+    /// # Errors
+    ///
+    /// See [`Catalog::edited`].
+    pub fn edited(&self, edits: &[Edit]) -> Result<Catalog, catalog::Invalid> {
+        self.catalog.edited(edits)
+    }
+
+    /// Revision of one object's last change; 0 if there is no such object.
+    #[must_use]
+    pub fn revision_of(&self, kind: ObjectKind, name: &str) -> Revision {
+        let key = (kind, name.to_owned());
+        self.revisions.get(&key).copied().unwrap_or_default()
+    }
+
+    /// One object with its revision.
+    #[must_use]
+    pub fn object(&self, kind: ObjectKind, name: &str) -> Option<VersionedObject> {
+        Some(VersionedObject {
+            revision: self.revision_of(kind, name),
+            object: self.catalog.object(kind, name)?,
+        })
+    }
+
+    /// The JSON bytes that [`Snapshot::from_json`] reads. `confirmed_age` is how long ago the
+    /// service last confirmed the snapshot.
+    ///
+    /// # Panics
+    ///
+    /// Never: all members have a JSON form.
+    #[must_use]
+    pub fn to_json(&self, confirmed_age: Duration) -> Bytes {
+        let objects = self
+            .revisions
+            .keys()
+            .filter_map(|(kind, name)| self.object(*kind, name))
+            .collect();
+        let dto = SnapshotDto {
+            revision: self.catalog.revision,
+            as_of: self.as_of,
+            confirmed_age_ms: u64::try_from(confirmed_age.as_millis()).unwrap_or(u64::MAX),
+            objects,
+        };
+        let json = serde_json::to_vec(&dto).expect("snapshots have a JSON form");
+        Bytes::from(json)
+    }
+
+    /// Reads a peer's snapshot and how long ago the service confirmed it there.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are not a snapshot, or hold an object that this version can't read.
+    pub fn from_json(json: &[u8]) -> Result<(Self, Duration), SnapshotError> {
+        let dto: SnapshotDto = serde_json::from_slice(json).context(SnapshotSnafu)?;
+        let mut snapshot = Self {
+            as_of: dto.as_of.max(dto.revision),
+            ..Self::default()
+        };
+        let mut objects = Vec::new();
+        for versioned in dto.objects {
+            let object = versioned.object;
+            let key = (object.kind(), object.name().to_owned());
+            snapshot.revisions.insert(key, versioned.revision);
+            objects.push(object);
+        }
+        snapshot.catalog = Arc::new(Catalog::from_objects(dto.revision, objects));
+        Ok((snapshot, Duration::from_millis(dto.confirmed_age_ms)))
+    }
+
+    /// Notes the revision of the object at a pair and reads it; none if it is not an object, or
+    /// can't be read.
+    fn read_pair(&mut self, pair: &KvPair) -> Option<Object> {
+        if pair.key == GUARD_KEY {
+            return None;
+        }
+        let Some((kind, name)) = parse_object_key(&pair.key) else {
+            let reason = "not the key of an object; delete it".to_owned();
+            self.unreadable.insert(pair.key.clone(), reason);
+            return None;
+        };
+        match Object::from_json(kind, &pair.value) {
+            Ok(object) if object.name() == name => {
+                self.unreadable.remove(&pair.key);
+                let key = (kind, name.to_owned());
+                self.revisions.insert(key, pair.mod_revision);
+                Some(object)
+            }
+            Ok(object) => {
+                let reason = format!("holds the object {}; write it anew", object.name());
+                self.unreadable.insert(pair.key.clone(), reason);
+                None
+            }
+            Err(error) => {
+                self.unreadable.insert(pair.key.clone(), error.to_string());
+                None
+            }
+        }
+    }
+
+    fn delete_key(&mut self, catalog: &mut Catalog, key: &str) {
+        self.unreadable.remove(key);
+        let Some((kind, name)) = parse_object_key(key) else {
+            return;
+        };
+        self.revisions.remove(&(kind, name.to_owned()));
+        catalog.remove(kind, name);
+    }
+}
