directory: block states with generations, cache events, exports and eviction

Cause: the thin directory knew only committed copies, so it could neither tell a partly written copy from a whole one nor refuse a message that arrives late.

Change: a copy in a store goes writing -> committed -> freed with a generation; free takes effect before the store is told and returns the copies to delete. Engine memory follows cache events by sequence number; a gap lowers the confidence of older copies until a resync. Reuse statistics for each block, bytes for each store and client account, eviction by fair shares, export plans. Signatures that change: Directory::commit takes (key, target, generation, now) and returns a Result, remove is gone (free_copy, forget_target), Copy has the new fields place and confidence, adopt takes over a store's listing.

Now the count is aged from the last use only. - A tombstone that a newer write replaces before the store confirmed the deletion: a listing could bring the older generation back. Now a write waits for the deletion, and a listing older than what is known is not applied.

--- /dev/null
+++ b/crates/directory/src/account.rs
@@ -0,0 +1,58 @@
+//! What is known of each client account's prompts.
+
+use std::time::Duration;
+
+/// Weight of the newest gap in the mean.
+const GAP_SMOOTHING: f32 = 0.1;
+/// Mean gap that is assumed before any prompt has returned.
+const DEFAULT_GAP_S: f32 = 3_600.0;
+/// Mean gaps after which a use counts `1/e` of a fresh one.
+const AGEING_GAPS: f32 = 4.0;
+/// Shortest ageing time in seconds.
+const MIN_AGEING_S: f32 = 1.0;
+
+/// How the prompts of one client account return.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AccountUsage {
+    /// Blocks that were computed.
+    pub seen_blocks_count: u64,
+    /// Of these, blocks that were asked again at least once.
+    pub returned_blocks_count: u64,
+    /// Mean gap between two uses of a block in seconds, newest gaps weighing most.
+    pub mean_gap_s: f32,
+}
+
+impl Default for AccountUsage {
+    fn default() -> Self {
+        Self {
+            seen_blocks_count: 0,
+            returned_blocks_count: 0,
+            mean_gap_s: DEFAULT_GAP_S,
+        }
+    }
+}
+
+impl AccountUsage {
+    /// Probability that a block that was computed once is asked again; 0.5 without history.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn return_probability(&self) -> f64 {
+        (self.returned_blocks_count as f64 + 1.0) / (self.seen_blocks_count as f64 + 2.0)
+    }
+
+    /// Time after which a use counts `1/e` of a fresh one.
+    #[must_use]
+    pub fn ageing(&self) -> Duration {
+        Duration::from_secs_f32((self.mean_gap_s * AGEING_GAPS).max(MIN_AGEING_S))
+    }
+
+    /// Takes one more gap into the mean.
+    pub(crate) fn record_gap(&mut self, gap_s: f32, first: bool) {
+        if first && self.returned_blocks_count == 0 {
+            self.mean_gap_s = gap_s;
+        } else {
+            self.mean_gap_s += GAP_SMOOTHING * (gap_s - self.mean_gap_s);
+        }
+        self.returned_blocks_count += u64::from(first);
+    }
+}
--- /dev/null
+++ b/crates/directory/src/copy.rs
@@ -0,0 +1,61 @@
+//! Copies of blocks as callers of the directory see them.
+
+use {
+    catalog::{ClientAccountId, TargetId},
+    prefix::BlockKey,
+};
+
+/// Distinguishes one write of a block from every other write of the same key.
+pub type Generation = u64;
+
+/// Where a copy is kept.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Place {
+    /// In a store instance; read by import, with a generation.
+    Store,
+    /// In the memory of an engine; only that engine can use it.
+    Memory,
+}
+
+/// A copy of a block that may be used.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Copy {
+    /// Target that holds the copy.
+    pub target: TargetId,
+    /// Generation a reader must present; 0 for copies in engine memory.
+    pub generation: Generation,
+    /// Size in bytes; 0 if not known, which happens only for copies in engine memory.
+    pub size_bytes: u64,
+    /// Where the copy is kept.
+    pub place: Place,
+    /// Probability from 0 to 1 that the copy is there; 1 for committed copies in stores.
+    pub confidence: f64,
+}
+
+/// A copy in a store, named exactly as its deletion needs it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoreCopy {
+    /// The block.
+    pub key: BlockKey,
+    /// Store that holds the copy.
+    pub target: TargetId,
+    /// Generation of the copy.
+    pub generation: Generation,
+    /// Size in bytes.
+    pub size_bytes: u64,
+}
+
+/// One write of a block to a store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Write {
+    /// The block.
+    pub key: BlockKey,
+    /// Store that is written to.
+    pub target: TargetId,
+    /// Generation, unique among all writes of `key`.
+    pub generation: Generation,
+    /// Size in bytes.
+    pub size_bytes: u64,
+    /// Client account that the bytes count for.
+    pub client_account: ClientAccountId,
+}
--- /dev/null
+++ b/crates/directory/src/directory.rs
@@ -0,0 +1,329 @@
+//! The directory itself: blocks, their copies and the life of a copy in a store.
+
+use {
+    crate::{
+        AccountUsage, Copy, Generation, Place, State, StoreCopy, Write, WriteError,
+        block::{Block, Entry, Tick},
+        error::{DeletingSnafu, ExistsSnafu, FreedSnafu, NotWritingSnafu},
+        events::MemoryView,
+        names::{NameIndex, Names},
+        store::StoreUsage,
+    },
+    catalog::{ClientAccountId, TargetId},
+    prefix::BlockKey,
+    snafu::ensure,
+    std::{collections::HashMap, time::Duration},
+};
+
+/// How long a freed copy is remembered, so that a listing or message sent before the store
+/// deleted it cannot revive it.
+const FREED_KEPT: Duration = Duration::from_mins(10);
+
+/// How long a freed copy is remembered whose store never confirmed the deletion.
+const UNCONFIRMED_KEPT: Duration = Duration::from_hours(24);
+
+/// The blocks of one prompt.
+#[derive(Clone, Copy, Debug)]
+pub struct Prompt<'a> {
+    /// Client account that asked.
+    pub client_account: &'a ClientAccountId,
+    /// Keys of the whole pieces, first piece first.
+    pub keys: &'a [BlockKey],
+    /// Size of one block in bytes.
+    pub block_bytes: u64,
+    /// Time an engine takes to compute one block.
+    pub block_recompute: Duration,
+}
+
+/// Blocks and copies known to one entry instance.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    pub(crate) blocks: HashMap<BlockKey, Block>,
+    pub(crate) targets: Names,
+    pub(crate) accounts: Names,
+    pub(crate) stores: HashMap<NameIndex, StoreUsage>,
+    pub(crate) account_usage: HashMap<NameIndex, AccountUsage>,
+    pub(crate) memory: HashMap<NameIndex, MemoryView>,
+    forgotten: HashMap<NameIndex, Tick>,
+}
+
+impl Directory {
+    /// Records that a write to a store begins. The copy stays unreadable until
+    /// [`Self::commit`].
+    ///
+    /// # Errors
+    /// [`WriteError::Exists`] if the store has the block or is being sent it,
+    /// [`WriteError::Freed`] if this generation was freed before, [`WriteError::Deleting`] if the
+    /// store has not yet deleted the generation that was freed last.
+    pub fn begin_write(&mut self, write: &Write, now: Duration) -> Result<(), WriteError> {
+        let target = self.targets.intern(&write.target);
+        let account = self.accounts.intern(&write.client_account);
+        let block = self.blocks.entry(write.key).or_default();
+        if let Some(entry) = block.copy(target) {
+            let generation = entry.generation;
+            let target = &write.target;
+            ensure!(
+                entry.state == State::Freed,
+                ExistsSnafu { target, generation }
+            );
+            ensure!(
+                generation != write.generation,
+                FreedSnafu { target, generation }
+            );
+            ensure!(entry.is_deleted, DeletingSnafu { target, generation });
+        }
+        if block
+            .copies
+            .iter()
+            .all(|entry| entry.state == State::Cached)
+        {
+            block.size_bytes = u32::try_from(write.size_bytes).unwrap_or(u32::MAX);
+        }
+        block.account = Some(account);
+        let (owner, size_bytes) = (block.account, block.size_bytes);
+        block.remove(target);
+        block.copies.push(Entry {
+            generation: write.generation,
+            changed: now.into(),
+            target,
+            state: State::Writing,
+            is_deleted: false,
+        });
+        let usage = self.stores.entry(target).or_default();
+        usage.add(owner, size_bytes);
+        Ok(())
+    }
+
+    /// Makes a copy readable after the store has confirmed that all of it arrived.
+    ///
+    /// # Errors
+    /// [`WriteError::Freed`] if the copy was freed while it was written,
+    /// [`WriteError::NotWriting`] if no such write is known. The caller deletes the copy from the
+    /// store then.
+    pub fn commit(
+        &mut self,
+        key: &BlockKey,
+        target: &TargetId,
+        generation: Generation,
+        now: Duration,
+    ) -> Result<(), WriteError> {
+        let entry = self
+            .targets
+            .find(target)
+            .and_then(|index| self.blocks.get_mut(key)?.copy_mut(index))
+            .filter(|entry| entry.generation == generation);
+        let Some(entry) = entry else {
+            return NotWritingSnafu { target, generation }.fail();
+        };
+        ensure!(
+            entry.state != State::Freed,
+            FreedSnafu { target, generation }
+        );
+        entry.state = State::Committed;
+        entry.changed = now.into();
+        Ok(())
+    }
+
+    /// Takes over a committed copy that a store's listing names, for example after this instance
+    /// was replaced. `listed_at` is when the listing was asked for; what the directory has learnt
+    /// since then goes before it. A copy that is being written stays unreadable, and one that was
+    /// freed is to be deleted again ([`Self::pending_deletes`]). Returns whether the copy is
+    /// readable now.
+    pub fn adopt(&mut self, write: &Write, listed_at: Duration, now: Duration) -> bool {
+        let target = self.targets.intern(&write.target);
+        let forgotten = self.forgotten.get(&target);
+        let is_old = now.saturating_sub(listed_at) >= FREED_KEPT
+            || forgotten.is_some_and(|forgotten| Tick::from(listed_at) <= *forgotten);
+        if is_old {
+            return false;
+        }
+        let block = self.blocks.get(&write.key);
+        let known = block.and_then(|block| block.copy(target));
+        if let Some(entry) = known.filter(|entry| entry.state != State::Cached) {
+            let is_same = entry.generation == write.generation;
+            let is_newer = Tick::from(listed_at) > entry.changed;
+            match entry.state {
+                State::Committed => return is_same,
+                State::Freed if is_same && is_newer => {
+                    self.undo_delete(&write.key, &write.target, now);
+                    return false;
+                }
+                State::Freed if is_newer && entry.is_deleted => {}
+                _ => return false,
+            }
+        }
+        self.begin_write(write, now).is_ok()
+            && self
+                .commit(&write.key, &write.target, write.generation, now)
+                .is_ok()
+    }
+
+    /// Frees all store copies of a block, also those still being written, at once: no look-up
+    /// returns them any more. Returns the copies that the stores are to delete.
+    pub fn free(&mut self, key: &BlockKey, now: Duration) -> Vec<StoreCopy> {
+        self.free_where(key, now, |_| true)
+    }
+
+    /// Like [`Self::free`] for the copy in one store.
+    pub fn free_copy(
+        &mut self,
+        key: &BlockKey,
+        target: &TargetId,
+        now: Duration,
+    ) -> Option<StoreCopy> {
+        let target = self.targets.find(target)?;
+        self.free_where(key, now, |holder| holder == target).pop()
+    }
+
+    fn free_where<Wanted>(
+        &mut self,
+        key: &BlockKey,
+        now: Duration,
+        wanted: Wanted,
+    ) -> Vec<StoreCopy>
+    where
+        Wanted: Fn(NameIndex) -> bool,
+    {
+        let Some(block) = self.blocks.get_mut(key) else {
+            return Vec::new();
+        };
+        let size_bytes = u64::from(block.size_bytes);
+        let mut freed = Vec::new();
+        for entry in &mut block.copies {
+            let in_use = matches!(entry.state, State::Writing | State::Committed);
+            if !in_use || !wanted(entry.target) {
+                continue;
+            }
+            entry.state = State::Freed;
+            entry.changed = now.into();
+            freed.push(StoreCopy {
+                key: *key,
+                target: self.targets.name(entry.target).clone(),
+                generation: entry.generation,
+                size_bytes,
+            });
+        }
+        freed
+    }
+
+    /// Forgets all readable copies that a target holds, for example after it died or restarted
+    /// empty. Copies that were freed or being written are to be deleted when it comes back.
+    pub fn forget_target(&mut self, target: &TargetId, now: Duration) {
+        let Some(index) = self.targets.find(target) else {
+            return;
+        };
+        let mut usage = StoreUsage::default();
+        for block in self.blocks.values_mut() {
+            let (account, size_bytes) = (block.account, block.size_bytes);
+            let Some(entry) = block.copy_mut(index) else {
+                continue;
+            };
+            if matches!(entry.state, State::Committed | State::Cached) {
+                block.remove(index);
+                continue;
+            }
+            if entry.state == State::Writing {
+                entry.state = State::Freed;
+                entry.changed = now.into();
+            }
+            if !entry.is_deleted {
+                usage.add(account, size_bytes);
+            }
+        }
+        self.stores.insert(index, usage);
+        self.memory.remove(&index);
+        self.forgotten.insert(index, now.into());
+    }
+
+    /// Copies of `key` that may be used: committed ones in stores, and those in engine memory.
+    pub fn copies<'a>(&'a self, key: &BlockKey) -> impl Iterator<Item = Copy> + use<'a> {
+        let block = self.blocks.get(key);
+        block.into_iter().flat_map(move |block| {
+            block
+                .copies
+                .iter()
+                .filter_map(move |entry| self.usable(block, entry))
+        })
+    }
+
+    /// The copy as a reader sees it, if a reader may use it.
+    pub(crate) fn usable(&self, block: &Block, entry: &Entry) -> Option<Copy> {
+        let (place, generation, confidence) = match entry.state {
+            State::Committed => (Place::Store, entry.generation, 1.0),
+            State::Cached => (Place::Memory, 0, self.confidence(entry)),
+            State::Writing | State::Freed => return None,
+        };
+        Some(Copy {
+            target: self.targets.name(entry.target).clone(),
+            generation,
+            size_bytes: u64::from(block.size_bytes),
+            place,
+            confidence,
+        })
+    }
+
+    /// Leading blocks of a prompt that were computed before, by any engine. Computing one of
+    /// these again is recomputation.
+    #[must_use]
+    pub fn seen_blocks(&self, keys: &[BlockKey]) -> usize {
+        keys.iter()
+            .take_while(|key| self.blocks.get(*key).is_some_and(|block| block.seen))
+            .count()
+    }
+
+    /// Records that an engine has the blocks of a prompt and answered from them: they count as
+    /// computed, and their use counts towards their worth.
+    pub fn record_use(&mut self, prompt: &Prompt<'_>, now: Duration) {
+        let account = self.accounts.intern(prompt.client_account);
+        let usage = self.account_usage.entry(account).or_default();
+        for (depth, key) in prompt.keys.iter().enumerate() {
+            let block = self.blocks.entry(*key).or_default();
+            if block.seen {
+                usage.record_gap(block.reuse.idle_s(now), !block.reuse.returned());
+            } else {
+                usage.seen_blocks_count += 1;
+            }
+            block.reuse.record(now);
+            block.seen = true;
+            block.account = Some(account);
+            block.depth = u16::try_from(depth).unwrap_or(u16::MAX);
+            if block.size_bytes == 0 {
+                block.size_bytes = u32::try_from(prompt.block_bytes).unwrap_or(u32::MAX);
+            }
+            block.recompute_s = prompt.block_recompute.as_secs_f32();
+        }
+    }
+
+    /// How the prompts of a client account return.
+    #[must_use]
+    pub fn account_usage(&self, account: &ClientAccountId) -> AccountUsage {
+        let index = self.accounts.find(account);
+        index
+            .and_then(|index| self.account_usage.get(&index).copied())
+            .unwrap_or_default()
+    }
+
+    /// Blocks known, with or without copies.
+    #[must_use]
+    pub fn blocks_count(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Drops what is remembered of deleted copies after ten minutes, of copies whose deletion was
+    /// never confirmed after a day, and blocks without copies that were not used for `idle`.
+    pub fn purge(&mut self, idle: Duration, now: Duration) {
+        let tick = Tick::from(now);
+        self.blocks.retain(|_, block| {
+            block.copies.retain(|entry| {
+                let kept = if entry.is_deleted {
+                    FREED_KEPT
+                } else {
+                    UNCONFIRMED_KEPT
+                };
+                entry.state != State::Freed
+                    || entry.changed.seconds_until(tick) < kept.as_secs_f32()
+            });
+            !block.copies.is_empty() || block.reuse.idle_s(now) < idle.as_secs_f32()
+        });
+    }
+}
--- /dev/null
+++ b/crates/directory/src/events.rs
@@ -0,0 +1,206 @@
+//! Copies in engine memory, as far as cache events tell.
+
+use {
+    crate::{
+        Directory, State,
+        block::{Entry, Tick},
+        names::NameIndex,
+    },
+    catalog::TargetId,
+    prefix::BlockKey,
+    std::time::Duration,
+};
+
+/// Confidence in a copy that was reported before events were lost.
+const UNCERTAIN_CONFIDENCE: f64 = 0.5;
+
+/// What happened to a block in engine memory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CacheEventKind {
+    /// The engine has the block now.
+    Stored,
+    /// The engine dropped the block.
+    Removed,
+}
+
+/// One cache event of an engine. The version is part of the key, so a late event of an old
+/// version never touches a block of a new one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CacheEvent {
+    /// Sequence number, rising by one within an engine.
+    pub seq: u64,
+    /// What happened.
+    pub kind: CacheEventKind,
+    /// The block.
+    pub key: BlockKey,
+}
+
+/// Outcome of [`Directory::apply_events`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Applied {
+    /// All events up to `last_seq` are in.
+    Applied {
+        /// Last sequence number applied; ask for events after it next.
+        last_seq: u64,
+    },
+    /// Events are missing. Those given are in, and older copies of the target count as uncertain
+    /// until [`Directory::resync`].
+    Gap {
+        /// First sequence number that is missing.
+        missing_seq: u64,
+        /// Last sequence number applied; ask for events after it next.
+        last_seq: u64,
+    },
+}
+
+/// What is known of one engine's event stream.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct MemoryView {
+    last_seq: u64,
+    uncertain_until_seq: u64,
+}
+
+impl Directory {
+    /// Applies events of one engine in the order of their sequence numbers. Events at or below
+    /// `after` or the last one applied are ignored, so answers may come late, twice or crossed.
+    pub fn apply_events(
+        &mut self,
+        target: &TargetId,
+        after: u64,
+        events: &[CacheEvent],
+        now: Duration,
+    ) -> Applied {
+        let index = self.targets.intern(target);
+        let known = self.memory.contains_key(&index);
+        let mut view = self.memory.get(&index).copied().unwrap_or_default();
+        if !known {
+            view.last_seq = after;
+        }
+        let mut missing_seq = None;
+        for event in events.iter().filter(|event| event.seq > after) {
+            if event.seq <= view.last_seq {
+                continue;
+            }
+            if event.seq > view.last_seq + 1 {
+                missing_seq.get_or_insert(view.last_seq + 1);
+                view.uncertain_until_seq = event.seq - 1;
+            }
+            view.last_seq = event.seq;
+            self.apply_event(index, event, now);
+        }
+        self.memory.insert(index, view);
+        let last_seq = view.last_seq;
+        match missing_seq {
+            Some(missing_seq) => Applied::Gap {
+                missing_seq,
+                last_seq,
+            },
+            None => Applied::Applied { last_seq },
+        }
+    }
+
+    /// Marks every memory copy of an engine as uncertain, for example while its events cannot be
+    /// read. [`Self::resync`] makes them certain again.
+    pub fn mark_uncertain(&mut self, target: &TargetId) {
+        let index = self.targets.intern(target);
+        let view = self.memory.entry(index).or_default();
+        view.uncertain_until_seq = view.last_seq;
+    }
+
+    fn apply_event(&mut self, target: NameIndex, event: &CacheEvent, now: Duration) {
+        match event.kind {
+            CacheEventKind::Stored => self.cache(target, event.key, event.seq, now),
+            CacheEventKind::Removed => self.uncache(target, &event.key),
+        }
+    }
+
+    fn cache(&mut self, target: NameIndex, key: BlockKey, seq: u64, now: Duration) {
+        let block = self.blocks.entry(key).or_default();
+        block.seen = true;
+        block.remove(target);
+        block.copies.push(Entry {
+            generation: seq,
+            changed: Tick::from(now),
+            target,
+            state: State::Cached,
+            is_deleted: false,
+        });
+    }
+
+    fn uncache(&mut self, target: NameIndex, key: &BlockKey) {
+        let Some(block) = self.blocks.get_mut(key) else {
+            return;
+        };
+        if block
+            .copy(target)
+            .is_some_and(|entry| entry.state == State::Cached)
+        {
+            block.remove(target);
+        }
+    }
+
+    /// Replaces all that is known of an engine's memory by its full content as of `last_seq`.
+    pub fn resync(&mut self, target: &TargetId, last_seq: u64, blocks: &[BlockKey], now: Duration) {
+        let index = self.targets.intern(target);
+        for block in self.blocks.values_mut() {
+            if block
+                .copy(index)
+                .is_some_and(|entry| entry.state == State::Cached)
+            {
+                block.remove(index);
+            }
+        }
+        for key in blocks {
+            self.cache(index, *key, last_seq, now);
+        }
+        let view = MemoryView {
+            last_seq,
+            uncertain_until_seq: 0,
+        };
+        self.memory.insert(index, view);
+    }
+
+    /// Corrects what is known of an engine's memory by its own count: it had the first
+    /// `cached_blocks` of `keys` when it ran the prompt, and has all of them afterwards.
+    pub fn observe_run(
+        &mut self,
+        target: &TargetId,
+        keys: &[BlockKey],
+        cached_blocks: usize,
+        now: Duration,
+    ) {
+        let index = self.targets.intern(target);
+        let seq = self.memory.entry(index).or_default().last_seq + 1;
+        for (position, key) in keys.iter().enumerate() {
+            let is_known = self
+                .blocks
+                .get(key)
+                .is_some_and(|block| block.copy(index).is_some());
+            if position >= cached_blocks || !is_known {
+                self.cache(index, *key, seq, now);
+            }
+        }
+    }
+
+    /// Last sequence number applied for an engine; 0 if none.
+    #[must_use]
+    pub fn last_seq(&self, target: &TargetId) -> u64 {
+        let index = self.targets.find(target);
+        index
+            .and_then(|index| self.memory.get(&index))
+            .map_or(0, |view| view.last_seq)
+    }
+
+    /// Probability that a copy in engine memory is still there.
+    pub(crate) fn confidence(&self, entry: &Entry) -> f64 {
+        let uncertain_until_seq = self
+            .memory
+            .get(&entry.target)
+            .map_or(0, |view| view.uncertain_until_seq);
+        if entry.generation <= uncertain_until_seq {
+            UNCERTAIN_CONFIDENCE
+        } else {
+            1.0
+        }
+    }
+}
--- /dev/null
+++ b/crates/directory/src/evict.rs
@@ -0,0 +1,174 @@
+//! Which copies a store gives up when it is near its capacity.
+
+use {
+    crate::{
+        Directory, State, StoreCopy,
+        block::{Block, Entry},
+        names::NameIndex,
+    },
+    catalog::{ClientAccountId, TargetId},
+    prefix::BlockKey,
+    std::{collections::HashMap, time::Duration},
+};
+
+/// Aged count of uses below which a copy goes first, whoever owns it.
+const WORTHLESS_COUNT: f32 = 0.02;
+
+/// A copy to free, and why.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Victim {
+    /// The copy, to be passed to [`Directory::free_copy`].
+    pub copy: StoreCopy,
+    /// Client account that loses it, if known.
+    pub client_account: Option<ClientAccountId>,
+    /// Seconds of computing that keeping it would save, for each second and mebibyte.
+    pub saved_s_per_s_mebibyte: f64,
+}
+
+/// Bytes in a mebibyte.
+pub(crate) const MEBIBYTE_BYTES: f64 = 1_048_576.0;
+
+/// A copy that may be given up.
+struct Item<'a> {
+    key: &'a BlockKey,
+    block: &'a Block,
+    entry: &'a Entry,
+    worth: f32,
+}
+
+/// Copies of one client account in the store, the one to give up first at the end.
+struct Queue<'a> {
+    account: Option<NameIndex>,
+    items: Vec<Item<'a>>,
+    used_bytes: u64,
+    weight: u32,
+}
+
+impl Directory {
+    /// Committed copies in `store` to free so that it holds `wanted_bytes` less.
+    ///
+    /// Copies that have not been used for long go first. Then the client account that uses most
+    /// in proportion to its weight gives up its least worth copy, and so on, so an account that
+    /// stays within its share loses nothing to one that doesn't. The worth of a copy is the
+    /// computing time that it is expected to save for each byte; of one prompt the last blocks go
+    /// first.
+    #[must_use]
+    pub fn victims<Weight>(
+        &self,
+        store: &TargetId,
+        wanted_bytes: u64,
+        weight: Weight,
+        now: Duration,
+    ) -> Vec<Victim>
+    where
+        Weight: Fn(&ClientAccountId) -> u32,
+    {
+        let Some(store) = self.targets.find(store) else {
+            return Vec::new();
+        };
+        let mut queues = self.queues(store, weight, now);
+        let mut victims = Vec::new();
+        let mut freed_bytes = 0;
+        while freed_bytes < wanted_bytes {
+            let Some(queue) = next_queue(&mut queues) else {
+                break;
+            };
+            let Some(item) = queue.items.pop() else {
+                break;
+            };
+            let size_bytes = u64::from(item.block.size_bytes);
+            queue.used_bytes = queue.used_bytes.saturating_sub(size_bytes);
+            freed_bytes += size_bytes;
+            let account = queue.account;
+            victims.push(self.victim(&item, account));
+        }
+        victims
+    }
+
+    fn queues<Weight>(&self, store: NameIndex, weight: Weight, now: Duration) -> Vec<Queue<'_>>
+    where
+        Weight: Fn(&ClientAccountId) -> u32,
+    {
+        let mut queues: HashMap<Option<NameIndex>, Queue<'_>> = HashMap::new();
+        for (key, block) in &self.blocks {
+            let Some(entry) = block.copy(store) else {
+                continue;
+            };
+            if entry.state != State::Committed {
+                continue;
+            }
+            let account = block.account;
+            let queue = queues.entry(account).or_insert_with(|| Queue {
+                account,
+                items: Vec::new(),
+                used_bytes: 0,
+                weight: account.map_or(1, |account| weight(self.accounts.name(account)).max(1)),
+            });
+            queue.used_bytes += u64::from(block.size_bytes);
+            queue.items.push(Item {
+                key,
+                block,
+                entry,
+                worth: self.worth(block, now),
+            });
+        }
+        let mut queues: Vec<Queue<'_>> = queues.into_values().collect();
+        for queue in &mut queues {
+            queue.items.sort_unstable_by(|left, right| {
+                let by_worth = right.worth.total_cmp(&left.worth);
+                by_worth
+                    .then_with(|| left.block.depth.cmp(&right.block.depth))
+                    .then_with(|| left.key.cmp(right.key))
+            });
+        }
+        queues.sort_by_key(|queue| queue.account);
+        queues
+    }
+
+    fn victim(&self, item: &Item<'_>, account: Option<NameIndex>) -> Victim {
+        Victim {
+            copy: StoreCopy {
+                key: *item.key,
+                target: self.targets.name(item.entry.target).clone(),
+                generation: item.entry.generation,
+                size_bytes: u64::from(item.block.size_bytes),
+            },
+            client_account: account.map(|account| self.accounts.name(account).clone()),
+            saved_s_per_s_mebibyte: f64::from(item.worth) * MEBIBYTE_BYTES,
+        }
+    }
+
+    /// Seconds of computing that a copy of the block is expected to save, for each second that it
+    /// is kept and each of its bytes; 0 if it has not been used for long.
+    #[allow(clippy::cast_precision_loss)]
+    fn worth(&self, block: &Block, now: Duration) -> f32 {
+        let ageing = self.usage_of(block).ageing();
+        if block.reuse.aged_count(now, ageing) < WORTHLESS_COUNT {
+            return 0.0;
+        }
+        block.reuse.rate_per_s(now, ageing) * block.recompute_s / block.size_bytes.max(1) as f32
+    }
+}
+
+/// The account to give up a copy next: one with a worthless copy, else the one that uses most in
+/// proportion to its weight.
+fn next_queue<'queues, 'blocks>(
+    queues: &'queues mut [Queue<'blocks>],
+) -> Option<&'queues mut Queue<'blocks>> {
+    queues
+        .iter_mut()
+        .filter(|queue| !queue.items.is_empty())
+        .max_by(|left, right| {
+            let by_worthless = has_worthless(left).cmp(&has_worthless(right));
+            by_worthless.then_with(|| weighted_bytes(left).total_cmp(&weighted_bytes(right)))
+        })
+}
+
+fn has_worthless(queue: &Queue<'_>) -> bool {
+    queue.items.last().is_some_and(|item| item.worth <= 0.0)
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn weighted_bytes(queue: &Queue<'_>) -> f64 {
+    queue.used_bytes as f64 / f64::from(queue.weight)
+}
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -1,52 +1,59 @@
-//! Where each cached block is and which state it is in.
+//! Where each cached block is, in which state, and what it is worth.
+//!
+//! A [`Directory`] is the soft state that an entry instance keeps about the block roots it owns.
+//! It does no I/O and reads no clock: the caller passes `now` as the time since an origin of its
+//! own choice, so the same code runs in the daemon and in a test.
+//!
+//! Copies in stores go through [`State::Writing`], [`State::Committed`] and [`State::Freed`]; only
+//! committed copies are ever returned, with the generation that a reader must present. Copies in
+//! engine memory follow the engine's cache events ([`Directory::apply_events`]).
+//!
+//! ```
+//! use {
+//!     directory::{Directory, Write},
+//!     std::time::Duration,
+//! };
+//!
+//! let mut directory = Directory::default();
+//! let now = Duration::ZERO;
+//! let write = Write {
+//!     key: [7; 32],
+//!     target: "store-a".into(),
+//!     generation: 1,
+//!     size_bytes: 4_096,
+//!     client_account: "kitchens".into(),
+//! };
+//! directory.begin_write(&write, now)?;
+//! assert_eq!(directory.copies(&write.key).count(), 0);
+//! directory.commit(&write.key, &write.target, write.generation, now)?;
+//! assert_eq!(directory.copies(&write.key).count(), 1);
+//! directory.free(&write.key, now);
+//! assert_eq!(directory.copies(&write.key).count(), 0);
+//! # Ok::<(), directory::WriteError>(())
+//! ```
 
-use {
-    catalog::TargetId,
-    prefix::BlockKey,
-    std::collections::{BTreeMap, HashMap},
-};
-
-/// Distinguishes one write of a block from every other write of the same key.
-pub type Generation = u64;
-
-/// A committed copy of a block that may be read.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Copy {
-    /// Target that holds the copy.
-    pub target: TargetId,
-    /// Generation a reader must present; 0 for copies in engine memory.
-    pub generation: Generation,
-    /// Size in bytes.
-    pub size_bytes: u64,
-}
-
-/// Copies known to one entry instance.
-#[derive(Clone, Debug, Default)]
-pub struct Directory {
-    copies: HashMap<BlockKey, BTreeMap<TargetId, Copy>>,
-}
+mod account;
+mod block;
+mod copy;
+mod directory;
+mod error;
+mod events;
+mod evict;
+mod export;
+mod lookup;
+mod names;
+mod rendezvous;
+mod reuse;
+mod store;
 
-impl Directory {
-    /// Records a committed copy.
-    pub fn commit(&mut self, key: BlockKey, copy: Copy) {
-        self.copies
-            .entry(key)
-            .or_default()
-            .insert(copy.target.clone(), copy);
-    }
-
-    /// Forgets the copy of `key` that `target` holds.
-    pub fn remove(&mut self, key: &BlockKey, target: &TargetId) {
-        if let Some(copies) = self.copies.get_mut(key) {
-            copies.remove(target);
-            if copies.is_empty() {
-                self.copies.remove(key);
-            }
-        }
-    }
-
-    /// Committed copies of `key`.
-    pub fn copies<'a>(&'a self, key: &BlockKey) -> impl Iterator<Item = &'a Copy> + use<'a> {
-        self.copies.get(key).into_iter().flat_map(BTreeMap::values)
-    }
-}
+pub use {
+    account::AccountUsage,
+    block::State,
+    copy::{Copy, Generation, Place, StoreCopy, Write},
+    directory::{Directory, Prompt},
+    error::WriteError,
+    events::{Applied, CacheEvent, CacheEventKind},
+    evict::Victim,
+    export::{ExportPlan, ExportPolicy, StoreState},
+    lookup::Leading,
+};
