idempotency: claims by create-if-absent, grouped into shared writes

Cause: a non-idempotent request must run at most once, whichever instance its caller retries through, also when answers of the key-value service get lost.

Change: a claim is one key, created only if absent, under a lease that lives for the retention and is shared by all claims of an hour. A lost answer is settled by reading the key and comparing the nonce; if the claim isn't there (yet), the request is refused as not run and a release goes on in the background for ten minutes, since the call may still take effect. Nobody takes a claim over. Claim::may_send turns false once send_bound has passed on the holder's monotonic clock. Beyond the agreed outcomes there are Claimed::Unknown (never run again) and Claimed::DoneTooLong (ran, answer not stored), so that neither passes for Pending or for a whole answer. At most two calls are in flight; what arrives meanwhile becomes one transaction of nested ones.

Ruled out: a fixed wait to collect claims, since it would delay every claim of an idle instance; deleting without comparing the revision, since a late delete could hit another attempt's claim.

--- a/crates/idempotency/src/lib.rs
+++ b/crates/idempotency/src/lib.rs
@@ -1,1 +1,50 @@
 //! Claims that let a non-idempotent request run at most once.
+//!
+//! Before the first byte of a request is sent to a target, its instance creates a claim at the
+//! key-value service, under the client account and the caller's idempotency key. The claim is
+//! created only if none is there, so of all attempts through all instances one wins. A claim is
+//! never taken over: an attempt whose instance died stays [`Claimed::Pending`], since nobody can
+//! tell whether it ran. Claims lapse with their lease, after [`ClaimSettings::retention`].
+//!
+//! ```
+//! use {
+//!     idempotency::{ClaimSettings, Claimed, Claims, StoredAnswer},
+//!     platform::MemoryKv,
+//! };
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> Result<(), idempotency::ClaimError> {
+//! let claims = Claims::new(MemoryKv::new(), ClaimSettings::new("entry-1".to_owned()));
+//! let account = "acme".to_owned();
+//! let digest = [7; 32];
+//! let Claimed::Won(claim) = claims.claim(&account, "booking-81", digest).await? else {
+//!     panic!("the key was used before");
+//! };
+//! assert!(claim.may_send());
+//! let answer = StoredAnswer {
+//!     status: 200,
+//!     content_type: "text/plain".to_owned(),
+//!     body: "booked".into(),
+//! };
+//! claims.complete(claim, answer.clone()).await;
+//! let repeated = claims.claim(&account, "booking-81", digest).await?;
+//! assert_eq!(repeated, Claimed::Done(answer));
+//! # Ok(())
+//! # }
+//! ```
+
+mod background;
+mod claim;
+mod claims;
+mod error;
+mod lease_bucket;
+mod record;
+mod settings;
+mod write_group;
+
+pub use {
+    claim::{Claim, Claimed, StoredAnswer},
+    claims::Claims,
+    error::ClaimError,
+    settings::ClaimSettings,
+};
--- /dev/null
+++ b/crates/idempotency/src/write_group.rs
@@ -0,0 +1,197 @@
+//! Transactions of one instance that share calls to the key-value service.
+
+use {
+    platform::{KeyValue, KvError, Op, Txn, TxnOutcome},
+    std::{
+        collections::{HashSet, VecDeque},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+    tokio::sync::oneshot,
+};
+
+/// Transactions in one call; etcd's default limit is 128.
+const MAX_GROUP_COUNT: usize = 64;
+/// Size of all values in one call, in bytes; etcd's default limit is 1.5 MiB.
+const MAX_GROUP_BYTES: usize = 512 << 10;
+/// Calls in flight. Further transactions wait and are grouped.
+const MAX_CALL_COUNT: usize = 2;
+/// Transactions that may wait.
+const MAX_QUEUED_COUNT: usize = 4096;
+
+/// A transaction on one key that waits for its turn.
+#[derive(Debug)]
+struct Queued {
+    key: String,
+    size_bytes: usize,
+    txn: Txn,
+    answer: oneshot::Sender<Result<TxnOutcome, KvError>>,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    waiting: VecDeque<Queued>,
+    call_count: usize,
+}
+
+/// Why a transaction was not answered.
+#[derive(Debug)]
+pub(crate) enum GroupError {
+    /// The queue is full; nothing was sent.
+    Full(usize),
+    /// The key-value service failed.
+    Kv(KvError),
+}
+
+/// Groups transactions that arrive while others are in flight. An idle group adds no wait.
+#[derive(Debug)]
+pub(crate) struct WriteGroup<Kv> {
+    kv: Kv,
+    queue: Arc<Mutex<Queue>>,
+}
+
+impl<Kv> Clone for WriteGroup<Kv>
+where
+    Kv: KeyValue,
+{
+    fn clone(&self) -> Self {
+        Self {
+            kv: self.kv.clone(),
+            queue: self.queue.clone(),
+        }
+    }
+}
+
+impl<Kv> WriteGroup<Kv>
+where
+    Kv: KeyValue,
+{
+    /// Groups calls to `kv`.
+    pub(crate) fn new(kv: Kv) -> Self {
+        Self {
+            kv,
+            queue: Arc::default(),
+        }
+    }
+
+    /// Runs a transaction that touches only `key`, together with others. It goes on to its end
+    /// also if the caller stops waiting.
+    pub(crate) async fn run(&self, key: &str, txn: Txn) -> Result<TxnOutcome, GroupError> {
+        let (answer, answered) = oneshot::channel();
+        let queued = Queued {
+            key: key.to_owned(),
+            size_bytes: size_bytes(&txn),
+            txn,
+            answer,
+        };
+        if self.enqueue(queued)? {
+            tokio::spawn(self.clone().drain());
+        }
+        let lost = KvError::Unknown {
+            reason: "group was dropped".to_owned(),
+        };
+        answered.await.unwrap_or(Err(lost)).map_err(GroupError::Kv)
+    }
+
+    /// Queues a transaction; true if a further call may be started for it.
+    fn enqueue(&self, queued: Queued) -> Result<bool, GroupError> {
+        let mut queue = self.lock();
+        if queue.waiting.len() >= MAX_QUEUED_COUNT {
+            return Err(GroupError::Full(queue.waiting.len()));
+        }
+        queue.waiting.push_back(queued);
+        let start = queue.call_count < MAX_CALL_COUNT;
+        if start {
+            queue.call_count += 1;
+        }
+        Ok(start)
+    }
+
+    /// Sends groups until nothing waits.
+    async fn drain(self) {
+        while let Some(group) = self.next_group() {
+            self.send(group).await;
+        }
+    }
+
+    fn next_group(&self) -> Option<Vec<Queued>> {
+        let mut queue = self.lock();
+        let group = take_group(&mut queue.waiting);
+        if group.is_empty() {
+            queue.call_count -= 1;
+            return None;
+        }
+        Some(group)
+    }
+
+    async fn send(&self, mut group: Vec<Queued>) {
+        if group.len() == 1
+            && let Some(single) = group.pop()
+        {
+            let outcome = self.kv.txn(single.txn).await;
+            let _ = single.answer.send(outcome);
+            return;
+        }
+        let (steps, answers): (Vec<Op>, Vec<_>) = group
+            .into_iter()
+            .map(|queued| (Op::Txn(queued.txn), queued.answer))
+            .unzip();
+        let grouped = Txn {
+            success: steps,
+            ..Txn::default()
+        };
+        let mut outcomes = outcomes(self.kv.txn(grouped).await, answers.len()).into_iter();
+        for answer in answers {
+            if let Some(outcome) = outcomes.next() {
+                let _ = answer.send(outcome);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Takes transactions in order until a key repeats or the group is full.
+fn take_group(waiting: &mut VecDeque<Queued>) -> Vec<Queued> {
+    let mut group = Vec::new();
+    let mut keys = HashSet::new();
+    let mut total_bytes = 0;
+    while let Some(next) = waiting.front() {
+        total_bytes += next.size_bytes;
+        let fits = total_bytes <= MAX_GROUP_BYTES && group.len() < MAX_GROUP_COUNT;
+        if !group.is_empty() && (!fits || keys.contains(&next.key)) {
+            break;
+        }
+        keys.insert(next.key.clone());
+        group.extend(waiting.pop_front());
+    }
+    group
+}
+
+/// Outcome of each transaction of a group.
+fn outcomes(
+    grouped: Result<TxnOutcome, KvError>,
+    count: usize,
+) -> Vec<Result<TxnOutcome, KvError>> {
+    match grouped {
+        Ok(outcome) if outcome.nested.len() == count => {
+            outcome.nested.into_iter().map(Ok).collect()
+        }
+        Ok(_) => vec![
+            Err(KvError::Unknown {
+                reason: "answer to a group lacks outcomes".to_owned(),
+            });
+            count
+        ],
+        Err(error) => vec![Err(error); count],
+    }
+}
+
+fn size_bytes(txn: &Txn) -> usize {
+    let puts = txn.success.iter().map(|op| match op {
+        Op::Put(_, value, _) => value.len(),
+        _ => 0,
+    });
+    puts.sum()
+}
