--- a/crates/configuration/src/follower.rs
+++ b/crates/configuration/src/follower.rs
@@ -129,9 +129,16 @@
                     continue;
                 }
             };
+            let progress = match event {
+                Event::Progress(revision) => Some(revision),
+                _ => None,
+            };
             if let Some((revision, events)) = batch.push(event) {
                 self.handle.take_changes(revision, &events, Instant::now());
             }
+            if let Some(revision) = progress {
+                self.handle.unchanged_until(revision, Instant::now());
+            }
         }
     }
 
--- a/crates/configuration/src/handle.rs
+++ b/crates/configuration/src/handle.rs
@@ -83,7 +83,10 @@
 
     /// Takes in a peer's snapshot, confirmed by the service `confirmed_age` ago; `true` if it is
     /// newer than what was in force and has taken its place.
-    #[expect(clippy::must_use_candidate, reason = "the offer takes effect either way")]
+    #[expect(
+        clippy::must_use_candidate,
+        reason = "the offer takes effect either way"
+    )]
     pub fn offer(&self, snapshot: Snapshot, confirmed_age: Duration) -> bool {
         let now = Instant::now();
         let confirmed_at = now.checked_sub(confirmed_age).unwrap_or(now);
--- /dev/null
+++ b/crates/configuration/tests/follower_states.rs
@@ -0,0 +1,120 @@
+//! What a follower publishes, and what it keeps while the service is away.
+
+mod support;
+
+use {
+    configuration::{Follower, FollowerSettings, Handle, Snapshot, Writer},
+    platform::MemoryKv,
+    std::time::Duration,
+    support::{put, rule},
+    tokio::time::sleep,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn follow(kv: &MemoryKv) -> Handle {
+    let follower = Follower::new(kv.clone(), FollowerSettings::default());
+    let handle = follower.handle();
+    tokio::spawn(follower.run());
+    handle
+}
+
+async fn write(kv: &MemoryKv, name: &str) -> u64 {
+    let writer = Writer::new(kv.clone(), SECOND);
+    let accepted = writer
+        .apply(&[put(rule(name, 1), 0)], &format!("change-{name}"))
+        .await;
+    accepted.expect("accepted").revision
+}
+
+#[tokio::test(start_paused = true)]
+async fn changes_come_by_the_watch() {
+    let kv = MemoryKv::new();
+    let handle = follow(&kv.peer());
+    handle.ready().await;
+    let revision = write(&kv, "a").await;
+    sleep(SECOND).await;
+    assert_eq!(handle.catalog().revision, revision);
+    assert!(handle.catalog().placement_rules.contains_key("a"));
+    assert!(handle.status().confirmed_age.expect("confirmed") <= SECOND);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cut_watch_goes_on_and_compaction_reads_again() {
+    let kv = MemoryKv::new();
+    let own = kv.peer();
+    let handle = follow(&own);
+    handle.ready().await;
+    own.cut_watches();
+    write(&kv, "a").await;
+    sleep(2 * SECOND).await;
+    assert!(handle.catalog().placement_rules.contains_key("a"));
+    own.set_faults(|faults| faults.unreachable = true);
+    sleep(2 * SECOND).await;
+    write(&kv, "b").await;
+    let revision = write(&kv, "c").await;
+    kv.compact();
+    own.set_faults(|faults| faults.unreachable = false);
+    sleep(2 * SECOND).await;
+    assert_eq!(handle.catalog().revision, revision);
+    assert_eq!(handle.catalog().placement_rules.len(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_is_found_out() {
+    let kv = MemoryKv::new();
+    let own = kv.peer();
+    let handle = follow(&own);
+    handle.ready().await;
+    own.set_faults(|faults| faults.watches_silent = true);
+    let revision = write(&kv, "a").await;
+    sleep(4 * SECOND).await;
+    assert_eq!(handle.catalog().revision, revision);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_last_state_serves_through_an_outage() {
+    let kv = MemoryKv::new();
+    let own = kv.peer();
+    let handle = follow(&own);
+    handle.ready().await;
+    let revision = write(&kv, "a").await;
+    sleep(SECOND).await;
+    own.set_faults(|faults| faults.unreachable = true);
+    own.cut_watches();
+    sleep(60 * SECOND).await;
+    assert_eq!(handle.catalog().revision, revision);
+    assert!(handle.status().confirmed_age.expect("confirmed") >= 59 * SECOND);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_instance_takes_the_highest_of_its_peers() {
+    let kv = MemoryKv::new();
+    let peer = follow(&kv.peer());
+    peer.ready().await;
+    write(&kv, "a").await;
+    sleep(SECOND).await;
+    let old = peer.export().expect("has a state");
+    let revision = write(&kv, "b").await;
+    sleep(SECOND).await;
+    let new = peer.export().expect("has a state");
+
+    let own = kv.peer();
+    own.set_faults(|faults| faults.unreachable = true);
+    let handle = follow(&own);
+    for json in [&old, &new, &old] {
+        let (snapshot, age) = Snapshot::from_json(json).expect("own form");
+        handle.offer(snapshot, age);
+        let ready = tokio::time::timeout(SECOND, handle.ready()).await;
+        assert!(ready.is_err(), "not all peers were asked");
+    }
+    handle.peers_asked();
+    handle.ready().await;
+    assert_eq!(handle.catalog().revision, revision);
+
+    own.set_faults(|faults| faults.unreachable = false);
+    let revision = write(&kv, "c").await;
+    sleep(2 * SECOND).await;
+    assert_eq!(handle.catalog().revision, revision);
+    assert_eq!(handle.catalog(), peer.catalog());
+}
--- /dev/null
+++ b/crates/configuration/tests/support/mod.rs
@@ -0,0 +1,50 @@
+//! Objects and changes that several test files use.
+#![allow(dead_code)] // Each test file uses a part of this.
+
+use {
+    catalog::{Edit, Object, ObjectKind},
+    configuration::{Change, Expected},
+};
+
+pub fn rule(name: &str, priority: u8) -> Object {
+    let json = format!(r#"{{"name":"{name}","priority":{priority}}}"#);
+    Object::from_json(ObjectKind::PlacementRule, json.as_bytes()).expect("valid")
+}
+
+pub fn account(name: &str, key: char) -> Object {
+    let digest = key.to_string().repeat(64);
+    let json = format!(
+        r#"{{"name":"{name}","max_running_count":1,"tokens_per_s":1,"key_digests":["{digest}"]}}"#
+    );
+    Object::from_json(ObjectKind::ClientAccount, json.as_bytes()).expect("valid")
+}
+
+pub fn version(name: &str, active: bool) -> Object {
+    let json = format!(
+        r#"{{"name":"{name}","model":"m","digest":"00112233","active":{active},
+        "piece_bytes":8000,"piece_tokens":2000,"kv_bytes_per_token":16}}"#
+    );
+    Object::from_json(ObjectKind::ModelVersion, json.as_bytes()).expect("valid")
+}
+
+/// Creates an object that must be absent (revision 0), or replaces it at a revision.
+pub fn put(object: Object, revision: u64) -> Change {
+    Change {
+        edit: Edit::Put(object),
+        expected: expected(revision),
+    }
+}
+
+pub fn delete(kind: ObjectKind, name: &str, revision: u64) -> Change {
+    Change {
+        edit: Edit::Delete(kind, name.to_owned()),
+        expected: expected(revision),
+    }
+}
+
+fn expected(revision: u64) -> Expected {
+    match revision {
+        0 => Expected::Absent,
+        revision => Expected::Revision(revision),
+    }
+}
--- /dev/null
+++ b/crates/configuration/tests/writer_changes.rs
@@ -0,0 +1,190 @@
+//! What the writer accepts, and what it says when it does not.
+
+mod support;
+
+use {
+    catalog::ObjectKind,
+    configuration::{ApplyError, Writer},
+    platform::MemoryKv,
+    std::time::Duration,
+    support::{account, delete, put, rule, version},
+};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+fn writer(kv: &MemoryKv) -> Writer<MemoryKv> {
+    Writer::new(kv.clone(), CALL_TIMEOUT)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_file_is_applied_whole_or_not_at_all() {
+    let kv = MemoryKv::new();
+    let writer = writer(&kv);
+    let first = writer
+        .apply(&[put(rule("a", 1), 0)], "c1")
+        .await
+        .expect("a is new");
+    let changes = [put(rule("b", 1), 0), put(rule("a", 2), first.revision + 7)];
+    let error = writer
+        .apply(&changes, "c2")
+        .await
+        .expect_err("a was not read");
+    assert_eq!(
+        error,
+        ApplyError::Conflict {
+            kind: ObjectKind::PlacementRule,
+            name: "a".to_owned(),
+            current: first.revision,
+        }
+    );
+    let snapshot = writer.read().await.expect("read");
+    assert_eq!(snapshot.catalog.placement_rules.len(), 1, "b is not there");
+    assert_eq!(snapshot.catalog.revision, first.revision);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeated_change_is_applied_once() {
+    let kv = MemoryKv::new();
+    let writer = writer(&kv);
+    let changes = [put(rule("a", 1), 0)];
+    let first = writer.apply(&changes, "c1").await.expect("accepted");
+    let again = writer.apply(&changes, "c1").await.expect("accepted before");
+    assert_eq!(first.revision, again.revision);
+    let other = writer.apply(&[put(rule("b", 1), 0)], "c1").await;
+    assert!(
+        matches!(other, Err(ApplyError::Invalid { .. })),
+        "{other:?}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_is_settled() {
+    let kv = MemoryKv::new();
+    let writer = writer(&kv);
+    // The lease's answer is not lost: only the transaction's is.
+    writer
+        .apply(&[put(rule("a", 1), 0)], "c1")
+        .await
+        .expect("accepted");
+    let slow = kv.clone();
+    let lose = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        slow.set_faults(|faults| faults.lost_answer_count = 1);
+    });
+    kv.set_faults(|faults| faults.call_delay = Duration::from_millis(10));
+    let accepted = writer.apply(&[put(rule("b", 1), 0)], "c2").await;
+    lose.await.expect("switched");
+    let snapshot = writer.read().await.expect("read");
+    assert_eq!(
+        accepted.expect("settled").revision,
+        snapshot.catalog.revision
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_abandoned_change_never_takes_effect() {
+    let kv = MemoryKv::new();
+    let writer = writer(&kv);
+    kv.set_faults(|faults| faults.call_delay = Duration::from_millis(10));
+    let late = kv.clone();
+    let switch = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        late.set_faults(|faults| {
+            faults.late_call_count = 1;
+            faults.late_by = Duration::from_secs(5);
+        });
+    });
+    let error = writer.apply(&[put(rule("a", 1), 0)], "c1").await;
+    switch.await.expect("switched");
+    assert!(
+        matches!(error, Err(ApplyError::NotApplied { .. })),
+        "{error:?}"
+    );
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let snapshot = writer.read().await.expect("read");
+    assert!(snapshot.catalog.placement_rules.is_empty(), "applied late");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_is_told_apart() {
+    let kv = MemoryKv::new();
+    let writer = writer(&kv);
+    kv.set_faults(|faults| faults.unreachable = true);
+    let down = writer.apply(&[put(rule("a", 1), 0)], "c1").await;
+    assert!(
+        matches!(down, Err(ApplyError::NotApplied { .. })),
+        "{down:?}"
+    );
+    kv.set_faults(|faults| {
+        faults.unreachable = false;
+        faults.call_delay = Duration::from_millis(10);
+    });
+    let cut = kv.clone();
+    let switch = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        cut.set_faults(|faults| faults.paused = true);
+    });
+    let hung = writer.apply(&[put(rule("a", 1), 0)], "c2").await;
+    switch.await.expect("switched");
+    assert!(matches!(hung, Err(ApplyError::Unknown { .. })), "{hung:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn activation_deactivates_in_one_transaction() {
+    let kv = MemoryKv::new();
+    let writer = writer(&kv);
+    let first = writer
+        .apply(&[put(version("v1", true), 0)], "c1")
+        .await
+        .expect("v1");
+    let second = writer
+        .apply(&[put(version("v2", true), 0)], "c2")
+        .await
+        .expect("v2");
+    assert_eq!(second.deactivated, ["v1"]);
+    let snapshot = writer.read().await.expect("read");
+    assert_eq!(
+        snapshot.catalog.active_version("m").expect("active").name,
+        "v2"
+    );
+    let stale = delete(ObjectKind::ModelVersion, "v1", first.revision);
+    let error = writer.apply(&[stale], "c3").await;
+    assert!(
+        matches!(error, Err(ApplyError::Conflict { .. })),
+        "v1 was changed: {error:?}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn racing_changes_keep_what_concerns_several_objects() {
+    let kv = MemoryKv::new();
+    let writers = [writer(&kv), writer(&kv)];
+    kv.set_faults(|faults| faults.call_delay = Duration::from_millis(10));
+    let (first, second) = ([put(account("a", '1'), 0)], [put(account("b", '1'), 0)]);
+    let (first, second) = tokio::join!(
+        writers[0].apply(&first, "c1"),
+        writers[1].apply(&second, "c2")
+    );
+    assert!(
+        first.is_ok() != second.is_ok(),
+        "one key, one account: {first:?} {second:?}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn large_files_need_leave_to_be_split() {
+    let kv = MemoryKv::new();
+    let writer = writer(&kv);
+    let changes: Vec<_> = (0..300)
+        .map(|index| put(rule(&format!("r{index}"), 1), 0))
+        .collect();
+    let error = writer.apply(&changes, "c1").await.expect_err("too large");
+    assert!(error.to_string().contains("--in-parts"), "{error}");
+    let accepted = writer
+        .apply_in_parts(&changes, "c2")
+        .await
+        .expect("in parts");
+    let snapshot = writer.read().await.expect("read");
+    assert_eq!(snapshot.catalog.placement_rules.len(), 300);
+    assert_eq!(snapshot.catalog.revision, accepted.revision);
+}
