operator: operators' calls on the configuration

Every error of the writer maps to the one refusal shape; a change of which earlier parts are applied is never reported as not run.

--- a/crates/configuration/src/snapshot.rs
+++ b/crates/configuration/src/snapshot.rs
@@ -3,7 +3,7 @@
 use {
     crate::keys::{GUARD_KEY, parse_object_key},
     bytes::Bytes,
-    catalog::{Catalog, Edit, Object, ObjectKind, Revision},
+    catalog::{Catalog, Object, ObjectKind, Revision},
     platform::{Event, KvPair, Range},
     serde::{Deserialize, Serialize},
     snafu::{ResultExt, Snafu},
@@ -88,15 +88,6 @@
         next
     }
 
-    /// The configuration after `edits`, unchanged if they are refused.
-    ///
-    /// # Errors
-    ///
-    /// See [`Catalog::edited`].
-    pub fn edited(&self, edits: &[Edit]) -> Result<Catalog, catalog::Invalid> {
-        self.catalog.edited(edits)
-    }
-
     /// Revision of one object's last change; 0 if there is no such object.
     #[must_use]
     pub fn revision_of(&self, kind: ObjectKind, name: &str) -> Revision {
--- /dev/null
+++ b/crates/operator/src/decode.rs
@@ -0,0 +1,31 @@
+//! Query strings.
+
+/// The value of one parameter, percent-decoded; none if it is missing.
+pub(crate) fn parameter(query: &str, name: &str) -> Option<String> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| percent_decode(value))
+}
+
+/// Replaces `%XX` by its byte; what is not hex stays as it is.
+fn percent_decode(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        if let (b'%', Some(byte)) = (first, hex_byte(after)) {
+            bytes.push(byte);
+            rest = &after[2..];
+        } else {
+            bytes.push(*first);
+            rest = after;
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn hex_byte(bytes: &[u8]) -> Option<u8> {
+    let digits = std::str::from_utf8(bytes.get(..2)?).ok()?;
+    u8::from_str_radix(digits, 16).ok()
+}
--- /dev/null
+++ b/crates/operator/src/edits.rs
@@ -0,0 +1,137 @@
+//! Changes that operators ask for, from their HTTP form.
+
+use {
+    catalog::{Edit, Invalid, Labels, Object, ObjectKind},
+    configuration::{Change, Expected, RawChange, VersionedObject},
+    gateway::{Kind, OperatorCall, Refusal},
+    serde::{Deserialize, Serialize},
+};
+
+/// Body of `PATCH /{kind}/{name}/labels`.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LabelsPatch {
+    /// Labels to set.
+    #[serde(default)]
+    pub set: Labels,
+    /// Keys of labels to remove.
+    #[serde(default)]
+    pub remove: Vec<String>,
+}
+
+impl LabelsPatch {
+    /// Reads the body of a request.
+    ///
+    /// # Errors
+    ///
+    /// Names the line or member that is wrong.
+    pub fn parse(body: &[u8]) -> Result<Self, Refusal> {
+        serde_json::from_slice(body).map_err(|error| {
+            invalid(&format!(
+                "{error}; send {{\"set\":{{\"key\":\"value\"}},\"remove\":[\"key\"]}}"
+            ))
+        })
+    }
+
+    /// The change that gives an object the labels wanted.
+    ///
+    /// # Errors
+    ///
+    /// Names the label that is not allowed.
+    pub fn change(&self, found: VersionedObject) -> Result<Change, Refusal> {
+        let mut labels = found.object.labels().clone();
+        labels.retain(|key, _| !self.remove.contains(key));
+        labels.extend(self.set.clone());
+        let object = found.object.with_labels(labels);
+        let object = object.map_err(|error| invalid(&error.to_string()))?;
+        Ok(Change {
+            edit: Edit::Put(object),
+            expected: Expected::Revision(found.revision),
+        })
+    }
+}
+
+/// The change of `PUT /{kind}/{name}`.
+pub(crate) fn put(call: &OperatorCall, kind: ObjectKind, name: &str) -> Result<Change, Refusal> {
+    let expected = expected(call)?;
+    let object = Object::from_json(kind, &call.body);
+    let object = object.map_err(|error| invalid(&error.to_string()))?;
+    if object.name() != name {
+        return Err(invalid(&format!(
+            "field `name`: {:?} is not the path's {name:?}; make them equal",
+            object.name()
+        )));
+    }
+    Ok(Change {
+        edit: Edit::Put(object),
+        expected,
+    })
+}
+
+/// The change of `DELETE /{kind}/{name}`.
+pub(crate) fn delete(call: &OperatorCall, kind: ObjectKind, name: &str) -> Result<Change, Refusal> {
+    let expected = expected(call)?;
+    if expected == Expected::Absent {
+        return Err(invalid(
+            "a deletion needs If-Match with the object's revision",
+        ));
+    }
+    Ok(Change {
+        edit: Edit::Delete(kind, name.to_owned()),
+        expected,
+    })
+}
+
+/// The changes of `POST /apply`.
+pub(crate) fn parse_changes(body: &[u8]) -> Result<Vec<Change>, Refusal> {
+    let raw: Vec<RawChange> = serde_json::from_slice(body).map_err(|error| {
+        invalid(&format!(
+            "{error}; send an array of {{\"put\":OBJECT,\"revision\":N}} or \
+             {{\"delete\":{{\"kind\",\"name\"}},\"revision\":N}}"
+        ))
+    })?;
+    if raw.is_empty() {
+        return Err(invalid("the array is empty; send at least one change"));
+    }
+    raw.into_iter()
+        .enumerate()
+        .map(|(index, raw)| {
+            Change::try_from(raw)
+                .map_err(|error: Invalid| invalid(&format!("change {index}: {error}")))
+        })
+        .collect()
+}
+
+/// The change that marks a target as leaving; none if it is marked already.
+pub(crate) fn drain(found: VersionedObject) -> Option<Change> {
+    let Object::Target(mut target) = found.object else {
+        return None;
+    };
+    if target.leaving {
+        return None;
+    }
+    target.leaving = true;
+    Some(Change {
+        edit: Edit::Put(Object::Target(target)),
+        expected: Expected::Revision(found.revision),
+    })
+}
+
+fn expected(call: &OperatorCall) -> Result<Expected, Refusal> {
+    match (call.if_match.as_deref(), call.if_none_match.as_deref()) {
+        (None, Some("*")) => Ok(Expected::Absent),
+        (Some(revision), None) => {
+            let revision = revision.trim_matches('"').parse();
+            let revision = revision.map_err(|_| invalid("If-Match is not a revision"))?;
+            Ok(Expected::Revision(revision))
+        }
+        _ => Err(invalid(
+            "no condition; send `If-Match: REVISION` to change an object or `If-None-Match: *` to \
+             create it",
+        )),
+    }
+}
+
+pub(crate) fn invalid(message: &str) -> Refusal {
+    Refusal::not_run(Kind::Invalid, message)
+}
--- /dev/null
+++ b/crates/operator/src/outcome.rs
@@ -0,0 +1,44 @@
+//! Answers to changes.
+
+use {
+    configuration::{Accepted, ApplyError},
+    gateway::{Kind, OperatorAnswer, Refusal},
+    serde_json::json,
+    std::time::Duration,
+};
+
+/// When to come back after the key-value service could not be reached.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// The answer to an accepted change.
+#[must_use]
+pub fn accepted_answer(accepted: &Accepted) -> OperatorAnswer {
+    let warnings: Vec<String> = accepted.warnings.iter().map(ToString::to_string).collect();
+    OperatorAnswer {
+        status: 200,
+        body: json!({
+            "revision": accepted.revision,
+            "deactivated": accepted.deactivated,
+            "warnings": warnings,
+        }),
+    }
+}
+
+/// The refusal that tells why a change was not accepted, and whether it may have been.
+#[must_use]
+pub fn refusal_of(error: &ApplyError) -> Refusal {
+    let message = error.to_string();
+    match error {
+        ApplyError::Conflict { .. } => Refusal::not_run(Kind::Conflict, message),
+        ApplyError::Invalid { .. } => Refusal::not_run(Kind::Invalid, message),
+        ApplyError::TooLarge { .. } => Refusal::not_run(Kind::TooLarge, message),
+        ApplyError::NotApplied { .. } => {
+            Refusal::not_run(Kind::Unavailable, message).retry_after(RETRY_AFTER)
+        }
+        ApplyError::Unknown { .. } => {
+            Refusal::unknown(Kind::Unavailable, message).retry_after(RETRY_AFTER)
+        }
+        // Earlier parts are applied, so the request as a whole is not one of which nothing ran.
+        ApplyError::Part { source, .. } => Refusal::unknown(refusal_of(source).kind, message),
+    }
+}
