--- /dev/null
+++ b/crates/orders/src/plan.rs
@@ -0,0 +1,151 @@
+//! Orders that bring targets from their observed to their desired state.
+
+use {
+    crate::{
+        Candidate, Candidates, Observed, Order, Planned,
+        desired::{ROLE_LABEL, desired_adapters},
+    },
+    catalog::{Catalog, ModelId, Target, TargetId},
+    std::collections::BTreeMap,
+};
+
+/// How much may change at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Targets that load at once; more than three at once make each load slower.
+    pub max_load_count: usize,
+    /// One in this many engines of a model may load at once, but always one.
+    pub engines_per_load: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_load_count: 3,
+            engines_per_load: 4,
+        }
+    }
+}
+
+impl Limits {
+    /// Engines of a model with `engine_count` engines that may load at once.
+    #[must_use]
+    pub fn model_load_count(&self, engine_count: usize) -> usize {
+        (engine_count / self.engines_per_load.max(1)).max(1)
+    }
+}
+
+/// Orders to give now, in the order of target names.
+///
+/// `loading` holds the loads that go on, of all instances as far as known. Targets that leave, and
+/// targets that were not observed, get no order.
+#[must_use]
+pub fn plan(
+    catalog: &Catalog,
+    candidates: &Candidates,
+    observed: &BTreeMap<TargetId, Observed>,
+    loading: &[Planned],
+    limits: &Limits,
+) -> Vec<Planned> {
+    let assigned = candidates.assign(observed);
+    let mut budget = LoadBudget {
+        limits: *limits,
+        assigned: &assigned,
+        loading: loading.to_vec(),
+    };
+    let mut planned = Vec::new();
+    for (name, state) in observed {
+        let Some(target) = catalog.targets.get(name) else {
+            continue;
+        };
+        if target.leaving || state.leaving || budget.is_loading(name) {
+            continue;
+        }
+        let assignment = assigned.get(name);
+        let Some(order) = next_order(target, state, assignment) else {
+            continue;
+        };
+        let models = affected_models(candidates, state, assignment);
+        let next = Planned {
+            target: name.clone(),
+            order,
+            models,
+        };
+        if budget.admits(&next) {
+            planned.push(next);
+        }
+    }
+    planned
+}
+
+/// The first thing that a target lacks: its version, then adapters, then its role.
+fn next_order(target: &Target, state: &Observed, assigned: Option<&Candidate>) -> Option<Order> {
+    let version = assigned.map(|candidate| Order::LoadVersion {
+        version: candidate.version.clone(),
+    });
+    let adapters = desired_adapters(target).map(|adapter| Order::LoadAdapter {
+        adapter: adapter.to_owned(),
+    });
+    let role = target
+        .labels
+        .get(ROLE_LABEL)
+        .map(|role| Order::SetRole { role: role.clone() });
+    version
+        .into_iter()
+        .chain(adapters)
+        .chain(role)
+        .find(|order| !state.satisfies(order))
+}
+
+/// The model that the engine serves now and the one that it is for.
+fn affected_models(
+    candidates: &Candidates,
+    state: &Observed,
+    assigned: Option<&Candidate>,
+) -> Vec<ModelId> {
+    let mut models: Vec<ModelId> = candidates
+        .model(&state.version)
+        .cloned()
+        .into_iter()
+        .collect();
+    let next = assigned.map(|candidate| candidate.model.clone());
+    models.extend(next.filter(|model| !models.contains(model)));
+    models
+}
+
+/// Loads that may still start.
+struct LoadBudget<'assigned> {
+    limits: Limits,
+    assigned: &'assigned BTreeMap<TargetId, Candidate>,
+    loading: Vec<Planned>,
+}
+
+impl LoadBudget<'_> {
+    fn is_loading(&self, target: &TargetId) -> bool {
+        self.loading.iter().any(|load| load.target == *target)
+    }
+
+    /// Whether an order may be given now; counts it if so.
+    fn admits(&mut self, planned: &Planned) -> bool {
+        if !planned.order.is_load() {
+            return true;
+        }
+        if self.loading.len() >= self.limits.max_load_count {
+            return false;
+        }
+        let within_share = planned.models.iter().all(|model| self.has_share(model));
+        if within_share {
+            self.loading.push(planned.clone());
+        }
+        within_share
+    }
+
+    fn has_share(&self, model: &ModelId) -> bool {
+        let engines = self.assigned.values().filter(|one| one.model == *model);
+        let loading = self
+            .loading
+            .iter()
+            .filter(|load| load.models.contains(model));
+        loading.count() < self.limits.model_load_count(engines.count())
+    }
+}
--- a/crates/platform/src/memory_kv.rs
+++ b/crates/platform/src/memory_kv.rs
@@ -110,6 +110,15 @@
         lock(&self.shared.state).compact();
     }
 
+    /// Ends all leases at once, as if the service's clock had jumped.
+    pub fn lapse_leases(&self) {
+        let lapse = |state: &mut MemoryState| {
+            state.lapse_leases();
+            Ok(())
+        };
+        let _ = self.effect(lapse);
+    }
+
     /// Revision of the last change.
     #[must_use]
     pub fn revision(&self) -> Revision {
--- a/crates/platform/src/memory_state.rs
+++ b/crates/platform/src/memory_state.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    /// Deletes the keys of every lease.
+    pub(crate) fn lapse_leases(&mut self) {
+        let leases: Vec<LeaseId> = self.leases.keys().copied().collect();
+        for lease in leases {
+            self.drop_lease(lease);
+        }
+    }
+
     /// Every key that starts with `prefix`.
     pub(crate) fn range(&self, prefix: &str) -> Range {
         let pairs = self
