routing: split points, stale reports, bounds, policies and the retry budget

Cause: the thin estimate took the queue from the report as it was, trusted engine memory fully and imported all or nothing.

Change: the estimate takes off what an engine has computed since its report and counts this instance's own requests; memory counts by its confidence; each candidate's split between import and recompute is the cheapest of the ends and of the point where the import takes as long as the queue; a link's variance lowers its effective rate. Bounds for imports, hedges and first tokens; retry budget; choice for plain services; three simple policies as baselines (they do not import).

Signatures: decide is as it was. New: choose(policy, draw, ..), Candidate::new, and fields Candidate::link_deviation_bytes_per_s, EngineLoad::own_tokens (the fleet view now hands reported and own tokens over apart), Estimate:: import_from_block, import, import_deviation, import_saves. Candidate:: weights_load of zero now means that the version may not be loaded.

--- a/crates/decision/tests/support/mod.rs
+++ b/crates/decision/tests/support/mod.rs
@@ -29,6 +29,7 @@
         link_bytes: 4_096,
         cost: 0.5,
         import_blocks: 1,
+        ..Estimate::default()
     }
 }
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -142,7 +142,7 @@
         })
     }
 
-    /// The engine's load, which is never less than this instance's own requests in flight.
+    /// The engine's load as last reported, with this instance's own requests in flight.
     #[must_use]
     pub fn load(&self, now: Instant) -> EngineLoad {
         let own_count = self.in_flight_count.load(Ordering::Relaxed);
@@ -151,7 +151,7 @@
         let Some(received) = received.as_ref() else {
             return EngineLoad {
                 running_count: own_count,
-                queued_tokens: own_tokens,
+                own_tokens,
                 ..EngineLoad::default()
             };
         };
@@ -159,7 +159,8 @@
         EngineLoad {
             running_count: report.running_count.max(own_count),
             queued_count: report.queued_count,
-            queued_tokens: report.queued_tokens.max(own_tokens),
+            queued_tokens: report.queued_tokens,
+            own_tokens,
             age: now.saturating_duration_since(received.at) + Duration::from_millis(report.age_ms),
         }
     }
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -8,7 +8,7 @@
 };
 
 /// How the engine gets the prefix.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Source {
     /// From its own memory.
@@ -16,11 +16,12 @@
     /// From a store, over the link.
     Import,
     /// By computing it.
+    #[default]
     Recompute,
 }
 
 /// Estimate for one candidate.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Estimate {
     /// The candidate.
     pub target: TargetId,
@@ -34,8 +35,16 @@
     pub link_bytes: u64,
     /// Cost under the rule's objective; lower is better.
     pub cost: f64,
-    /// Leading blocks to import; 0 unless `source` is [`Source::Import`].
+    /// Blocks to import, from `import_from_block` on; 0 unless `source` is [`Source::Import`].
     pub import_blocks: usize,
+    /// First block to import; the blocks before it are believed to be in engine memory.
+    pub import_from_block: usize,
+    /// Expected time of the import.
+    pub import: Duration,
+    /// Standard deviation of that time.
+    pub import_deviation: Duration,
+    /// Time to compute the blocks that are imported.
+    pub import_saves: Duration,
 }
 
 /// Why a candidate was left out.
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -1,30 +1,22 @@
 //! The decision itself.
 
 use {
-    crate::{Candidate, Choice, Estimate, FilterReason, Refusal, Rejected, Source},
+    crate::{
+        Candidate, Choice, FilterReason, Job, Policy, Refusal, Rejected,
+        estimate::{estimate, estimate_without_import, seconds},
+    },
     catalog::PlacementRule,
     std::time::Duration,
 };
 
-/// When to come back if no target can be chosen.
+/// When to come back if no target can be chosen and none is expected to become free.
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
-/// Bytes in a mebibyte.
-const MEBIBYTE_BYTES: f64 = 1_048_576.0;
-/// Tokens in a kilotoken.
-const KILOTOKEN_TOKENS: f64 = 1_000.0;
-
-/// What is known of the request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Job {
-    /// Tokens of the whole prompt.
-    pub prompt_tokens: u64,
-    /// Prompt tokens in one block.
-    pub block_tokens: u64,
-    /// Size of one block in bytes.
-    pub block_bytes: u64,
-    /// Leading blocks that were computed before, here or elsewhere.
-    pub seen_blocks: usize,
-}
+/// Earliest time to come back to engines that are full.
+const MIN_FULL_RETRY: Duration = Duration::from_millis(50);
+/// Requests that may wait at an engine for each that it runs at once.
+const QUEUED_PER_SLOT: u32 = 2;
+/// Scores that differ by less than this share of the best one are ties.
+const TIE_SHARE: f64 = 0.01;
 
 /// Chooses the candidate with the lowest cost under the rule's objective.
 ///
@@ -34,84 +26,105 @@
     job: &Job,
     rule: &PlacementRule,
     candidates: &[Candidate<'_>],
+) -> Result<Choice, Refusal> {
+    choose(Policy::Cost, 0, job, rule, candidates)
+}
+
+/// Chooses a candidate by a policy. Ties, which are common when most engines are idle, are broken
+/// by `draw`: a random number, so that instances deciding at once spread their requests; for
+/// [`Policy::RoundRobin`] the number of requests so far.
+///
+/// # Errors
+/// [`Refusal`] if every candidate is left out.
+pub fn choose(
+    policy: Policy,
+    draw: u64,
+    job: &Job,
+    rule: &PlacementRule,
+    candidates: &[Candidate<'_>],
 ) -> Result<Choice, Refusal> {
     let mut rejected = Vec::new();
-    let mut estimates = Vec::new();
+    let mut scored = Vec::with_capacity(candidates.len());
     for candidate in candidates {
-        match filter(rule, candidate) {
-            Some(reason) => rejected.push(Rejected {
+        if let Some(reason) = filter(rule, candidate) {
+            rejected.push(Rejected {
                 target: candidate.target.name.clone(),
                 reason,
-            }),
-            None => estimates.push(estimate(job, rule, candidate)),
+            });
+            continue;
         }
+        let estimate = if policy.imports() {
+            estimate(job, &rule.objective, candidate)
+        } else {
+            estimate_without_import(job, &rule.objective, candidate)
+        };
+        scored.push((policy.score(candidate, estimate.cost), estimate));
     }
-    estimates.sort_by(|left, right| left.cost.total_cmp(&right.cost));
-    let mut estimates = estimates.into_iter();
-    match estimates.next() {
-        Some(chosen) => Ok(Choice {
-            chosen,
-            others: estimates.collect(),
-            rejected,
-        }),
-        None => Err(Refusal {
-            rejected,
-            retry_after: NO_TARGET_RETRY,
-        }),
-    }
+    scored.sort_by(|left, right| {
+        let by_first = left.0.0.total_cmp(&right.0.0);
+        by_first.then_with(|| left.0.1.total_cmp(&right.0.1))
+    });
+    let Some(best) = scored.first().map(|it| it.0) else {
+        return Err(refusal(rejected, candidates));
+    };
+    let ties_count = scored.iter().take_while(|it| is_tie(best, it.0)).count();
+    let chosen = scored.remove(pick(draw, ties_count)).1;
+    Ok(Choice {
+        chosen,
+        others: scored.into_iter().map(|it| it.1).collect(),
+        rejected,
+    })
+}
+
+fn is_tie(best: (f64, f64), other: (f64, f64)) -> bool {
+    let near = |best: f64, other: f64| other - best <= best.abs() * TIE_SHARE;
+    near(best.0, other.0) && near(best.1, other.1)
+}
+
+/// An index below `count`, which is at least 1.
+pub(crate) fn pick(draw: u64, count: usize) -> usize {
+    usize::try_from(draw % count.max(1) as u64).unwrap_or(0)
 }
 
 fn filter(rule: &PlacementRule, candidate: &Candidate<'_>) -> Option<FilterReason> {
     if !rule.targets.matches(&candidate.target.labels) {
         return Some(FilterReason::Selector);
     }
-    if candidate.leaving {
+    if candidate.leaving || candidate.target.leaving {
         return Some(FilterReason::Leaving);
     }
     if !candidate.reachable {
         return Some(FilterReason::Unreachable);
     }
-    (!candidate.has_version).then_some(FilterReason::Version)
+    if !candidate.has_version && candidate.weights_load.is_zero() {
+        return Some(FilterReason::Version);
+    }
+    is_full(candidate).then_some(FilterReason::Full)
+}
+
+fn is_full(candidate: &Candidate<'_>) -> bool {
+    let slots_count = candidate.target.max_running_count.max(1);
+    candidate.load.queued_count >= slots_count.saturating_mul(QUEUED_PER_SLOT)
 }
 
-#[allow(clippy::cast_precision_loss)]
-fn estimate(job: &Job, rule: &PlacementRule, candidate: &Candidate<'_>) -> Estimate {
-    let memory_blocks = candidate.memory_blocks;
-    let import_blocks = candidate.import_blocks.saturating_sub(memory_blocks);
-    let import_bytes = import_blocks as u64 * job.block_bytes;
-    let import_s =
-        (import_bytes + candidate.link_queued_bytes) as f64 / candidate.link_bytes_per_s.max(1.0);
-    let import_tokens = import_blocks as u64 * job.block_tokens;
-    let compute_s = import_tokens as f64 / candidate.prefill_tokens_per_s.max(1.0);
-    let from_store = import_blocks > 0 && import_s < compute_s;
-    let had_blocks = if from_store {
-        candidate.import_blocks
-    } else {
-        memory_blocks
+/// The refusal, with the time when the first of the full engines is expected to have room.
+fn refusal(rejected: Vec<Rejected>, candidates: &[Candidate<'_>]) -> Refusal {
+    let is_waiting = |candidate: &&Candidate<'_>| {
+        let name = &candidate.target.name;
+        rejected
+            .iter()
+            .any(|it| it.target == *name && it.reason == FilterReason::Full)
     };
-    let computed_tokens = job
-        .prompt_tokens
-        .saturating_sub(had_blocks as u64 * job.block_tokens);
-    let recomputed_tokens = job.seen_blocks.saturating_sub(had_blocks) as u64 * job.block_tokens;
-    let link_bytes = if from_store { import_bytes } else { 0 };
-    let queue_s = candidate.load.queued_tokens as f64 / candidate.prefill_tokens_per_s.max(1.0);
-    let first_token_s = queue_s
-        + if from_store { import_s } else { 0.0 }
-        + computed_tokens as f64 / candidate.prefill_tokens_per_s.max(1.0);
-    let objective = &rule.objective;
-    Estimate {
-        target: candidate.target.name.clone(),
-        source: match (from_store, memory_blocks) {
-            (true, _) => Source::Import,
-            (false, 1..) => Source::Memory,
-            (false, 0) => Source::Recompute,
-        },
-        first_token: Duration::from_secs_f64(first_token_s),
-        recomputed_tokens,
-        link_bytes,
-        cost: objective.first_token_cost_per_s * first_token_s
-            + objective.recompute_cost_per_kilotoken * recomputed_tokens as f64 / KILOTOKEN_TOKENS
-            + objective.link_cost_per_mebibyte * link_bytes as f64 / MEBIBYTE_BYTES,
-        import_blocks: if from_store { import_blocks } else { 0 },
+    let soonest_s = candidates
+        .iter()
+        .filter(is_waiting)
+        .map(Candidate::queue_s)
+        .min_by(f64::total_cmp);
+    let retry_after = soonest_s.map_or(NO_TARGET_RETRY, |soonest_s| {
+        seconds(soonest_s).max(MIN_FULL_RETRY)
+    });
+    Refusal {
+        rejected,
+        retry_after,
     }
 }
--- /dev/null
+++ b/crates/routing/src/estimate.rs
@@ -0,0 +1,182 @@
+//! What a candidate would cost.
+
+use {
+    crate::{Candidate, Estimate, Job, Source},
+    catalog::Objective,
+    std::time::Duration,
+};
+
+/// Bytes in a mebibyte.
+const MEBIBYTE_BYTES: f64 = 1_048_576.0;
+/// Tokens in a kilotoken.
+const KILOTOKEN_TOKENS: f64 = 1_000.0;
+
+/// Which blocks come from where: `0..from` from engine memory, `from..to` over the link, the rest
+/// of the prompt is computed.
+#[derive(Clone, Copy, Debug)]
+struct Split {
+    from: usize,
+    to: usize,
+}
+
+/// Estimate of the cheapest way to run the request at a candidate.
+pub(crate) fn estimate(job: &Job, objective: &Objective, candidate: &Candidate<'_>) -> Estimate {
+    let memory = Split {
+        from: candidate.memory_blocks,
+        to: candidate.memory_blocks,
+    };
+    let best = evaluate(job, objective, candidate, memory);
+    splits(job, candidate)
+        .into_iter()
+        .map(|split| evaluate(job, objective, candidate, split))
+        .fold(
+            best,
+            |best, other| {
+                if other.cost < best.cost { other } else { best }
+            },
+        )
+}
+
+/// Estimate of running the request at a candidate without an import.
+pub(crate) fn estimate_without_import(
+    job: &Job,
+    objective: &Objective,
+    candidate: &Candidate<'_>,
+) -> Estimate {
+    let memory = Split {
+        from: candidate.memory_blocks,
+        to: candidate.memory_blocks,
+    };
+    evaluate(job, objective, candidate, memory)
+}
+
+/// Splits with an import that may be the best one. The cost is linear in the end of the import
+/// but for a bend where the import takes as long as the queue, so only that bend and the end have
+/// to be looked at. Blocks that may have left engine memory can be imported as well.
+fn splits(job: &Job, candidate: &Candidate<'_>) -> Vec<Split> {
+    let end = candidate.import_blocks;
+    let mut splits = Vec::with_capacity(4);
+    let mut add = |from: usize| {
+        if end <= from {
+            return;
+        }
+        splits.push(Split { from, to: end });
+        let bend = from + blocks_within(job, candidate, candidate.queue_s());
+        if (from + 1..end).contains(&bend) {
+            splits.push(Split { from, to: bend });
+        }
+    };
+    add(candidate.memory_blocks);
+    if candidate.memory_confidence < 1.0 && candidate.memory_blocks > 0 {
+        add(0);
+    }
+    splits
+}
+
+/// Blocks that the link delivers within `seconds`.
+#[allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss
+)]
+fn blocks_within(job: &Job, candidate: &Candidate<'_>, seconds: f64) -> usize {
+    let bytes = seconds * effective_rate(candidate) - candidate.link_queued_bytes as f64;
+    (bytes / job.block_bytes.max(1) as f64).max(0.0) as usize
+}
+
+/// Bytes a second of the link, lowered so that its inverse is the mean time for a byte: a rate
+/// that varies makes transfers slower on average than its mean does.
+fn effective_rate(candidate: &Candidate<'_>) -> f64 {
+    let rate = candidate.link_bytes_per_s.max(1.0);
+    let variation = candidate.link_deviation_bytes_per_s / rate;
+    rate / (1.0 + variation * variation)
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn evaluate(job: &Job, objective: &Objective, candidate: &Candidate<'_>, split: Split) -> Estimate {
+    let import_blocks = split.to - split.from;
+    let link_bytes = import_blocks as u64 * job.block_bytes;
+    let import_s = import_s(candidate, link_bytes);
+    let wait_s = weights_s(candidate) + candidate.queue_s().max(import_s);
+    let confidence = if split.from > 0 {
+        candidate.memory_confidence.clamp(0.0, 1.0)
+    } else {
+        1.0
+    };
+    let mean = |hit: f64, miss: f64| confidence * hit + (1.0 - confidence) * miss;
+    let compute_s = mean(
+        compute_s(job, candidate, split.to),
+        compute_s(job, candidate, 0),
+    );
+    let recomputed_tokens = mean(recomputed(job, split.to), recomputed(job, 0));
+    let first_token_s = wait_s + compute_s;
+    let cost = objective.first_token_cost_per_s * first_token_s
+        + objective.recompute_cost_per_kilotoken * recomputed_tokens / KILOTOKEN_TOKENS
+        + objective.link_cost_per_mebibyte * link_bytes as f64 / MEBIBYTE_BYTES;
+    let deviation_s =
+        import_s * candidate.link_deviation_bytes_per_s / candidate.link_bytes_per_s.max(1.0);
+    let saved_tokens = import_blocks as u64 * job.block_tokens;
+    Estimate {
+        target: candidate.target.name.clone(),
+        source: source(split),
+        first_token: seconds(first_token_s),
+        recomputed_tokens: whole(recomputed_tokens),
+        link_bytes,
+        cost,
+        import_blocks,
+        import_from_block: split.from,
+        import: seconds(import_s),
+        import_deviation: seconds(deviation_s),
+        import_saves: seconds(saved_tokens as f64 / candidate.prefill_tokens_per_s.max(1.0)),
+    }
+}
+
+fn source(split: Split) -> Source {
+    if split.to > split.from {
+        Source::Import
+    } else if split.from > 0 {
+        Source::Memory
+    } else {
+        Source::Recompute
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn import_s(candidate: &Candidate<'_>, link_bytes: u64) -> f64 {
+    if link_bytes == 0 {
+        return 0.0;
+    }
+    (link_bytes + candidate.link_queued_bytes) as f64 / effective_rate(candidate)
+}
+
+fn weights_s(candidate: &Candidate<'_>) -> f64 {
+    if candidate.has_version {
+        return 0.0;
+    }
+    candidate.weights_load.as_secs_f64()
+}
+
+/// Seconds to compute what follows the first `had_blocks` of the prompt.
+#[allow(clippy::cast_precision_loss)]
+fn compute_s(job: &Job, candidate: &Candidate<'_>, had_blocks: usize) -> f64 {
+    let had_tokens = had_blocks as u64 * job.block_tokens;
+    let tokens = job.prompt_tokens.saturating_sub(had_tokens);
+    tokens as f64 / candidate.prefill_tokens_per_s.max(1.0)
+}
+
+/// Tokens computed again if the engine has the first `had_blocks` of the prompt.
+#[allow(clippy::cast_precision_loss)]
+fn recomputed(job: &Job, had_blocks: usize) -> f64 {
+    let blocks = job.seen_blocks.saturating_sub(had_blocks);
+    (blocks as u64 * job.block_tokens) as f64
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(tokens: f64) -> u64 {
+    tokens.round() as u64
+}
+
+/// A duration, the longest there is if `seconds` is too large.
+pub(crate) fn seconds(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,12 +1,75 @@
-//! Chooses the target of a request and names the reasons. Plain functions over values: no clock,
-//! no socket.
+//! Chooses the target of a request and names the reasons.
+//!
+//! Plain functions over values: no clock, no socket. [`decide`] leaves out the candidates that
+//! cannot take the request, estimates for each of the others the cheapest way to run it (from
+//! engine memory, by import over a link, by computing, or part by part), and chooses by the
+//! placement rule's objective. [`choose`] does the same by another [`Policy`], for measurement.
+//!
+//! ```
+//! use {
+//!     catalog::{PlacementRule, Target, TargetKind},
+//!     routing::{Candidate, Job, Source, decide},
+//! };
+//!
+//! # let rule = PlacementRule {
+//! #     name: "any".into(),
+//! #     labels: Default::default(),
+//! #     precedence: 0,
+//! #     client_accounts: Default::default(),
+//! #     model_versions: Default::default(),
+//! #     targets: Default::default(),
+//! #     stores: Default::default(),
+//! #     priority: 0,
+//! #     objective: Default::default(),
+//! # };
+//! # let target = |name: &str| Target {
+//! #     name: name.into(),
+//! #     kind: TargetKind::Engine,
+//! #     address: ([127, 0, 0, 1], 1).into(),
+//! #     region: "almaty".into(),
+//! #     failure_domain: "almaty-a".into(),
+//! #     labels: Default::default(),
+//! #     leaving: false,
+//! #     checks_fencing: true,
+//! #     max_running_count: 8,
+//! #     link_bytes_per_s: 0,
+//! #     capacity_bytes: 0,
+//! #     service: String::new(),
+//! #     calls: vec![],
+//! # };
+//! let (busy, idle) = (target("engine-a"), target("engine-b"));
+//! let job = Job {
+//!     prompt_tokens: 8_000,
+//!     block_tokens: 2_000,
+//!     block_bytes: 1 << 20,
+//!     seen_blocks: 4,
+//! };
+//! let mut with_blocks = Candidate::new(&busy, 10_000.0);
+//! with_blocks.memory_blocks = 4;
+//! with_blocks.load.queued_tokens = 2_000;
+//! let choice = decide(&job, &rule, &[Candidate::new(&idle, 10_000.0), with_blocks])?;
+//! assert_eq!(choice.chosen.target, "engine-a");
+//! assert_eq!(choice.chosen.source, Source::Memory);
+//! # Ok::<(), routing::Refusal>(())
+//! ```
 
+mod bounds;
+mod budget;
 mod candidate;
 mod choice;
 mod decide;
+mod estimate;
+mod job;
+mod policy;
+mod service;
 
 pub use {
+    bounds::{first_token_deadline, import_deadline, import_hedge},
+    budget::Budget,
     candidate::{Candidate, EngineLoad},
     choice::{Choice, Estimate, FilterReason, Refusal, Rejected, Source},
-    decide::{Job, decide},
+    decide::{choose, decide},
+    job::Job,
+    policy::{Policy, UnknownPolicy},
+    service::{ServiceCandidate, choose_service},
 };
--- /dev/null
+++ b/crates/routing/tests/retry_bounds.rs
@@ -0,0 +1,88 @@
+//! Bounds on waiting and retrying, and the choice for plain services.
+
+mod support;
+
+use {
+    routing::{
+        Budget, Estimate, FilterReason, Policy, ServiceCandidate, choose_service,
+        first_token_deadline, import_deadline, import_hedge,
+    },
+    std::time::Duration,
+    support::{engine, rule},
+};
+
+#[test]
+fn an_import_never_waits_longer_than_computing_takes() {
+    let estimate = Estimate {
+        first_token: Duration::from_millis(900),
+        import: Duration::from_millis(400),
+        import_deviation: Duration::from_millis(100),
+        import_saves: Duration::from_secs(2),
+        ..Estimate::default()
+    };
+    assert_eq!(import_deadline(&estimate), Duration::from_millis(720));
+    assert_eq!(import_hedge(&estimate), Duration::from_millis(560));
+    assert_eq!(
+        first_token_deadline(&estimate),
+        Duration::from_millis(2_700)
+    );
+    let dear = Estimate {
+        import_deviation: Duration::from_secs(4),
+        ..estimate
+    };
+    assert_eq!(import_deadline(&dear), Duration::from_millis(2_020));
+}
+
+#[test]
+fn retries_stay_a_tenth_of_requests_under_any_failure() {
+    let mut budget = Budget::default();
+    let mut retries_count = 0;
+    for request in 0..10_000u64 {
+        budget.record_request();
+        let now = Duration::from_millis(request);
+        while budget.try_retry(now) {
+            retries_count += 1;
+        }
+    }
+    assert!((1_000..=1_010).contains(&retries_count), "{retries_count}");
+    assert!(!budget.try_retry(Duration::from_secs(10)));
+    assert!(
+        budget.try_retry(Duration::from_secs(16)),
+        "the floor of one in five seconds"
+    );
+}
+
+#[test]
+fn services_go_to_the_target_with_most_room() {
+    let (small, large) = (engine("small"), engine("large"));
+    let small = catalog::Target {
+        max_running_count: 2,
+        ..small
+    };
+    let candidate = |target, in_flight_count| ServiceCandidate {
+        target,
+        leaving: false,
+        reachable: true,
+        in_flight_count,
+    };
+    let candidates = [candidate(&small, 1), candidate(&large, 3)];
+    assert_eq!(
+        choose_service(&rule(), &candidates, 7).unwrap().name,
+        "large"
+    );
+    let full = [candidate(&small, 2), candidate(&large, 8)];
+    let refusal = choose_service(&rule(), &full, 7).unwrap_err();
+    assert!(
+        refusal
+            .rejected
+            .iter()
+            .all(|it| it.reason == FilterReason::Full)
+    );
+}
+
+#[test]
+fn policies_are_known_by_name() {
+    assert_eq!("least_loaded".parse(), Ok(Policy::LeastLoaded));
+    let error = "random".parse::<Policy>().unwrap_err();
+    assert!(error.to_string().contains("use one of cost"));
+}
