--- a/crates/rattan/src/lib.rs
+++ b/crates/rattan/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod backend;
+pub mod cli;
 mod control;
 mod daemon;
 mod logging;
--- a/crates/rattan/src/settings/checked.rs
+++ b/crates/rattan/src/settings/checked.rs
@@ -4,6 +4,7 @@
     super::{Flags, SettingError, parse::Given},
     catalog::{FailureDomainId, InstanceId, RegionId},
     log::LevelFilter,
+    routing::Policy,
     std::{net::SocketAddr, str::FromStr, time::Duration},
 };
 
@@ -83,6 +84,8 @@
     pub entries_max_age: Duration,
     /// Time between two load reports of a target.
     pub load_interval: Duration,
+    /// Rule by which targets are compared.
+    pub routing_policy: Policy,
 }
 
 impl TryFrom<Flags> for Settings {
@@ -125,6 +128,10 @@
             service_timeout: given("service-timeout-ms").millis(10_000, 10..=600_000)?,
             entries_max_age: given("entries-max-age-ms").millis(5_000, 100..=600_000)?,
             load_interval: given("load-interval-ms").millis(250, 10..=60_000)?,
+            routing_policy: given("routing-policy").parse_or(
+                Policy::Cost,
+                "one of cost, round_robin, least_loaded and longest_prefix",
+            )?,
         })
     }
 }
--- a/crates/serving/src/completion.rs
+++ b/crates/serving/src/completion.rs
@@ -20,8 +20,6 @@
 
 /// Events of an answer that wait for a slow caller.
 const EVENTS_BUFFER: usize = 256;
-/// Least first-byte bound as a multiple of the estimate.
-const FIRST_BYTE_FACTOR: u32 = 3;
 /// When to come back after targets failed.
 const TARGETS_FAILED_RETRY: Duration = Duration::from_millis(500);
 
@@ -80,6 +78,7 @@
                 .retry_after(refused.retry_after);
             return Err(self.refuse(&job, refusal, Vec::new()));
         }
+        self.retries().record_request();
         let (events, receiver) = mpsc::channel(EVENTS_BUFFER);
         let serving = self.clone();
         tokio::spawn(async move {
@@ -116,6 +115,10 @@
                 Next::Done => return,
                 Next::Retry(error) => tried.add(plan.engine.name, error),
             }
+            let now = self.blocks().now();
+            if !self.retries().try_retry(now) {
+                break;
+            }
             // The configuration may have changed meanwhile; a scope that is gone ends the attempts.
             match Scope::new(self.catalog(), &job) {
                 Ok(current) => scope = current,
@@ -250,11 +253,9 @@
     }
 
     fn bounds(&self, plan: &Plan) -> Bounds {
-        let settings = self.settings();
         Bounds {
-            first_byte: plan.choice.chosen.first_token * FIRST_BYTE_FACTOR
-                + settings.first_byte_margin,
-            silence: settings.token_silence,
+            first_byte: routing::first_token_deadline(&plan.choice.chosen),
+            silence: self.settings().token_silence,
         }
     }
 
--- a/crates/serving/src/plan.rs
+++ b/crates/serving/src/plan.rs
@@ -19,9 +19,6 @@
 const TOKEN_BYTES: u64 = 4;
 /// Prompt tokens an engine is assumed to compute a second before it has reported.
 const DEFAULT_PREFILL_TOKENS_PER_S: f64 = 10_000.0;
-/// Time to load weights that are not there.
-const WEIGHTS_LOAD: Duration = Duration::from_millis(400);
-
 /// What a completion is planned with: one state of the configuration and what follows from it.
 #[derive(Clone, Debug)]
 pub(crate) struct Scope {
@@ -160,7 +157,9 @@
         let candidates: Vec<Candidate<'_>> =
             known.iter().map(|known| known.candidate.clone()).collect();
         let routed = scope.job(&job.prompt, found.seen_blocks);
-        let choice = routing::decide(&routed, &scope.rule, &candidates)?;
+        let settings = self.settings();
+        let draw = self.draw();
+        let choice = routing::choose(settings.policy, draw, &routed, &scope.rule, &candidates)?;
         let chosen = known
             .iter()
             .find(|known| known.candidate.target.name == choice.chosen.target);
@@ -208,12 +207,13 @@
             has_version: view
                 .as_ref()
                 .is_some_and(|view| view.has_version(&scope.version.digest)),
-            weights_load: WEIGHTS_LOAD,
+            weights_load: Duration::ZERO,
             load: view.as_ref().map(|view| view.load(now)).unwrap_or_default(),
             memory_blocks: memory.map_or(0, |leading| leading.copies.len()),
             memory_confidence: memory.map_or(0.0, |leading| leading.confidence),
             import_blocks: store.map_or(0, |(leading, _)| leading.copies.len()),
             link_bytes_per_s: link.map_or(0.0, |link| link.rate.mean_bytes_per_s),
+            link_deviation_bytes_per_s: link.map_or(0.0, |link| link.rate.variance.sqrt()),
             link_queued_bytes: link.map_or(0, |link| link.queued_bytes),
             prefill_tokens_per_s: report
                 .map(|report| report.prefill_tokens_per_s)
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -9,8 +9,13 @@
     fleet::Fleet,
     idempotency::Claims,
     platform::KeyValue,
+    rand::random,
+    routing::Budget,
     std::{
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
         time::{SystemTime, UNIX_EPOCH},
     },
     target::Client,
@@ -39,6 +44,8 @@
 struct Inner<Kv, Peers> {
     state: State<Kv, Peers>,
     admission: Mutex<Admission>,
+    retries: Mutex<Budget>,
+    decisions_count: AtomicU64,
 }
 
 /// The request path. Clones share it.
@@ -66,6 +73,8 @@
             inner: Arc::new(Inner {
                 state,
                 admission: Mutex::default(),
+                retries: Mutex::default(),
+                decisions_count: AtomicU64::new(random()),
             }),
         }
     }
@@ -119,6 +128,19 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// A number that differs from decision to decision, to break ties with.
+    pub(crate) fn draw(&self) -> u64 {
+        self.inner.decisions_count.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The budget of retries at this instance.
+    pub(crate) fn retries(&self) -> MutexGuard<'_, Budget> {
+        self.inner
+            .retries
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Starts the record of a request.
     pub(crate) fn begin_record(
         &self,
--- a/crates/serving/src/transfer.rs
+++ b/crates/serving/src/transfer.rs
@@ -4,7 +4,7 @@
     crate::{
         PeerBlocks, Serving, Update,
         plan::{Import, Plan, Scope},
-        stores::{self, Link},
+        stores,
     },
     catalog::{RequestId, Target, TargetId},
     decision::Step,
@@ -16,10 +16,6 @@
     target::{BlockRef, EngineClient, ExportRequest, ImportReply, ImportRequest, StoreClient},
 };
 
-/// Least time allowed for a transfer.
-const MIN_TRANSFER_BOUND: Duration = Duration::from_millis(250);
-/// Allowed time of a transfer as a multiple of its expected time.
-const TRANSFER_BOUND_FACTOR: f64 = 3.0;
 /// Longest time allowed for an export, which nobody waits for.
 const EXPORT_BOUND: Duration = Duration::from_secs(20);
 /// Share of a store's capacity that may be in use before copies are given up.
@@ -39,7 +35,7 @@
             return;
         };
         let wanted_bytes = wanted.blocks.len() as u64 * scope.block_bytes();
-        let bound = self.import_bound(&plan.engine, store, wanted_bytes);
+        let bound = routing::import_deadline(&plan.choice.chosen);
         let queued = LinkQueue::new(self, [&plan.engine.name, &store.name], wanted_bytes);
         let import = import_request(scope, wanted, store);
         let started = Instant::now();
@@ -70,20 +66,6 @@
         );
     }
 
-    fn import_bound(&self, engine: &Target, store: &Target, bytes: u64) -> Duration {
-        let views = self
-            .fleet()
-            .view(&engine.name)
-            .zip(self.fleet().view(&store.name));
-        let Some((engine, store)) = views else {
-            return MIN_TRANSFER_BOUND;
-        };
-        let link = Link::between(&store, &engine);
-        #[allow(clippy::cast_precision_loss)]
-        let expected_s = (bytes + link.queued_bytes) as f64 / link.rate.mean_bytes_per_s.max(1.0);
-        MIN_TRANSFER_BOUND.max(Duration::from_secs_f64(expected_s * TRANSFER_BOUND_FACTOR))
-    }
-
     /// Corrects directory and link by what an import did; gives what is missing, in words.
     fn note_import(
         &self,
