Calls between entry instances over tarpc, authenticated and bounded

Cause: instances share directory entries, decision records and the configuration without a store of their own. Ruled out: UDP heartbeats (a second transport with its own authentication); one connection for each call (a handshake a look-up). Decision records travel as JSON inside the binary codec, because that codec cannot read internally tagged enumerations back. Change: mutual challenge-response by keyed BLAKE3 with rotation, a pool with one connection a peer, replacement of a silent or broken connection before the peer is blamed, a circuit breaker, the hedged look-up, and Cluster, which runs membership.

--- /dev/null
+++ b/crates/cluster/src/cluster.rs
@@ -0,0 +1,170 @@
+//! Runs membership over sockets.
+
+use {
+    crate::{Heartbeat, HeartbeatAck, Member, Members, Membership, Peers},
+    arc_swap::ArcSwap,
+    catalog::Revision,
+    futures::{StreamExt, stream},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::watch,
+        time::{self, MissedTickBehavior},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time between two rounds of heartbeats.
+const ROUND: Duration = Duration::from_secs(1);
+/// Heartbeats on their way at once when this instance says that it leaves.
+const ANNOUNCE_CONCURRENCY_COUNT: usize = 16;
+
+/// Membership of this instance, kept up to date by heartbeats, and the pool of its peers.
+///
+/// [`Cluster::members`] is a snapshot that any thread may read at any time.
+#[derive(Debug)]
+pub struct Cluster {
+    membership: Mutex<Membership>,
+    members: ArcSwap<Members>,
+    changes: watch::Sender<Arc<Members>>,
+    peers: Peers,
+}
+
+impl Cluster {
+    /// A cluster that knows only its own instance.
+    #[must_use]
+    pub fn new(own: Member, peers: Peers) -> Self {
+        let membership = Membership::new(own);
+        let members = Arc::new(membership.members());
+        Self {
+            membership: Mutex::new(membership),
+            members: ArcSwap::new(members.clone()),
+            changes: watch::Sender::new(members),
+            peers,
+        }
+    }
+
+    /// The current view.
+    #[must_use]
+    pub fn members(&self) -> Arc<Members> {
+        self.members.load_full()
+    }
+
+    /// Tells of every change of the view, for example to start a handoff.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<Arc<Members>> {
+        self.changes.subscribe()
+    }
+
+    /// The pool for calls to peers.
+    #[must_use]
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// This instance as its peers are told.
+    #[must_use]
+    pub fn own(&self) -> Member {
+        self.membership().own().clone()
+    }
+
+    /// Takes in the instance list: its entry instances, with incarnation 0.
+    pub fn list(&self, listed: &[Member]) {
+        self.membership().list(listed, Instant::now());
+        self.publish();
+    }
+
+    /// Sets the configuration revision that heartbeats carry.
+    pub fn set_revision(&self, revision: Revision) {
+        self.membership().set_revision(revision);
+    }
+
+    /// The highest revision in force at a peer, and the peer.
+    #[must_use]
+    pub fn newest_revision(&self) -> Option<(Revision, Member)> {
+        self.membership()
+            .newest_revision()
+            .map(|(revision, member)| (revision, member.clone()))
+    }
+
+    /// Takes in a peer's heartbeat and gives the answer.
+    #[must_use]
+    pub fn receive(&self, heartbeat: &Heartbeat) -> HeartbeatAck {
+        let ack = self.membership().receive(heartbeat, Instant::now());
+        self.publish();
+        ack
+    }
+
+    /// Says that this instance is leaving: at once to all live members of its region, in the next
+    /// rounds to all others.
+    pub async fn leave(&self) {
+        self.membership().leave();
+        self.publish();
+        let own = self.own();
+        let members = self.members();
+        let told = members.iter().filter(|member| {
+            member.is_live() && member.region == own.region && member.instance != own.instance
+        });
+        stream::iter(told)
+            .for_each_concurrent(ANNOUNCE_CONCURRENCY_COUNT, |peer| self.send_heartbeat(peer))
+            .await;
+    }
+
+    /// Sends heartbeats once a second until `token` is cancelled.
+    pub async fn run(&self, token: CancellationToken) {
+        let mut rounds = time::interval(ROUND);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = token.cancelled() => return,
+                _ = rounds.tick() => {}
+            }
+            tokio::select! {
+                () = token.cancelled() => return,
+                () = self.round() => {}
+            }
+        }
+    }
+
+    async fn round(&self) {
+        let chosen = self
+            .membership()
+            .begin_round(Instant::now(), &mut rand::rng());
+        stream::iter(&chosen)
+            .for_each_concurrent(None, |peer| self.send_heartbeat(peer))
+            .await;
+        self.publish();
+        self.peers.close_idle().await;
+    }
+
+    async fn send_heartbeat(&self, peer: &Member) {
+        let heartbeat = self.membership().heartbeat(peer);
+        match self.peers.heartbeat(peer.peer_address, heartbeat).await {
+            Ok(ack) => self.membership().answered(&ack, Instant::now()),
+            Err(error) => {
+                log::debug!("heartbeat to {}: {error}", peer.instance);
+                self.membership().unanswered(&peer.instance);
+            }
+        }
+    }
+
+    /// Publishes the view if it changed.
+    fn publish(&self) {
+        let mut membership = self.membership();
+        if !membership.take_changed() {
+            return;
+        }
+        let members = Arc::new(membership.members());
+        self.members.store(members.clone());
+        // Sent under the lock, so that views are published in their order.
+        self.changes.send_replace(members);
+    }
+
+    fn membership(&self) -> MutexGuard<'_, Membership> {
+        self.membership
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/connection.rs
@@ -0,0 +1,105 @@
+//! One open connection to a peer.
+
+use {
+    crate::{
+        PeerError, PeerKeys, Traffic,
+        error::{ConnectSnafu, HandshakeSnafu},
+        handshake,
+        service::PeerServiceClient,
+        traffic::counted,
+    },
+    snafu::ResultExt,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tarpc::{
+        client,
+        serde_transport::{self, Transport},
+        tokio_serde::formats::Bincode,
+        tokio_util::codec::{Framed, LengthDelimitedCodec},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        net::TcpStream,
+    },
+};
+
+/// Initial size of a connection's read buffer and of its write buffer.
+const BUFFER_BYTES: usize = 2_048;
+/// Largest message.
+const MAX_MESSAGE_BYTES: usize = 8 << 20;
+
+/// The codec of peer calls on an authenticated stream.
+pub(crate) fn transport<Stream, Item, SinkItem>(
+    stream: Stream,
+) -> Transport<Stream, Item, SinkItem, Bincode<Item, SinkItem>>
+where
+    Stream: AsyncRead + AsyncWrite,
+    Item: for<'de> serde::Deserialize<'de>,
+    SinkItem: serde::Serialize,
+{
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_MESSAGE_BYTES)
+        .new_codec();
+    serde_transport::new(
+        Framed::with_capacity(stream, codec, BUFFER_BYTES),
+        Bincode::default(),
+    )
+}
+
+/// An authenticated connection. Dropping the last reference closes it.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) client: PeerServiceClient,
+    traffic: Arc<Traffic>,
+    opened: Instant,
+    /// Time of the last use since `opened`, in milliseconds.
+    used_ms: AtomicU64,
+}
+
+impl Connection {
+    pub(crate) async fn open(
+        peer: SocketAddr,
+        keys: &PeerKeys,
+        total: Arc<Traffic>,
+    ) -> Result<Self, PeerError> {
+        let mut stream = TcpStream::connect(peer)
+            .await
+            .context(ConnectSnafu { peer })?;
+        stream.set_nodelay(true).context(ConnectSnafu { peer })?;
+        handshake::open(&mut stream, keys)
+            .await
+            .context(HandshakeSnafu { peer })?;
+        total.add_connection();
+        let traffic = Arc::new(Traffic::default());
+        let stream = counted(stream, traffic.clone(), total);
+        let client = PeerServiceClient::new(client::Config::default(), transport(stream)).spawn();
+        Ok(Self {
+            client,
+            traffic,
+            opened: Instant::now(),
+            used_ms: AtomicU64::new(0),
+        })
+    }
+
+    /// Bytes that arrived; if none do although answers are due, the connection is silent.
+    pub(crate) fn received_bytes(&self) -> u64 {
+        self.traffic.received_bytes()
+    }
+
+    pub(crate) fn touch(&self) {
+        let used_ms = u64::try_from(self.opened.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.used_ms.store(used_ms, Ordering::Relaxed);
+    }
+
+    /// Time since the last use.
+    pub(crate) fn idle(&self) -> Duration {
+        let used = Duration::from_millis(self.used_ms.load(Ordering::Relaxed));
+        self.opened.elapsed().saturating_sub(used)
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/directory_call.rs
@@ -0,0 +1,179 @@
+//! What instances tell each other about blocks.
+
+use {
+    catalog::{ClientAccountId, TargetId},
+    directory::{Copy, Generation, Leading, Place, Write},
+    prefix::BlockKey,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// One block as a holder has it.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct HeldBlock {
+    /// Generation a reader must present; 0 for copies in engine memory.
+    pub generation: Generation,
+    /// Size in bytes; 0 if not known.
+    pub size_bytes: u64,
+    /// Probability from 0 to 1 that the copy is there.
+    pub confidence: f64,
+}
+
+/// What one target can supply of a prompt, from its first block on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Holder {
+    /// The target.
+    pub target: TargetId,
+    /// Whether the copies are in a store; else they are in the target's engine memory.
+    pub is_store: bool,
+    /// Copies, first block first.
+    pub blocks: Vec<HeldBlock>,
+}
+
+impl From<&Leading> for Holder {
+    fn from(leading: &Leading) -> Self {
+        let blocks = leading.copies.iter().map(|copy| HeldBlock {
+            generation: copy.generation,
+            size_bytes: copy.size_bytes,
+            confidence: copy.confidence,
+        });
+        Self {
+            target: leading.target.clone(),
+            is_store: leading.place == Place::Store,
+            blocks: blocks.collect(),
+        }
+    }
+}
+
+impl From<&Holder> for Leading {
+    fn from(holder: &Holder) -> Self {
+        let place = if holder.is_store {
+            Place::Store
+        } else {
+            Place::Memory
+        };
+        let copies = holder.blocks.iter().map(|block| Copy {
+            target: holder.target.clone(),
+            generation: block.generation,
+            size_bytes: block.size_bytes,
+            place,
+            confidence: block.confidence,
+        });
+        let confidences = holder.blocks.iter().map(|block| block.confidence);
+        Self {
+            target: holder.target.clone(),
+            place,
+            copies: copies.collect(),
+            confidence: confidences.fold(1.0, f64::min),
+        }
+    }
+}
+
+/// What an owner knows of a prompt.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct DirectoryAnswer {
+    /// Targets that can supply its start.
+    pub holders: Vec<Holder>,
+    /// Leading blocks that were computed before, by any engine.
+    pub seen_blocks_count: usize,
+    /// Whether the owner has all entries of its share; false for a while after it became owner.
+    pub is_complete: bool,
+}
+
+/// One write of a block to a store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BlockWrite {
+    /// The block.
+    pub key: BlockKey,
+    /// Store that is written to.
+    pub target: TargetId,
+    /// Generation, unique among all writes of `key`.
+    pub generation: Generation,
+    /// Size in bytes.
+    pub size_bytes: u64,
+    /// Client account that the bytes count for.
+    pub client_account: ClientAccountId,
+}
+
+impl From<&Write> for BlockWrite {
+    fn from(write: &Write) -> Self {
+        Self {
+            key: write.key,
+            target: write.target.clone(),
+            generation: write.generation,
+            size_bytes: write.size_bytes,
+            client_account: write.client_account.clone(),
+        }
+    }
+}
+
+impl From<BlockWrite> for Write {
+    fn from(write: BlockWrite) -> Self {
+        Self {
+            key: write.key,
+            target: write.target,
+            generation: write.generation,
+            size_bytes: write.size_bytes,
+            client_account: write.client_account,
+        }
+    }
+}
+
+/// One thing that an owner has to know. Taking it in twice changes nothing.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum DirectoryUpdate {
+    /// A write to a store begins; the copy is not readable yet.
+    BeginWrite(BlockWrite),
+    /// The store has confirmed all of the block.
+    Commit {
+        /// The block.
+        key: BlockKey,
+        /// The store.
+        target: TargetId,
+        /// Generation that was written.
+        generation: Generation,
+    },
+    /// A committed copy, sent when ownership moves or read from a store's list.
+    Adopt {
+        /// The copy.
+        copy: BlockWrite,
+        /// Age of what is said.
+        age: Duration,
+    },
+    /// A copy is not to be read any more.
+    Free {
+        /// The block.
+        key: BlockKey,
+        /// The store.
+        target: TargetId,
+    },
+    /// An engine ran a prompt and has its blocks now.
+    Run {
+        /// Client account that asked.
+        client_account: ClientAccountId,
+        /// Keys of the whole pieces, first piece first.
+        keys: Vec<BlockKey>,
+        /// Size of one block.
+        block_bytes: u64,
+        /// Time to compute one block.
+        block_recompute: Duration,
+        /// The engine.
+        target: TargetId,
+        /// Leading blocks that it had before.
+        cached_blocks_count: usize,
+    },
+    /// An engine has these blocks in memory, by its cache events.
+    Stored {
+        /// The engine.
+        target: TargetId,
+        /// The blocks.
+        keys: Vec<BlockKey>,
+    },
+    /// An engine dropped these blocks, by its cache events.
+    Removed {
+        /// The engine.
+        target: TargetId,
+        /// The blocks.
+        keys: Vec<BlockKey>,
+    },
+}
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -5,6 +5,10 @@
 //! entries of a key, [`Members::entries_for`] which ones a client account's callers are told to
 //! use, and [`moved`] what goes where when ownership changes.
 //!
+//! [`Cluster`] runs this over sockets. [`serve`] answers peers through a [`PeerHandler`], and
+//! [`Peers`] calls them; both ends prove first that they hold a [`PeerKey`] in common
+//! ([`handshake`]).
+//!
 //! ```
 //! use cluster::{Member, MemberState, Members};
 //!
@@ -22,20 +26,45 @@
 //! assert_ne!(owners[0].failure_domain, owners[1].failure_domain);
 //! ```
 
+mod breaker;
+mod cluster;
+mod connection;
+mod directory_call;
+mod error;
+mod handler;
 mod handoff;
+pub mod handshake;
 mod heartbeat;
+mod lookup;
 mod member;
 mod members;
 mod membership;
+mod peer_key;
+mod peers;
 mod rendezvous;
 mod rotation;
+mod server;
+mod service;
+mod slot;
+mod traffic;
 mod updates;
 
 pub use {
+    breaker::Breaker,
+    cluster::Cluster,
+    directory_call::{BlockWrite, DirectoryAnswer, DirectoryUpdate, HeldBlock, Holder},
+    error::{HandshakeError, PeerError},
+    handler::PeerHandler,
     handoff::{OWNERS_COUNT, moved},
     heartbeat::{Heartbeat, HeartbeatAck},
+    lookup::{Lookup, LookupBounds, lookup},
     member::{Incarnation, Member, MemberState},
     members::{MAX_ENTRIES_COUNT, Members},
     membership::{HEARTBEAT_PEERS_COUNT, Membership, SUSPECT_AFTER},
+    peer_key::{MIN_KEY_BYTES, PeerKey, PeerKeyError, PeerKeys},
+    peers::{HEARTBEAT_TIMEOUT, Peers},
+    server::serve,
+    service::CatalogCopy,
+    traffic::Traffic,
     updates::MAX_UPDATES_COUNT,
 };
--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -33,6 +33,8 @@
     /// Last message from the instance itself.
     last_seen: Instant,
     unanswered_count: u32,
+    /// Configuration revision that the instance last named; 0 if none.
+    revision: Revision,
     /// Whether the instance list has it.
     listed: bool,
 }
@@ -136,7 +138,7 @@
 
     /// Takes in a peer's heartbeat and gives the answer.
     pub fn receive(&mut self, heartbeat: &Heartbeat, now: Instant) -> HeartbeatAck {
-        self.take_all(&heartbeat.from, &heartbeat.updates, now);
+        self.take_all(&heartbeat.from, heartbeat.revision, &heartbeat.updates, now);
         let updates = if heartbeat.joining {
             self.known
                 .values()
@@ -155,7 +157,7 @@
     /// Takes in the answer to a heartbeat.
     pub fn answered(&mut self, ack: &HeartbeatAck, now: Instant) {
         self.joining = false;
-        self.take_all(&ack.from, &ack.updates, now);
+        self.take_all(&ack.from, ack.revision, &ack.updates, now);
     }
 
     /// Notes that a heartbeat to `instance` was not answered, also not on a fresh connection.
@@ -165,6 +167,16 @@
         }
     }
 
+    /// The highest configuration revision that a peer said is in force there, and the peer.
+    #[must_use]
+    pub fn newest_revision(&self) -> Option<(Revision, &Member)> {
+        self.known
+            .values()
+            .filter(|known| known.member.state != MemberState::Suspect)
+            .map(|known| (known.revision, &known.member))
+            .max_by_key(|(revision, _)| *revision)
+    }
+
     /// Whether the view changed since this was last asked.
     pub fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
@@ -203,7 +215,7 @@
         }
     }
 
-    fn take_all(&mut self, from: &Member, updates: &[Member], now: Instant) {
+    fn take_all(&mut self, from: &Member, revision: Revision, updates: &[Member], now: Instant) {
         for update in updates {
             self.take(update, now);
         }
@@ -211,6 +223,7 @@
         if let Some(known) = self.known.get_mut(&from.instance) {
             known.last_seen = now;
             known.unanswered_count = 0;
+            known.revision = known.revision.max(revision);
         }
     }
 
@@ -233,6 +246,7 @@
                 member: member.clone(),
                 last_seen: now,
                 unanswered_count: 0,
+                revision: 0,
                 listed: false,
             };
             self.known.insert(member.instance.clone(), known);
--- /dev/null
+++ b/crates/cluster/src/server.rs
@@ -0,0 +1,171 @@
+//! Accepts and answers peers.
+
+use {
+    crate::{
+        CatalogCopy, DirectoryAnswer, DirectoryUpdate, Heartbeat, HeartbeatAck, PeerHandler,
+        PeerKeys, Traffic,
+        connection::transport,
+        handshake,
+        service::{Json, PeerService},
+        traffic::counted,
+    },
+    catalog::{ClientAccountId, RequestId, Revision},
+    futures::StreamExt,
+    prefix::BlockKey,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tarpc::{
+        context::Context,
+        server::{BaseChannel, Channel},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Semaphore,
+        time,
+    },
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// Connections open at once; further ones wait.
+const MAX_CONNECTIONS_COUNT: usize = 1_024;
+/// Calls running at once on one connection.
+const MAX_CALLS_COUNT: usize = 64;
+/// A connection on which nothing arrives for so long is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(3);
+/// Wait after a failed accept, for example when file descriptors have run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Answers peers on `listener` until `token` is cancelled; then open connections are closed.
+pub async fn serve<Handler>(
+    listener: TcpListener,
+    keys: PeerKeys,
+    handler: Handler,
+    traffic: Arc<Traffic>,
+    token: CancellationToken,
+) where
+    Handler: PeerHandler,
+{
+    let keys = Arc::new(keys);
+    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS_COUNT));
+    let connections = TaskTracker::new();
+    while let Some((stream, peer)) = next_stream(&listener, &token).await {
+        let Ok(slot) = slots.clone().acquire_owned().await else {
+            break;
+        };
+        let (keys, handler, traffic) = (keys.clone(), handler.clone(), traffic.clone());
+        let closed = token.clone().cancelled_owned();
+        connections.spawn(async move {
+            tokio::select! {
+                () = closed => {}
+                () = answer(stream, peer, &keys, handler, traffic) => {}
+            }
+            drop(slot);
+        });
+    }
+    connections.close();
+    connections.wait().await;
+}
+
+/// The next connection; none once `token` is cancelled.
+async fn next_stream(
+    listener: &TcpListener,
+    token: &CancellationToken,
+) -> Option<(TcpStream, SocketAddr)> {
+    loop {
+        let accepted = tokio::select! {
+            () = token.cancelled() => return None,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok(accepted) => return Some(accepted),
+            Err(error) => {
+                log::warn!("peer connection not accepted: {error}; raise the limit of open files");
+                time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn answer<Handler>(
+    mut stream: TcpStream,
+    peer: SocketAddr,
+    keys: &PeerKeys,
+    handler: Handler,
+    total: Arc<Traffic>,
+) where
+    Handler: PeerHandler,
+{
+    if let Err(error) = handshake::accept(&mut stream, keys).await {
+        log::warn!("connection from {peer} refused: {error}");
+        return;
+    }
+    // Small answers are not worth waiting for more; failing to say so only costs time.
+    let _ = stream.set_nodelay(true);
+    total.add_connection();
+    let own = Arc::new(Traffic::default());
+    let stream = counted(stream, own.clone(), total);
+    let calls = BaseChannel::with_defaults(transport(stream))
+        .max_concurrent_requests(MAX_CALLS_COUNT)
+        .requests()
+        .execute(Answers { handler }.serve());
+    tokio::select! {
+        () = calls.for_each_concurrent(MAX_CALLS_COUNT, |call| call) => {}
+        () = idle(&own) => log::debug!("idle connection from {peer} closed"),
+    }
+}
+
+/// Returns once nothing was received for [`IDLE_TIMEOUT`].
+async fn idle(traffic: &Traffic) {
+    let mut before = traffic.received_bytes();
+    loop {
+        time::sleep(IDLE_TIMEOUT).await;
+        let now = traffic.received_bytes();
+        if now == before {
+            return;
+        }
+        before = now;
+    }
+}
+
+/// Passes calls on to the handler.
+#[derive(Clone)]
+struct Answers<Handler> {
+    handler: Handler,
+}
+
+impl<Handler> PeerService for Answers<Handler>
+where
+    Handler: PeerHandler,
+{
+    async fn heartbeat(self, _: Context, heartbeat: Heartbeat) -> HeartbeatAck {
+        self.handler.heartbeat(heartbeat).await
+    }
+
+    async fn lookup(
+        self,
+        _: Context,
+        client_account: ClientAccountId,
+        keys: Vec<BlockKey>,
+    ) -> DirectoryAnswer {
+        self.handler.lookup(client_account, keys).await
+    }
+
+    async fn record(self, _: Context, updates: Vec<DirectoryUpdate>) {
+        self.handler.record(updates).await;
+    }
+
+    async fn replicate(self, _: Context, parts: Json) {
+        match serde_json::from_slice(&parts) {
+            Ok(parts) => self.handler.replicate(parts).await,
+            Err(error) => log::warn!("decision records of a peer dropped: {error}"),
+        }
+    }
+
+    async fn decision(self, _: Context, request: RequestId) -> Option<Json> {
+        let record = self.handler.decision(request).await?;
+        serde_json::to_vec(&record).ok()
+    }
+
+    async fn catalog(self, _: Context, after: Revision) -> Option<CatalogCopy> {
+        self.handler.catalog(after).await
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/service.rs
@@ -0,0 +1,34 @@
+//! Calls between entry instances, as they travel.
+
+// The attribute below generates a request and a response type without comments.
+#![allow(missing_docs)]
+
+use {
+    crate::{DirectoryAnswer, DirectoryUpdate, Heartbeat, HeartbeatAck},
+    catalog::{ClientAccountId, RequestId, Revision},
+    prefix::BlockKey,
+    serde::{Deserialize, Serialize},
+};
+
+/// A JSON text. Decision records are tagged enumerations, which the binary codec cannot read back.
+pub(crate) type Json = Vec<u8>;
+
+/// The whole configuration as one instance has it in force.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CatalogCopy {
+    /// Revision it holds at.
+    pub revision: Revision,
+    /// Its encoding, chosen by the daemon.
+    pub body: Vec<u8>,
+}
+
+/// The calls. Each may be repeated without further effect.
+#[tarpc::service]
+pub(crate) trait PeerService {
+    async fn heartbeat(heartbeat: Heartbeat) -> HeartbeatAck;
+    async fn lookup(client_account: ClientAccountId, keys: Vec<BlockKey>) -> DirectoryAnswer;
+    async fn record(updates: Vec<DirectoryUpdate>);
+    async fn replicate(parts: Json);
+    async fn decision(request: RequestId) -> Option<Json>;
+    async fn catalog(after: Revision) -> Option<CatalogCopy>;
+}
--- /dev/null
+++ b/crates/cluster/src/slot.rs
@@ -0,0 +1,110 @@
+//! What is kept for one peer.
+
+use {
+    crate::{Breaker, PeerError, PeerKeys, Traffic, connection::Connection},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::{sync, time},
+};
+
+/// Bound on opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The connection to one peer, if open, and its circuit breaker.
+#[derive(Debug, Default)]
+pub(crate) struct Slot {
+    connection: sync::Mutex<Option<Arc<Connection>>>,
+    breaker: Mutex<Breaker>,
+}
+
+impl Slot {
+    /// Whether the peer may be called now; else how long to wait.
+    pub(crate) fn allow(&self) -> Result<(), Duration> {
+        self.breaker().allow(Instant::now())
+    }
+
+    /// Notes the outcome of a call.
+    pub(crate) fn note(&self, succeeded: bool) {
+        let mut breaker = self.breaker();
+        if succeeded {
+            breaker.succeeded();
+        } else {
+            breaker.failed(Instant::now(), rand::random());
+        }
+    }
+
+    pub(crate) async fn pooled(&self) -> Option<Arc<Connection>> {
+        self.connection.lock().await.clone()
+    }
+
+    /// The connection in the pool, opened if there is none. Opening goes on when the caller stops
+    /// waiting, so that the next call finds it open.
+    pub(crate) async fn fresh(
+        self: &Arc<Self>,
+        peer: SocketAddr,
+        keys: &PeerKeys,
+        traffic: &Arc<Traffic>,
+    ) -> Result<Arc<Connection>, PeerError> {
+        let (slot, keys, traffic) = (self.clone(), keys.clone(), traffic.clone());
+        let opening = tokio::spawn(async move { slot.open(peer, &keys, traffic).await });
+        match opening.await {
+            Ok(opened) => opened,
+            Err(error) => Err(PeerError::Connect {
+                peer,
+                source: io::Error::other(error),
+            }),
+        }
+    }
+
+    /// Takes a connection out of the pool, unless it was replaced already.
+    pub(crate) async fn discard(&self, connection: &Arc<Connection>) {
+        let mut pooled = self.connection.lock().await;
+        if pooled
+            .as_ref()
+            .is_some_and(|pooled| Arc::ptr_eq(pooled, connection))
+        {
+            *pooled = None;
+        }
+    }
+
+    /// Closes a connection unused for `idle`; whether nothing is left to remember of the peer.
+    pub(crate) async fn close_idle(&self, idle: Duration) -> bool {
+        let mut pooled = self.connection.lock().await;
+        if pooled.as_ref().is_some_and(|pooled| pooled.idle() >= idle) {
+            *pooled = None;
+        }
+        pooled.is_none() && self.breaker().is_closed()
+    }
+
+    async fn open(
+        &self,
+        peer: SocketAddr,
+        keys: &PeerKeys,
+        traffic: Arc<Traffic>,
+    ) -> Result<Arc<Connection>, PeerError> {
+        let mut pooled = self.connection.lock().await;
+        if let Some(connection) = pooled.as_ref() {
+            return Ok(connection.clone());
+        }
+        let opening = Connection::open(peer, keys, traffic);
+        let opened = match time::timeout(CONNECT_TIMEOUT, opening).await {
+            Ok(opened) => Arc::new(opened?),
+            Err(_) => {
+                return Err(PeerError::Timeout {
+                    peer,
+                    bound: CONNECT_TIMEOUT,
+                });
+            }
+        };
+        *pooled = Some(opened.clone());
+        Ok(opened)
+    }
+
+    fn breaker(&self) -> MutexGuard<'_, Breaker> {
+        self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/traffic.rs
@@ -0,0 +1,69 @@
+//! Counts the bytes of peer connections.
+
+use {
+    std::sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        net::TcpStream,
+    },
+    tokio_util::io::{InspectReader, InspectWriter},
+};
+
+/// Bytes and connections since the start of the process, without TCP and IP headers.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    sent_bytes: AtomicU64,
+    received_bytes: AtomicU64,
+    connections_count: AtomicU64,
+}
+
+impl Traffic {
+    /// Bytes sent.
+    #[must_use]
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Bytes received.
+    #[must_use]
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Connections opened or accepted.
+    #[must_use]
+    pub fn connections_count(&self) -> u64 {
+        self.connections_count.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn add_connection(&self) {
+        self.connections_count.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// `stream` with its bytes counted both in `own` and in `total`.
+pub(crate) fn counted(
+    stream: TcpStream,
+    own: Arc<Traffic>,
+    total: Arc<Traffic>,
+) -> impl AsyncRead + AsyncWrite + Unpin + Send + 'static {
+    let counters = [own, total];
+    let receivers = counters.clone();
+    let reader = InspectReader::new(stream, move |bytes: &[u8]| {
+        for counter in &receivers {
+            add(&counter.received_bytes, bytes);
+        }
+    });
+    InspectWriter::new(reader, move |bytes: &[u8]| {
+        for counter in &counters {
+            add(&counter.sent_bytes, bytes);
+        }
+    })
+}
+
+fn add(counter: &AtomicU64, bytes: &[u8]) {
+    counter.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/cluster/tests/peer_calls.rs
@@ -0,0 +1,145 @@
+//! Calls between instances over sockets.
+
+#[path = "support/node.rs"]
+mod node;
+
+use {
+    cluster::{DirectoryUpdate, LookupBounds, MemberState, lookup},
+    decision::{Record, Step},
+    node::{KEY, Node},
+    std::time::{Duration, Instant},
+    tokio_util::sync::CancellationToken,
+};
+
+const NO_DELAY: Duration = Duration::ZERO;
+/// Long enough that no machine answers by chance before the hedge.
+const SLOW: Duration = Duration::from_secs(30);
+
+async fn node(name: &str) -> Node {
+    Node::start(name, KEY, NO_DELAY).await
+}
+
+fn refused_record(request: &str) -> Record {
+    Record {
+        request: request.to_owned(),
+        client_account: "tasboulak".to_owned(),
+        instance: "a".to_owned(),
+        model_version: String::new(),
+        revision: 1,
+        arrived: Duration::from_secs(1),
+        steps: vec![Step::Refused {
+            reason: "no target".to_owned(),
+            retry_after_ms: 5,
+            rejected: Vec::new(),
+        }],
+    }
+}
+
+#[tokio::test]
+async fn every_call_arrives() {
+    let (a, b) = (node("a").await, node("b").await);
+    let to = b.cluster.own().peer_address;
+    let removed = DirectoryUpdate::Removed {
+        target: "engine-1".to_owned(),
+        keys: vec![[7; 32]],
+    };
+    a.peers().record(to, vec![removed.clone()]).await.unwrap();
+    assert_eq!(*b.updates.lock().unwrap(), [removed]);
+
+    let record = refused_record("r-1");
+    a.ring
+        .lock()
+        .unwrap()
+        .insert(record.clone(), Instant::now());
+    let parts = a.ring.lock().unwrap().take_unreplicated(1_000);
+    a.peers().replicate(to, &parts).await.unwrap();
+    let kept = a.peers().decision(to, &"r-1".to_owned()).await.unwrap();
+    assert_eq!(kept, Some(record));
+    assert_eq!(
+        a.peers().decision(to, &"r-2".to_owned()).await.unwrap(),
+        None
+    );
+
+    assert_eq!(a.peers().catalog(to, 8).await.unwrap().unwrap().revision, 9);
+    assert!(a.peers().catalog(to, 9).await.unwrap().is_none());
+    assert_eq!(a.peers().traffic().connections_count(), 1);
+    assert!(a.peers().traffic().sent_bytes() > 0);
+}
+
+#[tokio::test]
+async fn views_converge_and_leaving_is_told_at_once() {
+    let nodes = [node("a").await, node("b").await, node("c").await];
+    let listed: Vec<_> = nodes.iter().map(|node| node.cluster.own()).collect();
+    let token = CancellationToken::new();
+    for node in &nodes {
+        node.cluster.list(&listed);
+        let (cluster, token) = (node.cluster.clone(), token.clone());
+        tokio::spawn(async move { cluster.run(token).await });
+    }
+    let mut changes = nodes[2].cluster.changes();
+    nodes[0].cluster.leave().await;
+    let left = changes.wait_for(|members| {
+        members
+            .get("a")
+            .is_some_and(|member| member.state == MemberState::Leaving)
+    });
+    tokio::time::timeout(Duration::from_secs(10), left)
+        .await
+        .unwrap()
+        .unwrap();
+    let entries = nodes[2].cluster.members();
+    assert!(
+        entries
+            .entries_for("x")
+            .iter()
+            .all(|entry| entry.instance != "a")
+    );
+    token.cancel();
+}
+
+#[tokio::test]
+async fn peers_tell_their_revision() {
+    let (a, b) = (node("a").await, node("b").await);
+    b.cluster.set_revision(42);
+    a.cluster.list(&[a.cluster.own(), b.cluster.own()]);
+    let token = CancellationToken::new();
+    let (cluster, stopped) = (a.cluster.clone(), token.clone());
+    tokio::spawn(async move { cluster.run(stopped).await });
+    let heard = async {
+        while a.cluster.newest_revision().map(|(revision, _)| revision) != Some(42) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), heard)
+        .await
+        .unwrap();
+    token.cancel();
+}
+
+#[tokio::test]
+async fn slow_owner_is_hedged() {
+    let bounds = LookupBounds {
+        hedge_after: Duration::from_millis(5),
+        total: Duration::from_secs(10),
+    };
+    let a = node("a").await;
+    let slow = Node::start("slow", KEY, SLOW).await;
+    let fast = node("fast").await;
+    let owners = [&slow.cluster.own(), &fast.cluster.own()];
+    let found = lookup(a.peers(), &owners, &"x".to_owned(), &[[1; 32]], bounds).await;
+    assert!(!found.is_degraded());
+    assert_eq!(found.answer.unwrap().seen_blocks_count, 1);
+}
+
+#[tokio::test]
+async fn lookup_without_owners_is_degraded() {
+    let a = node("a").await;
+    let slow = Node::start("slow", KEY, SLOW).await;
+    let mut gone = slow.cluster.own();
+    gone.peer_address.set_port(1);
+    let owners = [&gone, &slow.cluster.own()];
+    let bounds = LookupBounds::default();
+    let found = lookup(a.peers(), &owners, &"x".to_owned(), &[[1; 32]], bounds).await;
+    assert!(found.is_degraded());
+    assert!(!found.failures.is_empty());
+}
--- /dev/null
+++ b/crates/cluster/tests/silent_connections.rs
@@ -0,0 +1,148 @@
+//! A silent connection is replaced before the peer is blamed.
+
+#[path = "support/node.rs"]
+mod node;
+
+use {
+    cluster::{Breaker, PeerError},
+    node::{KEY, Node},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
+        net::{TcpListener, TcpStream},
+        sync::watch,
+    },
+};
+
+/// What a relay does to the connections that are open; later ones work.
+#[derive(Clone, Copy)]
+enum Fault {
+    Silence,
+    Cut,
+}
+
+struct Relay {
+    address: SocketAddr,
+    accepted_count: Arc<AtomicUsize>,
+    fault: watch::Sender<Fault>,
+}
+
+impl Relay {
+    async fn start(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let relay = Self {
+            address: listener.local_addr().unwrap(),
+            accepted_count: Arc::default(),
+            fault: watch::Sender::new(Fault::Cut),
+        };
+        let (accepted_count, fault) = (relay.accepted_count.clone(), relay.fault.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                accepted_count.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(pass(stream, to, fault.subscribe()));
+            }
+        });
+        relay
+    }
+}
+
+async fn pass(mut near: TcpStream, to: SocketAddr, mut fault: watch::Receiver<Fault>) {
+    let mut far = TcpStream::connect(to).await.unwrap();
+    tokio::select! {
+        _ = copy_bidirectional(&mut near, &mut far) => return,
+        _ = fault.changed() => {}
+    }
+    if matches!(*fault.borrow(), Fault::Cut) {
+        return;
+    }
+    // Keeps both ends open and swallows what arrives.
+    let _ = tokio::io::copy(&mut near, &mut tokio::io::sink()).await;
+}
+
+#[tokio::test]
+async fn dead_connection_is_replaced() {
+    let (a, b) = (node("a").await, node("b").await);
+    let relay = Relay::start(b.cluster.own().peer_address).await;
+    for (round, fault) in [Fault::Silence, Fault::Cut, Fault::Silence]
+        .into_iter()
+        .enumerate()
+    {
+        a.peers().catalog(relay.address, 0).await.unwrap();
+        assert_eq!(relay.accepted_count.load(Ordering::SeqCst), round + 1);
+        relay.fault.send_replace(fault);
+    }
+    a.peers().catalog(relay.address, 0).await.unwrap();
+}
+
+#[tokio::test]
+async fn peer_that_never_answers_is_left_alone() {
+    let a = node("a").await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            // Reads and never answers; the connection stays open until the other end closes it.
+            tokio::spawn(async move { while stream.read_u8().await.is_ok() {} });
+        }
+    });
+    let bound = Duration::from_millis(20);
+    let account = "x".to_owned();
+    let mut errors = Vec::new();
+    for _ in 0..4 {
+        let answer = a.peers().lookup(address, bound, &account, &[]).await;
+        errors.push(answer.unwrap_err());
+    }
+    assert!(
+        matches!(errors[0], PeerError::Timeout { .. }),
+        "{}",
+        errors[0]
+    );
+    assert!(
+        matches!(errors[3], PeerError::CircuitOpen { .. }),
+        "{}",
+        errors[3]
+    );
+}
+
+#[test]
+fn breaker_backs_off_and_closes() {
+    let start = Instant::now();
+    let mut breaker = Breaker::default();
+    for _ in 0..3 {
+        assert!(breaker.allow(start).is_ok());
+        breaker.failed(start, 0.0);
+    }
+    let wait = breaker.allow(start).unwrap_err();
+    assert!(breaker.allow(start + wait).is_ok());
+    assert!(breaker.allow(start + wait).is_err(), "one trial at a time");
+    breaker.failed(start + wait, 1.0);
+    assert!(breaker.allow(start + wait).unwrap_err() > wait);
+    breaker.succeeded();
+    assert!(breaker.allow(start).is_ok());
+}
+
+async fn node(name: &str) -> Node {
+    Node::start(name, KEY, Duration::ZERO).await
+}
+
+#[tokio::test]
+async fn garbage_after_the_handshake_ends_only_that_connection() {
+    let (a, b) = (node("a").await, node("b").await);
+    let to = b.cluster.own().peer_address;
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    cluster::handshake::open(&mut stream, &KEY.parse().unwrap())
+        .await
+        .unwrap();
+    stream.write_all(&[0xff; 64]).await.unwrap();
+    let mut rest = Vec::new();
+    let closed = tokio::time::timeout(Duration::from_secs(5), stream.read_to_end(&mut rest));
+    assert!(closed.await.is_ok());
+    assert!(a.peers().catalog(to, 0).await.is_ok());
+}
