cluster: directory updates as the serving path has them; peer keys of 16 bytes

Cause: the serving crate has settled on three kinds of update, and the settings on the least length of a peer key. Ruled out: kinds that nothing sends. Tests: the crate's tests pass.

--- a/crates/cluster/src/directory_call.rs
+++ b/crates/cluster/src/directory_call.rs
@@ -5,7 +5,6 @@
     directory::{Copy, Generation, Leading, Place, Write},
     prefix::BlockKey,
     serde::{Deserialize, Serialize},
-    std::time::Duration,
 };
 
 /// One block as a holder has it.
@@ -119,61 +118,25 @@
     }
 }
 
-/// One thing that an owner has to know. Taking it in twice changes nothing.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+/// A change that the owners of a prompt's first block are told. Taking it in twice changes nothing.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum DirectoryUpdate {
-    /// A write to a store begins; the copy is not readable yet.
-    BeginWrite(BlockWrite),
-    /// The store has confirmed all of the block.
-    Commit {
-        /// The block.
-        key: BlockKey,
-        /// The store.
-        target: TargetId,
-        /// Generation that was written.
-        generation: Generation,
-    },
-    /// A committed copy, sent when ownership moves or read from a store's list.
-    Adopt {
-        /// The copy.
-        copy: BlockWrite,
-        /// Age of what is said.
-        age: Duration,
-    },
-    /// A copy is not to be read any more.
-    Free {
-        /// The block.
-        key: BlockKey,
-        /// The store.
-        target: TargetId,
-    },
-    /// An engine ran a prompt and has its blocks now.
-    Run {
+    /// Blocks were computed or used.
+    Used {
         /// Client account that asked.
         client_account: ClientAccountId,
         /// Keys of the whole pieces, first piece first.
         keys: Vec<BlockKey>,
-        /// Size of one block.
-        block_bytes: u64,
-        /// Time to compute one block.
-        block_recompute: Duration,
-        /// The engine.
-        target: TargetId,
-        /// Leading blocks that it had before.
-        cached_blocks_count: usize,
-    },
-    /// An engine has these blocks in memory, by its cache events.
-    Stored {
-        /// The engine.
-        target: TargetId,
-        /// The blocks.
-        keys: Vec<BlockKey>,
     },
-    /// An engine dropped these blocks, by its cache events.
-    Removed {
-        /// The engine.
+    /// A store committed a block, now or, when ownership moves, some time ago.
+    Committed(BlockWrite),
+    /// A copy is not to be read any more.
+    Freed {
+        /// The block.
+        key: BlockKey,
+        /// Store that held it.
         target: TargetId,
-        /// The blocks.
-        keys: Vec<BlockKey>,
+        /// Generation that was freed.
+        generation: Generation,
     },
 }
--- a/crates/cluster/src/peer_key.rs
+++ b/crates/cluster/src/peer_key.rs
@@ -6,7 +6,7 @@
 };
 
 /// Least length of a key's text.
-pub const MIN_KEY_BYTES: usize = 32;
+pub const MIN_KEY_BYTES: usize = 16;
 /// Separates keys in a setting.
 const KEY_SEPARATOR: char = ',';
 /// Domain separation for keys.
@@ -78,6 +78,14 @@
     }
 }
 
+impl TryFrom<&[String]> for PeerKeys {
+    type Error = PeerKeyError;
+
+    fn try_from(texts: &[String]) -> Result<Self, Self::Error> {
+        texts.join(&KEY_SEPARATOR.to_string()).parse()
+    }
+}
+
 impl FromStr for PeerKeys {
     type Err = PeerKeyError;
 
