--- a/crates/rattan/src/daemon.rs
+++ b/crates/rattan/src/daemon.rs
@@ -93,6 +93,7 @@
     let serving = Serving::new(State {
         settings: ServingSettings::default()
             .instance(settings.instance.clone())
+            .policy(settings.routing_policy)
             .service_bound(settings.service_timeout),
         configuration: configuration.clone(),
         fleet: parts.fleet.clone(),
--- a/crates/rattan/src/settings/flags.rs
+++ b/crates/rattan/src/settings/flags.rs
@@ -149,6 +149,13 @@
         meta = "MS"
     )]
     pub load_interval_ms: Option<String>,
+    /// Rule by which targets are compared.
+    #[options(
+        no_short,
+        help = "cost, or for comparison round_robin, least_loaded, longest_prefix (cost)",
+        meta = "RULE"
+    )]
+    pub routing_policy: Option<String>,
 }
 
 impl Flags {
@@ -184,7 +191,7 @@
     }
 
     /// All settings by the name of their flag.
-    pub(super) fn fields(&mut self) -> [(&'static str, &mut Option<String>); 21] {
+    pub(super) fn fields(&mut self) -> [(&'static str, &mut Option<String>); 22] {
         [
             ("instance", &mut self.instance),
             ("region", &mut self.region),
@@ -207,6 +214,7 @@
             ("service-timeout-ms", &mut self.service_timeout_ms),
             ("entries-max-age-ms", &mut self.entries_max_age_ms),
             ("load-interval-ms", &mut self.load_interval_ms),
+            ("routing-policy", &mut self.routing_policy),
         ]
     }
 }
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -1,33 +1,30 @@
 //! Bounds of the request path.
 
-use {catalog::InstanceId, std::time::Duration};
+use {catalog::InstanceId, routing::Policy, std::time::Duration};
 
 /// Bounds of the request path.
 #[derive(Clone, Debug)]
 pub struct ServingSettings {
     /// This instance.
     pub instance: InstanceId,
+    /// Rule by which targets are compared; anything but [`Policy::Cost`] is for comparison runs.
+    pub policy: Policy,
     /// Attempts for one request, the first one included.
     pub max_attempts_count: u32,
-    /// Longest wait for a first byte beyond the estimate.
-    pub first_byte_margin: Duration,
     /// Longest silence between two tokens on one connection.
     pub token_silence: Duration,
     /// Longest wait for the answer of a plain service.
     pub service_bound: Duration,
-    /// How long callers may keep an answer about addresses.
-    pub entries_max_age: Duration,
 }
 
 impl Default for ServingSettings {
     fn default() -> Self {
         Self {
             instance: InstanceId::default(),
+            policy: Policy::default(),
             max_attempts_count: 3,
-            first_byte_margin: Duration::from_secs(2),
             token_silence: Duration::from_secs(1),
             service_bound: Duration::from_secs(10),
-            entries_max_age: Duration::from_secs(5),
         }
     }
 }
@@ -40,17 +37,17 @@
         self
     }
 
-    /// Sets the longest wait for the answer of a plain service.
+    /// Sets the rule by which targets are compared.
     #[must_use]
-    pub fn service_bound(mut self, bound: Duration) -> Self {
-        self.service_bound = bound;
+    pub fn policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
         self
     }
 
-    /// Sets how long callers may keep an answer about addresses.
+    /// Sets the longest wait for the answer of a plain service.
     #[must_use]
-    pub fn entries_max_age(mut self, max_age: Duration) -> Self {
-        self.entries_max_age = max_age;
+    pub fn service_bound(mut self, bound: Duration) -> Self {
+        self.service_bound = bound;
         self
     }
 }
