--- /dev/null
+++ b/crates/rattan/tests/support/entry.rs
@@ -0,0 +1,132 @@
+//! One entry daemon as a process.
+
+use std::{
+    io::{self, BufRead, BufReader},
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::{
+        atomic::{AtomicU8, Ordering},
+        mpsc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Longest wait until a daemon says that it listens.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time between two looks whether a process has ended.
+const EXIT_POLL: Duration = Duration::from_millis(10);
+/// Port for callers; every daemon has an address of its own.
+const CALLER_PORT: u16 = 8_080;
+/// Port for peers.
+const PEER_PORT: u16 = 8_081;
+/// Set to see the daemons' logs.
+const LOG_VARIABLE: &str = "ENTRY_LOG";
+
+/// A running daemon. Dropping it kills the process by its id.
+pub struct EntryProcess {
+    pub name: String,
+    pub failure_domain: String,
+    pub address: SocketAddr,
+    pub peer_address: SocketAddr,
+    child: Child,
+}
+
+impl EntryProcess {
+    /// Starts a daemon on a loopback address of its own and waits until it listens. `flags` are
+    /// pairs of a flag without dashes and its value.
+    pub fn start(
+        binary: &Path,
+        name: &str,
+        failure_domain: &str,
+        flags: &[(&str, String)],
+    ) -> io::Result<Self> {
+        let ip = own_address();
+        let address = SocketAddr::from((ip, CALLER_PORT));
+        let peer_address = SocketAddr::from((ip, PEER_PORT));
+        let mut command = Command::new(binary);
+        command
+            .args(["--instance", name, "--failure-domain", failure_domain])
+            .args(["--region", super::world::REGION])
+            .args(["--listen", &address.to_string()])
+            .args(["--peer-listen", &peer_address.to_string()])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped());
+        if std::env::var_os(LOG_VARIABLE).is_none() {
+            command.stderr(Stdio::null());
+        }
+        for (flag, value) in flags {
+            command.arg(format!("--{flag}")).arg(value);
+        }
+        let mut entry = Self {
+            name: name.to_owned(),
+            failure_domain: failure_domain.to_owned(),
+            address,
+            peer_address,
+            child: command.spawn()?,
+        };
+        entry.wait_until_listening()?;
+        Ok(entry)
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal, for example `TERM`, `KILL`, `STOP` or `CONT`.
+    pub fn signal(&self, signal: &str) {
+        let status = Command::new("kill")
+            .args(["-s", signal, &self.id().to_string()])
+            .status();
+        assert!(
+            status.is_ok_and(|status| status.success()),
+            "kill -s {signal}"
+        );
+    }
+
+    /// How the process ended, if it does within `bound`.
+    pub async fn exit(&mut self, bound: Duration) -> Option<ExitStatus> {
+        let deadline = Instant::now() + bound;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            if Instant::now() >= deadline {
+                return None;
+            }
+            tokio::time::sleep(EXIT_POLL).await;
+        }
+    }
+
+    fn wait_until_listening(&mut self) -> io::Result<()> {
+        let output = self.child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let (told, listening) = mpsc::channel();
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                // The receiver is gone once the first line was read.
+                let _ = told.send(line);
+            }
+        });
+        listening
+            .recv_timeout(START_TIMEOUT)
+            .map(drop)
+            .map_err(|error| io::Error::other(format!("{} does not listen: {error}", self.name)))
+    }
+}
+
+impl Drop for EntryProcess {
+    fn drop(&mut self) {
+        // Both fail only if the process has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A loopback address that no other test process uses, so that ports need not be guessed.
+fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high, low, NEXT.fetch_add(1, Ordering::Relaxed))
+}
--- /dev/null
+++ b/crates/rattan/tests/support/http.rs
@@ -0,0 +1,107 @@
+//! A caller's connection that is kept open.
+
+use {
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        Method, Request, Response, StatusCode,
+        body::Incoming,
+        client::conn::http1::{self, SendRequest},
+    },
+    hyper_util::rt::TokioIo,
+    serde_json::Value,
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::{net::TcpStream, time::timeout},
+};
+
+/// Longest wait for an answer or its next part.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// One connection to an entry instance.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    key: String,
+}
+
+impl Connection {
+    /// Connects with a bearer key.
+    pub async fn open(address: SocketAddr, key: &str) -> io::Result<Self> {
+        let stream = bounded(TcpStream::connect(address)).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        tokio::spawn(connection);
+        Ok(Self {
+            sender,
+            key: key.to_owned(),
+        })
+    }
+
+    /// Sends a request and gives the answer's head; the body may still be on its way.
+    pub async fn send(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> io::Result<Response<Incoming>> {
+        let body = if body.is_null() {
+            Bytes::new()
+        } else {
+            body.to_string().into()
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "entry")
+            .header("content-type", "application/json")
+            .header("authorization", format!("Bearer {}", self.key))
+            .body(Full::new(body))
+            .map_err(io::Error::other)?;
+        bounded(async {
+            self.sender.ready().await.map_err(io::Error::other)?;
+            self.sender
+                .send_request(request)
+                .await
+                .map_err(io::Error::other)
+        })
+        .await
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> io::Result<(StatusCode, Bytes)> {
+        let response = self.send(method, path, body).await?;
+        let status = response.status();
+        let body = bounded(async {
+            response
+                .into_body()
+                .collect()
+                .await
+                .map_err(io::Error::other)
+        });
+        Ok((status, body.await?.to_bytes()))
+    }
+
+    /// Sends a request whose answer must be JSON with status 200.
+    pub async fn json(&mut self, method: Method, path: &str, body: &Value) -> io::Result<Value> {
+        let (status, answer) = self.call(method, path, body).await?;
+        if status != StatusCode::OK {
+            let text = String::from_utf8_lossy(&answer);
+            return Err(io::Error::other(format!("{path}: {status} {text}")));
+        }
+        serde_json::from_slice(&answer).map_err(io::Error::other)
+    }
+}
+
+/// Gives up after [`PATIENCE`].
+pub async fn bounded<Work, Value>(work: Work) -> io::Result<Value>
+where
+    Work: Future<Output = io::Result<Value>>,
+{
+    timeout(PATIENCE, work).await.map_err(io::Error::other)?
+}
--- /dev/null
+++ b/crates/rattan/tests/support/mod.rs
@@ -0,0 +1,9 @@
+//! Entry daemons as processes, with stand-ins of the platform and the targets in this process.
+//!
+//! Each test file uses its own part of this, hence the `allow`.
+#![allow(dead_code)]
+
+pub mod entry;
+pub mod http;
+pub mod objects;
+pub mod world;
--- /dev/null
+++ b/crates/rattan/tests/support/objects.rs
@@ -0,0 +1,79 @@
+//! Objects of the configuration, as operators send them.
+
+use {
+    serde_json::{Value, json},
+    std::net::SocketAddr,
+};
+
+/// Name that callers use for the model.
+pub const MODEL: &str = "notes";
+/// Digest of its only version.
+pub const DIGEST: &str = "d1d1d1d1";
+/// Client account of the callers, and their key.
+pub const ACCOUNT: &str = "tasboulak";
+pub const CALLER_KEY: &str = "caller-key-of-the-test";
+/// Name of the plain service.
+pub const SERVICE: &str = "bookings";
+
+/// A client account with practically no limits.
+pub fn account(name: &str, key: &str) -> Value {
+    json!({
+        "kind": "client_account",
+        "name": name,
+        "key_digests": [gateway::digest_of(key)],
+        "max_running_count": 10_000,
+        "tokens_per_s": 100_000_000,
+        "weight": 1,
+    })
+}
+
+/// The only version of [`MODEL`].
+pub fn model_version() -> Value {
+    json!({
+        "kind": "model_version",
+        "name": "notes-1",
+        "model": MODEL,
+        "digest": DIGEST,
+        "active": true,
+        "piece_bytes": 8_000,
+        "piece_tokens": 2_000,
+        "kv_bytes_per_token": 16,
+    })
+}
+
+/// An engine.
+pub fn engine(name: &str, address: SocketAddr) -> Value {
+    json!({
+        "kind": "target",
+        "name": name,
+        "target_kind": "engine",
+        "address": address,
+        "region": super::world::REGION,
+        "failure_domain": "fd-0",
+        "max_running_count": 256,
+        "link_bytes_per_s": 50_000_000,
+    })
+}
+
+/// A plain service with one call that may not be repeated and one that may.
+pub fn service(name: &str, address: SocketAddr) -> Value {
+    json!({
+        "kind": "target",
+        "name": name,
+        "target_kind": "service",
+        "address": address,
+        "region": super::world::REGION,
+        "failure_domain": "fd-0",
+        "max_running_count": 256,
+        "service": SERVICE,
+        "calls": [
+            { "path": "/book", "idempotent": false },
+            { "path": "/status", "idempotent": true },
+        ],
+    })
+}
+
+/// A rule that lets every account use every target.
+pub fn rule() -> Value {
+    json!({ "kind": "placement_rule", "name": "all" })
+}
