--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -13,7 +13,7 @@
         },
         time::{Duration, Instant},
     },
-    target::LoadReport,
+    target::{LoadReport, StoreUsage},
 };
 
 /// Age at which a load report no longer vouches for its engine.
@@ -33,6 +33,7 @@
     name: TargetId,
     address: SocketAddr,
     report: ArcSwapOption<Received>,
+    usage: ArcSwapOption<StoreUsage>,
     listed_leaving: AtomicBool,
     refused_leaving: AtomicBool,
     blamed: Mutex<Option<Instant>>,
@@ -50,6 +51,7 @@
             name: target.name.clone(),
             address: target.address,
             report: ArcSwapOption::empty(),
+            usage: ArcSwapOption::empty(),
             listed_leaving: AtomicBool::new(false),
             refused_leaving: AtomicBool::new(false),
             blamed: Mutex::new(None),
@@ -81,6 +83,18 @@
         self.clear_blame();
     }
 
+    /// Takes over a store's report, which also shows that the store is reachable.
+    pub fn set_usage(&self, usage: StoreUsage) {
+        self.usage.store(Some(Arc::new(usage)));
+        self.clear_blame();
+    }
+
+    /// The store's last report.
+    #[must_use]
+    pub fn usage(&self) -> Option<Arc<StoreUsage>> {
+        self.usage.load_full()
+    }
+
     /// Takes over whether the instance list shows the target as leaving.
     pub fn set_listed_leaving(&self, leaving: bool) {
         self.listed_leaving.store(leaving, Ordering::Relaxed);
@@ -142,7 +156,7 @@
         })
     }
 
-    /// The engine's load, which is never less than this instance's own requests in flight.
+    /// The engine's load as last reported, with this instance's own requests in flight.
     #[must_use]
     pub fn load(&self, now: Instant) -> EngineLoad {
         let own_count = self.in_flight_count.load(Ordering::Relaxed);
@@ -151,7 +165,7 @@
         let Some(received) = received.as_ref() else {
             return EngineLoad {
                 running_count: own_count,
-                queued_tokens: own_tokens,
+                own_tokens,
                 ..EngineLoad::default()
             };
         };
@@ -159,7 +173,8 @@
         EngineLoad {
             running_count: report.running_count.max(own_count),
             queued_count: report.queued_count,
-            queued_tokens: report.queued_tokens.max(own_tokens),
+            queued_tokens: report.queued_tokens,
+            own_tokens,
             age: now.saturating_duration_since(received.at) + Duration::from_millis(report.age_ms),
         }
     }
