idempotency: outcomes are stored and claims released without holding up the answer

Cause: complete, release and mark_unknown waited for their first try, up to step_timeout (2 s), while the key-value service was slow, and so did the caller's answer. That first try was not counted by Claims::idle either, so a shutdown could cut it.

Change: every such write runs in the background from its first try on; the caller waits for it at most finish_wait (250 ms).

--- a/crates/idempotency/src/background.rs
+++ b/crates/idempotency/src/background.rs
@@ -3,7 +3,7 @@
 use {
     std::{future::Future, time::Duration},
     tokio::{
-        sync::watch,
+        sync::{oneshot, watch},
         time::{Instant, sleep},
     },
 };
@@ -40,22 +40,25 @@
         }
     }
 
-    /// Tries until finished or the bound has passed. False if too many writes go on already.
-    pub(crate) fn start<Try, Trying>(&self, attempt: Try) -> bool
+    /// Tries at once and then again until finished or the bound has passed. The receiver is told
+    /// of the end. None if too many writes go on already.
+    pub(crate) fn start<Try, Trying>(&self, attempt: Try) -> Option<oneshot::Receiver<()>>
     where
         Try: Fn() -> Trying + Send + Sync + 'static,
         Trying: Future<Output = Step> + Send,
     {
         if *self.running.borrow() >= MAX_WRITE_COUNT {
-            return false;
+            return None;
         }
         self.running.send_modify(|count| *count += 1);
         let background = self.clone();
+        let (ended, receiver) = oneshot::channel();
         tokio::spawn(async move {
             repeat(attempt, background.bound).await;
             background.running.send_modify(|count| *count -= 1);
+            let _ = ended.send(());
         });
-        true
+        Some(receiver)
     }
 
     /// Waits until nothing goes on.
@@ -72,11 +75,8 @@
 {
     let give_up_at = Instant::now() + bound;
     let mut wait = FIRST_WAIT;
-    while Instant::now() < give_up_at {
+    while attempt().await == Step::Again && Instant::now() < give_up_at {
         sleep(wait).await;
         wait = (wait * 2).min(LONGEST_WAIT);
-        if attempt().await == Step::Finished {
-            return;
-        }
     }
 }
--- a/crates/idempotency/src/claims.rs
+++ b/crates/idempotency/src/claims.rs
@@ -111,16 +111,13 @@
     }
 
     /// Gives up a claim of which nothing ran, so that a retry may run. Goes on in the background
-    /// if the key-value service doesn't answer.
+    /// if the key-value service doesn't answer soon.
     pub async fn release(&self, claim: Claim) {
-        if self.shared.try_release(&claim.key, &claim.nonce).await == Step::Finished {
-            return;
-        }
-        self.release_in_background(claim.key, claim.nonce);
+        self.soon(self.start_release(claim.key, claim.nonce)).await;
     }
 
     /// Stores the answer of a request that ran. Goes on in the background if the key-value service
-    /// doesn't answer. The caller of the request need not wait for it.
+    /// doesn't answer soon.
     pub async fn complete(&self, claim: Claim, answer: StoredAnswer) {
         let max_body_bytes = self.shared.settings.max_stored_body_bytes;
         self.finish(claim, AttemptState::done(answer, max_body_bytes))
@@ -196,7 +193,7 @@
 
     fn unsettled(&self, attempt: &Attempt, reason: &str) -> ClaimError {
         let nonce = attempt.record.nonce.clone();
-        self.release_in_background(attempt.key.clone(), nonce);
+        drop(self.start_release(attempt.key.clone(), nonce));
         ClaimError::Unsettled {
             reason: reason.to_owned(),
             retry_after: UNSETTLED_RETRY_AFTER,
@@ -205,32 +202,33 @@
 
     /// Goes on releasing until the bound has passed, also while the claim isn't there: the call
     /// that creates it may still take effect.
-    fn release_in_background(&self, key: String, nonce: String) {
+    fn start_release(&self, key: String, nonce: String) -> Option<oneshot::Receiver<()>> {
         let shared = self.shared.clone();
-        let started = self.shared.background.start(move || {
+        self.shared.background.start(move || {
             let (shared, key, nonce) = (shared.clone(), key.clone(), nonce.clone());
             async move { shared.try_release(&key, &nonce).await }
-        });
-        if !started {
-            log::warn!("claim is not released: too many writes in the background");
-        }
+        })
     }
 
     async fn finish(&self, claim: Claim, state: AttemptState) {
-        let shared = &self.shared;
+        let shared = self.shared.clone();
         let record = ClaimRecord::of(&claim, &shared.settings.instance, state);
         let value = record.encode();
-        if shared.try_finish(&claim, &value).await == Step::Finished {
-            return;
-        }
-        let (shared, claim) = (shared.clone(), Arc::new(claim));
-        let started = self.shared.background.start(move || {
+        let claim = Arc::new(claim);
+        let ended = self.shared.background.start(move || {
             let (shared, claim, value) = (shared.clone(), claim.clone(), value.clone());
             async move { shared.try_finish(&claim, &value).await }
         });
-        if !started {
-            log::warn!("outcome is not stored: too many writes in the background");
-        }
+        self.soon(ended).await;
+    }
+
+    /// Waits for the end of a write in the background, but not for long.
+    async fn soon(&self, ended: Option<oneshot::Receiver<()>>) {
+        let Some(ended) = ended else {
+            log::warn!("claim stays pending: too many writes in the background");
+            return;
+        };
+        let _ = timeout(self.shared.settings.finish_wait, ended).await;
     }
 }
 
--- a/crates/idempotency/src/settings.rs
+++ b/crates/idempotency/src/settings.rs
@@ -15,6 +15,9 @@
     pub send_bound: Duration,
     /// Longest time for each step of a claim at the key-value service.
     pub step_timeout: Duration,
+    /// Longest wait for a release, or for the record of an outcome, before it goes on in the
+    /// background.
+    pub finish_wait: Duration,
     /// How long a release, or the record of an outcome, is tried again in the background.
     pub background_bound: Duration,
     /// Answers with longer bodies are not stored, only their status.
@@ -31,6 +34,7 @@
             lease_bucket: Duration::from_hours(1),
             send_bound: Duration::from_secs(10),
             step_timeout: Duration::from_secs(2),
+            finish_wait: Duration::from_millis(250),
             background_bound: Duration::from_mins(10),
             max_stored_body_bytes: 64 << 10,
         }
