configuration: history checks of racing operators and following instances

Cause: nothing showed that an accepted configuration is in force everywhere and never reverts.

A lost answer that was settled is now Abandoned, apart from NotApplied: a repeated call that can't reach the service says nothing about the earlier one.

--- a/crates/configuration/src/change.rs
+++ b/crates/configuration/src/change.rs
@@ -154,12 +154,22 @@
         /// Most bytes of one transaction.
         max_value_bytes: usize,
     },
-    /// The change was not applied and never will be.
-    #[snafu(display("not applied: {reason}; try again in a few seconds with a new change id"))]
+    /// This call applied nothing. An earlier call with the same change id, if its answer is
+    /// missing, may have.
+    #[snafu(display("not applied: {reason}; try again in a few seconds"))]
     NotApplied {
         /// What happened.
         reason: String,
     },
+    /// The change was not applied and never will be.
+    #[snafu(display(
+        "not applied: the answer was lost and change {change_id} was given up; repeat the change \
+         with a new change id"
+    ))]
+    Abandoned {
+        /// The change that will never take effect.
+        change_id: ChangeId,
+    },
     /// The change may have been applied.
     #[snafu(display(
         "it is not known whether change {change_id} was applied: {reason}; repeat it with the same \
--- a/crates/configuration/src/follower.rs
+++ b/crates/configuration/src/follower.rs
@@ -9,7 +9,7 @@
     catalog::Revision,
     futures::StreamExt,
     platform::{Event, KeyValue, KvError, Range},
-    rand::RngExt,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{pin::pin, time::Duration},
     tokio::time::{Instant, sleep, timeout},
 };
@@ -40,11 +40,12 @@
 /// Reads the configuration, watches it, and publishes each state through its [`Handle`].
 ///
 /// While the service is down the last state stays in force; [`Handle::status`] tells its age.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Follower<Kv> {
     kv: Kv,
     settings: FollowerSettings,
     handle: Handle,
+    rng: StdRng,
 }
 
 /// Why a watch is over.
@@ -65,9 +66,17 @@
             kv,
             settings,
             handle: Handle::default(),
+            rng: StdRng::seed_from_u64(rand::random()),
         }
     }
 
+    /// The same follower with pauses that depend on `seed` alone, for tests.
+    #[must_use]
+    pub fn seeded(mut self, seed: u64) -> Self {
+        self.rng = StdRng::seed_from_u64(seed);
+        self
+    }
+
     /// The handle through which the state is read and peers' snapshots are offered.
     #[must_use]
     pub fn handle(&self) -> Handle {
@@ -75,7 +84,7 @@
     }
 
     /// Follows the configuration until dropped.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         loop {
             self.read_all().await;
             while let WatchEnd::Cut = self.watch().await {
@@ -85,7 +94,7 @@
     }
 
     /// Reads everything, trying until it succeeds.
-    async fn read_all(&self) {
+    async fn read_all(&mut self) {
         loop {
             let asked_at = Instant::now();
             match self.range(CONFIG_PREFIX).await {
@@ -172,8 +181,8 @@
             .unwrap_or_else(|_| Err(no_answer(limit)))
     }
 
-    async fn pause(&self) {
-        let extra = rand::rng().random_range(0.0..1.0);
+    async fn pause(&mut self) {
+        let extra = self.rng.random_range(0.0..1.0);
         sleep(self.settings.retry_delay.mul_f64(1.0 + extra)).await;
     }
 }
--- a/crates/configuration/src/writer.rs
+++ b/crates/configuration/src/writer.rs
@@ -168,10 +168,10 @@
         reason: &str,
     ) -> Result<Round, ApplyError> {
         let key = change_key(change_id);
-        let abandoned = ChangeRecord::abandoned().to_json();
+        let record = ChangeRecord::abandoned().to_json();
         let txn = Txn {
             compares: vec![Compare::Absent(key.clone())],
-            success: vec![Op::Put(key.clone(), abandoned, Some(lease))],
+            success: vec![Op::Put(key.clone(), record, Some(lease))],
             failure: vec![Op::Get(key)],
         };
         for _ in 0..MAX_SETTLE_TRIES {
@@ -180,8 +180,7 @@
                 continue;
             };
             if outcome.succeeded {
-                let reason = reason.to_owned();
-                return Err(ApplyError::NotApplied { reason });
+                return Err(abandoned(change_id));
             }
             return resolve(plan, changes, change_id, &outcome);
         }
@@ -266,9 +265,7 @@
 
 fn recorded(pair: &KvPair, changes: &[Change], change_id: &str) -> Result<Accepted, ApplyError> {
     match ChangeRecord::from_json(&pair.value) {
-        Some(record) if record.state == Settled::Abandoned => Err(ApplyError::NotApplied {
-            reason: format!("change {change_id} was abandoned"),
-        }),
+        Some(record) if record.state == Settled::Abandoned => Err(abandoned(change_id)),
         Some(record) if record.digest == digest(changes) => Ok(Accepted {
             revision: pair.mod_revision,
             ..Accepted::default()
@@ -298,6 +295,12 @@
     ApplyError::Invalid { source }
 }
 
+fn abandoned(change_id: &str) -> ApplyError {
+    ApplyError::Abandoned {
+        change_id: change_id.to_owned(),
+    }
+}
+
 fn not_applied(error: &KvError) -> ApplyError {
     ApplyError::NotApplied {
         reason: error.to_string(),
--- /dev/null
+++ b/crates/configuration/tests/accepted_configuration.rs
@@ -0,0 +1,77 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts: histories of
+//! racing operators and following instances under faults.
+
+mod support;
+
+use {
+    std::ops::Range,
+    support::world::{Report, Way, run},
+};
+
+/// Histories of one run in CI. `RATTAN_TEST_SEED` and `RATTAN_TEST_RUNS` choose others for a soak.
+const RUNS_COUNT: u64 = 100;
+
+fn seeds() -> Range<u64> {
+    let number = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let first = number("RATTAN_TEST_SEED").unwrap_or(0);
+    first..first + number("RATTAN_TEST_RUNS").unwrap_or(RUNS_COUNT)
+}
+
+fn runs(way: Way) -> Vec<(u64, Report)> {
+    let run_seed = |seed| {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build();
+        (seed, runtime.expect("runtime").block_on(run(way, seed)))
+    };
+    seeds().map(run_seed).collect()
+}
+
+#[track_caller]
+fn total(reports: &[(u64, Report)], count: fn(&Report) -> usize) -> usize {
+    reports.iter().map(|(_, report)| count(report)).sum()
+}
+
+#[test]
+fn accepted_configuration_never_reverts() {
+    let reports = runs(Way::Real);
+    for (seed, report) in &reports {
+        assert!(
+            report.violations.is_empty(),
+            "seed {seed}: {:?}",
+            report.violations
+        );
+    }
+    println!(
+        "{} histories, {} operations answered ({} accepted, {} conflicts), {} unknown, {} states \
+         observed, {} instances replaced",
+        reports.len(),
+        total(&reports, |report| report.answers_count),
+        total(&reports, |report| report.applied_count),
+        total(&reports, |report| report.conflict_count),
+        total(&reports, |report| report.unknown_count),
+        total(&reports, |report| report.observed_count),
+        total(&reports, |report| report.replaced_count),
+    );
+}
+
+#[test]
+fn writes_without_compare_and_swap_are_caught() {
+    let reports = runs(Way::BlindWriter);
+    let caught = total(&reports, |report| {
+        usize::from(!report.violations.is_empty())
+    });
+    println!("caught in {caught} of {} histories", reports.len());
+    assert!(caught > 0, "the check does not see lost updates");
+}
+
+#[test]
+fn publishing_what_arrived_last_is_caught() {
+    let reports = runs(Way::LastArrived);
+    let caught = total(&reports, |report| {
+        usize::from(!report.violations.is_empty())
+    });
+    println!("caught in {caught} of {} histories", reports.len());
+    assert!(caught > 0, "the check does not see a revert");
+}
--- a/crates/configuration/tests/support/mod.rs
+++ b/crates/configuration/tests/support/mod.rs
@@ -1,6 +1,14 @@
 //! Objects and changes that several test files use.
 #![allow(dead_code)] // Each test file uses a part of this.
 
+pub mod faults;
+pub mod instance;
+pub mod journal;
+pub mod naive;
+pub mod operators;
+pub mod spec;
+pub mod world;
+
 use {
     catalog::{Edit, Object, ObjectKind},
     configuration::{Change, Expected},
@@ -48,3 +56,22 @@
         revision => Expected::Revision(revision),
     }
 }
+
+/// Names of the two objects that history checks use.
+pub const NAMES: [&str; 2] = ["a", "b"];
+
+/// One of the two objects, with a value that is told apart.
+pub fn put_value(index: usize, value: i32) -> Object {
+    let json = format!(r#"{{"name":"{}","precedence":{value}}}"#, NAMES[index]);
+    Object::from_json(ObjectKind::PlacementRule, json.as_bytes()).expect("valid")
+}
+
+/// Values of the two objects; 0 if absent.
+pub fn values(catalog: &catalog::Catalog) -> [i32; 2] {
+    NAMES.map(|name| {
+        catalog
+            .placement_rules
+            .get(name)
+            .map_or(0, |rule| rule.precedence)
+    })
+}
--- /dev/null
+++ b/crates/configuration/tests/support/world.rs
@@ -0,0 +1,339 @@
+//! One run: operators race, instances follow, faults strike, and everything seen is checked.
+
+use {
+    super::{
+        faults::{USUAL_DELAY, disturb, heal},
+        instance::Instance,
+        journal::Journal,
+        spec::{Ended, Values},
+        values,
+    },
+    catalog::Revision,
+    configuration::{CONFIG_PREFIX, Snapshot},
+    futures::StreamExt,
+    platform::{KeyValue, MemoryKv},
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{
+        collections::BTreeMap,
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicI32, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+const OPERATORS_COUNT: u64 = 3;
+const INSTANCES_COUNT: usize = 4;
+const FAULTS_COUNT: usize = 40;
+/// A change must be in force everywhere this long after the faults are over.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(8);
+
+/// Which way is tried.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// The crate's writer and follower.
+    Real,
+    /// Writes without compare-and-swap.
+    BlindWriter,
+    /// Instances that publish what arrived last.
+    LastArrived,
+}
+
+/// What one run saw.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// What must not happen and did.
+    pub violations: Vec<String>,
+    /// Whether operators saw changes take effect one at a time.
+    pub is_linearizable: bool,
+    /// Times that an instance went back to a lower revision.
+    pub went_back_count: usize,
+    /// Operators' calls with an answer.
+    pub answers_count: usize,
+    /// Changes that were accepted.
+    pub applied_count: usize,
+    /// Changes refused for another operator's change.
+    pub conflict_count: usize,
+    /// Operators' calls that ended unknown.
+    pub unknown_count: usize,
+    /// States of instances that were looked at.
+    pub observed_count: usize,
+    /// Instances replaced.
+    pub replaced_count: usize,
+}
+
+pub struct World {
+    pub(super) way: Way,
+    service: MemoryKv,
+    pub(super) journal: Mutex<Journal>,
+    instances: Mutex<Vec<Instance>>,
+    truth: Mutex<BTreeMap<Revision, Values>>,
+    seen: Mutex<BTreeMap<usize, Revision>>,
+    report: Mutex<Report>,
+    pub(super) next_value: AtomicI32,
+}
+
+/// Runs everything once; the same seed gives the same run.
+pub async fn run(way: Way, seed: u64) -> Report {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let world = World::new(way, &mut rng);
+    let witness = tokio::spawn(world.clone().witness());
+    let observer = tokio::spawn(world.clone().observe());
+    let gossip = tokio::spawn(world.clone().gossip(rng.random()));
+    let handles: Vec<MemoryKv> = (0..OPERATORS_COUNT).map(|_| world.service.peer()).collect();
+    for kv in &handles {
+        kv.set_faults(|faults| faults.call_delay = USUAL_DELAY);
+    }
+    let operators: Vec<_> = handles
+        .iter()
+        .enumerate()
+        .map(|(number, kv)| tokio::spawn(world.clone().operate(number, kv.clone(), rng.random())))
+        .collect();
+    world.clone().bring_about_faults(&handles, &mut rng).await;
+    for operator in operators {
+        operator.await.expect("operator");
+    }
+    world.settle(&handles).await;
+    for task in [witness, observer, gossip] {
+        task.abort();
+    }
+    world.finish()
+}
+
+pub(super) fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().expect("lock")
+}
+
+impl World {
+    fn new(way: Way, rng: &mut ChaCha8Rng) -> Arc<Self> {
+        let service = MemoryKv::new();
+        let is_naive = way == Way::LastArrived;
+        let instances = (0..INSTANCES_COUNT)
+            .map(|number| Instance::start(number, service.peer(), is_naive, rng.random()))
+            .collect();
+        Arc::new(Self {
+            way,
+            service,
+            journal: Mutex::default(),
+            instances: Mutex::new(instances),
+            truth: Mutex::default(),
+            seen: Mutex::default(),
+            report: Mutex::default(),
+            next_value: AtomicI32::new(1),
+        })
+    }
+
+    /// Records what the service held at each revision, over a way without faults.
+    async fn witness(self: Arc<Self>) {
+        let kv = self.service.peer();
+        loop {
+            let range = kv.range(CONFIG_PREFIX).await.expect("no faults");
+            let mut snapshot = Snapshot::from_range(&range);
+            let mut events = Box::pin(kv.watch(CONFIG_PREFIX, range.revision + 1));
+            let mut batch = Vec::new();
+            while let Some(Ok(event)) = events.next().await {
+                let platform::Event::Progress(revision) = event else {
+                    batch.push(event);
+                    continue;
+                };
+                snapshot = snapshot.after(revision, &std::mem::take(&mut batch));
+                lock(&self.truth).insert(revision, values(&snapshot.catalog));
+            }
+        }
+    }
+
+    /// Looks at every instance again and again.
+    async fn observe(self: Arc<Self>) {
+        loop {
+            self.look();
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    fn look(&self) {
+        for instance in lock(&self.instances).iter() {
+            let catalog = instance.published.snapshot().catalog.clone();
+            self.check_state(instance.number, catalog.revision, values(&catalog));
+        }
+    }
+
+    fn check_state(&self, number: usize, revision: Revision, found: Values) {
+        let mut report = lock(&self.report);
+        report.observed_count += 1;
+        let before = lock(&self.seen).insert(number, revision).unwrap_or(0);
+        if revision < before {
+            let text = format!("instance {number} went back from {before} to {revision}");
+            report.violations.push(text);
+            report.went_back_count += 1;
+        }
+        let truth = lock(&self.truth).get(&revision).copied();
+        if truth.is_some_and(|truth| truth != found) {
+            let text = format!("instance {number} has {found:?} at {revision}, not {truth:?}");
+            report.violations.push(text);
+        }
+    }
+
+    /// Peers exchange snapshots, some of which arrive late.
+    async fn gossip(self: Arc<Self>, seed: u64) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        loop {
+            sleep(Duration::from_millis(rng.random_range(50..300))).await;
+            let instances = lock(&self.instances);
+            let (from, to) = (rng.random_range(0..4), rng.random_range(0..4));
+            let cut = instances[from].cut_from_peers || instances[to].cut_from_peers;
+            let Some(json) = instances[from].published.export().filter(|_| !cut) else {
+                continue;
+            };
+            let published = instances[to].published.clone();
+            let late = Duration::from_millis(rng.random_range(0..1_000));
+            tokio::spawn(async move {
+                sleep(late).await;
+                published.offer(&json);
+            });
+        }
+    }
+
+    async fn bring_about_faults(self: Arc<Self>, operators: &[MemoryKv], rng: &mut ChaCha8Rng) {
+        for _ in 0..FAULTS_COUNT {
+            sleep(Duration::from_millis(rng.random_range(20..500))).await;
+            let number = rng.random_range(0..INSTANCES_COUNT);
+            match rng.random_range(0..12) {
+                0 => self.service.compact(),
+                1 => lock(&self.instances)[number].cut_from_peers ^= true,
+                2 => self.replace(number, rng).await,
+                3 => self.outage(operators, rng),
+                4..7 => {
+                    let kv = lock(&self.instances)[number].kv.clone();
+                    disturb(&kv, rng);
+                }
+                _ => disturb(&operators[rng.random_range(0..operators.len())], rng),
+            }
+        }
+    }
+
+    /// The service is down for everybody.
+    fn outage(&self, operators: &[MemoryKv], rng: &mut ChaCha8Rng) {
+        let lasts = Duration::from_millis(rng.random_range(500..5_000));
+        let mut handles = operators.to_vec();
+        handles.extend(
+            lock(&self.instances)
+                .iter()
+                .map(|instance| instance.kv.clone()),
+        );
+        for kv in handles {
+            kv.set_faults(|faults| faults.unreachable = true);
+            kv.cut_watches();
+            tokio::spawn(async move {
+                sleep(lasts).await;
+                kv.set_faults(|faults| faults.unreachable = false);
+            });
+        }
+    }
+
+    /// An instance is replaced while the service is away from it; it asks its peers.
+    async fn replace(&self, number: usize, rng: &mut ChaCha8Rng) {
+        let kv = self.service.peer();
+        let lasts = Duration::from_millis(rng.random_range(0..3_000));
+        let answer_delay = Duration::from_millis(rng.random_range(0..1_500));
+        kv.set_faults(|faults| {
+            faults.unreachable = true;
+            faults.answer_delay = answer_delay;
+        });
+        let replaced_count = {
+            let mut report = lock(&self.report);
+            report.replaced_count += 1;
+            report.replaced_count
+        };
+        let is_naive = self.way == Way::LastArrived;
+        let replacement = number + INSTANCES_COUNT * replaced_count;
+        let instance = Instance::start(replacement, kv.clone(), is_naive, rng.random());
+        let published = instance.published.clone();
+        let offers: Vec<_> = {
+            let mut instances = lock(&self.instances);
+            instances[number] = instance;
+            let peers = instances.iter().filter(|peer| !peer.cut_from_peers);
+            peers
+                .filter(|peer| peer.number != replacement)
+                .filter_map(|peer| {
+                    Some((
+                        peer.published.snapshot().catalog.revision,
+                        peer.published.export()?,
+                    ))
+                })
+                .collect()
+        };
+        for (_, json) in &offers {
+            published.offer(json);
+        }
+        published.peers_asked();
+        tokio::spawn(async move {
+            sleep(lasts).await;
+            kv.set_faults(|faults| faults.unreachable = false);
+        });
+        published.ready().await;
+        let highest = offers
+            .iter()
+            .map(|(revision, _)| *revision)
+            .max()
+            .unwrap_or(0);
+        let revision = published.snapshot().catalog.revision;
+        if revision < highest {
+            let text = format!("instance {replacement} began at {revision}, a peer had {highest}");
+            lock(&self.report).violations.push(text);
+        }
+    }
+
+    /// Heals everything but one instance's watch, which stays silent, waits, and compares every
+    /// instance with the service.
+    async fn settle(&self, operators: &[MemoryKv]) {
+        sleep(Duration::from_secs(6)).await; // Faults that are under way are over.
+        operators.iter().for_each(heal);
+        for instance in lock(&self.instances).iter() {
+            heal(&instance.kv);
+        }
+        let silent = lock(&self.instances)[0].kv.clone();
+        silent.set_faults(|faults| faults.watches_silent = true);
+        sleep(Duration::from_secs(1)).await;
+        self.change_once_more().await;
+        sleep(IN_FORCE_WITHIN).await;
+        let last = self.read(&self.service.peer()).await.expect("no faults");
+        let wanted = (last.catalog.revision, values(&last.catalog));
+        for instance in lock(&self.instances).iter() {
+            let catalog = instance.published.snapshot().catalog.clone();
+            let found = (catalog.revision, values(&catalog));
+            if found != wanted {
+                let text = format!("instance {} has {found:?}, not {wanted:?}", instance.number);
+                lock(&self.report).violations.push(text);
+            }
+        }
+    }
+
+    /// A change that the silent watch does not tell, with peers' snapshots not helping either.
+    async fn change_once_more(&self) {
+        lock(&self.instances)[0].cut_from_peers = true;
+        let kv = self.service.peer();
+        let snapshot = self.read(&kv).await.expect("no faults");
+        let expected = values(&snapshot.catalog).map(Some);
+        let new = [0, 1].map(|_| Some(self.next_value.fetch_add(1, Ordering::Relaxed)));
+        self.change(&kv, &snapshot, expected, new, "last").await;
+    }
+
+    fn finish(&self) -> Report {
+        let mut report = std::mem::take(&mut *lock(&self.report));
+        let mut journal = std::mem::take(&mut *lock(&self.journal));
+        report.applied_count = journal.ended_count(Ended::Applied);
+        report.conflict_count = journal.ended_count(Ended::Conflict);
+        report.answers_count = journal.answers_count();
+        report.unknown_count = journal.unknown_count();
+        report.is_linearizable = journal.is_linearizable();
+        if !report.is_linearizable {
+            report
+                .violations
+                .push("operators' history is not linearizable".to_owned());
+        }
+        report
+    }
+}
--- a/crates/configuration/tests/writer_changes.rs
+++ b/crates/configuration/tests/writer_changes.rs
@@ -97,7 +97,7 @@
     let error = writer.apply(&[put(rule("a", 1), 0)], "c1").await;
     switch.await.expect("switched");
     assert!(
-        matches!(error, Err(ApplyError::NotApplied { .. })),
+        matches!(error, Err(ApplyError::Abandoned { .. })),
         "{error:?}"
     );
     tokio::time::sleep(Duration::from_secs(10)).await;
--- a/crates/operator/src/outcome.rs
+++ b/crates/operator/src/outcome.rs
@@ -32,7 +32,7 @@
         ApplyError::Conflict { .. } => Refusal::not_run(Kind::Conflict, message),
         ApplyError::Invalid { .. } => Refusal::not_run(Kind::Invalid, message),
         ApplyError::TooLarge { .. } => Refusal::not_run(Kind::TooLarge, message),
-        ApplyError::NotApplied { .. } => {
+        ApplyError::NotApplied { .. } | ApplyError::Abandoned { .. } => {
             Refusal::not_run(Kind::Unavailable, message).retry_after(RETRY_AFTER)
         }
         ApplyError::Unknown { .. } => {
