Proof: no freed or partly written block is read, at the directory and the store

Cause: the promise had no test that races the real clients against stores that die.

Change: 4 writers, 4 readers and one that frees race for 3 keys through the target clients, the directory and engine and store stand-ins, while the store dies in a write, fills, slows, corrupts and exports are cut. Each key's history is checked for linearizability with todc-utils; the reading engine checks every imported byte.

Found on the way: an export that is freed before its bytes reach the store leaves them there when they arrive late.

--- /dev/null
+++ b/crates/rattan/tests/block_reads.rs
@@ -0,0 +1,409 @@
+//! A freed or partly written block is never read.
+//!
+//! Writers, readers and frees race for a few keys, through the clients of targets, against real
+//! engine and store stand-ins whose faults are switched meanwhile. The history of each key must be
+//! linearizable, and the reading engine, which checks every imported byte, must have counted
+//! nothing. The naive way must be caught by the same checks.
+
+#[path = "support/history.rs"]
+mod history;
+
+use {
+    directory::{Directory, Generation, Place, Write},
+    history::Recorder,
+    prefix::BlockKey,
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    serde_json::json,
+    standin::{
+        Server,
+        engine::{Engine, EngineSettings},
+        store::{Store, StoreSettings},
+    },
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicU64, AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    target::{
+        BlockRef, Client, ClientSettings, Completion, EngineClient, ExportRequest, ImportRequest,
+        Piece, Reuse, StoreClient,
+    },
+    todc_utils::specifications::Specification,
+    tokio::{task::JoinSet, time::sleep},
+};
+
+const BOUND: Duration = Duration::from_secs(20);
+const STORE: &str = "store-a";
+const KEYS: [BlockKey; 3] = [[1; 32], [2; 32], [3; 32]];
+const BLOCK_BYTES: u64 = 32_000;
+const WRITERS: usize = 4;
+const READERS: usize = 4;
+/// Writers, readers and one that frees.
+const PROCESSES: usize = WRITERS + READERS + 1;
+/// Writes begun by each writer; readers and freers go on until all are done.
+const WRITES: usize = 25;
+
+/// What a process did with one key, and how that ended.
+#[derive(Clone, Debug)]
+enum BlockOp {
+    /// Wrote this generation; whether it became readable.
+    Write(Generation, bool),
+    /// Read; the generation that it got whole, if any.
+    Read(Option<Generation>),
+    /// Freed whatever there was.
+    Free,
+}
+
+/// One block: the generation that may be read.
+struct BlockSpec;
+
+impl Specification for BlockSpec {
+    type State = Option<Generation>;
+    type Operation = BlockOp;
+
+    fn init() -> Self::State {
+        None
+    }
+
+    fn apply(operation: &BlockOp, state: &Self::State) -> (bool, Self::State) {
+        match operation {
+            BlockOp::Write(generation, true) => (state.is_none(), Some(*generation)),
+            BlockOp::Write(_, false) | BlockOp::Read(None) => (true, *state),
+            BlockOp::Read(Some(generation)) => (*state == Some(*generation), *state),
+            BlockOp::Free => (true, None),
+        }
+    }
+}
+
+/// How blocks are looked up.
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    /// By the directory, and the store checks each read.
+    Checked,
+    /// By a map that is written before the block and cleaned after the store has freed it, and the
+    /// store hands out whatever bytes it has.
+    Naive,
+}
+
+/// Where blocks are, in either way.
+struct Places {
+    way: Way,
+    directory: Directory,
+    map: HashMap<BlockKey, Generation>,
+    started: Instant,
+}
+
+impl Places {
+    fn begin(&mut self, key: BlockKey, generation: Generation) -> bool {
+        let write = Write {
+            key,
+            target: STORE.to_owned(),
+            generation,
+            size_bytes: BLOCK_BYTES,
+            client_account: "a".to_owned(),
+        };
+        match self.way {
+            Way::Checked => self
+                .directory
+                .begin_write(&write, self.started.elapsed())
+                .is_ok(),
+            Way::Naive if self.map.contains_key(&key) => false,
+            Way::Naive => self.map.insert(key, generation).is_none(),
+        }
+    }
+
+    fn commit(&mut self, key: BlockKey, generation: Generation) -> bool {
+        let now = self.started.elapsed();
+        let store = STORE.to_owned();
+        match self.way {
+            Way::Checked => self.directory.commit(&key, &store, generation, now).is_ok(),
+            Way::Naive => self.map.get(&key) == Some(&generation),
+        }
+    }
+
+    fn readable(&self, key: BlockKey) -> Option<Generation> {
+        if self.way == Way::Naive {
+            return self.map.get(&key).copied();
+        }
+        let mut copies = self.directory.copies(&key);
+        copies
+            .find(|copy| copy.place == Place::Store)
+            .map(|copy| copy.generation)
+    }
+
+    fn free(&mut self, key: BlockKey) -> Option<Generation> {
+        if self.way == Way::Naive {
+            return self.map.get(&key).copied();
+        }
+        let freed = self.directory.free(&key, self.started.elapsed());
+        freed.first().map(|copy| copy.generation)
+    }
+
+    fn deleted(&mut self, key: BlockKey, generation: Generation) {
+        let now = self.started.elapsed();
+        if self.map.get(&key) == Some(&generation) {
+            self.map.remove(&key);
+        }
+        self.directory
+            .deleted(&key, &STORE.to_owned(), generation, now);
+    }
+}
+
+struct Rig {
+    store: Server<Store>,
+    writing: Server<Engine>,
+    reading: Server<Engine>,
+    client: Client,
+    places: Mutex<Places>,
+    histories: Vec<Recorder<BlockOp>>,
+    last_generation: AtomicU64,
+}
+
+impl Rig {
+    async fn start(way: Way) -> Arc<Self> {
+        let store = StoreSettings {
+            link_bytes_per_s: 20_000_000,
+            unsafe_reads: way == Way::Naive,
+            ..StoreSettings::default()
+        };
+        let engine = EngineSettings {
+            time_scale: 0.01,
+            ..EngineSettings::default()
+        };
+        let rig = Self {
+            store: Store::start(store).await.expect("a free port"),
+            writing: Engine::start(engine.clone()).await.expect("a free port"),
+            reading: Engine::start(engine).await.expect("a free port"),
+            client: Client::new(ClientSettings::default()),
+            places: Mutex::new(Places {
+                way,
+                directory: Directory::default(),
+                map: HashMap::new(),
+                started: Instant::now(),
+            }),
+            histories: KEYS.iter().map(|_| Recorder::default()).collect(),
+            last_generation: AtomicU64::new(0),
+        };
+        rig.compute_blocks().await;
+        Arc::new(rig)
+    }
+
+    /// Has the writing engine compute all blocks, so that it can export them.
+    async fn compute_blocks(&self) {
+        let completion = Completion {
+            prompt: "x".repeat(KEYS.len() * 8_000),
+            max_tokens: 1,
+            stream: true,
+            request_id: "warm".to_owned(),
+            block_keys: KEYS.iter().map(hex::encode).collect(),
+            version: "v1".to_owned(),
+            ..Completion::default()
+        };
+        let engine = EngineClient::new(self.client.clone(), self.writing.address);
+        let answer = engine.complete(&completion, Reuse::Allowed, BOUND).await;
+        let mut answer = answer.expect("an answer");
+        while !matches!(answer.next(BOUND).await.expect("whole"), Piece::End { .. }) {}
+    }
+
+    fn places(&self) -> MutexGuard<'_, Places> {
+        self.places.lock().expect("no process panics")
+    }
+
+    /// Writes a block; whether a write was begun.
+    async fn write(&self, process: usize, index: usize) -> bool {
+        let key = KEYS[index];
+        let generation = self.last_generation.fetch_add(1, Ordering::Relaxed) + 1;
+        let history = &self.histories[index];
+        history.call(process, BlockOp::Write(generation, false));
+        let begun = self.places().begin(key, generation);
+        let mut committed = false;
+        if begun {
+            let whole = self.export(key, generation).await;
+            if whole {
+                committed = self.places().commit(key, generation);
+            } else {
+                self.places().free(key);
+            }
+            if !committed {
+                // A free may have reached the store before the write did.
+                self.delete(key, generation).await;
+            }
+        }
+        history.respond(process, BlockOp::Write(generation, committed));
+        begun
+    }
+
+    async fn export(&self, key: BlockKey, generation: Generation) -> bool {
+        let export = ExportRequest {
+            store: self.store.address,
+            version: "v1".to_owned(),
+            blocks: vec![BlockRef {
+                key: hex::encode(key),
+                generation,
+                size_bytes: BLOCK_BYTES,
+                client_account: "a".to_owned(),
+            }],
+        };
+        let engine = EngineClient::new(self.client.clone(), self.writing.address);
+        let reply = engine.export(&export, BOUND).await;
+        reply.is_ok_and(|reply| reply.exported.len() == 1)
+    }
+
+    async fn read(&self, process: usize, index: usize) {
+        let key = KEYS[index];
+        let history = &self.histories[index];
+        history.call(process, BlockOp::Read(None));
+        let generation = self.places().readable(key);
+        let got = match generation {
+            Some(generation) if self.import(key, generation).await => Some(generation),
+            _ => None,
+        };
+        history.respond(process, BlockOp::Read(got));
+    }
+
+    async fn import(&self, key: BlockKey, generation: Generation) -> bool {
+        let import = ImportRequest {
+            store: self.store.address,
+            version: "v1".to_owned(),
+            blocks: vec![BlockRef {
+                key: hex::encode(key),
+                generation,
+                ..BlockRef::default()
+            }],
+        };
+        let engine = EngineClient::new(self.client.clone(), self.reading.address);
+        let reply = engine.import(&import, BOUND).await;
+        reply.is_ok_and(|reply| reply.imported.len() == 1)
+    }
+
+    async fn free(&self, process: usize, index: usize) {
+        let history = &self.histories[index];
+        history.call(process, BlockOp::Free);
+        self.free_now(KEYS[index]).await;
+        history.respond(process, BlockOp::Free);
+    }
+
+    async fn free_now(&self, key: BlockKey) {
+        let freed = self.places().free(key);
+        if let Some(generation) = freed {
+            self.delete(key, generation).await;
+        }
+    }
+
+    async fn delete(&self, key: BlockKey, generation: Generation) {
+        let store = StoreClient::new(self.client.clone(), self.store.address);
+        if store.free(&hex::encode(key), generation).await.is_ok() {
+            self.places().deleted(key, generation);
+        }
+    }
+
+    /// Switches one fault, or back.
+    fn fault(&self, choice: u32) {
+        let (store, writing) = match choice {
+            0 => (json!({"die_mid_write": true}), json!({})),
+            1 => (json!({"full": true}), json!({})),
+            2 => (json!({"corrupt": true}), json!({})),
+            3 => (json!({}), json!({"export_cut_blocks": 1})),
+            4 => (json!({"link_bytes_per_s": 4_000_000}), json!({})),
+            _ => (
+                json!({"full": false, "link_bytes_per_s": 20_000_000}),
+                json!({}),
+            ),
+        };
+        self.store.set_faults(&store).expect("known switches");
+        self.writing.set_faults(&writing).expect("known switches");
+    }
+
+    /// One process: writes until it has begun enough, or reads or frees until `writing` is 0.
+    async fn run(&self, process: usize, seed: u64, writing: &AtomicUsize) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut begun = 0;
+        while begun < WRITES && writing.load(Ordering::Relaxed) > 0 {
+            let index = random.random_range(0..KEYS.len());
+            if process < WRITERS {
+                begun += usize::from(self.write(process, index).await);
+            } else if process < WRITERS + READERS {
+                self.read(process, index).await;
+            } else {
+                self.free(process, index).await;
+            }
+            sleep(Duration::from_micros(random.random_range(0..6_000))).await;
+        }
+        if process < WRITERS {
+            writing.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Lets all processes race and returns the rig for judgement.
+async fn race(way: Way, seed: u64) -> Arc<Rig> {
+    let rig = Rig::start(way).await;
+    let writing = Arc::new(AtomicUsize::new(WRITERS));
+    let mut processes = JoinSet::new();
+    for process in 0..PROCESSES {
+        let (rig, writing) = (Arc::clone(&rig), Arc::clone(&writing));
+        let seed = seed ^ ((process as u64 + 1) << 32);
+        processes.spawn(async move { rig.run(process, seed, &writing).await });
+    }
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    while writing.load(Ordering::Relaxed) > 0 {
+        rig.fault(random.random_range(0..10));
+        sleep(Duration::from_millis(20)).await;
+    }
+    processes.join_all().await;
+    rig
+}
+
+/// What the checks say, and what they looked at.
+#[derive(Debug)]
+#[allow(dead_code, reason = "some fields are only printed")]
+struct Verdict {
+    linearizable: bool,
+    partial_blocks: u64,
+    unsafe_reads: u64,
+    operations: usize,
+    whole_reads: u64,
+    refused_reads: u64,
+}
+
+fn judge(rig: &Rig) -> Verdict {
+    let ledger = rig.store.role().ledger();
+    let histories = &rig.histories;
+    Verdict {
+        linearizable: histories.iter().all(Recorder::is_linearizable::<BlockSpec>),
+        partial_blocks: rig.reading.role().audit().partial_blocks,
+        unsafe_reads: ledger.unsafe_read_count,
+        operations: histories.iter().map(Recorder::operation_count).sum(),
+        whole_reads: ledger.read_count,
+        refused_reads: ledger.refused_read_count + ledger.cut_read_count,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_freed_or_partial_block_is_read() {
+    let mut whole_reads = 0;
+    for seed in 1..=5 {
+        let verdict = judge(&*race(Way::Checked, seed).await);
+        println!("seed {seed}: {verdict:?}");
+        assert!(verdict.linearizable, "seed {seed}: {verdict:?}");
+        assert_eq!(verdict.partial_blocks, 0, "seed {seed}: {verdict:?}");
+        assert_eq!(verdict.unsafe_reads, 0, "seed {seed}: {verdict:?}");
+        whole_reads += verdict.whole_reads;
+    }
+    assert!(whole_reads > 0, "nothing was read, so nothing was shown");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn naive_way_is_caught() {
+    let mut caught = 0;
+    for seed in 1..=5 {
+        let verdict = judge(&*race(Way::Naive, seed).await);
+        println!("seed {seed}: {verdict:?}");
+        caught += u32::from(!verdict.linearizable || verdict.partial_blocks > 0);
+    }
+    assert!(caught > 0, "the checks notice nothing");
+}
--- /dev/null
+++ b/crates/rattan/tests/support/history.rs
@@ -0,0 +1,63 @@
+//! Records what concurrent processes did, in the order in which it was seen.
+
+use {
+    std::sync::{Mutex, PoisonError},
+    todc_utils::{
+        linearizability::{
+            WGLChecker,
+            history::{Action, History, ProcessId},
+        },
+        specifications::Specification,
+    },
+};
+
+/// The calls and responses of one shared object.
+#[derive(Debug)]
+pub struct Recorder<Operation> {
+    actions: Mutex<Vec<(ProcessId, Action<Operation>)>>,
+}
+
+impl<Operation> Default for Recorder<Operation> {
+    fn default() -> Self {
+        Self {
+            actions: Mutex::default(),
+        }
+    }
+}
+
+impl<Operation> Recorder<Operation>
+where
+    Operation: Clone,
+{
+    /// Records that a process calls an operation. Each process has one call open at a time.
+    pub fn call(&self, process: ProcessId, operation: Operation) {
+        self.push(process, Action::Call(operation));
+    }
+
+    /// Records how the open call of a process ended.
+    pub fn respond(&self, process: ProcessId, operation: Operation) {
+        self.push(process, Action::Response(operation));
+    }
+
+    /// Operations recorded.
+    pub fn operation_count(&self) -> usize {
+        self.lock().len() / 2
+    }
+
+    /// Whether some order of the operations explains every response. All calls must have ended.
+    pub fn is_linearizable<Spec>(&self) -> bool
+    where
+        Spec: Specification<Operation = Operation>,
+    {
+        let actions = self.lock().clone();
+        actions.is_empty() || WGLChecker::<Spec>::is_linearizable(History::from_actions(actions))
+    }
+
+    fn push(&self, process: ProcessId, action: Action<Operation>) {
+        self.lock().push((process, action));
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(ProcessId, Action<Operation>)>> {
+        self.actions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
