admission: limits, fair queue with bounded wait, link budget with two rules

Cause: the thin admission admitted everything.

Change: running limit and token rate of each client account; beyond the instance's own limit a fair queue, weighted and counted in tokens, bounded by the expected wait: what would wait longer is refused at once with a time to come back that follows from the queue and the measured run time. Slots for each target. LinkBudget with fixed reservations or with the root of summed variances, and an example that compares them.

Signatures that change: Admission::new(limits, now) in place of default(); release(account id, ran, now); offer, next, expired and cancel are new; admit is as it was and never queues.

Ruled out: the mean run time by Little's law (running requests times time over ended ones). Now the mean of run times, or the time without any end if that is longer.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,42 +1,48 @@
 //! Limits by client account, target and link, with queues and a time to come back.
+//!
+//! [`Admission`] is the fair queue of one entry instance. It does no I/O, has no timer and answers
+//! every call at once; a thin asynchronous wrapper waits for tickets. [`TargetSlots`] limits what
+//! is under way at each target, [`LinkBudget`] what is under way on a link.
+//!
+//! ```
+//! use {
+//!     admission::{Admission, Limits, Offer},
+//!     std::time::{Duration, Instant},
+//! };
+//!
+//! # let account = catalog::ClientAccount {
+//! #     name: "kitchens".into(),
+//! #     labels: Default::default(),
+//! #     key_digests: vec![],
+//! #     max_running_count: 10,
+//! #     tokens_per_s: 10_000,
+//! #     weight: 1,
+//! # };
+//! let now = Instant::now();
+//! let limits = Limits {
+//!     max_running_count: 1,
+//!     ..Limits::default()
+//! };
+//! let mut admission = Admission::new(limits, now);
+//! assert_eq!(admission.offer(&account, 500, 0, now), Offer::Admitted);
+//! let Offer::Queued(ticket) = admission.offer(&account, 500, 0, now) else {
+//!     panic!("expected a short wait");
+//! };
+//! admission.release(&account.name, Duration::from_millis(80), now);
+//! assert_eq!(admission.next(now), [ticket]);
+//! ```
 
-use {
-    catalog::ClientAccount,
-    snafu::Snafu,
-    std::time::{Duration, Instant},
-};
-
-/// A request that was not admitted. Nothing of it ran.
-#[derive(Clone, Debug, PartialEq, Snafu)]
-#[snafu(display(
-    "{limit} is exhausted; try again in {} ms or ask the operator to raise it",
-    retry_after.as_millis()
-))]
-pub struct Refused {
-    /// The limit that was hit, for example `max_running_count of client account "kitchens"`.
-    pub limit: String,
-    /// When to come back.
-    pub retry_after: Duration,
-}
-
-/// Admits requests of all client accounts at one entry instance.
-#[derive(Debug, Default)]
-pub struct Admission {}
+mod account;
+mod admission;
+mod bucket;
+mod link;
+mod refused;
+mod service_time;
+mod target_slots;
 
-impl Admission {
-    /// Admits a request of `tokens` prompt and answer tokens, or refuses it at once.
-    ///
-    /// # Errors
-    /// [`Refused`] if a limit of the client account is exhausted.
-    pub fn admit(
-        &mut self,
-        _account: &ClientAccount,
-        _tokens: u64,
-        _now: Instant,
-    ) -> Result<(), Refused> {
-        Ok(())
-    }
-
-    /// Gives back what [`Self::admit`] took, after the request has ended.
-    pub fn release(&mut self, _account: &ClientAccount, _now: Instant) {}
-}
+pub use {
+    admission::{Admission, Limits, Offer, Ticket},
+    link::{Flow, LinkBudget, LinkRule},
+    refused::Refused,
+    target_slots::TargetSlots,
+};
