--- a/crates/configuration/src/follower.rs
+++ b/crates/configuration/src/follower.rs
@@ -40,12 +40,12 @@
 /// Reads the configuration, watches it, and publishes each state through its [`Handle`].
 ///
 /// While the service is down the last state stays in force; [`Handle::status`] tells its age.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Follower<Kv> {
     kv: Kv,
     settings: FollowerSettings,
     handle: Handle,
-    rng: StdRng,
+    seed: Option<u64>,
 }
 
 /// Why a watch is over.
@@ -66,14 +66,14 @@
             kv,
             settings,
             handle: Handle::default(),
-            rng: StdRng::seed_from_u64(rand::random()),
+            seed: None,
         }
     }
 
     /// The same follower with pauses that depend on `seed` alone, for tests.
     #[must_use]
     pub fn seeded(mut self, seed: u64) -> Self {
-        self.rng = StdRng::seed_from_u64(seed);
+        self.seed = Some(seed);
         self
     }
 
@@ -84,17 +84,18 @@
     }
 
     /// Follows the configuration until dropped.
-    pub async fn run(mut self) {
+    pub async fn run(self) {
+        let mut rng = StdRng::seed_from_u64(self.seed.unwrap_or_else(rand::random));
         loop {
-            self.read_all().await;
+            self.read_all(&mut rng).await;
             while let WatchEnd::Cut = self.watch().await {
-                self.pause().await;
+                self.pause(&mut rng).await;
             }
         }
     }
 
     /// Reads everything, trying until it succeeds.
-    async fn read_all(&mut self) {
+    async fn read_all(&self, rng: &mut StdRng) {
         loop {
             let asked_at = Instant::now();
             match self.range(CONFIG_PREFIX).await {
@@ -113,7 +114,7 @@
                 ),
                 Err(error) => log::warn!("configuration can't be read: {error}"),
             }
-            self.pause().await;
+            self.pause(rng).await;
         }
     }
 
@@ -181,8 +182,8 @@
             .unwrap_or_else(|_| Err(no_answer(limit)))
     }
 
-    async fn pause(&mut self) {
-        let extra = self.rng.random_range(0.0..1.0);
+    async fn pause(&self, rng: &mut StdRng) {
+        let extra = rng.random_range(0.0..1.0);
         sleep(self.settings.retry_delay.mul_f64(1.0 + extra)).await;
     }
 }
