--- a/crates/rattan/src/daemon.rs
+++ b/crates/rattan/src/daemon.rs
@@ -131,8 +131,9 @@
 where
     Kv: KeyValue,
 {
+    let configuration = parts.follower.handle();
     tokio::select! {
-        () = parts.follower.handle().ready() => {}
+        () = configuration.ready() => {}
         () = stop.cancelled() => return Ok(()),
     }
     let address = parts.settings.listen;
--- a/crates/rattan/tests/target_adapter.rs
+++ b/crates/rattan/tests/target_adapter.rs
@@ -1,6 +1,7 @@
 //! The clients of targets against the stand-ins that the other tests use.
 
 use {
+    orders::Order,
     serde_json::json,
     standin::{
         answer_text,
@@ -11,7 +12,7 @@
     std::time::Duration,
     target::{
         BlockRef, Client, ClientSettings, Completion, EngineClient, ExportRequest, ImportRequest,
-        Order, Piece, Reuse, SendError, ServiceClient, ServiceRequest, StoreClient,
+        Piece, Reuse, SendError, ServiceClient, ServiceRequest, StoreClient,
     },
 };
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -69,14 +69,14 @@
 rattan apply -f examples/frio-austral.json
 sleep 1
 
-# Visits with the prompt, explains the visit and waits until its blocks are in a store.
+# Visits with the prompt and explains the visit once its record says what is waited for.
 visit() {
-    local line request
+    local line request awaited="$1"
     line="$($demo visit 127.0.0.1:19201 demo-key-countertop-chain template-review)"
     request="${line#request=}"
     request="${request%% *}"
     for _ in $(seq 50); do
-        $bin/rattan --entry "$(grep -o "entry=[0-9.:]*" <<<"$line" | cut -d= -f2)" explain "$request" 2>/dev/null >"$logs/explained" && grep -qE 'xported|from cache' "$logs/explained" && break
+        rattan explain "$request" 2>/dev/null >"$logs/explained" && grep -q "$awaited" "$logs/explained" && break
         sleep 0.2
     done
     echo "$line"
@@ -85,7 +85,7 @@
 
 echo
 echo "== first visit"
-visit | tee "$logs/first"
+visit Exported | tee "$logs/first"
 sleep 1
 echo
 echo "== every engine drops its prefix memory, as after hours"
@@ -93,7 +93,7 @@
 sleep 1
 echo
 echo "== second visit"
-visit | tee "$logs/second"
+visit Finished | tee "$logs/second"
 
 prompt_tokens="$(grep -o 'prompt_tokens=[0-9]*' "$logs/second" | cut -d= -f2)"
 cached_tokens="$(grep -o 'cached_tokens=[0-9]*' "$logs/second" | cut -d= -f2)"
