serving: an attempt that may have run is never reported as not run

Cause: the outcome of a request followed its last error. An engine that died in a prompt made the first connection unknown and refused the next one, and the caller was told not_run although the engine had begun the run.

Change: an attempt keeps whether any of its connections may have carried a run, and the record, the cancel and the refusal follow that.

--- /dev/null
+++ b/crates/rattan/tests/support/caller.rs
@@ -0,0 +1,169 @@
+//! A caller that notes exactly what it saw of an answer.
+
+use {
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{Request, Response, body::Incoming, client::conn::http1},
+    hyper_util::rt::TokioIo,
+    serde_json::Value,
+    std::{io, net::SocketAddr, time::Duration},
+    target::SseParser,
+    tokio::{net::TcpStream, time::timeout},
+};
+
+/// Longest that a caller waits for the end of an answer.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// How an answer ended.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum End {
+    /// With its end marker, or as one whole object.
+    Whole,
+    /// With an error that states an outcome: `not_run`, `unknown` or `run`.
+    Refused {
+        outcome: String,
+        message: String,
+        retry_after_ms: Option<u64>,
+    },
+    /// The connection ended and said nothing.
+    #[default]
+    Torn,
+    /// There was no end in time.
+    Stuck,
+}
+
+/// What a caller saw.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// `x-request-id` of the answer, empty if there was no answer.
+    pub request: String,
+    /// HTTP status, 0 if there was no answer.
+    pub status: u16,
+    /// Text received, or the whole body of another kind of answer.
+    pub text: String,
+    /// Prompt tokens from cache, as the last event told.
+    pub cached_tokens: u64,
+    /// How it ended.
+    pub end: End,
+}
+
+impl Seen {
+    /// Whether the answer ended with an error of this outcome.
+    pub fn is_refused(&self, wanted: &str) -> bool {
+        matches!(&self.end, End::Refused { outcome, .. } if outcome == wanted)
+    }
+}
+
+/// Sends a request over a connection of its own and reads its answer to the end.
+pub async fn send(
+    address: SocketAddr,
+    key: &str,
+    path: &str,
+    body: &Value,
+    idempotency_key: Option<&str>,
+) -> Seen {
+    let mut seen = Seen::default();
+    let exchange = exchange(address, key, path, body, idempotency_key, &mut seen);
+    match timeout(PATIENCE, exchange).await {
+        Ok(Ok(end)) => seen.end = end,
+        Ok(Err(_)) => seen.end = End::Torn,
+        Err(_) => seen.end = End::Stuck,
+    }
+    seen
+}
+
+async fn exchange(
+    address: SocketAddr,
+    key: &str,
+    path: &str,
+    body: &Value,
+    idempotency_key: Option<&str>,
+    seen: &mut Seen,
+) -> io::Result<End> {
+    let mut request = Request::post(path)
+        .header("host", "entry")
+        .header("content-type", "application/json")
+        .header("authorization", format!("Bearer {key}"));
+    if let Some(idempotency_key) = idempotency_key {
+        request = request.header("idempotency-key", idempotency_key);
+    }
+    let body = Full::new(Bytes::from(body.to_string()));
+    let request = request.body(body).map_err(io::Error::other)?;
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    tokio::spawn(connection);
+    let response = sender
+        .send_request(request)
+        .await
+        .map_err(io::Error::other)?;
+    seen.status = response.status().as_u16();
+    seen.request = header(&response, "x-request-id");
+    if header(&response, "content-type").starts_with("text/event-stream") {
+        return read_events(response, seen).await;
+    }
+    let body = response.into_body().collect().await;
+    let body = body.map_err(io::Error::other)?.to_bytes();
+    Ok(read_object(&body, seen))
+}
+
+/// Reads server-sent events up to the end marker or an error.
+async fn read_events(response: Response<Incoming>, seen: &mut Seen) -> io::Result<End> {
+    let mut body = response.into_body();
+    let mut parser = SseParser::default();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.map_err(io::Error::other)?.into_data() {
+            parser.push(&data);
+        }
+        while let Some(data) = parser.next_data() {
+            if &data[..] == b"[DONE]" {
+                return Ok(End::Whole);
+            }
+            let event: Value = serde_json::from_slice(&data).map_err(io::Error::other)?;
+            if event["error"].is_object() {
+                return Ok(refused(&event));
+            }
+            note(&event, seen);
+        }
+    }
+    Ok(End::Torn)
+}
+
+fn read_object(body: &[u8], seen: &mut Seen) -> End {
+    let object: Value = serde_json::from_slice(body).unwrap_or_default();
+    if object["error"].is_object() {
+        return refused(&object);
+    }
+    if object["choices"].is_array() {
+        note(&object, seen);
+    } else {
+        seen.text = String::from_utf8_lossy(body).into_owned();
+    }
+    End::Whole
+}
+
+fn note(event: &Value, seen: &mut Seen) {
+    let text = event["choices"][0]["text"].as_str();
+    seen.text.push_str(text.unwrap_or_default());
+    let cached_tokens = &event["usage"]["prompt_tokens_details"]["cached_tokens"];
+    seen.cached_tokens = cached_tokens.as_u64().unwrap_or(seen.cached_tokens);
+}
+
+fn refused(object: &Value) -> End {
+    let error = &object["error"];
+    let text = |name: &str| error[name].as_str().unwrap_or_default().to_owned();
+    End::Refused {
+        outcome: text("outcome"),
+        message: text("message"),
+        retry_after_ms: error["retry_after_ms"].as_u64(),
+    }
+}
+
+fn header(response: &Response<Incoming>, name: &str) -> String {
+    let value = response.headers().get(name);
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -42,6 +42,9 @@
 pub struct AttemptReport {
     /// How it ended.
     pub end: AttemptEnd,
+    /// Whether any part of the request may have run, over any of the connections. The last error
+    /// alone does not tell: an engine that dies in a run refuses the next connection.
+    pub may_have_run: bool,
     /// Tokens passed on to the caller.
     pub passed_count: u64,
     /// Time from the start to the first token, if there was one.
@@ -70,6 +73,7 @@
         let started = Instant::now();
         let mut report = AttemptReport {
             end: AttemptEnd::CallerGone,
+            may_have_run: false,
             passed_count: 0,
             first_token: None,
             replaced_count: 0,
@@ -83,12 +87,14 @@
                 {
                     Ok(end) => {
                         report.end = end;
+                        report.may_have_run = true;
                         return report;
                     }
                     Err(error) => error,
                 },
                 Err(error) => error,
             };
+            report.may_have_run |= !error.not_run();
             report.end = AttemptEnd::Broken(error.clone());
             if !matches!(error, SendError::Unknown { .. }) || self.events.is_closed() {
                 break;
--- a/crates/serving/src/completion.rs
+++ b/crates/serving/src/completion.rs
@@ -32,10 +32,10 @@
 }
 
 impl Tried {
-    fn add(&mut self, target: TargetId, error: SendError) {
+    fn add(&mut self, target: TargetId, broken: Broken) {
         self.targets.insert(target);
-        self.may_have_run |= !error.not_run();
-        self.last = Some(error);
+        self.may_have_run |= broken.may_have_run;
+        self.last = Some(broken.error);
     }
 
     /// The refusal that the attempts justify; none if there were none.
@@ -45,12 +45,18 @@
     }
 }
 
+/// A broken attempt.
+struct Broken {
+    error: SendError,
+    may_have_run: bool,
+}
+
 /// How one attempt leaves its request.
 enum Next {
     /// Nothing more to do.
     Done,
     /// Another target may be tried.
-    Retry(SendError),
+    Retry(Broken),
 }
 
 impl<Kv, Peers> Serving<Kv, Peers>
@@ -113,7 +119,7 @@
             );
             match self.try_plan(&scope, &job, &plan, events).await {
                 Next::Done => return,
-                Next::Retry(error) => tried.add(plan.engine.name, error),
+                Next::Retry(broken) => tried.add(plan.engine.name, broken),
             }
             let now = self.blocks().now();
             if !self.retries().try_retry(now) {
@@ -206,16 +212,20 @@
         engine: &EngineClient,
         events: &mpsc::Sender<Event>,
     ) -> Next {
-        if !error.not_run() {
+        if report.may_have_run {
             // The run may still be going on; nobody waits for it any more.
             let _ = engine.cancel(&job.request).await;
         }
+        let broken = Broken {
+            error: error.clone(),
+            may_have_run: report.may_have_run,
+        };
         if report.passed_count == 0 {
-            return Next::Retry(error.clone());
+            return Next::Retry(broken);
         }
         if !job.stream {
             let _ = events.send(Event::Restart).await;
-            return Next::Retry(error.clone());
+            return Next::Retry(broken);
         }
         let _ = events.send(Event::Failed(failed(error, true))).await;
         Next::Done
@@ -226,7 +236,9 @@
         let (outcome, error) = match &report.end {
             AttemptEnd::Whole { .. } => (Outcome::Run, String::new()),
             AttemptEnd::CallerGone => (Outcome::Unknown, "the caller went away".to_owned()),
-            AttemptEnd::Broken(error) if error.not_run() => (Outcome::NotRun, error.to_string()),
+            AttemptEnd::Broken(error) if !report.may_have_run => {
+                (Outcome::NotRun, error.to_string())
+            }
             AttemptEnd::Broken(error) => (Outcome::Unknown, error.to_string()),
         };
         if let (Some(view), AttemptEnd::Broken(error)) = (view, &report.end) {
