--- a/crates/admission/src/link.rs
+++ b/crates/admission/src/link.rs
@@ -25,6 +25,17 @@
     },
 }
 
+/// Standard deviations of the sum kept free by default.
+const DEFAULT_DEVIATIONS: f64 = 4.0;
+
+impl Default for LinkRule {
+    fn default() -> Self {
+        Self::Summed {
+            deviations: DEFAULT_DEVIATIONS,
+        }
+    }
+}
+
 /// Admits transfers as long as a link is not expected to be overrun.
 #[derive(Clone, Debug)]
 pub struct LinkBudget {
--- a/crates/directory/src/block.rs
+++ b/crates/directory/src/block.rs
@@ -84,6 +84,12 @@
         self.copies.iter_mut().find(|entry| entry.target == target)
     }
 
+    /// Adds a copy. Most blocks have one or two, so no room is kept for more.
+    pub(crate) fn push(&mut self, entry: Entry) {
+        self.copies.reserve_exact(1);
+        self.copies.push(entry);
+    }
+
     /// Removes the copy that `target` holds.
     pub(crate) fn remove(&mut self, target: NameIndex) -> Option<Entry> {
         let index = self
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -82,7 +82,7 @@
         block.account = Some(account);
         let (owner, size_bytes) = (block.account, block.size_bytes);
         block.remove(target);
-        block.copies.push(Entry {
+        block.push(Entry {
             generation: write.generation,
             changed: now.into(),
             target,
--- a/crates/directory/src/events.rs
+++ b/crates/directory/src/events.rs
@@ -118,7 +118,7 @@
         let block = self.blocks.entry(key).or_default();
         block.seen = true;
         block.remove(target);
-        block.copies.push(Entry {
+        block.push(Entry {
             generation: seq,
             changed: Tick::from(now),
             target,
--- /dev/null
+++ b/crates/routing/benches/decide.rs
@@ -0,0 +1,95 @@
+//! Time of one decision, at today's size (20 workers), at the size designed for (113 workers for
+//! each model) and beyond, to see how it grows.
+
+use {
+    catalog::{PlacementRule, Selector, Target, TargetKind},
+    criterion::{BenchmarkId, Criterion, criterion_group, criterion_main},
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    routing::{Candidate, Job, Policy, choose},
+    std::hint::black_box,
+};
+
+const SEED: u64 = 20_261_203;
+const WORKERS_COUNTS: [usize; 4] = [20, 113, 452, 1_808];
+const JOB: Job = Job {
+    prompt_tokens: 24_000,
+    block_tokens: 2_000,
+    block_bytes: 2_000 * 1_024,
+    seen_blocks: 12,
+};
+
+fn engine(number: usize) -> Target {
+    Target {
+        name: format!("engine-{number}"),
+        kind: TargetKind::Engine,
+        address: ([127, 0, 0, 1], 1).into(),
+        region: "almaty".into(),
+        failure_domain: format!("almaty-{}", number % 3),
+        labels: [("fleet".to_owned(), "shared".to_owned())].into(),
+        leaving: false,
+        checks_fencing: true,
+        max_running_count: 8,
+        link_bytes_per_s: 0,
+        capacity_bytes: 0,
+        service: String::new(),
+        calls: Vec::new(),
+    }
+}
+
+fn rule() -> PlacementRule {
+    PlacementRule {
+        name: "shared".into(),
+        labels: [].into(),
+        precedence: 0,
+        client_accounts: Selector::default(),
+        model_versions: Selector::default(),
+        targets: Selector {
+            required: [("fleet".to_owned(), "shared".to_owned())].into(),
+        },
+        stores: Selector::default(),
+        priority: 0,
+        objective: catalog::Objective::default(),
+    }
+}
+
+/// Engines with random queues; one in four has a part of the prompt in memory.
+fn candidates<'a>(targets: &'a [Target], random: &mut ChaCha8Rng) -> Vec<Candidate<'a>> {
+    let candidate = |target: &'a Target| {
+        let mut candidate = Candidate::new(target, 20_000.0);
+        candidate.load.running_count = random.random_range(0..8);
+        candidate.load.queued_tokens = random.random_range(0..40_000);
+        candidate.import_blocks = 12;
+        candidate.link_bytes_per_s = 100e6;
+        candidate.link_deviation_bytes_per_s = 30e6;
+        if random.random_bool(0.25) {
+            candidate.memory_blocks = random.random_range(1..=12);
+            candidate.memory_confidence = 0.9;
+        }
+        candidate
+    };
+    targets.iter().map(candidate).collect()
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decide");
+    let rule = rule();
+    for workers_count in WORKERS_COUNTS {
+        let mut random = ChaCha8Rng::seed_from_u64(SEED);
+        let targets: Vec<_> = (0..workers_count).map(engine).collect();
+        let candidates = candidates(&targets, &mut random);
+        for (name, policy) in [
+            ("cost", Policy::Cost),
+            ("least_loaded", Policy::LeastLoaded),
+        ] {
+            let id = BenchmarkId::new(name, workers_count);
+            group.bench_with_input(id, &candidates, |bencher, candidates| {
+                bencher.iter(|| choose(policy, 7, black_box(&JOB), &rule, black_box(candidates)));
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Candidate, Estimate, Job, Source},
-    catalog::Objective,
+    catalog::{Objective, TargetId},
     std::time::Duration,
 };
 
@@ -26,15 +26,23 @@
         to: candidate.memory_blocks,
     };
     let best = evaluate(job, objective, candidate, memory);
-    splits(job, candidate)
+    let best = splits(job, candidate)
         .into_iter()
+        .flatten()
         .map(|split| evaluate(job, objective, candidate, split))
         .fold(
             best,
             |best, other| {
                 if other.cost < best.cost { other } else { best }
             },
-        )
+        );
+    named(best, candidate)
+}
+
+/// The estimate with the candidate's name, which is left out while splits are compared.
+fn named(mut estimate: Estimate, candidate: &Candidate<'_>) -> Estimate {
+    estimate.target.clone_from(&candidate.target.name);
+    estimate
 }
 
 /// Estimate of running the request at a candidate without an import.
@@ -47,30 +55,31 @@
         from: candidate.memory_blocks,
         to: candidate.memory_blocks,
     };
-    evaluate(job, objective, candidate, memory)
+    named(evaluate(job, objective, candidate, memory), candidate)
 }
 
 /// Splits with an import that may be the best one. The cost is linear in the end of the import
 /// but for a bend where the import takes as long as the queue, so only that bend and the end have
 /// to be looked at. Blocks that may have left engine memory can be imported as well.
-fn splits(job: &Job, candidate: &Candidate<'_>) -> Vec<Split> {
+fn splits(job: &Job, candidate: &Candidate<'_>) -> [Option<Split>; 4] {
+    let [bend, end] = splits_after(candidate.memory_blocks, job, candidate);
+    if candidate.memory_confidence >= 1.0 || candidate.memory_blocks == 0 {
+        return [bend, end, None, None];
+    }
+    let [bend_from_start, end_from_start] = splits_after(0, job, candidate);
+    [bend, end, bend_from_start, end_from_start]
+}
+
+/// Splits that import from block `from` on: up to the bend, and all.
+fn splits_after(from: usize, job: &Job, candidate: &Candidate<'_>) -> [Option<Split>; 2] {
     let end = candidate.import_blocks;
-    let mut splits = Vec::with_capacity(4);
-    let mut add = |from: usize| {
-        if end <= from {
-            return;
-        }
-        splits.push(Split { from, to: end });
-        let bend = from + blocks_within(job, candidate, candidate.queue_s());
-        if (from + 1..end).contains(&bend) {
-            splits.push(Split { from, to: bend });
-        }
-    };
-    add(candidate.memory_blocks);
-    if candidate.memory_confidence < 1.0 && candidate.memory_blocks > 0 {
-        add(0);
+    if end <= from {
+        return [None, None];
     }
-    splits
+    let bend = from + blocks_within(job, candidate, candidate.queue_s());
+    let has_bend = (from + 1..end).contains(&bend);
+    let to_bend = has_bend.then_some(Split { from, to: bend });
+    [to_bend, Some(Split { from, to: end })]
 }
 
 /// Blocks that the link delivers within `seconds`.
@@ -117,7 +126,7 @@
         import_s * candidate.link_deviation_bytes_per_s / candidate.link_bytes_per_s.max(1.0);
     let saved_tokens = import_blocks as u64 * job.block_tokens;
     Estimate {
-        target: candidate.target.name.clone(),
+        target: TargetId::new(),
         source: source(split),
         first_token: seconds(first_token_s),
         recomputed_tokens: whole(recomputed_tokens),
