--- a/crates/serving/src/plan.rs
+++ b/crates/serving/src/plan.rs
@@ -7,7 +7,7 @@
     gateway::{CompletionJob, Kind, Refusal},
     platform::KeyValue,
     prefix::BlockKey,
-    routing::{Candidate, Choice, Job},
+    routing::{Candidate, Choice, Estimate, Job},
     std::{
         collections::BTreeSet,
         sync::Arc,
@@ -163,20 +163,13 @@
         let chosen = known
             .iter()
             .find(|known| known.candidate.target.name == choice.chosen.target);
-        let (engine, store, memory_blocks) = chosen.map_or_else(
+        let (engine, store) = chosen.map_or_else(
             || unreachable!("routing chooses among the candidates"),
-            |known| {
-                let candidate = &known.candidate;
-                (
-                    candidate.target.clone(),
-                    known.store,
-                    candidate.memory_blocks,
-                )
-            },
+            |known| (known.candidate.target.clone(), known.store),
         );
         let import = store
             .filter(|_| choice.chosen.import_blocks > 0)
-            .map(|store| Import::new(store, keys, memory_blocks, choice.chosen.import_blocks));
+            .map(|store| Import::new(store, keys, &choice.chosen));
         Ok(Plan {
             engine,
             choice,
@@ -228,14 +221,14 @@
 }
 
 impl Import {
-    /// The blocks of a store that follow the `memory_blocks` an engine already has.
-    fn new(store: &Leading, keys: &[BlockKey], memory_blocks: usize, import_blocks: usize) -> Self {
+    /// The blocks of a store that an estimate counts on.
+    fn new(store: &Leading, keys: &[BlockKey], estimate: &Estimate) -> Self {
         let copies = keys.iter().zip(&store.copies);
         Self {
             store: store.target.clone(),
             blocks: copies
-                .skip(memory_blocks)
-                .take(import_blocks)
+                .skip(estimate.import_from_block)
+                .take(estimate.import_blocks)
                 .map(|(key, copy)| ImportBlock {
                     key: *key,
                     generation: copy.generation,
