--- a/crates/rattan/tests/not_run.rs
+++ b/crates/rattan/tests/not_run.rs
@@ -15,27 +15,20 @@
     serde_json::{Value, json},
     standin::{
         Server,
-        engine::{Engine, EngineSettings},
+        engine::Engine,
         relay::{Relay, RelaySettings},
+        service::{Service, ServiceSettings},
     },
-    std::{
-        collections::BTreeSet,
-        net::SocketAddr,
-        sync::{
-            Arc,
-            atomic::{AtomicUsize, Ordering},
-        },
-        time::Duration,
-    },
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
     support::{
-        objects::{self, CALLER_KEY, DIGEST, MODEL, SERVICE},
+        objects::{self, CALLER_KEY, MODEL, SERVICE},
         world::{World, WorldSettings},
     },
     tokio::{task::JoinSet, time::sleep},
 };
 
-const CALLERS: usize = 12;
-const REQUESTS: usize = 25;
+const CALLERS: u64 = 12;
+const REQUESTS: u64 = 25;
 
 fn settings() -> WorldSettings {
     let mut settings = WorldSettings::new(env!("CARGO_BIN_EXE_rattand"));
@@ -78,3 +71,149 @@
     assert!(ran([&engine]).contains(&seen.request));
     assert!(seen.is_refused("unknown"), "{seen:?}");
 }
+
+/// A world whose second engine and second service are reached through relays.
+struct Rig {
+    world: World,
+    service: Server<Service>,
+    engine_relay: Server<Relay>,
+    service_relay: Server<Relay>,
+}
+
+impl Rig {
+    async fn start() -> Self {
+        let world = World::start(settings()).await.expect("a world");
+        let service = Service::start(ServiceSettings::default()).await;
+        let service = service.expect("a free port");
+        let relay = |to| Relay::start(RelaySettings::to(to));
+        let engine_relay = relay(world.engines[0].address).await.expect("a free port");
+        let service_relay = relay(service.address).await.expect("a free port");
+        let objects = [
+            objects::engine("engine-relayed", engine_relay.role().address),
+            objects::service("service-relayed", service_relay.role().address),
+        ];
+        world.apply(&objects).await.expect("accepted");
+        Self {
+            world,
+            service,
+            engine_relay,
+            service_relay,
+        }
+    }
+
+    /// Ids of all requests of which something ran.
+    fn ran(&self) -> BTreeSet<String> {
+        let mut ids = ran(self.world.engines.iter().map(Server::role));
+        for service in [&self.service, &self.world.service] {
+            let ledger = service.role().ledger();
+            ids.extend(ledger.into_iter().map(|execution| execution.request_id));
+        }
+        ids
+    }
+
+    /// Switches one fault on, or all off.
+    fn fault(&self, choice: u32) {
+        let engines = &self.world.engines;
+        let services = [&self.service, &self.world.service];
+        let set = |engine: usize, switches: &Value| {
+            engines[engine]
+                .set_faults(switches)
+                .expect("known switches");
+        };
+        let serve = |service: usize, switches: &Value| {
+            services[service]
+                .set_faults(switches)
+                .expect("known switches");
+        };
+        let relays = |mode: &str| {
+            for relay in [&self.engine_relay, &self.service_relay] {
+                relay.set_faults(&json!({"mode": mode})).expect("a mode");
+            }
+        };
+        match choice {
+            0 => set(0, &json!({"leaving": true})),
+            1 => set(0, &json!({"cut_after_tokens": 0})),
+            2 => set(1, &json!({"silent_after_tokens": 0})),
+            3 => set(1, &json!({"cut_after_tokens": 2})),
+            4 => set(1, &json!({"down": true})),
+            5 => set(0, &json!({"hang": true})),
+            6 => set(0, &json!({"delay_ms": 40})),
+            7 => relays("cut"),
+            8 => relays("blackhole"),
+            9 => serve(0, &json!({"refuse": 2, "cut_after_run": 1})),
+            10 => serve(1, &json!({"cut_before_run": 2, "cut_after_run": 2})),
+            11 => serve(0, &json!({"down": true})),
+            12 => serve(1, &json!({"hang": true})),
+            _ => {
+                let calm = json!({"down": false, "hang": false, "delay_ms": 0});
+                for target in 0..2 {
+                    set(target, &calm);
+                    serve(target, &calm);
+                }
+                set(0, &json!({"leaving": false}));
+                relays("pass");
+            }
+        }
+    }
+}
+
+/// One caller's requests: completions, repeatable calls and calls that may run once.
+async fn call(address: SocketAddr, caller: u64, seed: u64) -> Vec<Seen> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ ((caller + 1) << 32));
+    let mut seen = Vec::new();
+    for request in 0..REQUESTS {
+        let key = format!("key-{caller}-{request}");
+        let path = match random.random_range(0..4) {
+            0 => format!("/v1/services/{SERVICE}/status"),
+            1 => format!("/v1/services/{SERVICE}/book"),
+            _ => String::new(),
+        };
+        seen.push(if path.is_empty() {
+            complete(address, "which fault code").await
+        } else {
+            send(address, CALLER_KEY, &path, &json!({}), Some(&key)).await
+        });
+        sleep(Duration::from_millis(random.random_range(0..20))).await;
+    }
+    seen
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals_agree_with_what_ran() {
+    let (mut not_run, mut unknown_ran) = (0, 0);
+    for seed in 1..=2 {
+        let rig = Rig::start().await;
+        let address = rig.world.entries[0].address;
+        let mut callers = JoinSet::new();
+        for caller in 0..CALLERS {
+            callers.spawn(call(address, caller, seed));
+        }
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut endings = Vec::new();
+        while !callers.is_empty() {
+            rig.fault(random.random_range(0..20));
+            sleep(Duration::from_millis(40)).await;
+            while let Some(joined) = callers.try_join_next() {
+                endings.extend(joined.expect("no caller panics"));
+            }
+        }
+        let ran = rig.ran();
+        for seen in &endings {
+            assert!(!matches!(seen.end, End::Torn | End::Stuck), "{seen:?}");
+            let it_ran = ran.contains(&seen.request);
+            if seen.is_refused("not_run") {
+                not_run += 1;
+                assert!(!it_ran, "seed {seed}: told not_run, yet it ran: {seen:?}");
+            }
+            unknown_ran += u32::from(seen.is_refused("unknown") && it_ran);
+        }
+        println!("seed {seed}: {} requests, {} ran", endings.len(), ran.len());
+    }
+    println!("{not_run} not run, {unknown_ran} unknown that ran");
+    assert!(not_run > 0, "no refusal, so nothing was shown");
+    // Taking every refusal for "not run" would be caught here.
+    assert!(
+        unknown_ran > 0,
+        "no refused request ran, so nothing was shown"
+    );
+}
--- /dev/null
+++ b/crates/rattan/tests/whole_answers.rs
@@ -0,0 +1,171 @@
+//! Each caller gets the whole answer to its own request, or an error that says so.
+//!
+//! Answers are a function of request id and prompt, so every caller can tell a whole answer of its
+//! own from a short, crossed or mixed one.
+
+mod support;
+
+#[path = "support/caller.rs"]
+mod caller;
+
+use {
+    caller::{End, Seen, send},
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    serde_json::json,
+    standin::{
+        Server, answer_text,
+        relay::{Relay, RelaySettings},
+    },
+    std::{net::SocketAddr, time::Duration},
+    support::{
+        objects::{self, CALLER_KEY, DIGEST, MODEL},
+        world::{World, WorldSettings},
+    },
+    tokio::{task::JoinSet, time::sleep},
+};
+
+const CALLERS: u64 = 16;
+const REQUESTS: u64 = 20;
+const ANSWER_TOKENS: u64 = 12;
+
+/// One request with what its caller saw.
+#[derive(Clone, Debug)]
+struct Exchange {
+    prompt: String,
+    seen: Seen,
+}
+
+/// What is wrong with an exchange, if anything.
+fn fault(exchange: &Exchange) -> Option<&'static str> {
+    let seen = &exchange.seen;
+    let expected = answer_text(&seen.request, &exchange.prompt, ANSWER_TOKENS);
+    match seen.end {
+        End::Whole if seen.text == expected => None,
+        End::Whole => Some("an answer passed off as whole is short or another one's"),
+        End::Stuck => Some("the answer never ended"),
+        _ if expected.starts_with(&seen.text) => None,
+        _ => Some("a broken answer holds text of another one"),
+    }
+}
+
+async fn call(addresses: Vec<SocketAddr>, caller: u64, seed: u64) -> Vec<Exchange> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ ((caller + 1) << 32));
+    let mut exchanges = Vec::new();
+    for request in 0..REQUESTS {
+        let address = addresses[random.random_range(0..addresses.len())];
+        let prompt = format!("caller {caller} asks {request}");
+        let body = json!({
+            "model": MODEL,
+            "prompt": prompt,
+            "max_tokens": ANSWER_TOKENS,
+            "stream": random.random_bool(0.7),
+        });
+        let seen = send(address, CALLER_KEY, "/v1/completions", &body, None).await;
+        exchanges.push(Exchange { prompt, seen });
+        sleep(Duration::from_millis(random.random_range(0..10))).await;
+    }
+    exchanges
+}
+
+/// Two entries and two engines, the second one also through a relay.
+async fn started() -> (World, Server<Relay>) {
+    let settings = WorldSettings::new(env!("CARGO_BIN_EXE_rattand"));
+    let world = World::start(settings).await.expect("a world");
+    let relay = Relay::start(RelaySettings::to(world.engines[1].address)).await;
+    let relay = relay.expect("a free port");
+    let object = objects::engine("engine-relayed", relay.role().address);
+    world.apply(&[object]).await.expect("accepted");
+    (world, relay)
+}
+
+fn switch(world: &World, relay: &Server<Relay>, choice: u32, tokens: u64) {
+    let set = |engine: usize, switches| {
+        world.engines[engine]
+            .set_faults(&switches)
+            .expect("known switches");
+    };
+    let mode = |mode: &str| relay.set_faults(&json!({"mode": mode})).expect("a mode");
+    match choice {
+        0 => set(0, json!({"cut_after_tokens": tokens})),
+        1 => set(1, json!({"cut_after_tokens": tokens})),
+        2 => set(0, json!({"silent_after_tokens": tokens})),
+        3 => set(0, json!({"cross_answers": true})),
+        4 => set(1, json!({"cross_answers": true})),
+        5 => set(1, json!({"delay_ms": 60})),
+        6 => mode("cut"),
+        7 => mode("blackhole"),
+        _ => {
+            set(1, json!({"delay_ms": 0}));
+            mode("pass");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_are_whole_and_ones_own_or_end_in_an_error() {
+    let seed = 1;
+    let (mut world, relay) = started().await;
+    let addresses: Vec<SocketAddr> = world.entries.iter().map(|entry| entry.address).collect();
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        callers.spawn(call(addresses.clone(), caller, seed));
+    }
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut exchanges = Vec::new();
+    let mut rounds = 0;
+    while !callers.is_empty() {
+        let tokens = random.random_range(0..ANSWER_TOKENS);
+        switch(&world, &relay, random.random_range(0..12), tokens);
+        sleep(Duration::from_millis(30)).await;
+        rounds += 1;
+        if rounds == 12 {
+            // The process dies with its streams; its callers are left to the other entry.
+            drop(world.entries.remove(0));
+        }
+        while let Some(joined) = callers.try_join_next() {
+            exchanges.extend(joined.expect("no caller panics"));
+        }
+    }
+    let count = |wanted: fn(&Seen) -> bool| {
+        let seen = exchanges.iter().map(|exchange| &exchange.seen);
+        seen.filter(|seen| wanted(seen)).count()
+    };
+    let whole = count(|seen| seen.end == End::Whole);
+    let part = count(|seen| seen.end != End::Whole && !seen.text.is_empty());
+    println!(
+        "{} requests, {whole} whole, {part} broken off",
+        exchanges.len()
+    );
+    for exchange in &exchanges {
+        assert_eq!(fault(exchange), None, "{exchange:?}");
+    }
+    assert!(
+        whole > 0 && part > 0,
+        "too little happened to show anything"
+    );
+}
+
+/// A caller that speaks to an engine directly is given another one's answer, and the check notices.
+#[tokio::test]
+async fn answers_passed_on_unchecked_are_caught() {
+    let (world, _relay) = started().await;
+    let engine = &world.engines[0];
+    engine
+        .set_faults(&json!({"cross_answers": true}))
+        .expect("a switch");
+    let ask = |request: &'static str| async move {
+        let body = json!({
+            "prompt": request, "request_id": request, "version": DIGEST,
+            "max_tokens": ANSWER_TOKENS, "stream": true,
+        });
+        let mut seen = send(engine.address, "", "/v1/completions", &body, None).await;
+        request.clone_into(&mut seen.request);
+        Exchange {
+            prompt: request.to_owned(),
+            seen,
+        }
+    };
+    let (first, second) = tokio::join!(ask("r1"), ask("r2"));
+    assert!(fault(&first).is_some() && fault(&second).is_some());
+}
