--- a/crates/cluster/src/error.rs
+++ b/crates/cluster/src/error.rs
@@ -82,14 +82,4 @@
         /// Cause.
         source: RpcError,
     },
-    /// The answer could not be decoded.
-    #[snafu(display(
-        "answer of peer {peer} is not usable: {source}; run the same release on both"
-    ))]
-    Answer {
-        /// Peer address.
-        peer: SocketAddr,
-        /// Cause.
-        source: serde_json::Error,
-    },
 }
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -5,14 +5,14 @@
         CatalogCopy, DirectoryAnswer, DirectoryUpdate, Heartbeat, HeartbeatAck, PeerError,
         PeerKeys, Traffic,
         connection::Connection,
-        error::{AnswerSnafu, CallSnafu, CircuitOpenSnafu, TimeoutSnafu},
+        error::{CallSnafu, CircuitOpenSnafu, TimeoutSnafu},
         service::PeerServiceClient,
         slot::Slot,
     },
     catalog::{ClientAccountId, RequestId, Revision},
     decision::{Record, RecordPart},
     prefix::BlockKey,
-    snafu::{IntoError, ResultExt},
+    snafu::IntoError,
     std::{
         collections::HashMap,
         future::Future,
@@ -124,9 +124,8 @@
     /// # Errors
     /// [`PeerError`]; put the parts back and send them to another peer.
     pub async fn replicate(&self, peer: SocketAddr, parts: &[RecordPart]) -> Result<(), PeerError> {
-        let parts = serde_json::to_vec(parts).context(AnswerSnafu { peer })?;
         self.checked_call(peer, DATA_TIMEOUT, |client, context| {
-            let parts = parts.clone();
+            let parts = parts.to_vec();
             async move { client.replicate(context, parts).await }
         })
         .await
@@ -141,15 +140,11 @@
         peer: SocketAddr,
         request: &RequestId,
     ) -> Result<Option<Record>, PeerError> {
-        let record = self
-            .checked_call(peer, DATA_TIMEOUT, |client, context| {
-                let request = request.clone();
-                async move { client.decision(context, request).await }
-            })
-            .await?;
-        record
-            .map(|record| serde_json::from_slice(&record).context(AnswerSnafu { peer }))
-            .transpose()
+        self.checked_call(peer, DATA_TIMEOUT, |client, context| {
+            let request = request.clone();
+            async move { client.decision(context, request).await }
+        })
+        .await
     }
 
     /// Asks for the configuration, if the peer has a higher revision than `after` in force.
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -3,13 +3,11 @@
 use {
     crate::{
         CatalogCopy, DirectoryAnswer, DirectoryUpdate, Heartbeat, HeartbeatAck, PeerHandler,
-        PeerKeys, Traffic,
-        connection::transport,
-        handshake,
-        service::{Json, PeerService},
+        PeerKeys, Traffic, connection::transport, handshake, service::PeerService,
         traffic::counted,
     },
     catalog::{ClientAccountId, RequestId, Revision},
+    decision::{Record, RecordPart},
     futures::StreamExt,
     prefix::BlockKey,
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -153,16 +151,12 @@
         self.handler.record(updates).await;
     }
 
-    async fn replicate(self, _: Context, parts: Json) {
-        match serde_json::from_slice(&parts) {
-            Ok(parts) => self.handler.replicate(parts).await,
-            Err(error) => log::warn!("decision records of a peer dropped: {error}"),
-        }
+    async fn replicate(self, _: Context, parts: Vec<RecordPart>) {
+        self.handler.replicate(parts).await;
     }
 
-    async fn decision(self, _: Context, request: RequestId) -> Option<Json> {
-        let record = self.handler.decision(request).await?;
-        serde_json::to_vec(&record).ok()
+    async fn decision(self, _: Context, request: RequestId) -> Option<Record> {
+        self.handler.decision(request).await
     }
 
     async fn catalog(self, _: Context, after: Revision) -> Option<CatalogCopy> {
--- a/crates/cluster/src/service.rs
+++ b/crates/cluster/src/service.rs
@@ -6,13 +6,11 @@
 use {
     crate::{DirectoryAnswer, DirectoryUpdate, Heartbeat, HeartbeatAck},
     catalog::{ClientAccountId, RequestId, Revision},
+    decision::{Record, RecordPart},
     prefix::BlockKey,
     serde::{Deserialize, Serialize},
 };
 
-/// A JSON text. Decision records are tagged enumerations, which the binary codec cannot read back.
-pub(crate) type Json = Vec<u8>;
-
 /// The whole configuration as one instance has it in force.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CatalogCopy {
@@ -28,7 +26,7 @@
     async fn heartbeat(heartbeat: Heartbeat) -> HeartbeatAck;
     async fn lookup(client_account: ClientAccountId, keys: Vec<BlockKey>) -> DirectoryAnswer;
     async fn record(updates: Vec<DirectoryUpdate>);
-    async fn replicate(parts: Json);
-    async fn decision(request: RequestId) -> Option<Json>;
+    async fn replicate(parts: Vec<RecordPart>);
+    async fn decision(request: RequestId) -> Option<Record>;
     async fn catalog(after: Revision) -> Option<CatalogCopy>;
 }
--- a/crates/decision/src/record.rs
+++ b/crates/decision/src/record.rs
@@ -21,7 +21,7 @@
 
 /// One thing that was decided or observed for a request.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(tag = "step", rename_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 pub enum Step {
     /// The request was refused before any target was chosen.
     Refused {
--- a/crates/decision/src/ring.rs
+++ b/crates/decision/src/ring.rs
@@ -253,7 +253,9 @@
                 + choice.rejected.len().saturating_sub(candidates_count);
             if cut > 0 {
                 choice.others.truncate(candidates_count);
+                choice.others.shrink_to_fit();
                 choice.rejected.truncate(candidates_count);
+                choice.rejected.shrink_to_fit();
                 missing.push(format!("the record does not keep {cut} further candidates"));
             }
         }
@@ -263,6 +265,7 @@
             let cut = rejected.len().saturating_sub(candidates_count);
             if cut > 0 {
                 rejected.truncate(candidates_count);
+                rejected.shrink_to_fit();
                 // Writing to a String cannot fail.
                 let _ = write!(reason, " ({cut} further candidates were left out too)");
             }
--- /dev/null
+++ b/crates/rattan/examples/slopes/entries.rs
@@ -0,0 +1,53 @@
+//! What callers' look-ups of addresses cost.
+
+use {
+    crate::{
+        daemon::settings,
+        series::Series,
+        support::{http::Connection, objects::CALLER_KEY, world::World},
+        usage::cpu_s,
+    },
+    hyper::Method,
+    serde_json::Value,
+    std::{io, time::Instant},
+};
+
+/// Processor time by look-ups, over one connection.
+pub async fn measure() -> io::Result<Vec<Series>> {
+    let mut cpu = Series::new("address look-ups: cpu us", "look-ups");
+    let mut bytes = Series::new("address look-ups: bytes of the answer", "entry daemons");
+    for entries_count in [2, 4, 8] {
+        let mut settings = settings()?;
+        settings.entries_count = entries_count;
+        let world = World::start(settings).await?;
+        let mut caller = Connection::open(world.entries[0].address, CALLER_KEY).await?;
+        let (_, answer) = caller
+            .call(Method::GET, "/v1/entries", &Value::Null)
+            .await?;
+        bytes.add(entries_count, answer.len() as f64);
+        if entries_count == 8 {
+            for lookups_count in [500, 1_000, 2_000, 4_000] {
+                cpu.add(
+                    lookups_count,
+                    spent_us(&world, &mut caller, lookups_count).await?,
+                );
+            }
+        }
+    }
+    Ok(vec![cpu, bytes])
+}
+
+/// Processor time of the daemon for this many look-ups, less what it spends anyway.
+async fn spent_us(world: &World, caller: &mut Connection, count: usize) -> io::Result<f64> {
+    let pid = world.entries[0].id();
+    let before = cpu_s(pid)?;
+    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    let idle = cpu_s(pid)? - before;
+    let (before, started) = (cpu_s(pid)?, Instant::now());
+    for _ in 0..count {
+        caller
+            .call(Method::GET, "/v1/entries", &Value::Null)
+            .await?;
+    }
+    Ok((cpu_s(pid)? - before - idle * started.elapsed().as_secs_f64()) * 1e6)
+}
--- /dev/null
+++ b/crates/rattan/examples/slopes/heartbeats.rs
@@ -0,0 +1,160 @@
+//! What heartbeats cost, over sockets.
+
+use {
+    crate::{
+        probe::in_child,
+        series::Series,
+        usage::{cpu_s, resident_bytes},
+    },
+    catalog::{ClientAccountId, RequestId, Revision},
+    cluster::{
+        CatalogCopy, Cluster, DirectoryAnswer, DirectoryUpdate, Heartbeat, HeartbeatAck, HeldBlock,
+        Holder, Member, MemberState, PeerHandler, PeerKeys, Peers, Traffic, serve,
+    },
+    decision::{Record, RecordPart},
+    prefix::BlockKey,
+    std::{io, sync::Arc, time::Duration},
+    tokio::net::TcpListener,
+    tokio_util::sync::CancellationToken,
+};
+
+const PEER_KEY: &str = "slopes-peer-key-slopes-peer-key";
+/// Time for connections to be opened before the measurement.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Length of the measurement.
+const MEASURED: Duration = Duration::from_secs(10);
+
+/// One instance in this process.
+#[derive(Clone)]
+pub struct Node {
+    pub cluster: Arc<Cluster>,
+}
+
+impl Node {
+    /// Starts answering peers on a free port.
+    pub async fn start(index: usize, token: &CancellationToken) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let peer_address = listener.local_addr()?;
+        let own = Member {
+            instance: format!("entry-{index:03}"),
+            address: peer_address,
+            peer_address,
+            region: "region-0".to_owned(),
+            failure_domain: format!("fd-{}", index % 15),
+            state: MemberState::Live,
+            incarnation: 1_764_800_000_000,
+        };
+        let keys: PeerKeys = PEER_KEY.parse().map_err(io::Error::other)?;
+        let traffic = Arc::<Traffic>::default();
+        let peers = Peers::new(keys.clone(), traffic.clone());
+        let node = Self {
+            cluster: Arc::new(Cluster::new(own, peers)),
+        };
+        tokio::spawn(serve(listener, keys, node.clone(), traffic, token.clone()));
+        Ok(node)
+    }
+
+    fn traffic(&self) -> &Traffic {
+        self.cluster.peers().traffic()
+    }
+}
+
+impl PeerHandler for Node {
+    async fn heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatAck {
+        self.cluster.receive(&heartbeat)
+    }
+
+    async fn lookup(&self, _: ClientAccountId, keys: Vec<BlockKey>) -> DirectoryAnswer {
+        let block = HeldBlock {
+            generation: 1_764_800_000,
+            size_bytes: 32_000,
+            confidence: 1.0,
+        };
+        let holder = |target: &str| Holder {
+            target: target.to_owned(),
+            is_store: true,
+            blocks: vec![block; keys.len()],
+        };
+        DirectoryAnswer {
+            holders: vec![holder("store-0001"), holder("engine-0001")],
+            seen_blocks_count: keys.len(),
+            is_complete: true,
+        }
+    }
+
+    async fn record(&self, _: Vec<DirectoryUpdate>) {}
+
+    async fn replicate(&self, _: Vec<RecordPart>) {}
+
+    async fn decision(&self, _: RequestId) -> Option<Record> {
+        None
+    }
+
+    async fn catalog(&self, _: Revision) -> Option<CatalogCopy> {
+        None
+    }
+}
+
+/// Bytes, processor time and memory of one instance for its heartbeats.
+pub fn measure() -> io::Result<Vec<Series>> {
+    let size = "instances";
+    let mut bytes = Series::new("heartbeats: bytes/s a node, both ways", size);
+    let mut cpu = Series::new("heartbeats: cpu us/s a node", size);
+    let mut connections = Series::new("heartbeats: connections a node, both ways", size);
+    let mut memory = Series::new("heartbeats: resident bytes a connection's end", size);
+    for count in [8, 16, 32, 64] {
+        let [node_bytes, node_cpu_us, ends_count, end_bytes] = in_child("heartbeats", count)?;
+        bytes.add(count, node_bytes);
+        cpu.add(count, node_cpu_us);
+        connections.add(count, ends_count);
+        memory.add(count, end_bytes);
+    }
+    Ok(vec![bytes, cpu, connections, memory])
+}
+
+/// Runs `count` instances in this process and prints four numbers: bytes a second and processor
+/// microseconds a second of a node, connection ends of a node, resident bytes of one end.
+pub async fn probe(count: &str) -> io::Result<()> {
+    let count: usize = count.parse().map_err(io::Error::other)?;
+    let token = CancellationToken::new();
+    let mut nodes = Vec::new();
+    for index in 0..count {
+        nodes.push(Node::start(index, &token).await?);
+    }
+    let listed: Vec<Member> = nodes.iter().map(|node| node.cluster.own()).collect();
+    let resident_before = own_resident_bytes()?;
+    for node in &nodes {
+        node.cluster.list(&listed);
+        let (cluster, token) = (node.cluster.clone(), token.clone());
+        tokio::spawn(async move { cluster.run(token).await });
+    }
+    tokio::time::sleep(SETTLE).await;
+    let (bytes_before, cpu_before) = (total_bytes(&nodes), cpu_s(std::process::id())?);
+    tokio::time::sleep(MEASURED).await;
+    let per_node_s = MEASURED.as_secs_f64() * count as f64;
+    let node_bytes = (total_bytes(&nodes) - bytes_before) as f64 / per_node_s;
+    let node_cpu_us = (cpu_s(std::process::id())? - cpu_before) * 1e6 / per_node_s;
+    let ends: u64 = nodes
+        .iter()
+        .map(|node| node.traffic().connections_count())
+        .sum();
+    let end_bytes = (own_resident_bytes()? - resident_before) / ends as f64;
+    println!(
+        "{node_bytes} {node_cpu_us} {} {end_bytes}",
+        ends as f64 / count as f64
+    );
+    Ok(())
+}
+
+/// Bytes sent and received by all nodes. What one sends another receives, so a node's share of
+/// this sum is its own traffic both ways.
+fn total_bytes(nodes: &[Node]) -> u64 {
+    nodes
+        .iter()
+        .map(|node| node.traffic().sent_bytes() + node.traffic().received_bytes())
+        .sum()
+}
+
+fn own_resident_bytes() -> io::Result<f64> {
+    resident_bytes(std::process::id())
+}
--- /dev/null
+++ b/crates/rattan/examples/slopes/objects.rs
@@ -0,0 +1,55 @@
+//! What configured objects cost in an entry daemon's memory.
+
+use {
+    crate::{
+        daemon::settings,
+        series::Series,
+        support::{objects, world::World},
+        usage::resident_bytes,
+    },
+    serde_json::Value,
+    std::{io, net::SocketAddr, time::Duration},
+};
+
+/// Time until the objects are in force.
+const SETTLE: Duration = Duration::from_secs(1);
+/// Objects in one call.
+const BATCH_COUNT: usize = 100;
+
+/// Client accounts, and targets that are not polled.
+pub async fn measure() -> io::Result<Vec<Series>> {
+    let accounts = Series::new(
+        "configuration: resident bytes of the daemon",
+        "client accounts",
+    );
+    let targets = Series::new("configuration: resident bytes of the daemon", "targets");
+    let account =
+        |index: usize| objects::account(&format!("account-{index:04}"), &format!("key-{index}"));
+    let target = |index: usize| {
+        let port = u16::try_from(index).unwrap_or(u16::MAX);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        objects::service(&format!("extra-{index:04}"), address)
+    };
+    Ok(vec![
+        grow(accounts, &[100, 250, 510], account).await?,
+        grow(targets, &[500, 1_250, 2_500], target).await?,
+    ])
+}
+
+async fn grow<Make>(mut row: Series, sizes: &[usize], make: Make) -> io::Result<Series>
+where
+    Make: Fn(usize) -> Value,
+{
+    for size in sizes {
+        let mut settings = settings()?;
+        settings.entries_count = 1;
+        let world = World::start(settings).await?;
+        let objects: Vec<Value> = (0..*size).map(&make).collect();
+        for batch in objects.chunks(BATCH_COUNT) {
+            world.apply(batch).await?;
+        }
+        tokio::time::sleep(SETTLE).await;
+        row.add(*size, resident_bytes(world.entries[0].id())?);
+    }
+    Ok(row)
+}
--- a/crates/rattan/tests/support/http.rs
+++ b/crates/rattan/tests/support/http.rs
@@ -21,6 +21,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     key: String,
+    /// Headers sent with every request from now on.
+    pub headers: Vec<(&'static str, String)>,
 }
 
 impl Connection {
@@ -35,6 +37,7 @@
         Ok(Self {
             sender,
             key: key.to_owned(),
+            headers: Vec::new(),
         })
     }
 
@@ -50,14 +53,16 @@
         } else {
             body.to_string().into()
         };
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(path)
             .header("host", "entry")
             .header("content-type", "application/json")
-            .header("authorization", format!("Bearer {}", self.key))
-            .body(Full::new(body))
-            .map_err(io::Error::other)?;
+            .header("authorization", format!("Bearer {}", self.key));
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
+        let request = request.body(Full::new(body)).map_err(io::Error::other)?;
         bounded(async {
             self.sender.ready().await.map_err(io::Error::other)?;
             self.sender
--- a/crates/rattan/tests/support/world.rs
+++ b/crates/rattan/tests/support/world.rs
@@ -13,6 +13,7 @@
         engine::{Engine, EngineSettings},
         instances::{Instances, InstancesSettings},
         kv::{Kv, KvSettings},
+        relay::{Relay, RelaySettings},
         service::{Service, ServiceSettings},
     },
     std::{
@@ -50,6 +51,9 @@
     pub engine: EngineSettings,
     /// Lag of the instance list.
     pub list_lag: Duration,
+    /// Whether the daemons reach the key-value service, the instance list and the engines through
+    /// relays, which count bytes and can go silent.
+    pub relayed: bool,
     /// Further flags of the daemons.
     pub flags: Vec<(&'static str, String)>,
 }
@@ -69,6 +73,7 @@
             engines_count: 2,
             engine,
             list_lag: Duration::ZERO,
+            relayed: false,
             flags: Vec::new(),
         }
     }
@@ -82,6 +87,9 @@
     pub engines: Vec<Server<Engine>>,
     pub service: Server<Service>,
     pub entries: Vec<EntryProcess>,
+    /// Relays in front of the key-value service, the instance list and each engine, in this order;
+    /// empty unless [`WorldSettings::relayed`].
+    pub relays: Vec<Server<Relay>>,
     started_count: usize,
 }
 
@@ -107,9 +115,11 @@
             service: Service::start(ServiceSettings::default()).await?,
             engines,
             entries: Vec::new(),
+            relays: Vec::new(),
             started_count: 0,
             settings,
         };
+        world.start_relays().await?;
         for _ in 0..world.settings.entries_count {
             world.add_entry().await?;
         }
@@ -122,14 +132,39 @@
         Ok(world)
     }
 
+    async fn start_relays(&mut self) -> io::Result<()> {
+        if !self.settings.relayed {
+            return Ok(());
+        }
+        let platform = [self.kv.address, self.instances.address];
+        let engines = self.engines.iter().map(|engine| engine.address);
+        for to in platform.into_iter().chain(engines) {
+            self.relays.push(Relay::start(RelaySettings::to(to)).await?);
+        }
+        Ok(())
+    }
+
+    /// Address under which the daemons know a stand-in; `index` is its relay's.
+    fn known_address(&self, index: usize, own: SocketAddr) -> SocketAddr {
+        self.relays
+            .get(index)
+            .map_or(own, |relay| relay.role().address)
+    }
+
     /// Starts one more entry under a new name and lists it.
     pub async fn add_entry(&mut self) -> io::Result<SocketAddr> {
         let name = format!("entry-{}", self.started_count);
         let failure_domain = format!("fd-{}", self.started_count % DOMAINS_COUNT);
         self.started_count += 1;
         let mut flags = vec![
-            ("kv-endpoints", self.kv.address.to_string()),
-            ("instance-list", self.instances.address.to_string()),
+            (
+                "kv-endpoints",
+                self.known_address(0, self.kv.address).to_string(),
+            ),
+            (
+                "instance-list",
+                self.known_address(1, self.instances.address).to_string(),
+            ),
             ("operator-key-digests", gateway::digest_of(OPERATOR_KEY)),
             ("peer-keys", PEER_KEY.to_owned()),
         ];
@@ -168,7 +203,8 @@
             objects::service("service-0", self.service.address),
         ];
         for (index, engine) in self.engines.iter().enumerate() {
-            objects.push(objects::engine(&format!("engine-{index}"), engine.address));
+            let address = self.known_address(index + 2, engine.address);
+            objects.push(objects::engine(&format!("engine-{index}"), address));
         }
         objects
     }
