gateway: tests of malformed, oversized, slow, half-closed and unknown callers; versions that are replaced serve during a roll-out

Cause: activating a version refused every request until an engine had loaded it (seen by hand: 12 of 12 refused over 8 s on two engines). Change: engines that still run a replaced version of the model serve under that version's own block keys, unless one with the active version answers about as soon. Orders are given under a lease of 15 s, and let go of at shutdown.

--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,128 @@
+//! A gateway over a backend that answers from memory, and raw connections to it.
+
+use {
+    catalog::{ClientAccountId, RequestId},
+    decision::Record,
+    gateway::{
+        Backend, Caller, CompletionJob, DrainSignal, Entries, Event, Gateway, GatewaySettings,
+        OperatorAnswer, OperatorCall, Refusal, ServiceJob, ServiceReply, Started, digest_of,
+    },
+    serde_json::json,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        sync::mpsc,
+        time::timeout,
+    },
+};
+
+/// Key of the client account `kitchens`.
+pub const KITCHENS_KEY: &str = "key-of-kitchens";
+/// Key of the client account `stones`.
+pub const STONES_KEY: &str = "key-of-stones";
+/// Longest wait of a test for an answer.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Answers every prompt with its own text and knows the decision `decided` of `kitchens`.
+#[derive(Clone)]
+pub struct Echo;
+
+impl Backend for Echo {
+    fn caller(&self, key_digest: &str) -> Option<Caller> {
+        let accounts = [(KITCHENS_KEY, "kitchens"), (STONES_KEY, "stones")];
+        accounts
+            .iter()
+            .find(|(key, _)| digest_of(key) == key_digest)
+            .map(|(_, account)| Caller::ClientAccount((*account).to_owned()))
+    }
+
+    async fn complete(&self, job: CompletionJob) -> Result<Started, Refusal> {
+        let (events, receiver) = mpsc::channel(2);
+        tokio::spawn(async move {
+            let _ = events.send(Event::Text(job.prompt)).await;
+            if job.model != "torn" {
+                let end = Event::End {
+                    finish_reason: "stop".to_owned(),
+                    prompt_tokens: 1,
+                    cached_tokens: 0,
+                    completion_tokens: 1,
+                };
+                let _ = events.send(end).await;
+            }
+        });
+        Started::first(receiver).await
+    }
+
+    async fn call_service(&self, job: ServiceJob) -> Result<ServiceReply, Refusal> {
+        Ok(ServiceReply {
+            status: 200,
+            body: job.body,
+            ..ServiceReply::default()
+        })
+    }
+
+    fn entries(&self, _account: &ClientAccountId) -> Entries {
+        Entries::default()
+    }
+
+    async fn decision(&self, request: &RequestId) -> Option<Record> {
+        (request == "decided").then(|| Record {
+            request: request.clone(),
+            client_account: "kitchens".to_owned(),
+            instance: "entry-1".to_owned(),
+            model_version: "granite-1".to_owned(),
+            revision: 1,
+            arrived: Duration::ZERO,
+            steps: Vec::new(),
+        })
+    }
+
+    async fn operate(&self, _call: OperatorCall) -> OperatorAnswer {
+        OperatorAnswer {
+            status: 200,
+            body: json!({}),
+        }
+    }
+}
+
+/// Starts a gateway; gives its address and the signal that stops it.
+pub async fn start(settings: GatewaySettings) -> (SocketAddr, DrainSignal) {
+    let gateway = Gateway::bind(settings, Echo).await.expect("a free port");
+    let address = gateway.address();
+    let signal = DrainSignal::default();
+    let stop = signal.clone();
+    tokio::spawn(async move { gateway.run(stop).await });
+    (address, signal)
+}
+
+/// Sends raw bytes and reads until the gateway closes the connection.
+pub async fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("gateway listens");
+    // The gateway may refuse and close before all of it is written.
+    let _ = stream.write_all(bytes).await;
+    read_to_end(&mut stream).await
+}
+
+/// Reads until the gateway closes the connection.
+pub async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    let mut part = [0; 4_096];
+    loop {
+        let read = timeout(PATIENCE, stream.read(&mut part)).await;
+        match read.expect("the gateway answers or closes") {
+            Ok(0) | Err(_) => break,
+            Ok(count) => answer.extend_from_slice(&part[..count]),
+        }
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// A request as text that asks the gateway to close the connection after its answer.
+pub fn request(method: &str, path: &str, key: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {key}\r\n\
+         content-length: {length}\r\nconnection: close\r\n\r\n{body}"
+    )
+}
--- a/crates/rattan/src/control/order_watch.rs
+++ b/crates/rattan/src/control/order_watch.rs
@@ -9,11 +9,17 @@
     std::{sync::Arc, time::Duration},
     target::{Client, EngineClient, SendError},
     tokio::time::sleep,
+    tokio_util::sync::CancellationToken,
 };
 
 /// Time between two passes.
 const PASS_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time to live of an instance's lease on engines.
+const LEASE_TTL: Duration = Duration::from_secs(15);
+/// Time before its expiry at which the holder stops, and after it that the next one waits.
+const LEASE_MARGIN: Duration = Duration::from_secs(4);
+
 /// Orders engines over HTTP.
 #[derive(Clone)]
 pub(crate) struct Engines {
@@ -33,18 +39,20 @@
 where
     Kv: KeyValue,
 {
-    /// Makes one pass after another.
-    pub(crate) async fn run(self) {
+    /// Makes one pass after another until `stop`, then lets go of all engines.
+    pub(crate) async fn run(self, stop: CancellationToken) {
         let engines = Engines {
             client: self.client.clone(),
         };
-        let holder = HolderSettings::new(self.cluster.own().instance);
+        let holder = HolderSettings::new(self.cluster.own().instance).ttl(LEASE_TTL, LEASE_MARGIN);
         let settings = OrdererSettings::new(holder);
         let mut orderer = Orderer::new(self.kv.clone(), engines, settings);
-        loop {
+        while !stop.is_cancelled() {
+            // A pass is never cut, so that what it has ordered is known.
             self.pass(&mut orderer).await;
-            sleep(PASS_INTERVAL).await;
+            stop.run_until_cancelled(sleep(PASS_INTERVAL)).await;
         }
+        orderer.resign().await;
     }
 
     async fn pass(&self, orderer: &mut Orderer<Kv, Engines>) {
--- a/crates/rattan/src/daemon.rs
+++ b/crates/rattan/src/daemon.rs
@@ -209,7 +209,13 @@
         }))
         .child(until_cancelled("updates", move || updates.clone().run()))
         .child(until_cancelled("targets", move || targets.clone().run()))
-        .child(until_cancelled("orders", move || orders.clone().run()))
+        .child(Child::new("orders", move |token| {
+            let orders = orders.clone();
+            async move {
+                orders.run(token).await;
+                Ok(())
+            }
+        }))
 }
 
 /// A child that runs until it is cancelled.
--- a/crates/serving/src/completion.rs
+++ b/crates/serving/src/completion.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        AttemptEnd, AttemptReport, Bounds, Found, PeerBlocks, Serving,
+        AttemptEnd, AttemptReport, Bounds, PeerBlocks, Serving,
         attempt::Attempt,
+        choose::Chosen,
         plan::{Plan, Scope, prompt_tokens},
     },
     catalog::TargetId,
@@ -99,10 +100,8 @@
     async fn drive(&self, mut scope: Scope, job: CompletionJob, events: &mpsc::Sender<Event>) {
         let mut tried = Tried::default();
         for _ in 0..self.settings().max_attempts_count {
-            let keys = scope.keys(&job.prompt);
-            let found = self.find(&job, &keys).await;
-            let plan = match self.plan(&scope, &job, &keys, &found, &tried.targets) {
-                Ok(plan) => plan,
+            let chosen = match self.choose(&scope, &job, &tried.targets).await {
+                Ok(chosen) => chosen,
                 Err(none) => {
                     let refusal = tried.refusal().unwrap_or_else(|| no_target(&none));
                     let refusal = self.refuse(&job, refusal, none.rejected);
@@ -113,13 +112,13 @@
             self.journal().step(
                 &job.request,
                 Step::Routed {
-                    choice: plan.choice.clone(),
-                    missing: found.missing,
+                    choice: chosen.plan.choice.clone(),
+                    missing: chosen.missing.clone(),
                 },
             );
-            match self.try_plan(&scope, &job, &plan, events).await {
+            match self.try_plan(&chosen, &job, events).await {
                 Next::Done => return,
-                Next::Retry(broken) => tried.add(plan.engine.name, broken),
+                Next::Retry(broken) => tried.add(chosen.plan.engine.name, broken),
             }
             let now = self.blocks().now();
             if !self.retries().try_retry(now) {
@@ -136,29 +135,19 @@
         let _ = events.send(Event::Failed(refusal)).await;
     }
 
-    async fn find(&self, job: &CompletionJob, keys: &[prefix::BlockKey]) -> Found {
-        let own = self.blocks().lookup(keys);
-        if keys.is_empty() || own.seen_blocks == keys.len() {
-            return own;
-        }
-        own.merge(self.peers().lookup(&job.client_account, keys).await)
-    }
-
     async fn try_plan(
         &self,
-        scope: &Scope,
+        chosen: &Chosen,
         job: &CompletionJob,
-        plan: &Plan,
         events: &mpsc::Sender<Event>,
     ) -> Next {
+        let Chosen { scope, plan, .. } = chosen;
         let started = Instant::now();
+        let view = self.fleet().view(&plan.engine.name);
+        let mut in_flight = view.as_ref().map(|view| view.begin(plan.computed_tokens));
         self.import(scope, plan, &job.request).await;
         let imported = started.elapsed();
         let engine = EngineClient::new(self.client().clone(), plan.engine.address);
-        let view = self.fleet().view(&plan.engine.name);
-        let mut in_flight = view
-            .as_ref()
-            .map(|view| view.begin(prompt_tokens(&job.prompt)));
         let completion = completion(scope, job, plan);
         let attempt = Attempt {
             engine: &engine,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 mod answered;
 mod attempt;
 mod blocks;
+mod choose;
 mod completion;
 mod gate;
 mod journal;
--- a/crates/serving/src/plan.rs
+++ b/crates/serving/src/plan.rs
@@ -70,6 +70,23 @@
         })
     }
 
+    /// The same for versions of the model that are being replaced, newest name first.
+    pub(crate) fn replaced_versions(&self) -> Vec<Self> {
+        let versions = self.catalog.model_versions.values().rev();
+        versions
+            .filter(|version| version.model == self.version.model && !version.active)
+            .filter_map(|version| {
+                let rule = self.catalog.rule_for(&self.account, version)?.clone();
+                Some(Self {
+                    catalog: self.catalog.clone(),
+                    account: self.account.clone(),
+                    version: version.clone(),
+                    rule,
+                })
+            })
+            .collect()
+    }
+
     /// Size of one block in bytes.
     pub(crate) fn block_bytes(&self) -> u64 {
         u64::from(self.version.piece_tokens) * u64::from(self.version.kv_bytes_per_token)
@@ -108,10 +125,19 @@
     pub(crate) choice: Choice,
     pub(crate) keys: Vec<BlockKey>,
     pub(crate) seen_blocks: usize,
+    /// Prompt tokens that the engine is expected to compute.
+    pub(crate) computed_tokens: u64,
     /// Blocks to import first.
     pub(crate) import: Option<Import>,
 }
 
+impl Plan {
+    /// Expected time to first token.
+    pub(crate) fn first_token(&self) -> Duration {
+        self.choice.chosen.first_token
+    }
+}
+
 /// Blocks to import from one store.
 #[derive(Clone, Debug)]
 pub(crate) struct Import {
@@ -163,15 +189,29 @@
         let chosen = known
             .iter()
             .find(|known| known.candidate.target.name == choice.chosen.target);
-        let (engine, store) = chosen.map_or_else(
+        let (engine, store, memory_blocks) = chosen.map_or_else(
             || unreachable!("routing chooses among the candidates"),
-            |known| (known.candidate.target.clone(), known.store),
+            |known| {
+                let candidate = &known.candidate;
+                (
+                    candidate.target.clone(),
+                    known.store,
+                    candidate.memory_blocks,
+                )
+            },
         );
         let import = store
             .filter(|_| choice.chosen.import_blocks > 0)
             .map(|store| Import::new(store, keys, &choice.chosen));
+        let estimate = &choice.chosen;
+        let had_blocks = match estimate.import_blocks {
+            0 => memory_blocks,
+            blocks => estimate.import_from_block + blocks,
+        };
+        let had_tokens = had_blocks as u64 * routed.block_tokens;
         Ok(Plan {
             engine,
+            computed_tokens: routed.prompt_tokens.saturating_sub(had_tokens),
             choice,
             keys: keys.to_vec(),
             seen_blocks: found.seen_blocks,
