--- a/crates/rattan/tests/not_run.rs
+++ b/crates/rattan/tests/not_run.rs
@@ -111,17 +111,15 @@
         ids
     }
 
-    /// Switches one fault on, or all off.
-    fn fault(&self, choice: u32) {
+    /// Switches one fault on, at one target or both, or all off.
+    fn fault(&self, choice: u32, both: bool) {
         let engines = &self.world.engines;
         let services = [&self.service, &self.world.service];
-        let set = |engine: usize, switches: &Value| {
-            engines[engine]
-                .set_faults(switches)
-                .expect("known switches");
+        let engine = |index: usize, switches: &Value| {
+            engines[index].set_faults(switches).expect("known switches");
         };
-        let serve = |service: usize, switches: &Value| {
-            services[service]
+        let service = |index: usize, switches: &Value| {
+            services[index]
                 .set_faults(switches)
                 .expect("known switches");
         };
@@ -130,27 +128,29 @@
                 relay.set_faults(&json!({"mode": mode})).expect("a mode");
             }
         };
+        // One of the two targets, or both.
+        let (left, right) = (usize::from(!both), 1);
         match choice {
-            0 => set(0, &json!({"leaving": true})),
-            1 => set(0, &json!({"cut_after_tokens": 0})),
-            2 => set(1, &json!({"silent_after_tokens": 0})),
-            3 => set(1, &json!({"cut_after_tokens": 2})),
-            4 => set(1, &json!({"down": true})),
-            5 => set(0, &json!({"hang": true})),
-            6 => set(0, &json!({"delay_ms": 40})),
+            0 => (left..=right).for_each(|index| engine(index, &json!({"leaving": true}))),
+            1 => engine(0, &json!({"cut_after_tokens": 0})),
+            2 => engine(1, &json!({"silent_after_tokens": 0})),
+            3 => engine(1, &json!({"cut_after_tokens": 2})),
+            4 => (left..=right).for_each(|index| engine(index, &json!({"down": true}))),
+            5 => engine(0, &json!({"hang": true})),
+            6 => engine(0, &json!({"delay_ms": 40})),
             7 => relays("cut"),
             8 => relays("blackhole"),
-            9 => serve(0, &json!({"refuse": 2, "cut_after_run": 1})),
-            10 => serve(1, &json!({"cut_before_run": 2, "cut_after_run": 2})),
-            11 => serve(0, &json!({"down": true})),
-            12 => serve(1, &json!({"hang": true})),
+            9 => service(0, &json!({"refuse": 2, "cut_after_run": 1})),
+            10 => service(1, &json!({"cut_before_run": 2, "cut_after_run": 2})),
+            11 => (left..=right).for_each(|index| service(index, &json!({"refuse": 4}))),
+            12 => service(1, &json!({"hang": true})),
             _ => {
                 let calm = json!({"down": false, "hang": false, "delay_ms": 0});
-                for target in 0..2 {
-                    set(target, &calm);
-                    serve(target, &calm);
+                for index in 0..2 {
+                    engine(index, &calm);
+                    engine(index, &json!({"leaving": false}));
+                    service(index, &calm);
                 }
-                set(0, &json!({"leaving": false}));
                 relays("pass");
             }
         }
@@ -160,7 +160,7 @@
 /// One caller's requests: completions, repeatable calls and calls that may run once.
 async fn call(address: SocketAddr, caller: u64, seed: u64) -> Vec<Seen> {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ ((caller + 1) << 32));
-    let mut seen = Vec::new();
+    let mut endings = Vec::new();
     for request in 0..REQUESTS {
         let key = format!("key-{caller}-{request}");
         let path = match random.random_range(0..4) {
@@ -168,14 +168,14 @@
             1 => format!("/v1/services/{SERVICE}/book"),
             _ => String::new(),
         };
-        seen.push(if path.is_empty() {
+        endings.push(if path.is_empty() {
             complete(address, "which fault code").await
         } else {
             send(address, CALLER_KEY, &path, &json!({}), Some(&key)).await
         });
         sleep(Duration::from_millis(random.random_range(0..20))).await;
     }
-    seen
+    endings
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -191,7 +191,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut endings = Vec::new();
         while !callers.is_empty() {
-            rig.fault(random.random_range(0..20));
+            rig.fault(random.random_range(0..18), random.random_bool(0.6));
             sleep(Duration::from_millis(40)).await;
             while let Some(joined) = callers.try_join_next() {
                 endings.extend(joined.expect("no caller panics"));
--- a/crates/rattan/tests/support/caller.rs
+++ b/crates/rattan/tests/support/caller.rs
@@ -1,4 +1,7 @@
 //! A caller that notes exactly what it saw of an answer.
+//!
+//! Each test file uses its own part of this, hence the `allow`.
+#![allow(dead_code)]
 
 use {
     bytes::Bytes,
--- a/crates/rattan/tests/whole_answers.rs
+++ b/crates/rattan/tests/whole_answers.rs
@@ -61,8 +61,11 @@
             "max_tokens": ANSWER_TOKENS,
             "stream": random.random_bool(0.7),
         });
-        let seen = send(address, CALLER_KEY, "/v1/completions", &body, None).await;
-        exchanges.push(Exchange { prompt, seen });
+        let answer = send(address, CALLER_KEY, "/v1/completions", &body, None).await;
+        exchanges.push(Exchange {
+            prompt,
+            seen: answer,
+        });
         sleep(Duration::from_millis(random.random_range(0..10))).await;
     }
     exchanges
@@ -128,8 +131,8 @@
         }
     }
     let count = |wanted: fn(&Seen) -> bool| {
-        let seen = exchanges.iter().map(|exchange| &exchange.seen);
-        seen.filter(|seen| wanted(seen)).count()
+        let answers = exchanges.iter().map(|exchange| &exchange.seen);
+        answers.filter(|seen| wanted(seen)).count()
     };
     let whole = count(|seen| seen.end == End::Whole);
     let part = count(|seen| seen.end != End::Whole && !seen.text.is_empty());
