Proofs: blocks moved by daemons, versions apart; an engine that lies is left out

Cause: the block states were proved at the directory and the store, not with daemons, and nothing showed that versions stay apart. An engine that takes its old weights for the new version was found to draw all traffic: it alone reported the version at first, each answer of it was discarded for its fingerprint, and it was asked again each time.

Ruled out: believing load reports less in general. They are right but for this case, and the fingerprint of one answer settles it.

Change: an answer of another version is an error of its own (SendError::OtherVersion); the engine counts as not having the version asked for during 30 s, whatever it reports. Tests: version_swap swaps the active version under traffic with cache events 300 ms late and a lying engine; block_moves has prompts of two accounts return through two entries while stores die in a write, restart empty, fill, slow down and corrupt.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -3,7 +3,7 @@
 use {
     crate::LinkRate,
     arc_swap::ArcSwapOption,
-    catalog::{Target, TargetId},
+    catalog::{Target, TargetId, VersionDigest},
     routing::EngineLoad,
     std::{
         net::SocketAddr,
@@ -21,6 +21,10 @@
 /// How long a target is left out after a connection to it failed, unless it reports sooner.
 const BLAME: Duration = Duration::from_secs(1);
 
+/// How long an engine that answered with another version than it reports is not asked for that
+/// version.
+const DISPROVED: Duration = Duration::from_secs(30);
+
 #[derive(Debug)]
 struct Received {
     report: LoadReport,
@@ -37,6 +41,7 @@
     listed_leaving: AtomicBool,
     refused_leaving: AtomicBool,
     blamed: Mutex<Option<Instant>>,
+    disproved: ArcSwapOption<(VersionDigest, Instant)>,
     in_flight_count: AtomicU32,
     prefill_tokens: AtomicU64,
     link_queued_bytes: AtomicU64,
@@ -55,6 +60,7 @@
             listed_leaving: AtomicBool::new(false),
             refused_leaving: AtomicBool::new(false),
             blamed: Mutex::new(None),
+            disproved: ArcSwapOption::empty(),
             in_flight_count: AtomicU32::new(0),
             prefill_tokens: AtomicU64::new(0),
             link_queued_bytes: AtomicU64::new(0),
@@ -146,14 +152,26 @@
         received.as_ref().map(|received| received.report.clone())
     }
 
-    /// Whether the engine has the version of this digest loaded.
+    /// Notes that the engine was asked for a version and answered with another one, whatever it
+    /// reports.
+    pub fn disprove_version(&self, digest: &VersionDigest, now: Instant) {
+        self.disproved.store(Some(Arc::new((digest.clone(), now))));
+    }
+
+    /// Whether the engine has the version of this digest loaded: it reports so, and did not answer
+    /// with another one in the last 30 seconds.
     #[must_use]
-    pub fn has_version(&self, digest: &str) -> bool {
+    pub fn has_version(&self, digest: &str, now: Instant) -> bool {
+        let disproved = self.disproved.load();
+        let is_disproved = disproved.as_ref().is_some_and(|disproved| {
+            disproved.0 == digest && now.saturating_duration_since(disproved.1) < DISPROVED
+        });
         let received = self.report.load();
-        received.as_ref().is_some_and(|received| {
+        let reports = received.as_ref().is_some_and(|received| {
             let report = &received.report;
             report.version == digest || report.versions.iter().any(|loaded| loaded == digest)
-        })
+        });
+        reports && !is_disproved
     }
 
     /// The engine's load as last reported, with this instance's own requests in flight.
--- /dev/null
+++ b/crates/rattan/tests/block_moves.rs
@@ -0,0 +1,241 @@
+//! No daemon has an engine read a freed or partly written block.
+//!
+//! Prompts of two client accounts return after they were evicted from small engine memories, so
+//! blocks move to and from two stores, which die in a write, restart empty, fill, slow down and
+//! corrupt, while exports are cut and cache events come late or not at all. Engines check every
+//! imported byte.
+
+mod support;
+
+use {
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    serde_json::json,
+    standin::{
+        Server, answer_text,
+        engine::EngineSettings,
+        store::{Store, StoreLedger, StoreSettings},
+    },
+    std::{net::SocketAddr, time::Duration},
+    support::{
+        caller::{End, Seen, send},
+        objects::{self, CALLER_KEY, MODEL},
+        world::{World, WorldSettings},
+    },
+    tokio::{task::JoinSet, time::sleep},
+};
+
+const CALLERS: u64 = 8;
+const REQUESTS: u64 = 25;
+const PROMPTS: u64 = 8;
+const ANSWER_TOKENS: u64 = 3;
+const PIECE_BYTES: usize = 8_000;
+const BLOCK_BYTES: u64 = 32_000;
+/// Blocks that one store has room for.
+const STORE_BLOCKS: u64 = 40;
+const OTHER_KEY: &str = "caller-key-of-the-other-account";
+
+struct Rig {
+    world: World,
+    stores: Vec<Server<Store>>,
+    /// Ledgers of stores that were restarted.
+    ended: Vec<StoreLedger>,
+    unsafe_reads: bool,
+}
+
+fn store_settings(unsafe_reads: bool) -> StoreSettings {
+    StoreSettings {
+        unsafe_reads,
+        memory_bytes: STORE_BLOCKS * BLOCK_BYTES / 2,
+        disk_bytes: STORE_BLOCKS * BLOCK_BYTES / 2,
+        link_bytes_per_s: 20_000_000,
+        ..StoreSettings::default()
+    }
+}
+
+impl Rig {
+    async fn start(unsafe_reads: bool) -> Self {
+        let mut settings = WorldSettings::new(env!("CARGO_BIN_EXE_rattand"));
+        settings.flags = vec![("load-interval-ms", "50".to_owned())];
+        settings.engine = EngineSettings {
+            memory_tokens: 8_000,
+            prefill_tokens_per_s: 50_000,
+            token_time: Duration::from_millis(1),
+            ..settings.engine
+        };
+        let mut stores = Vec::new();
+        for _ in 0..2 {
+            stores.push(
+                Store::start(store_settings(unsafe_reads))
+                    .await
+                    .expect("a port"),
+            );
+        }
+        let rig = Self {
+            world: World::start(settings).await.expect("a world"),
+            stores,
+            ended: Vec::new(),
+            unsafe_reads,
+        };
+        let capacity_bytes = STORE_BLOCKS * BLOCK_BYTES;
+        let mut objects = vec![objects::account("frio-austral", OTHER_KEY)];
+        for (index, store) in rig.stores.iter().enumerate() {
+            let name = format!("store-{index}");
+            objects.push(objects::store(&name, store.address, capacity_bytes));
+        }
+        rig.world.apply(&objects).await.expect("accepted");
+        rig
+    }
+
+    async fn fault(&mut self, choice: u32, target: usize) {
+        let store = |switches| self.stores[target].set_faults(&switches).expect("switches");
+        let engine = |switches| {
+            let engine = &self.world.engines[target];
+            engine.set_faults(&switches).expect("switches");
+        };
+        match choice {
+            0 => store(json!({"die_mid_write": true})),
+            1 => store(json!({"full": true})),
+            2 => store(json!({"corrupt": true})),
+            3 => store(json!({"link_bytes_per_s": 1_000_000})),
+            4 => engine(json!({"export_cut_blocks": 1})),
+            5 => engine(json!({"events_delay_ms": 400, "drop_events": 3})),
+            6 => engine(json!({"evict": true})),
+            7 | 8 => self.restart(target).await,
+            _ => {
+                store(json!({"full": false, "link_bytes_per_s": 20_000_000}));
+                engine(json!({"events_delay_ms": 0}));
+            }
+        }
+    }
+
+    /// Replaces a store by an empty one at the same address.
+    async fn restart(&mut self, index: usize) {
+        let old = self.stores.remove(index);
+        let settings = StoreSettings {
+            listen: old.address,
+            ..store_settings(self.unsafe_reads)
+        };
+        self.ended.push(old.role().ledger());
+        old.stop().await;
+        let new = Store::start(settings).await.expect("the address is free");
+        self.stores.insert(index, new);
+    }
+
+    fn ledgers(&self) -> Vec<StoreLedger> {
+        let now = self.stores.iter().map(|store| store.role().ledger());
+        self.ended.iter().cloned().chain(now).collect()
+    }
+}
+
+fn prompt(index: u64) -> String {
+    format!("{index:08}").repeat(3 * PIECE_BYTES / 8)
+}
+
+async fn call(addresses: Vec<SocketAddr>, caller: u64, number: u64) -> Vec<(String, Seen)> {
+    let mut random = ChaCha8Rng::seed_from_u64(number ^ ((caller + 1) << 32));
+    let key = [CALLER_KEY, OTHER_KEY][usize::from(caller % 2 == 1)];
+    let mut answers = Vec::new();
+    for _ in 0..REQUESTS {
+        let address = addresses[random.random_range(0..addresses.len())];
+        let prompt = prompt(random.random_range(0..PROMPTS));
+        let body = json!({"model": MODEL, "prompt": prompt, "max_tokens": ANSWER_TOKENS});
+        let seen = send(address, key, "/v1/completions", &body, None).await;
+        answers.push((prompt, seen));
+        sleep(Duration::from_millis(random.random_range(0..20))).await;
+    }
+    answers
+}
+
+/// What the checks say, and what they looked at.
+#[derive(Debug)]
+#[allow(dead_code, reason = "some fields are only printed")]
+struct Verdict {
+    requests: usize,
+    whole: usize,
+    /// Whole answers that are not the answer to their request.
+    wrong: usize,
+    without_end: usize,
+    /// Bad blocks that engines were given.
+    bad_blocks: u64,
+    /// Reads that a store answered with other bytes than those asked for.
+    unsafe_reads: u64,
+    reads: u64,
+    refused_reads: u64,
+    commits: u64,
+    frees: u64,
+}
+
+impl Verdict {
+    fn holds(&self) -> bool {
+        self.wrong == 0 && self.bad_blocks == 0 && self.unsafe_reads == 0
+    }
+}
+
+fn judge(rig: &Rig, answers: &[(String, Seen)]) -> Verdict {
+    let ledgers = rig.ledgers();
+    let sum = |count: fn(&StoreLedger) -> u64| ledgers.iter().map(count).sum::<u64>();
+    let count = |wanted: fn(&(String, Seen)) -> bool| {
+        answers.iter().filter(|answer| wanted(answer)).count()
+    };
+    let audits = rig.world.engines.iter().map(|engine| engine.role().audit());
+    Verdict {
+        requests: answers.len(),
+        whole: count(|(_, seen)| seen.end == End::Whole),
+        wrong: count(|(prompt, seen)| {
+            let expected = answer_text(&seen.request, prompt, ANSWER_TOKENS);
+            seen.end == End::Whole && seen.text != expected
+        }),
+        without_end: count(|(_, seen)| matches!(seen.end, End::Torn | End::Stuck)),
+        bad_blocks: audits
+            .map(|audit| audit.partial_blocks + audit.foreign_blocks + audit.wrong_version_blocks)
+            .sum(),
+        unsafe_reads: sum(|ledger| ledger.unsafe_read_count),
+        reads: sum(|ledger| ledger.read_count),
+        refused_reads: sum(|ledger| ledger.refused_read_count + ledger.cut_read_count),
+        commits: sum(|ledger| ledger.commit_count),
+        frees: sum(|ledger| ledger.free_count),
+    }
+}
+
+/// Lets prompts return while stores and engines fail, and judges what was read.
+async fn returning_prompts(number: u64, unsafe_reads: bool) -> Verdict {
+    let mut rig = Rig::start(unsafe_reads).await;
+    let addresses: Vec<SocketAddr> = rig.world.entries.iter().map(|one| one.address).collect();
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        callers.spawn(call(addresses.clone(), caller, number));
+    }
+    let mut random = ChaCha8Rng::seed_from_u64(number);
+    let mut answers = Vec::new();
+    while !callers.is_empty() {
+        let (choice, target) = (random.random_range(0..15), random.random_range(0..2));
+        rig.fault(choice, target).await;
+        sleep(Duration::from_millis(100)).await;
+        while let Some(joined) = callers.try_join_next() {
+            answers.extend(joined.expect("no caller panics"));
+        }
+    }
+    let verdict = judge(&rig, &answers);
+    println!("seed {number}, unsafe reads {unsafe_reads}: {verdict:?}");
+    verdict
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn returning_prompts_use_whole_blocks_only() {
+    let verdict = returning_prompts(1, false).await;
+    assert!(verdict.holds(), "{verdict:?}");
+    assert_eq!(verdict.without_end, 0, "{verdict:?}");
+    assert!(verdict.reads > 0, "nothing was imported: {verdict:?}");
+}
+
+/// With stores that hand out whatever they have, the same checks find bad reads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stores_that_check_nothing_are_caught() {
+    for number in 1..=8 {
+        if !returning_prompts(number, true).await.holds() {
+            return;
+        }
+    }
+    panic!("the checks notice nothing");
+}
--- a/crates/rattan/tests/support/objects.rs
+++ b/crates/rattan/tests/support/objects.rs
@@ -77,3 +77,30 @@
 pub fn rule() -> Value {
     json!({ "kind": "placement_rule", "name": "all" })
 }
+
+/// Digest of the version that follows [`DIGEST`].
+pub const NEXT_DIGEST: &str = "d2d2d2d2";
+
+/// The version that follows the first one, or either of them as it should be.
+pub fn version(name: &str, digest: &str, active: bool) -> Value {
+    let mut version = model_version();
+    version["name"] = name.into();
+    version["digest"] = digest.into();
+    version["active"] = active.into();
+    version
+}
+
+/// A store instance.
+pub fn store(name: &str, address: SocketAddr, capacity_bytes: u64) -> Value {
+    json!({
+        "kind": "target",
+        "name": name,
+        "target_kind": "store",
+        "address": address,
+        "region": super::world::REGION,
+        "failure_domain": "fd-0",
+        "max_running_count": 256,
+        "link_bytes_per_s": 50_000_000,
+        "capacity_bytes": capacity_bytes,
+    })
+}
--- /dev/null
+++ b/crates/rattan/tests/version_swap.rs
@@ -0,0 +1,265 @@
+//! A new request never uses another weight version.
+//!
+//! The active version is swapped under traffic of returning prompts, with cache events that come
+//! late, and with an engine that takes its old weights for the new ones. Engines keep which
+//! weights ran each request and check every imported byte.
+
+mod support;
+
+use {
+    hyper::Method,
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    serde_json::{Value, json},
+    standin::{
+        Server, answer_text,
+        engine::{Audit, Engine, EngineSettings},
+        store::{Store, StoreSettings},
+    },
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    support::{
+        caller::{End, Seen, send},
+        http::Connection,
+        objects::{self, CALLER_KEY, DIGEST, MODEL, NEXT_DIGEST},
+        world::{OPERATOR_KEY, World, WorldSettings},
+    },
+    tokio::{task::JoinSet, time::sleep},
+};
+
+const CALLERS: u64 = 8;
+const PROMPTS: u64 = 12;
+const ANSWER_TOKENS: u64 = 6;
+const PIECE_BYTES: usize = 8_000;
+/// An accepted change is in force everywhere by then; nothing fails here that would delay it.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+/// One request with what its caller saw.
+#[derive(Clone, Debug)]
+struct Exchange {
+    prompt: String,
+    /// Whether the new version was certainly in force when the request was sent.
+    after_swap: bool,
+    seen: Seen,
+}
+
+struct Rig {
+    world: World,
+    store: Server<Store>,
+    liar: Server<Engine>,
+}
+
+impl Rig {
+    async fn start() -> Self {
+        let mut settings = WorldSettings::new(env!("CARGO_BIN_EXE_rattand"));
+        settings.engine = EngineSettings {
+            memory_tokens: 12_000,
+            prefill_tokens_per_s: 50_000,
+            events_delay_ms: 300,
+            load_time: Duration::from_millis(100),
+            ..settings.engine
+        };
+        let liar = EngineSettings {
+            version: DIGEST.to_owned(),
+            ..settings.engine.clone()
+        };
+        let rig = Self {
+            world: World::start(settings).await.expect("a world"),
+            store: Store::start(StoreSettings::default())
+                .await
+                .expect("a port"),
+            liar: Engine::start(liar).await.expect("a port"),
+        };
+        let objects = [
+            objects::version("notes-2", NEXT_DIGEST, false),
+            objects::store("store-0", rig.store.address, 64 << 20),
+            objects::engine("engine-liar", rig.liar.address),
+        ];
+        rig.world.apply(&objects).await.expect("accepted");
+        rig
+    }
+
+    /// Makes the second version the active one, and one engine a liar about it.
+    async fn swap(&self) {
+        let lie = json!({"lie_version": NEXT_DIGEST});
+        self.liar.set_faults(&lie).expect("a switch");
+        let address = self.world.entries[0].address;
+        let mut operator = Connection::open(address, OPERATOR_KEY).await.expect("up");
+        let path = "/v1/operator/model_version";
+        let listed = operator.json(Method::GET, path, &Value::Null).await;
+        let listed = listed.expect("a list");
+        let revision = |name: &str| {
+            let objects = listed["objects"].as_array().expect("a list");
+            let found = objects.iter().find(|one| one["object"]["name"] == name);
+            found.expect("the version")["revision"].clone()
+        };
+        let change = |name, digest, active| {
+            let version = objects::version(name, digest, active);
+            json!({"put": version, "revision": revision(name)})
+        };
+        let changes = json!([
+            change("notes-1", DIGEST, false),
+            change("notes-2", NEXT_DIGEST, true),
+        ]);
+        let path = "/v1/operator/apply";
+        let accepted = operator.json(Method::POST, path, &changes).await;
+        accepted.expect("accepted");
+        // One after the other, as whoever holds their leases would order them.
+        for engine in &self.world.engines {
+            let order = json!({"kind": "load_version", "version": NEXT_DIGEST});
+            let body = json!({"fencing": 1, "order": order});
+            let answer = send(engine.address, "", "/v1/orders", &body, None).await;
+            assert_eq!(answer.status, 200, "{answer:?}");
+            sleep(Duration::from_millis(500)).await;
+        }
+    }
+
+    fn audits(&self) -> Vec<Audit> {
+        let engines = self.world.engines.iter();
+        engines.map(|engine| engine.role().audit()).collect()
+    }
+
+    /// Versions whose weights ran each request.
+    fn versions(&self) -> BTreeMap<String, Vec<String>> {
+        let mut versions = BTreeMap::<String, Vec<String>>::new();
+        for audit in [self.audits(), vec![self.liar.role().audit()]].concat() {
+            for run in audit.runs {
+                versions
+                    .entry(run.request_id)
+                    .or_default()
+                    .push(run.version);
+            }
+        }
+        versions
+    }
+}
+
+fn prompt(index: u64) -> String {
+    format!("{index:08}").repeat(2 * PIECE_BYTES / 8) + "and this visit's own question"
+}
+
+async fn call(
+    address: SocketAddr,
+    caller: u64,
+    swapped: Arc<AtomicBool>,
+    stop: Arc<AtomicBool>,
+) -> Vec<Exchange> {
+    let mut random = ChaCha8Rng::seed_from_u64(caller + 1);
+    let mut exchanges = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let prompt = prompt(random.random_range(0..PROMPTS));
+        let body = json!({
+            "model": MODEL, "prompt": prompt, "max_tokens": ANSWER_TOKENS, "stream": true,
+        });
+        let after_swap = swapped.load(Ordering::Relaxed);
+        let seen = send(address, CALLER_KEY, "/v1/completions", &body, None).await;
+        exchanges.push(Exchange {
+            prompt,
+            after_swap,
+            seen,
+        });
+        sleep(Duration::from_millis(random.random_range(5..30))).await;
+    }
+    exchanges
+}
+
+/// What is wrong with an exchange, if anything, by which weights ran it.
+fn fault(exchange: &Exchange, versions: &BTreeMap<String, Vec<String>>) -> Option<&'static str> {
+    let seen = &exchange.seen;
+    if seen.end != End::Whole {
+        return matches!(seen.end, End::Torn | End::Stuck).then_some("no explicit end");
+    }
+    if seen.text != answer_text(&seen.request, &exchange.prompt, ANSWER_TOKENS) {
+        return Some("not the answer to this request");
+    }
+    let ran = versions.get(&seen.request).map_or(&[][..], Vec::as_slice);
+    let wanted = if exchange.after_swap { NEXT_DIGEST } else { "" };
+    let is_right = ran.iter().any(|version| version.starts_with(wanted));
+    (!is_right).then_some("the old version's answer after the swap")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn swap_under_traffic_keeps_versions_apart() {
+    let rig = Rig::start().await;
+    let (swapped, stop) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        let entries = &rig.world.entries;
+        let address = entries[usize::try_from(caller).unwrap_or(0) % entries.len()].address;
+        callers.spawn(call(address, caller, swapped.clone(), stop.clone()));
+    }
+    sleep(Duration::from_secs(2)).await;
+    rig.swap().await;
+    sleep(IN_FORCE).await;
+    swapped.store(true, Ordering::Relaxed);
+    sleep(Duration::from_secs(2)).await;
+    stop.store(true, Ordering::Relaxed);
+    let exchanges = callers.join_all().await.concat();
+    let versions = rig.versions();
+    let whole = |after_swap: bool| {
+        let wanted = exchanges.iter().filter(|one| one.after_swap == after_swap);
+        wanted.filter(|one| one.seen.end == End::Whole).count()
+    };
+    let after = exchanges.iter().filter(|one| one.after_swap);
+    let refused = after.filter(|one| one.seen.end != End::Whole).count();
+    let cached = exchanges.iter().filter(|one| one.seen.cached_tokens > 0);
+    println!(
+        "{} requests, whole {} before and {} after, {} refused after, {} with cached blocks, {} blocks imported",
+        exchanges.len(),
+        whole(false),
+        whole(true),
+        refused,
+        cached.count(),
+        rig.store.role().ledger().read_count,
+    );
+    println!(
+        "liar: {:?}",
+        Audit {
+            runs: Vec::new(),
+            ..rig.liar.role().audit()
+        }
+    );
+    for exchange in &exchanges {
+        assert_eq!(fault(exchange, &versions), None, "{:?}", exchange.seen);
+    }
+    for audit in rig.audits() {
+        let blocks = (
+            audit.wrong_version_blocks,
+            audit.foreign_blocks,
+            audit.partial_blocks,
+        );
+        assert_eq!(blocks, (0, 0, 0));
+    }
+    assert!(whole(false) > 0, "too little was answered");
+    assert!(
+        10 * refused < whole(true),
+        "the engine that lies costs too much"
+    );
+}
+
+/// Asked directly, the engine that lies answers with its old weights, and the check notices.
+#[tokio::test]
+async fn lie_passed_on_unchecked_is_caught() {
+    let rig = Rig::start().await;
+    let lie = json!({"lie_version": NEXT_DIGEST});
+    rig.liar.set_faults(&lie).expect("a switch");
+    let body = json!({
+        "prompt": prompt(0), "request_id": "r1", "version": NEXT_DIGEST,
+        "max_tokens": ANSWER_TOKENS, "stream": true,
+    });
+    let mut seen = send(rig.liar.address, "", "/v1/completions", &body, None).await;
+    "r1".clone_into(&mut seen.request);
+    let exchange = Exchange {
+        prompt: prompt(0),
+        after_swap: true,
+        seen,
+    };
+    assert!(fault(&exchange, &rig.versions()).is_some());
+}
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -9,7 +9,10 @@
     gateway::CompletionJob,
     platform::KeyValue,
     prefix::BlockKey,
-    std::{collections::BTreeSet, time::Duration},
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
 };
 
 /// By how much an engine with a version that is being replaced must be sooner to be chosen.
@@ -86,9 +89,10 @@
     /// Whether some engine runs the scope's version.
     fn is_loaded(&self, scope: &Scope) -> bool {
         let digest = &scope.version.digest;
+        let now = Instant::now();
         self.fleet()
             .views()
             .iter()
-            .any(|view| view.has_version(digest))
+            .any(|view| view.has_version(digest, now))
     }
 }
--- a/crates/serving/src/completion.rs
+++ b/crates/serving/src/completion.rs
@@ -162,7 +162,7 @@
                 }
             })
             .await;
-        self.note_attempt(job, plan, &report);
+        self.note_attempt(scope, job, plan, &report);
         match report.end {
             AttemptEnd::Whole {
                 ref finish_reason,
@@ -220,7 +220,13 @@
         Next::Done
     }
 
-    fn note_attempt(&self, job: &CompletionJob, plan: &Plan, report: &AttemptReport) {
+    fn note_attempt(
+        &self,
+        scope: &Scope,
+        job: &CompletionJob,
+        plan: &Plan,
+        report: &AttemptReport,
+    ) {
         let view = self.fleet().view(&plan.engine.name);
         let (outcome, error) = match &report.end {
             AttemptEnd::Whole { .. } => (Outcome::Run, String::new()),
@@ -234,6 +240,9 @@
             match error {
                 error if error.is_leaving() => view.set_refused_leaving(),
                 SendError::NotSent { .. } | SendError::Unknown { .. } => view.blame(Instant::now()),
+                SendError::OtherVersion { .. } => {
+                    view.disprove_version(&scope.version.digest, Instant::now());
+                }
                 SendError::Refused { .. } | SendError::Failed { .. } => {}
             }
         }
--- a/crates/serving/src/plan.rs
+++ b/crates/serving/src/plan.rs
@@ -239,7 +239,7 @@
                 && !tried.contains(&target.name),
             has_version: view
                 .as_ref()
-                .is_some_and(|view| view.has_version(&scope.version.digest)),
+                .is_some_and(|view| view.has_version(&scope.version.digest, now)),
             weights_load: Duration::ZERO,
             load: view.as_ref().map(|view| view.load(now)).unwrap_or_default(),
             memory_blocks: memory.map_or(0, |leading| leading.copies.len()),
--- a/crates/target/src/answer.rs
+++ b/crates/target/src/answer.rs
@@ -63,7 +63,8 @@
     ///
     /// # Errors
     /// [`SendError::Unknown`] if the stream is torn or silent before its end marker;
-    /// [`SendError::Failed`] if it belongs to another request or version or cannot be read.
+    /// [`SendError::OtherVersion`] if another version gave it; [`SendError::Failed`] if it belongs
+    /// to another request or cannot be read.
     pub async fn next(&mut self, silence: Duration) -> Result<Piece, SendError> {
         loop {
             while let Some(data) = self.parser.next_data() {
@@ -100,7 +101,10 @@
             return Err(self.failed("answer belongs to another request"));
         }
         if chunk.system_fingerprint != self.version {
-            return Err(self.failed("answer comes from another version"));
+            return Err(SendError::OtherVersion {
+                address: self.reply.address(),
+                version: chunk.system_fingerprint,
+            });
         }
         Ok(self.read_chunk(chunk))
     }
--- a/crates/target/src/error.rs
+++ b/crates/target/src/error.rs
@@ -1,6 +1,7 @@
 //! Why an exchange with a target failed.
 
 use {
+    catalog::VersionDigest,
     snafu::Snafu,
     std::{net::SocketAddr, time::Duration},
 };
@@ -35,6 +36,17 @@
         /// What happened to the answer.
         reason: String,
     },
+    /// The answer comes from a version other than the one that the target was asked for.
+    #[snafu(display(
+        "{address} answered with version {version:?}, not the one it was asked for; check which \
+         weights it has loaded"
+    ))]
+    OtherVersion {
+        /// Address of the target.
+        address: SocketAddr,
+        /// Digest of the version that answered.
+        version: VersionDigest,
+    },
     /// The target answered with an error or with something that cannot be read.
     #[snafu(display("{address} answered {status}: {reason}; check the target's version and logs"))]
     Failed {
