--- /dev/null
+++ b/crates/rattan/tests/silent_targets.rs
@@ -0,0 +1,167 @@
+//! Connections that go silent are replaced, and the target behind them is not blamed.
+
+mod support;
+
+use {
+    http_body_util::BodyExt,
+    hyper::Method,
+    serde_json::{Value, json},
+    standin::{Server, engine::EngineSettings, relay::Relay},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+    support::{
+        http::Connection,
+        objects::{CALLER_KEY, MODEL},
+        world::{World, WorldSettings},
+    },
+    tokio::time::timeout,
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+const CALLERS_COUNT: usize = 8;
+/// Answer tokens of each request and the time between two of them.
+const ANSWER_TOKENS: usize = 20;
+const TOKEN_TIME: Duration = Duration::from_millis(20);
+/// Times that all open connections to the engines go silent, and the time between two.
+const SILENCES_COUNT: usize = 4;
+const SILENCE_INTERVAL: Duration = Duration::from_secs(3);
+/// Longest wait of a caller for a whole answer, far beyond every bound of the daemon.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Ended {
+    /// With every token and the end marker.
+    Whole,
+    /// With an error that the daemon stated.
+    Stated(String),
+    /// Without an end: nothing for [`PATIENCE`], or a connection cut in the middle.
+    Torn(String),
+}
+
+async fn request(address: SocketAddr) -> Ended {
+    let body = json!({
+        "model": MODEL,
+        "prompt": "which fault code matches",
+        "max_tokens": ANSWER_TOKENS,
+        "stream": true,
+    });
+    match timeout(PATIENCE, read_answer(address, &body)).await {
+        Ok(Ok(text)) if text.contains("data: [DONE]") => {
+            let tokens_count = text.matches("\"text\":\"").count();
+            assert!(
+                tokens_count >= ANSWER_TOKENS,
+                "short answer passed off as whole: {text}"
+            );
+            Ended::Whole
+        }
+        Ok(Ok(text)) if text.contains("\"error\"") => Ended::Stated(text),
+        Ok(Ok(text)) => Ended::Torn(text),
+        Ok(Err(error)) => Ended::Torn(error.to_string()),
+        Err(_) => Ended::Torn("no end".to_owned()),
+    }
+}
+
+async fn read_answer(address: SocketAddr, body: &Value) -> io::Result<String> {
+    let mut caller = Connection::open(address, CALLER_KEY).await?;
+    let response = caller.send(Method::POST, "/v1/completions", body).await?;
+    let bytes = response
+        .into_body()
+        .collect()
+        .await
+        .map_err(io::Error::other)?;
+    Ok(String::from_utf8_lossy(&bytes.to_bytes()).into_owned())
+}
+
+async fn world() -> World {
+    let mut settings = WorldSettings::new(env!("CARGO_BIN_EXE_rattand"));
+    settings.entries_count = 1;
+    settings.engines_count = 2;
+    settings.relayed = true;
+    settings.engine = EngineSettings {
+        token_time: TOKEN_TIME,
+        ..settings.engine
+    };
+    World::start(settings).await.unwrap()
+}
+
+/// Relays in front of the engines.
+fn engine_relays(world: &World) -> &[Server<Relay>] {
+    &world.relays[2..]
+}
+
+/// Makes every open connection to the engines silent; new ones work.
+fn silence(world: &World) {
+    for relay in engine_relays(world) {
+        relay.set_faults(&json!({ "mode": "blackhole" })).unwrap();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn kept_connection_stays_silent() {
+    let world = world().await;
+    let relay = engine_relays(&world)[0].role().address;
+    let mut kept = Connection::open(relay, "").await.unwrap();
+    assert!(
+        kept.json(Method::GET, "/v1/load", &Value::Null)
+            .await
+            .is_ok()
+    );
+    silence(&world);
+    assert!(
+        kept.json(Method::GET, "/v1/load", &Value::Null)
+            .await
+            .is_err()
+    );
+    let mut fresh = Connection::open(relay, "").await.unwrap();
+    assert!(
+        fresh
+            .json(Method::GET, "/v1/load", &Value::Null)
+            .await
+            .is_ok()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_go_on_over_fresh_connections() {
+    let world = world().await;
+    let address = world.entries[0].address;
+    let history = Arc::<Mutex<Vec<Ended>>>::default();
+    let (stop, callers) = (CancellationToken::new(), TaskTracker::new());
+    for _ in 0..CALLERS_COUNT {
+        let (stop, history) = (stop.clone(), history.clone());
+        callers.spawn(async move {
+            while !stop.is_cancelled() {
+                let ended = request(address).await;
+                history.lock().unwrap().push(ended);
+            }
+        });
+    }
+    for _ in 0..SILENCES_COUNT {
+        tokio::time::sleep(SILENCE_INTERVAL).await;
+        silence(&world);
+    }
+    tokio::time::sleep(SILENCE_INTERVAL).await;
+    stop.cancel();
+    callers.close();
+    callers.wait().await;
+    let started = Instant::now();
+    let last = request(address).await;
+    let history = history.lock().unwrap();
+    let torn: Vec<&Ended> = history
+        .iter()
+        .filter(|ended| **ended != Ended::Whole)
+        .collect();
+    println!(
+        "{} requests, {} not whole, last {last:?} in {:?}",
+        history.len(),
+        torn.len(),
+        started.elapsed()
+    );
+    assert_eq!(last, Ended::Whole, "the engines count as unreachable");
+    assert!(torn.is_empty(), "{torn:#?}");
+}
