--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 mod completion;
 mod gate;
 mod journal;
+mod links;
 mod plan;
 mod service_call;
 mod serving;
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -1,7 +1,7 @@
 //! The request path with all it needs.
 
 use {
-    crate::{Blocks, Gate, Journal, PeerBlocks, ServingSettings},
+    crate::{Blocks, Gate, Journal, PeerBlocks, ServingSettings, links::Links},
     admission::Limits,
     catalog::{Catalog, ClientAccountId, ModelVersionId, RequestId},
     configuration::Handle,
@@ -44,6 +44,7 @@
 struct Inner<Kv, Peers> {
     state: State<Kv, Peers>,
     gate: Gate,
+    links: Links,
     retries: Mutex<Budget>,
     decisions_count: AtomicU64,
 }
@@ -73,6 +74,7 @@
             inner: Arc::new(Inner {
                 state,
                 gate: Gate::new(Limits::default()),
+                links: Links::default(),
                 retries: Mutex::default(),
                 decisions_count: AtomicU64::new(random()),
             }),
@@ -127,6 +129,10 @@
         &self.inner.gate
     }
 
+    pub(crate) fn links(&self) -> &Links {
+        &self.inner.links
+    }
+
     /// A number that differs from decision to decision, to break ties with.
     pub(crate) fn draw(&self) -> u64 {
         self.inner.decisions_count.fetch_add(1, Ordering::Relaxed)
--- a/crates/serving/src/transfer.rs
+++ b/crates/serving/src/transfer.rs
@@ -4,12 +4,13 @@
     crate::{
         PeerBlocks, Serving,
         plan::{Import, Plan, Scope},
-        stores,
+        stores::{self, Link},
     },
     catalog::{RequestId, Target, TargetId},
     cluster::{BlockWrite, DirectoryUpdate},
     decision::Step,
     directory::{ExportPlan, ExportPolicy, Prompt, StoreCopy, Write},
+    fleet::LinkRate,
     platform::KeyValue,
     prefix::BlockKey,
     rand::random,
@@ -37,12 +38,15 @@
         };
         let wanted_bytes = wanted.blocks.len() as u64 * scope.block_bytes();
         let bound = routing::import_deadline(&plan.choice.chosen);
+        let transfer = self
+            .links()
+            .import(store, self.link_rate(store, &plan.engine));
         let queued = LinkQueue::new(self, [&plan.engine.name, &store.name], wanted_bytes);
         let import = import_request(scope, wanted, store);
         let started = Instant::now();
         let engine = EngineClient::new(self.client().clone(), plan.engine.address);
         let result = engine.import(&import, bound).await;
-        drop(queued);
+        drop((queued, transfer));
         let (reply, missing) = match result {
             Ok(reply) => {
                 let missing = self.note_import(&store.name, &reply, started.elapsed(), plan);
@@ -153,6 +157,11 @@
         let Some(store) = scope.catalog.targets.get(&export.store) else {
             return;
         };
+        let rate = self.link_rate(store, &plan.engine);
+        let Some(transfer) = self.links().export(store, rate).await else {
+            let reason = format!("the link of {} has had no room for long", store.name);
+            return self.note_export(request, String::new(), 0, 0, reason);
+        };
         let writes = self.begin_writes(scope, export);
         let queued = LinkQueue::new(self, [&plan.engine.name, &store.name], export.link_bytes);
         let body = ExportRequest {
@@ -162,7 +171,7 @@
         };
         let engine = EngineClient::new(self.client().clone(), plan.engine.address);
         let result = engine.export(&body, EXPORT_BOUND).await;
-        drop(queued);
+        drop((queued, transfer));
         let (exported, link_bytes, reason) = match result {
             Ok(reply) => {
                 let reason = reply.failed.first().map_or_else(
@@ -174,15 +183,35 @@
             Err(error) => (Vec::new(), 0, error.to_string()),
         };
         let committed_count = self.settle_writes(plan, store, writes, &exported).await;
-        self.journal().step(
-            request,
-            Step::Exported {
-                store: store.name.clone(),
-                blocks_count: committed_count,
-                link_bytes,
-                reason,
-            },
-        );
+        let store = store.name.clone();
+        self.note_export(request, store, committed_count, link_bytes, reason);
+    }
+
+    fn note_export(
+        &self,
+        request: &RequestId,
+        store: TargetId,
+        blocks_count: usize,
+        link_bytes: u64,
+        reason: String,
+    ) {
+        let step = Step::Exported {
+            store,
+            blocks_count,
+            link_bytes,
+            reason,
+        };
+        self.journal().step(request, step);
+    }
+
+    /// Rate of the link between a store and an engine.
+    fn link_rate(&self, store: &Target, engine: &Target) -> LinkRate {
+        let store_view = self.fleet().view(&store.name);
+        let engine_view = self.fleet().view(&engine.name);
+        store_view.zip(engine_view).map_or_else(
+            || LinkRate::configured(store.link_bytes_per_s),
+            |(store, engine)| Link::between(&store, &engine).rate,
+        )
     }
 
     fn begin_writes(&self, scope: &Scope, export: &ExportPlan) -> Vec<Write> {
