--- a/crates/rattan/tests/version_swap.rs
+++ b/crates/rattan/tests/version_swap.rs
@@ -36,7 +36,7 @@
 
 const CALLERS: u64 = 8;
 const PROMPTS: u64 = 12;
-const ANSWER_TOKENS: u64 = 6;
+const ANSWER_TOKENS: u64 = 40;
 const PIECE_BYTES: usize = 8_000;
 /// An accepted change is in force everywhere by then; nothing fails here that would delay it.
 const IN_FORCE: Duration = Duration::from_secs(2);
@@ -113,6 +113,9 @@
         accepted.expect("accepted");
         // One after the other, as whoever holds their leases would order them.
         for engine in &self.world.engines {
+            // A stream that is taken up again across the swap keeps its version.
+            let cut = json!({"cut_after_tokens": ANSWER_TOKENS / 2});
+            engine.set_faults(&cut).expect("a switch");
             let order = json!({"kind": "load_version", "version": NEXT_DIGEST});
             let body = json!({"fencing": 1, "order": order});
             let answer = send(engine.address, "", "/v1/orders", &body, None).await;
--- a/crates/rattan/tests/whole_answers.rs
+++ b/crates/rattan/tests/whole_answers.rs
@@ -146,6 +146,26 @@
     );
 }
 
+/// A repeated token is noticed by the count at the end, so the answer does not count as whole.
+#[tokio::test]
+async fn repeated_token_is_no_whole_answer() {
+    let (world, _relay) = started().await;
+    let repeat = json!({"repeat_after_tokens": 3});
+    for engine in &world.engines {
+        engine.set_faults(&repeat).expect("a switch");
+    }
+    for stream in [true, false] {
+        let body = json!({
+            "model": MODEL, "prompt": "p", "max_tokens": ANSWER_TOKENS, "stream": stream,
+        });
+        let address = world.entries[0].address;
+        let seen = send(address, CALLER_KEY, "/v1/completions", &body, None).await;
+        let expected = answer_text(&seen.request, "p", ANSWER_TOKENS);
+        assert!(seen.end != End::Whole || seen.text == expected, "{seen:?}");
+        assert!(!matches!(seen.end, End::Torn | End::Stuck), "{seen:?}");
+    }
+}
+
 /// A caller that speaks to an engine directly is given another one's answer, and the check notices.
 #[tokio::test]
 async fn answers_passed_on_unchecked_are_caught() {
--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -16,6 +16,8 @@
     pub cut_after_tokens: Option<u64>,
     /// The next stream goes silent after this many answer tokens, once.
     pub silent_after_tokens: Option<u64>,
+    /// The next stream sends the token after this many answer tokens twice, once.
+    pub repeat_after_tokens: Option<u64>,
     /// Digest that the engine takes its weights for: in the load report, in the check of the
     /// expected version, in cache events and as part of cache keys. Answers still name the version
     /// that really ran.
--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -23,11 +23,12 @@
     partner: oneshot::Sender<Arc<Run>>,
 }
 
-/// Faults of one stream.
+/// Faults of one stream, by the index of the answer token at which they strike.
 #[derive(Clone, Copy, Debug, Default)]
 struct StreamFaults {
-    cut_after_tokens: Option<u64>,
-    silent_after_tokens: Option<u64>,
+    cut: Option<u64>,
+    silent: Option<u64>,
+    repeat: Option<u64>,
 }
 
 /// One answer as server-sent events.
@@ -60,11 +61,11 @@
     pub(super) async fn answer_whole(&self, run: Arc<Run>) -> Answer {
         let run = self.crossed(run).await;
         let faults = self.take_stream_faults();
-        if let Some(index) = faults.cut_after_tokens {
+        if let Some(index) = faults.cut {
             run.token_ready(index.saturating_sub(1)).await;
             return Err(Cut);
         }
-        if faults.silent_after_tokens.is_some() {
+        if faults.silent.is_some() {
             pending::<()>().await;
         }
         if !run.token_ready(run.max_tokens - 1).await {
@@ -75,8 +76,9 @@
 
     fn take_stream_faults(&self) -> StreamFaults {
         self.switches.update(|faults| StreamFaults {
-            cut_after_tokens: faults.cut_after_tokens.take(),
-            silent_after_tokens: faults.silent_after_tokens.take(),
+            cut: faults.cut_after_tokens.take(),
+            silent: faults.silent_after_tokens.take(),
+            repeat: faults.repeat_after_tokens.take(),
         })
     }
 
@@ -119,11 +121,11 @@
             return None;
         }
         let index = self.next_index;
-        if self.faults.cut_after_tokens == Some(index) {
+        if self.faults.cut == Some(index) {
             self.done = true;
             return Some(Err(torn().await));
         }
-        if self.faults.silent_after_tokens == Some(index) {
+        if self.faults.silent == Some(index) {
             pending::<()>().await;
         }
         if index >= self.run.max_tokens {
@@ -134,7 +136,11 @@
             self.done = true;
             return Some(Err(torn().await));
         }
-        self.next_index += 1;
+        if self.faults.repeat == Some(index) {
+            self.faults.repeat = None;
+        } else {
+            self.next_index += 1;
+        }
         let text = format!("data: {}\n\n", self.run.chunk(index));
         Some(Ok(text.into()))
     }
