rattan: at most once through killed, frozen and cut-off daemons

Cause: at most once was proved for claims in memory only; the order's whole way, through processes that die and freeze, was not.

The service's ledger is the judge.

Seen while writing: a retry whose lease or claim can't be written is told "not run", which is true of that attempt; an earlier attempt with the same key may have run.

--- a/crates/rattan/tests/not_run.rs
+++ b/crates/rattan/tests/not_run.rs
@@ -5,11 +5,7 @@
 
 mod support;
 
-#[path = "support/caller.rs"]
-mod caller;
-
 use {
-    caller::{End, Seen, send},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     serde_json::{Value, json},
@@ -21,6 +17,7 @@
     },
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
     support::{
+        caller::{End, Seen, send},
         objects::{self, CALLER_KEY, MODEL, SERVICE},
         world::{World, WorldSettings},
     },
--- /dev/null
+++ b/crates/rattan/tests/service_once.rs
@@ -0,0 +1,148 @@
+//! Orders to a plain service through daemons that are killed and frozen, while the key-value
+//! service and the connections fail. The service's own ledger is the judge.
+
+mod support;
+
+use {
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    standin::{
+        Server,
+        relay::{Relay, RelaySettings},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    support::{
+        booking::{History, Order, send},
+        chaos::disturb,
+        objects::{self, ACCOUNT, CALLER_KEY},
+        world::{World, WorldSettings},
+    },
+    tokio::time::sleep,
+};
+
+/// Rounds of faults in one run.
+const ROUNDS_COUNT: usize = 14;
+/// Callers at once.
+const CALLERS_COUNT: usize = 16;
+/// Attempts at one order.
+const MAX_ATTEMPTS_COUNT: usize = 6;
+
+struct Run {
+    history: Arc<Mutex<History>>,
+    entries: Arc<Mutex<Vec<SocketAddr>>>,
+}
+
+async fn start(entries_count: usize) -> (World, Server<Relay>) {
+    let mut settings = WorldSettings::new(env!("CARGO_BIN_EXE_rattand"));
+    settings.entries_count = entries_count;
+    settings.flags = vec![
+        ("kv-timeout-ms", "500".to_owned()),
+        ("service-timeout-ms", "700".to_owned()),
+    ];
+    let world = World::start(settings).await.expect("a world");
+    let relay = Relay::start(RelaySettings::to(world.service.address))
+        .await
+        .expect("a relay");
+    let further = [
+        objects::account("frio", "another-caller-key"),
+        objects::service("service-1", relay.role().address),
+    ];
+    world.apply(&further).await.expect("applied");
+    (world, relay)
+}
+
+/// Orders of both accounts under the same keys.
+fn order(number: usize, path: &str) -> Order {
+    let (account, caller_key) = match number % 2 {
+        0 => (ACCOUNT, CALLER_KEY),
+        _ => ("frio", "another-caller-key"),
+    };
+    Order {
+        account: account.to_owned(),
+        caller_key: caller_key.to_owned(),
+        idempotency_key: format!("key-{}", number / 2),
+        path: path.to_owned(),
+    }
+}
+
+/// One caller: order after order, each through random entries until it is answered.
+async fn call(run: Arc<Run>, caller: usize, seed: u64, path: &'static str) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed * 1_000 + caller as u64);
+    for round in 0.. {
+        let order = order(caller + round * CALLERS_COUNT, path);
+        for _ in 0..MAX_ATTEMPTS_COUNT {
+            let entries = lock(&run.entries).clone();
+            if entries.is_empty() {
+                return;
+            }
+            let address = entries[random.random_range(0..entries.len())];
+            let told = send(address, &order).await;
+            let is_answer = told.is_answer();
+            lock(&run.history).record(&order, told);
+            if is_answer {
+                break;
+            }
+            sleep(Duration::from_millis(random.random_range(10..200))).await;
+        }
+    }
+}
+
+/// Callers and faults side by side; gives the history at the end of the faults.
+async fn disturbed_run(seed: u64, path: &'static str) -> (World, History) {
+    let (mut world, relay) = start(3).await;
+    let run = Arc::new(Run {
+        history: Arc::default(),
+        entries: Arc::new(Mutex::new(addresses(&world))),
+    });
+    let callers: Vec<_> = (0..CALLERS_COUNT)
+        .map(|caller| tokio::spawn(call(run.clone(), caller, seed, path)))
+        .collect();
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    for _ in 0..ROUNDS_COUNT {
+        disturb(&mut world, &relay, &mut random, 1).await;
+        *lock(&run.entries) = addresses(&world);
+    }
+    lock(&run.entries).clear();
+    for caller in callers {
+        caller.await.expect("a caller ends");
+    }
+    let history = std::mem::take(&mut *lock(&run.history));
+    (world, history)
+}
+
+fn addresses(world: &World) -> Vec<SocketAddr> {
+    world.entries.iter().map(|entry| entry.address).collect()
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> std::sync::MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_order_runs_twice_under_faults() {
+    for seed in [1, 2] {
+        let (world, history) = disturbed_run(seed, "/book").await;
+        let ledger = world.service.role().ledger();
+        let findings = history.judge(&ledger);
+        println!(
+            "seed {seed}: {} attempts, {} executions, {} orders answered, {findings:?}",
+            history.attempt_count,
+            ledger.len(),
+            history.answered_count(),
+        );
+        assert!(history.answered_count() > 20, "too little was answered");
+        assert_eq!(findings, support::booking::Findings::default());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeating_without_a_claim_is_caught() {
+    let (world, history) = disturbed_run(1, "/status").await;
+    let findings = history.judge(&world.service.role().ledger());
+    println!("{} orders ran more than once", findings.repeated.len());
+    assert!(!findings.repeated.is_empty());
+}
--- a/crates/rattan/tests/support/mod.rs
+++ b/crates/rattan/tests/support/mod.rs
@@ -3,7 +3,9 @@
 //! Each test file uses its own part of this, hence the `allow`.
 #![allow(dead_code)]
 
+pub mod booking;
 pub mod caller;
+pub mod chaos;
 pub mod entry;
 pub mod http;
 pub mod objects;
--- a/crates/rattan/tests/whole_answers.rs
+++ b/crates/rattan/tests/whole_answers.rs
@@ -5,11 +5,7 @@
 
 mod support;
 
-#[path = "support/caller.rs"]
-mod caller;
-
 use {
-    caller::{End, Seen, send},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     serde_json::json,
@@ -19,6 +15,7 @@
     },
     std::{net::SocketAddr, time::Duration},
     support::{
+        caller::{End, Seen, send},
         objects::{self, CALLER_KEY, DIGEST, MODEL},
         world::{World, WorldSettings},
     },
