A target that left the instance list, or that an entry can't see leave, gets no new work

Ruled out: stopping all work when the list can't be read: engines vouch for themselves by their load reports, so only targets that don't report depend on the list's age; asking peers, since one entry's heartbeats tell members only.

Change: a target that was on the list and no longer is has left (an empty list is ignored). A plain service that the list once showed gets new work only if the list showed it live within 3 s, counted from before the list was asked.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,13 +1,10 @@
 //! Views of all configured targets.
 
 use {
-    crate::View,
+    crate::{Listed, View},
     arc_swap::ArcSwap,
     catalog::{Catalog, TargetId},
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        sync::Arc,
-    },
+    std::{collections::BTreeMap, sync::Arc, time::Instant},
 };
 
 /// Views of all configured targets, by name.
@@ -48,10 +45,11 @@
         self.views.load().values().cloned().collect()
     }
 
-    /// Takes over which targets the instance list shows as leaving.
-    pub fn mark_leaving(&self, leaving: &BTreeSet<TargetId>) {
+    /// Takes over what the instance list showed at `now`.
+    pub fn take_list(&self, listed: &BTreeMap<TargetId, Listed>, now: Instant) {
         for (name, view) in self.views.load().iter() {
-            view.set_listed_leaving(leaving.contains(name));
+            let shown = listed.get(name).copied().unwrap_or(Listed::Absent);
+            view.set_listed(shown, now);
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,5 +19,5 @@
 pub use {
     fleet::Fleet,
     link::LinkRate,
-    view::{InFlight, View},
+    view::{InFlight, Listed, View},
 };
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -18,6 +18,8 @@
 
 /// Age at which a load report no longer vouches for its engine.
 const STALE_REPORT: Duration = Duration::from_secs(4);
+/// Age at which the instance list no longer vouches for a target that it showed.
+const STALE_LISTING: Duration = Duration::from_secs(3);
 /// How long a target is left out after a connection to it failed, unless it reports sooner.
 const BLAME: Duration = Duration::from_secs(1);
 
@@ -27,6 +29,17 @@
     at: Instant,
 }
 
+/// What the instance list shows of one target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Listed {
+    /// It runs.
+    Live,
+    /// It leaves.
+    Leaving,
+    /// It is not on the list.
+    Absent,
+}
+
 /// What is known of one target.
 #[derive(Debug)]
 pub struct View {
@@ -35,6 +48,7 @@
     report: ArcSwapOption<Received>,
     usage: ArcSwapOption<StoreUsage>,
     listed_leaving: AtomicBool,
+    listed_live: Mutex<Option<Instant>>,
     refused_leaving: AtomicBool,
     blamed: Mutex<Option<Instant>>,
     in_flight_count: AtomicU32,
@@ -53,6 +67,7 @@
             report: ArcSwapOption::empty(),
             usage: ArcSwapOption::empty(),
             listed_leaving: AtomicBool::new(false),
+            listed_live: Mutex::new(None),
             refused_leaving: AtomicBool::new(false),
             blamed: Mutex::new(None),
             in_flight_count: AtomicU32::new(0),
@@ -95,11 +110,28 @@
         self.usage.load_full()
     }
 
-    /// Takes over whether the instance list shows the target as leaving.
-    pub fn set_listed_leaving(&self, leaving: bool) {
+    /// Takes over what the instance list shows at `now`. A target that was on the list and no
+    /// longer is has left.
+    pub fn set_listed(&self, listed: Listed, now: Instant) {
+        let mut live = lock(&self.listed_live);
+        let leaving = match listed {
+            Listed::Live => {
+                *live = Some(now);
+                false
+            }
+            Listed::Leaving => true,
+            Listed::Absent => self.listed_leaving.load(Ordering::Relaxed) || live.is_some(),
+        };
         self.listed_leaving.store(leaving, Ordering::Relaxed);
     }
 
+    /// Whether the instance list, if it ever showed the target, did so lately. Targets that don't
+    /// report by themselves get no new work otherwise, since they may be leaving unseen.
+    #[must_use]
+    pub fn listing_vouches(&self, now: Instant) -> bool {
+        lock(&self.listed_live).is_none_or(|at| now.saturating_duration_since(at) < STALE_LISTING)
+    }
+
     /// Notes that the target itself refused work because it leaves.
     pub fn set_refused_leaving(&self) {
         self.refused_leaving.store(true, Ordering::Relaxed);
@@ -113,18 +145,18 @@
 
     /// Notes that new connections to the target fail.
     pub fn blame(&self, now: Instant) {
-        *self.blamed.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+        *lock(&self.blamed) = Some(now);
     }
 
     /// Notes that the target answered.
     pub fn clear_blame(&self) {
-        *self.blamed.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        *lock(&self.blamed) = None;
     }
 
     /// Whether new connections to the target failed a moment ago.
     #[must_use]
     pub fn blamed(&self, now: Instant) -> bool {
-        let blamed = *self.blamed.lock().unwrap_or_else(PoisonError::into_inner);
+        let blamed = *lock(&self.blamed);
         blamed.is_some_and(|at| now.saturating_duration_since(at) < BLAME)
     }
 
@@ -252,3 +284,7 @@
         self.view.in_flight_count.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+fn lock<Value>(mutex: &Mutex<Value>) -> std::sync::MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/rattan/src/control/instance_watch.rs
+++ b/crates/rattan/src/control/instance_watch.rs
@@ -2,9 +2,12 @@
 
 use {
     arc_swap::ArcSwap,
-    fleet::Fleet,
+    fleet::{Fleet, Listed},
     platform::{Instance, InstanceList, InstanceState},
-    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::time::sleep,
 };
 
@@ -26,9 +29,10 @@
     /// Reads the list and publishes it; while it cannot be read, the last one stays.
     pub(crate) async fn run(self) {
         loop {
+            let asked_at = Instant::now();
             match self.list.instances().await {
                 Ok(instances) => {
-                    self.fleet.mark_leaving(&leaving(&instances));
+                    self.take(&instances, asked_at);
                     self.instances.store(Arc::new(instances));
                 }
                 Err(error) => log::warn!("{error}"),
@@ -36,12 +40,23 @@
             sleep(READ_INTERVAL).await;
         }
     }
+
+    /// An empty list is one that was lost, not a sign that all targets left.
+    fn take(&self, instances: &[Instance], asked_at: Instant) {
+        if instances.is_empty() {
+            return;
+        }
+        let listed = instances
+            .iter()
+            .map(|instance| (instance.name.clone(), listed(instance.state)))
+            .collect();
+        self.fleet.take_list(&listed, asked_at);
+    }
 }
 
-fn leaving(instances: &[Instance]) -> BTreeSet<String> {
-    instances
-        .iter()
-        .filter(|instance| instance.state == InstanceState::Leaving)
-        .map(|instance| instance.name.clone())
-        .collect()
+fn listed(state: InstanceState) -> Listed {
+    match state {
+        InstanceState::Live => Listed::Live,
+        InstanceState::Leaving => Listed::Leaving,
+    }
 }
--- a/crates/serving/src/service_call.rs
+++ b/crates/serving/src/service_call.rs
@@ -200,7 +200,7 @@
             .copied()
             .filter(|target| !target.leaving && !tried.contains(target.name.as_str()))
             .filter_map(|target| Some((target, self.fleet().view(&target.name)?)))
-            .filter(|(_, view)| !view.leaving())
+            .filter(|(_, view)| !view.leaving() && view.listing_vouches(now))
             .min_by_key(|(target, view)| {
                 (
                     view.blamed(now),
