configuration: one warning each 10 s while it is not confirmed; operators' reads say that nothing changed

Cause: on a system with the key-value service down, the log had no warning at all (a refused watch is not a silent one, so the check that warned never ran), and rattan label said that a read may have taken effect.

Change: AgeAlarm warns from 10 s on, once each 10 s, also at a start without any state; single failures are logged as info. A failed read of an operator's call is refused as unavailable, nothing changed.

--- /dev/null
+++ b/crates/configuration/src/age_alarm.rs
@@ -0,0 +1,42 @@
+//! Tells in the log when the configuration was not confirmed for long.
+
+use {crate::Handle, std::time::Duration, tokio::time::Instant};
+
+/// Age above which the log says so, and time between two such lines.
+const ALARM_AGE: Duration = Duration::from_secs(10);
+
+/// Remembers when it last told.
+#[derive(Debug)]
+pub(crate) struct AgeAlarm {
+    started_at: Instant,
+    told_at: Option<Instant>,
+}
+
+impl AgeAlarm {
+    /// An alarm that has told nothing yet.
+    pub(crate) fn new() -> Self {
+        Self {
+            started_at: Instant::now(),
+            told_at: None,
+        }
+    }
+
+    /// Logs the age of the configuration if it is high and was not logged just now.
+    pub(crate) fn check(&mut self, handle: &Handle) {
+        let status = handle.status();
+        let age = status
+            .confirmed_age
+            .unwrap_or_else(|| self.started_at.elapsed());
+        let told_just_now = self.told_at.is_some_and(|at| at.elapsed() < ALARM_AGE);
+        if age < ALARM_AGE || told_just_now {
+            return;
+        }
+        self.told_at = Some(Instant::now());
+        log::warn!(
+            "configuration revision {} (0: none) was last confirmed {} s ago and stays in force; \
+             check the key-value service and --kv-endpoints",
+            status.revision,
+            age.as_secs()
+        );
+    }
+}
--- a/crates/configuration/src/follower.rs
+++ b/crates/configuration/src/follower.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Handle, Snapshot,
+        age_alarm::AgeAlarm,
         keys::{CONFIG_PREFIX, GUARD_KEY},
         writer::no_answer,
     },
@@ -86,16 +87,18 @@
     /// Follows the configuration until dropped.
     pub async fn run(self) {
         let mut rng = StdRng::seed_from_u64(self.seed.unwrap_or_else(rand::random));
+        let mut alarm = AgeAlarm::new();
         loop {
-            self.read_all(&mut rng).await;
-            while let WatchEnd::Cut = self.watch().await {
+            self.read_all(&mut rng, &mut alarm).await;
+            while let WatchEnd::Cut = self.watch(&mut alarm).await {
+                alarm.check(&self.handle);
                 self.pause(&mut rng).await;
             }
         }
     }
 
     /// Reads everything, trying until it succeeds.
-    async fn read_all(&self, rng: &mut StdRng) {
+    async fn read_all(&self, rng: &mut StdRng, alarm: &mut AgeAlarm) {
         loop {
             let asked_at = Instant::now();
             match self.range(CONFIG_PREFIX).await {
@@ -112,14 +115,15 @@
                     range.revision,
                     self.handle.as_of()
                 ),
-                Err(error) => log::warn!("configuration can't be read: {error}"),
+                Err(error) => log::info!("configuration can't be read: {error}"),
             }
+            alarm.check(&self.handle);
             self.pause(rng).await;
         }
     }
 
     /// Takes changes as the watch delivers them.
-    async fn watch(&self) -> WatchEnd {
+    async fn watch(&self, alarm: &mut AgeAlarm) -> WatchEnd {
         let from = self.handle.as_of() + 1;
         let mut events = pin!(self.kv.watch(CONFIG_PREFIX, from));
         let mut batch = Batch::default();
@@ -136,19 +140,25 @@
                     if let Some(end) = self.check().await {
                         return end;
                     }
+                    alarm.check(&self.handle);
                     continue;
                 }
             };
-            let progress = match event {
-                Event::Progress(revision) => Some(revision),
-                _ => None,
-            };
-            if let Some((revision, events)) = batch.push(event) {
-                self.handle.take_changes(revision, &events, Instant::now());
-            }
-            if let Some(revision) = progress {
-                self.handle.unchanged_until(revision, Instant::now());
-            }
+            self.take_event(&mut batch, event);
+        }
+    }
+
+    /// Takes the changes of a revision once the event that completes it is there.
+    fn take_event(&self, batch: &mut Batch, event: Event) {
+        let progress = match event {
+            Event::Progress(revision) => Some(revision),
+            _ => None,
+        };
+        if let Some((revision, events)) = batch.push(event) {
+            self.handle.take_changes(revision, &events, Instant::now());
+        }
+        if let Some(revision) = progress {
+            self.handle.unchanged_until(revision, Instant::now());
         }
     }
 
@@ -158,7 +168,7 @@
         let range = match self.range(GUARD_KEY).await {
             Ok(range) => range,
             Err(error) => {
-                log::warn!("configuration can't be confirmed: {error}");
+                log::info!("configuration can't be confirmed: {error}");
                 return None;
             }
         };
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `/rattan/config/last_change` | id of the last accepted change |
 //! | `/rattan/change/{change_id}` | what became of a change, under a lease of one hour |
 
+mod age_alarm;
 mod change;
 mod change_record;
 mod follower;
--- a/crates/operator/src/operator.rs
+++ b/crates/operator/src/operator.rs
@@ -5,7 +5,7 @@
         LabelsPatch, Route,
         decode::parameter,
         edits::{self, invalid},
-        outcome::{accepted_answer, refusal_of},
+        outcome::{RETRY_AFTER, accepted_answer, refusal_of},
         reads::{self, Read},
     },
     catalog::{Invalid, ObjectKind, Selector},
@@ -127,8 +127,10 @@
 
     async fn read_service(&self) -> Result<Snapshot, Refusal> {
         self.writer.read().await.map_err(|error| {
-            Refusal::not_run(Kind::Unavailable, error.to_string())
-                .retry_after(Duration::from_secs(2))
+            log::info!("configuration can't be read for an operator: {error}");
+            let message = "the key-value service does not answer; nothing was changed, try again \
+                           in a few seconds";
+            Refusal::not_run(Kind::Unavailable, message).retry_after(RETRY_AFTER)
         })
     }
 
--- a/crates/operator/src/outcome.rs
+++ b/crates/operator/src/outcome.rs
@@ -8,7 +8,7 @@
 };
 
 /// When to come back after the key-value service could not be reached.
-const RETRY_AFTER: Duration = Duration::from_secs(2);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// The answer to an accepted change.
 #[must_use]
