--- a/crates/rattan/tests/accounts_apart.rs
+++ b/crates/rattan/tests/accounts_apart.rs
@@ -1,15 +1,18 @@
 //! Client accounts never see each other's prompts, cache or answers: two accounts send the same
 //! prompts, the same idempotency keys and each other's request ids, through real daemons.
 
+#[path = "support/caller.rs"]
+#[allow(dead_code)] // Other test files use the rest of it.
+mod caller;
 mod support;
 
 use {
+    caller::{End, Seen, send},
     hyper::{Method, StatusCode},
     serde_json::{Value, json},
     standin::engine::Audit,
     std::{collections::BTreeMap, io, net::SocketAddr, time::Duration},
     support::{
-        caller::{End, Seen, send},
         http::Connection,
         objects::{self, ACCOUNT, CALLER_KEY, MODEL, SERVICE},
         world::{World, WorldSettings},
--- a/crates/rattan/tests/support/mod.rs
+++ b/crates/rattan/tests/support/mod.rs
@@ -3,7 +3,6 @@
 //! Each test file uses its own part of this, hence the `allow`.
 #![allow(dead_code)]
 
-pub mod caller;
 pub mod entry;
 pub mod http;
 pub mod objects;
