--- a/crates/rattan/tests/accounts_apart.rs
+++ b/crates/rattan/tests/accounts_apart.rs
@@ -2,7 +2,6 @@
 //! prompts, the same idempotency keys and each other's request ids, through real daemons.
 
 #[path = "support/caller.rs"]
-#[allow(dead_code)] // Other test files use the rest of it.
 mod caller;
 mod support;
 
