measure: workloads, policies, faults and overload on real entry daemons

scripts/measure.sh starts stand-ins in one process and four rattand processes a run, sends both deployments' workloads by seed, prints one table with the targets and writes a CSV file and a picture.

--- /dev/null
+++ b/crates/rattan/examples/measure/condition.rs
@@ -0,0 +1,69 @@
+//! What goes wrong during a run.
+
+use {
+    crate::{Failure, deployment::Deployment, world::World},
+    serde_json::json,
+    std::fmt,
+};
+
+/// Cache events show this late.
+const LATE_EVENTS_MS: u64 = 3_000;
+
+/// What goes wrong during a run, from the first measured round on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Condition {
+    Healthy,
+    StoreDead,
+    LinkAtTenth,
+    TargetLeaving,
+    EntryLost,
+    EventsLate,
+    KvDown,
+}
+
+impl Condition {
+    /// All but [`Self::Healthy`].
+    pub const FAULTS: [Self; 6] = [
+        Self::StoreDead,
+        Self::LinkAtTenth,
+        Self::TargetLeaving,
+        Self::EntryLost,
+        Self::EventsLate,
+        Self::KvDown,
+    ];
+
+    /// Brings the fault about.
+    pub async fn begin(self, world: &mut World, deployment: &Deployment) -> Result<(), Failure> {
+        match self {
+            Self::Healthy => {}
+            Self::StoreDead => world.stop_store().await,
+            Self::LinkAtTenth => {
+                let slow = json!({"link_bytes_per_s": deployment.link_bytes_per_s / 10});
+                world.stores[0].set_faults(&slow)?;
+            }
+            Self::TargetLeaving => world.engines[0].set_faults(&json!({"leaving": true}))?,
+            Self::EntryLost => drop(world.entries.pop()),
+            Self::EventsLate => {
+                for engine in &world.engines {
+                    engine.set_faults(&json!({"events_delay_ms": LATE_EVENTS_MS}))?;
+                }
+            }
+            Self::KvDown => world.kv.set_faults(&json!({"down": true}))?,
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Condition {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.pad(match self {
+            Self::Healthy => "healthy",
+            Self::StoreDead => "store dead",
+            Self::LinkAtTenth => "link at a tenth",
+            Self::TargetLeaving => "target leaving",
+            Self::EntryLost => "entry lost",
+            Self::EventsLate => "events late",
+            Self::KvDown => "kv down",
+        })
+    }
+}
--- /dev/null
+++ b/crates/rattan/examples/measure/deployment.rs
@@ -0,0 +1,170 @@
+//! The two deployments' workloads, with hours scaled to seconds.
+
+use {
+    rand_chacha::{
+        ChaCha8Rng,
+        rand_core::{Rng, SeedableRng},
+    },
+    std::time::Duration,
+};
+
+/// Text of one piece in bytes, and its tokens.
+pub const PIECE_BYTES: usize = 8_000;
+pub const PIECE_TOKENS: u64 = 2_000;
+/// Size of one token's KV cache in bytes.
+pub const KV_BYTES_PER_TOKEN: u64 = 16;
+
+/// One deployment and its workload.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub name: &'static str,
+    pub model: &'static str,
+    pub engines_count: usize,
+    /// Prompt tokens that one engine's memory holds.
+    pub memory_tokens: u64,
+    pub prefill_tokens_per_s: u64,
+    /// Rate of each engine's and each store's link.
+    pub link_bytes_per_s: u64,
+    /// Time between two answer tokens, and their number.
+    pub token_time: Duration,
+    pub answer_tokens: u32,
+    pub accounts_count: usize,
+    /// Prompts, each of which returns once a round.
+    pub prompts_count: usize,
+    /// Pieces that all prompts of an account begin with.
+    pub shared_pieces: usize,
+    /// Pieces of one prompt's own.
+    pub own_pieces: usize,
+    /// Bytes after the last whole piece, new at each visit.
+    pub tail_bytes: usize,
+    pub arrivals_per_s: f64,
+    /// Measured rounds after the first one.
+    pub rounds_count: usize,
+    /// Objective of the placement rule: cost of a second, a kilotoken and a mebibyte.
+    pub objective: [f64; 3],
+}
+
+impl Deployment {
+    /// Long prompts, mostly template, that return after long gaps.
+    pub fn tasboulak() -> Self {
+        Self {
+            name: "tasboulak",
+            model: "template-review",
+            engines_count: 10,
+            memory_tokens: 40_000,
+            prefill_tokens_per_s: 80_000,
+            link_bytes_per_s: 10_000_000,
+            token_time: Duration::from_millis(2),
+            answer_tokens: 8,
+            accounts_count: 10,
+            prompts_count: 100,
+            shared_pieces: 6,
+            own_pieces: 4,
+            tail_bytes: 1_200,
+            arrivals_per_s: 20.0,
+            rounds_count: 3,
+            objective: [0.2, 1.0, 0.05],
+        }
+    }
+
+    /// Short calls with a customer waiting.
+    pub fn frio_austral() -> Self {
+        Self {
+            name: "frio-austral",
+            model: "callout-summary",
+            engines_count: 10,
+            memory_tokens: 40_000,
+            prefill_tokens_per_s: 80_000,
+            link_bytes_per_s: 10_000_000,
+            token_time: Duration::from_millis(2),
+            answer_tokens: 4,
+            accounts_count: 10,
+            prompts_count: 200,
+            shared_pieces: 1,
+            own_pieces: 3,
+            tail_bytes: 400,
+            arrivals_per_s: 40.0,
+            rounds_count: 3,
+            objective: [1.0, 0.01, 0.001],
+        }
+    }
+
+    /// Visits in order of arrival: first round, then the measured ones.
+    pub fn visits(&self, seed: u64) -> Vec<Planned> {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut at_s = 0.0;
+        let mut visits = Vec::new();
+        for round in 0..=self.rounds_count {
+            let mut prompts: Vec<usize> = (0..self.prompts_count).collect();
+            shuffle(&mut prompts, &mut random);
+            for prompt in prompts {
+                at_s += -unit(&mut random).ln() / self.arrivals_per_s;
+                visits.push(Planned {
+                    at: Duration::from_secs_f64(at_s),
+                    prompt,
+                    round,
+                });
+            }
+        }
+        visits
+    }
+
+    /// Client account of a prompt.
+    pub fn account(&self, prompt: usize) -> usize {
+        prompt % self.accounts_count
+    }
+
+    /// Text of one visit with a prompt.
+    pub fn text(&self, visit: &Planned) -> String {
+        let account = self.account(visit.prompt);
+        let mut text = String::new();
+        for piece in 0..self.shared_pieces {
+            text.push_str(&filler(
+                &format!("template {account}/{piece} "),
+                PIECE_BYTES,
+            ));
+        }
+        for piece in 0..self.own_pieces {
+            text.push_str(&filler(
+                &format!("job {}/{piece} ", visit.prompt),
+                PIECE_BYTES,
+            ));
+        }
+        let tail = format!("question {} of {} ", visit.round, visit.prompt);
+        text.push_str(&filler(&tail, self.tail_bytes));
+        text
+    }
+
+    /// Whole pieces of each prompt.
+    pub fn pieces_count(&self) -> usize {
+        self.shared_pieces + self.own_pieces
+    }
+}
+
+/// A visit to come.
+#[derive(Clone, Copy, Debug)]
+pub struct Planned {
+    /// Time of arrival.
+    pub at: Duration,
+    pub prompt: usize,
+    /// 0 for the first visit with the prompt.
+    pub round: usize,
+}
+
+fn filler(text: &str, length: usize) -> String {
+    let mut filled = text.repeat(length / text.len() + 1);
+    filled.truncate(length);
+    filled
+}
+
+fn shuffle(items: &mut [usize], random: &mut ChaCha8Rng) {
+    for index in (1..items.len()).rev() {
+        let other = random.next_u64() % (index as u64 + 1);
+        items.swap(index, usize::try_from(other).unwrap_or(0));
+    }
+}
+
+/// A number above 0 and up to 1.
+pub fn unit(random: &mut ChaCha8Rng) -> f64 {
+    (f64::from(random.next_u32()) + 1.0) / (f64::from(u32::MAX) + 1.0)
+}
--- /dev/null
+++ b/crates/rattan/examples/measure/run.rs
@@ -0,0 +1,118 @@
+//! One run: a world, a workload, a fault.
+
+use {
+    crate::{
+        Failure,
+        condition::Condition,
+        deployment::{Deployment, PIECE_TOKENS, Planned},
+        outcome::{Outcome, Sample},
+        visitor::Visitor,
+        world::{World, account_key},
+    },
+    standin::End,
+    std::{
+        collections::HashSet,
+        path::Path,
+        sync::{Arc, Mutex, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::{task::JoinSet, time::sleep_until},
+};
+
+/// Time between the first round and the first measured one, and before the workload.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Tries of one visit.
+const TRIES: usize = 6;
+
+/// What to run.
+#[derive(Clone, Copy, Debug)]
+pub struct Run<'a> {
+    pub binary: &'a Path,
+    pub deployment: &'a Deployment,
+    pub policy: &'a str,
+    pub condition: Condition,
+    pub seed: u64,
+}
+
+/// Pieces that were computed by some engine, by account or prompt and position.
+type Seen = Arc<Mutex<HashSet<(bool, usize, usize)>>>;
+
+/// Runs it and sums up the measured rounds.
+pub async fn run(settings: &Run<'_>) -> Result<Outcome, Failure> {
+    let deployment = settings.deployment;
+    let mut world = World::start(settings.binary, deployment, settings.policy).await?;
+    let seeds: Vec<_> = world.entries.iter().map(|entry| entry.address).collect();
+    let visitors: Vec<Arc<Visitor>> = (0..deployment.accounts_count)
+        .map(|account| Arc::new(Visitor::new(&account_key(account), seeds.clone())))
+        .collect();
+    let visits = deployment.visits(settings.seed);
+    let (first, measured) = visits.split_at(deployment.prompts_count);
+    let seen = Seen::default();
+    send(deployment, first, &visitors, &seen, PAUSE).await;
+    let link_bytes = world.link_bytes();
+    settings.condition.begin(&mut world, deployment).await?;
+    let began = Instant::now();
+    let samples = send(deployment, measured, &visitors, &seen, PAUSE).await;
+    let took = began.elapsed().saturating_sub(PAUSE);
+    let moved_bytes = world.link_bytes() - link_bytes;
+    Ok(Outcome::new(settings, &samples, moved_bytes, took))
+}
+
+/// Sends visits at their times, `pause` from now on, and waits for all of them.
+async fn send(
+    deployment: &Deployment,
+    visits: &[Planned],
+    visitors: &[Arc<Visitor>],
+    seen: &Seen,
+    pause: Duration,
+) -> Vec<Sample> {
+    let first_at = visits.first().map_or(Duration::ZERO, |visit| visit.at);
+    let origin = tokio::time::Instant::now() + pause;
+    let mut tasks = JoinSet::new();
+    for planned in visits {
+        let planned = *planned;
+        let deployment = deployment.clone();
+        let visitor = Arc::clone(&visitors[deployment.account(planned.prompt)]);
+        let seen = Arc::clone(seen);
+        tasks.spawn(async move {
+            let text = deployment.text(&planned);
+            sleep_until(origin + planned.at.saturating_sub(first_at)).await;
+            visit(&deployment, &planned, &text, &visitor, &seen).await
+        });
+    }
+    tasks.join_all().await
+}
+
+async fn visit(
+    deployment: &Deployment,
+    planned: &Planned,
+    text: &str,
+    visitor: &Visitor,
+    seen: &Seen,
+) -> Sample {
+    let pieces = pieces(deployment, planned);
+    let seen_tokens = {
+        let seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = pieces.iter().take_while(|piece| seen.contains(*piece));
+        count.count() as u64 * PIECE_TOKENS
+    };
+    let visited = visitor
+        .visit(deployment.model, text, deployment.answer_tokens, TRIES)
+        .await;
+    if visited.end == End::Whole {
+        let mut seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.extend(pieces);
+    }
+    Sample {
+        seen_tokens,
+        visited,
+    }
+}
+
+/// The pieces of a prompt: whether shared, account or prompt, position.
+fn pieces(deployment: &Deployment, planned: &Planned) -> Vec<(bool, usize, usize)> {
+    let account = deployment.account(planned.prompt);
+    let shared = (0..deployment.shared_pieces).map(|piece| (true, account, piece));
+    let own = (0..deployment.own_pieces).map(|piece| (false, planned.prompt, piece));
+    shared.chain(own).collect()
+}
