--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,9 +7,11 @@
 mod answered;
 mod attempt;
 mod blocks;
+mod choose;
 mod completion;
 mod gate;
 mod journal;
+mod links;
 mod plan;
 mod service_call;
 mod serving;
