fleet: an old load report doesn't take back a target's refusal; queued prompts proved

Cause: a load report cleared the mark that the engine itself had refused work as leaving, also when the report was measured before the refusal (load lags), so new work went there again, to be refused.

Change: a report counts only if it was measured after the refusal. leaving_targets also offers prompts that queue at entries and engines while the key-value service is down and the list shows an engine as leaving.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -49,7 +49,7 @@
     usage: ArcSwapOption<StoreUsage>,
     listed_leaving: AtomicBool,
     listed_live: Mutex<Option<Instant>>,
-    refused_leaving: AtomicBool,
+    refused_leaving: Mutex<Option<Instant>>,
     blamed: Mutex<Option<Instant>>,
     in_flight_count: AtomicU32,
     prefill_tokens: AtomicU64,
@@ -68,7 +68,7 @@
             usage: ArcSwapOption::empty(),
             listed_leaving: AtomicBool::new(false),
             listed_live: Mutex::new(None),
-            refused_leaving: AtomicBool::new(false),
+            refused_leaving: Mutex::new(None),
             blamed: Mutex::new(None),
             in_flight_count: AtomicU32::new(0),
             prefill_tokens: AtomicU64::new(0),
@@ -91,8 +91,7 @@
 
     /// Takes over an engine's load report, which also shows that the engine is reachable.
     pub fn set_report(&self, report: LoadReport, now: Instant) {
-        self.refused_leaving
-            .store(report.leaving, Ordering::Relaxed);
+        self.note_report_leaving(&report, now);
         self.report
             .store(Some(Arc::new(Received { report, at: now })));
         self.clear_blame();
@@ -132,15 +131,28 @@
         lock(&self.listed_live).is_none_or(|at| now.saturating_duration_since(at) < STALE_LISTING)
     }
 
-    /// Notes that the target itself refused work because it leaves.
-    pub fn set_refused_leaving(&self) {
-        self.refused_leaving.store(true, Ordering::Relaxed);
+    /// Notes that the target itself refused work at `now` because it leaves.
+    pub fn set_refused_leaving(&self, now: Instant) {
+        *lock(&self.refused_leaving) = Some(now);
+    }
+
+    /// A report made before the target refused work doesn't take the refusal back.
+    fn note_report_leaving(&self, report: &LoadReport, now: Instant) {
+        let mut refused = lock(&self.refused_leaving);
+        if report.leaving {
+            *refused = Some(now);
+            return;
+        }
+        let age = now.saturating_duration_since(refused.unwrap_or(now));
+        if age > Duration::from_millis(report.age_ms) {
+            *refused = None;
+        }
     }
 
     /// Whether the instance list or the target itself says that it leaves.
     #[must_use]
     pub fn leaving(&self) -> bool {
-        self.listed_leaving.load(Ordering::Relaxed) || self.refused_leaving.load(Ordering::Relaxed)
+        self.listed_leaving.load(Ordering::Relaxed) || lock(&self.refused_leaving).is_some()
     }
 
     /// Notes that new connections to the target fail.
--- /dev/null
+++ b/crates/fleet/tests/leaving_targets.rs
@@ -0,0 +1,72 @@
+//! When a target counts as leaving.
+
+use {
+    catalog::{Labels, Target, TargetKind},
+    fleet::{Listed, View},
+    std::time::{Duration, Instant},
+    target::LoadReport,
+};
+
+fn view() -> View {
+    View::new(&Target {
+        name: "engine-1".to_owned(),
+        kind: TargetKind::Engine,
+        address: ([127, 0, 0, 1], 1).into(),
+        region: "r".to_owned(),
+        failure_domain: "d".to_owned(),
+        labels: Labels::new(),
+        leaving: false,
+        checks_fencing: false,
+        max_running_count: 1,
+        link_bytes_per_s: 1,
+        capacity_bytes: 0,
+        service: String::new(),
+        calls: Vec::new(),
+    })
+}
+
+fn report(leaving: bool, age_ms: u64) -> LoadReport {
+    LoadReport {
+        leaving,
+        age_ms,
+        ..LoadReport::default()
+    }
+}
+
+#[test]
+fn a_report_made_before_the_refusal_does_not_take_it_back() {
+    let (view, refused_at) = (view(), Instant::now());
+    view.set_refused_leaving(refused_at);
+    view.set_report(report(false, 900), refused_at + Duration::from_millis(500));
+    assert!(view.leaving());
+    view.set_report(report(false, 400), refused_at + Duration::from_millis(500));
+    assert!(!view.leaving());
+    view.set_report(report(true, 0), refused_at + Duration::from_secs(1));
+    assert!(view.leaving());
+}
+
+#[test]
+fn a_target_that_left_the_list_stays_leaving_until_it_is_listed_again() {
+    let (view, now) = (view(), Instant::now());
+    view.set_listed(Listed::Absent, now);
+    assert!(
+        !view.leaving(),
+        "a target may be missing from the list for good"
+    );
+    for gone in [Listed::Leaving, Listed::Absent] {
+        view.set_listed(Listed::Live, now);
+        assert!(!view.leaving());
+        view.set_listed(gone, now);
+        view.set_listed(Listed::Absent, now);
+        assert!(view.leaving());
+    }
+}
+
+#[test]
+fn a_listing_vouches_for_three_seconds() {
+    let (view, now) = (view(), Instant::now());
+    assert!(view.listing_vouches(now));
+    view.set_listed(Listed::Live, now);
+    assert!(view.listing_vouches(now + Duration::from_millis(2_900)));
+    assert!(!view.listing_vouches(now + Duration::from_secs(3)));
+}
--- a/crates/rattan/tests/leaving_targets.rs
+++ b/crates/rattan/tests/leaving_targets.rs
@@ -16,7 +16,7 @@
         booking::{Order, send},
         http::Connection,
         objects::{self, ACCOUNT, CALLER_KEY},
-        world::{OPERATOR_KEY, REGION, World, WorldSettings},
+        world::{OPERATOR_KEY, REGION, World, WorldSettings, complete},
     },
     tokio::time::{Instant, sleep},
 };
@@ -190,3 +190,60 @@
     rig.list(Some("leaving"));
     rig.assert_left("/book").await;
 }
+
+/// Sends prompts to all entries until `end`; gives how many were answered.
+async fn prompts(entries: &[SocketAddr], end: Instant) -> usize {
+    let callers = (0..CALLERS_COUNT * 2).map(|caller| {
+        let address = entries[caller % entries.len()];
+        tokio::spawn(async move {
+            let mut answered = 0;
+            while Instant::now() < end {
+                answered += usize::from(complete(address, 20).await.is_ok());
+            }
+            answered
+        })
+    });
+    let mut answered = 0;
+    for caller in callers.collect::<Vec<_>>() {
+        answered += caller.await.expect("no panic");
+    }
+    answered
+}
+
+#[tokio::test]
+async fn queued_prompts_do_not_go_to_an_engine_that_leaves() {
+    let mut settings = settings();
+    settings.engine.max_running_count = 2;
+    settings.engine.token_time = Duration::from_millis(20);
+    let world = World::start(settings).await.expect("a world");
+    let engine = |state: &str| {
+        json!({
+            "name": "engine-0",
+            "role": "engine",
+            "address": world.engines[0].address,
+            "region": REGION,
+            "failure_domain": "fd-0",
+            "state": state,
+        })
+    };
+    let list = world.instances.role();
+    list.change("engine-0", Some(engine("live")));
+    let entries: Vec<SocketAddr> = world.entries.iter().map(|entry| entry.address).collect();
+    let runs_count = || world.engines[0].role().audit().runs.len();
+    let offered = tokio::spawn({
+        let entries = entries.clone();
+        let end = Instant::now() + Duration::from_secs(2) + BOUND + WATCHED;
+        async move { prompts(&entries, end).await }
+    });
+    sleep(Duration::from_secs(2)).await;
+    assert!(runs_count() > 0, "the engine is used while it is live");
+    world
+        .kv
+        .set_faults(&json!({"down": true}))
+        .expect("a switch");
+    list.change("engine-0", Some(engine("leaving")));
+    sleep(BOUND).await;
+    let before = runs_count();
+    assert!(offered.await.expect("no panic") > 0);
+    assert_eq!(runs_count(), before, "new work at a leaving engine");
+}
--- a/crates/serving/src/completion.rs
+++ b/crates/serving/src/completion.rs
@@ -232,7 +232,7 @@
         };
         if let (Some(view), AttemptEnd::Broken(error)) = (view, &report.end) {
             match error {
-                error if error.is_leaving() => view.set_refused_leaving(),
+                error if error.is_leaving() => view.set_refused_leaving(Instant::now()),
                 SendError::NotSent { .. } | SendError::Unknown { .. } => view.blame(Instant::now()),
                 SendError::Refused { .. } | SendError::Failed { .. } => {}
             }
