--- a/crates/rattan/src/control/order_watch.rs
+++ b/crates/rattan/src/control/order_watch.rs
@@ -4,6 +4,7 @@
     catalog::{Revision, Target},
     cluster::{Cluster, MemberState, OWNERS_COUNT},
     configuration::Handle,
+    fleet::Fleet,
     orders::{HolderSettings, Observed, Order, OrderError, OrderTarget, Orderer, OrdererSettings},
     platform::KeyValue,
     std::{sync::Arc, time::Duration},
@@ -33,6 +34,7 @@
     pub(crate) client: Client,
     pub(crate) cluster: Arc<Cluster>,
     pub(crate) configuration: Handle,
+    pub(crate) fleet: Arc<Fleet>,
 }
 
 impl<Kv> OrderWatch<Kv>
@@ -55,6 +57,12 @@
         orderer.resign().await;
     }
 
+    /// Whether the instance list or the engine itself says that it leaves.
+    fn is_leaving(&self, target: &str) -> bool {
+        let view = self.fleet.view(target);
+        view.is_some_and(|view| view.leaving())
+    }
+
     async fn pass(&self, orderer: &mut Orderer<Kv, Engines>) {
         let catalog = self.configuration.catalog();
         let members = self.cluster.members();
@@ -64,6 +72,7 @@
             let first = owners.first();
             own.state == MemberState::Live
                 && first.is_some_and(|owner| owner.instance == own.instance)
+                && !self.is_leaving(target)
         };
         let given = match orderer.run_once(&catalog, owns).await {
             Ok(given) => given,
--- a/crates/rattan/src/daemon.rs
+++ b/crates/rattan/src/daemon.rs
@@ -196,6 +196,7 @@
         client: parts.client.clone(),
         cluster: parts.cluster.clone(),
         configuration: follower.handle(),
+        fleet: parts.fleet.clone(),
     };
     Supervisor::new("control")
         .child(until_cancelled("configuration", move || {
--- /dev/null
+++ b/crates/rattan/tests/order_holders.rs
@@ -0,0 +1,107 @@
+//! Daemons that give an engine orders while their holder is frozen past its lease. The engine
+//! ignores fencing numbers and lists the orders that it took.
+
+mod support;
+
+use {
+    hyper::Method,
+    platform::{EtcdKv, EtcdSettings, KeyValue},
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeSet,
+        io,
+        time::{Duration, Instant},
+    },
+    support::{
+        http::Connection,
+        objects,
+        world::{OPERATOR_KEY, World, WorldSettings},
+    },
+    tokio::time::sleep,
+};
+
+/// The time to live of the daemons' leases, and some more.
+const FROZEN: Duration = Duration::from_secs(18);
+/// Longest wait for orders of a new holder: the rest of the lease, then ttl and margin.
+const TAKEN_OVER: Duration = Duration::from_secs(45);
+/// Time between two changes of the version that is asked for.
+const FLIP_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Asks for another version of the model, so that the engine needs an order.
+async fn flip(operator: &mut Connection, digest: &str) -> io::Result<()> {
+    let path = "/v1/operator/model_version/notes-1";
+    let current = operator.json(Method::GET, path, &Value::Null).await?;
+    let mut version = objects::model_version();
+    version["digest"] = json!(digest);
+    let change = json!([{"put": version, "revision": current["revision"]}]);
+    let path = "/v1/operator/apply";
+    operator.json(Method::POST, path, &change).await.map(drop)
+}
+
+/// Flips the version until `done` holds or `bound` has passed.
+async fn flip_until<Done>(
+    world: &World,
+    entry: usize,
+    bound: Duration,
+    done: Done,
+) -> io::Result<()>
+where
+    Done: Fn(&[u64]) -> bool,
+{
+    let mut operator = Connection::open(world.entries[entry].address, OPERATOR_KEY).await?;
+    let deadline = Instant::now() + bound;
+    for digest in ["e1e1e1e1", "e2e2e2e2"].into_iter().cycle() {
+        let orders = world.engines[0].role().audit().orders;
+        if done(&orders) {
+            return Ok(());
+        }
+        if Instant::now() >= deadline {
+            return Err(io::Error::other(format!("orders so far: {orders:?}")));
+        }
+        flip(&mut operator, digest).await?;
+        sleep(FLIP_INTERVAL).await;
+    }
+    Ok(())
+}
+
+/// Index of the entry that holds the engine.
+async fn holder(world: &World) -> usize {
+    let kv = EtcdKv::new(EtcdSettings {
+        endpoints: vec![world.kv.address],
+        timeout: Duration::from_secs(5),
+    });
+    let range = kv.range("/rattan/holder/engine-0").await.expect("up");
+    let value: Value = serde_json::from_slice(&range.pairs[0].value).expect("a record");
+    let mut entries = world.entries.iter();
+    let found = entries.position(|entry| value["instance"] == entry.name.as_str());
+    found.expect("a known holder")
+}
+
+fn holders_count(orders: &[u64]) -> usize {
+    orders.iter().collect::<BTreeSet<_>>().len()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_frozen_holder_gives_no_order_after_the_next_one() {
+    let mut settings = WorldSettings::new(env!("CARGO_BIN_EXE_rattand"));
+    settings.entries_count = 3;
+    settings.engines_count = 1;
+    let world = World::start(settings).await.expect("a world");
+    let ordered = |orders: &[u64]| orders.len() >= 3;
+    flip_until(&world, 0, TAKEN_OVER, ordered)
+        .await
+        .expect("orders");
+    let frozen = holder(&world).await;
+    world.entries[frozen].signal("STOP");
+    let awake = (frozen + 1) % world.entries.len();
+    let never = |_: &[u64]| false;
+    let _ = flip_until(&world, awake, FROZEN, never).await;
+    world.entries[frozen].signal("CONT");
+    let taken_over = |orders: &[u64]| holders_count(orders) >= 2 && orders.len() >= 6;
+    flip_until(&world, awake, TAKEN_OVER, taken_over)
+        .await
+        .expect("orders of the next holder");
+    let orders = world.engines[0].role().audit().orders;
+    println!("fencing numbers of the orders: {orders:?}");
+    assert!(orders.is_sorted(), "{orders:?}");
+}
--- a/crates/standin/src/engine/audit.rs
+++ b/crates/standin/src/engine/audit.rs
@@ -31,9 +31,18 @@
     pub wrong_version_blocks: u64,
     /// Runs in the order in which their prompts began to be computed.
     pub runs: Vec<AuditedRun>,
+    /// Fencing numbers of the orders that were taken, in the order in which they came.
+    #[serde(default)]
+    pub orders: Vec<u64>,
 }
 
 impl Audit {
+    pub(super) fn add_order(&mut self, fencing: u64) {
+        if self.orders.len() < MAX_RUNS_COUNT {
+            self.orders.push(fencing);
+        }
+    }
+
     pub(super) fn add_run(&mut self, run: AuditedRun) {
         if self.runs.len() < MAX_RUNS_COUNT {
             self.runs.push(run);
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -59,6 +59,7 @@
             return Err(state.newest_fencing);
         }
         state.newest_fencing = state.newest_fencing.max(fencing);
+        state.audit.add_order(fencing);
         Ok(())
     }
 
