--- a/crates/rattan/src/daemon.rs
+++ b/crates/rattan/src/daemon.rs
@@ -198,6 +198,7 @@
         client: parts.client.clone(),
         cluster: parts.cluster.clone(),
         configuration: follower.handle(),
+        fleet: parts.fleet.clone(),
     };
     Supervisor::new("control")
         .child(until_cancelled("configuration", move || {
--- a/crates/serving/src/completion.rs
+++ b/crates/serving/src/completion.rs
@@ -238,7 +238,7 @@
         };
         if let (Some(view), AttemptEnd::Broken(error)) = (view, &report.end) {
             match error {
-                error if error.is_leaving() => view.set_refused_leaving(),
+                error if error.is_leaving() => view.set_refused_leaving(Instant::now()),
                 SendError::NotSent { .. } | SendError::Unknown { .. } => view.blame(Instant::now()),
                 SendError::OtherVersion { .. } => {
                     view.disprove_version(&scope.version.digest, Instant::now());
