--- a/crates/configuration/tests/accepted_configuration.rs
+++ b/crates/configuration/tests/accepted_configuration.rs
@@ -4,17 +4,17 @@
 mod support;
 
 use {
-    std::ops::Range,
+    std::{ops::Range, path::Path},
     support::world::{Report, Way, run},
 };
 
-/// Histories of one run in CI. `RATTAN_TEST_SEED` and `RATTAN_TEST_RUNS` choose others for a soak.
+/// Histories of one run in CI. `TEST_SEED` and `TEST_RUNS` choose others for a soak.
 const RUNS_COUNT: u64 = 100;
 
 fn seeds() -> Range<u64> {
     let number = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
-    let first = number("RATTAN_TEST_SEED").unwrap_or(0);
-    first..first + number("RATTAN_TEST_RUNS").unwrap_or(RUNS_COUNT)
+    let first = number("TEST_SEED").unwrap_or(0);
+    first..first + number("TEST_RUNS").unwrap_or(RUNS_COUNT)
 }
 
 fn runs(way: Way) -> Vec<(u64, Report)> {
@@ -28,6 +28,19 @@
     seeds().map(run_seed).collect()
 }
 
+/// Writes the history of a run that failed into the directory that `TEST_HISTORY_DIR` names.
+fn save_history(seed: u64, report: &Report) {
+    let Some(directory) = std::env::var_os("TEST_HISTORY_DIR") else {
+        return;
+    };
+    if report.violations.is_empty() {
+        return;
+    }
+    let path = Path::new(&directory).join(format!("accepted-configuration-{seed}.txt"));
+    let text = format!("{:#?}\n{}", report.violations, report.history);
+    std::fs::write(path, text).expect("the directory can be written");
+}
+
 #[track_caller]
 fn total(reports: &[(u64, Report)], count: fn(&Report) -> usize) -> usize {
     reports.iter().map(|(_, report)| count(report)).sum()
@@ -37,6 +50,7 @@
 fn accepted_configuration_never_reverts() {
     let reports = runs(Way::Real);
     for (seed, report) in &reports {
+        save_history(*seed, report);
         assert!(
             report.violations.is_empty(),
             "seed {seed}: {:?}",
--- a/crates/configuration/tests/support/journal.rs
+++ b/crates/configuration/tests/support/journal.rs
@@ -2,7 +2,7 @@
 
 use {
     super::spec::{ConfigurationSpec, Ended, Operation},
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, fmt},
     todc_utils::linearizability::{
         WGLChecker,
         history::{Action, History},
@@ -109,3 +109,21 @@
         seen
     }
 }
+
+/// One line for each call and answer, in order.
+impl fmt::Display for Journal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (id, is_call) in &self.moments {
+            match (is_call, &self.operations[*id]) {
+                (true, _) => writeln!(formatter, "{id} call")?,
+                (false, operation) => writeln!(formatter, "{id} answer {operation:?}")?,
+            }
+        }
+        for (id, operation) in self.operations.iter().enumerate() {
+            if let Some(Operation::Change { ended: None, .. }) = operation {
+                writeln!(formatter, "{id} unknown {operation:?}")?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/configuration/tests/support/world.rs
+++ b/crates/configuration/tests/support/world.rs
@@ -47,6 +47,8 @@
 pub struct Report {
     /// What must not happen and did.
     pub violations: Vec<String>,
+    /// Operators' calls and answers in order.
+    pub history: String,
     /// Whether operators saw changes take effect one at a time.
     pub is_linearizable: bool,
     /// Times that an instance went back to a lower revision.
@@ -328,6 +330,7 @@
         report.conflict_count = journal.ended_count(Ended::Conflict);
         report.answers_count = journal.answers_count();
         report.unknown_count = journal.unknown_count();
+        report.history = journal.to_string();
         report.is_linearizable = journal.is_linearizable();
         if !report.is_linearizable {
             report
