rattan status shows entry instances and targets as an instance sees them

Cause: status showed the configuration alone, so an operator could not see which target an instance leaves out, or which instance does not answer.

--- a/crates/rattan/src/backend.rs
+++ b/crates/rattan/src/backend.rs
@@ -1,7 +1,7 @@
 //! Joins the gateway to the rest of the system.
 
 use {
-    crate::Metrics,
+    crate::{Metrics, status::add_system},
     catalog::{ClientAccountId, RequestId},
     cluster::{Cluster, Member},
     configuration::Handle,
@@ -24,6 +24,9 @@
 /// Path prefix of operators' look-ups of decisions.
 const DECISION_PREFIX: &str = "/decisions/";
 
+/// Path of operators' call for the state of the system.
+const STATUS_PATH: &str = "/status";
+
 /// Records of decisions that other instances keep.
 pub(crate) trait PeerRecords: Clone + Send + Sync + 'static {
     /// The record of a request, if a peer that answers in time has it.
@@ -100,10 +103,15 @@
     }
 
     async fn operate(&self, call: OperatorCall) -> OperatorAnswer {
-        match call.path.strip_prefix(DECISION_PREFIX) {
-            Some(request) => self.explain(&request.to_owned()).await,
-            None => self.operator.operate(&call).await,
+        if let Some(request) = call.path.strip_prefix(DECISION_PREFIX) {
+            return self.explain(&request.to_owned()).await;
+        }
+        let mut answer = self.operator.operate(&call).await;
+        if call.path == STATUS_PATH && answer.status == 200 {
+            let (members, catalog) = (self.cluster.members(), self.configuration.catalog());
+            add_system(&mut answer.body, &members, &catalog, self.serving.fleet());
         }
+        answer
     }
 }
 
--- a/crates/rattan/src/lib.rs
+++ b/crates/rattan/src/lib.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod recent;
 mod settings;
+mod status;
 
 pub use {
     daemon::{DaemonError, run},
