--- a/crates/directory/src/events.rs
+++ b/crates/directory/src/events.rs
@@ -13,6 +13,10 @@
 
 /// Confidence in a copy that was reported before events were lost.
 const UNCERTAIN_CONFIDENCE: f64 = 0.5;
+/// Weight of the newest run in the share of runs that found less than was believed.
+const MISS_WEIGHT: f64 = 0.1;
+/// What is left of that share after a run that says nothing about it.
+const MISS_KEPT: f64 = 0.98;
 
 /// What happened to a block in engine memory.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,6 +62,8 @@
 pub(crate) struct MemoryView {
     last_seq: u64,
     uncertain_until_seq: u64,
+    /// Share of runs that found less in memory than was believed, newest runs weighing most.
+    miss_share: f64,
 }
 
 impl Directory {
@@ -153,11 +159,9 @@
         for key in blocks {
             self.cache(index, *key, last_seq, now);
         }
-        let view = MemoryView {
-            last_seq,
-            uncertain_until_seq: 0,
-        };
-        self.memory.insert(index, view);
+        let view = self.memory.entry(index).or_default();
+        view.last_seq = last_seq;
+        view.uncertain_until_seq = 0;
     }
 
     /// Corrects what is known of an engine's memory by its own count: it had the first
@@ -182,6 +186,30 @@
         }
     }
 
+    /// Takes in whether a run found in an engine's memory what was relied on: `believed_blocks`
+    /// leading blocks, of which it had `cached_blocks`. Small memories are overwritten between a
+    /// decision and its run, which no cache event tells in time; the confidence of all copies of
+    /// the engine falls with the share of such runs.
+    pub fn observe_belief(
+        &mut self,
+        target: &TargetId,
+        believed_blocks: usize,
+        cached_blocks: usize,
+    ) {
+        let index = self.targets.intern(target);
+        let view = self.memory.entry(index).or_default();
+        if believed_blocks == 0 {
+            view.miss_share *= MISS_KEPT;
+            return;
+        }
+        let missed = if cached_blocks < believed_blocks {
+            1.0
+        } else {
+            0.0
+        };
+        view.miss_share += MISS_WEIGHT * (missed - view.miss_share);
+    }
+
     /// Last sequence number applied for an engine; 0 if none.
     #[must_use]
     pub fn last_seq(&self, target: &TargetId) -> u64 {
@@ -193,14 +221,14 @@
 
     /// Probability that a copy in engine memory is still there.
     pub(crate) fn confidence(&self, entry: &Entry) -> f64 {
-        let uncertain_until_seq = self
-            .memory
-            .get(&entry.target)
-            .map_or(0, |view| view.uncertain_until_seq);
-        if entry.generation <= uncertain_until_seq {
+        let Some(view) = self.memory.get(&entry.target) else {
+            return UNCERTAIN_CONFIDENCE;
+        };
+        let reported = if entry.generation <= view.uncertain_until_seq {
             UNCERTAIN_CONFIDENCE
         } else {
             1.0
-        }
+        };
+        reported * (1.0 - view.miss_share)
     }
 }
--- a/crates/directory/tests/cache_events.rs
+++ b/crates/directory/tests/cache_events.rs
@@ -86,3 +86,21 @@
     assert_eq!(confidence(&directory, 2), None);
     assert_eq!(directory.seen_blocks(&[[1; 32], [2; 32], [9; 32]]), 2);
 }
+
+#[test]
+fn runs_that_find_less_lower_the_confidence() {
+    let mut directory = Directory::default();
+    let engine = "engine-a".to_owned();
+    directory.apply_events(&engine, 0, &[stored(1, 1)], NOW);
+    for _ in 0..5 {
+        directory.observe_belief(&engine, 6, 0);
+    }
+    let low = confidence(&directory, 1).unwrap();
+    assert!((0.5..0.7).contains(&low), "{low}");
+    directory.resync(&engine, 2, &[[1; 32]], NOW);
+    assert!((confidence(&directory, 1).unwrap() - low).abs() < 1e-9);
+    for _ in 0..100 {
+        directory.observe_belief(&engine, 0, 0);
+    }
+    assert!(confidence(&directory, 1).unwrap() > 0.9);
+}
--- a/crates/rattan/examples/measure/run.rs
+++ b/crates/rattan/examples/measure/run.rs
@@ -11,7 +11,9 @@
     },
     standin::End,
     std::{
+        cmp::Reverse,
         collections::HashSet,
+        env,
         path::Path,
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
@@ -21,6 +23,10 @@
 
 /// Time between the first round and the first measured one, and before the workload.
 const PAUSE: Duration = Duration::from_millis(500);
+/// Set to have the slowest visits explained.
+const EXPLAIN_VARIABLE: &str = "MEASURE_EXPLAIN";
+/// Visits that are explained.
+const EXPLAINED_COUNT: usize = 10;
 /// Tries of one visit.
 const TRIES: usize = 6;
 
@@ -54,10 +60,29 @@
     let began = Instant::now();
     let samples = send(deployment, measured, &visitors, &seen, PAUSE).await;
     let took = began.elapsed().saturating_sub(PAUSE);
+    if env::var_os(EXPLAIN_VARIABLE).is_some() {
+        explain_slowest(&world, &samples).await;
+    }
     let moved_bytes = world.link_bytes() - link_bytes;
     Ok(Outcome::new(settings, &samples, moved_bytes, took))
 }
 
+/// Prints why the slowest visits went where they did.
+async fn explain_slowest(world: &World, samples: &[Sample]) {
+    let mut slowest: Vec<&Sample> = samples.iter().collect();
+    slowest.sort_by_key(|it| Reverse(it.visited.first_token));
+    let step = (samples.len() / 100).max(1);
+    for sample in slowest.iter().take(EXPLAINED_COUNT * step).step_by(step) {
+        let visited = &sample.visited;
+        eprintln!(
+            "{:?}, {} of {} known tokens cached",
+            visited.first_token, visited.cached_tokens, sample.seen_tokens
+        );
+        let explanation = world.explain(&visited.request).await;
+        eprintln!("{}", explanation.unwrap_or_default());
+    }
+}
+
 /// Sends visits at their times, `pause` from now on, and waits for all of them.
 async fn send(
     deployment: &Deployment,
--- a/crates/rattan/examples/measure/visitor.rs
+++ b/crates/rattan/examples/measure/visitor.rs
@@ -34,6 +34,8 @@
     pub end: End,
     /// What the last refusal said.
     pub error: Value,
+    /// Request id of the last try.
+    pub request: String,
 }
 
 /// The callers of one client account.
@@ -139,6 +141,7 @@
         refused_count,
         end: visit.end,
         error: visit.error,
+        request: visit.request,
     }
 }
 
--- a/crates/rattan/examples/measure/world.rs
+++ b/crates/rattan/examples/measure/world.rs
@@ -152,6 +152,23 @@
         objects
     }
 
+    /// Why a request went where it did, as the entries explain it.
+    pub async fn explain(&self, request: &str) -> Option<String> {
+        let operator = Caller::new(OPERATOR_KEY);
+        let path = format!("/v1/operator/decisions/{request}");
+        for entry in &self.entries {
+            let call = operator.call(entry.address, Method::GET, &path, &[], Bytes::new());
+            let Ok((status, body)) = call.await else {
+                continue;
+            };
+            if status.is_success() {
+                let answer: Value = serde_json::from_slice(&body).ok()?;
+                return answer["explanation"].as_str().map(str::to_owned);
+            }
+        }
+        None
+    }
+
     /// Stops the first store for good.
     pub async fn stop_store(&mut self) {
         let store = self.stores.remove(0);
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Candidate, Choice, FilterReason, Job, Policy, Refusal, Rejected,
-        estimate::{estimate, estimate_without_import, seconds},
+        estimate::{compute_s, estimate, estimate_without_import, seconds},
     },
     catalog::PlacementRule,
     std::time::Duration,
@@ -15,6 +15,10 @@
 const MIN_FULL_RETRY: Duration = Duration::from_millis(50);
 /// Requests that may wait at an engine for each that it runs at once.
 const QUEUED_PER_SLOT: u32 = 2;
+/// Longest expected queue, in seconds, at which an engine still takes a request.
+const MAX_QUEUE_S: f64 = 1.0;
+/// The same as a multiple of the time to compute the request's prompt, for long prompts.
+const MAX_QUEUE_PROMPTS: f64 = 2.0;
 /// Scores that differ by less than this share of the best one are ties.
 const TIE_SHARE: f64 = 0.01;
 
@@ -46,7 +50,7 @@
     let mut rejected = Vec::new();
     let mut scored = Vec::with_capacity(candidates.len());
     for candidate in candidates {
-        if let Some(reason) = filter(rule, candidate) {
+        if let Some(reason) = filter(job, rule, candidate) {
             rejected.push(Rejected {
                 target: candidate.target.name.clone(),
                 reason,
@@ -86,7 +90,7 @@
     usize::try_from(draw % count.max(1) as u64).unwrap_or(0)
 }
 
-fn filter(rule: &PlacementRule, candidate: &Candidate<'_>) -> Option<FilterReason> {
+fn filter(job: &Job, rule: &PlacementRule, candidate: &Candidate<'_>) -> Option<FilterReason> {
     if !rule.targets.matches(&candidate.target.labels) {
         return Some(FilterReason::Selector);
     }
@@ -99,12 +103,15 @@
     if !candidate.has_version && candidate.weights_load.is_zero() {
         return Some(FilterReason::Version);
     }
-    is_full(candidate).then_some(FilterReason::Full)
+    is_full(job, candidate).then_some(FilterReason::Full)
 }
 
-fn is_full(candidate: &Candidate<'_>) -> bool {
+/// Whether the engine's queue is so long that the request had better come back later.
+fn is_full(job: &Job, candidate: &Candidate<'_>) -> bool {
     let slots_count = candidate.target.max_running_count.max(1);
+    let prompt_s = compute_s(job, candidate, 0);
     candidate.load.queued_count >= slots_count.saturating_mul(QUEUED_PER_SLOT)
+        || candidate.queue_s() > MAX_QUEUE_S.max(MAX_QUEUE_PROMPTS * prompt_s)
 }
 
 /// The refusal, with the time when the first of the full engines is expected to have room.
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -167,7 +167,7 @@
 
 /// Seconds to compute what follows the first `had_blocks` of the prompt.
 #[allow(clippy::cast_precision_loss)]
-fn compute_s(job: &Job, candidate: &Candidate<'_>, had_blocks: usize) -> f64 {
+pub(crate) fn compute_s(job: &Job, candidate: &Candidate<'_>, had_blocks: usize) -> f64 {
     let had_tokens = had_blocks as u64 * job.block_tokens;
     let tokens = job.prompt_tokens.saturating_sub(had_tokens);
     tokens as f64 / candidate.prefill_tokens_per_s.max(1.0)
--- a/crates/serving/src/answered.rs
+++ b/crates/serving/src/answered.rs
@@ -30,9 +30,13 @@
         let block_tokens = u64::from(scope.version.piece_tokens).max(1);
         let cached_blocks = usize::try_from(cached_tokens / block_tokens).unwrap_or(usize::MAX);
         let now = self.blocks().now();
-        self.blocks()
-            .lock()
-            .observe_run(&plan.engine.name, &plan.keys, cached_blocks, now);
+        let engine = &plan.engine.name;
+        let believed_blocks = plan.choice.chosen.import_from_block;
+        {
+            let mut directory = self.blocks().lock();
+            directory.observe_belief(engine, believed_blocks, cached_blocks);
+            directory.observe_run(engine, &plan.keys, cached_blocks, now);
+        }
         let lost_blocks = plan.seen_blocks.saturating_sub(cached_blocks) as u64;
         let recomputed_tokens = lost_blocks * block_tokens;
         self.journal().step(
