--- a/crates/rattan/examples/slopes/entries.rs
+++ b/crates/rattan/examples/slopes/entries.rs
@@ -9,9 +9,15 @@
     },
     hyper::Method,
     serde_json::Value,
-    std::{io, time::Instant},
+    std::{
+        io,
+        time::{Duration, Instant},
+    },
 };
 
+/// Time until the daemons know each other.
+const SETTLE: Duration = Duration::from_secs(2);
+
 /// Processor time by look-ups, over one connection.
 pub async fn measure() -> io::Result<Vec<Series>> {
     let mut cpu = Series::new("address look-ups: cpu us", "look-ups");
@@ -20,6 +26,7 @@
         let mut settings = settings()?;
         settings.entries_count = entries_count;
         let world = World::start(settings).await?;
+        tokio::time::sleep(SETTLE).await;
         let mut caller = Connection::open(world.entries[0].address, CALLER_KEY).await?;
         let (_, answer) = caller
             .call(Method::GET, "/v1/entries", &Value::Null)
@@ -41,7 +48,7 @@
 async fn spent_us(world: &World, caller: &mut Connection, count: usize) -> io::Result<f64> {
     let pid = world.entries[0].id();
     let before = cpu_s(pid)?;
-    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
     let idle = cpu_s(pid)? - before;
     let (before, started) = (cpu_s(pid)?, Instant::now());
     for _ in 0..count {
--- a/crates/rattan/examples/slopes/objects.rs
+++ b/crates/rattan/examples/slopes/objects.rs
@@ -26,7 +26,7 @@
     let account =
         |index: usize| objects::account(&format!("account-{index:04}"), &format!("key-{index}"));
     let target = |index: usize| {
-        let port = u16::try_from(index).unwrap_or(u16::MAX);
+        let port = u16::try_from(index + 1).unwrap_or(u16::MAX);
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         objects::service(&format!("extra-{index:04}"), address)
     };
--- a/crates/rattan/examples/slopes/targets.rs
+++ b/crates/rattan/examples/slopes/targets.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        changes::kv_calls,
         daemon::{relayed_bytes, settings},
         series::Series,
         support::world::World,
@@ -12,31 +13,63 @@
 
 /// Time for connections and first reads before the measurement.
 const SETTLE: Duration = Duration::from_secs(2);
+/// Default interval of load reports.
+const DEFAULT_INTERVAL_MS: u64 = 250;
+/// A longer one.
+const LONGER_INTERVAL_MS: u64 = 2_000;
 /// Length of the measurement.
 const MEASURED: Duration = Duration::from_secs(5);
 
-/// Idle engines; load is read at the daemon's default interval of 250 ms.
+/// Idle engines, with load read at the daemon's default interval and at a longer one.
 pub async fn measure() -> io::Result<Vec<Series>> {
-    let size = "engines";
-    let mut cpu = Series::new("target reads: cpu us/s", size);
-    let mut bytes = Series::new("target reads: bytes/s, both ways", size);
-    let mut memory = Series::new("target reads: resident bytes of the daemon", size);
+    let mut rows = at_interval(
+        DEFAULT_INTERVAL_MS,
+        [
+            "target reads every 250 ms: cpu us/s",
+            "target reads every 250 ms: bytes/s, both ways",
+            "target reads every 250 ms: resident bytes of the daemon",
+            "holder of all engines: key-value calls/s",
+        ],
+    )
+    .await?;
+    let longer = at_interval(
+        LONGER_INTERVAL_MS,
+        [
+            "target reads every 2 s: cpu us/s",
+            "target reads every 2 s: bytes/s, both ways",
+            "",
+            "",
+        ],
+    );
+    rows.extend(longer.await?.into_iter().take(2));
+    Ok(rows)
+}
+
+async fn at_interval(interval_ms: u64, names: [&'static str; 4]) -> io::Result<Vec<Series>> {
+    let mut rows = names.map(|name| Series::new(name, "engines"));
     for engines_count in [2, 8, 16, 32] {
         let mut settings = settings()?;
         settings.entries_count = 1;
         settings.engines_count = engines_count;
+        settings.flags = vec![("load-interval-ms", interval_ms.to_string())];
         let world = World::start(settings).await?;
-        tokio::time::sleep(SETTLE).await;
-        let pid = world.entries[0].id();
-        let (cpu_before, bytes_before) = (cpu_s(pid)?, relayed_bytes(&world)[2]);
-        tokio::time::sleep(MEASURED).await;
-        let seconds = MEASURED.as_secs_f64();
-        cpu.add(engines_count, (cpu_s(pid)? - cpu_before) * 1e6 / seconds);
-        bytes.add(
-            engines_count,
-            (relayed_bytes(&world)[2] - bytes_before) / seconds,
-        );
-        memory.add(engines_count, resident_bytes(pid)?);
+        for (row, value) in rows.iter_mut().zip(at_rest(&world).await?) {
+            row.add(engines_count, value);
+        }
     }
-    Ok(vec![cpu, bytes, memory])
+    Ok(rows.into())
+}
+
+async fn at_rest(world: &World) -> io::Result<[f64; 4]> {
+    tokio::time::sleep(SETTLE).await;
+    let pid = world.entries[0].id();
+    let (cpu, bytes, calls) = (cpu_s(pid)?, relayed_bytes(world)[2], kv_calls(world));
+    tokio::time::sleep(MEASURED).await;
+    let seconds = MEASURED.as_secs_f64();
+    Ok([
+        (cpu_s(pid)? - cpu) * 1e6 / seconds,
+        (relayed_bytes(world)[2] - bytes) / seconds,
+        resident_bytes(pid)?,
+        (kv_calls(world) - calls) / seconds,
+    ])
 }
