--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -3,7 +3,7 @@
 use {
     crate::LinkRate,
     arc_swap::ArcSwapOption,
-    catalog::{Target, TargetId},
+    catalog::{Target, TargetId, VersionDigest},
     routing::EngineLoad,
     std::{
         net::SocketAddr,
@@ -18,15 +18,32 @@
 
 /// Age at which a load report no longer vouches for its engine.
 const STALE_REPORT: Duration = Duration::from_secs(4);
+/// Age at which the instance list no longer vouches for a target that it showed.
+const STALE_LISTING: Duration = Duration::from_secs(3);
 /// How long a target is left out after a connection to it failed, unless it reports sooner.
 const BLAME: Duration = Duration::from_secs(1);
 
+/// How long an engine that answered with another version than it reports is not asked for that
+/// version.
+const DISPROVED: Duration = Duration::from_secs(30);
+
 #[derive(Debug)]
 struct Received {
     report: LoadReport,
     at: Instant,
 }
 
+/// What the instance list shows of one target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Listed {
+    /// It runs.
+    Live,
+    /// It leaves.
+    Leaving,
+    /// It is not on the list.
+    Absent,
+}
+
 /// What is known of one target.
 #[derive(Debug)]
 pub struct View {
@@ -35,8 +52,10 @@
     report: ArcSwapOption<Received>,
     usage: ArcSwapOption<StoreUsage>,
     listed_leaving: AtomicBool,
+    listed_live: Mutex<Option<Instant>>,
     refused_leaving: AtomicBool,
     blamed: Mutex<Option<Instant>>,
+    disproved: ArcSwapOption<(VersionDigest, Instant)>,
     in_flight_count: AtomicU32,
     prefill_tokens: AtomicU64,
     link_queued_bytes: AtomicU64,
@@ -53,8 +72,10 @@
             report: ArcSwapOption::empty(),
             usage: ArcSwapOption::empty(),
             listed_leaving: AtomicBool::new(false),
+            listed_live: Mutex::new(None),
             refused_leaving: AtomicBool::new(false),
             blamed: Mutex::new(None),
+            disproved: ArcSwapOption::empty(),
             in_flight_count: AtomicU32::new(0),
             prefill_tokens: AtomicU64::new(0),
             link_queued_bytes: AtomicU64::new(0),
@@ -95,11 +116,28 @@
         self.usage.load_full()
     }
 
-    /// Takes over whether the instance list shows the target as leaving.
-    pub fn set_listed_leaving(&self, leaving: bool) {
+    /// Takes over what the instance list shows at `now`. A target that was on the list and no
+    /// longer is has left.
+    pub fn set_listed(&self, listed: Listed, now: Instant) {
+        let mut live = lock(&self.listed_live);
+        let leaving = match listed {
+            Listed::Live => {
+                *live = Some(now);
+                false
+            }
+            Listed::Leaving => true,
+            Listed::Absent => self.listed_leaving.load(Ordering::Relaxed) || live.is_some(),
+        };
         self.listed_leaving.store(leaving, Ordering::Relaxed);
     }
 
+    /// Whether the instance list, if it ever showed the target, did so lately. Targets that don't
+    /// report by themselves get no new work otherwise, since they may be leaving unseen.
+    #[must_use]
+    pub fn listing_vouches(&self, now: Instant) -> bool {
+        lock(&self.listed_live).is_none_or(|at| now.saturating_duration_since(at) < STALE_LISTING)
+    }
+
     /// Notes that the target itself refused work because it leaves.
     pub fn set_refused_leaving(&self) {
         self.refused_leaving.store(true, Ordering::Relaxed);
@@ -113,18 +151,18 @@
 
     /// Notes that new connections to the target fail.
     pub fn blame(&self, now: Instant) {
-        *self.blamed.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+        *lock(&self.blamed) = Some(now);
     }
 
     /// Notes that the target answered.
     pub fn clear_blame(&self) {
-        *self.blamed.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        *lock(&self.blamed) = None;
     }
 
     /// Whether new connections to the target failed a moment ago.
     #[must_use]
     pub fn blamed(&self, now: Instant) -> bool {
-        let blamed = *self.blamed.lock().unwrap_or_else(PoisonError::into_inner);
+        let blamed = *lock(&self.blamed);
         blamed.is_some_and(|at| now.saturating_duration_since(at) < BLAME)
     }
 
@@ -146,14 +184,26 @@
         received.as_ref().map(|received| received.report.clone())
     }
 
-    /// Whether the engine has the version of this digest loaded.
+    /// Notes that the engine was asked for a version and answered with another one, whatever it
+    /// reports.
+    pub fn disprove_version(&self, digest: &VersionDigest, now: Instant) {
+        self.disproved.store(Some(Arc::new((digest.clone(), now))));
+    }
+
+    /// Whether the engine has the version of this digest loaded: it reports so, and did not answer
+    /// with another one in the last 30 seconds.
     #[must_use]
-    pub fn has_version(&self, digest: &str) -> bool {
+    pub fn has_version(&self, digest: &str, now: Instant) -> bool {
+        let disproved = self.disproved.load();
+        let is_disproved = disproved.as_ref().is_some_and(|disproved| {
+            disproved.0 == digest && now.saturating_duration_since(disproved.1) < DISPROVED
+        });
         let received = self.report.load();
-        received.as_ref().is_some_and(|received| {
+        let reports = received.as_ref().is_some_and(|received| {
             let report = &received.report;
             report.version == digest || report.versions.iter().any(|loaded| loaded == digest)
-        })
+        });
+        reports && !is_disproved
     }
 
     /// The engine's load as last reported, with this instance's own requests in flight.
@@ -252,3 +302,7 @@
         self.view.in_flight_count.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+fn lock<Value>(mutex: &Mutex<Value>) -> std::sync::MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
