A session of the command line against real daemons

apply, get, label, delete, drain, status and explain with their exit codes; a file that would give two accounts one key is applied not at all; an outage is told while reads go on; a killed daemon is passed over; another daemon explains a decision.

--- /dev/null
+++ b/crates/rattan/tests/cli_session.rs
@@ -0,0 +1,189 @@
+//! An operator's session: the command line against real daemons, with its exit codes.
+
+mod support;
+
+use {
+    serde_json::Value,
+    std::{
+        io::Write,
+        net::SocketAddr,
+        process::{Command, Stdio},
+        time::Duration,
+    },
+    support::{
+        objects::{self, MODEL},
+        world::{OPERATOR_KEY, World, WorldSettings, complete},
+    },
+};
+
+/// How a command ended.
+struct Ended {
+    code: i32,
+    output: String,
+    message: String,
+}
+
+fn rattan(entries: &[SocketAddr], arguments: &[&str], input: &str) -> Ended {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_rattan"));
+    for entry in entries {
+        command.arg("--entry").arg(entry.to_string());
+    }
+    let mut child = command
+        .args(arguments)
+        .env("RATTAN_OPERATOR_KEY", OPERATOR_KEY)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("rattan starts");
+    let mut stdin = child.stdin.take().expect("piped");
+    // A command that does not read its input may be gone already.
+    let _ = stdin.write_all(input.as_bytes());
+    drop(stdin);
+    let ended = child.wait_with_output().expect("rattan ends");
+    Ended {
+        code: ended.status.code().unwrap_or(-1),
+        output: String::from_utf8_lossy(&ended.stdout).into_owned(),
+        message: String::from_utf8_lossy(&ended.stderr).into_owned(),
+    }
+}
+
+/// Runs a command off the runtime that the stand-ins are on, and checks its exit code.
+async fn run(world: &World, arguments: &str, input: &str, code: i32) -> Ended {
+    let entries: Vec<SocketAddr> = world.entries.iter().map(|entry| entry.address).collect();
+    let (words, input) = (arguments.to_owned(), input.to_owned());
+    let command = move || rattan(&entries, &words.split(' ').collect::<Vec<_>>(), &input);
+    let ended = tokio::task::spawn_blocking(command).await.expect("command");
+    assert_eq!(
+        ended.code, code,
+        "{arguments}: {} {}",
+        ended.output, ended.message
+    );
+    ended
+}
+
+async fn world() -> World {
+    let settings = WorldSettings {
+        engines_count: 1,
+        ..WorldSettings::new(env!("CARGO_BIN_EXE_rattand"))
+    };
+    World::start(settings).await.expect("start")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn objects_are_applied_shown_and_deleted() {
+    let world = world().await;
+    let file = r#"{"kind": "placement_rule", "name": "night", "precedence": -1}"#;
+    let applied = run(&world, "apply -f -", file, 0).await;
+    assert!(
+        applied.output.contains("created placement_rule/night"),
+        "{}",
+        applied.output
+    );
+    let again = run(&world, "apply -f -", file, 0).await;
+    assert!(
+        again.output.contains("unchanged placement_rule/night"),
+        "{}",
+        again.output
+    );
+    run(&world, "label placement_rule night shift=late", "", 0).await;
+    let listed = run(&world, "get placement_rules -l shift=late", "", 0).await;
+    assert_eq!(listed.output.lines().count(), 2, "{}", listed.output);
+    let shown = run(&world, "--output json get placement_rule night", "", 0).await;
+    let shown: Value = serde_json::from_str(&shown.output).expect("JSON");
+    assert_eq!(shown["object"]["labels"]["shift"], "late");
+    run(&world, "delete placement_rule night", "", 0).await;
+    run(&world, "get placement_rule night", "", 4).await;
+    run(&world, "delete placement_rule night", "", 4).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_file_is_applied_whole_or_not_at_all() {
+    let world = world().await;
+    let other = objects::account("other", "caller-key-of-the-test");
+    let file = format!("{other}\n{{\"kind\": \"placement_rule\", \"name\": \"night\"}}");
+    let refused = run(&world, "apply -f -", &file, 1).await;
+    assert!(
+        refused.message.contains("keys of its own"),
+        "{}",
+        refused.message
+    );
+    run(&world, "get placement_rule night", "", 4).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outage_is_told_and_reads_go_on() {
+    let world = world().await;
+    world
+        .kv
+        .set_faults(&serde_json::json!({"down": true}))
+        .expect("switch");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let refused = run(&world, "label placement_rule all shift=late", "", 5).await;
+    assert!(
+        refused.message.contains("nothing was changed"),
+        "{}",
+        refused.message
+    );
+    run(&world, "get placement_rule all", "", 0).await;
+    run(&world, "status", "", 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_entry_is_passed_over() {
+    let mut world = world().await;
+    world.entries[0].signal("KILL");
+    world.entries[0].exit(Duration::from_secs(5)).await;
+    run(&world, "label placement_rule all shift=late", "", 0).await;
+    run(&world, "drain engine-0", "", 0).await;
+    let status = run(&world, "status", "", 0).await;
+    assert!(
+        status.output.contains("leaving, as configured"),
+        "{}",
+        status.output
+    );
+    let mut refused = complete(world.entries[1].address, 1).await;
+    for _ in 0..100 {
+        if refused.is_err() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        refused = complete(world.entries[1].address, 1).await;
+    }
+    assert!(refused.is_err(), "{MODEL} has no engine left");
+}
+
+/// Asks until the entry has a copy of the record.
+async fn wait_for_explanation(entry: SocketAddr, request: &str) -> String {
+    for _ in 0..100 {
+        let request = request.to_owned();
+        let command = move || rattan(&[entry], &["explain", &request], "");
+        let ended = tokio::task::spawn_blocking(command).await.expect("command");
+        if ended.code == 0 {
+            return ended.output;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("{entry} does not explain {request}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn decisions_are_explained_by_any_entry() {
+    let world = world().await;
+    let body = serde_json::json!({"model": MODEL, "prompt": "edge profile", "max_tokens": 1});
+    let mut caller = support::http::Connection::open(world.entries[0].address, objects::CALLER_KEY)
+        .await
+        .expect("entry");
+    let answer = caller
+        .send(hyper::Method::POST, "/v1/completions", &body)
+        .await
+        .expect("answer");
+    let request = answer.headers()["x-request-id"]
+        .to_str()
+        .expect("text")
+        .to_owned();
+    drop(http_body_util::BodyExt::collect(answer.into_body()).await);
+    let explained = wait_for_explanation(world.entries[1].address, &request).await;
+    assert!(explained.contains("Routed to engine-0"), "{explained}");
+    run(&world, "explain none", "", 4).await;
+}
