target: server-sent events with carriage returns; prefix: example and properties

The parser found no event whose lines end with a carriage return and a line feed (event_parsing::lines_may_end_with_carriage_returns failed first).

--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -1,4 +1,19 @@
 //! Cuts a prompt into pieces and derives the chained block keys.
+//!
+//! Engines compute a prompt piece by piece, and what they keep of a piece depends on all the text
+//! before it. So the key of a block chains over the pieces so far, and starts from the client
+//! account and the digest of the weights: two accounts, or two versions, never share a key.
+//!
+//! ```
+//! use prefix::block_keys;
+//!
+//! let (account, digest) = ("kitchens".to_owned(), "7a50c1e4".to_owned());
+//! let first = block_keys(&account, &digest, b"template A, run 1", 4);
+//! let second = block_keys(&account, &digest, b"template B, run 1", 4);
+//! assert_eq!(first.len(), 4); // 17 bytes hold four whole pieces of 4
+//! assert_eq!(first[..2], second[..2]); // "template" is common to both
+//! assert_ne!(first[2..], second[2..]);
+//! ```
 
 use catalog::{ClientAccountId, VersionDigest};
 
--- a/crates/target/src/sse.rs
+++ b/crates/target/src/sse.rs
@@ -31,9 +31,9 @@
     /// The data of the next whole event, if one has arrived. Events without data are skipped.
     pub fn next_data(&mut self) -> Option<Bytes> {
         loop {
-            let end = find(&self.buffer, b"\n\n")?;
+            let (end, blank_bytes) = event_end(&self.buffer)?;
             let event = self.buffer.split_to(end);
-            self.buffer.advance(2);
+            self.buffer.advance(blank_bytes);
             if let Some(data) = data_of(&event) {
                 return Some(data);
             }
@@ -47,10 +47,21 @@
     }
 }
 
-fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
-    haystack
-        .windows(needle.len())
-        .position(|window| window == needle)
+/// Where the first whole event ends, and the length of the blank line after it. Lines end with a
+/// line feed, or with a carriage return and a line feed.
+fn event_end(buffer: &[u8]) -> Option<(usize, usize)> {
+    let feeds = buffer
+        .iter()
+        .enumerate()
+        .filter(|(_, byte)| **byte == b'\n');
+    for (feed, _) in feeds {
+        match &buffer[feed + 1..] {
+            [b'\n', ..] => return Some((feed, 2)),
+            [b'\r', b'\n', ..] => return Some((feed, 3)),
+            _ => {}
+        }
+    }
+    None
 }
 
 fn data_of(event: &[u8]) -> Option<Bytes> {
--- /dev/null
+++ b/crates/target/tests/event_parsing.rs
@@ -0,0 +1,49 @@
+//! Server-sent events are read the same however the bytes are cut.
+
+use {proptest::prelude::*, target::SseParser};
+
+fn all_data(parser: &mut SseParser) -> Vec<Vec<u8>> {
+    std::iter::from_fn(|| parser.next_data())
+        .map(|data| data.to_vec())
+        .collect()
+}
+
+#[test]
+fn comments_and_other_fields_are_skipped() {
+    let mut parser = SseParser::default();
+    parser.push(b": ping\n\nevent: error\ndata: a\ndata: b\nid: 7\n\n");
+    assert_eq!(all_data(&mut parser), [b"a\nb".to_vec()]);
+}
+
+#[test]
+fn lines_may_end_with_carriage_returns() {
+    let mut parser = SseParser::default();
+    parser.push(b"data: a\r\n\r\ndata: b\r\n\r\n");
+    assert_eq!(all_data(&mut parser), [b"a".to_vec(), b"b".to_vec()]);
+}
+
+proptest! {
+    #[test]
+    fn cuts_do_not_matter(
+        events in proptest::collection::vec("[a-z{}: ]{1,12}", 0..8),
+        cut in 1..7_usize,
+    ) {
+        let parts = events.iter().flat_map(|data| ["data: ", data, "\n\n"]);
+        let text: String = parts.collect();
+        let mut parser = SseParser::default();
+        let mut read = Vec::new();
+        for part in text.as_bytes().chunks(cut) {
+            parser.push(part);
+            read.extend(all_data(&mut parser));
+        }
+        let expected: Vec<Vec<u8>> = events.iter().map(|data| data.clone().into_bytes()).collect();
+        prop_assert_eq!(read, expected);
+    }
+
+    #[test]
+    fn any_bytes_are_survived(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let mut parser = SseParser::default();
+        parser.push(&bytes);
+        let _ = all_data(&mut parser);
+    }
+}
