rattan: a claim that never arrived doesn't hold up a shutdown

Cause: a claim whose answer was lost and that isn't there is looked for in the background for ten minutes, since the call may still take effect. The daemon waited for that before it exited: the new test of order_settled, failing first, saw no exit within 30 s of SIGTERM.

Change: the daemon gives claims 10 s before it exits. Messages say "this attempt was not run", since an earlier attempt with the same key may have.

--- a/crates/idempotency/src/error.rs
+++ b/crates/idempotency/src/error.rs
@@ -8,7 +8,7 @@
 pub enum ClaimError {
     /// The key-value service did not take the claim.
     #[snafu(display(
-        "request was not run: its claim cannot be recorded ({reason}); send it again with the \
+        "this attempt was not run: its claim cannot be recorded ({reason}); send it again with the \
          same idempotency key after {} ms",
         retry_after.as_millis()
     ))]
@@ -20,7 +20,7 @@
     },
     /// Nobody can tell whether the claim was recorded; it is being released.
     #[snafu(display(
-        "request was not run: whether its claim was recorded is not known ({reason}) and the \
+        "this attempt was not run: whether its claim was recorded is not known ({reason}) and the \
          claim is being released; send it again with the same idempotency key after {} ms",
         retry_after.as_millis()
     ))]
@@ -32,7 +32,7 @@
     },
     /// Too many claims wait already.
     #[snafu(display(
-        "request was not run: {queued_count} claims wait for the key-value service; send it \
+        "this attempt was not run: {queued_count} claims wait for the key-value service; send it \
          again with the same idempotency key after {} ms",
         retry_after.as_millis()
     ))]
--- a/crates/rattan/src/daemon.rs
+++ b/crates/rattan/src/daemon.rs
@@ -29,7 +29,7 @@
     tokio::{
         net::TcpListener,
         sync::{Mutex, mpsc},
-        time::sleep,
+        time::{sleep, timeout},
     },
     tokio_util::sync::CancellationToken,
 };
@@ -38,6 +38,8 @@
 const DRAIN_MARGIN: Duration = Duration::from_secs(1);
 /// Longest time that answers in progress get after that.
 const FINISH_BOUND: Duration = Duration::from_mins(10);
+/// Longest time that outcomes of claims still to be written get before the exit.
+const CLAIMS_BOUND: Duration = Duration::from_secs(10);
 
 /// The daemon cannot run.
 #[derive(Debug, Snafu)]
@@ -108,7 +110,9 @@
         control_token.clone(),
     ));
     let served = serve(&parts, metrics, &stop).await;
-    parts.claims.idle().await;
+    if timeout(CLAIMS_BOUND, parts.claims.idle()).await.is_err() {
+        log::warn!("some claims are left as they are; their requests are told so when retried");
+    }
     control_token.cancel();
     for ended in [
         control.await.map(|tree| tree.context(TreeSnafu)),
--- a/crates/rattan/tests/order_settled.rs
+++ b/crates/rattan/tests/order_settled.rs
@@ -188,3 +188,26 @@
     assert!(told.is_answer());
     assert_eq!(executions(&world).len(), 1);
 }
+
+#[tokio::test]
+async fn a_claim_that_never_arrived_does_not_hold_up_a_shutdown() {
+    let mut world = start().await;
+    let address = world.entries[0].address;
+    answered(address).await;
+    world
+        .kv
+        .set_faults(&json!({"down": true}))
+        .expect("a switch");
+    let lost = Order {
+        idempotency_key: "callout-18".to_owned(),
+        ..order()
+    };
+    assert_eq!(send(address, &lost).await.outcome(), "not_run");
+    world
+        .kv
+        .set_faults(&json!({"down": false}))
+        .expect("a switch");
+    world.entries[0].signal("TERM");
+    let ended = world.entries[0].exit(Duration::from_secs(30)).await;
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+}
