--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -22,6 +22,7 @@
 //! ```
 
 mod account;
+mod catalog;
 mod check;
 mod edit;
 mod file;
@@ -31,12 +32,12 @@
 mod model;
 mod object;
 mod rule;
-mod snapshot;
 mod target;
 mod warning;
 
 pub use {
     account::{ClientAccount, RawClientAccount},
+    catalog::Catalog,
     edit::Edit,
     file::{FileError, parse_file},
     ids::{
@@ -48,7 +49,6 @@
     model::{ModelVersion, RawModelVersion},
     object::{Object, ObjectError, ObjectKind},
     rule::{Objective, PlacementRule, RawPlacementRule},
-    snapshot::Catalog,
     target::{RawTarget, ServiceCall, Target, TargetKind},
     warning::{Warning, warnings},
 };
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -12,7 +12,9 @@
 //! | `/rattan/config/last_change` | id of the last accepted change |
 //! | `/rattan/change/{change_id}` | what became of a change, under a lease of one hour |
 
+mod accepted;
 mod age_alarm;
+mod apply_error;
 mod change;
 mod change_record;
 mod follower;
@@ -24,7 +26,9 @@
 mod writer;
 
 pub use {
-    change::{Accepted, ApplyError, Change, ChangeId, Expected, ObjectName, RawChange},
+    accepted::Accepted,
+    apply_error::ApplyError,
+    change::{Change, ChangeId, Expected, ObjectName, RawChange},
     follower::{Follower, FollowerSettings},
     handle::{FollowerStatus, Handle},
     keys::{CONFIG_PREFIX, GUARD_KEY, change_key, object_key, parse_object_key},
--- a/crates/configuration/tests/support/world.rs
+++ b/crates/configuration/tests/support/world.rs
@@ -8,6 +8,7 @@
         spec::{Ended, Values},
         values,
     },
+    bytes::Bytes,
     catalog::Revision,
     configuration::{CONFIG_PREFIX, Snapshot},
     futures::StreamExt,
@@ -253,20 +254,8 @@
         let replacement = number + INSTANCES_COUNT * replaced_count;
         let instance = Instance::start(replacement, kv.clone(), is_naive, rng.random());
         let published = instance.published.clone();
-        let offers: Vec<_> = {
-            let mut instances = lock(&self.instances);
-            instances[number] = instance;
-            let peers = instances.iter().filter(|peer| !peer.cut_from_peers);
-            peers
-                .filter(|peer| peer.number != replacement)
-                .filter_map(|peer| {
-                    Some((
-                        peer.published.snapshot().catalog.revision,
-                        peer.published.export()?,
-                    ))
-                })
-                .collect()
-        };
+        lock(&self.instances)[number] = instance;
+        let offers = self.offers_to(replacement);
         for (_, json) in &offers {
             published.offer(json);
         }
@@ -276,18 +265,29 @@
             kv.set_faults(|faults| faults.unreachable = false);
         });
         published.ready().await;
-        let highest = offers
-            .iter()
-            .map(|(revision, _)| *revision)
-            .max()
-            .unwrap_or(0);
+        let highest = offers.iter().map(|(revision, _)| *revision).max();
         let revision = published.snapshot().catalog.revision;
-        if revision < highest {
-            let text = format!("instance {replacement} began at {revision}, a peer had {highest}");
+        if Some(revision) < highest {
+            let text =
+                format!("instance {replacement} began at {revision}, a peer had {highest:?}");
             lock(&self.report).violations.push(text);
         }
     }
 
+    /// What the peers of a replacement answer, with the revision that each has in force.
+    fn offers_to(&self, replacement: usize) -> Vec<(Revision, Bytes)> {
+        let instances = lock(&self.instances);
+        let peers = instances
+            .iter()
+            .filter(|peer| !peer.cut_from_peers && peer.number != replacement);
+        peers
+            .filter_map(|peer| {
+                let revision = peer.published.snapshot().catalog.revision;
+                Some((revision, peer.published.export()?))
+            })
+            .collect()
+    }
+
     /// Heals everything but one instance's watch, which stays silent, waits, and compares every
     /// instance with the service.
     async fn settle(&self, operators: &[MemoryKv]) {
