soak: races of blocks, whole answers and refusals run with ever new seeds

Cause: scripts/soak.sh ran one check; the races with daemons had fixed seeds only.

Change: these races take their seeds from TEST_SEED and TEST_RUNS if set; soak.sh runs them with 1 to 5 seeds of each round; block_reads prints the histories when one is not linearizable.

--- a/crates/rattan/tests/block_moves.rs
+++ b/crates/rattan/tests/block_moves.rs
@@ -20,6 +20,7 @@
     support::{
         caller::{End, Seen, send},
         objects::{self, CALLER_KEY, MODEL},
+        seed::seeds,
         world::{World, WorldSettings},
     },
     target::{Client, ClientSettings, StoreClient},
@@ -244,10 +245,12 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn returning_prompts_use_whole_blocks_only() {
-    let verdict = returning_prompts(1).await;
-    assert!(verdict.holds(), "{verdict:?}");
-    assert_eq!(verdict.without_end, 0, "{verdict:?}");
-    assert!(verdict.reads > 0, "nothing was imported: {verdict:?}");
+    for seed in seeds(1..=1) {
+        let verdict = returning_prompts(seed).await;
+        assert!(verdict.holds(), "{verdict:?}");
+        assert_eq!(verdict.without_end, 0, "{verdict:?}");
+        assert!(verdict.reads > 0, "nothing was imported: {verdict:?}");
+    }
 }
 
 /// Blocks are freed at the store by somebody else while the daemon still has them in its directory,
--- a/crates/rattan/tests/block_reads.rs
+++ b/crates/rattan/tests/block_reads.rs
@@ -7,6 +7,8 @@
 
 #[path = "support/history.rs"]
 mod history;
+#[path = "support/seed.rs"]
+mod seed;
 
 use {
     directory::{Directory, Generation, Place, Write},
@@ -14,6 +16,7 @@
     prefix::BlockKey,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
+    seed::seeds,
     serde_json::json,
     standin::{
         Server,
@@ -386,8 +389,12 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn no_freed_or_partial_block_is_read() {
     let mut whole_reads = 0;
-    for seed in 1..=5 {
-        let verdict = judge(&*race(Way::Checked, seed).await);
+    for seed in seeds(1..=5) {
+        let rig = race(Way::Checked, seed).await;
+        let verdict = judge(&rig);
+        if !verdict.linearizable {
+            println!("seed {seed}: {:#?}", rig.histories);
+        }
         println!("seed {seed}: {verdict:?}");
         assert!(verdict.linearizable, "seed {seed}: {verdict:?}");
         assert_eq!(verdict.partial_blocks, 0, "seed {seed}: {verdict:?}");
--- a/crates/rattan/tests/not_run.rs
+++ b/crates/rattan/tests/not_run.rs
@@ -19,6 +19,7 @@
     support::{
         caller::{End, Seen, send},
         objects::{self, CALLER_KEY, MODEL, SERVICE},
+        seed::seeds,
         world::{World, WorldSettings},
     },
     tokio::{task::JoinSet, time::sleep},
@@ -178,7 +179,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn refusals_agree_with_what_ran() {
     let (mut not_run, mut unknown_ran) = (0, 0);
-    for seed in 1..=2 {
+    for seed in seeds(1..=2) {
         let rig = Rig::start().await;
         let address = rig.world.entries[0].address;
         let mut callers = JoinSet::new();
--- a/crates/rattan/tests/support/mod.rs
+++ b/crates/rattan/tests/support/mod.rs
@@ -9,4 +9,5 @@
 pub mod entry;
 pub mod http;
 pub mod objects;
+pub mod seed;
 pub mod world;
--- a/crates/rattan/tests/whole_answers.rs
+++ b/crates/rattan/tests/whole_answers.rs
@@ -17,6 +17,7 @@
     support::{
         caller::{End, Seen, send},
         objects::{self, CALLER_KEY, DIGEST, MODEL},
+        seed::seeds,
         world::{World, WorldSettings},
     },
     tokio::{task::JoinSet, time::sleep},
@@ -104,7 +105,13 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answers_are_whole_and_ones_own_or_end_in_an_error() {
-    let seed = 1;
+    for seed in seeds(1..=1) {
+        race(seed).await;
+    }
+}
+
+/// Lets callers ask while engines, links and one entry fail, and judges what they saw.
+async fn race(seed: u64) {
     let (mut world, relay) = started().await;
     let addresses: Vec<SocketAddr> = world.entries.iter().map(|entry| entry.address).collect();
     let mut callers = JoinSet::new();
@@ -134,7 +141,7 @@
     let whole = count(|seen| seen.end == End::Whole);
     let part = count(|seen| seen.end != End::Whole && !seen.text.is_empty());
     println!(
-        "{} requests, {whole} whole, {part} broken off",
+        "seed {seed}: {} requests, {whole} whole, {part} broken off",
         exchanges.len()
     );
     for exchange in &exchanges {
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -8,22 +8,29 @@
 
 seconds="${1:?usage: scripts/soak.sh SECONDS SEED}"
 seed="${2:?usage: scripts/soak.sh SECONDS SEED}"
-runs=100
-# Package, test file and test of each check that reads TEST_SEED and TEST_RUNS.
+round_seeds=100
+# Package, test file and test of each check that reads TEST_SEED and TEST_RUNS, and how many of a
+# round's seeds it runs.
 checks=(
-    "configuration accepted_configuration accepted_configuration_never_reverts"
+    "configuration accepted_configuration accepted_configuration_never_reverts 100"
+    "rattan block_reads no_freed_or_partial_block_is_read 5"
+    "rattan block_moves returning_prompts_use_whole_blocks_only 1"
+    "rattan whole_answers answers_are_whole_and_ones_own_or_end_in_an_error 1"
+    "rattan not_run refusals_agree_with_what_ran 2"
 )
 
 mkdir -p out/soak
-export TEST_HISTORY_DIR="$PWD/out/soak" TEST_RUNS="$runs"
+export TEST_HISTORY_DIR="$PWD/out/soak"
+cargo build --quiet --workspace --bins
 cargo test --quiet --workspace --no-run
 end=$((SECONDS + seconds))
 while [ "$SECONDS" -lt "$end" ]; do
     export TEST_SEED="$seed"
     for check in "${checks[@]}"; do
-        read -r package file test <<<"$check"
+        read -r package file test runs <<<"$check"
+        export TEST_RUNS="$runs"
         echo "seeds $seed to $((seed + runs - 1)): $package $test"
-        log="out/soak/$package-$seed.log"
+        log="out/soak/$package-$file-$seed.log"
         if ! cargo test --quiet -p "$package" --test "$file" "$test" -- --nocapture >"$log" 2>&1; then
             cat "$log"
             echo "FAILED; replay: TEST_SEED=$seed TEST_RUNS=$runs cargo test -p $package --test $file $test"
@@ -32,6 +39,6 @@
         grep -h '^[0-9]' "$log" || true
         rm "$log"
     done
-    seed=$((seed + runs))
+    seed=$((seed + round_seeds))
 done
 echo "soak: no failure; the next seed is $seed"
