--- a/crates/rattan/src/control/peer_updates.rs
+++ b/crates/rattan/src/control/peer_updates.rs
@@ -27,8 +27,8 @@
 const MAX_BATCH_COUNT: usize = 256;
 /// Memory of the records in one round.
 const RECORDS_ROUND_BYTES: usize = 256 * 1024;
-/// Time between two rounds of records.
-const RECORDS_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two rounds of records; most have all their steps by then.
+const RECORDS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Sends directory updates and decision records to other instances, until dropped.
 #[derive(Clone)]
@@ -98,21 +98,27 @@
         }
     }
 
-    /// The records that no other instance has yet, each for an owner of its request id, in another
-    /// failure domain if there is one.
+    /// The records with steps that no other instance has yet, each for an owner of its request id,
+    /// in another failure domain if there is one. Records are sent whole: owners change, and the
+    /// next one has nothing of the steps before.
     fn record_batches(&self) -> BTreeMap<SocketAddr, Vec<RecordPart>> {
         let parts = self.peers.journal.take_unreplicated(RECORDS_ROUND_BYTES);
         let members = self.peers.cluster.members();
         let own_domain = self.peers.cluster.own().failure_domain;
         let mut batches: BTreeMap<SocketAddr, Vec<RecordPart>> = BTreeMap::new();
         for part in parts {
-            let request = part.record.request.as_bytes();
-            let owners = self.other_owners(&members, request, RECORD_OWNERS_COUNT);
+            let request = part.record.request.clone();
+            let owners = self.other_owners(&members, request.as_bytes(), RECORD_OWNERS_COUNT);
             let apart = owners
                 .iter()
                 .find(|owner| owner.failure_domain != own_domain);
-            if let Some(owner) = apart.or(owners.first()) {
-                batches.entry(owner.peer_address).or_default().push(part);
+            let whole = self.peers.journal.get(&request);
+            if let (Some(owner), Some(record)) = (apart.or(owners.first()), whole) {
+                let batch = batches.entry(owner.peer_address).or_default();
+                batch.push(RecordPart {
+                    first_step: 0,
+                    record,
+                });
             }
         }
         batches
