--- a/crates/orders/src/holder.rs
+++ b/crates/orders/src/holder.rs
@@ -59,7 +59,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Held {
     fencing: Revision,
-    waited_at: Instant,
+    orders_from: Instant,
 }
 
 /// The right to give orders to targets, under one lease for the whole instance.
@@ -157,7 +157,7 @@
             return None;
         }
         let held = self.held.get(target)?;
-        let may_order = checks_fencing || now >= held.waited_at;
+        let may_order = checks_fencing || now >= held.orders_from;
         may_order.then_some(held.fencing)
     }
 
@@ -266,8 +266,11 @@
             outcome.pairs.first().and_then(|pair| own(pair, lease.id))
         };
         if let Some(fencing) = fencing {
-            let waited_at = Instant::now() + lease.ttl + self.settings.margin;
-            let held = Held { fencing, waited_at };
+            let orders_from = Instant::now() + lease.ttl + self.settings.margin;
+            let held = Held {
+                fencing,
+                orders_from,
+            };
             self.held.insert(target.clone(), held);
         }
     }
