--- a/crates/rattan/tests/order_settled.rs
+++ b/crates/rattan/tests/order_settled.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use {
+    platform::{EtcdKv, EtcdSettings, KeyValue},
     serde_json::json,
     std::{net::SocketAddr, time::Duration},
     support::{
@@ -49,6 +50,19 @@
     }
 }
 
+/// Waits until the key-value service has so many claims.
+async fn until_claims(world: &World, claims_count: usize) {
+    let kv = EtcdKv::new(EtcdSettings {
+        endpoints: vec![world.kv.address],
+        timeout: SETTLED,
+    });
+    let deadline = Instant::now() + SETTLED;
+    while kv.range("/rattan/claim/").await.expect("up").pairs.len() < claims_count {
+        assert!(Instant::now() < deadline, "no claim");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Request ids of all executions.
 fn executions(world: &World) -> Vec<String> {
     let ledger = world.service.role().ledger();
@@ -111,8 +125,8 @@
     let killed = world.entries.swap_remove(0);
     let address = killed.address;
     let first = tokio::spawn(async move { send(address, &order()).await });
-    // The service has the order by now and answers it later.
-    sleep(Duration::from_millis(600)).await;
+    // The service gets the order right after its claim and answers it a second later.
+    until_claims(&world, 2).await;
     drop(killed);
     assert_eq!(first.await.expect("no panic").0.end, End::Torn);
     world
