fleet: an old measurement of a link gives way to its configured rate

The explanations of the slowest visits showed that recomputing was chosen: a few transfers that were slowed by the busy machine had lowered the link's rate below what computing needs, so no import was made, and so the rate was never measured again.

Ruled out: exports that were dropped for lack of room on the link (all blocks were there); the bound on imports (no import was begun).

Change: between measurements the rate goes back to the configured one, with a time constant of 10 s.

--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -1,5 +1,7 @@
 //! Measured rate of a link.
 
+use std::time::Duration;
+
 /// Weight of the newest measurement.
 const NEWEST_WEIGHT: f64 = 0.25;
 /// Standard deviation assumed of a link that was not measured, as a share of its rate.
@@ -7,6 +9,9 @@
 /// Transfers shorter than this in bytes tell more of latency than of rate.
 const MIN_TRANSFER_BYTES: u64 = 4 * 1024;
 
+/// Time without a measurement after which `1/e` of what was measured still counts, in seconds.
+const MEMORY_S: f64 = 10.0;
+
 /// Exponentially weighted mean and variance of a link's rate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LinkRate {
@@ -31,6 +36,20 @@
         }
     }
 
+    /// The rate `idle` after the last measurement: what was measured gives way to what is
+    /// configured. Otherwise a link that was found slow once would never be used, nor measured,
+    /// again.
+    #[must_use]
+    pub fn relaxed(self, configured: Self, idle: Duration) -> Self {
+        let kept = (-idle.as_secs_f64() / MEMORY_S).exp();
+        let mix = |measured: f64, configured: f64| configured + kept * (measured - configured);
+        Self {
+            mean_bytes_per_s: mix(self.mean_bytes_per_s, configured.mean_bytes_per_s),
+            variance: mix(self.variance, configured.variance),
+            ..self
+        }
+    }
+
     /// Takes in one transfer of `bytes` that took `seconds`.
     pub fn measure(&mut self, bytes: u64, seconds: f64) {
         if bytes < MIN_TRANSFER_BYTES || seconds <= 0.0 {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -59,7 +59,8 @@
     in_flight_count: AtomicU32,
     prefill_tokens: AtomicU64,
     link_queued_bytes: AtomicU64,
-    link: Mutex<LinkRate>,
+    link: Mutex<(LinkRate, Instant)>,
+    configured_link: LinkRate,
 }
 
 impl View {
@@ -79,7 +80,11 @@
             in_flight_count: AtomicU32::new(0),
             prefill_tokens: AtomicU64::new(0),
             link_queued_bytes: AtomicU64::new(0),
-            link: Mutex::new(LinkRate::configured(target.link_bytes_per_s)),
+            link: Mutex::new((
+                LinkRate::configured(target.link_bytes_per_s),
+                Instant::now(),
+            )),
+            configured_link: LinkRate::configured(target.link_bytes_per_s),
         }
     }
 
@@ -251,15 +256,15 @@
     /// Measured rate of the target's link.
     #[must_use]
     pub fn link(&self) -> LinkRate {
-        *self.link.lock().unwrap_or_else(PoisonError::into_inner)
+        let (rate, measured_at) = *self.link.lock().unwrap_or_else(PoisonError::into_inner);
+        rate.relaxed(self.configured_link, measured_at.elapsed())
     }
 
     /// Takes in one transfer over the target's link.
     pub fn measure_link(&self, bytes: u64, seconds: f64) {
-        self.link
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .measure(bytes, seconds);
+        let mut link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
+        link.0.measure(bytes, seconds);
+        link.1 = Instant::now();
     }
 
     /// Bytes that wait for the target's link, as far as known.
