--- a/crates/decision/src/explain.rs
+++ b/crates/decision/src/explain.rs
@@ -58,10 +58,7 @@
             reason,
             retry_after_ms,
             rejected,
-        } => format!(
-            "Refused: {reason}. The caller was told to come back in {retry_after_ms} ms.{}",
-            rejected_words(rejected)
-        ),
+        } => refused_words(reason, *retry_after_ms, rejected),
         Step::Routed { choice, missing } => routed_words(choice, missing),
         Step::Attempt {
             target,
@@ -73,11 +70,19 @@
             blocks_count,
             link_bytes,
             missing,
+        } => imported_words(store, *blocks_count, *link_bytes, missing),
+        Step::Finished {
+            prompt_tokens,
+            cached_tokens,
+            recomputed_tokens,
+            recompute_reason,
+            answer_tokens,
+            first_token_ms,
         } => format!(
-            "Imported {blocks_count} blocks ({link_bytes} bytes over the link) from {store}{}.",
-            because(missing, "; missing: ")
+            "Finished: first token after {first_token_ms} ms, {answer_tokens} answer tokens; of \
+             {prompt_tokens} prompt tokens {cached_tokens} came from cache; {}.",
+            recomputed_words(*recomputed_tokens, recompute_reason)
         ),
-        Step::Finished { .. } => finished_words(step),
         Step::Exported {
             store,
             blocks_count,
@@ -87,6 +92,13 @@
     }
 }
 
+fn refused_words(reason: &str, retry_after_ms: u64, rejected: &[Rejected]) -> String {
+    format!(
+        "Refused: {reason}. The caller was told to come back in {retry_after_ms} ms.{}",
+        rejected_words(rejected)
+    )
+}
+
 fn routed_words(choice: &Choice, missing: &[String]) -> String {
     let mut text = format!(
         "Routed to {}: {}.",
@@ -162,29 +174,20 @@
     format!("Attempt at {target}: {outcome}{}.", because(error, "; "))
 }
 
-fn finished_words(step: &Step) -> String {
-    let Step::Finished {
-        prompt_tokens,
-        cached_tokens,
-        recomputed_tokens,
-        recompute_reason,
-        answer_tokens,
-        first_token_ms,
-    } = step
-    else {
-        return String::new();
-    };
-    let recomputed = if *recomputed_tokens == 0 {
-        "nothing was recomputed".to_owned()
-    } else {
-        format!(
-            "{recomputed_tokens} tokens were recomputed{}",
-            because(recompute_reason, " because ")
-        )
-    };
+fn imported_words(store: &str, blocks_count: usize, link_bytes: u64, missing: &str) -> String {
+    format!(
+        "Imported {blocks_count} blocks ({link_bytes} bytes over the link) from {store}{}.",
+        because(missing, "; missing: ")
+    )
+}
+
+fn recomputed_words(recomputed_tokens: u64, reason: &str) -> String {
+    if recomputed_tokens == 0 {
+        return "nothing was recomputed".to_owned();
+    }
     format!(
-        "Finished: first token after {first_token_ms} ms, {answer_tokens} answer tokens; of \
-         {prompt_tokens} prompt tokens {cached_tokens} came from cache; {recomputed}."
+        "{recomputed_tokens} tokens were recomputed{}",
+        because(reason, " because ")
     )
 }
 
--- a/crates/rattan/examples/slopes/series.rs
+++ b/crates/rattan/examples/slopes/series.rs
@@ -40,7 +40,7 @@
     pub fn csv(&self) -> String {
         let fit = Fit::of(&self.points);
         format!(
-            "{},{},{:.6e},{:.6e},{:.4},{}",
+            "\"{}\",\"{}\",{:.6e},{:.6e},{:.4},\"{}\"",
             self.quantity,
             self.size,
             fit.slope,
