--- a/crates/rattan/src/daemon.rs
+++ b/crates/rattan/src/daemon.rs
@@ -29,15 +29,19 @@
     tokio::{
         net::TcpListener,
         sync::{Mutex, mpsc},
-        time::sleep,
+        time::{sleep, timeout},
     },
     tokio_util::sync::CancellationToken,
 };
 
-/// Time that callers get beyond the age of their address answer before connections are refused.
-const DRAIN_MARGIN: Duration = Duration::from_secs(1);
+/// Time that callers get beyond the age of their address answer before connections are refused. An
+/// instance that joins while this one leaves learns of it by its second round of heartbeats, and
+/// until then may name this one to callers.
+const DRAIN_MARGIN: Duration = Duration::from_secs(3);
 /// Longest time that answers in progress get after that.
 const FINISH_BOUND: Duration = Duration::from_mins(10);
+/// Longest time that outcomes of claims still to be written get before the exit.
+const CLAIMS_BOUND: Duration = Duration::from_secs(10);
 
 /// The daemon cannot run.
 #[derive(Debug, Snafu)]
@@ -108,7 +112,9 @@
         control_token.clone(),
     ));
     let served = serve(&parts, metrics, &stop).await;
-    parts.claims.idle().await;
+    if timeout(CLAIMS_BOUND, parts.claims.idle()).await.is_err() {
+        log::warn!("some claims are left as they are; their requests are told so when retried");
+    }
     control_token.cancel();
     for ended in [
         control.await.map(|tree| tree.context(TreeSnafu)),
@@ -196,6 +202,7 @@
         client: parts.client.clone(),
         cluster: parts.cluster.clone(),
         configuration: follower.handle(),
+        fleet: parts.fleet.clone(),
     };
     Supervisor::new("control")
         .child(until_cancelled("configuration", move || {
