--- a/crates/rattan/src/control/order_watch.rs
+++ b/crates/rattan/src/control/order_watch.rs
@@ -16,10 +16,9 @@
 /// Time between two passes.
 const PASS_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time to live of an instance's lease on engines.
-const LEASE_TTL: Duration = Duration::from_secs(15);
-/// Time before its expiry at which the holder stops, and after it that the next one waits.
-const LEASE_MARGIN: Duration = Duration::from_secs(4);
+/// Part of the lease's time before its expiry at which the holder stops, and after it that the next
+/// one waits.
+const LEASE_MARGIN_DIVISOR: u32 = 4;
 
 /// Orders engines over HTTP.
 #[derive(Clone)]
@@ -31,6 +30,7 @@
 #[derive(Clone)]
 pub(crate) struct OrderWatch<Kv> {
     pub(crate) kv: Kv,
+    pub(crate) lease: Duration,
     pub(crate) client: Client,
     pub(crate) cluster: Arc<Cluster>,
     pub(crate) configuration: Handle,
@@ -46,7 +46,8 @@
         let engines = Engines {
             client: self.client.clone(),
         };
-        let holder = HolderSettings::new(self.cluster.own().instance).ttl(LEASE_TTL, LEASE_MARGIN);
+        let holder = HolderSettings::new(self.cluster.own().instance)
+            .ttl(self.lease, self.lease / LEASE_MARGIN_DIVISOR);
         let settings = OrdererSettings::new(holder);
         let mut orderer = Orderer::new(self.kv.clone(), engines, settings);
         while !stop.is_cancelled() {
--- a/crates/rattan/src/daemon.rs
+++ b/crates/rattan/src/daemon.rs
@@ -198,6 +198,7 @@
         load_interval: parts.settings.load_interval,
     };
     let orders = OrderWatch {
+        lease: parts.settings.order_lease,
         kv: parts.kv.clone(),
         client: parts.client.clone(),
         cluster: parts.cluster.clone(),
--- a/crates/rattan/src/settings/checked.rs
+++ b/crates/rattan/src/settings/checked.rs
@@ -83,6 +83,8 @@
     pub entries_max_age: Duration,
     /// Time between two load reports of a target.
     pub load_interval: Duration,
+    /// Time to live of this instance's lease on engines.
+    pub order_lease: Duration,
     /// Rule by which targets are compared.
     pub routing_policy: Policy,
 }
@@ -127,6 +129,7 @@
             service_timeout: given("service-timeout-ms").millis(10_000, 10..=600_000)?,
             entries_max_age: given("entries-max-age-ms").millis(5_000, 100..=600_000)?,
             load_interval: given("load-interval-ms").millis(250, 10..=60_000)?,
+            order_lease: given("order-lease-ms").millis(15_000, 8_000..=120_000)?,
             routing_policy: given("routing-policy").parse_or(
                 Policy::Cost,
                 "one of cost, round_robin, least_loaded and longest_prefix",
--- a/crates/rattan/src/settings/flags.rs
+++ b/crates/rattan/src/settings/flags.rs
@@ -149,6 +149,13 @@
         meta = "MS"
     )]
     pub load_interval_ms: Option<String>,
+    /// Time to live of this instance's lease on engines.
+    #[options(
+        no_short,
+        help = "time to live of this instance's lease on engines that it orders in ms (15000)",
+        meta = "MS"
+    )]
+    pub order_lease_ms: Option<String>,
     /// Rule by which targets are compared.
     #[options(
         no_short,
@@ -191,7 +198,7 @@
     }
 
     /// All settings by the name of their flag.
-    pub(super) fn fields(&mut self) -> [(&'static str, &mut Option<String>); 22] {
+    pub(super) fn fields(&mut self) -> [(&'static str, &mut Option<String>); 23] {
         [
             ("instance", &mut self.instance),
             ("region", &mut self.region),
@@ -214,6 +221,7 @@
             ("service-timeout-ms", &mut self.service_timeout_ms),
             ("entries-max-age-ms", &mut self.entries_max_age_ms),
             ("load-interval-ms", &mut self.load_interval_ms),
+            ("order-lease-ms", &mut self.order_lease_ms),
             ("routing-policy", &mut self.routing_policy),
         ]
     }
--- a/crates/rattan/tests/order_holders.rs
+++ b/crates/rattan/tests/order_holders.rs
@@ -20,8 +20,10 @@
     tokio::time::sleep,
 };
 
-/// The time to live of the daemons' leases, and some more.
-const FROZEN: Duration = Duration::from_secs(18);
+/// The time to live of the daemons' leases; the shortest that is allowed.
+const LEASE_MS: u64 = 8_000;
+/// That time, and some more.
+const FROZEN: Duration = Duration::from_secs(10);
 /// Longest wait for orders of a new holder: the rest of the lease, then ttl and margin.
 const TAKEN_OVER: Duration = Duration::from_secs(45);
 /// Time between two changes of the version that is asked for.
@@ -86,6 +88,7 @@
     let mut settings = WorldSettings::new(env!("CARGO_BIN_EXE_rattand"));
     settings.entries_count = 3;
     settings.engines_count = 1;
+    settings.flags = vec![("order-lease-ms", LEASE_MS.to_string())];
     let world = World::start(settings).await.expect("a world");
     let ordered = |orders: &[u64]| orders.len() >= 3;
     flip_until(&world, 0, TAKEN_OVER, ordered)
--- a/crates/rattan/tests/setting_checks.rs
+++ b/crates/rattan/tests/setting_checks.rs
@@ -94,13 +94,13 @@
 
 proptest! {
     #[test]
-    fn any_value_is_read_or_refused(flag in 0..22_usize, value in "\\PC{0,40}") {
+    fn any_value_is_read_or_refused(flag in 0..23_usize, value in "\\PC{0,40}") {
         let names = [
             "instance", "region", "failure-domain", "listen", "peer-listen", "kv-endpoints",
             "kv-timeout-ms", "instance-list", "operator-key-digests", "peer-keys", "log-format",
             "log-level", "metrics", "traffic-threads", "max-body-bytes", "max-connections",
             "head-timeout-ms", "body-timeout-ms", "service-timeout-ms", "entries-max-age-ms",
-            "load-interval-ms", "routing-policy",
+            "load-interval-ms", "order-lease-ms", "routing-policy",
         ];
         let argument = format!("--{}={value}", names[flag]);
         let _ = settings(&[&argument], &[]);
