--- a/crates/rattan/tests/block_reads.rs
+++ b/crates/rattan/tests/block_reads.rs
@@ -5,12 +5,15 @@
 //! linearizable, and the reading engine, which checks every imported byte, must have counted
 //! nothing. The naive way must be caught by the same checks.
 
+#[path = "support/block_spec.rs"]
+mod block_spec;
 #[path = "support/history.rs"]
 mod history;
 #[path = "support/seed.rs"]
 mod seed;
 
 use {
+    block_spec::{BlockOp, BlockSpec},
     directory::{Directory, Generation, Place, Write},
     history::Recorder,
     prefix::BlockKey,
@@ -35,7 +38,6 @@
         BlockRef, Client, ClientSettings, Completion, EngineClient, ExportRequest, ImportRequest,
         Piece, Reuse, StoreClient,
     },
-    todc_utils::specifications::Specification,
     tokio::{task::JoinSet, time::sleep},
 };
 
@@ -50,38 +52,6 @@
 /// Writes begun by each writer; readers and freers go on until all are done.
 const WRITES: usize = 25;
 
-/// What a process did with one key, and how that ended.
-#[derive(Clone, Debug)]
-enum BlockOp {
-    /// Wrote this generation; whether it became readable.
-    Write(Generation, bool),
-    /// Read; the generation that it got whole, if any.
-    Read(Option<Generation>),
-    /// Freed whatever there was.
-    Free,
-}
-
-/// One block: the generation that may be read.
-struct BlockSpec;
-
-impl Specification for BlockSpec {
-    type State = Option<Generation>;
-    type Operation = BlockOp;
-
-    fn init() -> Self::State {
-        None
-    }
-
-    fn apply(operation: &BlockOp, state: &Self::State) -> (bool, Self::State) {
-        match operation {
-            BlockOp::Write(generation, true) => (state.is_none(), Some(*generation)),
-            BlockOp::Write(_, false) | BlockOp::Read(None) => (true, *state),
-            BlockOp::Read(Some(generation)) => (*state == Some(*generation), *state),
-            BlockOp::Free => (true, None),
-        }
-    }
-}
-
 /// How blocks are looked up.
 #[derive(Clone, Copy, PartialEq)]
 enum Way {
