daemon: first instance list before callers, status gauges, a failed control thread drains; split by job

Cause: a fresh instance answered address look-ups with itself alone until it had read the instance list, and its first heartbeats went to nobody; a control thread that gave up left the instance serving on frozen state; tarpc filled the log. Change: callers and heartbeats wait up to 2 s for the first list; the end of the control thread starts a drain; tarpc logs from warn on; gauges for configuration revision, its age, and live members. daemon.rs is parted into daemon, parts and control/tree.

--- a/crates/rattan/src/control/instance_watch.rs
+++ b/crates/rattan/src/control/instance_watch.rs
@@ -1,14 +1,13 @@
 //! Follows the platform's instance list.
 
 use {
-    arc_swap::ArcSwap,
     fleet::{Fleet, Listed},
     platform::{Instance, InstanceList, InstanceState},
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::{sync::watch, time::sleep},
 };
 
 /// Time between two reads of the list.
@@ -19,7 +18,7 @@
 pub(crate) struct InstanceWatch<List> {
     pub(crate) list: List,
     pub(crate) fleet: Arc<Fleet>,
-    pub(crate) instances: Arc<ArcSwap<Vec<Instance>>>,
+    pub(crate) instances: Arc<watch::Sender<Vec<Instance>>>,
 }
 
 impl<List> InstanceWatch<List>
@@ -33,7 +32,7 @@
             match self.list.instances().await {
                 Ok(instances) => {
                     self.take(&instances, asked_at);
-                    self.instances.store(Arc::new(instances));
+                    self.instances.send_replace(instances);
                 }
                 Err(error) => log::warn!("{error}"),
             }
--- a/crates/rattan/src/control/membership_watch.rs
+++ b/crates/rattan/src/control/membership_watch.rs
@@ -1,17 +1,21 @@
 //! Follows which entry instances there are, and takes newer configuration from them.
 
 use {
-    arc_swap::ArcSwap,
     cluster::{Cluster, Member, MemberState},
     configuration::{Handle, Snapshot},
     platform::{Instance, InstanceState},
     std::{sync::Arc, time::Duration},
-    tokio::time::sleep,
+    tokio::{
+        sync::watch,
+        time::{sleep, timeout},
+    },
     tokio_util::sync::CancellationToken,
 };
 
 /// Role of entry instances in the instance list.
 const ENTRY_ROLE: &str = "entry";
+/// Longest wait for the first instance list.
+pub(crate) const FIRST_LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 /// Rounds after which all peers that can be reached have been asked at the start.
@@ -21,13 +25,19 @@
 #[derive(Clone)]
 pub(crate) struct MembershipWatch {
     pub(crate) cluster: Arc<Cluster>,
-    pub(crate) instances: Arc<ArcSwap<Vec<Instance>>>,
+    pub(crate) instances: Arc<watch::Sender<Vec<Instance>>>,
     pub(crate) configuration: Handle,
 }
 
 impl MembershipWatch {
     /// Sends heartbeats, takes over the instance list and peers' configuration.
+    ///
+    /// Heartbeats begin once the list was read, so that the first ones reach the peers.
     pub(crate) async fn run(self) {
+        let mut listed = self.instances.subscribe();
+        let _ = timeout(FIRST_LIST_TIMEOUT, listed.wait_for(|list| !list.is_empty())).await;
+        drop(listed);
+        self.take_list();
         tokio::join!(self.cluster.run(CancellationToken::new()), self.follow());
     }
 
@@ -45,12 +55,10 @@
     }
 
     fn take_list(&self) {
-        let instances = self.instances.load_full();
-        if instances.is_empty() {
-            return;
+        let listed: Vec<Member> = self.instances.borrow().iter().filter_map(member).collect();
+        if !listed.is_empty() {
+            self.cluster.list(&listed);
         }
-        let listed: Vec<Member> = instances.iter().filter_map(member).collect();
-        self.cluster.list(&listed);
     }
 
     /// Takes the configuration of a peer that has a newer one, as while the key-value service is
--- a/crates/rattan/src/control/mod.rs
+++ b/crates/rattan/src/control/mod.rs
@@ -6,11 +6,19 @@
 mod membership_watch;
 mod order_watch;
 mod peer_updates;
+mod status_gauges;
 mod store_watch;
 mod target_watches;
+mod tree;
 
 pub(crate) use {
-    engine_watch::EngineWatch, instance_watch::InstanceWatch, membership_watch::MembershipWatch,
-    order_watch::OrderWatch, peer_updates::PeerUpdates, store_watch::StoreWatch,
+    engine_watch::EngineWatch,
+    instance_watch::InstanceWatch,
+    membership_watch::{FIRST_LIST_TIMEOUT, MembershipWatch},
+    order_watch::OrderWatch,
+    peer_updates::PeerUpdates,
+    status_gauges::StatusGauges,
+    store_watch::StoreWatch,
     target_watches::TargetWatches,
+    tree::tree,
 };
--- a/crates/rattan/src/daemon.rs
+++ b/crates/rattan/src/daemon.rs
@@ -3,32 +3,17 @@
 use {
     crate::{
         Metrics, Settings,
-        backend::Service,
-        control::{InstanceWatch, MembershipWatch, OrderWatch, PeerUpdates, TargetWatches},
-        peers::{Outgoing, Peers},
+        control::{self, FIRST_LIST_TIMEOUT},
+        parts::Parts,
     },
-    arc_swap::ArcSwap,
-    cluster::{Cluster, Member, MemberState, Traffic},
-    configuration::{Follower, FollowerSettings, Writer},
-    decision::RingLimits,
-    fleet::Fleet,
+    cluster::Traffic,
     gateway::{DrainSignal, Gateway, GatewaySettings},
-    idempotency::{ClaimSettings, Claims},
-    operator::Operator,
-    platform::{EtcdKv, EtcdSettings, HttpInstanceList, Instance, KeyValue},
-    serving::{Blocks, Journal, Serving, ServingSettings, State},
+    platform::{EtcdKv, EtcdSettings, KeyValue},
     snafu::{ResultExt, Snafu},
-    std::{
-        io,
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, SystemTime, UNIX_EPOCH},
-    },
-    supervisor::{Child, Supervisor, SupervisorError, run_on_thread},
-    target::{Client, ClientSettings},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    supervisor::{SupervisorError, run_on_thread},
     tokio::{
         net::TcpListener,
-        sync::{Mutex, mpsc},
         time::{sleep, timeout},
     },
     tokio_util::sync::CancellationToken,
@@ -70,21 +55,6 @@
     },
 }
 
-/// Everything that the tasks of the daemon share.
-struct Parts<Kv> {
-    settings: Settings,
-    kv: Kv,
-    fleet: Arc<Fleet>,
-    blocks: Blocks,
-    client: Client,
-    cluster: Arc<Cluster>,
-    instances: Arc<ArcSwap<Vec<Instance>>>,
-    follower: Follower<Kv>,
-    peers: Peers,
-    outgoing: Arc<Mutex<mpsc::Receiver<Outgoing>>>,
-    claims: Claims<Kv>,
-}
-
 /// Runs the daemon until `stop`, then drains it: peers and callers are told, requests are served
 /// for as long as callers may hold its address, answers in progress are finished.
 ///
@@ -101,9 +71,16 @@
         timeout: settings.kv_timeout,
     });
     let (keys, traffic) = (settings.peer_keys.clone(), Arc::new(Traffic::default()));
-    let parts = Arc::new(Parts::new(settings, kv, traffic.clone()));
+    let parts = Parts::new(settings, metrics, kv, traffic.clone());
     let control_token = CancellationToken::new();
-    let control = tokio::spawn(run_on_thread(control_tree(&parts), control_token.clone()));
+    let control = run_on_thread(control::tree(&parts), control_token.clone());
+    // An instance whose control thread has failed drains; the platform replaces it.
+    let drained = stop.clone().drop_guard();
+    let control = tokio::spawn(async move {
+        let ended = control.await;
+        drop(drained);
+        ended
+    });
     let peer_server = tokio::spawn(cluster::serve(
         peer_listener,
         keys,
@@ -111,7 +88,7 @@
         traffic,
         control_token.clone(),
     ));
-    let served = serve(&parts, metrics, &stop).await;
+    let served = serve(&parts, &stop).await;
     if timeout(CLAIMS_BOUND, parts.claims.idle()).await.is_err() {
         log::warn!("some claims are left as they are; their requests are told so when retried");
     }
@@ -129,11 +106,7 @@
 }
 
 /// Serves callers from the moment the configuration is known until `stop`, then drains.
-async fn serve<Kv>(
-    parts: &Arc<Parts<Kv>>,
-    metrics: Metrics,
-    stop: &CancellationToken,
-) -> Result<(), DaemonError>
+async fn serve<Kv>(parts: &Parts<Kv>, stop: &CancellationToken) -> Result<(), DaemonError>
 where
     Kv: KeyValue,
 {
@@ -142,8 +115,12 @@
         () = configuration.ready() => {}
         () = stop.cancelled() => return Ok(()),
     }
+    // Until the instance list was read, callers would be told of this instance only.
+    let mut listed = parts.instances.subscribe();
+    let _ = timeout(FIRST_LIST_TIMEOUT, listed.wait_for(|list| !list.is_empty())).await;
+    drop(listed);
     let address = parts.settings.listen;
-    let gateway = Gateway::bind(gateway_settings(&parts.settings), parts.service(metrics))
+    let gateway = Gateway::bind(gateway_settings(&parts.settings), parts.service())
         .await
         .context(ListenSnafu { address })?;
     println!("listening on {}", gateway.address());
@@ -170,156 +147,6 @@
     sleep(FINISH_BOUND).await;
 }
 
-/// The children of the control thread.
-fn control_tree<Kv>(parts: &Arc<Parts<Kv>>) -> Supervisor
-where
-    Kv: KeyValue,
-{
-    let follower = parts.follower.clone();
-    let instances = InstanceWatch {
-        list: HttpInstanceList::new(parts.settings.instance_list, parts.settings.kv_timeout),
-        fleet: parts.fleet.clone(),
-        instances: parts.instances.clone(),
-    };
-    let membership = MembershipWatch {
-        cluster: parts.cluster.clone(),
-        instances: parts.instances.clone(),
-        configuration: follower.handle(),
-    };
-    let updates = PeerUpdates {
-        peers: parts.peers.clone(),
-        outgoing: parts.outgoing.clone(),
-    };
-    let targets = TargetWatches {
-        configuration: follower.handle(),
-        client: parts.client.clone(),
-        fleet: parts.fleet.clone(),
-        blocks: parts.blocks.clone(),
-        load_interval: parts.settings.load_interval,
-    };
-    let orders = OrderWatch {
-        lease: parts.settings.order_lease,
-        kv: parts.kv.clone(),
-        client: parts.client.clone(),
-        cluster: parts.cluster.clone(),
-        configuration: follower.handle(),
-        fleet: parts.fleet.clone(),
-    };
-    Supervisor::new("control")
-        .child(until_cancelled("configuration", move || {
-            follower.clone().run()
-        }))
-        .child(until_cancelled("instances", move || {
-            instances.clone().run()
-        }))
-        .child(until_cancelled("membership", move || {
-            membership.clone().run()
-        }))
-        .child(until_cancelled("updates", move || updates.clone().run()))
-        .child(until_cancelled("targets", move || targets.clone().run()))
-        .child(Child::new("orders", move |token| {
-            let orders = orders.clone();
-            async move {
-                orders.run(token).await;
-                Ok(())
-            }
-        }))
-}
-
-/// A child that runs until it is cancelled.
-fn until_cancelled<Start, Task>(name: &str, start: Start) -> Child
-where
-    Start: Fn() -> Task + Send + Sync + 'static,
-    Task: Future<Output = ()> + Send + 'static,
-{
-    Child::new(name, move |token| {
-        let task = start();
-        async move {
-            token.run_until_cancelled(task).await;
-            Ok(())
-        }
-    })
-}
-
-impl<Kv> Parts<Kv>
-where
-    Kv: KeyValue,
-{
-    fn new(settings: Settings, kv: Kv, traffic: Arc<Traffic>) -> Self {
-        let own = Member {
-            instance: settings.instance.clone(),
-            address: settings.listen,
-            peer_address: settings.peer_listen,
-            region: settings.region.clone(),
-            failure_domain: settings.failure_domain.clone(),
-            state: MemberState::Live,
-            incarnation: incarnation(),
-        };
-        let pool = cluster::Peers::new(settings.peer_keys.clone(), traffic);
-        let cluster = Arc::new(Cluster::new(own, pool));
-        let follower = Follower::new(kv.clone(), FollowerSettings::default());
-        let blocks = Blocks::default();
-        let (peers, outgoing) = Peers::new(
-            cluster.clone(),
-            blocks.clone(),
-            Journal::new(RingLimits::default()),
-            follower.handle(),
-        );
-        let claim_settings = ClaimSettings::new(settings.instance.clone());
-        Self {
-            fleet: Arc::default(),
-            client: Client::new(ClientSettings::default()),
-            instances: Arc::default(),
-            outgoing: Arc::new(Mutex::new(outgoing)),
-            claims: Claims::new(kv.clone(), claim_settings),
-            settings,
-            kv,
-            blocks,
-            cluster,
-            follower,
-            peers,
-        }
-    }
-
-    /// What callers and operators are answered by.
-    fn service(&self, metrics: Metrics) -> Service<Kv, Peers> {
-        let settings = &self.settings;
-        let configuration = self.follower.handle();
-        let serving = Serving::new(State {
-            settings: ServingSettings::default()
-                .instance(settings.instance.clone())
-                .policy(settings.routing_policy)
-                .service_bound(settings.service_timeout),
-            configuration: configuration.clone(),
-            fleet: self.fleet.clone(),
-            blocks: self.blocks.clone(),
-            journal: self.peers.journal.clone(),
-            claims: self.claims.clone(),
-            client: self.client.clone(),
-            peers: self.peers.clone(),
-        });
-        let writer = Writer::new(self.kv.clone(), settings.kv_timeout);
-        Service {
-            serving,
-            operator: Operator::new(writer, configuration.clone()),
-            configuration,
-            cluster: self.cluster.clone(),
-            peers: self.peers.clone(),
-            operator_key_digests: settings.operator_key_digests.clone().into(),
-            entries_max_age: settings.entries_max_age,
-            metrics,
-        }
-    }
-}
-
-/// A number that is higher for each later start of an instance of the same name.
-fn incarnation() -> u64 {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn gateway_settings(settings: &Settings) -> GatewaySettings {
     GatewaySettings::default()
         .listen(settings.listen)
--- a/crates/rattan/src/lib.rs
+++ b/crates/rattan/src/lib.rs
@@ -21,6 +21,7 @@
 mod daemon;
 mod logging;
 mod metrics;
+mod parts;
 mod peers;
 mod recent;
 mod settings;
--- a/crates/rattan/src/logging.rs
+++ b/crates/rattan/src/logging.rs
@@ -15,6 +15,7 @@
 pub fn start(format: LogFormat, level: LevelFilter) -> Result<(), SetLoggerError> {
     Dispatch::new()
         .level(level)
+        .level_for("tarpc", level.min(LevelFilter::Warn))
         .format(move |out, message, record| {
             let time = humantime::format_rfc3339_millis(SystemTime::now());
             match format {
--- /dev/null
+++ b/crates/rattan/src/parts.rs
@@ -0,0 +1,119 @@
+//! Everything that the tasks of the daemon share.
+
+use {
+    crate::{
+        Metrics, Settings,
+        backend::Service,
+        peers::{Outgoing, Peers},
+    },
+    cluster::{Cluster, Member, MemberState, Traffic},
+    configuration::{Follower, FollowerSettings, Writer},
+    decision::RingLimits,
+    fleet::Fleet,
+    idempotency::{ClaimSettings, Claims},
+    operator::Operator,
+    platform::{Instance, KeyValue},
+    serving::{Blocks, Journal, Serving, ServingSettings, State},
+    std::{
+        sync::Arc,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+    target::{Client, ClientSettings},
+    tokio::sync::{Mutex, mpsc, watch},
+};
+
+/// Everything that the tasks of the daemon share.
+pub(crate) struct Parts<Kv> {
+    pub(crate) settings: Settings,
+    pub(crate) metrics: Metrics,
+    pub(crate) kv: Kv,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) blocks: Blocks,
+    pub(crate) client: Client,
+    pub(crate) cluster: Arc<Cluster>,
+    pub(crate) instances: Arc<watch::Sender<Vec<Instance>>>,
+    pub(crate) follower: Follower<Kv>,
+    pub(crate) peers: Peers,
+    pub(crate) outgoing: Arc<Mutex<mpsc::Receiver<Outgoing>>>,
+    pub(crate) claims: Claims<Kv>,
+}
+
+impl<Kv> Parts<Kv>
+where
+    Kv: KeyValue,
+{
+    pub(crate) fn new(settings: Settings, metrics: Metrics, kv: Kv, traffic: Arc<Traffic>) -> Self {
+        let own = Member {
+            instance: settings.instance.clone(),
+            address: settings.listen,
+            peer_address: settings.peer_listen,
+            region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            state: MemberState::Live,
+            incarnation: incarnation(),
+        };
+        let pool = cluster::Peers::new(settings.peer_keys.clone(), traffic);
+        let cluster = Arc::new(Cluster::new(own, pool));
+        let follower = Follower::new(kv.clone(), FollowerSettings::default());
+        let blocks = Blocks::default();
+        let (peers, outgoing) = Peers::new(
+            cluster.clone(),
+            blocks.clone(),
+            Journal::new(RingLimits::default()),
+            follower.handle(),
+        );
+        let claim_settings = ClaimSettings::new(settings.instance.clone());
+        Self {
+            fleet: Arc::default(),
+            client: Client::new(ClientSettings::default()),
+            instances: Arc::new(watch::Sender::default()),
+            outgoing: Arc::new(Mutex::new(outgoing)),
+            claims: Claims::new(kv.clone(), claim_settings),
+            settings,
+            metrics,
+            kv,
+            blocks,
+            cluster,
+            follower,
+            peers,
+        }
+    }
+
+    /// What callers and operators are answered by.
+    pub(crate) fn service(&self) -> Service<Kv, Peers> {
+        let settings = &self.settings;
+        let configuration = self.follower.handle();
+        let serving = Serving::new(State {
+            settings: ServingSettings::default()
+                .instance(settings.instance.clone())
+                .policy(settings.routing_policy)
+                .service_bound(settings.service_timeout),
+            configuration: configuration.clone(),
+            fleet: self.fleet.clone(),
+            blocks: self.blocks.clone(),
+            journal: self.peers.journal.clone(),
+            claims: self.claims.clone(),
+            client: self.client.clone(),
+            peers: self.peers.clone(),
+        });
+        let writer = Writer::new(self.kv.clone(), settings.kv_timeout);
+        Service {
+            serving,
+            operator: Operator::new(writer, configuration.clone()),
+            configuration,
+            cluster: self.cluster.clone(),
+            peers: self.peers.clone(),
+            operator_key_digests: settings.operator_key_digests.clone().into(),
+            entries_max_age: settings.entries_max_age,
+            metrics: self.metrics.clone(),
+        }
+    }
+}
+
+/// A number that is higher for each later start of an instance of the same name.
+fn incarnation() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/rattan/src/settings/flags.rs
+++ b/crates/rattan/src/settings/flags.rs
@@ -9,7 +9,7 @@
 /// Prefix of environment variables; the rest is the flag's name in upper case.
 pub(super) const VARIABLE_PREFIX: &str = "RATTAN_";
 /// Variables with the prefix that belong to the command line `rattan`.
-const FOREIGN_VARIABLES: [&str; 3] = ["RATTAN_ENTRY", "RATTAN_KEY_FILE", "RATTAN_OPERATOR_KEY"];
+const FOREIGN_VARIABLES: [&str; 2] = ["RATTAN_ENTRY", "RATTAN_OPERATOR_KEY"];
 
 /// rattand, the entry daemon. Every setting is a flag or an environment variable `RATTAN_NAME` with
 /// the flag's name in upper case and underscores; a flag goes before its variable.
