--- a/crates/serving/src/stores.rs
+++ b/crates/serving/src/stores.rs
@@ -22,6 +22,13 @@
 }
 
 impl Link {
+    /// Expected seconds until `bytes` have crossed behind those that wait.
+    #[allow(clippy::cast_precision_loss)]
+    pub(crate) fn wait_s(&self, bytes: u64) -> f64 {
+        let waiting_bytes = (self.queued_bytes + bytes) as f64;
+        waiting_bytes / self.rate.mean_bytes_per_s.max(1.0)
+    }
+
     /// Joins the links of both ends.
     pub(crate) fn between(left: &View, right: &View) -> Self {
         let (left_rate, right_rate) = (left.link(), right.link());
@@ -57,7 +64,10 @@
         })
         .max_by(|(left, left_link), (right, right_link)| {
             let by_length = left.copies.len().cmp(&right.copies.len());
-            by_length.then(right_link.queued_bytes.cmp(&left_link.queued_bytes))
+            by_length.then_with(|| {
+                let bytes = scope.block_bytes();
+                right_link.wait_s(bytes).total_cmp(&left_link.wait_s(bytes))
+            })
         })
 }
 
--- a/crates/serving/src/transfer.rs
+++ b/crates/serving/src/transfer.rs
@@ -20,6 +20,11 @@
 
 /// Longest time allowed for an export, which nobody waits for.
 const EXPORT_BOUND: Duration = Duration::from_secs(20);
+/// Two copies, so that losing a store or a link costs no computing.
+const EXPORT_POLICY: ExportPolicy = ExportPolicy {
+    min_saved_s_per_mebibyte: 0.0,
+    replicas_count: 2,
+};
 /// Share of a store's capacity that may be in use before copies are given up.
 const STORE_FULL_SHARE: f64 = 0.9;
 
@@ -118,7 +123,7 @@
         let exports = {
             let mut directory = self.blocks().lock();
             directory.record_use(&prompt, now);
-            directory.exports(&prompt, &stores, &ExportPolicy::default(), now)
+            directory.exports(&prompt, &stores, &EXPORT_POLICY, now)
         };
         if let Some(root) = plan.keys.first() {
             let used = DirectoryUpdate::Used {
