--- a/crates/rattan/src/control/target_watches.rs
+++ b/crates/rattan/src/control/target_watches.rs
@@ -5,7 +5,7 @@
     catalog::{Catalog, Target, TargetId, TargetKind},
     configuration::Handle,
     fleet::Fleet,
-    serving::Blocks,
+    serving::{Blocks, Gate},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
     target::Client,
     tokio::{task::AbortHandle, time::sleep},
@@ -21,6 +21,7 @@
     pub(crate) client: Client,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) blocks: Blocks,
+    pub(crate) gate: Gate,
     pub(crate) load_interval: Duration,
 }
 
@@ -48,6 +49,7 @@
             if !Arc::ptr_eq(&catalog, &last) {
                 self.fleet.sync(&catalog);
                 self.adjust(&mut running, &catalog);
+                self.gate.set_max_running(slots_count(&catalog));
                 last = catalog;
             }
             sleep(LOOK_INTERVAL).await;
@@ -102,3 +104,12 @@
         Some(task.abort_handle())
     }
 }
+
+/// Requests that all targets together run at once, at least 1.
+fn slots_count(catalog: &Catalog) -> u32 {
+    let targets = catalog.targets.values().filter(|target| !target.leaving);
+    let count = targets.fold(0, |count, target| {
+        u32::saturating_add(count, target.max_running_count)
+    });
+    count.max(1)
+}
--- a/crates/rattan/src/control/tree.rs
+++ b/crates/rattan/src/control/tree.rs
@@ -32,6 +32,7 @@
         client: parts.client.clone(),
         fleet: parts.fleet.clone(),
         blocks: parts.blocks.clone(),
+        gate: parts.gate.clone(),
         load_interval: parts.settings.load_interval,
     };
     let orders = OrderWatch {
--- a/crates/rattan/src/parts.rs
+++ b/crates/rattan/src/parts.rs
@@ -6,6 +6,7 @@
         backend::Service,
         peers::{Outgoing, Peers},
     },
+    admission::Limits,
     cluster::{Cluster, Member, MemberState, Traffic},
     configuration::{Follower, FollowerSettings, Writer},
     decision::RingLimits,
@@ -13,7 +14,7 @@
     idempotency::{ClaimSettings, Claims},
     operator::Operator,
     platform::{Instance, KeyValue},
-    serving::{Blocks, Journal, Serving, ServingSettings, State},
+    serving::{Blocks, Gate, Journal, Serving, ServingSettings, State},
     std::{
         sync::Arc,
         time::{SystemTime, UNIX_EPOCH},
@@ -29,6 +30,7 @@
     pub(crate) kv: Kv,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) blocks: Blocks,
+    pub(crate) gate: Gate,
     pub(crate) client: Client,
     pub(crate) cluster: Arc<Cluster>,
     pub(crate) instances: Arc<watch::Sender<Vec<Instance>>>,
@@ -65,6 +67,7 @@
         let claim_settings = ClaimSettings::new(settings.instance.clone());
         Self {
             fleet: Arc::default(),
+            gate: Gate::new(Limits::default()),
             client: Client::new(ClientSettings::default()),
             instances: Arc::new(watch::Sender::default()),
             outgoing: Arc::new(Mutex::new(outgoing)),
@@ -93,6 +96,7 @@
             blocks: self.blocks.clone(),
             journal: self.peers.journal.clone(),
             claims: self.claims.clone(),
+            gate: self.gate.clone(),
             client: self.client.clone(),
             peers: self.peers.clone(),
         });
--- a/crates/serving/src/gate.rs
+++ b/crates/serving/src/gate.rs
@@ -6,7 +6,7 @@
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Instant,
+        time::{Duration, Instant},
     },
     tokio::{sync::oneshot, time::sleep},
 };
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug)]
 pub struct Gate {
     queue: Arc<Mutex<Queue>>,
-    limits: Limits,
+    max_wait: Duration,
 }
 
 #[derive(Debug)]
@@ -51,10 +51,21 @@
         };
         Self {
             queue: Arc::new(Mutex::new(queue)),
-            limits,
+            max_wait: limits.max_wait,
         }
     }
 
+    /// Changes how many requests may run at once, for example after targets came or went.
+    pub fn set_max_running(&self, max_running_count: u32) {
+        let limits = Limits {
+            max_running_count,
+            max_wait: self.max_wait,
+            ..Limits::default()
+        };
+        self.lock().admission.set_limits(limits);
+        self.start_next(Instant::now());
+    }
+
     /// Waits until a request of `cost_tokens` prompt and answer tokens may run.
     ///
     /// # Errors
@@ -100,7 +111,7 @@
         loop {
             tokio::select! {
                 turn = &mut turn => return turn.unwrap_or_else(|_| Err(self.closed())),
-                () = sleep(self.limits.max_wait) => self.refuse_expired(),
+                () = sleep(self.max_wait) => self.refuse_expired(),
             }
         }
     }
@@ -108,7 +119,7 @@
     fn closed(&self) -> Refused {
         Refused {
             limit: "the queue of this instance".to_owned(),
-            retry_after: self.limits.max_wait,
+            retry_after: self.max_wait,
         }
     }
 
@@ -133,10 +144,14 @@
     /// Ends an admitted request and lets in those whose turn it is.
     fn leave(&self, account: &ClientAccountId, since: Instant) {
         let now = Instant::now();
+        let ran = now.saturating_duration_since(since);
+        self.lock().admission.release(account, ran, now);
+        self.start_next(now);
+    }
+
+    fn start_next(&self, now: Instant) {
         let turns: Vec<(ClientAccountId, Turn)> = {
             let mut queue = self.lock();
-            let ran = now.saturating_duration_since(since);
-            queue.admission.release(account, ran, now);
             let tickets = queue.admission.next(now);
             tickets
                 .iter()
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{Blocks, Gate, Journal, PeerBlocks, ServingSettings, links::Links},
-    admission::Limits,
     catalog::{Catalog, ClientAccountId, ModelVersionId, RequestId},
     configuration::Handle,
     decision::Record,
@@ -35,6 +34,8 @@
     pub journal: Journal,
     /// Claims of non-idempotent requests.
     pub claims: Claims<Kv>,
+    /// Admission at this instance.
+    pub gate: Gate,
     /// Connections to targets.
     pub client: Client,
     /// The other instances' part of the directory.
@@ -43,7 +44,6 @@
 
 struct Inner<Kv, Peers> {
     state: State<Kv, Peers>,
-    gate: Gate,
     links: Links,
     retries: Mutex<Budget>,
     decisions_count: AtomicU64,
@@ -73,7 +73,6 @@
         Self {
             inner: Arc::new(Inner {
                 state,
-                gate: Gate::new(Limits::default()),
                 links: Links::default(),
                 retries: Mutex::default(),
                 decisions_count: AtomicU64::new(random()),
@@ -126,7 +125,7 @@
     /// Admission at this instance.
     #[must_use]
     pub fn gate(&self) -> &Gate {
-        &self.inner.gate
+        &self.inner.state.gate
     }
 
     pub(crate) fn links(&self) -> &Links {
