--- a/crates/configuration/src/follower.rs
+++ b/crates/configuration/src/follower.rs
@@ -132,7 +132,7 @@
                 Ok(Some(Ok(event))) => event,
                 Ok(Some(Err(KvError::Compacted { .. }))) => return WatchEnd::Gap,
                 Ok(Some(Err(error))) => {
-                    log::info!("watch of the configuration ended: {error}");
+                    log::debug!("watch of the configuration ended: {error}");
                     return WatchEnd::Cut;
                 }
                 Ok(None) => return WatchEnd::Cut,
--- a/crates/rattan/src/control/instance_watch.rs
+++ b/crates/rattan/src/control/instance_watch.rs
@@ -12,6 +12,8 @@
 
 /// Time between two reads of the list.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two warnings while it cannot be read.
+const WARNING_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Follows the platform's instance list until dropped.
 #[derive(Clone)]
@@ -27,14 +29,21 @@
 {
     /// Reads the list and publishes it; while it cannot be read, the last one stays.
     pub(crate) async fn run(self) {
+        let mut warned_at: Option<Instant> = None;
         loop {
             let asked_at = Instant::now();
             match self.list.instances().await {
                 Ok(instances) => {
+                    warned_at = None;
                     self.take(&instances, asked_at);
                     self.instances.send_replace(instances);
                 }
-                Err(error) => log::warn!("{error}"),
+                Err(error) => {
+                    if warned_at.is_none_or(|at| at.elapsed() >= WARNING_INTERVAL) {
+                        log::warn!("{error}");
+                        warned_at = Some(asked_at);
+                    }
+                }
             }
             sleep(READ_INTERVAL).await;
         }
--- /dev/null
+++ b/crates/serving/src/exports.rs
@@ -0,0 +1,204 @@
+//! Exports blocks from engines to stores.
+
+use {
+    crate::{
+        PeerBlocks, Serving,
+        link_queue::LinkQueue,
+        plan::{Plan, Scope},
+        stores,
+    },
+    catalog::{RequestId, Target, TargetId},
+    cluster::{BlockWrite, DirectoryUpdate},
+    decision::Step,
+    directory::{ExportPlan, ExportPolicy, Prompt, StoreCopy, Write},
+    platform::KeyValue,
+    rand::random,
+    std::time::Duration,
+    target::{BlockRef, EngineClient, ExportRequest},
+};
+
+/// Longest time allowed for an export, which nobody waits for.
+const EXPORT_BOUND: Duration = Duration::from_secs(20);
+/// Two copies, so that losing a store or a link costs no computing.
+const EXPORT_POLICY: ExportPolicy = ExportPolicy {
+    min_saved_s_per_mebibyte: 0.0,
+    replicas_count: 2,
+};
+
+impl<Kv, Peers> Serving<Kv, Peers>
+where
+    Kv: KeyValue,
+    Peers: PeerBlocks,
+{
+    /// Notes that an engine answered from `plan`'s blocks, then exports those worth it.
+    pub(crate) async fn export(&self, scope: &Scope, plan: &Plan, request: &RequestId) {
+        let now = self.blocks().now();
+        let prompt = Prompt {
+            client_account: &scope.account.name,
+            keys: &plan.keys,
+            block_bytes: scope.block_bytes(),
+            block_recompute: self.block_recompute(scope, &plan.engine),
+        };
+        let stores = stores::destinations(self, scope);
+        let exports = {
+            let mut directory = self.blocks().lock();
+            directory.record_use(&prompt, now);
+            directory.exports(&prompt, &stores, &EXPORT_POLICY, now)
+        };
+        if let Some(root) = plan.keys.first() {
+            let used = DirectoryUpdate::Used {
+                client_account: scope.account.name.clone(),
+                keys: plan.keys.clone(),
+            };
+            self.peers().publish(root, vec![used]);
+        }
+        for export in &exports {
+            self.make_room(scope, &export.store, export.link_bytes)
+                .await;
+            self.export_to(scope, plan, export, request).await;
+        }
+    }
+
+    /// Time an engine takes to compute one block.
+    pub(crate) fn block_recompute(&self, scope: &Scope, engine: &Target) -> Duration {
+        let rate = self
+            .fleet()
+            .view(&engine.name)
+            .and_then(|view| view.report())
+            .map_or(0.0, |report| report.prefill_tokens_per_s);
+        if rate <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(f64::from(scope.version.piece_tokens) / rate)
+    }
+
+    async fn export_to(
+        &self,
+        scope: &Scope,
+        plan: &Plan,
+        export: &ExportPlan,
+        request: &RequestId,
+    ) {
+        let Some(store) = scope.catalog.targets.get(&export.store) else {
+            return;
+        };
+        let rate = self.link_rate(store, &plan.engine);
+        let Some(transfer) = self.links().export(store, rate).await else {
+            let reason = format!("the link of {} has had no room for long", store.name);
+            return self.note_export(request, String::new(), 0, 0, reason);
+        };
+        let writes = self.begin_writes(scope, export);
+        let queued = LinkQueue::new(self, [&plan.engine.name, &store.name], export.link_bytes);
+        let body = ExportRequest {
+            store: store.address,
+            version: scope.version.digest.clone(),
+            blocks: writes.iter().map(block_ref).collect(),
+        };
+        let engine = EngineClient::new(self.client().clone(), plan.engine.address);
+        let result = engine.export(&body, EXPORT_BOUND).await;
+        drop((queued, transfer));
+        let (exported, link_bytes, reason) = match result {
+            Ok(reply) => {
+                let reason = reply.failed.first().map_or_else(
+                    || format!("expected to save {:.2} s of computing", export.saved_s),
+                    |failed| failed.error.clone(),
+                );
+                (reply.exported, reply.link_bytes, reason)
+            }
+            Err(error) => (Vec::new(), 0, error.to_string()),
+        };
+        let committed_count = self.settle_writes(plan, store, writes, &exported).await;
+        let store = store.name.clone();
+        self.note_export(request, store, committed_count, link_bytes, reason);
+    }
+
+    fn note_export(
+        &self,
+        request: &RequestId,
+        store: TargetId,
+        blocks_count: usize,
+        link_bytes: u64,
+        reason: String,
+    ) {
+        let step = Step::Exported {
+            store,
+            blocks_count,
+            link_bytes,
+            reason,
+        };
+        self.journal().step(request, step);
+    }
+
+    fn begin_writes(&self, scope: &Scope, export: &ExportPlan) -> Vec<Write> {
+        let now = self.blocks().now();
+        let mut directory = self.blocks().lock();
+        export
+            .keys
+            .iter()
+            .map(|key| Write {
+                key: *key,
+                target: export.store.clone(),
+                generation: random::<u64>() >> 1,
+                size_bytes: scope.block_bytes(),
+                client_account: scope.account.name.clone(),
+            })
+            .filter(|write| directory.begin_write(write, now).is_ok())
+            .collect()
+    }
+
+    /// Commits the copies that the store has confirmed and frees the others; gives how many were
+    /// committed.
+    async fn settle_writes(
+        &self,
+        plan: &Plan,
+        store: &Target,
+        writes: Vec<Write>,
+        exported: &[BlockRef],
+    ) -> usize {
+        let now = self.blocks().now();
+        let mut committed = Vec::new();
+        let mut freed = Vec::new();
+        {
+            let mut directory = self.blocks().lock();
+            for write in writes {
+                let is_whole = exported.iter().any(|block| {
+                    block.generation == write.generation && block.key == hex::encode(write.key)
+                });
+                let is_committed = is_whole
+                    && directory
+                        .commit(&write.key, &write.target, write.generation, now)
+                        .is_ok();
+                if is_committed {
+                    committed.push(DirectoryUpdate::Committed(BlockWrite::from(&write)));
+                } else {
+                    directory.free_copy(&write.key, &write.target, now);
+                    freed.push(stored_copy(&write));
+                }
+            }
+        }
+        let committed_count = committed.len();
+        if let Some(root) = plan.keys.first() {
+            self.peers().publish(root, committed);
+        }
+        self.delete(store, &freed).await;
+        committed_count
+    }
+}
+
+fn block_ref(write: &Write) -> BlockRef {
+    BlockRef {
+        key: hex::encode(write.key),
+        generation: write.generation,
+        size_bytes: write.size_bytes,
+        client_account: write.client_account.clone(),
+    }
+}
+
+fn stored_copy(write: &Write) -> StoreCopy {
+    StoreCopy {
+        key: write.key,
+        target: write.target.clone(),
+        generation: write.generation,
+        size_bytes: write.size_bytes,
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,15 +11,18 @@
 mod claimed;
 mod claimed_completion;
 mod completion;
+mod exports;
 mod gate;
+mod imports;
 mod journal;
+mod link_queue;
 mod links;
 mod plan;
+mod room;
 mod service_call;
 mod serving;
 mod settings;
 mod stores;
-mod transfer;
 
 pub use {
     attempt::{AttemptEnd, AttemptReport, Bounds},
--- /dev/null
+++ b/crates/serving/src/link_queue.rs
@@ -0,0 +1,44 @@
+//! Bytes that wait for links.
+
+use {
+    crate::{PeerBlocks, Serving},
+    catalog::TargetId,
+    fleet::View,
+    platform::KeyValue,
+    std::sync::Arc,
+};
+
+/// Bytes counted as waiting for the links of two targets, until dropped.
+pub(crate) struct LinkQueue {
+    views: Vec<Arc<View>>,
+    bytes: u64,
+}
+
+impl LinkQueue {
+    pub(crate) fn new<Kv, Peers>(
+        serving: &Serving<Kv, Peers>,
+        targets: [&TargetId; 2],
+        bytes: u64,
+    ) -> Self
+    where
+        Kv: KeyValue,
+        Peers: PeerBlocks,
+    {
+        let views: Vec<_> = targets
+            .iter()
+            .filter_map(|name| serving.fleet().view(name))
+            .collect();
+        for view in &views {
+            view.queue_link_bytes(bytes);
+        }
+        Self { views, bytes }
+    }
+}
+
+impl Drop for LinkQueue {
+    fn drop(&mut self) {
+        for view in &self.views {
+            view.unqueue_link_bytes(self.bytes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/room.rs
@@ -0,0 +1,74 @@
+//! Makes room in stores that are nearly full.
+
+use {
+    crate::{PeerBlocks, Serving, plan::Scope},
+    catalog::{Target, TargetId},
+    cluster::DirectoryUpdate,
+    directory::StoreCopy,
+    platform::KeyValue,
+    target::StoreClient,
+};
+
+/// Share of a store's capacity that may be in use before copies are given up.
+const STORE_FULL_SHARE: f64 = 0.9;
+
+impl<Kv, Peers> Serving<Kv, Peers>
+where
+    Kv: KeyValue,
+    Peers: PeerBlocks,
+{
+    /// Frees copies so that `wanted_bytes` fit into a store that is nearly full.
+    pub(crate) async fn make_room(&self, scope: &Scope, store: &TargetId, wanted_bytes: u64) {
+        let Some(target) = scope.catalog.targets.get(store) else {
+            return;
+        };
+        let reported_bytes = self
+            .fleet()
+            .view(store)
+            .and_then(|view| view.usage())
+            .map_or(0, |usage| usage.used_bytes);
+        let now = self.blocks().now();
+        let freed: Vec<StoreCopy> = {
+            let mut directory = self.blocks().lock();
+            #[allow(
+                clippy::cast_possible_truncation,
+                clippy::cast_precision_loss,
+                clippy::cast_sign_loss
+            )]
+            let limit_bytes = (target.capacity_bytes as f64 * STORE_FULL_SHARE) as u64;
+            let used_bytes = directory.store_used_bytes(store).max(reported_bytes);
+            let over_bytes = (used_bytes + wanted_bytes).saturating_sub(limit_bytes);
+            let weight = |account: &String| {
+                let account = scope.catalog.client_accounts.get(account);
+                account.map_or(1, |account| account.weight)
+            };
+            let victims = directory.victims(store, over_bytes, weight, now);
+            victims
+                .iter()
+                .filter_map(|victim| directory.free_copy(&victim.copy.key, store, now))
+                .collect()
+        };
+        for copy in &freed {
+            let update = DirectoryUpdate::Freed {
+                key: copy.key,
+                target: copy.target.clone(),
+                generation: copy.generation,
+            };
+            self.peers().publish(&copy.key, vec![update]);
+        }
+        self.delete(target, &freed).await;
+    }
+
+    /// Deletes freed copies from a store. What fails stays pending in the directory.
+    pub(crate) async fn delete(&self, store: &Target, freed: &[StoreCopy]) {
+        let client = StoreClient::new(self.client().clone(), store.address);
+        for copy in freed {
+            let deleted = client.free(&hex::encode(copy.key), copy.generation).await;
+            if deleted.is_ok() {
+                let now = self.blocks().now();
+                let mut directory = self.blocks().lock();
+                directory.deleted(&copy.key, &copy.target, copy.generation, now);
+            }
+        }
+    }
+}
--- a/crates/serving/src/stores.rs
+++ b/crates/serving/src/stores.rs
@@ -113,3 +113,19 @@
         })
         .collect()
 }
+
+impl<Kv, Peers> Serving<Kv, Peers>
+where
+    Kv: KeyValue,
+    Peers: PeerBlocks,
+{
+    /// Rate of the link between a store and an engine.
+    pub(crate) fn link_rate(&self, store: &Target, engine: &Target) -> LinkRate {
+        let store_view = self.fleet().view(&store.name);
+        let engine_view = self.fleet().view(&engine.name);
+        store_view.zip(engine_view).map_or_else(
+            || LinkRate::configured(store.link_bytes_per_s),
+            |(store, engine)| Link::between(&store, &engine).rate,
+        )
+    }
+}
