--- /dev/null
+++ b/crates/balance/src/candidate.rs
@@ -0,0 +1,52 @@
+//! A target that may get a call.
+
+/// A target that may get a call, as this instance sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Rendezvous seed of the target's name.
+    pub seed: u64,
+    /// Calls that the target runs at once.
+    pub slots_count: u32,
+    /// Calls under way there, of all instances, as estimated.
+    pub in_flight_count: f64,
+    /// Whether it stands in the failure domain of this instance.
+    pub near: bool,
+    /// Factor on its service time: 1 for a usual target, more for a slow one.
+    pub slowness: f64,
+    /// Tokens of the call's prompt that the target is known to keep.
+    pub kept_tokens: u64,
+}
+
+impl Candidate {
+    /// An idle target.
+    #[must_use]
+    pub fn new(seed: u64, slots_count: u32) -> Self {
+        Self {
+            seed,
+            slots_count: slots_count.max(1),
+            in_flight_count: 0.0,
+            near: false,
+            slowness: 1.0,
+            kept_tokens: 0,
+        }
+    }
+
+    /// Sets the calls under way.
+    #[must_use]
+    pub fn in_flight(mut self, in_flight_count: f64) -> Self {
+        self.in_flight_count = in_flight_count;
+        self
+    }
+
+    /// Share of the slots that would be taken with one more call, weighted by slowness.
+    #[must_use]
+    pub fn load(&self) -> f64 {
+        (self.in_flight_count + 1.0) * self.slowness / f64::from(self.slots_count)
+    }
+
+    /// Whether every slot is taken.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.in_flight_count >= f64::from(self.slots_count)
+    }
+}
--- /dev/null
+++ b/crates/balance/src/choose.rs
@@ -0,0 +1,56 @@
+//! The choice of one target.
+//!
+//! Answers two loads. Plain calls: short, alike, many for each target; the least loaded wins, so
+//! that no queue builds up before one target while another is idle. Prompts of a session: a target
+//! that has read the session before saves most of the work, so a session stays on its target until
+//! that one has far more to do than others.
+
+use {
+    crate::{Candidate, rendezvous},
+    std::cmp::Ordering,
+};
+
+/// Share of the slots by which a session's target may be busier than the least busy one.
+const SPILL_MARGIN_SHARE: f64 = 0.12;
+/// Loads closer than this count as equal; the near target is then taken.
+const EQUAL_LOAD_SHARE: f64 = 0.02;
+
+/// Index of the candidate for a call; none without candidates. `session` is the seed of the key
+/// whose calls should stay together, `draw` a random number.
+#[must_use]
+pub fn choose(candidates: &[Candidate], session: Option<u64>, draw: u64) -> Option<usize> {
+    let least = least_loaded(candidates, draw)?;
+    let Some(session) = session else {
+        return Some(least);
+    };
+    let bound = candidates[least].load() + SPILL_MARGIN_SHARE;
+    let within = |index: &usize| candidates[*index].load() <= bound;
+    let keeper = (0..candidates.len())
+        .filter(within)
+        .filter(|index| candidates[*index].kept_tokens > 0)
+        .max_by(|left, right| compare_kept(&candidates[*left], &candidates[*right], session));
+    let owner = (0..candidates.len())
+        .filter(within)
+        .max_by_key(|index| rendezvous::score(session, candidates[*index].seed));
+    Some(keeper.or(owner).unwrap_or(least))
+}
+
+/// More kept tokens first, then the better owner.
+fn compare_kept(left: &Candidate, right: &Candidate, session: u64) -> Ordering {
+    let score = |it: &Candidate| rendezvous::score(session, it.seed);
+    let by_score = score(left).cmp(&score(right));
+    left.kept_tokens.cmp(&right.kept_tokens).then(by_score)
+}
+
+fn least_loaded(candidates: &[Candidate], draw: u64) -> Option<usize> {
+    let lowest = candidates.iter().map(Candidate::load).reduce(f64::min)?;
+    let alike = |index: &usize| candidates[*index].load() <= lowest + EQUAL_LOAD_SHARE;
+    let near = (0..candidates.len()).filter(alike);
+    let has_near = near.clone().any(|index| candidates[index].near);
+    let mut picked: Vec<usize> = near
+        .filter(|index| candidates[*index].near || !has_near)
+        .collect();
+    let count = u64::try_from(picked.len()).ok().filter(|count| *count > 0)?;
+    let position = usize::try_from(draw % count).ok()?;
+    Some(picked.swap_remove(position))
+}
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,31 @@
+//! Chooses the target of a relayed call.
+//!
+//! Plain functions over values: no clock, no socket. [`choose`] keeps the calls of one session on
+//! few targets, so that what they computed is found again, and spills to others under load;
+//! [`Health`] leaves out targets that fail; [`RetryShare`] is this instance's part of a retry
+//! budget that all instances share.
+//!
+//! ```
+//! use balance::{Candidate, choose, rendezvous};
+//!
+//! let candidates: Vec<Candidate> = ["engine-a", "engine-b", "engine-c"]
+//!     .into_iter()
+//!     .map(|name| Candidate::new(rendezvous::member_seed(name), 48))
+//!     .collect();
+//! let session = rendezvous::key_seed(b"91bd3f06");
+//! let first = choose(&candidates, Some(session), 0);
+//! assert_eq!(first, choose(&candidates, Some(session), 1), "a session stays where it is");
+//! ```
+
+mod candidate;
+mod choose;
+mod health;
+pub mod rendezvous;
+mod retry_share;
+
+pub use {
+    candidate::Candidate,
+    choose::choose,
+    health::{Health, Outcome},
+    retry_share::{RetryBounds, RetryShare},
+};
--- a/crates/cluster/src/rendezvous.rs
+++ b/crates/balance/src/rendezvous.rs
@@ -8,17 +8,20 @@
 const KEY_CONTEXT: &str = "rattanpost 2026-12 rendezvous key";
 
 /// Hash of an instance's name.
-pub(crate) fn member_seed(instance: &str) -> u64 {
+#[must_use]
+pub fn member_seed(instance: &str) -> u64 {
     seed(MEMBER_CONTEXT, instance.as_bytes())
 }
 
 /// Hash of a key.
-pub(crate) fn key_seed(key: &[u8]) -> u64 {
+#[must_use]
+pub fn key_seed(key: &[u8]) -> u64 {
     seed(KEY_CONTEXT, key)
 }
 
 /// Score of a member for a key; the member with the highest score owns the key.
-pub(crate) fn score(key_seed: u64, member_seed: u64) -> u64 {
+#[must_use]
+pub fn score(key_seed: u64, member_seed: u64) -> u64 {
     let mut mixed = key_seed ^ member_seed;
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(MIX_FACTORS[0]);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(MIX_FACTORS[1]);
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -41,7 +41,7 @@
 mod membership;
 mod peer_key;
 mod peers;
-mod rendezvous;
+
 mod rotation;
 mod server;
 mod service;
--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -1,10 +1,8 @@
 //! An immutable view of all entry instances.
 
 use {
-    crate::{
-        Member,
-        rendezvous::{key_seed, member_seed, score},
-    },
+    crate::Member,
+    balance::rendezvous::{key_seed, member_seed, score},
     catalog::RegionId,
     std::cmp::Reverse,
 };
--- a/crates/configuration/src/follower.rs
+++ b/crates/configuration/src/follower.rs
@@ -9,7 +9,7 @@
     },
     catalog::Revision,
     futures::StreamExt,
-    platform::{Event, KeyValue, KvError, Range},
+    keyvalue::{Event, KeyValue, KvError, Range},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{pin::pin, time::Duration},
     tokio::time::{Instant, sleep, timeout},
--- a/crates/configuration/src/handle.rs
+++ b/crates/configuration/src/handle.rs
@@ -5,7 +5,7 @@
     arc_swap::ArcSwap,
     bytes::Bytes,
     catalog::{Catalog, Revision},
-    platform::Event,
+    keyvalue::Event,
     std::{
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Writer`] accepts changes: all changes of one call in one transaction, each under the condition
 //! that nobody changed its object meanwhile. [`Follower`] keeps one instance at what the service
 //! holds and publishes it through a [`Handle`]; it never goes back to a lower revision. Both are
-//! generic over [`platform::KeyValue`]. [`Snapshot`] is what peers exchange when the service is
+//! generic over [`keyvalue::KeyValue`]. [`Snapshot`] is what peers exchange when the service is
 //! down.
 //!
 //! | key | value |
--- a/crates/configuration/src/plan.rs
+++ b/crates/configuration/src/plan.rs
@@ -3,7 +3,7 @@
 use {
     crate::{Accepted, ApplyError, Change, Expected, Snapshot, keys::object_key, writer::compare},
     catalog::{Catalog, Edit, Object, ObjectKind, Warning, warnings},
-    platform::{Compare, Op},
+    keyvalue::{Compare, Op},
 };
 
 /// Most operations the service takes in one transaction.
--- a/crates/configuration/src/snapshot.rs
+++ b/crates/configuration/src/snapshot.rs
@@ -4,7 +4,7 @@
     crate::keys::{GUARD_KEY, parse_object_key},
     bytes::Bytes,
     catalog::{Catalog, Object, ObjectKind, Revision},
-    platform::{Event, KvPair, Range},
+    keyvalue::{Event, KvPair, Range},
     serde::{Deserialize, Serialize},
     snafu::{ResultExt, Snafu},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
--- a/crates/configuration/src/state.rs
+++ b/crates/configuration/src/state.rs
@@ -1,6 +1,6 @@
 //! Which snapshot is in force, and the rules by which another takes its place.
 
-use {crate::Snapshot, catalog::Revision, platform::Event, std::sync::Arc, tokio::time::Instant};
+use {crate::Snapshot, catalog::Revision, keyvalue::Event, std::sync::Arc, tokio::time::Instant};
 
 /// The snapshot in force. A lower revision never takes the place of a higher one.
 #[derive(Debug, Default)]
--- a/crates/configuration/src/writer.rs
+++ b/crates/configuration/src/writer.rs
@@ -8,7 +8,7 @@
         plan::{PART_OBJECTS_COUNT, Plan},
     },
     catalog::Invalid,
-    platform::{Compare, KeyValue, KvError, KvPair, LeaseId, Op, Txn, TxnOutcome},
+    keyvalue::{Compare, KeyValue, KvError, KvPair, LeaseId, Op, Txn, TxnOutcome},
     std::time::Duration,
     tokio::time::{sleep, timeout},
 };
--- a/crates/configuration/tests/follower_states.rs
+++ b/crates/configuration/tests/follower_states.rs
@@ -4,7 +4,7 @@
 
 use {
     configuration::{Follower, FollowerSettings, Handle, Snapshot, Writer},
-    platform::MemoryKv,
+    keyvalue::MemoryKv,
     std::time::Duration,
     support::{put, rule},
     tokio::time::sleep,
--- a/crates/configuration/tests/raw_values.rs
+++ b/crates/configuration/tests/raw_values.rs
@@ -6,7 +6,7 @@
     bytes::Bytes,
     catalog::Object,
     configuration::{Change, RawChange, Snapshot, object_key, parse_object_key},
-    platform::{KvPair, Range},
+    keyvalue::{KvPair, Range},
     proptest::prelude::*,
     std::time::Duration,
     support::{account, rule, version},
--- a/crates/configuration/tests/support/faults.rs
+++ b/crates/configuration/tests/support/faults.rs
@@ -1,7 +1,7 @@
 //! Faults of one instance's or operator's way to the key-value service.
 
 use {
-    platform::{KvFaults, MemoryKv},
+    keyvalue::{KvFaults, MemoryKv},
     rand::RngExt,
     rand_chacha::ChaCha8Rng,
     std::time::Duration,
--- a/crates/configuration/tests/support/instance.rs
+++ b/crates/configuration/tests/support/instance.rs
@@ -4,7 +4,7 @@
     super::naive::LastArrived,
     bytes::Bytes,
     configuration::{Follower, FollowerSettings, Handle, Snapshot},
-    platform::MemoryKv,
+    keyvalue::MemoryKv,
     std::{sync::Arc, time::Duration},
     tokio::task::AbortHandle,
 };
--- a/crates/configuration/tests/support/naive.rs
+++ b/crates/configuration/tests/support/naive.rs
@@ -4,7 +4,7 @@
     super::{put_value, spec::Ended},
     catalog::Revision,
     configuration::{CONFIG_PREFIX, Snapshot, object_key},
-    platform::{KeyValue, KvError, MemoryKv, Op, Txn},
+    keyvalue::{KeyValue, KvError, MemoryKv, Op, Txn},
     std::{
         sync::{Arc, Mutex},
         time::Duration,
--- a/crates/configuration/tests/support/operators.rs
+++ b/crates/configuration/tests/support/operators.rs
@@ -11,7 +11,7 @@
     },
     catalog::{ObjectKind, Revision},
     configuration::{ApplyError, Snapshot, Writer},
-    platform::MemoryKv,
+    keyvalue::MemoryKv,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
--- a/crates/configuration/tests/support/world.rs
+++ b/crates/configuration/tests/support/world.rs
@@ -12,7 +12,7 @@
     catalog::Revision,
     configuration::{CONFIG_PREFIX, Snapshot},
     futures::StreamExt,
-    platform::{KeyValue, MemoryKv},
+    keyvalue::{KeyValue, MemoryKv},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
@@ -138,7 +138,7 @@
             let mut events = Box::pin(kv.watch(CONFIG_PREFIX, range.revision + 1));
             let mut batch = Vec::new();
             while let Some(Ok(event)) = events.next().await {
-                let platform::Event::Progress(revision) = event else {
+                let keyvalue::Event::Progress(revision) = event else {
                     batch.push(event);
                     continue;
                 };
--- a/crates/configuration/tests/writer_changes.rs
+++ b/crates/configuration/tests/writer_changes.rs
@@ -5,7 +5,7 @@
 use {
     catalog::ObjectKind,
     configuration::{ApplyError, Writer},
-    platform::MemoryKv,
+    keyvalue::MemoryKv,
     std::time::Duration,
     support::{account, delete, put, rule, version},
 };
--- /dev/null
+++ b/crates/entry/src/directory.rs
@@ -0,0 +1,51 @@
+//! Answers whether this instance takes calls, and which addresses callers should use.
+
+use {
+    crate::{Platform, shared::Shared},
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming,
+        header::{CONTENT_TYPE, HeaderValue},
+    },
+    std::time::Duration,
+};
+
+/// Age that callers may let an answer reach. Short, since a leaving instance has to serve callers
+/// for several times as long.
+const ADDRESS_AGE: Duration = Duration::from_secs(1);
+
+/// Answers one question.
+pub(crate) fn answer<Kv, Format>(
+    shared: &Shared<Kv, Format>,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>>
+where
+    Format: Platform,
+{
+    let path = request.uri().path();
+    if shared.format.asks_ready(path) {
+        let status = if shared.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        return with_status(status, Bytes::new());
+    }
+    if !shared.format.asks_addresses(path) {
+        return with_status(StatusCode::NOT_FOUND, Bytes::new());
+    }
+    let age = ADDRESS_AGE.min(shared.settings.max_address_age);
+    let body = shared.format.addresses(&shared.addresses.load(), age);
+    let mut response = with_status(StatusCode::OK, body);
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+fn with_status(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/entry/src/known.rs
@@ -0,0 +1,212 @@
+//! What the instance believes, and how changes and outages of the key-value service alter it.
+
+use {
+    crate::{HolderRecord, Item, ItemName, MemberRecord, TargetEntry},
+    balance::rendezvous,
+    catalog::{InstanceId, ModelId, Revision, TargetId},
+    relay::{Live, TargetState, View, Wanted},
+    routes::RouteTable,
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Entries that lapsed while the service was away are back this soon after its return, if what
+/// they name lives and reaches it.
+const RETURN_TIME: Duration = Duration::from_millis(2_000);
+
+/// One target as known.
+#[derive(Clone, Debug)]
+struct KnownTarget {
+    entry: TargetEntry,
+    state: Arc<TargetState>,
+    /// When it is taken as gone unless its entry comes back.
+    lapses_at: Option<Instant>,
+}
+
+/// One entry instance as known.
+#[derive(Clone, Debug)]
+struct KnownMember {
+    record: MemberRecord,
+    lapses_at: Option<Instant>,
+}
+
+/// The right to give orders, as it lies in the service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KnownHolder {
+    /// Who holds it.
+    pub record: HolderRecord,
+    /// Revision at which it was taken: the fencing number.
+    pub fencing: Revision,
+}
+
+/// What the instance believes. Changes only by [`Known::put`], [`Known::delete`]
+/// and [`Known::expire`]; newer configuration and versions never give way to
+/// older ones.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    table: Option<Arc<RouteTable>>,
+    wanted: HashMap<ModelId, Wanted>,
+    targets: BTreeMap<TargetId, KnownTarget>,
+    members: BTreeMap<InstanceId, KnownMember>,
+    holder: Option<KnownHolder>,
+    /// Until then a missing entry may only have lapsed in an outage.
+    returning_until: Option<Instant>,
+    confirmed: Option<Instant>,
+    draining: bool,
+}
+
+impl Known {
+    /// Takes in an item that was written at `revision`.
+    pub fn put(&mut self, name: &str, item: Item, revision: Revision, now: Instant) {
+        match item {
+            Item::Configuration(accepted) => {
+                let newest = self.table.as_ref().map(|table| table.accepted().version);
+                if newest.is_none_or(|newest| newest < accepted.version) {
+                    self.table = Some(Arc::new(RouteTable::new(*accepted)));
+                }
+            }
+            Item::Version(version) => {
+                let newest = self.wanted.get(name).map(|wanted| wanted.version);
+                if newest.is_none_or(|newest| newest < version) {
+                    let wanted = Wanted {
+                        version,
+                        since: now,
+                    };
+                    self.wanted.insert(name.to_owned(), wanted);
+                }
+            }
+            Item::Target(entry) => self.put_target(name, entry),
+            Item::Member(record) => {
+                let member = KnownMember {
+                    record,
+                    lapses_at: None,
+                };
+                self.members.insert(name.to_owned(), member);
+            }
+            Item::Holder(record) => {
+                self.holder = Some(KnownHolder {
+                    record,
+                    fencing: revision,
+                });
+            }
+        }
+    }
+
+    /// Takes in that an item is gone.
+    pub fn delete(&mut self, name: &ItemName, now: Instant) {
+        let lapses_at = self.returning_until.filter(|until| now < *until);
+        match name {
+            ItemName::Target(id) => match (lapses_at, self.targets.get_mut(id)) {
+                (Some(_), Some(target)) if !target.entry.leaving => target.lapses_at = lapses_at,
+                _ => drop(self.targets.remove(id)),
+            },
+            ItemName::Member(id) => match (lapses_at, self.members.get_mut(id)) {
+                (Some(_), Some(member)) => member.lapses_at = lapses_at,
+                _ => drop(self.members.remove(id)),
+            },
+            ItemName::Holder => self.holder = None,
+            // What was accepted stays in force.
+            ItemName::Configuration | ItemName::Version(_) => {}
+        }
+    }
+
+    /// Notes that the service has answered after an outage.
+    pub fn returned(&mut self, now: Instant) {
+        self.returning_until = Some(now + RETURN_TIME);
+    }
+
+    /// Notes that all of this holds at `now`, by the service's word.
+    pub fn confirm(&mut self, now: Instant) {
+        self.confirmed = Some(now);
+    }
+
+    /// Notes that this instance is shutting down.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Drops what lapsed and did not come back. Returns whether anything changed.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let before = self.targets.len() + self.members.len();
+        let stays = |at: Option<Instant>| at.is_none_or(|at| now < at);
+        self.targets.retain(|_, target| stays(target.lapses_at));
+        self.members.retain(|_, member| stays(member.lapses_at));
+        before != self.targets.len() + self.members.len()
+    }
+
+    /// The instance that may give orders.
+    #[must_use]
+    pub fn holder(&self) -> Option<&KnownHolder> {
+        self.holder.as_ref()
+    }
+
+    /// Instances that take callers, by name.
+    #[must_use]
+    pub fn ready_members(&self) -> Vec<(&InstanceId, &MemberRecord)> {
+        let members = self.members.iter().map(|(name, member)| (name, &member.record));
+        members.filter(|(_, record)| record.ready).collect()
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// Weights that are wanted.
+    #[must_use]
+    pub fn wanted(&self) -> &HashMap<ModelId, Wanted> {
+        &self.wanted
+    }
+
+    /// All targets.
+    pub fn targets(&self) -> impl Iterator<Item = &Arc<TargetState>> {
+        self.targets.values().map(|target| &target.state)
+    }
+
+    /// What calls need of this.
+    #[must_use]
+    pub fn view(&self, now: Instant) -> View {
+        let mut pools: HashMap<_, Vec<_>> = HashMap::new();
+        for target in self.targets.values() {
+            let pool = pools.entry(target.entry.pool.clone()).or_default();
+            pool.push(target.state.clone());
+        }
+        let instances_count = self.ready_members().len().max(1);
+        View {
+            table: self.table.clone(),
+            pools,
+            wanted: self.wanted.clone(),
+            instances_count: u32::try_from(instances_count).unwrap_or(u32::MAX),
+            confirmed: self.confirmed.unwrap_or(now),
+            draining: self.draining,
+        }
+    }
+
+    fn put_target(&mut self, id: &str, entry: TargetEntry) {
+        let before = self.targets.get(id);
+        let same_start = before.filter(|it| {
+            it.entry.started_unix_ms == entry.started_unix_ms && it.entry.address == entry.address
+        });
+        let live = same_start.map_or_else(|| Arc::new(Live::default()), |it| it.state.live.clone());
+        let state = TargetState {
+            id: id.to_owned(),
+            seed: rendezvous::member_seed(id),
+            address: entry.address,
+            failure_domain: entry.failure_domain.clone(),
+            slots_count: entry.slots_count,
+            leaving: entry.leaving,
+            models: entry.models.clone(),
+            live,
+        };
+        let target = KnownTarget {
+            entry,
+            state: Arc::new(state),
+            lapses_at: None,
+        };
+        self.targets.insert(id.to_owned(), target);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,44 @@
+//! An entry instance on a platform that keeps everything in one key-value service.
+//!
+//! The operators write configuration and versions there, targets and instances register there, and
+//! instances find each other there. [`run`] follows it, serves callers through a
+//! [`relay::Relay`], tells callers which addresses to use, and gives orders to targets while it
+//! holds the right to. What the platform calls things is known to its [`Platform`] only.
+//!
+//! State and its rules are apart from I/O: [`Known`] is what the instance believes, [`rollout`]
+//! decides which orders to give.
+//!
+//! ```
+//! use entry::{Item, Known, TargetEntry};
+//! use std::time::Instant;
+//!
+//! let mut known = Known::default();
+//! let entry = TargetEntry::new("engines", ([127, 0, 0, 1], 9000).into());
+//! known.put("engine-1", Item::Target(entry), 7, Instant::now());
+//! assert_eq!(known.view(Instant::now()).pools["engines"][0].id, "engine-1");
+//! ```
+
+mod boot_clock;
+mod directory;
+mod follower;
+mod holder;
+mod item;
+mod known;
+mod listener;
+mod membership;
+mod orders;
+mod platform;
+pub mod rollout;
+mod settings;
+mod shared;
+mod start;
+
+pub use {
+    boot_clock::boot_time,
+    holder::{Holding, Tenure},
+    item::{HolderRecord, Item, ItemError, ItemName, MemberRecord, TargetEntry},
+    known::Known,
+    platform::{OrderOutcome, Platform, TargetReport, VersionOrder},
+    settings::{Settings, SettingsError},
+    start::{StartError, run},
+};
--- /dev/null
+++ b/crates/entry/src/platform.rs
@@ -0,0 +1,96 @@
+//! What the instance needs to have translated.
+
+use {
+    crate::{Item, ItemError, ItemName},
+    bytes::Bytes,
+    hyper::Request,
+    http_body_util::Full,
+    relay::{ModelState, Wire},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// What a target reports when it is asked.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct TargetReport {
+    /// Weights that it has.
+    pub models: Vec<ModelState>,
+    /// Whether an order is being carried out.
+    pub busy: bool,
+    /// Orders that it has accepted since its start.
+    pub accepted_orders_count: u64,
+    /// Requests that run.
+    pub running_count: u32,
+    /// Requests that wait.
+    pub waiting_count: u32,
+}
+
+/// An order to replace the weights of a model.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VersionOrder {
+    /// Target that is meant; any other refuses.
+    pub target: String,
+    /// Model.
+    pub model: String,
+    /// Version of the new weights.
+    pub version: u64,
+    /// Instance that gives the order.
+    pub holder: String,
+    /// Fencing number.
+    pub fencing: u64,
+    /// Orders that the target must have accepted before, or it refuses.
+    pub accepted_orders_count: u64,
+}
+
+/// What a target's answer to an order means.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderOutcome {
+    /// It is being carried out.
+    Accepted,
+    /// What it asks for holds already.
+    Holds,
+    /// Another order came between, or is being carried out.
+    Conflict,
+    /// The target has seen a higher fencing number.
+    StaleFencing,
+    /// Another target has the address.
+    OtherTarget,
+    /// The target knows no such order or version.
+    Unknown,
+}
+
+/// Translates between the platform's formats and the product's types. Total functions without
+/// state, clock or decision.
+pub trait Platform: Wire {
+    /// Prefixes of the platform's own keys that concern the instance.
+    fn watched_prefixes(&self) -> &'static [&'static str];
+
+    /// What one of the platform's own keys names; none if it does not concern the instance.
+    fn name(&self, key: &str) -> Option<ItemName>;
+
+    /// Reads the value of one of the platform's own keys.
+    ///
+    /// # Errors
+    /// [`ItemError`] if it can't be read.
+    fn item(&self, name: &ItemName, key: &str, value: &[u8]) -> Result<Item, ItemError>;
+
+    /// Whether a path asks whether this instance takes calls.
+    fn asks_ready(&self, path: &str) -> bool;
+
+    /// Whether a path asks which addresses to use.
+    fn asks_addresses(&self, path: &str) -> bool;
+
+    /// The answer to callers that ask which addresses to use, and for how long.
+    fn addresses(&self, addresses: &[SocketAddr], max_age: Duration) -> Bytes;
+
+    /// Asks a target for its report.
+    fn report_call(&self) -> Request<Full<Bytes>>;
+
+    /// Reads a target's report; none if it can't be read.
+    fn report(&self, body: &[u8]) -> Option<TargetReport>;
+
+    /// Gives an order.
+    fn order_call(&self, order: &VersionOrder) -> Request<Full<Bytes>>;
+
+    /// Reads the answer to an order.
+    fn order_outcome(&self, status: u16) -> OrderOutcome;
+}
--- /dev/null
+++ b/crates/entry/src/rollout.rs
@@ -0,0 +1,41 @@
+//! Which targets get new weights next.
+//!
+//! Answers the load of a roll-out: calls go on while weights are replaced, so only a share of a
+//! pool's targets loads at once, and those with the least to do first.
+
+use {
+    catalog::{ModelId, TargetId},
+    std::cmp::Reverse,
+};
+
+/// One in this many targets of a pool replaces its weights at a time, but always one.
+const TARGETS_PER_LOAD: usize = 3;
+
+/// A target that could load.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Loadable {
+    /// Target.
+    pub target: TargetId,
+    /// Model.
+    pub model: ModelId,
+    /// Version that it has.
+    pub version: u64,
+    /// Calls of this instance that are under way there.
+    pub in_flight_count: u32,
+    /// Whether an order for it is under way.
+    pub ordered: bool,
+}
+
+/// The targets to order to `wanted` now, of one pool that runs one model.
+#[must_use]
+pub fn next<'pool>(pool: &'pool [Loadable], wanted: u64) -> Vec<&'pool Loadable> {
+    let limit = (pool.len() / TARGETS_PER_LOAD).max(1);
+    let under_way = pool.iter().filter(|it| it.ordered).count();
+    let mut behind: Vec<&Loadable> = pool
+        .iter()
+        .filter(|it| !it.ordered && it.version < wanted)
+        .collect();
+    behind.sort_by_key(|it| (it.in_flight_count, Reverse(&it.target)));
+    behind.truncate(limit.saturating_sub(under_way));
+    behind
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,103 @@
+//! What the tasks of an instance share.
+
+use {
+    crate::{Known, Settings, Tenure},
+    arc_swap::ArcSwap,
+    eventlog::{Event, EventLog},
+    relay::View,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Instant,
+    },
+    tokio::sync::Notify,
+    tokio_util::sync::CancellationToken,
+};
+
+/// What the tasks of an instance share.
+pub(crate) struct Shared<Kv, Format> {
+    /// Settings.
+    pub(crate) settings: Settings,
+    /// The key-value service.
+    pub(crate) kv: Kv,
+    /// Translation of the platform's formats.
+    pub(crate) format: Format,
+    /// The log.
+    pub(crate) log: EventLog,
+    /// What calls are decided by.
+    pub(crate) view: Arc<ArcSwap<View>>,
+    /// Addresses that callers are told of.
+    pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
+    /// Told whenever what is known has changed.
+    pub(crate) changed: Notify,
+    /// Cancelled once this instance leads callers elsewhere.
+    pub(crate) draining: CancellationToken,
+    known: Mutex<Known>,
+    tenure: Mutex<Option<Tenure>>,
+}
+
+impl<Kv, Format> Shared<Kv, Format> {
+    /// Knows nothing yet.
+    pub(crate) fn new(settings: Settings, kv: Kv, format: Format, log: EventLog) -> Self {
+        Self {
+            settings,
+            kv,
+            format,
+            log,
+            view: Arc::default(),
+            addresses: ArcSwap::default(),
+            changed: Notify::new(),
+            draining: CancellationToken::new(),
+            known: Mutex::default(),
+            tenure: Mutex::default(),
+        }
+    }
+
+    /// What is known. Held for a few steps only, never across a wait.
+    pub(crate) fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The lease of this instance.
+    pub(crate) fn tenure(&self) -> Option<Tenure> {
+        *self.tenure.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the lease of this instance.
+    pub(crate) fn set_tenure(&self, tenure: Option<Tenure>) {
+        *self.tenure.lock().unwrap_or_else(PoisonError::into_inner) = tenure;
+    }
+
+    /// Has calls decided by what is known now.
+    pub(crate) fn publish(&self) {
+        let known = self.known();
+        self.view.store(Arc::new(known.view(Instant::now())));
+        let mut addresses: Vec<SocketAddr> = known
+            .ready_members()
+            .into_iter()
+            .map(|(_, record)| record.address)
+            .collect();
+        let own = self.settings.listen;
+        let serves = known.table().is_some() && !self.draining.is_cancelled();
+        if serves && !addresses.contains(&own) || addresses.is_empty() {
+            addresses.push(own);
+        }
+        self.addresses.store(Arc::new(addresses));
+        drop(known);
+        self.changed.notify_waiters();
+    }
+
+    /// Whether this instance takes callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.draining.is_cancelled() && self.view.load().table.is_some()
+    }
+
+    /// Says that something this instance depends on was lost or is back.
+    pub(crate) fn dependency(&self, name: &'static str, available: bool, reason: String) {
+        self.log.emit(&Event::Dependency {
+            name,
+            available,
+            reason,
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/start.rs
@@ -0,0 +1,239 @@
+//! Starts the tasks of an instance and ends them in order.
+
+use {
+    crate::{
+        Platform, Settings,
+        directory, follower,
+        item::OWN_PREFIX,
+        listener::{self, Listening},
+        membership, orders,
+        shared::Shared,
+    },
+    eventlog::{Event, EventLog},
+    hyper::{Request, body::Incoming},
+    keyvalue::KeyValue,
+    relay::{Relay, RelaySettings},
+    snafu::{ResultExt, Snafu},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    supervisor::{Child, RestartLimit, Supervisor, SupervisorError, run_on_thread},
+    target::{Client, ClientSettings},
+    tokio::{net::TcpListener, task::JoinSet, time::sleep},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Longest time to open a connection to a target.
+const CONNECT_TIME: Duration = Duration::from_millis(400);
+/// Longest time that an unused connection to a target is kept.
+const IDLE_TIME: Duration = Duration::from_secs(4);
+/// Longest time that a target may leave sent bytes unacknowledged.
+const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(3);
+/// Time that callers get to learn other addresses before connections are refused: some keep an
+/// answer for three times its age.
+const LEAVING_TIME: Duration = Duration::from_millis(3_500);
+/// Time before the end by force that is left for the exit.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Share of the version bound after which calls avoid older weights.
+const OLD_WEIGHTS_SHARE: f64 = 0.85;
+/// Descriptors kept for files, the service's connections and connections to targets, as a share.
+const CALLER_DESCRIPTORS_SHARE: f64 = 0.6;
+/// Connections of callers' and the platform's questions served at once.
+const MAX_QUESTIONS_COUNT: usize = 256;
+/// Longest head of a question, in bytes.
+const MAX_QUESTION_BYTES: usize = 16 << 10;
+/// Longest time that a connection for questions may stay unused.
+const QUESTION_IDLE_TIME: Duration = Duration::from_secs(10);
+
+/// An instance can't run.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address can't be listened on.
+    #[snafu(display("{address} can't be listened on: {source}; free it or change the settings"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The socket's error.
+        source: io::Error,
+    },
+    /// The control thread ended.
+    #[snafu(display("{source}; see the log, the instance is started again"))]
+    Control {
+        /// Its error.
+        source: SupervisorError,
+    },
+}
+
+/// Runs an instance until `stop`, then drains it.
+///
+/// # Errors
+/// [`StartError`] if it can't start or its control thread keeps failing.
+pub async fn run<Kv, Format>(
+    settings: Settings,
+    kv: Kv,
+    format: Format,
+    log: EventLog,
+    stop: CancellationToken,
+) -> Result<(), StartError>
+where
+    Kv: KeyValue,
+    Format: Platform,
+{
+    log.emit(&Event::Started {
+        instance: settings.instance.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        version: env!("CARGO_PKG_VERSION"),
+    });
+    let front = listen(settings.listen).await?;
+    let ready = listen(settings.ready_listen).await?;
+    let directory = listen(settings.directory_listen).await?;
+    let shared = Arc::new(Shared::new(settings, kv, format, log));
+    let ended = CancellationToken::new();
+    let control = tokio::spawn(run_on_thread(control(&shared), ended.clone()));
+    let mut servers = JoinSet::new();
+    let drained = CancellationToken::new();
+    servers.spawn(serve_calls(shared.clone(), front, drained.clone()));
+    for listener in [ready, directory] {
+        servers.spawn(serve_questions(shared.clone(), listener, drained.clone()));
+    }
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = ended.cancelled() => {}
+    }
+    leave(&shared, &drained, &mut servers).await;
+    ended.cancel();
+    let outcome = control.await.unwrap_or(Ok(()));
+    shared.log.emit(&Event::Stopped {
+        reason: "asked to stop".to_owned(),
+    });
+    outcome.context(ControlSnafu)
+}
+
+/// Leads callers elsewhere, then ends once every call in progress has been answered.
+async fn leave<Kv, Format>(
+    shared: &Shared<Kv, Format>,
+    drained: &CancellationToken,
+    servers: &mut JoinSet<()>,
+) where
+    Format: Platform,
+{
+    let grace = shared.settings.grace;
+    shared.log.emit(&Event::Draining {
+        grace_ms: u64::try_from(grace.as_millis()).unwrap_or(u64::MAX),
+    });
+    shared.draining.cancel();
+    shared.known().drain();
+    shared.publish();
+    let leaving = LEAVING_TIME.min(grace / 2);
+    sleep(leaving).await;
+    drained.cancel();
+    let rest = grace.saturating_sub(leaving + EXIT_MARGIN);
+    tokio::select! {
+        () = async { while servers.join_next().await.is_some() {} } => {}
+        () = sleep(rest) => log::warn!("calls in progress took too long; stopping without them"),
+    }
+}
+
+/// The tree of the control thread.
+fn control<Kv, Format>(shared: &Arc<Shared<Kv, Format>>) -> Supervisor
+where
+    Kv: KeyValue,
+    Format: Platform,
+{
+    let mut prefixes = shared.format.watched_prefixes().to_vec();
+    if !prefixes.iter().any(|prefix| OWN_PREFIX.starts_with(prefix)) {
+        prefixes.push(OWN_PREFIX);
+    }
+    let limit = RestartLimit {
+        restart_count: 20,
+        window: Duration::from_secs(10),
+    };
+    let mut tree = Supervisor::new("control").limit(limit);
+    for prefix in prefixes {
+        let shared = shared.clone();
+        tree = tree.child(Child::new(format!("follow {prefix:?}"), move |token| {
+            follower::follow(shared.clone(), prefix, token)
+        }));
+    }
+    let (keeping, giving) = (shared.clone(), shared.clone());
+    tree.child(Child::new("membership", move |token| {
+        membership::keep(keeping.clone(), token)
+    }))
+    .child(Child::new("orders", move |token| {
+        orders::give(giving.clone(), client(), token)
+    }))
+}
+
+fn client() -> Client {
+    let settings = ClientSettings::default()
+        .connect(CONNECT_TIME)
+        .idle(IDLE_TIME)
+        .unacknowledged(UNACKNOWLEDGED_TIME);
+    Client::new(settings)
+}
+
+async fn serve_calls<Kv, Format>(
+    shared: Arc<Shared<Kv, Format>>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) where
+    Kv: KeyValue,
+    Format: Platform,
+{
+    let settings = &shared.settings;
+    let relay_settings = RelaySettings {
+        failure_domain: settings.failure_domain.clone(),
+        retries: settings.retries,
+        max_old_weights: settings.version_bound.mul_f64(OLD_WEIGHTS_SHARE),
+        max_held_bytes: settings.memory_bytes / 4,
+    };
+    let relay = Relay::new(
+        relay_settings,
+        shared.format.clone(),
+        client(),
+        shared.view.clone(),
+        shared.log.clone(),
+    );
+    let limits = routes::CallLimits::default();
+    let descriptors = f64::from(u32::try_from(settings.max_descriptors_count).unwrap_or(u32::MAX));
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let max_connections_count = (descriptors * CALLER_DESCRIPTORS_SHARE) as usize;
+    let listening = Listening {
+        max_connections_count,
+        max_head_bytes: limits.max_head_bytes,
+        idle_timeout: limits.idle_timeout,
+        draining: shared.draining.clone(),
+        stop,
+    };
+    listener::serve(listener, listening, move |request: Request<Incoming>| {
+        let relay = relay.clone();
+        async move { relay.serve(request).await }
+    })
+    .await;
+}
+
+async fn serve_questions<Kv, Format>(
+    shared: Arc<Shared<Kv, Format>>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) where
+    Kv: KeyValue,
+    Format: Platform,
+{
+    let listening = Listening {
+        max_connections_count: MAX_QUESTIONS_COUNT,
+        max_head_bytes: MAX_QUESTION_BYTES,
+        idle_timeout: QUESTION_IDLE_TIME,
+        draining: shared.draining.clone(),
+        stop,
+    };
+    listener::serve(listener, listening, move |request: Request<Incoming>| {
+        let answer = directory::answer(&shared, &request);
+        async move { answer }
+    })
+    .await;
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
--- a/crates/idempotency/src/claim.rs
+++ b/crates/idempotency/src/claim.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     catalog::{InstanceId, Revision},
-    platform::LeaseId,
+    keyvalue::LeaseId,
     tokio::time::Instant,
 };
 
--- a/crates/idempotency/src/claims.rs
+++ b/crates/idempotency/src/claims.rs
@@ -10,7 +10,7 @@
     },
     bytes::Bytes,
     catalog::{ClientAccountId, Revision},
-    platform::{Compare, KeyValue, KvError, KvPair, LeaseId, Op, Txn, TxnOutcome},
+    keyvalue::{Compare, KeyValue, KvError, KvPair, LeaseId, Op, Txn, TxnOutcome},
     std::{sync::Arc, time::Duration},
     tokio::{
         sync::oneshot,
--- a/crates/idempotency/src/lease_bucket.rs
+++ b/crates/idempotency/src/lease_bucket.rs
@@ -1,7 +1,7 @@
 //! Leases that many claims share.
 
 use {
-    platform::{KeyValue, KvError, LeaseId},
+    keyvalue::{KeyValue, KvError, LeaseId},
     std::time::Duration,
     tokio::{sync::Mutex, time::Instant},
 };
--- a/crates/idempotency/src/lib.rs
+++ b/crates/idempotency/src/lib.rs
@@ -9,7 +9,7 @@
 //! ```
 //! use {
 //!     idempotency::{ClaimSettings, Claimed, Claims, StoredAnswer},
-//!     platform::MemoryKv,
+//!     keyvalue::MemoryKv,
 //! };
 //!
 //! # #[tokio::main(flavor = "current_thread")]
--- a/crates/idempotency/src/record.rs
+++ b/crates/idempotency/src/record.rs
@@ -5,7 +5,7 @@
     base64::{Engine as _, engine::general_purpose::STANDARD},
     bytes::Bytes,
     catalog::{ClientAccountId, InstanceId},
-    platform::KvPair,
+    keyvalue::KvPair,
     serde::{Deserialize, Serialize},
 };
 
--- a/crates/idempotency/src/write_group.rs
+++ b/crates/idempotency/src/write_group.rs
@@ -1,7 +1,7 @@
 //! Transactions of one instance that share calls to the key-value service.
 
 use {
-    platform::{KeyValue, KvError, Op, Txn, TxnOutcome},
+    keyvalue::{KeyValue, KvError, Op, Txn, TxnOutcome},
     std::{
         collections::{HashSet, VecDeque},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
--- a/crates/idempotency/tests/at_most_once.rs
+++ b/crates/idempotency/tests/at_most_once.rs
@@ -5,7 +5,7 @@
 
 use {
     idempotency::{ClaimSettings, Claimed, Claims},
-    platform::MemoryKv,
+    keyvalue::MemoryKv,
     std::time::Duration,
     support::{Guard, NaiveClaims, RealClaims, Verdict, World},
 };
--- a/crates/idempotency/tests/claim_rules.rs
+++ b/crates/idempotency/tests/claim_rules.rs
@@ -2,7 +2,7 @@
 
 use {
     idempotency::{ClaimError, ClaimSettings, Claimed, Claims, StoredAnswer},
-    platform::{KeyValue, MemoryKv},
+    keyvalue::{KeyValue, MemoryKv},
     proptest::prelude::{any, proptest},
     std::time::Duration,
 };
@@ -138,9 +138,9 @@
                 let claims = entry(&kv, "a");
                 assert!(matches!(claim(&claims, "acme").await, Ok(Claimed::Won(_))));
                 let key = kv.range("/rattan/claim/").await.unwrap().pairs.remove(0).key;
-                kv.txn(platform::Txn {
-                    success: vec![platform::Op::Put(key, value.into(), None)],
-                    ..platform::Txn::default()
+                kv.txn(keyvalue::Txn {
+                    success: vec![keyvalue::Op::Put(key, value.into(), None)],
+                    ..keyvalue::Txn::default()
                 }).await.unwrap();
                 assert!(!matches!(claim(&claims, "acme").await, Ok(Claimed::Won(_))));
             });
--- a/crates/idempotency/tests/support/guard.rs
+++ b/crates/idempotency/tests/support/guard.rs
@@ -2,7 +2,7 @@
 
 use {
     idempotency::{Claim, ClaimSettings, Claimed, Claims, StoredAnswer},
-    platform::{KeyValue, MemoryKv, Op, Txn},
+    keyvalue::{KeyValue, MemoryKv, Op, Txn},
     std::future::Future,
 };
 
--- a/crates/idempotency/tests/support/world.rs
+++ b/crates/idempotency/tests/support/world.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{ClaimSpec, Guard, Operation, Seen},
-    platform::{KvFaults, MemoryKv},
+    keyvalue::{KvFaults, MemoryKv},
     rand::{Rng, RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
--- a/crates/idempotency/tests/write_grouping.rs
+++ b/crates/idempotency/tests/write_grouping.rs
@@ -3,7 +3,7 @@
 use {
     futures::future::join_all,
     idempotency::{ClaimSettings, Claimed, Claims},
-    platform::{KvCalls, MemoryKv},
+    keyvalue::{KvCalls, MemoryKv},
     std::time::Duration,
 };
 
--- a/crates/platform/src/etcd_kv.rs
+++ b/crates/keyvalue/src/etcd_kv.rs
@@ -126,13 +126,7 @@
     fn failed(&self, index: usize, error: CallError) -> KvError {
         let next = (index + 1) % self.pools.len();
         self.preferred.store(next, Ordering::Relaxed);
-        match error {
-            CallError::NoAnswer(reason) => KvError::Unknown { reason },
-            CallError::NotSent(reason) => KvError::Unreachable {
-                endpoint: self.pools[index].address().to_string(),
-                reason,
-            },
-        }
+        error.into_kv_error(self.pools[index].address())
     }
 }
 
--- a/crates/platform/src/http_pool.rs
+++ b/crates/keyvalue/src/http_pool.rs
@@ -1,6 +1,7 @@
 //! Connections to one address, kept for reuse.
 
 use {
+    crate::KvError,
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
@@ -29,26 +30,40 @@
 const MAX_IDLE_COUNT: usize = 32;
 
 /// Why a call has no answer.
-#[derive(Debug)]
-pub(crate) enum CallError {
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CallError {
     /// No byte of it left.
     NotSent(String),
     /// It may have arrived.
     NoAnswer(String),
 }
 
+impl CallError {
+    /// What it means for a call to the key-value service.
+    #[must_use]
+    pub fn into_kv_error(self, endpoint: SocketAddr) -> KvError {
+        match self {
+            Self::NoAnswer(reason) => KvError::Unknown { reason },
+            Self::NotSent(reason) => KvError::Unreachable {
+                endpoint: endpoint.to_string(),
+                reason,
+            },
+        }
+    }
+}
+
 /// A whole answer.
-#[derive(Debug)]
-pub(crate) struct Answer {
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answer {
     /// Status line.
-    pub(crate) status: StatusCode,
+    pub status: StatusCode,
     /// Body.
-    pub(crate) body: Bytes,
+    pub body: Bytes,
 }
 
 /// One connection; dropping it closes it.
 #[derive(Debug)]
-pub(crate) struct Connection {
+pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     used_at: Instant,
@@ -62,14 +77,15 @@
 
 /// Connections to one address. A call is sent at most once.
 #[derive(Debug)]
-pub(crate) struct HttpPool {
+pub struct HttpPool {
     address: SocketAddr,
     idle: Mutex<Vec<Connection>>,
 }
 
 impl HttpPool {
     /// A pool without connections.
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
             idle: Mutex::default(),
@@ -77,12 +93,29 @@
     }
 
     /// Address that the pool connects to.
-    pub(crate) fn address(&self) -> SocketAddr {
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
+    /// Sends a call, at most once, and reads its whole answer, all within `timeout`.
+    ///
+    /// # Errors
+    /// [`CallError`] without a whole answer.
+    pub async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Answer, CallError> {
+        let deadline = Instant::now() + timeout;
+        self.call(request, deadline, deadline).await
+    }
+
     /// Sends a call and reads its whole answer.
-    pub(crate) async fn call(
+    ///
+    /// # Errors
+    /// [`CallError`] without a whole answer.
+    pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
         connect_by: Instant,
@@ -103,7 +136,10 @@
     }
 
     /// Sends a call and gives the answer's head, with the connection that its body comes on.
-    pub(crate) async fn send(
+    ///
+    /// # Errors
+    /// [`CallError`] without an answer.
+    pub async fn send(
         &self,
         mut request: Request<Full<Bytes>>,
         connect_by: Instant,
--- a/crates/platform/src/lib.rs
+++ b/crates/keyvalue/src/lib.rs
@@ -4,10 +4,10 @@
 //! [`EtcdKv`] and [`HttpInstanceList`], a test hands it [`MemoryKv`] and [`MemoryInstances`].
 //!
 //! ```
-//! use platform::{Compare, KeyValue, MemoryKv, Op, Txn};
+//! use keyvalue::{Compare, KeyValue, MemoryKv, Op, Txn};
 //!
 //! # #[tokio::main(flavor = "current_thread")]
-//! # async fn main() -> Result<(), platform::KvError> {
+//! # async fn main() -> Result<(), keyvalue::KvError> {
 //! let kv = MemoryKv::new();
 //! let create = Txn {
 //!     compares: vec![Compare::Absent("/greeting".to_owned())],
@@ -37,6 +37,7 @@
 pub use {
     etcd_kv::{EtcdKv, EtcdSettings},
     http_instance_list::HttpInstanceList,
+    http_pool::{Answer, CallError, Connection, HttpPool},
     instance::{Instance, InstanceList, InstanceListError, InstanceState},
     kv::{Compare, Event, KeyValue, KvError, KvPair, Lease, LeaseId, Op, Range, Txn, TxnOutcome},
     kv_faults::KvFaults,
--- a/crates/platform/tests/etcd_faults.rs
+++ b/crates/keyvalue/tests/etcd_faults.rs
@@ -2,7 +2,7 @@
 
 use {
     futures::StreamExt,
-    platform::{EtcdKv, EtcdSettings, Event, KeyValue, KvError, Op, Txn},
+    keyvalue::{EtcdKv, EtcdSettings, Event, KeyValue, KvError, Op, Txn},
     proptest::prelude::{ProptestConfig, any, proptest},
     std::{
         net::SocketAddr,
--- a/crates/platform/tests/instance_list.rs
+++ b/crates/keyvalue/tests/instance_list.rs
@@ -1,7 +1,7 @@
 //! The instance list over HTTP.
 
 use {
-    platform::{HttpInstanceList, InstanceList, InstanceState},
+    keyvalue::{HttpInstanceList, InstanceList, InstanceState},
     std::time::Duration,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
--- a/crates/platform/tests/memory_faults.rs
+++ b/crates/keyvalue/tests/memory_faults.rs
@@ -2,7 +2,7 @@
 
 use {
     futures::StreamExt,
-    platform::{Compare, Event, KeyValue, KvError, MemoryKv, Op, Txn},
+    keyvalue::{Compare, Event, KeyValue, KvError, MemoryKv, Op, Txn},
     std::{pin::pin, time::Duration},
 };
 
--- a/crates/operator/src/operator.rs
+++ b/crates/operator/src/operator.rs
@@ -11,7 +11,7 @@
     catalog::{Invalid, ObjectKind, Selector},
     configuration::{ApplyError, Change, Handle, Snapshot, VersionedObject, Writer},
     gateway::{Kind, OperatorAnswer, OperatorCall, Refusal},
-    platform::KeyValue,
+    keyvalue::KeyValue,
     serde_json::json,
     std::{sync::Arc, time::Duration},
 };
--- a/crates/operator/tests/operator_calls.rs
+++ b/crates/operator/tests/operator_calls.rs
@@ -3,8 +3,8 @@
 use {
     configuration::{Follower, FollowerSettings, Handle, Writer},
     gateway::OperatorCall,
+    keyvalue::MemoryKv,
     operator::{Operator, Route},
-    platform::MemoryKv,
     proptest::prelude::*,
     serde_json::{Value, json},
     std::time::Duration,
--- a/crates/orders/src/holder.rs
+++ b/crates/orders/src/holder.rs
@@ -3,7 +3,7 @@
 use {
     crate::holder_record::{HolderRecord, holder_key},
     catalog::{InstanceId, Revision, TargetId},
-    platform::{Compare, KeyValue, KvError, KvPair, LeaseId, Op, Txn, TxnOutcome},
+    keyvalue::{Compare, KeyValue, KvError, KvPair, LeaseId, Op, Txn, TxnOutcome},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
--- a/crates/orders/src/holder_record.rs
+++ b/crates/orders/src/holder_record.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     catalog::{InstanceId, TargetId},
-    platform::{KvPair, LeaseId},
+    keyvalue::{KvPair, LeaseId},
     serde::{Deserialize, Serialize},
 };
 
--- a/crates/orders/src/load_slots.rs
+++ b/crates/orders/src/load_slots.rs
@@ -4,7 +4,7 @@
     crate::{Limits, Planned},
     bytes::Bytes,
     catalog::{ModelId, Revision, TargetId},
-    platform::{Compare, KeyValue, KvError, LeaseId, Op, Range, Txn},
+    keyvalue::{Compare, KeyValue, KvError, LeaseId, Op, Range, Txn},
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, BTreeSet},
 };
--- a/crates/orders/src/orderer.rs
+++ b/crates/orders/src/orderer.rs
@@ -7,7 +7,7 @@
     },
     catalog::{Catalog, Revision, Target, TargetId, TargetKind},
     futures::future::join_all,
-    platform::{KeyValue, KvError},
+    keyvalue::{KeyValue, KvError},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
--- a/crates/orders/tests/order_passes.rs
+++ b/crates/orders/tests/order_passes.rs
@@ -5,8 +5,8 @@
         Catalog, ClientAccount, Labels, ModelVersion, Objective, PlacementRule, Revision, Selector,
         Target, TargetId, TargetKind,
     },
+    keyvalue::MemoryKv,
     orders::{HolderSettings, Observed, Order, OrderError, OrderTarget, Orderer, OrdererSettings},
-    platform::MemoryKv,
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex},
--- a/crates/orders/tests/support/tenancy.rs
+++ b/crates/orders/tests/support/tenancy.rs
@@ -2,8 +2,8 @@
 
 use {
     catalog::Revision,
+    keyvalue::{Compare, KeyValue, KvError, LeaseId, MemoryKv, Op, Txn},
     orders::{Holder, HolderSettings},
-    platform::{Compare, KeyValue, KvError, LeaseId, MemoryKv, Op, Txn},
     std::{collections::BTreeSet, future::Future, time::Duration},
 };
 
--- a/crates/orders/tests/support/world.rs
+++ b/crates/orders/tests/support/world.rs
@@ -4,7 +4,7 @@
 use {
     super::{Tenancy, tenancy::MARGIN},
     catalog::Revision,
-    platform::{KvFaults, MemoryKv},
+    keyvalue::{KvFaults, MemoryKv},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
--- a/crates/rattan/src/backend.rs
+++ b/crates/rattan/src/backend.rs
@@ -10,8 +10,8 @@
         Backend, Caller, CompletionJob, Entries, Entry, Kind, OperatorAnswer, OperatorCall,
         Refusal, ServiceJob, ServiceReply, Started,
     },
+    keyvalue::KeyValue,
     operator::Operator,
-    platform::KeyValue,
     serde_json::json,
     serving::{PeerBlocks, Serving},
     std::{
--- a/crates/rattan/src/bin/rattand.rs
+++ b/crates/rattan/src/bin/rattand.rs
@@ -16,12 +16,17 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = env::args().skip(1).collect();
+    if let [command, rest @ ..] = arguments.as_slice()
+        && command == rattan::on_platform::COMMAND
+    {
+        return rattan::on_platform::main(rest);
+    }
     let flags = match Flags::read(&arguments, env::vars_os()) {
         Ok(flags) => flags,
         Err(error) => return usage(&error.to_string()),
     };
     if flags.help {
-        println!("Usage: rattand [OPTIONS]\n\n{}", Flags::usage());
+        println!("Usage: rattand [OPTIONS]\n       rattand platform [OPTIONS]\n\n{}", Flags::usage());
         return ExitCode::SUCCESS;
     }
     match Settings::try_from(flags) {
--- a/crates/rattan/src/control/instance_watch.rs
+++ b/crates/rattan/src/control/instance_watch.rs
@@ -2,7 +2,7 @@
 
 use {
     fleet::{Fleet, Listed},
-    platform::{Instance, InstanceList, InstanceState},
+    keyvalue::{Instance, InstanceList, InstanceState},
     std::{
         sync::Arc,
         time::{Duration, Instant},
--- a/crates/rattan/src/control/membership_watch.rs
+++ b/crates/rattan/src/control/membership_watch.rs
@@ -3,7 +3,7 @@
 use {
     cluster::{Cluster, Member, MemberState},
     configuration::{Handle, Snapshot},
-    platform::{Instance, InstanceState},
+    keyvalue::{Instance, InstanceState},
     std::{sync::Arc, time::Duration},
     tokio::{
         sync::watch,
--- a/crates/rattan/src/control/order_watch.rs
+++ b/crates/rattan/src/control/order_watch.rs
@@ -5,8 +5,8 @@
     cluster::{Cluster, MemberState, OWNERS_COUNT},
     configuration::Handle,
     fleet::Fleet,
+    keyvalue::KeyValue,
     orders::{HolderSettings, Observed, Order, OrderError, OrderTarget, Orderer, OrdererSettings},
-    platform::KeyValue,
     std::{
         sync::Arc,
         time::{Duration, Instant},
--- a/crates/rattan/src/control/tree.rs
+++ b/crates/rattan/src/control/tree.rs
@@ -3,7 +3,7 @@
 use {
     super::{InstanceWatch, MembershipWatch, OrderWatch, PeerUpdates, StatusGauges, TargetWatches},
     crate::parts::Parts,
-    platform::{HttpInstanceList, KeyValue},
+    keyvalue::{HttpInstanceList, KeyValue},
     supervisor::{Child, Supervisor},
 };
 
--- a/crates/rattan/src/daemon.rs
+++ b/crates/rattan/src/daemon.rs
@@ -8,7 +8,7 @@
     },
     cluster::Traffic,
     gateway::{DrainSignal, Gateway, GatewaySettings},
-    platform::{EtcdKv, EtcdSettings, KeyValue},
+    keyvalue::{EtcdKv, EtcdSettings, KeyValue},
     snafu::{ResultExt, Snafu},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     supervisor::{SupervisorError, run_on_thread},
--- a/crates/rattan/src/lib.rs
+++ b/crates/rattan/src/lib.rs
@@ -21,6 +21,7 @@
 mod daemon;
 mod logging;
 mod metrics;
+pub mod on_platform;
 mod parts;
 mod peers;
 mod recent;
--- /dev/null
+++ b/crates/rattan/src/on_platform.rs
@@ -0,0 +1,132 @@
+//! `rattand platform`: an entry instance on the operating platform, whose settings file names
+//! everything that differs from instance to instance.
+
+use {
+    entry::{Settings, SettingsError},
+    eventlog::{Event, EventLog},
+    gumdrop::Options,
+    log::LevelFilter,
+    platform::{Fleet, Store},
+    std::{env, ffi::OsString, io, path::PathBuf, process::ExitCode},
+    tokio::{
+        runtime,
+        signal::unix::{SignalKind, signal},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// First argument that selects this way to run.
+pub const COMMAND: &str = "platform";
+/// Exit code for settings that can't be used.
+const EXIT_USAGE: u8 = 2;
+
+/// Settings of `rattand platform`; all others stand in the settings file.
+#[derive(Clone, Debug, Options)]
+struct Flags {
+    #[options(help = "show this text", short = "h")]
+    help: bool,
+    #[options(no_short, help = "settings file", meta = "PATH")]
+    settings: Option<String>,
+    #[options(
+        no_short,
+        help = "environment variable that holds the path of the settings file",
+        meta = "NAME"
+    )]
+    settings_env: Option<String>,
+    #[options(
+        no_short,
+        help = "least level of lines in words: error, warn, info, debug or trace",
+        default = "info",
+        meta = "LEVEL"
+    )]
+    log_level: LevelFilter,
+}
+
+impl Flags {
+    /// Path of the settings file.
+    fn path(&self) -> Option<PathBuf> {
+        let named = self.settings.clone().map(OsString::from);
+        let variable = self.settings_env.as_ref().and_then(env::var_os);
+        named.or(variable).map(PathBuf::from)
+    }
+}
+
+/// Runs until SIGTERM or SIGINT.
+#[must_use]
+pub fn main(arguments: &[String]) -> ExitCode {
+    let flags = match Flags::parse_args_default(arguments) {
+        Ok(flags) => flags,
+        Err(error) => return usage(&error.to_string()),
+    };
+    if flags.help {
+        println!("Usage: rattand {COMMAND} [OPTIONS]\n\n{}", Flags::usage());
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = flags.path() else {
+        return usage("no settings file; give --settings or --settings-env");
+    };
+    match Settings::read(&path) {
+        Ok(settings) => serve(settings, path, flags.log_level),
+        Err(error) => usage(&error.to_string()),
+    }
+}
+
+fn serve(settings: Settings, path: PathBuf, level: LevelFilter) -> ExitCode {
+    let log = EventLog::start(io::stdout());
+    if let Err(error) = log.take_notes(level) {
+        return failure(&error.to_string());
+    }
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return failure(&format!("no runtime: {error}; free memory or threads")),
+    };
+    match runtime.block_on(run(settings, path, log)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => failure(&error),
+    }
+}
+
+async fn run(settings: Settings, path: PathBuf, log: EventLog) -> Result<(), String> {
+    let stop = CancellationToken::new();
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        let mut signal = signal(kind).map_err(|error| error.to_string())?;
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            signal.recv().await;
+            stop.cancel();
+        });
+    }
+    let mut reload = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
+    let (started_with, lines) = (settings.clone(), log.clone());
+    tokio::spawn(async move {
+        while reload.recv().await.is_some() {
+            check_reload(Settings::read(&path), &started_with, &lines);
+        }
+    });
+    let store = Store::new(settings.kv_endpoint);
+    entry::run(settings, store, Fleet, log, stop)
+        .await
+        .map_err(|error| error.to_string())
+}
+
+/// Says what a changed settings file means. Its values hold from the next start on: addresses and
+/// limits of a running process can't change without cutting calls.
+fn check_reload(read: Result<Settings, SettingsError>, started_with: &Settings, log: &EventLog) {
+    log.emit(&Event::Reloaded);
+    match read {
+        Ok(settings) if settings == *started_with => {}
+        Ok(_) => log::info!("the settings file has changed; it holds from the next start on"),
+        Err(error) => log::warn!("{error}; the settings stay as they are"),
+    }
+}
+
+fn usage(message: &str) -> ExitCode {
+    eprintln!("rattand {COMMAND}: {message}");
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn failure(message: &str) -> ExitCode {
+    eprintln!("rattand {COMMAND}: {message}");
+    ExitCode::FAILURE
+}
--- a/crates/rattan/src/parts.rs
+++ b/crates/rattan/src/parts.rs
@@ -12,8 +12,8 @@
     decision::RingLimits,
     fleet::Fleet,
     idempotency::{ClaimSettings, Claims},
+    keyvalue::{Instance, KeyValue},
     operator::Operator,
-    platform::{Instance, KeyValue},
     serving::{Blocks, Gate, Journal, Serving, ServingSettings, State},
     std::{
         sync::Arc,
--- a/crates/rattan/tests/configuration_in_force.rs
+++ b/crates/rattan/tests/configuration_in_force.rs
@@ -10,7 +10,7 @@
 use {
     hyper::{Method, StatusCode},
     journal::Journal,
-    platform::{EtcdKv, EtcdSettings, KeyValue, Op, Txn},
+    keyvalue::{EtcdKv, EtcdSettings, KeyValue, Op, Txn},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     serde_json::{Value, json},
--- a/crates/rattan/tests/kv_adapter.rs
+++ b/crates/rattan/tests/kv_adapter.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     futures::StreamExt,
-    platform::{Compare, EtcdKv, EtcdSettings, Event, KeyValue, KvError, Op, Txn},
+    keyvalue::{Compare, EtcdKv, EtcdSettings, Event, KeyValue, KvError, Op, Txn},
     serde_json::json,
     standin::{
         Server,
--- a/crates/rattan/tests/order_holders.rs
+++ b/crates/rattan/tests/order_holders.rs
@@ -5,7 +5,7 @@
 
 use {
     hyper::Method,
-    platform::{EtcdKv, EtcdSettings, KeyValue},
+    keyvalue::{EtcdKv, EtcdSettings, KeyValue},
     serde_json::{Value, json},
     std::{
         collections::BTreeSet,
--- a/crates/rattan/tests/order_settled.rs
+++ b/crates/rattan/tests/order_settled.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use {
-    platform::{EtcdKv, EtcdSettings, KeyValue},
+    keyvalue::{EtcdKv, EtcdSettings, KeyValue},
     serde_json::json,
     std::{net::SocketAddr, time::Duration},
     support::{
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,41 @@
+//! Passes calls to targets and their answers back, unchanged and streamed.
+//!
+//! [`Relay::serve`] takes one call: it finds route and account in the [`View`] in force, chooses a
+//! target, sends the call there and passes the answer on. What a call says in its head is read and
+//! written by a [`Wire`], so that the relay knows no header by name.
+//!
+//! What a refusal promises is kept by construction: an attempt ends as [`Tried::NotRun`] only if no
+//! byte of the call was written or the target itself said that it did not run it. Everything else
+//! that is no answer is [`Tried::Unknown`], and a call that may not be repeated is then given up.
+//!
+//! ```
+//! use relay::{Refusal, Reason};
+//! use std::time::Duration;
+//!
+//! let refusal = Refusal::new(Reason::NoTarget).retry_after(Duration::from_millis(300));
+//! assert!(refusal.reason.promises_not_run());
+//! ```
+
+mod admit;
+mod answer;
+mod attempt;
+mod call;
+mod pick;
+mod refusal;
+mod relay;
+mod retries;
+mod run;
+mod stream;
+mod trail;
+mod view;
+mod wire;
+
+pub use {
+    answer::{Answer, TornAnswer},
+    attempt::Tried,
+    call::{BadCall, Call, Part, PartId, Prompt},
+    refusal::{Reason, Refusal},
+    relay::{Relay, RelaySettings},
+    view::{Live, ModelState, TargetState, View, Wanted},
+    wire::{ReplyNotes, Sending, Wire},
+};
--- /dev/null
+++ b/crates/relay/src/pick.rs
@@ -0,0 +1,104 @@
+//! Which target gets a call, of those that the view knows.
+
+use {
+    crate::{Call, TargetState, View},
+    balance::{Candidate, choose, rendezvous},
+    catalog::{FailureDomainId, TargetId},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Factor on the service time of a target whose weights are being replaced soon.
+const OLD_WEIGHTS_SLOWNESS: f64 = 1.5;
+
+/// What a choice depends on besides the view.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Picking<'call> {
+    /// The call.
+    pub(crate) call: &'call Call,
+    /// Targets that had the call before.
+    pub(crate) tried: &'call [TargetId],
+    /// Failure domain of this instance.
+    pub(crate) failure_domain: &'call FailureDomainId,
+    /// Time since the relay's origin.
+    pub(crate) now: Duration,
+    /// Weights older than the wanted ones are not used from this age of the wish on.
+    pub(crate) max_old_weights: Duration,
+    /// Random number.
+    pub(crate) draw: u64,
+}
+
+/// A choice and what it was made of.
+#[derive(Clone, Debug)]
+pub(crate) struct Picked {
+    /// The target.
+    pub(crate) target: Arc<TargetState>,
+    /// Calls under way there, of all instances, as estimated.
+    pub(crate) in_flight_count: f64,
+    /// Targets that could have been chosen.
+    pub(crate) candidates_count: usize,
+}
+
+/// Chooses a target of `pool`; none if no target may take the call.
+///
+/// Targets that are left out for failures, or that pause, are used only if all others are, since
+/// a call that is refused for sure serves nobody.
+pub(crate) fn pick(view: &View, pool: &str, picking: &Picking<'_>) -> Option<Picked> {
+    let targets = view.pools.get(pool)?;
+    let usable: Vec<&Arc<TargetState>> = targets
+        .iter()
+        .filter(|target| !target.leaving && !picking.tried.contains(&target.id))
+        .filter(|target| !is_outdated(view, target, picking))
+        .collect();
+    let awake = |target: &&&Arc<TargetState>| !target.live.is_paused(picking.now);
+    let sound = |target: &&&Arc<TargetState>| !target.live.is_left_out(picking.now);
+    let mut best: Vec<&Arc<TargetState>> =
+        usable.iter().filter(awake).filter(sound).copied().collect();
+    if best.is_empty() {
+        best = usable.iter().filter(sound).copied().collect();
+    }
+    if best.is_empty() {
+        best = usable;
+    }
+    let candidates: Vec<Candidate> = best
+        .iter()
+        .map(|target| candidate(view, target, picking))
+        .collect();
+    let session = picking.call.prompt.as_ref().and_then(|it| it.session());
+    let session = session.map(|part| rendezvous::key_seed(part.id.as_bytes()));
+    let index = choose(&candidates, session, picking.draw)?;
+    Some(Picked {
+        target: best[index].clone(),
+        in_flight_count: candidates[index].in_flight_count,
+        candidates_count: candidates.len(),
+    })
+}
+
+fn candidate(view: &View, target: &TargetState, picking: &Picking<'_>) -> Candidate {
+    let own = f64::from(target.live.in_flight_count());
+    Candidate {
+        near: target.failure_domain == *picking.failure_domain,
+        slowness: if has_old_weights(view, target, picking).is_some() {
+            OLD_WEIGHTS_SLOWNESS
+        } else {
+            1.0
+        },
+        ..Candidate::new(target.seed, target.slots_count)
+            .in_flight(own * f64::from(view.instances_count.max(1)))
+    }
+}
+
+/// Since when newer weights than the target's are wanted.
+fn has_old_weights(view: &View, target: &TargetState, picking: &Picking<'_>) -> Option<Instant> {
+    let model = &picking.call.prompt.as_ref()?.model;
+    let wanted = view.wanted.get(model)?;
+    let version = target.version(model)?;
+    (version < wanted.version).then_some(wanted.since)
+}
+
+fn is_outdated(view: &View, target: &TargetState, picking: &Picking<'_>) -> bool {
+    has_old_weights(view, target, picking)
+        .is_some_and(|since| since.elapsed() >= picking.max_old_weights)
+}
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,205 @@
+//! Takes calls and answers them.
+
+use {
+    crate::{
+        Answer, Reason, Refusal, TornAnswer, View, Wire,
+        admit::{Admitted, admit},
+        answer::{refused, streamed, whole},
+        attempt::Content,
+        retries::Retries,
+        run::{Ended, Job},
+        trail::{Trail, millis},
+    },
+    arc_swap::ArcSwap,
+    balance::RetryBounds,
+    bytes::Bytes,
+    catalog::FailureDomainId,
+    eventlog::EventLog,
+    futures::{Stream, stream},
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{Request, body::Frame, body::Incoming, http::request},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    target::Client,
+    tokio::time::timeout,
+};
+
+/// How calls are relayed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RelaySettings {
+    /// Failure domain of this instance.
+    pub failure_domain: FailureDomainId,
+    /// Bounds on repeated arrivals at the targets of a pool, over all instances.
+    pub retries: RetryBounds,
+    /// Weights older than the wanted ones are not used from this age of the wish on.
+    pub max_old_weights: Duration,
+    /// Bytes of bodies that may be held at once.
+    pub max_held_bytes: usize,
+}
+
+impl Default for RelaySettings {
+    fn default() -> Self {
+        Self {
+            failure_domain: FailureDomainId::default(),
+            retries: RetryBounds::default(),
+            max_old_weights: Duration::from_secs(7),
+            max_held_bytes: 32 << 20,
+        }
+    }
+}
+
+/// Takes calls, chooses targets and passes answers on. Clones share everything.
+#[derive(Clone)]
+pub struct Relay<Format> {
+    pub(crate) inner: Arc<Inner<Format>>,
+}
+
+pub(crate) struct Inner<Format> {
+    pub(crate) settings: RelaySettings,
+    pub(crate) wire: Format,
+    pub(crate) client: Client,
+    pub(crate) view: Arc<ArcSwap<View>>,
+    pub(crate) retries: Retries,
+    pub(crate) origin: Instant,
+    log: EventLog,
+}
+
+impl<Format> Relay<Format>
+where
+    Format: Wire,
+{
+    /// A relay that follows `view`.
+    #[must_use]
+    pub fn new(
+        settings: RelaySettings,
+        wire: Format,
+        client: Client,
+        view: Arc<ArcSwap<View>>,
+        log: EventLog,
+    ) -> Self {
+        let retries = Retries::new(settings.retries);
+        Self {
+            inner: Arc::new(Inner {
+                settings,
+                wire,
+                client,
+                view,
+                retries,
+                origin: Instant::now(),
+                log,
+            }),
+        }
+    }
+
+    /// The log that calls are written to.
+    #[must_use]
+    pub fn log(&self) -> &EventLog {
+        &self.inner.log
+    }
+
+    /// The view in force.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        self.inner.view.load_full()
+    }
+
+    /// Answers one call. Dropping the future, or the answer's body, ends the call at its target.
+    pub async fn serve(
+        &self,
+        request: Request<Incoming>,
+    ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, TornAnswer>> + use<Format>> {
+        let arrived = Instant::now();
+        let mut trail = Trail::new(self.inner.log.clone(), arrived);
+        let (head, body) = request.into_parts();
+        let mut job = match self.accept(&mut trail, arrived, head, body).await {
+            Ok(job) => job,
+            Err(refusal) => return refuse(trail, &refusal),
+        };
+        let answer = match job.run(&mut trail, None).await {
+            Ok(answer) => answer,
+            Err(refusal) => return refuse(trail, &refusal),
+        };
+        let headers = self.inner.wire.inbound(&answer.headers);
+        let status = answer.status;
+        trail.first_byte();
+        match answer.content {
+            Content::Whole(body) => {
+                trail.end("answered", status.as_u16(), "");
+                whole(status, headers, body)
+            }
+            Content::Events(events) => {
+                trail.line.status = status.as_u16();
+                let passing = job.pass_on(*events, answer.notes, trail);
+                let frames = stream::unfold(Some(passing), |passing| async move {
+                    let mut passing = passing?;
+                    match passing.next().await {
+                        Ok(Some(event)) => Some((Ok(Frame::data(event)), Some(passing))),
+                        Ok(None) => None,
+                        Err(Ended) => Some((Err(TornAnswer), None)),
+                    }
+                });
+                streamed(status, headers, frames)
+            }
+        }
+    }
+
+    /// Checks a call's head and reads its body.
+    async fn accept(
+        &self,
+        trail: &mut Trail,
+        arrived: Instant,
+        head: request::Parts,
+        body: Incoming,
+    ) -> Result<Job<Format>, Refusal> {
+        let view = self.view();
+        trail.line.configuration = view.configuration();
+        trail.line.view_age_ms = millis(view.confirmed.elapsed());
+        trail.line.instances_count = view.instances_count;
+        let call = self.inner.wire.call(&head).map_err(|bad| {
+            log::info!("call refused: {bad}");
+            Refusal::new(Reason::BadHead)
+        })?;
+        trail.line.request_id.clone_from(&call.id);
+        let admitted = admit(&view, &head, call)?;
+        trail.line.route.clone_from(&admitted.route.name);
+        if let Some(account) = &admitted.account {
+            trail.line.account.clone_from(&account.name);
+        }
+        let body = read_body(&admitted, body).await?;
+        let job = Job::new(self.inner.clone(), admitted, head, body, arrived);
+        trail.line.time_limit_ms = millis(job.time_limit());
+        Ok(job)
+    }
+}
+
+async fn read_body(admitted: &Admitted, body: Incoming) -> Result<Bytes, Refusal> {
+    let limits = admitted.table.accepted().limits;
+    let bound = admitted.call.time_limit.unwrap_or(admitted.route.time_limit);
+    let reading = Limited::new(body, limits.max_body_bytes).collect();
+    match timeout(bound, reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::BodyTooLong.into()),
+        Ok(Err(_)) | Err(_) => Err(Reason::BodyIncomplete.into()),
+    }
+}
+
+fn refuse<Events>(mut trail: Trail, refusal: &Refusal) -> Answer<Events>
+where
+    Events: Stream<Item = Result<Frame<Bytes>, TornAnswer>>,
+{
+    let outcome = if refusal.reason.promises_not_run() {
+        "refused"
+    } else {
+        "failed"
+    };
+    trail.first_byte();
+    trail.end(outcome, refusal.reason.status().as_u16(), refusal.reason.message());
+    refused(refusal)
+}
+
+/// Body that is sent to a target.
+pub(crate) fn outgoing_body(body: &Bytes) -> Full<Bytes> {
+    Full::new(body.clone())
+}
--- /dev/null
+++ b/crates/relay/src/retries.rs
@@ -0,0 +1,50 @@
+//! Retry budgets by pool.
+
+use {
+    balance::{RetryBounds, RetryShare},
+    routes::PoolId,
+    std::{
+        collections::HashMap,
+        sync::{Mutex, PoisonError},
+        time::Duration,
+    },
+};
+
+/// The retry budget of each pool.
+#[derive(Debug)]
+pub(crate) struct Retries {
+    bounds: RetryBounds,
+    shares: Mutex<HashMap<PoolId, RetryShare>>,
+}
+
+impl Retries {
+    /// Full budgets within `bounds`.
+    pub(crate) fn new(bounds: RetryBounds) -> Self {
+        Self {
+            bounds,
+            shares: Mutex::default(),
+        }
+    }
+
+    /// Counts a call that is not a retry.
+    pub(crate) fn record_call(&self, pool: &str, instances_count: u32) {
+        self.with(pool, instances_count, RetryShare::record_call);
+    }
+
+    /// Whether a call may arrive at a target once more.
+    pub(crate) fn try_retry(&self, pool: &str, instances_count: u32, now: Duration) -> bool {
+        self.with(pool, instances_count, |share| share.try_retry(now))
+    }
+
+    fn with<Value, Use>(&self, pool: &str, instances_count: u32, use_share: Use) -> Value
+    where
+        Use: FnOnce(&mut RetryShare) -> Value,
+    {
+        let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        let share = shares
+            .entry(pool.to_owned())
+            .or_insert_with(|| RetryShare::new(&self.bounds, instances_count));
+        share.resize(&self.bounds, instances_count);
+        use_share(share)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/run.rs
@@ -0,0 +1,398 @@
+//! A call's way from target to target, until one has answered it or it is given up.
+
+use {
+    crate::{
+        Reason, Refusal, ReplyNotes, Sending, Wire,
+        admit::Admitted,
+        attempt::{Content, Outgoing, TargetAnswer, Tried, attempt},
+        pick::{Picked, Picking, pick},
+        relay::{Inner, outgoing_body},
+        stream::Events,
+        trail::Trail,
+        view::InFlight,
+    },
+    balance::Outcome,
+    bytes::Bytes,
+    catalog::TargetId,
+    hyper::{Request, StatusCode, http::request},
+    routes::{PoolId, Repeat},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    target::Reuse,
+};
+
+/// Least time for which a call is still sent to a target.
+const MIN_TIME: Duration = Duration::from_millis(10);
+/// Most targets that a call is sent to when those before did not run it.
+const MAX_SENDS_COUNT: usize = 4;
+/// Share of the objective after which a call that may run again is tried elsewhere.
+const PATIENCE_SHARE: f64 = 0.7;
+/// Time that a target which refused for its load or for an order is left alone.
+const PAUSE: Duration = Duration::from_millis(200);
+/// When to come back if no target can be used.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(400);
+/// When to come back if all targets that were asked are full.
+const NO_ROOM_RETRY: Duration = Duration::from_millis(250);
+
+/// Pauses of the longest length that is on time after which a stream is continued elsewhere.
+const MAX_SILENT_GAPS_COUNT: u32 = 4;
+/// Least silence after which a stream is continued elsewhere.
+const MIN_SILENCE: Duration = Duration::from_secs(1);
+
+/// The call can't go on; its trail says why.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ended;
+
+/// A call that is being served.
+pub(crate) struct Job<Format> {
+    inner: Arc<Inner<Format>>,
+    admitted: Admitted,
+    head: request::Parts,
+    body: Bytes,
+    arrived: Instant,
+    pool: PoolId,
+    tried: Vec<TargetId>,
+    may_have_run_count: u32,
+    under_way: Option<InFlight>,
+}
+
+impl<Format> Job<Format>
+where
+    Format: Wire,
+{
+    pub(crate) fn new(
+        inner: Arc<Inner<Format>>,
+        admitted: Admitted,
+        head: request::Parts,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Self {
+        let pool = admitted.route.draw_pool(rand::random());
+        let pool = pool.cloned().unwrap_or_default();
+        Self {
+            inner,
+            admitted,
+            head,
+            body,
+            arrived,
+            pool,
+            tried: Vec::new(),
+            may_have_run_count: 0,
+            under_way: None,
+        }
+    }
+
+    /// Time that caller and route leave for the call.
+    pub(crate) fn time_limit(&self) -> Duration {
+        let route = self.admitted.route.time_limit;
+        let caller = self.admitted.call.time_limit;
+        caller.map_or(route, |caller| caller.min(route))
+    }
+
+    fn time_left(&self) -> Duration {
+        self.time_limit().saturating_sub(self.arrived.elapsed())
+    }
+
+    fn repeat(&self) -> Repeat {
+        self.admitted.route.repeat
+    }
+
+    fn can_run_again(&self) -> bool {
+        self.repeat().may_run_again() && self.may_have_run_count < self.admitted.route.max_attempts
+    }
+
+    fn instances_count(&self) -> u32 {
+        self.inner.view.load().instances_count
+    }
+
+    fn try_retry(&self) -> bool {
+        let now = self.inner.origin.elapsed();
+        let instances_count = self.instances_count();
+        self.inner.retries.try_retry(&self.pool, instances_count, now)
+    }
+
+    /// Has the call run by a target. `last_event` continues a stream after that event.
+    ///
+    /// A call goes on to another target only if the one before did not run it, or if it may run
+    /// again; both only while the retry budget and the time for the call last.
+    pub(crate) async fn run(
+        &mut self,
+        trail: &mut Trail,
+        last_event: Option<u64>,
+    ) -> Result<TargetAnswer, Refusal> {
+        if last_event.is_none() {
+            let instances_count = self.instances_count();
+            self.inner.retries.record_call(&self.pool, instances_count);
+        }
+        let mut given_up = Refusal::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY);
+        while self.tried.len() < MAX_SENDS_COUNT && self.time_left() > MIN_TIME {
+            let Some(picked) = self.pick() else {
+                break;
+            };
+            let target = &picked.target.id;
+            trail.attempt(target, picked.in_flight_count, picked.candidates_count);
+            self.tried.push(target.clone());
+            let tried = self.send(&picked, last_event).await;
+            trail.attempted(describe(&tried));
+            self.note(&picked, &tried);
+            let (refusal, arrived) = match tried {
+                Tried::Answered(answer) => {
+                    if self.is_worth_another(&answer) && self.try_retry() {
+                        continue;
+                    }
+                    return Ok(answer);
+                }
+                Tried::NotSent(_) => (given_up, false),
+                Tried::NotRun(..) => {
+                    let no_room = Refusal::new(Reason::NoRoom);
+                    (no_room.retry_after(NO_ROOM_RETRY), true)
+                }
+                Tried::Unknown(_) => {
+                    if !self.can_run_again() {
+                        return Err(self.unknown());
+                    }
+                    (given_up, true)
+                }
+            };
+            given_up = refusal;
+            if arrived && !self.try_retry() {
+                break;
+            }
+        }
+        if self.may_have_run_count > 0 {
+            return Err(self.unknown());
+        }
+        if self.time_left() <= MIN_TIME {
+            given_up = Reason::TooLate.into();
+        }
+        Err(given_up)
+    }
+
+    /// Passes the events of a stream on from now on.
+    pub(crate) fn pass_on(self, events: Events, notes: ReplyNotes, trail: Trail) -> Passing<Format> {
+        log::trace!("stream of {:?} begins", notes.target);
+        Passing {
+            job: self,
+            events,
+            trail,
+        }
+    }
+
+    fn pick(&self) -> Option<Picked> {
+        let view = self.inner.view.load();
+        let picking = Picking {
+            call: &self.admitted.call,
+            tried: &self.tried,
+            failure_domain: &self.inner.settings.failure_domain,
+            now: self.inner.origin.elapsed(),
+            max_old_weights: self.inner.settings.max_old_weights,
+            draw: rand::random(),
+        };
+        pick(&view, &self.pool, &picking)
+    }
+
+    async fn send(&mut self, picked: &Picked, last_event: Option<u64>) -> Tried<TargetAnswer> {
+        let target = &picked.target;
+        let sending = self.sending(picked, last_event);
+        let mut request = Request::new(outgoing_body(&self.body));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = self.inner.wire.outbound(&self.head.headers, &sending);
+        self.under_way = Some(target.live.begin());
+        let whole = self.time_left();
+        let outgoing = Outgoing {
+            address: target.address,
+            id: &self.admitted.call.id,
+            reuse: Reuse::Allowed,
+            first_byte: self.patience().min(whole),
+            whole,
+            stream: self.repeat().is_stream(),
+        };
+        let tried = attempt(&self.inner.client, &self.inner.wire, request, outgoing).await;
+        if matches!(tried, Tried::Answered(_) | Tried::Unknown(_)) {
+            self.may_have_run_count += 1;
+        }
+        if !matches!(tried, Tried::Answered(_)) {
+            self.under_way = None;
+        }
+        tried
+    }
+
+    fn sending(&self, picked: &Picked, last_event: Option<u64>) -> Sending {
+        let call = &self.admitted.call;
+        let account = self.admitted.account.as_ref();
+        let prompt = call.prompt.as_ref();
+        let version = prompt.and_then(|prompt| picked.target.version(&prompt.model));
+        let isolated = account.filter(|account| account.isolated);
+        let salt = version.map(|version| salt(version, isolated.map(|it| it.name.as_str())));
+        let rank = account.and_then(|account| account.priority);
+        Sending {
+            target: picked.target.id.clone(),
+            account: account.map(|account| account.name.clone()),
+            time_left: self.time_left(),
+            version,
+            salt,
+            priority: prompt.map(|_| rank.unwrap_or(self.admitted.route.priority).min(9)),
+            last_event,
+            ..Sending::default()
+        }
+    }
+
+    /// Time after which another target is tried, or all the time there is.
+    fn patience(&self) -> Duration {
+        let is_last = self.may_have_run_count + 1 >= self.admitted.route.max_attempts;
+        if is_last || !self.repeat().may_run_again() {
+            return self.time_left();
+        }
+        self.admitted.route.objective.mul_f64(PATIENCE_SHARE)
+    }
+
+    /// Whether a target's own failure should be replaced by another target's answer.
+    fn is_worth_another(&self, answer: &TargetAnswer) -> bool {
+        answer.status.is_server_error() && self.can_run_again() && self.time_left() > MIN_TIME
+    }
+
+    fn unknown(&self) -> Refusal {
+        let reason = if self.time_left() <= MIN_TIME {
+            Reason::TimedOut
+        } else {
+            Reason::TargetFailed
+        };
+        Refusal::new(reason)
+    }
+
+    /// Remembers what a try has shown of its target.
+    fn note(&self, picked: &Picked, tried: &Tried<TargetAnswer>) {
+        let live = &picked.target.live;
+        let now = self.inner.origin.elapsed();
+        let outcome = match tried {
+            Tried::Answered(answer) => {
+                self.note_version(picked, answer.notes.version);
+                let failed = answer.status.is_server_error();
+                if failed { Outcome::Failed } else { Outcome::Answered }
+            }
+            Tried::NotRun(StatusCode::MISDIRECTED_REQUEST, notes) => {
+                self.note_misdirected(picked, notes);
+                Outcome::Full
+            }
+            Tried::NotRun(..) => {
+                live.pause(now + PAUSE);
+                Outcome::Full
+            }
+            Tried::NotSent(_) | Tried::Unknown(_) => Outcome::Failed,
+        };
+        if live.record(outcome, now) {
+            log::warn!(
+                "target {} is left out for a while: {}",
+                picked.target.id,
+                describe(tried)
+            );
+        }
+    }
+
+    fn note_version(&self, picked: &Picked, version: Option<u64>) {
+        let prompt = self.admitted.call.prompt.as_ref();
+        if let (Some(prompt), Some(version)) = (prompt, version) {
+            picked.target.live.note_version(&prompt.model, version);
+        }
+    }
+
+    /// The target is another one, or has other weights than was thought: the wanted ones.
+    fn note_misdirected(&self, picked: &Picked, notes: &ReplyNotes) {
+        let is_other = notes.target.as_ref().is_some_and(|id| *id != picked.target.id);
+        let view = self.inner.view.load();
+        let prompt = self.admitted.call.prompt.as_ref();
+        let wanted = prompt.and_then(|prompt| view.wanted.get(&prompt.model));
+        match wanted {
+            Some(wanted) if !is_other => self.note_version(picked, Some(wanted.version)),
+            _ => picked.target.live.pause(self.inner.origin.elapsed() + PAUSE),
+        }
+    }
+}
+
+/// Text under which targets keep computed parts: apart for each version and isolated account.
+fn salt(version: u64, isolated: Option<&str>) -> String {
+    match isolated {
+        Some(account) => format!("{version}/{account}"),
+        None => version.to_string(),
+    }
+}
+
+fn describe(tried: &Tried<TargetAnswer>) -> String {
+    match tried {
+        Tried::Answered(answer) => format!("answered {}", answer.status.as_u16()),
+        Tried::NotSent(reason) => format!("not sent: {reason}"),
+        Tried::NotRun(status, _) => format!("not run: {}", status.as_u16()),
+        Tried::Unknown(reason) => format!("unknown: {reason}"),
+    }
+}
+
+/// A stream that is being passed on.
+pub(crate) struct Passing<Format> {
+    job: Job<Format>,
+    events: Events,
+    trail: Trail,
+}
+
+impl<Format> Passing<Format>
+where
+    Format: Wire,
+{
+    /// The next event; none at the end of the stream. A stream that breaks off is continued by
+    /// another target after the last event that was passed on, if its route allows that.
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, Ended> {
+        loop {
+            let silence = self.silence();
+            let error = match self.events.next(silence).await {
+                Ok(Some(event)) => return Ok(Some(event)),
+                Ok(None) => {
+                    let status = self.trail.line.status;
+                    self.trail.end("answered", status, "");
+                    return Ok(None);
+                }
+                Err(error) => error,
+            };
+            self.trail.attempted(format!("torn: {error}"));
+            self.resume().await?;
+        }
+    }
+
+    async fn resume(&mut self) -> Result<(), Ended> {
+        let last_id = self.events.last_id();
+        let can_resume = self.job.repeat() == Repeat::ResumableStream && last_id.is_some();
+        if !can_resume || !self.job.can_run_again() || !self.job.try_retry() {
+            return Err(self.torn("the target broke off"));
+        }
+        let answer = self.job.run(&mut self.trail, last_id).await;
+        let Ok(answer) = answer else {
+            return Err(self.torn("no other target continued the stream"));
+        };
+        match answer.content {
+            Content::Events(events) if answer.status.is_success() => {
+                self.events = events.after(last_id);
+                Ok(())
+            }
+            _ => Err(self.torn("another target refused to continue the stream")),
+        }
+    }
+
+    fn torn(&mut self, reason: &str) -> Ended {
+        let status = self.trail.line.status;
+        self.trail.end("torn", status, reason);
+        Ended
+    }
+
+    /// Longest pause before the next event that is waited for.
+    fn silence(&self) -> Duration {
+        let left = self.job.time_left();
+        let gap = self.job.admitted.route.max_event_gap;
+        match gap {
+            Some(gap) if self.job.can_run_again() => {
+                left.min((gap * MAX_SILENT_GAPS_COUNT).max(MIN_SILENCE))
+            }
+            _ => left,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/trail.rs
@@ -0,0 +1,76 @@
+//! The log line of a call, gathered on its way.
+
+use {
+    eventlog::{AttemptLine, CallLine, Event, EventLog},
+    std::time::{Duration, Instant},
+};
+
+/// What happened to one call so far. Writes its line when it ends, also if the caller leaves.
+#[derive(Debug)]
+pub(crate) struct Trail {
+    log: EventLog,
+    arrived: Instant,
+    /// The line.
+    pub(crate) line: CallLine,
+}
+
+impl Trail {
+    /// The trail of a call that arrives now.
+    pub(crate) fn new(log: EventLog, arrived: Instant) -> Self {
+        Self {
+            log,
+            arrived,
+            line: CallLine {
+                outcome: "caller_left",
+                ..CallLine::default()
+            },
+        }
+    }
+
+    /// Time since the call arrived.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.arrived.elapsed()
+    }
+
+    /// Notes a choice; its outcome follows.
+    pub(crate) fn attempt(&mut self, target: &str, in_flight_count: f64, candidates_count: usize) {
+        let at_ms = millis(self.elapsed());
+        self.line.attempts.push(AttemptLine {
+            target: target.to_owned(),
+            at_ms,
+            in_flight_count,
+            candidates_count,
+            outcome: "under way".to_owned(),
+        });
+    }
+
+    /// Notes what came of the last choice.
+    pub(crate) fn attempted(&mut self, outcome: String) {
+        if let Some(attempt) = self.line.attempts.last_mut() {
+            attempt.outcome = outcome;
+        }
+    }
+
+    /// Notes how the call ends; the line is written when the trail is dropped.
+    pub(crate) fn end(&mut self, outcome: &'static str, status: u16, reason: &str) {
+        self.line.outcome = outcome;
+        self.line.status = status;
+        reason.clone_into(&mut self.line.reason);
+    }
+
+    /// Notes that the first byte of the answer goes out now.
+    pub(crate) fn first_byte(&mut self) {
+        self.line.first_byte_ms = millis(self.elapsed());
+    }
+}
+
+impl Drop for Trail {
+    fn drop(&mut self) {
+        self.line.took_ms = millis(self.elapsed());
+        self.log.emit(&Event::Call(std::mem::take(&mut self.line)));
+    }
+}
+
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/routes/tests/route_lookup.rs
@@ -0,0 +1,51 @@
+//! Which route and account a call belongs to.
+
+use {
+    proptest::prelude::{any, proptest},
+    routes::{Accepted, Account, PoolShare, Route, RouteTable},
+};
+
+fn table() -> RouteTable {
+    let routes = vec![
+        Route::new("all", "a.example", "/"),
+        Route::new("orders", "a.example", "/orders/"),
+        Route::new("late", "a.example", "/orders/late/"),
+        Route::new("other", "b.example", "/orders/"),
+    ];
+    let account = Account {
+        name: "chain".to_owned(),
+        keys: vec!["k1".to_owned(), "k2".to_owned()],
+        ..Account::default()
+    };
+    RouteTable::new(Accepted::default().routes(routes).accounts(vec![account]))
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let table = table();
+    let name = |host, path| table.route(host, path).map(|route| route.name.clone());
+    assert_eq!(name("a.example", "/orders/late/3").as_deref(), Some("late"));
+    assert_eq!(name("A.Example:80", "/orders/late").as_deref(), Some("orders"));
+    assert_eq!(name("a.example", "/x").as_deref(), Some("all"));
+    assert_eq!(name("b.example", "/x"), None);
+    assert_eq!(name("c.example", "/orders/"), None);
+}
+
+#[test]
+fn every_key_of_an_account_finds_it() {
+    let table = table();
+    assert_eq!(table.account("k2").map(|it| it.name.as_str()), Some("chain"));
+    assert!(table.account("k3").is_none());
+    assert!(table.account("").is_none());
+}
+
+proptest! {
+    #[test]
+    fn pools_without_weight_are_never_drawn(draw in any::<u64>(), weight in 0_u32..9) {
+        let mut route = Route::new("r", "h", "/").pool("used");
+        route.shares.insert(0, PoolShare { pool: "unused".to_owned(), weight: 0 });
+        route.shares[1].weight = weight;
+        let drawn = route.draw_pool(draw).map(String::as_str);
+        assert_eq!(drawn, (weight > 0).then_some("used"));
+    }
+}
--- a/crates/serving/src/answered.rs
+++ b/crates/serving/src/answered.rs
@@ -7,7 +7,7 @@
     },
     catalog::RequestId,
     decision::Step,
-    platform::KeyValue,
+    keyvalue::KeyValue,
     std::time::Duration,
     target::Usage,
 };
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -7,7 +7,7 @@
     },
     catalog::TargetId,
     gateway::CompletionJob,
-    platform::KeyValue,
+    keyvalue::KeyValue,
     prefix::BlockKey,
     std::{
         collections::BTreeSet,
--- a/crates/serving/src/claimed.rs
+++ b/crates/serving/src/claimed.rs
@@ -6,7 +6,7 @@
     decision::Outcome,
     gateway::{Kind, Refusal},
     idempotency::{Claim, ClaimError, Claimed, StoredAnswer},
-    platform::KeyValue,
+    keyvalue::KeyValue,
     std::time::Duration,
     tokio::task::JoinError,
 };
--- a/crates/serving/src/claimed_completion.rs
+++ b/crates/serving/src/claimed_completion.rs
@@ -9,7 +9,7 @@
     },
     gateway::{CompletionJob, Event, Refusal, Started},
     idempotency::{Claim, StoredAnswer},
-    platform::KeyValue,
+    keyvalue::KeyValue,
     serde::{Deserialize, Serialize},
     tokio::sync::mpsc,
 };
--- a/crates/serving/src/completion.rs
+++ b/crates/serving/src/completion.rs
@@ -10,7 +10,7 @@
     catalog::TargetId,
     decision::{Outcome, Step},
     gateway::{CompletionJob, Event, Kind, Refusal, Started},
-    platform::KeyValue,
+    keyvalue::KeyValue,
     std::{
         collections::BTreeSet,
         time::{Duration, Instant},
--- a/crates/serving/src/exports.rs
+++ b/crates/serving/src/exports.rs
@@ -11,7 +11,7 @@
     cluster::{BlockWrite, DirectoryUpdate},
     decision::Step,
     directory::{ExportPlan, ExportPolicy, Prompt, StoreCopy, Write},
-    platform::KeyValue,
+    keyvalue::KeyValue,
     rand::random,
     std::time::Duration,
     target::{BlockRef, EngineClient, ExportRequest},
--- a/crates/serving/src/imports.rs
+++ b/crates/serving/src/imports.rs
@@ -8,7 +8,7 @@
     },
     catalog::{RequestId, Target, TargetId},
     decision::Step,
-    platform::KeyValue,
+    keyvalue::KeyValue,
     prefix::BlockKey,
     std::time::{Duration, Instant},
     target::{BlockRef, EngineClient, ImportReply, ImportRequest},
--- a/crates/serving/src/link_queue.rs
+++ b/crates/serving/src/link_queue.rs
@@ -4,7 +4,7 @@
     crate::{PeerBlocks, Serving},
     catalog::TargetId,
     fleet::View,
-    platform::KeyValue,
+    keyvalue::KeyValue,
     std::sync::Arc,
 };
 
--- a/crates/serving/src/plan.rs
+++ b/crates/serving/src/plan.rs
@@ -5,7 +5,7 @@
     catalog::{Catalog, ClientAccount, ModelVersion, PlacementRule, Target, TargetId, TargetKind},
     directory::{Generation, Leading},
     gateway::{CompletionJob, Kind, Refusal},
-    platform::KeyValue,
+    keyvalue::KeyValue,
     prefix::BlockKey,
     routing::{Candidate, Choice, Estimate, Job},
     std::{
--- a/crates/serving/src/room.rs
+++ b/crates/serving/src/room.rs
@@ -5,7 +5,7 @@
     catalog::{Target, TargetId},
     cluster::DirectoryUpdate,
     directory::StoreCopy,
-    platform::KeyValue,
+    keyvalue::KeyValue,
     target::StoreClient,
 };
 
--- a/crates/serving/src/service_call.rs
+++ b/crates/serving/src/service_call.rs
@@ -9,7 +9,7 @@
     decision::{Outcome, Step},
     gateway::{Kind, Refusal, ServiceJob, ServiceReply},
     idempotency::{Claim, StoredAnswer},
-    platform::KeyValue,
+    keyvalue::KeyValue,
     std::{
         collections::BTreeSet,
         time::{Duration, Instant},
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -7,7 +7,7 @@
     decision::Record,
     fleet::Fleet,
     idempotency::Claims,
-    platform::KeyValue,
+    keyvalue::KeyValue,
     rand::random,
     routing::Budget,
     std::{
--- a/crates/serving/src/stores.rs
+++ b/crates/serving/src/stores.rs
@@ -5,7 +5,7 @@
     catalog::{Target, TargetKind},
     directory::{Leading, StoreState},
     fleet::{LinkRate, View},
-    platform::KeyValue,
+    keyvalue::KeyValue,
     std::{sync::Arc, time::Instant},
 };
 
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -10,6 +10,7 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
+    socket2::{SockRef, TcpKeepalive},
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -17,6 +18,7 @@
         time::{Duration, Instant},
     },
     tokio::{net::TcpStream, time::timeout},
+    tokio_util::task::AbortOnDropHandle,
 };
 
 /// Idle connections kept for one address.
@@ -30,6 +32,9 @@
     /// Longest time a connection may stay unused and still be used again. Shorter values find
     /// connections that something in between has forgotten sooner.
     pub idle: Duration,
+    /// Longest time that the other end may leave sent bytes or probes without an acknowledgement
+    /// before the connection is given up; none keeps the system's own bounds.
+    pub unacknowledged: Option<Duration>,
 }
 
 impl Default for ClientSettings {
@@ -37,6 +42,7 @@
         Self {
             connect: Duration::from_millis(500),
             idle: Duration::from_secs(2),
+            unacknowledged: None,
         }
     }
 }
@@ -55,6 +61,13 @@
         self.idle = idle;
         self
     }
+
+    /// Sets the longest time without an acknowledgement.
+    #[must_use]
+    pub fn unacknowledged(mut self, unacknowledged: Duration) -> Self {
+        self.unacknowledged = Some(unacknowledged);
+        self
+    }
 }
 
 /// Whether an exchange may use a connection that served an earlier one.
@@ -66,11 +79,15 @@
     Fresh,
 }
 
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
+/// A connection. Dropping it closes it at once, also in the midst of an exchange.
+pub(crate) struct Channel {
+    sender: SendRequest<Full<Bytes>>,
+    _driver: AbortOnDropHandle<Result<(), hyper::Error>>,
+}
 
 struct Idle {
-    sender: Sender,
-    since: Instant,
+    channel: Channel,
+    until: Instant,
 }
 
 #[derive(Default)]
@@ -110,18 +127,18 @@
         first_byte: Duration,
     ) -> Result<Reply, SendError> {
         if reuse == Reuse::Allowed {
-            while let Some(mut sender) = self.take_idle(address) {
-                if !self.is_usable(&mut sender).await {
+            while let Some(mut channel) = self.take_idle(address) {
+                if !self.is_usable(&mut channel).await {
                     continue;
                 }
-                match self.exchange(address, sender, request, first_byte).await {
+                match self.exchange(address, channel, request, first_byte).await {
                     Exchange::Done(result) => return result,
                     Exchange::Unsent(unsent) => request = unsent,
                 }
             }
         }
-        let sender = self.connect(address).await?;
-        match self.exchange(address, sender, request, first_byte).await {
+        let channel = self.connect(address).await?;
+        match self.exchange(address, channel, request, first_byte).await {
             Exchange::Done(result) => result,
             Exchange::Unsent(_) => error::NotSentSnafu {
                 address,
@@ -136,40 +153,42 @@
         self.lock_idle().remove(&address);
     }
 
-    pub(crate) fn put_idle(&self, address: SocketAddr, sender: Sender) {
-        if sender.is_closed() {
+    /// Keeps a connection for as long as the settings and the target itself allow.
+    pub(crate) fn put_idle(&self, address: SocketAddr, channel: Channel, kept: Option<Duration>) {
+        if channel.sender.is_closed() {
             return;
         }
+        let idle_time = kept.map_or(self.settings.idle, |kept| self.settings.idle.min(kept / 2));
         let mut idle = self.lock_idle();
         let connections = idle.entry(address).or_default();
         if connections.len() < MAX_IDLE_COUNT {
             connections.push(Idle {
-                sender,
-                since: Instant::now(),
+                channel,
+                until: Instant::now() + idle_time,
             });
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Channel> {
         let mut idle = self.lock_idle();
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
-            let fresh = connection.since.elapsed() < self.settings.idle;
-            if fresh && !connection.sender.is_closed() {
-                return Some(connection.sender);
+            let fresh = Instant::now() < connection.until;
+            if fresh && !connection.channel.sender.is_closed() {
+                return Some(connection.channel);
             }
         }
         None
     }
 
     /// Waits until the connection has finished with its last exchange.
-    async fn is_usable(&self, sender: &mut Sender) -> bool {
-        timeout(self.settings.connect, sender.ready())
+    async fn is_usable(&self, channel: &mut Channel) -> bool {
+        timeout(self.settings.connect, channel.sender.ready())
             .await
             .is_ok_and(|ready| ready.is_ok())
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Sender, SendError> {
+    async fn connect(&self, address: SocketAddr) -> Result<Channel, SendError> {
         let not_sent = |reason: String| SendError::NotSent { address, reason };
         let stream = timeout(self.settings.connect, TcpStream::connect(address))
             .await
@@ -177,23 +196,28 @@
             .map_err(|error| not_sent(error.to_string()))?;
         // A failure here only costs latency.
         let _ = stream.set_nodelay(true);
+        if let Some(bound) = self.settings.unacknowledged {
+            bound_silence(&stream, bound).map_err(|error| not_sent(error.to_string()))?;
+        }
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
-        tokio::spawn(connection);
-        Ok(sender)
+        Ok(Channel {
+            sender,
+            _driver: AbortOnDropHandle::new(tokio::spawn(connection)),
+        })
     }
 
     async fn exchange(
         &self,
         address: SocketAddr,
-        mut sender: Sender,
+        mut channel: Channel,
         request: Request<Full<Bytes>>,
         first_byte: Duration,
     ) -> Exchange {
         let unknown = |reason: String| Exchange::Done(Err(SendError::Unknown { address, reason }));
-        match timeout(first_byte, sender.try_send_request(request)).await {
-            Ok(Ok(response)) => Exchange::Done(Ok(self.reply(address, sender, response))),
+        match timeout(first_byte, channel.sender.try_send_request(request)).await {
+            Ok(Ok(response)) => Exchange::Done(Ok(self.reply(address, channel, response))),
             Ok(Err(mut failure)) => match failure.take_message() {
                 Some(unsent) => Exchange::Unsent(unsent),
                 None => unknown(failure.error().to_string()),
@@ -205,10 +229,10 @@
     fn reply(
         &self,
         address: SocketAddr,
-        sender: Sender,
+        channel: Channel,
         response: hyper::Response<Incoming>,
     ) -> Reply {
-        Reply::new(self.clone(), address, sender, response)
+        Reply::new(self.clone(), address, channel, response)
     }
 
     fn lock_idle(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
@@ -219,6 +243,18 @@
     }
 }
 
+/// Gives a connection up once the other end has left bytes or probes unacknowledged for `bound`.
+fn bound_silence(stream: &TcpStream, bound: Duration) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    let pause = (bound / 3).max(Duration::from_secs(1));
+    let probes = TcpKeepalive::new()
+        .with_time(pause)
+        .with_interval(pause)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(bound))
+}
+
 enum Exchange {
     Done(Result<Reply, SendError>),
     Unsent(Request<Full<Bytes>>),
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -43,6 +43,6 @@
     error::SendError,
     reply::Reply,
     service::{ServiceAnswer, ServiceClient, ServiceRequest},
-    sse::SseParser,
+    sse::{SseParser, event_id},
     store::{StoreBlock, StoreBlocks, StoreClient, StoreUsage},
 };
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -1,7 +1,7 @@
 //! An answer whose body is still arriving.
 
 use {
-    crate::{Client, SendError, client::Sender},
+    crate::{Client, SendError, client::Channel},
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
     hyper::{Response, StatusCode, body::Incoming, header::HeaderMap},
@@ -18,7 +18,7 @@
 pub struct Reply {
     client: Client,
     address: SocketAddr,
-    sender: Option<Sender>,
+    channel: Option<Channel>,
     response: Response<Incoming>,
 }
 
@@ -26,13 +26,13 @@
     pub(crate) fn new(
         client: Client,
         address: SocketAddr,
-        sender: Sender,
+        channel: Channel,
         response: Response<Incoming>,
     ) -> Self {
         Self {
             client,
             address,
-            sender: Some(sender),
+            channel: Some(channel),
             response,
         }
     }
@@ -150,12 +150,21 @@
     }
 
     fn keep(&mut self) {
-        if let Some(sender) = self.sender.take() {
-            self.client.put_idle(self.address, sender);
+        if let Some(channel) = self.channel.take() {
+            let kept = kept_time(self.response.headers());
+            self.client.put_idle(self.address, channel, kept);
         }
     }
 }
 
+/// How long the target keeps an unused connection, where it says so.
+fn kept_time(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parameters = value.split(',');
+    let seconds = parameters.find_map(|it| it.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.parse().ok()?))
+}
+
 #[derive(serde::Deserialize)]
 struct ErrorWire {
     error: ErrorBody,
--- a/crates/target/src/sse.rs
+++ b/crates/target/src/sse.rs
@@ -1,6 +1,6 @@
 //! Incremental reading of server-sent events.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 
 /// Largest event accepted.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -31,15 +31,25 @@
     /// The data of the next whole event, if one has arrived. Events without data are skipped.
     pub fn next_data(&mut self) -> Option<Bytes> {
         loop {
-            let (end, blank_bytes) = event_end(&self.buffer)?;
-            let event = self.buffer.split_to(end);
-            self.buffer.advance(blank_bytes);
+            let event = self.next_event()?;
             if let Some(data) = data_of(&event) {
                 return Some(data);
             }
         }
     }
 
+    /// The bytes of the next whole event, with the blank line that ends it.
+    pub fn next_event(&mut self) -> Option<Bytes> {
+        let (end, blank_bytes) = event_end(&self.buffer)?;
+        Some(self.buffer.split_to(end + blank_bytes).freeze())
+    }
+
+    /// Whether part of an event is waiting for its rest.
+    #[must_use]
+    pub fn has_part(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Whether more is buffered than an event may hold.
     #[must_use]
     pub fn overflowed(&self) -> bool {
@@ -64,6 +74,14 @@
     None
 }
 
+/// The number in the `id` field of an event; none if it has none or it is no number.
+#[must_use]
+pub fn event_id(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
+
 fn data_of(event: &[u8]) -> Option<Bytes> {
     let mut data = Vec::new();
     for line in event.split(|byte| *byte == b'\n') {
