relay: a stream's target is left only for silence, not while it reads the prompt

Cause: after 0.7 of the objective a resumable stream was tried elsewhere, so prompts were read twice and the second reading made others late. Ruled out: torn events, lost reads (205 events had been passed on when the caller's time ended).

--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -36,6 +36,10 @@
     pub took_ms: u64,
     /// From the arrival of the head to the answer's first byte.
     pub first_byte_ms: u64,
+    /// Events of a stream that were passed on.
+    pub events_count: u64,
+    /// When the last of them was passed on, in milliseconds after the head arrived.
+    pub last_event_ms: u64,
     /// Time that the caller and the route left for the call.
     pub time_limit_ms: u64,
     /// Version of the configuration that decided.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -29,6 +29,9 @@
 const MAX_SENDS_COUNT: usize = 4;
 /// Share of the objective after which a call that may run again is tried elsewhere.
 const PATIENCE_SHARE: f64 = 0.7;
+/// The same for the first event of a stream. A target that is still reading the prompt would have to
+/// be left for one that begins anew, so only silence counts.
+const STREAM_PATIENCE_SHARE: f64 = 2.5;
 /// Time that a target which refused for its load or for an order is left alone.
 const PAUSE: Duration = Duration::from_millis(200);
 /// When to come back if no target can be used.
@@ -246,7 +249,12 @@
         if is_last || !self.repeat().may_run_again() {
             return self.time_left();
         }
-        self.admitted.route.objective.mul_f64(PATIENCE_SHARE)
+        let share = if self.repeat().is_stream() {
+            STREAM_PATIENCE_SHARE
+        } else {
+            PATIENCE_SHARE
+        };
+        self.admitted.route.objective.mul_f64(share)
     }
 
     /// Whether a target's own failure should be replaced by another target's answer.
@@ -346,7 +354,10 @@
         loop {
             let silence = self.silence();
             let error = match self.events.next(silence).await {
-                Ok(Some(event)) => return Ok(Some(event)),
+                Ok(Some(event)) => {
+                    self.trail.event();
+                    return Ok(Some(event));
+                }
                 Ok(None) => {
                     let status = self.trail.line.status;
                     self.trail.end("answered", status, "");
--- a/crates/relay/src/trail.rs
+++ b/crates/relay/src/trail.rs
@@ -58,6 +58,12 @@
         reason.clone_into(&mut self.line.reason);
     }
 
+    /// Notes that an event is passed on now.
+    pub(crate) fn event(&mut self) {
+        self.line.events_count += 1;
+        self.line.last_event_ms = millis(self.elapsed());
+    }
+
     /// Notes that the first byte of the answer goes out now.
     pub(crate) fn first_byte(&mut self) {
         self.line.first_byte_ms = millis(self.elapsed());
