--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,13 +32,16 @@
 mod settings;
 mod shared;
 mod start;
+mod store_watch;
 
 pub use {
     boot_clock::boot_time,
     holder::{Holding, Tenure},
     item::{HolderRecord, Item, ItemError, ItemName, MemberRecord, TargetEntry},
     known::Known,
-    platform::{OrderOutcome, Platform, TargetReport, VersionOrder},
+    platform::{
+        HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, TargetReport, VersionOrder,
+    },
     settings::{Settings, SettingsError},
     start::{StartError, run},
 };
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -58,6 +58,50 @@
     Unknown,
 }
 
+/// A part of a prompt that a store holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HeldPart {
+    /// Salt that it was made under.
+    pub salt: String,
+    /// Id.
+    pub id: String,
+    /// Tokens of it that are there.
+    pub tokens: u32,
+}
+
+/// A change of what a store holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PartChange {
+    /// Whether the part was added; otherwise it was removed.
+    pub added: bool,
+    /// The part.
+    pub part: HeldPart,
+}
+
+/// Changes of what a store holds.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PartEvents {
+    /// Number of this start of the store; it holds nothing of an earlier one.
+    pub start: u64,
+    /// Number to ask for next.
+    pub next: u64,
+    /// Whether changes are missing.
+    pub lost: bool,
+    /// The changes, in order.
+    pub changes: Vec<PartChange>,
+}
+
+/// All that a store holds.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PartList {
+    /// Number of this start of the store.
+    pub start: u64,
+    /// Number of the first change after this list.
+    pub next: u64,
+    /// The parts that are whole.
+    pub held: Vec<HeldPart>,
+}
+
 /// Translates between the platform's formats and the product's types. Total functions without
 /// state, clock or decision.
 pub trait Platform: Wire {
@@ -88,6 +132,21 @@
     /// Reads a target's report; none if it can't be read.
     fn report(&self, body: &[u8]) -> Option<TargetReport>;
 
+    /// Asks a store for the changes since number `since`; it waits up to `wait` for some.
+    fn events_call(&self, since: u64, wait: Duration) -> Request<Full<Bytes>>;
+
+    /// Reads a store's changes; none if they can't be read.
+    fn events(&self, body: &[u8]) -> Option<PartEvents>;
+
+    /// Asks a store for all that it holds.
+    fn list_call(&self) -> Request<Full<Bytes>>;
+
+    /// Reads all that a store holds; none if it can't be read.
+    fn list(&self, body: &[u8]) -> Option<PartList>;
+
+    /// Asks a store to drop parts, if it still is at start `start`.
+    fn free_call(&self, start: u64, parts: &[(String, String)]) -> Request<Full<Bytes>>;
+
     /// Gives an order.
     fn order_call(&self, order: &VersionOrder) -> Request<Full<Bytes>>;
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,6 +4,7 @@
     crate::{Known, Settings, Tenure},
     arc_swap::ArcSwap,
     eventlog::{Event, EventLog},
+    parts::Keeping,
     relay::View,
     std::{
         net::SocketAddr,
@@ -28,6 +29,8 @@
     pub(crate) view: Arc<ArcSwap<View>>,
     /// Addresses that callers are told of.
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
+    /// What stores hold.
+    pub(crate) keeping: Arc<Mutex<Keeping>>,
     /// Told whenever what is known has changed.
     pub(crate) changed: Notify,
     /// Cancelled once this instance leads callers elsewhere.
@@ -46,6 +49,7 @@
             log,
             view: Arc::default(),
             addresses: ArcSwap::default(),
+            keeping: Arc::default(),
             changed: Notify::new(),
             draining: CancellationToken::new(),
             known: Mutex::default(),
@@ -58,6 +62,11 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What stores hold. Held for a few steps only, never across a wait.
+    pub(crate) fn keeping(&self) -> MutexGuard<'_, Keeping> {
+        self.keeping.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The lease of this instance.
     pub(crate) fn tenure(&self) -> Option<Tenure> {
         *self.tenure.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -8,6 +8,7 @@
         listener::{self, Listening},
         membership, orders,
         shared::Shared,
+        store_watch,
     },
     eventlog::{Event, EventLog},
     hyper::{Request, body::Incoming},
@@ -153,9 +154,12 @@
             follower::follow(shared.clone(), prefix, token)
         }));
     }
-    let (keeping, giving) = (shared.clone(), shared.clone());
+    let (joining, giving, storing) = (shared.clone(), shared.clone(), shared.clone());
     tree.child(Child::new("membership", move |token| {
-        membership::keep(keeping.clone(), token)
+        membership::keep(joining.clone(), token)
+    }))
+    .child(Child::new("stores", move |token| {
+        store_watch::watch(storing.clone(), client(), token)
     }))
     .child(Child::new("orders", move |token| {
         orders::give(giving.clone(), client(), token)
@@ -190,6 +194,7 @@
         shared.format.clone(),
         client(),
         shared.view.clone(),
+        shared.keeping.clone(),
         shared.log.clone(),
     );
     let limits = routes::CallLimits::default();
--- /dev/null
+++ b/crates/parts/src/lib.rs
@@ -0,0 +1,30 @@
+//! Where parts of prompts are kept, and which of them a call fetches and saves.
+//!
+//! A prompt is given as parts that calls share. Stores keep parts that engines have evicted. The
+//! [`Keeping`] follows what each store reports, and plans a call: parts that a store holds whole
+//! are fetched, parts that none holds are saved once. Plain state: time comes in as an argument.
+//!
+//! ```
+//! use parts::{Keeping, Store, Wish};
+//! use std::time::Duration;
+//!
+//! let mut keeping = Keeping::default();
+//! let address = ([127, 0, 0, 1], 9100).into();
+//! keeping.set_store(Store::new(address, 100_000));
+//! let wish = [Wish::new("template", 2_520), Wish::new("session", 5_000)];
+//! let first = keeping.plan("v1", &wish, "almaty-a", Duration::ZERO);
+//! assert_eq!(first.save, [Some(address), Some(address)], "nothing is kept yet");
+//! keeping.added(address, "v1", "session", 5_000);
+//! let next = keeping.plan("v1", &wish, "almaty-a", Duration::ZERO);
+//! assert_eq!(next.fetch, [None, Some(address)]);
+//! ```
+
+mod keeping;
+mod plan;
+mod store;
+
+pub use {
+    keeping::Keeping,
+    plan::{Plan, Wish},
+    store::Store,
+};
--- /dev/null
+++ b/crates/parts/src/store.rs
@@ -0,0 +1,65 @@
+//! One store.
+
+use std::{net::SocketAddr, time::Duration};
+
+/// A store as known.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Store {
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain that it stands in.
+    pub failure_domain: String,
+    /// Room in tokens.
+    pub room_tokens: u64,
+    /// Time that its link takes for one token within the failure domain.
+    pub token_time: Duration,
+    /// Time that a transfer takes besides.
+    pub first_time: Duration,
+    /// Tokens of the parts that it is known to hold.
+    pub held_tokens: u64,
+    /// Whether it answers.
+    pub available: bool,
+    /// When its link has carried all that was planned, as estimated.
+    pub(crate) free_at: Duration,
+    /// Factor by which transfers took longer than planned of late.
+    pub slowness: f64,
+}
+
+impl Store {
+    /// An empty store whose link takes no time.
+    #[must_use]
+    pub fn new(address: SocketAddr, room_tokens: u64) -> Self {
+        Self {
+            address,
+            failure_domain: String::new(),
+            room_tokens,
+            token_time: Duration::ZERO,
+            first_time: Duration::ZERO,
+            held_tokens: 0,
+            available: true,
+            free_at: Duration::ZERO,
+            slowness: 1.0,
+        }
+    }
+
+    /// Share of the room that is free, from 0 to 1.
+    #[must_use]
+    pub fn free_share(&self) -> f64 {
+        #[allow(clippy::cast_precision_loss)]
+        let used = self.held_tokens as f64 / self.room_tokens.max(1) as f64;
+        (1.0 - used).max(0.0)
+    }
+
+    /// Time that a transfer from or to `failure_domain` takes by itself.
+    pub(crate) fn transfer_time(&self, tokens: u32, failure_domain: &str) -> Duration {
+        let factor = if self.failure_domain == failure_domain {
+            1.0
+        } else {
+            FAR_FACTOR
+        };
+        self.first_time + (self.token_time * tokens).mul_f64(factor * self.slowness)
+    }
+}
+
+/// Transfers between failure domains take this many times as long.
+const FAR_FACTOR: f64 = 2.0;
--- /dev/null
+++ b/crates/parts/tests/part_plans.rs
@@ -0,0 +1,86 @@
+//! What is fetched and saved, from what stores report.
+
+use {
+    parts::{Keeping, Store, Wish},
+    std::{net::SocketAddr, time::Duration},
+};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn keeping() -> Keeping {
+    let mut keeping = Keeping::default();
+    for port in [1, 2] {
+        keeping.set_store(Store::new(address(port), 50_000));
+    }
+    keeping
+}
+
+#[test]
+fn part_is_saved_once_until_the_save_is_lost() {
+    let mut keeping = keeping();
+    let wish = [Wish::new("session", 5_000)];
+    assert!(keeping.plan("1", &wish, "a", NOW).save[0].is_some());
+    assert_eq!(keeping.plan("1", &wish, "a", NOW).save, [None]);
+    let later = NOW + Duration::from_secs(4);
+    assert!(keeping.plan("1", &wish, "a", later).save[0].is_some());
+}
+
+#[test]
+fn part_of_another_salt_is_not_fetched() {
+    let mut keeping = keeping();
+    keeping.added(address(1), "1", "session", 5_000);
+    let wish = [Wish::new("session", 5_000)];
+    assert_eq!(keeping.plan("1", &wish, "a", NOW).fetch, [Some(address(1))]);
+    assert_eq!(keeping.plan("2", &wish, "a", NOW).fetch, [None]);
+}
+
+#[test]
+fn part_that_is_not_whole_is_not_fetched() {
+    let mut keeping = keeping();
+    keeping.added(address(1), "1", "session", 4_096);
+    let wish = [Wish::new("session", 5_000)];
+    assert_eq!(keeping.plan("1", &wish, "a", NOW).fetch, [None]);
+}
+
+#[test]
+fn nothing_is_fetched_from_a_store_that_is_away_or_was_cleared() {
+    let mut keeping = keeping();
+    keeping.added(address(1), "1", "session", 5_000);
+    keeping.set_available(address(1), false);
+    let wish = [Wish::new("session", 5_000)];
+    assert_eq!(keeping.plan("1", &wish, "a", NOW).fetch, [None]);
+    keeping.set_available(address(1), true);
+    keeping.cleared(address(1));
+    assert_eq!(keeping.plan("1", &wish, "a", NOW).fetch, [None]);
+}
+
+#[test]
+fn full_store_gets_no_part() {
+    let mut keeping = keeping();
+    for port in [1, 2] {
+        keeping.added(address(port), "1", &format!("p{port}"), 49_500);
+    }
+    let wish = [Wish::new("session", 5_000)];
+    assert_eq!(keeping.plan("1", &wish, "a", NOW).save, [None]);
+}
+
+#[test]
+fn long_queue_before_a_store_is_left_alone() {
+    let mut keeping = Keeping::default();
+    let mut store = Store::new(address(1), 1_000_000);
+    store.token_time = Duration::from_micros(7);
+    keeping.set_store(store);
+    for part in 0..100 {
+        keeping.added(address(1), "1", &format!("p{part}"), 5_000);
+    }
+    let fetched = (0..100).filter(|part| {
+        let id = format!("p{part}");
+        keeping.plan("1", &[Wish::new(&id, 5_000)], "", NOW).fetch[0].is_some()
+    });
+    let fetched = fetched.count();
+    assert!((2..20).contains(&fetched), "{fetched} of 100 fit the link");
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -18,8 +18,9 @@
     futures::{Stream, stream},
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{Request, body::Frame, body::Incoming, http::request},
+    parts::Keeping,
     std::{
-        sync::Arc,
+        sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
     target::Client,
@@ -61,6 +62,7 @@
     pub(crate) wire: Format,
     pub(crate) client: Client,
     pub(crate) view: Arc<ArcSwap<View>>,
+    pub(crate) keeping: Arc<Mutex<Keeping>>,
     pub(crate) retries: Retries,
     pub(crate) origin: Instant,
     log: EventLog,
@@ -70,13 +72,14 @@
 where
     Format: Wire,
 {
-    /// A relay that follows `view`.
+    /// A relay that follows `view`, and `keeping` for what stores hold.
     #[must_use]
     pub fn new(
         settings: RelaySettings,
         wire: Format,
         client: Client,
         view: Arc<ArcSwap<View>>,
+        keeping: Arc<Mutex<Keeping>>,
         log: EventLog,
     ) -> Self {
         let retries = Retries::new(settings.retries);
@@ -86,6 +89,7 @@
                 wire,
                 client,
                 view,
+                keeping,
                 retries,
                 origin: Instant::now(),
                 log,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -15,9 +15,10 @@
     bytes::Bytes,
     catalog::TargetId,
     hyper::{Request, StatusCode, http::request},
+    parts::{Plan, Wish},
     routes::{PoolId, Repeat},
     std::{
-        sync::Arc,
+        sync::{Arc, PoisonError},
         time::{Duration, Instant},
     },
     target::Reuse,
@@ -44,6 +45,9 @@
 /// Least silence after which a stream is continued elsewhere.
 const MIN_SILENCE: Duration = Duration::from_secs(1);
 
+/// Stores are not used by a view that was confirmed longer ago.
+const MAX_PARTS_AGE: Duration = Duration::from_secs(4);
+
 /// The call can't go on; its trail says why.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Ended;
@@ -231,6 +235,7 @@
         let isolated = account.filter(|account| account.isolated);
         let salt = version.map(|version| salt(version, isolated.map(|it| it.name.as_str())));
         let rank = account.and_then(|account| account.priority);
+        let parts = self.plan_parts(picked, version, salt.as_deref());
         Sending {
             target: picked.target.id.clone(),
             account: account.map(|account| account.name.clone()),
@@ -239,8 +244,40 @@
             salt,
             priority: prompt.map(|_| rank.unwrap_or(self.admitted.route.priority).min(9)),
             last_event,
-            ..Sending::default()
+            fetch: parts.fetch,
+            save: parts.save,
+        }
+    }
+
+    /// What is fetched and saved of the parts that the prompt shares with others.
+    ///
+    /// Nothing, while the weights are not the wanted ones or the view may be too old: parts of
+    /// replaced weights are freed once every instance must have learned of the new ones.
+    fn plan_parts(&self, picked: &Picked, version: Option<u64>, salt: Option<&str>) -> Plan {
+        let prompt = self.admitted.call.prompt.as_ref();
+        let (Some(prompt), Some(salt)) = (prompt, salt) else {
+            return Plan::default();
+        };
+        let view = self.inner.view.load();
+        let wanted = view.wanted.get(&prompt.model).map(|wanted| wanted.version);
+        let is_current = wanted.is_none() || wanted == version;
+        let [shared @ .., _] = prompt.parts.as_slice() else {
+            return Plan::default();
+        };
+        if !is_current || view.confirmed.elapsed() > MAX_PARTS_AGE {
+            return Plan::default();
         }
+        let wishes: Vec<Wish<'_>> = shared
+            .iter()
+            .map(|part| Wish::new(&part.id, part.tokens))
+            .collect();
+        let now = self.inner.origin.elapsed();
+        let domain = &picked.target.failure_domain;
+        let mut keeping = self.inner.keeping.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut plan = keeping.plan(salt, &wishes, domain, now);
+        plan.fetch.push(None);
+        plan.save.push(None);
+        plan
     }
 
     /// Time after which another target is tried, or all the time there is.
--- a/crates/routes/src/pool.rs
+++ b/crates/routes/src/pool.rs
@@ -1,6 +1,6 @@
 //! Groups of targets that run the same calls.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 /// Name of a pool.
 pub type PoolId = String;
@@ -43,6 +43,8 @@
     pub room_tokens: u64,
     /// Rate of its link, in bits a second.
     pub link_bits_per_s: f64,
+    /// Time that a transfer takes besides the time on the link.
+    pub first_time: Duration,
     /// Whether it keeps everything until it is told to free it.
     pub managed: bool,
 }
