Parts: engines' caches are followed too, and a part's store is named even if the engine has it

Cause: transfers were reckoned for parts that engines still had, so the reckoned queue before each store was full and 3.1 to 4.4 million tokens were neither fetched nor saved.

--- a/crates/balance/src/candidate.rs
+++ b/crates/balance/src/candidate.rs
@@ -13,8 +13,8 @@
     pub near: bool,
     /// Factor on its service time: 1 for a usual target, more for a slow one.
     pub slowness: f64,
-    /// Tokens of the call's prompt that the target is known to keep.
-    pub kept_tokens: u64,
+    /// Whether the target is known to keep all that the call shares with its session.
+    pub keeps: bool,
 }
 
 impl Candidate {
@@ -27,7 +27,7 @@
             in_flight_count: 0.0,
             near: false,
             slowness: 1.0,
-            kept_tokens: 0,
+            keeps: false,
         }
     }
 
--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -5,10 +5,7 @@
 //! that has read the session before saves most of the work, so a session stays on its target until
 //! that one has far more to do than others.
 
-use {
-    crate::{Candidate, rendezvous},
-    std::cmp::Ordering,
-};
+use crate::{Candidate, rendezvous};
 
 /// Share of the slots by which a session's target may be busier than the least busy one.
 const SPILL_MARGIN_SHARE: f64 = 0.12;
@@ -25,21 +22,13 @@
     };
     let bound = candidates[least].load() + SPILL_MARGIN_SHARE;
     let within = |index: &usize| candidates[*index].load() <= bound;
-    let keeper = (0..candidates.len())
-        .filter(within)
-        .filter(|index| candidates[*index].kept_tokens > 0)
-        .max_by(|left, right| compare_kept(&candidates[*left], &candidates[*right], session));
-    let owner = (0..candidates.len())
-        .filter(within)
-        .max_by_key(|index| rendezvous::score(session, candidates[*index].seed));
-    Some(keeper.or(owner).unwrap_or(least))
-}
-
-/// More kept tokens first, then the better owner.
-fn compare_kept(left: &Candidate, right: &Candidate, session: u64) -> Ordering {
-    let score = |it: &Candidate| rendezvous::score(session, it.seed);
-    let by_score = score(left).cmp(&score(right));
-    left.kept_tokens.cmp(&right.kept_tokens).then(by_score)
+    let owner = |keeps: bool| {
+        let alike = (0..candidates.len()).filter(|index| candidates[*index].keeps || !keeps);
+        alike
+            .filter(within)
+            .max_by_key(|index| rendezvous::score(session, candidates[*index].seed))
+    };
+    Some(owner(true).or_else(|| owner(false)).unwrap_or(least))
 }
 
 fn least_loaded(candidates: &[Candidate], draw: u64) -> Option<usize> {
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::{PartEvents, Platform, shared::Shared},
+    catalog::TargetId,
     eventlog::Event,
     parts::Store,
+    relay::View,
     routes::{PoolKind, RouteTable, StoreTraits},
     std::{
         collections::HashMap,
@@ -23,10 +25,20 @@
 const ANSWER_TIME: Duration = Duration::from_millis(700);
 /// Pause after a failed question.
 const PAUSE: Duration = Duration::from_millis(300);
-/// Pause between questions, so that changes come in batches.
-const BATCH_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between questions to a store.
+const STORE_BATCH_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between questions to an engine.
+const ENGINE_BATCH_PAUSE: Duration = Duration::from_millis(120);
 
-/// Follows every store of the configuration in force until `token` is cancelled.
+/// A store or an engine that is followed.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Place {
+    address: SocketAddr,
+    /// Name of the engine; none for a store.
+    engine: Option<TargetId>,
+}
+
+/// Follows every store of the configuration in force, and every engine, until `token` is cancelled.
 pub(crate) async fn watch<Kv, Format>(
     shared: Arc<Shared<Kv, Format>>,
     client: Client,
@@ -36,36 +48,46 @@
     Kv: Send + Sync + 'static,
     Format: Platform,
 {
-    let mut followed: HashMap<SocketAddr, CancellationToken> = HashMap::new();
+    let mut followed: HashMap<Place, CancellationToken> = HashMap::new();
     let mut tasks = JoinSet::new();
     loop {
         let changed = shared.changed.notified();
-        let table = shared.view.load().table.clone();
-        let stores = table.as_deref().map(stores).unwrap_or_default();
-        followed.retain(|address, stop| {
-            let stays = stores.iter().any(|store| store.address == *address);
+        let view = shared.view.load_full();
+        let stores = view.table.as_deref().map(stores).unwrap_or_default();
+        let mut places = engines(&view);
+        places.extend(stores.iter().map(|store| Place {
+            address: store.address,
+            engine: None,
+        }));
+        followed.retain(|place, stop| {
+            let stays = places.contains(place);
             if !stays {
                 stop.cancel();
-                shared.keeping().cleared(*address);
-                shared.keeping().set_available(*address, false);
+                shared.keeping().cleared(place.address);
+                shared.keeping().set_available(place.address, false);
             }
             stays
         });
-        let instances_count = shared.view.load().instances_count;
-        shared.keeping().set_instances(instances_count);
+        shared.keeping().set_instances(view.instances_count);
         for store in stores {
-            if followed.contains_key(&store.address) {
+            let is_new = !followed.keys().any(|place| place.address == store.address);
+            if is_new {
+                shared.keeping().set_store(store);
+            }
+        }
+        for place in places {
+            if followed.contains_key(&place) {
                 continue;
             }
             let stop = token.child_token();
-            followed.insert(store.address, stop.clone());
-            let follower = StoreFollower {
+            followed.insert(place.clone(), stop.clone());
+            let follower = PlaceFollower {
                 shared: shared.clone(),
                 client: client.clone(),
-                address: store.address,
+                address: place.address,
+                is_store: place.engine.is_none(),
                 position: None,
             };
-            shared.keeping().set_store(store);
             tasks.spawn(async move {
                 tokio::select! {
                     () = stop.cancelled() => {}
@@ -80,6 +102,21 @@
     }
 }
 
+/// The engines that are there.
+fn engines(view: &View) -> Vec<Place> {
+    let Some(table) = &view.table else {
+        return Vec::new();
+    };
+    let pools = table.accepted().pools.values();
+    let pools = pools.filter(|pool| matches!(pool.kind, PoolKind::Engine(_)));
+    let targets = pools.filter_map(|pool| view.pools.get(&pool.name)).flatten();
+    let places = targets.map(|target| Place {
+        address: target.address,
+        engine: Some(target.id.clone()),
+    });
+    places.collect()
+}
+
 /// The stores of a configuration.
 fn stores(table: &RouteTable) -> Vec<Store> {
     let pools = table.accepted().pools.values();
@@ -114,14 +151,15 @@
     next: u64,
 }
 
-struct StoreFollower<Kv, Format> {
+struct PlaceFollower<Kv, Format> {
     shared: Arc<Shared<Kv, Format>>,
     client: Client,
     address: SocketAddr,
+    is_store: bool,
     position: Option<Position>,
 }
 
-impl<Kv, Format> StoreFollower<Kv, Format>
+impl<Kv, Format> PlaceFollower<Kv, Format>
 where
     Format: Platform,
 {
@@ -130,14 +168,23 @@
         loop {
             let outcome = self.ask().await;
             let answers = outcome.is_ok();
-            if answers != available {
+            if self.is_store && answers != available {
                 available = answers;
                 self.shared.keeping().set_available(self.address, answers);
                 let reason = outcome.as_ref().err().map(ToString::to_string);
                 let reason = reason.unwrap_or_else(|| format!("{} answers", self.address));
                 self.shared.dependency("store", answers, reason);
             }
-            sleep(if answers { BATCH_PAUSE } else { PAUSE }).await;
+            sleep(if answers { self.batch_pause() } else { PAUSE }).await;
+        }
+    }
+
+    /// Pause between questions, so that changes come in batches.
+    fn batch_pause(&self) -> Duration {
+        if self.is_store {
+            STORE_BATCH_PAUSE
+        } else {
+            ENGINE_BATCH_PAUSE
         }
     }
 
@@ -153,9 +200,13 @@
             self.position = None;
             return Ok(());
         }
-        if events.lost {
+        if events.lost && self.is_store {
             return self.list().await;
         }
+        if events.lost {
+            // A list would stall the engine; what it holds shows again with later changes.
+            self.shared.keeping().cleared(self.address);
+        }
         self.take(&events);
         self.position = Some(Position {
             start: events.start,
@@ -168,15 +219,11 @@
         let mut keeping = self.shared.keeping();
         for change in &events.changes {
             let part = &change.part;
-            if change.added {
-                keeping.added(self.address, &part.salt, &part.id, part.tokens);
-            } else {
-                keeping.removed(self.address, &part.salt, &part.id);
-            }
+            keeping.holds(self.address, &part.salt, &part.id, part.tokens);
         }
         drop(keeping);
         let added_count = events.changes.iter().filter(|it| it.added).count();
-        if !events.changes.is_empty() {
+        if self.is_store && !events.changes.is_empty() {
             self.say(added_count, events.changes.len() - added_count, false);
         }
     }
@@ -189,7 +236,7 @@
         let mut keeping = self.shared.keeping();
         keeping.cleared(self.address);
         for part in &list.held {
-            keeping.added(self.address, &part.salt, &part.id, part.tokens);
+            keeping.holds(self.address, &part.salt, &part.id, part.tokens);
         }
         drop(keeping);
         self.say(list.held.len(), 0, true);
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -13,6 +13,12 @@
     pub in_flight_count: f64,
     /// Targets that could have been chosen.
     pub candidates_count: usize,
+    /// Tokens of shared parts that the engine may fetch from stores.
+    pub fetch_tokens: u64,
+    /// Tokens of shared parts that the engine saves to stores.
+    pub save_tokens: u64,
+    /// Tokens of shared parts that are neither fetched nor saved.
+    pub read_tokens: u64,
     /// What came of it.
     pub outcome: String,
 }
--- a/crates/parts/src/keeping.rs
+++ b/crates/parts/src/keeping.rs
@@ -15,9 +15,9 @@
 /// A save that no store has reported by then is taken as lost.
 const SAVE_TIME: Duration = Duration::from_secs(3);
 /// Longest queue before a store's link for which a part is still fetched.
-const MAX_QUEUE: Duration = Duration::from_millis(300);
+const MAX_QUEUE: Duration = Duration::from_millis(400);
 /// Longest queue before a store's link for which a part is still saved.
-const MAX_SAVE_QUEUE: Duration = Duration::from_millis(500);
+const MAX_SAVE_QUEUE: Duration = Duration::from_millis(600);
 /// Share of a store's room that is left free, for parts still being written.
 const SPARE_SHARE: f64 = 0.03;
 
@@ -64,39 +64,46 @@
         }
     }
 
-    /// Notes that a store holds a part whole.
-    pub fn added(&mut self, address: SocketAddr, salt: &str, id: &str, tokens: u32) {
+    /// Notes that a place holds `tokens` tokens of a part, or nothing of it if 0.
+    pub fn holds(&mut self, address: SocketAddr, salt: &str, id: &str, tokens: u32) {
         let key = (salt.to_owned(), id.to_owned());
-        self.saving.remove(&key);
+        let is_store = self.stores.contains_key(&address);
+        if is_store && tokens > 0 {
+            self.saving.remove(&key);
+        }
         let places = self.held.entry(key).or_default();
-        if places.iter().any(|(place, _)| *place == address) {
-            return;
+        let position = places.iter().position(|(place, _)| *place == address);
+        let before = position.map_or(0, |position| places.swap_remove(position).1);
+        if tokens > 0 {
+            places.push((address, tokens));
         }
-        places.push((address, tokens));
         if let Some(store) = self.stores.get_mut(&address) {
-            store.held_tokens += u64::from(tokens);
+            let held_tokens = store.held_tokens + u64::from(tokens);
+            store.held_tokens = held_tokens.saturating_sub(u64::from(before));
         }
     }
 
-    /// Notes that a store no longer holds a part.
-    pub fn removed(&mut self, address: SocketAddr, salt: &str, id: &str) {
-        let key = (salt.to_owned(), id.to_owned());
-        let Some(places) = self.held.get_mut(&key) else {
-            return;
-        };
-        let position = places.iter().position(|(place, _)| *place == address);
-        if let Some(position) = position {
-            let (_, tokens) = places.swap_remove(position);
-            if let Some(store) = self.stores.get_mut(&address) {
-                store.held_tokens = store.held_tokens.saturating_sub(u64::from(tokens));
+    /// Tokens at the beginning of a prompt that a place holds.
+    #[must_use]
+    pub fn kept_tokens(&self, address: SocketAddr, salt: &str, wishes: &[Wish<'_>]) -> u64 {
+        let mut kept = 0;
+        for wish in wishes {
+            let tokens = self.held_at(address, salt, wish.id).min(wish.tokens);
+            kept += u64::from(tokens);
+            if tokens < wish.tokens {
+                break;
             }
         }
-        if places.is_empty() {
-            self.held.remove(&key);
-        }
+        kept
+    }
+
+    fn held_at(&self, address: SocketAddr, salt: &str, id: &str) -> u32 {
+        let places = self.held.get(&(salt.to_owned(), id.to_owned()));
+        let mut places = places.into_iter().flatten();
+        places.find(|(place, _)| *place == address).map_or(0, |(_, tokens)| *tokens)
     }
 
-    /// Notes that a store holds nothing, as after its restart.
+    /// Notes that a place holds nothing, as after its restart.
     pub fn cleared(&mut self, address: SocketAddr) {
         self.held.retain(|_, places| {
             places.retain(|(place, _)| *place != address);
@@ -120,27 +127,15 @@
             .collect()
     }
 
-    /// Store that a session's parts are kept in: it and the engines near it share a link.
-    #[must_use]
-    pub fn home(&self, session: &str) -> Option<&Store> {
-        let seed = rendezvous::key_seed(session.as_bytes());
-        self.stores
-            .values()
-            .filter(|store| store.available)
-            .max_by(|left, right| weight(left, seed).total_cmp(&weight(right, seed)))
-    }
-
-    /// Failure domain of the store that holds a part, if one does.
-    #[must_use]
-    pub fn domain_of(&self, salt: &str, id: &str) -> Option<&str> {
-        let places = self.held.get(&(salt.to_owned(), id.to_owned()))?;
-        let (place, _) = places.first()?;
-        self.stores.get(place).map(|it| it.failure_domain.as_str())
-    }
-
-    /// What a call fetches and saves of the parts that it shares with others, if an engine of
+    /// What a call fetches and saves of the parts that it shares with others, if `engine` in
     /// `failure_domain` runs it.
-    pub fn plan(&mut self, salt: &str, wishes: &[Wish<'_>], failure_domain: &str, now: Duration) -> Plan {
+    pub fn plan(
+        &mut self,
+        salt: &str,
+        wishes: &[Wish<'_>],
+        (engine, failure_domain): (SocketAddr, &str),
+        now: Duration,
+    ) -> Plan {
         let mut plan = Plan {
             fetch: vec![None; wishes.len()],
             save: vec![None; wishes.len()],
@@ -151,34 +146,48 @@
                 continue;
             }
             let key = (salt.to_owned(), wish.id.to_owned());
-            if let Some(places) = self.held.get(&key) {
-                plan.fetch[index] = self.fetch_from(&places.clone(), wish, failure_domain, now);
-            } else if !self.saving.contains_key(&key) {
-                plan.save[index] = self.save_to(wish, failure_domain, now);
-                if plan.save[index].is_some() {
-                    self.saving.insert(key, now + SAVE_TIME);
-                }
+            let places = self.held.get(&key).cloned().unwrap_or_default();
+            plan.fetch[index] = self.fetch_from(&places, wish, engine, failure_domain, now);
+            let is_stored = places.iter().any(|(place, _)| self.stores.contains_key(place));
+            if is_stored || self.saving.contains_key(&key) {
+                continue;
+            }
+            plan.save[index] = self.save_to(wish, failure_domain, now);
+            if plan.save[index].is_some() {
+                self.saving.insert(key, now + SAVE_TIME);
             }
         }
         plan
     }
 
-    /// The place that has a part soonest, if that is soon enough.
+    /// The store that has a part soonest, or another engine if no store has it soon enough.
     fn fetch_from(
         &mut self,
         places: &[(SocketAddr, u32)],
         wish: &Wish<'_>,
+        engine: SocketAddr,
         failure_domain: &str,
         now: Duration,
     ) -> Option<SocketAddr> {
         let whole = places.iter().filter(|(_, tokens)| *tokens >= wish.tokens);
-        let stores = whole.filter_map(|(place, _)| self.stores.get(place));
-        let ready = stores.filter(|store| store.available && queue(store, now) <= MAX_QUEUE);
+        let whole = whole.map(|(place, _)| *place);
+        // Named all the same: the engine may have evicted it meanwhile.
+        let is_here = whole.clone().any(|place| place == engine);
+        let stores = whole.clone().filter_map(|place| self.stores.get(&place));
+        let ready = stores.filter(|store| {
+            store.available && (is_here || queue(store, now) <= MAX_QUEUE)
+        });
         let soonest = ready.min_by_key(|store| {
             queue(store, now) + store.transfer_time(wish.tokens, failure_domain)
         });
-        let address = soonest?.address;
-        self.occupy(address, wish.tokens, failure_domain, now);
+        let Some(store) = soonest else {
+            let mut engines = whole.filter(|place| !self.stores.contains_key(place));
+            return engines.find(|place| *place != engine);
+        };
+        let address = store.address;
+        if !is_here {
+            self.occupy(address, wish.tokens, failure_domain, now);
+        }
         Some(address)
     }
 
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -12,10 +12,11 @@
 //! let address = ([127, 0, 0, 1], 9100).into();
 //! keeping.set_store(Store::new(address, 100_000));
 //! let wish = [Wish::new("template", 2_520), Wish::new("session", 5_000)];
-//! let first = keeping.plan("v1", &wish, "almaty-a", Duration::ZERO);
+//! let engine = (([127, 0, 0, 1], 9200).into(), "almaty-a");
+//! let first = keeping.plan("v1", &wish, engine, Duration::ZERO);
 //! assert_eq!(first.save, [Some(address), Some(address)], "nothing is kept yet");
-//! keeping.added(address, "v1", "session", 5_000);
-//! let next = keeping.plan("v1", &wish, "almaty-a", Duration::ZERO);
+//! keeping.holds(address, "v1", "session", 5_000);
+//! let next = keeping.plan("v1", &wish, engine, Duration::ZERO);
 //! assert_eq!(next.fetch, [None, Some(address)]);
 //! ```
 
--- a/crates/parts/tests/part_plans.rs
+++ b/crates/parts/tests/part_plans.rs
@@ -11,6 +11,10 @@
     ([127, 0, 0, 1], port).into()
 }
 
+fn engine() -> (SocketAddr, &'static str) {
+    (address(9), "a")
+}
+
 fn keeping() -> Keeping {
     let mut keeping = Keeping::default();
     for port in [1, 2] {
@@ -23,49 +27,49 @@
 fn part_is_saved_once_until_the_save_is_lost() {
     let mut keeping = keeping();
     let wish = [Wish::new("session", 5_000)];
-    assert!(keeping.plan("1", &wish, "a", NOW).save[0].is_some());
-    assert_eq!(keeping.plan("1", &wish, "a", NOW).save, [None]);
+    assert!(keeping.plan("1", &wish, engine(), NOW).save[0].is_some());
+    assert_eq!(keeping.plan("1", &wish, engine(), NOW).save, [None]);
     let later = NOW + Duration::from_secs(4);
-    assert!(keeping.plan("1", &wish, "a", later).save[0].is_some());
+    assert!(keeping.plan("1", &wish, engine(), later).save[0].is_some());
 }
 
 #[test]
 fn part_of_another_salt_is_not_fetched() {
     let mut keeping = keeping();
-    keeping.added(address(1), "1", "session", 5_000);
+    keeping.holds(address(1), "1", "session", 5_000);
     let wish = [Wish::new("session", 5_000)];
-    assert_eq!(keeping.plan("1", &wish, "a", NOW).fetch, [Some(address(1))]);
-    assert_eq!(keeping.plan("2", &wish, "a", NOW).fetch, [None]);
+    assert_eq!(keeping.plan("1", &wish, engine(), NOW).fetch, [Some(address(1))]);
+    assert_eq!(keeping.plan("2", &wish, engine(), NOW).fetch, [None]);
 }
 
 #[test]
 fn part_that_is_not_whole_is_not_fetched() {
     let mut keeping = keeping();
-    keeping.added(address(1), "1", "session", 4_096);
+    keeping.holds(address(1), "1", "session", 4_096);
     let wish = [Wish::new("session", 5_000)];
-    assert_eq!(keeping.plan("1", &wish, "a", NOW).fetch, [None]);
+    assert_eq!(keeping.plan("1", &wish, engine(), NOW).fetch, [None]);
 }
 
 #[test]
 fn nothing_is_fetched_from_a_store_that_is_away_or_was_cleared() {
     let mut keeping = keeping();
-    keeping.added(address(1), "1", "session", 5_000);
+    keeping.holds(address(1), "1", "session", 5_000);
     keeping.set_available(address(1), false);
     let wish = [Wish::new("session", 5_000)];
-    assert_eq!(keeping.plan("1", &wish, "a", NOW).fetch, [None]);
+    assert_eq!(keeping.plan("1", &wish, engine(), NOW).fetch, [None]);
     keeping.set_available(address(1), true);
     keeping.cleared(address(1));
-    assert_eq!(keeping.plan("1", &wish, "a", NOW).fetch, [None]);
+    assert_eq!(keeping.plan("1", &wish, engine(), NOW).fetch, [None]);
 }
 
 #[test]
 fn full_store_gets_no_part() {
     let mut keeping = keeping();
     for port in [1, 2] {
-        keeping.added(address(port), "1", &format!("p{port}"), 49_500);
+        keeping.holds(address(port), "1", &format!("p{port}"), 49_500);
     }
     let wish = [Wish::new("session", 5_000)];
-    assert_eq!(keeping.plan("1", &wish, "a", NOW).save, [None]);
+    assert_eq!(keeping.plan("1", &wish, engine(), NOW).save, [None]);
 }
 
 #[test]
@@ -75,12 +79,43 @@
     store.token_time = Duration::from_micros(7);
     keeping.set_store(store);
     for part in 0..100 {
-        keeping.added(address(1), "1", &format!("p{part}"), 5_000);
+        keeping.holds(address(1), "1", &format!("p{part}"), 5_000);
     }
     let fetched = (0..100).filter(|part| {
         let id = format!("p{part}");
-        keeping.plan("1", &[Wish::new(&id, 5_000)], "", NOW).fetch[0].is_some()
+        keeping.plan("1", &[Wish::new(&id, 5_000)], engine(), NOW).fetch[0].is_some()
     });
     let fetched = fetched.count();
     assert!((2..20).contains(&fetched), "{fetched} of 100 fit the link");
 }
+
+#[test]
+fn part_that_the_engine_has_takes_no_time_on_the_link() {
+    let mut keeping = Keeping::default();
+    let mut store = Store::new(address(1), 50_000);
+    store.token_time = Duration::from_micros(7);
+    keeping.set_store(store);
+    let wish = [Wish::new("template", 2_000), Wish::new("session", 5_000)];
+    for (id, tokens) in [("template", 2_000), ("session", 5_000)] {
+        keeping.holds(address(1), "1", id, tokens);
+        keeping.holds(address(9), "1", id, tokens);
+    }
+    let here = Some(address(1));
+    for _ in 0..1_000 {
+        let fetch = keeping.plan("1", &wish, engine(), NOW).fetch;
+        assert_eq!(fetch, [here, here], "the engine may have evicted it meanwhile");
+    }
+    assert_eq!(keeping.kept_tokens(address(9), "1", &wish), 7_000);
+    keeping.holds(address(9), "1", "template", 1_024);
+    assert_eq!(keeping.kept_tokens(address(9), "1", &wish), 1_024);
+}
+
+#[test]
+fn part_that_only_another_engine_has_comes_from_there() {
+    let mut keeping = keeping();
+    keeping.holds(address(8), "1", "session", 5_000);
+    let wish = [Wish::new("session", 5_000)];
+    let plan = keeping.plan("1", &wish, engine(), NOW);
+    assert_eq!(plan.fetch, [Some(address(8))]);
+    assert!(plan.save[0].is_some(), "a store gets it too");
+}
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -1,9 +1,10 @@
 //! Which target gets a call, of those that the view knows.
 
 use {
-    crate::{Call, TargetState, View},
+    crate::{Call, Prompt, TargetState, View},
     balance::{Candidate, choose, rendezvous},
     catalog::{FailureDomainId, TargetId},
+    parts::{Keeping, Wish},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -14,7 +15,7 @@
 const OLD_WEIGHTS_SLOWNESS: f64 = 1.5;
 
 /// What a choice depends on besides the view.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
 pub(crate) struct Picking<'call> {
     /// The call.
     pub(crate) call: &'call Call,
@@ -28,6 +29,10 @@
     pub(crate) max_old_weights: Duration,
     /// Random number.
     pub(crate) draw: u64,
+    /// What engines and stores hold.
+    pub(crate) keeping: &'call Keeping,
+    /// Client account, if it shares computed parts with no other.
+    pub(crate) isolated: Option<&'call str>,
 }
 
 /// A choice and what it was made of.
@@ -76,9 +81,35 @@
     })
 }
 
+/// Text under which targets keep computed parts: apart for each version and isolated account.
+pub(crate) fn salt(version: u64, isolated: Option<&str>) -> String {
+    match isolated {
+        Some(account) => format!("{version}/{account}"),
+        None => version.to_string(),
+    }
+}
+
+/// The parts of a prompt that other calls may share.
+pub(crate) fn wishes(prompt: &Prompt) -> Vec<Wish<'_>> {
+    let [shared @ .., _] = prompt.parts.as_slice() else {
+        return Vec::new();
+    };
+    let wishes = shared.iter().map(|part| Wish::new(&part.id, part.tokens));
+    wishes.collect()
+}
+
 fn candidate(view: &View, target: &TargetState, picking: &Picking<'_>) -> Candidate {
     let own = f64::from(target.live.in_flight_count());
+    let prompt = picking.call.prompt.as_ref();
+    let keeps = prompt.and_then(|prompt| {
+        let salt = salt(target.version(&prompt.model)?, picking.isolated);
+        let wishes = wishes(prompt);
+        let wanted: u64 = wishes.iter().map(|wish| u64::from(wish.tokens)).sum();
+        let kept = picking.keeping.kept_tokens(target.address, &salt, &wishes);
+        Some(kept >= wanted && wanted > 0)
+    });
     Candidate {
+        keeps: keeps.unwrap_or_default(),
         near: target.failure_domain == *picking.failure_domain,
         slowness: if has_old_weights(view, target, picking).is_some() {
             OLD_WEIGHTS_SLOWNESS
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -5,7 +5,7 @@
         Reason, Refusal, ReplyNotes, Sending, Wire,
         admit::Admitted,
         attempt::{Content, Outgoing, TargetAnswer, Tried, attempt},
-        pick::{Picked, Picking, pick},
+        pick::{Picked, Picking, pick, salt, wishes},
         relay::{Inner, outgoing_body},
         stream::Events,
         trail::Trail,
@@ -15,7 +15,7 @@
     bytes::Bytes,
     catalog::TargetId,
     hyper::{Request, StatusCode, http::request},
-    parts::{Plan, Wish},
+    parts::Plan,
     routes::{PoolId, Repeat},
     std::{
         sync::{Arc, PoisonError},
@@ -141,7 +141,7 @@
             let target = &picked.target.id;
             trail.attempt(target, picked.in_flight_count, picked.candidates_count);
             self.tried.push(target.clone());
-            let tried = self.send(&picked, last_event).await;
+            let tried = self.send(&picked, last_event, trail).await;
             trail.attempted(describe(&tried));
             self.note(&picked, &tried);
             let (refusal, arrived) = match tried {
@@ -189,6 +189,7 @@
 
     fn pick(&self) -> Option<Picked> {
         let view = self.inner.view.load();
+        let keeping = self.inner.keeping.lock().unwrap_or_else(PoisonError::into_inner);
         let picking = Picking {
             call: &self.admitted.call,
             tried: &self.tried,
@@ -196,13 +197,20 @@
             now: self.inner.origin.elapsed(),
             max_old_weights: self.inner.settings.max_old_weights,
             draw: rand::random(),
+            keeping: &keeping,
+            isolated: self.isolated(),
         };
         pick(&view, &self.pool, &picking)
     }
 
-    async fn send(&mut self, picked: &Picked, last_event: Option<u64>) -> Tried<TargetAnswer> {
+    async fn send(
+        &mut self,
+        picked: &Picked,
+        last_event: Option<u64>,
+        trail: &mut Trail,
+    ) -> Tried<TargetAnswer> {
         let target = &picked.target;
-        let sending = self.sending(picked, last_event);
+        let sending = self.sending(picked, last_event, trail);
         let mut request = Request::new(outgoing_body(&self.body));
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
@@ -227,15 +235,14 @@
         tried
     }
 
-    fn sending(&self, picked: &Picked, last_event: Option<u64>) -> Sending {
+    fn sending(&self, picked: &Picked, last_event: Option<u64>, trail: &mut Trail) -> Sending {
         let call = &self.admitted.call;
         let account = self.admitted.account.as_ref();
         let prompt = call.prompt.as_ref();
         let version = prompt.and_then(|prompt| picked.target.version(&prompt.model));
-        let isolated = account.filter(|account| account.isolated);
-        let salt = version.map(|version| salt(version, isolated.map(|it| it.name.as_str())));
+        let salt = version.map(|version| salt(version, self.isolated()));
         let rank = account.and_then(|account| account.priority);
-        let parts = self.plan_parts(picked, version, salt.as_deref());
+        let parts = self.plan_parts(picked, version, salt.as_deref(), trail);
         Sending {
             target: picked.target.id.clone(),
             account: account.map(|account| account.name.clone()),
@@ -249,11 +256,24 @@
         }
     }
 
+    /// Name of the client account, if it shares computed parts with no other.
+    fn isolated(&self) -> Option<&str> {
+        let account = self.admitted.account.as_ref();
+        let account = account.filter(|account| account.isolated);
+        account.map(|account| account.name.as_str())
+    }
+
     /// What is fetched and saved of the parts that the prompt shares with others.
     ///
     /// Nothing, while the weights are not the wanted ones or the view may be too old: parts of
     /// replaced weights are freed once every instance must have learned of the new ones.
-    fn plan_parts(&self, picked: &Picked, version: Option<u64>, salt: Option<&str>) -> Plan {
+    fn plan_parts(
+        &self,
+        picked: &Picked,
+        version: Option<u64>,
+        salt: Option<&str>,
+        trail: &mut Trail,
+    ) -> Plan {
         let prompt = self.admitted.call.prompt.as_ref();
         let (Some(prompt), Some(salt)) = (prompt, salt) else {
             return Plan::default();
@@ -261,20 +281,16 @@
         let view = self.inner.view.load();
         let wanted = view.wanted.get(&prompt.model).map(|wanted| wanted.version);
         let is_current = wanted.is_none() || wanted == version;
-        let [shared @ .., _] = prompt.parts.as_slice() else {
-            return Plan::default();
-        };
-        if !is_current || view.confirmed.elapsed() > MAX_PARTS_AGE {
+        let wishes = wishes(prompt);
+        if wishes.is_empty() || !is_current || view.confirmed.elapsed() > MAX_PARTS_AGE {
             return Plan::default();
         }
-        let wishes: Vec<Wish<'_>> = shared
-            .iter()
-            .map(|part| Wish::new(&part.id, part.tokens))
-            .collect();
         let now = self.inner.origin.elapsed();
-        let domain = &picked.target.failure_domain;
+        let engine = (picked.target.address, picked.target.failure_domain.as_str());
         let mut keeping = self.inner.keeping.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut plan = keeping.plan(salt, &wishes, domain, now);
+        let mut plan = keeping.plan(salt, &wishes, engine, now);
+        drop(keeping);
+        trail.parts(&wishes, &plan);
         plan.fetch.push(None);
         plan.save.push(None);
         plan
@@ -357,14 +373,6 @@
     }
 }
 
-/// Text under which targets keep computed parts: apart for each version and isolated account.
-fn salt(version: u64, isolated: Option<&str>) -> String {
-    match isolated {
-        Some(account) => format!("{version}/{account}"),
-        None => version.to_string(),
-    }
-}
-
 fn describe(tried: &Tried<TargetAnswer>) -> String {
     match tried {
         Tried::Answered(answer) => format!("answered {}", answer.status.as_u16()),
--- a/crates/relay/src/trail.rs
+++ b/crates/relay/src/trail.rs
@@ -2,7 +2,11 @@
 
 use {
     eventlog::{AttemptLine, CallLine, Event, EventLog},
-    std::time::{Duration, Instant},
+    parts::{Plan, Wish},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
 /// What happened to one call so far. Writes its line when it ends, also if the caller leaves.
@@ -41,9 +45,26 @@
             in_flight_count,
             candidates_count,
             outcome: "under way".to_owned(),
+            ..AttemptLine::default()
         });
     }
 
+    /// Notes what the last choice fetches and saves of the shared parts `wishes`.
+    pub(crate) fn parts(&mut self, wishes: &[Wish<'_>], plan: &Plan) {
+        let Some(attempt) = self.line.attempts.last_mut() else {
+            return;
+        };
+        for (index, wish) in wishes.iter().enumerate() {
+            let has = |places: &[Option<SocketAddr>]| places.get(index).is_some_and(Option::is_some);
+            let tokens = match (has(&plan.fetch), has(&plan.save)) {
+                (true, _) => &mut attempt.fetch_tokens,
+                (false, true) => &mut attempt.save_tokens,
+                (false, false) => &mut attempt.read_tokens,
+            };
+            *tokens += u64::from(wish.tokens);
+        }
+    }
+
     /// Notes what came of the last choice.
     pub(crate) fn attempted(&mut self, outcome: String) {
         if let Some(attempt) = self.line.attempts.last_mut() {
