--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -39,7 +39,9 @@
     let mut picked: Vec<usize> = near
         .filter(|index| candidates[*index].near || !has_near)
         .collect();
-    let count = u64::try_from(picked.len()).ok().filter(|count| *count > 0)?;
+    let count = u64::try_from(picked.len())
+        .ok()
+        .filter(|count| *count > 0)?;
     let position = usize::try_from(draw % count).ok()?;
     Some(picked.swap_remove(position))
 }
--- a/crates/balance/src/retry_share.rs
+++ b/crates/balance/src/retry_share.rs
@@ -1,9 +1,6 @@
 //! This instance's part of a retry budget that all instances share.
 
-use {
-    routing::Budget,
-    std::time::Duration,
-};
+use {routing::Budget, std::time::Duration};
 
 /// Part of the shared budget that is used; the rest covers instances that are not known yet.
 const USED_SHARE: f64 = 0.6;
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -10,12 +10,8 @@
     eventlog::Event as Line,
     futures::StreamExt,
     keyvalue::{Event, KeyValue, KvError, KvPair},
-    std::{
-        collections::HashSet,
-        pin::pin,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    relay::boot_time,
+    std::{collections::HashSet, pin::pin, sync::Arc, time::Duration},
     supervisor::ChildResult,
     tokio::time::{interval, sleep},
     tokio_util::sync::CancellationToken,
@@ -153,7 +149,7 @@
                 self.say(&name, &item, pair.mod_revision);
                 let id = id(&name);
                 let mut known = self.shared.known();
-                known.put(id, item, pair.mod_revision, Instant::now());
+                known.put(id, item, pair.mod_revision, boot_time());
             }
             Err(error) => {
                 log::warn!("{error}");
@@ -173,16 +169,16 @@
                 revision,
             });
         }
-        self.shared.known().delete(name, Instant::now());
+        self.shared.known().delete(name, boot_time());
     }
 
     fn confirm(&self) {
-        self.shared.known().confirm(Instant::now());
+        self.shared.known().confirm(boot_time());
         self.shared.publish();
     }
 
     fn expire(&self) {
-        let expired = self.shared.known().expire(Instant::now());
+        let expired = self.shared.known().expire(boot_time());
         if expired {
             self.shared.publish();
         }
@@ -194,7 +190,9 @@
 
     fn item(&self, name: &ItemName, pair: &KvPair) -> Result<Item, ItemError> {
         match name {
-            ItemName::Member(_) | ItemName::Holder => own_item(name, &pair.key, &pair.value),
+            ItemName::Member(_) | ItemName::Holder | ItemName::Loading => {
+                own_item(name, &pair.key, &pair.value)
+            }
             _ => self.shared.format.item(name, &pair.key, &pair.value),
         }
     }
@@ -204,7 +202,7 @@
             return;
         }
         self.available = true;
-        self.shared.known().returned(Instant::now());
+        self.shared.known().returned(boot_time());
         let reason = format!("{:?} is followed again", self.prefix);
         self.shared.dependency("key-value service", true, reason);
     }
@@ -246,7 +244,7 @@
 /// Name of what an item belongs to, without its kind.
 fn id(name: &ItemName) -> &str {
     match name {
-        ItemName::Configuration | ItemName::Holder => "",
+        ItemName::Configuration | ItemName::Holder | ItemName::Loading => "",
         ItemName::Version(id) | ItemName::Target(id) | ItemName::Member(id) => id,
     }
 }
--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -79,6 +79,19 @@
     pub lease: LeaseId,
 }
 
+/// Targets whose weights are being replaced, so that no instance sends them calls meanwhile.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadingRecord {
+    /// Model.
+    pub model: ModelId,
+    /// Version that replaces older ones.
+    pub version: u64,
+    /// Targets that take no calls for now.
+    pub loading: Vec<TargetId>,
+    /// Targets that have the version now.
+    pub loaded: Vec<TargetId>,
+}
+
 /// What an item holds.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Item {
@@ -92,6 +105,8 @@
     Member(MemberRecord),
     /// The instance that may give orders.
     Holder(HolderRecord),
+    /// Targets whose weights are being replaced.
+    Loading(LoadingRecord),
 }
 
 /// What a key names.
@@ -107,6 +122,8 @@
     Member(InstanceId),
     /// The holder of the right to give orders.
     Holder,
+    /// Targets whose weights are being replaced.
+    Loading,
 }
 
 /// Beginning of the keys that entry instances write.
@@ -116,6 +133,9 @@
 /// Key of the right to give orders.
 pub(crate) const HOLDER_KEY: &str = "rattan/orders/holder";
 
+/// Key of the targets whose weights are being replaced.
+pub(crate) const LOADING_KEY: &str = "rattan/orders/loading";
+
 /// Key of an entry instance.
 pub(crate) fn member_key(instance: &str) -> String {
     format!("{MEMBERS_PREFIX}{instance}")
@@ -126,6 +146,9 @@
     if key == HOLDER_KEY {
         return Some(ItemName::Holder);
     }
+    if key == LOADING_KEY {
+        return Some(ItemName::Loading);
+    }
     let instance = key.strip_prefix(MEMBERS_PREFIX)?;
     Some(ItemName::Member(instance.to_owned()))
 }
@@ -137,6 +160,7 @@
         problem,
     };
     let item = match name {
+        ItemName::Loading => serde_json::from_slice(value).map(Item::Loading),
         ItemName::Holder => serde_json::from_slice(value).map(Item::Holder),
         _ => serde_json::from_slice(value).map(Item::Member),
     };
--- a/crates/entry/src/known.rs
+++ b/crates/entry/src/known.rs
@@ -1,7 +1,7 @@
 //! What the instance believes, and how changes and outages of the key-value service alter it.
 
 use {
-    crate::{HolderRecord, Item, ItemName, MemberRecord, TargetEntry},
+    crate::{HolderRecord, Item, ItemName, LoadingRecord, MemberRecord, TargetEntry},
     balance::rendezvous,
     catalog::{InstanceId, ModelId, Revision, TargetId},
     relay::{Live, TargetState, View, Wanted},
@@ -9,7 +9,7 @@
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
@@ -23,14 +23,14 @@
     entry: TargetEntry,
     state: Arc<TargetState>,
     /// When it is taken as gone unless its entry comes back.
-    lapses_at: Option<Instant>,
+    lapses_at: Option<Duration>,
 }
 
 /// One entry instance as known.
 #[derive(Clone, Debug)]
 struct KnownMember {
     record: MemberRecord,
-    lapses_at: Option<Instant>,
+    lapses_at: Option<Duration>,
 }
 
 /// The right to give orders, as it lies in the service.
@@ -42,7 +42,13 @@
     pub fencing: Revision,
 }
 
-/// What the instance believes. Changes only by [`Known::put`], [`Known::delete`]
+/// Without word from the service for longer than this, a change may have been made long before it
+/// is heard of. Longer than a watch waits for news.
+const MAX_NEWS_AGE: Duration = Duration::from_secs(3);
+/// Age of a wish for newer weights that was there before this instance started.
+const FOUND_WISH_AGE: Duration = Duration::from_secs(4);
+
+/// What the instance believes. All times are those of a clock that counts suspension. Changes only by [`Known::put`], [`Known::delete`]
 /// and [`Known::expire`]; newer configuration and versions never give way to
 /// older ones.
 #[derive(Clone, Debug, Default)]
@@ -52,15 +58,17 @@
     targets: BTreeMap<TargetId, KnownTarget>,
     members: BTreeMap<InstanceId, KnownMember>,
     holder: Option<KnownHolder>,
+    /// Targets that replace their weights now.
+    loading: Option<LoadingRecord>,
     /// Until then a missing entry may only have lapsed in an outage.
-    returning_until: Option<Instant>,
-    confirmed: Option<Instant>,
+    returning_until: Option<Duration>,
+    confirmed: Option<Duration>,
     draining: bool,
 }
 
 impl Known {
     /// Takes in an item that was written at `revision`.
-    pub fn put(&mut self, name: &str, item: Item, revision: Revision, now: Instant) {
+    pub fn put(&mut self, name: &str, item: Item, revision: Revision, now: Duration) {
         match item {
             Item::Configuration(accepted) => {
                 let newest = self.table.as_ref().map(|table| table.accepted().version);
@@ -69,14 +77,9 @@
                 }
             }
             Item::Version(version) => {
-                let newest = self.wanted.get(name).map(|wanted| wanted.version);
-                if newest.is_none_or(|newest| newest < version) {
-                    let wanted = Wanted {
-                        version,
-                        since: now,
-                    };
-                    self.wanted.insert(name.to_owned(), wanted);
-                }
+                let since = self.named_at(now);
+                let wanted = self.wanted.entry(name.to_owned()).or_default();
+                wanted.name(version, since);
             }
             Item::Target(entry) => self.put_target(name, entry),
             Item::Member(record) => {
@@ -86,6 +89,10 @@
                 };
                 self.members.insert(name.to_owned(), member);
             }
+            Item::Loading(record) => {
+                self.note_loaded(&record);
+                self.loading = Some(record);
+            }
             Item::Holder(record) => {
                 self.holder = Some(KnownHolder {
                     record,
@@ -96,7 +103,7 @@
     }
 
     /// Takes in that an item is gone.
-    pub fn delete(&mut self, name: &ItemName, now: Instant) {
+    pub fn delete(&mut self, name: &ItemName, now: Duration) {
         let lapses_at = self.returning_until.filter(|until| now < *until);
         match name {
             ItemName::Target(id) => match (lapses_at, self.targets.get_mut(id)) {
@@ -108,18 +115,19 @@
                 _ => drop(self.members.remove(id)),
             },
             ItemName::Holder => self.holder = None,
+            ItemName::Loading => self.loading = None,
             // What was accepted stays in force.
             ItemName::Configuration | ItemName::Version(_) => {}
         }
     }
 
     /// Notes that the service has answered after an outage.
-    pub fn returned(&mut self, now: Instant) {
+    pub fn returned(&mut self, now: Duration) {
         self.returning_until = Some(now + RETURN_TIME);
     }
 
     /// Notes that all of this holds at `now`, by the service's word.
-    pub fn confirm(&mut self, now: Instant) {
+    pub fn confirm(&mut self, now: Duration) {
         self.confirmed = Some(now);
     }
 
@@ -129,9 +137,9 @@
     }
 
     /// Drops what lapsed and did not come back. Returns whether anything changed.
-    pub fn expire(&mut self, now: Instant) -> bool {
+    pub fn expire(&mut self, now: Duration) -> bool {
         let before = self.targets.len() + self.members.len();
-        let stays = |at: Option<Instant>| at.is_none_or(|at| now < at);
+        let stays = |at: Option<Duration>| at.is_none_or(|at| now < at);
         self.targets.retain(|_, target| stays(target.lapses_at));
         self.members.retain(|_, member| stays(member.lapses_at));
         before != self.targets.len() + self.members.len()
@@ -146,7 +154,10 @@
     /// Instances that take callers, by name.
     #[must_use]
     pub fn ready_members(&self) -> Vec<(&InstanceId, &MemberRecord)> {
-        let members = self.members.iter().map(|(name, member)| (name, &member.record));
+        let members = self
+            .members
+            .iter()
+            .map(|(name, member)| (name, &member.record));
         members.filter(|(_, record)| record.ready).collect()
     }
 
@@ -169,7 +180,7 @@
 
     /// What calls need of this.
     #[must_use]
-    pub fn view(&self, now: Instant) -> View {
+    pub fn view(&self, now: Duration) -> View {
         let mut pools: HashMap<_, Vec<_>> = HashMap::new();
         for target in self.targets.values() {
             let pool = pools.entry(target.entry.pool.clone()).or_default();
@@ -179,6 +190,11 @@
         View {
             table: self.table.clone(),
             pools,
+            loading: self
+                .loading
+                .iter()
+                .flat_map(|it| it.loading.clone())
+                .collect(),
             wanted: self.wanted.clone(),
             instances_count: u32::try_from(instances_count).unwrap_or(u32::MAX),
             confirmed: self.confirmed.unwrap_or(now),
@@ -186,6 +202,25 @@
         }
     }
 
+    /// Takes in that targets have their new weights, sooner than by their own word.
+    fn note_loaded(&self, record: &LoadingRecord) {
+        for id in &record.loaded {
+            if let Some(target) = self.targets.get(id) {
+                let live = &target.state.live;
+                live.note_version(&record.model, record.version);
+            }
+        }
+    }
+
+    /// The earliest time at which a change that is heard of now may have been made.
+    fn named_at(&self, now: Duration) -> Duration {
+        match self.confirmed {
+            Some(confirmed) if now.saturating_sub(confirmed) > MAX_NEWS_AGE => confirmed,
+            Some(_) => now,
+            None => now.saturating_sub(FOUND_WISH_AGE),
+        }
+    }
+
     fn put_target(&mut self, id: &str, entry: TargetEntry) {
         let before = self.targets.get(id);
         let same_start = before.filter(|it| {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,15 +10,14 @@
 //!
 //! ```
 //! use entry::{Item, Known, TargetEntry};
-//! use std::time::Instant;
+//! use std::time::Duration;
 //!
 //! let mut known = Known::default();
 //! let entry = TargetEntry::new("engines", ([127, 0, 0, 1], 9000).into());
-//! known.put("engine-1", Item::Target(entry), 7, Instant::now());
-//! assert_eq!(known.view(Instant::now()).pools["engines"][0].id, "engine-1");
+//! known.put("engine-1", Item::Target(entry), 7, Duration::ZERO);
+//! assert_eq!(known.view(Duration::ZERO).pools["engines"][0].id, "engine-1");
 //! ```
 
-mod boot_clock;
 mod directory;
 mod follower;
 mod holder;
@@ -35,12 +34,12 @@
 mod store_watch;
 
 pub use {
-    boot_clock::boot_time,
     holder::{Holding, Tenure},
-    item::{HolderRecord, Item, ItemError, ItemName, MemberRecord, TargetEntry},
+    item::{HolderRecord, Item, ItemError, ItemName, LoadingRecord, MemberRecord, TargetEntry},
     known::Known,
     platform::{
-        HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, TargetReport, VersionOrder,
+        HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, TargetReport,
+        VersionOrder,
     },
     settings::{Settings, SettingsError},
     start::{StartError, run},
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -1,12 +1,9 @@
 //! Keeps this instance's lease and its entry among the instances.
 
 use {
-    crate::{
-        MemberRecord, Tenure, boot_time,
-        item::member_key,
-        shared::Shared,
-    },
+    crate::{MemberRecord, Tenure, item::member_key, shared::Shared},
     keyvalue::{KeyValue, KvError, Op, Txn},
+    relay::boot_time,
     std::{sync::Arc, time::Duration},
     supervisor::ChildResult,
     tokio::time::sleep,
@@ -14,7 +11,7 @@
 };
 
 /// Time to live of the lease: an instance that dies is named to callers no longer than this.
-const LEASE_TTL: Duration = Duration::from_millis(2_400);
+const LEASE_TTL: Duration = Duration::from_millis(2_000);
 /// Renewals in the time to live.
 const RENEWALS_COUNT: u32 = 3;
 /// Pause after a failed call.
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -2,25 +2,21 @@
 
 use {
     crate::{
-        HolderRecord, Holding, Item, OrderOutcome, Platform, TargetReport, Tenure, VersionOrder,
-        boot_time,
-        item::HOLDER_KEY,
+        HolderRecord, Holding, Item, LoadingRecord, OrderOutcome, Platform, TargetReport, Tenure,
+        VersionOrder,
+        item::{HOLDER_KEY, LOADING_KEY},
         rollout::{self, Loadable},
         shared::Shared,
     },
-    catalog::Revision,
+    catalog::{Revision, TargetId},
     eventlog::Event,
     futures::{StreamExt, stream::FuturesUnordered},
     keyvalue::{Compare, KeyValue, Op, Txn},
-    relay::TargetState,
-    std::{
-        collections::HashSet,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    relay::{TargetState, boot_time},
+    std::{collections::HashSet, sync::Arc, time::Duration},
     supervisor::ChildResult,
     target::{Client, Reuse, SendError},
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
     tokio_util::sync::CancellationToken,
 };
 
@@ -29,13 +25,15 @@
 /// Longest time until an order has arrived at its target.
 const ARRIVAL_MARGIN: Duration = Duration::from_millis(500);
 /// Added to the least time between the orders of two holders.
-const GAP_MARGIN: Duration = Duration::from_millis(300);
+const GAP_MARGIN: Duration = Duration::from_millis(100);
 /// Longest time for a target's report or its answer to an order.
 const ANSWER_TIME: Duration = Duration::from_millis(1_000);
 /// How often a target is looked at while it carries out an order.
-const LOADING_PERIOD: Duration = Duration::from_millis(300);
+const LOADING_PERIOD: Duration = Duration::from_millis(250);
 /// Longest time that an order is waited for before the target is asked again.
 const LOADING_TIME: Duration = Duration::from_millis(3_000);
+/// Longest wait for the announcement of targets that load; without it they refuse calls themselves.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(200);
 /// Wait before the right is taken, for each instance before this one in the order of names.
 const TAKING_PAUSE: Duration = Duration::from_millis(60);
 
@@ -53,6 +51,7 @@
     let mut holding = None;
     let mut under_way = FuturesUnordered::new();
     let mut ordered = HashSet::new();
+    let mut announced = LoadingRecord::default();
     loop {
         let changed = orders.shared.changed.notified();
         tokio::select! {
@@ -66,8 +65,10 @@
         let Some(held) = holding else {
             continue;
         };
-        for (target, loadable, wanted) in orders.plan(&ordered) {
-            ordered.insert(loadable.target.clone());
+        let planned = orders.plan(&ordered);
+        ordered.extend(planned.iter().map(|(target, ..)| target.id.clone()));
+        orders.announce(&mut announced, &ordered).await;
+        for (target, loadable, wanted) in planned {
             under_way.push(orders.replace(held, target, loadable, wanted));
         }
     }
@@ -134,7 +135,7 @@
             Ok(outcome) if outcome.succeeded => {
                 let holder = Item::Holder(record);
                 let mut known = self.shared.known();
-                known.put("", holder, outcome.revision, Instant::now());
+                known.put("", holder, outcome.revision, boot_time());
                 drop(known);
                 Some(self.begin(&tenure, outcome.revision))
             }
@@ -153,6 +154,52 @@
         Holding::new(tenure, fencing, boot_time(), gap)
     }
 
+    /// Tells all instances which targets take no calls while they load, and which have loaded.
+    async fn announce(&self, announced: &mut LoadingRecord, ordered: &HashSet<TargetId>) {
+        let Some(record) = self.loading(ordered) else {
+            return;
+        };
+        if record == *announced {
+            return;
+        }
+        let (Some(tenure), Ok(value)) = (self.shared.tenure(), serde_json::to_vec(&record)) else {
+            return;
+        };
+        let put = Op::Put(LOADING_KEY.to_owned(), value.into(), Some(tenure.lease));
+        let write = Txn {
+            success: vec![put],
+            ..Txn::default()
+        };
+        match timeout(ANNOUNCE_TIME, self.shared.kv.txn(write)).await {
+            Ok(Ok(_)) => *announced = record,
+            Ok(Err(error)) => log::info!("targets that load are not announced: {error}"),
+            Err(_) => log::info!("targets that load are not announced in time"),
+        }
+    }
+
+    /// What is to be announced; nothing if no weights are wanted.
+    fn loading(&self, ordered: &HashSet<TargetId>) -> Option<LoadingRecord> {
+        let known = self.shared.known();
+        let (model, wanted) = known
+            .wanted()
+            .iter()
+            .max_by_key(|(_, wanted)| wanted.version())?;
+        let version = wanted.version();
+        let has_it = |target: &&Arc<TargetState>| target.version(model) >= Some(version);
+        let mut loading: Vec<TargetId> = ordered.iter().cloned().collect();
+        loading.sort();
+        Some(LoadingRecord {
+            model: model.clone(),
+            version,
+            loading,
+            loaded: known
+                .targets()
+                .filter(has_it)
+                .map(|target| target.id.clone())
+                .collect(),
+        })
+    }
+
     fn lost(&self, holding: Option<Holding>, reason: &str) {
         if let Some(held) = holding {
             self.say_holder(false, held.fencing, reason);
@@ -175,14 +222,17 @@
     fn rank(&self) -> u32 {
         let known = self.shared.known();
         let own = &self.shared.settings.instance;
-        let before = known.ready_members().into_iter().filter(|(name, _)| *name < own);
+        let before = known
+            .ready_members()
+            .into_iter()
+            .filter(|(name, _)| *name < own);
         u32::try_from(before.count()).unwrap_or(u32::MAX).min(20)
     }
 
     /// Targets to order now.
     fn plan(&self, ordered: &HashSet<String>) -> Vec<(Arc<TargetState>, Loadable, u64)> {
         let known = self.shared.known();
-        let view = known.view(Instant::now());
+        let view = known.view(boot_time());
         let mut planned = Vec::new();
         for (model, wanted) in &view.wanted {
             for targets in view.pools.values() {
@@ -198,9 +248,9 @@
                         })
                     })
                     .collect();
-                for loadable in rollout::next(&pool, wanted.version) {
+                for loadable in rollout::next(&pool, wanted.version()) {
                     let target = targets.iter().find(|target| target.id == loadable.target);
-                    let target = target.map(|it| (it.clone(), loadable.clone(), wanted.version));
+                    let target = target.map(|it| (it.clone(), loadable.clone(), wanted.version()));
                     planned.extend(target);
                 }
             }
@@ -261,7 +311,10 @@
             accepted_orders_count: report.accepted_orders_count,
         };
         let call = self.shared.format.order_call(&order);
-        let sent = self.client.send(target.address, call, Reuse::Fresh, ANSWER_TIME).await;
+        let sent = self
+            .client
+            .send(target.address, call, Reuse::Fresh, ANSWER_TIME)
+            .await;
         let outcome = match sent {
             Ok(reply) => Ok(self.shared.format.order_outcome(reply.status().as_u16())),
             Err(error) => Err(error),
@@ -287,15 +340,20 @@
         }
     }
 
-    /// Waits until the target says that it has the wanted weights.
+    /// Asks the target until it has the wanted weights.
     async fn wait(&self, target: &TargetState, model: &str, wanted: u64) {
         let rounds = LOADING_TIME.as_millis() / LOADING_PERIOD.as_millis();
         for _ in 0..rounds {
             sleep(LOADING_PERIOD).await;
-            let known = self.shared.known();
-            let current = known.targets().find(|it| it.id == target.id);
-            let version = current.and_then(|it| it.version(model));
-            if version.is_none_or(|version| version >= wanted) {
+            let Some(report) = self.report(target).await else {
+                return;
+            };
+            let state = report.models.iter().find(|state| state.model == model);
+            let Some(state) = state else {
+                return;
+            };
+            if state.version >= wanted {
+                target.live.note_version(model, state.version);
                 return;
             }
         }
@@ -303,7 +361,10 @@
 
     async fn report(&self, target: &TargetState) -> Option<TargetReport> {
         let call = self.shared.format.report_call();
-        let sent = self.client.send(target.address, call, Reuse::Fresh, ANSWER_TIME).await;
+        let sent = self
+            .client
+            .send(target.address, call, Reuse::Allowed, ANSWER_TIME)
+            .await;
         let body = match sent {
             Ok(mut reply) => reply.body(ANSWER_TIME).await,
             Err(error) => Err(error),
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -3,8 +3,8 @@
 use {
     crate::{Item, ItemError, ItemName},
     bytes::Bytes,
-    hyper::Request,
     http_body_util::Full,
+    hyper::Request,
     relay::{ModelState, Wire},
     std::{net::SocketAddr, time::Duration},
 };
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -5,11 +5,10 @@
     arc_swap::ArcSwap,
     eventlog::{Event, EventLog},
     parts::Keeping,
-    relay::View,
+    relay::{View, boot_time},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Instant,
     },
     tokio::sync::Notify,
     tokio_util::sync::CancellationToken,
@@ -80,7 +79,7 @@
     /// Has calls decided by what is known now.
     pub(crate) fn publish(&self) {
         let known = self.known();
-        self.view.store(Arc::new(known.view(Instant::now())));
+        self.view.store(Arc::new(known.view(boot_time())));
         let mut addresses: Vec<SocketAddr> = known
             .ready_members()
             .into_iter()
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -2,8 +2,7 @@
 
 use {
     crate::{
-        Platform, Settings,
-        directory, follower,
+        Platform, Settings, directory, follower,
         item::OWN_PREFIX,
         listener::{self, Listening},
         membership, orders,
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -7,12 +7,7 @@
     parts::Store,
     relay::View,
     routes::{PoolKind, RouteTable, StoreTraits},
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        sync::Arc,
-        time::Duration,
-    },
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     supervisor::ChildResult,
     target::{Client, Reuse, SendError},
     tokio::{task::JoinSet, time::sleep},
@@ -109,7 +104,9 @@
     };
     let pools = table.accepted().pools.values();
     let pools = pools.filter(|pool| matches!(pool.kind, PoolKind::Engine(_)));
-    let targets = pools.filter_map(|pool| view.pools.get(&pool.name)).flatten();
+    let targets = pools
+        .filter_map(|pool| view.pools.get(&pool.name))
+        .flatten();
     let places = targets.map(|target| Place {
         address: target.address,
         engine: Some(target.id.clone()),
@@ -253,7 +250,10 @@
         wait: Duration,
     ) -> Result<bytes::Bytes, SendError> {
         let limit = wait + ANSWER_TIME;
-        let mut reply = self.client.send(self.address, call, Reuse::Allowed, limit).await?;
+        let mut reply = self
+            .client
+            .send(self.address, call, Reuse::Allowed, limit)
+            .await?;
         if !reply.status().is_success() {
             return Err(reply.into_error(ANSWER_TIME).await);
         }
--- a/crates/eventlog/src/event_log.rs
+++ b/crates/eventlog/src/event_log.rs
@@ -104,7 +104,9 @@
 }
 
 fn encode(event: &Event) -> Option<String> {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let time_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
     serde_json::to_string(&Line { time_ms, event }).ok()
 }
--- a/crates/parts/src/keeping.rs
+++ b/crates/parts/src/keeping.rs
@@ -38,7 +38,8 @@
     /// Adds a store, or takes over its changed traits; what it holds stays.
     pub fn set_store(&mut self, store: Store) {
         let known = self.stores.get(&store.address);
-        let (held_tokens, free_at) = known.map_or_else(Default::default, |it| (it.held_tokens, it.free_at));
+        let (held_tokens, free_at) =
+            known.map_or_else(Default::default, |it| (it.held_tokens, it.free_at));
         let store = Store {
             held_tokens,
             free_at,
@@ -100,7 +101,9 @@
     fn held_at(&self, address: SocketAddr, salt: &str, id: &str) -> u32 {
         let places = self.held.get(&(salt.to_owned(), id.to_owned()));
         let mut places = places.into_iter().flatten();
-        places.find(|(place, _)| *place == address).map_or(0, |(_, tokens)| *tokens)
+        places
+            .find(|(place, _)| *place == address)
+            .map_or(0, |(_, tokens)| *tokens)
     }
 
     /// Notes that a place holds nothing, as after its restart.
@@ -128,13 +131,14 @@
     }
 
     /// What a call fetches and saves of the parts that it shares with others, if `engine` in
-    /// `failure_domain` runs it.
+    /// `failure_domain` runs it. Without `saves` nothing is saved.
     pub fn plan(
         &mut self,
         salt: &str,
         wishes: &[Wish<'_>],
         (engine, failure_domain): (SocketAddr, &str),
         now: Duration,
+        saves: bool,
     ) -> Plan {
         let mut plan = Plan {
             fetch: vec![None; wishes.len()],
@@ -148,8 +152,10 @@
             let key = (salt.to_owned(), wish.id.to_owned());
             let places = self.held.get(&key).cloned().unwrap_or_default();
             plan.fetch[index] = self.fetch_from(&places, wish, engine, failure_domain, now);
-            let is_stored = places.iter().any(|(place, _)| self.stores.contains_key(place));
-            if is_stored || self.saving.contains_key(&key) {
+            let is_stored = places
+                .iter()
+                .any(|(place, _)| self.stores.contains_key(place));
+            if !saves || is_stored || self.saving.contains_key(&key) {
                 continue;
             }
             plan.save[index] = self.save_to(wish, failure_domain, now);
@@ -174,9 +180,8 @@
         // Named all the same: the engine may have evicted it meanwhile.
         let is_here = whole.clone().any(|place| place == engine);
         let stores = whole.clone().filter_map(|place| self.stores.get(&place));
-        let ready = stores.filter(|store| {
-            store.available && (is_here || queue(store, now) <= MAX_QUEUE)
-        });
+        let ready =
+            stores.filter(|store| store.available && (is_here || queue(store, now) <= MAX_QUEUE));
         let soonest = ready.min_by_key(|store| {
             queue(store, now) + store.transfer_time(wish.tokens, failure_domain)
         });
@@ -191,14 +196,24 @@
         Some(address)
     }
 
-    fn save_to(&mut self, wish: &Wish<'_>, failure_domain: &str, now: Duration) -> Option<SocketAddr> {
+    fn save_to(
+        &mut self,
+        wish: &Wish<'_>,
+        failure_domain: &str,
+        now: Duration,
+    ) -> Option<SocketAddr> {
         let seed = rendezvous::key_seed(wish.id.as_bytes());
         let ready = self.stores.values().filter(|store| {
-            store.available && store.free_share() > SPARE_SHARE && queue(store, now) <= MAX_SAVE_QUEUE
+            store.available
+                && store.free_share() > SPARE_SHARE
+                && queue(store, now) <= MAX_SAVE_QUEUE
         });
         let chosen = ready.max_by(|left, right| {
-            near_weight(left, seed, failure_domain)
-                .total_cmp(&near_weight(right, seed, failure_domain))
+            near_weight(left, seed, failure_domain).total_cmp(&near_weight(
+                right,
+                seed,
+                failure_domain,
+            ))
         });
         let address = chosen?.address;
         self.occupy(address, wish.tokens, failure_domain, now);
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -13,10 +13,10 @@
 //! keeping.set_store(Store::new(address, 100_000));
 //! let wish = [Wish::new("template", 2_520), Wish::new("session", 5_000)];
 //! let engine = (([127, 0, 0, 1], 9200).into(), "almaty-a");
-//! let first = keeping.plan("v1", &wish, engine, Duration::ZERO);
+//! let first = keeping.plan("v1", &wish, engine, Duration::ZERO, true);
 //! assert_eq!(first.save, [Some(address), Some(address)], "nothing is kept yet");
 //! keeping.holds(address, "v1", "session", 5_000);
-//! let next = keeping.plan("v1", &wish, engine, Duration::ZERO);
+//! let next = keeping.plan("v1", &wish, engine, Duration::ZERO, true);
 //! assert_eq!(next.fetch, [None, Some(address)]);
 //! ```
 
--- a/crates/parts/tests/part_plans.rs
+++ b/crates/parts/tests/part_plans.rs
@@ -27,10 +27,10 @@
 fn part_is_saved_once_until_the_save_is_lost() {
     let mut keeping = keeping();
     let wish = [Wish::new("session", 5_000)];
-    assert!(keeping.plan("1", &wish, engine(), NOW).save[0].is_some());
-    assert_eq!(keeping.plan("1", &wish, engine(), NOW).save, [None]);
+    assert!(keeping.plan("1", &wish, engine(), NOW, true).save[0].is_some());
+    assert_eq!(keeping.plan("1", &wish, engine(), NOW, true).save, [None]);
     let later = NOW + Duration::from_secs(4);
-    assert!(keeping.plan("1", &wish, engine(), later).save[0].is_some());
+    assert!(keeping.plan("1", &wish, engine(), later, true).save[0].is_some());
 }
 
 #[test]
@@ -38,8 +38,11 @@
     let mut keeping = keeping();
     keeping.holds(address(1), "1", "session", 5_000);
     let wish = [Wish::new("session", 5_000)];
-    assert_eq!(keeping.plan("1", &wish, engine(), NOW).fetch, [Some(address(1))]);
-    assert_eq!(keeping.plan("2", &wish, engine(), NOW).fetch, [None]);
+    assert_eq!(
+        keeping.plan("1", &wish, engine(), NOW, true).fetch,
+        [Some(address(1))]
+    );
+    assert_eq!(keeping.plan("2", &wish, engine(), NOW, true).fetch, [None]);
 }
 
 #[test]
@@ -47,7 +50,7 @@
     let mut keeping = keeping();
     keeping.holds(address(1), "1", "session", 4_096);
     let wish = [Wish::new("session", 5_000)];
-    assert_eq!(keeping.plan("1", &wish, engine(), NOW).fetch, [None]);
+    assert_eq!(keeping.plan("1", &wish, engine(), NOW, true).fetch, [None]);
 }
 
 #[test]
@@ -56,10 +59,10 @@
     keeping.holds(address(1), "1", "session", 5_000);
     keeping.set_available(address(1), false);
     let wish = [Wish::new("session", 5_000)];
-    assert_eq!(keeping.plan("1", &wish, engine(), NOW).fetch, [None]);
+    assert_eq!(keeping.plan("1", &wish, engine(), NOW, true).fetch, [None]);
     keeping.set_available(address(1), true);
     keeping.cleared(address(1));
-    assert_eq!(keeping.plan("1", &wish, engine(), NOW).fetch, [None]);
+    assert_eq!(keeping.plan("1", &wish, engine(), NOW, true).fetch, [None]);
 }
 
 #[test]
@@ -69,7 +72,7 @@
         keeping.holds(address(port), "1", &format!("p{port}"), 49_500);
     }
     let wish = [Wish::new("session", 5_000)];
-    assert_eq!(keeping.plan("1", &wish, engine(), NOW).save, [None]);
+    assert_eq!(keeping.plan("1", &wish, engine(), NOW, true).save, [None]);
 }
 
 #[test]
@@ -83,7 +86,10 @@
     }
     let fetched = (0..100).filter(|part| {
         let id = format!("p{part}");
-        keeping.plan("1", &[Wish::new(&id, 5_000)], engine(), NOW).fetch[0].is_some()
+        keeping
+            .plan("1", &[Wish::new(&id, 5_000)], engine(), NOW, true)
+            .fetch[0]
+            .is_some()
     });
     let fetched = fetched.count();
     assert!((2..20).contains(&fetched), "{fetched} of 100 fit the link");
@@ -102,8 +108,12 @@
     }
     let here = Some(address(1));
     for _ in 0..1_000 {
-        let fetch = keeping.plan("1", &wish, engine(), NOW).fetch;
-        assert_eq!(fetch, [here, here], "the engine may have evicted it meanwhile");
+        let fetch = keeping.plan("1", &wish, engine(), NOW, true).fetch;
+        assert_eq!(
+            fetch,
+            [here, here],
+            "the engine may have evicted it meanwhile"
+        );
     }
     assert_eq!(keeping.kept_tokens(address(9), "1", &wish), 7_000);
     keeping.holds(address(9), "1", "template", 1_024);
@@ -115,7 +125,7 @@
     let mut keeping = keeping();
     keeping.holds(address(8), "1", "session", 5_000);
     let wish = [Wish::new("session", 5_000)];
-    let plan = keeping.plan("1", &wish, engine(), NOW);
+    let plan = keeping.plan("1", &wish, engine(), NOW, true);
     assert_eq!(plan.fetch, [Some(address(8))]);
     assert!(plan.save[0].is_some(), "a store gets it too");
 }
--- a/crates/rattan/src/bin/rattand.rs
+++ b/crates/rattan/src/bin/rattand.rs
@@ -26,7 +26,10 @@
         Err(error) => return usage(&error.to_string()),
     };
     if flags.help {
-        println!("Usage: rattand [OPTIONS]\n       rattand platform [OPTIONS]\n\n{}", Flags::usage());
+        println!(
+            "Usage: rattand [OPTIONS]\n       rattand platform [OPTIONS]\n\n{}",
+            Flags::usage()
+        );
         return ExitCode::SUCCESS;
     }
     match Settings::try_from(flags) {
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -31,7 +31,7 @@
     let not_ready = Refusal::new(Reason::NotReady).retry_after(NOT_READY_RETRY);
     let table = view.table.clone().ok_or(not_ready)?;
     let unknown = |reason| {
-        let is_current = view.confirmed.elapsed() <= MAX_REFUSING_AGE;
+        let is_current = view.age() <= MAX_REFUSING_AGE;
         if is_current {
             Refusal::new(reason)
         } else {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -107,11 +107,7 @@
     Tried::NotRun(status, notes)
 }
 
-async fn read(
-    mut reply: Reply,
-    notes: ReplyNotes,
-    outgoing: &Outgoing<'_>,
-) -> Tried<TargetAnswer> {
+async fn read(mut reply: Reply, notes: ReplyNotes, outgoing: &Outgoing<'_>) -> Tried<TargetAnswer> {
     let (status, headers) = (reply.status(), reply.headers().clone());
     let content = if outgoing.stream && status.is_success() {
         Events::begin(reply, outgoing.first_byte)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod admit;
 mod answer;
 mod attempt;
+mod boot_clock;
 mod call;
 mod pick;
 mod refusal;
@@ -33,9 +34,10 @@
 pub use {
     answer::{Answer, TornAnswer},
     attempt::Tried,
+    boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
     refusal::{Reason, Refusal},
     relay::{Relay, RelaySettings},
-    view::{Live, ModelState, TargetState, View, Wanted},
+    view::{Live, ModelState, Named, TargetState, View, Wanted},
     wire::{ReplyNotes, Sending, Wire},
 };
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -1,19 +1,13 @@
 //! Which target gets a call, of those that the view knows.
 
 use {
-    crate::{Call, Prompt, TargetState, View},
+    crate::{Call, Prompt, TargetState, View, Wanted, boot_time},
     balance::{Candidate, choose, rendezvous},
     catalog::{FailureDomainId, TargetId},
     parts::{Keeping, Wish},
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
 };
 
-/// Factor on the service time of a target whose weights are being replaced soon.
-const OLD_WEIGHTS_SLOWNESS: f64 = 1.5;
-
 /// What a choice depends on besides the view.
 #[derive(Clone, Copy)]
 pub(crate) struct Picking<'call> {
@@ -57,7 +51,9 @@
         .filter(|target| !target.leaving && !picking.tried.contains(&target.id))
         .filter(|target| !is_outdated(view, target, picking))
         .collect();
-    let awake = |target: &&&Arc<TargetState>| !target.live.is_paused(picking.now);
+    let awake = |target: &&&Arc<TargetState>| {
+        !target.live.is_paused(picking.now) && !view.loading.contains(&target.id)
+    };
     let sound = |target: &&&Arc<TargetState>| !target.live.is_left_out(picking.now);
     let mut best: Vec<&Arc<TargetState>> =
         usable.iter().filter(awake).filter(sound).copied().collect();
@@ -111,25 +107,25 @@
     Candidate {
         keeps: keeps.unwrap_or_default(),
         near: target.failure_domain == *picking.failure_domain,
-        slowness: if has_old_weights(view, target, picking).is_some() {
-            OLD_WEIGHTS_SLOWNESS
-        } else {
-            1.0
-        },
         ..Candidate::new(target.seed, target.slots_count)
             .in_flight(own * f64::from(view.instances_count.max(1)))
     }
 }
 
-/// Since when newer weights than the target's are wanted.
-fn has_old_weights(view: &View, target: &TargetState, picking: &Picking<'_>) -> Option<Instant> {
-    let model = &picking.call.prompt.as_ref()?.model;
-    let wanted = view.wanted.get(model)?;
-    let version = target.version(model)?;
-    (version < wanted.version).then_some(wanted.since)
+/// Whether no call may begin on the target's weights any more.
+fn is_outdated(view: &View, target: &TargetState, picking: &Picking<'_>) -> bool {
+    let versions = versions(view, target, picking);
+    versions.is_some_and(|(wanted, version)| {
+        version < wanted.required(boot_time(), picking.max_old_weights)
+    })
 }
 
-fn is_outdated(view: &View, target: &TargetState, picking: &Picking<'_>) -> bool {
-    has_old_weights(view, target, picking)
-        .is_some_and(|since| since.elapsed() >= picking.max_old_weights)
+/// The versions that are wanted of the call's model, and the one that the target has.
+fn versions<'view>(
+    view: &'view View,
+    target: &TargetState,
+    picking: &Picking<'_>,
+) -> Option<(&'view Wanted, u64)> {
+    let model = &picking.call.prompt.as_ref()?.model;
+    Some((view.wanted.get(model)?, target.version(model)?))
 }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -115,7 +115,9 @@
         if self.close {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        let seconds = self.retry_after.map(|it| format!("{:.3}", it.as_secs_f64()));
+        let seconds = self
+            .retry_after
+            .map(|it| format!("{:.3}", it.as_secs_f64()));
         if let Some(value) = seconds.and_then(|it| HeaderValue::from_str(&it).ok()) {
             headers.insert(RETRY_AFTER, value);
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -159,7 +159,7 @@
     ) -> Result<Job<Format>, Refusal> {
         let view = self.view();
         trail.line.configuration = view.configuration();
-        trail.line.view_age_ms = millis(view.confirmed.elapsed());
+        trail.line.view_age_ms = millis(view.age());
         trail.line.instances_count = view.instances_count;
         let call = self.inner.wire.call(&head).map_err(|bad| {
             log::info!("call refused: {bad}");
@@ -180,7 +180,10 @@
 
 async fn read_body(admitted: &Admitted, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = admitted.table.accepted().limits;
-    let bound = admitted.call.time_limit.unwrap_or(admitted.route.time_limit);
+    let bound = admitted
+        .call
+        .time_limit
+        .unwrap_or(admitted.route.time_limit);
     let reading = Limited::new(body, limits.max_body_bytes).collect();
     match timeout(bound, reading).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
@@ -199,7 +202,11 @@
         "failed"
     };
     trail.first_byte();
-    trail.end(outcome, refusal.reason.status().as_u16(), refusal.reason.message());
+    trail.end(
+        outcome,
+        refusal.reason.status().as_u16(),
+        refusal.reason.message(),
+    );
     refused(refusal)
 }
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -5,6 +5,7 @@
         Reason, Refusal, ReplyNotes, Sending, Wire,
         admit::Admitted,
         attempt::{Content, Outgoing, TargetAnswer, Tried, attempt},
+        boot_time,
         pick::{Picked, Picking, pick, salt, wishes},
         relay::{Inner, outgoing_body},
         stream::Events,
@@ -48,6 +49,9 @@
 /// Stores are not used by a view that was confirmed longer ago.
 const MAX_PARTS_AGE: Duration = Duration::from_secs(4);
 
+/// Parts of replaced weights are fetched for this long after newer ones were named.
+const MAX_REPLACED_AGE: Duration = Duration::from_secs(6);
+
 /// The call can't go on; its trail says why.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Ended;
@@ -117,7 +121,9 @@
     fn try_retry(&self) -> bool {
         let now = self.inner.origin.elapsed();
         let instances_count = self.instances_count();
-        self.inner.retries.try_retry(&self.pool, instances_count, now)
+        self.inner
+            .retries
+            .try_retry(&self.pool, instances_count, now)
     }
 
     /// Has the call run by a target. `last_event` continues a stream after that event.
@@ -178,7 +184,12 @@
     }
 
     /// Passes the events of a stream on from now on.
-    pub(crate) fn pass_on(self, events: Events, notes: ReplyNotes, trail: Trail) -> Passing<Format> {
+    pub(crate) fn pass_on(
+        self,
+        events: Events,
+        notes: ReplyNotes,
+        trail: Trail,
+    ) -> Passing<Format> {
         log::trace!("stream of {:?} begins", notes.target);
         Passing {
             job: self,
@@ -189,7 +200,11 @@
 
     fn pick(&self) -> Option<Picked> {
         let view = self.inner.view.load();
-        let keeping = self.inner.keeping.lock().unwrap_or_else(PoisonError::into_inner);
+        let keeping = self
+            .inner
+            .keeping
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let picking = Picking {
             call: &self.admitted.call,
             tried: &self.tried,
@@ -265,8 +280,9 @@
 
     /// What is fetched and saved of the parts that the prompt shares with others.
     ///
-    /// Nothing, while the weights are not the wanted ones or the view may be too old: parts of
-    /// replaced weights are freed once every instance must have learned of the new ones.
+    /// Nothing, if the weights were replaced some time ago or the view may be too old: parts of
+    /// replaced weights are freed once every instance must have learned of the new ones. Parts of
+    /// weights that are being replaced are not saved any more.
     fn plan_parts(
         &self,
         picked: &Picked,
@@ -279,16 +295,24 @@
             return Plan::default();
         };
         let view = self.inner.view.load();
-        let wanted = view.wanted.get(&prompt.model).map(|wanted| wanted.version);
-        let is_current = wanted.is_none() || wanted == version;
+        let wanted = view.wanted.get(&prompt.model);
+        let is_current = wanted.is_none_or(|wanted| Some(wanted.version()) == version);
+        let replaced_for = wanted.map_or(Duration::ZERO, |wanted| {
+            boot_time().saturating_sub(wanted.since())
+        });
+        let is_usable = is_current || replaced_for < MAX_REPLACED_AGE;
         let wishes = wishes(prompt);
-        if wishes.is_empty() || !is_current || view.confirmed.elapsed() > MAX_PARTS_AGE {
+        if wishes.is_empty() || !is_usable || view.age() > MAX_PARTS_AGE {
             return Plan::default();
         }
         let now = self.inner.origin.elapsed();
         let engine = (picked.target.address, picked.target.failure_domain.as_str());
-        let mut keeping = self.inner.keeping.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut plan = keeping.plan(salt, &wishes, engine, now);
+        let mut keeping = self
+            .inner
+            .keeping
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let mut plan = keeping.plan(salt, &wishes, engine, now, is_current);
         drop(keeping);
         trail.parts(&wishes, &plan);
         plan.fetch.push(None);
@@ -332,7 +356,11 @@
             Tried::Answered(answer) => {
                 self.note_version(picked, answer.notes.version);
                 let failed = answer.status.is_server_error();
-                if failed { Outcome::Failed } else { Outcome::Answered }
+                if failed {
+                    Outcome::Failed
+                } else {
+                    Outcome::Answered
+                }
             }
             Tried::NotRun(StatusCode::MISDIRECTED_REQUEST, notes) => {
                 self.note_misdirected(picked, notes);
@@ -362,13 +390,19 @@
 
     /// The target is another one, or has other weights than was thought: the wanted ones.
     fn note_misdirected(&self, picked: &Picked, notes: &ReplyNotes) {
-        let is_other = notes.target.as_ref().is_some_and(|id| *id != picked.target.id);
+        let is_other = notes
+            .target
+            .as_ref()
+            .is_some_and(|id| *id != picked.target.id);
         let view = self.inner.view.load();
         let prompt = self.admitted.call.prompt.as_ref();
         let wanted = prompt.and_then(|prompt| view.wanted.get(&prompt.model));
         match wanted {
-            Some(wanted) if !is_other => self.note_version(picked, Some(wanted.version)),
-            _ => picked.target.live.pause(self.inner.origin.elapsed() + PAUSE),
+            Some(wanted) if !is_other => self.note_version(picked, Some(wanted.version())),
+            _ => picked
+                .target
+                .live
+                .pause(self.inner.origin.elapsed() + PAUSE),
         }
     }
 }
--- a/crates/relay/src/trail.rs
+++ b/crates/relay/src/trail.rs
@@ -55,7 +55,8 @@
             return;
         };
         for (index, wish) in wishes.iter().enumerate() {
-            let has = |places: &[Option<SocketAddr>]| places.get(index).is_some_and(Option::is_some);
+            let has =
+                |places: &[Option<SocketAddr>]| places.get(index).is_some_and(Option::is_some);
             let tokens = match (has(&plan.fetch), has(&plan.save)) {
                 (true, _) => &mut attempt.fetch_tokens,
                 (false, true) => &mut attempt.save_tokens,
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -1,17 +1,18 @@
 //! What an instance believes at one moment. Replaced as a whole, never changed.
 
 use {
+    crate::boot_time,
     balance::{Health, Outcome},
     catalog::{FailureDomainId, ModelId, TargetId},
     routes::{PoolId, RouteTable},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU32, Ordering},
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
@@ -140,13 +141,53 @@
     }
 }
 
-/// Weights that the operators want.
+/// Weights that the operators named, and since when.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Wanted {
+pub struct Named {
     /// Version.
     pub version: u64,
-    /// When this instance learned of it.
-    pub since: Instant,
+    /// When it was named at the earliest, by [`boot_time`].
+    pub since: Duration,
+}
+
+/// Weights that the operators want of one model. Each version has a bound of its own, so those
+/// before the newest one still count.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Wanted {
+    named: Vec<Named>,
+}
+
+impl Wanted {
+    /// Notes a version that was named at `since`. Returns whether it is newer than all before.
+    pub fn name(&mut self, version: u64, since: Duration) -> bool {
+        let is_newer = self.named.last().is_none_or(|last| last.version < version);
+        if is_newer {
+            self.named.push(Named { version, since });
+        }
+        is_newer
+    }
+
+    /// The newest version; 0 if none was named.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.named.last().map_or(0, |named| named.version)
+    }
+
+    /// When the newest version was named at the earliest; zero if none was.
+    #[must_use]
+    pub fn since(&self) -> Duration {
+        self.named
+            .last()
+            .map_or(Duration::ZERO, |named| named.since)
+    }
+
+    /// The least version that may be used at `now` if a version has to be in use everywhere
+    /// `bound` after it was named.
+    #[must_use]
+    pub fn required(&self, now: Duration, bound: Duration) -> u64 {
+        let due = self.named.iter().filter(|named| named.since + bound <= now);
+        due.map(|named| named.version).max().unwrap_or(0)
+    }
 }
 
 /// What an instance believes at one moment.
@@ -156,12 +197,14 @@
     pub table: Option<Arc<RouteTable>>,
     /// Targets of each pool.
     pub pools: HashMap<PoolId, Vec<Arc<TargetState>>>,
+    /// Targets that replace their weights now; they take no calls.
+    pub loading: HashSet<TargetId>,
     /// Weights that are wanted, by model.
     pub wanted: HashMap<ModelId, Wanted>,
     /// Instances that are ready, this one included.
     pub instances_count: u32,
-    /// When the key-value service last confirmed all of this.
-    pub confirmed: Instant,
+    /// When the key-value service last confirmed all of this, by [`boot_time`].
+    pub confirmed: Duration,
     /// Whether this instance is shutting down.
     pub draining: bool,
 }
@@ -171,18 +214,27 @@
         Self {
             table: None,
             pools: HashMap::new(),
+            loading: HashSet::new(),
             wanted: HashMap::new(),
             instances_count: 1,
-            confirmed: Instant::now(),
+            confirmed: boot_time(),
             draining: false,
         }
     }
 }
 
 impl View {
+    /// Time since the key-value service last confirmed all of this.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        boot_time().saturating_sub(self.confirmed)
+    }
+
     /// Version of the configuration in force; 0 if none is known.
     #[must_use]
     pub fn configuration(&self) -> u64 {
-        self.table.as_ref().map_or(0, |table| table.accepted().version)
+        self.table
+            .as_ref()
+            .map_or(0, |table| table.accepted().version)
     }
 }
--- a/crates/routes/src/route.rs
+++ b/crates/routes/src/route.rs
@@ -134,7 +134,11 @@
     /// The pool for a call, drawn by weight; none if no share has a weight.
     #[must_use]
     pub fn draw_pool(&self, draw: u64) -> Option<&PoolId> {
-        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
         let mut rest = draw.checked_rem(total)?;
         for share in &self.shares {
             let weight = u64::from(share.weight);
--- a/crates/routes/tests/route_lookup.rs
+++ b/crates/routes/tests/route_lookup.rs
@@ -25,7 +25,10 @@
     let table = table();
     let name = |host, path| table.route(host, path).map(|route| route.name.clone());
     assert_eq!(name("a.example", "/orders/late/3").as_deref(), Some("late"));
-    assert_eq!(name("A.Example:80", "/orders/late").as_deref(), Some("orders"));
+    assert_eq!(
+        name("A.Example:80", "/orders/late").as_deref(),
+        Some("orders")
+    );
     assert_eq!(name("a.example", "/x").as_deref(), Some("all"));
     assert_eq!(name("b.example", "/x"), None);
     assert_eq!(name("c.example", "/orders/"), None);
@@ -34,7 +37,10 @@
 #[test]
 fn every_key_of_an_account_finds_it() {
     let table = table();
-    assert_eq!(table.account("k2").map(|it| it.name.as_str()), Some("chain"));
+    assert_eq!(
+        table.account("k2").map(|it| it.name.as_str()),
+        Some("chain")
+    );
     assert!(table.account("k3").is_none());
     assert!(table.account("").is_none());
 }
