--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -11,7 +11,7 @@
 };
 
 /// Time to live of the lease: an instance that dies is named to callers no longer than this.
-const LEASE_TTL: Duration = Duration::from_millis(2_000);
+const LEASE_TTL: Duration = Duration::from_secs(2);
 /// Renewals in the time to live.
 const RENEWALS_COUNT: u32 = 3;
 /// Pause after a failed call.
@@ -70,14 +70,9 @@
         }
         shared.set_tenure(Some(tenure));
         let renewal = sleep(lease.ttl / RENEWALS_COUNT);
-        if !shared.draining.is_cancelled() {
-            tokio::select! {
-                () = renewal => {}
-                () = shared.draining.cancelled() => continue,
-                () = became_ready(shared, entered) => continue,
-            }
-        } else {
-            renewal.await;
+        tokio::select! {
+            () = renewal => {}
+            () = becomes_other(shared, entered) => continue,
         }
         let sent_at = boot_time();
         match shared.kv.keep_alive(tenure.lease).await {
@@ -89,10 +84,11 @@
     }
 }
 
-async fn became_ready<Kv, Format>(shared: &Shared<Kv, Format>, entered: Option<bool>) {
+/// Waits until the entry says the wrong thing about whether this instance takes callers.
+async fn becomes_other<Kv, Format>(shared: &Shared<Kv, Format>, entered: Option<bool>) {
     loop {
         let changed = shared.changed.notified();
-        if entered != Some(shared.is_ready()) && entered.is_some() {
+        if entered.is_some_and(|entered| entered != shared.is_ready()) {
             return;
         }
         changed.await;
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -27,11 +27,11 @@
 /// Added to the least time between the orders of two holders.
 const GAP_MARGIN: Duration = Duration::from_millis(100);
 /// Longest time for a target's report or its answer to an order.
-const ANSWER_TIME: Duration = Duration::from_millis(1_000);
+const ANSWER_TIME: Duration = Duration::from_secs(1);
 /// How often a target is looked at while it carries out an order.
 const LOADING_PERIOD: Duration = Duration::from_millis(250);
 /// Longest time that an order is waited for before the target is asked again.
-const LOADING_TIME: Duration = Duration::from_millis(3_000);
+const LOADING_TIME: Duration = Duration::from_secs(3);
 /// Longest wait for the announcement of targets that load; without it they refuse calls themselves.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(200);
 /// Wait before the right is taken, for each instance before this one in the order of names.
--- a/crates/entry/src/rollout.rs
+++ b/crates/entry/src/rollout.rs
@@ -28,7 +28,7 @@
 
 /// The targets to order to `wanted` now, of one pool that runs one model.
 #[must_use]
-pub fn next<'pool>(pool: &'pool [Loadable], wanted: u64) -> Vec<&'pool Loadable> {
+pub fn next(pool: &[Loadable], wanted: u64) -> Vec<&Loadable> {
     let limit = (pool.len() / TARGETS_PER_LOAD).max(1);
     let under_way = pool.iter().filter(|it| it.ordered).count();
     let mut behind: Vec<&Loadable> = pool
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -15,7 +15,7 @@
 };
 
 /// How long a store holds a question for changes.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 /// Longest time for an answer besides.
 const ANSWER_TIME: Duration = Duration::from_millis(700);
 /// Pause after a failed question.
@@ -76,7 +76,7 @@
             }
             let stop = token.child_token();
             followed.insert(place.clone(), stop.clone());
-            let follower = PlaceFollower {
+            let task = PlaceFollower {
                 shared: shared.clone(),
                 client: client.clone(),
                 address: place.address,
@@ -86,7 +86,7 @@
             tasks.spawn(async move {
                 tokio::select! {
                     () = stop.cancelled() => {}
-                    () = follower.run() => {}
+                    () = task.run() => {}
                 }
             });
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -135,7 +135,7 @@
             }
             Content::Events(events) => {
                 trail.line.status = status.as_u16();
-                let passing = job.pass_on(*events, answer.notes, trail);
+                let passing = job.pass_on(*events, trail);
                 let frames = stream::unfold(Some(passing), |passing| async move {
                     let mut passing = passing?;
                     match passing.next().await {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -184,13 +184,7 @@
     }
 
     /// Passes the events of a stream on from now on.
-    pub(crate) fn pass_on(
-        self,
-        events: Events,
-        notes: ReplyNotes,
-        trail: Trail,
-    ) -> Passing<Format> {
-        log::trace!("stream of {:?} begins", notes.target);
+    pub(crate) fn pass_on(self, events: Events, trail: Trail) -> Passing<Format> {
         Passing {
             job: self,
             events,
