--- /dev/null
+++ b/crates/entry/tests/known_state.rs
@@ -0,0 +1,163 @@
+//! What an instance believes, through changes and outages of the key-value service.
+
+use {
+    entry::{Item, ItemName, Known, LoadingRecord, MemberRecord, TargetEntry},
+    proptest::prelude::{any, prop, proptest},
+    relay::ModelState,
+    routes::Accepted,
+    std::{net::SocketAddr, time::Duration},
+};
+
+const START: Duration = Duration::from_secs(1_000);
+
+fn at(seconds: f64) -> Duration {
+    START + Duration::from_secs_f64(seconds)
+}
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn target(port: u16) -> Item {
+    let mut entry = TargetEntry::new("engines", address(port));
+    entry.models = vec![ModelState {
+        model: "m".to_owned(),
+        version: 1,
+    }];
+    Item::Target(entry)
+}
+
+fn name(id: &str) -> ItemName {
+    ItemName::Target(id.to_owned())
+}
+
+fn is_known(known: &Known, id: &str) -> bool {
+    known.targets().any(|target| target.id == id)
+}
+
+proptest! {
+    #[test]
+    fn configuration_never_goes_back(versions in prop::collection::vec(any::<u8>(), 1..20)) {
+        let mut known = Known::default();
+        let mut newest = 0;
+        for version in versions {
+            let accepted = Accepted::default().version(version.into());
+            known.put("", Item::Configuration(Box::new(accepted)), 1, START);
+            known.delete(&ItemName::Configuration, START);
+            newest = newest.max(u64::from(version));
+            assert_eq!(known.view(START).configuration(), newest);
+        }
+    }
+}
+
+#[test]
+fn entry_that_is_removed_is_gone_at_once() {
+    let mut known = Known::default();
+    known.put("a", target(1), 1, START);
+    known.delete(&name("a"), at(0.0));
+    assert!(!is_known(&known, "a"));
+}
+
+#[test]
+fn entry_that_lapsed_in_an_outage_is_gone_two_seconds_after_its_end() {
+    let mut known = Known::default();
+    known.put("a", target(1), 1, START);
+    known.put("b", target(2), 1, START);
+    known.returned(at(0.0));
+    known.delete(&name("a"), at(0.1));
+    known.delete(&name("b"), at(0.1));
+    assert!(is_known(&known, "a"), "it may be back soon");
+    known.put("b", target(2), 2, at(1.0));
+    known.expire(at(2.1));
+    assert!(!is_known(&known, "a"));
+    assert!(is_known(&known, "b"));
+}
+
+#[test]
+fn leaving_target_is_not_kept_through_an_outage() {
+    let mut known = Known::default();
+    let mut entry = TargetEntry::new("engines", address(1));
+    entry.leaving = true;
+    known.put("a", Item::Target(entry), 1, START);
+    known.returned(at(0.0));
+    known.delete(&name("a"), at(0.1));
+    assert!(!is_known(&known, "a"));
+}
+
+#[test]
+fn second_start_under_one_name_begins_with_a_clean_record() {
+    let mut known = Known::default();
+    known.put("a", target(1), 1, START);
+    let first = known.targets().next().unwrap().live.clone();
+    first.note_version("m", 7);
+    known.put("a", target(1), 2, START);
+    assert_eq!(known.targets().next().unwrap().version("m"), Some(7));
+    let mut again = TargetEntry::new("engines", address(1));
+    again.started_unix_ms = 99;
+    known.put("a", Item::Target(again), 3, START);
+    assert_eq!(known.targets().next().unwrap().version("m"), None);
+}
+
+#[test]
+fn every_named_version_keeps_its_own_bound() {
+    let bound = Duration::from_secs(7);
+    let mut known = Known::default();
+    known.confirm(at(0.0));
+    known.put("m", Item::Version(2), 1, at(0.0));
+    known.confirm(at(5.0));
+    known.put("m", Item::Version(3), 2, at(5.0));
+    let wanted = &known.wanted()["m"];
+    assert_eq!(wanted.version(), 3);
+    assert_eq!(wanted.required(at(6.9), bound), 0);
+    assert_eq!(
+        wanted.required(at(7.1), bound),
+        2,
+        "the newer wish does not renew the older"
+    );
+    assert_eq!(wanted.required(at(12.1), bound), 3);
+}
+
+#[test]
+fn wish_that_is_heard_of_late_counts_from_the_last_confirmation() {
+    let mut known = Known::default();
+    known.confirm(at(0.0));
+    known.put("m", Item::Version(2), 1, at(6.0));
+    assert_eq!(known.wanted()["m"].since(), at(0.0));
+}
+
+#[test]
+fn announced_loads_keep_calls_away_until_the_record_is_gone() {
+    let mut known = Known::default();
+    known.put("a", target(1), 1, START);
+    known.put("b", target(2), 1, START);
+    let record = LoadingRecord {
+        model: "m".to_owned(),
+        version: 2,
+        loading: vec!["a".to_owned()],
+        loaded: vec!["b".to_owned()],
+    };
+    known.put("", Item::Loading(record), 2, START);
+    let view = known.view(START);
+    assert!(view.loading.contains("a"));
+    let loaded = view.pools["engines"]
+        .iter()
+        .find(|it| it.id == "b")
+        .unwrap();
+    assert_eq!(loaded.version("m"), Some(2), "known before its own word");
+    known.delete(&ItemName::Loading, START);
+    assert!(known.view(START).loading.is_empty());
+}
+
+#[test]
+fn instances_that_leave_are_not_counted() {
+    let mut known = Known::default();
+    for (name, ready) in [("a", true), ("b", true), ("c", false)] {
+        let record = MemberRecord {
+            address: address(1),
+            failure_domain: "d".to_owned(),
+            ready,
+        };
+        known.put(name, Item::Member(record), 1, START);
+    }
+    assert_eq!(known.view(START).instances_count, 2);
+}
--- /dev/null
+++ b/crates/entry/tests/order_holding.rs
@@ -0,0 +1,93 @@
+//! Who may give orders, and which targets get one.
+
+use {
+    entry::{
+        Holding, Tenure,
+        rollout::{Loadable, next},
+    },
+    std::time::Duration,
+};
+
+const TTL: Duration = Duration::from_secs(2);
+const GAP: Duration = Duration::from_secs(3);
+const MARGIN: Duration = Duration::from_millis(500);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn new_holder_waits_for_the_orders_of_the_one_before() {
+    let tenure = Tenure::new(7, ms(0), Duration::from_secs(60));
+    let held = Holding::new(&tenure, 41, ms(100), GAP);
+    assert_eq!(held.fencing(&tenure, ms(3_000), MARGIN), None);
+    assert_eq!(held.fencing(&tenure, ms(3_100), MARGIN), Some(41));
+}
+
+#[test]
+fn holder_that_was_suspended_gives_no_order_on_waking() {
+    let tenure = Tenure::new(7, ms(10_000), TTL);
+    let held = Holding::new(&tenure, 41, ms(0), GAP);
+    assert_eq!(held.fencing(&tenure, ms(11_400), MARGIN), Some(41));
+    assert_eq!(
+        held.fencing(&tenure, ms(11_600), MARGIN),
+        None,
+        "it might arrive too late"
+    );
+    assert_eq!(
+        held.fencing(&tenure, ms(16_000), MARGIN),
+        None,
+        "after six seconds of suspension"
+    );
+}
+
+#[test]
+fn answer_to_a_renewal_that_comes_late_counts_from_when_it_was_sent() {
+    let sent_at = ms(10_000);
+    let read_at = ms(16_400);
+    let tenure = Tenure::new(7, sent_at, TTL);
+    assert!(!tenure.holds(read_at, Duration::ZERO));
+}
+
+#[test]
+fn right_of_an_earlier_lease_is_not_used() {
+    let first = Tenure::new(7, ms(0), TTL);
+    let held = Holding::new(&first, 41, ms(0), Duration::ZERO);
+    let second = Tenure::new(8, ms(100), TTL);
+    assert_eq!(held.fencing(&second, ms(200), MARGIN), None);
+}
+
+fn pool(versions: &[u64]) -> Vec<Loadable> {
+    let targets = versions.iter().enumerate();
+    targets
+        .map(|(index, version)| Loadable {
+            target: format!("t{index}"),
+            model: "m".to_owned(),
+            version: *version,
+            in_flight_count: u32::try_from(10 - index % 10).unwrap(),
+            ordered: false,
+        })
+        .collect()
+}
+
+#[test]
+fn third_of_the_pool_loads_at_once_the_idlest_first() {
+    let pool = pool(&[1; 9]);
+    let chosen: Vec<&str> = next(&pool, 2).iter().map(|it| it.target.as_str()).collect();
+    assert_eq!(chosen, ["t8", "t7", "t6"]);
+}
+
+#[test]
+fn targets_under_way_count_and_are_not_ordered_again() {
+    let mut pool = pool(&[1; 9]);
+    pool[8].ordered = true;
+    pool[7].ordered = true;
+    let chosen: Vec<&str> = next(&pool, 2).iter().map(|it| it.target.as_str()).collect();
+    assert_eq!(chosen, ["t6"]);
+}
+
+#[test]
+fn single_target_is_replaced_too() {
+    assert_eq!(next(&pool(&[1]), 2).len(), 1);
+    assert!(next(&pool(&[2]), 2).is_empty());
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -92,12 +92,25 @@
     if notes.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return not_run(reply, notes, outgoing.whole).await;
     }
+    if promises_not_run(status) {
+        return Tried::Unknown(format!("{status} without word that the call did not run"));
+    }
     if status.is_success() && !notes.proven {
         return Tried::Unknown("the answer carries no proof of its target".to_owned());
     }
     read(reply, notes, &outgoing).await
 }
 
+/// Whether callers take a status as a promise that the call has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+    )
+}
+
 /// Reads the rest of a refusal, so that its connection can be used again.
 async fn not_run(mut reply: Reply, notes: ReplyNotes, whole: Duration) -> Tried<TargetAnswer> {
     let status = reply.status();
--- /dev/null
+++ b/crates/relay/tests/let_in.rs
@@ -0,0 +1,110 @@
+//! Which calls are let in, and what the target learns of the caller.
+
+mod support;
+
+use {
+    relay::{View, boot_time},
+    std::{sync::Arc, time::Duration},
+    support::{KEY, World, caller, scripted::Scripted},
+};
+
+#[tokio::test]
+async fn account_comes_from_the_key_and_the_key_stays_here() {
+    let target = Scripted::start("one", vec![]).await;
+    let world = World::start(&[&target]).await;
+    let got = caller::call(world.address, "/once/7", "account: other\r\n").await;
+    assert_eq!(got.status, 200);
+    let arrived = &target.arrived()[0];
+    assert_eq!(arrived.header("account"), Some("chain"));
+    assert!(!arrived.head.contains(KEY));
+    assert_eq!(arrived.header("target"), Some("one"));
+    assert!(arrived.head.starts_with("POST /once/7 HTTP/1.1"));
+}
+
+#[tokio::test]
+async fn unknown_route_is_refused_only_by_a_current_view() {
+    let target = Scripted::start("one", vec![]).await;
+    let world = World::start(&[&target]).await;
+    assert_eq!(caller::call(world.address, "/none/", "").await.status, 404);
+    let stale = View {
+        confirmed: boot_time().saturating_sub(Duration::from_secs(60)),
+        ..support::view(&[&target])
+    };
+    world.view.store(Arc::new(stale));
+    assert_eq!(caller::call(world.address, "/none/", "").await.status, 503);
+    assert_eq!(
+        caller::call(world.address, "/once/", "").await.status,
+        200,
+        "known routes work"
+    );
+}
+
+#[tokio::test]
+async fn instance_without_a_configuration_refuses_nothing_for_good() {
+    let world = World::start(&[]).await;
+    world.view.store(Arc::new(View::default()));
+    let got = caller::call(world.address, "/once/7", "").await;
+    assert_eq!(got.status, 503);
+    assert!(got.header("retry-after").is_some());
+}
+
+#[tokio::test]
+async fn call_without_any_target_is_refused_at_once() {
+    let world = World::start(&[]).await;
+    let got = caller::call(world.address, "/once/7", "").await;
+    assert_eq!(got.status, 503);
+}
+
+#[tokio::test]
+async fn targets_that_load_or_leave_get_nothing_while_others_can() {
+    let one = Scripted::start("one", vec![]).await;
+    let two = Scripted::start("two", vec![]).await;
+    let world = World::start(&[&one, &two]).await;
+    let mut view = support::view(&[&one, &two]);
+    view.loading.insert("one".to_owned());
+    world.view.store(Arc::new(view));
+    for _ in 0..10 {
+        assert_eq!(caller::call(world.address, "/once/7", "").await.status, 200);
+    }
+    assert!(one.arrived().is_empty());
+}
+
+#[tokio::test]
+async fn weights_past_their_bound_are_not_used() {
+    let one = Scripted::start("one", vec![]).await;
+    let world = World::start(&[&one]).await;
+    let mut view = support::view(&[&one]);
+    let long_ago = boot_time().saturating_sub(Duration::from_secs(20));
+    view.wanted
+        .entry("m".to_owned())
+        .or_default()
+        .name(2, long_ago);
+    view.wanted
+        .entry("m".to_owned())
+        .or_default()
+        .name(3, boot_time());
+    world.view.store(Arc::new(view));
+    let got = caller::call(world.address, "/stream/7", "parts: t:64,s:64,o:9\r\n").await;
+    assert_eq!(got.status, 503);
+    assert!(one.arrived().is_empty());
+}
+
+#[tokio::test]
+async fn stored_parts_of_the_same_weights_are_fetched() {
+    let one = Scripted::start("one", vec![]).await;
+    let world = World::start(&[&one]).await;
+    let place = ([127, 0, 0, 1], 9).into();
+    {
+        let mut keeping = world.keeping.lock().unwrap();
+        keeping.set_store(parts::Store::new(place, 10_000));
+        keeping.holds(place, "1", "s", 64);
+    }
+    let headers = "parts: t:64,s:64,o:9\r\n";
+    caller::call(world.address, "/once/7", headers).await;
+    world.keeping.lock().unwrap().cleared(place);
+    caller::call(world.address, "/once/7", headers).await;
+    let arrived = one.arrived();
+    assert_eq!(arrived[0].header("fetch"), Some("127.0.0.1:9"));
+    assert_eq!(arrived[0].header("salt"), Some("1"));
+    assert_eq!(arrived[1].header("fetch"), None);
+}
--- /dev/null
+++ b/crates/relay/tests/support/wire.rs
@@ -0,0 +1,74 @@
+//! Headers of the tests' own.
+
+use {
+    hyper::{HeaderMap, header::HeaderName, http::request},
+    relay::{BadCall, Call, Part, Prompt, ReplyNotes, Sending, Wire},
+};
+
+/// The product's words as header names.
+#[derive(Clone, Copy, Debug)]
+pub struct TestWire;
+
+impl Wire for TestWire {
+    fn call(&self, head: &request::Parts) -> Result<Call, BadCall> {
+        let text = |name: &str| head.headers.get(name).and_then(|it| it.to_str().ok());
+        let id = text("id").ok_or(BadCall {
+            what: "id",
+            problem: "missing",
+        })?;
+        let parts = text("parts").map(|parts| {
+            let parts = parts.split(',').filter_map(|part| part.split_once(':'));
+            let parts = parts.map(|(id, tokens)| Part {
+                id: id.to_owned(),
+                tokens: tokens.parse().unwrap(),
+            });
+            Prompt {
+                model: "m".to_owned(),
+                parts: parts.collect(),
+                ..Prompt::default()
+            }
+        });
+        Ok(Call {
+            id: id.to_owned(),
+            key: text("key").map(str::to_owned),
+            prompt: parts,
+            ..Call::default()
+        })
+    }
+
+    fn outbound(&self, headers: &HeaderMap, sending: &Sending) -> HeaderMap {
+        let mut out = headers.clone();
+        out.remove("key");
+        out.remove("account");
+        let mut set = |name: &'static str, value: Option<String>| {
+            if let Some(value) = value {
+                out.insert(HeaderName::from_static(name), value.parse().unwrap());
+            }
+        };
+        set("account", sending.account.clone());
+        set("target", Some(sending.target.clone()));
+        set("after", sending.last_event.map(|it| it.to_string()));
+        set("salt", sending.salt.clone());
+        let fetch = sending.fetch.iter().flatten().next();
+        set("fetch", fetch.map(ToString::to_string));
+        out
+    }
+
+    fn reply(&self, headers: &HeaderMap) -> ReplyNotes {
+        let text = |name: &str| headers.get(name).and_then(|it| it.to_str().ok());
+        ReplyNotes {
+            id: text("id").map(str::to_owned),
+            proven: headers.contains_key("stamp"),
+            not_run: headers.contains_key("not-run"),
+            target: text("target").map(str::to_owned),
+            version: text("version").and_then(|it| it.parse().ok()),
+        }
+    }
+
+    fn inbound(&self, headers: &HeaderMap) -> HeaderMap {
+        let mut out = headers.clone();
+        out.remove("transfer-encoding");
+        out.remove("connection");
+        out
+    }
+}
