--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -87,6 +87,8 @@
     pub next: u64,
     /// Whether changes are missing.
     pub lost: bool,
+    /// Time of the clock that all engines and stores share, when it answered.
+    pub clock: Option<Duration>,
     /// The changes, in order.
     pub changes: Vec<PartChange>,
 }
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -5,7 +5,7 @@
     catalog::TargetId,
     eventlog::Event,
     parts::Store,
-    relay::View,
+    relay::{View, boot_time},
     routes::{PoolKind, RouteTable, StoreTraits},
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     supervisor::ChildResult,
@@ -214,6 +214,9 @@
 
     fn take(&self, events: &PartEvents) {
         let mut keeping = self.shared.keeping();
+        if let Some(clock) = events.clock {
+            keeping.set_clock(clock, boot_time());
+        }
         for change in &events.changes {
             let part = &change.part;
             keeping.holds(self.address, &part.salt, &part.id, part.tokens);
--- a/crates/parts/src/keeping.rs
+++ b/crates/parts/src/keeping.rs
@@ -1,7 +1,7 @@
 //! Which parts the stores hold.
 
 use {
-    crate::{Plan, Store, Wish},
+    crate::{Plan, Store, Transfer, Wish, pace::Usual},
     balance::rendezvous,
     std::{
         collections::{BTreeMap, HashMap},
@@ -30,6 +30,9 @@
     stores: BTreeMap<SocketAddr, Store>,
     held: HashMap<PartKey, Vec<(SocketAddr, u32)>>,
     saving: HashMap<PartKey, Duration>,
+    usual: Usual,
+    /// The engines' clock, and the own clock at the same moment.
+    clock: Option<(Duration, Duration)>,
     /// Instances that use the stores; each sees its own share of the transfers.
     instances_count: u32,
 }
@@ -38,16 +41,38 @@
     /// Adds a store, or takes over its changed traits; what it holds stays.
     pub fn set_store(&mut self, store: Store) {
         let known = self.stores.get(&store.address);
-        let (held_tokens, free_at) =
-            known.map_or_else(Default::default, |it| (it.held_tokens, it.free_at));
-        let store = Store {
-            held_tokens,
-            free_at,
-            ..store
+        let store = match known {
+            Some(known) => Store {
+                held_tokens: known.held_tokens,
+                free_at: known.free_at,
+                pace: known.pace,
+                ..store
+            },
+            None => store,
         };
         self.stores.insert(store.address, store);
     }
 
+    /// Notes the time of the clock that engines and stores share, heard of at `heard_at` by a clock
+    /// that counts suspension.
+    pub fn set_clock(&mut self, clock: Duration, heard_at: Duration) {
+        // The answer that was under way for the shortest time shows the clock best.
+        let ahead = |(theirs, own): (Duration, Duration)| theirs.as_secs_f64() - own.as_secs_f64();
+        let is_closer = self
+            .clock
+            .is_none_or(|known| ahead((clock, heard_at)) > ahead(known));
+        if is_closer {
+            self.clock = Some((clock, heard_at));
+        }
+    }
+
+    /// The engines' clock at `now`, by a clock that counts suspension; none before it is known.
+    #[must_use]
+    pub fn clock(&self, now: Duration) -> Option<Duration> {
+        let (clock, heard_at) = self.clock?;
+        (clock + now).checked_sub(heard_at)
+    }
+
     /// Sets how many instances use the stores.
     pub fn set_instances(&mut self, instances_count: u32) {
         self.instances_count = instances_count;
@@ -143,6 +168,7 @@
         let mut plan = Plan {
             fetch: vec![None; wishes.len()],
             save: vec![None; wishes.len()],
+            transfers: Vec::new(),
         };
         self.saving.retain(|_, until| now < *until);
         for (index, wish) in wishes.iter().enumerate() {
@@ -151,7 +177,12 @@
             }
             let key = (salt.to_owned(), wish.id.to_owned());
             let places = self.held.get(&key).cloned().unwrap_or_default();
-            plan.fetch[index] = self.fetch_from(&places, wish, engine, failure_domain, now);
+            if let Some((place, transfer)) =
+                self.fetch_from(&places, wish, engine, failure_domain, now)
+            {
+                plan.fetch[index] = Some(place);
+                plan.transfers.extend(transfer);
+            }
             let is_stored = places
                 .iter()
                 .any(|(place, _)| self.stores.contains_key(place));
@@ -174,7 +205,7 @@
         engine: SocketAddr,
         failure_domain: &str,
         now: Duration,
-    ) -> Option<SocketAddr> {
+    ) -> Option<(SocketAddr, Option<Transfer>)> {
         let whole = places.iter().filter(|(_, tokens)| *tokens >= wish.tokens);
         let whole = whole.map(|(place, _)| *place);
         // Named all the same: the engine may have evicted it meanwhile.
@@ -183,17 +214,38 @@
         let ready =
             stores.filter(|store| store.available && (is_here || queue(store, now) <= MAX_QUEUE));
         let soonest = ready.min_by_key(|store| {
-            queue(store, now) + store.transfer_time(wish.tokens, failure_domain)
+            queue(store, now) + store.transfer_time(wish.tokens, failure_domain, now)
         });
         let Some(store) = soonest else {
             let mut engines = whole.filter(|place| !self.stores.contains_key(place));
-            return engines.find(|place| *place != engine);
+            return engines
+                .find(|place| *place != engine)
+                .map(|place| (place, None));
         };
         let address = store.address;
-        if !is_here {
-            self.occupy(address, wish.tokens, failure_domain, now);
+        if is_here {
+            return Some((address, None));
+        }
+        let expected = queue(store, now) + store.transfer_time(wish.tokens, failure_domain, now);
+        self.occupy(address, wish.tokens, failure_domain, now);
+        let store = address;
+        Some((address, Some(Transfer { store, expected })))
+    }
+
+    /// Takes in how long a call took to its first event, after it was planned as `plan`.
+    pub fn observe(&mut self, plan: &Plan, took: Duration, now: Duration) {
+        if plan.transfers.is_empty() {
+            self.usual.record(took);
+            return;
+        }
+        if !self.usual.is_held_up(took, plan.expected()) {
+            return;
+        }
+        for transfer in &plan.transfers {
+            if let Some(store) = self.stores.get_mut(&transfer.store) {
+                store.pace.slow_down(now);
+            }
         }
-        Some(address)
     }
 
     fn save_to(
@@ -224,7 +276,7 @@
     fn occupy(&mut self, address: SocketAddr, tokens: u32, failure_domain: &str, now: Duration) {
         let instances_count = self.instances_count.max(1);
         if let Some(store) = self.stores.get_mut(&address) {
-            let transfer = store.transfer_time(tokens, failure_domain);
+            let transfer = store.transfer_time(tokens, failure_domain, now);
             store.free_at = store.free_at.max(now) + transfer * instances_count;
         }
     }
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -21,11 +21,12 @@
 //! ```
 
 mod keeping;
+mod pace;
 mod plan;
 mod store;
 
 pub use {
     keeping::Keeping,
-    plan::{Plan, Wish},
+    plan::{Plan, Transfer, Wish},
     store::Store,
 };
--- a/crates/parts/src/plan.rs
+++ b/crates/parts/src/plan.rs
@@ -1,6 +1,6 @@
 //! What a call fetches and saves.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 /// A part that a call has and others may share.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -26,4 +26,24 @@
     pub fetch: Vec<Option<SocketAddr>>,
     /// Where each part is saved to once it is read.
     pub save: Vec<Option<SocketAddr>>,
+    /// Transfers that the engine needs, as far as known.
+    pub transfers: Vec<Transfer>,
+}
+
+/// A transfer from a store that a call waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Transfer {
+    /// The store.
+    pub store: SocketAddr,
+    /// Time until it has ended, as reckoned.
+    pub expected: Duration,
+}
+
+impl Plan {
+    /// Time until all parts are there, as reckoned.
+    #[must_use]
+    pub fn expected(&self) -> Duration {
+        let expected = self.transfers.iter().map(|transfer| transfer.expected);
+        expected.max().unwrap_or_default()
+    }
 }
--- a/crates/parts/src/store.rs
+++ b/crates/parts/src/store.rs
@@ -1,6 +1,9 @@
 //! One store.
 
-use std::{net::SocketAddr, time::Duration};
+use {
+    crate::pace::Pace,
+    std::{net::SocketAddr, time::Duration},
+};
 
 /// A store as known.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,8 +24,8 @@
     pub available: bool,
     /// When its link has carried all that was planned, as estimated.
     pub(crate) free_at: Duration,
-    /// Factor by which transfers took longer than planned of late.
-    pub slowness: f64,
+    /// How much longer transfers take than they should.
+    pub(crate) pace: Pace,
 }
 
 impl Store {
@@ -38,7 +41,7 @@
             held_tokens: 0,
             available: true,
             free_at: Duration::ZERO,
-            slowness: 1.0,
+            pace: Pace::default(),
         }
     }
 
@@ -51,13 +54,18 @@
     }
 
     /// Time that a transfer from or to `failure_domain` takes by itself.
-    pub(crate) fn transfer_time(&self, tokens: u32, failure_domain: &str) -> Duration {
+    pub(crate) fn transfer_time(
+        &self,
+        tokens: u32,
+        failure_domain: &str,
+        now: Duration,
+    ) -> Duration {
         let factor = if self.failure_domain == failure_domain {
             1.0
         } else {
             FAR_FACTOR
         };
-        self.first_time + (self.token_time * tokens).mul_f64(factor * self.slowness)
+        self.first_time + (self.token_time * tokens).mul_f64(factor * self.pace.slowness(now))
     }
 }
 
--- a/crates/parts/tests/part_plans.rs
+++ b/crates/parts/tests/part_plans.rs
@@ -129,3 +129,37 @@
     assert_eq!(plan.fetch, [Some(address(8))]);
     assert!(plan.save[0].is_some(), "a store gets it too");
 }
+
+#[test]
+fn store_that_holds_calls_up_gets_fewer_of_them_until_it_keeps_pace() {
+    let mut keeping = Keeping::default();
+    let mut store = Store::new(address(1), 1_000_000);
+    store.token_time = Duration::from_micros(7);
+    keeping.set_store(store);
+    keeping.holds(address(1), "1", "session", 5_000);
+    let wish = [Wish::new("session", 5_000)];
+    let second = |keeping: &mut Keeping, at: u64, took: Duration| {
+        let calls = (0..100).map(|call| NOW + Duration::from_millis(at * 1_000 + call * 10));
+        let mut fetched = 0;
+        for now in calls {
+            let plan = keeping.plan("1", &wish, engine(), now, true);
+            if plan.fetch[0].is_some() {
+                fetched += 1;
+                keeping.observe(&plan, took, now);
+            }
+        }
+        fetched
+    };
+    let usual = second(&mut keeping, 0, Duration::from_millis(90));
+    second(&mut keeping, 2, Duration::from_millis(2_000));
+    let slow = second(&mut keeping, 4, Duration::from_millis(90));
+    for at in [6, 8, 10, 12, 14] {
+        second(&mut keeping, at, Duration::from_millis(90));
+    }
+    let again = second(&mut keeping, 16, Duration::from_millis(90));
+    assert!(slow * 3 < usual, "{slow} of {usual} calls while it is slow");
+    assert!(
+        again * 10 > usual * 8,
+        "{again} of {usual} calls once it keeps pace"
+    );
+}
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -16,10 +16,10 @@
     bytes::Bytes,
     catalog::TargetId,
     hyper::{Request, StatusCode, http::request},
-    parts::Plan,
+    parts::{Keeping, Plan},
     routes::{PoolId, Repeat},
     std::{
-        sync::{Arc, PoisonError},
+        sync::{Arc, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
     target::Reuse,
@@ -49,6 +49,8 @@
 /// Stores are not used by a view that was confirmed longer ago.
 const MAX_PARTS_AGE: Duration = Duration::from_secs(4);
 
+/// Time for fetches besides twice what is reckoned. About what reading a long part takes.
+const FETCH_TIME: Duration = Duration::from_millis(200);
 /// Parts of replaced weights are fetched for this long after newer ones were named.
 const MAX_REPLACED_AGE: Duration = Duration::from_secs(6);
 
@@ -219,7 +221,9 @@
         trail: &mut Trail,
     ) -> Tried<TargetAnswer> {
         let target = &picked.target;
-        let sending = self.sending(picked, last_event, trail);
+        let plan = self.plan_parts(picked, trail);
+        let sending = self.sending(picked, last_event, &plan);
+        let sent = Instant::now();
         let mut request = Request::new(outgoing_body(&self.body));
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
@@ -238,20 +242,23 @@
         if matches!(tried, Tried::Answered(_) | Tried::Unknown(_)) {
             self.may_have_run_count += 1;
         }
+        if self.admitted.call.prompt.is_some() && matches!(tried, Tried::Answered(_)) {
+            let now = self.inner.origin.elapsed();
+            self.keeping().observe(&plan, sent.elapsed(), now);
+        }
         if !matches!(tried, Tried::Answered(_)) {
             self.under_way = None;
         }
         tried
     }
 
-    fn sending(&self, picked: &Picked, last_event: Option<u64>, trail: &mut Trail) -> Sending {
+    fn sending(&self, picked: &Picked, last_event: Option<u64>, plan: &Plan) -> Sending {
         let call = &self.admitted.call;
         let account = self.admitted.account.as_ref();
         let prompt = call.prompt.as_ref();
         let version = prompt.and_then(|prompt| picked.target.version(&prompt.model));
         let salt = version.map(|version| salt(version, self.isolated()));
         let rank = account.and_then(|account| account.priority);
-        let parts = self.plan_parts(picked, version, salt.as_deref(), trail);
         Sending {
             target: picked.target.id.clone(),
             account: account.map(|account| account.name.clone()),
@@ -260,9 +267,25 @@
             salt,
             priority: prompt.map(|_| rank.unwrap_or(self.admitted.route.priority).min(9)),
             last_event,
-            fetch: parts.fetch,
-            save: parts.save,
+            fetch_until: self.fetch_until(plan),
+            fetch: plan.fetch.clone(),
+            save: plan.save.clone(),
+        }
+    }
+
+    /// When fetches are given up, on the clock of the engines.
+    fn fetch_until(&self, plan: &Plan) -> Option<Duration> {
+        if plan.fetch.iter().all(Option::is_none) {
+            return None;
         }
+        let clock = self.keeping().clock(boot_time())?;
+        Some(clock + FETCH_TIME + plan.expected() * 2)
+    }
+
+    /// What engines and stores hold. Held for a few steps only, never across a wait.
+    fn keeping(&self) -> MutexGuard<'_, Keeping> {
+        let keeping = &self.inner.keeping;
+        keeping.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Name of the client account, if it shares computed parts with no other.
@@ -277,20 +300,17 @@
     /// Nothing, if the weights were replaced some time ago or the view may be too old: parts of
     /// replaced weights are freed once every instance must have learned of the new ones. Parts of
     /// weights that are being replaced are not saved any more.
-    fn plan_parts(
-        &self,
-        picked: &Picked,
-        version: Option<u64>,
-        salt: Option<&str>,
-        trail: &mut Trail,
-    ) -> Plan {
-        let prompt = self.admitted.call.prompt.as_ref();
-        let (Some(prompt), Some(salt)) = (prompt, salt) else {
+    fn plan_parts(&self, picked: &Picked, trail: &mut Trail) -> Plan {
+        let Some(prompt) = &self.admitted.call.prompt else {
+            return Plan::default();
+        };
+        let Some(version) = picked.target.version(&prompt.model) else {
             return Plan::default();
         };
+        let salt = salt(version, self.isolated());
         let view = self.inner.view.load();
         let wanted = view.wanted.get(&prompt.model);
-        let is_current = wanted.is_none_or(|wanted| Some(wanted.version()) == version);
+        let is_current = wanted.is_none_or(|wanted| wanted.version() == version);
         let replaced_for = wanted.map_or(Duration::ZERO, |wanted| {
             boot_time().saturating_sub(wanted.since())
         });
@@ -306,7 +326,7 @@
             .keeping
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let mut plan = keeping.plan(salt, &wishes, engine, now, is_current);
+        let mut plan = keeping.plan(&salt, &wishes, engine, now, is_current);
         drop(keeping);
         trail.parts(&wishes, &plan);
         plan.fetch.push(None);
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -25,6 +25,8 @@
     pub last_event: Option<u64>,
     /// For each part of the prompt, the address that it is fetched from if the target lacks it.
     pub fetch: Vec<Option<std::net::SocketAddr>>,
+    /// Parts that have not come by then, on the clock of the engines, are read instead.
+    pub fetch_until: Option<Duration>,
     /// For each part of the prompt, the store that it is saved to once it is read.
     pub save: Vec<Option<std::net::SocketAddr>>,
 }
--- a/crates/relay/tests/whole_streams.rs
+++ b/crates/relay/tests/whole_streams.rs
@@ -73,6 +73,9 @@
     let world = World::start(&[&one]).await;
     let first = caller::send(world.address, "/resumable/7", "").await;
     let two = Scripted::start("two", vec![Step::Say(rest)]).await;
+    while one.arrived().is_empty() {
+        tokio::task::yield_now().await;
+    }
     world
         .view
         .store(std::sync::Arc::new(support::view(&[&one, &two])));
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -13,6 +13,9 @@
 echo "== clippy"
 cargo clippy --workspace --all-targets --quiet -- -D warnings
 
+echo "== names of the platform"
+scripts/platform-names.sh
+
 echo "== docs"
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --quiet
 
