--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -38,8 +38,8 @@
     item::{HolderRecord, Item, ItemError, ItemName, LoadingRecord, MemberRecord, TargetEntry},
     known::Known,
     platform::{
-        HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, TargetReport,
-        VersionOrder,
+        HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, RunsMeanwhile,
+        TargetReport, VersionOrder,
     },
     settings::{Settings, SettingsError},
     start::{StartError, run},
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        HolderRecord, Holding, Item, LoadingRecord, OrderOutcome, Platform, TargetReport, Tenure,
-        VersionOrder,
+        HolderRecord, Holding, Item, LoadingRecord, OrderOutcome, Platform, RunsMeanwhile,
+        TargetReport, Tenure, VersionOrder,
         item::{HOLDER_KEY, LOADING_KEY},
         rollout::{self, Loadable},
         shared::Shared,
@@ -30,6 +30,11 @@
 const ANSWER_TIME: Duration = Duration::from_secs(1);
 /// How often a target is looked at while it carries out an order.
 const LOADING_PERIOD: Duration = Duration::from_millis(250);
+/// How often it is looked whether a target's runs have ended.
+const DRAIN_PERIOD: Duration = Duration::from_millis(250);
+/// Looks after which the runs that are left go on with the new weights: a whole pool has to be
+/// replaced within its bound, and the longest runs take seconds.
+const DRAIN_ROUNDS_COUNT: u32 = 4;
 /// Longest time that an order is waited for before the target is asked again.
 const LOADING_TIME: Duration = Duration::from_secs(3);
 /// Longest wait for the announcement of targets that load; without it they refuse calls themselves.
@@ -265,29 +270,42 @@
         target: Arc<TargetState>,
         loadable: Loadable,
         wanted: u64,
-    ) -> String {
-        if let Some(report) = self.report(&target).await {
-            let reported = report.models.iter().find(|it| it.model == loadable.model);
-            if let Some(state) = reported {
-                target.live.note_version(&state.model, state.version);
-            }
-            if reported.is_some_and(|it| it.version >= wanted) {
-                return target.id.clone();
-            }
-            if report.busy {
-                sleep(LOADING_PERIOD).await;
-                return target.id.clone();
-            }
-            let accepted = self.order(held, &target, &loadable, wanted, &report).await;
-            if accepted {
-                self.wait(&target, &loadable.model, wanted).await;
-                return target.id.clone();
-            }
+    ) -> TargetId {
+        let Some(report) = self.drained(&target).await else {
+            sleep(LOADING_PERIOD).await;
+            return target.id.clone();
+        };
+        let reported = report.models.iter().find(|it| it.model == loadable.model);
+        if let Some(state) = reported {
+            target.live.note_version(&state.model, state.version);
+        }
+        if reported.is_some_and(|it| it.version >= wanted) {
+            return target.id.clone();
+        }
+        let is_ordered =
+            !report.busy && self.order(held, &target, &loadable, wanted, &report).await;
+        if is_ordered {
+            self.wait(&target, &loadable.model, wanted).await;
+        } else {
+            sleep(LOADING_PERIOD).await;
         }
-        sleep(LOADING_PERIOD).await;
         target.id.clone()
     }
 
+    /// Waits until a target that takes no calls any more has nothing to do, but not for its longest
+    /// runs. Gives its last report.
+    async fn drained(&self, target: &TargetState) -> Option<TargetReport> {
+        let mut report = self.report(target).await?;
+        for _ in 0..DRAIN_ROUNDS_COUNT {
+            if report.running_count + report.waiting_count == 0 || report.busy {
+                break;
+            }
+            sleep(DRAIN_PERIOD).await;
+            report = self.report(target).await?;
+        }
+        Some(report)
+    }
+
     async fn order(
         &self,
         held: Holding,
@@ -306,6 +324,11 @@
             target: target.id.clone(),
             model: loadable.model.clone(),
             version: wanted,
+            runs: if report.running_count + report.waiting_count == 0 {
+                RunsMeanwhile::Finish
+            } else {
+                RunsMeanwhile::GoOn
+            },
             holder: self.shared.settings.instance.clone(),
             fencing,
             accepted_orders_count: report.accepted_orders_count,
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -24,6 +24,15 @@
     pub waiting_count: u32,
 }
 
+/// What becomes of the requests that run while weights are replaced.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunsMeanwhile {
+    /// They finish first; the target takes nothing new until then.
+    Finish,
+    /// They go on with the new weights.
+    GoOn,
+}
+
 /// An order to replace the weights of a model.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct VersionOrder {
@@ -33,6 +42,8 @@
     pub model: String,
     /// Version of the new weights.
     pub version: u64,
+    /// What becomes of the requests that run.
+    pub runs: RunsMeanwhile,
     /// Instance that gives the order.
     pub holder: String,
     /// Fencing number.
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -33,7 +33,7 @@
 /// Time before the end by force that is left for the exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Share of the version bound after which calls avoid older weights.
-const OLD_WEIGHTS_SHARE: f64 = 0.85;
+const OLD_WEIGHTS_SHARE: f64 = 0.8;
 /// Descriptors kept for files, the service's connections and connections to targets, as a share.
 const CALLER_DESCRIPTORS_SHARE: f64 = 0.6;
 /// Connections of callers' and the platform's questions served at once.
