--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -1,4 +1,5 @@
-//! Answers whether this instance takes calls, and which addresses callers should use.
+//! Answers whether this instance takes calls, which addresses callers should use, and what it has
+//! counted.
 
 use {
     crate::{Platform, shared::Shared},
@@ -16,6 +17,9 @@
 /// for several times as long.
 const ADDRESS_AGE: Duration = Duration::from_secs(1);
 
+/// Path of counters and times.
+const METRICS_PATH: &str = "/metrics";
+
 /// Answers one question.
 pub(crate) fn answer<Kv, Format>(
     shared: &Shared<Kv, Format>,
@@ -33,6 +37,9 @@
         };
         return with_status(status, Bytes::new());
     }
+    if path == METRICS_PATH {
+        return with_status(StatusCode::OK, shared.meters.text().into());
+    }
     if !shared.format.asks_addresses(path) {
         return with_status(StatusCode::NOT_FOUND, Bytes::new());
     }
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -9,6 +9,7 @@
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
+    routes::CallLimits,
     socket2::SockRef,
     std::{convert::Infallible, error::Error, future::Future, sync::Arc, time::Duration},
     tokio::{
@@ -29,22 +30,20 @@
 pub(crate) struct Listening {
     /// Connections served at once; more wait to be accepted.
     pub(crate) max_connections_count: usize,
-    /// Longest head of a request, in bytes.
-    pub(crate) max_head_bytes: usize,
-    /// Longest time that a connection may stay without a request.
-    pub(crate) idle_timeout: Duration,
     /// From now on each connection closes after its next answer.
     pub(crate) draining: CancellationToken,
     /// From now on no connection is accepted and unused ones are closed.
     pub(crate) stop: CancellationToken,
 }
 
-/// Serves every connection with `service`, until `stop` and the end of all requests in progress.
-pub(crate) async fn serve<Service, Serving, Content>(
+/// Serves every connection with `service`, within the limits in force when it was accepted, until `stop` and the end of all requests in progress.
+pub(crate) async fn serve<Limits, Service, Serving, Content>(
     listener: TcpListener,
     listening: Listening,
+    limits: Limits,
     service: Service,
 ) where
+    Limits: Fn() -> CallLimits + Send + Sync,
     Service: Fn(Request<Incoming>) -> Serving + Clone + Send + Sync + 'static,
     Serving: Future<Output = Response<Content>> + Send + 'static,
     Content: Body + Send + 'static,
@@ -62,7 +61,7 @@
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let connection = serve_one(stream, listening.clone(), service.clone());
+        let connection = serve_one(stream, listening.clone(), limits(), service.clone());
         tasks.spawn(async move {
             connection.await;
             drop(slot);
@@ -90,6 +89,7 @@
 async fn serve_one<Service, Serving, Content>(
     stream: TcpStream,
     listening: Listening,
+    limits: CallLimits,
     service: Service,
 ) where
     Service: Fn(Request<Incoming>) -> Serving + Send + Sync + 'static,
@@ -120,8 +120,8 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(listening.idle_timeout)
-        .max_buf_size(listening.max_head_bytes.max(MIN_BUFFER_BYTES))
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let outcome = tokio::select! {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -44,6 +44,7 @@
     listen: SocketAddr,
     ready_listen: SocketAddr,
     directory_listen: SocketAddr,
+    metrics_listen: Option<SocketAddr>,
     kv_endpoint: SocketAddr,
     memory_mb: f64,
     max_descriptors_count: usize,
@@ -72,6 +73,8 @@
     pub ready_listen: SocketAddr,
     /// Address for callers' question which addresses to use.
     pub directory_listen: SocketAddr,
+    /// Address for questions about counters and times, if there is one.
+    pub metrics_listen: Option<SocketAddr>,
     /// Address of the key-value service.
     pub kv_endpoint: SocketAddr,
     /// Memory that the process may use, in bytes.
@@ -133,6 +136,7 @@
             listen: raw.listen,
             ready_listen: raw.ready_listen,
             directory_listen: raw.directory_listen,
+            metrics_listen: raw.metrics_listen,
             kv_endpoint: raw.kv_endpoint,
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             memory_bytes: memory_bytes as usize,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,6 +4,7 @@
     crate::{Known, Settings, Tenure},
     arc_swap::ArcSwap,
     eventlog::{Event, EventLog},
+    meters::Meters,
     parts::Keeping,
     relay::{View, boot_time},
     std::{
@@ -24,6 +25,8 @@
     pub(crate) format: Format,
     /// The log.
     pub(crate) log: EventLog,
+    /// Counters and times.
+    pub(crate) meters: Meters,
     /// What calls are decided by.
     pub(crate) view: Arc<ArcSwap<View>>,
     /// Addresses that callers are told of.
@@ -46,6 +49,7 @@
             kv,
             format,
             log,
+            meters: Meters::new(),
             view: Arc::default(),
             addresses: ArcSwap::default(),
             keeping: Arc::default(),
@@ -85,6 +89,8 @@
             .into_iter()
             .map(|(_, record)| record.address)
             .collect();
+        self.meters.gauge("targets", known.targets().count() as u64);
+        self.meters.gauge("instances", addresses.len() as u64);
         let own = self.settings.listen;
         let serves = known.table().is_some() && !self.draining.is_cancelled();
         if serves && !addresses.contains(&own) || addresses.is_empty() {
@@ -102,6 +108,8 @@
 
     /// Says that something this instance depends on was lost or is back.
     pub(crate) fn dependency(&self, name: &'static str, available: bool, reason: String) {
+        let kind = if available { "back" } else { "lost" };
+        self.meters.count("dependencies", kind);
         self.log.emit(&Event::Dependency {
             name,
             available,
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -13,6 +13,7 @@
     hyper::{Request, body::Incoming},
     keyvalue::KeyValue,
     relay::{Relay, RelaySettings},
+    routes::CallLimits,
     snafu::{ResultExt, Snafu},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     supervisor::{Child, RestartLimit, Supervisor, SupervisorError, run_on_thread},
@@ -85,13 +86,17 @@
     let front = listen(settings.listen).await?;
     let ready = listen(settings.ready_listen).await?;
     let directory = listen(settings.directory_listen).await?;
+    let metrics = match settings.metrics_listen {
+        Some(address) => Some(listen(address).await?),
+        None => None,
+    };
     let shared = Arc::new(Shared::new(settings, kv, format, log));
     let ended = CancellationToken::new();
     let control = tokio::spawn(run_on_thread(control(&shared), ended.clone()));
     let mut servers = JoinSet::new();
     let drained = CancellationToken::new();
     servers.spawn(serve_calls(shared.clone(), front, drained.clone()));
-    for listener in [ready, directory] {
+    for listener in [ready, directory].into_iter().chain(metrics) {
         servers.spawn(serve_questions(shared.clone(), listener, drained.clone()));
     }
     tokio::select! {
@@ -195,22 +200,32 @@
         shared.view.clone(),
         shared.keeping.clone(),
         shared.log.clone(),
+        shared.meters.clone(),
     );
-    let limits = routes::CallLimits::default();
     let descriptors = f64::from(u32::try_from(settings.max_descriptors_count).unwrap_or(u32::MAX));
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let max_connections_count = (descriptors * CALLER_DESCRIPTORS_SHARE) as usize;
     let listening = Listening {
         max_connections_count,
-        max_head_bytes: limits.max_head_bytes,
-        idle_timeout: limits.idle_timeout,
         draining: shared.draining.clone(),
         stop,
     };
-    listener::serve(listener, listening, move |request: Request<Incoming>| {
-        let relay = relay.clone();
-        async move { relay.serve(request).await }
-    })
+    let view = shared.view.clone();
+    let limits = move || {
+        let table = view.load().table.clone();
+        table
+            .map(|table| table.accepted().limits)
+            .unwrap_or_default()
+    };
+    listener::serve(
+        listener,
+        listening,
+        limits,
+        move |request: Request<Incoming>| {
+            let relay = relay.clone();
+            async move { relay.serve(request).await }
+        },
+    )
     .await;
 }
 
@@ -224,15 +239,23 @@
 {
     let listening = Listening {
         max_connections_count: MAX_QUESTIONS_COUNT,
-        max_head_bytes: MAX_QUESTION_BYTES,
-        idle_timeout: QUESTION_IDLE_TIME,
         draining: shared.draining.clone(),
         stop,
     };
-    listener::serve(listener, listening, move |request: Request<Incoming>| {
-        let answer = directory::answer(&shared, &request);
-        async move { answer }
-    })
+    let limits = || CallLimits {
+        max_head_bytes: MAX_QUESTION_BYTES,
+        idle_timeout: QUESTION_IDLE_TIME,
+        ..CallLimits::default()
+    };
+    listener::serve(
+        listener,
+        listening,
+        limits,
+        move |request: Request<Incoming>| {
+            let answer = directory::answer(&shared, &request);
+            async move { answer }
+        },
+    )
     .await;
 }
 
--- /dev/null
+++ b/crates/meters/tests/text_values.rs
@@ -0,0 +1,47 @@
+//! Values are summed by series, and the number of series is bounded.
+
+use {meters::Meters, std::time::Duration};
+
+#[test]
+fn counters_add_up_by_kind() {
+    let meters = Meters::new();
+    for _ in 0..3 {
+        meters.count("calls", "refused");
+    }
+    meters.count("calls", "answered");
+    meters.gauge("targets", 18);
+    meters.gauge("targets", 17);
+    let text = meters.text();
+    assert!(
+        text.contains("rattan_calls_total{kind=\"refused\"} 3\n"),
+        "{text}"
+    );
+    assert!(text.contains("rattan_calls_total{kind=\"answered\"} 1\n"));
+    assert!(text.contains("rattan_targets 17\n"));
+}
+
+#[test]
+fn times_have_quantiles_sum_and_count() {
+    let meters = Meters::new();
+    for millis in 1..=100 {
+        meters.time("first_byte", Duration::from_millis(millis));
+    }
+    let text = meters.text();
+    assert!(
+        text.contains("rattan_first_byte_ms{quantile=\"0.5\"} 50\n"),
+        "{text}"
+    );
+    assert!(text.contains("rattan_first_byte_ms_sum 5050\n"));
+    assert!(text.contains("rattan_first_byte_ms_count 100\n"));
+}
+
+#[test]
+fn series_beyond_the_bound_are_dropped_and_counted() {
+    let meters = Meters::new();
+    for kind in 0..1_000 {
+        meters.count("calls", &kind.to_string());
+    }
+    let text = meters.text();
+    assert!(text.lines().count() <= 201, "{}", text.lines().count());
+    assert!(text.contains("rattan_meters_dropped_total 800\n"), "{text}");
+}
--- a/crates/parts/tests/part_plans.rs
+++ b/crates/parts/tests/part_plans.rs
@@ -151,7 +151,7 @@
         fetched
     };
     let usual = second(&mut keeping, 0, Duration::from_millis(90));
-    second(&mut keeping, 2, Duration::from_millis(2_000));
+    second(&mut keeping, 2, Duration::from_secs(2));
     let slow = second(&mut keeping, 4, Duration::from_millis(90));
     for at in [6, 8, 10, 12, 14] {
         second(&mut keeping, at, Duration::from_millis(90));
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,14 +17,22 @@
     eventlog::EventLog,
     futures::{Stream, stream},
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
-    hyper::{Request, body::Frame, body::Incoming, http::request},
+    hyper::{
+        Request,
+        body::{Body, Frame, Incoming},
+        http::request,
+    },
+    meters::Meters,
     parts::Keeping,
     std::{
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
     target::Client,
-    tokio::time::timeout,
+    tokio::{
+        sync::{OwnedSemaphorePermit, Semaphore},
+        time::timeout,
+    },
 };
 
 /// How calls are relayed.
@@ -65,7 +73,9 @@
     pub(crate) keeping: Arc<Mutex<Keeping>>,
     pub(crate) retries: Retries,
     pub(crate) origin: Instant,
+    held: Arc<Semaphore>,
     log: EventLog,
+    meters: Meters,
 }
 
 impl<Format> Relay<Format>
@@ -81,7 +91,9 @@
         view: Arc<ArcSwap<View>>,
         keeping: Arc<Mutex<Keeping>>,
         log: EventLog,
+        meters: Meters,
     ) -> Self {
+        let held = Arc::new(Semaphore::new(settings.max_held_bytes / HELD_UNIT_BYTES));
         let retries = Retries::new(settings.retries);
         Self {
             inner: Arc::new(Inner {
@@ -92,7 +104,9 @@
                 keeping,
                 retries,
                 origin: Instant::now(),
+                held,
                 log,
+                meters,
             }),
         }
     }
@@ -115,7 +129,8 @@
         request: Request<Incoming>,
     ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, TornAnswer>> + use<Format>> {
         let arrived = Instant::now();
-        let mut trail = Trail::new(self.inner.log.clone(), arrived);
+        let (log, meters) = (self.inner.log.clone(), self.inner.meters.clone());
+        let mut trail = Trail::new(log, meters, arrived);
         let (head, body) = request.into_parts();
         let mut job = match self.accept(&mut trail, arrived, head, body).await {
             Ok(job) => job,
@@ -149,6 +164,18 @@
         }
     }
 
+    /// Room for the body of a call, until the call has ended.
+    fn hold(&self, admitted: &Admitted, body: &Incoming) -> Result<OwnedSemaphorePermit, Refusal> {
+        let stated = body.size_hint().exact().unwrap_or(UNSTATED_BODY_BYTES);
+        let length = usize::try_from(stated).unwrap_or(usize::MAX);
+        if length > admitted.table.accepted().limits.max_body_bytes {
+            return Err(Reason::BodyTooLong.into());
+        }
+        let units = u32::try_from(length / HELD_UNIT_BYTES + 1).unwrap_or(u32::MAX);
+        let room = self.inner.held.clone().try_acquire_many_owned(units);
+        room.map_err(|_| Refusal::new(Reason::NoRoom).retry_after(HELD_RETRY))
+    }
+
     /// Checks a call's head and reads its body.
     async fn accept(
         &self,
@@ -171,13 +198,21 @@
         if let Some(account) = &admitted.account {
             trail.line.account.clone_from(&account.name);
         }
+        let room = self.hold(&admitted, &body)?;
         let body = read_body(&admitted, body).await?;
-        let job = Job::new(self.inner.clone(), admitted, head, body, arrived);
+        let job = Job::new(self.inner.clone(), admitted, head, body, room, arrived);
         trail.line.time_limit_ms = millis(job.time_limit());
         Ok(job)
     }
 }
 
+/// Unit in which held bodies are counted, in bytes.
+const HELD_UNIT_BYTES: usize = 1 << 10;
+/// Reckoned length of a body that does not state its own, in bytes.
+const UNSTATED_BODY_BYTES: u64 = 256 << 10;
+/// When to come back if too many bodies are held.
+const HELD_RETRY: Duration = Duration::from_millis(500);
+
 async fn read_body(admitted: &Admitted, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = admitted.table.accepted().limits;
     let bound = admitted
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -23,6 +23,7 @@
         time::{Duration, Instant},
     },
     target::Reuse,
+    tokio::sync::OwnedSemaphorePermit,
 };
 
 /// Least time for which a call is still sent to a target.
@@ -64,6 +65,8 @@
     admitted: Admitted,
     head: request::Parts,
     body: Bytes,
+    /// Room for the body.
+    _room: OwnedSemaphorePermit,
     arrived: Instant,
     pool: PoolId,
     tried: Vec<TargetId>,
@@ -80,6 +83,7 @@
         admitted: Admitted,
         head: request::Parts,
         body: Bytes,
+        room: OwnedSemaphorePermit,
         arrived: Instant,
     ) -> Self {
         let pool = admitted.route.draw_pool(rand::random());
@@ -89,6 +93,7 @@
             admitted,
             head,
             body,
+            _room: room,
             arrived,
             pool,
             tried: Vec::new(),
--- a/crates/relay/src/trail.rs
+++ b/crates/relay/src/trail.rs
@@ -2,6 +2,7 @@
 
 use {
     eventlog::{AttemptLine, CallLine, Event, EventLog},
+    meters::Meters,
     parts::{Plan, Wish},
     std::{
         net::SocketAddr,
@@ -13,6 +14,7 @@
 #[derive(Debug)]
 pub(crate) struct Trail {
     log: EventLog,
+    meters: Meters,
     arrived: Instant,
     /// The line.
     pub(crate) line: CallLine,
@@ -20,9 +22,10 @@
 
 impl Trail {
     /// The trail of a call that arrives now.
-    pub(crate) fn new(log: EventLog, arrived: Instant) -> Self {
+    pub(crate) fn new(log: EventLog, meters: Meters, arrived: Instant) -> Self {
         Self {
             log,
+            meters,
             arrived,
             line: CallLine {
                 outcome: "caller_left",
@@ -94,7 +97,17 @@
 
 impl Drop for Trail {
     fn drop(&mut self) {
-        self.line.took_ms = millis(self.elapsed());
+        let took = self.elapsed();
+        self.line.took_ms = millis(took);
+        self.meters.count("calls", self.line.outcome);
+        self.meters.time("call", took);
+        if self.line.first_byte_ms > 0 {
+            let first_byte = Duration::from_millis(self.line.first_byte_ms);
+            self.meters.time("first_byte", first_byte);
+        }
+        for _ in self.line.attempts.iter().skip(1) {
+            self.meters.count("attempts", "repeated");
+        }
         self.log.emit(&Event::Call(std::mem::take(&mut self.line)));
     }
 }
--- a/crates/relay/tests/let_in.rs
+++ b/crates/relay/tests/let_in.rs
@@ -27,7 +27,7 @@
     let world = World::start(&[&target]).await;
     assert_eq!(caller::call(world.address, "/none/", "").await.status, 404);
     let stale = View {
-        confirmed: boot_time().saturating_sub(Duration::from_secs(60)),
+        confirmed: boot_time().saturating_sub(Duration::from_mins(1)),
         ..support::view(&[&target])
     };
     world.view.store(Arc::new(stale));
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -11,6 +11,7 @@
     eventlog::EventLog,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
+    meters::Meters,
     parts::Keeping,
     relay::{Live, ModelState, Relay, RelaySettings, TargetState, View, boot_time},
     routes::{Accepted, Account, Repeat, Route, RouteTable},
@@ -107,6 +108,7 @@
             view.clone(),
             keeping.clone(),
             EventLog::start(std::io::sink()),
+            Meters::new(),
         );
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
