--- a/crates/entry/tests/order_holding.rs
+++ b/crates/entry/tests/order_holding.rs
@@ -18,7 +18,7 @@
 
 #[test]
 fn new_holder_waits_for_the_orders_of_the_one_before() {
-    let tenure = Tenure::new(7, ms(0), Duration::from_secs(60));
+    let tenure = Tenure::new(7, ms(0), Duration::from_mins(1));
     let held = Holding::new(&tenure, 41, ms(100), GAP);
     assert_eq!(held.fencing(&tenure, ms(3_000), MARGIN), None);
     assert_eq!(held.fencing(&tenure, ms(3_100), MARGIN), Some(41));
