--- a/crates/eventlog/src/lib.rs
+++ b/crates/eventlog/src/lib.rs
@@ -14,8 +14,10 @@
 
 mod event;
 mod event_log;
+mod trace;
 
 pub use {
     event::{AttemptLine, CallLine, Event},
     event_log::EventLog,
+    trace::{Sighting, Trace},
 };
--- a/crates/rattan/src/cli/command.rs
+++ b/crates/rattan/src/cli/command.rs
@@ -4,7 +4,7 @@
     super::{
         Client, ClientError, Command, Exit, Options, apply, edit, key,
         output::{note, print, print_error},
-        show,
+        show, trace,
     },
     gumdrop::Options as _,
     std::process::ExitCode,
@@ -52,6 +52,9 @@
         print(&key::digest(std::io::stdin())?);
         return Ok(Exit::Ok);
     }
+    if let Command::Trace(options) = command {
+        return trace::run(options);
+    }
     let key = key::operator_key(options.key_file.as_deref())?;
     let client = Client::new(options.entries()?, key, options.timeout());
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -71,7 +74,7 @@
         Command::Delete(options) => edit::delete(client, options, form).await,
         Command::Status(_) => show::status(client, form).await,
         Command::Explain(options) => show::explain(client, options, form).await,
-        Command::Digest(_) => Ok(Exit::Ok),
+        Command::Digest(_) | Command::Trace(_) => Ok(Exit::Ok),
     }
 }
 
--- a/crates/rattan/src/cli/mod.rs
+++ b/crates/rattan/src/cli/mod.rs
@@ -11,6 +11,7 @@
 mod options;
 mod output;
 mod show;
+mod trace;
 
 pub use {
     client::{Client, ClientError, Reply},
--- a/crates/rattan/src/cli/options.rs
+++ b/crates/rattan/src/cli/options.rs
@@ -91,6 +91,9 @@
     /// Explain a request.
     #[options(help = "tell why a request went where it did, was refused, or was recomputed")]
     Explain(Explain),
+    /// Trace a call.
+    #[options(help = "tell a relayed call's way from logs of instances on the platform")]
+    Trace(TraceCall),
     /// Digest a key.
     #[options(help = "read a key on standard input and print its BLAKE3 digest")]
     Digest(Digest),
@@ -207,6 +210,20 @@
     pub request_id: String,
 }
 
+/// Tells a relayed call's way from logs: who took it, what was known, who was chosen, what came back.
+#[derive(Debug, gumdrop::Options)]
+pub struct TraceCall {
+    /// Print the help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Id of the call.
+    #[options(free, required, help = "id that the caller gave the call")]
+    pub request: String,
+    /// Logs of one or several instances.
+    #[options(free, help = "logs to read (default: standard input)")]
+    pub logs: Vec<String>,
+}
+
 /// Reads a key on standard input and prints its BLAKE3 digest.
 #[derive(Debug, gumdrop::Options)]
 pub struct Digest {
--- /dev/null
+++ b/crates/rattan/src/cli/trace.rs
@@ -0,0 +1,34 @@
+//! `rattan trace`: a call's way, from logs alone.
+
+use {
+    super::{ClientError, Exit, options::TraceCall, output::print},
+    eventlog::Trace,
+    std::{
+        fs::File,
+        io::{BufReader, stdin},
+    },
+};
+
+/// Reads the logs and prints where the call was seen.
+pub(super) fn run(options: &TraceCall) -> Result<Exit, ClientError> {
+    let mut trace = Trace::new(options.request.clone());
+    for file in &options.logs {
+        let unreadable = |error| ClientError::usage(&format!("{file}: {error}; check the path"));
+        let log = File::open(file).map_err(unreadable)?;
+        trace.read(BufReader::new(log)).map_err(unreadable)?;
+    }
+    if options.logs.is_empty() {
+        let read = trace.read(BufReader::new(stdin()));
+        read.map_err(|error| ClientError::usage(&format!("standard input: {error}")))?;
+    }
+    for sighting in trace.sightings() {
+        print(&sighting.text());
+    }
+    if trace.torn_count() > 0 {
+        print(&format!("{} torn lines were left out", trace.torn_count()));
+    }
+    if trace.sightings().is_empty() {
+        return Ok(Exit::NotFound);
+    }
+    Ok(Exit::Ok)
+}
