--- a/crates/balance/src/candidate.rs
+++ b/crates/balance/src/candidate.rs
@@ -9,7 +9,8 @@
     pub slots_count: u32,
     /// Calls under way there, of all instances, as estimated.
     pub in_flight_count: f64,
-    /// Whether it stands in the failure domain of this instance.
+    /// Whether it stands in the failure domain of what the call needs: of the store that holds its
+    /// session, else of this instance.
     pub near: bool,
     /// Factor on its service time: 1 for a usual target, more for a slow one.
     pub slowness: f64,
--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -22,13 +22,20 @@
     };
     let bound = candidates[least].load() + SPILL_MARGIN_SHARE;
     let within = |index: &usize| candidates[*index].load() <= bound;
-    let owner = |keeps: bool| {
-        let alike = (0..candidates.len()).filter(|index| candidates[*index].keeps || !keeps);
-        alike
+    let owner = |suits: fn(&Candidate) -> bool| {
+        (0..candidates.len())
             .filter(within)
+            .filter(|index| suits(&candidates[*index]))
             .max_by_key(|index| rendezvous::score(session, candidates[*index].seed))
     };
-    Some(owner(true).or_else(|| owner(false)).unwrap_or(least))
+    let keeper = owner(|candidate| candidate.keeps);
+    let near = || owner(|candidate| candidate.near);
+    Some(
+        keeper
+            .or_else(near)
+            .or_else(|| owner(|_| true))
+            .unwrap_or(least),
+    )
 }
 
 fn least_loaded(candidates: &[Candidate], draw: u64) -> Option<usize> {
--- a/crates/parts/src/keeping.rs
+++ b/crates/parts/src/keeping.rs
@@ -123,6 +123,16 @@
         kept
     }
 
+    /// Failure domain of a store that holds a part, if one does.
+    #[must_use]
+    pub fn store_domain(&self, salt: &str, id: &str) -> Option<&str> {
+        let places = self.held.get(&(salt.to_owned(), id.to_owned()))?;
+        let mut stores = places
+            .iter()
+            .filter_map(|(place, _)| self.stores.get(place));
+        stores.next().map(|store| store.failure_domain.as_str())
+    }
+
     fn held_at(&self, address: SocketAddr, salt: &str, id: &str) -> u32 {
         let places = self.held.get(&(salt.to_owned(), id.to_owned()));
         let mut places = places.into_iter().flatten();
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -106,12 +106,26 @@
     });
     Candidate {
         keeps: keeps.unwrap_or_default(),
-        near: target.failure_domain == *picking.failure_domain,
+        near: is_near(target, picking),
         ..Candidate::new(target.seed, target.slots_count)
             .in_flight(own * f64::from(view.instances_count.max(1)))
     }
 }
 
+/// Whether a target stands where the call's session is stored; a call without one, or whose session
+/// is not stored yet, is as well off anywhere, and a plain call is near its instance.
+fn is_near(target: &TargetState, picking: &Picking<'_>) -> bool {
+    let Some(prompt) = &picking.call.prompt else {
+        return target.failure_domain == *picking.failure_domain;
+    };
+    let (Some(session), Some(version)) = (prompt.session(), target.version(&prompt.model)) else {
+        return false;
+    };
+    let salt = salt(version, picking.isolated);
+    let domain = picking.keeping.store_domain(&salt, &session.id);
+    domain.is_some_and(|domain| domain == target.failure_domain)
+}
+
 /// Whether no call may begin on the target's weights any more.
 fn is_outdated(view: &View, target: &TargetState, picking: &Picking<'_>) -> bool {
     let versions = versions(view, target, picking);
