--- a/crates/balance/tests/session_choice.rs
+++ b/crates/balance/tests/session_choice.rs
@@ -11,16 +11,16 @@
     seeds.map(|seed| Candidate::new(seed, 48)).collect()
 }
 
-fn session(number: u32) -> Option<u64> {
-    Some(rendezvous::key_seed(&number.to_le_bytes()))
+fn session(number: u32) -> u64 {
+    rendezvous::key_seed(&number.to_le_bytes())
 }
 
 #[test]
 fn sessions_spread_over_all_targets_and_each_stays_on_one() {
     let pool = pool(18);
-    let owners = (0..500).map(|number| choose(&pool, session(number), u64::from(number)));
+    let owners = (0..500).map(|number| choose(&pool, Some(session(number)), u64::from(number)));
     let owners: Vec<usize> = owners.flatten().collect();
-    let again = (0..500).filter_map(|number| choose(&pool, session(number), 7));
+    let again = (0..500).filter_map(|number| choose(&pool, Some(session(number)), 7));
     assert_eq!(owners, again.collect::<Vec<_>>());
     assert_eq!(owners.iter().collect::<HashSet<_>>().len(), 18);
 }
@@ -28,20 +28,20 @@
 #[test]
 fn busy_owner_is_spared_and_gets_its_sessions_back() {
     let mut pool = pool(18);
-    let owner = choose(&pool, session(1), 0).unwrap();
+    let owner = choose(&pool, Some(session(1)), 0).unwrap();
     pool[owner].in_flight_count = 12.0;
-    assert_ne!(choose(&pool, session(1), 0), Some(owner));
+    assert_ne!(choose(&pool, Some(session(1)), 0), Some(owner));
     pool[owner].in_flight_count = 4.0;
-    assert_eq!(choose(&pool, session(1), 0), Some(owner));
+    assert_eq!(choose(&pool, Some(session(1)), 0), Some(owner));
 }
 
 #[test]
 fn target_that_keeps_the_session_goes_before_its_owner() {
     let mut pool = pool(18);
-    let owner = choose(&pool, session(1), 0).unwrap();
+    let owner = choose(&pool, Some(session(1)), 0).unwrap();
     let keeper = (owner + 1) % 18;
     pool[keeper].keeps = true;
-    assert_eq!(choose(&pool, session(1), 0), Some(keeper));
+    assert_eq!(choose(&pool, Some(session(1)), 0), Some(keeper));
 }
 
 #[test]
@@ -50,12 +50,12 @@
     for candidate in pool.iter_mut().take(6) {
         candidate.near = true;
     }
-    let chosen = (0..200).filter_map(|number| choose(&pool, session(number), 0));
+    let chosen = (0..200).filter_map(|number| choose(&pool, Some(session(number)), 0));
     assert!(chosen.clone().all(|index| index < 6));
     for candidate in pool.iter_mut().take(6) {
         candidate.in_flight_count = 12.0;
     }
-    let chosen = (0..200).filter_map(|number| choose(&pool, session(number), 0));
+    let chosen = (0..200).filter_map(|number| choose(&pool, Some(session(number)), 0));
     assert!(
         chosen.clone().all(|index| index >= 6),
         "not if they are far busier"
