--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -83,6 +83,9 @@
     },
     /// The settings were read again.
     Reloaded,
+    /// A stream is still being passed on after a while, so that a process that dies leaves a trace
+    /// of it.
+    UnderWay(CallLine),
     /// A call has ended.
     Call(CallLine),
     /// A configuration is in force from now on.
--- a/crates/eventlog/src/trace.rs
+++ b/crates/eventlog/src/trace.rs
@@ -11,6 +11,8 @@
 
 /// Where the JSON of a line begins; what stands before names the process.
 const JSON_START: &str = "{\"time_ms\"";
+/// What a line of a stream that has not ended contains.
+const UNDER_WAY: &str = "\"event\":\"under_way\"";
 /// Kinds of lines that change what a process believes.
 const STATE_EVENTS: [&str; 9] = [
     "started",
@@ -99,7 +101,8 @@
             return;
         };
         let (before, json) = line.split_at(start);
-        let is_call = json.contains(&self.request_id) && json.contains("\"event\":\"call\"");
+        let is_call = json.contains(&self.request_id)
+            && (json.contains("\"event\":\"call\"") || json.contains(UNDER_WAY));
         let is_state = STATE_EVENTS
             .iter()
             .any(|event| json.contains(&format!("\"event\":\"{event}\"")));
@@ -111,7 +114,7 @@
             return;
         };
         let process = before.split_whitespace().last().unwrap_or_default();
-        if value["event"] == "call" {
+        if value["event"] == "call" || value["event"] == "under_way" {
             if value["request_id"] == self.request_id.as_str() {
                 self.see(process, value);
             }
@@ -195,6 +198,10 @@
             "  +{} ms: first byte to the caller, status {}; {} events, the last at +{} ms",
             call["first_byte_ms"], call["status"], call["events_count"], call["last_event_ms"],
         );
+        if call["event"] == "under_way" {
+            let _ = writeln!(text, "  +{took_ms} ms: still under way");
+            return text;
+        }
         let _ = writeln!(
             text,
             "  +{took_ms} ms: {} {}",
--- a/crates/eventlog/tests/call_trace.rs
+++ b/crates/eventlog/tests/call_trace.rs
@@ -45,3 +45,18 @@
     trace.read(LOG.as_bytes()).unwrap();
     assert_eq!(trace.sightings().len(), 1);
 }
+
+#[test]
+fn stream_whose_process_died_is_found_by_its_line_under_way() {
+    let log = LOG.replace(
+        "\"event\":\"call\",\"request_id\":\"9c41\"",
+        "\"event\":\"under_way\",\"request_id\":\"9c41\"",
+    );
+    let mut trace = Trace::new("9c41");
+    trace.read(log.as_bytes()).unwrap();
+    let sightings = trace.sightings();
+    assert!(
+        sightings[0].text().contains("still under way"),
+        "{sightings:?}"
+    );
+}
--- a/crates/relay/src/trail.rs
+++ b/crates/relay/src/trail.rs
@@ -10,12 +10,16 @@
     },
 };
 
+/// A stream that takes longer leaves a line before its end.
+const LONG_TIME: Duration = Duration::from_secs(2);
+
 /// What happened to one call so far. Writes its line when it ends, also if the caller leaves.
 #[derive(Debug)]
 pub(crate) struct Trail {
     log: EventLog,
     meters: Meters,
     arrived: Instant,
+    is_told: bool,
     /// The line.
     pub(crate) line: CallLine,
 }
@@ -27,6 +31,7 @@
             log,
             meters,
             arrived,
+            is_told: false,
             line: CallLine {
                 outcome: "caller_left",
                 ..CallLine::default()
@@ -86,7 +91,13 @@
     /// Notes that an event is passed on now.
     pub(crate) fn event(&mut self) {
         self.line.events_count += 1;
-        self.line.last_event_ms = millis(self.elapsed());
+        let elapsed = self.elapsed();
+        self.line.last_event_ms = millis(elapsed);
+        if elapsed >= LONG_TIME && !self.is_told {
+            self.is_told = true;
+            self.line.took_ms = millis(elapsed);
+            self.log.emit(&Event::UnderWay(self.line.clone()));
+        }
     }
 
     /// Notes that the first byte of the answer goes out now.
