--- a/crates/entry/src/known.rs
+++ b/crates/entry/src/known.rs
@@ -15,7 +15,7 @@
 
 /// Entries that lapsed while the service was away are back this soon after its return, if what
 /// they name lives and reaches it.
-const RETURN_TIME: Duration = Duration::from_secs(2);
+const RETURN_TIME: Duration = Duration::from_millis(2_500);
 
 /// One target as known.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/crates/entry/tests/support/formats.rs
@@ -0,0 +1,150 @@
+//! Formats of the tests' own.
+
+use {
+    bytes::Bytes,
+    entry::{
+        Item, ItemError, ItemName, OrderOutcome, PartEvents, PartList, Platform, TargetEntry,
+        TargetReport, VersionOrder,
+    },
+    http_body_util::Full,
+    hyper::{HeaderMap, Request, http::request},
+    relay::{BadCall, Call, ModelState, ReplyNotes, Sending, Wire},
+    routes::{Accepted, Repeat, Route},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Keys `op/configuration` (a version), `op/version/MODEL`, `targets/NAME` (`ADDRESS VERSION`).
+#[derive(Clone, Copy, Debug)]
+pub struct Formats;
+
+impl Wire for Formats {
+    fn call(&self, head: &request::Parts) -> Result<Call, BadCall> {
+        let id = head.headers.get("id").and_then(|id| id.to_str().ok());
+        Ok(Call {
+            id: id.unwrap_or_default().to_owned(),
+            ..Call::default()
+        })
+    }
+
+    fn outbound(&self, headers: &HeaderMap, sending: &Sending) -> HeaderMap {
+        let mut out = headers.clone();
+        out.insert("target", sending.target.parse().unwrap());
+        out
+    }
+
+    fn reply(&self, _headers: &HeaderMap) -> ReplyNotes {
+        ReplyNotes {
+            proven: true,
+            ..ReplyNotes::default()
+        }
+    }
+
+    fn inbound(&self, headers: &HeaderMap) -> HeaderMap {
+        headers.clone()
+    }
+}
+
+impl Platform for Formats {
+    fn watched_prefixes(&self) -> &'static [&'static str] {
+        &["op/", "targets/"]
+    }
+
+    fn name(&self, key: &str) -> Option<ItemName> {
+        if key == "op/configuration" {
+            return Some(ItemName::Configuration);
+        }
+        if let Some(model) = key.strip_prefix("op/version/") {
+            return Some(ItemName::Version(model.to_owned()));
+        }
+        let target = key.strip_prefix("targets/")?;
+        Some(ItemName::Target(target.to_owned()))
+    }
+
+    fn item(&self, name: &ItemName, _key: &str, value: &[u8]) -> Result<Item, ItemError> {
+        let text = std::str::from_utf8(value).unwrap();
+        Ok(match name {
+            ItemName::Configuration => {
+                let route = Route::new("all", "a.example", "/")
+                    .repeat(Repeat::Idempotent)
+                    .pool("pool");
+                let accepted = Accepted::default().version(text.parse().unwrap());
+                Item::Configuration(Box::new(accepted.routes(vec![route])))
+            }
+            ItemName::Version(_) => Item::Version(text.parse().unwrap()),
+            _ => {
+                let (address, version) = text.split_once(' ').unwrap();
+                let mut entry = TargetEntry::new("pool", address.parse().unwrap());
+                entry.models = vec![ModelState {
+                    model: "m".to_owned(),
+                    version: version.parse().unwrap(),
+                }];
+                Item::Target(entry)
+            }
+        })
+    }
+
+    fn asks_ready(&self, path: &str) -> bool {
+        path == "/ready"
+    }
+
+    fn asks_addresses(&self, path: &str) -> bool {
+        path == "/addresses"
+    }
+
+    fn addresses(&self, addresses: &[SocketAddr], _max_age: Duration) -> Bytes {
+        let texts: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+        texts.join(" ").into()
+    }
+
+    fn report_call(&self) -> Request<Full<Bytes>> {
+        Request::get("/report").body(Full::default()).unwrap()
+    }
+
+    fn report(&self, body: &[u8]) -> Option<TargetReport> {
+        let text = std::str::from_utf8(body).ok()?;
+        let version = text.parse().ok()?;
+        Some(TargetReport {
+            models: vec![ModelState {
+                model: "m".to_owned(),
+                version,
+            }],
+            ..TargetReport::default()
+        })
+    }
+
+    fn events_call(&self, _since: u64, _wait: Duration) -> Request<Full<Bytes>> {
+        Request::get("/events").body(Full::default()).unwrap()
+    }
+
+    fn events(&self, _body: &[u8]) -> Option<PartEvents> {
+        None
+    }
+
+    fn list_call(&self) -> Request<Full<Bytes>> {
+        Request::get("/list").body(Full::default()).unwrap()
+    }
+
+    fn list(&self, _body: &[u8]) -> Option<PartList> {
+        None
+    }
+
+    fn free_call(&self, _start: u64, _parts: &[(String, String)]) -> Request<Full<Bytes>> {
+        Request::get("/free").body(Full::default()).unwrap()
+    }
+
+    fn order_call(&self, order: &VersionOrder) -> Request<Full<Bytes>> {
+        let path = format!(
+            "/order/{}/{}/{}",
+            order.holder, order.fencing, order.version
+        );
+        Request::post(path).body(Full::default()).unwrap()
+    }
+
+    fn order_outcome(&self, status: u16) -> OrderOutcome {
+        if status == 202 {
+            OrderOutcome::Accepted
+        } else {
+            OrderOutcome::Unknown
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,127 @@
+//! Entry instances over an in-memory key-value service, with formats and targets of the tests' own.
+
+pub mod formats;
+pub mod target;
+
+use {
+    bytes::Bytes,
+    entry::Settings,
+    eventlog::EventLog,
+    formats::Formats,
+    http_body_util::{BodyExt, Full},
+    hyper::{Request, client::conn::http1},
+    hyper_util::rt::TokioIo,
+    keyvalue::{KeyValue, MemoryKv, Op, Txn},
+    std::{
+        net::{SocketAddr, TcpListener},
+        time::Duration,
+    },
+    tokio::{net::TcpStream, task::JoinHandle, time::sleep},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Longest wait for anything.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A running instance.
+pub struct Instance {
+    pub settings: Settings,
+    pub stop: CancellationToken,
+    pub ended: JoinHandle<Result<(), entry::StartError>>,
+}
+
+impl Instance {
+    /// Starts an instance on free ports.
+    pub fn start(name: &str, kv: MemoryKv) -> Self {
+        let settings = settings(name);
+        let stop = CancellationToken::new();
+        let log = EventLog::start(std::io::sink());
+        let ended = tokio::spawn(entry::run(settings.clone(), kv, Formats, log, stop.clone()));
+        Self {
+            settings,
+            stop,
+            ended,
+        }
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let got = get(self.settings.ready_listen, "/ready", &[]).await;
+        got.is_some_and(|(status, _)| status == 200)
+    }
+
+    /// Addresses that callers are told of.
+    pub async fn addresses(&self) -> Vec<String> {
+        let got = get(self.settings.directory_listen, "/addresses", &[]).await;
+        let (_, body) = got.unwrap_or_default();
+        body.split_whitespace().map(str::to_owned).collect()
+    }
+
+    /// Sends a call; gives status and body.
+    pub async fn call(&self, path: &str) -> Option<(u16, String)> {
+        let headers = [("host", "a.example"), ("id", "c1")];
+        get(self.settings.listen, path, &headers).await
+    }
+}
+
+/// Waits until `check` gives true.
+pub async fn until<Check, Checked>(what: &str, mut check: Check)
+where
+    Check: FnMut() -> Checked,
+    Checked: Future<Output = bool>,
+{
+    let rounds = PATIENCE.as_millis() / 20;
+    for _ in 0..rounds {
+        if check().await {
+            return;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("not seen: {what}");
+}
+
+/// Writes a key as operators and targets do.
+pub async fn put(kv: &MemoryKv, key: &str, value: &str) {
+    let put = Op::Put(
+        key.to_owned(),
+        Bytes::copy_from_slice(value.as_bytes()),
+        None,
+    );
+    let write = Txn {
+        success: vec![put],
+        ..Txn::default()
+    };
+    kv.txn(write).await.unwrap();
+}
+
+async fn get(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Option<(u16, String)> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let mut builder = Request::get(path);
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let request = builder.body(Full::new(Bytes::new())).unwrap();
+    let response = sender.send_request(request).await.ok()?;
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    Some((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+fn settings(name: &str) -> Settings {
+    let ports: Vec<TcpListener> = (0..3)
+        .map(|_| TcpListener::bind(("127.0.0.1", 0)).unwrap())
+        .collect();
+    let address = |index: usize| ports[index].local_addr().unwrap();
+    let text = format!(
+        r#"{{"instance":"{name}","region":"r","failure_domain":"a","listen":"{}",
+            "ready_listen":"{}","directory_listen":"{}","kv_endpoint":"127.0.0.1:1","memory_mb":100,
+            "max_descriptors_count":1000,"grace_s":3,"max_address_age_s":5,"order_gap_ms":300,
+            "version_ms":8000,"min_lease_ms":1000,"retries_per_call":0.2,"retry_window_s":10,
+            "retry_slack_count":50}}"#,
+        address(0),
+        address(1),
+        address(2),
+    );
+    Settings::parse(text.as_bytes()).unwrap()
+}
--- /dev/null
+++ b/crates/entry/tests/support/target.rs
@@ -0,0 +1,86 @@
+//! A target that answers calls, reports its version and takes orders.
+
+use {
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
+    std::{
+        convert::Infallible,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{net::TcpListener, time::sleep},
+};
+
+/// An order as it arrived.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    pub holder: String,
+    pub fencing: u64,
+    pub version: u64,
+}
+
+/// A running target.
+#[derive(Clone)]
+pub struct Target {
+    pub address: SocketAddr,
+    orders: Arc<Mutex<Vec<Order>>>,
+}
+
+impl Target {
+    /// Starts a target; it takes `work` for each call.
+    pub async fn start(work: Duration) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let target = Self {
+            address: listener.local_addr().unwrap(),
+            orders: Arc::default(),
+        };
+        let shared = target.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let shared = shared.clone();
+                let service = service_fn(move |request| {
+                    let shared = shared.clone();
+                    async move { Ok::<_, Infallible>(shared.answer(&request, work).await) }
+                });
+                let stream = TokioIo::new(stream);
+                tokio::spawn(http1::Builder::new().serve_connection(stream, service));
+            }
+        });
+        target
+    }
+
+    /// Orders that have arrived.
+    pub fn orders(&self) -> Vec<Order> {
+        self.orders.lock().unwrap().clone()
+    }
+
+    async fn answer(&self, request: &Request<Incoming>, work: Duration) -> Response<Full<Bytes>> {
+        let path = request.uri().path();
+        if path == "/report" {
+            let version = self.orders().last().map_or(1, |order| order.version);
+            return respond(200, version.to_string());
+        }
+        if let Some(order) = path.strip_prefix("/order/") {
+            let fields: Vec<&str> = order.split('/').collect();
+            self.orders.lock().unwrap().push(Order {
+                holder: fields[0].to_owned(),
+                fencing: fields[1].parse().unwrap(),
+                version: fields[2].parse().unwrap(),
+            });
+            return respond(202, String::new());
+        }
+        if path == "/events" {
+            return respond(500, String::new());
+        }
+        sleep(work).await;
+        respond(200, "done".to_owned())
+    }
+}
+
+fn respond(status: u16, body: String) -> Response<Full<Bytes>> {
+    let response = Response::builder().status(status);
+    response.body(Full::new(Bytes::from(body))).unwrap()
+}
--- /dev/null
+++ b/crates/entry/tests/whole_path.rs
@@ -0,0 +1,152 @@
+//! Instances over one key-value service: joining, serving, orders, outages and leaving.
+
+mod support;
+
+use {
+    keyvalue::MemoryKv,
+    std::time::Duration,
+    support::{Instance, put, target::Target, until},
+};
+
+async fn fleet(target: &Target) -> MemoryKv {
+    let kv = MemoryKv::new();
+    put(&kv, "op/configuration", "1").await;
+    put(&kv, "targets/t1", &format!("{} 1", target.address)).await;
+    kv
+}
+
+#[tokio::test]
+async fn instances_find_each_other_and_serve() {
+    let target = Target::start(Duration::ZERO).await;
+    let kv = fleet(&target).await;
+    let (one, two) = (
+        Instance::start("one", kv.clone()),
+        Instance::start("two", kv),
+    );
+    for instance in [&one, &two] {
+        until("both addresses", async || {
+            instance.addresses().await.len() == 2
+        })
+        .await;
+        assert!(instance.is_ready().await);
+        let answered = instance.call("/x").await;
+        assert_eq!(answered, Some((200, "done".to_owned())));
+    }
+}
+
+#[tokio::test]
+async fn instance_without_a_configuration_is_not_ready() {
+    let kv = MemoryKv::new();
+    let one = Instance::start("one", kv.clone());
+    until("a refusal", async || {
+        one.call("/x")
+            .await
+            .is_some_and(|(status, _)| status == 503)
+    })
+    .await;
+    assert!(!one.is_ready().await);
+    put(&kv, "op/configuration", "1").await;
+    until("ready", async || one.is_ready().await).await;
+}
+
+#[tokio::test]
+async fn outage_of_the_key_value_service_stops_no_call() {
+    let target = Target::start(Duration::ZERO).await;
+    let kv = fleet(&target).await;
+    let one = Instance::start("one", kv.clone());
+    until("served", async || {
+        one.call("/x")
+            .await
+            .is_some_and(|(status, _)| status == 200)
+    })
+    .await;
+    kv.set_faults(|faults| faults.unreachable = true);
+    kv.cut_watches();
+    for _ in 0..20 {
+        let status = one.call("/x").await.map(|(status, _)| status);
+        assert_eq!(status, Some(200));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(one.is_ready().await);
+    kv.set_faults(|faults| faults.unreachable = false);
+    put(&kv, "op/configuration", "2").await;
+    assert!(one.is_ready().await);
+}
+
+#[tokio::test]
+async fn named_version_is_ordered_by_one_holder_only() {
+    let target = Target::start(Duration::ZERO).await;
+    let kv = fleet(&target).await;
+    let _instances = [
+        Instance::start("one", kv.clone()),
+        Instance::start("two", kv.clone()),
+    ];
+    put(&kv, "op/version/m", "2").await;
+    until("an order", async || !target.orders().is_empty()).await;
+    put(&kv, "targets/t1", &format!("{} 2", target.address)).await;
+    put(&kv, "op/version/m", "3").await;
+    until("the next order", async || {
+        target.orders().iter().any(|it| it.version == 3)
+    })
+    .await;
+    let orders = target.orders();
+    assert!(
+        orders.iter().all(|it| it.holder == orders[0].holder),
+        "{orders:?}"
+    );
+    assert!(
+        orders.iter().all(|it| it.fencing == orders[0].fencing),
+        "{orders:?}"
+    );
+}
+
+#[tokio::test]
+async fn next_holder_has_a_higher_fencing_number() {
+    let target = Target::start(Duration::ZERO).await;
+    let kv = fleet(&target).await;
+    let instances = [
+        Instance::start("one", kv.clone()),
+        Instance::start("two", kv.clone()),
+    ];
+    put(&kv, "op/version/m", "2").await;
+    until("an order", async || !target.orders().is_empty()).await;
+    let first = target.orders()[0].clone();
+    let holder = instances
+        .iter()
+        .find(|it| it.settings.instance == first.holder);
+    holder.unwrap().stop.cancel();
+    put(&kv, "targets/t1", &format!("{} 2", target.address)).await;
+    put(&kv, "op/version/m", "3").await;
+    let other = async || target.orders().iter().any(|it| it.holder != first.holder);
+    until("an order of the other", other).await;
+    let orders = target.orders();
+    let last = orders.last().unwrap();
+    assert!(last.fencing > first.fencing, "{orders:?}");
+}
+
+#[tokio::test]
+async fn leaving_instance_is_named_no_more_and_finishes_its_calls() {
+    let target = Target::start(Duration::from_millis(1_500)).await;
+    let kv = fleet(&target).await;
+    let (one, two) = (
+        Instance::start("one", kv.clone()),
+        Instance::start("two", kv),
+    );
+    for instance in [&one, &two] {
+        until("both addresses", async || {
+            instance.addresses().await.len() == 2
+        })
+        .await;
+    }
+    let call = one.call("/x");
+    let leave = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        one.stop.cancel();
+        until("not ready", async || !one.is_ready().await).await;
+        let own = one.settings.listen.to_string();
+        until("not named", async || !two.addresses().await.contains(&own)).await;
+    };
+    let (answered, ()) = tokio::join!(call, leave);
+    assert_eq!(answered, Some((200, "done".to_owned())));
+    assert!(one.ended.await.unwrap().is_ok());
+}
