--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -14,6 +14,7 @@
     keyvalue::{KeyValue, MemoryKv, Op, Txn},
     std::{
         net::{SocketAddr, TcpListener},
+        sync::atomic::{AtomicU16, Ordering},
         time::Duration,
     },
     tokio::{net::TcpStream, task::JoinHandle, time::sleep},
@@ -36,7 +37,14 @@
         let settings = settings(name);
         let stop = CancellationToken::new();
         let log = EventLog::start(std::io::sink());
-        let ended = tokio::spawn(entry::run(settings.clone(), kv, Formats, log, stop.clone()));
+        let run = entry::run(settings.clone(), kv, Formats, log, stop.clone());
+        let ended = tokio::spawn(async move {
+            let ended = run.await;
+            if let Err(error) = &ended {
+                println!("instance ended: {error}");
+            }
+            ended
+        });
         Self {
             settings,
             stop,
@@ -108,11 +116,23 @@
     Some((status, String::from_utf8_lossy(&body).into_owned()))
 }
 
+/// An address that nobody listens on, below the ports that the system gives to connections: one of
+/// those may be taken again before the instance listens on it.
+fn free_address() -> SocketAddr {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+    let first = 21_000 + u16::try_from(std::process::id() % 80).unwrap() * 100;
+    loop {
+        let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % 100;
+        let address = SocketAddr::from(([127, 0, 0, 1], first + offset));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
 fn settings(name: &str) -> Settings {
-    let ports: Vec<TcpListener> = (0..3)
-        .map(|_| TcpListener::bind(("127.0.0.1", 0)).unwrap())
-        .collect();
-    let address = |index: usize| ports[index].local_addr().unwrap();
+    let addresses: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
+    let address = |index: usize| addresses[index];
     let text = format!(
         r#"{{"instance":"{name}","region":"r","failure_domain":"a","listen":"{}",
             "ready_listen":"{}","directory_listen":"{}","kv_endpoint":"127.0.0.1:1","memory_mb":100,
