--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod attempt;
 mod boot_clock;
 mod call;
+mod passing;
 mod pick;
 mod refusal;
 mod relay;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,8 +6,9 @@
         admit::{Admitted, admit},
         answer::{refused, streamed, whole},
         attempt::Content,
+        passing::{Ended, Passing},
         retries::Retries,
-        run::{Ended, Job},
+        run::Job,
         trail::{Trail, millis},
     },
     arc_swap::ArcSwap,
@@ -150,7 +151,7 @@
             }
             Content::Events(events) => {
                 trail.line.status = status.as_u16();
-                let passing = job.pass_on(*events, trail);
+                let passing = Passing::new(job, *events, trail);
                 let frames = stream::unfold(Some(passing), |passing| async move {
                     let mut passing = passing?;
                     match passing.next().await {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -4,11 +4,10 @@
     crate::{
         Reason, Refusal, ReplyNotes, Sending, Wire,
         admit::Admitted,
-        attempt::{Content, Outgoing, TargetAnswer, Tried, attempt},
+        attempt::{Outgoing, TargetAnswer, Tried, attempt},
         boot_time,
         pick::{Picked, Picking, pick, salt, wishes},
         relay::{Inner, outgoing_body},
-        stream::Events,
         trail::Trail,
         view::InFlight,
     },
@@ -42,11 +41,6 @@
 /// When to come back if all targets that were asked are full.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(250);
 
-/// Pauses of the longest length that is on time after which a stream is continued elsewhere.
-const MAX_SILENT_GAPS_COUNT: u32 = 4;
-/// Least silence after which a stream is continued elsewhere.
-const MIN_SILENCE: Duration = Duration::from_secs(1);
-
 /// Stores are not used by a view that was confirmed longer ago.
 const MAX_PARTS_AGE: Duration = Duration::from_secs(4);
 
@@ -55,10 +49,6 @@
 /// Parts of replaced weights are fetched for this long after newer ones were named.
 const MAX_REPLACED_AGE: Duration = Duration::from_secs(6);
 
-/// The call can't go on; its trail says why.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Ended;
-
 /// A call that is being served.
 pub(crate) struct Job<Format> {
     inner: Arc<Inner<Format>>,
@@ -109,23 +99,32 @@
         caller.map_or(route, |caller| caller.min(route))
     }
 
-    fn time_left(&self) -> Duration {
+    /// Time that is left of it.
+    pub(crate) fn time_left(&self) -> Duration {
         self.time_limit().saturating_sub(self.arrived.elapsed())
     }
 
-    fn repeat(&self) -> Repeat {
+    /// What may be repeated of the call.
+    pub(crate) fn repeat(&self) -> Repeat {
         self.admitted.route.repeat
     }
 
-    fn can_run_again(&self) -> bool {
+    /// Whether another target may run the call though one may have run it.
+    pub(crate) fn can_run_again(&self) -> bool {
         self.repeat().may_run_again() && self.may_have_run_count < self.admitted.route.max_attempts
     }
 
+    /// Longest pause between events that is on time.
+    pub(crate) fn max_event_gap(&self) -> Option<Duration> {
+        self.admitted.route.max_event_gap
+    }
+
     fn instances_count(&self) -> u32 {
         self.inner.view.load().instances_count
     }
 
-    fn try_retry(&self) -> bool {
+    /// Takes one more arrival at a target out of the retry budget.
+    pub(crate) fn try_retry(&self) -> bool {
         let now = self.inner.origin.elapsed();
         let instances_count = self.instances_count();
         self.inner
@@ -190,15 +189,6 @@
         Err(given_up)
     }
 
-    /// Passes the events of a stream on from now on.
-    pub(crate) fn pass_on(self, events: Events, trail: Trail) -> Passing<Format> {
-        Passing {
-            job: self,
-            events,
-            trail,
-        }
-    }
-
     fn pick(&self) -> Option<Picked> {
         let view = self.inner.view.load();
         let keeping = self
@@ -434,74 +424,3 @@
         Tried::Unknown(reason) => format!("unknown: {reason}"),
     }
 }
-
-/// A stream that is being passed on.
-pub(crate) struct Passing<Format> {
-    job: Job<Format>,
-    events: Events,
-    trail: Trail,
-}
-
-impl<Format> Passing<Format>
-where
-    Format: Wire,
-{
-    /// The next event; none at the end of the stream. A stream that breaks off is continued by
-    /// another target after the last event that was passed on, if its route allows that.
-    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, Ended> {
-        loop {
-            let silence = self.silence();
-            let error = match self.events.next(silence).await {
-                Ok(Some(event)) => {
-                    self.trail.event();
-                    return Ok(Some(event));
-                }
-                Ok(None) => {
-                    let status = self.trail.line.status;
-                    self.trail.end("answered", status, "");
-                    return Ok(None);
-                }
-                Err(error) => error,
-            };
-            self.trail.attempted(format!("torn: {error}"));
-            self.resume().await?;
-        }
-    }
-
-    async fn resume(&mut self) -> Result<(), Ended> {
-        let last_id = self.events.last_id();
-        let can_resume = self.job.repeat() == Repeat::ResumableStream && last_id.is_some();
-        if !can_resume || !self.job.can_run_again() || !self.job.try_retry() {
-            return Err(self.torn("the target broke off"));
-        }
-        let answer = self.job.run(&mut self.trail, last_id).await;
-        let Ok(answer) = answer else {
-            return Err(self.torn("no other target continued the stream"));
-        };
-        match answer.content {
-            Content::Events(events) if answer.status.is_success() => {
-                self.events = events.after(last_id);
-                Ok(())
-            }
-            _ => Err(self.torn("another target refused to continue the stream")),
-        }
-    }
-
-    fn torn(&mut self, reason: &str) -> Ended {
-        let status = self.trail.line.status;
-        self.trail.end("torn", status, reason);
-        Ended
-    }
-
-    /// Longest pause before the next event that is waited for.
-    fn silence(&self) -> Duration {
-        let left = self.job.time_left();
-        let gap = self.job.admitted.route.max_event_gap;
-        match gap {
-            Some(gap) if self.job.can_run_again() => {
-                left.min((gap * MAX_SILENT_GAPS_COUNT).max(MIN_SILENCE))
-            }
-            _ => left,
-        }
-    }
-}
