--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -13,7 +13,7 @@
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Keys `op/configuration` (a version), `op/version/MODEL`, `targets/NAME` (`ADDRESS VERSION`).
+/// Keys `operators/configuration` (a version), `operators/version/MODEL`, `targets/NAME` (`ADDRESS VERSION`).
 #[derive(Clone, Copy, Debug)]
 pub struct Formats;
 
@@ -46,14 +46,14 @@
 
 impl Platform for Formats {
     fn watched_prefixes(&self) -> &'static [&'static str] {
-        &["op/", "targets/"]
+        &["operators/", "targets/"]
     }
 
     fn name(&self, key: &str) -> Option<ItemName> {
-        if key == "op/configuration" {
+        if key == "operators/configuration" {
             return Some(ItemName::Configuration);
         }
-        if let Some(model) = key.strip_prefix("op/version/") {
+        if let Some(model) = key.strip_prefix("operators/version/") {
             return Some(ItemName::Version(model.to_owned()));
         }
         let target = key.strip_prefix("targets/")?;
--- a/crates/entry/tests/whole_path.rs
+++ b/crates/entry/tests/whole_path.rs
@@ -10,7 +10,7 @@
 
 async fn fleet(target: &Target) -> MemoryKv {
     let kv = MemoryKv::new();
-    put(&kv, "op/configuration", "1").await;
+    put(&kv, "operators/configuration", "1").await;
     put(&kv, "targets/t1", &format!("{} 1", target.address)).await;
     kv
 }
@@ -45,7 +45,7 @@
     })
     .await;
     assert!(!one.is_ready().await);
-    put(&kv, "op/configuration", "1").await;
+    put(&kv, "operators/configuration", "1").await;
     until("ready", async || one.is_ready().await).await;
 }
 
@@ -69,7 +69,7 @@
     }
     assert!(one.is_ready().await);
     kv.set_faults(|faults| faults.unreachable = false);
-    put(&kv, "op/configuration", "2").await;
+    put(&kv, "operators/configuration", "2").await;
     assert!(one.is_ready().await);
 }
 
@@ -81,10 +81,10 @@
         Instance::start("one", kv.clone()),
         Instance::start("two", kv.clone()),
     ];
-    put(&kv, "op/version/m", "2").await;
+    put(&kv, "operators/version/m", "2").await;
     until("an order", async || !target.orders().is_empty()).await;
     put(&kv, "targets/t1", &format!("{} 2", target.address)).await;
-    put(&kv, "op/version/m", "3").await;
+    put(&kv, "operators/version/m", "3").await;
     until("the next order", async || {
         target.orders().iter().any(|it| it.version == 3)
     })
@@ -108,7 +108,7 @@
         Instance::start("one", kv.clone()),
         Instance::start("two", kv.clone()),
     ];
-    put(&kv, "op/version/m", "2").await;
+    put(&kv, "operators/version/m", "2").await;
     until("an order", async || !target.orders().is_empty()).await;
     let first = target.orders()[0].clone();
     let holder = instances
@@ -116,7 +116,7 @@
         .find(|it| it.settings.instance == first.holder);
     holder.unwrap().stop.cancel();
     put(&kv, "targets/t1", &format!("{} 2", target.address)).await;
-    put(&kv, "op/version/m", "3").await;
+    put(&kv, "operators/version/m", "3").await;
     let other = async || target.orders().iter().any(|it| it.holder != first.holder);
     until("an order of the other", other).await;
     let orders = target.orders();
