relay: a target's own failure stands if no other target answers; calls that nobody makes are gone

Found in the read of the change: a 500 that was to be replaced was lost, and the caller got 502, if no other target could be asked (one_run::targets_own_failure_stands_if_no_other_target_can_answer failed first). The order task of a leaving instance was started again until its end: only after failures now.

--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -157,9 +157,6 @@
     /// Reads all that a store holds; none if it can't be read.
     fn list(&self, body: &[u8]) -> Option<PartList>;
 
-    /// Asks a store to drop parts, if it still is at start `start`.
-    fn free_call(&self, start: u64, parts: &[(String, String)]) -> Request<Full<Bytes>>;
-
     /// Gives an order.
     fn order_call(&self, order: &VersionOrder) -> Request<Full<Bytes>>;
 
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -16,7 +16,7 @@
     routes::CallLimits,
     snafu::{ResultExt, Snafu},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
-    supervisor::{Child, RestartLimit, Supervisor, SupervisorError, run_on_thread},
+    supervisor::{Child, Restart, RestartLimit, Supervisor, SupervisorError, run_on_thread},
     target::{Client, ClientSettings},
     tokio::{net::TcpListener, task::JoinSet, time::sleep},
     tokio_util::sync::CancellationToken,
@@ -165,9 +165,12 @@
     .child(Child::new("stores", move |token| {
         store_watch::watch(storing.clone(), client(), token)
     }))
-    .child(Child::new("orders", move |token| {
-        orders::give(giving.clone(), client(), token)
-    }))
+    .child(
+        Child::new("orders", move |token| {
+            orders::give(giving.clone(), client(), token)
+        })
+        .restart(Restart::OnFailure),
+    )
 }
 
 fn client() -> Client {
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -128,10 +128,6 @@
         None
     }
 
-    fn free_call(&self, _start: u64, _parts: &[(String, String)]) -> Request<Full<Bytes>> {
-        Request::get("/free").body(Full::default()).unwrap()
-    }
-
     fn order_call(&self, order: &VersionOrder) -> Request<Full<Bytes>> {
         let path = format!(
             "/order/{}/{}/{}",
--- a/crates/parts/src/keeping.rs
+++ b/crates/parts/src/keeping.rs
@@ -78,11 +78,6 @@
         self.instances_count = instances_count;
     }
 
-    /// Addresses of all stores.
-    pub fn stores(&self) -> impl Iterator<Item = &Store> {
-        self.stores.values()
-    }
-
     /// Notes whether a store answers.
     pub fn set_available(&mut self, address: SocketAddr, available: bool) {
         if let Some(store) = self.stores.get_mut(&address) {
@@ -152,19 +147,6 @@
         }
     }
 
-    /// Parts of other salts than `kept` that a store holds, as salt and id.
-    #[must_use]
-    pub fn outdated<Kept>(&self, address: SocketAddr, kept: Kept) -> Vec<(String, String)>
-    where
-        Kept: Fn(&str) -> bool,
-    {
-        let here = self.held.iter();
-        let here = here.filter(|(_, places)| places.iter().any(|(place, _)| *place == address));
-        here.filter(|((salt, _), _)| !kept(salt))
-            .map(|(key, _)| key.clone())
-            .collect()
-    }
-
     /// What a call fetches and saves of the parts that it shares with others, if `engine` in
     /// `failure_domain` runs it. Without `saves` nothing is saved.
     pub fn plan(
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -135,7 +135,8 @@
     /// Has the call run by a target. `last_event` continues a stream after that event.
     ///
     /// A call goes on to another target only if the one before did not run it, or if it may run
-    /// again; both only while the retry budget and the time for the call last.
+    /// again; both only while the retry budget and the time for the call last. A target's own
+    /// failure is the answer if no other target gives a better one.
     pub(crate) async fn run(
         &mut self,
         trail: &mut Trail,
@@ -146,6 +147,7 @@
             self.inner.retries.record_call(&self.pool, instances_count);
         }
         let mut given_up = Refusal::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY);
+        let mut failure = None;
         while self.tried.len() < MAX_SENDS_COUNT && self.time_left() > MIN_TIME {
             let Some(picked) = self.pick() else {
                 break;
@@ -158,10 +160,11 @@
             self.note(&picked, &tried);
             let (refusal, arrived) = match tried {
                 Tried::Answered(answer) => {
-                    if self.is_worth_another(&answer) && self.try_retry() {
-                        continue;
+                    if !self.is_worth_another(&answer) || !self.try_retry() {
+                        return Ok(answer);
                     }
-                    return Ok(answer);
+                    failure = Some(answer);
+                    continue;
                 }
                 Tried::NotSent(_) => (given_up, false),
                 Tried::NotRun(..) => {
@@ -170,7 +173,7 @@
                 }
                 Tried::Unknown(_) => {
                     if !self.can_run_again() {
-                        return Err(self.unknown());
+                        break;
                     }
                     (given_up, true)
                 }
@@ -180,6 +183,9 @@
                 break;
             }
         }
+        if let Some(failure) = failure {
+            return Ok(failure);
+        }
         if self.may_have_run_count > 0 {
             return Err(self.unknown());
         }
@@ -191,11 +197,7 @@
 
     fn pick(&self) -> Option<Picked> {
         let view = self.inner.view.load();
-        let keeping = self
-            .inner
-            .keeping
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let keeping = self.keeping();
         let picking = Picking {
             call: &self.admitted.call,
             tried: &self.tried,
@@ -292,9 +294,9 @@
 
     /// What is fetched and saved of the parts that the prompt shares with others.
     ///
-    /// Nothing, if the weights were replaced some time ago or the view may be too old: parts of
-    /// replaced weights are freed once every instance must have learned of the new ones. Parts of
-    /// weights that are being replaced are not saved any more.
+    /// Nothing, if the weights were replaced some time ago or the view may be too old, so that parts
+    /// of replaced weights can be freed once every instance must have learned of the new ones. Parts
+    /// of weights that are being replaced are not saved any more.
     fn plan_parts(&self, picked: &Picked, trail: &mut Trail) -> Plan {
         let Some(prompt) = &self.admitted.call.prompt else {
             return Plan::default();
@@ -316,11 +318,7 @@
         }
         let now = self.inner.origin.elapsed();
         let engine = (picked.target.address, picked.target.failure_domain.as_str());
-        let mut keeping = self
-            .inner
-            .keeping
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut keeping = self.keeping();
         let mut plan = keeping.plan(&salt, &wishes, engine, now, is_current);
         drop(keeping);
         trail.parts(&wishes, &plan);
--- a/crates/relay/tests/one_run.rs
+++ b/crates/relay/tests/one_run.rs
@@ -100,3 +100,13 @@
     assert_eq!(got.header("stamp"), Some("s"));
     assert!(got.text.ends_with("why"));
 }
+
+#[tokio::test]
+async fn targets_own_failure_stands_if_no_other_target_can_answer() {
+    let failure = answer("500 Internal Server Error", "stamp: s\r\n", "why");
+    let failing = Scripted::start("one", vec![Step::Say(failure)]).await;
+    let world = World::start(&[&failing]).await;
+    let got = caller::call(world.address, "/idempotent/7", "").await;
+    assert_eq!(got.status, 500, "{got:?}");
+    assert_eq!(got.header("stamp"), Some("s"));
+}
