Stores and engines are followed by one instance each; the others read its feed

Cause: every instance asked every engine and every store for its changes.

Chosen: places dealt out by rendezvous hashing, feeds read in batches over tarpc; who stays silent for 3 s has its places followed by each reader.

Change: `feed`; `entry::Ownership`, `place_watch`, `place_follower`, `peer_watch`; `parts` keeps what places hold by a 64-bit key (no owned strings for each candidate of a choice any more) and forgets what engines never took back after ten minutes; before, lost events stayed for good.

--- a/crates/cluster/src/connection.rs
+++ b/crates/cluster/src/connection.rs
@@ -34,8 +34,8 @@
 /// Largest message.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
-/// The codec of peer calls on an authenticated stream.
-pub(crate) fn transport<Stream, Item, SinkItem>(
+/// The codec of calls between instances, on a stream that is open and, where needed, authenticated.
+pub fn transport<Stream, Item, SinkItem>(
     stream: Stream,
 ) -> Transport<Stream, Item, SinkItem, Bincode<Item, SinkItem>>
 where
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -52,6 +52,7 @@
 pub use {
     breaker::Breaker,
     cluster::Cluster,
+    connection::transport,
     directory_call::{BlockWrite, DirectoryAnswer, DirectoryUpdate, HeldBlock, Holder},
     error::{HandshakeError, PeerError},
     handler::PeerHandler,
--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -68,6 +68,9 @@
     pub failure_domain: FailureDomainId,
     /// Whether it takes callers.
     pub ready: bool,
+    /// Address at which other instances read what it learns of stores and engines.
+    #[serde(default)]
+    pub feed: Option<SocketAddr>,
 }
 
 /// Which instance may give orders, and under which lease.
--- a/crates/entry/src/known.rs
+++ b/crates/entry/src/known.rs
@@ -8,6 +8,7 @@
     routes::RouteTable,
     std::{
         collections::{BTreeMap, HashMap},
+        net::SocketAddr,
         sync::Arc,
         time::Duration,
     },
@@ -161,6 +162,14 @@
         members.filter(|(_, record)| record.ready).collect()
     }
 
+    /// Instances that tell others what they learn of stores and engines, and where.
+    #[must_use]
+    pub fn feeding_instances(&self) -> BTreeMap<InstanceId, SocketAddr> {
+        let members = self.ready_members().into_iter();
+        let feeding = members.filter_map(|(name, record)| Some((name.clone(), record.feed?)));
+        feeding.collect()
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn table(&self) -> Option<&Arc<RouteTable>> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,17 +26,21 @@
 mod listener;
 mod membership;
 mod orders;
+mod ownership;
+mod peer_watch;
+mod place_follower;
+mod place_watch;
 mod platform;
 pub mod rollout;
 mod settings;
 mod shared;
 mod start;
-mod store_watch;
 
 pub use {
     holder::{Holding, Tenure},
     item::{HolderRecord, Item, ItemError, ItemName, LoadingRecord, MemberRecord, TargetEntry},
     known::Known,
+    ownership::Ownership,
     platform::{
         HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, RunsMeanwhile,
         TargetReport, VersionOrder,
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -108,6 +108,7 @@
         address: shared.settings.listen,
         failure_domain: shared.settings.failure_domain.clone(),
         ready,
+        feed: Some(shared.settings.feed_listen),
     };
     let value = serde_json::to_vec(&record).map_err(|error| KvError::Refused {
         reason: error.to_string(),
--- /dev/null
+++ b/crates/entry/src/place_follower.rs
@@ -0,0 +1,198 @@
+//! Follows what one store or engine holds, by its own word.
+
+use {
+    crate::{PartEvents, Platform, shared::Shared},
+    bytes::Bytes,
+    eventlog::Event,
+    http_body_util::Full,
+    hyper::Request,
+    parts::{Change, Held, part_key},
+    relay::boot_time,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    target::{Client, Reuse, SendError},
+    tokio::time::sleep,
+};
+
+/// How long a place holds a question for changes.
+const WAIT: Duration = Duration::from_secs(1);
+/// Longest time for an answer besides.
+const ANSWER_TIME: Duration = Duration::from_millis(700);
+/// Pause after a failed question.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Pause between questions to a store.
+const STORE_BATCH_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between questions to an engine.
+const ENGINE_BATCH_PAUSE: Duration = Duration::from_millis(120);
+
+/// Where in a place's changes a follower is.
+#[derive(Clone, Copy, Debug)]
+struct Position {
+    /// Number of the place's start.
+    start: u64,
+    /// Number to ask for next.
+    next: u64,
+}
+
+/// Follows one place.
+pub(crate) struct PlaceFollower<Kv, Format> {
+    shared: Arc<Shared<Kv, Format>>,
+    client: Client,
+    place: SocketAddr,
+    is_store: bool,
+    position: Option<Position>,
+}
+
+impl<Kv, Format> PlaceFollower<Kv, Format>
+where
+    Format: Platform,
+{
+    /// Follows the store, or else the engine, at `place`.
+    pub(crate) fn new(
+        shared: Arc<Shared<Kv, Format>>,
+        client: Client,
+        place: SocketAddr,
+        is_store: bool,
+    ) -> Self {
+        Self {
+            shared,
+            client,
+            place,
+            is_store,
+            position: None,
+        }
+    }
+
+    /// Follows the place until dropped.
+    pub(crate) async fn run(mut self) {
+        let place = self.place;
+        let mut available = false;
+        loop {
+            let outcome = self.ask().await;
+            let answers = outcome.is_ok();
+            if self.is_store && answers != available {
+                available = answers;
+                self.shared.feed.learn(Change::Available {
+                    place,
+                    available: answers,
+                });
+                let reason = outcome.as_ref().err().map(ToString::to_string);
+                let reason = reason.unwrap_or_else(|| format!("{place} answers"));
+                self.shared.dependency("store", answers, reason);
+            }
+            sleep(if answers { self.batch_pause() } else { PAUSE }).await;
+        }
+    }
+
+    /// Pause between questions, so that changes come in batches.
+    fn batch_pause(&self) -> Duration {
+        if self.is_store {
+            STORE_BATCH_PAUSE
+        } else {
+            ENGINE_BATCH_PAUSE
+        }
+    }
+
+    async fn ask(&mut self) -> Result<(), SendError> {
+        let since = self.position.map_or(0, |position| position.next);
+        let call = self.shared.format.events_call(since, WAIT);
+        let Some(events) = self.shared.format.events(&self.body(call, WAIT).await?) else {
+            return Err(self.unreadable());
+        };
+        let restarted = self.position.is_some_and(|it| it.start != events.start);
+        if restarted {
+            self.clear();
+            self.position = None;
+            return Ok(());
+        }
+        if events.lost && self.is_store {
+            return self.list().await;
+        }
+        if events.lost {
+            // A list would stall the engine; what it holds shows again with later changes.
+            self.clear();
+        }
+        self.take(&events);
+        self.position = Some(Position {
+            start: events.start,
+            next: events.next,
+        });
+        Ok(())
+    }
+
+    fn take(&self, events: &PartEvents) {
+        if let Some(clock) = events.clock {
+            self.shared.keeping().set_clock(clock, boot_time());
+        }
+        if events.changes.is_empty() {
+            return;
+        }
+        let parts = events.changes.iter().map(|change| Held {
+            part: part_key(&change.part.salt, &change.part.id),
+            tokens: change.part.tokens,
+        });
+        self.shared.feed.learn(Change::Held {
+            place: self.place,
+            parts: parts.collect(),
+        });
+        let added_count = events.changes.iter().filter(|it| it.added).count();
+        if self.is_store {
+            self.say(added_count, events.changes.len() - added_count, false);
+        }
+    }
+
+    async fn list(&mut self) -> Result<(), SendError> {
+        let call = self.shared.format.list_call();
+        let Some(list) = self.shared.format.list(&self.body(call, WAIT).await?) else {
+            return Err(self.unreadable());
+        };
+        self.clear();
+        let parts = list.held.iter().map(|part| Held {
+            part: part_key(&part.salt, &part.id),
+            tokens: part.tokens,
+        });
+        self.shared.feed.learn(Change::Held {
+            place: self.place,
+            parts: parts.collect(),
+        });
+        self.say(list.held.len(), 0, true);
+        self.position = Some(Position {
+            start: list.start,
+            next: list.next,
+        });
+        Ok(())
+    }
+
+    fn clear(&self) {
+        let place = self.place;
+        self.shared.feed.learn(Change::Cleared { place });
+    }
+
+    async fn body(&self, call: Request<Full<Bytes>>, wait: Duration) -> Result<Bytes, SendError> {
+        let limit = wait + ANSWER_TIME;
+        let mut reply = self
+            .client
+            .send(self.place, call, Reuse::Allowed, limit)
+            .await?;
+        if !reply.status().is_success() {
+            return Err(reply.into_error(ANSWER_TIME).await);
+        }
+        reply.body(ANSWER_TIME).await
+    }
+
+    fn unreadable(&self) -> SendError {
+        SendError::Failed {
+            address: self.place,
+            status: 200,
+            reason: "unreadable answer".to_owned(),
+        }
+    }
+
+    fn say(&self, added_count: usize, removed_count: usize, listed: bool) {
+        self.shared.log.emit(&Event::Parts {
+            place: self.place.to_string(),
+            added_count,
+            removed_count,
+            listed,
+        });
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -44,6 +44,7 @@
     listen: SocketAddr,
     ready_listen: SocketAddr,
     directory_listen: SocketAddr,
+    feed_listen: SocketAddr,
     metrics_listen: Option<SocketAddr>,
     kv_endpoint: SocketAddr,
     memory_mb: f64,
@@ -73,6 +74,8 @@
     pub ready_listen: SocketAddr,
     /// Address for callers' question which addresses to use.
     pub directory_listen: SocketAddr,
+    /// Address at which other instances read what this one learns of stores and engines.
+    pub feed_listen: SocketAddr,
     /// Address for questions about counters and times, if there is one.
     pub metrics_listen: Option<SocketAddr>,
     /// Address of the key-value service.
@@ -136,6 +139,7 @@
             listen: raw.listen,
             ready_listen: raw.ready_listen,
             directory_listen: raw.directory_listen,
+            feed_listen: raw.feed_listen,
             metrics_listen: raw.metrics_listen,
             kv_endpoint: raw.kv_endpoint,
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,15 +1,19 @@
 //! What the tasks of an instance share.
 
 use {
-    crate::{Known, Settings, Tenure},
+    crate::{Known, Ownership, Settings, Tenure},
     arc_swap::ArcSwap,
+    catalog::InstanceId,
     eventlog::{Event, EventLog},
+    feed::Feed,
     meters::Meters,
     parts::Keeping,
     relay::{View, boot_time},
     std::{
+        collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
     },
     tokio::sync::Notify,
     tokio_util::sync::CancellationToken,
@@ -33,17 +37,24 @@
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
     /// What stores hold.
     pub(crate) keeping: Arc<Mutex<Keeping>>,
+    /// What this instance has learned of stores and engines, for the others to read.
+    pub(crate) feed: Arc<Feed>,
+    /// Which instance follows which store or engine.
+    pub(crate) ownership: ArcSwap<Ownership>,
     /// Told whenever what is known has changed.
     pub(crate) changed: Notify,
     /// Cancelled once this instance leads callers elsewhere.
     pub(crate) draining: CancellationToken,
     known: Mutex<Known>,
     tenure: Mutex<Option<Tenure>>,
+    /// When other instances were last heard of.
+    heard: Mutex<HashMap<InstanceId, Duration>>,
 }
 
 impl<Kv, Format> Shared<Kv, Format> {
     /// Knows nothing yet.
     pub(crate) fn new(settings: Settings, kv: Kv, format: Format, log: EventLog) -> Self {
+        let keeping: Arc<Mutex<Keeping>> = Arc::default();
         Self {
             settings,
             kv,
@@ -52,11 +63,14 @@
             meters: Meters::new(),
             view: Arc::default(),
             addresses: ArcSwap::default(),
-            keeping: Arc::default(),
+            feed: Arc::new(Feed::new(keeping.clone())),
+            keeping,
+            ownership: ArcSwap::default(),
             changed: Notify::new(),
             draining: CancellationToken::new(),
             known: Mutex::default(),
             tenure: Mutex::default(),
+            heard: Mutex::default(),
         }
     }
 
@@ -70,6 +84,26 @@
         self.keeping.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes that another instance was heard of at `now`.
+    pub(crate) fn heard(&self, instance: &str, now: Duration) {
+        self.heard_times().insert(instance.to_owned(), now);
+    }
+
+    /// Forgets an instance that is gone.
+    pub(crate) fn forget_peer(&self, instance: &str) {
+        self.heard_times().remove(instance);
+    }
+
+    /// Time since an instance was last heard of; zero for one that was not asked yet.
+    pub(crate) fn silence(&self, instance: &str, now: Duration) -> Duration {
+        let heard = self.heard_times().get(instance).copied();
+        now.saturating_sub(heard.unwrap_or(now))
+    }
+
+    fn heard_times(&self) -> MutexGuard<'_, HashMap<InstanceId, Duration>> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The lease of this instance.
     pub(crate) fn tenure(&self) -> Option<Tenure> {
         *self.tenure.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -5,18 +5,20 @@
         Platform, Settings, directory, follower,
         item::OWN_PREFIX,
         listener::{self, Listening},
-        membership, orders,
+        membership, orders, peer_watch, place_watch,
         shared::Shared,
-        store_watch,
     },
     eventlog::{Event, EventLog},
+    feed::Feed,
     hyper::{Request, body::Incoming},
     keyvalue::KeyValue,
     relay::{Relay, RelaySettings},
     routes::CallLimits,
     snafu::{ResultExt, Snafu},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
-    supervisor::{Child, Restart, RestartLimit, Supervisor, SupervisorError, run_on_thread},
+    supervisor::{
+        Child, ChildResult, Restart, RestartLimit, Supervisor, SupervisorError, run_on_thread,
+    },
     target::{Client, ClientSettings},
     tokio::{net::TcpListener, task::JoinSet, time::sleep},
     tokio_util::sync::CancellationToken,
@@ -86,13 +88,14 @@
     let front = listen(settings.listen).await?;
     let ready = listen(settings.ready_listen).await?;
     let directory = listen(settings.directory_listen).await?;
+    let feed = Arc::new(listen(settings.feed_listen).await?);
     let metrics = match settings.metrics_listen {
         Some(address) => Some(listen(address).await?),
         None => None,
     };
     let shared = Arc::new(Shared::new(settings, kv, format, log));
     let ended = CancellationToken::new();
-    let control = tokio::spawn(run_on_thread(control(&shared), ended.clone()));
+    let control = tokio::spawn(run_on_thread(control(&shared, feed), ended.clone()));
     let mut servers = JoinSet::new();
     let drained = CancellationToken::new();
     servers.spawn(serve_calls(shared.clone(), front, drained.clone()));
@@ -138,7 +141,7 @@
 }
 
 /// The tree of the control thread.
-fn control<Kv, Format>(shared: &Arc<Shared<Kv, Format>>) -> Supervisor
+fn control<Kv, Format>(shared: &Arc<Shared<Kv, Format>>, feed: Arc<TcpListener>) -> Supervisor
 where
     Kv: KeyValue,
     Format: Platform,
@@ -158,12 +161,19 @@
             follower::follow(shared.clone(), prefix, token)
         }));
     }
-    let (joining, giving, storing) = (shared.clone(), shared.clone(), shared.clone());
+    let (joining, giving, placing) = (shared.clone(), shared.clone(), shared.clone());
+    let (reading, telling) = (shared.clone(), shared.feed.clone());
     tree.child(Child::new("membership", move |token| {
         membership::keep(joining.clone(), token)
     }))
-    .child(Child::new("stores", move |token| {
-        store_watch::watch(storing.clone(), client(), token)
+    .child(Child::new("places", move |token| {
+        place_watch::watch(placing.clone(), client(), token)
+    }))
+    .child(Child::new("peers", move |token| {
+        peer_watch::watch(reading.clone(), token)
+    }))
+    .child(Child::new("feed", move |token| {
+        tell(feed.clone(), telling.clone(), token)
     }))
     .child(
         Child::new("orders", move |token| {
@@ -173,6 +183,16 @@
     )
 }
 
+/// Tells other instances what this one learns, until `token` is cancelled.
+async fn tell(
+    listener: Arc<TcpListener>,
+    feed: Arc<Feed>,
+    token: CancellationToken,
+) -> ChildResult {
+    feed::serve(listener, feed, token).await;
+    Ok(())
+}
+
 fn client() -> Client {
     let settings = ClientSettings::default()
         .connect(CONNECT_TIME)
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -158,6 +158,7 @@
             address: address(1),
             failure_domain: "d".to_owned(),
             ready,
+            feed: None,
         };
         known.put(name, Item::Member(record), 1, START);
     }
--- /dev/null
+++ b/crates/feed/src/batch.rs
@@ -0,0 +1,18 @@
+//! What a reader gets.
+
+use {
+    parts::{Change, Position},
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// What a reader gets at once.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Batch {
+    /// From where to read next.
+    pub position: Position,
+    /// The clock that engines and stores share, when this was read; none if it is not known.
+    pub clock: Option<Duration>,
+    /// Changes, in order.
+    pub changes: Vec<Change>,
+}
--- a/crates/parts/src/keeping.rs
+++ b/crates/parts/src/keeping.rs
@@ -1,10 +1,13 @@
 //! Which parts the stores hold.
 
 use {
-    crate::{Plan, Store, Transfer, Wish, pace::Usual},
+    crate::{
+        Change, Held, PartKey, Plan, Store, Transfer, Wish, held_parts::HeldParts, pace::Usual,
+        part_key,
+    },
     balance::rendezvous,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         time::Duration,
     },
@@ -21,14 +24,11 @@
 /// Share of a store's room that is left free, for parts still being written.
 const SPARE_SHARE: f64 = 0.03;
 
-/// Salt and id of a part.
-type PartKey = (String, String);
-
 /// What the stores hold, and what is on its way to them.
 #[derive(Clone, Debug, Default)]
 pub struct Keeping {
     stores: BTreeMap<SocketAddr, Store>,
-    held: HashMap<PartKey, Vec<(SocketAddr, u32)>>,
+    held: HeldParts,
     saving: HashMap<PartKey, Duration>,
     usual: Usual,
     /// The engines' clock, and the own clock at the same moment.
@@ -46,6 +46,7 @@
                 held_tokens: known.held_tokens,
                 free_at: known.free_at,
                 pace: known.pace,
+                available: known.available,
                 ..store
             },
             None => store,
@@ -85,63 +86,79 @@
         }
     }
 
-    /// Notes that a place holds `tokens` tokens of a part, or nothing of it if 0.
-    pub fn holds(&mut self, address: SocketAddr, salt: &str, id: &str, tokens: u32) {
-        let key = (salt.to_owned(), id.to_owned());
-        let is_store = self.stores.contains_key(&address);
-        if is_store && tokens > 0 {
-            self.saving.remove(&key);
-        }
-        let places = self.held.entry(key).or_default();
-        let position = places.iter().position(|(place, _)| *place == address);
-        let before = position.map_or(0, |position| places.swap_remove(position).1);
-        if tokens > 0 {
-            places.push((address, tokens));
-        }
-        if let Some(store) = self.stores.get_mut(&address) {
-            let held_tokens = store.held_tokens + u64::from(tokens);
-            store.held_tokens = held_tokens.saturating_sub(u64::from(before));
+    /// Notes that a place holds `tokens` tokens of the part `id` under `salt`, or nothing of it if 0.
+    pub fn holds(&mut self, place: SocketAddr, salt: &str, id: &str, tokens: u32, now: Duration) {
+        let part = part_key(salt, id);
+        let parts = vec![Held { part, tokens }];
+        self.apply(&Change::Held { place, parts }, now);
+    }
+
+    /// Takes in what became known of a place.
+    pub fn apply(&mut self, change: &Change, now: Duration) {
+        match change {
+            Change::Held { place, parts } => {
+                for held in parts {
+                    self.hold(*place, *held, now);
+                }
+            }
+            Change::Cleared { place } => self.cleared(*place),
+            Change::Available { place, available } => self.set_available(*place, *available),
         }
     }
 
-    /// Tokens at the beginning of a prompt that a place holds.
+    /// All that is known of some places, as changes that lead to it.
     #[must_use]
-    pub fn kept_tokens(&self, address: SocketAddr, salt: &str, wishes: &[Wish<'_>]) -> u64 {
-        let mut kept = 0;
-        for wish in wishes {
-            let tokens = self.held_at(address, salt, wish.id).min(wish.tokens);
-            kept += u64::from(tokens);
-            if tokens < wish.tokens {
-                break;
-            }
+    pub fn state_of(&self, places: &HashSet<SocketAddr>) -> Vec<Change> {
+        let cleared = places.iter().map(|place| Change::Cleared { place: *place });
+        let stores = self.stores.values();
+        let stores = stores.filter(|store| places.contains(&store.address));
+        let available = stores.map(|store| Change::Available {
+            place: store.address,
+            available: store.available,
+        });
+        let held = self.held.of_places(|place| places.contains(&place));
+        cleared.chain(available).chain(held).collect()
+    }
+
+    /// Drops what was noted of engines before `since`: of changes that they never told of, something
+    /// stays behind. A store tells of all that it holds.
+    pub fn expire(&mut self, since: Duration) {
+        let stores = &self.stores;
+        self.held.expire(since, |place| stores.contains_key(&place));
+    }
+
+    fn hold(&mut self, place: SocketAddr, held: Held, now: Duration) {
+        let before = self.held.set(place, held, now);
+        let Some(store) = self.stores.get_mut(&place) else {
+            return;
+        };
+        if held.tokens > 0 {
+            self.saving.remove(&held.part);
         }
-        kept
+        let held_tokens = store.held_tokens + u64::from(held.tokens);
+        store.held_tokens = held_tokens.saturating_sub(u64::from(before));
     }
 
-    /// Failure domain of a store that holds a part, if one does.
+    /// Whether a place holds all of these parts.
     #[must_use]
-    pub fn store_domain(&self, salt: &str, id: &str) -> Option<&str> {
-        let places = self.held.get(&(salt.to_owned(), id.to_owned()))?;
-        let mut stores = places
-            .iter()
-            .filter_map(|(place, _)| self.stores.get(place));
-        stores.next().map(|store| store.failure_domain.as_str())
+    pub fn keeps(&self, place: SocketAddr, wishes: &[Wish]) -> bool {
+        let mut wishes = wishes.iter();
+        wishes.all(|wish| self.held.at(place, wish.part) >= wish.tokens)
     }
 
-    fn held_at(&self, address: SocketAddr, salt: &str, id: &str) -> u32 {
-        let places = self.held.get(&(salt.to_owned(), id.to_owned()));
-        let mut places = places.into_iter().flatten();
-        places
-            .find(|(place, _)| *place == address)
-            .map_or(0, |(_, tokens)| *tokens)
+    /// Failure domain of a store that holds a part, if one does.
+    #[must_use]
+    pub fn store_domain(&self, part: PartKey) -> Option<&str> {
+        let mut stores = self
+            .held
+            .places(part)
+            .filter_map(|(place, _)| self.stores.get(&place));
+        stores.next().map(|store| store.failure_domain.as_str())
     }
 
     /// Notes that a place holds nothing, as after its restart.
     pub fn cleared(&mut self, address: SocketAddr) {
-        self.held.retain(|_, places| {
-            places.retain(|(place, _)| *place != address);
-            !places.is_empty()
-        });
+        self.held.clear(address);
         if let Some(store) = self.stores.get_mut(&address) {
             store.held_tokens = 0;
         }
@@ -151,8 +168,7 @@
     /// `failure_domain` runs it. Without `saves` nothing is saved.
     pub fn plan(
         &mut self,
-        salt: &str,
-        wishes: &[Wish<'_>],
+        wishes: &[Wish],
         (engine, failure_domain): (SocketAddr, &str),
         now: Duration,
         saves: bool,
@@ -167,8 +183,7 @@
             if wish.tokens < MIN_PART_TOKENS {
                 continue;
             }
-            let key = (salt.to_owned(), wish.id.to_owned());
-            let places = self.held.get(&key).cloned().unwrap_or_default();
+            let places: Vec<(SocketAddr, u32)> = self.held.places(wish.part).collect();
             if let Some((place, transfer)) =
                 self.fetch_from(&places, wish, engine, failure_domain, now)
             {
@@ -178,12 +193,12 @@
             let is_stored = places
                 .iter()
                 .any(|(place, _)| self.stores.contains_key(place));
-            if !saves || is_stored || self.saving.contains_key(&key) {
+            if !saves || is_stored || self.saving.contains_key(&wish.part) {
                 continue;
             }
             plan.save[index] = self.save_to(wish, failure_domain, now);
             if plan.save[index].is_some() {
-                self.saving.insert(key, now + SAVE_TIME);
+                self.saving.insert(wish.part, now + SAVE_TIME);
             }
         }
         plan
@@ -193,7 +208,7 @@
     fn fetch_from(
         &mut self,
         places: &[(SocketAddr, u32)],
-        wish: &Wish<'_>,
+        wish: &Wish,
         engine: SocketAddr,
         failure_domain: &str,
         now: Duration,
@@ -240,13 +255,8 @@
         }
     }
 
-    fn save_to(
-        &mut self,
-        wish: &Wish<'_>,
-        failure_domain: &str,
-        now: Duration,
-    ) -> Option<SocketAddr> {
-        let seed = rendezvous::key_seed(wish.id.as_bytes());
+    fn save_to(&mut self, wish: &Wish, failure_domain: &str, now: Duration) -> Option<SocketAddr> {
+        let seed = wish.part;
         let ready = self.stores.values().filter(|store| {
             store.available
                 && store.free_share() > SPARE_SHARE
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -11,22 +11,29 @@
 //! let mut keeping = Keeping::default();
 //! let address = ([127, 0, 0, 1], 9100).into();
 //! keeping.set_store(Store::new(address, 100_000));
-//! let wish = [Wish::new("template", 2_520), Wish::new("session", 5_000)];
+//! let wish = ["template", "session"].map(|id| Wish::new("v1", id, 5_000));
 //! let engine = (([127, 0, 0, 1], 9200).into(), "almaty-a");
-//! let first = keeping.plan("v1", &wish, engine, Duration::ZERO, true);
+//! let first = keeping.plan(&wish, engine, Duration::ZERO, true);
 //! assert_eq!(first.save, [Some(address), Some(address)], "nothing is kept yet");
-//! keeping.holds(address, "v1", "session", 5_000);
-//! let next = keeping.plan("v1", &wish, engine, Duration::ZERO, true);
+//! keeping.holds(address, "v1", "session", 5_000, Duration::ZERO);
+//! let next = keeping.plan(&wish, engine, Duration::ZERO, true);
 //! assert_eq!(next.fetch, [None, Some(address)]);
 //! ```
 
+mod change;
+mod change_log;
+mod held_parts;
 mod keeping;
 mod pace;
+mod part_key;
 mod plan;
 mod store;
 
 pub use {
+    change::{Change, Held},
+    change_log::{ChangeLog, MAX_CHANGES_COUNT, Position},
     keeping::Keeping,
+    part_key::{PartKey, part_key},
     plan::{Plan, Transfer, Wish},
     store::Store,
 };
--- a/crates/parts/src/plan.rs
+++ b/crates/parts/src/plan.rs
@@ -1,21 +1,27 @@
 //! What a call fetches and saves.
 
-use std::{net::SocketAddr, time::Duration};
+use {
+    crate::{PartKey, part_key},
+    std::{net::SocketAddr, time::Duration},
+};
 
-/// A part that a call has and others may share.
+/// A part that a call has and others may share, under the salt of the weights that run it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Wish<'call> {
-    /// Id of the part.
-    pub id: &'call str,
+pub struct Wish {
+    /// The part.
+    pub part: PartKey,
     /// Its length in tokens.
     pub tokens: u32,
 }
 
-impl<'call> Wish<'call> {
-    /// A part of `tokens` tokens.
+impl Wish {
+    /// The part `id` of `tokens` tokens under `salt`.
     #[must_use]
-    pub fn new(id: &'call str, tokens: u32) -> Self {
-        Self { id, tokens }
+    pub fn new(salt: &str, id: &str, tokens: u32) -> Self {
+        Self {
+            part: part_key(salt, id),
+            tokens,
+        }
     }
 }
 
--- a/crates/parts/tests/part_plans.rs
+++ b/crates/parts/tests/part_plans.rs
@@ -26,53 +26,58 @@
 #[test]
 fn part_is_saved_once_until_the_save_is_lost() {
     let mut keeping = keeping();
-    let wish = [Wish::new("session", 5_000)];
-    assert!(keeping.plan("1", &wish, engine(), NOW, true).save[0].is_some());
-    assert_eq!(keeping.plan("1", &wish, engine(), NOW, true).save, [None]);
+    let wish = [Wish::new("1", "session", 5_000)];
+    assert!(keeping.plan(&wish, engine(), NOW, true).save[0].is_some());
+    assert_eq!(keeping.plan(&wish, engine(), NOW, true).save, [None]);
     let later = NOW + Duration::from_secs(4);
-    assert!(keeping.plan("1", &wish, engine(), later, true).save[0].is_some());
+    assert!(keeping.plan(&wish, engine(), later, true).save[0].is_some());
 }
 
 #[test]
 fn part_of_another_salt_is_not_fetched() {
     let mut keeping = keeping();
-    keeping.holds(address(1), "1", "session", 5_000);
-    let wish = [Wish::new("session", 5_000)];
+    keeping.holds(address(1), "1", "session", 5_000, NOW);
+    let wish = [Wish::new("1", "session", 5_000)];
     assert_eq!(
-        keeping.plan("1", &wish, engine(), NOW, true).fetch,
+        keeping.plan(&wish, engine(), NOW, true).fetch,
         [Some(address(1))]
     );
-    assert_eq!(keeping.plan("2", &wish, engine(), NOW, true).fetch, [None]);
+    assert_eq!(
+        keeping
+            .plan(&[Wish::new("2", "session", 5_000)], engine(), NOW, true)
+            .fetch,
+        [None]
+    );
 }
 
 #[test]
 fn part_that_is_not_whole_is_not_fetched() {
     let mut keeping = keeping();
-    keeping.holds(address(1), "1", "session", 4_096);
-    let wish = [Wish::new("session", 5_000)];
-    assert_eq!(keeping.plan("1", &wish, engine(), NOW, true).fetch, [None]);
+    keeping.holds(address(1), "1", "session", 4_096, NOW);
+    let wish = [Wish::new("1", "session", 5_000)];
+    assert_eq!(keeping.plan(&wish, engine(), NOW, true).fetch, [None]);
 }
 
 #[test]
 fn nothing_is_fetched_from_a_store_that_is_away_or_was_cleared() {
     let mut keeping = keeping();
-    keeping.holds(address(1), "1", "session", 5_000);
+    keeping.holds(address(1), "1", "session", 5_000, NOW);
     keeping.set_available(address(1), false);
-    let wish = [Wish::new("session", 5_000)];
-    assert_eq!(keeping.plan("1", &wish, engine(), NOW, true).fetch, [None]);
+    let wish = [Wish::new("1", "session", 5_000)];
+    assert_eq!(keeping.plan(&wish, engine(), NOW, true).fetch, [None]);
     keeping.set_available(address(1), true);
     keeping.cleared(address(1));
-    assert_eq!(keeping.plan("1", &wish, engine(), NOW, true).fetch, [None]);
+    assert_eq!(keeping.plan(&wish, engine(), NOW, true).fetch, [None]);
 }
 
 #[test]
 fn full_store_gets_no_part() {
     let mut keeping = keeping();
     for port in [1, 2] {
-        keeping.holds(address(port), "1", &format!("p{port}"), 49_500);
+        keeping.holds(address(port), "1", &format!("p{port}"), 49_500, NOW);
     }
-    let wish = [Wish::new("session", 5_000)];
-    assert_eq!(keeping.plan("1", &wish, engine(), NOW, true).save, [None]);
+    let wish = [Wish::new("1", "session", 5_000)];
+    assert_eq!(keeping.plan(&wish, engine(), NOW, true).save, [None]);
 }
 
 #[test]
@@ -82,12 +87,12 @@
     store.token_time = Duration::from_micros(7);
     keeping.set_store(store);
     for part in 0..100 {
-        keeping.holds(address(1), "1", &format!("p{part}"), 5_000);
+        keeping.holds(address(1), "1", &format!("p{part}"), 5_000, NOW);
     }
     let fetched = (0..100).filter(|part| {
         let id = format!("p{part}");
         keeping
-            .plan("1", &[Wish::new(&id, 5_000)], engine(), NOW, true)
+            .plan(&[Wish::new("1", &id, 5_000)], engine(), NOW, true)
             .fetch[0]
             .is_some()
     });
@@ -101,31 +106,34 @@
     let mut store = Store::new(address(1), 50_000);
     store.token_time = Duration::from_micros(7);
     keeping.set_store(store);
-    let wish = [Wish::new("template", 2_000), Wish::new("session", 5_000)];
+    let wish = [
+        Wish::new("1", "template", 2_000),
+        Wish::new("1", "session", 5_000),
+    ];
     for (id, tokens) in [("template", 2_000), ("session", 5_000)] {
-        keeping.holds(address(1), "1", id, tokens);
-        keeping.holds(address(9), "1", id, tokens);
+        keeping.holds(address(1), "1", id, tokens, NOW);
+        keeping.holds(address(9), "1", id, tokens, NOW);
     }
     let here = Some(address(1));
     for _ in 0..1_000 {
-        let fetch = keeping.plan("1", &wish, engine(), NOW, true).fetch;
+        let fetch = keeping.plan(&wish, engine(), NOW, true).fetch;
         assert_eq!(
             fetch,
             [here, here],
             "the engine may have evicted it meanwhile"
         );
     }
-    assert_eq!(keeping.kept_tokens(address(9), "1", &wish), 7_000);
-    keeping.holds(address(9), "1", "template", 1_024);
-    assert_eq!(keeping.kept_tokens(address(9), "1", &wish), 1_024);
+    assert!(keeping.keeps(address(9), &wish));
+    keeping.holds(address(9), "1", "template", 1_024, NOW);
+    assert!(!keeping.keeps(address(9), &wish));
 }
 
 #[test]
 fn part_that_only_another_engine_has_comes_from_there() {
     let mut keeping = keeping();
-    keeping.holds(address(8), "1", "session", 5_000);
-    let wish = [Wish::new("session", 5_000)];
-    let plan = keeping.plan("1", &wish, engine(), NOW, true);
+    keeping.holds(address(8), "1", "session", 5_000, NOW);
+    let wish = [Wish::new("1", "session", 5_000)];
+    let plan = keeping.plan(&wish, engine(), NOW, true);
     assert_eq!(plan.fetch, [Some(address(8))]);
     assert!(plan.save[0].is_some(), "a store gets it too");
 }
@@ -136,13 +144,13 @@
     let mut store = Store::new(address(1), 1_000_000);
     store.token_time = Duration::from_micros(7);
     keeping.set_store(store);
-    keeping.holds(address(1), "1", "session", 5_000);
-    let wish = [Wish::new("session", 5_000)];
+    keeping.holds(address(1), "1", "session", 5_000, NOW);
+    let wish = [Wish::new("1", "session", 5_000)];
     let second = |keeping: &mut Keeping, at: u64, took: Duration| {
         let calls = (0..100).map(|call| NOW + Duration::from_millis(at * 1_000 + call * 10));
         let mut fetched = 0;
         for now in calls {
-            let plan = keeping.plan("1", &wish, engine(), now, true);
+            let plan = keeping.plan(&wish, engine(), now, true);
             if plan.fetch[0].is_some() {
                 fetched += 1;
                 keeping.observe(&plan, took, now);
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -63,9 +63,10 @@
     if best.is_empty() {
         best = usable;
     }
+    let mut wanted = WantedParts::default();
     let candidates: Vec<Candidate> = best
         .iter()
-        .map(|target| candidate(view, target, picking))
+        .map(|target| candidate(view, target, picking, &mut wanted))
         .collect();
     let session = picking.call.prompt.as_ref().and_then(|it| it.session());
     let session = session.map(|part| rendezvous::key_seed(part.id.as_bytes()));
@@ -85,45 +86,65 @@
     }
 }
 
-/// The parts of a prompt that other calls may share.
-pub(crate) fn wishes(prompt: &Prompt) -> Vec<Wish<'_>> {
+/// The parts of a prompt that other calls may share, under `salt`.
+pub(crate) fn wishes(prompt: &Prompt, salt: &str) -> Vec<Wish> {
     let [shared @ .., _] = prompt.parts.as_slice() else {
         return Vec::new();
     };
-    let wishes = shared.iter().map(|part| Wish::new(&part.id, part.tokens));
-    wishes.collect()
+    let wishes = shared.iter();
+    wishes
+        .map(|part| Wish::new(salt, &part.id, part.tokens))
+        .collect()
 }
 
-fn candidate(view: &View, target: &TargetState, picking: &Picking<'_>) -> Candidate {
-    let own = f64::from(target.live.in_flight_count());
-    let prompt = picking.call.prompt.as_ref();
-    let keeps = prompt.and_then(|prompt| {
-        let salt = salt(target.version(&prompt.model)?, picking.isolated);
-        let wishes = wishes(prompt);
-        let wanted: u64 = wishes.iter().map(|wish| u64::from(wish.tokens)).sum();
-        let kept = picking.keeping.kept_tokens(target.address, &salt, &wishes);
-        Some(kept >= wanted && wanted > 0)
-    });
-    Candidate {
-        keeps: keeps.unwrap_or_default(),
-        near: is_near(target, picking),
-        ..Candidate::new(target.seed, target.slots_count)
-            .in_flight(own * f64::from(view.instances_count.max(1)))
+/// The parts that a call shares with others, for each version of the weights that may run it.
+#[derive(Debug, Default)]
+struct WantedParts {
+    by_version: Vec<(u64, Vec<Wish>)>,
+}
+
+impl WantedParts {
+    /// The parts under `version`.
+    fn of(&mut self, version: u64, prompt: &Prompt, isolated: Option<&str>) -> &[Wish] {
+        let known = self.by_version.iter().position(|it| it.0 == version);
+        let index = known.unwrap_or_else(|| {
+            let salt = salt(version, isolated);
+            self.by_version.push((version, wishes(prompt, &salt)));
+            self.by_version.len() - 1
+        });
+        &self.by_version[index].1
     }
 }
 
-/// Whether a target stands where the call's session is stored; a call without one, or whose session
-/// is not stored yet, is as well off anywhere, and a plain call is near its instance.
-fn is_near(target: &TargetState, picking: &Picking<'_>) -> bool {
+fn candidate(
+    view: &View,
+    target: &TargetState,
+    picking: &Picking<'_>,
+    wanted: &mut WantedParts,
+) -> Candidate {
+    let own = f64::from(target.live.in_flight_count());
+    let candidate = Candidate::new(target.seed, target.slots_count)
+        .in_flight(own * f64::from(view.instances_count.max(1)));
     let Some(prompt) = &picking.call.prompt else {
-        return target.failure_domain == *picking.failure_domain;
+        return Candidate {
+            near: target.failure_domain == *picking.failure_domain,
+            ..candidate
+        };
+    };
+    let Some(version) = target.version(&prompt.model) else {
+        return candidate;
     };
-    let (Some(session), Some(version)) = (prompt.session(), target.version(&prompt.model)) else {
-        return false;
+    let wanted = wanted.of(version, prompt, picking.isolated);
+    let Some(session) = wanted.last() else {
+        return candidate;
     };
-    let salt = salt(version, picking.isolated);
-    let domain = picking.keeping.store_domain(&salt, &session.id);
-    domain.is_some_and(|domain| domain == target.failure_domain)
+    // A call whose session is not stored yet is as well off anywhere.
+    let domain = picking.keeping.store_domain(session.part);
+    Candidate {
+        keeps: picking.keeping.keeps(target.address, wanted),
+        near: domain.is_some_and(|domain| domain == target.failure_domain),
+        ..candidate
+    }
 }
 
 /// Whether a call that is sent now might begin on weights that must not be used any more. It begins
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -313,14 +313,14 @@
             boot_time().saturating_sub(wanted.since())
         });
         let is_usable = is_current || replaced_for < MAX_REPLACED_AGE;
-        let wishes = wishes(prompt);
+        let wishes = wishes(prompt, &salt);
         if wishes.is_empty() || !is_usable || view.age() > MAX_PARTS_AGE {
             return Plan::default();
         }
         let now = self.inner.origin.elapsed();
         let engine = (picked.target.address, picked.target.failure_domain.as_str());
         let mut keeping = self.keeping();
-        let mut plan = keeping.plan(&salt, &wishes, engine, now, is_current);
+        let mut plan = keeping.plan(&wishes, engine, now, is_current);
         drop(keeping);
         trail.parts(&wishes, &plan);
         plan.fetch.push(None);
--- a/crates/relay/src/trail.rs
+++ b/crates/relay/src/trail.rs
@@ -58,7 +58,7 @@
     }
 
     /// Notes what the last choice fetches and saves of the shared parts `wishes`.
-    pub(crate) fn parts(&mut self, wishes: &[Wish<'_>], plan: &Plan) {
+    pub(crate) fn parts(&mut self, wishes: &[Wish], plan: &Plan) {
         let Some(attempt) = self.line.attempts.last_mut() else {
             return;
         };
--- a/crates/relay/tests/let_in.rs
+++ b/crates/relay/tests/let_in.rs
@@ -118,7 +118,7 @@
     {
         let mut keeping = world.keeping.lock().unwrap();
         keeping.set_store(parts::Store::new(place, 10_000));
-        keeping.holds(place, "1", "s", 64);
+        keeping.holds(place, "1", "s", 64, Duration::ZERO);
     }
     let headers = "parts: t:64,s:64,o:9\r\n";
     caller::call(world.address, "/once/7", headers).await;
