One watch for everything; instances tell each other what they have under way

A view also counted as current if any of the three was. And with 31 instances the calls of one, times 31, say nothing of a target's load.

Change: one watch on all keys, a pause of 50 ms after changes; feeds carry the calls under way.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -20,6 +20,7 @@
 mod candidate;
 mod choose;
 mod health;
+mod peer_loads;
 pub mod rendezvous;
 mod retry_share;
 mod start_delay;
@@ -28,6 +29,7 @@
     candidate::Candidate,
     choose::choose,
     health::{Health, Outcome},
+    peer_loads::{PeerLoads, TargetLoad},
     retry_share::{RetryBounds, RetryShare},
     start_delay::StartDelay,
 };
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -1,4 +1,5 @@
-//! Follows one prefix of the key-value service.
+//! Follows the key-value service: one listing, then one watch for everything. Whether the watch still
+//! answers shows whether all that is known is current.
 
 use {
     crate::{
@@ -24,10 +25,12 @@
 /// How often lapsed entries are looked for.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
-/// Follows `prefix` until `token` is cancelled.
+/// Pause after changes, so that those that come in quick succession cost one answer together.
+const BATCH_PAUSE: Duration = Duration::from_millis(50);
+
+/// Follows the service until `token` is cancelled.
 pub(crate) async fn follow<Kv, Format>(
     shared: Arc<Shared<Kv, Format>>,
-    prefix: &'static str,
     token: CancellationToken,
 ) -> ChildResult
 where
@@ -36,7 +39,6 @@
 {
     let mut follower = Follower {
         shared,
-        prefix,
         position: None,
         seen: HashSet::new(),
         available: true,
@@ -64,7 +66,6 @@
 
 struct Follower<Kv, Format> {
     shared: Arc<Shared<Kv, Format>>,
-    prefix: &'static str,
     /// All changes up to this revision are known; none before the first listing.
     position: Option<Revision>,
     /// Names that were there at the last listing or written since.
@@ -87,7 +88,9 @@
             },
         };
         let shared = self.shared.clone();
-        let mut events = pin!(shared.kv.watch(self.prefix, position + 1));
+        let prefix = shared.format.watched_prefix();
+        let mut events = pin!(shared.kv.watch(prefix, position + 1));
+        let mut has_changes = false;
         let mut expiry = interval(EXPIRY_PERIOD);
         loop {
             let event = tokio::select! {
@@ -98,7 +101,14 @@
                 }
             };
             match event {
-                Some(Ok(event)) => self.apply(event),
+                Some(Ok(event)) => {
+                    let is_end = matches!(event, Event::Progress(_));
+                    self.apply(event);
+                    if is_end && has_changes {
+                        sleep(BATCH_PAUSE).await;
+                    }
+                    has_changes = !is_end;
+                }
                 Some(Err(error)) => return error,
                 None => {
                     let reason = "the watch ended".to_owned();
@@ -109,7 +119,11 @@
     }
 
     async fn list(&mut self) -> Result<Revision, KvError> {
-        let range = self.shared.kv.range(self.prefix).await?;
+        let range = self
+            .shared
+            .kv
+            .range(self.shared.format.watched_prefix())
+            .await?;
         self.back();
         let before = std::mem::take(&mut self.seen);
         for pair in &range.pairs {
@@ -203,7 +217,7 @@
         }
         self.available = true;
         self.shared.known().returned(boot_time());
-        let reason = format!("{:?} is followed again", self.prefix);
+        let reason = "the service is followed again".to_owned();
         self.shared.dependency("key-value service", true, reason);
     }
 
--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -129,8 +129,6 @@
     Loading,
 }
 
-/// Beginning of the keys that entry instances write.
-pub(crate) const OWN_PREFIX: &str = "rattan/";
 /// Beginning of the keys of entry instances.
 const MEMBERS_PREFIX: &str = "rattan/members/";
 /// Key of the right to give orders.
--- a/crates/entry/src/peer_watch.rs
+++ b/crates/entry/src/peer_watch.rs
@@ -117,7 +117,10 @@
                     self.take(&batch, &places);
                     sleep(self.pause).await;
                 }
-                Err(_) => sleep(PAUSE).await,
+                Err(_) => {
+                    self.shared.peer_loads().forget(&self.name);
+                    sleep(PAUSE).await;
+                }
             }
         }
     }
@@ -126,6 +129,8 @@
     fn take(&self, batch: &Batch, places: &HashSet<SocketAddr>) {
         let now = boot_time();
         self.shared.heard(&self.name, now);
+        let loads = batch.loads.clone();
+        self.shared.peer_loads().set(&self.name, loads);
         let mut keeping = self.shared.keeping();
         if let Some(clock) = batch.clock {
             keeping.set_clock(clock, now);
--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -72,7 +72,7 @@
     Format: Platform,
 {
     fn look(&mut self) {
-        let view = self.shared.view.load_full();
+        let view = self.shared.view();
         self.take_places(&view);
         let instances = self.shared.known().feeding_instances();
         let own = &self.shared.settings.instance;
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -118,8 +118,8 @@
 /// Translates between the platform's formats and the product's types. Total functions without
 /// state, clock or decision.
 pub trait Platform: Wire {
-    /// Prefixes of the platform's own keys that concern the instance.
-    fn watched_prefixes(&self) -> &'static [&'static str];
+    /// Beginning of all keys that concern an instance, those that instances write among them.
+    fn watched_prefix(&self) -> &'static str;
 
     /// What one of the platform's own keys names; none if it does not concern the instance.
     fn name(&self, key: &str) -> Option<ItemName>;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,12 +3,13 @@
 use {
     crate::{Known, Ownership, Settings, Tenure},
     arc_swap::ArcSwap,
+    balance::PeerLoads,
     catalog::InstanceId,
     eventlog::{Event, EventLog},
     feed::Feed,
     meters::Meters,
     parts::Keeping,
-    relay::{View, boot_time},
+    relay::{Followed, View, boot_time},
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -32,11 +33,9 @@
     /// Counters and times.
     pub(crate) meters: Meters,
     /// What calls are decided by.
-    pub(crate) view: Arc<ArcSwap<View>>,
+    pub(crate) followed: Followed,
     /// Addresses that callers are told of.
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
-    /// What stores hold.
-    pub(crate) keeping: Arc<Mutex<Keeping>>,
     /// What this instance has learned of stores and engines, for the others to read.
     pub(crate) feed: Arc<Feed>,
     /// Which instance follows which store or engine.
@@ -54,17 +53,16 @@
 impl<Kv, Format> Shared<Kv, Format> {
     /// Knows nothing yet.
     pub(crate) fn new(settings: Settings, kv: Kv, format: Format, log: EventLog) -> Self {
-        let keeping: Arc<Mutex<Keeping>> = Arc::default();
+        let followed = Followed::default();
         Self {
             settings,
             kv,
             format,
             log,
             meters: Meters::new(),
-            view: Arc::default(),
             addresses: ArcSwap::default(),
-            feed: Arc::new(Feed::new(keeping.clone())),
-            keeping,
+            feed: Arc::new(Feed::new(followed.clone())),
+            followed,
             ownership: ArcSwap::default(),
             changed: Notify::new(),
             draining: CancellationToken::new(),
@@ -81,7 +79,10 @@
 
     /// What stores hold. Held for a few steps only, never across a wait.
     pub(crate) fn keeping(&self) -> MutexGuard<'_, Keeping> {
-        self.keeping.lock().unwrap_or_else(PoisonError::into_inner)
+        self.followed
+            .keeping
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Notes that another instance was heard of at `now`.
@@ -92,6 +93,7 @@
     /// Forgets an instance that is gone.
     pub(crate) fn forget_peer(&self, instance: &str) {
         self.heard_times().remove(instance);
+        self.peer_loads().forget(instance);
     }
 
     /// Time since an instance was last heard of; zero for one that was not asked yet.
@@ -104,6 +106,17 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What other instances have under way. Held for a few steps only, never across a wait.
+    pub(crate) fn peer_loads(&self) -> MutexGuard<'_, PeerLoads> {
+        let loads = self.followed.peer_loads.lock();
+        loads.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The view in force.
+    pub(crate) fn view(&self) -> Arc<View> {
+        self.followed.view.load_full()
+    }
+
     /// The lease of this instance.
     pub(crate) fn tenure(&self) -> Option<Tenure> {
         *self.tenure.lock().unwrap_or_else(PoisonError::into_inner)
@@ -117,7 +130,7 @@
     /// Has calls decided by what is known now.
     pub(crate) fn publish(&self) {
         let known = self.known();
-        self.view.store(Arc::new(known.view(boot_time())));
+        self.followed.view.store(Arc::new(known.view(boot_time())));
         let mut addresses: Vec<SocketAddr> = known
             .ready_members()
             .into_iter()
@@ -137,7 +150,7 @@
 
     /// Whether this instance takes callers.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.draining.is_cancelled() && self.view.load().table.is_some()
+        !self.draining.is_cancelled() && self.view().table.is_some()
     }
 
     /// Says that something this instance depends on was lost or is back.
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -3,7 +3,6 @@
 use {
     crate::{
         Platform, Settings, directory, follower,
-        item::OWN_PREFIX,
         listener::{self, Listening},
         membership, orders, peer_watch, place_watch,
         shared::Shared,
@@ -146,24 +145,18 @@
     Kv: KeyValue,
     Format: Platform,
 {
-    let mut prefixes = shared.format.watched_prefixes().to_vec();
-    if !prefixes.iter().any(|prefix| OWN_PREFIX.starts_with(prefix)) {
-        prefixes.push(OWN_PREFIX);
-    }
     let limit = RestartLimit {
         restart_count: 20,
         window: Duration::from_secs(10),
     };
-    let mut tree = Supervisor::new("control").limit(limit);
-    for prefix in prefixes {
-        let shared = shared.clone();
-        tree = tree.child(Child::new(format!("follow {prefix:?}"), move |token| {
-            follower::follow(shared.clone(), prefix, token)
-        }));
-    }
+    let following = shared.clone();
     let (joining, giving, placing) = (shared.clone(), shared.clone(), shared.clone());
     let (reading, telling) = (shared.clone(), shared.feed.clone());
-    tree.child(Child::new("membership", move |token| {
+    let tree = Supervisor::new("control").limit(limit);
+    tree.child(Child::new("follower", move |token| {
+        follower::follow(following.clone(), token)
+    }))
+    .child(Child::new("membership", move |token| {
         membership::keep(joining.clone(), token)
     }))
     .child(Child::new("places", move |token| {
@@ -220,8 +213,7 @@
         relay_settings,
         shared.format.clone(),
         client(),
-        shared.view.clone(),
-        shared.keeping.clone(),
+        shared.followed.clone(),
         shared.log.clone(),
         shared.meters.clone(),
     );
@@ -233,7 +225,7 @@
         draining: shared.draining.clone(),
         stop,
     };
-    let view = shared.view.clone();
+    let view = shared.followed.view.clone();
     let limits = move || {
         let table = view.load().table.clone();
         table
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -45,8 +45,8 @@
 }
 
 impl Platform for Formats {
-    fn watched_prefixes(&self) -> &'static [&'static str] {
-        &["operators/", "targets/"]
+    fn watched_prefix(&self) -> &'static str {
+        ""
     }
 
     fn name(&self, key: &str) -> Option<ItemName> {
--- a/crates/feed/src/batch.rs
+++ b/crates/feed/src/batch.rs
@@ -1,6 +1,7 @@
 //! What a reader gets.
 
 use {
+    balance::TargetLoad,
     parts::{Change, Position},
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -13,6 +14,8 @@
     pub position: Position,
     /// The clock that engines and stores share, when this was read; none if it is not known.
     pub clock: Option<Duration>,
+    /// Calls that the instance has under way now, by the rendezvous seed of their target.
+    pub loads: Vec<TargetLoad>,
     /// Changes, in order.
     pub changes: Vec<Change>,
 }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -1,4 +1,4 @@
-//! What one instance learns of stores and engines, read by the other instances.
+//! What one instance learns of stores and engines, and has under way, read by the other instances.
 //!
 //! A store or an engine answers only a few questions at a time, so each is followed by one
 //! instance, and the others read what that one has learned. [`Feed`] is what an instance has to
@@ -7,10 +7,10 @@
 //!
 //! ```
 //! use feed::Feed;
-//! use parts::{Change, Held, Keeping};
-//! use std::sync::{Arc, Mutex};
+//! use parts::{Change, Held};
+//! use relay::Followed;
 //!
-//! let feed = Feed::new(Arc::new(Mutex::new(Keeping::default())));
+//! let feed = Feed::new(Followed::default());
 //! let place = ([127, 0, 0, 1], 9100).into();
 //! feed.follow(place);
 //! let parts = vec![Held { part: 7, tokens: 5_000 }];
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -2,21 +2,22 @@
 
 use {
     crate::Batch,
+    balance::TargetLoad,
     parts::{Change, ChangeLog, Keeping, Position},
-    relay::boot_time,
+    relay::{Followed, boot_time},
     std::{
         collections::HashSet,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
     tokio::{sync::Notify, time::timeout},
 };
 
-/// What an instance has learned of the places that it follows.
+/// What an instance has learned of the places that it follows, and what it has under way.
 #[derive(Debug)]
 pub struct Feed {
-    keeping: Arc<Mutex<Keeping>>,
+    followed: Followed,
     state: Mutex<State>,
     changed: Notify,
 }
@@ -28,15 +29,15 @@
 }
 
 impl Feed {
-    /// A feed of what goes into `keeping`.
+    /// A feed of what goes into `followed`.
     #[must_use]
-    pub fn new(keeping: Arc<Mutex<Keeping>>) -> Self {
+    pub fn new(followed: Followed) -> Self {
         let state = State {
             log: ChangeLog::new(rand::random()),
             followed: HashSet::new(),
         };
         Self {
-            keeping,
+            followed,
             state: Mutex::new(state),
             changed: Notify::new(),
         }
@@ -71,6 +72,7 @@
         Batch {
             position: state.log.position(),
             clock: keeping.clock(boot_time()),
+            loads: self.loads(),
             changes: changes.unwrap_or_else(|| keeping.state_of(&state.followed)),
         }
     }
@@ -90,7 +92,18 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Calls under way.
+    fn loads(&self) -> Vec<TargetLoad> {
+        let view = self.followed.view.load();
+        let targets = view.pools.values().flatten();
+        let loads = targets.map(|target| (target.seed, target.live.in_flight_count()));
+        loads.filter(|(_, count)| *count > 0).collect()
+    }
+
     fn keeping(&self) -> MutexGuard<'_, Keeping> {
-        self.keeping.lock().unwrap_or_else(PoisonError::into_inner)
+        self.followed
+            .keeping
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/feed/tests/feed_reads.rs
+++ b/crates/feed/tests/feed_reads.rs
@@ -3,6 +3,7 @@
 use {
     feed::{Feed, Reader, serve},
     parts::{Change, Held, Keeping, Store, Wish},
+    relay::Followed,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -22,7 +23,11 @@
 
 impl Instance {
     fn start(listener: TcpListener) -> Self {
-        let feed = Arc::new(Feed::new(Arc::new(Mutex::new(keeping()))));
+        let followed = Followed {
+            keeping: Arc::new(Mutex::new(keeping())),
+            ..Followed::default()
+        };
+        let feed = Arc::new(Feed::new(followed));
         let stop = CancellationToken::new();
         let ended = tokio::spawn(serve(Arc::new(listener), feed.clone(), stop.clone()));
         Self { feed, stop, ended }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,7 +38,7 @@
     boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
     refusal::{Reason, Refusal},
-    relay::{Relay, RelaySettings},
+    relay::{Followed, Relay, RelaySettings},
     view::{Live, ModelState, Named, TargetState, View, Wanted},
     wire::{ReplyNotes, Sending, Wire},
 };
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Call, Prompt, TargetState, View, Wanted, boot_time},
-    balance::{Candidate, choose, rendezvous},
+    balance::{Candidate, PeerLoads, choose, rendezvous},
     catalog::{FailureDomainId, TargetId},
     parts::{Keeping, Wish},
     std::{sync::Arc, time::Duration},
@@ -25,6 +25,8 @@
     pub(crate) draw: u64,
     /// What engines and stores hold.
     pub(crate) keeping: &'call Keeping,
+    /// What other instances have under way.
+    pub(crate) peer_loads: &'call PeerLoads,
     /// Client account, if it shares computed parts with no other.
     pub(crate) isolated: Option<&'call str>,
 }
@@ -122,9 +124,13 @@
     picking: &Picking<'_>,
     wanted: &mut WantedParts,
 ) -> Candidate {
-    let own = f64::from(target.live.in_flight_count());
-    let candidate = Candidate::new(target.seed, target.slots_count)
-        .in_flight(own * f64::from(view.instances_count.max(1)));
+    let own_count = target.live.in_flight_count();
+    let loads = picking.peer_loads;
+    let candidate = Candidate::new(target.seed, target.slots_count).in_flight(loads.estimate(
+        target.seed,
+        own_count,
+        view.instances_count,
+    ));
     let Some(prompt) = &picking.call.prompt else {
         return Candidate {
             near: target.failure_domain == *picking.failure_domain,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,7 +12,7 @@
         trail::{Trail, millis},
     },
     arc_swap::ArcSwap,
-    balance::RetryBounds,
+    balance::{PeerLoads, RetryBounds},
     bytes::Bytes,
     catalog::FailureDomainId,
     eventlog::EventLog,
@@ -60,6 +60,17 @@
     }
 }
 
+/// What a relay's decisions follow. Clones share everything.
+#[derive(Clone, Debug, Default)]
+pub struct Followed {
+    /// What the instance believes.
+    pub view: Arc<ArcSwap<View>>,
+    /// What stores and engines hold.
+    pub keeping: Arc<Mutex<Keeping>>,
+    /// What other instances have under way.
+    pub peer_loads: Arc<Mutex<PeerLoads>>,
+}
+
 /// Takes calls, chooses targets and passes answers on. Clones share everything.
 #[derive(Clone)]
 pub struct Relay<Format> {
@@ -72,6 +83,7 @@
     pub(crate) client: Client,
     pub(crate) view: Arc<ArcSwap<View>>,
     pub(crate) keeping: Arc<Mutex<Keeping>>,
+    pub(crate) peer_loads: Arc<Mutex<PeerLoads>>,
     pub(crate) retries: Retries,
     pub(crate) origin: Instant,
     held: Arc<Semaphore>,
@@ -83,14 +95,13 @@
 where
     Format: Wire,
 {
-    /// A relay that follows `view`, and `keeping` for what stores hold.
+    /// A relay that follows `known`.
     #[must_use]
     pub fn new(
         settings: RelaySettings,
         wire: Format,
         client: Client,
-        view: Arc<ArcSwap<View>>,
-        keeping: Arc<Mutex<Keeping>>,
+        known: Followed,
         log: EventLog,
         meters: Meters,
     ) -> Self {
@@ -101,8 +112,9 @@
                 settings,
                 wire,
                 client,
-                view,
-                keeping,
+                view: known.view,
+                keeping: known.keeping,
+                peer_loads: known.peer_loads,
                 retries,
                 origin: Instant::now(),
                 held,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -198,6 +198,8 @@
     fn pick(&self) -> Option<Picked> {
         let view = self.inner.view.load();
         let keeping = self.keeping();
+        let peer_loads = self.inner.peer_loads.lock();
+        let peer_loads = peer_loads.unwrap_or_else(PoisonError::into_inner);
         let picking = Picking {
             call: &self.admitted.call,
             tried: &self.tried,
@@ -206,6 +208,7 @@
             max_old_weights: self.inner.settings.max_old_weights,
             draw: rand::random(),
             keeping: &keeping,
+            peer_loads: &peer_loads,
             isolated: self.isolated(),
         };
         pick(&view, &self.pool, &picking)
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -13,7 +13,7 @@
     hyper_util::rt::TokioIo,
     meters::Meters,
     parts::Keeping,
-    relay::{Live, ModelState, Relay, RelaySettings, TargetState, View, boot_time},
+    relay::{Followed, Live, ModelState, Relay, RelaySettings, TargetState, View, boot_time},
     routes::{Accepted, Account, Repeat, Route, RouteTable},
     scripted::Scripted,
     std::{
@@ -105,8 +105,11 @@
             settings,
             TestWire,
             Client::new(ClientSettings::default()),
-            view.clone(),
-            keeping.clone(),
+            Followed {
+                view: view.clone(),
+                keeping: keeping.clone(),
+                ..Followed::default()
+            },
             EventLog::start(std::io::sink()),
             Meters::new(),
         );
