--- a/crates/balance/tests/session_choice.rs
+++ b/crates/balance/tests/session_choice.rs
@@ -35,6 +35,24 @@
     assert_eq!(choose(&pool, Some(session(1)), 0), Some(owner));
 }
 
+#[test]
+fn session_stays_while_its_owner_is_as_busy_as_most() {
+    let mut pool = pool(90);
+    for (index, candidate) in pool.iter_mut().enumerate() {
+        candidate.slots_count = 24;
+        candidate.in_flight_count = if index % 9 == 0 { 0.0 } else { 5.0 };
+    }
+    let stays = (0..500).filter(|number| {
+        let chosen = choose(&pool, Some(session(*number)), 0).unwrap();
+        pool[chosen].in_flight_count > 0.0
+    });
+    let stays_count = stays.count();
+    assert!(
+        (400..=480).contains(&stays_count),
+        "of many targets one is always idle"
+    );
+}
+
 #[test]
 fn target_that_keeps_the_session_goes_before_its_owner() {
     let mut pool = pool(18);
--- a/crates/entry/src/peer_watch.rs
+++ b/crates/entry/src/peer_watch.rs
@@ -62,6 +62,7 @@
                 name,
                 reader: Reader::new(address),
                 pause,
+                link_use: HashMap::new(),
             };
             tasks.spawn(async move {
                 tokio::select! {
@@ -87,6 +88,8 @@
     reader: Reader,
     /// Pause between questions.
     pause: Duration,
+    /// Use of each store's link that the instance told of last.
+    link_use: HashMap<SocketAddr, Duration>,
 }
 
 impl<Kv, Format> Peer<Kv, Format>
@@ -126,7 +129,7 @@
     }
 
     /// Takes in what the instance says of the places that it follows for all.
-    fn take(&self, batch: &Batch, places: &HashSet<SocketAddr>) {
+    fn take(&mut self, batch: &Batch, places: &HashSet<SocketAddr>) {
         let now = boot_time();
         self.shared.heard(&self.name, now);
         let loads = batch.loads.clone();
@@ -135,6 +138,12 @@
         if let Some(clock) = batch.clock {
             keeping.set_clock(clock, now);
         }
+        for (store, time) in &batch.link_use {
+            let before = self.link_use.insert(*store, *time);
+            // Of what an instance planned before it was first heard of, most is over.
+            let more = before.map_or(Duration::ZERO, |before| time.saturating_sub(before));
+            keeping.used_by_others(*store, more, now);
+        }
         let own = batch.changes.iter();
         for change in own.filter(|change| places.contains(&change.place())) {
             keeping.apply(change, now);
--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -100,7 +100,6 @@
             self.follow(place);
         }
         let mut keeping = self.shared.keeping();
-        keeping.set_instances(view.instances_count);
         keeping.expire(boot_time().saturating_sub(MAX_NOTE_AGE));
     }
 
--- a/crates/feed/src/batch.rs
+++ b/crates/feed/src/batch.rs
@@ -2,7 +2,7 @@
 
 use {
     balance::TargetLoad,
-    parts::{Change, Position},
+    parts::{Change, LinkUse, Position},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -16,6 +16,8 @@
     pub clock: Option<Duration>,
     /// Calls that the instance has under way now, by the rendezvous seed of their target.
     pub loads: Vec<TargetLoad>,
+    /// Time for which the instance has planned to use each store's link, since its start.
+    pub link_use: Vec<LinkUse>,
     /// Changes, in order.
     pub changes: Vec<Change>,
 }
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -73,6 +73,7 @@
             position: state.log.position(),
             clock: keeping.clock(boot_time()),
             loads: self.loads(),
+            link_use: keeping.link_use(),
             changes: changes.unwrap_or_else(|| keeping.state_of(&state.followed)),
         }
     }
--- a/crates/parts/src/keeping.rs
+++ b/crates/parts/src/keeping.rs
@@ -24,7 +24,11 @@
 /// Share of a store's room that is left free, for parts still being written.
 const SPARE_SHARE: f64 = 0.03;
 
-/// What the stores hold, and what is on its way to them.
+/// A store and the time for which one instance has planned to use its link, since its start.
+pub type LinkUse = (SocketAddr, Duration);
+
+/// What the stores hold, and what is on its way to them. All times are of one clock, which counts
+/// suspension.
 #[derive(Clone, Debug, Default)]
 pub struct Keeping {
     stores: BTreeMap<SocketAddr, Store>,
@@ -33,8 +37,8 @@
     usual: Usual,
     /// The engines' clock, and the own clock at the same moment.
     clock: Option<(Duration, Duration)>,
-    /// Instances that use the stores; each sees its own share of the transfers.
-    instances_count: u32,
+    /// Time for which this instance has planned to use each store's link.
+    link_use: BTreeMap<SocketAddr, Duration>,
 }
 
 impl Keeping {
@@ -74,11 +78,6 @@
         (clock + now).checked_sub(heard_at)
     }
 
-    /// Sets how many instances use the stores.
-    pub fn set_instances(&mut self, instances_count: u32) {
-        self.instances_count = instances_count;
-    }
-
     /// Notes whether a store answers.
     pub fn set_available(&mut self, address: SocketAddr, available: bool) {
         if let Some(store) = self.stores.get_mut(&address) {
@@ -274,12 +273,27 @@
         Some(address)
     }
 
-    /// Reckons with a transfer; other instances plan as many each.
+    /// Reckons with a transfer that this instance has planned.
     fn occupy(&mut self, address: SocketAddr, tokens: u32, failure_domain: &str, now: Duration) {
-        let instances_count = self.instances_count.max(1);
-        if let Some(store) = self.stores.get_mut(&address) {
-            let transfer = store.transfer_time(tokens, failure_domain, now);
-            store.free_at = store.free_at.max(now) + transfer * instances_count;
+        let Some(store) = self.stores.get_mut(&address) else {
+            return;
+        };
+        let transfer = store.transfer_time(tokens, failure_domain, now);
+        store.occupy(transfer, now);
+        *self.link_use.entry(address).or_default() += transfer;
+    }
+
+    /// Time for which this instance has planned to use each store's link, since its start.
+    #[must_use]
+    pub fn link_use(&self) -> Vec<LinkUse> {
+        let used = self.link_use.iter();
+        used.map(|(store, time)| (*store, *time)).collect()
+    }
+
+    /// Reckons with `time` more for which another instance uses a store's link.
+    pub fn used_by_others(&mut self, store: SocketAddr, time: Duration, now: Duration) {
+        if let Some(store) = self.stores.get_mut(&store) {
+            store.occupy(time, now);
         }
     }
 }
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -32,7 +32,7 @@
 pub use {
     change::{Change, Held},
     change_log::{ChangeLog, MAX_CHANGES_COUNT, Position},
-    keeping::Keeping,
+    keeping::{Keeping, LinkUse},
     part_key::{PartKey, part_key},
     plan::{Plan, Transfer, Wish},
     store::Store,
--- a/crates/parts/src/store.rs
+++ b/crates/parts/src/store.rs
@@ -53,6 +53,11 @@
         (1.0 - used).max(0.0)
     }
 
+    /// Reckons with `time` more on its link.
+    pub(crate) fn occupy(&mut self, time: Duration, now: Duration) {
+        self.free_at = self.free_at.max(now) + time;
+    }
+
     /// Time that a transfer from or to `failure_domain` takes by itself.
     pub(crate) fn transfer_time(
         &self,
--- a/crates/parts/tests/part_plans.rs
+++ b/crates/parts/tests/part_plans.rs
@@ -171,3 +171,27 @@
         "{again} of {usual} calls once it keeps pace"
     );
 }
+
+#[test]
+fn link_that_other_instances_use_is_left_alone() {
+    let mut keeping = Keeping::default();
+    let mut store = Store::new(address(1), 50_000);
+    store.token_time = Duration::from_micros(7);
+    keeping.set_store(store);
+    keeping.set_available(address(1), true);
+    keeping.holds(address(1), "1", "session", 5_000, NOW);
+    let wish = [Wish::new("1", "session", 5_000)];
+    let plan = keeping.plan(&wish, engine(), NOW, true);
+    assert_eq!(plan.fetch, [Some(address(1))]);
+    assert_eq!(
+        keeping.link_use(),
+        [(address(1), Duration::from_millis(70))]
+    );
+    keeping.used_by_others(address(1), Duration::from_secs(1), NOW);
+    assert_eq!(keeping.plan(&wish, engine(), NOW, true).fetch, [None]);
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(
+        keeping.plan(&wish, engine(), later, true).fetch,
+        [Some(address(1))]
+    );
+}
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -125,18 +125,18 @@
     wanted: &mut WantedParts,
 ) -> Candidate {
     let own_count = target.live.in_flight_count();
-    let loads = picking.peer_loads;
-    let candidate = Candidate::new(target.seed, target.slots_count).in_flight(loads.estimate(
-        target.seed,
-        own_count,
-        view.instances_count,
-    ));
+    let candidate = Candidate::new(target.seed, target.slots_count);
     let Some(prompt) = &picking.call.prompt else {
+        // Plain calls are over sooner than others tell of theirs.
+        let in_flight_count = f64::from(own_count) * f64::from(view.instances_count.max(1));
         return Candidate {
             near: target.failure_domain == *picking.failure_domain,
-            ..candidate
+            ..candidate.in_flight(in_flight_count)
         };
     };
+    let loads = picking.peer_loads;
+    let in_flight_count = loads.estimate(target.seed, own_count, view.instances_count);
+    let candidate = candidate.in_flight(in_flight_count);
     let Some(version) = target.version(&prompt.model) else {
         return candidate;
     };
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -245,7 +245,7 @@
         if self.admitted.call.prompt.is_some() && matches!(tried, Tried::Answered(_)) {
             let now = self.inner.origin.elapsed();
             target.live.record_start(sent.elapsed(), now);
-            self.keeping().observe(&plan, sent.elapsed(), now);
+            self.keeping().observe(&plan, sent.elapsed(), boot_time());
         }
         if !matches!(tried, Tried::Answered(_)) {
             self.under_way = None;
@@ -320,10 +320,9 @@
         if wishes.is_empty() || !is_usable || view.age() > MAX_PARTS_AGE {
             return Plan::default();
         }
-        let now = self.inner.origin.elapsed();
         let engine = (picked.target.address, picked.target.failure_domain.as_str());
         let mut keeping = self.keeping();
-        let mut plan = keeping.plan(&wishes, engine, now, is_current);
+        let mut plan = keeping.plan(&wishes, engine, boot_time(), is_current);
         drop(keeping);
         trail.parts(&wishes, &plan);
         plan.fetch.push(None);
