Parts of a busy store come from engines that hold them

Engines that hold the same parts were asked only if a store was more than 400 ms behind.

Test: `part_plans` (fails without the change).

--- a/crates/parts/src/keeping.rs
+++ b/crates/parts/src/keeping.rs
@@ -19,6 +19,9 @@
 const SAVE_TIME: Duration = Duration::from_secs(3);
 /// Longest queue before a store's link for which a part is still fetched.
 const MAX_QUEUE: Duration = Duration::from_millis(400);
+/// The same for a part that another engine holds too. An engine's link is less used, but it may have
+/// dropped the part meanwhile.
+const MAX_QUEUE_BEFORE_ENGINES: Duration = Duration::from_millis(100);
 /// Longest queue before a store's link for which a part is still saved.
 const MAX_SAVE_QUEUE: Duration = Duration::from_millis(600);
 /// Share of a store's room that is left free, for parts still being written.
@@ -216,9 +219,17 @@
         let whole = whole.map(|(place, _)| *place);
         // Named all the same: the engine may have evicted it meanwhile.
         let is_here = whole.clone().any(|place| place == engine);
+        let has_engine = whole
+            .clone()
+            .any(|place| place != engine && !self.stores.contains_key(&place));
+        let max_queue = if has_engine {
+            MAX_QUEUE_BEFORE_ENGINES
+        } else {
+            MAX_QUEUE
+        };
         let stores = whole.clone().filter_map(|place| self.stores.get(&place));
         let ready =
-            stores.filter(|store| store.available && (is_here || queue(store, now) <= MAX_QUEUE));
+            stores.filter(|store| store.available && (is_here || queue(store, now) <= max_queue));
         let soonest = ready.min_by_key(|store| {
             queue(store, now) + store.transfer_time(wish.tokens, failure_domain, now)
         });
--- a/crates/parts/tests/part_plans.rs
+++ b/crates/parts/tests/part_plans.rs
@@ -195,3 +195,18 @@
         [Some(address(1))]
     );
 }
+
+#[test]
+fn part_of_a_busy_store_comes_from_an_engine_that_holds_it() {
+    let mut keeping = keeping();
+    keeping.holds(address(1), "1", "session", 5_000, NOW);
+    keeping.holds(address(8), "1", "session", 5_000, NOW);
+    keeping.set_available(address(1), true);
+    let wish = [Wish::new("1", "session", 5_000)];
+    let plan = keeping.plan(&wish, engine(), NOW, true);
+    assert_eq!(plan.fetch, [Some(address(1))], "the store surely has it");
+    keeping.used_by_others(address(1), Duration::from_millis(200), NOW);
+    let plan = keeping.plan(&wish, engine(), NOW, true);
+    assert_eq!(plan.fetch, [Some(address(8))]);
+    assert!(plan.transfers.is_empty(), "the store's link is not used");
+}
