--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -34,7 +34,7 @@
 const DRAIN_PERIOD: Duration = Duration::from_millis(250);
 /// Looks after which the runs that are left go on with the new weights: a whole pool has to be
 /// replaced within its bound, and the longest runs take seconds.
-const DRAIN_ROUNDS_COUNT: u32 = 4;
+const DRAIN_ROUNDS_COUNT: u32 = 2;
 /// Longest time that an order is waited for before the target is asked again.
 const LOADING_TIME: Duration = Duration::from_secs(3);
 /// Longest wait for the announcement of targets that load; without it they refuse calls themselves.
