Log lines for who takes callers and which targets are left out; docs/EVENTS.md, kept complete by a test

Cause: two kinds of line were declared and never written, and nothing kept the page of kinds complete. Changes of the instances that take callers, and targets that are left out, are now lines of their own (`instances`, `left_out`); `event_page` fails if the page lacks a kind or a field, or names one that is gone, and does not compile until a new kind is added to it.

--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -46,6 +46,8 @@
     pub(crate) draining: CancellationToken,
     known: Mutex<Known>,
     tenure: Mutex<Option<Tenure>>,
+    /// Instances that the log last named as taking callers.
+    said: Mutex<Vec<InstanceId>>,
     /// When other instances were last heard of.
     heard: Mutex<HashMap<InstanceId, Duration>>,
 }
@@ -68,6 +70,7 @@
             draining: CancellationToken::new(),
             known: Mutex::default(),
             tenure: Mutex::default(),
+            said: Mutex::default(),
             heard: Mutex::default(),
         }
     }
@@ -130,6 +133,7 @@
     /// Has calls decided by what is known now.
     pub(crate) fn publish(&self) {
         let known = self.known();
+        self.say_instances(&known);
         self.followed.view.store(Arc::new(known.view(boot_time())));
         let mut addresses: Vec<SocketAddr> = known
             .ready_members()
@@ -148,6 +152,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Says which instances take callers, if those are others than before.
+    fn say_instances(&self, known: &Known) {
+        let members = known.ready_members().into_iter();
+        let ready: Vec<InstanceId> = members.map(|(name, _)| name.clone()).collect();
+        let mut said = self.said.lock().unwrap_or_else(PoisonError::into_inner);
+        if *said != ready {
+            said.clone_from(&ready);
+            self.log.emit(&Event::Instances { ready });
+        }
+    }
+
     /// Whether this instance takes callers.
     pub(crate) fn is_ready(&self) -> bool {
         !self.draining.is_cancelled() && self.view().table.is_some()
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -112,21 +112,17 @@
         /// Revision of the key-value service that said so.
         revision: u64,
     },
-    /// A target is left out, or used again, by the calls of this instance.
-    Health {
+    /// Calls of this instance leave a target out for a while, because it failed others.
+    LeftOut {
         /// Target.
         target: String,
-        /// Whether it is left out.
-        left_out: bool,
         /// The outcome that decided.
         reason: String,
     },
     /// The instances that share the work have changed.
     Instances {
-        /// Names of those that are ready.
+        /// Names of those that take callers.
         ready: Vec<String>,
-        /// Revision of the key-value service that said so.
-        revision: u64,
     },
     /// Newer weights were named.
     Version {
--- /dev/null
+++ b/crates/eventlog/tests/event_page.rs
@@ -0,0 +1,151 @@
+//! docs/EVENTS.md names every kind of line and every field.
+
+use {
+    eventlog::{AttemptLine, CallLine, Event},
+    serde_json::Value,
+    std::collections::BTreeSet,
+};
+
+const PAGE: &str = include_str!("../../../docs/EVENTS.md");
+
+/// One line of each kind.
+fn samples() -> Vec<Event> {
+    let text = String::new;
+    let call = CallLine {
+        attempts: vec![AttemptLine::default()],
+        ..CallLine::default()
+    };
+    vec![
+        Event::Started {
+            instance: text(),
+            failure_domain: text(),
+            version: "",
+        },
+        Event::Draining { grace_ms: 0 },
+        Event::Stopped { reason: text() },
+        Event::Reloaded,
+        Event::UnderWay(call.clone()),
+        Event::Call(call),
+        Event::Configuration {
+            version: 0,
+            revision: 0,
+            routes_count: 0,
+            accounts_count: 0,
+        },
+        Event::Target {
+            target: text(),
+            state: "",
+            pool: text(),
+            address: text(),
+            revision: 0,
+        },
+        Event::LeftOut {
+            target: text(),
+            reason: text(),
+        },
+        Event::Instances { ready: Vec::new() },
+        Event::Version {
+            model: text(),
+            version: 0,
+            revision: 0,
+        },
+        Event::Holder {
+            held: false,
+            fencing: 0,
+            reason: text(),
+        },
+        Event::Order {
+            target: text(),
+            model: text(),
+            version: 0,
+            fencing: 0,
+            accepted_before: 0,
+            outcome: text(),
+        },
+        Event::Parts {
+            place: text(),
+            added_count: 0,
+            removed_count: 0,
+            listed: false,
+        },
+        Event::Dependency {
+            name: "",
+            available: false,
+            reason: text(),
+        },
+        Event::Dropped { count: 0 },
+        Event::Note {
+            level: text(),
+            part: text(),
+            message: text(),
+        },
+    ]
+}
+
+/// Fails to compile until a new kind is added here and to the samples.
+fn number(event: &Event) -> usize {
+    match event {
+        Event::Started { .. } => 0,
+        Event::Draining { .. } => 1,
+        Event::Stopped { .. } => 2,
+        Event::Reloaded => 3,
+        Event::UnderWay(_) => 4,
+        Event::Call(_) => 5,
+        Event::Configuration { .. } => 6,
+        Event::Target { .. } => 7,
+        Event::LeftOut { .. } => 8,
+        Event::Instances { .. } => 9,
+        Event::Version { .. } => 10,
+        Event::Holder { .. } => 11,
+        Event::Order { .. } => 12,
+        Event::Parts { .. } => 13,
+        Event::Dependency { .. } => 14,
+        Event::Dropped { .. } => 15,
+        Event::Note { .. } => 16,
+    }
+}
+
+/// The page's text on one kind.
+fn section(kind: &str) -> &'static str {
+    let begin = format!("\n## {kind}\n");
+    let rest = PAGE.split_once(&begin).map(|(_, rest)| rest);
+    let rest = rest.unwrap_or_else(|| panic!("docs/EVENTS.md lacks {kind}"));
+    rest.split("\n## ").next().unwrap_or_default()
+}
+
+fn check(kind: &str, fields: &Value, text: &str) {
+    for (name, value) in fields.as_object().unwrap() {
+        let is_named = text.contains(&format!("| `{name}` |"));
+        assert!(name == "event" || is_named, "{kind} lacks the field {name}");
+        if let Some([first, ..]) = value.as_array().map(Vec::as_slice) {
+            check(kind, first, text);
+        }
+    }
+}
+
+#[test]
+fn page_names_every_kind_and_field() {
+    let samples = samples();
+    let numbers: BTreeSet<usize> = samples.iter().map(number).collect();
+    assert_eq!(numbers, (0..samples.len()).collect());
+    for event in &samples {
+        let line = serde_json::to_value(event).unwrap();
+        let kind = line["event"].as_str().unwrap().to_owned();
+        let described = if kind == "under_way" { "call" } else { &kind };
+        section(&kind);
+        check(&kind, &line, section(described));
+    }
+}
+
+#[test]
+fn page_names_no_kind_that_is_gone() {
+    let samples = samples();
+    let kinds: BTreeSet<String> = samples
+        .iter()
+        .map(|event| serde_json::to_value(event).unwrap()["event"].to_string())
+        .collect();
+    let sections = PAGE.lines().filter_map(|line| line.strip_prefix("## "));
+    for section in sections {
+        assert!(kinds.contains(&format!("\"{section}\"")), "{section}");
+    }
+}
--- a/crates/relay/src/lessons.rs
+++ b/crates/relay/src/lessons.rs
@@ -8,6 +8,7 @@
         run::{Job, describe},
     },
     balance::Outcome,
+    eventlog::Event,
     hyper::StatusCode,
     std::time::Duration,
 };
@@ -73,8 +74,10 @@
     fn record(&self, picked: &Picked, outcome: Outcome, reason: &str) {
         let now = self.inner.origin.elapsed();
         if picked.target.live.record(outcome, now) {
-            let target = &picked.target.id;
-            log::warn!("target {target} is left out for a while: {reason}");
+            self.inner.log.emit(&Event::LeftOut {
+                target: picked.target.id.clone(),
+                reason: reason.to_owned(),
+            });
         }
     }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -87,7 +87,7 @@
     pub(crate) retries: Retries,
     pub(crate) origin: Instant,
     held: Arc<Semaphore>,
-    log: EventLog,
+    pub(crate) log: EventLog,
     meters: Meters,
 }
 
