Parts of replaced weights are freed in stores that drop nothing by themselves

Cause: nothing was ever freed.

Change: the instance that follows a store frees, under the store's start number, parts of weights that were replaced 24 s ago. Longest reader: 6 s after its instance heard of the new weights, which may be 4 s late, plus 2 s for the fetch itself, which carries its end on the engines' clock.

Tests: `freed_parts`.

--- /dev/null
+++ b/crates/entry/src/freeing.rs
@@ -0,0 +1,20 @@
+//! Which parts a store may free.
+//!
+//! Answers stores that drop nothing by themselves: parts of replaced weights would fill them.
+
+use {
+    relay::{Wanted, salt_version},
+    std::time::Duration,
+};
+
+/// Age of a wish for newer weights from which on nobody fetches parts of older ones. Calls fetch them
+/// for 6 s after their instance heard of the wish, which may be 4 s late, and each fetch is given up
+/// within 2 s; as much again for safety.
+pub const FREE_AGE: Duration = Duration::from_secs(24);
+
+/// Whether nobody reads the parts under `salt` any more, if `wanted` is wanted of their model.
+#[must_use]
+pub fn is_unread(salt: &str, wanted: &Wanted, now: Duration) -> bool {
+    let is_replaced = salt_version(salt).is_some_and(|version| version < wanted.version());
+    is_replaced && now.saturating_sub(wanted.since()) >= FREE_AGE
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod directory;
 mod follower;
+pub mod freeing;
 mod holder;
 mod item;
 mod known;
--- a/crates/entry/src/place_follower.rs
+++ b/crates/entry/src/place_follower.rs
@@ -1,14 +1,14 @@
 //! Follows what one store or engine holds, by its own word.
 
 use {
-    crate::{PartEvents, Platform, shared::Shared},
+    crate::{HeldPart, PartEvents, Platform, freeing::is_unread, shared::Shared},
     bytes::Bytes,
     eventlog::Event,
     http_body_util::Full,
     hyper::Request,
-    parts::{Change, Held, part_key},
+    parts::{Change, Held, PartKey, part_key},
     relay::boot_time,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     target::{Client, Reuse, SendError},
     tokio::time::sleep,
 };
@@ -19,6 +19,8 @@
 const ANSWER_TIME: Duration = Duration::from_millis(700);
 /// Pause after a failed question.
 const PAUSE: Duration = Duration::from_millis(300);
+/// Parts that are freed at once.
+const MAX_FREED_COUNT: usize = 500;
 /// Pause between questions to a store.
 const STORE_BATCH_PAUSE: Duration = Duration::from_millis(60);
 /// Pause between questions to an engine.
@@ -40,6 +42,8 @@
     place: SocketAddr,
     is_store: bool,
     position: Option<Position>,
+    /// What a store holds, with the names that freeing needs.
+    held: HashMap<PartKey, HeldPart>,
 }
 
 impl<Kv, Format> PlaceFollower<Kv, Format>
@@ -59,6 +63,7 @@
             place,
             is_store,
             position: None,
+            held: HashMap::new(),
         }
     }
 
@@ -79,6 +84,9 @@
                 let reason = reason.unwrap_or_else(|| format!("{place} answers"));
                 self.shared.dependency("store", answers, reason);
             }
+            if answers && self.is_store {
+                self.free().await;
+            }
             sleep(if answers { self.batch_pause() } else { PAUSE }).await;
         }
     }
@@ -119,21 +127,14 @@
         Ok(())
     }
 
-    fn take(&self, events: &PartEvents) {
+    fn take(&mut self, events: &PartEvents) {
         if let Some(clock) = events.clock {
             self.shared.keeping().set_clock(clock, boot_time());
         }
         if events.changes.is_empty() {
             return;
         }
-        let parts = events.changes.iter().map(|change| Held {
-            part: part_key(&change.part.salt, &change.part.id),
-            tokens: change.part.tokens,
-        });
-        self.shared.feed.learn(Change::Held {
-            place: self.place,
-            parts: parts.collect(),
-        });
+        self.learn(events.changes.iter().map(|change| &change.part));
         let added_count = events.changes.iter().filter(|it| it.added).count();
         if self.is_store {
             self.say(added_count, events.changes.len() - added_count, false);
@@ -146,14 +147,7 @@
             return Err(self.unreadable());
         };
         self.clear();
-        let parts = list.held.iter().map(|part| Held {
-            part: part_key(&part.salt, &part.id),
-            tokens: part.tokens,
-        });
-        self.shared.feed.learn(Change::Held {
-            place: self.place,
-            parts: parts.collect(),
-        });
+        self.learn(list.held.iter());
         self.say(list.held.len(), 0, true);
         self.position = Some(Position {
             start: list.start,
@@ -162,7 +156,64 @@
         Ok(())
     }
 
-    fn clear(&self) {
+    /// Takes in what the place holds of these parts now.
+    fn learn<'part, Parts>(&mut self, parts: Parts)
+    where
+        Parts: Iterator<Item = &'part HeldPart>,
+    {
+        let mut learned = Vec::new();
+        for part in parts {
+            let key = part_key(&part.salt, &part.id);
+            learned.push(Held {
+                part: key,
+                tokens: part.tokens,
+            });
+            if part.tokens == 0 {
+                self.held.remove(&key);
+            } else if self.is_store {
+                self.held.insert(key, part.clone());
+            }
+        }
+        self.shared.feed.learn(Change::Held {
+            place: self.place,
+            parts: learned,
+        });
+    }
+
+    /// Has the store free what nobody reads any more, if this instance follows it for all.
+    async fn free(&mut self) {
+        let own = &self.shared.settings.instance;
+        let is_owner = self.shared.ownership.load().owner(self.place) == Some(own);
+        let unread = self.unread();
+        let Some(position) = self.position.filter(|_| is_owner && !unread.is_empty()) else {
+            return;
+        };
+        let call = self.shared.format.free_call(&unread, position.start);
+        if let Err(error) = self.body(call, Duration::ZERO).await {
+            log::info!("nothing freed yet: {error}");
+            return;
+        }
+        let freed = unread
+            .into_iter()
+            .map(|part| HeldPart { tokens: 0, ..part });
+        let freed: Vec<HeldPart> = freed.collect();
+        self.learn(freed.iter());
+        self.say(0, freed.len(), false);
+    }
+
+    /// Parts that nobody reads any more, as many as are freed at once.
+    fn unread(&self) -> Vec<HeldPart> {
+        let known = self.shared.known();
+        let now = boot_time();
+        let unread = self.held.values().filter(|part| {
+            let wanted = known.wanted().get(&part.model);
+            wanted.is_some_and(|wanted| is_unread(&part.salt, wanted, now))
+        });
+        unread.take(MAX_FREED_COUNT).cloned().collect()
+    }
+
+    fn clear(&mut self) {
+        self.held.clear();
         let place = self.place;
         self.shared.feed.learn(Change::Cleared { place });
     }
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -3,6 +3,7 @@
 use {
     crate::{Item, ItemError, ItemName},
     bytes::Bytes,
+    catalog::ModelId,
     http_body_util::Full,
     hyper::Request,
     relay::{ModelState, Wire},
@@ -78,6 +79,8 @@
     pub id: String,
     /// Tokens of it that are there.
     pub tokens: u32,
+    /// Model that made it.
+    pub model: ModelId,
 }
 
 /// A change of what a store holds.
@@ -157,6 +160,9 @@
     /// Reads all that a store holds; none if it can't be read.
     fn list(&self, body: &[u8]) -> Option<PartList>;
 
+    /// Has a store free parts, if it is still the start `start`.
+    fn free_call(&self, parts: &[HeldPart], start: u64) -> Request<Full<Bytes>>;
+
     /// Gives an order.
     fn order_call(&self, order: &VersionOrder) -> Request<Full<Bytes>>;
 
--- /dev/null
+++ b/crates/entry/tests/freed_parts.rs
@@ -0,0 +1,46 @@
+//! Parts are freed only once nobody can read them any more.
+
+use {
+    entry::freeing::{FREE_AGE, is_unread},
+    relay::Wanted,
+    std::time::Duration,
+};
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn wanted() -> Wanted {
+    let mut wanted = Wanted::default();
+    wanted.name(2, at(100));
+    wanted
+}
+
+#[test]
+fn parts_of_replaced_weights_are_freed_after_every_reader_has_let_go() {
+    let wanted = wanted();
+    let late = at(100) + FREE_AGE;
+    assert!(!is_unread("1", &wanted, late - Duration::from_millis(1)));
+    assert!(is_unread("1", &wanted, late));
+    assert!(is_unread("1/isolated-account", &wanted, late));
+}
+
+#[test]
+fn parts_of_wanted_weights_and_of_others_are_never_freed() {
+    let wanted = wanted();
+    for salt in ["2", "3", "2/isolated-account", "", "somebody's", "-1"] {
+        assert!(!is_unread(salt, &wanted, at(10_000)), "{salt}");
+    }
+    assert!(
+        !is_unread("1", &Wanted::default(), at(10_000)),
+        "none named"
+    );
+}
+
+#[test]
+fn each_newer_version_starts_the_time_anew() {
+    let mut wanted = wanted();
+    wanted.name(3, at(110));
+    assert!(!is_unread("1", &wanted, at(100) + FREE_AGE));
+    assert!(is_unread("1", &wanted, at(110) + FREE_AGE));
+}
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -3,8 +3,8 @@
 use {
     bytes::Bytes,
     entry::{
-        Item, ItemError, ItemName, OrderOutcome, PartEvents, PartList, Platform, TargetEntry,
-        TargetReport, VersionOrder,
+        HeldPart, Item, ItemError, ItemName, OrderOutcome, PartEvents, PartList, Platform,
+        TargetEntry, TargetReport, VersionOrder,
     },
     http_body_util::Full,
     hyper::{HeaderMap, Request, http::request},
@@ -120,6 +120,10 @@
         None
     }
 
+    fn free_call(&self, _parts: &[HeldPart], _start: u64) -> Request<Full<Bytes>> {
+        Request::post("/free").body(Full::default()).unwrap()
+    }
+
     fn list_call(&self) -> Request<Full<Bytes>> {
         Request::get("/list").body(Full::default()).unwrap()
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod relay;
 mod retries;
 mod run;
+mod salt;
 mod sending_plan;
 mod stream;
 mod trail;
@@ -41,6 +42,7 @@
     call::{BadCall, Call, Part, PartId, Prompt},
     refusal::{Reason, Refusal},
     relay::{Followed, Relay, RelaySettings},
+    salt::salt_version,
     view::{Live, ModelState, Named, TargetState, View, Wanted},
     wire::{ReplyNotes, Sending, Wire},
 };
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -1,7 +1,7 @@
 //! Which target gets a call, of those that the view knows.
 
 use {
-    crate::{Call, Prompt, TargetState, View, Wanted, boot_time},
+    crate::{Call, Prompt, TargetState, View, Wanted, boot_time, salt::salt},
     balance::{Candidate, PeerLoads, choose, rendezvous},
     catalog::{FailureDomainId, TargetId},
     parts::{Keeping, Wish},
@@ -80,14 +80,6 @@
     })
 }
 
-/// Text under which targets keep computed parts: apart for each version and isolated account.
-pub(crate) fn salt(version: u64, isolated: Option<&str>) -> String {
-    match isolated {
-        Some(account) => format!("{version}/{account}"),
-        None => version.to_string(),
-    }
-}
-
 /// The parts of a prompt that other calls may share, under `salt`.
 pub(crate) fn wishes(prompt: &Prompt, salt: &str) -> Vec<Wish> {
     let [shared @ .., _] = prompt.parts.as_slice() else {
--- a/crates/relay/src/sending_plan.rs
+++ b/crates/relay/src/sending_plan.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         Sending, Wire, boot_time,
-        pick::{Picked, salt, wishes},
+        pick::{Picked, wishes},
         run::Job,
+        salt::salt,
         trail::Trail,
     },
     parts::Plan,
