--- a/crates/entry/tests/whole_path.rs
+++ b/crates/entry/tests/whole_path.rs
@@ -15,19 +15,25 @@
     kv
 }
 
-#[tokio::test]
-async fn instances_find_each_other_and_serve() {
-    let target = Target::start(Duration::ZERO).await;
-    let kv = fleet(&target).await;
-    let (one, two) = (
-        Instance::start("one", kv.clone()),
-        Instance::start("two", kv),
-    );
+/// Two instances that know each other.
+async fn two_instances(kv: MemoryKv) -> (Instance, Instance) {
+    let one = Instance::start("one", kv.clone());
+    let two = Instance::start("two", kv);
     for instance in [&one, &two] {
         until("both addresses", async || {
             instance.addresses().await.len() == 2
         })
         .await;
+    }
+    (one, two)
+}
+
+#[tokio::test]
+async fn instances_find_each_other_and_serve() {
+    let target = Target::start(Duration::ZERO).await;
+    let kv = fleet(&target).await;
+    let (one, two) = two_instances(kv).await;
+    for instance in [&one, &two] {
         assert!(instance.is_ready().await);
         let answered = instance.call("/x").await;
         assert_eq!(answered, Some((200, "done".to_owned())));
@@ -128,16 +134,7 @@
 async fn leaving_instance_is_named_no_more_and_finishes_its_calls() {
     let target = Target::start(Duration::from_millis(1_500)).await;
     let kv = fleet(&target).await;
-    let (one, two) = (
-        Instance::start("one", kv.clone()),
-        Instance::start("two", kv),
-    );
-    for instance in [&one, &two] {
-        until("both addresses", async || {
-            instance.addresses().await.len() == 2
-        })
-        .await;
-    }
+    let (one, two) = two_instances(kv).await;
     let call = one.call("/x");
     let leave = async {
         tokio::time::sleep(Duration::from_millis(200)).await;
