Entry: a new follower tells whether its store answers in any case; old notes are gone through once a minute

A follower that takes a store over said nothing while the store did not answer, so that calls went on fetching from it by what was known before. And what is known of parts was gone through at each change of the view.

--- a/crates/entry/src/place_follower.rs
+++ b/crates/entry/src/place_follower.rs
@@ -70,12 +70,13 @@
     /// Follows the place until dropped.
     pub(crate) async fn run(mut self) {
         let place = self.place;
-        let mut available = false;
+        // What was said of the place before may be over: the first outcome is told in any case.
+        let mut available = None;
         loop {
             let outcome = self.ask().await;
             let answers = outcome.is_ok();
-            if self.is_store && answers != available {
-                available = answers;
+            if self.is_store && Some(answers) != available {
+                available = Some(answers);
                 self.shared.feed.learn(Change::Available {
                     place,
                     available: answers,
--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -23,6 +23,8 @@
 const PERIOD: Duration = Duration::from_secs(1);
 /// What was noted of an engine longer ago may have been dropped unheard.
 const MAX_NOTE_AGE: Duration = Duration::from_mins(10);
+/// How often it is looked for such notes: all that is known is gone through.
+const EXPIRY_PERIOD: Duration = Duration::from_mins(1);
 
 /// Follows this instance's share of the stores and engines until `token` is cancelled, and those of
 /// instances that stay silent.
@@ -41,6 +43,7 @@
         places: BTreeMap::new(),
         followed: HashMap::new(),
         tasks: JoinSet::new(),
+        expires_at: boot_time() + EXPIRY_PERIOD,
     };
     let shared = watch.shared.clone();
     loop {
@@ -64,6 +67,8 @@
     followed: HashMap<SocketAddr, CancellationToken>,
     /// Ends its tasks when dropped.
     tasks: JoinSet<()>,
+    /// When old notes are looked for next.
+    expires_at: Duration,
 }
 
 impl<Kv, Format> PlaceWatch<Kv, Format>
@@ -99,8 +104,16 @@
         for place in wanted {
             self.follow(place);
         }
-        let mut keeping = self.shared.keeping();
-        keeping.expire(boot_time().saturating_sub(MAX_NOTE_AGE));
+        self.expire(boot_time());
+    }
+
+    fn expire(&mut self, now: Duration) {
+        if now < self.expires_at {
+            return;
+        }
+        self.expires_at = now + EXPIRY_PERIOD;
+        let since = now.saturating_sub(MAX_NOTE_AGE);
+        self.shared.keeping().expire(since);
     }
 
     /// Takes over the stores and engines that there are.
