--- a/crates/eventlog/src/event_log.rs
+++ b/crates/eventlog/src/event_log.rs
@@ -91,7 +91,10 @@
     pub fn take_notes(&self, level: LevelFilter) -> Result<(), SetLoggerError> {
         let log = self.clone();
         let output = Output::call(move |record| log.emit(&note(record)));
-        Dispatch::new().level(level).chain(output).apply()
+        // The calls between instances would each leave several lines.
+        let calls_level = level.min(LevelFilter::Warn);
+        let lines = Dispatch::new().level(level);
+        lines.level_for("tarpc", calls_level).chain(output).apply()
     }
 }
 
