Read through the whole change: one copy of what stood twice, work off the hot paths

No behaviour is meant to change; no assertion of a test changed.

Stood twice: the locks of what calls follow were taken by three copies of one function (`Job`, `Shared`, `Feed`), now `relay::Followed`, which `Inner` holds whole; `feed::serve` had the accept loop of `cluster::serve`, now `cluster::next_stream`; the rule that tarpc's notes are left out stood in `eventlog` and in `rattan`, now `eventlog::lines_from`; whether a target is idle, now `TargetReport::is_idle`. Work in the wrong place: the follower of a store went through every part that it holds each 60 ms to see what may be freed, also where it may free nothing; parts are grouped by model and salt now, and only an owner looks. A store's rendezvous seed was hashed anew at each comparison while a part was placed; it is kept with the store. Places were dealt out anew at each change of the view; now only if places or instances changed. A feed's loads were copied once more than needed, the names of instances at each publication.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -64,7 +64,7 @@
     membership::{HEARTBEAT_PEERS_COUNT, Membership, SUSPECT_AFTER},
     peer_key::{MIN_KEY_BYTES, PeerKey, PeerKeyError, PeerKeys},
     peers::{HEARTBEAT_TIMEOUT, Peers},
-    server::serve,
+    server::{next_stream, serve},
     service::CatalogCopy,
     traffic::Traffic,
     updates::MAX_UPDATES_COUNT,
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -64,7 +64,7 @@
 }
 
 /// The next connection; none once `token` is cancelled.
-async fn next_stream(
+pub async fn next_stream(
     listener: &TcpListener,
     token: &CancellationToken,
 ) -> Option<(TcpStream, SocketAddr)> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod membership;
 mod orders;
 mod ownership;
+mod parts_by_salt;
 mod peer_watch;
 mod place_follower;
 mod place_watch;
--- a/crates/entry/src/orders/replacing.rs
+++ b/crates/entry/src/orders/replacing.rs
@@ -68,8 +68,7 @@
     async fn drained(&self, target: &TargetState, model: &str) -> Option<TargetReport> {
         let mut report = self.report(target).await?;
         for _ in 0..DRAIN_ROUNDS_COUNT {
-            let has_runs = report.running_count + report.waiting_count > 0;
-            if !has_runs || report.busy || !self.waits_for_runs(model) {
+            if report.is_idle() || report.busy || !self.waits_for_runs(model) {
                 break;
             }
             sleep(DRAIN_PERIOD).await;
@@ -104,7 +103,7 @@
             target: target.id.clone(),
             model: loadable.model.clone(),
             version: wanted,
-            runs: if report.running_count + report.waiting_count == 0 {
+            runs: if report.is_idle() {
                 RunsMeanwhile::Finish
             } else {
                 RunsMeanwhile::GoOn
--- a/crates/entry/src/peer_watch.rs
+++ b/crates/entry/src/peer_watch.rs
@@ -115,31 +115,32 @@
                 self.shared.dependency("instance", available, reason);
             }
             let Ok(batch) = answer else {
-                self.shared.peer_loads().forget(&self.name);
+                self.shared.followed.peer_loads().forget(&self.name);
                 sleep(PAUSE).await;
                 continue;
             };
             position = Some(batch.position);
-            self.take(&batch, &places);
+            self.take(batch, &places);
             sleep(self.pause).await;
         }
     }
 
     /// Takes in what the instance says of the places that it follows for all.
-    fn take(&mut self, batch: &Batch, places: &HashSet<SocketAddr>) {
+    fn take(&mut self, batch: Batch, places: &HashSet<SocketAddr>) {
         let now = boot_time();
         self.shared.heard(&self.name, now);
-        let loads = batch.loads.clone();
-        self.shared.peer_loads().set(&self.name, loads);
-        let mut keeping = self.shared.keeping();
+        let mut peer_loads = self.shared.followed.peer_loads();
+        peer_loads.set(&self.name, batch.loads);
+        drop(peer_loads);
+        let mut keeping = self.shared.followed.keeping();
         if let Some(clock) = batch.clock {
             keeping.set_clock(clock, now);
         }
-        for (store, time) in &batch.link_use {
-            let before = self.link_use.insert(*store, *time);
+        for (store, time) in batch.link_use {
+            let before = self.link_use.insert(store, time);
             // Of what an instance planned before it was first heard of, most is over.
             let more = before.map_or(Duration::ZERO, |before| time.saturating_sub(before));
-            keeping.used_by_others(*store, more, now);
+            keeping.used_by_others(store, more, now);
         }
         let own = batch.changes.iter();
         for change in own.filter(|change| places.contains(&change.place())) {
--- a/crates/entry/src/place_follower.rs
+++ b/crates/entry/src/place_follower.rs
@@ -1,14 +1,17 @@
 //! Follows what one store or engine holds, by its own word.
 
 use {
-    crate::{HeldPart, PartEvents, Platform, freeing::is_unread, shared::Shared},
+    crate::{
+        HeldPart, PartEvents, Platform, freeing::is_unread, parts_by_salt::PartsBySalt,
+        shared::Shared,
+    },
     bytes::Bytes,
     eventlog::Event,
     http_body_util::Full,
     hyper::Request,
-    parts::{Change, Held, PartKey, part_key},
+    parts::{Change, Held, part_key},
     relay::boot_time,
-    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     target::{Client, Reuse, SendError},
     tokio::time::sleep,
 };
@@ -43,7 +46,7 @@
     is_store: bool,
     position: Option<Position>,
     /// What a store holds, with the names that freeing needs.
-    held: HashMap<PartKey, HeldPart>,
+    held: PartsBySalt,
 }
 
 impl<Kv, Format> PlaceFollower<Kv, Format>
@@ -63,7 +66,7 @@
             place,
             is_store,
             position: None,
-            held: HashMap::new(),
+            held: PartsBySalt::default(),
         }
     }
 
@@ -130,7 +133,7 @@
 
     fn take(&mut self, events: &PartEvents) {
         if let Some(clock) = events.clock {
-            self.shared.keeping().set_clock(clock, boot_time());
+            self.shared.followed.keeping().set_clock(clock, boot_time());
         }
         if events.changes.is_empty() {
             return;
@@ -164,15 +167,12 @@
     {
         let mut learned = Vec::new();
         for part in parts {
-            let key = part_key(&part.salt, &part.id);
             learned.push(Held {
-                part: key,
+                part: part_key(&part.salt, &part.id),
                 tokens: part.tokens,
             });
-            if part.tokens == 0 {
-                self.held.remove(&key);
-            } else if self.is_store {
-                self.held.insert(key, part.clone());
+            if self.is_store {
+                self.held.set(part);
             }
         }
         self.shared.feed.learn(Change::Held {
@@ -185,10 +185,13 @@
     async fn free(&mut self) {
         let own = &self.shared.settings.instance;
         let is_owner = self.shared.ownership.load().owner(self.place) == Some(own);
-        let unread = self.unread();
-        let Some(position) = self.position.filter(|_| is_owner && !unread.is_empty()) else {
+        let Some(position) = self.position.filter(|_| is_owner) else {
             return;
         };
+        let unread = self.unread();
+        if unread.is_empty() {
+            return;
+        }
         let call = self.shared.format.free_call(&unread, position.start);
         if let Err(error) = self.body(call, Duration::ZERO).await {
             log::info!("nothing freed yet: {error}");
@@ -206,11 +209,11 @@
     fn unread(&self) -> Vec<HeldPart> {
         let known = self.shared.known();
         let now = boot_time();
-        let unread = self.held.values().filter(|part| {
-            let wanted = known.wanted().get(&part.model);
-            wanted.is_some_and(|wanted| is_unread(&part.salt, wanted, now))
+        let unread = self.held.of(|model, salt| {
+            let wanted = known.wanted().get(model);
+            wanted.is_some_and(|wanted| is_unread(salt, wanted, now))
         });
-        unread.take(MAX_FREED_COUNT).cloned().collect()
+        unread.take(MAX_FREED_COUNT).collect()
     }
 
     fn clear(&mut self) {
--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{Ownership, Platform, place_follower::PlaceFollower, shared::Shared},
+    catalog::InstanceId,
     parts::Store,
     relay::{View, boot_time},
     routes::{PoolKind, RouteTable, StoreTraits},
@@ -41,6 +42,7 @@
         shared,
         client,
         places: BTreeMap::new(),
+        instances: Vec::new(),
         followed: HashMap::new(),
         tasks: JoinSet::new(),
         expires_at: boot_time() + EXPIRY_PERIOD,
@@ -64,6 +66,8 @@
     shared: Arc<Shared<Kv, Format>>,
     client: Client,
     places: BTreeMap<SocketAddr, IsStore>,
+    /// Instances that the places are dealt out among.
+    instances: Vec<InstanceId>,
     followed: HashMap<SocketAddr, CancellationToken>,
     /// Ends its tasks when dropped.
     tasks: JoinSet<()>,
@@ -77,22 +81,16 @@
     Format: Platform,
 {
     fn look(&mut self) {
-        let view = self.shared.view();
-        self.take_places(&view);
-        let instances = self.shared.known().feeding_instances();
-        let own = &self.shared.settings.instance;
-        let mut names: Vec<_> = instances.into_keys().filter(|name| name != own).collect();
-        names.push(own.clone());
-        let ownership = Ownership::new(self.places.keys().copied(), &names);
+        let view = self.shared.followed.view();
+        let has_other_places = self.take_places(&view);
+        self.deal_out(has_other_places);
+        let ownership = self.shared.ownership.load_full();
         let wanted: Vec<SocketAddr> = self
             .places
             .keys()
             .copied()
             .filter(|place| self.is_followed_here(&ownership, *place))
             .collect();
-        if **self.shared.ownership.load() != ownership {
-            self.shared.ownership.store(Arc::new(ownership));
-        }
         self.followed.retain(|place, stop| {
             let stays = wanted.contains(place);
             if !stays {
@@ -107,17 +105,31 @@
         self.expire(boot_time());
     }
 
+    /// Deals the places out among the instances, if either are others than before.
+    fn deal_out(&mut self, has_other_places: bool) {
+        let instances = self.shared.known().feeding_instances();
+        let own = &self.shared.settings.instance;
+        let mut names: Vec<_> = instances.into_keys().filter(|name| name != own).collect();
+        names.push(own.clone());
+        if !has_other_places && names == self.instances {
+            return;
+        }
+        let ownership = Ownership::new(self.places.keys().copied(), &names);
+        self.shared.ownership.store(Arc::new(ownership));
+        self.instances = names;
+    }
+
     fn expire(&mut self, now: Duration) {
         if now < self.expires_at {
             return;
         }
         self.expires_at = now + EXPIRY_PERIOD;
         let since = now.saturating_sub(MAX_NOTE_AGE);
-        self.shared.keeping().expire(since);
+        self.shared.followed.keeping().expire(since);
     }
 
-    /// Takes over the stores and engines that there are.
-    fn take_places(&mut self, view: &View) {
+    /// Takes over the stores and engines that there are. Returns whether they are others than before.
+    fn take_places(&mut self, view: &View) -> bool {
         let stores = view.table.as_deref().map(stores).unwrap_or_default();
         let mut places: BTreeMap<SocketAddr, IsStore> = engines(view)
             .into_iter()
@@ -125,9 +137,9 @@
             .collect();
         places.extend(stores.iter().map(|store| (store.address, true)));
         if places == self.places {
-            return;
+            return false;
         }
-        let mut keeping = self.shared.keeping();
+        let mut keeping = self.shared.followed.keeping();
         for gone in self.places.keys().filter(|it| !places.contains_key(it)) {
             keeping.cleared(*gone);
             keeping.set_available(*gone, false);
@@ -137,6 +149,7 @@
         }
         drop(keeping);
         self.places = places;
+        true
     }
 
     /// Whether the place is this instance's, or its instance stays silent.
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -25,6 +25,14 @@
     pub waiting_count: u32,
 }
 
+impl TargetReport {
+    /// Whether nothing runs or waits there.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.running_count == 0 && self.waiting_count == 0
+    }
+}
+
 /// What becomes of the requests that run while weights are replaced.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunsMeanwhile {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,13 +3,11 @@
 use {
     crate::{Known, Ownership, Settings, Tenure},
     arc_swap::ArcSwap,
-    balance::PeerLoads,
     catalog::InstanceId,
     eventlog::{Event, EventLog},
     feed::Feed,
     meters::Meters,
-    parts::Keeping,
-    relay::{Followed, View, boot_time},
+    relay::{Followed, boot_time},
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -80,14 +78,6 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// What stores hold. Held for a few steps only, never across a wait.
-    pub(crate) fn keeping(&self) -> MutexGuard<'_, Keeping> {
-        self.followed
-            .keeping
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Notes that another instance was heard of at `now`.
     pub(crate) fn heard(&self, instance: &str, now: Duration) {
         self.heard_times().insert(instance.to_owned(), now);
@@ -96,7 +86,7 @@
     /// Forgets an instance that is gone.
     pub(crate) fn forget_peer(&self, instance: &str) {
         self.heard_times().remove(instance);
-        self.peer_loads().forget(instance);
+        self.followed.peer_loads().forget(instance);
     }
 
     /// Time since an instance was last heard of; zero for one that was not asked yet.
@@ -109,17 +99,6 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// What other instances have under way. Held for a few steps only, never across a wait.
-    pub(crate) fn peer_loads(&self) -> MutexGuard<'_, PeerLoads> {
-        let loads = self.followed.peer_loads.lock();
-        loads.unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// The view in force.
-    pub(crate) fn view(&self) -> Arc<View> {
-        self.followed.view.load_full()
-    }
-
     /// The lease of this instance.
     pub(crate) fn tenure(&self) -> Option<Tenure> {
         *self.tenure.lock().unwrap_or_else(PoisonError::into_inner)
@@ -154,18 +133,21 @@
 
     /// Says which instances take callers, if those are others than before.
     fn say_instances(&self, known: &Known) {
-        let members = known.ready_members().into_iter();
-        let ready: Vec<InstanceId> = members.map(|(name, _)| name.clone()).collect();
+        let members = known.ready_members();
+        let ready = members.iter().map(|(name, _)| *name);
         let mut said = self.said.lock().unwrap_or_else(PoisonError::into_inner);
-        if *said != ready {
-            said.clone_from(&ready);
-            self.log.emit(&Event::Instances { ready });
+        if said.iter().eq(ready.clone()) {
+            return;
         }
+        *said = ready.cloned().collect();
+        self.log.emit(&Event::Instances {
+            ready: said.clone(),
+        });
     }
 
     /// Whether this instance takes callers.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.draining.is_cancelled() && self.view().table.is_some()
+        !self.draining.is_cancelled() && self.followed.view().table.is_some()
     }
 
     /// Says that something this instance depends on was lost or is back.
--- a/crates/eventlog/src/event_log.rs
+++ b/crates/eventlog/src/event_log.rs
@@ -91,13 +91,17 @@
     pub fn take_notes(&self, level: LevelFilter) -> Result<(), SetLoggerError> {
         let log = self.clone();
         let output = Output::call(move |record| log.emit(&note(record)));
-        // The calls between instances would each leave several lines.
-        let calls_level = level.min(LevelFilter::Warn);
-        let lines = Dispatch::new().level(level);
-        lines.level_for("tarpc", calls_level).chain(output).apply()
+        lines_from(level).chain(output).apply()
     }
 }
 
+/// Lines in words of at least `level`, but of calls between instances only what is wrong: each would
+/// leave several.
+pub fn lines_from(level: LevelFilter) -> Dispatch {
+    let calls_level = level.min(LevelFilter::Warn);
+    Dispatch::new().level(level).level_for("tarpc", calls_level)
+}
+
 fn note(record: &Record<'_>) -> Event {
     Event::Note {
         level: record.level().as_str().to_ascii_lowercase(),
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Batch, Feed, service::FeedService},
-    cluster::transport,
+    cluster::{next_stream, transport},
     futures::StreamExt,
     parts::Position,
     std::{sync::Arc, time::Duration},
@@ -13,7 +13,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         sync::Semaphore,
-        time::{sleep, timeout},
+        time::timeout,
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -26,25 +26,14 @@
 const MAX_WAIT: Duration = Duration::from_secs(2);
 /// A connection is closed after this time, so that one whose reader is gone does not stay.
 const MAX_CONNECTION_AGE: Duration = Duration::from_mins(10);
-/// Pause after a failed accept, for example when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Answers readers on `listener` until `token` is cancelled.
 pub async fn serve(listener: Arc<TcpListener>, feed: Arc<Feed>, token: CancellationToken) {
     let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS_COUNT));
     let connections = TaskTracker::new();
-    while let Ok(slot) = slots.clone().acquire_owned().await {
-        let accepted = tokio::select! {
-            () = token.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("reader not accepted: {error}; raise the limit of open files");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
+    while let Some((stream, _)) = next_stream(&listener, &token).await {
+        let Ok(slot) = slots.clone().acquire_owned().await else {
+            break;
         };
         let (feed, closed) = (feed.clone(), token.clone().cancelled_owned());
         connections.spawn(async move {
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -3,7 +3,7 @@
 use {
     crate::Batch,
     balance::TargetLoad,
-    parts::{Change, ChangeLog, Keeping, Position},
+    parts::{Change, ChangeLog, Position},
     relay::{Followed, boot_time},
     std::{
         collections::HashSet,
@@ -57,7 +57,7 @@
     /// Takes in what this instance has learned of a place that it follows.
     pub fn learn(&self, change: Change) {
         let mut state = self.state();
-        self.keeping().apply(&change, boot_time());
+        self.followed.keeping().apply(&change, boot_time());
         state.log.push(change);
         drop(state);
         self.changed.notify_waiters();
@@ -67,7 +67,7 @@
     #[must_use]
     pub fn read(&self, since: Option<Position>) -> Batch {
         let state = self.state();
-        let keeping = self.keeping();
+        let keeping = self.followed.keeping();
         let changes = since.and_then(|since| state.log.since(since));
         Batch {
             position: state.log.position(),
@@ -95,16 +95,9 @@
 
     /// Calls under way.
     fn loads(&self) -> Vec<TargetLoad> {
-        let view = self.followed.view.load();
+        let view = self.followed.view();
         let targets = view.pools.values().flatten();
         let loads = targets.map(|target| (target.seed, target.live.in_flight_count()));
         loads.filter(|(_, count)| *count > 0).collect()
     }
-
-    fn keeping(&self) -> MutexGuard<'_, Keeping> {
-        self.followed
-            .keeping
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- a/crates/parts/src/keeping.rs
+++ b/crates/parts/src/keeping.rs
@@ -3,9 +3,7 @@
 use {
     crate::{
         Change, Held, PartKey, Plan, Store, Transfer, Wish, held_parts::HeldParts, pace::Usual,
-        part_key,
     },
-    balance::rendezvous,
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
@@ -88,13 +86,6 @@
         }
     }
 
-    /// Notes that a place holds `tokens` tokens of the part `id` under `salt`, or nothing of it if 0.
-    pub fn holds(&mut self, place: SocketAddr, salt: &str, id: &str, tokens: u32, now: Duration) {
-        let part = part_key(salt, id);
-        let parts = vec![Held { part, tokens }];
-        self.apply(&Change::Held { place, parts }, now);
-    }
-
     /// Takes in what became known of a place.
     pub fn apply(&mut self, change: &Change, now: Duration) {
         match change {
@@ -266,20 +257,13 @@
     }
 
     fn save_to(&mut self, wish: &Wish, failure_domain: &str, now: Duration) -> Option<SocketAddr> {
-        let seed = wish.part;
         let ready = self.stores.values().filter(|store| {
             store.available
                 && store.free_share() > SPARE_SHARE
                 && queue(store, now) <= MAX_SAVE_QUEUE
         });
-        let chosen = ready.max_by(|left, right| {
-            near_weight(left, seed, failure_domain).total_cmp(&near_weight(
-                right,
-                seed,
-                failure_domain,
-            ))
-        });
-        let address = chosen?.address;
+        let weighed = ready.map(|store| (store.weight(wish.part, failure_domain), store.address));
+        let (_, address) = weighed.max_by(|left, right| left.0.total_cmp(&right.0))?;
         self.occupy(address, wish.tokens, failure_domain, now);
         Some(address)
     }
@@ -313,26 +297,3 @@
 fn queue(store: &Store, now: Duration) -> Duration {
     store.free_at.saturating_sub(now)
 }
-
-/// Rendezvous weight of a store, in proportion to its free room.
-fn weight(store: &Store, seed: u64) -> f64 {
-    let mixed = rendezvous::score(seed, rendezvous::member_seed(&store.address.to_string()));
-    #[allow(clippy::cast_precision_loss)]
-    let unit = ((mixed >> 11) as f64 + 0.5) / 2_f64.powi(53);
-    #[allow(clippy::cast_precision_loss)]
-    let room = store.room_tokens as f64 * store.free_share();
-    room.max(1.0) / -unit.ln()
-}
-
-/// The same, in favour of stores near the engine.
-fn near_weight(store: &Store, seed: u64, failure_domain: &str) -> f64 {
-    let near = if store.failure_domain == failure_domain {
-        NEAR_WEIGHT
-    } else {
-        1.0
-    };
-    weight(store, seed) * near
-}
-
-/// Weight of a store in the engine's failure domain against one elsewhere.
-const NEAR_WEIGHT: f64 = 4.0;
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -5,7 +5,7 @@
 //! are fetched, parts that none holds are saved once. Plain state: time comes in as an argument.
 //!
 //! ```
-//! use parts::{Keeping, Store, Wish};
+//! use parts::{Change, Held, Keeping, Store, Wish, part_key};
 //! use std::time::Duration;
 //!
 //! let mut keeping = Keeping::default();
@@ -15,7 +15,8 @@
 //! let engine = (([127, 0, 0, 1], 9200).into(), "almaty-a");
 //! let first = keeping.plan(&wish, engine, Duration::ZERO, true);
 //! assert_eq!(first.save, [Some(address), Some(address)], "nothing is kept yet");
-//! keeping.holds(address, "v1", "session", 5_000, Duration::ZERO);
+//! let parts = vec![Held { part: part_key("v1", "session"), tokens: 5_000 }];
+//! keeping.apply(&Change::Held { place: address, parts }, Duration::ZERO);
 //! let next = keeping.plan(&wish, engine, Duration::ZERO, true);
 //! assert_eq!(next.fetch, [None, Some(address)]);
 //! ```
--- a/crates/parts/src/store.rs
+++ b/crates/parts/src/store.rs
@@ -1,7 +1,8 @@
 //! One store.
 
 use {
-    crate::pace::Pace,
+    crate::{PartKey, pace::Pace},
+    balance::rendezvous,
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -22,6 +23,8 @@
     pub held_tokens: u64,
     /// Whether it answers.
     pub available: bool,
+    /// Rendezvous seed of its address.
+    pub(crate) seed: u64,
     /// When its link has carried all that was planned, as estimated.
     pub(crate) free_at: Duration,
     /// How much longer transfers take than they should.
@@ -33,6 +36,7 @@
     #[must_use]
     pub fn new(address: SocketAddr, room_tokens: u64) -> Self {
         Self {
+            seed: rendezvous::member_seed(&address.to_string()),
             address,
             failure_domain: String::new(),
             room_tokens,
@@ -58,6 +62,22 @@
         self.free_at = self.free_at.max(now) + time;
     }
 
+    /// Rendezvous weight for a part that an engine in `failure_domain` saves: in proportion to the free
+    /// room, and in favour of stores near the engine.
+    pub(crate) fn weight(&self, part: PartKey, failure_domain: &str) -> f64 {
+        let mixed = rendezvous::score(part, self.seed);
+        #[allow(clippy::cast_precision_loss)]
+        let unit = ((mixed >> 11) as f64 + 0.5) / 2_f64.powi(53);
+        #[allow(clippy::cast_precision_loss)]
+        let room = self.room_tokens as f64 * self.free_share();
+        let near = if self.failure_domain == failure_domain {
+            NEAR_WEIGHT
+        } else {
+            1.0
+        };
+        room.max(1.0) / -unit.ln() * near
+    }
+
     /// Time that a transfer from or to `failure_domain` takes by itself.
     pub(crate) fn transfer_time(
         &self,
@@ -76,3 +96,5 @@
 
 /// Transfers between failure domains take this many times as long.
 const FAR_FACTOR: f64 = 2.0;
+/// Weight of a store in the engine's failure domain against one elsewhere.
+const NEAR_WEIGHT: f64 = 4.0;
--- a/crates/parts/tests/part_plans.rs
+++ b/crates/parts/tests/part_plans.rs
@@ -1,7 +1,7 @@
 //! What is fetched and saved, from what stores report.
 
 use {
-    parts::{Keeping, Store, Wish},
+    parts::{Change, Held, Keeping, Store, Wish, part_key},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -11,6 +11,15 @@
     ([127, 0, 0, 1], port).into()
 }
 
+/// Notes that a place holds `tokens` tokens of a part.
+fn holds(keeping: &mut Keeping, place: SocketAddr, salt: &str, id: &str, tokens: u32) {
+    let parts = vec![Held {
+        part: part_key(salt, id),
+        tokens,
+    }];
+    keeping.apply(&Change::Held { place, parts }, NOW);
+}
+
 fn engine() -> (SocketAddr, &'static str) {
     (address(9), "a")
 }
@@ -36,7 +45,7 @@
 #[test]
 fn part_of_another_salt_is_not_fetched() {
     let mut keeping = keeping();
-    keeping.holds(address(1), "1", "session", 5_000, NOW);
+    holds(&mut keeping, address(1), "1", "session", 5_000);
     let wish = [Wish::new("1", "session", 5_000)];
     assert_eq!(
         keeping.plan(&wish, engine(), NOW, true).fetch,
@@ -53,7 +62,7 @@
 #[test]
 fn part_that_is_not_whole_is_not_fetched() {
     let mut keeping = keeping();
-    keeping.holds(address(1), "1", "session", 4_096, NOW);
+    holds(&mut keeping, address(1), "1", "session", 4_096);
     let wish = [Wish::new("1", "session", 5_000)];
     assert_eq!(keeping.plan(&wish, engine(), NOW, true).fetch, [None]);
 }
@@ -61,7 +70,7 @@
 #[test]
 fn nothing_is_fetched_from_a_store_that_is_away_or_was_cleared() {
     let mut keeping = keeping();
-    keeping.holds(address(1), "1", "session", 5_000, NOW);
+    holds(&mut keeping, address(1), "1", "session", 5_000);
     keeping.set_available(address(1), false);
     let wish = [Wish::new("1", "session", 5_000)];
     assert_eq!(keeping.plan(&wish, engine(), NOW, true).fetch, [None]);
@@ -74,7 +83,13 @@
 fn full_store_gets_no_part() {
     let mut keeping = keeping();
     for port in [1, 2] {
-        keeping.holds(address(port), "1", &format!("p{port}"), 49_500, NOW);
+        holds(
+            &mut keeping,
+            address(port),
+            "1",
+            &format!("p{port}"),
+            49_500,
+        );
     }
     let wish = [Wish::new("1", "session", 5_000)];
     assert_eq!(keeping.plan(&wish, engine(), NOW, true).save, [None]);
@@ -87,7 +102,7 @@
     store.token_time = Duration::from_micros(7);
     keeping.set_store(store);
     for part in 0..100 {
-        keeping.holds(address(1), "1", &format!("p{part}"), 5_000, NOW);
+        holds(&mut keeping, address(1), "1", &format!("p{part}"), 5_000);
     }
     let fetched = (0..100).filter(|part| {
         let id = format!("p{part}");
@@ -111,8 +126,8 @@
         Wish::new("1", "session", 5_000),
     ];
     for (id, tokens) in [("template", 2_000), ("session", 5_000)] {
-        keeping.holds(address(1), "1", id, tokens, NOW);
-        keeping.holds(address(9), "1", id, tokens, NOW);
+        holds(&mut keeping, address(1), "1", id, tokens);
+        holds(&mut keeping, address(9), "1", id, tokens);
     }
     let here = Some(address(1));
     for _ in 0..1_000 {
@@ -124,14 +139,14 @@
         );
     }
     assert!(keeping.keeps(address(9), &wish));
-    keeping.holds(address(9), "1", "template", 1_024, NOW);
+    holds(&mut keeping, address(9), "1", "template", 1_024);
     assert!(!keeping.keeps(address(9), &wish));
 }
 
 #[test]
 fn part_that_only_another_engine_has_comes_from_there() {
     let mut keeping = keeping();
-    keeping.holds(address(8), "1", "session", 5_000, NOW);
+    holds(&mut keeping, address(8), "1", "session", 5_000);
     let wish = [Wish::new("1", "session", 5_000)];
     let plan = keeping.plan(&wish, engine(), NOW, true);
     assert_eq!(plan.fetch, [Some(address(8))]);
@@ -144,7 +159,7 @@
     let mut store = Store::new(address(1), 1_000_000);
     store.token_time = Duration::from_micros(7);
     keeping.set_store(store);
-    keeping.holds(address(1), "1", "session", 5_000, NOW);
+    holds(&mut keeping, address(1), "1", "session", 5_000);
     let wish = [Wish::new("1", "session", 5_000)];
     let second = |keeping: &mut Keeping, at: u64, took: Duration| {
         let calls = (0..100).map(|call| NOW + Duration::from_millis(at * 1_000 + call * 10));
@@ -179,7 +194,7 @@
     store.token_time = Duration::from_micros(7);
     keeping.set_store(store);
     keeping.set_available(address(1), true);
-    keeping.holds(address(1), "1", "session", 5_000, NOW);
+    holds(&mut keeping, address(1), "1", "session", 5_000);
     let wish = [Wish::new("1", "session", 5_000)];
     let plan = keeping.plan(&wish, engine(), NOW, true);
     assert_eq!(plan.fetch, [Some(address(1))]);
@@ -199,8 +214,8 @@
 #[test]
 fn part_of_a_busy_store_comes_from_an_engine_that_holds_it() {
     let mut keeping = keeping();
-    keeping.holds(address(1), "1", "session", 5_000, NOW);
-    keeping.holds(address(8), "1", "session", 5_000, NOW);
+    holds(&mut keeping, address(1), "1", "session", 5_000);
+    holds(&mut keeping, address(8), "1", "session", 5_000);
     keeping.set_available(address(1), true);
     let wish = [Wish::new("1", "session", 5_000)];
     let plan = keeping.plan(&wish, engine(), NOW, true);
--- a/crates/rattan/src/logging.rs
+++ b/crates/rattan/src/logging.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::settings::LogFormat,
-    fern::Dispatch,
+    eventlog::lines_from,
     log::{LevelFilter, SetLoggerError},
     serde_json::json,
     std::{io, time::SystemTime},
@@ -13,9 +13,7 @@
 /// # Errors
 /// If a log was started before.
 pub fn start(format: LogFormat, level: LevelFilter) -> Result<(), SetLoggerError> {
-    Dispatch::new()
-        .level(level)
-        .level_for("tarpc", level.min(LevelFilter::Warn))
+    lines_from(level)
         .format(move |out, message, record| {
             let time = humantime::format_rfc3339_millis(SystemTime::now());
             match format {
--- a/crates/relay/src/lessons.rs
+++ b/crates/relay/src/lessons.rs
@@ -94,7 +94,7 @@
             .target
             .as_ref()
             .is_some_and(|id| *id != picked.target.id);
-        let view = self.inner.view.load();
+        let view = self.inner.followed.view();
         let prompt = self.admitted.call.prompt.as_ref();
         let wanted = prompt.and_then(|prompt| view.wanted.get(&prompt.model));
         match wanted {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -26,7 +26,7 @@
     meters::Meters,
     parts::Keeping,
     std::{
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
     target::Client,
@@ -71,6 +71,26 @@
     pub peer_loads: Arc<Mutex<PeerLoads>>,
 }
 
+impl Followed {
+    /// The view in force.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// What stores and engines hold. Held for a few steps only, never across a wait.
+    pub fn keeping(&self) -> MutexGuard<'_, Keeping> {
+        self.keeping.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What other instances have under way. Held for a few steps only, never across a wait, and
+    /// after `keeping` where both are.
+    pub fn peer_loads(&self) -> MutexGuard<'_, PeerLoads> {
+        let peer_loads = self.peer_loads.lock();
+        peer_loads.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Takes calls, chooses targets and passes answers on. Clones share everything.
 #[derive(Clone)]
 pub struct Relay<Format> {
@@ -81,9 +101,7 @@
     pub(crate) settings: RelaySettings,
     pub(crate) wire: Format,
     pub(crate) client: Client,
-    pub(crate) view: Arc<ArcSwap<View>>,
-    pub(crate) keeping: Arc<Mutex<Keeping>>,
-    pub(crate) peer_loads: Arc<Mutex<PeerLoads>>,
+    pub(crate) followed: Followed,
     pub(crate) retries: Retries,
     pub(crate) origin: Instant,
     held: Arc<Semaphore>,
@@ -95,13 +113,13 @@
 where
     Format: Wire,
 {
-    /// A relay that follows `known`.
+    /// A relay whose decisions follow `followed`.
     #[must_use]
     pub fn new(
         settings: RelaySettings,
         wire: Format,
         client: Client,
-        known: Followed,
+        followed: Followed,
         log: EventLog,
         meters: Meters,
     ) -> Self {
@@ -112,9 +130,7 @@
                 settings,
                 wire,
                 client,
-                view: known.view,
-                keeping: known.keeping,
-                peer_loads: known.peer_loads,
+                followed,
                 retries,
                 origin: Instant::now(),
                 held,
@@ -127,7 +143,7 @@
     /// The view in force.
     #[must_use]
     pub fn view(&self) -> Arc<View> {
-        self.inner.view.load_full()
+        self.inner.followed.view()
     }
 
     /// Answers one call. Dropping the future, or the answer's body, ends the call at its target.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -16,10 +16,9 @@
     catalog::TargetId,
     http_body_util::Full,
     hyper::{Request, http::request},
-    parts::Keeping,
     routes::{PoolId, Repeat},
     std::{
-        sync::{Arc, MutexGuard, PoisonError},
+        sync::Arc,
         time::{Duration, Instant},
     },
     target::Reuse,
@@ -111,7 +110,7 @@
     }
 
     fn instances_count(&self) -> u32 {
-        self.inner.view.load().instances_count
+        self.inner.followed.view().instances_count
     }
 
     /// Takes one more arrival at a target out of the retry budget.
@@ -191,10 +190,10 @@
     }
 
     fn pick(&self) -> Option<Picked> {
-        let view = self.inner.view.load();
-        let keeping = self.keeping();
-        let peer_loads = self.inner.peer_loads.lock();
-        let peer_loads = peer_loads.unwrap_or_else(PoisonError::into_inner);
+        let followed = &self.inner.followed;
+        let view = followed.view();
+        let keeping = followed.keeping();
+        let peer_loads = followed.peer_loads();
         let picking = Picking {
             call: &self.admitted.call,
             tried: &self.tried,
@@ -240,7 +239,8 @@
         if self.admitted.call.prompt.is_some() && matches!(tried, Tried::Answered(_)) {
             let now = self.inner.origin.elapsed();
             target.live.record_start(sent.elapsed(), now);
-            self.keeping().observe(&plan, sent.elapsed(), boot_time());
+            let mut keeping = self.inner.followed.keeping();
+            keeping.observe(&plan, sent.elapsed(), boot_time());
         }
         if !matches!(tried, Tried::Answered(_)) {
             self.under_way = None;
@@ -248,12 +248,6 @@
         tried
     }
 
-    /// What engines and stores hold. Held for a few steps only, never across a wait.
-    pub(crate) fn keeping(&self) -> MutexGuard<'_, Keeping> {
-        let keeping = &self.inner.keeping;
-        keeping.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Name of the client account, if it shares computed parts with no other.
     pub(crate) fn isolated(&self) -> Option<&str> {
         let account = self.admitted.account.as_ref();
--- a/crates/relay/src/sending_plan.rs
+++ b/crates/relay/src/sending_plan.rs
@@ -49,7 +49,7 @@
         if plan.fetch.iter().all(Option::is_none) {
             return None;
         }
-        let clock = self.keeping().clock(boot_time())?;
+        let clock = self.inner.followed.keeping().clock(boot_time())?;
         Some(clock + FETCH_TIME + plan.expected() * 2)
     }
 
@@ -66,7 +66,7 @@
             return Plan::default();
         };
         let salt = salt(version, self.isolated());
-        let view = self.inner.view.load();
+        let view = self.inner.followed.view();
         let wanted = view.wanted.get(&prompt.model);
         let is_current = wanted.is_none_or(|wanted| wanted.version() == version);
         let replaced_for = wanted.map_or(Duration::ZERO, |wanted| {
@@ -78,7 +78,7 @@
             return Plan::default();
         }
         let engine = (picked.target.address, picked.target.failure_domain.as_str());
-        let mut keeping = self.keeping();
+        let mut keeping = self.inner.followed.keeping();
         let mut plan = keeping.plan(&wishes, engine, boot_time(), is_current);
         drop(keeping);
         trail.parts(&wishes, &plan);
--- a/crates/relay/tests/let_in.rs
+++ b/crates/relay/tests/let_in.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    parts::{Change, Held, part_key},
     relay::{View, boot_time},
     std::{sync::Arc, time::Duration},
     support::{KEY, World, caller, scripted::Scripted},
@@ -118,7 +119,11 @@
     {
         let mut keeping = world.keeping.lock().unwrap();
         keeping.set_store(parts::Store::new(place, 10_000));
-        keeping.holds(place, "1", "s", 64, Duration::ZERO);
+        let parts = vec![Held {
+            part: part_key("1", "s"),
+            tokens: 64,
+        }];
+        keeping.apply(&Change::Held { place, parts }, Duration::ZERO);
     }
     let headers = "parts: t:64,s:64,o:9\r\n";
     caller::call(world.address, "/once/7", headers).await;
