--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -13,6 +13,14 @@
     pub in_flight_count: f64,
     /// Targets that could have been chosen.
     pub candidates_count: usize,
+    /// Version of the weights that the target was taken to have; 0 if the call needs none or none was named.
+    pub version: u64,
+    /// Newest version that was wanted; 0 if none was named.
+    pub wanted_version: u64,
+    /// Longest time for which that one can have been wanted.
+    pub wanted_age_ms: u64,
+    /// Time that the call was given to begin at the target.
+    pub start_delay_ms: u64,
     /// Tokens of shared parts that the engine may fetch from stores.
     pub fetch_tokens: u64,
     /// Tokens of shared parts that the engine saves to stores.
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -40,6 +40,21 @@
     pub(crate) in_flight_count: f64,
     /// Targets that could have been chosen.
     pub(crate) candidates_count: usize,
+    /// Weights that the call will begin on.
+    pub(crate) weights: PickedWeights,
+}
+
+/// The weights of a chosen target, and what was known of newer ones.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PickedWeights {
+    /// Version that the target was taken to have; 0 if the call needs none or none was named.
+    pub(crate) version: u64,
+    /// Newest version that is wanted; 0 if none was named.
+    pub(crate) wanted_version: u64,
+    /// Longest time for which it can have been wanted.
+    pub(crate) wanted_age: Duration,
+    /// Time that the call was given to begin.
+    pub(crate) start_delay: Duration,
 }
 
 /// Chooses a target of `pool`; none if no target may take the call.
@@ -77,9 +92,22 @@
         target: best[index].clone(),
         in_flight_count: candidates[index].in_flight_count,
         candidates_count: candidates.len(),
+        weights: weights(view, best[index], picking),
     })
 }
 
+fn weights(view: &View, target: &TargetState, picking: &Picking<'_>) -> PickedWeights {
+    let Some((wanted, version)) = versions(view, target, picking) else {
+        return PickedWeights::default();
+    };
+    PickedWeights {
+        version,
+        wanted_version: wanted.version(),
+        wanted_age: boot_time().saturating_sub(wanted.since()),
+        start_delay: target.live.start_delay(picking.now),
+    }
+}
+
 /// The parts of a prompt that other calls may share, under `salt`.
 pub(crate) fn wishes(prompt: &Prompt, salt: &str) -> Vec<Wish> {
     let [shared @ .., _] = prompt.parts.as_slice() else {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -144,7 +144,7 @@
                 break;
             };
             let target = &picked.target.id;
-            trail.attempt(target, picked.in_flight_count, picked.candidates_count);
+            trail.attempt(&picked);
             self.tried.push(target.clone());
             let tried = self.send(&picked, last_event, trail).await;
             trail.attempted(describe(&tried));
--- a/crates/relay/src/trail.rs
+++ b/crates/relay/src/trail.rs
@@ -1,6 +1,7 @@
 //! The log line of a call, gathered on its way.
 
 use {
+    crate::pick::Picked,
     eventlog::{AttemptLine, CallLine, Event, EventLog},
     meters::Meters,
     parts::{Plan, Wish},
@@ -45,13 +46,18 @@
     }
 
     /// Notes a choice; its outcome follows.
-    pub(crate) fn attempt(&mut self, target: &str, in_flight_count: f64, candidates_count: usize) {
+    pub(crate) fn attempt(&mut self, picked: &Picked) {
         let at_ms = millis(self.elapsed());
+        let weights = &picked.weights;
         self.line.attempts.push(AttemptLine {
-            target: target.to_owned(),
+            target: picked.target.id.clone(),
             at_ms,
-            in_flight_count,
-            candidates_count,
+            in_flight_count: picked.in_flight_count,
+            candidates_count: picked.candidates_count,
+            version: weights.version,
+            wanted_version: weights.wanted_version,
+            wanted_age_ms: millis(weights.wanted_age),
+            start_delay_ms: millis(weights.start_delay),
             outcome: "under way".to_owned(),
             ..AttemptLine::default()
         });
