--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -127,6 +127,15 @@
     assert_eq!(known.wanted()["m"].since(), at(0.0));
 }
 
+#[test]
+fn restarted_instance_uses_no_weights_that_may_be_past_their_bound() {
+    let bound = Duration::from_secs(7);
+    let mut known = Known::default();
+    known.put("m", Item::Version(3), 1, at(0.0));
+    known.confirm(at(0.0));
+    assert_eq!(known.wanted()["m"].required(at(0.0), bound), 3);
+}
+
 #[test]
 fn announced_loads_keep_calls_away_until_the_record_is_gone() {
     let mut known = Known::default();
