A restarted instance uses no weights that may be past their bound

All instances had lost power and were back for 2.5 s.

Cause: the age of a wish for newer weights is kept in the process only. An instance that started took a wish that it found for 4 s old, whatever its age, and sent calls to older weights for 2.4 s more, without knowing the queues of its targets either. Class: state that a restart loses, replaced by a guess in the unsafe direction.

Change: a wish that was there before the instance has no age, and is due at once. Freeing of replaced parts counts from when the instance heard of the version, which is the cautious end for it; before, it began 4 s early after a restart. A holder that finds a wish waits for no runs.

--- a/crates/entry/src/freeing.rs
+++ b/crates/entry/src/freeing.rs
@@ -7,14 +7,14 @@
     std::time::Duration,
 };
 
-/// Age of a wish for newer weights from which on nobody fetches parts of older ones. Calls fetch them
-/// for 6 s after their instance heard of the wish, which may be 4 s late, and each fetch is given up
-/// within 2 s; as much again for safety.
+/// Nobody fetches parts of older weights any more once this instance has known of a newer version for
+/// so long. Calls fetch them for 6 s after their instance heard of the version, which may be 4 s late,
+/// and each fetch is given up within 2 s; as much again for safety.
 pub const FREE_AGE: Duration = Duration::from_secs(24);
 
 /// Whether nobody reads the parts under `salt` any more, if `wanted` is wanted of their model.
 #[must_use]
 pub fn is_unread(salt: &str, wanted: &Wanted, now: Duration) -> bool {
     let is_replaced = salt_version(salt).is_some_and(|version| version < wanted.version());
-    is_replaced && now.saturating_sub(wanted.since()) >= FREE_AGE
+    is_replaced && wanted.known_for(now) >= FREE_AGE
 }
--- a/crates/entry/src/known.rs
+++ b/crates/entry/src/known.rs
@@ -46,8 +46,6 @@
 /// Without word from the service for longer than this, a change may have been made long before it
 /// is heard of. Longer than a watch waits for news.
 const MAX_NEWS_AGE: Duration = Duration::from_secs(3);
-/// Age of a wish for newer weights that was there before this instance started.
-const FOUND_WISH_AGE: Duration = Duration::from_secs(4);
 
 /// What the instance believes. All times are those of a clock that counts suspension. Changes only by [`Known::put`], [`Known::delete`]
 /// and [`Known::expire`]; newer configuration and versions never give way to
@@ -80,7 +78,7 @@
             Item::Version(version) => {
                 let since = self.named_at(now);
                 let wanted = self.wanted.entry(name.to_owned()).or_default();
-                wanted.name(version, since);
+                wanted.name(version, since, now);
             }
             Item::Target(entry) => self.put_target(name, entry),
             Item::Member(record) => {
@@ -221,13 +219,12 @@
         }
     }
 
-    /// The earliest time at which a change that is heard of now may have been made.
-    fn named_at(&self, now: Duration) -> Duration {
-        match self.confirmed {
-            Some(confirmed) if now.saturating_sub(confirmed) > MAX_NEWS_AGE => confirmed,
-            Some(_) => now,
-            None => now.saturating_sub(FOUND_WISH_AGE),
-        }
+    /// The earliest time at which a change that is heard of now may have been made; none for what was
+    /// there before this instance started.
+    fn named_at(&self, now: Duration) -> Option<Duration> {
+        let confirmed = self.confirmed?;
+        let is_late = now.saturating_sub(confirmed) > MAX_NEWS_AGE;
+        Some(if is_late { confirmed } else { now })
     }
 
     fn put_target(&mut self, id: &str, entry: TargetEntry) {
--- a/crates/entry/src/orders/replacing.rs
+++ b/crates/entry/src/orders/replacing.rs
@@ -9,7 +9,7 @@
     catalog::TargetId,
     eventlog::Event,
     keyvalue::KeyValue,
-    relay::{TargetState, Wanted, boot_time},
+    relay::{TargetState, boot_time},
     std::{sync::Arc, time::Duration},
     target::{Reuse, SendError},
     tokio::time::sleep,
@@ -80,9 +80,10 @@
     /// Whether the newest weights of `model` were named so lately that runs are waited for.
     fn waits_for_runs(&self, model: &str) -> bool {
         let known = self.shared.known();
-        let since = known.wanted().get(model).map(Wanted::since);
-        let age = boot_time().saturating_sub(since.unwrap_or_default());
-        rollout::waits_for_runs(age, self.shared.settings.version_bound)
+        let wanted = known.wanted().get(model);
+        let age = wanted.and_then(|wanted| wanted.max_age(boot_time()));
+        let bound = self.shared.settings.version_bound;
+        age.is_some_and(|age| rollout::waits_for_runs(age, bound))
     }
 
     async fn order(
--- a/crates/entry/tests/freed_parts.rs
+++ b/crates/entry/tests/freed_parts.rs
@@ -12,7 +12,7 @@
 
 fn wanted() -> Wanted {
     let mut wanted = Wanted::default();
-    wanted.name(2, at(100));
+    wanted.name(2, Some(at(100)), at(100));
     wanted
 }
 
@@ -44,7 +44,7 @@
 #[test]
 fn each_newer_version_starts_the_time_anew() {
     let mut wanted = wanted();
-    wanted.name(3, at(110));
+    wanted.name(3, Some(at(110)), at(110));
     assert!(!is_unread("1", &wanted, at(100) + FREE_AGE));
     assert!(is_unread("1", &wanted, at(110) + FREE_AGE));
 }
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -124,7 +124,10 @@
     let mut known = Known::default();
     known.confirm(at(0.0));
     known.put("m", Item::Version(2), 1, at(6.0));
-    assert_eq!(known.wanted()["m"].since(), at(0.0));
+    assert_eq!(
+        known.wanted()["m"].max_age(at(6.0)),
+        Some(Duration::from_secs(6))
+    );
 }
 
 #[test]
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -17,8 +17,8 @@
     pub version: u64,
     /// Newest version that was wanted; 0 if none was named.
     pub wanted_version: u64,
-    /// Longest time for which that one can have been wanted.
-    pub wanted_age_ms: u64,
+    /// Longest time for which that one can have been wanted; none if it was there before the process.
+    pub wanted_age_ms: Option<u64>,
     /// Time that the call was given to begin at the target.
     pub start_delay_ms: u64,
     /// Tokens of shared parts that the engine may fetch from stores.
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -51,8 +51,8 @@
     pub(crate) version: u64,
     /// Newest version that is wanted; 0 if none was named.
     pub(crate) wanted_version: u64,
-    /// Longest time for which it can have been wanted.
-    pub(crate) wanted_age: Duration,
+    /// Longest time for which it can have been wanted; none if nothing bounds it.
+    pub(crate) wanted_age: Option<Duration>,
     /// Time that the call was given to begin.
     pub(crate) start_delay: Duration,
 }
@@ -103,7 +103,7 @@
     PickedWeights {
         version,
         wanted_version: wanted.version(),
-        wanted_age: boot_time().saturating_sub(wanted.since()),
+        wanted_age: wanted.max_age(boot_time()),
         start_delay: target.live.start_delay(picking.now),
     }
 }
--- a/crates/relay/src/sending_plan.rs
+++ b/crates/relay/src/sending_plan.rs
@@ -69,10 +69,8 @@
         let view = self.inner.followed.view();
         let wanted = view.wanted.get(&prompt.model);
         let is_current = wanted.is_none_or(|wanted| wanted.version() == version);
-        let replaced_for = wanted.map_or(Duration::ZERO, |wanted| {
-            boot_time().saturating_sub(wanted.since())
-        });
-        let is_usable = is_current || replaced_for < MAX_REPLACED_AGE;
+        let replaced_for = wanted.and_then(|wanted| wanted.max_age(boot_time()));
+        let is_usable = is_current || replaced_for.is_some_and(|age| age < MAX_REPLACED_AGE);
         let wishes = wishes(prompt, &salt);
         if wishes.is_empty() || !is_usable || view.age() > MAX_PARTS_AGE {
             return Plan::default();
--- a/crates/relay/src/trail.rs
+++ b/crates/relay/src/trail.rs
@@ -56,7 +56,7 @@
             candidates_count: picked.candidates_count,
             version: weights.version,
             wanted_version: weights.wanted_version,
-            wanted_age_ms: millis(weights.wanted_age),
+            wanted_age_ms: weights.wanted_age.map(millis),
             start_delay_ms: millis(weights.start_delay),
             outcome: "under way".to_owned(),
             ..AttemptLine::default()
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -158,8 +158,17 @@
 pub struct Named {
     /// Version.
     pub version: u64,
-    /// When it was named at the earliest, by [`boot_time`].
-    pub since: Duration,
+    /// When it was named at the earliest, by [`boot_time`]; none if nothing bounds that.
+    pub since: Option<Duration>,
+    /// When this instance heard of it.
+    pub heard: Duration,
+}
+
+impl Named {
+    /// Longest time for which it can have been wanted; none if nothing bounds it.
+    fn max_age(&self, now: Duration) -> Option<Duration> {
+        Some(now.saturating_sub(self.since?))
+    }
 }
 
 /// Weights that the operators want of one model. Each version has a bound of its own, so those
@@ -170,11 +179,16 @@
 }
 
 impl Wanted {
-    /// Notes a version that was named at `since`. Returns whether it is newer than all before.
-    pub fn name(&mut self, version: u64, since: Duration) -> bool {
+    /// Notes a version that was named at `since` at the earliest and is heard of at `heard`. Returns
+    /// whether it is newer than all before.
+    pub fn name(&mut self, version: u64, since: Option<Duration>, heard: Duration) -> bool {
         let is_newer = self.named.last().is_none_or(|last| last.version < version);
         if is_newer {
-            self.named.push(Named { version, since });
+            self.named.push(Named {
+                version,
+                since,
+                heard,
+            });
         }
         is_newer
     }
@@ -185,19 +199,25 @@
         self.named.last().map_or(0, |named| named.version)
     }
 
-    /// When the newest version was named at the earliest; zero if none was.
+    /// Longest time for which the newest version can have been wanted; none if nothing bounds it.
+    #[must_use]
+    pub fn max_age(&self, now: Duration) -> Option<Duration> {
+        self.named.last()?.max_age(now)
+    }
+
+    /// Time for which this instance has known of the newest version.
     #[must_use]
-    pub fn since(&self) -> Duration {
-        self.named
-            .last()
-            .map_or(Duration::ZERO, |named| named.since)
+    pub fn known_for(&self, now: Duration) -> Duration {
+        let heard = self.named.last().map_or(now, |named| named.heard);
+        now.saturating_sub(heard)
     }
 
     /// The least version that may be used at `now` if a version has to be in use everywhere
     /// `bound` after it was named.
     #[must_use]
     pub fn required(&self, now: Duration, bound: Duration) -> u64 {
-        let due = self.named.iter().filter(|named| named.since + bound <= now);
+        let is_due = |named: &&Named| named.max_age(now).is_none_or(|age| age >= bound);
+        let due = self.named.iter().filter(is_due);
         due.map(|named| named.version).max().unwrap_or(0)
     }
 }
--- a/crates/relay/tests/let_in.rs
+++ b/crates/relay/tests/let_in.rs
@@ -79,11 +79,11 @@
     view.wanted
         .entry("m".to_owned())
         .or_default()
-        .name(2, long_ago);
+        .name(2, Some(long_ago), long_ago);
     view.wanted
         .entry("m".to_owned())
         .or_default()
-        .name(3, boot_time());
+        .name(3, Some(boot_time()), boot_time());
     world.view.store(Arc::new(view));
     let got = caller::call(world.address, "/stream/7", "parts: t:64,s:64,o:9\r\n").await;
     assert_eq!(got.status, 503);
@@ -97,7 +97,7 @@
     let mut view = support::view(&[&one]);
     let named = boot_time().saturating_sub(Duration::from_secs(5));
     let wanted = view.wanted.entry("m".to_owned()).or_default();
-    wanted.name(2, named);
+    wanted.name(2, Some(named), named);
     let live = view.pools["pool"][0].live.clone();
     world.view.store(Arc::new(view));
     let headers = "parts: t:64,s:64,o:9\r\n";
