Versions named lately are marked, so that an instance that starts may use older weights

What callers saw after the commit before: when all instances lose power 1 s after a version is named, no target has it yet, nobody may order any for 3.1 s, and an instance that starts takes older weights for past their bound. Calls of engines were refused until then.

Change: one instance writes `rattan/versions/MODEL/VERSION` under a lease of its own, which ends 0.6 of the version bound after the version was named. An instance that finds a version uses older weights only while the mark is there, and no longer than the bound after its own start. The record names the version that was wanted before, since only the newest is in the store and each has a bound of its own. No clocks are compared. A lease that was granted late is not used; an outage in which leases lapse ends marks early, which is the safe side.

Tests: known_state (marks, their end, versions before), whole_path (one mark, not for good).

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -204,7 +204,7 @@
 
     fn item(&self, name: &ItemName, pair: &KvPair) -> Result<Item, ItemError> {
         match name {
-            ItemName::Member(_) | ItemName::Holder | ItemName::Loading => {
+            ItemName::Member(_) | ItemName::Holder | ItemName::Loading | ItemName::Recent(..) => {
                 own_item(name, &pair.key, &pair.value)
             }
             _ => self.shared.format.item(name, &pair.key, &pair.value),
@@ -259,6 +259,9 @@
 fn id(name: &ItemName) -> &str {
     match name {
         ItemName::Configuration | ItemName::Holder | ItemName::Loading => "",
-        ItemName::Version(id) | ItemName::Target(id) | ItemName::Member(id) => id,
+        ItemName::Version(id)
+        | ItemName::Target(id)
+        | ItemName::Member(id)
+        | ItemName::Recent(id, _) => id,
     }
 }
--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -95,6 +95,16 @@
     pub loaded: Vec<TargetId>,
 }
 
+/// A version of a model's weights that was named lately. The record ends when older weights must not be
+/// used any more.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RecentVersion {
+    /// The version.
+    pub version: u64,
+    /// The version that was wanted before; 0 if none was.
+    pub replaces: u64,
+}
+
 /// What an item holds.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Item {
@@ -110,6 +120,8 @@
     Holder(HolderRecord),
     /// Targets whose weights are being replaced.
     Loading(LoadingRecord),
+    /// A version of a model's weights that was named lately.
+    Recent(RecentVersion),
 }
 
 /// What a key names.
@@ -127,6 +139,8 @@
     Holder,
     /// Targets whose weights are being replaced.
     Loading,
+    /// A version of a model's weights that was named lately.
+    Recent(ModelId, u64),
 }
 
 /// Beginning of the keys of entry instances.
@@ -137,6 +151,14 @@
 /// Key of the targets whose weights are being replaced.
 pub(crate) const LOADING_KEY: &str = "rattan/orders/loading";
 
+/// Beginning of the keys of versions that were named lately.
+const RECENT_PREFIX: &str = "rattan/versions/";
+
+/// Key of a version that was named lately.
+pub(crate) fn recent_key(model: &str, version: u64) -> String {
+    format!("{RECENT_PREFIX}{model}/{version}")
+}
+
 /// Key of an entry instance.
 pub(crate) fn member_key(instance: &str) -> String {
     format!("{MEMBERS_PREFIX}{instance}")
@@ -150,6 +172,10 @@
     if key == LOADING_KEY {
         return Some(ItemName::Loading);
     }
+    if let Some(recent) = key.strip_prefix(RECENT_PREFIX) {
+        let (model, version) = recent.rsplit_once('/')?;
+        return Some(ItemName::Recent(model.to_owned(), version.parse().ok()?));
+    }
     let instance = key.strip_prefix(MEMBERS_PREFIX)?;
     Some(ItemName::Member(instance.to_owned()))
 }
@@ -163,6 +189,7 @@
     let item = match name {
         ItemName::Loading => serde_json::from_slice(value).map(Item::Loading),
         ItemName::Holder => serde_json::from_slice(value).map(Item::Holder),
+        ItemName::Recent(..) => serde_json::from_slice(value).map(Item::Recent),
         _ => serde_json::from_slice(value).map(Item::Member),
     };
     item.map_err(|error| unreadable(error.to_string()))
--- a/crates/entry/src/known.rs
+++ b/crates/entry/src/known.rs
@@ -1,7 +1,9 @@
 //! What the instance believes, and how changes and outages of the key-value service alter it.
 
 use {
-    crate::{HolderRecord, Item, ItemName, LoadingRecord, MemberRecord, TargetEntry},
+    crate::{
+        HolderRecord, Item, ItemName, LoadingRecord, MemberRecord, RecentVersion, TargetEntry,
+    },
     balance::rendezvous,
     catalog::{InstanceId, ModelId, Revision, TargetId},
     relay::{Live, TargetState, View, Wanted},
@@ -80,6 +82,7 @@
                 let wanted = self.wanted.entry(name.to_owned()).or_default();
                 wanted.name(version, since, now);
             }
+            Item::Recent(record) => self.mark(name, &record, now),
             Item::Target(entry) => self.put_target(name, entry),
             Item::Member(record) => {
                 let member = KnownMember {
@@ -115,11 +118,22 @@
             },
             ItemName::Holder => self.holder = None,
             ItemName::Loading => self.loading = None,
+            ItemName::Recent(model, version) => {
+                if let Some(wanted) = self.wanted.get_mut(model) {
+                    wanted.unmark(*version);
+                }
+            }
             // What was accepted stays in force.
             ItemName::Configuration | ItemName::Version(_) => {}
         }
     }
 
+    /// Notes that a version of `model` was named lately, by the service's word.
+    pub fn mark(&mut self, model: &str, record: &RecentVersion, now: Duration) {
+        let wanted = self.wanted.entry(model.to_owned()).or_default();
+        wanted.mark(record.version, record.replaces, now);
+    }
+
     /// Notes that the service has answered after an outage.
     pub fn returned(&mut self, now: Duration) {
         self.returning_until = Some(now + RETURN_TIME);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,6 +33,7 @@
 mod place_follower;
 mod place_watch;
 mod platform;
+mod recent_versions;
 pub mod rollout;
 mod settings;
 mod shared;
@@ -40,7 +41,10 @@
 
 pub use {
     holder::{Holding, Tenure},
-    item::{HolderRecord, Item, ItemError, ItemName, LoadingRecord, MemberRecord, TargetEntry},
+    item::{
+        HolderRecord, Item, ItemError, ItemName, LoadingRecord, MemberRecord, RecentVersion,
+        TargetEntry,
+    },
     known::Known,
     ownership::Ownership,
     platform::{
--- a/crates/entry/src/orders/right.rs
+++ b/crates/entry/src/orders/right.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Orders,
-    crate::{HolderRecord, Holding, Item, Platform, Tenure, item::HOLDER_KEY},
+    crate::{HolderRecord, Holding, Item, Platform, Tenure, item::HOLDER_KEY, shared::RANK_PAUSE},
     catalog::Revision,
     eventlog::Event,
     keyvalue::{Compare, KeyValue, Op, Txn},
@@ -13,8 +13,6 @@
 
 /// Added to the least time between the orders of two holders.
 const GAP_MARGIN: Duration = Duration::from_millis(100);
-/// Wait before the right is taken, for each instance before this one in the order of names.
-const TAKING_PAUSE: Duration = Duration::from_millis(60);
 
 impl<Kv, Format> Orders<Kv, Format>
 where
@@ -44,7 +42,7 @@
     }
 
     async fn take(&self) -> Option<Holding> {
-        sleep(TAKING_PAUSE * self.rank()).await;
+        sleep(RANK_PAUSE * self.shared.rank()).await;
         if self.shared.known().holder().is_some() {
             return None;
         }
@@ -104,17 +102,6 @@
         self.say_holder(false, held.fencing, "this instance stops");
     }
 
-    /// Ready instances before this one in the order of names.
-    fn rank(&self) -> u32 {
-        let known = self.shared.known();
-        let own = &self.shared.settings.instance;
-        let before = known
-            .ready_members()
-            .into_iter()
-            .filter(|(name, _)| *name < own);
-        u32::try_from(before.count()).unwrap_or(u32::MAX).min(20)
-    }
-
     fn say_holder(&self, held: bool, fencing: u64, reason: &str) {
         self.shared.log.emit(&Event::Holder {
             held,
--- /dev/null
+++ b/crates/entry/src/recent_versions.rs
@@ -0,0 +1,143 @@
+//! Marks versions that were named lately in the key-value service, so that an instance that starts can
+//! tell whether older weights may still be used.
+//!
+//! A mark is bound to a lease of its own, which ends when older weights must not be used any more. So
+//! no instance has to compare clocks with another one.
+
+use {
+    crate::{
+        RecentVersion,
+        item::recent_key,
+        shared::{RANK_PAUSE, Shared},
+    },
+    catalog::ModelId,
+    keyvalue::{Compare, KeyValue, KvError, Op, Txn},
+    relay::{Wanted, boot_time},
+    std::{sync::Arc, time::Duration},
+    supervisor::ChildResult,
+    tokio::time::{sleep, timeout},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Share of the version bound for which a version is marked. The rest is for calls that wait at their
+/// target: how long they do is not known after a start.
+const RECENT_SHARE: f64 = 0.6;
+/// Longest time that taking the lease may last: the lease runs from when the service takes the call.
+const GRANT_TIME: Duration = Duration::from_millis(500);
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(400);
+
+/// Marks versions until `token` is cancelled.
+pub(crate) async fn mark<Kv, Format>(
+    shared: Arc<Shared<Kv, Format>>,
+    token: CancellationToken,
+) -> ChildResult
+where
+    Kv: KeyValue,
+    Format: Send + Sync + 'static,
+{
+    loop {
+        let changed = shared.changed.notified();
+        tokio::select! {
+            () = token.cancelled() => return Ok(()),
+            () = mark_all(&shared) => {}
+        }
+        tokio::select! {
+            () = token.cancelled() => return Ok(()),
+            () = changed => {}
+        }
+    }
+}
+
+/// A version that is not marked yet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Unmarked {
+    model: ModelId,
+    record: RecentVersion,
+    /// Time for which it counts as recent yet.
+    rest: Duration,
+}
+
+async fn mark_all<Kv, Format>(shared: &Shared<Kv, Format>)
+where
+    Kv: KeyValue,
+{
+    if unmarked(shared).is_empty() {
+        return;
+    }
+    sleep(RANK_PAUSE * shared.rank()).await;
+    let sent_at = boot_time();
+    for version in unmarked(shared) {
+        if let Err(error) = mark_one(shared, &version, sent_at).await {
+            log::info!(
+                "version of {} is not marked as recent: {error}",
+                version.model
+            );
+            sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Newest versions that are not marked though they were named lately.
+fn unmarked<Kv, Format>(shared: &Shared<Kv, Format>) -> Vec<Unmarked> {
+    let limit = shared.settings.version_bound.mul_f64(RECENT_SHARE);
+    let known = shared.known();
+    let wanted = known.wanted().iter();
+    let unmarked = wanted.filter_map(|(model, wanted)| {
+        let (record, rest) = recent(wanted, limit)?;
+        let model = model.clone();
+        Some(Unmarked {
+            model,
+            record,
+            rest,
+        })
+    });
+    unmarked
+        .filter(|version| version.rest >= shared.settings.min_lease)
+        .collect()
+}
+
+fn recent(wanted: &Wanted, limit: Duration) -> Option<(RecentVersion, Duration)> {
+    let age = wanted.max_age(boot_time())?;
+    let record = RecentVersion {
+        version: wanted.version(),
+        replaces: wanted.version_before(),
+    };
+    let rest = limit.saturating_sub(age);
+    (!wanted.is_recent(record.version)).then_some((record, rest))
+}
+
+/// Marks one version. `sent_at` is before the time left for it was reckoned.
+async fn mark_one<Kv, Format>(
+    shared: &Shared<Kv, Format>,
+    unmarked: &Unmarked,
+    sent_at: Duration,
+) -> Result<(), KvError>
+where
+    Kv: KeyValue,
+{
+    let granted = timeout(GRANT_TIME, shared.kv.grant(unmarked.rest)).await;
+    let lease = granted.map_err(|_| KvError::Unknown {
+        reason: "no lease in time".to_owned(),
+    })??;
+    let took = boot_time().saturating_sub(sent_at);
+    if took > GRANT_TIME || lease.ttl > unmarked.rest {
+        let reason = "its lease would end too late".to_owned();
+        return Err(KvError::Refused { reason });
+    }
+    let record = &unmarked.record;
+    let value = serde_json::to_vec(record).map_err(|error| KvError::Refused {
+        reason: error.to_string(),
+    })?;
+    let key = recent_key(&unmarked.model, record.version);
+    let put = Op::Put(key.clone(), value.into(), Some(lease.id));
+    let mark = Txn {
+        compares: vec![Compare::Absent(key)],
+        success: vec![put],
+        ..Txn::default()
+    };
+    shared.kv.txn(mark).await?;
+    let mut known = shared.known();
+    known.mark(&unmarked.model, record, boot_time());
+    Ok(())
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -18,6 +18,11 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// Wait before this instance does what one of all has to do, for each instance before it.
+pub(crate) const RANK_PAUSE: Duration = Duration::from_millis(60);
+/// Longest such wait, in pauses.
+const MAX_RANK: u32 = 20;
+
 /// What the tasks of an instance share.
 pub(crate) struct Shared<Kv, Format> {
     /// Settings.
@@ -145,6 +150,15 @@
         });
     }
 
+    /// Ready instances before this one in the order of names.
+    pub(crate) fn rank(&self) -> u32 {
+        let known = self.known();
+        let own = &self.settings.instance;
+        let members = known.ready_members().into_iter();
+        let before = members.filter(|(name, _)| *name < own);
+        u32::try_from(before.count()).map_or(MAX_RANK, |rank| rank.min(MAX_RANK))
+    }
+
     /// Whether this instance takes callers.
     pub(crate) fn is_ready(&self) -> bool {
         !self.draining.is_cancelled() && self.followed.view().table.is_some()
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -4,7 +4,7 @@
     crate::{
         Platform, Settings, directory, follower,
         listener::{self, Listening},
-        membership, orders, peer_watch, place_watch,
+        membership, orders, peer_watch, place_watch, recent_versions,
         shared::Shared,
     },
     eventlog::{Event, EventLog},
@@ -152,6 +152,7 @@
     let following = shared.clone();
     let (joining, giving, placing) = (shared.clone(), shared.clone(), shared.clone());
     let (reading, telling) = (shared.clone(), shared.feed.clone());
+    let marking = shared.clone();
     let tree = Supervisor::new("control").limit(limit);
     tree.child(Child::new("follower", move |token| {
         follower::follow(following.clone(), token)
@@ -165,6 +166,9 @@
     .child(Child::new("peers", move |token| {
         peer_watch::watch(reading.clone(), token)
     }))
+    .child(Child::new("recent versions", move |token| {
+        recent_versions::mark(marking.clone(), token)
+    }))
     .child(Child::new("feed", move |token| {
         tell(feed.clone(), telling.clone(), token)
     }))
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -1,7 +1,7 @@
 //! What an instance believes, through changes and outages of the key-value service.
 
 use {
-    entry::{Item, ItemName, Known, LoadingRecord, MemberRecord, TargetEntry},
+    entry::{Item, ItemName, Known, LoadingRecord, MemberRecord, RecentVersion, TargetEntry},
     proptest::prelude::{any, prop, proptest},
     relay::ModelState,
     routes::Accepted,
@@ -27,6 +27,10 @@
     Item::Target(entry)
 }
 
+fn recent(version: u64, replaces: u64) -> Item {
+    Item::Recent(RecentVersion { version, replaces })
+}
+
 fn name(id: &str) -> ItemName {
     ItemName::Target(id.to_owned())
 }
@@ -139,6 +143,47 @@
     assert_eq!(known.wanted()["m"].required(at(0.0), bound), 3);
 }
 
+#[test]
+fn restarted_instance_uses_older_weights_while_the_newer_are_marked_as_recent() {
+    let bound = Duration::from_secs(7);
+    let mut known = Known::default();
+    known.put("m", Item::Version(3), 1, at(0.0));
+    known.put("m", recent(3, 2), 2, at(0.0));
+    known.put("m", recent(2, 0), 3, at(0.0));
+    known.confirm(at(0.0));
+    assert_eq!(known.wanted()["m"].required(at(1.0), bound), 0);
+    known.delete(&ItemName::Recent("m".to_owned(), 2), at(1.0));
+    assert_eq!(known.wanted()["m"].required(at(1.0), bound), 2);
+    known.delete(&ItemName::Recent("m".to_owned(), 3), at(2.0));
+    assert_eq!(known.wanted()["m"].required(at(2.0), bound), 3);
+}
+
+#[test]
+fn mark_whose_end_is_not_heard_of_ends_with_the_bound() {
+    let bound = Duration::from_secs(7);
+    let mut known = Known::default();
+    known.put("m", Item::Version(3), 1, at(0.0));
+    known.put("m", recent(3, 0), 2, at(0.0));
+    assert_eq!(known.wanted()["m"].required(at(6.9), bound), 0);
+    assert_eq!(known.wanted()["m"].required(at(7.0), bound), 3);
+}
+
+#[test]
+fn mark_changes_nothing_for_an_instance_that_heard_of_the_naming() {
+    let bound = Duration::from_secs(7);
+    let mut known = Known::default();
+    known.confirm(at(0.0));
+    known.put("m", Item::Version(2), 1, at(0.0));
+    known.put("m", recent(2, 0), 2, at(0.1));
+    assert_eq!(known.wanted()["m"].required(at(6.9), bound), 0);
+    assert_eq!(known.wanted()["m"].required(at(7.0), bound), 2);
+    known.confirm(at(5.0));
+    known.put("m", Item::Version(3), 3, at(5.0));
+    known.put("m", recent(3, 2), 4, at(5.1));
+    assert_eq!(known.wanted()["m"].required(at(6.9), bound), 0);
+    assert_eq!(known.wanted()["m"].version_before(), 2);
+}
+
 #[test]
 fn announced_loads_keep_calls_away_until_the_record_is_gone() {
     let mut known = Known::default();
--- a/crates/entry/tests/whole_path.rs
+++ b/crates/entry/tests/whole_path.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    keyvalue::MemoryKv,
+    keyvalue::{KeyValue, MemoryKv},
     std::time::Duration,
     support::{Instance, put, target::Target, until},
 };
@@ -106,6 +106,33 @@
     );
 }
 
+#[tokio::test]
+async fn named_version_is_marked_as_recent_by_one_instance_and_not_for_good() {
+    let target = Target::start(Duration::ZERO).await;
+    let kv = fleet(&target).await;
+    let _instances = two_instances(kv.clone()).await;
+    put(&kv, "operators/version/m", "2").await;
+    put(&kv, "operators/version/m", "3").await;
+    let marks = async || {
+        let range = kv.range("rattan/versions/").await.unwrap();
+        let pairs = range.pairs.into_iter();
+        pairs.map(|pair| (pair.key, pair.value)).collect::<Vec<_>>()
+    };
+    until("a mark", async || !marks().await.is_empty()).await;
+    let expected = (
+        "rattan/versions/m/3".to_owned(),
+        r#"{"version":3,"replaces":2}"#,
+    );
+    let marked = marks().await;
+    assert!(
+        marked
+            .iter()
+            .any(|(key, value)| *key == expected.0 && value == expected.1),
+        "{marked:?}"
+    );
+    until("no mark", async || marks().await.is_empty()).await;
+}
+
 #[tokio::test]
 async fn next_holder_has_a_higher_fencing_number() {
     let target = Target::start(Duration::ZERO).await;
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -6,7 +6,7 @@
     catalog::{FailureDomainId, ModelId, TargetId},
     routes::{PoolId, RouteTable},
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -175,7 +175,10 @@
 /// before the newest one still count.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Wanted {
+    /// By version, the oldest first.
     named: Vec<Named>,
+    /// Versions that the key-value service marks as named lately.
+    recent: BTreeSet<u64>,
 }
 
 impl Wanted {
@@ -193,12 +196,49 @@
         is_newer
     }
 
+    /// Notes that `version` was named lately, which replaced the wish for `replaces` (0 if there was
+    /// none). Bounds the age of versions that were there before this instance.
+    pub fn mark(&mut self, version: u64, replaces: u64, now: Duration) {
+        self.recent.insert(version);
+        let position = self.named.partition_point(|it| it.version < replaces);
+        let is_known = self
+            .named
+            .get(position)
+            .is_some_and(|it| it.version == replaces);
+        if replaces > 0 && !is_known {
+            let before = Named {
+                version: replaces,
+                since: None,
+                heard: now,
+            };
+            self.named.insert(position, before);
+        }
+    }
+
+    /// Notes that `version` is not marked as named lately any more.
+    pub fn unmark(&mut self, version: u64) {
+        self.recent.remove(&version);
+    }
+
+    /// Whether `version` is marked as named lately.
+    #[must_use]
+    pub fn is_recent(&self, version: u64) -> bool {
+        self.recent.contains(&version)
+    }
+
     /// The newest version; 0 if none was named.
     #[must_use]
     pub fn version(&self) -> u64 {
         self.named.last().map_or(0, |named| named.version)
     }
 
+    /// The version that was wanted before the newest one; 0 if none was.
+    #[must_use]
+    pub fn version_before(&self) -> u64 {
+        let before = self.named.iter().rev().nth(1);
+        before.map_or(0, |named| named.version)
+    }
+
     /// Longest time for which the newest version can have been wanted; none if nothing bounds it.
     #[must_use]
     pub fn max_age(&self, now: Duration) -> Option<Duration> {
@@ -216,10 +256,22 @@
     /// `bound` after it was named.
     #[must_use]
     pub fn required(&self, now: Duration, bound: Duration) -> u64 {
-        let is_due = |named: &&Named| named.max_age(now).is_none_or(|age| age >= bound);
-        let due = self.named.iter().filter(is_due);
+        let due = self
+            .named
+            .iter()
+            .filter(|named| self.is_due(named, now, bound));
         due.map(|named| named.version).max().unwrap_or(0)
     }
+
+    /// Whether a version has to be in use everywhere. One of unknown age may be used as long as it is
+    /// marked, but no longer than if it had been named when this instance heard of it.
+    fn is_due(&self, named: &Named, now: Duration, bound: Duration) -> bool {
+        if let Some(age) = named.max_age(now) {
+            return age >= bound;
+        }
+        let heard_age = now.saturating_sub(named.heard);
+        !self.is_recent(named.version) || heard_age >= bound
+    }
 }
 
 /// What an instance believes at one moment.
