A refusal for its weights no longer makes a target count as newer than it must be

What callers may see: a target that has version 2, while 3 is wanted and 1 is believed, refuses a call that expects version 1 (421, not run). It was then taken to have version 3 for good: every call to it expected 3 and was refused, and the holder of the right to give orders never ordered it to 3.

Cause: a note of what a target has only ever rises, and the refusal was taken for the newest wanted version.

Change: the target is taken to have the next version that was named after the one believed; where there is none, what was noted is forgotten, so that its own report counts again.

--- a/crates/relay/src/lessons.rs
+++ b/crates/relay/src/lessons.rs
@@ -88,21 +88,30 @@
         }
     }
 
-    /// The target is another one, or has other weights than was thought: the wanted ones.
+    /// The target is another one, or has other weights than was thought: at least the next ones that
+    /// were named, or, if there are none, older ones.
     fn note_misdirected(&self, picked: &Picked, notes: &ReplyNotes) {
+        let live = &picked.target.live;
         let is_other = notes
             .target
             .as_ref()
             .is_some_and(|id| *id != picked.target.id);
-        let view = self.inner.followed.view();
-        let prompt = self.admitted.call.prompt.as_ref();
-        let wanted = prompt.and_then(|prompt| view.wanted.get(&prompt.model));
-        match wanted {
-            Some(wanted) if !is_other => self.note_version(picked, Some(wanted.version())),
-            _ => picked
-                .target
-                .live
-                .pause(self.inner.origin.elapsed() + PAUSE),
+        let newer = self.version_after(picked);
+        if !is_other && newer.is_some() {
+            self.note_version(picked, newer);
+            return;
+        }
+        live.pause(self.inner.origin.elapsed() + PAUSE);
+        if let Some(prompt) = self.admitted.call.prompt.as_ref().filter(|_| !is_other) {
+            live.forget_version(&prompt.model);
         }
     }
+
+    /// The first version that was named after the one that the target was taken to have.
+    fn version_after(&self, picked: &Picked) -> Option<u64> {
+        let prompt = self.admitted.call.prompt.as_ref()?;
+        let view = self.inner.followed.view();
+        let wanted = view.wanted.get(&prompt.model)?;
+        wanted.version_after(picked.weights.version)
+    }
 }
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -99,6 +99,11 @@
         *known = (*known).max(version);
     }
 
+    /// Forgets what answers have shown: the target's own report counts again.
+    pub fn forget_version(&self, model: &str) {
+        self.lock().versions.remove(model);
+    }
+
     /// Newest version that the target's answers have shown.
     #[must_use]
     pub fn noted_version(&self, model: &str) -> Option<u64> {
@@ -239,6 +244,13 @@
         before.map_or(0, |named| named.version)
     }
 
+    /// The first version that was named after `version`.
+    #[must_use]
+    pub fn version_after(&self, version: u64) -> Option<u64> {
+        let newer = self.named.iter().map(|named| named.version);
+        newer.filter(|named| *named > version).min()
+    }
+
     /// Longest time for which the newest version can have been wanted; none if nothing bounds it.
     #[must_use]
     pub fn max_age(&self, now: Duration) -> Option<Duration> {
