A version that is heard of after a suspension counts from the last word before it

What callers may see: an instance that is suspended for 2.8 s just when a version is named hears of it on waking and takes it for new. It then sends calls to older weights until 9.2 s after the naming; the bound is 8 s. An answer without news that waited through the suspension was taken for as young as its reading.

Cause: the age of news was guessed from the last confirmation, and that from when an answer is read.

Change: a clock that ticks with the follower tells that the process did not run for over half a second. What it hears until the next answer counts from before that. Without a suspension news counts as new if the last confirmation is no older than 2.5 s (3 s before): a watch waits 2 s.

Tests: news_clock; known_state::wish_that_is_heard_of_after_a_suspension_counts_from_the_last_confirmation. Not covered: news that the network holds back for up to 2.5 s without a suspension.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        Item, ItemError, ItemName, Platform,
+        Item, ItemError, ItemName, NewsClock, Platform,
         item::{own_item, own_name},
         shared::Shared,
     },
@@ -39,6 +39,7 @@
 {
     let mut follower = Follower {
         shared,
+        clock: NewsClock::new(boot_time()),
         position: None,
         seen: HashSet::new(),
         available: true,
@@ -66,6 +67,7 @@
 
 struct Follower<Kv, Format> {
     shared: Arc<Shared<Kv, Format>>,
+    clock: NewsClock,
     /// All changes up to this revision are known; none before the first listing.
     position: Option<Revision>,
     /// Names that were there at the last listing or written since.
@@ -96,6 +98,7 @@
             let event = tokio::select! {
                 event = events.next() => event,
                 _ = expiry.tick() => {
+                    self.tick();
                     self.expire();
                     continue;
                 }
@@ -119,6 +122,7 @@
     }
 
     async fn list(&mut self) -> Result<Revision, KvError> {
+        let asked_at = boot_time();
         let range = self
             .shared
             .kv
@@ -133,12 +137,20 @@
             self.delete(name, range.revision);
         }
         self.position = Some(range.revision);
-        self.confirm();
+        self.clock = NewsClock::new(boot_time());
+        self.confirm(asked_at);
         Ok(range.revision)
     }
 
+    fn tick(&mut self) {
+        if self.clock.tick(boot_time()) {
+            self.shared.known().suspended();
+        }
+    }
+
     fn apply(&mut self, event: Event) {
         self.back();
+        self.tick();
         match event {
             Event::Put(pair) => self.put(&pair),
             Event::Delete(key, revision) => {
@@ -149,7 +161,8 @@
             }
             Event::Progress(revision) => {
                 self.position = self.position.max(Some(revision));
-                self.confirm();
+                let answered_at = self.clock.answered(boot_time());
+                self.confirm(answered_at);
             }
         }
     }
@@ -186,8 +199,8 @@
         self.shared.known().delete(name, boot_time());
     }
 
-    fn confirm(&self) {
-        self.shared.known().confirm(boot_time());
+    fn confirm(&self, at: Duration) {
+        self.shared.known().confirm(at);
         self.shared.publish();
     }
 
--- a/crates/entry/src/known.rs
+++ b/crates/entry/src/known.rs
@@ -47,7 +47,7 @@
 
 /// Without word from the service for longer than this, a change may have been made long before it
 /// is heard of. Longer than a watch waits for news.
-const MAX_NEWS_AGE: Duration = Duration::from_secs(3);
+const MAX_NEWS_AGE: Duration = Duration::from_millis(2_500);
 
 /// What the instance believes. All times are those of a clock that counts suspension. Changes only by [`Known::put`], [`Known::delete`]
 /// and [`Known::expire`]; newer configuration and versions never give way to
@@ -64,6 +64,8 @@
     /// Until then a missing entry may only have lapsed in an outage.
     returning_until: Option<Duration>,
     confirmed: Option<Duration>,
+    /// Whether news since then may have waited for this process to run again.
+    was_suspended: bool,
     draining: bool,
 }
 
@@ -142,6 +144,13 @@
     /// Notes that all of this holds at `now`, by the service's word.
     pub fn confirm(&mut self, now: Duration) {
         self.confirmed = Some(now);
+        self.was_suspended = false;
+    }
+
+    /// Notes that this process did not run for a while, so that what it hears until the next
+    /// confirmation may have been said long before.
+    pub fn suspended(&mut self) {
+        self.was_suspended = true;
     }
 
     /// Notes that this instance is shutting down.
@@ -238,7 +247,11 @@
     fn named_at(&self, now: Duration) -> Option<Duration> {
         let confirmed = self.confirmed?;
         let is_late = now.saturating_sub(confirmed) > MAX_NEWS_AGE;
-        Some(if is_late { confirmed } else { now })
+        Some(if is_late || self.was_suspended {
+            confirmed
+        } else {
+            now
+        })
     }
 
     fn put_target(&mut self, id: &str, entry: TargetEntry) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod known;
 mod listener;
 mod membership;
+mod news_clock;
 mod orders;
 mod ownership;
 mod parts_by_salt;
@@ -46,6 +47,7 @@
         TargetEntry,
     },
     known::Known,
+    news_clock::NewsClock,
     ownership::Ownership,
     platform::{
         HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, RunsMeanwhile,
