Marks of versions: those that were not heard of count too, leases that are not needed end

An instance that found versions 2 and 4 and a mark of 3 did not require 3 when that mark ended. Besides: the time of a lease is reckoned anew for each model; a lease whose mark another instance had written is ended.

Tests: known_state::mark_of_a_version_that_was_not_heard_of_makes_it_due_at_its_end (red before); freed_parts now has versions whose naming and hearing differ; the test of whole_path no longer depends on which of two versions is marked first.

--- a/crates/entry/src/recent_versions.rs
+++ b/crates/entry/src/recent_versions.rs
@@ -55,7 +55,7 @@
     model: ModelId,
     record: RecentVersion,
     /// Time for which it counts as recent yet.
-    rest: Duration,
+    time_left: Duration,
 }
 
 async fn mark_all<Kv, Format>(shared: &Shared<Kv, Format>)
@@ -66,14 +66,18 @@
         return;
     }
     sleep(RANK_PAUSE * shared.rank()).await;
-    let sent_at = boot_time();
-    for version in unmarked(shared) {
+    loop {
+        let sent_at = boot_time();
+        let Some(version) = unmarked(shared).into_iter().next() else {
+            return;
+        };
         if let Err(error) = mark_one(shared, &version, sent_at).await {
             log::info!(
                 "version of {} is not marked as recent: {error}",
                 version.model
             );
             sleep(PAUSE).await;
+            return;
         }
     }
 }
@@ -84,16 +88,16 @@
     let known = shared.known();
     let wanted = known.wanted().iter();
     let unmarked = wanted.filter_map(|(model, wanted)| {
-        let (record, rest) = recent(wanted, limit)?;
+        let (record, time_left) = recent(wanted, limit)?;
         let model = model.clone();
         Some(Unmarked {
             model,
             record,
-            rest,
+            time_left,
         })
     });
     unmarked
-        .filter(|version| version.rest >= shared.settings.min_lease)
+        .filter(|version| version.time_left >= shared.settings.min_lease)
         .collect()
 }
 
@@ -103,8 +107,8 @@
         version: wanted.version(),
         replaces: wanted.version_before(),
     };
-    let rest = limit.saturating_sub(age);
-    (!wanted.is_recent(record.version)).then_some((record, rest))
+    let time_left = limit.saturating_sub(age);
+    (!wanted.is_recent(record.version)).then_some((record, time_left))
 }
 
 /// Marks one version. `sent_at` is before the time left for it was reckoned.
@@ -116,12 +120,12 @@
 where
     Kv: KeyValue,
 {
-    let granted = timeout(GRANT_TIME, shared.kv.grant(unmarked.rest)).await;
+    let granted = timeout(GRANT_TIME, shared.kv.grant(unmarked.time_left)).await;
     let lease = granted.map_err(|_| KvError::Unknown {
         reason: "no lease in time".to_owned(),
     })??;
     let took = boot_time().saturating_sub(sent_at);
-    if took > GRANT_TIME || lease.ttl > unmarked.rest {
+    if took > GRANT_TIME || lease.ttl > unmarked.time_left {
         let reason = "its lease would end too late".to_owned();
         return Err(KvError::Refused { reason });
     }
@@ -136,7 +140,10 @@
         success: vec![put],
         ..Txn::default()
     };
-    shared.kv.txn(mark).await?;
+    let is_first = shared.kv.txn(mark).await?.succeeded;
+    if !is_first {
+        shared.kv.revoke(lease.id).await?;
+    }
     let mut known = shared.known();
     known.mark(&unmarked.model, record, boot_time());
     Ok(())
--- a/crates/entry/tests/freed_parts.rs
+++ b/crates/entry/tests/freed_parts.rs
@@ -29,6 +29,17 @@
     assert!(is_unread("1/isolated-account", &wanted, late));
 }
 
+#[test]
+fn parts_are_freed_by_when_the_version_was_heard_of_not_by_when_it_was_named() {
+    for since in [None, Some(at(76))] {
+        let mut wanted = Wanted::default();
+        wanted.name(2, since, at(100));
+        let early = at(99) + FREE_AGE;
+        assert!(!is_unread("1", &wanted, early), "{since:?}");
+        assert!(is_unread("1", &wanted, at(100) + FREE_AGE));
+    }
+}
+
 #[test]
 fn parts_of_wanted_weights_and_of_others_are_never_freed() {
     let wanted = wanted();
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -172,6 +172,19 @@
     assert_eq!(known.wanted()["m"].required(at(2.0), bound), 3);
 }
 
+#[test]
+fn mark_of_a_version_that_was_not_heard_of_makes_it_due_at_its_end() {
+    let bound = Duration::from_secs(7);
+    let mut known = Known::default();
+    known.put("m", Item::Version(4), 1, at(0.0));
+    known.put("m", recent(3, 2), 2, at(0.0));
+    known.put("m", recent(4, 2), 3, at(0.0));
+    known.delete(&ItemName::Recent("m".to_owned(), 2), at(0.0));
+    assert_eq!(known.wanted()["m"].required(at(1.0), bound), 2);
+    known.delete(&ItemName::Recent("m".to_owned(), 3), at(1.0));
+    assert_eq!(known.wanted()["m"].required(at(1.0), bound), 3);
+}
+
 #[test]
 fn mark_whose_end_is_not_heard_of_ends_with_the_bound() {
     let bound = Duration::from_secs(7);
--- a/crates/entry/tests/whole_path.rs
+++ b/crates/entry/tests/whole_path.rs
@@ -107,30 +107,23 @@
 }
 
 #[tokio::test]
-async fn named_version_is_marked_as_recent_by_one_instance_and_not_for_good() {
+async fn named_version_is_marked_as_recent_and_not_for_good() {
     let target = Target::start(Duration::ZERO).await;
     let kv = fleet(&target).await;
     let _instances = two_instances(kv.clone()).await;
     put(&kv, "operators/version/m", "2").await;
-    put(&kv, "operators/version/m", "3").await;
-    let marks = async || {
-        let range = kv.range("rattan/versions/").await.unwrap();
-        let pairs = range.pairs.into_iter();
-        pairs.map(|pair| (pair.key, pair.value)).collect::<Vec<_>>()
+    let mark = async |key: &str| {
+        let range = kv.range(key).await.unwrap();
+        let pair = range.pairs.into_iter().next();
+        pair.map(|pair| String::from_utf8_lossy(&pair.value).into_owned())
     };
-    until("a mark", async || !marks().await.is_empty()).await;
-    let expected = (
-        "rattan/versions/m/3".to_owned(),
-        r#"{"version":3,"replaces":2}"#,
-    );
-    let marked = marks().await;
-    assert!(
-        marked
-            .iter()
-            .any(|(key, value)| *key == expected.0 && value == expected.1),
-        "{marked:?}"
-    );
-    until("no mark", async || marks().await.is_empty()).await;
+    let (first, second) = ("rattan/versions/m/2", "rattan/versions/m/3");
+    until("a mark", async || mark(first).await.is_some()).await;
+    put(&kv, "operators/version/m", "3").await;
+    until("the next mark", async || mark(second).await.is_some()).await;
+    let expected = r#"{"version":3,"replaces":2}"#.to_owned();
+    assert_eq!(mark(second).await, Some(expected));
+    until("no mark", async || mark(second).await.is_none()).await;
 }
 
 #[tokio::test]
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -205,18 +205,23 @@
     /// none). Bounds the age of versions that were there before this instance.
     pub fn mark(&mut self, version: u64, replaces: u64, now: Duration) {
         self.recent.insert(version);
-        let position = self.named.partition_point(|it| it.version < replaces);
-        let is_known = self
-            .named
-            .get(position)
-            .is_some_and(|it| it.version == replaces);
-        if replaces > 0 && !is_known {
-            let before = Named {
-                version: replaces,
+        self.find(replaces, now);
+        self.find(version, now);
+    }
+
+    /// Adds a version of unknown age, unless it is known.
+    fn find(&mut self, version: u64, now: Duration) {
+        let place = self.named.binary_search_by_key(&version, |it| it.version);
+        let Err(position) = place else {
+            return;
+        };
+        if version > 0 {
+            let found = Named {
+                version,
                 since: None,
                 heard: now,
             };
-            self.named.insert(position, before);
+            self.named.insert(position, found);
         }
     }
 
