A target of unknown weights gets no prompt once weights were named; every prompt is salted

What callers may see: a target whose entry lacks its models counted as current. Prompts were sent to it without the version that is expected and without a salt, so they could run on weights past their bound and, for isolated client accounts, on parts of others.

Cause: an unknown version was taken for the right one.

Change: such a target is left out for calls of a model for which a version was named. Where none was, as in deployments that name no versions, it is used as before, with a salt of its own.

Tests: let_in, two, both red before (200 where 503, no salt where "0" is expected).

--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -101,7 +101,7 @@
         return PickedWeights::default();
     };
     PickedWeights {
-        version,
+        version: version.unwrap_or(0),
         wanted_version: wanted.version(),
         wanted_age: wanted.max_age(boot_time()),
         start_delay: target.live.start_delay(picking.now),
@@ -174,22 +174,23 @@
 }
 
 /// Whether a call that is sent now might begin on weights that must not be used any more. It begins
-/// later than it is sent if the target has a queue.
+/// later than it is sent if the target has a queue. A target whose weights are not known might have any.
 fn is_outdated(view: &View, target: &TargetState, picking: &Picking<'_>) -> bool {
-    let versions = versions(view, target, picking);
-    versions.is_some_and(|(wanted, version)| {
-        let start_delay = target.live.start_delay(picking.now);
-        let bound = picking.max_old_weights.saturating_sub(start_delay);
-        version < wanted.required(boot_time(), bound)
-    })
+    let Some((wanted, version)) = versions(view, target, picking) else {
+        return false;
+    };
+    let start_delay = target.live.start_delay(picking.now);
+    let bound = picking.max_old_weights.saturating_sub(start_delay);
+    version.is_none_or(|version| version < wanted.required(boot_time(), bound))
 }
 
-/// The versions that are wanted of the call's model, and the one that the target has.
+/// The versions that are wanted of the call's model, and the one that the target has; none if the call
+/// needs no weights or none were named.
 fn versions<'view>(
     view: &'view View,
     target: &TargetState,
     picking: &Picking<'_>,
-) -> Option<(&'view Wanted, u64)> {
+) -> Option<(&'view Wanted, Option<u64>)> {
     let model = &picking.call.prompt.as_ref()?.model;
-    Some((view.wanted.get(model)?, target.version(model)?))
+    Some((view.wanted.get(model)?, target.version(model)))
 }
--- a/crates/relay/src/sending_plan.rs
+++ b/crates/relay/src/sending_plan.rs
@@ -28,7 +28,7 @@
         let account = self.admitted.account.as_ref();
         let prompt = call.prompt.as_ref();
         let version = prompt.and_then(|prompt| picked.target.version(&prompt.model));
-        let salt = version.map(|version| salt(version, self.isolated()));
+        let salt = prompt.map(|_| salt(version.unwrap_or(0), self.isolated()));
         let rank = account.and_then(|account| account.priority);
         Sending {
             target: picked.target.id.clone(),
--- a/crates/relay/tests/let_in.rs
+++ b/crates/relay/tests/let_in.rs
@@ -4,9 +4,12 @@
 
 use {
     parts::{Change, Held, part_key},
-    relay::{View, boot_time},
+    relay::{TargetState, View, boot_time},
     std::{sync::Arc, time::Duration},
-    support::{KEY, World, caller, scripted::Scripted},
+    support::{
+        KEY, World, caller,
+        scripted::{Scripted, Step},
+    },
 };
 
 #[tokio::test]
@@ -90,6 +93,40 @@
     assert!(one.arrived().is_empty());
 }
 
+/// A view of `target` that doesn't know its weights.
+fn without_weights(target: &Scripted) -> View {
+    let mut view = support::view(&[target]);
+    let state = TargetState {
+        models: Vec::new(),
+        ..(*view.pools["pool"][0]).clone()
+    };
+    view.pools.insert("pool".to_owned(), vec![Arc::new(state)]);
+    view
+}
+
+#[tokio::test]
+async fn target_of_unknown_weights_gets_no_prompt_once_weights_were_named() {
+    let one = Scripted::start("one", vec![]).await;
+    let world = World::start(&[&one]).await;
+    let mut view = without_weights(&one);
+    let wanted = view.wanted.entry("m".to_owned()).or_default();
+    wanted.name(2, Some(boot_time()), boot_time());
+    world.view.store(Arc::new(view));
+    let headers = "parts: t:64,s:64,o:9\r\n";
+    let got = caller::call(world.address, "/once/7", headers).await;
+    assert_eq!(got.status, 503);
+    assert!(one.arrived().is_empty());
+}
+
+#[tokio::test]
+async fn prompt_to_a_target_of_unknown_weights_is_salted_too() {
+    let one = Scripted::start("one", vec![]).await;
+    let world = World::start(&[&one]).await;
+    world.view.store(Arc::new(without_weights(&one)));
+    caller::call(world.address, "/once/7", "parts: t:64,s:64,o:9\r\n").await;
+    assert_eq!(one.arrived()[0].header("salt"), Some("0"));
+}
+
 #[tokio::test]
 async fn call_that_would_begin_past_the_bound_of_its_weights_is_not_sent() {
     let one = Scripted::start("one", vec![]).await;
