A call that is given up counts in the time that calls wait at its target

What callers may see: weights may be used until the bound less the time that calls wait at their target, but only answered calls counted in that time. Where all calls are given up, for example after 1.5 s without a first event, the wait stayed at zero and old weights were used for too long.

Still open: a target that no call was sent to since this instance started has no known wait; the share of 0.2 of the bound that is kept back covers 1.6 s.

Test: let_in::call_that_is_given_up_shows_how_long_calls_wait, red before.

--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -236,9 +236,13 @@
         if matches!(tried, Tried::Answered(_) | Tried::Unknown(_)) {
             self.may_have_run_count += 1;
         }
-        if self.admitted.call.prompt.is_some() && matches!(tried, Tried::Answered(_)) {
+        let has_prompt = self.admitted.call.prompt.is_some();
+        if has_prompt && matches!(tried, Tried::Answered(_) | Tried::Unknown(_)) {
+            // A call that was given up waited at least until then.
             let now = self.inner.origin.elapsed();
             target.live.record_start(sent.elapsed(), now);
+        }
+        if has_prompt && matches!(tried, Tried::Answered(_)) {
             let mut keeping = self.inner.followed.keeping();
             keeping.observe(&plan, sent.elapsed(), boot_time());
         }
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -69,7 +69,8 @@
         self.lock().health.is_left_out(now)
     }
 
-    /// Counts a call whose first event took `took` and came at `now`, since the relay's origin.
+    /// Counts a call whose first event took `took`, or that was given up without one after `took`, at
+    /// `now`, since the relay's origin.
     pub fn record_start(&self, took: Duration, now: Duration) {
         self.lock().start_delay.record(took, now);
     }
--- a/crates/relay/tests/let_in.rs
+++ b/crates/relay/tests/let_in.rs
@@ -148,6 +148,16 @@
     );
 }
 
+#[tokio::test]
+async fn call_that_is_given_up_shows_how_long_calls_wait() {
+    let one = Scripted::start("one", vec![Step::Silence]).await;
+    let world = World::start(&[&one]).await;
+    let live = world.view.load().pools["pool"][0].live.clone();
+    assert_eq!(live.start_delay(Duration::ZERO), Duration::ZERO);
+    caller::call(world.address, "/resumable/7", "parts: t:64,s:64,o:9\r\n").await;
+    assert!(live.start_delay(Duration::ZERO) > Duration::from_millis(100));
+}
+
 #[tokio::test]
 async fn stored_parts_of_the_same_weights_are_fetched() {
     let one = Scripted::start("one", vec![]).await;
