Orders: an order without an answer keeps no place of the roll-out

What callers saw: while half of the orders to targets were answered never and carried out 2 to 12 s later, up to 7 of 18 targets still had weights 12 s after newer ones had been acknowledged (VERSION).

Cause: each such order kept one of the roll-out's places, a third of the pool, for 4 s: 1 s for its answer and 3 s of looking whether the target loads. Only then was it repeated. The same fault elsewhere: targets that answer no order or no report were chosen again and again, before all others.

Change: an order without an answer in 0.3 s is repeated, four times in a row, under the same count of accepted orders, so the target carries out one of them at most. Right and newest version are looked at before each. A silent target then leaves its place, rests for 0.25 to 1 s and goes behind the others. What a target is at no longer is not waited for.

Tests: late_orders plays an instance against targets that carry orders out late.

--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -7,7 +7,7 @@
     crate::{
         LoadingRecord, Platform,
         item::LOADING_KEY,
-        rollout::{self, Loadable},
+        rollout::{self, Loadable, SetAside},
         shared::Shared,
     },
     catalog::TargetId,
@@ -40,6 +40,7 @@
     let mut holding = None;
     let mut under_way = FuturesUnordered::new();
     let mut ordered = HashSet::new();
+    let mut aside = SetAside::default();
     let mut announced = LoadingRecord::default();
     let mut pause = PERIOD;
     loop {
@@ -47,7 +48,10 @@
         tokio::select! {
             () = token.cancelled() => break,
             () = orders.shared.draining.cancelled() => break,
-            Some(target) = under_way.next() => drop(ordered.remove(&target)),
+            Some((target, outcome)) = under_way.next() => {
+                ordered.remove(&target);
+                aside.note(&target, outcome, boot_time());
+            }
             () = changed => {}
             () = sleep(pause) => {}
         }
@@ -61,7 +65,8 @@
             pause = wait.min(PERIOD);
             continue;
         }
-        let planned = orders.plan(&ordered);
+        orders.forget_gone(&mut aside);
+        let planned = orders.plan(&ordered, &aside);
         ordered.extend(planned.iter().map(|(target, ..)| target.id.clone()));
         orders.announce(&mut announced, &ordered).await;
         for (target, loadable, wanted) in planned {
@@ -132,10 +137,22 @@
         })
     }
 
+    /// Forgets fruitless tries at targets that are gone.
+    fn forget_gone(&self, aside: &mut SetAside) {
+        let known = self.shared.known();
+        let ids: HashSet<&TargetId> = known.targets().map(|target| &target.id).collect();
+        aside.retain(|target| ids.contains(target));
+    }
+
     /// Targets to order now.
-    fn plan(&self, ordered: &HashSet<String>) -> Vec<(Arc<TargetState>, Loadable, u64)> {
+    fn plan(
+        &self,
+        ordered: &HashSet<TargetId>,
+        aside: &SetAside,
+    ) -> Vec<(Arc<TargetState>, Loadable, u64)> {
+        let now = boot_time();
         let known = self.shared.known();
-        let view = known.view(boot_time());
+        let view = known.view(now);
         let mut planned = Vec::new();
         for (model, wanted) in &view.wanted {
             for targets in view.pools.values() {
@@ -148,6 +165,8 @@
                             version: target.version(model)?,
                             in_flight_count: target.live.in_flight_count(),
                             ordered: ordered.contains(&target.id),
+                            rests: aside.rests(&target.id, now),
+                            fruitless_count: aside.fruitless_count(&target.id),
                         })
                     })
                     .collect();
--- /dev/null
+++ b/crates/entry/tests/late_orders.rs
@@ -0,0 +1,135 @@
+//! Roll-outs to targets that carry out a share of their orders late, without an answer to them.
+
+mod support;
+
+use {
+    futures::future::join_all,
+    keyvalue::MemoryKv,
+    std::time::Duration,
+    support::{
+        Instance,
+        late_target::{LateTarget, OrderFate},
+        put, until,
+    },
+    tokio::time::{Instant, sleep},
+};
+
+/// Targets of a pool.
+const TARGETS_COUNT: u64 = 18;
+/// Time from one named version to the next.
+const NEXT_VERSION_TIME: Duration = Duration::from_secs(5);
+/// A version has to be in place this long after it was named. It takes half of that.
+const BOUND: Duration = Duration::from_secs(11);
+
+struct Fleet {
+    kv: MemoryKv,
+    targets: Vec<LateTarget>,
+    _instance: Instance,
+}
+
+/// An instance that may give orders soon, and a pool whose targets have the fates that `fate` gives.
+async fn fleet(seed: u64, fate: impl Fn(u64) -> OrderFate) -> Fleet {
+    let kv = MemoryKv::new();
+    put(&kv, "operators/configuration", "1").await;
+    let mut targets = Vec::new();
+    for index in 0..TARGETS_COUNT {
+        let target = LateTarget::start(fate(index), seed * 1_000 + index).await;
+        let entry = format!("{} 1", target.address);
+        put(&kv, &format!("targets/t{index:02}"), &entry).await;
+        targets.push(target);
+    }
+    let instance = Instance::start("one", kv.clone());
+    until("ready", async || instance.is_ready().await).await;
+    // So that the right to give orders is taken.
+    sleep(Duration::from_secs(1)).await;
+    Fleet {
+        kv,
+        targets,
+        _instance: instance,
+    }
+}
+
+impl Fleet {
+    async fn name(&self, version: u64) {
+        put(&self.kv, "operators/version/m", &version.to_string()).await;
+    }
+
+    /// Targets that are behind `version` at `deadline`, or 0 as soon as there are none.
+    async fn behind_count(&self, version: u64, deadline: Instant) -> usize {
+        loop {
+            let versions = self.targets.iter().map(LateTarget::version);
+            let behind_count = versions.filter(|it| *it < version).count();
+            if behind_count == 0 || Instant::now() >= deadline {
+                return behind_count;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Names two versions, the second before the first has to be in place. Gives the targets that each
+/// came too late for.
+async fn two_versions(late_share: f64, seed: u64) -> (usize, usize) {
+    let fleet = fleet(seed, |_| OrderFate::Late(late_share)).await;
+    let first_deadline = Instant::now() + BOUND;
+    fleet.name(2).await;
+    sleep(NEXT_VERSION_TIME).await;
+    let second_named = Instant::now();
+    fleet.name(3).await;
+    let first = fleet.behind_count(2, first_deadline).await;
+    let second = fleet.behind_count(3, second_named + BOUND).await;
+    for target in &fleet.targets {
+        let loaded = target.seen().loaded;
+        assert!(loaded.is_sorted(), "an older version came back: {loaded:?}");
+    }
+    println!(
+        "seed {seed}, share {late_share}: all in place {:?} after the second, {} orders for {} loads",
+        second_named.elapsed(),
+        fleet
+            .targets
+            .iter()
+            .map(|it| it.seen().arrived_count)
+            .sum::<u64>(),
+        fleet
+            .targets
+            .iter()
+            .map(|it| it.seen().loaded.len())
+            .sum::<usize>(),
+    );
+    (first, second)
+}
+
+#[tokio::test]
+async fn late_orders_hold_back_no_version() {
+    let plays = (1..=4).map(|seed| two_versions(0.5, seed));
+    let behind = join_all(plays).await;
+    assert_eq!(behind, [(0, 0); 4], "targets behind each version");
+}
+
+#[tokio::test]
+async fn targets_that_answer_no_order_hold_back_no_other() {
+    let lost_count = TARGETS_COUNT / 3;
+    // The last by name are first in line.
+    let fate = |index| {
+        if index < TARGETS_COUNT - lost_count {
+            OrderFate::Late(0.0)
+        } else {
+            OrderFate::Lost
+        }
+    };
+    let fleet = fleet(1, fate).await;
+    fleet.name(2).await;
+    let deadline = Instant::now() + BOUND;
+    let lost_count = usize::try_from(lost_count).unwrap();
+    until("all others in place", async || {
+        fleet.behind_count(2, Instant::now()).await == lost_count || Instant::now() > deadline
+    })
+    .await;
+    assert_eq!(fleet.behind_count(2, Instant::now()).await, lost_count);
+    let lost = fleet.targets.iter().rev().take(lost_count);
+    let tries = lost.map(|it| it.seen().arrived_count).max().unwrap();
+    assert!(
+        tries < 40,
+        "orders are not repeated in a tight loop: {tries}"
+    );
+}
--- a/crates/entry/tests/order_holding.rs
+++ b/crates/entry/tests/order_holding.rs
@@ -3,7 +3,7 @@
 use {
     entry::{
         Holding, Tenure,
-        rollout::{Loadable, next, waits_for_runs},
+        rollout::{Loadable, SetAside, Try, is_under_way, next, waits_for_runs},
     },
     std::time::Duration,
 };
@@ -66,6 +66,8 @@
             version: *version,
             in_flight_count: u32::try_from(10 - index % 10).unwrap(),
             ordered: false,
+            rests: false,
+            fruitless_count: 0,
         })
         .collect()
 }
@@ -110,3 +112,41 @@
         "its holder was suspended"
     );
 }
+
+#[test]
+fn fruitless_targets_let_others_go_first() {
+    let mut pool = pool(&[1; 9]);
+    pool[8].fruitless_count = 1;
+    pool[7].rests = true;
+    let chosen: Vec<&str> = next(&pool, 2).iter().map(|it| it.target.as_str()).collect();
+    assert_eq!(chosen, ["t6", "t5", "t4"]);
+    for target in &mut pool[..7] {
+        target.version = 2;
+    }
+    let chosen: Vec<&str> = next(&pool, 2).iter().map(|it| it.target.as_str()).collect();
+    assert_eq!(chosen, ["t8"], "still ordered, once nobody else is left");
+}
+
+#[test]
+fn rests_after_fruitless_tries_grow_up_to_a_bound() {
+    let target = "t1".to_owned();
+    let mut aside = SetAside::default();
+    assert!(!aside.rests(&target, ms(0)));
+    aside.note(&target, Try::Fruitless, ms(0));
+    assert!(aside.rests(&target, ms(200)));
+    assert!(!aside.rests(&target, ms(300)));
+    for _ in 0..100 {
+        aside.note(&target, Try::Fruitless, ms(0));
+    }
+    assert_eq!(aside.fruitless_count(&target), 101);
+    assert!(!aside.rests(&target, ms(1_000)));
+    aside.note(&target, Try::Over, ms(0));
+    assert_eq!(aside.fruitless_count(&target), 0);
+}
+
+#[test]
+fn order_that_an_old_report_does_not_show_is_waited_for() {
+    assert!(is_under_way(false, ms(300)));
+    assert!(!is_under_way(false, ms(800)));
+    assert!(is_under_way(true, ms(2_900)));
+}
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -102,12 +102,14 @@
 
     fn report(&self, body: &[u8]) -> Option<TargetReport> {
         let text = std::str::from_utf8(body).ok()?;
-        let version = text.parse().ok()?;
+        let fields: Vec<&str> = text.split(' ').collect();
         Some(TargetReport {
             models: vec![ModelState {
                 model: "m".to_owned(),
-                version,
+                version: fields.first()?.parse().ok()?,
             }],
+            busy: fields.get(1).is_some_and(|it| *it == "true"),
+            accepted_orders_count: fields.get(2).and_then(|it| it.parse().ok()).unwrap_or(0),
             ..TargetReport::default()
         })
     }
@@ -134,17 +136,18 @@
 
     fn order_call(&self, order: &VersionOrder) -> Request<Full<Bytes>> {
         let path = format!(
-            "/order/{}/{}/{}",
-            order.holder, order.fencing, order.version
+            "/order/{}/{}/{}/{}",
+            order.holder, order.fencing, order.version, order.accepted_orders_count
         );
         Request::post(path).body(Full::default()).unwrap()
     }
 
     fn order_outcome(&self, status: u16) -> OrderOutcome {
-        if status == 202 {
-            OrderOutcome::Accepted
-        } else {
-            OrderOutcome::Unknown
+        match status {
+            200 => OrderOutcome::Holds,
+            202 => OrderOutcome::Accepted,
+            409 => OrderOutcome::Conflict,
+            _ => OrderOutcome::Unknown,
         }
     }
 }
--- /dev/null
+++ b/crates/entry/tests/support/late_target.rs
@@ -0,0 +1,191 @@
+//! A target that carries a share of its orders out late, without an answer to them.
+
+use {
+    super::target::respond,
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        convert::Infallible,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
+    tokio::{net::TcpListener, time::sleep},
+};
+
+/// How long replacing weights takes.
+const LOADING_TIME: Duration = Duration::from_millis(430);
+/// How old what a report says is.
+const REPORT_AGE: Duration = Duration::from_millis(200);
+/// Shortest and longest time until a late order is carried out, in milliseconds.
+const LATE_MS: std::ops::Range<u64> = 2_000..12_000;
+
+/// What becomes of the orders to a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum OrderFate {
+    /// This share of them gets no answer and is carried out late.
+    Late(f64),
+    /// They get no answer and are never carried out.
+    Lost,
+}
+
+/// What a target reports.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct State {
+    pub version: u64,
+    pub busy: bool,
+    pub accepted_count: u64,
+}
+
+/// All that happened to a target's orders.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Versions that were loaded, in order.
+    pub loaded: Vec<u64>,
+    /// Orders that arrived.
+    pub arrived_count: u64,
+    /// Orders that were carried out late, or refused then.
+    pub late_count: u64,
+}
+
+struct Inner {
+    state: State,
+    reported: State,
+    seen: Seen,
+    luck: StdRng,
+}
+
+/// A running target.
+#[derive(Clone)]
+pub struct LateTarget {
+    pub address: SocketAddr,
+    fate: OrderFate,
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl LateTarget {
+    /// Starts a target with version 1.
+    pub async fn start(fate: OrderFate, seed: u64) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let state = State {
+            version: 1,
+            ..State::default()
+        };
+        let target = Self {
+            address: listener.local_addr().unwrap(),
+            fate,
+            inner: Arc::new(Mutex::new(Inner {
+                state,
+                reported: state,
+                seen: Seen::default(),
+                luck: StdRng::seed_from_u64(seed),
+            })),
+        };
+        let shared = target.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let shared = shared.clone();
+                let service = service_fn(move |request| {
+                    let shared = shared.clone();
+                    async move { Ok::<_, Infallible>(shared.answer(&request).await) }
+                });
+                let stream = TokioIo::new(stream);
+                tokio::spawn(http1::Builder::new().serve_connection(stream, service));
+            }
+        });
+        target
+    }
+
+    /// Version that the target has.
+    pub fn version(&self) -> u64 {
+        self.lock().state.version
+    }
+
+    /// What happened so far.
+    pub fn seen(&self) -> Seen {
+        self.lock().seen.clone()
+    }
+
+    async fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = request.uri().path();
+        if path == "/report" {
+            let state = self.lock().reported;
+            let State {
+                version,
+                busy,
+                accepted_count,
+            } = state;
+            return respond(200, format!("{version} {busy} {accepted_count}"));
+        }
+        let Some(order) = path.strip_prefix("/order/") else {
+            return respond(500, String::new());
+        };
+        let fields: Vec<&str> = order.split('/').collect();
+        let version = fields[2].parse().unwrap();
+        let accepted_before = fields[3].parse().unwrap();
+        let Some(late) = self.lateness().await else {
+            return respond(self.carry_out(version, accepted_before), String::new());
+        };
+        let target = self.clone();
+        // Lives on when the caller gives up.
+        tokio::spawn(async move {
+            sleep(late).await;
+            target.lock().seen.late_count += 1;
+            target.carry_out(version, accepted_before);
+        });
+        std::future::pending().await
+    }
+
+    /// How late an order that arrives now is carried out; none for one that is not late.
+    async fn lateness(&self) -> Option<Duration> {
+        self.lock().seen.arrived_count += 1;
+        let OrderFate::Late(share) = self.fate else {
+            return std::future::pending().await;
+        };
+        let mut inner = self.lock();
+        let is_late = inner.luck.random_bool(share);
+        is_late.then(|| Duration::from_millis(inner.luck.random_range(LATE_MS)))
+    }
+
+    /// Begins to load, unless the order's precondition fails now.
+    fn carry_out(&self, version: u64, accepted_before: u64) -> u16 {
+        let mut inner = self.lock();
+        if inner.state.busy || inner.state.accepted_count != accepted_before {
+            return 409;
+        }
+        if inner.state.version == version {
+            return 200;
+        }
+        inner.state.busy = true;
+        inner.state.accepted_count += 1;
+        drop(inner);
+        self.report_later();
+        let target = self.clone();
+        tokio::spawn(async move {
+            sleep(LOADING_TIME).await;
+            let mut inner = target.lock();
+            inner.state.busy = false;
+            inner.state.version = version;
+            inner.seen.loaded.push(version);
+            drop(inner);
+            target.report_later();
+        });
+        202
+    }
+
+    fn report_later(&self) {
+        let target = self.clone();
+        let state = target.lock().state;
+        tokio::spawn(async move {
+            sleep(REPORT_AGE).await;
+            target.lock().reported = state;
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap()
+    }
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! Entry instances over an in-memory key-value service, with formats and targets of the tests' own.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 pub mod formats;
+pub mod late_target;
 pub mod target;
 
 use {
--- a/crates/entry/tests/support/target.rs
+++ b/crates/entry/tests/support/target.rs
@@ -80,7 +80,8 @@
     }
 }
 
-fn respond(status: u16, body: String) -> Response<Full<Bytes>> {
+/// An answer.
+pub fn respond(status: u16, body: String) -> Response<Full<Bytes>> {
     let response = Response::builder().status(status);
     response.body(Full::new(Bytes::from(body))).unwrap()
 }
