The oldest version that a target lacks decides whether its runs are waited for

Cause: the holder of orders lost its power 0.5 s after version 3 was named, and the next one ordered 6 s after. It still waited half a second for runs, because version 4 had been named meanwhile, and only the newest version's age was looked at.

Change: runs are waited for while every version that the target lacks is younger than 0.4 of the bound.

Test: order_holding::newer_version_does_not_renew_the_wait_for_runs, of a choice that took no version before.

--- a/crates/entry/src/orders/replacing.rs
+++ b/crates/entry/src/orders/replacing.rs
@@ -101,7 +101,7 @@
     async fn drained(&self, target: &TargetState, model: &str) -> Option<TargetReport> {
         let mut report = self.report(target).await?;
         for _ in 0..DRAIN_ROUNDS_COUNT {
-            if report.is_idle() || report.busy || !self.waits_for_runs(model) {
+            if report.is_idle() || report.busy || !self.waits_for_runs(target, model) {
                 break;
             }
             sleep(DRAIN_PERIOD).await;
@@ -110,13 +110,13 @@
         Some(report)
     }
 
-    /// Whether the newest weights of `model` were named so lately that runs are waited for.
-    fn waits_for_runs(&self, model: &str) -> bool {
+    /// Whether the weights that `target` lacks were named so lately that its runs are waited for.
+    fn waits_for_runs(&self, target: &TargetState, model: &str) -> bool {
         let known = self.shared.known();
         let wanted = known.wanted().get(model);
-        let age = wanted.and_then(|wanted| wanted.max_age(boot_time()));
+        let version = target.version(model).unwrap_or(0);
         let bound = self.shared.settings.version_bound;
-        age.is_some_and(|age| rollout::waits_for_runs(age, bound))
+        wanted.is_some_and(|it| rollout::waits_for_runs(it, version, boot_time(), bound))
     }
 
     /// Repeats an order until it is answered, but not for long. An order without an answer may be
--- a/crates/entry/src/rollout.rs
+++ b/crates/entry/src/rollout.rs
@@ -6,6 +6,7 @@
 
 use {
     catalog::{ModelId, TargetId},
+    relay::Wanted,
     std::{cmp::Reverse, collections::HashMap, time::Duration},
 };
 
@@ -24,14 +25,15 @@
 /// Longest rest between tries at a target.
 const MAX_REST: Duration = Duration::from_secs(1);
 
-/// Whether the runs of a target are waited for before it is ordered to weights that were named
-/// `age` ago and have to be in place `bound` after that.
+/// Whether the runs of a target that has `version` are waited for before it is ordered to newer weights,
+/// which have to be in place `bound` after they were named.
 ///
 /// Answers a roll-out that begins late, for example after its holder was suspended: ended runs are
-/// worth less then than weights that are in place.
+/// worth less then than weights that are in place. The oldest version that the target lacks decides,
+/// since a newer one doesn't put off the bound of those before it.
 #[must_use]
-pub fn waits_for_runs(age: Duration, bound: Duration) -> bool {
-    age < bound.mul_f64(PATIENT_SHARE)
+pub fn waits_for_runs(wanted: &Wanted, version: u64, now: Duration, bound: Duration) -> bool {
+    wanted.required(now, bound.mul_f64(PATIENT_SHARE)) <= version
 }
 
 /// Whether an order that was accepted `age` ago is still being carried out, by a report that says
--- a/crates/entry/tests/order_holding.rs
+++ b/crates/entry/tests/order_holding.rs
@@ -5,6 +5,7 @@
         Holding, Tenure,
         rollout::{Loadable, SetAside, Try, is_under_way, next, waits_for_runs},
     },
+    relay::Wanted,
     std::time::Duration,
 };
 
@@ -102,17 +103,37 @@
     assert_eq!(held.wait(ms(3_100)), Duration::ZERO);
 }
 
+const BOUND: Duration = Duration::from_secs(8);
+
+/// Versions 2 and 3, named at the given times.
+fn wanted(second_named_at: Duration, third_named_at: Duration) -> Wanted {
+    let mut wanted = Wanted::default();
+    wanted.name(2, Some(second_named_at), second_named_at);
+    wanted.name(3, Some(third_named_at), third_named_at);
+    wanted
+}
+
 #[test]
 fn late_roll_out_waits_for_no_runs() {
-    let bound = ms(8_000);
-    assert!(waits_for_runs(ms(0), bound));
-    assert!(waits_for_runs(ms(3_000), bound));
+    let wanted = wanted(ms(0), ms(0));
+    assert!(waits_for_runs(&wanted, 1, ms(0), BOUND));
+    assert!(waits_for_runs(&wanted, 1, ms(3_000), BOUND));
     assert!(
-        !waits_for_runs(ms(6_000), bound),
+        !waits_for_runs(&wanted, 1, ms(6_000), BOUND),
         "its holder was suspended"
     );
 }
 
+#[test]
+fn newer_version_does_not_renew_the_wait_for_runs() {
+    let wanted = wanted(ms(0), ms(5_000));
+    assert!(!waits_for_runs(&wanted, 1, ms(6_000), BOUND));
+    assert!(
+        waits_for_runs(&wanted, 2, ms(6_000), BOUND),
+        "a target that lacks the newer one only"
+    );
+}
+
 #[test]
 fn fruitless_targets_let_others_go_first() {
     let mut pool = pool(&[1; 9]);
