--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -17,6 +17,7 @@
 //! assert_eq!(first, choose(&candidates, Some(session), 1), "a session stays where it is");
 //! ```
 
+mod answer_time;
 mod candidate;
 mod choose;
 mod health;
@@ -26,6 +27,7 @@
 mod start_delay;
 
 pub use {
+    answer_time::AnswerTime,
     candidate::Candidate,
     choose::choose,
     health::{Health, Outcome},
--- a/crates/entry/src/known.rs
+++ b/crates/entry/src/known.rs
@@ -4,7 +4,7 @@
     crate::{HolderRecord, Item, ItemName, LoadingRecord, MemberRecord, TargetEntry},
     balance::rendezvous,
     catalog::{InstanceId, ModelId, Revision, TargetId},
-    relay::{Live, TargetState, View, Wanted},
+    relay::{Leaving, Live, TargetState, View, Wanted},
     routes::RouteTable,
     std::{
         collections::{BTreeMap, HashMap},
@@ -32,6 +32,18 @@
 struct KnownMember {
     record: MemberRecord,
     lapses_at: Option<Duration>,
+    /// When it was first known to take callers no more.
+    left_at: Option<Duration>,
+}
+
+/// This instance, while it leaves.
+#[derive(Clone, Debug)]
+struct OwnLeaving {
+    instance: InstanceId,
+    since: Duration,
+    grace: Duration,
+    known_from: Duration,
+    answers_until: Duration,
 }
 
 /// The right to give orders, as it lies in the service.
@@ -49,6 +61,9 @@
 /// Age of a wish for newer weights that was there before this instance started.
 const FOUND_WISH_AGE: Duration = Duration::from_secs(4);
 
+/// Time from the end of an instance to its next start, and until that takes callers.
+const RESTART_TIME: Duration = Duration::from_millis(500);
+
 /// What the instance believes. All times are those of a clock that counts suspension. Changes only by [`Known::put`], [`Known::delete`]
 /// and [`Known::expire`]; newer configuration and versions never give way to
 /// older ones.
@@ -64,7 +79,7 @@
     /// Until then a missing entry may only have lapsed in an outage.
     returning_until: Option<Duration>,
     confirmed: Option<Duration>,
-    draining: bool,
+    leaving: Option<OwnLeaving>,
 }
 
 impl Known {
@@ -84,11 +99,7 @@
             }
             Item::Target(entry) => self.put_target(name, entry),
             Item::Member(record) => {
-                let member = KnownMember {
-                    record,
-                    lapses_at: None,
-                };
-                self.members.insert(name.to_owned(), member);
+                self.put_member(name, record, now);
             }
             Item::Loading(record) => {
                 self.note_loaded(&record);
@@ -132,9 +143,52 @@
         self.confirmed = Some(now);
     }
 
-    /// Notes that this instance is shutting down.
-    pub fn drain(&mut self) {
-        self.draining = true;
+    /// Notes that this instance, of this name, leaves from `now` on: callers know after `learning`, its
+    /// answers have to be whole after `answers`, and it ends within `grace`.
+    pub fn leave(
+        &mut self,
+        instance: InstanceId,
+        now: Duration,
+        learning: Duration,
+        answers: Duration,
+        grace: Duration,
+    ) {
+        self.leaving = Some(OwnLeaving {
+            instance,
+            since: now,
+            grace,
+            known_from: now + learning,
+            answers_until: now + answers,
+        });
+    }
+
+    /// What callers of this instance can do, if it leaves.
+    #[must_use]
+    pub fn leaving(&self) -> Option<Leaving> {
+        let own = self.leaving.as_ref()?;
+        let ready = self.ready_members();
+        let is_other = |(name, _): &(&InstanceId, &MemberRecord)| **name != own.instance;
+        let has_other = ready.iter().any(is_other);
+        Some(Leaving {
+            known_from: own.known_from,
+            answers_until: own.answers_until,
+            back_at: (!has_other).then(|| self.back_at(own)),
+        })
+    }
+
+    /// Addresses of the instances that began to leave after `since`.
+    #[must_use]
+    pub fn left_since(&self, since: Duration) -> Vec<SocketAddr> {
+        let members = self.members.values();
+        let left = members.filter(|member| member.left_at.is_some_and(|at| at > since));
+        left.map(|member| member.record.address).collect()
+    }
+
+    /// When the first of the instances that leave takes callers again, if each has all of its time.
+    fn back_at(&self, own: &OwnLeaving) -> Duration {
+        let left = self.members.values().filter_map(|member| member.left_at);
+        let first = left.min().map_or(own.since, |left| left.min(own.since));
+        first + own.grace + RESTART_TIME
     }
 
     /// Drops what lapsed and did not come back. Returns whether anything changed.
@@ -207,7 +261,7 @@
             wanted: self.wanted.clone(),
             instances_count: u32::try_from(instances_count).unwrap_or(u32::MAX),
             confirmed: self.confirmed.unwrap_or(now),
-            draining: self.draining,
+            leaving: self.leaving(),
         }
     }
 
@@ -230,6 +284,22 @@
         }
     }
 
+    fn put_member(&mut self, name: &str, record: MemberRecord, now: Duration) {
+        let before = self.members.get(name);
+        let left_at = match before {
+            _ if record.ready => None,
+            Some(before) if before.record.ready => Some(now),
+            Some(before) => before.left_at,
+            None => None,
+        };
+        let member = KnownMember {
+            record,
+            lapses_at: None,
+            left_at,
+        };
+        self.members.insert(name.to_owned(), member);
+    }
+
     fn put_target(&mut self, id: &str, entry: TargetEntry) {
         let before = self.targets.get(id);
         let same_start = before.filter(|it| {
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -9,6 +9,7 @@
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
+    relay::Closing,
     routes::CallLimits,
     socket2::SockRef,
     std::{convert::Infallible, error::Error, future::Future, sync::Arc, time::Duration},
@@ -25,6 +26,9 @@
 /// Longest time that a caller may leave sent bytes unacknowledged.
 const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(5);
 
+/// Time that the end of an answer gets to go out once answers have to end.
+pub(crate) const CUT_TIME: Duration = Duration::from_millis(50);
+
 /// Bounds on the connections of one listener.
 #[derive(Clone, Debug)]
 pub(crate) struct Listening {
@@ -34,6 +38,8 @@
     pub(crate) draining: CancellationToken,
     /// From now on no connection is accepted and unused ones are closed.
     pub(crate) stop: CancellationToken,
+    /// From now on answers in progress end; soon after, so do their connections.
+    pub(crate) closing: Closing,
 }
 
 /// Serves every connection with `service`, within the limits in force when it was accepted, until `stop` and the end of all requests in progress.
@@ -124,17 +130,30 @@
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let outcome = tokio::select! {
-        outcome = connection.as_mut() => outcome,
-        () = listening.stop.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let served = async {
+        tokio::select! {
+            outcome = connection.as_mut() => outcome,
+            () = listening.stop.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
+    let outcome = tokio::select! {
+        biased;
+        outcome = served => outcome,
+        () = ended(&listening.closing) => return,
+    };
     if let Err(error) = outcome {
         log::debug!("connection ended: {error}");
     }
 }
 
+/// Waits until the last answers have had time to go out.
+async fn ended(closing: &Closing) {
+    closing.begun().await;
+    sleep(CUT_TIME).await;
+}
+
 /// Least buffer of a connection, in bytes.
 const MIN_BUFFER_BYTES: usize = 16 << 10;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -145,6 +145,23 @@
         });
     }
 
+    /// Whether, while this instance leaves, another one takes callers.
+    pub(crate) fn has_others(&self) -> bool {
+        let leaving = self.followed.view().leaving;
+        leaving.is_some_and(|leaving| leaving.back_at.is_none())
+    }
+
+    /// Waits until another instance takes callers while this one leaves.
+    pub(crate) async fn others_take_callers(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.has_others() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Whether this instance takes callers.
     pub(crate) fn is_ready(&self) -> bool {
         !self.draining.is_cancelled() && self.followed.view().table.is_some()
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::{
-        Platform, Settings, directory, follower,
-        listener::{self, Listening},
+        Platform, Settings,
+        directory::{self, LEARNING_TIME},
+        follower,
+        listener::{self, CUT_TIME, Listening},
         membership, orders, peer_watch, place_watch,
         shared::Shared,
     },
@@ -11,7 +13,7 @@
     feed::Feed,
     hyper::{Request, body::Incoming},
     keyvalue::KeyValue,
-    relay::{Relay, RelaySettings},
+    relay::{Relay, RelaySettings, boot_time},
     routes::CallLimits,
     snafu::{ResultExt, Snafu},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
@@ -19,7 +21,11 @@
         Child, ChildResult, Restart, RestartLimit, Supervisor, SupervisorError, run_on_thread,
     },
     target::{Client, ClientSettings},
-    tokio::{net::TcpListener, task::JoinSet, time::sleep},
+    tokio::{
+        net::TcpListener,
+        task::{JoinHandle, JoinSet},
+        time::{sleep, timeout},
+    },
     tokio_util::sync::CancellationToken,
 };
 
@@ -32,8 +38,10 @@
 /// Time that callers get to learn other addresses before connections are refused: some keep an
 /// answer for three times its age.
 const LEAVING_TIME: Duration = Duration::from_millis(3_500);
-/// Time before the end by force that is left for the exit.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time before the end by force at which answers in progress are cut and the exit begins.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the end by force that is left for the log.
+const LOG_MARGIN: Duration = Duration::from_millis(100);
 /// Share of the version bound after which calls avoid older weights.
 const OLD_WEIGHTS_SHARE: f64 = 0.8;
 /// Descriptors kept for files, the service's connections and connections to targets, as a share.
@@ -105,16 +113,42 @@
         () = stop.cancelled() => {}
         () = ended.cancelled() => {}
     }
+    let since = boot_time();
     leave(&shared, &drained, &mut servers).await;
     ended.cancel();
-    let outcome = control.await.unwrap_or(Ok(()));
+    let control_until = since + shared.settings.grace.saturating_sub(LOG_MARGIN);
+    let rest = control_until.saturating_sub(boot_time());
+    let outcome = end_control(control, rest).await;
+    let took = boot_time().saturating_sub(since);
     shared.log.emit(&Event::Stopped {
         reason: "asked to stop".to_owned(),
+        took_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+        cut_count: shared.followed.closing.cut_count(),
     });
     outcome.context(ControlSnafu)
 }
 
-/// Leads callers elsewhere, then ends once every call in progress has been answered.
+/// Waits for the end of the control thread. What it can't give back within `rest`, such as a lease while the
+/// key-value service is silent, lapses.
+async fn end_control(
+    control: JoinHandle<Result<(), SupervisorError>>,
+    rest: Duration,
+) -> Result<(), SupervisorError> {
+    match timeout(rest, control).await {
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(error)) => {
+            log::error!("the control thread ended early: {error}");
+            Ok(())
+        }
+        Err(_) => {
+            log::warn!("the control thread did not end in {} ms", rest.as_millis());
+            Ok(())
+        }
+    }
+}
+
+/// Leads callers elsewhere, then ends once every call in progress has been answered. Calls that would not
+/// end in time are refused by the relay; what is left of the others is cut shortly before the end by force.
 async fn leave<Kv, Format>(
     shared: &Shared<Kv, Format>,
     drained: &CancellationToken,
@@ -123,22 +157,52 @@
     Format: Platform,
 {
     let grace = shared.settings.grace;
+    let answers_time = grace.saturating_sub(EXIT_MARGIN);
+    let now = boot_time();
     shared.log.emit(&Event::Draining {
         grace_ms: u64::try_from(grace.as_millis()).unwrap_or(u64::MAX),
     });
     shared.draining.cancel();
-    shared.known().drain();
+    let instance = shared.settings.instance.clone();
+    let answers_until = now + answers_time;
+    let learning = LEARNING_TIME.min(grace / 2);
+    shared
+        .known()
+        .leave(instance, now, learning, answers_time, grace);
     shared.publish();
-    let leaving = LEAVING_TIME.min(grace / 2);
-    sleep(leaving).await;
+    let _ = timeout(answers_time, lead_elsewhere(shared)).await;
     drained.cancel();
-    let rest = grace.saturating_sub(leaving + EXIT_MARGIN);
-    tokio::select! {
-        () = async { while servers.join_next().await.is_some() {} } => {}
-        () = sleep(rest) => log::warn!("calls in progress took too long; stopping without them"),
+    let rest = answers_until.saturating_sub(boot_time());
+    if timeout(rest, all_ended(servers)).await.is_ok() {
+        return;
+    }
+    log::warn!("calls in progress took too long; their answers are cut");
+    shared.followed.closing.begin();
+    if timeout(CUT_TIME * 2, all_ended(servers)).await.is_err() {
+        log::warn!("connections are left open for the end of the process to close");
     }
 }
 
+/// Waits until callers have had the time to learn the addresses of other instances. While there are none,
+/// callers have nowhere to go: what can still be answered is better answered here.
+async fn lead_elsewhere<Kv, Format>(shared: &Shared<Kv, Format>) {
+    if shared.followed.view().table.is_none() {
+        // Callers were never told of this instance.
+        return;
+    }
+    let leaving_time = LEAVING_TIME.min(shared.settings.grace / 2);
+    sleep(leaving_time).await;
+    if shared.has_others() {
+        return;
+    }
+    shared.others_take_callers().await;
+    sleep(leaving_time).await;
+}
+
+async fn all_ended(servers: &mut JoinSet<()>) {
+    while servers.join_next().await.is_some() {}
+}
+
 /// The tree of the control thread.
 fn control<Kv, Format>(shared: &Arc<Shared<Kv, Format>>, feed: Arc<TcpListener>) -> Supervisor
 where
@@ -224,6 +288,7 @@
         max_connections_count,
         draining: shared.draining.clone(),
         stop,
+        closing: shared.followed.closing.clone(),
     };
     let view = shared.followed.view.clone();
     let limits = move || {
@@ -256,6 +321,7 @@
         max_connections_count: MAX_QUESTIONS_COUNT,
         draining: shared.draining.clone(),
         stop,
+        closing: shared.followed.closing.clone(),
     };
     let limits = || CallLimits {
         max_head_bytes: MAX_QUESTION_BYTES,
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -164,3 +164,36 @@
     }
     assert_eq!(known.view(START).instances_count, 2);
 }
+
+fn member(port: u16, ready: bool) -> Item {
+    Item::Member(MemberRecord {
+        address: address(port),
+        failure_domain: "a".to_owned(),
+        ready,
+        feed: None,
+    })
+}
+
+#[test]
+fn leaving_instance_knows_who_else_takes_callers_and_when_one_is_back() {
+    let leave = |known: &mut Known, now: f64| {
+        let seconds = Duration::from_secs;
+        known.leave("b".to_owned(), at(now), seconds(3), seconds(7), seconds(8));
+    };
+    let mut known = Known::default();
+    assert_eq!(known.leaving(), None);
+    known.put("a", member(1, true), 1, at(0.0));
+    known.put("b", member(2, true), 2, at(0.0));
+    leave(&mut known, 4.0);
+    known.put("b", member(2, false), 3, at(4.0));
+    let leaving = known.leaving().unwrap();
+    assert_eq!(leaving.back_at, None, "the other one takes callers");
+    assert!(!leaving.is_known(at(6.9)) && leaving.is_known(at(7.1)));
+    assert!(leaving.has_time(Duration::from_secs(3), at(7.9)));
+    assert!(!leaving.has_time(Duration::from_secs(3), at(8.1)));
+    known.put("a", member(1, false), 4, at(5.0));
+    known.put("a", member(1, false), 5, at(6.0));
+    let back_at = known.leaving().unwrap().back_at.unwrap();
+    assert!(back_at > at(12.0) && back_at < at(13.0), "{back_at:?}");
+    assert_eq!(known.left_since(at(4.5)), [address(1)]);
+}
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -64,11 +64,14 @@
         let text = std::str::from_utf8(value).unwrap();
         Ok(match name {
             ItemName::Configuration => {
-                let route = Route::new("all", "a.example", "/")
-                    .repeat(Repeat::Idempotent)
-                    .pool("pool");
+                let route = |name: &str, prefix: &str| {
+                    Route::new(name, "a.example", prefix)
+                        .repeat(Repeat::Idempotent)
+                        .pool("pool")
+                };
+                let routes = vec![route("all", "/"), route("slow", "/slow/")];
                 let accepted = Accepted::default().version(text.parse().unwrap());
-                Item::Configuration(Box::new(accepted.routes(vec![route])))
+                Item::Configuration(Box::new(accepted.routes(routes)))
             }
             ItemName::Version(_) => Item::Version(text.parse().unwrap()),
             _ => {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! Entry instances over an in-memory key-value service, with formats and targets of the tests' own.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod formats;
 pub mod target;
@@ -9,12 +10,16 @@
     eventlog::EventLog,
     formats::Formats,
     http_body_util::{BodyExt, Full},
-    hyper::{Request, client::conn::http1},
+    hyper::{HeaderMap, Request, client::conn::http1},
     hyper_util::rt::TokioIo,
     keyvalue::{KeyValue, MemoryKv, Op, Txn},
     std::{
+        io::{self, Write},
         net::{SocketAddr, TcpListener},
-        sync::atomic::{AtomicU16, Ordering},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU16, Ordering},
+        },
         time::Duration,
     },
     tokio::{net::TcpStream, task::JoinHandle, time::sleep},
@@ -29,6 +34,30 @@
     pub settings: Settings,
     pub stop: CancellationToken,
     pub ended: JoinHandle<Result<(), entry::StartError>>,
+    lines: Lines,
+}
+
+/// What an instance has logged.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// An answer as the caller got it.
+#[derive(Clone, Debug, Default)]
+pub struct Got {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: String,
 }
 
 impl Instance {
@@ -36,7 +65,8 @@
     pub fn start(name: &str, kv: MemoryKv) -> Self {
         let settings = settings(name);
         let stop = CancellationToken::new();
-        let log = EventLog::start(std::io::sink());
+        let lines = Lines::default();
+        let log = EventLog::start(lines.clone());
         let run = entry::run(settings.clone(), kv, Formats, log, stop.clone());
         let ended = tokio::spawn(async move {
             let ended = run.await;
@@ -49,23 +79,38 @@
             settings,
             stop,
             ended,
+            lines,
         }
     }
 
+    /// Lines of the log that hold `text`.
+    pub fn lines(&self, text: &str) -> Vec<String> {
+        let bytes = self.lines.0.lock().unwrap();
+        let written = String::from_utf8_lossy(&bytes);
+        let lines = written.lines().filter(|line| line.contains(text));
+        lines.map(str::to_owned).collect()
+    }
+
     pub async fn is_ready(&self) -> bool {
         let got = get(self.settings.ready_listen, "/ready", &[]).await;
-        got.is_some_and(|(status, _)| status == 200)
+        got.is_some_and(|got| got.status == 200)
     }
 
     /// Addresses that callers are told of.
     pub async fn addresses(&self) -> Vec<String> {
         let got = get(self.settings.directory_listen, "/addresses", &[]).await;
-        let (_, body) = got.unwrap_or_default();
+        let body = got.unwrap_or_default().body;
         body.split_whitespace().map(str::to_owned).collect()
     }
 
     /// Sends a call; gives status and body.
     pub async fn call(&self, path: &str) -> Option<(u16, String)> {
+        let got = self.answer(path).await?;
+        Some((got.status, got.body))
+    }
+
+    /// Sends a call; gives the whole answer.
+    pub async fn answer(&self, path: &str) -> Option<Got> {
         let headers = [("host", "a.example"), ("id", "c1")];
         get(self.settings.listen, path, &headers).await
     }
@@ -101,7 +146,7 @@
     kv.txn(write).await.unwrap();
 }
 
-async fn get(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Option<(u16, String)> {
+async fn get(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Option<Got> {
     let stream = TcpStream::connect(address).await.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(connection);
@@ -111,9 +156,13 @@
     }
     let request = builder.body(Full::new(Bytes::new())).unwrap();
     let response = sender.send_request(request).await.ok()?;
-    let status = response.status().as_u16();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    Some((status, String::from_utf8_lossy(&body).into_owned()))
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    Some(Got {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    })
 }
 
 /// An address that nobody listens on, below the ports that the system gives to connections: one of
--- a/crates/entry/tests/support/target.rs
+++ b/crates/entry/tests/support/target.rs
@@ -8,12 +8,18 @@
     std::{
         convert::Infallible,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::Duration,
     },
     tokio::{net::TcpListener, time::sleep},
 };
 
+/// Time that a call below `/slow/` takes.
+pub const SLOW_WORK: Duration = Duration::from_millis(2_900);
+
 /// An order as it arrived.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
@@ -27,6 +33,7 @@
 pub struct Target {
     pub address: SocketAddr,
     orders: Arc<Mutex<Vec<Order>>>,
+    calls_count: Arc<AtomicUsize>,
 }
 
 impl Target {
@@ -36,6 +43,7 @@
         let target = Self {
             address: listener.local_addr().unwrap(),
             orders: Arc::default(),
+            calls_count: Arc::default(),
         };
         let shared = target.clone();
         tokio::spawn(async move {
@@ -57,6 +65,11 @@
         self.orders.lock().unwrap().clone()
     }
 
+    /// Calls that have arrived.
+    pub fn calls_count(&self) -> usize {
+        self.calls_count.load(Ordering::Relaxed)
+    }
+
     async fn answer(&self, request: &Request<Incoming>, work: Duration) -> Response<Full<Bytes>> {
         let path = request.uri().path();
         if path == "/report" {
@@ -75,6 +88,12 @@
         if path == "/events" {
             return respond(500, String::new());
         }
+        self.calls_count.fetch_add(1, Ordering::Relaxed);
+        let work = if path.starts_with("/slow/") {
+            SLOW_WORK
+        } else {
+            work
+        };
         sleep(work).await;
         respond(200, "done".to_owned())
     }
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -34,7 +34,7 @@
     pub account: String,
     /// Status of the answer; 0 if the caller left before.
     pub status: u16,
-    /// `answered`, `refused`, `failed`, `torn` or `caller_left`.
+    /// `answered`, `refused`, `failed`, `torn`, `cut` or `caller_left`.
     pub outcome: &'static str,
     /// Why, where it was not answered.
     pub reason: String,
@@ -48,6 +48,8 @@
     pub last_event_ms: u64,
     /// Time that the caller and the route left for the call.
     pub time_limit_ms: u64,
+    /// How long the call was expected to last when its instance was leaving; 0 if it was not.
+    pub expected_ms: u64,
     /// Version of the configuration that decided.
     pub configuration: u64,
     /// Time since the key-value service last confirmed what the instance believed.
@@ -80,6 +82,10 @@
     Stopped {
         /// Why.
         reason: String,
+        /// From the request to stop until now.
+        took_ms: u64,
+        /// Calls whose answers were cut, since they did not end in time. Each has a line of its own.
+        cut_count: u64,
     },
     /// The settings were read again.
     Reloaded,
--- a/crates/eventlog/src/event_log.rs
+++ b/crates/eventlog/src/event_log.rs
@@ -7,13 +7,14 @@
     serde::Serialize,
     std::{
         io::Write,
+        iter,
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
-            mpsc::{Receiver, SyncSender, sync_channel},
+            mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
         },
         thread,
-        time::{SystemTime, UNIX_EPOCH},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -21,14 +22,24 @@
 const MAX_WAITING_COUNT: usize = 2_048;
 /// Waiting lines from which on lines of answered calls are dropped, so that failures still fit.
 const CALM_WAITING_COUNT: u64 = 1_024;
+/// Pause before it is tried again to put something into a full queue.
+const FULL_PAUSE: Duration = Duration::from_millis(1);
 
 #[derive(Debug)]
 struct Queue {
-    sender: SyncSender<String>,
+    sender: SyncSender<Entry>,
     waiting_count: AtomicU64,
     dropped_count: AtomicU64,
 }
 
+/// What the writer gets.
+#[derive(Debug)]
+enum Entry {
+    Line(String),
+    /// Everything before is to be written, then this is told.
+    Flush(SyncSender<()>),
+}
+
 /// Writes events as JSON lines. Clones share the queue.
 #[derive(Clone, Debug)]
 pub struct EventLog {
@@ -78,12 +89,32 @@
             return;
         };
         self.queue.waiting_count.fetch_add(1, Ordering::Relaxed);
-        if self.queue.sender.try_send(line).is_err() {
+        if self.queue.sender.try_send(Entry::Line(line)).is_err() {
             self.queue.waiting_count.fetch_sub(1, Ordering::Relaxed);
             self.queue.dropped_count.fetch_add(1, Ordering::Relaxed);
         }
     }
 
+    /// Waits up to `bound` until every line so far is written; returns whether it is. Blocks the
+    /// thread: for the end of a process, which would take waiting lines with it.
+    #[must_use]
+    pub fn flush(&self, bound: Duration) -> bool {
+        let until = Instant::now() + bound;
+        let (written, all_written) = sync_channel(1);
+        let mut entry = Entry::Flush(written);
+        loop {
+            entry = match self.queue.sender.try_send(entry) {
+                Ok(()) => break,
+                Err(TrySendError::Disconnected(_)) => return false,
+                Err(TrySendError::Full(_)) if Instant::now() >= until => return false,
+                Err(TrySendError::Full(entry)) => entry,
+            };
+            thread::sleep(FULL_PAUSE);
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        all_written.recv_timeout(left).is_ok()
+    }
+
     /// Sends the lines of the `log` macros here too.
     ///
     /// # Errors
@@ -120,19 +151,25 @@
 
 /// Writes lines until every sender is gone. An output that fails is given up on: the program serves
 /// on without a log.
-fn write_all<Sink, Written>(receiver: &Receiver<String>, mut sink: Sink, written: Written)
+fn write_all<Sink, Written>(receiver: &Receiver<Entry>, mut sink: Sink, written: Written)
 where
     Sink: Write,
     Written: Fn(u64) -> Option<u64>,
 {
     while let Ok(first) = receiver.recv() {
-        let mut batch = first;
-        let mut count = 1;
-        batch.push('\n');
-        while let Ok(line) = receiver.try_recv() {
-            batch.push_str(&line);
-            batch.push('\n');
-            count += 1;
+        let mut batch = String::new();
+        let mut count = 0;
+        let mut waiting = Vec::new();
+        let rest = iter::from_fn(|| receiver.try_recv().ok());
+        for entry in iter::once(first).chain(rest) {
+            match entry {
+                Entry::Line(line) => {
+                    batch.push_str(&line);
+                    batch.push('\n');
+                    count += 1;
+                }
+                Entry::Flush(waiter) => waiting.push(waiter),
+            }
         }
         if let Some(count) = written(count)
             && let Some(line) = encode(&Event::Dropped { count })
@@ -143,5 +180,9 @@
         if sink.write_all(batch.as_bytes()).is_err() || sink.flush().is_err() {
             return;
         }
+        for waiter in waiting {
+            // Who waited too long has gone on.
+            let _ = waiter.try_send(());
+        }
     }
 }
--- a/crates/eventlog/tests/bounded_lines.rs
+++ b/crates/eventlog/tests/bounded_lines.rs
@@ -35,6 +35,21 @@
     })
 }
 
+#[test]
+fn flush_waits_for_every_line_and_not_for_ever() {
+    let (release, go) = std::sync::mpsc::channel();
+    let kept = Arc::new(Mutex::new(Vec::new()));
+    let log = EventLog::start(Held {
+        go,
+        kept: kept.clone(),
+    });
+    log.emit(&call("cut"));
+    assert!(!log.flush(Duration::from_millis(50)), "nothing is written");
+    drop(release);
+    assert!(log.flush(Duration::from_secs(20)));
+    assert!(!kept.lock().unwrap().is_empty());
+}
+
 #[test]
 fn full_queue_drops_answered_calls_first_and_says_how_many() {
     let (release, go) = std::sync::mpsc::channel();
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -22,7 +22,11 @@
             version: "",
         },
         Event::Draining { grace_ms: 0 },
-        Event::Stopped { reason: text() },
+        Event::Stopped {
+            reason: text(),
+            took_ms: 0,
+            cut_count: 0,
+        },
         Event::Reloaded,
         Event::UnderWay(call.clone()),
         Event::Call(call),
--- a/crates/rattan/src/on_platform.rs
+++ b/crates/rattan/src/on_platform.rs
@@ -8,7 +8,7 @@
     gumdrop::Options,
     log::LevelFilter,
     platform::{Fleet, Store},
-    std::{env, ffi::OsString, io, path::PathBuf, process::ExitCode},
+    std::{env, ffi::OsString, io, path::PathBuf, process::ExitCode, time::Duration},
     tokio::{
         runtime,
         signal::unix::{SignalKind, signal},
@@ -20,6 +20,9 @@
 /// Name that messages begin with.
 const PROGRAM: &str = "rattand platform";
 
+/// Longest time that the end of the process waits for the log.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
 /// Settings of `rattand platform`; all others stand in the settings file.
 #[derive(Clone, Debug, Options)]
 struct Flags {
@@ -89,7 +92,11 @@
             );
         }
     };
-    match runtime.block_on(run(settings, path, log)) {
+    let outcome = runtime.block_on(run(settings, path, log.clone()));
+    if !log.flush(FLUSH_TIME) {
+        eprintln!("{PROGRAM}: lines of the log are lost: its output is too slow");
+    }
+    match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => failure(PROGRAM, &error),
     }
--- a/crates/rattan/src/process.rs
+++ b/crates/rattan/src/process.rs
@@ -19,8 +19,12 @@
         let mut signal = signal(kind)?;
         let stop = stop.clone();
         tokio::spawn(async move {
-            signal.recv().await;
-            stop.cancel();
+            while signal.recv().await.is_some() {
+                if stop.is_cancelled() {
+                    log::info!("asked to stop again; the time to stop runs from the first time");
+                }
+                stop.cancel();
+            }
         });
     }
     Ok(stop)
--- /dev/null
+++ b/crates/relay/src/leaving.rs
@@ -0,0 +1,93 @@
+//! What calls are decided by while their instance leaves.
+
+use {
+    crate::{Reason, Refusal},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// When to come back if another instance takes callers now.
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
+/// Time over which callers come back after all instances have left.
+const RETURN_SPREAD: Duration = Duration::from_secs(2);
+/// The least if none does.
+const NOWHERE_RETRY: Duration = Duration::from_millis(500);
+
+/// That an instance leaves, and what its callers can do. Times are by [`boot_time`](crate::boot_time).
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Leaving {
+    /// From when on callers know better addresses, unless there are none.
+    pub known_from: Duration,
+    /// When every answer has to be whole.
+    pub answers_until: Duration,
+    /// When an instance takes callers again; none if others do now.
+    pub back_at: Option<Duration>,
+}
+
+impl Leaving {
+    /// Whether callers that come at `now` know better addresses. Before that they are served as usual even if
+    /// a few answers may have to be cut; from then on no answer may be.
+    #[must_use]
+    pub fn is_known(&self, now: Duration) -> bool {
+        now >= self.known_from
+    }
+
+    /// Whether a call that may last for `expected` from `now` on ends in time.
+    #[must_use]
+    pub fn has_time(&self, expected: Duration, now: Duration) -> bool {
+        now + expected <= self.answers_until
+    }
+
+    /// The refusal of a call that does not. `draw`, from 0 to 1, parts callers that would otherwise all come
+    /// back to the first instance at once.
+    #[must_use]
+    pub fn refusal(&self, now: Duration, draw: f64) -> Refusal {
+        let wait = self.back_at.map(|at| at.saturating_sub(now));
+        let wait = wait.map_or(ELSEWHERE_RETRY, |wait| {
+            wait.max(NOWHERE_RETRY) + RETURN_SPREAD.mul_f64(draw)
+        });
+        Refusal::new(Reason::Leaving).retry_after(wait)
+    }
+}
+
+/// The end of an instance's answers: those that are not whole by then are cut. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Closing {
+    begun: CancellationToken,
+    cut_count: Arc<AtomicU64>,
+}
+
+impl Closing {
+    /// Ends all answers now.
+    pub fn begin(&self) {
+        self.begun.cancel();
+    }
+
+    /// Waits until answers have to end.
+    pub async fn begun(&self) {
+        self.begun.cancelled().await;
+    }
+
+    /// Whether answers have to end.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.begun.is_cancelled()
+    }
+
+    /// Counts an answer that was cut.
+    pub(crate) fn count(&self) {
+        self.cut_count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Answers that were cut.
+    #[must_use]
+    pub fn cut_count(&self) -> u64 {
+        self.cut_count.load(Ordering::Relaxed)
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,9 +18,11 @@
 
 mod admit;
 mod answer;
+mod answer_times;
 mod attempt;
 mod boot_clock;
 mod call;
+mod leaving;
 mod lessons;
 mod passing;
 mod pick;
@@ -40,6 +42,7 @@
     attempt::Tried,
     boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
+    leaving::{Closing, Leaving},
     refusal::{Reason, Refusal},
     relay::{Followed, Relay, RelaySettings},
     salt::salt_version,
--- a/crates/relay/src/passing.rs
+++ b/crates/relay/src/passing.rs
@@ -12,6 +12,9 @@
 /// Least silence after which a stream is continued elsewhere.
 const MIN_SILENCE: Duration = Duration::from_secs(1);
 
+/// Time that is left between the end of a silence and the last moment to continue elsewhere.
+const TURN_TIME: Duration = Duration::from_millis(300);
+
 /// The call can't go on; its trail says why.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Ended;
@@ -37,7 +40,13 @@
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, Ended> {
         loop {
             let silence = self.silence();
-            let error = match self.events.next(silence).await {
+            let closing = self.job.inner.followed.closing.clone();
+            let next = tokio::select! {
+                biased;
+                next = self.events.next(silence) => next,
+                () = closing.begun() => return Err(self.cut()),
+            };
+            let error = match next {
                 Ok(Some(event)) => {
                     self.trail.event();
                     return Ok(Some(event));
@@ -57,10 +66,16 @@
     async fn resume(&mut self) -> Result<(), Ended> {
         let last_id = self.events.last_id();
         let can_resume = self.job.repeat() == Repeat::ResumableStream && last_id.is_some();
-        if !can_resume || !self.job.can_run_again() || !self.job.try_retry() {
+        let has_time = self.job.could_begin_after(Duration::ZERO);
+        if !can_resume || !has_time || !self.job.can_run_again() || !self.job.try_retry() {
             return Err(self.torn("the target broke off"));
         }
-        let answer = self.job.run(&mut self.trail, last_id).await;
+        let closing = self.job.inner.followed.closing.clone();
+        let answer = tokio::select! {
+            biased;
+            answer = self.job.run(&mut self.trail, last_id) => answer,
+            () = closing.begun() => return Err(self.cut()),
+        };
         let Ok(answer) = answer else {
             return Err(self.torn("no other target continued the stream"));
         };
@@ -79,13 +94,24 @@
         Ended
     }
 
+    fn cut(&mut self) -> Ended {
+        self.trail.cut();
+        Ended
+    }
+
     /// Longest pause before the next event that is waited for.
     fn silence(&self) -> Duration {
         let left = self.job.time_left();
         let gap = self.job.max_event_gap();
         match gap {
             Some(gap) if self.job.can_run_again() => {
-                left.min((gap * MAX_SILENT_GAPS_COUNT).max(MIN_SILENCE))
+                let silence = left.min((gap * MAX_SILENT_GAPS_COUNT).max(MIN_SILENCE));
+                // What can't be continued elsewhere any more is better waited for.
+                if self.job.could_begin_after(silence + TURN_TIME) {
+                    silence
+                } else {
+                    left
+                }
             }
             _ => left,
         }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -34,6 +34,10 @@
     TimedOut,
     /// A target broke off; the call may have run.
     TargetFailed,
+    /// This instance leaves and the call would not end in time.
+    Leaving,
+    /// This instance ends before the target has answered; the call may have run.
+    Cut,
 }
 
 impl Reason {
@@ -45,11 +49,11 @@
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoAccount => StatusCode::UNAUTHORIZED,
-            Self::NotReady | Self::NoTarget | Self::NoRoom | Self::TooLate => {
+            Self::NotReady | Self::NoTarget | Self::NoRoom | Self::TooLate | Self::Leaving => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Self::TargetFailed => StatusCode::BAD_GATEWAY,
+            Self::TargetFailed | Self::Cut => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -74,6 +78,12 @@
             Self::TooLate => "no target could be reached in time; the call has not run",
             Self::TimedOut => "the target took too long; the call may have run",
             Self::TargetFailed => "the target broke off; the call may have run",
+            Self::Leaving => {
+                "this instance shuts down before the call would end; use another address"
+            }
+            Self::Cut => {
+                "this instance shuts down before the target answered; the call may have run"
+            }
         }
     }
 }
@@ -96,7 +106,10 @@
         Self {
             reason,
             retry_after: None,
-            close: matches!(reason, Reason::BodyTooLong | Reason::BodyIncomplete),
+            close: matches!(
+                reason,
+                Reason::BodyTooLong | Reason::BodyIncomplete | Reason::Leaving | Reason::Cut
+            ),
         }
     }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::{
-        Answer, Reason, Refusal, TornAnswer, View, Wire,
+        Answer, Closing, Reason, Refusal, TornAnswer, View, Wire,
         admit::{Admitted, admit},
         answer::{refused, streamed, whole},
+        answer_times::AnswerTimes,
         attempt::Content,
         passing::{Ended, Passing},
         retries::Retries,
@@ -69,6 +70,8 @@
     pub keeping: Arc<Mutex<Keeping>>,
     /// What other instances have under way.
     pub peer_loads: Arc<Mutex<PeerLoads>>,
+    /// The end of this instance's answers.
+    pub closing: Closing,
 }
 
 impl Followed {
@@ -103,6 +106,7 @@
     pub(crate) client: Client,
     pub(crate) followed: Followed,
     pub(crate) retries: Retries,
+    pub(crate) answer_times: AnswerTimes,
     pub(crate) origin: Instant,
     held: Arc<Semaphore>,
     pub(crate) log: EventLog,
@@ -132,6 +136,7 @@
                 client,
                 followed,
                 retries,
+                answer_times: AnswerTimes::new(),
                 origin: Instant::now(),
                 held,
                 log,
@@ -153,13 +158,25 @@
     ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, TornAnswer>> + use<Format>> {
         let arrived = Instant::now();
         let (log, meters) = (self.inner.log.clone(), self.inner.meters.clone());
-        let mut trail = Trail::new(log, meters, arrived);
+        let times = self.inner.answer_times.clone();
+        let closing = self.inner.followed.closing.clone();
+        let mut trail = Trail::new(log, meters, times, closing.clone(), arrived);
         let (head, body) = request.into_parts();
-        let mut job = match self.accept(&mut trail, arrived, head, body).await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = self.accept(&mut trail, arrived, head, body) => accepted,
+            () = closing.begun() => Err(Reason::Leaving.into()),
+        };
+        let mut job = match accepted {
             Ok(job) => job,
             Err(refusal) => return refuse(trail, &refusal),
         };
-        let answer = match job.run(&mut trail, None).await {
+        let answered = tokio::select! {
+            biased;
+            answered = job.run(&mut trail, None) => answered,
+            () = closing.begun() => Err(job.cut()),
+        };
+        let answer = match answered {
             Ok(answer) => answer,
             Err(refusal) => return refuse(trail, &refusal),
         };
@@ -277,10 +294,10 @@
 where
     Events: Stream<Item = Result<Frame<Bytes>, TornAnswer>>,
 {
-    let outcome = if refusal.reason.promises_not_run() {
-        "refused"
-    } else {
-        "failed"
+    let outcome = match refusal.reason {
+        Reason::Cut => "cut",
+        reason if reason.promises_not_run() => "refused",
+        _ => "failed",
     };
     trail.first_byte();
     trail.end(
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -2,13 +2,13 @@
 
 use {
     crate::{
-        Reason, Refusal, Wire,
+        Leaving, Reason, Refusal, Wire,
         admit::Admitted,
         attempt::{Outgoing, TargetAnswer, Tried, attempt},
         boot_time,
         pick::{Picked, Picking, pick},
         relay::Inner,
-        trail::Trail,
+        trail::{Trail, millis},
         view::InFlight,
     },
     balance::Outcome,
@@ -29,6 +29,8 @@
 const MIN_TIME: Duration = Duration::from_millis(10);
 /// Most targets that a call is sent to when those before did not run it.
 const MAX_SENDS_COUNT: usize = 4;
+/// Time that it may take to turn from one target to the next.
+const NEXT_TRY_TIME: Duration = Duration::from_millis(200);
 /// Share of the objective after which a call that may run again is tried elsewhere.
 const PATIENCE_SHARE: f64 = 0.7;
 /// The same for the first event of a stream. A target that is still reading the prompt would have to
@@ -94,6 +96,54 @@
         self.time_limit().saturating_sub(self.arrived.elapsed())
     }
 
+    /// What the caller gets if the call has to end before it was answered.
+    pub(crate) fn cut(&self) -> Refusal {
+        let may_have_run = self.under_way.is_some() || self.may_have_run_count > 0;
+        let reason = if may_have_run {
+            Reason::Cut
+        } else {
+            Reason::Leaving
+        };
+        reason.into()
+    }
+
+    /// Refuses a call that might last longer than this instance.
+    fn check_time(&self, trail: &mut Trail) -> Result<(), Refusal> {
+        let Some(leaving) = self.inner.followed.view().leaving else {
+            return Ok(());
+        };
+        let now = boot_time();
+        let expected = self.expected(&leaving, now);
+        trail.line.expected_ms = millis(expected);
+        if leaving.has_time(expected, now) {
+            Ok(())
+        } else {
+            Err(leaving.refusal(now, rand::random()))
+        }
+    }
+
+    /// Whether the call would end in time if it began anew after `wait`.
+    pub(crate) fn could_begin_after(&self, wait: Duration) -> bool {
+        self.inner.followed.view().leaving.is_none_or(|leaving| {
+            let at = boot_time() + wait + NEXT_TRY_TIME;
+            leaving.has_time(self.expected(&leaving, at), at)
+        })
+    }
+
+    /// How long the call has to be expected to last if it begins at `now`. One of a kind that was not seen
+    /// yet may take all of its time.
+    fn expected(&self, leaving: &Leaving, now: Duration) -> Duration {
+        let route = &self.admitted.route.name;
+        let times = &self.inner.answer_times;
+        let seen = if leaving.is_known(now) {
+            times.longest(route)
+        } else {
+            times.usual(route)
+        };
+        let left = self.time_left();
+        seen.map_or(left, |seen| seen.min(left))
+    }
+
     /// What may be repeated of the call.
     pub(crate) fn repeat(&self) -> Repeat {
         self.admitted.route.repeat
@@ -140,6 +190,13 @@
         let mut failure = None;
         let mut suspects = Vec::new();
         while self.tried.len() < MAX_SENDS_COUNT && self.time_left() > MIN_TIME {
+            // Whether a torn stream is worth continuing was decided before.
+            if last_event.is_none()
+                && let Err(refusal) = self.check_time(trail)
+            {
+                given_up = refusal;
+                break;
+            }
             let Some(picked) = self.pick() else {
                 break;
             };
@@ -266,12 +323,20 @@
         } else {
             PATIENCE_SHARE
         };
-        self.admitted.route.objective.mul_f64(share)
+        let patience = self.admitted.route.objective.mul_f64(share);
+        if self.could_begin_after(patience) {
+            patience
+        } else {
+            self.time_left()
+        }
     }
 
     /// Whether a target's own failure should be replaced by another target's answer.
     fn is_worth_another(&self, answer: &TargetAnswer) -> bool {
-        answer.status.is_server_error() && self.can_run_again() && self.time_left() > MIN_TIME
+        answer.status.is_server_error()
+            && self.can_run_again()
+            && self.time_left() > MIN_TIME
+            && self.could_begin_after(Duration::ZERO)
     }
 
     fn unknown(&self) -> Refusal {
--- a/crates/relay/src/trail.rs
+++ b/crates/relay/src/trail.rs
@@ -1,6 +1,7 @@
 //! The log line of a call, gathered on its way.
 
 use {
+    crate::{Closing, Reason, answer_times::AnswerTimes},
     eventlog::{AttemptLine, CallLine, Event, EventLog},
     meters::Meters,
     parts::{Plan, Wish},
@@ -13,6 +14,9 @@
 /// A stream that takes longer leaves a line before its end.
 const LONG_TIME: Duration = Duration::from_secs(2);
 
+/// Outcome of a call that nobody has ended.
+const CALLER_LEFT: &str = "caller_left";
+
 /// What happened to one call so far. Writes its line when it ends, also if the caller leaves.
 #[derive(Debug)]
 pub(crate) struct Trail {
@@ -20,20 +24,30 @@
     meters: Meters,
     arrived: Instant,
     is_told: bool,
+    times: AnswerTimes,
+    closing: Closing,
     /// The line.
     pub(crate) line: CallLine,
 }
 
 impl Trail {
     /// The trail of a call that arrives now.
-    pub(crate) fn new(log: EventLog, meters: Meters, arrived: Instant) -> Self {
+    pub(crate) fn new(
+        log: EventLog,
+        meters: Meters,
+        times: AnswerTimes,
+        closing: Closing,
+        arrived: Instant,
+    ) -> Self {
         Self {
             log,
             meters,
             arrived,
             is_told: false,
+            times,
+            closing,
             line: CallLine {
-                outcome: "caller_left",
+                outcome: CALLER_LEFT,
                 ..CallLine::default()
             },
         }
@@ -88,6 +102,29 @@
         reason.clone_into(&mut self.line.reason);
     }
 
+    /// Notes that the call ends since its instance does.
+    pub(crate) fn cut(&mut self) {
+        let status = self.line.status;
+        self.end("cut", status, Reason::Cut.message());
+    }
+
+    /// Teaches how long calls of this route last. A call whose answer never began shows only that its
+    /// target was silent.
+    fn teach(&self) {
+        let line = &self.line;
+        if line.attempts.is_empty() || line.first_byte_ms == 0 {
+            return;
+        }
+        let is_whole = line.outcome == "answered" && (200..300).contains(&line.status);
+        if is_whole {
+            let took = Duration::from_millis(line.took_ms);
+            self.times.record(&line.route, took);
+        } else if line.events_count > 0 {
+            let took = Duration::from_millis(line.last_event_ms);
+            self.times.record_given_up(&line.route, took);
+        }
+    }
+
     /// Notes that an event is passed on now.
     pub(crate) fn event(&mut self) {
         self.line.events_count += 1;
@@ -110,6 +147,13 @@
     fn drop(&mut self) {
         let took = self.elapsed();
         self.line.took_ms = millis(took);
+        if self.line.outcome == CALLER_LEFT && self.closing.has_begun() {
+            self.cut();
+        }
+        if self.line.outcome == "cut" {
+            self.closing.count();
+        }
+        self.teach();
         self.meters.count("calls", self.line.outcome);
         self.meters.time("call", took);
         if self.line.first_byte_ms > 0 {
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -1,7 +1,7 @@
 //! What an instance believes at one moment. Replaced as a whole, never changed.
 
 use {
-    crate::boot_time,
+    crate::{Leaving, boot_time},
     balance::{Health, Outcome, StartDelay},
     catalog::{FailureDomainId, ModelId, TargetId},
     routes::{PoolId, RouteTable},
@@ -217,8 +217,8 @@
     pub instances_count: u32,
     /// When the key-value service last confirmed all of this, by [`boot_time`].
     pub confirmed: Duration,
-    /// Whether this instance is shutting down.
-    pub draining: bool,
+    /// That this instance leaves, if it does.
+    pub leaving: Option<Leaving>,
 }
 
 impl Default for View {
@@ -230,7 +230,7 @@
             wanted: HashMap::new(),
             instances_count: 1,
             confirmed: boot_time(),
-            draining: false,
+            leaving: None,
         }
     }
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -13,7 +13,10 @@
     hyper_util::rt::TokioIo,
     meters::Meters,
     parts::Keeping,
-    relay::{Followed, Live, ModelState, Relay, RelaySettings, TargetState, View, boot_time},
+    relay::{
+        Closing, Followed, Leaving, Live, ModelState, Relay, RelaySettings, TargetState, View,
+        boot_time,
+    },
     routes::{Accepted, Account, Repeat, Route, RouteTable},
     scripted::Scripted,
     std::{
@@ -35,9 +38,10 @@
     pub address: SocketAddr,
     pub view: Arc<ArcSwap<View>>,
     pub keeping: Arc<Mutex<Keeping>>,
+    pub closing: Closing,
 }
 
-/// Routes `/idempotent/`, `/once/`, `/stream/` and `/resumable/` to one pool.
+/// Routes `/idempotent/`, `/once/`, `/stream/`, `/resumable/` and `/gapped/` to one pool.
 pub fn routes() -> Vec<Route> {
     let route = |name: &str, repeat| {
         Route::new(name, "a.example", format!("/{name}/"))
@@ -51,6 +55,10 @@
         route("once", Repeat::Never),
         route("stream", Repeat::Stream),
         route("resumable", Repeat::ResumableStream),
+        Route {
+            max_event_gap: Some(Duration::from_millis(250)),
+            ..route("gapped", Repeat::ResumableStream)
+        },
     ]
 }
 
@@ -93,6 +101,7 @@
     pub async fn start(targets: &[&Scripted]) -> Self {
         let view = Arc::new(ArcSwap::from_pointee(view(targets)));
         let keeping = Arc::new(Mutex::new(Keeping::default()));
+        let closing = Closing::default();
         let settings = RelaySettings {
             failure_domain: "here".to_owned(),
             retries: RetryBounds {
@@ -109,6 +118,7 @@
             Followed {
                 view: view.clone(),
                 keeping: keeping.clone(),
+                closing: closing.clone(),
                 ..Followed::default()
             },
             EventLog::start(std::io::sink()),
@@ -131,6 +141,18 @@
             address,
             view,
             keeping,
+            closing,
         }
     }
+
+    /// Lets the instance leave: answers have to be whole after `left`.
+    pub fn leave(&self, left: Duration) {
+        let mut view = View::clone(&self.view.load());
+        view.leaving = Some(Leaving {
+            known_from: boot_time(),
+            answers_until: boot_time() + left,
+            back_at: None,
+        });
+        self.view.store(Arc::new(view));
+    }
 }
--- a/crates/relay/tests/support/scripted.rs
+++ b/crates/relay/tests/support/scripted.rs
@@ -21,6 +21,8 @@
     Say(String),
     /// These bytes, then the connection is reset or closed.
     Break(String),
+    /// These bytes, then nothing for some seconds.
+    Hold(String),
     /// Nothing, until the caller leaves.
     Silence,
 }
@@ -134,6 +136,11 @@
                 sleep(Duration::from_millis(30)).await;
                 return;
             }
+            Step::Hold(text) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                sleep(Duration::from_secs(6)).await;
+                return;
+            }
             Step::Silence => {
                 let mut byte = [0];
                 let ended = timeout(Duration::from_secs(2), stream.read(&mut byte)).await;
--- a/crates/relay/tests/whole_streams.rs
+++ b/crates/relay/tests/whole_streams.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
-use support::{
-    World, caller,
-    scripted::{Scripted, Step, stream},
+use {
+    std::time::{Duration, Instant},
+    support::{
+        World, caller,
+        scripted::{Scripted, Step, stream},
+    },
 };
 
 const END: &str = "0\r\n\r\n";
@@ -109,3 +112,39 @@
         assert!(target.caller_left().await, "{path}");
     }
 }
+
+#[tokio::test]
+async fn stream_that_is_cut_does_not_look_whole() {
+    let begun = stream(&["id: 1\ndata: a\n\n"]);
+    let target = Scripted::start("one", vec![Step::Hold(begun)]).await;
+    let world = World::start(&[&target]).await;
+    let connection = caller::send(world.address, "/resumable/7", "").await;
+    while target.arrived().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    world.closing.begin();
+    let got = caller::read(connection).await;
+    assert!(
+        got.status == 502 || got.status == 200 && !got.whole,
+        "{got:?}"
+    );
+}
+
+#[tokio::test]
+async fn silent_stream_is_waited_for_while_no_other_target_has_time() {
+    let begun = stream(&["id: 1\ndata: a\n\n"]);
+    let one = Scripted::start("one", vec![Step::Hold(begun)]).await;
+    let two = Scripted::start("two", vec![]).await;
+    let world = World::start(&[&one]).await;
+    let connection = caller::send(world.address, "/gapped/7", "").await;
+    while one.arrived().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    let begun = Instant::now();
+    world.leave(Duration::from_millis(2_500));
+    let got = caller::read(connection).await;
+    assert!(!got.whole, "{got:?}");
+    assert!(begun.elapsed() > Duration::from_secs(2), "{got:?}");
+    assert!(two.arrived().is_empty());
+}
