--- a/crates/entry/src/known.rs
+++ b/crates/entry/src/known.rs
@@ -38,14 +38,19 @@
     left_at: Option<Duration>,
 }
 
-/// This instance, while it leaves.
+/// This instance, while it leaves. Times are those of [`Known`].
 #[derive(Clone, Debug)]
-struct OwnLeaving {
-    instance: InstanceId,
-    since: Duration,
-    grace: Duration,
-    known_from: Duration,
-    answers_until: Duration,
+pub struct OwnLeaving {
+    /// Its name.
+    pub instance: InstanceId,
+    /// When it began to leave.
+    pub since: Duration,
+    /// Time from then until it is ended by force.
+    pub grace: Duration,
+    /// From when on callers know better addresses.
+    pub known_from: Duration,
+    /// When its answers have to be whole.
+    pub answers_until: Duration,
 }
 
 /// The right to give orders, as it lies in the service.
@@ -164,23 +169,9 @@
         self.was_suspended = true;
     }
 
-    /// Notes that this instance, of this name, leaves from `now` on: callers know after `learning`, its
-    /// answers have to be whole after `answers`, and it ends within `grace`.
-    pub fn leave(
-        &mut self,
-        instance: InstanceId,
-        now: Duration,
-        learning: Duration,
-        answers: Duration,
-        grace: Duration,
-    ) {
-        self.leaving = Some(OwnLeaving {
-            instance,
-            since: now,
-            grace,
-            known_from: now + learning,
-            answers_until: now + answers,
-        });
+    /// Notes that this instance leaves.
+    pub fn leave(&mut self, leaving: OwnLeaving) {
+        self.leaving = Some(leaving);
     }
 
     /// What callers of this instance can do, if it leaves.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -46,7 +46,7 @@
         HolderRecord, Item, ItemError, ItemName, LoadingRecord, MemberRecord, RecentVersion,
         TargetEntry,
     },
-    known::Known,
+    known::{Known, OwnLeaving},
     news_clock::NewsClock,
     ownership::Ownership,
     platform::{
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Platform, Settings,
+        OwnLeaving, Platform, Settings,
         directory::{self, LEARNING_TIME},
         follower,
         listener::{self, CUT_TIME, Listening},
@@ -163,12 +163,14 @@
         grace_ms: u64::try_from(grace.as_millis()).unwrap_or(u64::MAX),
     });
     shared.draining.cancel();
-    let instance = shared.settings.instance.clone();
     let answers_until = now + answers_time;
-    let learning = LEARNING_TIME.min(grace / 2);
-    shared
-        .known()
-        .leave(instance, now, learning, answers_time, grace);
+    shared.known().leave(OwnLeaving {
+        instance: shared.settings.instance.clone(),
+        since: now,
+        grace,
+        known_from: now + LEARNING_TIME.min(grace / 2),
+        answers_until,
+    });
     shared.publish();
     let _ = timeout(answers_time, lead_elsewhere(shared)).await;
     drained.cancel();
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -1,7 +1,9 @@
 //! What an instance believes, through changes and outages of the key-value service.
 
 use {
-    entry::{Item, ItemName, Known, LoadingRecord, MemberRecord, RecentVersion, TargetEntry},
+    entry::{
+        Item, ItemName, Known, LoadingRecord, MemberRecord, OwnLeaving, RecentVersion, TargetEntry,
+    },
     proptest::prelude::{any, prop, proptest},
     relay::ModelState,
     routes::Accepted,
@@ -261,8 +263,13 @@
 #[test]
 fn leaving_instance_knows_who_else_takes_callers_and_when_one_is_back() {
     let leave = |known: &mut Known, now: f64| {
-        let seconds = Duration::from_secs;
-        known.leave("b".to_owned(), at(now), seconds(3), seconds(7), seconds(8));
+        known.leave(OwnLeaving {
+            instance: "b".to_owned(),
+            since: at(now),
+            grace: Duration::from_secs(8),
+            known_from: at(now + 3.0),
+            answers_until: at(now + 7.0),
+        });
     };
     let mut known = Known::default();
     assert_eq!(known.leaving(), None);
