--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -68,6 +68,8 @@
     pub view_age_ms: u64,
     /// Number of instances known to share the retry budget.
     pub instances_count: u32,
+    /// Ids of the prompt's parts, in order; empty unless an attempt ended without a complete answer.
+    pub prompt_parts: Vec<String>,
     /// Attempts, in order.
     pub attempts: Vec<AttemptLine>,
 }
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -234,6 +234,9 @@
             let outcome = self.send(&picked, last_event_id, recorder).await;
             recorder.end_attempt(describe_outcome(&outcome));
             self.record_attempt(&picked, &outcome);
+            if matches!(outcome, AttemptOutcome::Unknown(_)) {
+                recorder.record_prompt_parts(&self.admitted.call);
+            }
             let (refusal, counts_as_retry) = match outcome {
                 AttemptOutcome::Answered(answer) => {
                     if !self.should_try_another(&answer) || !self.try_retry() {
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -1,7 +1,7 @@
 //! Collects the log line and the metrics of a call.
 
 use {
-    crate::{AnswerCutoff, Reason, answer_times::AnswerTimes, pick::PickedTarget},
+    crate::{AnswerCutoff, Call, Reason, answer_times::AnswerTimes, pick::PickedTarget},
     eventlog::{AttemptLine, CallLine, Event, EventLog},
     meters::Meters,
     parts::{Plan, PromptPart},
@@ -103,6 +103,14 @@
         }
     }
 
+    /// Enters the parts of the call's prompt in its log line, since an attempt had no complete answer.
+    pub(crate) fn record_prompt_parts(&mut self, call: &Call) {
+        if self.line.prompt_parts.is_empty() {
+            let parts = call.prompt.iter().flat_map(|prompt| &prompt.parts);
+            self.line.prompt_parts = parts.map(|part| part.id.clone()).collect();
+        }
+    }
+
     /// Records how the call ended. The line is written when the recorder is dropped.
     pub(crate) fn end(&mut self, outcome: &'static str, status: u16, reason: &str) {
         self.line.outcome = outcome;
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -73,6 +73,7 @@
                 Err(error) => error,
             };
             self.recorder.end_attempt(format!("torn: {error}"));
+            self.recorder.record_prompt_parts(&self.call.admitted.call);
             self.resume().await?;
         }
     }
