Test that fails: prompts with a part that crashes engines keep reaching engines

Three instances before six engines that crash when they begin to answer a prompt with one part. After five crashes and 3 s more than three such prompts reach engines.

--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -8,7 +8,9 @@
     },
     http_body_util::Full,
     hyper::{HeaderMap, Request, http::request},
-    relay::{BadCall, Call, HeaderFormat, LoadedModel, OutboundMetadata, ReplyMetadata},
+    relay::{
+        BadCall, Call, HeaderFormat, LoadedModel, OutboundMetadata, Part, Prompt, ReplyMetadata,
+    },
     routes::{RetryPolicy, Route, RouteConfig},
     std::{net::SocketAddr, time::Duration},
 };
@@ -18,11 +20,23 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Formats;
 
+/// Ids of the parts of a prompt, from the header `parts`.
+pub fn prompt_parts(headers: &HeaderMap) -> Option<Vec<String>> {
+    let parts = headers.get("parts")?.to_str().ok()?;
+    Some(parts.split(',').map(str::to_owned).collect())
+}
+
 impl HeaderFormat for Formats {
     fn parse_call(&self, head: &request::Parts) -> Result<Call, BadCall> {
         let id = head.headers.get("id").and_then(|id| id.to_str().ok());
+        let prompt = prompt_parts(&head.headers).map(|ids| Prompt {
+            model: "m".to_owned(),
+            parts: ids.into_iter().map(|id| Part { id, tokens: 1 }).collect(),
+            ..Prompt::default()
+        });
         Ok(Call {
             id: id.unwrap_or_default().to_owned(),
+            prompt,
             ..Call::default()
         })
     }
@@ -70,7 +84,9 @@
                         .retry_policy(RetryPolicy::Idempotent)
                         .pool("pool")
                 };
-                let routes = vec![route("all", "/"), route("slow", "/slow/")];
+                let prompts =
+                    route("prompts", "/prompts/").retry_policy(RetryPolicy::ResumableStream);
+                let routes = vec![route("all", "/"), route("slow", "/slow/"), prompts];
                 let config = RouteConfig::default().version(text.parse().unwrap());
                 Item::Configuration(Box::new(config.routes(routes)))
             }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Runs entry instances on an in-memory key-value service, with test formats and test targets.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod crashing_engine;
 pub mod formats;
 pub mod late_target;
 pub mod target;
@@ -110,6 +111,13 @@
         Some((got.status, got.body))
     }
 
+    /// Sends a prompt of the comma-separated `parts`; returns the status of its answer.
+    pub async fn prompt(&self, id: &str, parts: &str) -> Option<u16> {
+        let headers = [("host", "a.example"), ("id", id), ("parts", parts)];
+        let got = get(self.settings.listen, "/prompts/", &headers).await?;
+        Some(got.status)
+    }
+
     /// Sends a call; returns the whole response.
     pub async fn answer(&self, path: &str) -> Option<Answer> {
         let headers = [("host", "a.example"), ("id", "c1")];
