--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -174,9 +174,7 @@
         match self.parse_item(&name, pair) {
             Ok(item) => {
                 self.log_change(&name, &item, pair.mod_revision);
-                let id = item_id(&name);
-                let mut known = self.shared.known();
-                known.put(id, item, pair.mod_revision, boot_time());
+                self.shared.put(&name, item, pair.mod_revision);
             }
             Err(error) => {
                 log::warn!("{error}");
@@ -196,7 +194,7 @@
                 revision,
             });
         }
-        self.shared.known().delete(name, boot_time());
+        self.shared.delete(name);
     }
 
     fn confirm(&self, current_at: Duration) {
@@ -220,9 +218,12 @@
 
     fn parse_item(&self, name: &ItemName, pair: &KvPair) -> Result<Item, ItemError> {
         match name {
-            ItemName::Member(_) | ItemName::Holder | ItemName::Loading | ItemName::Recent(..) => {
-                parse_own_item(name, &pair.key, &pair.value)
-            }
+            ItemName::Member(_)
+            | ItemName::Holder
+            | ItemName::Loading
+            | ItemName::Recent(..)
+            | ItemName::Crash(..)
+            | ItemName::Answered(_) => parse_own_item(name, &pair.key, &pair.value),
             _ => self.shared.format.parse_item(name, &pair.key, &pair.value),
         }
     }
@@ -272,14 +273,3 @@
         self.shared.log.emit(&event);
     }
 }
-
-/// Returns the id in an item's name, or an empty string if the name has none.
-fn item_id(name: &ItemName) -> &str {
-    match name {
-        ItemName::Configuration | ItemName::Holder | ItemName::Loading => "",
-        ItemName::Version(id)
-        | ItemName::Target(id)
-        | ItemName::Member(id)
-        | ItemName::Recent(id, _) => id,
-    }
-}
--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -3,6 +3,8 @@
 use {
     catalog::{FailureDomainId, InstanceId, ModelId, TargetId},
     keyvalue::LeaseId,
+    parts::PartKey,
+    quarantine::CrashId,
     relay::LoadedModel,
     routes::{PoolId, RouteConfig},
     serde::{Deserialize, Serialize},
@@ -106,6 +108,15 @@
     pub replaces: u64,
 }
 
+/// Says that a target crashed under a call with a prompt part, or that a target answered one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SuspectRecord {
+    /// Id of the part as callers send it, shortened if it is long.
+    pub part: String,
+    /// Instance that wrote the record.
+    pub instance: InstanceId,
+}
+
 /// Decoded value of an item.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Item {
@@ -123,6 +134,17 @@
     Loading(LoadingRecord),
     /// A mark of a recently requested version.
     Recent(RecentVersion),
+    /// A crash under a call with a prompt part.
+    Crash {
+        /// Key of the part.
+        part: PartKey,
+        /// The crash.
+        crash: CrashId,
+        /// What the instance that saw it wrote.
+        record: SuspectRecord,
+    },
+    /// A prompt part that may have crashed targets was answered.
+    Answered(PartKey),
 }
 
 /// Parsed key of an item.
@@ -142,6 +164,10 @@
     Loading,
     /// The mark of a recently requested version of a model's weights.
     Recent(ModelId, u64),
+    /// A crash under a call with a prompt part.
+    Crash(PartKey, CrashId),
+    /// The word that a prompt part was answered.
+    Answered(PartKey),
 }
 
 /// Prefix of the keys of membership records.
@@ -155,6 +181,22 @@
 /// Prefix of the keys of marks of recent versions.
 const RECENT_PREFIX: &str = "rattan/versions/";
 
+/// Prefix of the keys of crashes under calls with a prompt part.
+const CRASHES_PREFIX: &str = "rattan/suspects/";
+
+/// Prefix of the keys that say that a prompt part was answered.
+const ANSWERED_PREFIX: &str = "rattan/answered/";
+
+/// Returns the key of a crash under a call with `part`.
+pub(crate) fn crash_key(part: PartKey, crash: &str) -> String {
+    format!("{CRASHES_PREFIX}{part:016x}/{crash}")
+}
+
+/// Returns the key that says that `part` was answered.
+pub(crate) fn answered_key(part: PartKey) -> String {
+    format!("{ANSWERED_PREFIX}{part:016x}")
+}
+
 /// Returns the key of the mark of a recent version.
 pub(crate) fn recent_key(model: &str, version: u64) -> String {
     format!("{RECENT_PREFIX}{model}/{version}")
@@ -177,6 +219,15 @@
         let (model, version) = recent.rsplit_once('/')?;
         return Some(ItemName::Recent(model.to_owned(), version.parse().ok()?));
     }
+    if let Some(crash) = key.strip_prefix(CRASHES_PREFIX) {
+        let (part, crash) = crash.split_once('/')?;
+        let part = PartKey::from_str_radix(part, 16).ok()?;
+        return Some(ItemName::Crash(part, crash.to_owned()));
+    }
+    if let Some(part) = key.strip_prefix(ANSWERED_PREFIX) {
+        let part = PartKey::from_str_radix(part, 16).ok()?;
+        return Some(ItemName::Answered(part));
+    }
     let instance = key.strip_prefix(MEMBERS_PREFIX)?;
     Some(ItemName::Member(instance.to_owned()))
 }
@@ -191,6 +242,15 @@
         ItemName::Loading => serde_json::from_slice(value).map(Item::Loading),
         ItemName::Holder => serde_json::from_slice(value).map(Item::Holder),
         ItemName::Recent(..) => serde_json::from_slice(value).map(Item::Recent),
+        ItemName::Crash(part, crash) => {
+            let record = serde_json::from_slice(value);
+            record.map(|record| Item::Crash {
+                part: *part,
+                crash: crash.clone(),
+                record,
+            })
+        }
+        ItemName::Answered(part) => Ok(Item::Answered(*part)),
         _ => serde_json::from_slice(value).map(Item::Member),
     };
     item.map_err(|error| unreadable(error.to_string()))
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -8,6 +8,8 @@
     },
     balance::rendezvous,
     catalog::{InstanceId, ModelId, Revision, TargetId},
+    parts::PartKey,
+    quarantine::Quarantine,
     relay::{Shutdown, TargetState, TargetStats, View, WantedVersions},
     routes::RouteTable,
     std::{
@@ -91,6 +93,8 @@
     /// process.
     was_suspended: bool,
     own_shutdown: Option<OwnShutdown>,
+    /// Prompt parts that may crash targets.
+    quarantine: Arc<Quarantine>,
 }
 
 impl KnownState {
@@ -124,6 +128,17 @@
                     fencing: revision,
                 });
             }
+            Item::Crash {
+                part,
+                crash,
+                record,
+            } => {
+                self.add_crash(part, &record.part, &crash);
+                self.set_suspect_written(part, now);
+            }
+            Item::Answered(part) => {
+                Arc::make_mut(&mut self.quarantine).set_answered(part, true);
+            }
         }
     }
 
@@ -147,6 +162,12 @@
                     wanted.unmark_recent(*version);
                 }
             }
+            ItemName::Crash(part, crash) => {
+                Arc::make_mut(&mut self.quarantine).remove_crash(*part, crash);
+            }
+            ItemName::Answered(part) => {
+                Arc::make_mut(&mut self.quarantine).set_answered(*part, false);
+            }
             // The last accepted configuration and versions stay in force.
             ItemName::Configuration | ItemName::Version(_) => {}
         }
@@ -158,6 +179,22 @@
         wanted.mark_recent(record.version, record.replaces, now);
     }
 
+    /// Records that a target crashed before it began to answer a call with `part`.
+    pub fn add_crash(&mut self, part: PartKey, part_id: &str, crash: &str) {
+        Arc::make_mut(&mut self.quarantine).add_crash(part, part_id, crash);
+    }
+
+    /// Records that a crash under a call with `part` was written to the service at `now`.
+    pub fn set_suspect_written(&mut self, part: PartKey, now: Duration) {
+        Arc::make_mut(&mut self.quarantine).set_written(part, now);
+    }
+
+    /// Returns the prompt parts that may crash targets.
+    #[must_use]
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Records that the service is reachable again after an outage.
     pub fn service_recovered(&mut self, now: Duration) {
         self.reregistration_until = Some(now + REREGISTRATION_TIME);
@@ -289,6 +326,7 @@
                 .flat_map(|it| it.loading.clone())
                 .collect(),
             wanted_versions: self.wanted.clone(),
+            quarantine: self.quarantine.clone(),
             instances_count: u32::try_from(instances_count).unwrap_or(u32::MAX),
             confirmed_at: self.confirmed_at.unwrap_or(now),
             shutdown: self.shutdown(),
@@ -351,6 +389,7 @@
         let state = TargetState {
             id: id.to_owned(),
             seed: rendezvous::member_seed(id),
+            started_unix_ms: record.started_unix_ms,
             address: record.address,
             failure_domain: record.failure_domain.clone(),
             slots_count: record.slots_count,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -38,12 +38,13 @@
 mod settings;
 mod shared;
 mod start;
+mod suspect_parts;
 mod suspension_detector;
 
 pub use {
     item::{
         HolderRecord, Item, ItemError, ItemName, LoadingRecord, MemberRecord, RecentVersion,
-        TargetRegistration,
+        SuspectRecord, TargetRegistration,
     },
     known_state::{KnownState, OwnShutdown},
     order_lock::{InstanceLease, OrderLock},
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,12 +1,13 @@
 //! State that the tasks of an instance share.
 
 use {
-    crate::{InstanceLease, KnownState, Ownership, Settings},
+    crate::{InstanceLease, Item, ItemName, KnownState, Ownership, Settings},
     arc_swap::ArcSwap,
-    catalog::InstanceId,
+    catalog::{InstanceId, Revision},
     eventlog::{Event, EventLog},
     feed::Feed,
     meters::Meters,
+    parts::PartKey,
     relay::{RelayState, boot_time},
     std::{
         collections::HashMap,
@@ -117,6 +118,51 @@
         *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = lease;
     }
 
+    /// Applies an item of the key-value service to the known state.
+    pub(crate) fn put(&self, name: &ItemName, item: Item, revision: Revision) {
+        self.update_suspect(item_part(name), |known| {
+            known.put(item_id(name), item, revision, boot_time());
+        });
+    }
+
+    /// Applies the deletion of an item to the known state.
+    pub(crate) fn delete(&self, name: &ItemName) {
+        self.update_suspect(item_part(name), |known| known.delete(name, boot_time()));
+    }
+
+    /// Records that a target crashed before it began to answer a call with `part`.
+    pub(crate) fn note_crash(&self, part: PartKey, part_id: &str, crash: &str) {
+        self.update_suspect(Some(part), |known| known.add_crash(part, part_id, crash));
+    }
+
+    /// Changes the known state, and logs if that changes what is known of a prompt part.
+    fn update_suspect<Change>(&self, part: Option<PartKey>, change: Change)
+    where
+        Change: FnOnce(&mut KnownState),
+    {
+        let mut known = self.known();
+        let Some(part) = part else {
+            return change(&mut known);
+        };
+        let before = suspect_state(&known, part);
+        let part_id_before = suspect_part_id(&known, part);
+        change(&mut known);
+        let after = suspect_state(&known, part);
+        if before == after {
+            return;
+        }
+        let suspect = known.quarantine().suspect(part);
+        let crashes = suspect.map(|suspect| suspect.crashes.iter().cloned().collect());
+        self.meters.count("suspect_parts", after);
+        self.log.emit(&Event::SuspectPart {
+            part: suspect_part_id(&known, part)
+                .or(part_id_before)
+                .unwrap_or_default(),
+            state: after,
+            crashes: crashes.unwrap_or_default(),
+        });
+    }
+
     /// Publishes the known state to the request path and notifies the other tasks.
     pub(crate) fn publish(&self) {
         let known = self.known();
@@ -200,3 +246,42 @@
         });
     }
 }
+
+/// The prompt part that an item is about, if any.
+fn item_part(name: &ItemName) -> Option<PartKey> {
+    match name {
+        ItemName::Crash(part, _) | ItemName::Answered(part) => Some(*part),
+        _ => None,
+    }
+}
+
+/// What is known of a prompt part, as the log names it.
+fn suspect_state(known: &KnownState, part: PartKey) -> &'static str {
+    let quarantine = known.quarantine();
+    match quarantine.suspect(part) {
+        None => "released",
+        Some(suspect) if suspect.is_answered => "answered",
+        Some(_) if quarantine.is_quarantined(part) => "quarantined",
+        Some(_) => "suspected",
+    }
+}
+
+fn suspect_part_id(known: &KnownState, part: PartKey) -> Option<String> {
+    let suspect = known.quarantine().suspect(part)?;
+    Some(suspect.part_id.clone()).filter(|id| !id.is_empty())
+}
+
+/// Returns the id in an item's name, or an empty string if the name has none.
+fn item_id(name: &ItemName) -> &str {
+    match name {
+        ItemName::Version(id)
+        | ItemName::Target(id)
+        | ItemName::Member(id)
+        | ItemName::Recent(id, _) => id,
+        ItemName::Configuration
+        | ItemName::Holder
+        | ItemName::Loading
+        | ItemName::Crash(..)
+        | ItemName::Answered(_) => "",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/suspect_parts.rs
@@ -0,0 +1,245 @@
+//! Shares what instances know of prompt parts that crash targets, through the key-value service.
+//!
+//! Each crash of a target under a call with a part is a key of its own, and so is the word that the
+//! part was answered, so instances never have to agree on a value. The keys are bound to a lease
+//! and expire unless calls with the part keep coming.
+
+use {
+    crate::{
+        SuspectRecord,
+        item::{answered_key, crash_key},
+        shared::Shared,
+    },
+    bytes::Bytes,
+    keyvalue::{KeyValue, KvError, LeaseId, Op, Txn},
+    parts::PartKey,
+    quarantine::{CrashId, Suspect},
+    relay::boot_time,
+    std::{
+        collections::{HashMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+    supervisor::ChildResult,
+    tokio::time::sleep,
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time for which a crash counts if no call with the part comes.
+const RECORD_TTL: Duration = Duration::from_mins(10);
+/// Time for which one lease is used for further records.
+const LEASE_REUSE_TIME: Duration = Duration::from_mins(1);
+/// Age from which on the records of a quarantined part are written again if calls with it came.
+const REFRESH_AGE: Duration = Duration::from_mins(4);
+/// Interval between checks for such records.
+const REFRESH_CHECK_PERIOD: Duration = Duration::from_secs(10);
+/// Delay after a failed write.
+const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Records in one write.
+const MAX_WRITTEN_COUNT: usize = 16;
+/// Records that wait to be written, beyond which further ones are dropped.
+const MAX_UNWRITTEN_COUNT: usize = 512;
+/// Longest delay per instance before a part is declared answered, so that the first one to do so
+/// spares the others the write.
+const ANSWERED_DELAY_PER_INSTANCE: Duration = Duration::from_millis(12);
+/// Longest such delay.
+const MAX_ANSWERED_DELAY: Duration = Duration::from_millis(1_200);
+
+/// Reports suspect and answered parts until `token` is cancelled.
+pub(crate) async fn report<Kv, Format>(
+    shared: Arc<Shared<Kv, Format>>,
+    token: CancellationToken,
+) -> ChildResult
+where
+    Kv: KeyValue,
+    Format: Send + Sync + 'static,
+{
+    let mut reporter = Reporter {
+        shared: shared.clone(),
+        unwritten: VecDeque::new(),
+        answered_at: HashMap::new(),
+        lease: None,
+    };
+    loop {
+        let changed = shared.changed.notified();
+        let crashed = shared.relay_state.part_reports.crashed();
+        let wait = tokio::select! {
+            () = token.cancelled() => return Ok(()),
+            wait = reporter.update() => wait,
+        };
+        tokio::select! {
+            () = token.cancelled() => return Ok(()),
+            () = crashed => {}
+            () = changed => {}
+            () = sleep(wait) => {}
+        }
+    }
+}
+
+/// A record to write.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Unwritten {
+    key: String,
+    part_id: String,
+}
+
+struct Reporter<Kv, Format> {
+    shared: Arc<Shared<Kv, Format>>,
+    unwritten: VecDeque<Unwritten>,
+    /// When to declare a part answered.
+    answered_at: HashMap<PartKey, Duration>,
+    /// Lease of the records, and when it was granted.
+    lease: Option<(LeaseId, Duration)>,
+}
+
+impl<Kv, Format> Reporter<Kv, Format>
+where
+    Kv: KeyValue,
+{
+    /// Collects and writes what is to be told. Returns the time until there may be more.
+    async fn update(&mut self) -> Duration {
+        let now = boot_time();
+        self.collect_crashes(now);
+        self.collect_answered(now);
+        self.collect_refreshes(now);
+        if let Err(error) = self.write().await {
+            log::info!("failed to write records of suspect parts, retrying: {error}");
+            self.lease = None;
+            return RETRY_DELAY;
+        }
+        let now = boot_time();
+        let next_crash = self.shared.relay_state.part_reports.time_until_due(now);
+        let next_answered = self.answered_at.values().min();
+        let next_answered = next_answered.map(|at| at.saturating_sub(now));
+        let next = [next_crash, next_answered].into_iter().flatten().min();
+        next.map_or(REFRESH_CHECK_PERIOD, |next| next.min(REFRESH_CHECK_PERIOD))
+    }
+
+    /// Counts the crashes that are due, here at once and for the other instances once written.
+    fn collect_crashes(&mut self, now: Duration) {
+        let due = self.shared.relay_state.part_reports.take_due_crashes(now);
+        let is_empty = due.is_empty();
+        for report in due {
+            for reported in report.parts {
+                let known = self.shared.known();
+                let is_news = known.quarantine().lacks_crash(reported.part, &report.crash);
+                drop(known);
+                if is_news {
+                    self.shared
+                        .note_crash(reported.part, &reported.id, &report.crash);
+                    self.add(crash_key(reported.part, &report.crash), reported.id);
+                }
+            }
+        }
+        if !is_empty {
+            self.shared.publish();
+        }
+    }
+
+    /// Declares suspect parts answered on which calls of this instance were answered.
+    fn collect_answered(&mut self, now: Duration) {
+        let reports = &self.shared.relay_state.part_reports;
+        let known = self.shared.known();
+        let suspects = known.quarantine().suspects();
+        let answered: HashMap<PartKey, String> = suspects
+            .filter(|(part, suspect)| !suspect.is_answered && reports.is_answered(*part))
+            .map(|(part, suspect)| (part, suspect.part_id.clone()))
+            .collect();
+        let instances_count = u32::try_from(known.ready_members().len()).unwrap_or(u32::MAX);
+        drop(known);
+        self.answered_at
+            .retain(|part, _| answered.contains_key(part));
+        let max_delay = ANSWERED_DELAY_PER_INSTANCE.saturating_mul(instances_count);
+        let max_delay = max_delay.min(MAX_ANSWERED_DELAY);
+        for (part, part_id) in answered {
+            let at = self
+                .answered_at
+                .entry(part)
+                .or_insert_with(|| now + max_delay.mul_f64(rand::random()));
+            if *at <= now {
+                // Written again if the write is not seen in time.
+                *at = now + MAX_ANSWERED_DELAY;
+                self.add(answered_key(part), part_id);
+            }
+        }
+    }
+
+    /// Writes the records of quarantined parts again if calls with them keep coming.
+    fn collect_refreshes(&mut self, now: Duration) {
+        let reports = &self.shared.relay_state.part_reports;
+        let mut known = self.shared.known();
+        let is_due = |part: PartKey, suspect: &Suspect| {
+            let refused_at = reports.refused_at(part);
+            refused_at.is_some_and(|at| at > suspect.written_at)
+                && now.saturating_sub(suspect.written_at) > REFRESH_AGE
+                && known.quarantine().is_quarantined(part)
+        };
+        let due: Vec<(PartKey, String, Vec<CrashId>)> = known
+            .quarantine()
+            .suspects()
+            .filter(|(part, suspect)| is_due(*part, suspect))
+            .map(|(part, suspect)| {
+                let crashes = suspect.crashes.iter().cloned().collect();
+                (part, suspect.part_id.clone(), crashes)
+            })
+            .collect();
+        for (part, ..) in &due {
+            known.set_suspect_written(*part, now);
+        }
+        drop(known);
+        for (part, part_id, crashes) in due {
+            for crash in crashes {
+                self.add(crash_key(part, &crash), part_id.clone());
+            }
+        }
+    }
+
+    fn add(&mut self, key: String, part_id: String) {
+        if self.unwritten.len() >= MAX_UNWRITTEN_COUNT {
+            log::warn!("too many records of suspect parts wait to be written; dropping {key}");
+            return;
+        }
+        self.unwritten.push_back(Unwritten { key, part_id });
+    }
+
+    async fn write(&mut self) -> Result<(), KvError> {
+        while !self.unwritten.is_empty() {
+            let lease = self.lease().await?;
+            let count = self.unwritten.len().min(MAX_WRITTEN_COUNT);
+            let batch = self.unwritten.iter().take(count);
+            let puts = batch.map(|unwritten| {
+                let value = self.encode(&unwritten.part_id);
+                Op::Put(unwritten.key.clone(), value, Some(lease))
+            });
+            let write = Txn {
+                success: puts.collect(),
+                ..Txn::default()
+            };
+            self.shared.kv.txn(write).await?;
+            self.unwritten.drain(..count);
+        }
+        Ok(())
+    }
+
+    fn encode(&self, part_id: &str) -> Bytes {
+        let record = SuspectRecord {
+            part: part_id.to_owned(),
+            instance: self.shared.settings.instance.clone(),
+        };
+        // A struct of two strings always has a JSON form.
+        serde_json::to_vec(&record).unwrap_or_default().into()
+    }
+
+    /// Returns a lease that was granted a short time ago, or a new one.
+    async fn lease(&mut self) -> Result<LeaseId, KvError> {
+        let now = boot_time();
+        if let Some((lease, granted_at)) = self.lease
+            && now.saturating_sub(granted_at) < LEASE_REUSE_TIME
+        {
+            return Ok(lease);
+        }
+        let granted = self.shared.kv.grant(RECORD_TTL).await?;
+        self.lease = Some((granted.id, now));
+        Ok(granted.id)
+    }
+}
--- a/crates/entry/tests/crashing_parts.rs
+++ b/crates/entry/tests/crashing_parts.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    keyvalue::MemoryKv,
+    keyvalue::{KeyValue, MemoryKv},
     std::{
         sync::{Arc, Mutex},
         time::Duration,
@@ -16,7 +16,6 @@
     tokio::time::sleep,
 };
 
-const DEADLY: &[&str] = &["deadly"];
 /// Number of crashes after which [`NEWS_DELAY`] starts.
 const TOLERATED_CRASHES_COUNT: usize = 5;
 /// Time within which every instance must know of the part.
@@ -33,11 +32,11 @@
 
 impl Fleet {
     /// Starts six engines and three instances, and waits until a sound prompt was answered by each.
-    async fn start(deadly_parts: &'static [&'static str]) -> Self {
+    async fn start() -> Self {
         let (kv, log) = (MemoryKv::new(), Arc::default());
         put(&kv, "operators/configuration", "1").await;
         for name in ["a", "b", "c", "d", "e", "f"] {
-            CrashingEngine::start(name, &kv, deadly_parts, &log).await;
+            CrashingEngine::start(name, &kv.peer(), &log).await;
         }
         let mut fleet = Self {
             kv,
@@ -49,7 +48,12 @@
         fleet
     }
 
+    /// Starts three instances in place of the present ones.
     async fn start_instances(&mut self) {
+        for instance in self.instances.drain(..) {
+            instance.stop.cancel();
+            instance.ended.await.unwrap().unwrap();
+        }
         for name in ["one", "two", "three"] {
             self.instances.push(Instance::start(name, self.kv.clone()));
         }
@@ -82,31 +86,106 @@
         log.arrived.iter().filter(has_part).count()
     }
 
-    /// Sends prompts with the deadly part until so many crashes have been seen that every instance
-    /// must know of it, then waits for the news to spread.
-    async fn crash_engines(&mut self) {
-        for _ in 0..40 {
-            if self.crashes_count() >= TOLERATED_CRASHES_COUNT {
+    /// Sends prompts of these parts, one of which crashes engines, until so many crashes have been
+    /// seen that every instance must know of it, then waits for the news to spread.
+    async fn crash_engines(&mut self, parts: &str) {
+        let before = self.crashes_count();
+        for _ in 0..20 {
+            if self.crashes_count() >= before + TOLERATED_CRASHES_COUNT {
                 break;
             }
-            self.prompt("template,session,deadly").await;
+            self.prompt(parts).await;
             sleep(Duration::from_millis(300)).await;
         }
         sleep(NEWS_DELAY).await;
     }
+
+    /// Sends prompts of these parts, and sound ones between, and checks that hardly any of the
+    /// former reach engines and all of the latter are answered.
+    async fn check_quarantine(&mut self, parts: &str) {
+        let part = parts.rsplit(',').next().unwrap();
+        let before = self.arrived_count(part);
+        let mut sound_statuses = Vec::new();
+        for _ in 0..15 {
+            self.prompt(parts).await;
+            sound_statuses.push(self.prompt("template,session").await);
+        }
+        let later_count = self.arrived_count(part) - before;
+        assert!(later_count <= TOLERATED_PROMPTS_COUNT, "{later_count}");
+        assert_eq!(sound_statuses, [Some(200); 15]);
+    }
+
+    /// Log lines of all instances that name a quarantined part.
+    fn quarantined_lines(&self) -> Vec<String> {
+        let lines = self.instances.iter();
+        lines
+            .flat_map(|it| it.lines(r#""state":"quarantined""#))
+            .collect()
+    }
 }
 
 #[tokio::test]
 async fn prompts_with_a_part_that_crashes_engines_stop_reaching_engines() {
-    let mut fleet = Fleet::start(DEADLY).await;
-    fleet.crash_engines().await;
-    let before = fleet.arrived_count("deadly");
-    let mut sound_statuses = Vec::new();
-    for _ in 0..30 {
-        fleet.prompt("template,session,deadly").await;
-        sound_statuses.push(fleet.prompt("template,session").await);
+    let mut fleet = Fleet::start().await;
+    fleet.crash_engines("template,session,deadly").await;
+    fleet.check_quarantine("template,session,deadly").await;
+}
+
+#[tokio::test]
+async fn two_parts_that_crash_engines_both_stop_reaching_them() {
+    let mut fleet = Fleet::start().await;
+    fleet.crash_engines("template,deadly-1").await;
+    fleet.crash_engines("template,session,deadly-2").await;
+    fleet.check_quarantine("template,deadly-1").await;
+    fleet.check_quarantine("template,session,deadly-2").await;
+}
+
+#[tokio::test]
+async fn restarted_instances_know_the_parts_that_crash_engines() {
+    let mut fleet = Fleet::start().await;
+    fleet.crash_engines("template,deadly").await;
+    fleet.start_instances().await;
+    fleet.check_quarantine("template,deadly").await;
+}
+
+#[tokio::test]
+async fn crashes_seen_during_an_outage_of_the_service_count_after_it() {
+    let mut fleet = Fleet::start().await;
+    fleet.kv.set_faults(|faults| faults.unreachable = true);
+    fleet.kv.cut_watches();
+    fleet.prompt("template,deadly").await;
+    sleep(Duration::from_millis(500)).await;
+    fleet.kv.set_faults(|faults| faults.unreachable = false);
+    wait_until("the crashes are in the service", async || {
+        let range = fleet.kv.range("rattan/suspects/").await;
+        range.is_ok_and(|range| !range.pairs.is_empty())
+    })
+    .await;
+    fleet.crash_engines("template,deadly").await;
+    fleet.check_quarantine("template,deadly").await;
+}
+
+#[tokio::test]
+async fn sound_parts_that_are_beside_crashes_are_not_quarantined() {
+    let mut fleet = Fleet::start().await;
+    for round in 0..8 {
+        let deadly = format!("template,deadly-{round},own");
+        let sound = format!("template,session-{round},own");
+        let [one, two, three] = fleet.instances.as_slice() else {
+            panic!("three instances are started");
+        };
+        tokio::join!(
+            one.prompt("d", &deadly),
+            one.prompt("s1", &sound),
+            two.prompt("s2", &sound),
+            three.prompt("s3", &sound),
+        );
+        sleep(Duration::from_millis(900)).await;
+    }
+    for round in 0..8 {
+        let status = fleet.prompt(&format!("template,session-{round}")).await;
+        assert_eq!(status, Some(200));
     }
-    let later_count = fleet.arrived_count("deadly") - before;
-    assert!(later_count <= TOLERATED_PROMPTS_COUNT, "{later_count}");
-    assert_eq!(sound_statuses, [Some(200); 30]);
+    let lines = fleet.quarantined_lines();
+    assert!(lines.is_empty(), "{lines:?}");
 }
--- a/crates/entry/tests/support/crashing_engine.rs
+++ b/crates/entry/tests/support/crashing_engine.rs
@@ -37,28 +37,25 @@
     pub crashes_count: usize,
 }
 
-/// An engine that crashes on prompts with one of `deadly_parts` before their last part.
+/// Start of the ids of parts that crash engines.
+const DEADLY: &str = "deadly";
+
+/// An engine that crashes on prompts with a part, other than the last, whose id starts with
+/// [`DEADLY`].
 pub struct CrashingEngine {
     name: String,
     kv: MemoryKv,
-    deadly_parts: &'static [&'static str],
     log: Arc<Mutex<EngineLog>>,
     address: SocketAddr,
 }
 
 impl CrashingEngine {
     /// Starts an engine that registers itself as `NAME-1`, after its first crash as `NAME-2`.
-    pub async fn start(
-        name: &str,
-        kv: &MemoryKv,
-        deadly_parts: &'static [&'static str],
-        log: &Arc<Mutex<EngineLog>>,
-    ) -> JoinHandle<()> {
+    pub async fn start(name: &str, kv: &MemoryKv, log: &Arc<Mutex<EngineLog>>) -> JoinHandle<()> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let engine = Arc::new(Self {
             name: name.to_owned(),
             kv: kv.clone(),
-            deadly_parts,
             log: log.clone(),
             address: listener.local_addr().unwrap(),
         });
@@ -67,9 +64,10 @@
 
     async fn run(self: Arc<Self>, mut listener: TcpListener) {
         for start in 1.. {
-            let key = format!("targets/{}-{start}", self.name);
+            let name = format!("{}-{start}", self.name);
+            let key = format!("targets/{name}");
             super::put(&self.kv, &key, &format!("{} 1", self.address)).await;
-            self.serve(listener).await;
+            self.serve(&name, listener).await;
             let removal = Txn {
                 success: vec![Op::Delete(key)],
                 ..Txn::default()
@@ -80,8 +78,8 @@
         }
     }
 
-    /// Serves until the engine crashes, which closes the listener and all connections.
-    async fn serve(self: &Arc<Self>, listener: TcpListener) {
+    /// Serves under `name` until the engine crashes, which closes the listener and all connections.
+    async fn serve(self: &Arc<Self>, name: &str, listener: TcpListener) {
         let crashed = CancellationToken::new();
         let mut connections = JoinSet::new();
         loop {
@@ -89,10 +87,19 @@
                 () = crashed.cancelled() => return,
                 accepted = listener.accept() => accepted,
             };
-            let (engine, crash) = (self.clone(), crashed.clone());
-            let service = service_fn(move |request| {
+            let (engine, name, crash) = (self.clone(), name.to_owned(), crashed.clone());
+            let service = service_fn(move |request: Request<Incoming>| {
                 let (engine, crash) = (engine.clone(), crash.clone());
-                async move { Ok::<_, Infallible>(engine.answer(&request, &crash).await) }
+                let is_meant = request
+                    .headers()
+                    .get("target")
+                    .is_some_and(|it| *it == *name);
+                async move {
+                    if !is_meant {
+                        return Ok::<_, Infallible>(respond(421, String::new()));
+                    }
+                    Ok(engine.answer(&request, &crash).await)
+                }
             });
             let stream = TokioIo::new(accepted.unwrap().0);
             connections.spawn(http1::Builder::new().serve_connection(stream, service));
@@ -110,10 +117,7 @@
         };
         self.log.lock().unwrap().arrived.push(parts.join(","));
         sleep(START_DELAY).await;
-        if shared
-            .iter()
-            .any(|part| self.deadly_parts.contains(&part.as_str()))
-        {
+        if shared.iter().any(|part| part.starts_with(DEADLY)) {
             self.log.lock().unwrap().crashes_count += 1;
             crash.cancel();
             future::pending::<()>().await;
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -68,7 +68,11 @@
     pub view_age_ms: u64,
     /// Number of instances known to share the retry budget.
     pub instances_count: u32,
-    /// Ids of the prompt's parts, in order; empty unless an attempt ended without a complete answer.
+    /// Id of the part because of which the call was refused, since it crashed targets; otherwise
+    /// empty.
+    pub quarantined_part: String,
+    /// Ids of the prompt's parts, in order; empty unless an attempt ended without a complete answer
+    /// or the call was refused because of a part.
     pub prompt_parts: Vec<String>,
     /// Attempts, in order.
     pub attempts: Vec<AttemptLine>,
@@ -141,6 +145,16 @@
         /// The outcome that caused the exclusion.
         reason: String,
     },
+    /// What is known of a prompt part that may crash targets changed.
+    SuspectPart {
+        /// Id of the part as callers send it, shortened if it is long; empty if it is not known.
+        part: String,
+        /// `suspected`, `quarantined`, `answered` (not at fault) or `released` (the records have
+        /// expired).
+        state: &'static str,
+        /// Crashes of targets that had calls with the part: target and its start.
+        crashes: Vec<String>,
+    },
     /// The set of instances that share the work changed.
     Instances {
         /// Names of the instances that accept callers.
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -47,6 +47,11 @@
             target: text(),
             reason: text(),
         },
+        Event::SuspectPart {
+            part: text(),
+            state: "",
+            crashes: Vec::new(),
+        },
         Event::Instances { ready: Vec::new() },
         Event::Version {
             model: text(),
@@ -107,6 +112,7 @@
         Event::Dependency { .. } => 14,
         Event::Dropped { .. } => 15,
         Event::Note { .. } => 16,
+        Event::SuspectPart { .. } => 17,
     }
 }
 
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -8,6 +8,7 @@
         boot_time,
         call_recorder::{CallRecorder, millis},
         pick::{PickContext, PickedTarget, pick},
+        quarantined_parts::part_keys,
         relay::Inner,
         view::InFlightGuard,
     },
@@ -16,6 +17,7 @@
     catalog::TargetId,
     http_body_util::Full,
     hyper::{Request, http::request},
+    parts::PartKey,
     routes::{PoolId, RetryPolicy},
     std::{
         sync::Arc,
@@ -56,6 +58,8 @@
     _body_permit: OwnedSemaphorePermit,
     /// When the call reached the relay.
     arrived: Instant,
+    /// Keys of the prompt's parts that could be at fault if a target crashes.
+    pub(crate) part_keys: Vec<PartKey>,
     /// Pool that was chosen for the call; empty if the route has no pool with a weight above 0.
     pool: PoolId,
     /// Targets that were tried for the call, including those that could not be reached.
@@ -83,6 +87,7 @@
     ) -> Self {
         let pool = admitted.route.draw_pool(rand::random());
         let pool = pool.cloned().unwrap_or_default();
+        let part_keys = part_keys(&admitted.call);
         Self {
             inner,
             admitted,
@@ -90,6 +95,7 @@
             body,
             _body_permit: body_permit,
             arrived,
+            part_keys,
             pool,
             tried_targets: Vec::new(),
             may_have_run_count: 0,
@@ -199,7 +205,8 @@
     /// Another target is tried only if the previous one did not run the call or if the call may run
     /// again, only while time is left (also until a shutdown), and only while fewer than
     /// [`MAX_TRIED_TARGETS_COUNT`] were tried. Each retry takes one from the pool's retry budget,
-    /// unless no byte was sent to the previous target. If targets answered with a 5xx status and no
+    /// unless no byte was sent to the previous target. A call with a part that crashes targets is
+    /// refused or given up. If targets answered with a 5xx status and no
     /// later one gives a final answer, the last 5xx answer is returned.
     pub(crate) async fn run(
         &mut self,
@@ -225,6 +232,10 @@
                 last_refusal = refusal;
                 break;
             }
+            if let Err(refusal) = self.check_quarantine(recorder) {
+                last_refusal = refusal;
+                break;
+            }
             let Some(picked) = self.pick() else {
                 break;
             };
@@ -234,7 +245,7 @@
             let outcome = self.send(&picked, last_event_id, recorder).await;
             recorder.end_attempt(describe_outcome(&outcome));
             self.record_attempt(&picked, &outcome);
-            if matches!(outcome, AttemptOutcome::Unknown(_)) {
+            if matches!(outcome, AttemptOutcome::Unknown { .. }) {
                 recorder.record_prompt_parts(&self.admitted.call);
             }
             let (refusal, counts_as_retry) = match outcome {
@@ -252,8 +263,11 @@
                     let overloaded = Refusal::new(Reason::Overloaded);
                     (overloaded.retry_after(OVERLOADED_RETRY_AFTER), true)
                 }
-                AttemptOutcome::Unknown(_) => {
-                    if !self.can_run_again() {
+                AttemptOutcome::Unknown { disconnected, .. } => {
+                    if disconnected && last_event_id.is_none() {
+                        self.report_disconnect(&picked);
+                    }
+                    if !self.can_run_again() || self.may_have_crashed_target() {
                         break;
                     }
                     (last_refusal, true)
@@ -338,7 +352,7 @@
         .await;
         if matches!(
             outcome,
-            AttemptOutcome::Answered(_) | AttemptOutcome::Unknown(_)
+            AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { .. }
         ) {
             self.may_have_run_count += 1;
         }
@@ -346,13 +360,18 @@
         if has_prompt
             && matches!(
                 outcome,
-                AttemptOutcome::Answered(_) | AttemptOutcome::Unknown(_)
+                AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { .. }
             )
         {
             // An attempt without an answer shows that the start takes at least this long.
             let now = self.inner.origin.elapsed();
             target.call_stats.record_start_delay(sent.elapsed(), now);
         }
+        if let AttemptOutcome::Answered(answer) = &outcome
+            && answer.has_begun()
+        {
+            self.record_answered_parts();
+        }
         if has_prompt && matches!(outcome, AttemptOutcome::Answered(_)) {
             let mut cache_index = self.inner.state.cache_index();
             cache_index.record_first_event(&plan, sent.elapsed(), boot_time());
@@ -416,6 +435,6 @@
         AttemptOutcome::Answered(answer) => format!("answered {}", answer.status.as_u16()),
         AttemptOutcome::NotSent(reason) => format!("not sent: {reason}"),
         AttemptOutcome::NotRun(status, _) => format!("not run: {}", status.as_u16()),
-        AttemptOutcome::Unknown(reason) => format!("unknown: {reason}"),
+        AttemptOutcome::Unknown { reason, .. } => format!("unknown: {reason}"),
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -31,6 +31,17 @@
     pub(crate) content: Content,
 }
 
+impl TargetAnswer {
+    /// Whether the target has begun to answer the call: with the whole body, or with an event.
+    pub(crate) fn has_begun(&self) -> bool {
+        let has_content = match &self.content {
+            Content::Whole(_) => true,
+            Content::Events(events) => events.has_first_event(),
+        };
+        has_content && self.status.is_success()
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum AttemptOutcome<Answer> {
@@ -40,8 +51,42 @@
     NotSent(String),
     /// The target said that it did not run the call; the status and metadata of its answer.
     NotRun(StatusCode, ReplyMetadata),
-    /// The target may have run the call, but its answer is missing or unusable; the reason.
-    Unknown(String),
+    /// The target may have run the call, but its answer is missing or unusable.
+    Unknown {
+        /// Why.
+        reason: String,
+        /// Whether the connection ended before the answer, or the first event of its stream, was
+        /// complete.
+        disconnected: bool,
+    },
+}
+
+impl<Answer> AttemptOutcome<Answer> {
+    /// Outcome of an attempt whose answer came but cannot be used.
+    fn unusable(reason: impl Into<String>) -> Self {
+        Self::Unknown {
+            reason: reason.into(),
+            disconnected: false,
+        }
+    }
+}
+
+impl<Answer> From<SendError> for AttemptOutcome<Answer> {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::NotSent { reason, .. } => Self::NotSent(reason),
+            error => Self::Unknown {
+                disconnected: matches!(
+                    error,
+                    SendError::Unknown {
+                        disconnected: true,
+                        ..
+                    }
+                ),
+                reason: error.to_string(),
+            },
+        }
+    }
 }
 
 /// Parameters of one attempt.
@@ -83,8 +128,7 @@
         .await
     {
         Ok(reply) => reply,
-        Err(SendError::NotSent { reason, .. }) => return AttemptOutcome::NotSent(reason),
-        Err(error) => return AttemptOutcome::Unknown(error.to_string()),
+        Err(error) => return error.into(),
     };
     let metadata = header_format.parse_reply(reply.headers());
     let status = reply.status();
@@ -93,16 +137,17 @@
         // may still follow, so the connection must not be reused: dropping `reply` closes it. The
         // idle connections to the target are closed as well.
         client.close_idle(address);
-        return AttemptOutcome::Unknown("the answer belongs to another call".to_owned());
+        return AttemptOutcome::unusable("the answer belongs to another call");
     }
     if metadata.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return read_not_run(reply, metadata, params.body_timeout).await;
     }
     if promises_not_run(status) {
-        return AttemptOutcome::Unknown(format!("{status} without word that the call did not run"));
+        let reason = format!("{status} without word that the call did not run");
+        return AttemptOutcome::unusable(reason);
     }
     if status.is_success() && !metadata.has_proof {
-        return AttemptOutcome::Unknown("the answer carries no proof of its target".to_owned());
+        return AttemptOutcome::unusable("the answer carries no proof of its target");
     }
     read_answer(reply, metadata, &params).await
 }
@@ -152,6 +197,6 @@
             metadata,
             content,
         }),
-        Err(error) => AttemptOutcome::Unknown(error.to_string()),
+        Err(error) => error.into(),
     }
 }
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -62,6 +62,11 @@
         *self
     }
 
+    /// Whether the first event has arrived and was not returned yet.
+    pub(crate) fn has_first_event(&self) -> bool {
+        self.first_event.is_some()
+    }
+
     fn first_event_id(&self) -> Option<u64> {
         event_id(self.first_event.as_deref()?)
     }
@@ -96,7 +101,9 @@
             }
             match self.reply.chunk(silence_timeout).await? {
                 Some(chunk) => self.parser.push(&chunk),
-                None if self.parser.has_part() => return Err(self.torn("it ends within an event")),
+                None if self.parser.has_part() => {
+                    return Err(self.torn("it ends within an event"));
+                }
                 None => return Ok(None),
             }
         }
@@ -118,6 +125,7 @@
         SendError::Unknown {
             address: self.reply.address(),
             reason: reason.to_owned(),
+            disconnected: false,
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,7 +28,9 @@
 mod event_stream;
 mod header_format;
 mod outbound_metadata;
+mod part_reports;
 mod pick;
+mod quarantined_parts;
 mod refusal;
 mod relay;
 mod retry_budgets;
@@ -44,6 +46,7 @@
     boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
     header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata},
+    part_reports::PartReports,
     refusal::{Reason, Refusal},
     relay::{Relay, RelaySettings, RelayState},
     salt::salt_version,
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -30,6 +30,8 @@
     /// A target refused the call without running it, for example because it is at capacity, or this
     /// instance buffers too many request bodies.
     Overloaded,
+    /// A part of the prompt crashed targets, so the call is not sent to another one.
+    Quarantined,
     /// The time limit expired, and the call has not run.
     TooLate,
     /// The time limit expired; the call may have run.
@@ -55,6 +57,7 @@
             Self::NotReady
             | Self::NoTarget
             | Self::Overloaded
+            | Self::Quarantined
             | Self::TooLate
             | Self::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -80,6 +83,9 @@
             Self::NotReady => "this instance has no current configuration; use another address",
             Self::NoTarget => "no target may take the call now; come back later",
             Self::Overloaded => "all targets are full; come back later",
+            Self::Quarantined => {
+                "a part of the prompt crashed several targets; leave it out, or come back later"
+            }
             Self::TooLate => "no target could be reached in time; the call has not run",
             Self::TimedOut => "the target took too long; the call may have run",
             Self::TargetFailed => "the target broke off; the call may have run",
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -77,7 +77,7 @@
                 picked.target.call_stats.pause(now + REFUSAL_PAUSE);
                 CallOutcome::Full
             }
-            AttemptOutcome::NotSent(_) | AttemptOutcome::Unknown(_) => CallOutcome::Failed,
+            AttemptOutcome::NotSent(_) | AttemptOutcome::Unknown { .. } => CallOutcome::Failed,
         };
         self.record_outcome(picked, outcome, &describe_outcome(attempt_outcome));
     }
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -4,6 +4,7 @@
     crate::{Shutdown, boot_time},
     balance::{CallOutcome, Health, StartDelay},
     catalog::{FailureDomainId, ModelId, TargetId},
+    quarantine::Quarantine,
     routes::{PoolId, RouteTable},
     std::{
         collections::{BTreeSet, HashMap, HashSet},
@@ -147,6 +148,8 @@
     pub id: TargetId,
     /// Seed of the id for rendezvous hashing.
     pub seed: u64,
+    /// Start time that the target reports, in milliseconds since the Unix epoch by its own clock.
+    pub started_unix_ms: u64,
     /// Address of the target.
     pub address: SocketAddr,
     /// Failure domain that the target is in.
@@ -329,6 +332,8 @@
     pub loading: HashSet<TargetId>,
     /// Wanted weights versions by model.
     pub wanted_versions: HashMap<ModelId, WantedVersions>,
+    /// Prompt parts that may crash targets.
+    pub quarantine: Arc<Quarantine>,
     /// Number of ready instances, including this one.
     pub instances_count: u32,
     /// When the key-value service last confirmed that the view is current, by [`boot_time`].
@@ -344,6 +349,7 @@
             pools: HashMap::new(),
             loading: HashSet::new(),
             wanted_versions: HashMap::new(),
+            quarantine: Arc::default(),
             instances_count: 1,
             confirmed_at: boot_time(),
             shutdown: None,
--- /dev/null
+++ b/crates/relay/tests/crash_reports.rs
@@ -0,0 +1,101 @@
+//! Which failed calls are reported as crashes of their targets.
+
+mod support;
+
+use {
+    relay::boot_time,
+    std::time::Duration,
+    support::{
+        TestRelay, caller,
+        scripted_target::{ScriptedTarget, Step},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        time::sleep,
+    },
+};
+
+const PARTS: &str = "parts: template:5,deadly:3,own:1\r\n";
+
+/// Ids of the parts that the relay reports, each with the crash.
+async fn reported_parts(relay: &TestRelay) -> Vec<String> {
+    sleep(Duration::from_millis(200)).await;
+    let later = boot_time() + Duration::from_secs(1);
+    let reports = relay.part_reports.take_due_crashes(later);
+    let parts = reports.iter().flat_map(|report| &report.parts);
+    parts.map(|part| part.id.clone()).collect()
+}
+
+/// Starts a target that answers its first call with `bytes` and then ends.
+async fn target_that_ends(name: &str, bytes: &'static str) -> ScriptedTarget {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let target = ScriptedTarget::at(name, listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 4_096]).await;
+        let _ = stream.write_all(bytes.as_bytes()).await;
+    });
+    target
+}
+
+#[tokio::test]
+async fn crash_before_the_answer_names_the_shared_parts() {
+    let target = target_that_ends("one", "").await;
+    let relay = TestRelay::start(&[&target]).await;
+    caller::call(relay.address, "/resumable/1", PARTS).await;
+    assert_eq!(reported_parts(&relay).await, ["template", "deadly"]);
+}
+
+#[tokio::test]
+async fn crash_after_the_head_of_the_answer_names_the_shared_parts() {
+    let head = "HTTP/1.1 200 OK\r\nid: c1\r\nstamp: s\r\ntransfer-encoding: chunked\r\n\r\n";
+    let target = target_that_ends("one", head).await;
+    let relay = TestRelay::start(&[&target]).await;
+    caller::call(relay.address, "/resumable/1", PARTS).await;
+    assert_eq!(reported_parts(&relay).await, ["template", "deadly"]);
+}
+
+#[tokio::test]
+async fn target_that_closes_a_connection_and_lives_has_not_crashed() {
+    let close = Step::RespondThenClose(String::new());
+    let target = ScriptedTarget::start("one", vec![close.clone(), close]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    caller::call(relay.address, "/resumable/1", PARTS).await;
+    assert!(reported_parts(&relay).await.is_empty());
+}
+
+#[tokio::test]
+async fn crash_after_an_event_names_no_part() {
+    let answer = "HTTP/1.1 200 OK\r\nid: c1\r\nstamp: s\r\ntransfer-encoding: chunked\r\n\r\n\
+                  e\r\nid: 1\ndata: a\n\n\r\n";
+    let target = target_that_ends("one", answer).await;
+    let relay = TestRelay::start(&[&target]).await;
+    caller::call(relay.address, "/resumable/1", PARTS).await;
+    assert!(reported_parts(&relay).await.is_empty());
+}
+
+#[tokio::test]
+async fn answered_parts_are_not_named_after_a_crash() {
+    let sound = ScriptedTarget::start("one", vec![]).await;
+    let ended = target_that_ends("two", "").await;
+    let relay = TestRelay::start(&[&sound]).await;
+    let answer = caller::call(
+        relay.address,
+        "/idempotent/1",
+        "parts: template:5,own:1\r\n",
+    )
+    .await;
+    assert_eq!(answer.status, 200);
+    relay.view.store(support::view(&[&ended]).into());
+    caller::call(relay.address, "/idempotent/2", PARTS).await;
+    assert_eq!(reported_parts(&relay).await, ["deadly"]);
+}
+
+#[tokio::test]
+async fn plain_call_names_no_part() {
+    let target = target_that_ends("one", "").await;
+    let relay = TestRelay::start(&[&target]).await;
+    caller::call(relay.address, "/once/1", "").await;
+    assert!(reported_parts(&relay).await.is_empty());
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -15,8 +15,8 @@
     meters::Meters,
     parts::PartDirectory,
     relay::{
-        AnswerCutoff, LoadedModel, Relay, RelaySettings, RelayState, Shutdown, TargetState,
-        TargetStats, View, boot_time,
+        AnswerCutoff, LoadedModel, PartReports, Relay, RelaySettings, RelayState, Shutdown,
+        TargetState, TargetStats, View, boot_time,
     },
     routes::{Account, RetryPolicy, Route, RouteConfig, RouteTable},
     scripted_target::ScriptedTarget,
@@ -39,6 +39,7 @@
     pub view: Arc<ArcSwap<View>>,
     pub cache_index: Arc<Mutex<PartDirectory>>,
     pub answer_cutoff: AnswerCutoff,
+    pub part_reports: Arc<PartReports>,
 }
 
 /// Routes `/idempotent/`, `/once/`, `/stream/`, `/resumable/` and `/gapped/` to one pool.
@@ -77,6 +78,7 @@
         Arc::new(TargetState {
             id: target.name.clone(),
             seed: rendezvous::member_seed(&target.name),
+            started_unix_ms: 0,
             address: target.address,
             failure_domain: "here".to_owned(),
             slots_count: 8,
@@ -103,6 +105,7 @@
         let view = Arc::new(ArcSwap::from_pointee(view(targets)));
         let cache_index = Arc::new(Mutex::new(PartDirectory::default()));
         let answer_cutoff = AnswerCutoff::default();
+        let part_reports = Arc::<PartReports>::default();
         let settings = RelaySettings {
             failure_domain: "here".to_owned(),
             retry_bounds: RetryBounds {
@@ -120,6 +123,7 @@
                 view: view.clone(),
                 cache_index: cache_index.clone(),
                 answer_cutoff: answer_cutoff.clone(),
+                part_reports: part_reports.clone(),
                 ..RelayState::default()
             },
             EventLog::start(std::io::sink()),
@@ -143,6 +147,7 @@
             view,
             cache_index,
             answer_cutoff,
+            part_reports,
         }
     }
 
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -77,6 +77,15 @@
         }
     }
 
+    /// A target at an address that the test serves itself.
+    pub fn at(name: &str, address: SocketAddr) -> Self {
+        Self {
+            name: name.to_owned(),
+            address,
+            state: Arc::default(),
+        }
+    }
+
     /// Calls that have arrived so far, in order.
     pub fn arrived(&self) -> Vec<Arrived> {
         self.state.arrived.lock().unwrap().clone()
--- a/crates/target/src/answer_stream.rs
+++ b/crates/target/src/answer_stream.rs
@@ -127,6 +127,7 @@
         SendError::Unknown {
             address: self.reply.address(),
             reason: "answer ended before its end marker".to_owned(),
+            disconnected: false,
         }
     }
 
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -13,6 +13,8 @@
     socket2::{SockRef, TcpKeepalive},
     std::{
         collections::HashMap,
+        error::Error,
+        io::{self, ErrorKind},
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
@@ -161,6 +163,14 @@
         self.lock_idle().remove(&address);
     }
 
+    /// Whether nothing listens at `address`, as after a crash of the target. False if the target
+    /// cannot be reached at all.
+    pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
+        let connecting = TcpStream::connect(address);
+        let connected = timeout(self.settings.connect_timeout, connecting).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Keeps a connection for reuse until the idle timeout, or for half the time that the target
     /// keeps it if that is shorter.
     pub(crate) fn put_idle(
@@ -232,7 +242,13 @@
         request: Request<Full<Bytes>>,
         first_byte_timeout: Duration,
     ) -> Exchange {
-        let unknown = |reason: String| Exchange::Done(Err(SendError::Unknown { address, reason }));
+        let unknown = |reason, disconnected| {
+            Exchange::Done(Err(SendError::Unknown {
+                address,
+                reason,
+                disconnected,
+            }))
+        };
         match timeout(
             first_byte_timeout,
             connection.sender.try_send_request(request),
@@ -242,12 +258,12 @@
             Ok(Ok(response)) => Exchange::Done(Ok(self.reply(address, connection, response))),
             Ok(Err(mut failure)) => match failure.take_message() {
                 Some(unsent) => Exchange::Unsent(unsent),
-                None => unknown(failure.error().to_string()),
+                None => unknown(failure.error().to_string(), is_disconnect(failure.error())),
             },
-            Err(_) => unknown(format!(
-                "no first byte in {} ms",
-                first_byte_timeout.as_millis()
-            )),
+            Err(_) => {
+                let reason = format!("no first byte in {} ms", first_byte_timeout.as_millis());
+                unknown(reason, false)
+            }
         }
     }
 
@@ -281,6 +297,23 @@
     socket.set_tcp_user_timeout(Some(limit))
 }
 
+/// Whether the peer ended the connection, rather than the network or the protocol failing.
+pub(crate) fn is_disconnect(error: &hyper::Error) -> bool {
+    if error.is_incomplete_message() || error.is_closed() {
+        return true;
+    }
+    let source = error.source().and_then(|it| it.downcast_ref::<io::Error>());
+    source.is_some_and(|source| {
+        matches!(
+            source.kind(),
+            ErrorKind::ConnectionReset
+                | ErrorKind::ConnectionAborted
+                | ErrorKind::BrokenPipe
+                | ErrorKind::UnexpectedEof
+        )
+    })
+}
+
 /// Result of sending a request on one connection.
 enum Exchange {
     /// The request was answered, or may have been sent.
--- a/crates/target/src/error.rs
+++ b/crates/target/src/error.rs
@@ -35,6 +35,8 @@
         address: SocketAddr,
         /// Why the answer is missing or incomplete.
         reason: String,
+        /// Whether the connection ended before the answer was complete.
+        disconnected: bool,
     },
     /// The answer comes from another version than the requested one.
     #[snafu(display(
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -1,10 +1,17 @@
 //! An HTTP answer whose body is still arriving.
 
 use {
-    crate::{Client, SendError, client::Connection},
+    crate::{
+        Client, SendError,
+        client::{Connection, is_disconnect},
+    },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
-    hyper::{Response, StatusCode, body::Incoming, header::HeaderMap},
+    hyper::{
+        Response, StatusCode,
+        body::Incoming,
+        header::{self, HeaderMap},
+    },
     serde::de::DeserializeOwned,
     std::{net::SocketAddr, time::Duration},
     tokio::time::timeout,
@@ -63,12 +70,16 @@
         loop {
             let frame = timeout(read_timeout, self.response.body_mut().frame())
                 .await
-                .map_err(|_| self.unknown(format!("silent for {} ms", read_timeout.as_millis())))?;
+                .map_err(|_| {
+                    let reason = format!("silent for {} ms", read_timeout.as_millis());
+                    self.unknown(reason, false)
+                })?;
             let Some(frame) = frame else {
                 self.release_connection();
                 return Ok(None);
             };
-            let frame = frame.map_err(|error| self.unknown(error.to_string()))?;
+            let frame =
+                frame.map_err(|error| self.unknown(error.to_string(), is_disconnect(&error)))?;
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
             }
@@ -84,7 +95,8 @@
         let mut body = BytesMut::new();
         while let Some(chunk) = self.chunk(read_timeout).await? {
             if body.len() + chunk.len() > MAX_ANSWER_BYTES {
-                return Err(self.unknown(format!("answer exceeds {MAX_ANSWER_BYTES} bytes")));
+                let reason = format!("answer exceeds {MAX_ANSWER_BYTES} bytes");
+                return Err(self.unknown(reason, false));
             }
             body.extend_from_slice(&chunk);
         }
@@ -147,10 +159,19 @@
         }
     }
 
-    fn unknown(&self, reason: String) -> SendError {
+    /// Whether the body has neither a length nor chunks, so that the end of the connection ends it.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = self.headers();
+        !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
+    fn unknown(&self, reason: String, disconnected: bool) -> SendError {
         SendError::Unknown {
             address: self.address,
             reason,
+            disconnected,
         }
     }
 
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -98,6 +98,7 @@
             return Err(SendError::Unknown {
                 address: self.address,
                 reason: "answer belongs to another request".to_owned(),
+                disconnected: false,
             });
         }
         Ok(ServiceAnswer {
