--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -8,6 +8,7 @@
     feed::Feed,
     meters::Meters,
     parts::PartKey,
+    quarantine::CrashId,
     relay::{RelayState, boot_time},
     std::{
         collections::HashMap,
@@ -152,14 +153,21 @@
             return;
         }
         let suspect = known.quarantine().suspect(part);
-        let crashes = suspect.map(|suspect| suspect.crashes.iter().cloned().collect());
+        let crashes: Vec<CrashId> = suspect
+            .iter()
+            .flat_map(|suspect| suspect.crashes.iter().cloned())
+            .collect();
+        if after == "answered" && crashes.is_empty() {
+            // A listing delivers these records before those of the crashes.
+            return;
+        }
         self.meters.count("suspect_parts", after);
         self.log.emit(&Event::SuspectPart {
             part: suspect_part_id(&known, part)
                 .or(part_id_before)
                 .unwrap_or_default(),
             state: after,
-            crashes: crashes.unwrap_or_default(),
+            crashes,
         });
     }
 
