Fix: an unframed stream that ends before its first event was passed on as a whole answer

Callers would have got a complete, empty answer from a target that ended before it wrote an event, and the crash would have cleared the very part that caused it instead of counting against it. Cause: without a length or chunks the end of the connection is the only end of the answer, and a stream without events was taken as finished. Such a stream is now broken off unless it resumes another, and its end counts as a disconnection. Failed before: crash_before_the_first_event_of_an_unframed_stream_names_the_shared_parts and unframed_stream_without_an_event_is_no_whole_answer. The tests of a whole unframed stream and of one that ends inside an event held before as well.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -342,6 +342,7 @@
             first_byte_timeout: self.attempt_timeout().min(body_timeout),
             body_timeout,
             stream: self.retry_policy().is_stream(),
+            is_resumed: last_event_id.or(self.admitted.call.last_event_id).is_some(),
         };
         let outcome = attempt(
             &self.inner.client,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -105,6 +105,8 @@
     pub(crate) body_timeout: Duration,
     /// Whether a successful answer is an event stream.
     pub(crate) stream: bool,
+    /// Whether the call resumes a stream.
+    pub(crate) is_resumed: bool,
 }
 
 /// Sends a call to a target once and reads its answer, or the first event of its stream.
@@ -184,7 +186,7 @@
 ) -> AttemptOutcome<TargetAnswer> {
     let (status, headers) = (reply.status(), reply.headers().clone());
     let content = if params.stream && status.is_success() {
-        EventStream::open(reply, params.first_byte_timeout)
+        EventStream::open(reply, params.first_byte_timeout, params.is_resumed)
             .await
             .map(|events| Content::Events(Box::new(events)))
     } else {
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -33,9 +33,13 @@
 impl EventStream {
     /// Waits for the first event, for up to `first_event_timeout` per chunk. Until then, the caller
     /// has received nothing, so another target can still be tried without the caller noticing.
+    ///
+    /// Fails if the connection ends before an event, since nothing else marks the end of a stream
+    /// that has neither a length nor chunks. A resumed stream may have no events left.
     pub(crate) async fn open(
         reply: Reply,
         first_event_timeout: Duration,
+        is_resumed: bool,
     ) -> Result<Self, SendError> {
         let mut events = Self {
             reply,
@@ -45,6 +49,9 @@
             is_restarted: false,
         };
         events.first_event = events.read_event(first_event_timeout).await?;
+        if events.first_event.is_none() && !is_resumed && events.reply.ends_with_connection() {
+            return Err(events.torn("it ends before its first event"));
+        }
         Ok(events)
     }
 
@@ -90,14 +97,14 @@
 
     async fn read_event(&mut self, silence_timeout: Duration) -> Result<Option<Bytes>, SendError> {
         if self.is_restarted {
-            return Err(self.torn("a continued stream began again"));
+            return Err(self.invalid("a continued stream began again"));
         }
         loop {
             if let Some(event) = self.parser.next_event() {
                 return self.check_order(event).map(Some);
             }
             if self.parser.overflowed() {
-                return Err(self.torn("an event exceeds its bound"));
+                return Err(self.invalid("an event exceeds its bound"));
             }
             match self.reply.chunk(silence_timeout).await? {
                 Some(chunk) => self.parser.push(&chunk),
@@ -114,18 +121,27 @@
     fn check_order(&mut self, event: Bytes) -> Result<Bytes, SendError> {
         let id = event_id(&event);
         if id.is_some() && id <= self.last_event_id {
-            return Err(self.torn("an event came out of order"));
+            return Err(self.invalid("an event came out of order"));
         }
         self.last_event_id = id.or(self.last_event_id);
         Ok(event)
     }
 
-    /// Error for a stream that broke off or is invalid.
+    /// Error for a stream that broke off at its end.
     fn torn(&self, reason: &str) -> SendError {
+        self.failed(reason, self.reply.ends_with_connection())
+    }
+
+    /// Error for a stream that is invalid.
+    fn invalid(&self, reason: &str) -> SendError {
+        self.failed(reason, false)
+    }
+
+    fn failed(&self, reason: &str, disconnected: bool) -> SendError {
         SendError::Unknown {
             address: self.reply.address(),
             reason: reason.to_owned(),
-            disconnected: false,
+            disconnected,
         }
     }
 }
--- a/crates/relay/tests/crash_reports.rs
+++ b/crates/relay/tests/crash_reports.rs
@@ -7,7 +7,7 @@
     std::time::Duration,
     support::{
         TestRelay, caller,
-        scripted_target::{ScriptedTarget, Step},
+        scripted_target::{ScriptedTarget, Step, unframed},
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -28,8 +28,9 @@
 }
 
 /// Starts a target that answers its first call with `bytes` and then ends.
-async fn target_that_ends(name: &str, bytes: &'static str) -> ScriptedTarget {
+async fn target_that_ends(name: &str, bytes: impl Into<String>) -> ScriptedTarget {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let bytes = bytes.into();
     let target = ScriptedTarget::at(name, listener.local_addr().unwrap());
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
@@ -56,6 +57,17 @@
     assert_eq!(reported_parts(&relay).await, ["template", "deadly"]);
 }
 
+#[tokio::test]
+async fn crash_before_the_first_event_of_an_unframed_stream_names_the_shared_parts() {
+    for body in ["", "id: 1\nda"] {
+        let answer = unframed(body).replace("{id}", "c1");
+        let target = target_that_ends("one", answer).await;
+        let relay = TestRelay::start(&[&target]).await;
+        caller::call(relay.address, "/resumable/1", PARTS).await;
+        assert_eq!(reported_parts(&relay).await, ["template", "deadly"]);
+    }
+}
+
 #[tokio::test]
 async fn target_that_closes_a_connection_and_lives_has_not_crashed() {
     let close = Step::RespondThenClose(String::new());
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -124,6 +124,11 @@
     format!("{head}{}", chunks.collect::<String>())
 }
 
+/// A successful answer that ends with its connection, with neither a length nor chunks.
+pub fn unframed(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nid: {{id}}\r\nstamp: s\r\n\r\n{body}")
+}
+
 async fn serve(mut stream: TcpStream, state: Arc<State>) {
     let mut buffer = Vec::new();
     while let Some(head) = read_call(&mut stream, &mut buffer).await {
--- a/crates/relay/tests/whole_streams.rs
+++ b/crates/relay/tests/whole_streams.rs
@@ -6,7 +6,7 @@
     std::time::{Duration, Instant},
     support::{
         TestRelay, caller,
-        scripted_target::{ScriptedTarget, Step, stream},
+        scripted_target::{ScriptedTarget, Step, stream, unframed},
     },
 };
 
@@ -164,3 +164,34 @@
     assert!(started.elapsed() > Duration::from_secs(2), "{response:?}");
     assert!(two.arrived().is_empty());
 }
+
+#[tokio::test]
+async fn unframed_stream_that_ends_after_an_event_is_whole() {
+    let answer = unframed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    let target = ScriptedTarget::start("one", vec![Step::RespondThenClose(answer)]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/stream/7", "").await;
+    assert!(response.is_complete);
+    assert!(response.text.contains("id: 2\ndata: b\n\n"));
+}
+
+#[tokio::test]
+async fn unframed_stream_that_ends_inside_an_event_is_visibly_incomplete() {
+    let answer = unframed("id: 1\ndata: a\n\nid: 2\nda");
+    let target = ScriptedTarget::start("one", vec![Step::RespondThenClose(answer)]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/stream/7", "").await;
+    assert!(!response.is_complete, "{response:?}");
+    assert!(response.text.contains("data: a"));
+}
+
+#[tokio::test]
+async fn unframed_stream_without_an_event_is_no_whole_answer() {
+    for body in ["", "id: 1\nda"] {
+        let cut = vec![Step::RespondThenClose(unframed(body))];
+        let target = ScriptedTarget::start("one", cut).await;
+        let relay = TestRelay::start(&[&target]).await;
+        let response = caller::call(relay.address, "/stream/7", "").await;
+        assert_eq!(response.status, 502, "{body:?}");
+    }
+}
