--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -29,6 +29,9 @@
     pub save_tokens: u64,
     /// Tokens of shared prompt parts that are neither fetched nor saved.
     pub read_tokens: u64,
+    /// Calls per second that the target's answer allows from all instances together; `None` if it
+    /// states no limit.
+    pub limit_per_s: Option<f64>,
     /// Result of the attempt.
     pub outcome: String,
 }
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -244,6 +244,9 @@
             self.tried_targets.push(target.clone());
             let outcome = self.send(&picked, last_event_id, recorder).await;
             recorder.end_attempt(describe_outcome(&outcome));
+            if let Some(metadata) = outcome.metadata() {
+                recorder.record_limit(metadata.limit.as_ref());
+            }
             self.record_attempt(&picked, &outcome);
             if matches!(outcome, AttemptOutcome::Unknown { .. }) {
                 recorder.record_prompt_parts(&self.admitted.call);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -61,6 +61,17 @@
     },
 }
 
+impl AttemptOutcome<TargetAnswer> {
+    /// Metadata of the answer, if there is a usable one or a refusal.
+    pub(crate) fn metadata(&self) -> Option<&ReplyMetadata> {
+        match self {
+            Self::Answered(answer) => Some(&answer.metadata),
+            Self::NotRun(_, metadata) => Some(metadata),
+            Self::NotSent(_) | Self::Unknown { .. } => None,
+        }
+    }
+}
+
 impl<Answer> AttemptOutcome<Answer> {
     /// Outcome of an attempt whose answer came but cannot be used.
     fn unusable(reason: impl Into<String>) -> Self {
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -1,7 +1,9 @@
 //! Collects the log line and the metrics of a call.
 
 use {
-    crate::{AnswerCutoff, Call, Reason, answer_times::AnswerTimes, pick::PickedTarget},
+    crate::{
+        AnswerCutoff, Call, Reason, StatedLimit, answer_times::AnswerTimes, pick::PickedTarget,
+    },
     eventlog::{AttemptLine, CallLine, Event, EventLog},
     meters::Meters,
     parts::{Plan, PromptPart},
@@ -103,6 +105,15 @@
         }
     }
 
+    /// Records the limit that the current attempt's target states.
+    pub(crate) fn record_limit(&mut self, limit: Option<&StatedLimit>) {
+        if let (Some(StatedLimit::PerSecond(limit_per_s)), Some(attempt)) =
+            (limit, self.line.attempts.last_mut())
+        {
+            attempt.limit_per_s = Some(*limit_per_s);
+        }
+    }
+
     /// Enters the parts of the call's prompt in its log line, since an attempt had no complete answer.
     pub(crate) fn record_prompt_parts(&mut self, call: &Call) {
         if self.line.prompt_parts.is_empty() {
--- a/crates/relay/src/header_format.rs
+++ b/crates/relay/src/header_format.rs
@@ -32,8 +32,17 @@
     pub save_to: Vec<Option<std::net::SocketAddr>>,
 }
 
+/// A limit that a target states in its answer, for all instances together.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StatedLimit {
+    /// Calls per second; finite and not negative.
+    PerSecond(f64),
+    /// The text is no such number.
+    Invalid(String),
+}
+
 /// Metadata of a target's answer, parsed from its headers.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReplyMetadata {
     /// Id of the request that is answered.
     pub id: Option<String>,
@@ -45,6 +54,8 @@
     pub target: Option<String>,
     /// Version of the model weights that ran the call.
     pub version: Option<u64>,
+    /// Limit that the target sets for all instances together from now on; `None` if it sets none.
+    pub limit: Option<StatedLimit>,
 }
 
 /// Parses and writes the headers of calls and answers. Implementations are stateless.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,7 +45,7 @@
     attempt::AttemptOutcome,
     boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
-    header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata},
+    header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata, StatedLimit},
     part_reports::PartReports,
     refusal::{Reason, Refusal},
     relay::{Relay, RelaySettings, RelayState},
--- a/crates/relay/tests/support/header_format.rs
+++ b/crates/relay/tests/support/header_format.rs
@@ -2,7 +2,9 @@
 
 use {
     hyper::{HeaderMap, header::HeaderName, http::request},
-    relay::{BadCall, Call, HeaderFormat, OutboundMetadata, Part, Prompt, ReplyMetadata},
+    relay::{
+        BadCall, Call, HeaderFormat, OutboundMetadata, Part, Prompt, ReplyMetadata, StatedLimit,
+    },
 };
 
 /// Uses the names of metadata fields as header names.
@@ -62,6 +64,7 @@
             not_run: headers.contains_key("not-run"),
             target: text("target").map(str::to_owned),
             version: text("version").and_then(|it| it.parse().ok()),
+            limit: text("limit").map(|it| StatedLimit::PerSecond(it.parse().unwrap())),
         }
     }
 
