--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -10,6 +10,7 @@
     hyper::{HeaderMap, Request, http::request},
     relay::{
         BadCall, Call, HeaderFormat, LoadedModel, OutboundMetadata, Part, Prompt, ReplyMetadata,
+        StatedLimit,
     },
     routes::{RetryPolicy, Route, RouteConfig},
     std::{net::SocketAddr, time::Duration},
@@ -47,9 +48,11 @@
         out
     }
 
-    fn parse_reply(&self, _headers: &HeaderMap) -> ReplyMetadata {
+    fn parse_reply(&self, headers: &HeaderMap) -> ReplyMetadata {
+        let limit = headers.get("limit").and_then(|limit| limit.to_str().ok());
         ReplyMetadata {
             has_proof: true,
+            limit: limit.map(|limit| StatedLimit::PerSecond(limit.parse().unwrap())),
             ..ReplyMetadata::default()
         }
     }
--- a/crates/entry/tests/support/target.rs
+++ b/crates/entry/tests/support/target.rs
@@ -12,7 +12,7 @@
             Arc, Mutex,
             atomic::{AtomicUsize, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{net::TcpListener, time::sleep},
 };
@@ -34,6 +34,10 @@
     pub address: SocketAddr,
     orders: Arc<Mutex<Vec<Order>>>,
     calls_count: Arc<AtomicUsize>,
+    /// Time of arrival of each call.
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+    /// Calls per second that the target states as its limit.
+    limit_per_s: Arc<Mutex<Option<f64>>>,
 }
 
 impl Target {
@@ -44,6 +48,8 @@
             address: listener.local_addr().unwrap(),
             orders: Arc::default(),
             calls_count: Arc::default(),
+            arrivals: Arc::default(),
+            limit_per_s: Arc::default(),
         };
         let shared = target.clone();
         tokio::spawn(async move {
@@ -51,7 +57,14 @@
                 let shared = shared.clone();
                 let service = service_fn(move |request| {
                     let shared = shared.clone();
-                    async move { Ok::<_, Infallible>(shared.answer(&request, work).await) }
+                    async move {
+                        let mut answer = shared.answer(&request, work).await;
+                        if let Some(limit_per_s) = *shared.limit_per_s.lock().unwrap() {
+                            let limit = limit_per_s.to_string().parse().unwrap();
+                            answer.headers_mut().insert("limit", limit);
+                        }
+                        Ok::<_, Infallible>(answer)
+                    }
                 });
                 let stream = TokioIo::new(stream);
                 tokio::spawn(http1::Builder::new().serve_connection(stream, service));
@@ -70,6 +83,16 @@
         self.calls_count.load(Ordering::Relaxed)
     }
 
+    /// Returns the times at which calls have arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
+    /// Sets the limit that all further answers state; `None` states none.
+    pub fn set_limit(&self, limit_per_s: Option<f64>) {
+        *self.limit_per_s.lock().unwrap() = limit_per_s;
+    }
+
     async fn answer(&self, request: &Request<Incoming>, work: Duration) -> Response<Full<Bytes>> {
         let path = request.uri().path();
         if path == "/report" {
@@ -89,6 +112,7 @@
             return respond(500, String::new());
         }
         self.calls_count.fetch_add(1, Ordering::Relaxed);
+        self.arrivals.lock().unwrap().push(Instant::now());
         let work = if path.starts_with("/slow/") {
             SLOW_WORK
         } else {
