Fix LIMIT: instances together keep the limit that a target states

Cause: nobody read the limit; the header was passed on to callers and otherwise ignored. The calls at each instance did not become fewer after its first answer with a limit (hypothesis 1). Hypothesis 2 would have come next: each instance keeping the limit for itself sends as many times as much as there are instances.

Change: an answer's limit is kept for its target. It is divided by rendezvous hashing among few of the ready instances, three and one more for each call a second; the others send nothing there. Each uses its part through a token bucket that starts empty. All attempts take part, retries and resumed streams too. If limits leave no target, the call is refused at once with the time until the next one is allowed. The first answer without a limit ends it; an instance without a part tries one call after a long, random time.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -21,6 +21,7 @@
 mod candidate;
 mod choose;
 mod health;
+mod limit_share;
 mod peer_loads;
 pub mod rendezvous;
 mod retry_budget_share;
@@ -31,6 +32,7 @@
     candidate::Candidate,
     choose::choose,
     health::{CallOutcome, Health},
+    limit_share::{LimitShare, limit_part},
     peer_loads::{PeerLoads, TargetLoad},
     retry_budget_share::{RetryBounds, RetryBudgetShare},
     start_delay::StartDelay,
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -316,7 +316,10 @@
             let pool = pools.entry(target.record.pool.clone()).or_default();
             pool.push(target.state.clone());
         }
-        let instances_count = self.ready_members().len().max(1);
+        let ready_members = self.ready_members();
+        let instance_seeds = ready_members.iter();
+        let instance_seeds = instance_seeds.map(|(name, _)| rendezvous::member_seed(name));
+        let instances_count = ready_members.len().max(1);
         View {
             route_table: self.table.clone(),
             pools,
@@ -328,6 +331,7 @@
             wanted_versions: self.wanted.clone(),
             quarantine: self.quarantine.clone(),
             instances_count: u32::try_from(instances_count).unwrap_or(u32::MAX),
+            instance_seeds: instance_seeds.collect(),
             confirmed_at: self.confirmed_at.unwrap_or(now),
             shutdown: self.shutdown(),
         }
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -10,6 +10,7 @@
         shared::Shared,
         suspect_parts,
     },
+    balance::rendezvous,
     eventlog::{Event, EventLog},
     feed::Feed,
     hyper::{Request, body::Incoming},
@@ -308,6 +309,7 @@
     let settings = &shared.settings;
     let relay_settings = RelaySettings {
         failure_domain: settings.failure_domain.clone(),
+        instance_seed: rendezvous::member_seed(&settings.instance),
         retry_bounds: settings.retries,
         stale_weights_grace: settings.version_bound.mul_f64(OLD_WEIGHTS_SHARE),
         max_buffered_bytes: settings.memory_bytes / 4,
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -7,9 +7,10 @@
         attempt::{AttemptOutcome, AttemptParams, TargetAnswer, attempt},
         boot_time,
         call_recorder::{CallRecorder, millis},
-        pick::{PickContext, PickedTarget, pick},
+        pick::{PickContext, PickedTarget, pick, time_until_limits_allow},
         quarantined_parts::part_keys,
         relay::Inner,
+        target_limit::Senders,
         view::InFlightGuard,
     },
     balance::CallOutcome,
@@ -236,8 +237,12 @@
                 last_refusal = refusal;
                 break;
             }
-            let Some(picked) = self.pick() else {
-                break;
+            let picked = match self.pick() {
+                Ok(picked) => picked,
+                Err(refusal) => {
+                    last_refusal = refusal.unwrap_or(last_refusal);
+                    break;
+                }
             };
             let target = &picked.target.id;
             recorder.begin_attempt(&picked);
@@ -246,6 +251,7 @@
             recorder.end_attempt(describe_outcome(&outcome));
             if let Some(metadata) = outcome.metadata() {
                 recorder.record_limit(metadata.limit.as_ref());
+                self.record_limit(&picked, metadata);
             }
             self.record_attempt(&picked, &outcome);
             if matches!(outcome, AttemptOutcome::Unknown { .. }) {
@@ -294,12 +300,17 @@
         Err(last_refusal)
     }
 
-    /// Chooses the next target for the call.
-    fn pick(&self) -> Option<PickedTarget> {
+    /// Chooses the next target for the call, and takes the right to send a call there if the target
+    /// has a limit. Fails if no target may take the call, with a refusal if limits are the reason.
+    fn pick(&self) -> Result<PickedTarget, Option<Refusal>> {
         let state = &self.inner.state;
         let view = state.view();
         let cache_index = state.cache_index();
         let peer_loads = state.peer_loads();
+        let senders = Senders {
+            own_seed: self.inner.settings.instance_seed,
+            instance_seeds: &view.instance_seeds,
+        };
         let context = PickContext {
             call: &self.admitted.call,
             tried_targets: &self.tried_targets,
@@ -310,8 +321,20 @@
             cache_index: &cache_index,
             peer_loads: &peer_loads,
             isolated_account: self.isolated_account(),
+            senders,
         };
-        pick(&view, &self.pool, &context)
+        // Another call may take the last right to a target between its choice and this one.
+        while let Some(picked) = pick(&view, &self.pool, &context) {
+            let target = &picked.target;
+            if target
+                .call_stats
+                .try_take_call(target.seed, senders, context.now)
+            {
+                return Ok(picked);
+            }
+        }
+        let wait = time_until_limits_allow(&view, &self.pool, &context);
+        Err(wait.map(|wait| Refusal::new(Reason::Overloaded).retry_after(wait)))
     }
 
     /// Sends the call to one target and reads its answer, or the first event of its stream.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,6 +38,7 @@
 mod shutdown;
 mod stream_forwarder;
 mod target_feedback;
+mod target_limit;
 mod view;
 
 pub use {
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -1,7 +1,10 @@
 //! Choice of the target for a call.
 
 use {
-    crate::{Call, Prompt, TargetState, View, WantedVersions, boot_time, salt::salt},
+    crate::{
+        Call, Prompt, TargetState, View, WantedVersions, boot_time, salt::salt,
+        target_limit::Senders,
+    },
     balance::{Candidate, PeerLoads, choose, rendezvous},
     catalog::{FailureDomainId, TargetId},
     parts::{PartDirectory, PromptPart},
@@ -30,6 +33,8 @@
     pub(crate) peer_loads: &'call PeerLoads,
     /// Client account, if its cached parts are kept apart from those of others.
     pub(crate) isolated_account: Option<&'call str>,
+    /// Instances among which the limits of targets are divided.
+    pub(crate) senders: Senders<'call>,
 }
 
 /// The chosen target, with the inputs of the choice. They are logged, and the weights version is
@@ -66,13 +71,15 @@
 ///
 /// Targets that are paused or load weights are used only if there are no others. Even ejected
 /// targets are used as a last resort, since trying them is better than refusing the call. Never
-/// used are targets that are draining, were tried already or have outdated weights.
+/// used are targets that are draining, were tried already, have outdated weights, or whose limit
+/// allows this instance no call now.
 pub(crate) fn pick(view: &View, pool: &str, context: &PickContext<'_>) -> Option<PickedTarget> {
     let targets = view.pools.get(pool)?;
     let usable: Vec<&Arc<TargetState>> = targets
         .iter()
         .filter(|target| !target.draining && !context.tried_targets.contains(&target.id))
         .filter(|target| !is_outdated(view, target, context))
+        .filter(|target| time_until_call(target, context) == Some(Duration::ZERO))
         .collect();
     let is_available = |target: &&&Arc<TargetState>| {
         !target.call_stats.is_paused(context.now) && !view.loading.contains(&target.id)
@@ -110,6 +117,26 @@
     })
 }
 
+/// Time until the target's limit lets this instance send a call; `None` if other instances use the
+/// whole limit.
+fn time_until_call(target: &TargetState, context: &PickContext<'_>) -> Option<Duration> {
+    let call_stats = &target.call_stats;
+    call_stats.time_until_call(target.seed, context.senders, context.now)
+}
+
+/// Shortest time until the limit of a target of `pool` lets this instance send a call; `None` if no
+/// limit is in the way.
+pub(crate) fn time_until_limits_allow(
+    view: &View,
+    pool: &str,
+    context: &PickContext<'_>,
+) -> Option<Duration> {
+    let targets = view.pools.get(pool)?.iter();
+    let usable = targets.filter(|it| !it.draining && !context.tried_targets.contains(&it.id));
+    let waits = usable.filter_map(|target| time_until_call(target, context));
+    waits.filter(|wait| !wait.is_zero()).min()
+}
+
 /// Weights that a call is expected to run on at `target`, and the wanted version.
 fn picked_weights(view: &View, target: &TargetState, context: &PickContext<'_>) -> PickedWeights {
     let Some((wanted, version)) = wanted_and_loaded_versions(view, target, context) else {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -42,6 +42,8 @@
 pub struct RelaySettings {
     /// Failure domain of this instance.
     pub failure_domain: FailureDomainId,
+    /// Rendezvous seed of the name of this instance.
+    pub instance_seed: u64,
     /// Limits of the retry budget of each pool, summed over all instances.
     pub retry_bounds: RetryBounds,
     /// Time after a newer version is requested during which older weights may still be used.
@@ -54,6 +56,7 @@
     fn default() -> Self {
         Self {
             failure_domain: FailureDomainId::default(),
+            instance_seed: 0,
             retry_bounds: RetryBounds::default(),
             stale_weights_grace: Duration::from_secs(7),
             max_buffered_bytes: 32 << 20,
--- /dev/null
+++ b/crates/relay/src/target_limit.rs
@@ -0,0 +1,111 @@
+//! The limit that a target states for the calls of all instances together.
+
+use {
+    balance::{LimitShare, limit_part},
+    std::time::Duration,
+};
+
+/// Least time after which an instance that has no part of a limit may try one call, to learn
+/// whether the limit still holds.
+const MIN_TRIAL_PERIOD: Duration = Duration::from_secs(10);
+/// Same, for each instance, so that the trials of all stay rare.
+const TRIAL_PERIOD_PER_INSTANCE: Duration = Duration::from_secs(4);
+
+/// The instances among which a limit is divided.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Senders<'view> {
+    /// Rendezvous seed of this instance.
+    pub(crate) own_seed: u64,
+    /// Rendezvous seeds of the ready instances.
+    pub(crate) instance_seeds: &'view [u64],
+}
+
+/// A limit as a target stated it last, and the part of this instance. Times are relative to the start
+/// of the relay.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TargetLimit {
+    limit_per_s: f64,
+    stated_at: Duration,
+    /// When the target began to state a limit.
+    since: Duration,
+    /// Part of this instance; `None` until a call wants to use it.
+    share: Option<LimitShare>,
+    /// Delay of a trial, as a share of the trial period, so that instances do not try together.
+    trial_jitter: f64,
+}
+
+impl TargetLimit {
+    /// Creates the limit that a target stated at `now`. `random` is between 0 and 1.
+    pub(crate) fn new(limit_per_s: f64, now: Duration, random: f64) -> Self {
+        Self {
+            limit_per_s,
+            stated_at: now,
+            since: now,
+            share: None,
+            trial_jitter: random,
+        }
+    }
+
+    /// Records that the target stated a limit again.
+    pub(crate) fn state(&mut self, limit_per_s: f64, now: Duration) {
+        self.limit_per_s = limit_per_s;
+        self.stated_at = now;
+    }
+
+    /// Time until this instance may send a call; `None` if other instances use the whole limit.
+    pub(crate) fn time_until_call(
+        &mut self,
+        target_seed: u64,
+        senders: Senders<'_>,
+        now: Duration,
+    ) -> Option<Duration> {
+        let share = *self.update_share(target_seed, senders, now);
+        if self.is_trial_due(senders, now) {
+            return Some(Duration::ZERO);
+        }
+        share.time_until_token(now)
+    }
+
+    /// Takes the right to send one call. Returns false if there is none now.
+    pub(crate) fn try_take(
+        &mut self,
+        target_seed: u64,
+        senders: Senders<'_>,
+        now: Duration,
+    ) -> bool {
+        if self.is_trial_due(senders, now) {
+            self.stated_at = now;
+            return true;
+        }
+        self.update_share(target_seed, senders, now).try_take(now)
+    }
+
+    /// Adapts this instance's part to the instances that are ready now.
+    fn update_share(
+        &mut self,
+        target_seed: u64,
+        senders: Senders<'_>,
+        now: Duration,
+    ) -> &mut LimitShare {
+        let Senders {
+            own_seed,
+            instance_seeds,
+        } = senders;
+        let part = limit_part(self.limit_per_s, target_seed, own_seed, instance_seeds);
+        let since = self.since;
+        let share = self
+            .share
+            .get_or_insert_with(|| LimitShare::new(part, since));
+        share.set_rate(part, now);
+        share
+    }
+
+    /// Whether nothing was heard of the limit for so long that one call may try whether it holds.
+    fn is_trial_due(&self, senders: Senders<'_>, now: Duration) -> bool {
+        let instances_count = u32::try_from(senders.instance_seeds.len()).unwrap_or(u32::MAX);
+        let period = TRIAL_PERIOD_PER_INSTANCE
+            .saturating_mul(instances_count)
+            .max(MIN_TRIAL_PERIOD);
+        now.saturating_sub(self.stated_at) > period.mul_f64(1.0 + self.trial_jitter)
+    }
+}
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -1,7 +1,10 @@
 //! Snapshot of what an instance knows about targets, configuration and weights.
 
 use {
-    crate::{Shutdown, boot_time},
+    crate::{
+        Shutdown, boot_time,
+        target_limit::{Senders, TargetLimit},
+    },
     balance::{CallOutcome, Health, StartDelay},
     catalog::{FailureDomainId, ModelId, TargetId},
     quarantine::Quarantine,
@@ -43,6 +46,10 @@
     paused_until: Duration,
     /// Newest version of each model's weights that answers have shown.
     versions: HashMap<ModelId, u64>,
+    /// Limit that the last answer stated; `None` if it stated none.
+    limit: Option<TargetLimit>,
+    /// Whether an answer has stated a limit that is no number.
+    has_stated_invalid_limit: bool,
 }
 
 impl TargetStats {
@@ -120,6 +127,53 @@
         self.lock().versions.get(model).copied()
     }
 
+    /// Records at `now` the limit that an answer states, in calls per second of all instances
+    /// together; `None` if it states none.
+    pub fn record_limit(&self, limit_per_s: Option<f64>, now: Duration) {
+        let mut observations = self.lock();
+        match (limit_per_s, &mut observations.limit) {
+            (Some(limit_per_s), Some(limit)) => limit.state(limit_per_s, now),
+            (Some(limit_per_s), limit) => {
+                *limit = Some(TargetLimit::new(limit_per_s, now, rand::random()));
+            }
+            (None, limit) => *limit = None,
+        }
+    }
+
+    /// Records that an answer states a limit that is no number. Returns whether it is the first.
+    pub(crate) fn record_invalid_limit(&self) -> bool {
+        let mut observations = self.lock();
+        !std::mem::replace(&mut observations.has_stated_invalid_limit, true)
+    }
+
+    /// Time until the target's limit lets this instance send a call: zero if there is no limit,
+    /// `None` if other instances use the whole limit.
+    pub(crate) fn time_until_call(
+        &self,
+        target_seed: u64,
+        senders: Senders<'_>,
+        now: Duration,
+    ) -> Option<Duration> {
+        match &mut self.lock().limit {
+            Some(limit) => limit.time_until_call(target_seed, senders, now),
+            None => Some(Duration::ZERO),
+        }
+    }
+
+    /// Takes the right to send one call under the target's limit. Returns false if there is none
+    /// now.
+    pub(crate) fn try_take_call(
+        &self,
+        target_seed: u64,
+        senders: Senders<'_>,
+        now: Duration,
+    ) -> bool {
+        let limit = &mut self.lock().limit;
+        limit
+            .as_mut()
+            .is_none_or(|limit| limit.try_take(target_seed, senders, now))
+    }
+
     fn lock(&self) -> MutexGuard<'_, Observations> {
         self.observations
             .lock()
@@ -336,6 +390,8 @@
     pub quarantine: Arc<Quarantine>,
     /// Number of ready instances, including this one.
     pub instances_count: u32,
+    /// Rendezvous seeds of the names of the ready instances.
+    pub instance_seeds: Arc<[u64]>,
     /// When the key-value service last confirmed that the view is current, by [`boot_time`].
     pub confirmed_at: Duration,
     /// Shutdown schedule of this instance, if it is shutting down.
@@ -351,6 +407,7 @@
             wanted_versions: HashMap::new(),
             quarantine: Arc::default(),
             instances_count: 1,
+            instance_seeds: Arc::default(),
             confirmed_at: boot_time(),
             shutdown: None,
         }
