Instances that send nothing to a limited target hear at once when its limit ends

The senders now tell the others through the key-value service: a key for each limited target, written when the limit changes and deleted by the first answer without one. Trials remain for the case that nobody tells. The lease of such records is one type for limits and suspect parts.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -223,7 +223,8 @@
             | ItemName::Loading
             | ItemName::Recent(..)
             | ItemName::Crash(..)
-            | ItemName::Answered(_) => parse_own_item(name, &pair.key, &pair.value),
+            | ItemName::Answered(_)
+            | ItemName::Limit(_) => parse_own_item(name, &pair.key, &pair.value),
             _ => self.shared.format.parse_item(name, &pair.key, &pair.value),
         }
     }
--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -117,6 +117,15 @@
     pub instance: InstanceId,
 }
 
+/// A limit that a target states, as an instance heard it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LimitRecord {
+    /// Calls per second that the target takes from all instances together.
+    pub limit_per_s: f64,
+    /// Instance that wrote the record.
+    pub instance: InstanceId,
+}
+
 /// Decoded value of an item.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Item {
@@ -145,6 +154,8 @@
     },
     /// A prompt part that may have crashed targets was answered.
     Answered(PartKey),
+    /// A limit that a target states.
+    Limit(LimitRecord),
 }
 
 /// Parsed key of an item.
@@ -168,6 +179,8 @@
     Crash(PartKey, CrashId),
     /// The word that a prompt part was answered.
     Answered(PartKey),
+    /// The limit that a target states.
+    Limit(TargetId),
 }
 
 /// Prefix of the keys of membership records.
@@ -187,6 +200,14 @@
 /// Prefix of the keys that say that a prompt part was answered.
 const ANSWERED_PREFIX: &str = "rattan/answered/";
 
+/// Prefix of the keys of limits that targets state.
+const LIMITS_PREFIX: &str = "rattan/limits/";
+
+/// Returns the key of the limit that a target states.
+pub(crate) fn limit_key(target: &str) -> String {
+    format!("{LIMITS_PREFIX}{target}")
+}
+
 /// Returns the key of a crash under a call with `part`.
 pub(crate) fn crash_key(part: PartKey, crash: &str) -> String {
     format!("{CRASHES_PREFIX}{part:016x}/{crash}")
@@ -228,6 +249,9 @@
         let part = PartKey::from_str_radix(part, 16).ok()?;
         return Some(ItemName::Answered(part));
     }
+    if let Some(target) = key.strip_prefix(LIMITS_PREFIX) {
+        return Some(ItemName::Limit(target.to_owned()));
+    }
     let instance = key.strip_prefix(MEMBERS_PREFIX)?;
     Some(ItemName::Member(instance.to_owned()))
 }
@@ -251,6 +275,7 @@
             })
         }
         ItemName::Answered(part) => Ok(Item::Answered(*part)),
+        ItemName::Limit(_) => serde_json::from_slice(value).map(Item::Limit),
         _ => serde_json::from_slice(value).map(Item::Member),
     };
     item.map_err(|error| unreadable(error.to_string()))
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -42,6 +42,15 @@
     unready_since: Option<Duration>,
 }
 
+/// A limit of a target that an instance has announced.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AnnouncedLimit {
+    /// Calls per second that the target takes from all instances together.
+    pub limit_per_s: f64,
+    /// When this instance learned of the announcement.
+    pub learned_at: Duration,
+}
+
 /// The shutdown of this instance. Times are by the clock of [`KnownState`].
 #[derive(Clone, Debug)]
 pub struct OwnShutdown {
@@ -95,6 +104,8 @@
     own_shutdown: Option<OwnShutdown>,
     /// Prompt parts that may crash targets.
     quarantine: Arc<Quarantine>,
+    /// Limits of targets that instances have announced.
+    limits: BTreeMap<TargetId, AnnouncedLimit>,
 }
 
 impl KnownState {
@@ -114,7 +125,8 @@
                 wanted.add(version, since, now);
             }
             Item::Recent(record) => self.mark_recent(id, &record, now),
-            Item::Target(record) => self.put_target(id, record),
+            Item::Target(record) => self.put_target(id, record, now),
+            Item::Limit(record) => self.put_limit(id, record.limit_per_s, now),
             Item::Member(record) => {
                 self.put_member(id, record, now);
             }
@@ -165,6 +177,12 @@
             ItemName::Crash(part, crash) => {
                 Arc::make_mut(&mut self.quarantine).remove_crash(*part, crash);
             }
+            ItemName::Limit(id) => {
+                self.limits.remove(id);
+                if let Some(target) = self.targets.get(id) {
+                    target.state.call_stats.announce_limit_end(now);
+                }
+            }
             ItemName::Answered(part) => {
                 Arc::make_mut(&mut self.quarantine).set_answered(*part, false);
             }
@@ -378,16 +396,43 @@
         self.members.insert(name.to_owned(), member);
     }
 
+    /// Records a limit that an instance announced.
+    fn put_limit(&mut self, id: &str, limit_per_s: f64, now: Duration) {
+        let limit = AnnouncedLimit {
+            limit_per_s,
+            learned_at: now,
+        };
+        self.limits.insert(id.to_owned(), limit);
+        if let Some(target) = self.targets.get(id) {
+            target.state.call_stats.announce_limit(limit_per_s, now);
+        }
+    }
+
+    /// Returns the limit of a target that an instance has announced.
+    #[must_use]
+    pub fn announced_limit(&self, target: &str) -> Option<AnnouncedLimit> {
+        self.limits.get(target).copied()
+    }
+
+    /// Creates the stats of a target that no call was sent to, with its announced limit.
+    fn new_target_stats(&self, id: &str, now: Duration) -> Arc<TargetStats> {
+        let call_stats = TargetStats::default();
+        if let Some(limit) = self.announced_limit(id) {
+            call_stats.announce_limit(limit.limit_per_s, now);
+        }
+        Arc::new(call_stats)
+    }
+
     /// Adds or updates a target. If the start time or the address has changed, the target has
     /// restarted under the same id, so what calls observed of it before no longer applies.
-    fn put_target(&mut self, id: &str, record: TargetRegistration) {
+    fn put_target(&mut self, id: &str, record: TargetRegistration, now: Duration) {
         let before = self.targets.get(id);
         let same_start = before.filter(|it| {
             it.record.started_unix_ms == record.started_unix_ms
                 && it.record.address == record.address
         });
         let call_stats = same_start.map_or_else(
-            || Arc::new(TargetStats::default()),
+            || self.new_target_stats(id, now),
             |it| it.state.call_stats.clone(),
         );
         let state = TargetState {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod follower;
 mod item;
 mod known_state;
+mod limit_news;
 mod listener;
 mod membership;
 pub mod obsolete_parts;
@@ -34,6 +35,7 @@
 mod place_watch;
 mod platform;
 mod recent_versions;
+mod record_lease;
 pub mod rollout;
 mod settings;
 mod shared;
@@ -43,10 +45,10 @@
 
 pub use {
     item::{
-        HolderRecord, Item, ItemError, ItemName, LoadingRecord, MemberRecord, RecentVersion,
-        SuspectRecord, TargetRegistration,
+        HolderRecord, Item, ItemError, ItemName, LimitRecord, LoadingRecord, MemberRecord,
+        RecentVersion, SuspectRecord, TargetRegistration,
     },
-    known_state::{KnownState, OwnShutdown},
+    known_state::{AnnouncedLimit, KnownState, OwnShutdown},
     order_lock::{InstanceLease, OrderLock},
     ownership::Ownership,
     platform::{
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,6 +3,7 @@
 use {
     crate::{InstanceLease, Item, ItemName, KnownState, Ownership, Settings},
     arc_swap::ArcSwap,
+    balance::rendezvous,
     catalog::{InstanceId, Revision},
     eventlog::{Event, EventLog},
     feed::Feed,
@@ -212,6 +213,11 @@
         });
     }
 
+    /// Rendezvous seed of the name of this instance.
+    pub(crate) fn instance_seed(&self) -> u64 {
+        rendezvous::member_seed(&self.settings.instance)
+    }
+
     /// Returns how many ready instances precede this one in name order, at most [`MAX_RANK`].
     pub(crate) fn rank(&self) -> u32 {
         let known = self.known();
@@ -285,6 +291,7 @@
         ItemName::Version(id)
         | ItemName::Target(id)
         | ItemName::Member(id)
+        | ItemName::Limit(id)
         | ItemName::Recent(id, _) => id,
         ItemName::Configuration
         | ItemName::Holder
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -4,13 +4,12 @@
     crate::{
         OwnShutdown, Platform, Settings,
         directory::{self, CALLER_REFRESH_TIME},
-        follower,
+        follower, limit_news,
         listener::{self, FLUSH_TIME, ListenerControl},
         membership, orders, peer_watch, place_watch, recent_versions,
         shared::Shared,
         suspect_parts,
     },
-    balance::rendezvous,
     eventlog::{Event, EventLog},
     feed::Feed,
     hyper::{Request, body::Incoming},
@@ -250,6 +249,7 @@
     let (for_membership, for_orders, for_places) = (shared.clone(), shared.clone(), shared.clone());
     let (for_peers, own_feed) = (shared.clone(), shared.feed.clone());
     let (for_recent_versions, for_suspect_parts) = (shared.clone(), shared.clone());
+    let for_limits = shared.clone();
     let tree = Supervisor::new("control").restart_limit(limit);
     tree.child(Child::new("follower", move |token| {
         follower::follow(for_follower.clone(), token)
@@ -269,6 +269,9 @@
     .child(Child::new("suspect parts", move |token| {
         suspect_parts::report(for_suspect_parts.clone(), token)
     }))
+    .child(Child::new("limits", move |token| {
+        limit_news::announce(for_limits.clone(), token)
+    }))
     .child(Child::new("feed", move |token| {
         serve_feed(feed_listener.clone(), own_feed.clone(), token)
     }))
@@ -309,7 +312,7 @@
     let settings = &shared.settings;
     let relay_settings = RelaySettings {
         failure_domain: settings.failure_domain.clone(),
-        instance_seed: rendezvous::member_seed(&settings.instance),
+        instance_seed: shared.instance_seed(),
         retry_bounds: settings.retries,
         stale_weights_grace: settings.version_bound.mul_f64(OLD_WEIGHTS_SHARE),
         max_buffered_bytes: settings.memory_bytes / 4,
--- a/crates/entry/src/suspect_parts.rs
+++ b/crates/entry/src/suspect_parts.rs
@@ -8,10 +8,11 @@
     crate::{
         SuspectRecord,
         item::{answered_key, crash_key},
+        record_lease::{REFRESH_AGE, RecordLease},
         shared::Shared,
     },
     bytes::Bytes,
-    keyvalue::{KeyValue, KvError, LeaseId, Op, Txn},
+    keyvalue::{KeyValue, KvError, Op, Txn},
     parts::PartKey,
     quarantine::{CrashId, Suspect},
     relay::boot_time,
@@ -25,13 +26,7 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Time for which a crash counts if no call with the part comes.
-const RECORD_TTL: Duration = Duration::from_mins(10);
-/// Time for which one lease is used for further records.
-const LEASE_REUSE_TIME: Duration = Duration::from_mins(1);
-/// Age from which on the records of a quarantined part are written again if calls with it came.
-const REFRESH_AGE: Duration = Duration::from_mins(4);
-/// Interval between checks for such records.
+/// Interval between checks for records to write again, because calls with a quarantined part came.
 const REFRESH_CHECK_PERIOD: Duration = Duration::from_secs(10);
 /// Delay after a failed write.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -58,7 +53,7 @@
         shared: shared.clone(),
         unwritten: VecDeque::new(),
         answered_at: HashMap::new(),
-        lease: None,
+        lease: RecordLease::default(),
     };
     loop {
         let changed = shared.changed.notified();
@@ -88,8 +83,7 @@
     unwritten: VecDeque<Unwritten>,
     /// When to declare a part answered.
     answered_at: HashMap<PartKey, Duration>,
-    /// Lease of the records, and when it was granted.
-    lease: Option<(LeaseId, Duration)>,
+    lease: RecordLease,
 }
 
 impl<Kv, Format> Reporter<Kv, Format>
@@ -104,7 +98,7 @@
         self.collect_refreshes(now);
         if let Err(error) = self.write().await {
             log::info!("failed to write records of suspect parts, retrying: {error}");
-            self.lease = None;
+            self.lease.forget();
             return RETRY_DELAY;
         }
         let now = boot_time();
@@ -204,7 +198,7 @@
 
     async fn write(&mut self) -> Result<(), KvError> {
         while !self.unwritten.is_empty() {
-            let lease = self.lease().await?;
+            let lease = self.lease.get(&self.shared.kv).await?;
             let count = self.unwritten.len().min(MAX_WRITTEN_COUNT);
             let batch = self.unwritten.iter().take(count);
             let puts = batch.map(|unwritten| {
@@ -229,17 +223,4 @@
         // A struct of two strings always has a JSON form.
         serde_json::to_vec(&record).unwrap_or_default().into()
     }
-
-    /// Returns a lease that was granted a short time ago, or a new one.
-    async fn lease(&mut self) -> Result<LeaseId, KvError> {
-        let now = boot_time();
-        if let Some((lease, granted_at)) = self.lease
-            && now.saturating_sub(granted_at) < LEASE_REUSE_TIME
-        {
-            return Ok(lease);
-        }
-        let granted = self.shared.kv.grant(RECORD_TTL).await?;
-        self.lease = Some((granted.id, now));
-        Ok(granted.id)
-    }
 }
--- a/crates/entry/tests/limited_targets.rs
+++ b/crates/entry/tests/limited_targets.rs
@@ -104,7 +104,8 @@
 
 #[tokio::test]
 async fn target_that_states_no_limit_any_more_gets_its_share_of_calls_again() {
-    let fleet = Fleet::start(&["one", "two", "three"]).await;
+    let names = ["one", "two", "three", "four", "five", "six", "seven"];
+    let fleet = Fleet::start(&names).await;
     fleet.targets[0].set_limit(Some(LIMIT_PER_S));
     fleet.call_for(NEWS_DELAY).await;
     fleet.targets[0].set_limit(None);
@@ -114,7 +115,7 @@
     fleet.call_for(Duration::from_secs(1)).await;
     let later_count = fleet.targets[0].calls_count() - before;
     assert!(
-        later_count >= 8,
-        "{later_count} of about 60 calls, a quarter is its share"
+        later_count >= 20,
+        "{later_count} of about 140 calls, a quarter is its share"
     );
 }
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -10,6 +10,7 @@
         pick::{PickContext, PickedTarget, pick, time_until_limits_allow},
         quarantined_parts::part_keys,
         relay::Inner,
+        target_feedback::record_limit,
         target_limit::Senders,
         view::InFlightGuard,
     },
@@ -251,7 +252,7 @@
             recorder.end_attempt(describe_outcome(&outcome));
             if let Some(metadata) = outcome.metadata() {
                 recorder.record_limit(metadata.limit.as_ref());
-                self.record_limit(&picked, metadata);
+                record_limit(&picked, metadata);
             }
             self.record_attempt(&picked, &outcome);
             if matches!(outcome, AttemptOutcome::Unknown { .. }) {
@@ -328,7 +329,7 @@
             let target = &picked.target;
             if target
                 .call_stats
-                .try_take_call(target.seed, senders, context.now)
+                .try_take_call(target.seed, senders, boot_time())
             {
                 return Ok(picked);
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -52,5 +52,8 @@
     relay::{Relay, RelaySettings, RelayState},
     salt::salt_version,
     shutdown::{AnswerCutoff, Shutdown},
-    view::{LoadedModel, TargetState, TargetStats, View, WantedVersion, WantedVersions},
+    view::{
+        LimitObservation, LoadedModel, TargetState, TargetStats, View, WantedVersion,
+        WantedVersions,
+    },
 };
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -121,7 +121,7 @@
 /// whole limit.
 fn time_until_call(target: &TargetState, context: &PickContext<'_>) -> Option<Duration> {
     let call_stats = &target.call_stats;
-    call_stats.time_until_call(target.seed, context.senders, context.now)
+    call_stats.time_until_call(target.seed, context.senders, boot_time())
 }
 
 /// Shortest time until the limit of a target of `pool` lets this instance send a call; `None` if no
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -5,6 +5,7 @@
         HeaderFormat, ReplyMetadata, StatedLimit,
         active_call::{ActiveCall, describe_outcome},
         attempt::{AttemptOutcome, TargetAnswer},
+        boot_time,
         pick::PickedTarget,
     },
     balance::CallOutcome,
@@ -82,26 +83,6 @@
         self.record_outcome(picked, outcome, &describe_outcome(attempt_outcome));
     }
 
-    /// Records the limit that a target states in its answer, or that it states none any more.
-    pub(crate) fn record_limit(&self, picked: &PickedTarget, metadata: &ReplyMetadata) {
-        if is_other_target(picked, metadata) {
-            return;
-        }
-        let limit_per_s = match &metadata.limit {
-            Some(StatedLimit::Invalid(text)) => {
-                if picked.target.call_stats.record_invalid_limit() {
-                    let target = &picked.target.id;
-                    log::warn!("{target} states the limit {text:?}, which is no number; ignored");
-                }
-                return;
-            }
-            Some(StatedLimit::PerSecond(limit_per_s)) => Some(*limit_per_s),
-            None => None,
-        };
-        let now = self.inner.origin.elapsed();
-        picked.target.call_stats.record_limit(limit_per_s, now);
-    }
-
     /// Records an outcome of a call at a target, and logs `reason` if the target is ejected now.
     fn record_outcome(&self, picked: &PickedTarget, outcome: CallOutcome, reason: &str) {
         let now = self.inner.origin.elapsed();
@@ -160,6 +141,26 @@
     }
 }
 
+/// Records the limit that a target states in its answer, or that it states none any more.
+pub(crate) fn record_limit(picked: &PickedTarget, metadata: &ReplyMetadata) {
+    if is_other_target(picked, metadata) {
+        return;
+    }
+    let limit_per_s = match &metadata.limit {
+        Some(StatedLimit::Invalid(text)) => {
+            if picked.target.call_stats.record_invalid_limit() {
+                let target = &picked.target.id;
+                log::warn!("{target} states the limit {text:?}, which is no number; ignored");
+            }
+            return;
+        }
+        Some(StatedLimit::PerSecond(limit_per_s)) => Some(*limit_per_s),
+        None => None,
+    };
+    let call_stats = &picked.target.call_stats;
+    call_stats.record_limit(limit_per_s, boot_time());
+}
+
 /// Whether the answer names another target than the one that was meant.
 fn is_other_target(picked: &PickedTarget, metadata: &ReplyMetadata) -> bool {
     let answering = metadata.target.as_ref();
--- a/crates/relay/src/target_limit.rs
+++ b/crates/relay/src/target_limit.rs
@@ -20,8 +20,8 @@
     pub(crate) instance_seeds: &'view [u64],
 }
 
-/// A limit as a target stated it last, and the part of this instance. Times are relative to the start
-/// of the relay.
+/// A limit as a target stated it last, and the part of this instance. Times are by
+/// [`crate::boot_time`].
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TargetLimit {
     limit_per_s: f64,
@@ -30,6 +30,8 @@
     since: Duration,
     /// Part of this instance; `None` until a call wants to use it.
     share: Option<LimitShare>,
+    /// Whether another instance tells when the limit ends, so that no trial is needed.
+    is_announced: bool,
     /// Delay of a trial, as a share of the trial period, so that instances do not try together.
     trial_jitter: f64,
 }
@@ -42,6 +44,7 @@
             stated_at: now,
             since: now,
             share: None,
+            is_announced: false,
             trial_jitter: random,
         }
     }
@@ -52,6 +55,16 @@
         self.stated_at = now;
     }
 
+    /// Records whether another instance tells when the limit ends.
+    pub(crate) fn set_announced(&mut self, is_announced: bool) {
+        self.is_announced = is_announced;
+    }
+
+    /// The limit in calls per second, and when the target stated it.
+    pub(crate) fn stated(&self) -> (f64, Duration) {
+        (self.limit_per_s, self.stated_at)
+    }
+
     /// Time until this instance may send a call; `None` if other instances use the whole limit.
     pub(crate) fn time_until_call(
         &mut self,
@@ -102,6 +115,9 @@
 
     /// Whether nothing was heard of the limit for so long that one call may try whether it holds.
     fn is_trial_due(&self, senders: Senders<'_>, now: Duration) -> bool {
+        if self.is_announced {
+            return false;
+        }
         let instances_count = u32::try_from(senders.instance_seeds.len()).unwrap_or(u32::MAX);
         let period = TRIAL_PERIOD_PER_INSTANCE
             .saturating_mul(instances_count)
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -29,6 +29,19 @@
     pub version: u64,
 }
 
+/// Time after an answer that stated a limit within which the word of another instance that the limit
+/// has ended may be older than the answer.
+const LIMIT_END_DELAY: Duration = Duration::from_millis(500);
+
+/// What a target's last answer to this instance said of a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitObservation {
+    /// The limit in calls per second of all instances together; `None` if the answer stated none.
+    pub limit_per_s: Option<f64>,
+    /// When the answer came, by [`boot_time`].
+    pub answered_at: Duration,
+}
+
 /// What this instance has observed of a target by its own calls. Shared by successive views.
 ///
 /// Times are relative to the start of the relay.
@@ -46,8 +59,10 @@
     paused_until: Duration,
     /// Newest version of each model's weights that answers have shown.
     versions: HashMap<ModelId, u64>,
-    /// Limit that the last answer stated; `None` if it stated none.
+    /// Limit that the last answer stated or another instance announced; `None` without one.
     limit: Option<TargetLimit>,
+    /// When the last answer came, which stated a limit or none, by [`boot_time`].
+    answered_at: Option<Duration>,
     /// Whether an answer has stated a limit that is no number.
     has_stated_invalid_limit: bool,
 }
@@ -127,10 +142,11 @@
         self.lock().versions.get(model).copied()
     }
 
-    /// Records at `now` the limit that an answer states, in calls per second of all instances
-    /// together; `None` if it states none.
+    /// Records the limit that an answer states, in calls per second of all instances together;
+    /// `None` if it states none. `now` is by [`boot_time`], as all times of limits are.
     pub fn record_limit(&self, limit_per_s: Option<f64>, now: Duration) {
         let mut observations = self.lock();
+        observations.answered_at = Some(now);
         match (limit_per_s, &mut observations.limit) {
             (Some(limit_per_s), Some(limit)) => limit.state(limit_per_s, now),
             (Some(limit_per_s), limit) => {
@@ -140,6 +156,39 @@
         }
     }
 
+    /// Applies a limit that another instance announces, unless an answer stated one to this
+    /// instance.
+    pub fn announce_limit(&self, limit_per_s: f64, now: Duration) {
+        let limit = &mut self.lock().limit;
+        let limit = limit.get_or_insert_with(|| TargetLimit::new(limit_per_s, now, rand::random()));
+        limit.set_announced(true);
+    }
+
+    /// Applies the word of another instance that the limit has ended, unless an answer stated it to
+    /// this instance within [`LIMIT_END_DELAY`].
+    pub fn announce_limit_end(&self, now: Duration) {
+        let limit = &mut self.lock().limit;
+        let is_recent =
+            |limit: &TargetLimit| now.saturating_sub(limit.stated().1) < LIMIT_END_DELAY;
+        match limit {
+            Some(stated) if is_recent(stated) => stated.set_announced(false),
+            _ => *limit = None,
+        }
+    }
+
+    /// What the last answer to this instance said of a limit; `None` before the first answer.
+    #[must_use]
+    pub fn limit_observation(&self) -> Option<LimitObservation> {
+        let observations = self.lock();
+        let answered_at = observations.answered_at?;
+        let limit = observations.limit.as_ref().map(TargetLimit::stated);
+        let stated = limit.filter(|(_, stated_at)| *stated_at == answered_at);
+        Some(LimitObservation {
+            limit_per_s: stated.map(|(limit_per_s, _)| limit_per_s),
+            answered_at,
+        })
+    }
+
     /// Records that an answer states a limit that is no number. Returns whether it is the first.
     pub(crate) fn record_invalid_limit(&self) -> bool {
         let mut observations = self.lock();
