Fix: answers without an end held calls past their time limit and took 16 MiB each

A caller got no answer while a target kept sending: timeouts held for each piece, so a slow trickle outlasted them, and a flood of events was passed on past the time limit. A flood in a body took 16 MiB a call; seven of them fill the smallest instance (110 MB).

Cause: waits were limited by piece instead of by answer. Now a whole body has until the call's time limit, an event has its timeout as a whole, a stream ends visibly torn at the time limit, and the body of a refusal is read for 100 ms and 64 KiB at most, since its outcome is known from the head. Answers that are read as a whole share half as much memory as request bodies.

Bytes that are no answer, and an endless head, were bounded before as well.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -5,6 +5,7 @@
         HeaderFormat, Reason, Refusal, Shutdown,
         admit::Admitted,
         attempt::{AttemptOutcome, AttemptParams, TargetAnswer, attempt},
+        body_memory::BodyPermit,
         boot_time,
         call_recorder::{CallRecorder, millis},
         pick::{PickContext, PickedTarget, pick, time_until_limits_allow},
@@ -26,7 +27,6 @@
         time::{Duration, Instant},
     },
     target::Reuse,
-    tokio::sync::OwnedSemaphorePermit,
 };
 
 /// Minimum time left with which a call is still sent to a target.
@@ -57,7 +57,7 @@
     head: request::Parts,
     body: Bytes,
     /// Memory reserved for the body, until the call has ended.
-    _body_permit: OwnedSemaphorePermit,
+    _body_permit: BodyPermit,
     /// When the call reached the relay.
     arrived: Instant,
     /// Keys of the prompt's parts that could be at fault if a target crashes.
@@ -84,7 +84,7 @@
         admitted: Admitted,
         head: request::Parts,
         body: Bytes,
-        body_permit: OwnedSemaphorePermit,
+        body_permit: BodyPermit,
         arrived: Instant,
     ) -> Self {
         let pool = admitted.route.draw_pool(rand::random());
@@ -361,13 +361,14 @@
             .header_format
             .target_headers(&self.head.headers, &metadata);
         self.in_flight = Some(target.call_stats.start_call());
-        let body_timeout = self.time_left();
+        let time_left = self.time_left();
         let params = AttemptParams {
             address: target.address,
             id: &self.admitted.call.id,
             reuse: Reuse::Allowed,
-            first_byte_timeout: self.attempt_timeout().min(body_timeout),
-            body_timeout,
+            first_byte_timeout: self.attempt_timeout().min(time_left),
+            deadline: sent + time_left,
+            answer_memory: &self.inner.answer_memory,
             stream: self.retry_policy().is_stream(),
             is_resumed: last_event_id.or(self.admitted.call.last_event_id).is_some(),
         };
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,14 +1,22 @@
 //! A single attempt to have a target run a call.
 
 use {
-    crate::{HeaderFormat, ReplyMetadata, event_stream::EventStream},
+    crate::{HeaderFormat, ReplyMetadata, body_memory::BodyMemory, event_stream::EventStream},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{HeaderMap, Request, StatusCode},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     target::{Client, Reply, Reuse, SendError},
 };
 
+/// Longest body of a refusal that is read, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+/// Timeout for reading the body of a refusal.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The body of a target's answer: complete, or a stream that has begun.
 #[derive(Debug)]
 pub(crate) enum Content {
@@ -109,11 +117,13 @@
     pub(crate) id: &'call str,
     /// Whether an idle connection of the pool may be used.
     pub(crate) reuse: Reuse,
-    /// Maximum wait for the head of the answer. For a stream, the wait for each chunk of its first
-    /// event is limited anew.
+    /// Maximum wait for the head of the answer. For a stream, the wait for its first event is
+    /// limited anew.
     pub(crate) first_byte_timeout: Duration,
-    /// Maximum wait for each chunk of a body that is not streamed.
-    pub(crate) body_timeout: Duration,
+    /// When the answer must be complete, or its first event must have arrived.
+    pub(crate) deadline: Instant,
+    /// Memory for an answer that is read as a whole.
+    pub(crate) answer_memory: &'call BodyMemory,
     /// Whether a successful answer is an event stream.
     pub(crate) stream: bool,
     /// Whether the call resumes a stream.
@@ -153,7 +163,7 @@
         return AttemptOutcome::unusable("the answer belongs to another call");
     }
     if metadata.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        return read_not_run(reply, metadata, params.body_timeout).await;
+        return read_not_run(reply, metadata).await;
     }
     if promises_not_run(status) {
         let reason = format!("{status} without word that the call did not run");
@@ -176,14 +186,12 @@
     )
 }
 
-/// Reads the body of a target's refusal, so that its connection can be reused.
-async fn read_not_run(
-    mut reply: Reply,
-    metadata: ReplyMetadata,
-    body_timeout: Duration,
-) -> AttemptOutcome<TargetAnswer> {
+/// Reads the body of a target's refusal, so that its connection can be reused. A body that is long
+/// or slow is not worth the wait.
+async fn read_not_run(mut reply: Reply, metadata: ReplyMetadata) -> AttemptOutcome<TargetAnswer> {
     let status = reply.status();
-    if let Err(error) = reply.body(body_timeout).await {
+    let body = reply.limited_body(MAX_REFUSAL_BYTES, REFUSAL_BODY_TIMEOUT);
+    if let Err(error) = body.await {
         log::debug!("could not read the body of a target's refusal: {error}");
     }
     AttemptOutcome::NotRun(status, metadata)
@@ -196,12 +204,16 @@
     params: &AttemptParams<'_>,
 ) -> AttemptOutcome<TargetAnswer> {
     let (status, headers) = (reply.status(), reply.headers().clone());
+    let time_left = params.deadline.saturating_duration_since(Instant::now());
     let content = if params.stream && status.is_success() {
-        EventStream::open(reply, params.first_byte_timeout, params.is_resumed)
+        let first_event_timeout = params.first_byte_timeout.min(time_left);
+        EventStream::open(reply, first_event_timeout, params.is_resumed)
             .await
             .map(|events| Content::Events(Box::new(events)))
     } else {
-        reply.body(params.body_timeout).await.map(Content::Whole)
+        read_whole(&mut reply, params, time_left)
+            .await
+            .map(Content::Whole)
     };
     match content {
         Ok(content) => AttemptOutcome::Answered(TargetAnswer {
@@ -213,3 +225,24 @@
         Err(error) => error.into(),
     }
 }
+
+/// Reads a whole body within `time_left` and the memory for answers.
+async fn read_whole(
+    reply: &mut Reply,
+    params: &AttemptParams<'_>,
+    time_left: Duration,
+) -> Result<Bytes, SendError> {
+    let address = reply.address();
+    let no_memory = || SendError::Unknown {
+        address,
+        reason: "there is no memory for the answer".to_owned(),
+        disconnected: false,
+    };
+    let mut permit = params.answer_memory.reserve(0).ok_or_else(no_memory)?;
+    reply
+        .body_with(time_left, |length| {
+            let has_memory = permit.resize(length);
+            has_memory.then_some(()).ok_or_else(no_memory)
+        })
+        .await
+}
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -4,6 +4,7 @@
     bytes::Bytes,
     std::time::Duration,
     target::{Reply, SendError, SseParser, event_id},
+    tokio::time::timeout,
 };
 
 /// Event stream of one target, read as complete events. If the stream breaks off within an event,
@@ -31,8 +32,8 @@
 }
 
 impl EventStream {
-    /// Waits for the first event, for up to `first_event_timeout` per chunk. Until then, the caller
-    /// has received nothing, so another target can still be tried without the caller noticing.
+    /// Waits for the first event, for up to `first_event_timeout`. Until then, the caller has
+    /// received nothing, so another target can still be tried without the caller noticing.
     ///
     /// Fails if the connection ends before an event, since nothing else marks the end of a stream
     /// that has neither a length nor chunks. A resumed stream may have no events left.
@@ -78,15 +79,15 @@
         event_id(self.first_event.as_deref()?)
     }
 
-    /// Returns the next complete event, or `None` at the regular end of the stream. Fails if the
-    /// target sends nothing for `silence_timeout`.
+    /// Returns the next complete event, or `None` at the regular end of the stream. Fails if no
+    /// event is complete within `event_timeout`.
     pub(crate) async fn next(
         &mut self,
-        silence_timeout: Duration,
+        event_timeout: Duration,
     ) -> Result<Option<Bytes>, SendError> {
         match self.first_event.take() {
             Some(first) => Ok(Some(first)),
-            None => self.read_event(silence_timeout).await,
+            None => self.read_event(event_timeout).await,
         }
     }
 
@@ -95,7 +96,16 @@
         self.last_event_id
     }
 
-    async fn read_event(&mut self, silence_timeout: Duration) -> Result<Option<Bytes>, SendError> {
+    /// Reads the next complete event, within `event_timeout`.
+    async fn read_event(&mut self, event_timeout: Duration) -> Result<Option<Bytes>, SendError> {
+        let read = timeout(event_timeout, self.read_chunks(event_timeout)).await;
+        read.unwrap_or_else(|_| {
+            let reason = format!("no whole event in {} ms", event_timeout.as_millis());
+            Err(self.invalid(&reason))
+        })
+    }
+
+    async fn read_chunks(&mut self, silence_timeout: Duration) -> Result<Option<Bytes>, SendError> {
         if self.is_restarted {
             return Err(self.invalid("a continued stream began again"));
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod answer;
 mod answer_times;
 mod attempt;
+mod body_memory;
 mod boot_clock;
 mod call;
 mod call_recorder;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -8,6 +8,7 @@
         answer::{refused, streamed, whole},
         answer_times::AnswerTimes,
         attempt::Content,
+        body_memory::{BodyMemory, BodyPermit},
         call_recorder::{CallRecorder, millis},
         retry_budgets::RetryBudgets,
         stream_forwarder::{Aborted, StreamForwarder},
@@ -31,10 +32,7 @@
         time::{Duration, Instant},
     },
     target::Client,
-    tokio::{
-        sync::{OwnedSemaphorePermit, Semaphore},
-        time::timeout,
-    },
+    tokio::time::timeout,
 };
 
 /// Settings of a relay.
@@ -48,7 +46,8 @@
     pub retry_bounds: RetryBounds,
     /// Time after a newer version is requested during which older weights may still be used.
     pub stale_weights_grace: Duration,
-    /// Maximum size of all request bodies buffered at the same time, in bytes.
+    /// Maximum size of all request bodies buffered at the same time, in bytes. Answers that are read
+    /// as a whole may take half as much besides.
     pub max_buffered_bytes: usize,
 }
 
@@ -117,8 +116,10 @@
     pub(crate) answer_times: AnswerTimes,
     /// Start of the relay; times passed to `balance` are relative to it.
     pub(crate) origin: Instant,
-    /// Free memory for request bodies, in units of [`BODY_UNIT_BYTES`].
-    body_memory: Arc<Semaphore>,
+    /// Memory for request bodies.
+    body_memory: BodyMemory,
+    /// Memory for answers that are being read as a whole.
+    pub(crate) answer_memory: BodyMemory,
     pub(crate) log: EventLog,
     meters: Meters,
 }
@@ -137,9 +138,8 @@
         log: EventLog,
         meters: Meters,
     ) -> Self {
-        let body_memory = Arc::new(Semaphore::new(
-            settings.max_buffered_bytes / BODY_UNIT_BYTES,
-        ));
+        let body_memory = BodyMemory::new(settings.max_buffered_bytes);
+        let answer_memory = BodyMemory::new(settings.max_buffered_bytes / 2);
         let retry_budgets = RetryBudgets::new(settings.retry_bounds);
         Self {
             inner: Arc::new(Inner {
@@ -151,6 +151,7 @@
                 answer_times: AnswerTimes::new(),
                 origin: Instant::now(),
                 body_memory,
+                answer_memory,
                 log,
                 meters,
             }),
@@ -223,7 +224,7 @@
         &self,
         admitted: &Admitted,
         body: &Incoming,
-    ) -> Result<OwnedSemaphorePermit, Refusal> {
+    ) -> Result<BodyPermit, Refusal> {
         let max_bytes = admitted.table.config().limits.max_body_bytes;
         let declared_length = body.size_hint().exact();
         let declared_length =
@@ -231,32 +232,11 @@
         if declared_length.is_some_and(|length| length > max_bytes) {
             return Err(Reason::BodyTooLong.into());
         }
-        self.acquire_body_memory(declared_length.unwrap_or(ASSUMED_BODY_BYTES.min(max_bytes)))
-    }
-
-    /// Reserves memory for a body of `length` bytes until the permit is dropped. Refuses the call
-    /// if too many bodies are buffered.
-    fn acquire_body_memory(&self, length: usize) -> Result<OwnedSemaphorePermit, Refusal> {
-        let semaphore = self.inner.body_memory.clone();
-        let permit = semaphore.try_acquire_many_owned(body_units(length));
-        permit.map_err(|_| Refusal::new(Reason::Overloaded).retry_after(BODY_MEMORY_RETRY_AFTER))
-    }
-
-    /// Adjusts the memory reserved for a body to its actual length.
-    fn resize_permit(
-        &self,
-        permit: &mut OwnedSemaphorePermit,
-        length: usize,
-    ) -> Result<(), Refusal> {
-        let units = body_units(length) as usize;
-        let reserved = permit.num_permits();
-        if units > reserved {
-            // `body_units` rounds this up to exactly the missing number of units.
-            let missing_bytes = (units - reserved) * BODY_UNIT_BYTES - 1;
-            permit.merge(self.acquire_body_memory(missing_bytes)?);
-        }
-        drop(permit.split(reserved.saturating_sub(units)));
-        Ok(())
+        let length = declared_length.unwrap_or(ASSUMED_BODY_BYTES.min(max_bytes));
+        self.inner
+            .body_memory
+            .reserve(length)
+            .ok_or_else(no_body_memory)
     }
 
     /// Parses and admits a call, then reads its body into memory. Enters in the call's log line
@@ -288,7 +268,9 @@
         }
         let mut body_permit = self.reserve_body_memory(&admitted, &body)?;
         let body = read_body(&admitted, body).await?;
-        self.resize_permit(&mut body_permit, body.len())?;
+        if !body_permit.resize(body.len()) {
+            return Err(no_body_memory());
+        }
         let active_call = ActiveCall::new(
             self.inner.clone(),
             admitted,
@@ -302,16 +284,14 @@
     }
 }
 
-/// Unit in which the memory for bodies is counted, in bytes.
-const BODY_UNIT_BYTES: usize = 1 << 10;
 /// Assumed length of a body without a declared length, in bytes.
 const ASSUMED_BODY_BYTES: usize = 256 << 10;
 /// Retry delay for callers while too many bodies are buffered.
 const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Units of memory to reserve for a body of `length` bytes; at least 1.
-fn body_units(length: usize) -> u32 {
-    u32::try_from(length / BODY_UNIT_BYTES + 1).unwrap_or(u32::MAX)
+/// Refusal for a call whose body does not fit into memory now.
+fn no_body_memory() -> Refusal {
+    Refusal::new(Reason::Overloaded).retry_after(BODY_MEMORY_RETRY_AFTER)
 }
 
 /// Reads the body of a call within the configured size limit and the caller's time limit, or the
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -53,6 +53,9 @@
     /// remaining time and the retry budget allow it.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, Aborted> {
         loop {
+            if self.call.time_left().is_zero() {
+                return Err(self.torn("the time limit of the call passed"));
+            }
             let silence_timeout = self.silence_timeout();
             let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
             let next = tokio::select! {
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -89,15 +89,67 @@
     /// Reads the whole body.
     ///
     /// # Errors
-    /// [`SendError::Unknown`] if the body is truncated or larger than 16 MiB, or if no part of it
-    /// arrives within `read_timeout`.
-    pub async fn body(&mut self, read_timeout: Duration) -> Result<Bytes, SendError> {
+    /// [`SendError::Unknown`] if the body is truncated, larger than 16 MiB or not complete within
+    /// `body_timeout`.
+    pub async fn body(&mut self, body_timeout: Duration) -> Result<Bytes, SendError> {
+        self.limited_body(MAX_ANSWER_BYTES, body_timeout).await
+    }
+
+    /// Reads the whole body if it has at most `max_bytes`.
+    ///
+    /// # Errors
+    /// [`SendError::Unknown`] if the body is truncated, larger, or not complete within
+    /// `body_timeout`.
+    pub async fn limited_body(
+        &mut self,
+        max_bytes: usize,
+        body_timeout: Duration,
+    ) -> Result<Bytes, SendError> {
+        let address = self.address;
+        let check = |length| {
+            if length <= max_bytes {
+                return Ok(());
+            }
+            Err(SendError::Unknown {
+                address,
+                reason: format!("answer exceeds {max_bytes} bytes"),
+                disconnected: false,
+            })
+        };
+        self.body_with(body_timeout, check).await
+    }
+
+    /// Reads the whole body, and calls `check` with its length so far before each part is kept.
+    ///
+    /// # Errors
+    /// What `check` returns; [`SendError::Unknown`] if the body is truncated or not complete within
+    /// `body_timeout`.
+    pub async fn body_with<Check>(
+        &mut self,
+        body_timeout: Duration,
+        check: Check,
+    ) -> Result<Bytes, SendError>
+    where
+        Check: FnMut(usize) -> Result<(), SendError>,
+    {
+        let read = timeout(body_timeout, self.read_body(body_timeout, check)).await;
+        read.unwrap_or_else(|_| {
+            let reason = format!("no whole body in {} ms", body_timeout.as_millis());
+            Err(self.unknown(reason, false))
+        })
+    }
+
+    async fn read_body<Check>(
+        &mut self,
+        read_timeout: Duration,
+        mut check: Check,
+    ) -> Result<Bytes, SendError>
+    where
+        Check: FnMut(usize) -> Result<(), SendError>,
+    {
         let mut body = BytesMut::new();
         while let Some(chunk) = self.chunk(read_timeout).await? {
-            if body.len() + chunk.len() > MAX_ANSWER_BYTES {
-                let reason = format!("answer exceeds {MAX_ANSWER_BYTES} bytes");
-                return Err(self.unknown(reason, false));
-            }
+            check(body.len() + chunk.len())?;
             body.extend_from_slice(&chunk);
         }
         Ok(body.freeze())
@@ -108,14 +160,14 @@
     /// # Errors
     /// As [`Self::body`]; [`SendError::Refused`] or [`SendError::Failed`] for other statuses, and
     /// [`SendError::Failed`] for invalid JSON.
-    pub async fn json<Value>(mut self, read_timeout: Duration) -> Result<Value, SendError>
+    pub async fn json<Value>(mut self, body_timeout: Duration) -> Result<Value, SendError>
     where
         Value: DeserializeOwned,
     {
         if !self.status().is_success() {
-            return Err(self.into_error(read_timeout).await);
+            return Err(self.into_error(body_timeout).await);
         }
-        let body = self.body(read_timeout).await?;
+        let body = self.body(body_timeout).await?;
         serde_json::from_slice(&body).map_err(|error| SendError::Failed {
             address: self.address,
             status: self.status().as_u16(),
@@ -125,9 +177,9 @@
 
     /// Reads an unsuccessful answer as an error: [`SendError::Refused`] if it states that the
     /// request did not run, otherwise [`SendError::Failed`].
-    pub async fn into_error(mut self, read_timeout: Duration) -> SendError {
+    pub async fn into_error(mut self, body_timeout: Duration) -> SendError {
         let status = self.status();
-        let body = match self.body(read_timeout).await {
+        let body = match self.body(body_timeout).await {
             Ok(body) => body,
             Err(error) => return error,
         };
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -104,7 +104,7 @@
         Ok(ServiceAnswer {
             status: reply.status().as_u16(),
             content_type: header_text(&reply, &header::CONTENT_TYPE),
-            body: reply.body(BODY_READ_TIMEOUT).await?,
+            body: reply.body(timeout.max(BODY_READ_TIMEOUT)).await?,
         })
     }
 }
