--- a/crates/entry/tests/crashing_parts.rs
+++ b/crates/entry/tests/crashing_parts.rs
@@ -86,15 +86,21 @@
         log.arrived.iter().filter(has_part).count()
     }
 
-    /// Sends prompts of these parts, one of which crashes engines, until so many crashes have been
-    /// seen that every instance must know of it, then waits for the news to spread.
+    /// Sends prompts of these parts, one of which crashes engines, until every instance refuses them,
+    /// or so many crashes have been seen that it must. Then waits for the news to spread.
     async fn crash_engines(&mut self, parts: &str) {
         let before = self.crashes_count();
-        for _ in 0..20 {
-            if self.crashes_count() >= before + TOLERATED_CRASHES_COUNT {
+        let mut refusals_in_a_row_count = 0;
+        while self.crashes_count() < before + TOLERATED_CRASHES_COUNT {
+            let is_refused = self.prompt(parts).await == Some(503);
+            refusals_in_a_row_count = if is_refused {
+                refusals_in_a_row_count + 1
+            } else {
+                0
+            };
+            if refusals_in_a_row_count == self.instances.len() {
                 break;
             }
-            self.prompt(parts).await;
             sleep(Duration::from_millis(300)).await;
         }
         sleep(NEWS_DELAY).await;
