Split large files: target stats, wanted versions, choice of a target, own keys

The list of names that belong to the platform stood in two crates and is one method now. No change of behaviour.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         Item, ItemError, ItemName, Platform, SuspensionDetector,
-        item::{parse_own_item, parse_own_key},
+        own_keys::{parse_own_item, parse_own_key},
         shared::Shared,
     },
     catalog::Revision,
@@ -217,16 +217,10 @@
     }
 
     fn parse_item(&self, name: &ItemName, pair: &KvPair) -> Result<Item, ItemError> {
-        match name {
-            ItemName::Member(_)
-            | ItemName::Holder
-            | ItemName::Loading
-            | ItemName::Recent(..)
-            | ItemName::Crash(..)
-            | ItemName::Answered(_)
-            | ItemName::Limit(_) => parse_own_item(name, &pair.key, &pair.value),
-            _ => self.shared.format.parse_item(name, &pair.key, &pair.value),
+        if name.belongs_to_platform() {
+            return self.shared.format.parse_item(name, &pair.key, &pair.value);
         }
+        parse_own_item(name, &pair.key, &pair.value)
     }
 
     fn note_available(&mut self) {
--- a/crates/entry/src/limit_news.rs
+++ b/crates/entry/src/limit_news.rs
@@ -5,8 +5,8 @@
 use {
     crate::{
         LimitRecord,
-        item::limit_key,
         known_state::{AnnouncedLimit, KnownState},
+        own_keys::limit_key,
         record_lease::{REFRESH_AGE, RecordLease},
         shared::Shared,
     },
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -1,7 +1,7 @@
 //! Maintains this instance's lease and its member record in the key-value service.
 
 use {
-    crate::{InstanceLease, MemberRecord, item::member_key, shared::Shared},
+    crate::{InstanceLease, MemberRecord, own_keys::member_key, shared::Shared},
     keyvalue::{KeyValue, KvError, Op, Txn},
     relay::boot_time,
     std::{sync::Arc, time::Duration},
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         LoadingRecord, Platform,
-        item::LOADING_KEY,
+        own_keys::LOADING_KEY,
         rollout::{self, RolloutCandidate, TargetBackoffs},
         shared::Shared,
     },
--- a/crates/entry/src/orders/lock.rs
+++ b/crates/entry/src/orders/lock.rs
@@ -3,7 +3,7 @@
 use {
     super::OrderIssuer,
     crate::{
-        HolderRecord, InstanceLease, Item, OrderLock, Platform, item::HOLDER_KEY,
+        HolderRecord, InstanceLease, Item, OrderLock, Platform, own_keys::HOLDER_KEY,
         shared::RANK_DELAY,
     },
     catalog::Revision,
--- a/crates/entry/src/recent_versions.rs
+++ b/crates/entry/src/recent_versions.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         RecentVersion,
-        item::recent_key,
+        own_keys::recent_key,
         shared::{RANK_DELAY, Shared},
     },
     catalog::ModelId,
--- a/crates/entry/src/suspect_parts.rs
+++ b/crates/entry/src/suspect_parts.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         SuspectRecord,
-        item::{answered_key, crash_key},
+        own_keys::{answered_key, crash_key},
         record_lease::{REFRESH_AGE, RecordLease},
         shared::Shared,
     },
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -2,18 +2,16 @@
 
 use {
     crate::{
-        HeaderFormat, Reason, Refusal, Shutdown,
+        HeaderFormat, InFlightGuard, Reason, Refusal, Shutdown,
         admit::Admitted,
         attempt::{AttemptOutcome, AttemptParams, TargetAnswer, attempt},
         body_memory::BodyPermit,
         boot_time,
         call_recorder::{CallRecorder, millis},
-        pick::{PickContext, PickedTarget, pick, time_until_limits_allow},
+        pick::PickedTarget,
         quarantined_parts::part_keys,
         relay::Inner,
         target_feedback::record_limit,
-        target_limit::Senders,
-        view::InFlightGuard,
     },
     balance::CallOutcome,
     bytes::Bytes,
@@ -63,9 +61,9 @@
     /// Keys of the prompt's parts that could be at fault if a target crashes.
     pub(crate) part_keys: Vec<PartKey>,
     /// Pool that was chosen for the call; empty if the route has no pool with a weight above 0.
-    pool: PoolId,
+    pub(crate) pool: PoolId,
     /// Targets that were tried for the call, including those that could not be reached.
-    tried_targets: Vec<TargetId>,
+    pub(crate) tried_targets: Vec<TargetId>,
     /// Number of targets that ran the call or may have run it.
     may_have_run_count: u32,
     /// Counts the call as in flight at the current target.
@@ -238,7 +236,7 @@
                 last_refusal = refusal;
                 break;
             }
-            let picked = match self.pick() {
+            let picked = match self.choose_target() {
                 Ok(picked) => picked,
                 Err(refusal) => {
                     last_refusal = refusal.unwrap_or(last_refusal);
@@ -301,43 +299,6 @@
         Err(last_refusal)
     }
 
-    /// Chooses the next target for the call, and takes the right to send a call there if the target
-    /// has a limit. Fails if no target may take the call, with a refusal if limits are the reason.
-    fn pick(&self) -> Result<PickedTarget, Option<Refusal>> {
-        let state = &self.inner.state;
-        let view = state.view();
-        let cache_index = state.cache_index();
-        let peer_loads = state.peer_loads();
-        let senders = Senders {
-            own_seed: self.inner.settings.instance_seed,
-            instance_seeds: &view.instance_seeds,
-        };
-        let context = PickContext {
-            call: &self.admitted.call,
-            tried_targets: &self.tried_targets,
-            failure_domain: &self.inner.settings.failure_domain,
-            now: self.inner.origin.elapsed(),
-            stale_weights_grace: self.inner.settings.stale_weights_grace,
-            random: rand::random(),
-            cache_index: &cache_index,
-            peer_loads: &peer_loads,
-            isolated_account: self.isolated_account(),
-            senders,
-        };
-        // Another call may take the last right to a target between its choice and this one.
-        while let Some(picked) = pick(&view, &self.pool, &context) {
-            let target = &picked.target;
-            if target
-                .call_stats
-                .try_take_call(target.seed, senders, boot_time())
-            {
-                return Ok(picked);
-            }
-        }
-        let wait = time_until_limits_allow(&view, &self.pool, &context);
-        Err(wait.map(|wait| Refusal::new(Reason::Overloaded).retry_after(wait)))
-    }
-
     /// Sends the call to one target and reads its answer, or the first event of its stream.
     ///
     /// Plans the cache transfers, which reserves time on the links of stores, and counts the call
--- /dev/null
+++ b/crates/relay/src/choose_target.rs
@@ -0,0 +1,51 @@
+//! Choice of the next target of a call, within the limits that targets state.
+
+use crate::{
+    HeaderFormat, Reason, Refusal,
+    active_call::ActiveCall,
+    boot_time,
+    pick::{PickContext, PickedTarget, pick, time_until_limits_allow},
+    target_limit::Senders,
+};
+
+impl<Format> ActiveCall<Format>
+where
+    Format: HeaderFormat,
+{
+    /// Chooses the next target for the call, and takes the right to send a call there if the target
+    /// has a limit. Fails if no target may take the call, with a refusal if limits are the reason.
+    pub(crate) fn choose_target(&self) -> Result<PickedTarget, Option<Refusal>> {
+        let state = &self.inner.state;
+        let view = state.view();
+        let cache_index = state.cache_index();
+        let peer_loads = state.peer_loads();
+        let senders = Senders {
+            own_seed: self.inner.settings.instance_seed,
+            instance_seeds: &view.instance_seeds,
+        };
+        let context = PickContext {
+            call: &self.admitted.call,
+            tried_targets: &self.tried_targets,
+            failure_domain: &self.inner.settings.failure_domain,
+            now: self.inner.origin.elapsed(),
+            stale_weights_grace: self.inner.settings.stale_weights_grace,
+            random: rand::random(),
+            cache_index: &cache_index,
+            peer_loads: &peer_loads,
+            isolated_account: self.isolated_account(),
+            senders,
+        };
+        // Another call may take the last right to a target between its choice and this one.
+        while let Some(picked) = pick(&view, &self.pool, &context) {
+            let target = &picked.target;
+            if target
+                .call_stats
+                .try_take_call(target.seed, senders, boot_time())
+            {
+                return Ok(picked);
+            }
+        }
+        let wait = time_until_limits_allow(&view, &self.pool, &context);
+        Err(wait.map(|wait| Refusal::new(Reason::Overloaded).retry_after(wait)))
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod boot_clock;
 mod call;
 mod call_recorder;
+mod choose_target;
 mod event_stream;
 mod header_format;
 mod outbound_metadata;
@@ -40,7 +41,9 @@
 mod stream_forwarder;
 mod target_feedback;
 mod target_limit;
+mod target_stats;
 mod view;
+mod wanted_versions;
 
 pub use {
     answer::{Answer, TruncatedAnswer},
@@ -53,8 +56,7 @@
     relay::{Relay, RelaySettings, RelayState},
     salt::salt_version,
     shutdown::{AnswerCutoff, Shutdown},
-    view::{
-        LimitObservation, LoadedModel, TargetState, TargetStats, View, WantedVersion,
-        WantedVersions,
-    },
+    target_stats::{InFlightGuard, LimitObservation, TargetStats},
+    view::{LoadedModel, TargetState, View},
+    wanted_versions::{WantedVersion, WantedVersions},
 };
--- /dev/null
+++ b/crates/relay/src/target_stats.rs
@@ -0,0 +1,230 @@
+//! What this instance has observed of a target by its own calls.
+
+use {
+    crate::target_limit::{Senders, TargetLimit},
+    balance::{CallOutcome, Health, StartDelay},
+    catalog::ModelId,
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// Time after an answer that stated a limit within which the word of another instance that the limit
+/// has ended may be older than the answer.
+const LIMIT_END_DELAY: Duration = Duration::from_millis(500);
+
+/// What a target's last answer to this instance said of a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitObservation {
+    /// The limit in calls per second of all instances together; `None` if the answer stated none.
+    pub limit_per_s: Option<f64>,
+    /// When the answer came, by [`crate::boot_time`].
+    pub answered_at: Duration,
+}
+
+/// What this instance has observed of a target by its own calls. Shared by successive views.
+///
+/// Times are relative to the start of the relay.
+#[derive(Debug, Default)]
+pub struct TargetStats {
+    in_flight_count: AtomicU32,
+    observations: Mutex<Observations>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Observations {
+    health: Health,
+    start_delay: StartDelay,
+    /// Time until which calls go to other targets, if there are any.
+    paused_until: Duration,
+    /// Newest version of each model's weights that answers have shown.
+    versions: HashMap<ModelId, u64>,
+    /// Limit that the last answer stated or another instance announced; `None` without one.
+    limit: Option<TargetLimit>,
+    /// When the last answer came, which stated a limit or none, by [`crate::boot_time`].
+    answered_at: Option<Duration>,
+    /// Whether an answer has stated a limit that is no number.
+    has_stated_invalid_limit: bool,
+}
+
+impl TargetStats {
+    /// Number of calls that this instance has in flight at the target.
+    #[must_use]
+    pub fn in_flight_count(&self) -> u32 {
+        self.in_flight_count.load(Ordering::Relaxed)
+    }
+
+    /// Counts a call as in flight until the guard is dropped.
+    #[must_use]
+    pub fn start_call(self: &Arc<Self>) -> InFlightGuard {
+        self.in_flight_count.fetch_add(1, Ordering::Relaxed);
+        InFlightGuard {
+            call_stats: self.clone(),
+        }
+    }
+
+    /// Records the outcome of a call. Returns whether the target is ejected from now on although it
+    /// was not before.
+    pub fn record_outcome(&self, outcome: CallOutcome, now: Duration) -> bool {
+        let mut observations = self.lock();
+        let was_ejected = observations.health.is_ejected(now);
+        observations.health.record(outcome, now);
+        !was_ejected && observations.health.is_ejected(now)
+    }
+
+    /// Whether the target is ejected: it failed calls, so calls avoid it unless no other is left.
+    #[must_use]
+    pub fn is_ejected(&self, now: Duration) -> bool {
+        self.lock().health.is_ejected(now)
+    }
+
+    /// Records at `now` a call whose first event came, or that was abandoned without one, after
+    /// `took`.
+    pub fn record_start_delay(&self, took: Duration, now: Duration) {
+        self.lock().start_delay.record(took, now);
+    }
+
+    /// Recent peak of the time to first event, decayed until `now`. It estimates the time until a
+    /// call sent at `now` starts to run.
+    #[must_use]
+    pub fn start_delay(&self, now: Duration) -> Duration {
+        self.lock().start_delay.expected(now)
+    }
+
+    /// Pauses the target until `until`, for example while it loads weights.
+    pub fn pause(&self, until: Duration) {
+        let mut observations = self.lock();
+        observations.paused_until = observations.paused_until.max(until);
+    }
+
+    /// Whether the target is paused, so that calls go to other targets if there are any.
+    #[must_use]
+    pub fn is_paused(&self, now: Duration) -> bool {
+        now < self.lock().paused_until
+    }
+
+    /// Records that the target has at least this version of a model's weights, as an answer has
+    /// shown or implied.
+    pub fn record_version(&self, model: &str, version: u64) {
+        let mut observations = self.lock();
+        let known = observations.versions.entry(model.to_owned()).or_default();
+        *known = (*known).max(version);
+    }
+
+    /// Forgets the version that answers have shown, so that the target's own report counts again.
+    pub fn forget_version(&self, model: &str) {
+        self.lock().versions.remove(model);
+    }
+
+    /// Newest version of a model's weights that answers have shown.
+    #[must_use]
+    pub fn observed_version(&self, model: &str) -> Option<u64> {
+        self.lock().versions.get(model).copied()
+    }
+
+    /// Records the limit that an answer states, in calls per second of all instances together;
+    /// `None` if it states none. `now` is by [`crate::boot_time`], as all times of limits are.
+    pub fn record_limit(&self, limit_per_s: Option<f64>, now: Duration) {
+        let mut observations = self.lock();
+        observations.answered_at = Some(now);
+        match (limit_per_s, &mut observations.limit) {
+            (Some(limit_per_s), Some(limit)) => limit.state(limit_per_s, now),
+            (Some(limit_per_s), limit) => {
+                *limit = Some(TargetLimit::new(limit_per_s, now, rand::random()));
+            }
+            (None, limit) => *limit = None,
+        }
+    }
+
+    /// Applies a limit that another instance announces, unless an answer stated one to this
+    /// instance.
+    pub fn announce_limit(&self, limit_per_s: f64, now: Duration) {
+        let limit = &mut self.lock().limit;
+        let limit = limit.get_or_insert_with(|| TargetLimit::new(limit_per_s, now, rand::random()));
+        limit.set_announced(true);
+    }
+
+    /// Applies the word of another instance that the limit has ended, unless an answer stated it to
+    /// this instance just before.
+    pub fn announce_limit_end(&self, now: Duration) {
+        let limit = &mut self.lock().limit;
+        let is_recent =
+            |limit: &TargetLimit| now.saturating_sub(limit.stated().1) < LIMIT_END_DELAY;
+        match limit {
+            Some(stated) if is_recent(stated) => stated.set_announced(false),
+            _ => *limit = None,
+        }
+    }
+
+    /// What the last answer to this instance said of a limit; `None` before the first answer.
+    #[must_use]
+    pub fn limit_observation(&self) -> Option<LimitObservation> {
+        let observations = self.lock();
+        let answered_at = observations.answered_at?;
+        let limit = observations.limit.as_ref().map(TargetLimit::stated);
+        let stated = limit.filter(|(_, stated_at)| *stated_at == answered_at);
+        Some(LimitObservation {
+            limit_per_s: stated.map(|(limit_per_s, _)| limit_per_s),
+            answered_at,
+        })
+    }
+
+    /// Records that an answer states a limit that is no number. Returns whether it is the first.
+    pub(crate) fn record_invalid_limit(&self) -> bool {
+        let mut observations = self.lock();
+        !std::mem::replace(&mut observations.has_stated_invalid_limit, true)
+    }
+
+    /// Time until the target's limit lets this instance send a call: zero if there is no limit,
+    /// `None` if other instances use the whole limit.
+    pub(crate) fn time_until_call(
+        &self,
+        target_seed: u64,
+        senders: Senders<'_>,
+        now: Duration,
+    ) -> Option<Duration> {
+        match &mut self.lock().limit {
+            Some(limit) => limit.time_until_call(target_seed, senders, now),
+            None => Some(Duration::ZERO),
+        }
+    }
+
+    /// Takes the right to send one call under the target's limit. Returns false if there is none
+    /// now.
+    pub(crate) fn try_take_call(
+        &self,
+        target_seed: u64,
+        senders: Senders<'_>,
+        now: Duration,
+    ) -> bool {
+        let limit = &mut self.lock().limit;
+        limit
+            .as_mut()
+            .is_none_or(|limit| limit.try_take(target_seed, senders, now))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Observations> {
+        self.observations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts a call as in flight until dropped.
+#[derive(Debug)]
+pub struct InFlightGuard {
+    call_stats: Arc<TargetStats>,
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.call_stats
+            .in_flight_count
+            .fetch_sub(1, Ordering::Relaxed);
+    }
+}
