A trial of a limit no longer looks like an answer that states it

The time of the trial stood in the field that tells when the target stated its limit, so the announcer could have taken the limit for ended. Found on reading the change; nothing was seen of it in a run.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -206,7 +206,7 @@
     /// again, only while time is left (also until a shutdown), and only while fewer than
     /// [`MAX_TRIED_TARGETS_COUNT`] were tried. Each retry takes one from the pool's retry budget,
     /// unless no byte was sent to the previous target. A call with a part that crashes targets is
-    /// refused or given up. If targets answered with a 5xx status and no
+    /// refused, or given up if it has crashed one. If targets answered with a 5xx status and no
     /// later one gives a final answer, the last 5xx answer is returned.
     pub(crate) async fn run(
         &mut self,
--- a/crates/relay/src/target_limit.rs
+++ b/crates/relay/src/target_limit.rs
@@ -5,7 +5,7 @@
     std::time::Duration,
 };
 
-/// Least time after which an instance that has no part of a limit may try one call, to learn
+/// Least time without an answer after which an instance may try one call beyond its part, to learn
 /// whether the limit still holds.
 const MIN_TRIAL_PERIOD: Duration = Duration::from_secs(10);
 /// Same, for each instance, so that the trials of all stay rare.
@@ -28,6 +28,8 @@
     stated_at: Duration,
     /// When the target began to state a limit.
     since: Duration,
+    /// When a call last tried whether the limit still holds.
+    tried_at: Duration,
     /// Part of this instance; `None` until a call wants to use it.
     share: Option<LimitShare>,
     /// Whether another instance tells when the limit ends, so that no trial is needed.
@@ -43,6 +45,7 @@
             limit_per_s,
             stated_at: now,
             since: now,
+            tried_at: now,
             share: None,
             is_announced: false,
             trial_jitter: random,
@@ -87,7 +90,7 @@
         now: Duration,
     ) -> bool {
         if self.is_trial_due(senders, now) {
-            self.stated_at = now;
+            self.tried_at = now;
             return true;
         }
         self.update_share(target_seed, senders, now).try_take(now)
@@ -122,6 +125,7 @@
         let period = TRIAL_PERIOD_PER_INSTANCE
             .saturating_mul(instances_count)
             .max(MIN_TRIAL_PERIOD);
-        now.saturating_sub(self.stated_at) > period.mul_f64(1.0 + self.trial_jitter)
+        let quiet_since = self.stated_at.max(self.tried_at);
+        now.saturating_sub(quiet_since) > period.mul_f64(1.0 + self.trial_jitter)
     }
 }
