--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -83,13 +83,10 @@
 
     /// Lets another target resume the stream after it broke off.
     async fn resume(&mut self) -> Result<(), Aborted> {
-        let last_event_id = self.events.last_event_id();
-        let can_resume =
-            self.call.retry_policy() == RetryPolicy::ResumableStream && last_event_id.is_some();
-        let has_time = self.call.can_finish_elsewhere_after(Duration::ZERO);
-        if !can_resume || !has_time || !self.call.can_run_again() || !self.call.try_retry() {
-            return Err(self.torn("the target broke off"));
+        if let Err(reason) = self.check_resumable() {
+            return Err(self.torn(reason));
         }
+        let last_event_id = self.events.last_event_id();
         let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
         let answer = tokio::select! {
             biased;
@@ -108,6 +105,28 @@
         }
     }
 
+    /// Checks that another target may resume the stream, and takes a retry from the budget. Fails
+    /// with the reason for the log.
+    fn check_resumable(&self) -> Result<(), &'static str> {
+        let call = &self.call;
+        if call.retry_policy() != RetryPolicy::ResumableStream {
+            return Err("the target broke off; the route does not allow resuming");
+        }
+        if self.events.last_event_id().is_none() {
+            return Err("the target broke off before an event with an id");
+        }
+        if !call.can_finish_elsewhere_after(Duration::ZERO) {
+            return Err("the target broke off; the shutdown leaves no time to resume");
+        }
+        if !call.can_run_again() {
+            return Err("the target broke off; no further attempt is allowed");
+        }
+        if !call.try_retry() {
+            return Err("the target broke off; the retry budget is used up");
+        }
+        Ok(())
+    }
+
     /// Records that the stream broke off because of `reason` and was not resumed.
     fn torn(&mut self, reason: &str) -> Aborted {
         let status = self.recorder.line.status;
