Fix LOST: a silent stream goes on unless another target takes it

Callers' streams ended without their rest, with neither an answer nor a refusal, while their target was sound: it had been silent for a second and would have gone on.

Cause: a stream that may be resumed was given up after a silence of four pauses of its route, at least 1 s. Its connection was closed first and another target sought afterwards. If none took the call (the others refuse, there is none, or the retry budget is used up), the caller's stream was closed.

Evidence: three tests failed before (silent_stream_goes_on_if_...: the answer ended after its first event).

Change: on silence another target is asked to resume the stream while the first connection stays open, for 300 ms at most, so that no two targets run the call for longer. Whoever refuses, the present stream is read on. Whether there is another target is looked at before a retry is taken from the budget.

Why it works: nothing is given up for a mere silence before another target has taken the call, but for targets that take longer than 300 ms to refuse.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -179,6 +179,25 @@
             && self.may_have_run_count < self.admitted.route.max_attempts
     }
 
+    /// Whether a target that was not tried yet might take the call.
+    pub(crate) fn has_other_target(&self) -> bool {
+        let view = self.inner.state.view();
+        let mut targets = view.pools.get(&self.pool).into_iter().flatten();
+        self.tried_targets.len() < MAX_TRIED_TARGETS_COUNT
+            && targets.any(|it| !it.draining && !self.tried_targets.contains(&it.id))
+    }
+
+    /// Takes the guard that counts the call at its current target, so that an attempt at another
+    /// one does not drop it.
+    pub(crate) fn take_in_flight(&mut self) -> Option<InFlightGuard> {
+        self.in_flight.take()
+    }
+
+    /// Counts the call again at the target that `guard` belongs to.
+    pub(crate) fn restore_in_flight(&mut self, guard: Option<InFlightGuard>) {
+        self.in_flight = guard;
+    }
+
     /// Pause between events that still meets the route's objective. It is not a timeout: the stream
     /// forwarder waits several times as long.
     pub(crate) fn max_event_gap(&self) -> Option<Duration> {
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -7,6 +7,17 @@
     tokio::time::timeout,
 };
 
+/// What the next read of an event stream gives.
+#[derive(Clone, Debug)]
+pub(crate) enum StreamStep {
+    /// A complete event.
+    Event(Bytes),
+    /// The regular end of the stream.
+    End,
+    /// No event was complete in time. The stream can be read on.
+    Silent,
+}
+
 /// Event stream of one target, read as complete events. If the stream breaks off within an event,
 /// that partial event is never returned.
 pub(crate) struct EventStream {
@@ -49,7 +60,11 @@
             last_event_id: None,
             is_restarted: false,
         };
-        events.first_event = events.read_event(first_event_timeout).await?;
+        events.first_event = match events.read_event(first_event_timeout).await? {
+            StreamStep::Event(event) => Some(event),
+            StreamStep::End => None,
+            StreamStep::Silent => return Err(events.silent(first_event_timeout)),
+        };
         if events.first_event.is_none() && !is_resumed && events.reply.ends_with_connection() {
             return Err(events.torn("it ends before its first event"));
         }
@@ -79,33 +94,39 @@
         event_id(self.first_event.as_deref()?)
     }
 
-    /// Returns the next complete event, or `None` at the regular end of the stream. Fails if no
-    /// event is complete within `event_timeout`.
-    pub(crate) async fn next(
-        &mut self,
-        event_timeout: Duration,
-    ) -> Result<Option<Bytes>, SendError> {
+    /// Waits for the next complete event or the regular end of the stream, for up to
+    /// `event_timeout`.
+    pub(crate) async fn next(&mut self, event_timeout: Duration) -> Result<StreamStep, SendError> {
         match self.first_event.take() {
-            Some(first) => Ok(Some(first)),
+            Some(first) => Ok(StreamStep::Event(first)),
             None => self.read_event(event_timeout).await,
         }
     }
 
+    /// Closes the connection to the target; reading fails from now on.
+    pub(crate) fn close(&mut self) {
+        self.reply.close();
+    }
+
+    /// Whether [`EventStream::close`] was called.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.reply.is_closed()
+    }
+
     /// Id of the last event that was read.
     pub(crate) fn last_event_id(&self) -> Option<u64> {
         self.last_event_id
     }
 
     /// Reads the next complete event, within `event_timeout`.
-    async fn read_event(&mut self, event_timeout: Duration) -> Result<Option<Bytes>, SendError> {
-        let read = timeout(event_timeout, self.read_chunks(event_timeout)).await;
-        read.unwrap_or_else(|_| {
-            let reason = format!("no whole event in {} ms", event_timeout.as_millis());
-            Err(self.invalid(&reason))
-        })
+    async fn read_event(&mut self, event_timeout: Duration) -> Result<StreamStep, SendError> {
+        match timeout(event_timeout, self.read_chunks()).await {
+            Ok(read) => Ok(read?.map_or(StreamStep::End, StreamStep::Event)),
+            Err(_) => Ok(StreamStep::Silent),
+        }
     }
 
-    async fn read_chunks(&mut self, silence_timeout: Duration) -> Result<Option<Bytes>, SendError> {
+    async fn read_chunks(&mut self) -> Result<Option<Bytes>, SendError> {
         if self.is_restarted {
             return Err(self.invalid("a continued stream began again"));
         }
@@ -116,7 +137,7 @@
             if self.parser.overflowed() {
                 return Err(self.invalid("an event exceeds its bound"));
             }
-            match self.reply.chunk(silence_timeout).await? {
+            match self.reply.next_chunk().await? {
                 Some(chunk) => self.parser.push(&chunk),
                 None if self.parser.has_part() => {
                     return Err(self.torn("it ends within an event"));
@@ -137,6 +158,14 @@
         Ok(event)
     }
 
+    /// Error for a stream that was silent for too long.
+    fn silent(&self, event_timeout: Duration) -> SendError {
+        self.invalid(&format!(
+            "no whole event in {} ms",
+            event_timeout.as_millis()
+        ))
+    }
+
     /// Error for a stream that broke off at its end.
     fn torn(&self, reason: &str) -> SendError {
         self.failed(reason, self.reply.ends_with_connection())
--- /dev/null
+++ b/crates/relay/tests/silent_targets.rs
@@ -0,0 +1,108 @@
+//! Sound targets that send nothing for a moment and then go on.
+
+mod support;
+
+use {
+    balance::RetryBounds,
+    std::{sync::Arc, time::Duration},
+    support::{
+        TestRelay, caller,
+        scripted_target::{ScriptedTarget, Step, answer, stream},
+    },
+    tokio::task::yield_now,
+};
+
+/// Longer than the relay waits for a silent target if another one takes the call.
+const SILENCE: Duration = Duration::from_millis(1_400);
+const END: &str = "0\r\n\r\n";
+
+fn first_event() -> String {
+    stream(&["id: 1\ndata: a\n\n"])
+}
+
+/// Chunk with the second event, and the end of the stream.
+fn rest() -> String {
+    let event = "id: 2\ndata: b\n\n";
+    format!("{:x}\r\n{event}\r\n{END}", event.len())
+}
+
+fn refusal() -> String {
+    answer("503 Service Unavailable", "not-run: 1\r\n", "full")
+}
+
+fn no_retries() -> RetryBounds {
+    RetryBounds {
+        retries_per_call: 0.0,
+        slack_count: 0.0,
+        ..RetryBounds::default()
+    }
+}
+
+/// A target that is silent after the first event of its first answer.
+async fn silent_target() -> ScriptedTarget {
+    let silent = Step::RespondInTwo(first_event(), SILENCE, rest());
+    ScriptedTarget::start("one", vec![silent]).await
+}
+
+/// Sends a call to `one` and adds `others` to the targets once it has arrived there.
+async fn call_beside(
+    relay: &TestRelay,
+    path: &str,
+    one: &ScriptedTarget,
+    others: &[&ScriptedTarget],
+) -> caller::Response {
+    let connection = caller::send(relay.address, path, "").await;
+    while one.arrived().is_empty() {
+        yield_now().await;
+    }
+    let targets = [&[one], others].concat();
+    relay.view.store(Arc::new(support::view(&targets)));
+    caller::read_response(connection).await
+}
+
+fn assert_whole_stream(response: &caller::Response) {
+    assert!(response.is_complete, "{response:?}");
+    for event in ["data: a", "data: b"] {
+        assert_eq!(response.text.matches(event).count(), 1, "{response:?}");
+    }
+}
+
+#[tokio::test]
+async fn silent_stream_goes_on_if_the_other_targets_refuse_it() {
+    let one = silent_target().await;
+    let two = ScriptedTarget::start("two", vec![Step::Respond(refusal())]).await;
+    let three = ScriptedTarget::start("three", vec![Step::Respond(refusal())]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let response = call_beside(&relay, "/gapped/7", &one, &[&two, &three]).await;
+    assert_whole_stream(&response);
+    assert_eq!(two.arrived().len() + three.arrived().len(), 2);
+}
+
+#[tokio::test]
+async fn silent_stream_goes_on_if_the_retry_budget_is_used_up() {
+    let one = silent_target().await;
+    let two = ScriptedTarget::start("two", vec![]).await;
+    let relay = TestRelay::start_with(&[&one], no_retries()).await;
+    let response = call_beside(&relay, "/gapped/7", &one, &[&two]).await;
+    assert_whole_stream(&response);
+    assert!(two.arrived().is_empty());
+}
+
+#[tokio::test]
+async fn silent_stream_goes_on_if_there_is_no_other_target() {
+    let one = silent_target().await;
+    let relay = TestRelay::start(&[&one]).await;
+    let response = call_beside(&relay, "/gapped/7", &one, &[]).await;
+    assert_whole_stream(&response);
+}
+
+#[tokio::test]
+async fn stream_is_resumed_elsewhere_if_its_target_stays_silent() {
+    let one = ScriptedTarget::start("one", vec![Step::RespondThenStall(first_event())]).await;
+    let remaining = stream(&["id: 2\ndata: b\n\n"]) + END;
+    let two = ScriptedTarget::start("two", vec![Step::Respond(remaining)]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let response = call_beside(&relay, "/gapped/7", &one, &[&two]).await;
+    assert_whole_stream(&response);
+    assert_eq!(two.arrived()[0].header("after"), Some("1"));
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -100,19 +100,25 @@
 }
 
 impl TestRelay {
-    /// Starts a relay in front of `targets`.
+    /// Starts a relay in front of `targets`, whose retry budget is large enough from the first
+    /// millisecond on.
     pub async fn start(targets: &[&ScriptedTarget]) -> Self {
+        let retry_bounds = RetryBounds {
+            slack_count: 1e7,
+            ..RetryBounds::default()
+        };
+        Self::start_with(targets, retry_bounds).await
+    }
+
+    /// Starts a relay in front of `targets` with this retry budget.
+    pub async fn start_with(targets: &[&ScriptedTarget], retry_bounds: RetryBounds) -> Self {
         let view = Arc::new(ArcSwap::from_pointee(view(targets)));
         let cache_index = Arc::new(Mutex::new(PartDirectory::default()));
         let answer_cutoff = AnswerCutoff::default();
         let part_reports = Arc::<PartReports>::default();
         let settings = RelaySettings {
             failure_domain: "here".to_owned(),
-            retry_bounds: RetryBounds {
-                // The budget is large enough from the first millisecond on.
-                slack_count: 1e7,
-                ..RetryBounds::default()
-            },
+            retry_bounds,
             ..RelaySettings::default()
         };
         let relay = Relay::new(
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -23,6 +23,8 @@
     RespondThenClose(String),
     /// Sends these bytes, then nothing for 6 seconds before it closes the connection.
     RespondThenStall(String),
+    /// Sends these bytes, then nothing for a while, then the rest.
+    RespondInTwo(String, Duration, String),
     /// Sends nothing and waits up to 2 seconds for the caller to disconnect.
     NeverRespond,
 }
@@ -156,6 +158,15 @@
                 sleep(Duration::from_secs(6)).await;
                 return;
             }
+            Step::RespondInTwo(begin, pause, rest) => {
+                let begin = begin.replace("{id}", &id);
+                let _ = stream.write_all(begin.as_bytes()).await;
+                sleep(pause).await;
+                let rest = rest.replace("{id}", &id);
+                if stream.write_all(rest.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
             Step::NeverRespond => {
                 let mut byte = [0];
                 let read = timeout(Duration::from_secs(2), stream.read(&mut byte)).await;
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -67,14 +67,21 @@
     /// # Errors
     /// [`SendError::Unknown`] if the body is truncated or nothing arrives within `read_timeout`.
     pub async fn chunk(&mut self, read_timeout: Duration) -> Result<Option<Bytes>, SendError> {
+        let read = timeout(read_timeout, self.next_chunk()).await;
+        read.unwrap_or_else(|_| {
+            let reason = format!("silent for {} ms", read_timeout.as_millis());
+            Err(self.unknown(reason, false))
+        })
+    }
+
+    /// Waits for the next part of the body, however long it takes; `None` at its end. Dropping the
+    /// future loses nothing: the next call goes on where it was.
+    ///
+    /// # Errors
+    /// [`SendError::Unknown`] if the body is truncated.
+    pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, SendError> {
         loop {
-            let frame = timeout(read_timeout, self.response.body_mut().frame())
-                .await
-                .map_err(|_| {
-                    let reason = format!("silent for {} ms", read_timeout.as_millis());
-                    self.unknown(reason, false)
-                })?;
-            let Some(frame) = frame else {
+            let Some(frame) = self.response.body_mut().frame().await else {
                 self.release_connection();
                 return Ok(None);
             };
@@ -86,6 +93,18 @@
         }
     }
 
+    /// Closes the connection, so that the target stops the request; reading the body fails from now
+    /// on.
+    pub fn close(&mut self) {
+        self.connection = None;
+    }
+
+    /// Whether the connection was closed or, after the end of the body, given back for reuse.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.connection.is_none()
+    }
+
     /// Reads the whole body.
     ///
     /// # Errors
