Fix: a target that is silent before its answer is given up only for another one

Callers got 502 while their target was sound and about to answer: it had been silent for longer than 0.7 (stream: 2.5) times the latency objective, was given up, and the retry budget did not allow another attempt, or there was no other target. Same class as the fault in streams under way: a silent target is given up before there is another one.

Evidence: silent_target_is_awaited_if_the_retry_budget_is_used_up and ..._if_there_is_no_other failed before (502 instead of 200).

Change: the wait for the start of an answer is a StartTimeout that is asked once it has run out. The relay gives up only if an untried target exists, time is left, and the budget allows the retry, which is taken in the same step; else it waits for the same target again, until the call's time limit.

Not covered: targets that refuse the call after the silent one was given up. The call then ends as before with 502.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -21,10 +21,13 @@
     parts::PartKey,
     routes::{PoolId, RetryPolicy},
     std::{
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, Instant},
     },
-    target::Reuse,
+    target::{Reuse, StartTimeout},
 };
 
 /// Minimum time left with which a call is still sent to a target.
@@ -41,6 +44,8 @@
 /// stream that may run again. It is larger because another target would have to process the prompt
 /// from the start. Only a target that sends nothing for long is abandoned.
 const STREAM_ATTEMPT_TIMEOUT_FACTOR: f64 = 2.5;
+/// Minimum wait for a target before another one is preferred.
+const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(20);
 /// Retry delay for callers if no target is available.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Retry delay for callers if a target refused the call without running it, for example because it
@@ -68,6 +73,8 @@
     may_have_run_count: u32,
     /// Counts the call as in flight at the current target.
     in_flight: Option<InFlightGuard>,
+    /// Whether a retry was taken from the budget for a silent target that is given up.
+    has_reserved_retry: AtomicBool,
 }
 
 impl<Format> ActiveCall<Format>
@@ -100,6 +107,7 @@
             tried_targets: Vec::new(),
             may_have_run_count: 0,
             in_flight: None,
+            has_reserved_retry: AtomicBool::new(false),
         }
     }
 
@@ -301,7 +309,8 @@
                 }
             };
             last_refusal = refusal;
-            if counts_as_retry && !self.try_retry() {
+            let has_retry = self.has_reserved_retry.swap(false, Ordering::Relaxed);
+            if counts_as_retry && !has_retry && !self.try_retry() {
                 break;
             }
         }
@@ -342,11 +351,12 @@
             .target_headers(&self.head.headers, &metadata);
         self.in_flight = Some(target.call_stats.start_call());
         let time_left = self.time_left();
+        let start_timeout = AttemptTimeout { call: self };
         let params = AttemptParams {
             address: target.address,
             id: &self.admitted.call.id,
             reuse: Reuse::Allowed,
-            first_byte_timeout: self.attempt_timeout().min(time_left),
+            start_timeout: &start_timeout,
             deadline: sent + time_left,
             answer_memory: &self.inner.answer_memory,
             stream: self.retry_policy().is_stream(),
@@ -398,8 +408,8 @@
         account.map(|account| account.name.as_str())
     }
 
-    /// Maximum wait for the head of the answer, and then again for the first event of a stream,
-    /// before the attempt is abandoned. All the time left if no other target may run the call or
+    /// Time to wait for the head of the answer, and then again for the first event of a stream,
+    /// before another target is preferred. All the time left if no other target may run the call or
     /// could finish it before a shutdown.
     fn attempt_timeout(&self) -> Duration {
         let is_last = self.may_have_run_count + 1 >= self.admitted.route.max_attempts;
@@ -411,7 +421,8 @@
         } else {
             ATTEMPT_TIMEOUT_FACTOR
         };
-        let attempt_timeout = self.admitted.route.latency_objective.mul_f64(factor);
+        let latency_objective = self.admitted.route.latency_objective;
+        let attempt_timeout = latency_objective.mul_f64(factor).max(MIN_ATTEMPT_TIMEOUT);
         if self.can_finish_elsewhere_after(attempt_timeout) {
             attempt_timeout
         } else {
@@ -419,6 +430,17 @@
         }
     }
 
+    /// Whether a silent target is given up for another one. If so, the retry is taken from the
+    /// budget. A target may be silent for a moment and then answer, so it is awaited if no other one
+    /// may take the call.
+    fn gives_up_silent_target(&self) -> bool {
+        let gives_up = self.has_other_target()
+            && self.can_finish_elsewhere_after(Duration::ZERO)
+            && self.try_retry();
+        self.has_reserved_retry.store(gives_up, Ordering::Relaxed);
+        gives_up
+    }
+
     /// Whether another target should be tried because this one answered with an error status.
     fn should_try_another(&self, answer: &TargetAnswer) -> bool {
         answer.status.is_server_error()
@@ -438,6 +460,24 @@
     }
 }
 
+/// Timeout for the start of an answer to a call.
+struct AttemptTimeout<'call, Format> {
+    call: &'call ActiveCall<Format>,
+}
+
+impl<Format> StartTimeout for AttemptTimeout<'_, Format>
+where
+    Format: HeaderFormat,
+{
+    fn duration(&self) -> Duration {
+        self.call.attempt_timeout().min(self.call.time_left())
+    }
+
+    fn gives_up(&self) -> bool {
+        self.call.time_left().is_zero() || self.call.gives_up_silent_target()
+    }
+}
+
 /// Text for the log that describes the outcome of an attempt.
 pub(crate) fn describe_outcome(outcome: &AttemptOutcome<TargetAnswer>) -> String {
     match outcome {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,7 +9,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    target::{Client, Reply, Reuse, SendError},
+    target::{Client, Reply, Reuse, SendError, StartTimeout},
 };
 
 /// Longest body of a refusal that is read, in bytes.
@@ -110,16 +110,15 @@
 
 /// Parameters of one attempt.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct AttemptParams<'call> {
+pub(crate) struct AttemptParams<'call, Timeout> {
     /// Address of the target.
     pub(crate) address: SocketAddr,
     /// Request id that the answer must carry.
     pub(crate) id: &'call str,
     /// Whether an idle connection of the pool may be used.
     pub(crate) reuse: Reuse,
-    /// Maximum wait for the head of the answer. For a stream, the wait for its first event is
-    /// limited anew.
-    pub(crate) first_byte_timeout: Duration,
+    /// Timeout for the head of the answer. For a stream, it applies anew to its first event.
+    pub(crate) start_timeout: &'call Timeout,
     /// When the answer must be complete, or its first event must have arrived.
     pub(crate) deadline: Instant,
     /// Memory for an answer that is read as a whole.
@@ -131,25 +130,23 @@
 }
 
 /// Sends a call to a target once and reads its answer, or the first event of its stream.
-pub(crate) async fn attempt<Format>(
+pub(crate) async fn attempt<Format, Timeout>(
     client: &Client,
     header_format: &Format,
     request: Request<Full<Bytes>>,
-    params: AttemptParams<'_>,
+    params: AttemptParams<'_, Timeout>,
 ) -> AttemptOutcome<TargetAnswer>
 where
     Format: HeaderFormat,
+    Timeout: StartTimeout,
 {
     let AttemptParams {
         address,
         reuse,
-        first_byte_timeout,
+        start_timeout,
         ..
     } = params;
-    let reply = match client
-        .send(address, request, reuse, first_byte_timeout)
-        .await
-    {
+    let reply = match client.send(address, request, reuse, start_timeout).await {
         Ok(reply) => reply,
         Err(error) => return error.into(),
     };
@@ -198,16 +195,18 @@
 }
 
 /// Reads the body of an answer, or the first event of its stream.
-async fn read_answer(
+async fn read_answer<Timeout>(
     mut reply: Reply,
     metadata: ReplyMetadata,
-    params: &AttemptParams<'_>,
-) -> AttemptOutcome<TargetAnswer> {
+    params: &AttemptParams<'_, Timeout>,
+) -> AttemptOutcome<TargetAnswer>
+where
+    Timeout: StartTimeout,
+{
     let (status, headers) = (reply.status(), reply.headers().clone());
     let time_left = params.deadline.saturating_duration_since(Instant::now());
     let content = if params.stream && status.is_success() {
-        let first_event_timeout = params.first_byte_timeout.min(time_left);
-        EventStream::open(reply, first_event_timeout, params.is_resumed)
+        EventStream::open(reply, params.start_timeout, params.is_resumed)
             .await
             .map(|events| Content::Events(Box::new(events)))
     } else {
@@ -227,9 +226,9 @@
 }
 
 /// Reads a whole body within `time_left` and the memory for answers.
-async fn read_whole(
+async fn read_whole<Timeout>(
     reply: &mut Reply,
-    params: &AttemptParams<'_>,
+    params: &AttemptParams<'_, Timeout>,
     time_left: Duration,
 ) -> Result<Bytes, SendError> {
     let address = reply.address();
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -2,8 +2,8 @@
 
 use {
     bytes::Bytes,
-    std::time::Duration,
-    target::{Reply, SendError, SseParser, event_id},
+    std::time::{Duration, Instant},
+    target::{Reply, SendError, SseParser, StartTimeout, event_id},
     tokio::time::timeout,
 };
 
@@ -43,16 +43,20 @@
 }
 
 impl EventStream {
-    /// Waits for the first event, for up to `first_event_timeout`. Until then, the caller has
-    /// received nothing, so another target can still be tried without the caller noticing.
+    /// Waits for the first event until `timeout` gives up. Until then, the caller has received
+    /// nothing, so another target can still be tried without the caller noticing.
     ///
     /// Fails if the connection ends before an event, since nothing else marks the end of a stream
     /// that has neither a length nor chunks. A resumed stream may have no events left.
-    pub(crate) async fn open(
+    pub(crate) async fn open<Timeout>(
         reply: Reply,
-        first_event_timeout: Duration,
+        timeout: &Timeout,
         is_resumed: bool,
-    ) -> Result<Self, SendError> {
+    ) -> Result<Self, SendError>
+    where
+        Timeout: StartTimeout,
+    {
+        let started = Instant::now();
         let mut events = Self {
             reply,
             parser: SseParser::default(),
@@ -60,10 +64,15 @@
             last_event_id: None,
             is_restarted: false,
         };
-        events.first_event = match events.read_event(first_event_timeout).await? {
-            StreamStep::Event(event) => Some(event),
-            StreamStep::End => None,
-            StreamStep::Silent => return Err(events.silent(first_event_timeout)),
+        events.first_event = loop {
+            match events.read_event(timeout.duration()).await? {
+                StreamStep::Event(event) => break Some(event),
+                StreamStep::End => break None,
+                StreamStep::Silent if timeout.gives_up() => {
+                    return Err(events.silent(started.elapsed()));
+                }
+                StreamStep::Silent => {}
+            }
         };
         if events.first_event.is_none() && !is_resumed && events.reply.ends_with_connection() {
             return Err(events.torn("it ends before its first event"));
--- a/crates/relay/tests/silent_targets.rs
+++ b/crates/relay/tests/silent_targets.rs
@@ -4,10 +4,11 @@
 
 use {
     balance::RetryBounds,
+    routes::{Route, RouteTable},
     std::{sync::Arc, time::Duration},
     support::{
         TestRelay, caller,
-        scripted_target::{ScriptedTarget, Step, answer, stream},
+        scripted_target::{ScriptedTarget, Step, answer, stream, success},
     },
     tokio::task::yield_now,
 };
@@ -106,3 +107,59 @@
     assert_whole_stream(&response);
     assert_eq!(two.arrived()[0].header("after"), Some("1"));
 }
+
+/// Has the routes of a relay state a latency objective of 100 ms, so that it prefers another target
+/// after 70 to 250 ms.
+fn shorten_objectives(relay: &TestRelay, targets: &[&ScriptedTarget]) {
+    let mut view = support::view(targets);
+    let config = view.route_table.as_ref().unwrap().config().clone();
+    let routes = support::routes().into_iter();
+    let routes = routes.map(|route| Route {
+        latency_objective: Duration::from_millis(100),
+        ..route
+    });
+    let config = config.routes(routes.collect());
+    view.route_table = Some(Arc::new(RouteTable::new(config)));
+    relay.view.store(Arc::new(view));
+}
+
+#[tokio::test]
+async fn silent_target_is_awaited_if_the_retry_budget_is_used_up() {
+    let whole_stream = stream(&["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"]) + END;
+    let head = stream(&[]);
+    let events = whole_stream[head.len()..].to_owned();
+    let cases = [
+        ("/idempotent/7", String::new(), success("late")),
+        ("/resumable/7", String::new(), whole_stream),
+        ("/resumable/7", head, events),
+    ];
+    for (path, begin, rest) in cases {
+        let silent = vec![Step::RespondInTwo(begin, SILENCE, rest)];
+        let one = ScriptedTarget::start("one", silent.clone()).await;
+        let two = ScriptedTarget::start("two", silent).await;
+        let relay = TestRelay::start_with(&[&one, &two], no_retries()).await;
+        shorten_objectives(&relay, &[&one, &two]);
+        let response = caller::call(relay.address, path, "").await;
+        assert_eq!(response.status, 200, "{path}: {response:?}");
+        assert!(response.is_complete, "{path}: {response:?}");
+        assert_eq!(one.arrived().len() + two.arrived().len(), 1, "{path}");
+    }
+}
+
+#[tokio::test]
+async fn silent_target_is_awaited_if_there_is_no_other() {
+    for path in ["/idempotent/7", "/resumable/7"] {
+        let answer = if path == "/idempotent/7" {
+            success("late")
+        } else {
+            first_event() + &rest()
+        };
+        let silent = vec![Step::RespondInTwo(String::new(), SILENCE, answer)];
+        let one = ScriptedTarget::start("one", silent).await;
+        let relay = TestRelay::start(&[&one]).await;
+        shorten_objectives(&relay, &[&one]);
+        let response = caller::call(relay.address, path, "").await;
+        assert_eq!(response.status, 200, "{path}: {response:?}");
+        assert!(response.is_complete, "{path}: {response:?}");
+    }
+}
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -1,7 +1,7 @@
 //! Pool of HTTP/1 connections to targets, with one exchange at a time on each.
 
 use {
-    crate::{Reply, SendError, error},
+    crate::{Reply, SendError, StartTimeout, error},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -16,6 +16,7 @@
         error::Error,
         io::{self, ErrorKind},
         net::SocketAddr,
+        pin::pin,
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
@@ -115,40 +116,36 @@
         }
     }
 
-    /// Sends `request` at most once and waits up to `first_byte_timeout` for the head of the
-    /// answer.
+    /// Sends `request` at most once and waits for the head of the answer until `timeout` gives up.
     ///
     /// If an idle connection turns out to be closed before any byte was written, the request goes
     /// to another connection.
     ///
     /// # Errors
     /// [`SendError::NotSent`] if no byte was sent, [`SendError::Unknown`] if the answer is missing.
-    pub async fn send(
+    pub async fn send<Timeout>(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         reuse: Reuse,
-        first_byte_timeout: Duration,
-    ) -> Result<Reply, SendError> {
+        timeout: Timeout,
+    ) -> Result<Reply, SendError>
+    where
+        Timeout: StartTimeout,
+    {
         if reuse == Reuse::Allowed {
             while let Some(mut connection) = self.take_idle(address) {
                 if !self.is_ready(&mut connection).await {
                     continue;
                 }
-                match self
-                    .exchange(address, connection, request, first_byte_timeout)
-                    .await
-                {
+                match self.exchange(address, connection, request, &timeout).await {
                     Exchange::Done(result) => return result,
                     Exchange::Unsent(unsent) => request = unsent,
                 }
             }
         }
         let connection = self.connect(address).await?;
-        match self
-            .exchange(address, connection, request, first_byte_timeout)
-            .await
-        {
+        match self.exchange(address, connection, request, &timeout).await {
             Exchange::Done(result) => result,
             Exchange::Unsent(_) => error::NotSentSnafu {
                 address,
@@ -235,13 +232,16 @@
         })
     }
 
-    async fn exchange(
+    async fn exchange<Timeout>(
         &self,
         address: SocketAddr,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
-        first_byte_timeout: Duration,
-    ) -> Exchange {
+        start_timeout: &Timeout,
+    ) -> Exchange
+    where
+        Timeout: StartTimeout,
+    {
         let unknown = |reason, disconnected| {
             Exchange::Done(Err(SendError::Unknown {
                 address,
@@ -249,21 +249,24 @@
                 disconnected,
             }))
         };
-        match timeout(
-            first_byte_timeout,
-            connection.sender.try_send_request(request),
-        )
-        .await
-        {
-            Ok(Ok(response)) => Exchange::Done(Ok(self.reply(address, connection, response))),
-            Ok(Err(mut failure)) => match failure.take_message() {
+        let started = Instant::now();
+        let mut sending = pin!(connection.sender.try_send_request(request));
+        let sent = loop {
+            match timeout(start_timeout.duration(), sending.as_mut()).await {
+                Ok(sent) => break sent,
+                Err(_) if start_timeout.gives_up() => {
+                    let reason = format!("no first byte in {} ms", started.elapsed().as_millis());
+                    return unknown(reason, false);
+                }
+                Err(_) => {}
+            }
+        };
+        match sent {
+            Ok(response) => Exchange::Done(Ok(self.reply(address, connection, response))),
+            Err(mut failure) => match failure.take_message() {
                 Some(unsent) => Exchange::Unsent(unsent),
                 None => unknown(failure.error().to_string(), is_disconnect(failure.error())),
             },
-            Err(_) => {
-                let reason = format!("no first byte in {} ms", first_byte_timeout.as_millis());
-                unknown(reason, false)
-            }
         }
     }
 
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -29,6 +29,7 @@
 mod request;
 mod service;
 mod sse_parser;
+mod start_timeout;
 mod store;
 
 pub use {
@@ -44,5 +45,6 @@
     reply::Reply,
     service::{ServiceAnswer, ServiceClient, ServiceRequest},
     sse_parser::{SseParser, event_id},
+    start_timeout::StartTimeout,
     store::{StoreBlock, StoreBlocks, StoreClient, StoreUsage},
 };
