Fix: a limit that is announced again with another value replaces the earlier announcement

Callers and targets: an instance that has only the announcement of a target's limit, and no answer of its own that states it, went on with the value announced first. After the target raised its limit, callers of this instance were refused (503) although the limit allowed their calls; after it lowered its limit, the target got more calls than it allows, until it answered this instance.

Cause: TargetLimit did not tell an announcement from an answer. announce_limit kept any limit that was there as if an answer had stated it, and announce_limit_end took an announcement of less than 500 ms before for an answer, and kept its limit.

Change: a limit has the time of an answer only if an answer stated it to this instance. An announcement sets the value of a limit without such a time, and the end of announcements drops it at once. A changed value needs nothing else: the part of the instance is computed from it at each choice.

--- a/crates/relay/src/target_limit.rs
+++ b/crates/relay/src/target_limit.rs
@@ -20,13 +20,14 @@
     pub(crate) instance_seeds: &'view [u64],
 }
 
-/// A limit as a target stated it last, and the part of this instance. Times are by
+/// The limit of a target as known to this instance, and the part of this instance. Times are by
 /// [`crate::boot_time`].
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TargetLimit {
     limit_per_s: f64,
-    stated_at: Duration,
-    /// When the target began to state a limit.
+    /// When an answer last stated the limit to this instance; `None` if it was only announced.
+    stated_at: Option<Duration>,
+    /// When this instance learned that the target has a limit.
     since: Duration,
     /// When a call last tried whether the limit still holds.
     tried_at: Duration,
@@ -39,11 +40,12 @@
 }
 
 impl TargetLimit {
-    /// Creates the limit that a target stated at `now`. `random` is between 0 and 1.
+    /// Creates a limit that this instance learned of at `now`, neither stated nor announced yet.
+    /// `random` is between 0 and 1.
     pub(crate) fn new(limit_per_s: f64, now: Duration, random: f64) -> Self {
         Self {
             limit_per_s,
-            stated_at: now,
+            stated_at: None,
             since: now,
             tried_at: now,
             share: None,
@@ -52,20 +54,34 @@
         }
     }
 
-    /// Records that the target stated a limit again.
+    /// Records that an answer of the target stated the limit to this instance.
     pub(crate) fn state(&mut self, limit_per_s: f64, now: Duration) {
         self.limit_per_s = limit_per_s;
-        self.stated_at = now;
+        self.stated_at = Some(now);
     }
 
-    /// Records whether another instance tells when the limit ends.
-    pub(crate) fn set_announced(&mut self, is_announced: bool) {
-        self.is_announced = is_announced;
+    /// Records that another instance announced the limit and tells when it ends. A limit that an
+    /// answer stated to this instance keeps its value.
+    pub(crate) fn announce(&mut self, limit_per_s: f64) {
+        self.is_announced = true;
+        if self.stated_at.is_none() {
+            self.limit_per_s = limit_per_s;
+        }
+    }
+
+    /// Records that no other instance tells any more when the limit ends.
+    pub(crate) fn end_announcement(&mut self) {
+        self.is_announced = false;
+    }
+
+    /// The limit in calls per second.
+    pub(crate) fn limit_per_s(&self) -> f64 {
+        self.limit_per_s
     }
 
-    /// The limit in calls per second, and when the target stated it.
-    pub(crate) fn stated(&self) -> (f64, Duration) {
-        (self.limit_per_s, self.stated_at)
+    /// When an answer last stated the limit to this instance; `None` if it was only announced.
+    pub(crate) fn stated_at(&self) -> Option<Duration> {
+        self.stated_at
     }
 
     /// Time until this instance may send a call; `None` if other instances use the whole limit.
@@ -125,7 +141,7 @@
         let period = TRIAL_PERIOD_PER_INSTANCE
             .saturating_mul(instances_count)
             .max(MIN_TRIAL_PERIOD);
-        let quiet_since = self.stated_at.max(self.tried_at);
+        let quiet_since = self.stated_at.unwrap_or_default().max(self.tried_at);
         now.saturating_sub(quiet_since) > period.mul_f64(1.0 + self.trial_jitter)
     }
 }
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -52,6 +52,14 @@
     has_stated_invalid_limit: bool,
 }
 
+impl Observations {
+    /// Returns the limit, created with `limit_per_s` if there is none.
+    fn limit_or_new(&mut self, limit_per_s: f64, now: Duration) -> &mut TargetLimit {
+        self.limit
+            .get_or_insert_with(|| TargetLimit::new(limit_per_s, now, rand::random()))
+    }
+}
+
 impl TargetStats {
     /// Number of calls that this instance has in flight at the target.
     #[must_use]
@@ -132,31 +140,30 @@
     pub fn record_limit(&self, limit_per_s: Option<f64>, now: Duration) {
         let mut observations = self.lock();
         observations.answered_at = Some(now);
-        match (limit_per_s, &mut observations.limit) {
-            (Some(limit_per_s), Some(limit)) => limit.state(limit_per_s, now),
-            (Some(limit_per_s), limit) => {
-                *limit = Some(TargetLimit::new(limit_per_s, now, rand::random()));
-            }
-            (None, limit) => *limit = None,
+        match limit_per_s {
+            Some(limit_per_s) => observations
+                .limit_or_new(limit_per_s, now)
+                .state(limit_per_s, now),
+            None => observations.limit = None,
         }
     }
 
-    /// Applies a limit that another instance announces, unless an answer stated one to this
-    /// instance.
+    /// Applies a limit that another instance announces. It replaces an earlier announcement, but
+    /// not a limit that an answer stated to this instance.
     pub fn announce_limit(&self, limit_per_s: f64, now: Duration) {
-        let limit = &mut self.lock().limit;
-        let limit = limit.get_or_insert_with(|| TargetLimit::new(limit_per_s, now, rand::random()));
-        limit.set_announced(true);
+        let mut observations = self.lock();
+        observations
+            .limit_or_new(limit_per_s, now)
+            .announce(limit_per_s);
     }
 
     /// Applies the word of another instance that the limit has ended, unless an answer stated it to
     /// this instance just before.
     pub fn announce_limit_end(&self, now: Duration) {
         let limit = &mut self.lock().limit;
-        let is_recent =
-            |limit: &TargetLimit| now.saturating_sub(limit.stated().1) < LIMIT_END_DELAY;
+        let is_recent = |stated_at| now.saturating_sub(stated_at) < LIMIT_END_DELAY;
         match limit {
-            Some(stated) if is_recent(stated) => stated.set_announced(false),
+            Some(limit) if limit.stated_at().is_some_and(is_recent) => limit.end_announcement(),
             _ => *limit = None,
         }
     }
@@ -166,10 +173,10 @@
     pub fn limit_observation(&self) -> Option<LimitObservation> {
         let observations = self.lock();
         let answered_at = observations.answered_at?;
-        let limit = observations.limit.as_ref().map(TargetLimit::stated);
-        let stated = limit.filter(|(_, stated_at)| *stated_at == answered_at);
+        let limit = observations.limit.as_ref();
+        let stated = limit.filter(|limit| limit.stated_at() == Some(answered_at));
         Some(LimitObservation {
-            limit_per_s: stated.map(|(limit_per_s, _)| limit_per_s),
+            limit_per_s: stated.map(TargetLimit::limit_per_s),
             answered_at,
         })
     }
