The rendezvous seed of an instance is kept with its record

KnownState::view hashed the name of every ready instance at each publication. The seed is now computed when the record of the instance is put, as that of a target is. The view is the same: the new test view_has_the_seeds_of_ready_instances_in_name_order passes on the code before and after.

--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug)]
 struct KnownMember {
     record: MemberRecord,
+    /// Rendezvous seed of its name.
+    seed: u64,
     expires_at: Option<Duration>,
     /// When this instance learned that it is not ready any more.
     unready_since: Option<Duration>,
@@ -334,10 +336,9 @@
             let pool = pools.entry(target.record.pool.clone()).or_default();
             pool.push(target.state.clone());
         }
-        let ready_members = self.ready_members();
-        let instance_seeds = ready_members.iter();
-        let instance_seeds = instance_seeds.map(|(name, _)| rendezvous::member_seed(name));
-        let instances_count = ready_members.len().max(1);
+        let ready_members = self.members.values().filter(|member| member.record.ready);
+        let instance_seeds: Arc<[u64]> = ready_members.map(|member| member.seed).collect();
+        let instances_count = instance_seeds.len().max(1);
         View {
             route_table: self.table.clone(),
             pools,
@@ -349,7 +350,7 @@
             wanted_versions: self.wanted.clone(),
             quarantine: self.quarantine.clone(),
             instances_count: u32::try_from(instances_count).unwrap_or(u32::MAX),
-            instance_seeds: instance_seeds.collect(),
+            instance_seeds,
             confirmed_at: self.confirmed_at.unwrap_or(now),
             shutdown: self.shutdown(),
         }
@@ -390,6 +391,7 @@
         };
         let member = KnownMember {
             record,
+            seed: rendezvous::member_seed(name),
             expires_at: None,
             unready_since,
         };
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -1,6 +1,7 @@
 //! The known state through changes and outages of the key-value service.
 
 use {
+    balance::rendezvous,
     entry::{
         Item, ItemName, KnownState, LoadingRecord, MemberRecord, OwnShutdown, RecentVersion,
         TargetRegistration,
@@ -261,6 +262,18 @@
     })
 }
 
+#[test]
+fn view_has_the_seeds_of_ready_instances_in_name_order() {
+    let mut known = KnownState::default();
+    for (name, ready) in [("c", true), ("a", true), ("b", false), ("d", true)] {
+        known.put(name, member(1, ready), 1, START);
+    }
+    known.put("c", member(1, false), 2, START);
+    known.put("b", member(1, true), 2, START);
+    let seeds = ["a", "b", "d"].map(rendezvous::member_seed);
+    assert_eq!(*known.view(START).instance_seeds, seeds);
+}
+
 #[test]
 fn draining_instance_knows_ready_peers_and_the_next_restart() {
     let begin_shutdown = |known: &mut KnownState, now: f64| {
