One method writes records that expire; the end of a limit is announced without a lease

suspect_parts and limit_news both took a lease, wrote up to 16 operations in one transaction, and forgot the lease on an error. RecordLease::write does all of this for both. It takes a lease only if a record is put; limit_news granted one also where it only deleted the records of limits that had ended.

The tests' support starts an instance with given settings, so that the renewals of the instance's own lease stay out of the count.

--- a/crates/entry/src/limit_news.rs
+++ b/crates/entry/src/limit_news.rs
@@ -7,12 +7,12 @@
         LimitRecord,
         known_state::{AnnouncedLimit, KnownState},
         own_keys::limit_key,
-        record_lease::{REFRESH_AGE, RecordLease},
+        record_lease::{MAX_WRITTEN_COUNT, REFRESH_AGE, RecordChange, RecordLease},
         shared::Shared,
     },
     balance::limit_part,
-    catalog::TargetId,
-    keyvalue::{KeyValue, KvError, Op, Txn},
+    catalog::{InstanceId, TargetId},
+    keyvalue::{KeyValue, KvError},
     relay::{LimitObservation, TargetState, View, boot_time},
     std::{sync::Arc, time::Duration},
     supervisor::ChildResult,
@@ -26,8 +26,6 @@
 const SETTLING_TIME: Duration = Duration::from_millis(500);
 /// Relative change of a limit that is announced.
 const MIN_CHANGE_SHARE: f64 = 0.1;
-/// Changes in one write.
-const MAX_WRITTEN_COUNT: usize = 16;
 
 /// Announces limits until `token` is cancelled.
 pub(crate) async fn announce<Kv, Format>(
@@ -50,7 +48,6 @@
         };
         if let Err(error) = written {
             log::info!("failed to announce limits of targets, retrying: {error}");
-            lease.forget();
         }
     }
 }
@@ -75,26 +72,25 @@
     if changes.is_empty() {
         return Ok(());
     }
-    let lease = lease.get(&shared.kv).await?;
-    let steps = changes.iter().take(MAX_WRITTEN_COUNT).map(|change| {
-        let (Change::Stated(target, _) | Change::Ended(target)) = change;
-        let key = limit_key(target);
-        let Change::Stated(_, limit_per_s) = change else {
-            return Op::Delete(key);
-        };
-        let record = LimitRecord {
-            limit_per_s: *limit_per_s,
-            instance: shared.settings.instance.clone(),
-        };
-        // A struct of a finite number and a string always has a JSON form.
-        let value = serde_json::to_vec(&record).unwrap_or_default();
-        Op::Put(key, value.into(), Some(lease))
-    });
-    let write = Txn {
-        success: steps.collect(),
-        ..Txn::default()
-    };
-    shared.kv.txn(write).await.map(|_| ())
+    let changes = changes.into_iter().take(MAX_WRITTEN_COUNT);
+    let changes = changes.map(|change| record_change(change, &shared.settings.instance));
+    lease.write(&shared.kv, changes.collect()).await
+}
+
+/// Returns the change of the record that announces `change`.
+fn record_change(change: Change, instance: &InstanceId) -> RecordChange {
+    match change {
+        Change::Stated(target, limit_per_s) => {
+            let record = LimitRecord {
+                limit_per_s,
+                instance: instance.clone(),
+            };
+            // A struct of a finite number and a string always has a JSON form.
+            let value = serde_json::to_vec(&record).unwrap_or_default();
+            RecordChange::Put(limit_key(&target), value.into())
+        }
+        Change::Ended(target) => RecordChange::Delete(limit_key(&target)),
+    }
 }
 
 /// Returns the changes that this instance has heard of and nobody has announced.
--- a/crates/entry/src/record_lease.rs
+++ b/crates/entry/src/record_lease.rs
@@ -1,7 +1,8 @@
-//! The lease of records that expire by themselves some time after they were written.
+//! Writes records that expire by themselves some time after they were written.
 
 use {
-    keyvalue::{KeyValue, KvError, LeaseId},
+    bytes::Bytes,
+    keyvalue::{KeyValue, KvError, LeaseId, Op, Txn},
     relay::boot_time,
     std::time::Duration,
 };
@@ -12,6 +13,17 @@
 const LEASE_REUSE_TIME: Duration = Duration::from_mins(1);
 /// Age from which on a record that still holds is written again.
 pub(crate) const REFRESH_AGE: Duration = Duration::from_mins(4);
+/// Largest number of changes in one write.
+pub(crate) const MAX_WRITTEN_COUNT: usize = 16;
+
+/// A change to write to a record that expires.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum RecordChange {
+    /// Writes the record with this key and value.
+    Put(String, Bytes),
+    /// Deletes the record with this key.
+    Delete(String),
+}
 
 /// A lease that is never renewed and replaced by another one after a while.
 #[derive(Debug, Default)]
@@ -21,8 +33,39 @@
 }
 
 impl RecordLease {
+    /// Writes `changes`, at most [`MAX_WRITTEN_COUNT`], in one transaction. Takes a lease only if a
+    /// record is put. After an error, the next one is a new lease.
+    pub(crate) async fn write<Kv>(
+        &mut self,
+        kv: &Kv,
+        changes: Vec<RecordChange>,
+    ) -> Result<(), KvError>
+    where
+        Kv: KeyValue,
+    {
+        let written = self.try_write(kv, changes).await;
+        if written.is_err() {
+            self.granted = None;
+        }
+        written
+    }
+
+    async fn try_write<Kv>(&mut self, kv: &Kv, changes: Vec<RecordChange>) -> Result<(), KvError>
+    where
+        Kv: KeyValue,
+    {
+        let mut write = Txn::default();
+        for change in changes {
+            write.success.push(match change {
+                RecordChange::Put(key, value) => Op::Put(key, value, Some(self.get(kv).await?)),
+                RecordChange::Delete(key) => Op::Delete(key),
+            });
+        }
+        kv.txn(write).await.map(|_| ())
+    }
+
     /// Returns a lease that was granted a short time ago, or a new one.
-    pub(crate) async fn get<Kv>(&mut self, kv: &Kv) -> Result<LeaseId, KvError>
+    async fn get<Kv>(&mut self, kv: &Kv) -> Result<LeaseId, KvError>
     where
         Kv: KeyValue,
     {
@@ -36,9 +79,4 @@
         self.granted = Some((lease.id, now));
         Ok(lease.id)
     }
-
-    /// Forgets the lease, since a write with it failed.
-    pub(crate) fn forget(&mut self) {
-        self.granted = None;
-    }
 }
--- a/crates/entry/src/suspect_parts.rs
+++ b/crates/entry/src/suspect_parts.rs
@@ -8,11 +8,11 @@
     crate::{
         SuspectRecord,
         own_keys::{answered_key, crash_key},
-        record_lease::{REFRESH_AGE, RecordLease},
+        record_lease::{MAX_WRITTEN_COUNT, REFRESH_AGE, RecordChange, RecordLease},
         shared::Shared,
     },
     bytes::Bytes,
-    keyvalue::{KeyValue, KvError, Op, Txn},
+    keyvalue::{KeyValue, KvError},
     parts::PartKey,
     quarantine::{CrashId, Suspect},
     relay::boot_time,
@@ -30,8 +30,6 @@
 const REFRESH_CHECK_PERIOD: Duration = Duration::from_secs(10);
 /// Delay after a failed write.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Records in one write.
-const MAX_WRITTEN_COUNT: usize = 16;
 /// Records that wait to be written, beyond which further ones are dropped.
 const MAX_UNWRITTEN_COUNT: usize = 512;
 /// Longest delay per instance before a part is declared answered, so that the first one to do so
@@ -98,7 +96,6 @@
         self.collect_refreshes(now);
         if let Err(error) = self.write().await {
             log::info!("failed to write records of suspect parts, retrying: {error}");
-            self.lease.forget();
             return RETRY_DELAY;
         }
         let now = boot_time();
@@ -198,18 +195,14 @@
 
     async fn write(&mut self) -> Result<(), KvError> {
         while !self.unwritten.is_empty() {
-            let lease = self.lease.get(&self.shared.kv).await?;
             let count = self.unwritten.len().min(MAX_WRITTEN_COUNT);
             let batch = self.unwritten.iter().take(count);
             let puts = batch.map(|unwritten| {
                 let value = self.encode(&unwritten.part_id);
-                Op::Put(unwritten.key.clone(), value, Some(lease))
+                RecordChange::Put(unwritten.key.clone(), value)
             });
-            let write = Txn {
-                success: puts.collect(),
-                ..Txn::default()
-            };
-            self.shared.kv.txn(write).await?;
+            let puts = puts.collect();
+            self.lease.write(&self.shared.kv, puts).await?;
             self.unwritten.drain(..count);
         }
         Ok(())
--- a/crates/entry/tests/limited_targets.rs
+++ b/crates/entry/tests/limited_targets.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use {
+    entry::Settings,
     futures::future::join_all,
-    keyvalue::MemoryKv,
+    keyvalue::{KeyValue, MemoryKv},
     std::time::{Duration, Instant},
-    support::{Instance, put, target::Target, wait_until},
+    support::{Instance, put, settings, target::Target, wait_until},
     tokio::time::{interval, sleep},
 };
 
@@ -17,6 +18,8 @@
 const WINDOW: Duration = Duration::from_secs(4);
 /// Interval between the calls of one instance.
 const CALL_PERIOD: Duration = Duration::from_millis(50);
+/// Validity of an instance's lease that needs no renewal during a test.
+const LONG_LEASE: Duration = Duration::from_mins(10);
 
 struct Fleet {
     targets: Vec<Target>,
@@ -89,6 +92,10 @@
     count
 }
 
+async fn has_keys(kv: &MemoryKv, prefix: &str) -> bool {
+    !kv.range(prefix).await.unwrap().pairs.is_empty()
+}
+
 #[tokio::test]
 async fn all_instances_together_keep_the_limit_of_a_target() {
     let fleet = Fleet::start(&["one", "two", "three", "four", "five"]).await;
@@ -119,3 +126,29 @@
         "{later_count} of about 140 calls, a quarter is its share"
     );
 }
+
+#[tokio::test]
+async fn end_of_a_limit_is_announced_without_a_lease() {
+    let kv = MemoryKv::new();
+    put(&kv, "operators/configuration", "1").await;
+    let target = Target::start(Duration::ZERO).await;
+    put(&kv, "targets/a", &format!("{} 1", target.address)).await;
+    let record = r#"{"limit_per_s":100.0,"instance":"other"}"#;
+    put(&kv, "rattan/limits/a", record).await;
+    let settings = Settings {
+        min_lease: LONG_LEASE,
+        ..settings("one")
+    };
+    let instance = Instance::start_with(settings, kv.clone());
+    wait_until("the lease of the instance", async || {
+        has_keys(&kv, "rattan/members/").await
+    })
+    .await;
+    let before_count = kv.calls().lease_count;
+    wait_until("the end of the limit", async || {
+        instance.call("/x").await;
+        !has_keys(&kv, "rattan/limits/").await
+    })
+    .await;
+    assert_eq!(kv.calls().lease_count, before_count);
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -65,7 +65,11 @@
 impl Instance {
     /// Starts an instance on free ports.
     pub fn start(name: &str, kv: MemoryKv) -> Self {
-        let settings = settings(name);
+        Self::start_with(settings(name), kv)
+    }
+
+    /// Starts an instance with these settings.
+    pub fn start_with(settings: Settings, kv: MemoryKv) -> Self {
         let stop = CancellationToken::new();
         let lines = Lines::default();
         let log = EventLog::start(lines.clone());
@@ -188,7 +192,8 @@
     }
 }
 
-fn settings(name: &str) -> Settings {
+/// Returns the settings of an instance on free ports.
+pub fn settings(name: &str) -> Settings {
     let addresses: Vec<SocketAddr> = (0..4).map(|_| free_address()).collect();
     let address = |index: usize| addresses[index];
     let text = format!(
