Fix: a silent stream is read on while another target is asked to resume it

Callers could still lose a stream of a sound target: - The 300 ms for which the silent stream stays open ran from the decision, not from when another target got the call, so slow refusals or a hanging connect ended it. - It was not read meanwhile: a target that went on after 1.1 s was closed at 1.3 s with its event unread. - A target that began the stream again counted as having taken it; the sound stream was dropped. With three attempts, the next resumption began after that target's own event, and the caller got events twice. - A retry was taken for a move although no other target may take calls (limit, old weights, quarantine).

Evidence: silent_stream_goes_on_if_the_other_targets_refuse_it_slowly, silent_stream_that_goes_on_before_another_target_ answers_is_kept, stream_that_another_target_begins_again_goes_on_at_the_silent_one and stream_that_one_target_begins_ again_is_resumed_by_a_third_without_repeats failed before. The other new tests passed before and guard what holds: one target only goes on with a stream, a retry is taken once, none for a target that may take no call.

Change: the present stream and the attempt at another target are awaited together; whichever comes first is kept. The present one is closed once the other has had the call for 300 ms, counted from when it is sent and anew after each refusal. A move is tried only if a target could be chosen now. Targets that refused meanwhile may be asked again later, and a target that has fallen silent is avoided by further calls for a moment. The log labels the right attempt.

Not covered: the phase before an answer begins still gives up the silent target first.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -28,6 +28,7 @@
         time::{Duration, Instant},
     },
     target::{Reuse, StartTimeout},
+    tokio::sync::watch,
 };
 
 /// Minimum time left with which a call is still sent to a target.
@@ -46,6 +47,8 @@
 const STREAM_ATTEMPT_TIMEOUT_FACTOR: f64 = 2.5;
 /// Minimum wait for a target before another one is preferred.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(20);
+/// Time for which calls avoid a target that is silent before its answer.
+const SILENCE_PAUSE: Duration = Duration::from_millis(200);
 /// Retry delay for callers if no target is available.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Retry delay for callers if a target refused the call without running it, for example because it
@@ -75,6 +78,25 @@
     in_flight: Option<InFlightGuard>,
     /// Whether a retry was taken from the budget for a silent target that is given up.
     has_reserved_retry: AtomicBool,
+    /// See [`ActiveCall::sent_at`].
+    sent_at: watch::Sender<Option<Instant>>,
+}
+
+/// Tells when a call was sent to its present target.
+pub(crate) type SentAt = watch::Receiver<Option<Instant>>;
+
+/// An attempt that may be gone on with.
+#[derive(Debug)]
+pub(crate) struct SuspendedAttempt {
+    in_flight: Option<InFlightGuard>,
+    tried_targets_count: usize,
+}
+
+impl SuspendedAttempt {
+    /// Counts the call no longer as in flight at the target.
+    pub(crate) fn stop_counting(&mut self) {
+        self.in_flight = None;
+    }
 }
 
 impl<Format> ActiveCall<Format>
@@ -108,6 +130,7 @@
             may_have_run_count: 0,
             in_flight: None,
             has_reserved_retry: AtomicBool::new(false),
+            sent_at: watch::Sender::default(),
         }
     }
 
@@ -187,23 +210,52 @@
             && self.may_have_run_count < self.admitted.route.max_attempts
     }
 
-    /// Whether a target that was not tried yet might take the call.
-    pub(crate) fn has_other_target(&self) -> bool {
-        let view = self.inner.state.view();
-        let mut targets = view.pools.get(&self.pool).into_iter().flatten();
-        self.tried_targets.len() < MAX_TRIED_TARGETS_COUNT
-            && targets.any(|it| !it.draining && !self.tried_targets.contains(&it.id))
+    /// Whether another target may take the call from one that is silent.
+    pub(crate) fn can_move(&self) -> bool {
+        self.can_run_again()
+            && self.time_left() > MIN_TIME_LEFT
+            && self.can_finish_elsewhere_after(Duration::ZERO)
+            && self.tried_targets.len() < MAX_TRIED_TARGETS_COUNT
+            && !self.may_have_crashed_target()
+            && self.blocking_part().is_none()
+            && self.can_choose_target()
+    }
+
+    /// Has calls avoid the present target for a while.
+    pub(crate) fn pause_target(&self, pause: Duration) {
+        if let Some(in_flight) = &self.in_flight {
+            let until = self.inner.origin.elapsed() + pause;
+            in_flight.call_stats().pause(until);
+        }
+    }
+
+    /// When the call was sent to its present target; `None` before that, and once the target has
+    /// refused it.
+    pub(crate) fn sent_at(&self) -> SentAt {
+        self.sent_at.subscribe()
+    }
+
+    /// Sets the present attempt aside, so that the call can be sent to another target meanwhile.
+    pub(crate) fn suspend_attempt(&mut self) -> SuspendedAttempt {
+        self.sent_at.send_replace(None);
+        SuspendedAttempt {
+            in_flight: self.in_flight.take(),
+            tried_targets_count: self.tried_targets.len(),
+        }
     }
 
-    /// Takes the guard that counts the call at its current target, so that an attempt at another
-    /// one does not drop it.
-    pub(crate) fn take_in_flight(&mut self) -> Option<InFlightGuard> {
-        self.in_flight.take()
+    /// Goes on with an attempt that was set aside, after no other target took the call.
+    pub(crate) fn restore_attempt(&mut self, attempt: SuspendedAttempt) {
+        self.in_flight = attempt.in_flight;
+        self.tried_targets.truncate(attempt.tried_targets_count);
     }
 
-    /// Counts the call again at the target that `guard` belongs to.
-    pub(crate) fn restore_in_flight(&mut self, guard: Option<InFlightGuard>) {
-        self.in_flight = guard;
+    /// Goes on with an attempt that was set aside, after an attempt at another target was dropped.
+    pub(crate) fn cancel_attempt(&mut self, attempt: SuspendedAttempt) {
+        if self.sent_at.borrow().is_some() {
+            self.may_have_run_count += 1;
+        }
+        self.restore_attempt(attempt);
     }
 
     /// Pause between events that still meets the route's objective. It is not a timeout: the stream
@@ -350,6 +402,7 @@
             .header_format
             .target_headers(&self.head.headers, &metadata);
         self.in_flight = Some(target.call_stats.start_call());
+        self.sent_at.send_replace(None);
         let time_left = self.time_left();
         let start_timeout = AttemptTimeout { call: self };
         let params = AttemptParams {
@@ -374,6 +427,8 @@
             AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { .. }
         ) {
             self.may_have_run_count += 1;
+        } else {
+            self.sent_at.send_replace(None);
         }
         let has_prompt = self.admitted.call.prompt.is_some();
         if has_prompt
@@ -434,10 +489,11 @@
     /// budget. A target may be silent for a moment and then answer, so it is awaited if no other one
     /// may take the call.
     fn gives_up_silent_target(&self) -> bool {
-        let gives_up = self.has_other_target()
-            && self.can_finish_elsewhere_after(Duration::ZERO)
-            && self.try_retry();
+        let gives_up = self.can_move() && self.try_retry();
         self.has_reserved_retry.store(gives_up, Ordering::Relaxed);
+        if !gives_up {
+            self.pause_target(SILENCE_PAUSE);
+        }
         gives_up
     }
 
@@ -469,6 +525,10 @@
 where
     Format: HeaderFormat,
 {
+    fn start(&self) {
+        self.call.sent_at.send_replace(Some(Instant::now()));
+    }
+
     fn duration(&self) -> Duration {
         self.call.attempt_timeout().min(self.call.time_left())
     }
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -100,11 +100,21 @@
 
     /// Records the outcome of the current attempt.
     pub(crate) fn end_attempt(&mut self, outcome: String) {
-        if let Some(attempt) = self.line.attempts.last_mut() {
+        self.set_outcome(self.last_attempt_index(), outcome);
+    }
+
+    /// Records the outcome of an attempt, which may not be the last one.
+    pub(crate) fn set_outcome(&mut self, attempt_index: usize, outcome: String) {
+        if let Some(attempt) = self.line.attempts.get_mut(attempt_index) {
             attempt.outcome = outcome;
         }
     }
 
+    /// Index of the current attempt; 0 before the first one.
+    pub(crate) fn last_attempt_index(&self) -> usize {
+        self.line.attempts.len().saturating_sub(1)
+    }
+
     /// Records the limit that the current attempt's target states.
     pub(crate) fn record_limit(&mut self, limit: Option<&StatedLimit>) {
         if let (Some(StatedLimit::PerSecond(limit_per_s)), Some(attempt)) =
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -1,7 +1,7 @@
 //! Choice of the next target of a call, within the limits that targets state.
 
 use crate::{
-    HeaderFormat, Reason, Refusal,
+    HeaderFormat, Reason, Refusal, View,
     active_call::ActiveCall,
     boot_time,
     pick::{PickContext, PickedTarget, pick, time_until_limits_allow},
@@ -15,6 +15,32 @@
     /// Chooses the next target for the call, and takes the right to send a call there if the target
     /// has a limit. Fails if no target may take the call, with a refusal if limits are the reason.
     pub(crate) fn choose_target(&self) -> Result<PickedTarget, Option<Refusal>> {
+        self.with_pick_context(|view, context| {
+            // Another call may take the last right to a target between its choice and this one.
+            while let Some(picked) = pick(view, &self.pool, context) {
+                let target = &picked.target;
+                if target
+                    .call_stats
+                    .try_take_call(target.seed, context.senders, boot_time())
+                {
+                    return Ok(picked);
+                }
+            }
+            let wait = time_until_limits_allow(view, &self.pool, context);
+            Err(wait.map(|wait| Refusal::new(Reason::Overloaded).retry_after(wait)))
+        })
+    }
+
+    /// Whether there is a target that may take the call now.
+    pub(crate) fn can_choose_target(&self) -> bool {
+        self.with_pick_context(|view, context| pick(view, &self.pool, context).is_some())
+    }
+
+    /// Calls `choose` with the current view and the other inputs of a choice.
+    fn with_pick_context<Choice, Choose>(&self, choose: Choose) -> Choice
+    where
+        Choose: FnOnce(&View, &PickContext<'_>) -> Choice,
+    {
         let state = &self.inner.state;
         let view = state.view();
         let cache_index = state.cache_index();
@@ -35,17 +61,6 @@
             isolated_account: self.isolated_account(),
             senders,
         };
-        // Another call may take the last right to a target between its choice and this one.
-        while let Some(picked) = pick(&view, &self.pool, &context) {
-            let target = &picked.target;
-            if target
-                .call_stats
-                .try_take_call(target.seed, senders, boot_time())
-            {
-                return Ok(picked);
-            }
-        }
-        let wait = time_until_limits_allow(&view, &self.pool, &context);
-        Err(wait.map(|wait| Refusal::new(Reason::Overloaded).retry_after(wait)))
+        choose(&view, &context)
     }
 }
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -27,9 +27,6 @@
     /// events.
     first_event: Option<Bytes>,
     last_event_id: Option<u64>,
-    /// Whether a resumed stream began with an event that the caller already has. Reading from it
-    /// fails.
-    is_restarted: bool,
 }
 
 impl std::fmt::Debug for EventStream {
@@ -62,7 +59,6 @@
             parser: SseParser::default(),
             first_event: None,
             last_event_id: None,
-            is_restarted: false,
         };
         events.first_event = loop {
             match events.read_event(timeout.duration()).await? {
@@ -80,18 +76,15 @@
         Ok(events)
     }
 
-    /// Marks the stream as the continuation of one whose last event was `last_event_id`. If it
-    /// repeats events up to that one, reading from it fails.
-    pub(crate) fn resume_after(mut self: Box<Self>, last_event_id: Option<u64>) -> Self {
-        if self
-            .first_event_id()
-            .is_some_and(|first| Some(first) <= last_event_id)
-        {
-            self.first_event = None;
-            self.parser = SseParser::default();
-            self.is_restarted = true;
+    /// Takes the stream as the continuation of one whose last event was `last_event_id`; `None` if
+    /// it repeats events up to that one.
+    pub(crate) fn resume_after(mut self: Box<Self>, last_event_id: Option<u64>) -> Option<Self> {
+        let first_event_id = self.first_event_id();
+        if first_event_id.is_some_and(|first| Some(first) <= last_event_id) {
+            return None;
         }
-        *self
+        self.last_event_id = self.last_event_id.max(last_event_id);
+        Some(*self)
     }
 
     /// Whether the first event has arrived and was not returned yet.
@@ -136,9 +129,6 @@
     }
 
     async fn read_chunks(&mut self) -> Result<Option<Bytes>, SendError> {
-        if self.is_restarted {
-            return Err(self.invalid("a continued stream began again"));
-        }
         loop {
             if let Some(event) = self.parser.next_event() {
                 return self.check_order(event).map(Some);
--- a/crates/relay/src/quarantined_parts.rs
+++ b/crates/relay/src/quarantined_parts.rs
@@ -25,18 +25,24 @@
 {
     /// Refuses the call if one of its parts crashes targets.
     pub(crate) fn check_quarantine(&self, recorder: &mut CallRecorder) -> Result<(), Refusal> {
-        let reports = &self.inner.state.part_reports;
-        let view = self.inner.state.view();
-        let blocking = view.quarantine.blocking_part(&self.part_keys);
-        let Some(part) = blocking.filter(|part| !reports.is_answered(*part)) else {
+        let Some(part) = self.blocking_part() else {
             return Ok(());
         };
+        let reports = &self.inner.state.part_reports;
         reports.record_refusal(part, boot_time());
         recorder.record_prompt_parts(&self.admitted.call);
         recorder.line.quarantined_part = self.part_id(part);
         Err(Refusal::new(Reason::Quarantined).retry_after(QUARANTINED_RETRY_AFTER))
     }
 
+    /// The part because of which the call must be refused.
+    pub(crate) fn blocking_part(&self) -> Option<PartKey> {
+        let reports = &self.inner.state.part_reports;
+        let view = self.inner.state.view();
+        let blocking = view.quarantine.blocking_part(&self.part_keys);
+        blocking.filter(|part| !reports.is_answered(*part))
+    }
+
     /// Whether the call must not be sent again after a target crashed under it.
     pub(crate) fn may_have_crashed_target(&self) -> bool {
         let view = self.inner.state.view();
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -3,15 +3,16 @@
 use {
     crate::{
         HeaderFormat,
-        active_call::ActiveCall,
+        active_call::{ActiveCall, SentAt, SuspendedAttempt},
         attempt::Content,
         call_recorder::CallRecorder,
         event_stream::{EventStream, StreamStep},
     },
     bytes::Bytes,
     routes::RetryPolicy,
-    std::{convert::Infallible, future::pending, time::Duration},
-    tokio::time::sleep,
+    std::{future::pending, time::Duration},
+    target::SendError,
+    tokio::time::sleep_until,
 };
 
 /// Multiple of the route's `max_event_gap` after which another target is asked to resume a silent
@@ -19,9 +20,11 @@
 const SILENCE_GAP_FACTOR: u32 = 4;
 /// Minimum silence after which another target is asked to resume a stream.
 const MIN_SILENCE: Duration = Duration::from_secs(1);
-/// Time for which a silent stream stays open while another target is asked to resume it. At most one
-/// of the two may run the call for longer.
+/// Time for which a silent stream stays open after another target was sent the call. At most one of
+/// the two may run the call for longer.
 const HANDOVER_TIME: Duration = Duration::from_millis(300);
+/// Time for which calls avoid a target whose stream has fallen silent.
+const SILENCE_PAUSE: Duration = Duration::from_secs(1);
 /// Time reserved between the silence timeout and the last moment at which another target could
 /// still finish the stream before a shutdown.
 const FAILOVER_MARGIN: Duration = Duration::from_millis(300);
@@ -30,11 +33,16 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Aborted;
 
+/// What a read of the stream gave.
+type Step = Result<StreamStep, SendError>;
+
 /// Forwards the event stream of a call to the caller.
 pub(crate) struct StreamForwarder<Format> {
     call: ActiveCall<Format>,
     events: EventStream,
     recorder: CallRecorder,
+    /// Index of the attempt that `events` belongs to.
+    attempt_index: usize,
 }
 
 impl<Format> StreamForwarder<Format>
@@ -47,10 +55,12 @@
         events: EventStream,
         recorder: CallRecorder,
     ) -> Self {
+        let attempt_index = recorder.last_attempt_index();
         Self {
             call,
             events,
             recorder,
+            attempt_index,
         }
     }
 
@@ -60,18 +70,9 @@
     /// that the route, the remaining time and the retry budget allow it. A silent stream is moved in
     /// the same way, and read on if no other target takes it.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, Aborted> {
+        let mut step = self.read().await?;
         loop {
-            if self.call.time_left().is_zero() {
-                return Err(self.torn("the time limit of the call passed"));
-            }
-            let silence_timeout = self.silence_timeout();
-            let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
-            let next = tokio::select! {
-                biased;
-                next = self.events.next(silence_timeout) => next,
-                () = answer_cutoff.triggered() => return Err(self.cut()),
-            };
-            match next {
+            step = match step {
                 Ok(StreamStep::Event(event)) => {
                     self.recorder.record_event();
                     return Ok(Some(event));
@@ -81,60 +82,103 @@
                     self.recorder.end("answered", status, "");
                     return Ok(None);
                 }
-                Ok(StreamStep::Silent) => {
-                    self.recorder
-                        .end_attempt(format!("silent for {} ms", silence_timeout.as_millis()));
-                    self.move_silent().await?;
-                }
+                Ok(StreamStep::Silent) => match self.move_silent().await? {
+                    Some(step) => step,
+                    None => self.read().await?,
+                },
                 Err(error) => {
-                    self.recorder.end_attempt(format!("torn: {error}"));
+                    self.end_attempt(format!("torn: {error}"));
                     self.recorder.record_prompt_parts(&self.call.admitted.call);
                     self.resume().await?;
+                    self.read().await?
                 }
-            }
+            };
+        }
+    }
+
+    /// Reads the stream until something comes or the target has been silent for long.
+    async fn read(&mut self) -> Result<Step, Aborted> {
+        if self.call.time_left().is_zero() {
+            return Err(self.torn("the time limit of the call passed"));
+        }
+        let silence_timeout = self.silence_timeout();
+        let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
+        tokio::select! {
+            biased;
+            step = self.events.next(silence_timeout) => Ok(step),
+            () = answer_cutoff.triggered() => Err(self.cut()),
         }
     }
 
     /// Lets another target resume the stream after it broke off.
     async fn resume(&mut self) -> Result<(), Aborted> {
-        if let Err(reason) = self.check_resumable() {
-            return Err(self.torn(reason));
-        }
         let last_event_id = self.events.last_event_id();
         let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
-        let resumed = tokio::select! {
-            biased;
-            resumed = resume_elsewhere(&mut self.call, &mut self.recorder, last_event_id) => resumed,
-            () = answer_cutoff.triggered() => return Err(self.cut()),
-        };
-        self.events = resumed.map_err(|reason| self.torn(reason))?;
-        Ok(())
+        loop {
+            if let Err(reason) = self.check_resumable() {
+                return Err(self.torn(reason));
+            }
+            let resumed = tokio::select! {
+                biased;
+                resumed = resume_elsewhere(&mut self.call, &mut self.recorder, last_event_id) => resumed,
+                () = answer_cutoff.triggered() => return Err(self.cut()),
+            };
+            match resumed {
+                Ok(events) => {
+                    self.go_on_with(events);
+                    return Ok(());
+                }
+                Err(NotResumed::Unusable) => {}
+                Err(NotResumed::NotTaken) => {
+                    return Err(self.torn("no other target continued the stream"));
+                }
+            }
+        }
     }
 
-    /// Lets another target resume a silent stream. If none takes it, goes on with the present one,
-    /// unless its connection was closed by then.
-    async fn move_silent(&mut self) -> Result<(), Aborted> {
-        if !self.call.has_other_target() || self.check_resumable().is_err() {
-            return Ok(());
+    /// Lets another target resume a silent stream. Stays with the present one if that goes on first,
+    /// and returns what it sent, or if no other target takes the stream.
+    async fn move_silent(&mut self) -> Result<Option<Step>, Aborted> {
+        self.call.pause_target(SILENCE_PAUSE);
+        if !self.call.can_move() || self.check_resumable().is_err() {
+            return Ok(None);
         }
+        let silence_ms = self.silence_timeout().as_millis();
+        self.end_attempt(format!("silent for {silence_ms} ms"));
         let last_event_id = self.events.last_event_id();
-        let in_flight = self.call.take_in_flight();
         let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
-        let resumed = tokio::select! {
+        let mut present = self.call.suspend_attempt();
+        let sent_at = self.call.sent_at();
+        let moved = tokio::select! {
             biased;
-            resumed = resume_elsewhere(&mut self.call, &mut self.recorder, last_event_id) => resumed,
+            resumed = resume_elsewhere(&mut self.call, &mut self.recorder, last_event_id) => Ok(resumed),
+            step = read_until_taken(&mut self.events, &mut present, sent_at) => Err(step),
             () = answer_cutoff.triggered() => return Err(self.cut()),
-            never = close_after(HANDOVER_TIME, &mut self.events) => match never {},
         };
-        match resumed {
-            Ok(events) => {
-                self.recorder.record_prompt_parts(&self.call.admitted.call);
-                self.events = events;
+        match moved {
+            Ok(Ok(events)) => self.go_on_with(events),
+            Ok(Err(_)) if self.events.is_closed() => self.resume().await?,
+            Ok(Err(_)) => self.call.restore_attempt(present),
+            Err(step) => {
+                self.recorder
+                    .end_attempt("ended: the target before it went on".to_owned());
+                self.call.cancel_attempt(present);
+                return Ok(Some(step));
             }
-            Err(reason) if self.events.is_closed() => return Err(self.torn(reason)),
-            Err(_) => self.call.restore_in_flight(in_flight),
         }
-        Ok(())
+        Ok(None)
+    }
+
+    /// Goes on with the stream of another target.
+    fn go_on_with(&mut self, events: EventStream) {
+        self.recorder.record_prompt_parts(&self.call.admitted.call);
+        self.events = events;
+        self.attempt_index = self.recorder.last_attempt_index();
+    }
+
+    /// Records the outcome of the attempt that the stream belongs to.
+    fn end_attempt(&mut self, outcome: String) {
+        self.recorder.set_outcome(self.attempt_index, outcome);
     }
 
     /// Checks that another target may resume the stream, and takes a retry from the budget. Fails
@@ -196,29 +240,70 @@
     }
 }
 
-/// Lets another target resume a stream after `last_event_id`. Fails with the reason for the log.
+/// Why another target did not resume a stream.
+#[derive(Clone, Copy, Debug)]
+enum NotResumed {
+    /// No target took the call.
+    NotTaken,
+    /// A target took the call, but its answer does not continue the stream.
+    Unusable,
+}
+
+/// Lets another target resume a stream after `last_event_id`.
 async fn resume_elsewhere<Format>(
     call: &mut ActiveCall<Format>,
     recorder: &mut CallRecorder,
     last_event_id: Option<u64>,
-) -> Result<EventStream, &'static str>
+) -> Result<EventStream, NotResumed>
 where
     Format: HeaderFormat,
 {
     let Ok(answer) = call.run(recorder, last_event_id).await else {
-        return Err("no other target continued the stream");
+        return Err(NotResumed::NotTaken);
     };
     match answer.content {
         Content::Events(events) if answer.status.is_success() => {
-            Ok(events.resume_after(last_event_id))
+            events.resume_after(last_event_id).ok_or_else(|| {
+                recorder.end_attempt("the stream began again".to_owned());
+                NotResumed::Unusable
+            })
         }
-        _ => Err("another target refused to continue the stream"),
+        _ => Err(NotResumed::Unusable),
     }
 }
 
-/// Closes a stream after `delay`; never completes.
-async fn close_after(delay: Duration, events: &mut EventStream) -> Infallible {
-    sleep(delay).await;
+/// Reads a silent stream while another target is asked to resume it, until that target has had the
+/// call for [`HANDOVER_TIME`]. Then closes the stream and never completes.
+async fn read_until_taken(
+    events: &mut EventStream,
+    attempt: &mut SuspendedAttempt,
+    sent_at: SentAt,
+) -> Step {
+    tokio::select! {
+        biased;
+        step = events.next(Duration::MAX) => return step,
+        () = has_run_for(HANDOVER_TIME, sent_at) => {}
+    }
     events.close();
+    attempt.stop_counting();
     pending().await
 }
+
+/// Waits until a call has been at one target for `duration`.
+async fn has_run_for(duration: Duration, mut sent_at: SentAt) {
+    loop {
+        let sent = *sent_at.borrow_and_update();
+        let over = async {
+            match sent {
+                Some(sent) => sleep_until((sent + duration).into()).await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            () = over => return,
+            changed = sent_at.changed() => if changed.is_err() {
+                return pending().await;
+            },
+        }
+    }
+}
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -228,6 +228,14 @@
     call_stats: Arc<TargetStats>,
 }
 
+impl InFlightGuard {
+    /// Stats of the target that has the call.
+    #[must_use]
+    pub fn call_stats(&self) -> &TargetStats {
+        &self.call_stats
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.call_stats
--- a/crates/relay/tests/silent_targets.rs
+++ b/crates/relay/tests/silent_targets.rs
@@ -4,6 +4,7 @@
 
 use {
     balance::RetryBounds,
+    relay::boot_time,
     routes::{Route, RouteTable},
     std::{sync::Arc, time::Duration},
     support::{
@@ -108,6 +109,75 @@
     assert_eq!(two.arrived()[0].header("after"), Some("1"));
 }
 
+#[tokio::test]
+async fn silent_stream_goes_on_if_the_other_targets_refuse_it_slowly() {
+    let pause = Duration::from_millis(1_800);
+    let silent = Step::RespondInTwo(first_event(), pause, rest());
+    let one = ScriptedTarget::start("one", vec![silent]).await;
+    let slow = Step::RespondInTwo(String::new(), Duration::from_millis(200), refusal());
+    let two = ScriptedTarget::start("two", vec![slow.clone()]).await;
+    let three = ScriptedTarget::start("three", vec![slow]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let response = call_beside(&relay, "/gapped/7", &one, &[&two, &three]).await;
+    assert_whole_stream(&response);
+    assert_eq!(two.arrived().len() + three.arrived().len(), 2);
+}
+
+#[tokio::test]
+async fn silent_stream_that_goes_on_before_another_target_answers_is_kept() {
+    let pause = Duration::from_millis(1_150);
+    let silent = Step::RespondInTwo(first_event(), pause, rest());
+    let one = ScriptedTarget::start("one", vec![silent]).await;
+    let two = ScriptedTarget::start("two", vec![Step::NeverRespond]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let response = call_beside(&relay, "/gapped/7", &one, &[&two]).await;
+    assert_whole_stream(&response);
+    assert!(two.saw_caller_disconnect().await);
+}
+
+#[tokio::test]
+async fn only_one_target_goes_on_with_a_stream() {
+    let stall = Duration::from_secs(6);
+    let silent = Step::RespondInTwo(first_event(), stall, rest());
+    let one = ScriptedTarget::start("one", vec![silent]).await;
+    let remaining = stream(&["id: 2\ndata: b\n\n"]) + END;
+    let slow = Step::RespondInTwo(String::new(), Duration::from_millis(700), remaining);
+    let two = ScriptedTarget::start("two", vec![slow]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let response = call_beside(&relay, "/gapped/7", &one, &[&two]).await;
+    assert_whole_stream(&response);
+    assert!(one.saw_caller_disconnect().await);
+}
+
+#[tokio::test]
+async fn stream_that_another_target_begins_again_goes_on_at_the_silent_one() {
+    let one = silent_target().await;
+    let again = Step::Respond(first_event() + &rest());
+    let two = ScriptedTarget::start("two", vec![again]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let response = call_beside(&relay, "/gapped/7", &one, &[&two]).await;
+    assert_whole_stream(&response);
+    assert_eq!(two.arrived().len(), 1);
+}
+
+#[tokio::test]
+async fn silent_stream_is_not_moved_to_a_target_that_may_take_no_call() {
+    let one = silent_target().await;
+    let two = ScriptedTarget::start("two", vec![]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let connection = caller::send(relay.address, "/gapped/7", "").await;
+    while one.arrived().is_empty() {
+        yield_now().await;
+    }
+    let view = support::view(&[&one, &two]);
+    let limited = &view.pools["pool"][1];
+    limited.call_stats.record_limit(Some(0.001), boot_time());
+    relay.view.store(Arc::new(view));
+    let response = caller::read_response(connection).await;
+    assert_whole_stream(&response);
+    assert!(two.arrived().is_empty());
+}
+
 /// Has the routes of a relay state a latency objective of 100 ms, so that it prefers another target
 /// after 70 to 250 ms.
 fn shorten_objectives(relay: &TestRelay, targets: &[&ScriptedTarget]) {
@@ -146,6 +216,25 @@
     }
 }
 
+#[tokio::test]
+async fn silent_target_is_given_up_for_another_one_once_for_each_retry_of_the_budget() {
+    let one_retry = RetryBounds {
+        slack_count: 10.0 / 3.0,
+        ..no_retries()
+    };
+    let silent = vec![Step::RespondInTwo(String::new(), SILENCE, success("late"))];
+    let one = ScriptedTarget::start("one", silent.clone()).await;
+    let two = ScriptedTarget::start("two", silent).await;
+    let relay = TestRelay::start_with(&[&one, &two], one_retry).await;
+    shorten_objectives(&relay, &[&one, &two]);
+    let (first, second) = tokio::join!(
+        caller::call(relay.address, "/idempotent/7", ""),
+        caller::call(relay.address, "/idempotent/8", ""),
+    );
+    assert_eq!((first.status, second.status), (200, 200));
+    assert_eq!(one.arrived().len() + two.arrived().len(), 3);
+}
+
 #[tokio::test]
 async fn silent_target_is_awaited_if_there_is_no_other() {
     for path in ["/idempotent/7", "/resumable/7"] {
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -93,7 +93,7 @@
         self.state.arrived.lock().unwrap().clone()
     }
 
-    /// Waits up to 2 seconds until a caller disconnects from a call that got no answer. Returns
+    /// Waits up to 2 seconds until a caller disconnects from a call that got no whole answer. Returns
     /// whether one did.
     pub async fn saw_caller_disconnect(&self) -> bool {
         for _ in 0..200 {
@@ -161,7 +161,12 @@
             Step::RespondInTwo(begin, pause, rest) => {
                 let begin = begin.replace("{id}", &id);
                 let _ = stream.write_all(begin.as_bytes()).await;
-                sleep(pause).await;
+                let mut byte = [0];
+                let read = timeout(pause, stream.read(&mut byte)).await;
+                if matches!(read, Ok(Ok(0) | Err(_))) {
+                    *state.disconnects_count.lock().unwrap() += 1;
+                    return;
+                }
                 let rest = rest.replace("{id}", &id);
                 if stream.write_all(rest.as_bytes()).await.is_err() {
                     return;
--- a/crates/relay/tests/whole_streams.rs
+++ b/crates/relay/tests/whole_streams.rs
@@ -3,7 +3,11 @@
 mod support;
 
 use {
-    std::time::{Duration, Instant},
+    routes::RouteTable,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     support::{
         TestRelay, caller,
         scripted_target::{ScriptedTarget, Step, stream, unframed},
@@ -95,9 +99,7 @@
     while one.arrived().is_empty() {
         tokio::task::yield_now().await;
     }
-    relay
-        .view
-        .store(std::sync::Arc::new(support::view(&[&one, &two])));
+    relay.view.store(Arc::new(support::view(&[&one, &two])));
     let response = caller::read_response(connection).await;
     assert!(response.is_complete, "{response:?}");
     for event in ["data: a", "data: b", "data: c"] {
@@ -105,6 +107,43 @@
     }
 }
 
+#[tokio::test]
+async fn stream_that_one_target_begins_again_is_resumed_by_a_third_without_repeats() {
+    let one = ScriptedTarget::start(
+        "one",
+        vec![Step::RespondThenClose(stream(&["id: 4\ndata: a\n\n"]))],
+    )
+    .await;
+    let again = stream(&["id: 1\ndata: x\n\n"]) + END;
+    let again = Step::RespondInTwo(String::new(), Duration::from_millis(100), again);
+    let remaining = Step::Respond(stream(&["id: 5\ndata: b\n\n"]) + END);
+    let two = ScriptedTarget::start("two", vec![again]).await;
+    let three = ScriptedTarget::start("three", vec![remaining]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let with_attempts = |targets: &[&ScriptedTarget]| {
+        let mut view = support::view(targets);
+        let config = view.route_table.as_ref().unwrap().config().clone();
+        let routes = support::routes().into_iter();
+        let routes = routes.map(|route| route.max_attempts(3)).collect();
+        view.route_table = Some(Arc::new(RouteTable::new(config.routes(routes))));
+        Arc::new(view)
+    };
+    relay.view.store(with_attempts(&[&one]));
+    let connection = caller::send(relay.address, "/resumable/7", "").await;
+    while one.arrived().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    relay.view.store(with_attempts(&[&one, &two]));
+    while two.arrived().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    relay.view.store(with_attempts(&[&one, &two, &three]));
+    let response = caller::read_response(connection).await;
+    assert!(response.is_complete, "{response:?}");
+    assert!(!response.text.contains("data: x"), "{response:?}");
+    assert_eq!(three.arrived()[0].header("after"), Some("4"));
+}
+
 #[tokio::test]
 async fn events_out_of_order_end_the_stream() {
     let mixed = stream(&["id: 4\ndata: a\n\nid: 4\ndata: again\n\n"]) + END;
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -250,6 +250,7 @@
             }))
         };
         let started = Instant::now();
+        start_timeout.start();
         let mut sending = pin!(connection.sender.try_send_request(request));
         let sent = loop {
             match timeout(start_timeout.duration(), sending.as_mut()).await {
--- a/crates/target/src/start_timeout.rs
+++ b/crates/target/src/start_timeout.rs
@@ -4,6 +4,9 @@
 
 /// Limits the wait for the start of an answer. A [`Duration`] is a plain timeout.
 pub trait StartTimeout {
+    /// Called when the request begins to be sent.
+    fn start(&self) {}
+
     /// How long to wait before [`StartTimeout::gives_up`] decides; asked anew before each wait.
     fn duration(&self) -> Duration;
 
@@ -25,6 +28,10 @@
 where
     Timeout: StartTimeout,
 {
+    fn start(&self) {
+        (**self).start();
+    }
+
     fn duration(&self) -> Duration {
         (**self).duration()
     }
