Test support: targets that crash on plain calls, and a fleet shared by test files

CrashingEngine becomes CrashingTarget: it answers prompts as an engine and other calls as a plain service, and crashes on calls with "deadly" in path, key, parts or body.

Instances and targets of crashing_parts move to support/crashing_fleet; its checks stay as they were.

The test configuration gets the routes "retried" (two attempts), "once" (at most once) and "accounts" (at most once, with a key) and two accounts. The other routes are public now, so that they need no key.

--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -12,7 +12,7 @@
         BadCall, Call, HeaderFormat, LoadedModel, OutboundMetadata, Part, Prompt, ReplyMetadata,
         StatedLimit,
     },
-    routes::{RetryPolicy, Route, RouteConfig},
+    routes::{Account, RetryPolicy, Route, RouteConfig},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -27,16 +27,47 @@
     Some(parts.split(',').map(str::to_owned).collect())
 }
 
+/// Routes of host `a.example` to the pool `pool`. All but `accounts` are public.
+fn routes() -> Vec<Route> {
+    let route = |name: &str, prefix: &str| {
+        Route::new(name, "a.example", prefix)
+            .retry_policy(RetryPolicy::Idempotent)
+            .public(true)
+            .pool("pool")
+    };
+    vec![
+        route("all", "/"),
+        route("slow", "/slow/"),
+        route("retried", "/retried/").max_attempts(2),
+        route("once", "/once/").retry_policy(RetryPolicy::AtMostOnce),
+        route("accounts", "/accounts/")
+            .retry_policy(RetryPolicy::AtMostOnce)
+            .public(false),
+        route("prompts", "/prompts/").retry_policy(RetryPolicy::ResumableStream),
+    ]
+}
+
+/// Client accounts, each with one key.
+fn accounts() -> Vec<Account> {
+    let account = |name: &str, key: &str| Account {
+        name: name.to_owned(),
+        keys: vec![key.to_owned()],
+        ..Account::default()
+    };
+    vec![account("one", "sound-key"), account("two", "deadly-key")]
+}
+
 impl HeaderFormat for Formats {
     fn parse_call(&self, head: &request::Parts) -> Result<Call, BadCall> {
-        let id = head.headers.get("id").and_then(|id| id.to_str().ok());
+        let text = |name: &str| head.headers.get(name).and_then(|it| it.to_str().ok());
         let prompt = prompt_parts(&head.headers).map(|ids| Prompt {
             model: "m".to_owned(),
             parts: ids.into_iter().map(|id| Part { id, tokens: 1 }).collect(),
             ..Prompt::default()
         });
         Ok(Call {
-            id: id.unwrap_or_default().to_owned(),
+            id: text("id").unwrap_or_default().to_owned(),
+            key: text("key").map(str::to_owned),
             prompt,
             ..Call::default()
         })
@@ -82,16 +113,9 @@
         let text = std::str::from_utf8(value).unwrap();
         Ok(match name {
             ItemName::Configuration => {
-                let route = |name: &str, prefix: &str| {
-                    Route::new(name, "a.example", prefix)
-                        .retry_policy(RetryPolicy::Idempotent)
-                        .pool("pool")
-                };
-                let prompts =
-                    route("prompts", "/prompts/").retry_policy(RetryPolicy::ResumableStream);
-                let routes = vec![route("all", "/"), route("slow", "/slow/"), prompts];
                 let config = RouteConfig::default().version(text.parse().unwrap());
-                Item::Configuration(Box::new(config.routes(routes)))
+                let config = config.routes(routes()).accounts(accounts());
+                Item::Configuration(Box::new(config))
             }
             ItemName::Version(_) => Item::Version(text.parse().unwrap()),
             _ => {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,7 +1,8 @@
 //! Runs entry instances on an in-memory key-value service, with test formats and test targets.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-pub mod crashing_engine;
+pub mod crashing_fleet;
+pub mod crashing_target;
 pub mod formats;
 pub mod late_target;
 pub mod target;
@@ -12,7 +13,7 @@
     eventlog::EventLog,
     formats::Formats,
     http_body_util::{BodyExt, Full},
-    hyper::{HeaderMap, Request, client::conn::http1},
+    hyper::{HeaderMap, Method, Request, client::conn::http1},
     hyper_util::rt::TokioIo,
     keyvalue::{KeyValue, MemoryKv, Op, Txn},
     std::{
@@ -20,7 +21,7 @@
         net::{SocketAddr, TcpListener},
         sync::{
             Arc, Mutex,
-            atomic::{AtomicU16, Ordering},
+            atomic::{AtomicU16, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -62,6 +63,52 @@
     pub body: String,
 }
 
+/// A call as its caller sends it again and again, each time with another request id.
+#[derive(Clone, Debug, Default)]
+pub struct OutgoingCall {
+    method: Method,
+    path: String,
+    /// Key of the client account; empty if the route needs none.
+    key: String,
+    /// Comma-separated parts of the prompt; empty for a plain call.
+    parts: String,
+    body: String,
+}
+
+impl OutgoingCall {
+    /// A plain call without a body.
+    pub fn get(path: &str) -> Self {
+        Self {
+            path: path.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    /// A plain call with a body.
+    pub fn post(path: &str, body: &str) -> Self {
+        Self {
+            method: Method::POST,
+            path: path.to_owned(),
+            body: body.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    /// A prompt of the comma-separated `parts`, whose text is the body.
+    pub fn prompt(parts: &str) -> Self {
+        Self {
+            parts: parts.to_owned(),
+            ..Self::post("/prompts/", &format!("text of {parts}"))
+        }
+    }
+
+    /// Sets the key of the client account.
+    pub fn key(mut self, key: &str) -> Self {
+        key.clone_into(&mut self.key);
+        self
+    }
+}
+
 impl Instance {
     /// Starts an instance on free ports.
     pub fn start(name: &str, kv: MemoryKv) -> Self {
@@ -118,6 +165,22 @@
         Some(got.status)
     }
 
+    /// Sends a call with a new request id; returns the status of its answer.
+    pub async fn send(&self, call: &OutgoingCall) -> Option<u16> {
+        static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
+        let id = format!("call-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let mut request = Request::builder().method(&call.method).uri(&call.path);
+        request = request.header("host", "a.example").header("id", id);
+        for (name, value) in [("key", &call.key), ("parts", &call.parts)] {
+            if !value.is_empty() {
+                request = request.header(name, value);
+            }
+        }
+        let body = Full::from(call.body.clone());
+        let got = send(self.settings.listen, request.body(body).unwrap()).await?;
+        Some(got.status)
+    }
+
     /// Sends a call; returns the whole response.
     pub async fn answer(&self, path: &str) -> Option<Answer> {
         let headers = [("host", "a.example"), ("id", "c1")];
@@ -156,14 +219,17 @@
 }
 
 async fn get(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Option<Answer> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(connection);
     let mut builder = Request::get(path);
     for (name, value) in headers {
         builder = builder.header(*name, *value);
     }
-    let request = builder.body(Full::new(Bytes::new())).unwrap();
+    send(address, builder.body(Full::default()).unwrap()).await
+}
+
+async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Answer> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
     let response = sender.send_request(request).await.ok()?;
     let (head, body) = response.into_parts();
     let body = body.collect().await.ok()?.to_bytes();
