Call lines without a complete answer carry a key that is the same if the call comes again

The key is a digest over method, host, path, account and body; it is derived only where an attempt had no complete answer.

--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -77,6 +77,9 @@
     /// Ids of the prompt's parts, in order; empty unless an attempt ended without a complete answer
     /// or the call was refused because of a part.
     pub prompt_parts: Vec<String>,
+    /// Key of the call, in hexadecimal; the same for a call that comes again, at any instance. Empty
+    /// unless an attempt ended without a complete answer or the call was refused because of it.
+    pub call_key: String,
     /// Attempts, in order.
     pub attempts: Vec<AttemptLine>,
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -20,12 +20,14 @@
 //! ```
 
 mod answered_parts;
+mod call_identity;
 mod pending_crashes;
 mod quarantine;
 mod suspect;
 
 pub use {
     answered_parts::AnsweredParts,
+    call_identity::{CallIdentity, CallKey},
     pending_crashes::{CrashReport, PendingCrashes, ReportedPart},
     quarantine::{QUARANTINE_CRASHES_COUNT, Quarantine},
     suspect::{CrashId, Suspect},
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         HeaderFormat, InFlightGuard, Reason, Refusal, Shutdown,
-        admit::Admitted,
+        admit::{Admitted, called_host},
         attempt::{AttemptOutcome, AttemptParams, TargetAnswer, attempt},
         body_memory::BodyPermit,
         boot_time,
@@ -17,12 +17,16 @@
     bytes::Bytes,
     catalog::TargetId,
     http_body_util::Full,
-    hyper::{Request, http::request},
+    hyper::{
+        Request,
+        http::{request, uri::PathAndQuery},
+    },
     parts::PartKey,
+    quarantine::{CallIdentity, CallKey},
     routes::{PoolId, RetryPolicy},
     std::{
         sync::{
-            Arc,
+            Arc, OnceLock,
             atomic::{AtomicBool, Ordering},
         },
         time::{Duration, Instant},
@@ -68,6 +72,8 @@
     arrived: Instant,
     /// Keys of the prompt's parts that could be at fault if a target crashes.
     pub(crate) part_keys: Vec<PartKey>,
+    /// Key of the whole call, derived at its first use.
+    call_key: OnceLock<CallKey>,
     /// Pool that was chosen for the call; empty if the route has no pool with a weight above 0.
     pub(crate) pool: PoolId,
     /// Targets that were tried for the call, including those that could not be reached.
@@ -125,6 +131,7 @@
             _body_permit: body_permit,
             arrived,
             part_keys,
+            call_key: OnceLock::new(),
             pool,
             tried_targets: Vec::new(),
             may_have_run_count: 0,
@@ -134,6 +141,30 @@
         }
     }
 
+    /// Key of the whole call, which is the same if it comes again.
+    pub(crate) fn call_key(&self) -> CallKey {
+        *self.call_key.get_or_init(|| {
+            let uri = &self.head.uri;
+            let path = uri
+                .path_and_query()
+                .map_or(uri.path(), PathAndQuery::as_str);
+            let account = self.admitted.account.as_ref();
+            let identity = CallIdentity {
+                method: self.head.method.as_str(),
+                host: called_host(&self.head),
+                path,
+                account: account.map_or("", |account| account.name.as_str()),
+                body: &self.body,
+            };
+            identity.key()
+        })
+    }
+
+    /// Enters in the call's log line what identifies it if it comes again.
+    pub(crate) fn record_identity(&self, recorder: &mut CallRecorder) {
+        recorder.record_identity(&self.admitted.call, self.call_key());
+    }
+
     /// Time limit of the call: the shorter of the caller's and the route's.
     pub(crate) fn time_limit(&self) -> Duration {
         let route = self.admitted.route.time_limit;
@@ -333,7 +364,7 @@
             }
             self.record_attempt(&picked, &outcome);
             if matches!(outcome, AttemptOutcome::Unknown { .. }) {
-                recorder.record_prompt_parts(&self.admitted.call);
+                self.record_identity(recorder);
             }
             let (refusal, counts_as_retry) = match outcome {
                 AttemptOutcome::Answered(answer) => {
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -43,9 +43,7 @@
             not_ready
         }
     };
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let route = table.route(host, head.uri.path());
+    let route = table.route(called_host(head), head.uri.path());
     let route = route
         .ok_or_else(|| refuse_unknown(Reason::NoRoute))?
         .clone();
@@ -66,3 +64,9 @@
         account,
     })
 }
+
+/// Host that a call is for; empty if it names none.
+pub(crate) fn called_host(head: &request::Parts) -> &str {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    host.or_else(|| head.uri.host()).unwrap_or_default()
+}
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -7,6 +7,7 @@
     eventlog::{AttemptLine, CallLine, Event, EventLog},
     meters::Meters,
     parts::{Plan, PromptPart},
+    quarantine::CallKey,
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -124,11 +125,13 @@
         }
     }
 
-    /// Enters the parts of the call's prompt in its log line, since an attempt had no complete answer.
-    pub(crate) fn record_prompt_parts(&mut self, call: &Call) {
-        if self.line.prompt_parts.is_empty() {
+    /// Enters in the call's log line what identifies it if it comes again, since an attempt had no
+    /// complete answer.
+    pub(crate) fn record_identity(&mut self, call: &Call, call_key: CallKey) {
+        if self.line.call_key.is_empty() {
             let parts = call.prompt.iter().flat_map(|prompt| &prompt.parts);
             self.line.prompt_parts = parts.map(|part| part.id.clone()).collect();
+            self.line.call_key = format!("{call_key:016x}");
         }
     }
 
--- a/crates/relay/src/quarantined_parts.rs
+++ b/crates/relay/src/quarantined_parts.rs
@@ -30,7 +30,7 @@
         };
         let reports = &self.inner.state.part_reports;
         reports.record_refusal(part, boot_time());
-        recorder.record_prompt_parts(&self.admitted.call);
+        self.record_identity(recorder);
         recorder.line.quarantined_part = self.part_id(part);
         Err(Refusal::new(Reason::Quarantined).retry_after(QUARANTINED_RETRY_AFTER))
     }
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -88,7 +88,7 @@
                 },
                 Err(error) => {
                     self.end_attempt(format!("torn: {error}"));
-                    self.recorder.record_prompt_parts(&self.call.admitted.call);
+                    self.call.record_identity(&mut self.recorder);
                     self.resume().await?;
                     self.read().await?
                 }
@@ -171,7 +171,7 @@
 
     /// Goes on with the stream of another target.
     fn go_on_with(&mut self, events: EventStream) {
-        self.recorder.record_prompt_parts(&self.call.admitted.call);
+        self.call.record_identity(&mut self.recorder);
         self.events = events;
         self.attempt_index = self.recorder.last_attempt_index();
     }
