--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -3,8 +3,7 @@
 use {
     catalog::{FailureDomainId, InstanceId, ModelId, TargetId},
     keyvalue::LeaseId,
-    parts::PartKey,
-    quarantine::CrashId,
+    quarantine::{CrashId, SuspectKey},
     relay::LoadedModel,
     routes::{PoolId, RouteConfig},
     serde::{Deserialize, Serialize},
@@ -108,11 +107,13 @@
     pub replaces: u64,
 }
 
-/// Says that a target crashed under a call with a prompt part, or that a target answered one.
+/// Says that a target crashed under a call with a suspect part or under a suspect call, or that a
+/// target answered one.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SuspectRecord {
-    /// Id of the part as callers send it, shortened if it is long.
-    pub part: String,
+    /// Id of the part as callers send it, or method and path of the call; shortened if it is long.
+    #[serde(rename = "part")]
+    pub label: String,
     /// Instance that wrote the record.
     pub instance: InstanceId,
 }
@@ -143,17 +144,17 @@
     Loading(LoadingRecord),
     /// A mark of a recently requested version.
     Recent(RecentVersion),
-    /// A crash under a call with a prompt part.
+    /// A crash under a call with a suspect part, or under a suspect call.
     Crash {
-        /// Key of the part.
-        part: PartKey,
+        /// Key of the part or call.
+        suspect: SuspectKey,
         /// The crash.
         crash: CrashId,
         /// What the instance that saw it wrote.
         record: SuspectRecord,
     },
-    /// A prompt part that may have crashed targets was answered.
-    Answered(PartKey),
+    /// A part or call that may have crashed targets was answered.
+    Answered(SuspectKey),
     /// A limit that a target states.
     Limit(LimitRecord),
 }
@@ -175,10 +176,10 @@
     Loading,
     /// The mark of a recently requested version of a model's weights.
     Recent(ModelId, u64),
-    /// A crash under a call with a prompt part.
-    Crash(PartKey, CrashId),
-    /// The word that a prompt part was answered.
-    Answered(PartKey),
+    /// A crash under a call with a suspect part, or under a suspect call.
+    Crash(SuspectKey, CrashId),
+    /// The word that a suspect part or call was answered.
+    Answered(SuspectKey),
     /// The limit that a target states.
     Limit(TargetId),
 }
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -8,8 +8,7 @@
     },
     balance::rendezvous,
     catalog::{InstanceId, ModelId, Revision, TargetId},
-    parts::PartKey,
-    quarantine::Quarantine,
+    quarantine::{Quarantine, SuspectKey},
     relay::{Shutdown, TargetState, TargetStats, View, WantedVersions},
     routes::RouteTable,
     std::{
@@ -104,7 +103,7 @@
     /// process.
     was_suspended: bool,
     own_shutdown: Option<OwnShutdown>,
-    /// Prompt parts that may crash targets.
+    /// Prompt parts and calls that may crash targets.
     quarantine: Arc<Quarantine>,
     /// Limits of targets that instances have announced.
     limits: BTreeMap<TargetId, AnnouncedLimit>,
@@ -143,15 +142,15 @@
                 });
             }
             Item::Crash {
-                part,
+                suspect,
                 crash,
                 record,
             } => {
-                self.add_crash(part, &record.part, &crash);
-                self.set_suspect_written(part, now);
+                self.add_crash(suspect, &record.label, &crash);
+                self.set_suspect_written(suspect, now);
             }
-            Item::Answered(part) => {
-                Arc::make_mut(&mut self.quarantine).set_answered(part, true);
+            Item::Answered(suspect) => {
+                Arc::make_mut(&mut self.quarantine).set_answered(suspect, true);
             }
         }
     }
@@ -176,8 +175,8 @@
                     wanted.unmark_recent(*version);
                 }
             }
-            ItemName::Crash(part, crash) => {
-                Arc::make_mut(&mut self.quarantine).remove_crash(*part, crash);
+            ItemName::Crash(suspect, crash) => {
+                Arc::make_mut(&mut self.quarantine).remove_crash(*suspect, crash);
             }
             ItemName::Limit(id) => {
                 self.limits.remove(id);
@@ -185,8 +184,8 @@
                     target.state.call_stats.announce_limit_end(now);
                 }
             }
-            ItemName::Answered(part) => {
-                Arc::make_mut(&mut self.quarantine).set_answered(*part, false);
+            ItemName::Answered(suspect) => {
+                Arc::make_mut(&mut self.quarantine).set_answered(*suspect, false);
             }
             // The last accepted configuration and versions stay in force.
             ItemName::Configuration | ItemName::Version(_) => {}
@@ -199,17 +198,18 @@
         wanted.mark_recent(record.version, record.replaces, now);
     }
 
-    /// Records that a target crashed before it began to answer a call with `part`.
-    pub fn add_crash(&mut self, part: PartKey, part_id: &str, crash: &str) {
-        Arc::make_mut(&mut self.quarantine).add_crash(part, part_id, crash);
+    /// Records that a target crashed before it began to answer a call with a suspect part, or a
+    /// suspect call.
+    pub fn add_crash(&mut self, suspect: SuspectKey, label: &str, crash: &str) {
+        Arc::make_mut(&mut self.quarantine).add_crash(suspect, label, crash);
     }
 
-    /// Records that a crash under a call with `part` was written to the service at `now`.
-    pub fn set_suspect_written(&mut self, part: PartKey, now: Duration) {
-        Arc::make_mut(&mut self.quarantine).set_written(part, now);
+    /// Records that a crash of a suspect was written to the service at `now`.
+    pub fn set_suspect_written(&mut self, suspect: SuspectKey, now: Duration) {
+        Arc::make_mut(&mut self.quarantine).set_written(suspect, now);
     }
 
-    /// Returns the prompt parts that may crash targets.
+    /// Returns the prompt parts and calls that may crash targets.
     #[must_use]
     pub fn quarantine(&self) -> &Quarantine {
         &self.quarantine
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -41,7 +41,7 @@
 mod settings;
 mod shared;
 mod start;
-mod suspect_parts;
+mod suspects;
 mod suspension_detector;
 
 pub use {
--- a/crates/entry/src/own_keys.rs
+++ b/crates/entry/src/own_keys.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Item, ItemError, ItemName},
-    parts::PartKey,
+    quarantine::SuspectKey,
 };
 
 /// Prefix of the keys of membership records.
@@ -17,10 +17,16 @@
 const RECENT_PREFIX: &str = "rattan/versions/";
 
 /// Prefix of the keys of crashes under calls with a prompt part.
-const CRASHES_PREFIX: &str = "rattan/suspects/";
+const PART_CRASHES_PREFIX: &str = "rattan/suspects/";
+
+/// Prefix of the keys of crashes under a call.
+const CALL_CRASHES_PREFIX: &str = "rattan/suspect-calls/";
 
 /// Prefix of the keys that say that a prompt part was answered.
-const ANSWERED_PREFIX: &str = "rattan/answered/";
+const ANSWERED_PARTS_PREFIX: &str = "rattan/answered/";
+
+/// Prefix of the keys that say that a call was answered.
+const ANSWERED_CALLS_PREFIX: &str = "rattan/answered-calls/";
 
 /// Prefix of the keys of limits that targets state.
 const LIMITS_PREFIX: &str = "rattan/limits/";
@@ -30,14 +36,43 @@
     format!("{LIMITS_PREFIX}{target}")
 }
 
-/// Returns the key of a crash under a call with `part`.
-pub(crate) fn crash_key(part: PartKey, crash: &str) -> String {
-    format!("{CRASHES_PREFIX}{part:016x}/{crash}")
+/// Returns the key of a crash under a call with a suspect part, or under a suspect call.
+pub(crate) fn crash_key(suspect: SuspectKey, crash: &str) -> String {
+    match suspect {
+        SuspectKey::Part(part) => format!("{PART_CRASHES_PREFIX}{part:016x}/{crash}"),
+        SuspectKey::Call(call) => format!("{CALL_CRASHES_PREFIX}{call:016x}/{crash}"),
+    }
+}
+
+/// Returns the key that says that a suspect part or call was answered.
+pub(crate) fn answered_key(suspect: SuspectKey) -> String {
+    match suspect {
+        SuspectKey::Part(part) => format!("{ANSWERED_PARTS_PREFIX}{part:016x}"),
+        SuspectKey::Call(call) => format!("{ANSWERED_CALLS_PREFIX}{call:016x}"),
+    }
 }
 
-/// Returns the key that says that `part` was answered.
-pub(crate) fn answered_key(part: PartKey) -> String {
-    format!("{ANSWERED_PREFIX}{part:016x}")
+/// Parses the key of a crash or of the word that a suspect was answered.
+fn parse_suspect_key(key: &str) -> Option<ItemName> {
+    let parse = |hex: &str| u64::from_str_radix(hex, 16).ok();
+    if let Some(part) = key.strip_prefix(ANSWERED_PARTS_PREFIX) {
+        return Some(ItemName::Answered(SuspectKey::Part(parse(part)?)));
+    }
+    if let Some(call) = key.strip_prefix(ANSWERED_CALLS_PREFIX) {
+        return Some(ItemName::Answered(SuspectKey::Call(parse(call)?)));
+    }
+    if let Some(crash) = key.strip_prefix(PART_CRASHES_PREFIX) {
+        let (part, crash) = crash.split_once('/')?;
+        return Some(ItemName::Crash(
+            SuspectKey::Part(parse(part)?),
+            crash.to_owned(),
+        ));
+    }
+    let (call, crash) = key.strip_prefix(CALL_CRASHES_PREFIX)?.split_once('/')?;
+    Some(ItemName::Crash(
+        SuspectKey::Call(parse(call)?),
+        crash.to_owned(),
+    ))
 }
 
 /// Returns the key of the mark of a recent version.
@@ -62,14 +97,8 @@
         let (model, version) = recent.rsplit_once('/')?;
         return Some(ItemName::Recent(model.to_owned(), version.parse().ok()?));
     }
-    if let Some(crash) = key.strip_prefix(CRASHES_PREFIX) {
-        let (part, crash) = crash.split_once('/')?;
-        let part = PartKey::from_str_radix(part, 16).ok()?;
-        return Some(ItemName::Crash(part, crash.to_owned()));
-    }
-    if let Some(part) = key.strip_prefix(ANSWERED_PREFIX) {
-        let part = PartKey::from_str_radix(part, 16).ok()?;
-        return Some(ItemName::Answered(part));
+    if let Some(suspect) = parse_suspect_key(key) {
+        return Some(suspect);
     }
     if let Some(target) = key.strip_prefix(LIMITS_PREFIX) {
         return Some(ItemName::Limit(target.to_owned()));
@@ -88,15 +117,15 @@
         ItemName::Loading => serde_json::from_slice(value).map(Item::Loading),
         ItemName::Holder => serde_json::from_slice(value).map(Item::Holder),
         ItemName::Recent(..) => serde_json::from_slice(value).map(Item::Recent),
-        ItemName::Crash(part, crash) => {
+        ItemName::Crash(suspect, crash) => {
             let record = serde_json::from_slice(value);
             record.map(|record| Item::Crash {
-                part: *part,
+                suspect: *suspect,
                 crash: crash.clone(),
                 record,
             })
         }
-        ItemName::Answered(part) => Ok(Item::Answered(*part)),
+        ItemName::Answered(suspect) => Ok(Item::Answered(*suspect)),
         ItemName::Limit(_) => serde_json::from_slice(value).map(Item::Limit),
         _ => serde_json::from_slice(value).map(Item::Member),
     };
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -8,8 +8,7 @@
     eventlog::{Event, EventLog},
     feed::Feed,
     meters::Meters,
-    parts::PartKey,
-    quarantine::CrashId,
+    quarantine::{CrashId, SuspectKey},
     relay::{RelayState, boot_time},
     std::{
         collections::HashMap,
@@ -122,38 +121,41 @@
 
     /// Applies an item of the key-value service to the known state.
     pub(crate) fn put(&self, name: &ItemName, item: Item, revision: Revision) {
-        self.update_suspect(item_part(name), |known| {
+        self.update_suspect(item_suspect(name), |known| {
             known.put(item_id(name), item, revision, boot_time());
         });
     }
 
     /// Applies the deletion of an item to the known state.
     pub(crate) fn delete(&self, name: &ItemName) {
-        self.update_suspect(item_part(name), |known| known.delete(name, boot_time()));
+        self.update_suspect(item_suspect(name), |known| known.delete(name, boot_time()));
     }
 
-    /// Records that a target crashed before it began to answer a call with `part`.
-    pub(crate) fn note_crash(&self, part: PartKey, part_id: &str, crash: &str) {
-        self.update_suspect(Some(part), |known| known.add_crash(part, part_id, crash));
+    /// Records that a target crashed before it began to answer a call with a suspect part, or a
+    /// suspect call.
+    pub(crate) fn note_crash(&self, suspect: SuspectKey, label: &str, crash: &str) {
+        self.update_suspect(Some(suspect), |known| {
+            known.add_crash(suspect, label, crash);
+        });
     }
 
-    /// Changes the known state, and logs if that changes what is known of a prompt part.
-    fn update_suspect<Change>(&self, part: Option<PartKey>, change: Change)
+    /// Changes the known state, and logs if that changes what is known of a suspect.
+    fn update_suspect<Change>(&self, key: Option<SuspectKey>, change: Change)
     where
         Change: FnOnce(&mut KnownState),
     {
         let mut known = self.known();
-        let Some(part) = part else {
+        let Some(key) = key else {
             return change(&mut known);
         };
-        let before = suspect_state(&known, part);
-        let part_id_before = suspect_part_id(&known, part);
+        let before = suspect_state(&known, key);
+        let label_before = suspect_label(&known, key);
         change(&mut known);
-        let after = suspect_state(&known, part);
+        let after = suspect_state(&known, key);
         if before == after {
             return;
         }
-        let suspect = known.quarantine().suspect(part);
+        let suspect = known.quarantine().suspect(key);
         let crashes: Vec<CrashId> = suspect
             .iter()
             .flat_map(|suspect| suspect.crashes.iter().cloned())
@@ -162,14 +164,38 @@
             // A listing delivers these records before those of the crashes.
             return;
         }
-        self.meters.count("suspect_parts", after);
-        self.log.emit(&Event::SuspectPart {
-            part: suspect_part_id(&known, part)
-                .or(part_id_before)
-                .unwrap_or_default(),
-            state: after,
-            crashes,
-        });
+        let label = suspect_label(&known, key).or(label_before);
+        drop(known);
+        self.log_suspect(key, label.unwrap_or_default(), after, crashes);
+    }
+
+    /// Counts and logs that the state of a suspect has changed.
+    fn log_suspect(
+        &self,
+        key: SuspectKey,
+        label: String,
+        state: &'static str,
+        crashes: Vec<CrashId>,
+    ) {
+        match key {
+            SuspectKey::Part(_) => {
+                self.meters.count("suspect_parts", state);
+                self.log.emit(&Event::SuspectPart {
+                    part: label,
+                    state,
+                    crashes,
+                });
+            }
+            SuspectKey::Call(call_key) => {
+                self.meters.count("suspect_calls", state);
+                self.log.emit(&Event::SuspectCall {
+                    call: label,
+                    call_key: format!("{call_key:016x}"),
+                    state,
+                    crashes,
+                });
+            }
+        }
     }
 
     /// Publishes the known state to the request path and notifies the other tasks.
@@ -261,28 +287,28 @@
     }
 }
 
-/// The prompt part that an item is about, if any.
-fn item_part(name: &ItemName) -> Option<PartKey> {
+/// The suspect that an item is about, if any.
+fn item_suspect(name: &ItemName) -> Option<SuspectKey> {
     match name {
-        ItemName::Crash(part, _) | ItemName::Answered(part) => Some(*part),
+        ItemName::Crash(suspect, _) | ItemName::Answered(suspect) => Some(*suspect),
         _ => None,
     }
 }
 
-/// What is known of a prompt part, as the log names it.
-fn suspect_state(known: &KnownState, part: PartKey) -> &'static str {
+/// What is known of a suspect, as the log names it.
+fn suspect_state(known: &KnownState, key: SuspectKey) -> &'static str {
     let quarantine = known.quarantine();
-    match quarantine.suspect(part) {
+    match quarantine.suspect(key) {
         None => "released",
         Some(suspect) if suspect.is_answered => "answered",
-        Some(_) if quarantine.is_quarantined(part) => "quarantined",
+        Some(_) if quarantine.is_quarantined(key) => "quarantined",
         Some(_) => "suspected",
     }
 }
 
-fn suspect_part_id(known: &KnownState, part: PartKey) -> Option<String> {
-    let suspect = known.quarantine().suspect(part)?;
-    Some(suspect.part_id.clone()).filter(|id| !id.is_empty())
+fn suspect_label(known: &KnownState, key: SuspectKey) -> Option<String> {
+    let suspect = known.quarantine().suspect(key)?;
+    Some(suspect.label.clone()).filter(|label| !label.is_empty())
 }
 
 /// Returns the id in an item's name, or an empty string if the name has none.
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -8,7 +8,7 @@
         listener::{self, FLUSH_TIME, ListenerControl},
         membership, orders, peer_watch, place_watch, recent_versions,
         shared::Shared,
-        suspect_parts,
+        suspects,
     },
     eventlog::{Event, EventLog},
     feed::Feed,
@@ -248,7 +248,7 @@
     let for_follower = shared.clone();
     let (for_membership, for_orders, for_places) = (shared.clone(), shared.clone(), shared.clone());
     let (for_peers, own_feed) = (shared.clone(), shared.feed.clone());
-    let (for_recent_versions, for_suspect_parts) = (shared.clone(), shared.clone());
+    let (for_recent_versions, for_suspects) = (shared.clone(), shared.clone());
     let for_limits = shared.clone();
     let tree = Supervisor::new("control").restart_limit(limit);
     tree.child(Child::new("follower", move |token| {
@@ -266,8 +266,8 @@
     .child(Child::new("recent versions", move |token| {
         recent_versions::mark(for_recent_versions.clone(), token)
     }))
-    .child(Child::new("suspect parts", move |token| {
-        suspect_parts::report(for_suspect_parts.clone(), token)
+    .child(Child::new("suspects", move |token| {
+        suspects::report(for_suspects.clone(), token)
     }))
     .child(Child::new("limits", move |token| {
         limit_news::announce(for_limits.clone(), token)
--- a/crates/entry/src/suspect_parts.rs
+++ b/crates/entry/src/suspects.rs
@@ -1,8 +1,9 @@
-//! Shares what instances know of prompt parts that crash targets, through the key-value service.
+//! Shares what instances know of prompt parts and calls that crash targets, through the key-value
+//! service.
 //!
-//! Each crash of a target under a call with a part is a key of its own, and so is the word that the
-//! part was answered, so instances never have to agree on a value. The keys are bound to a lease
-//! and expire unless calls with the part keep coming.
+//! Each crash of a target under a call is a key of its own for the call and for each suspect key, and
+//! so is the word that the part or call was answered, so instances never have to agree on a value.
+//! The keys are bound to a lease and expire unless such calls keep coming.
 
 use {
     crate::{
@@ -13,8 +14,7 @@
     },
     bytes::Bytes,
     keyvalue::{KeyValue, KvError},
-    parts::PartKey,
-    quarantine::{CrashId, Suspect},
+    quarantine::{CrashId, Suspect, SuspectKey},
     relay::boot_time,
     std::{
         collections::{HashMap, VecDeque},
@@ -26,19 +26,19 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Interval between checks for records to write again, because calls with a quarantined part came.
+/// Interval between checks for records to write again, because calls with a quarantined part or call came.
 const REFRESH_CHECK_PERIOD: Duration = Duration::from_secs(10);
 /// Delay after a failed write.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Records that wait to be written, beyond which further ones are dropped.
 const MAX_UNWRITTEN_COUNT: usize = 512;
-/// Longest delay per instance before a part is declared answered, so that the first one to do so
+/// Longest delay per instance before a suspect is declared answered, so that the first one to do so
 /// spares the others the write.
 const ANSWERED_DELAY_PER_INSTANCE: Duration = Duration::from_millis(12);
 /// Longest such delay.
 const MAX_ANSWERED_DELAY: Duration = Duration::from_millis(1_200);
 
-/// Reports suspect and answered parts until `token` is cancelled.
+/// Reports suspect and answered parts and calls until `token` is cancelled.
 pub(crate) async fn report<Kv, Format>(
     shared: Arc<Shared<Kv, Format>>,
     token: CancellationToken,
@@ -55,7 +55,7 @@
     };
     loop {
         let changed = shared.changed.notified();
-        let crashed = shared.relay_state.part_reports.crashed();
+        let crashed = shared.relay_state.suspect_reports.crashed();
         let wait = tokio::select! {
             () = token.cancelled() => return Ok(()),
             wait = reporter.update() => wait,
@@ -73,14 +73,14 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Unwritten {
     key: String,
-    part_id: String,
+    label: String,
 }
 
 struct Reporter<Kv, Format> {
     shared: Arc<Shared<Kv, Format>>,
     unwritten: VecDeque<Unwritten>,
-    /// When to declare a part answered.
-    answered_at: HashMap<PartKey, Duration>,
+    /// When to declare a suspect answered.
+    answered_at: HashMap<SuspectKey, Duration>,
     lease: RecordLease,
 }
 
@@ -95,11 +95,11 @@
         self.collect_answered(now);
         self.collect_refreshes(now);
         if let Err(error) = self.write().await {
-            log::info!("failed to write records of suspect parts, retrying: {error}");
+            log::info!("failed to write records of suspects, retrying: {error}");
             return RETRY_DELAY;
         }
         let now = boot_time();
-        let next_crash = self.shared.relay_state.part_reports.time_until_due(now);
+        let next_crash = self.shared.relay_state.suspect_reports.time_until_due(now);
         let next_answered = self.answered_at.values().min();
         let next_answered = next_answered.map(|at| at.saturating_sub(now));
         let next = [next_crash, next_answered].into_iter().flatten().min();
@@ -108,17 +108,21 @@
 
     /// Counts the crashes that are due, here at once and for the other instances once written.
     fn collect_crashes(&mut self, now: Duration) {
-        let due = self.shared.relay_state.part_reports.take_due_crashes(now);
+        let due = self
+            .shared
+            .relay_state
+            .suspect_reports
+            .take_due_crashes(now);
         let is_empty = due.is_empty();
         for report in due {
-            for reported in report.parts {
+            for reported in report.suspects {
                 let known = self.shared.known();
-                let is_news = known.quarantine().lacks_crash(reported.part, &report.crash);
+                let is_news = known.quarantine().lacks_crash(reported.key, &report.crash);
                 drop(known);
                 if is_news {
                     self.shared
-                        .note_crash(reported.part, &reported.id, &report.crash);
-                    self.add(crash_key(reported.part, &report.crash), reported.id);
+                        .note_crash(reported.key, &reported.label, &report.crash);
+                    self.add(crash_key(reported.key, &report.crash), reported.label);
                 }
             }
         }
@@ -127,70 +131,69 @@
         }
     }
 
-    /// Declares suspect parts answered on which calls of this instance were answered.
+    /// Declares suspects answered that targets answered for this instance.
     fn collect_answered(&mut self, now: Duration) {
-        let reports = &self.shared.relay_state.part_reports;
+        let reports = &self.shared.relay_state.suspect_reports;
         let known = self.shared.known();
         let suspects = known.quarantine().suspects();
-        let answered: HashMap<PartKey, String> = suspects
-            .filter(|(part, suspect)| !suspect.is_answered && reports.is_answered(*part))
-            .map(|(part, suspect)| (part, suspect.part_id.clone()))
+        let answered: HashMap<SuspectKey, String> = suspects
+            .filter(|(key, suspect)| !suspect.is_answered && reports.is_answered(*key))
+            .map(|(key, suspect)| (key, suspect.label.clone()))
             .collect();
         let instances_count = u32::try_from(known.ready_members().len()).unwrap_or(u32::MAX);
         drop(known);
-        self.answered_at
-            .retain(|part, _| answered.contains_key(part));
+        self.answered_at.retain(|key, _| answered.contains_key(key));
         let max_delay = ANSWERED_DELAY_PER_INSTANCE.saturating_mul(instances_count);
         let max_delay = max_delay.min(MAX_ANSWERED_DELAY);
-        for (part, part_id) in answered {
+        for (key, label) in answered {
             let at = self
                 .answered_at
-                .entry(part)
+                .entry(key)
                 .or_insert_with(|| now + max_delay.mul_f64(rand::random()));
             if *at <= now {
                 // Written again if the write is not seen in time.
                 *at = now + MAX_ANSWERED_DELAY;
-                self.add(answered_key(part), part_id);
+                self.add(answered_key(key), label);
             }
         }
     }
 
-    /// Writes the records of quarantined parts again if calls with them keep coming.
+    /// Writes the records of quarantined suspects again if calls keep being refused for them.
     fn collect_refreshes(&mut self, now: Duration) {
-        let reports = &self.shared.relay_state.part_reports;
+        let reports = &self.shared.relay_state.suspect_reports;
         let mut known = self.shared.known();
-        let is_due = |part: PartKey, suspect: &Suspect| {
-            let refused_at = reports.refused_at(part);
+        let is_due = |key: SuspectKey, suspect: &Suspect| {
+            let refused_at = reports.refused_at(key);
             refused_at.is_some_and(|at| at > suspect.written_at)
                 && now.saturating_sub(suspect.written_at) > REFRESH_AGE
-                && known.quarantine().is_quarantined(part)
+                && known.quarantine().is_quarantined(key)
         };
-        let due: Vec<(PartKey, String, Vec<CrashId>)> = known
+        let due: Vec<(SuspectKey, String, Vec<CrashId>)> = known
             .quarantine()
             .suspects()
-            .filter(|(part, suspect)| is_due(*part, suspect))
-            .map(|(part, suspect)| {
+            .filter(|(key, suspect)| is_due(*key, suspect))
+            .map(|(key, suspect)| {
                 let crashes = suspect.crashes.iter().cloned().collect();
-                (part, suspect.part_id.clone(), crashes)
+                (key, suspect.label.clone(), crashes)
             })
             .collect();
-        for (part, ..) in &due {
-            known.set_suspect_written(*part, now);
+        for (key, ..) in &due {
+            known.set_suspect_written(*key, now);
         }
         drop(known);
-        for (part, part_id, crashes) in due {
+        for (key, label, crashes) in due {
             for crash in crashes {
-                self.add(crash_key(part, &crash), part_id.clone());
+                self.add(crash_key(key, &crash), label.clone());
             }
         }
     }
 
-    fn add(&mut self, key: String, part_id: String) {
+    fn add(&mut self, key: String, label: String) {
         if self.unwritten.len() >= MAX_UNWRITTEN_COUNT {
-            log::warn!("too many records of suspect parts wait to be written; dropping {key}");
+            log::warn!("too many records of suspects wait to be written; dropping {key}");
             return;
         }
-        self.unwritten.push_back(Unwritten { key, part_id });
+        self.unwritten.push_back(Unwritten { key, label });
     }
 
     async fn write(&mut self) -> Result<(), KvError> {
@@ -198,7 +201,7 @@
             let count = self.unwritten.len().min(MAX_WRITTEN_COUNT);
             let batch = self.unwritten.iter().take(count);
             let puts = batch.map(|unwritten| {
-                let value = self.encode(&unwritten.part_id);
+                let value = self.encode(&unwritten.label);
                 RecordChange::Put(unwritten.key.clone(), value)
             });
             let puts = puts.collect();
@@ -208,9 +211,9 @@
         Ok(())
     }
 
-    fn encode(&self, part_id: &str) -> Bytes {
+    fn encode(&self, label: &str) -> Bytes {
         let record = SuspectRecord {
-            part: part_id.to_owned(),
+            label: label.to_owned(),
             instance: self.shared.settings.instance.clone(),
         };
         // A struct of two strings always has a JSON form.
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -161,6 +161,17 @@
         /// Crashes of targets that had calls with the part: target and its start.
         crashes: Vec<String>,
     },
+    /// What is known of a call that may crash targets whenever it comes again changed.
+    SuspectCall {
+        /// Method and path of the call, shortened if they are long; empty if they are not known.
+        call: String,
+        /// Key of the call, in hexadecimal.
+        call_key: String,
+        /// As for [`Event::SuspectPart`].
+        state: &'static str,
+        /// Crashes of targets that had the call: target and its start.
+        crashes: Vec<String>,
+    },
     /// The set of instances that share the work changed.
     Instances {
         /// Names of the instances that accept callers.
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -52,6 +52,12 @@
             state: "",
             crashes: Vec::new(),
         },
+        Event::SuspectCall {
+            call: text(),
+            call_key: text(),
+            state: "",
+            crashes: Vec::new(),
+        },
         Event::Instances { ready: Vec::new() },
         Event::Version {
             model: text(),
@@ -113,6 +119,7 @@
         Event::Dropped { .. } => 15,
         Event::Note { .. } => 16,
         Event::SuspectPart { .. } => 17,
+        Event::SuspectCall { .. } => 18,
     }
 }
 
--- a/crates/quarantine/src/call_identity.rs
+++ b/crates/quarantine/src/call_identity.rs
@@ -1,5 +1,7 @@
 //! What identifies a call that comes again.
 
+use parts::PartKey;
+
 /// Key of a call: the first 8 bytes of a digest over its identity. All instances derive the same
 /// key.
 pub type CallKey = u64;
@@ -15,6 +17,8 @@
     pub path: &'call str,
     /// Name of the client account; empty if the call needs none.
     pub account: &'call str,
+    /// Parts of the prompt that other calls may share.
+    pub parts: &'call [PartKey],
     /// Body.
     pub body: &'call [u8],
 }
@@ -29,6 +33,10 @@
             hasher.update(&(text.len() as u64).to_le_bytes());
             hasher.update(text.as_bytes());
         }
+        hasher.update(&(self.parts.len() as u64).to_le_bytes());
+        for part in self.parts {
+            hasher.update(&part.to_le_bytes());
+        }
         hasher.update(self.body);
         let mut bytes = [0; 8];
         hasher.finalize_xof().fill(&mut bytes);
--- a/crates/quarantine/src/pending_crashes.rs
+++ b/crates/quarantine/src/pending_crashes.rs
@@ -1,8 +1,7 @@
 //! Crashes that wait until calls which were merely beside the one at fault have been answered.
 
 use {
-    crate::{AnsweredParts, CrashId},
-    parts::PartKey,
+    crate::{AnsweredKeys, CrashId, SuspectKey},
     std::{
         collections::{HashMap, VecDeque},
         time::Duration,
@@ -10,42 +9,45 @@
 };
 
 /// Time for which a crash waits. Calls that were sent to another target are mostly answered by
-/// then, which clears their parts.
+/// then, which clears them and their parts.
 const HOLD_TIME: Duration = Duration::from_millis(300);
-/// Several crashes within this time count once for a part: targets that share a power supply or a
-/// switch are lost together, whatever they run.
+/// Several crashes within this time count once, unless the call was sent to the later target after
+/// the earlier crash: targets that share a power supply or a switch are lost together, whatever they
+/// run.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(200);
 /// Number of waiting crashes beyond which further ones are dropped.
 const MAX_PENDING_COUNT: usize = 256;
-/// Number of parts whose last crash is remembered.
-const MAX_COUNTED_PARTS_COUNT: usize = 1_024;
+/// Number of parts and calls whose last crash is remembered.
+const MAX_COUNTED_COUNT: usize = 1_024;
 
-/// A part of a call that a crashed target had not begun to answer.
+/// A part or call that a crashed target had not begun to answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ReportedPart {
-    /// Key of the part.
-    pub part: PartKey,
-    /// Id of the part as the caller sent it.
-    pub id: String,
+pub struct ReportedSuspect {
+    /// Key of the part or call.
+    pub key: SuspectKey,
+    /// Id of the part as the caller sent it, or method and path of the call.
+    pub label: String,
 }
 
-/// A crash under one call.
+/// A crash under one call. Times are by the clock of the owner.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CrashReport {
     /// The crash.
     pub crash: CrashId,
-    /// When the call's connection broke, by the clock of the owner.
+    /// When the call was sent to the target.
+    pub sent_at: Duration,
+    /// When the call's connection broke.
     pub at: Duration,
-    /// Parts of the call that other calls may share.
-    pub parts: Vec<ReportedPart>,
+    /// The call, and its parts that other calls may share.
+    pub suspects: Vec<ReportedSuspect>,
 }
 
 /// Crash reports that are not counted yet.
 #[derive(Clone, Debug, Default)]
 pub struct PendingCrashes {
     reports: VecDeque<CrashReport>,
-    /// The last crash that was counted for each part.
-    counted: HashMap<PartKey, (CrashId, Duration)>,
+    /// The last crash that was counted for each part and call.
+    counted: HashMap<SuspectKey, (CrashId, Duration)>,
 }
 
 impl PendingCrashes {
@@ -56,6 +58,12 @@
         }
     }
 
+    /// Whether no report is waiting.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.reports.is_empty()
+    }
+
     /// Time until the oldest report is due; `None` if there is none.
     #[must_use]
     pub fn time_until_due(&self, now: Duration) -> Option<Duration> {
@@ -63,36 +71,36 @@
         Some((oldest.at + HOLD_TIME).saturating_sub(now))
     }
 
-    /// Takes the reports that are due at `now`, without parts that were answered or that had
+    /// Takes the reports that are due at `now`, without suspects that were answered or that had
     /// another crash just before.
-    pub fn take_due(&mut self, answered: &AnsweredParts, now: Duration) -> Vec<CrashReport> {
+    pub fn take_due(&mut self, answered: &AnsweredKeys, now: Duration) -> Vec<CrashReport> {
         let mut due = Vec::new();
         while self.time_until_due(now).is_some_and(|time| time.is_zero()) {
             let Some(mut report) = self.reports.pop_front() else {
                 break;
             };
-            report.parts.retain(|it| {
-                !answered.contains(it.part) && self.counts(it.part, &report.crash, report.at)
-            });
-            if !report.parts.is_empty() {
-                due.push(report);
+            let mut suspects = std::mem::take(&mut report.suspects);
+            suspects.retain(|it| !answered.contains(it.key) && self.counts(it.key, &report));
+            if !suspects.is_empty() {
+                due.push(CrashReport { suspects, ..report });
             }
         }
         due
     }
 
-    /// Whether the crash counts for the part, and remembers it if so.
-    fn counts(&mut self, part: PartKey, crash: &str, at: Duration) -> bool {
-        if let Some((counted, counted_at)) = self.counted.get(&part) {
-            let has_common_cause = at.saturating_sub(*counted_at) < COMMON_CAUSE_TIME;
-            if counted == crash || has_common_cause {
-                return counted == crash;
+    /// Whether the crash counts for the part or call, and remembers it if so.
+    fn counts(&mut self, key: SuspectKey, report: &CrashReport) -> bool {
+        if let Some((counted, counted_at)) = self.counted.get(&key) {
+            let may_have_common_cause = report.sent_at < *counted_at
+                && report.at.saturating_sub(*counted_at) < COMMON_CAUSE_TIME;
+            if *counted == report.crash || may_have_common_cause {
+                return *counted == report.crash;
             }
         }
-        if self.counted.len() >= MAX_COUNTED_PARTS_COUNT {
+        if self.counted.len() >= MAX_COUNTED_COUNT {
             self.counted.clear();
         }
-        self.counted.insert(part, (crash.to_owned(), at));
+        self.counted.insert(key, (report.crash.clone(), report.at));
         true
     }
 }
--- a/crates/quarantine/tests/call_identities.rs
+++ b/crates/quarantine/tests/call_identities.rs
@@ -7,6 +7,7 @@
     host: "a.example",
     path: "/orders/?day=1",
     account: "chain",
+    parts: &[1, 2],
     body: b"one slab",
 };
 
@@ -34,6 +35,10 @@
             account: "other",
             ..ORDER
         },
+        CallIdentity {
+            parts: &[1],
+            ..ORDER
+        },
         CallIdentity {
             body: b"two slabs",
             ..ORDER
--- a/crates/quarantine/tests/pending_crashes.rs
+++ b/crates/quarantine/tests/pending_crashes.rs
@@ -1,34 +1,36 @@
-//! Which crashes count against which parts.
+//! Which crashes count against which parts and calls.
 
 use {
-    parts::PartKey,
-    quarantine::{AnsweredParts, CrashReport, PendingCrashes, ReportedPart},
+    quarantine::{AnsweredKeys, CrashReport, PendingCrashes, ReportedSuspect, SuspectKey},
     std::time::Duration,
 };
 
-const TEMPLATE: PartKey = 1;
-const DEADLY: PartKey = 2;
+const TEMPLATE: SuspectKey = SuspectKey::Part(1);
+const DEADLY: SuspectKey = SuspectKey::Part(2);
+const DEADLY_CALL: SuspectKey = SuspectKey::Call(2);
 
 fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
-fn report(crash: &str, millis: u64, parts: &[PartKey]) -> CrashReport {
-    let parts = parts.iter().map(|part| ReportedPart {
-        part: *part,
-        id: part.to_string(),
+/// A report of a call that was sent long before the crash.
+fn report(crash: &str, millis: u64, keys: &[SuspectKey]) -> CrashReport {
+    let suspects = keys.iter().map(|key| ReportedSuspect {
+        key: *key,
+        label: format!("{key:?}"),
     });
     CrashReport {
         crash: crash.to_owned(),
+        sent_at: Duration::ZERO,
         at: at(millis),
-        parts: parts.collect(),
+        suspects: suspects.collect(),
     }
 }
 
 #[test]
 fn crash_counts_only_against_parts_that_stay_unanswered_for_a_while() {
     let mut pending = PendingCrashes::default();
-    let mut answered = AnsweredParts::default();
+    let mut answered = AnsweredKeys::default();
     pending.push(report("a", 1_000, &[TEMPLATE, DEADLY]));
     assert_eq!(pending.time_until_due(at(1_100)), Some(at(200)));
     assert!(pending.take_due(&answered, at(1_299)).is_empty());
@@ -46,17 +48,36 @@
     for crash in ["a", "b", "c"] {
         pending.push(report(crash, 1_000, &[DEADLY]));
     }
-    let due = pending.take_due(&AnsweredParts::default(), at(2_000));
+    let due = pending.take_due(&AnsweredKeys::default(), at(2_000));
     assert_eq!(due, [report("a", 1_000, &[DEADLY])]);
 }
 
+#[test]
+fn retry_that_crashes_another_target_soon_after_the_first_counts() {
+    for deadly in [DEADLY, DEADLY_CALL] {
+        let mut pending = PendingCrashes::default();
+        pending.push(report("a", 1_000, &[deadly]));
+        pending.push(CrashReport {
+            sent_at: at(1_002),
+            ..report("b", 1_070, &[deadly])
+        });
+        pending.push(CrashReport {
+            sent_at: at(1_050),
+            ..report("c", 1_080, &[deadly])
+        });
+        let due = pending.take_due(&AnsweredKeys::default(), at(2_000));
+        let crashes: Vec<&str> = due.iter().map(|report| report.crash.as_str()).collect();
+        assert_eq!(crashes, ["a", "b"], "c was sent before b crashed");
+    }
+}
+
 #[test]
 fn crashes_one_after_the_other_all_count() {
     let mut pending = PendingCrashes::default();
     pending.push(report("a", 1_000, &[DEADLY]));
     pending.push(report("a", 1_000, &[DEADLY]));
     pending.push(report("b", 1_250, &[DEADLY]));
-    let due = pending.take_due(&AnsweredParts::default(), at(2_000));
+    let due = pending.take_due(&AnsweredKeys::default(), at(2_000));
     let crashes: Vec<&str> = due.iter().map(|report| report.crash.as_str()).collect();
     assert_eq!(crashes, ["a", "a", "b"]);
 }
@@ -65,22 +86,29 @@
 fn number_of_waiting_crashes_is_bounded() {
     let mut pending = PendingCrashes::default();
     for number in 0..10_000 {
-        pending.push(report(&number.to_string(), 1_000, &[number]));
+        pending.push(report(
+            &number.to_string(),
+            1_000,
+            &[SuspectKey::Part(number)],
+        ));
     }
-    let due = pending.take_due(&AnsweredParts::default(), at(2_000));
+    let due = pending.take_due(&AnsweredKeys::default(), at(2_000));
     assert_eq!(due.len(), 256);
 }
 
 #[test]
 fn answers_are_remembered_for_a_bounded_time_and_number_of_parts() {
-    let mut answered = AnsweredParts::default();
+    let mut answered = AnsweredKeys::default();
     answered.insert(TEMPLATE, at(0));
+    for call in 0..20_000 {
+        answered.insert(SuspectKey::Call(call), at(0));
+    }
     for part in 100..4_195 {
-        answered.insert(part, at(1));
+        answered.insert(SuspectKey::Part(part), at(1));
     }
     assert!(answered.contains(TEMPLATE));
     for part in 10_000..20_000 {
-        answered.insert(part, at(2));
+        answered.insert(SuspectKey::Part(part), at(2));
     }
     assert!(!answered.contains(TEMPLATE));
     answered.insert(TEMPLATE, at(3));
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -9,7 +9,7 @@
         boot_time,
         call_recorder::{CallRecorder, millis},
         pick::PickedTarget,
-        quarantined_parts::part_keys,
+        quarantined_calls::part_keys,
         relay::Inner,
         target_feedback::record_limit,
     },
@@ -64,7 +64,7 @@
     pub(crate) inner: Arc<Inner<Format>>,
     /// Metadata of the call, with its route and client account.
     pub(crate) admitted: Admitted,
-    head: request::Parts,
+    pub(crate) head: request::Parts,
     body: Bytes,
     /// Memory reserved for the body, until the call has ended.
     _body_permit: BodyPermit,
@@ -154,6 +154,7 @@
                 host: called_host(&self.head),
                 path,
                 account: account.map_or("", |account| account.name.as_str()),
+                parts: &self.part_keys,
                 body: &self.body,
             };
             identity.key()
@@ -248,7 +249,7 @@
             && self.can_finish_elsewhere_after(Duration::ZERO)
             && self.tried_targets.len() < MAX_TRIED_TARGETS_COUNT
             && !self.may_have_crashed_target()
-            && self.blocking_part().is_none()
+            && self.blocking_suspect().is_none()
             && self.can_choose_target()
     }
 
@@ -315,8 +316,8 @@
     /// Another target is tried only if the previous one did not run the call or if the call may run
     /// again, only while time is left (also until a shutdown), and only while fewer than
     /// [`MAX_TRIED_TARGETS_COUNT`] were tried. Each retry takes one from the pool's retry budget,
-    /// unless no byte was sent to the previous target. A call with a part that crashes targets is
-    /// refused, or given up if it has crashed one. If targets answered with a 5xx status and no
+    /// unless no byte was sent to the previous target. A call that crashes targets, or with a part that
+    /// does, is refused, or given up if it has crashed one. If targets answered with a 5xx status and no
     /// later one gives a final answer, the last 5xx answer is returned.
     pub(crate) async fn run(
         &mut self,
@@ -356,6 +357,7 @@
             let target = &picked.target.id;
             recorder.begin_attempt(&picked);
             self.tried_targets.push(target.clone());
+            let sent_at = boot_time();
             let outcome = self.send(&picked, last_event_id, recorder).await;
             recorder.end_attempt(describe_outcome(&outcome));
             if let Some(metadata) = outcome.metadata() {
@@ -383,7 +385,7 @@
                 }
                 AttemptOutcome::Unknown { disconnected, .. } => {
                     if disconnected && last_event_id.is_none() {
-                        self.report_disconnect(&picked);
+                        self.report_disconnect(&picked, sent_at);
                     }
                     if !self.can_run_again() || self.may_have_crashed_target() {
                         break;
@@ -475,7 +477,7 @@
         if let AttemptOutcome::Answered(answer) = &outcome
             && answer.has_begun()
         {
-            self.record_answered_parts();
+            self.record_answered();
         }
         if has_prompt && matches!(outcome, AttemptOutcome::Answered(_)) {
             let mut cache_index = self.inner.state.cache_index();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,15 +30,15 @@
 mod event_stream;
 mod header_format;
 mod outbound_metadata;
-mod part_reports;
 mod pick;
-mod quarantined_parts;
+mod quarantined_calls;
 mod refusal;
 mod relay;
 mod retry_budgets;
 mod salt;
 mod shutdown;
 mod stream_forwarder;
+mod suspect_reports;
 mod target_feedback;
 mod target_limit;
 mod target_stats;
@@ -51,11 +51,11 @@
     boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
     header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata, StatedLimit},
-    part_reports::PartReports,
     refusal::{Reason, Refusal},
     relay::{Relay, RelaySettings, RelayState},
     salt::salt_version,
     shutdown::{AnswerCutoff, Shutdown},
+    suspect_reports::SuspectReports,
     target_stats::{InFlightGuard, LimitObservation, TargetStats},
     view::{LoadedModel, TargetState, View},
     wanted_versions::{WantedVersion, WantedVersions},
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -30,7 +30,7 @@
     /// A target refused the call without running it, for example because it is at capacity, or this
     /// instance buffers too many request bodies.
     Overloaded,
-    /// A part of the prompt crashed targets, so the call is not sent to another one.
+    /// The call or a part of its prompt crashed targets, so the call is not sent to another one.
     Quarantined,
     /// The time limit expired, and the call has not run.
     TooLate,
@@ -84,7 +84,7 @@
             Self::NoTarget => "no target may take the call now; come back later",
             Self::Overloaded => "all targets are full; come back later",
             Self::Quarantined => {
-                "a part of the prompt crashed several targets; leave it out, or come back later"
+                "the call, or a part of its prompt, crashed several targets; change it, or come back later"
             }
             Self::TooLate => "no target could be reached in time; the call has not run",
             Self::TimedOut => "the target took too long; the call may have run",
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Answer, AnswerCutoff, HeaderFormat, PartReports, Reason, Refusal, TruncatedAnswer, View,
+        Answer, AnswerCutoff, HeaderFormat, Reason, Refusal, SuspectReports, TruncatedAnswer, View,
         active_call::ActiveCall,
         admit::{Admitted, admit},
         answer::{refused, streamed, whole},
@@ -72,8 +72,8 @@
     pub cache_index: Arc<Mutex<PartDirectory>>,
     /// Calls that other instances have in flight.
     pub peer_loads: Arc<Mutex<PeerLoads>>,
-    /// What calls of this instance show of prompt parts.
-    pub part_reports: Arc<PartReports>,
+    /// What calls of this instance show of prompt parts and calls that may crash targets.
+    pub suspect_reports: Arc<SuspectReports>,
     /// Signal that ends all incomplete answers when this instance stops.
     pub answer_cutoff: AnswerCutoff,
 }
--- a/crates/relay/tests/crash_reports.rs
+++ b/crates/relay/tests/crash_reports.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    quarantine::{ReportedSuspect, SuspectKey},
     relay::boot_time,
     std::time::Duration,
     support::{
@@ -18,13 +19,29 @@
 
 const PARTS: &str = "parts: template:5,deadly:3,own:1\r\n";
 
-/// Ids of the parts that the relay reports, each with the crash.
-async fn reported_parts(relay: &TestRelay) -> Vec<String> {
+/// What the relay reports, each with the crash.
+async fn reported_suspects(relay: &TestRelay) -> Vec<ReportedSuspect> {
     sleep(Duration::from_millis(200)).await;
     let later = boot_time() + Duration::from_secs(1);
-    let reports = relay.part_reports.take_due_crashes(later);
-    let parts = reports.iter().flat_map(|report| &report.parts);
-    parts.map(|part| part.id.clone()).collect()
+    let reports = relay.suspect_reports.take_due_crashes(later);
+    reports
+        .into_iter()
+        .flat_map(|report| report.suspects)
+        .collect()
+}
+
+/// Ids of the parts that the relay reports, each with the crash.
+async fn reported_parts(relay: &TestRelay) -> Vec<String> {
+    let suspects = reported_suspects(relay).await.into_iter();
+    let parts = suspects.filter(|it| matches!(it.key, SuspectKey::Part(_)));
+    parts.map(|it| it.label).collect()
+}
+
+/// Labels of the calls that the relay reports, each with the crash.
+async fn reported_calls(relay: &TestRelay) -> Vec<String> {
+    let suspects = reported_suspects(relay).await.into_iter();
+    let calls = suspects.filter(|it| matches!(it.key, SuspectKey::Call(_)));
+    calls.map(|it| it.label).collect()
 }
 
 /// Starts a target that answers its first call with `bytes` and then ends.
@@ -74,7 +91,7 @@
     let target = ScriptedTarget::start("one", vec![close.clone(), close]).await;
     let relay = TestRelay::start(&[&target]).await;
     caller::call(relay.address, "/resumable/1", PARTS).await;
-    assert!(reported_parts(&relay).await.is_empty());
+    assert!(reported_suspects(&relay).await.is_empty());
 }
 
 #[tokio::test]
@@ -105,9 +122,26 @@
 }
 
 #[tokio::test]
-async fn plain_call_names_no_part() {
+async fn crash_under_a_plain_call_names_the_call_and_no_part() {
     let target = target_that_ends("one", "").await;
     let relay = TestRelay::start(&[&target]).await;
     caller::call(relay.address, "/once/1", "").await;
-    assert!(reported_parts(&relay).await.is_empty());
+    let suspects = reported_suspects(&relay).await;
+    let [ReportedSuspect { key, label }] = suspects.as_slice() else {
+        panic!("not one suspect: {suspects:?}");
+    };
+    assert!(matches!(key, SuspectKey::Call(_)));
+    assert_eq!(label, "POST /once/1");
+}
+
+#[tokio::test]
+async fn call_that_is_answered_after_a_crash_is_not_named() {
+    let ended = target_that_ends("one", "").await;
+    let sound = ScriptedTarget::start("two", vec![]).await;
+    let relay = TestRelay::start(&[&ended]).await;
+    let cut = caller::call(relay.address, "/idempotent/1", "").await;
+    relay.view.store(support::view(&[&sound]).into());
+    let answer = caller::call(relay.address, "/idempotent/1", "").await;
+    assert_eq!((cut.status, answer.status), (502, 200));
+    assert!(reported_calls(&relay).await.is_empty());
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -15,7 +15,7 @@
     meters::Meters,
     parts::PartDirectory,
     relay::{
-        AnswerCutoff, LoadedModel, PartReports, Relay, RelaySettings, RelayState, Shutdown,
+        AnswerCutoff, LoadedModel, Relay, RelaySettings, RelayState, Shutdown, SuspectReports,
         TargetState, TargetStats, View, boot_time,
     },
     routes::{Account, RetryPolicy, Route, RouteConfig, RouteTable},
@@ -39,7 +39,7 @@
     pub view: Arc<ArcSwap<View>>,
     pub cache_index: Arc<Mutex<PartDirectory>>,
     pub answer_cutoff: AnswerCutoff,
-    pub part_reports: Arc<PartReports>,
+    pub suspect_reports: Arc<SuspectReports>,
 }
 
 /// Routes `/idempotent/`, `/once/`, `/stream/`, `/resumable/` and `/gapped/` to one pool.
@@ -115,7 +115,7 @@
         let view = Arc::new(ArcSwap::from_pointee(view(targets)));
         let cache_index = Arc::new(Mutex::new(PartDirectory::default()));
         let answer_cutoff = AnswerCutoff::default();
-        let part_reports = Arc::<PartReports>::default();
+        let suspect_reports = Arc::<SuspectReports>::default();
         let settings = RelaySettings {
             failure_domain: "here".to_owned(),
             retry_bounds,
@@ -129,7 +129,7 @@
                 view: view.clone(),
                 cache_index: cache_index.clone(),
                 answer_cutoff: answer_cutoff.clone(),
-                part_reports: part_reports.clone(),
+                suspect_reports: suspect_reports.clone(),
                 ..RelayState::default()
             },
             EventLog::start(std::io::sink()),
@@ -153,7 +153,7 @@
             view,
             cache_index,
             answer_cutoff,
-            part_reports,
+            suspect_reports,
         }
     }
 
