--- /dev/null
+++ b/crates/relay/src/ending_calls.rs
@@ -0,0 +1,72 @@
+//! Which calls a stopping instance still takes, and how it ends those that are left.
+
+use {
+    crate::{
+        HeaderFormat, Reason, Refusal, Shutdown,
+        active_call::ActiveCall,
+        boot_time,
+        call_recorder::{CallRecorder, millis},
+    },
+    std::time::Duration,
+};
+
+/// Time reserved for switching to another target.
+const FAILOVER_TIME: Duration = Duration::from_millis(200);
+
+impl<Format> ActiveCall<Format>
+where
+    Format: HeaderFormat,
+{
+    /// Refusal for a call that the shutdown ended before it was answered: [`Reason::Cut`] if it may
+    /// have run, [`Reason::ShuttingDown`] otherwise.
+    pub(crate) fn cut_refusal(&self) -> Refusal {
+        let may_have_run = self.in_flight.is_some() || self.may_have_run_count > 0;
+        let reason = if may_have_run {
+            Reason::Cut
+        } else {
+            Reason::ShuttingDown
+        };
+        reason.into()
+    }
+
+    /// Refuses the call if the instance is shutting down and the call is not expected to finish by
+    /// the answer deadline.
+    pub(crate) fn check_shutdown(&self, recorder: &mut CallRecorder) -> Result<(), Refusal> {
+        let Some(shutdown) = self.inner.state.view().shutdown else {
+            return Ok(());
+        };
+        let now = boot_time();
+        let expected = self.expected_duration(&shutdown, now);
+        recorder.line.expected_ms = millis(expected);
+        if shutdown.can_finish(expected, now) {
+            Ok(())
+        } else {
+            Err(shutdown.refusal(now, rand::random()))
+        }
+    }
+
+    /// Whether another target that starts the call after `wait` plus the failover time is expected
+    /// to finish by the shutdown's answer deadline; true if the instance is not shutting down.
+    pub(crate) fn can_finish_elsewhere_after(&self, wait: Duration) -> bool {
+        self.inner.state.view().shutdown.is_none_or(|shutdown| {
+            let start = boot_time() + wait + FAILOVER_TIME;
+            shutdown.can_finish(self.expected_duration(&shutdown, start), start)
+        })
+    }
+
+    /// Expected duration of the call if it starts at `start`: the time within which 80 % of the
+    /// route's recent calls ended, or twice the longest recent one if the shutdown is announced by
+    /// then. At most the call's time left at present, and all of it if there are too few recent
+    /// calls.
+    fn expected_duration(&self, shutdown: &Shutdown, start: Duration) -> Duration {
+        let route = &self.admitted.route.name;
+        let times = &self.inner.answer_times;
+        let observed = if shutdown.is_announced(start) {
+            times.upper_bound(route)
+        } else {
+            times.typical(route)
+        };
+        let time_left = self.time_left();
+        observed.map_or(time_left, |observed| observed.min(time_left))
+    }
+}
--- a/crates/relay/src/quarantined_calls.rs
+++ b/crates/relay/src/quarantined_calls.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
-        HeaderFormat, Reason, Refusal, active_call::ActiveCall, boot_time,
+        HeaderFormat, Reason, Refusal, active_call::ActiveCall, admit::called_host, boot_time,
         call_recorder::CallRecorder, pick::PickedTarget,
     },
+    hyper::http::uri::PathAndQuery,
     parts::{PartKey, part_key},
-    quarantine::{CrashReport, ReportedSuspect, SuspectKey},
+    quarantine::{CallIdentity, CallKey, CrashReport, ReportedSuspect, SuspectKey},
     std::time::Duration,
     tokio::time::sleep,
 };
@@ -106,6 +107,31 @@
         });
     }
 
+    /// Key of the whole call, which is the same if it comes again.
+    pub(crate) fn call_key(&self) -> CallKey {
+        *self.call_key.get_or_init(|| {
+            let uri = &self.head.uri;
+            let path = uri
+                .path_and_query()
+                .map_or(uri.path(), PathAndQuery::as_str);
+            let account = self.admitted.account.as_ref();
+            let identity = CallIdentity {
+                method: self.head.method.as_str(),
+                host: called_host(&self.head),
+                path,
+                account: account.map_or("", |account| account.name.as_str()),
+                parts: &self.part_keys,
+                body: &self.body,
+            };
+            identity.key()
+        })
+    }
+
+    /// Enters in the call's log line what identifies it if it comes again.
+    pub(crate) fn record_identity(&self, recorder: &mut CallRecorder) {
+        recorder.record_identity(&self.admitted.call, self.call_key());
+    }
+
     /// What could be at fault if a target crashes under the call: its shared parts and the call.
     fn suspect_keys(&self) -> Vec<SuspectKey> {
         let call = SuspectKey::Call(self.call_key());
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -3,10 +3,11 @@
 use {
     crate::{
         HeaderFormat,
-        active_call::{ActiveCall, SentAt, SuspendedAttempt},
+        active_call::ActiveCall,
         attempt::Content,
         call_recorder::CallRecorder,
         event_stream::{EventStream, StreamStep},
+        silent_target::{SentAt, SuspendedAttempt},
     },
     bytes::Bytes,
     routes::RetryPolicy,
