Calls refused by their head let the caller finish sending its body

What callers saw: a call with a bad head, an unknown route or key, or without memory for its body was refused before its body had arrived. The connection was then closed without 'connection: close', so a caller that was still sending failed to write, and a caller that kept the connection could not use it for its next call.

Cause: the relay dropped the unread body, and hyper closes a connection whose request body has not ended.

Evidence: five tests of early_refusals, which send 200 KB in pieces 50 ms after the head, failed before with 'Err(Os { code: 32, kind: BrokenPipe, message: "Broken pipe" }), then Response { status: 404, ...' (401, 400 and 503 for the others). Five failed because the header 'connection' was missing: 'left: None, right: Some("close")'.

Change: the body of such a call is read and discarded before the refusal goes out, for up to 300 ms and up to max_body_bytes, or the default of it without a configuration. If the body has not ended by then, its declared length is above the maximum, or the caller waits for 100 Continue, the refusal closes the connection and says so. Calls without a body, and refusals that close the connection anyway, are answered at once.

Why it works: hyper keeps a connection whose body was read to its end. The pieces are dropped as they arrive and reserve no memory for bodies (body_without_memory_is_thrown_away). At shutdown the answer cutoff ends the reading (refusal_does_not_wait_for_the_body_once_answers_are_cut, which had the 404 instead of the 503 before).

Tests changed: body_limits sets its limit through TestRelay::limit_bodies, which early_refusals uses too.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod call;
 mod call_recorder;
 mod choose_target;
+mod discard_body;
 mod event_stream;
 mod header_format;
 mod outbound_metadata;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,6 +10,7 @@
         attempt::Content,
         body_memory::{BodyMemory, BodyPermit},
         call_recorder::{CallRecorder, millis},
+        discard_body::discard_body,
         retry_budgets::RetryBudgets,
         stream_forwarder::{Aborted, StreamForwarder},
     },
@@ -239,8 +240,31 @@
             .ok_or_else(no_body_memory)
     }
 
-    /// Parses and admits a call, then reads its body into memory. Enters in the call's log line
-    /// what is known by then.
+    /// Parses and admits a call by its head, and reserves memory for its body. Enters in the call's
+    /// log line what is known by then.
+    fn accept_head(
+        &self,
+        recorder: &mut CallRecorder,
+        view: &View,
+        head: &request::Parts,
+        body: &Incoming,
+    ) -> Result<(Admitted, BodyPermit), Refusal> {
+        let call = self.inner.header_format.parse_call(head).map_err(|error| {
+            log::info!("call refused: {error}");
+            Refusal::new(Reason::BadHead)
+        })?;
+        recorder.line.request_id.clone_from(&call.id);
+        let admitted = admit(view, head, call)?;
+        recorder.line.route.clone_from(&admitted.route.name);
+        if let Some(account) = &admitted.account {
+            recorder.line.account.clone_from(&account.name);
+        }
+        let body_permit = self.reserve_body_memory(&admitted, body)?;
+        Ok((admitted, body_permit))
+    }
+
+    /// Accepts a call by its head, then reads its body into memory, or discards it if the call is
+    /// refused.
     async fn accept(
         &self,
         recorder: &mut CallRecorder,
@@ -252,21 +276,10 @@
         recorder.line.configuration = view.configuration_version();
         recorder.line.view_age_ms = millis(view.age());
         recorder.line.instances_count = view.instances_count;
-        let call = self
-            .inner
-            .header_format
-            .parse_call(&head)
-            .map_err(|error| {
-                log::info!("call refused: {error}");
-                Refusal::new(Reason::BadHead)
-            })?;
-        recorder.line.request_id.clone_from(&call.id);
-        let admitted = admit(&view, &head, call)?;
-        recorder.line.route.clone_from(&admitted.route.name);
-        if let Some(account) = &admitted.account {
-            recorder.line.account.clone_from(&account.name);
-        }
-        let mut body_permit = self.reserve_body_memory(&admitted, &body)?;
+        let (admitted, mut body_permit) = match self.accept_head(recorder, &view, &head, &body) {
+            Ok(accepted) => accepted,
+            Err(refusal) => return Err(discard_body(refusal, &view, &head.headers, body).await),
+        };
         let body = read_body(&admitted, body).await?;
         if !body_permit.resize(body.len()) {
             return Err(no_body_memory());
--- a/crates/relay/tests/body_limits.rs
+++ b/crates/relay/tests/body_limits.rs
@@ -3,8 +3,7 @@
 mod support;
 
 use {
-    routes::{CallLimits, RouteTable},
-    std::{net::SocketAddr, sync::Arc},
+    std::net::SocketAddr,
     support::{
         KEY, TestRelay,
         caller::{self, Response},
@@ -17,14 +16,7 @@
 
 async fn start_relay(target: &ScriptedTarget) -> TestRelay {
     let relay = TestRelay::start(&[target]).await;
-    let mut view = support::view(&[target]);
-    let mut config = view.route_table.as_ref().unwrap().config().clone();
-    config.limits = CallLimits {
-        max_body_bytes: MAX_BODY_BYTES,
-        ..config.limits
-    };
-    view.route_table = Some(Arc::new(RouteTable::new(config)));
-    relay.view.store(Arc::new(view));
+    relay.limit_bodies(MAX_BODY_BYTES);
     relay
 }
 
--- a/crates/relay/tests/support/caller.rs
+++ b/crates/relay/tests/support/caller.rs
@@ -29,12 +29,17 @@
 /// Sends a call and returns its connection.
 pub async fn send(relay: SocketAddr, path: &str, headers: &str) -> TcpStream {
     let mut stream = TcpStream::connect(relay).await.unwrap();
+    send_on(&mut stream, path, headers).await;
+    stream
+}
+
+/// Sends a call on a connection.
+pub async fn send_on(stream: &mut TcpStream, path: &str, headers: &str) {
     let call = format!(
         "POST {path} HTTP/1.1\r\nhost: a.example\r\nid: c1\r\nkey: {KEY}\r\n{headers}\
          content-length: 4\r\n\r\nbody"
     );
     stream.write_all(call.as_bytes()).await.unwrap();
-    stream
 }
 
 /// Sends a call and reads its response.
@@ -42,8 +47,13 @@
     read_response(send(relay, path, headers).await).await
 }
 
-/// Reads a response.
+/// Reads the only response of a connection.
 pub async fn read_response(mut stream: TcpStream) -> Response {
+    read_next_response(&mut stream).await
+}
+
+/// Reads the next response of a connection.
+pub async fn read_next_response(stream: &mut TcpStream) -> Response {
     let mut bytes = Vec::new();
     let mut chunk = [0; 4096];
     loop {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -157,6 +157,15 @@
         }
     }
 
+    /// Sets the maximum length of a body.
+    pub fn limit_bodies(&self, max_body_bytes: usize) {
+        let mut view = View::clone(&self.view.load());
+        let mut config = view.route_table.as_ref().unwrap().config().clone();
+        config.limits.max_body_bytes = max_body_bytes;
+        view.route_table = Some(Arc::new(RouteTable::new(config)));
+        self.view.store(Arc::new(view));
+    }
+
     /// Starts the instance's shutdown: answers must be complete within `grace`.
     pub fn shut_down(&self, grace: Duration) {
         let mut view = View::clone(&self.view.load());
