--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -78,13 +78,16 @@
 
     /// Takes the stream as the continuation of one whose last event was `last_event_id`; `None` if
     /// it repeats events up to that one.
-    pub(crate) fn resume_after(mut self: Box<Self>, last_event_id: Option<u64>) -> Option<Self> {
+    pub(crate) fn resume_after(
+        mut self: Box<Self>,
+        last_event_id: Option<u64>,
+    ) -> Option<Box<Self>> {
         let first_event_id = self.first_event_id();
         if first_event_id.is_some_and(|first| Some(first) <= last_event_id) {
             return None;
         }
         self.last_event_id = self.last_event_id.max(last_event_id);
-        Some(*self)
+        Some(self)
     }
 
     /// Whether the first event has arrived and was not returned yet.
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -116,7 +116,7 @@
         let last_event_id = self.events.last_event_id();
         let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
         loop {
-            if let Err(reason) = self.check_resumable() {
+            if let Err(reason) = self.reserve_resumption() {
                 return Err(self.torn(reason));
             }
             let resumed = tokio::select! {
@@ -141,7 +141,7 @@
     /// and returns what it sent, or if no other target takes the stream.
     async fn move_silent(&mut self) -> Result<Option<Step>, Aborted> {
         self.call.pause_target(SILENCE_PAUSE);
-        if !self.call.can_move() || self.check_resumable().is_err() {
+        if !self.call.can_move() || self.reserve_resumption().is_err() {
             return Ok(None);
         }
         let silence_ms = self.silence_timeout().as_millis();
@@ -150,17 +150,17 @@
         let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
         let mut present = self.call.suspend_attempt();
         let sent_at = self.call.sent_at();
-        let moved = tokio::select! {
+        let first = tokio::select! {
             biased;
-            resumed = resume_elsewhere(&mut self.call, &mut self.recorder, last_event_id) => Ok(resumed),
-            step = read_until_taken(&mut self.events, &mut present, sent_at) => Err(step),
+            resumed = resume_elsewhere(&mut self.call, &mut self.recorder, last_event_id) => First::Other(resumed),
+            step = read_until_taken(&mut self.events, &mut present, sent_at) => First::Present(step),
             () = answer_cutoff.triggered() => return Err(self.cut()),
         };
-        match moved {
-            Ok(Ok(events)) => self.go_on_with(events),
-            Ok(Err(_)) if self.events.is_closed() => self.resume().await?,
-            Ok(Err(_)) => self.call.restore_attempt(present),
-            Err(step) => {
+        match first {
+            First::Other(Ok(events)) => self.go_on_with(events),
+            First::Other(Err(_)) if self.events.is_closed() => self.resume().await?,
+            First::Other(Err(_)) => self.call.restore_attempt(present),
+            First::Present(step) => {
                 self.recorder
                     .end_attempt("ended: the target before it went on".to_owned());
                 self.call.cancel_attempt(present);
@@ -171,9 +171,9 @@
     }
 
     /// Goes on with the stream of another target.
-    fn go_on_with(&mut self, events: EventStream) {
+    fn go_on_with(&mut self, events: Box<EventStream>) {
         self.call.record_identity(&mut self.recorder);
-        self.events = events;
+        self.events = *events;
         self.attempt_index = self.recorder.last_attempt_index();
     }
 
@@ -184,7 +184,7 @@
 
     /// Checks that another target may resume the stream, and takes a retry from the budget. Fails
     /// with the reason for the log.
-    fn check_resumable(&self) -> Result<(), &'static str> {
+    fn reserve_resumption(&self) -> Result<(), &'static str> {
         let call = &self.call;
         if call.retry_policy() != RetryPolicy::ResumableStream {
             return Err("the target broke off; the route does not allow resuming");
@@ -241,6 +241,14 @@
     }
 }
 
+/// What came first after another target was asked to resume a silent stream.
+enum First {
+    /// The other target took the stream, or none does.
+    Other(Result<Box<EventStream>, NotResumed>),
+    /// The present target went on.
+    Present(Step),
+}
+
 /// Why another target did not resume a stream.
 #[derive(Clone, Copy, Debug)]
 enum NotResumed {
@@ -255,7 +263,7 @@
     call: &mut ActiveCall<Format>,
     recorder: &mut CallRecorder,
     last_event_id: Option<u64>,
-) -> Result<EventStream, NotResumed>
+) -> Result<Box<EventStream>, NotResumed>
 where
     Format: HeaderFormat,
 {
