--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -119,7 +119,7 @@
     pub(crate) reuse: Reuse,
     /// Timeout for the head of the answer. For a stream, it applies anew to its first event.
     pub(crate) start_timeout: &'call Timeout,
-    /// When the answer must be complete, or its first event must have arrived.
+    /// When an answer that is read as a whole must be complete.
     pub(crate) deadline: Instant,
     /// Memory for an answer that is read as a whole.
     pub(crate) answer_memory: &'call BodyMemory,
--- a/crates/relay/src/silent_target.rs
+++ b/crates/relay/src/silent_target.rs
@@ -28,7 +28,7 @@
 /// Tells when a call was sent to its present target.
 pub(crate) type SentAt = watch::Receiver<Option<Instant>>;
 
-/// An attempt that may be gone on with.
+/// An attempt at a silent target, set aside while another target is asked to take the call.
 #[derive(Debug)]
 pub(crate) struct SuspendedAttempt {
     in_flight: Option<InFlightGuard>,
