--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -1,9 +1,9 @@
 //! Shares what instances know of prompt parts and calls that crash targets, through the key-value
 //! service.
 //!
-//! Each crash of a target under a call is a key of its own for the call and for each suspect key, and
-//! so is the word that the part or call was answered, so instances never have to agree on a value.
-//! The keys are bound to a lease and expire unless such calls keep coming.
+//! Each crash of a target under a call is a record of its own for the call and for each of its suspect
+//! parts, and so is the word that a part or call was answered, so instances never have to agree on a
+//! value. The records are bound to a lease and expire unless such calls keep coming.
 
 use {
     crate::{
@@ -26,7 +26,8 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Interval between checks for records to write again, because calls with a quarantined part or call came.
+/// Interval between checks for records to write again, because calls were refused for a quarantined
+/// part or call.
 const REFRESH_CHECK_PERIOD: Duration = Duration::from_secs(10);
 /// Delay after a failed write.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
