Calls and targets: read software versions and which stream a call resumes, and log both

The hypotheses could not be told apart: a call's line said neither whether the call takes up a stream nor which software its targets run. The registration's version of the target's software and the caller's word of the attempt whose stream it resumes are decoded now, kept with the target and the call, and logged (call: resumes; attempts and target: software_version). Nothing decides by them yet.

--- a/crates/catalog/src/ids.rs
+++ b/crates/catalog/src/ids.rs
@@ -20,5 +20,7 @@
 pub type Revision = u64;
 /// Name of a target.
 pub type TargetId = String;
+/// Version of a target's software, as the target names it. Not comparable.
+pub type SoftwareVersion = String;
 /// Digest of a version's weights in hex, as the operator configures and the engine reports it.
 pub type VersionDigest = String;
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -41,7 +41,7 @@
     edit::Edit,
     ids::{
         ClientAccountId, FailureDomainId, InstanceId, ModelId, ModelVersionId, PlacementRuleId,
-        RegionId, RequestId, Revision, TargetId, VersionDigest,
+        RegionId, RequestId, Revision, SoftwareVersion, TargetId, VersionDigest,
     },
     invalid_field::InvalidField,
     labels::{Labels, Selector},
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -191,6 +191,7 @@
                 state: "gone",
                 pool: String::new(),
                 address: String::new(),
+                software_version: String::new(),
                 revision,
             });
         }
@@ -261,6 +262,7 @@
                 state: if record.leaving { "leaving" } else { "ready" },
                 pool: record.pool.clone(),
                 address: record.address.to_string(),
+                software_version: record.software_version.clone(),
                 revision,
             },
             _ => return,
--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -1,7 +1,7 @@
 //! Items of the key-value service, decoded.
 
 use {
-    catalog::{FailureDomainId, InstanceId, ModelId, TargetId},
+    catalog::{FailureDomainId, InstanceId, ModelId, SoftwareVersion, TargetId},
     keyvalue::LeaseId,
     quarantine::{CrashId, SuspectKey},
     relay::LoadedModel,
@@ -42,6 +42,8 @@
     /// Start time in milliseconds since the Unix epoch by the target's own clock; distinguishes two
     /// starts under one id.
     pub started_unix_ms: u64,
+    /// Version of the target's software.
+    pub software_version: SoftwareVersion,
 }
 
 impl TargetRegistration {
@@ -56,6 +58,7 @@
             leaving: false,
             models: Vec::new(),
             started_unix_ms: 0,
+            software_version: SoftwareVersion::default(),
         }
     }
 }
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -441,6 +441,7 @@
             id: id.to_owned(),
             seed: rendezvous::member_seed(id),
             started_unix_ms: record.started_unix_ms,
+            software_version: record.software_version.clone(),
             address: record.address,
             failure_domain: record.failure_domain.clone(),
             slots_count: record.slots_count,
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -17,7 +17,8 @@
 };
 
 /// Plain-text formats. The keys are `operators/configuration` (value: a version),
-/// `operators/version/MODEL` (a version) and `targets/NAME` (`ADDRESS VERSION`).
+/// `operators/version/MODEL` (a version) and `targets/NAME` (`ADDRESS VERSION`, and
+/// the version of its software if there is one).
 #[derive(Clone, Copy, Debug)]
 pub struct Formats;
 
@@ -69,6 +70,8 @@
             id: text("id").unwrap_or_default().to_owned(),
             key: text("key").map(str::to_owned),
             prompt,
+            last_event_id: text("last-event-id").and_then(|it| it.parse().ok()),
+            resumes: text("resumes").map(str::to_owned),
             ..Call::default()
         })
     }
@@ -119,12 +122,14 @@
             }
             ItemName::Version(_) => Item::Version(text.parse().unwrap()),
             _ => {
-                let (address, version) = text.split_once(' ').unwrap();
+                let mut fields = text.split(' ');
+                let (address, version) = (fields.next().unwrap(), fields.next().unwrap());
                 let mut entry = TargetRegistration::new("pool", address.parse().unwrap());
                 entry.models = vec![LoadedModel {
                     model: "m".to_owned(),
                     version: version.parse().unwrap(),
                 }];
+                entry.software_version = fields.next().unwrap_or_default().to_owned();
                 Item::Target(entry)
             }
         })
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod crashing_target;
 pub mod formats;
 pub mod late_target;
+pub mod stream_target;
 pub mod target;
 
 use {
@@ -185,6 +186,25 @@
         Some(got.status)
     }
 
+    /// Begins a stream; returns the status of its answer, if that is whole.
+    pub async fn begin_stream(&self, id: &str) -> Option<u16> {
+        self.stream(&[("id", id)]).await
+    }
+
+    /// Takes up after its first event the stream that the call `begun` began; returns the status of
+    /// the answer, if that is whole.
+    pub async fn resume_stream(&self, id: &str, begun: &str) -> Option<u16> {
+        let headers = [("id", id), ("resumes", begun), ("last-event-id", "1")];
+        self.stream(&headers).await
+    }
+
+    async fn stream(&self, headers: &[(&str, &str)]) -> Option<u16> {
+        let mut all = vec![("host", "a.example")];
+        all.extend_from_slice(headers);
+        let got = get(self.settings.listen, "/prompts/", &all).await?;
+        Some(got.status)
+    }
+
     /// Sends a call; returns the whole response.
     pub async fn answer(&self, path: &str) -> Option<Answer> {
         let headers = [("host", "a.example"), ("id", "c1")];
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -13,6 +13,8 @@
     pub in_flight_count: f64,
     /// Number of targets that could have been chosen.
     pub candidates_count: usize,
+    /// Version of the target's software, as registered when it was chosen.
+    pub software_version: String,
     /// Version of the model weights that the target was assumed to have; 0 if the call needs none
     /// or none was named.
     pub version: u64,
@@ -41,6 +43,8 @@
 pub struct CallLine {
     /// Id that the caller assigned to the call.
     pub request_id: String,
+    /// Id of the caller's attempt whose stream the call resumes; empty if it resumes none.
+    pub resumes: String,
     /// Route; empty if none matched.
     pub route: String,
     /// Client account; empty if none was identified.
@@ -140,6 +144,8 @@
         pool: String,
         /// Address.
         address: String,
+        /// Version of its software; empty if it is gone.
+        software_version: String,
         /// Revision of the key-value service at which this was read.
         revision: u64,
     },
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -41,6 +41,7 @@
             state: "",
             pool: text(),
             address: text(),
+            software_version: String::new(),
             revision: 0,
         },
         Event::LeftOut {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -54,6 +54,9 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Request id of the caller's attempt that brought the first event of the stream that the call
+    /// resumes.
+    pub resumes: Option<RequestId>,
 }
 
 /// A header of a call is missing or invalid.
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -72,6 +72,7 @@
             at_ms,
             in_flight_count: picked.in_flight_count,
             candidates_count: picked.candidates_count,
+            software_version: picked.target.software_version.clone(),
             version: weights.version,
             wanted_version: weights.wanted_version,
             wanted_age_ms: weights.wanted_age.map(millis),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -254,6 +254,7 @@
             Refusal::new(Reason::BadHead)
         })?;
         recorder.line.request_id.clone_from(&call.id);
+        recorder.line.resumes = call.resumes.clone().unwrap_or_default();
         let admitted = admit(view, head, call)?;
         recorder.line.route.clone_from(&admitted.route.name);
         if let Some(account) = &admitted.account {
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Shutdown, TargetStats, WantedVersions, boot_time},
-    catalog::{FailureDomainId, ModelId, TargetId},
+    catalog::{FailureDomainId, ModelId, SoftwareVersion, TargetId},
     quarantine::Quarantine,
     routes::{PoolId, RouteTable},
     std::{
@@ -31,6 +31,8 @@
     pub seed: u64,
     /// Start time that the target reports, in milliseconds since the Unix epoch by its own clock.
     pub started_unix_ms: u64,
+    /// Version of the target's software.
+    pub software_version: SoftwareVersion,
     /// Address of the target.
     pub address: SocketAddr,
     /// Failure domain that the target is in.
--- a/crates/relay/tests/support/header_format.rs
+++ b/crates/relay/tests/support/header_format.rs
@@ -34,6 +34,8 @@
             id: id.to_owned(),
             key: text("key").map(str::to_owned),
             prompt: parsed_prompt,
+            last_event_id: text("last-event-id").and_then(|it| it.parse().ok()),
+            resumes: text("resumes").map(str::to_owned),
             ..Call::default()
         })
     }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -79,6 +79,7 @@
             id: target.name.clone(),
             seed: rendezvous::member_seed(&target.name),
             started_unix_ms: 0,
+            software_version: target.software_version.clone(),
             address: target.address,
             failure_domain: "here".to_owned(),
             slots_count: 8,
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -47,6 +47,7 @@
 pub struct ScriptedTarget {
     pub name: String,
     pub address: SocketAddr,
+    pub software_version: String,
     state: Arc<State>,
 }
 
@@ -75,15 +76,23 @@
         Self {
             name: name.to_owned(),
             address,
+            software_version: String::new(),
             state,
         }
     }
 
+    /// Sets the version of the target's software.
+    pub fn software(mut self, version: &str) -> Self {
+        version.clone_into(&mut self.software_version);
+        self
+    }
+
     /// A target at an address that the test serves itself.
     pub fn at(name: &str, address: SocketAddr) -> Self {
         Self {
             name: name.to_owned(),
             address,
+            software_version: String::new(),
             state: Arc::default(),
         }
     }
