Fix ORDER: a stream goes on only at the pool and software version that began it

Cause: nothing kept where a stream began. Class: a choice that must be bound to an earlier one is made anew from scratch, by an instance that may not have made the earlier one.

Change: a call carries its origin (CallOrigin), which the choice of a target heeds for a broken stream, a silent one, and one that the caller takes up. Each instance keeps the origins of its streams (crate origins); while streams can have begun at more than one version, it sends them to two other instances, chosen by a hash of account and request id, and sends those of its open streams when a second version appears. The instance at which a stream is taken up asks three instances at once, for 300 ms at most. Unknown while versions differ, or no target of the version left: refused at once, with a message to begin anew. While one version serves nothing is sent and nothing refused.

Why it works: a holder is among those asked whichever instance asks, and after any one has come or gone (property tests of origins::record_holders).

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod obsolete_parts;
 mod order_lock;
 mod orders;
+mod origin_exchange;
 mod own_keys;
 mod ownership;
 mod parts_by_salt;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -202,9 +202,9 @@
     pub(crate) fn publish(&self) {
         let known = self.known();
         self.log_ready_instances(&known);
-        self.relay_state
-            .view
-            .store(Arc::new(known.view(boot_time())));
+        let view = Arc::new(known.view(boot_time()));
+        self.relay_state.stream_origins.observe(&view);
+        self.relay_state.view.store(view);
         let mut addresses: Vec<SocketAddr> = known
             .ready_members()
             .into_iter()
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -6,7 +6,7 @@
         directory::{self, CALLER_REFRESH_TIME},
         follower, limit_news,
         listener::{self, FLUSH_TIME, ListenerControl},
-        membership, orders, peer_watch, place_watch, recent_versions,
+        membership, orders, origin_exchange, peer_watch, place_watch, recent_versions,
         shared::Shared,
         suspects,
     },
@@ -249,7 +249,7 @@
     let (for_membership, for_orders, for_places) = (shared.clone(), shared.clone(), shared.clone());
     let (for_peers, own_feed) = (shared.clone(), shared.feed.clone());
     let (for_recent_versions, for_suspects) = (shared.clone(), shared.clone());
-    let for_limits = shared.clone();
+    let (for_limits, for_origins) = (shared.clone(), shared.clone());
     let tree = Supervisor::new("control").restart_limit(limit);
     tree.child(Child::new("follower", move |token| {
         follower::follow(for_follower.clone(), token)
@@ -272,6 +272,9 @@
     .child(Child::new("limits", move |token| {
         limit_news::announce(for_limits.clone(), token)
     }))
+    .child(Child::new("origins", move |token| {
+        origin_exchange::run(for_origins.clone(), token)
+    }))
     .child(Child::new("feed", move |token| {
         serve_feed(feed_listener.clone(), own_feed.clone(), token)
     }))
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -129,7 +129,8 @@
                     model: "m".to_owned(),
                     version: version.parse().unwrap(),
                 }];
-                entry.software_version = fields.next().unwrap_or_default().to_owned();
+                let software = fields.next().unwrap_or_default();
+                software.clone_into(&mut entry.software_version);
                 Item::Target(entry)
             }
         })
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! A store or an engine answers only a few requests at a time, so each is followed by one instance,
 //! and the other instances read what that one has learned. [`Feed`] holds what an instance
-//! publishes, [`serve`] answers readers, and a [`FeedReader`] reads the feed of another instance.
+//! publishes, [`serve`] answers readers, and a [`FeedReader`] reads the feed of another instance. An
+//! [`OriginClient`] has another instance keep, and tell, where streams began.
 //! The content is only hints, and a reader that missed changes gets the whole state.
 //!
 //! ```
@@ -22,10 +23,15 @@
 //! ```
 
 mod batch;
+mod connection;
 mod error;
 mod feed_reader;
+mod origin_client;
 mod server;
 mod service;
 mod source;
 
-pub use {batch::Batch, error::FeedError, feed_reader::FeedReader, server::serve, source::Feed};
+pub use {
+    batch::Batch, error::FeedError, feed_reader::FeedReader, origin_client::OriginClient,
+    server::serve, source::Feed,
+};
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -4,6 +4,7 @@
     crate::{Batch, Feed, service::FeedService},
     cluster::{accept_connection, transport},
     futures::StreamExt,
+    origins::{OriginKnowledge, OriginRecord, StreamKey},
     parts::Position,
     std::{sync::Arc, time::Duration},
     tarpc::{
@@ -72,4 +73,13 @@
     async fn read(self, _: Context, since: Option<Position>, wait: Duration) -> Batch {
         self.feed.read_or_wait(since, wait.min(MAX_WAIT)).await
     }
+
+    async fn exchange_origins(
+        self,
+        _: Context,
+        records: Vec<OriginRecord>,
+        asked: Vec<StreamKey>,
+    ) -> Vec<OriginKnowledge> {
+        self.feed.exchange_origins(&records, &asked)
+    }
 }
--- a/crates/feed/src/service.rs
+++ b/crates/feed/src/service.rs
@@ -1,13 +1,24 @@
-//! The remote call between instances.
+//! The remote calls between instances.
 
 // The attribute below generates a request and a response type without comments.
 #![allow(missing_docs)]
 
-use {crate::Batch, parts::Position, std::time::Duration};
+use {
+    crate::Batch,
+    origins::{OriginKnowledge, OriginRecord, StreamKey},
+    parts::Position,
+    std::time::Duration,
+};
 
 #[tarpc::service]
 pub(crate) trait FeedService {
     /// Returns what was learned since `since`, or the whole state. Without changes it waits up to
     /// `wait` for one.
     async fn read(since: Option<Position>, wait: Duration) -> Batch;
+
+    /// Keeps `records`, and returns what is known of the origins of the streams in `asked`.
+    async fn exchange_origins(
+        records: Vec<OriginRecord>,
+        asked: Vec<StreamKey>,
+    ) -> Vec<OriginKnowledge>;
 }
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -3,6 +3,7 @@
 use {
     crate::Batch,
     balance::TargetLoad,
+    origins::{OriginKnowledge, OriginRecord, StreamKey},
     parts::{Change, ChangeLog, Position},
     relay::{RelayState, boot_time},
     std::{
@@ -80,6 +81,21 @@
         }
     }
 
+    /// Keeps the origins of streams that another instance has begun, and returns what this one knows
+    /// of the streams in `asked`.
+    pub(crate) fn exchange_origins(
+        &self,
+        records: &[OriginRecord],
+        asked: &[StreamKey],
+    ) -> Vec<OriginKnowledge> {
+        let stream_origins = &self.relay_state.stream_origins;
+        for record in records {
+            stream_origins.hold(record);
+        }
+        let known = asked.iter().map(|key| stream_origins.known(*key));
+        known.collect()
+    }
+
     /// Reads like [`Self::read`], but waits up to `wait` for a change if there is none.
     pub(crate) async fn read_or_wait(&self, since: Option<Position>, wait: Duration) -> Batch {
         let change = self.changed.notified();
--- /dev/null
+++ b/crates/origins/src/origin.rs
@@ -0,0 +1,55 @@
+//! The origin of a stream, and the key under which it is kept.
+
+use {
+    catalog::SoftwareVersion,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Key of a stream: the first 8 bytes of a digest over the client account and the request id of the
+/// attempt that brought the stream's first event. All instances derive the same key.
+pub type StreamKey = u64;
+
+/// Derives the key of a stream. `account` is empty if the call needs no client account.
+#[must_use]
+pub fn stream_key(account: &str, request_id: &str) -> StreamKey {
+    let mut hasher = blake3::Hasher::new();
+    // The length keeps pairs apart that differ only in where the account ends.
+    hasher.update(&(account.len() as u64).to_le_bytes());
+    hasher.update(account.as_bytes());
+    hasher.update(request_id.as_bytes());
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    StreamKey::from_le_bytes(bytes)
+}
+
+/// Where a stream began.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Origin {
+    /// Pool of the target that wrote the first event.
+    pub pool: String,
+    /// Version of that target's software.
+    pub software_version: SoftwareVersion,
+}
+
+/// The origin of one stream, as instances tell it each other.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OriginRecord {
+    /// Key of the stream.
+    pub key: StreamKey,
+    /// Where it began.
+    pub origin: Origin,
+    /// Time for which the caller may still take the stream up.
+    pub lifetime: Duration,
+}
+
+/// What is known of the origin of a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum OriginKnowledge {
+    /// Nothing.
+    Unknown,
+    /// The stream began here.
+    Known(Origin),
+    /// Two streams with this key began at different origins.
+    Conflicting,
+}
--- /dev/null
+++ b/crates/origins/tests/pool_versions.rs
@@ -0,0 +1,61 @@
+//! When streams of a pool can have begun at different software versions.
+
+use {
+    origins::{PoolVersions, VERSION_MEMORY},
+    std::time::Duration,
+};
+
+const STEP: Duration = Duration::from_secs(1);
+
+fn pools(names: &[&str]) -> Vec<String> {
+    names.iter().map(|it| (*it).to_owned()).collect()
+}
+
+#[test]
+fn version_that_left_counts_until_its_streams_are_over() {
+    let mut versions = PoolVersions::default();
+    let llm = pools(&["llm"]);
+    assert!(
+        versions
+            .observe([("llm", "v1")].into_iter(), Duration::ZERO)
+            .is_empty()
+    );
+    assert!(!versions.is_mixed(llm.iter(), STEP));
+    let both = [("llm", "v1"), ("llm", "v2")];
+    assert_eq!(versions.observe(both.into_iter(), STEP), llm);
+    assert!(
+        versions.observe(both.into_iter(), STEP).is_empty(),
+        "it was mixed before"
+    );
+    versions.observe([("llm", "v2")].into_iter(), STEP * 2);
+    assert!(versions.is_mixed(llm.iter(), STEP + VERSION_MEMORY));
+    assert!(!versions.is_mixed(llm.iter(), STEP * 2 + VERSION_MEMORY));
+}
+
+#[test]
+fn version_that_comes_back_counts_again() {
+    let mut versions = PoolVersions::default();
+    let both = [("llm", "v1"), ("llm", "v2")];
+    versions.observe(both.into_iter(), Duration::ZERO);
+    versions.observe([("llm", "v2")].into_iter(), STEP);
+    versions.observe(both.into_iter(), STEP * 2);
+    assert!(versions.is_mixed(pools(&["llm"]).iter(), VERSION_MEMORY * 3));
+}
+
+#[test]
+fn two_pools_of_one_route_are_two_origins() {
+    let mut versions = PoolVersions::default();
+    versions.observe([("a", "v1"), ("b", "v1")].into_iter(), Duration::ZERO);
+    assert!(versions.is_mixed(pools(&["a", "b"]).iter(), STEP));
+    assert!(!versions.is_mixed(pools(&["a"]).iter(), STEP));
+}
+
+#[test]
+fn history_is_known_after_a_while() {
+    let mut versions = PoolVersions::default();
+    let llm = pools(&["llm"]);
+    assert!(!versions.is_history_known(llm.iter(), VERSION_MEMORY));
+    versions.observe([("llm", "v1")].into_iter(), STEP);
+    assert!(!versions.is_history_known(llm.iter(), VERSION_MEMORY));
+    assert!(versions.is_history_known(llm.iter(), STEP + VERSION_MEMORY));
+}
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -4,9 +4,10 @@
     crate::{
         HeaderFormat, InFlightGuard, Reason, Refusal,
         admit::Admitted,
-        attempt::{AttemptOutcome, AttemptParams, TargetAnswer, attempt},
+        attempt::{AttemptOutcome, AttemptParams, Content, TargetAnswer, attempt},
         body_memory::BodyPermit,
         boot_time,
+        call_origin::CallOrigin,
         call_recorder::CallRecorder,
         pick::PickedTarget,
         quarantined_calls::part_keys,
@@ -61,6 +62,8 @@
     pub(crate) call_key: OnceLock<CallKey>,
     /// Pool that was chosen for the call; empty if the route has no pool with a weight above 0.
     pub(crate) pool: PoolId,
+    /// Where the stream of the call began.
+    pub(crate) origin: CallOrigin,
     /// Targets that were tried for the call, including those that could not be reached.
     pub(crate) tried_targets: Vec<TargetId>,
     /// Number of targets that ran the call or may have run it.
@@ -91,6 +94,7 @@
         let pool = admitted.route.draw_pool(rand::random());
         let pool = pool.cloned().unwrap_or_default();
         let part_keys = part_keys(&admitted.call);
+        let origin = CallOrigin::new(inner.state.stream_origins.clone());
         Self {
             inner,
             admitted,
@@ -101,6 +105,7 @@
             part_keys,
             call_key: OnceLock::new(),
             pool,
+            origin,
             tried_targets: Vec::new(),
             may_have_run_count: 0,
             in_flight: None,
@@ -152,6 +157,19 @@
             .try_retry(&self.pool, instances_count, now)
     }
 
+    /// Answers the call. A call that resumes a stream goes to the pool and software version that
+    /// began it.
+    pub(crate) async fn answer(
+        &mut self,
+        recorder: &mut CallRecorder,
+    ) -> Result<TargetAnswer, Refusal> {
+        let view_age = self.inner.state.view().age();
+        if let Some(pool) = self.origin.find(&self.admitted, view_age).await? {
+            self.pool = pool;
+        }
+        self.run(recorder, None).await
+    }
+
     /// Sends the call to one target after another until one answers. With `last_event_id`, resumes
     /// a stream after that event.
     ///
@@ -214,6 +232,7 @@
                 AttemptOutcome::Answered(answer) => {
                     if !self.should_try_another(&answer) || !self.try_retry() {
                         self.record_answer(&picked, &answer, &suspects);
+                        self.record_origin(&picked, &answer);
                         return Ok(answer);
                     }
                     suspects.push(picked);
@@ -338,6 +357,18 @@
         account.map(|account| account.name.as_str())
     }
 
+    /// Records where the stream of the call began, if an event of it has arrived.
+    fn record_origin(&mut self, picked: &PickedTarget, answer: &TargetAnswer) {
+        if !matches!(answer.content, Content::Events(_)) || !answer.has_begun() {
+            return;
+        }
+        let caller_time = self.admitted.call.time_limit;
+        let time_limit = caller_time.unwrap_or(self.admitted.route.time_limit);
+        let software_version = &picked.target.software_version;
+        self.origin
+            .record(&self.admitted, &self.pool, software_version, time_limit);
+    }
+
     /// Whether another target should be tried because this one answered with an error status.
     fn should_try_another(&self, answer: &TargetAnswer) -> bool {
         answer.status.is_server_error()
--- /dev/null
+++ b/crates/relay/src/call_origin.rs
@@ -0,0 +1,125 @@
+//! Where the stream of a call began, which decides where it may go on.
+
+use {
+    crate::{Reason, Refusal, StreamOrigins, admit::Admitted},
+    origins::{Origin, OriginKnowledge, OriginRecord, stream_key},
+    routes::{PoolId, Route},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Oldest confirmation of the view with which an instance trusts that it knows all versions of a
+/// pool. Longer than a watch request waits for changes.
+const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+/// Longest time for which an origin is kept after its stream began.
+const MAX_LIFETIME: Duration = Duration::from_mins(10);
+/// Time for which an origin is kept beyond the time that the caller waits.
+const LIFETIME_MARGIN: Duration = Duration::from_secs(5);
+
+/// Where the stream of a call began: the pool and software version to which it is bound.
+#[derive(Debug)]
+pub(crate) struct CallOrigin {
+    origins: Arc<StreamOrigins>,
+    origin: Option<Origin>,
+    is_recorded: bool,
+}
+
+impl CallOrigin {
+    /// Creates the origin of a call whose stream has not begun, as far as is known.
+    pub(crate) fn new(origins: Arc<StreamOrigins>) -> Self {
+        Self {
+            origins,
+            origin: None,
+            is_recorded: false,
+        }
+    }
+
+    /// Software version at which the stream must go on; `None` if it has not begun, or if it cannot
+    /// have begun at another version than the one that serves.
+    pub(crate) fn software_version(&self) -> Option<&str> {
+        let origin = self.origin.as_ref()?;
+        Some(origin.software_version.as_str())
+    }
+
+    /// Finds where the stream began that the call resumes, if it resumes one. Returns the pool to
+    /// which the call is bound.
+    ///
+    /// Refuses the call if that is not known while it could have been one of several versions, or if
+    /// the route does not lead to that pool any more.
+    pub(crate) async fn find(
+        &mut self,
+        admitted: &Admitted,
+        view_age: Duration,
+    ) -> Result<Option<PoolId>, Refusal> {
+        let call = &admitted.call;
+        let is_resumed = call.resumes.is_some() || call.last_event_id.is_some();
+        if !admitted.route.retry_policy.is_stream() || !is_resumed {
+            return Ok(None);
+        }
+        let is_mixed = self.origins.is_mixed(pools(&admitted.route));
+        if !is_mixed
+            && view_age <= MAX_VIEW_AGE
+            && self.origins.is_history_known(pools(&admitted.route))
+        {
+            return Ok(None);
+        }
+        let known = match &call.resumes {
+            Some(request_id) => self.origins.find(key(admitted, request_id)).await,
+            None => OriginKnowledge::Unknown,
+        };
+        match known {
+            OriginKnowledge::Known(origin) => {
+                let mut pools = pools(&admitted.route);
+                if !pools.any(|pool| *pool == origin.pool) {
+                    return Err(Reason::OriginGone.into());
+                }
+                let pool = origin.pool.clone();
+                self.origin = Some(origin);
+                Ok(Some(pool))
+            }
+            OriginKnowledge::Unknown if !is_mixed => Ok(None),
+            OriginKnowledge::Unknown | OriginKnowledge::Conflicting => {
+                Err(Reason::OriginUnknown.into())
+            }
+        }
+    }
+
+    /// Records that the stream goes on, or begins, at a target of this pool and software version.
+    /// `time_left` is the time that the caller waits.
+    pub(crate) fn record(
+        &mut self,
+        admitted: &Admitted,
+        pool: &PoolId,
+        software_version: &str,
+        time_left: Duration,
+    ) {
+        if self.is_recorded {
+            return;
+        }
+        self.is_recorded = true;
+        let origin = self.origin.get_or_insert_with(|| Origin {
+            pool: pool.clone(),
+            software_version: software_version.to_owned(),
+        });
+        let call = &admitted.call;
+        let request_id = call.resumes.as_ref().unwrap_or(&call.id);
+        let record = OriginRecord {
+            key: key(admitted, request_id),
+            origin: origin.clone(),
+            lifetime: time_left.min(MAX_LIFETIME) + LIFETIME_MARGIN,
+        };
+        let is_mixed = self.origins.is_mixed(pools(&admitted.route));
+        self.origins.begin(record, is_mixed);
+    }
+}
+
+/// Key of the stream that the attempt `request_id` of this call's client account began.
+fn key(admitted: &Admitted, request_id: &str) -> origins::StreamKey {
+    let account = admitted.account.as_ref().map(|it| it.name.as_str());
+    stream_key(account.unwrap_or_default(), request_id)
+}
+
+/// The pools to which a route sends calls.
+fn pools(route: &Route) -> impl Iterator<Item = &PoolId> {
+    let shares = route.shares.iter().filter(|share| share.weight > 0);
+    shares.map(|share| &share.pool)
+}
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -4,7 +4,7 @@
     HeaderFormat, Reason, Refusal, View,
     active_call::ActiveCall,
     boot_time,
-    pick::{PickContext, PickedTarget, pick, time_until_limits_allow},
+    pick::{PickContext, PickedTarget, has_origin, pick, time_until_limits_allow},
     target_limit::Senders,
 };
 
@@ -26,6 +26,11 @@
                     return Ok(picked);
                 }
             }
+            if let Some(version) = context.software_version
+                && !has_origin(view, &self.pool, version)
+            {
+                return Err(Some(Reason::OriginGone.into()));
+            }
             let wait = time_until_limits_allow(view, &self.pool, context);
             Err(wait.map(|wait| Refusal::new(Reason::Overloaded).retry_after(wait)))
         })
@@ -59,6 +64,7 @@
             cache_index: &cache_index,
             peer_loads: &peer_loads,
             isolated_account: self.isolated_account(),
+            software_version: self.origin.software_version(),
             senders,
         };
         choose(&view, &context)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod body_memory;
 mod boot_clock;
 mod call;
+mod call_origin;
 mod call_recorder;
 mod choose_target;
 mod discard_body;
@@ -41,6 +42,7 @@
 mod shutdown;
 mod silent_target;
 mod stream_forwarder;
+mod stream_origins;
 mod suspect_reports;
 mod target_feedback;
 mod target_limit;
@@ -58,6 +60,7 @@
     relay::{Relay, RelaySettings, RelayState},
     salt::salt_version,
     shutdown::{AnswerCutoff, Shutdown},
+    stream_origins::{OriginQuestion, OriginRequests, StreamOrigins},
     suspect_reports::SuspectReports,
     target_stats::{InFlightGuard, LimitObservation, TargetStats},
     view::{LoadedModel, TargetState, View},
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -33,6 +33,8 @@
     pub(crate) peer_loads: &'call PeerLoads,
     /// Client account, if its cached parts are kept apart from those of others.
     pub(crate) isolated_account: Option<&'call str>,
+    /// Software version that began the call's stream; no other may go on with it.
+    pub(crate) software_version: Option<&'call str>,
     /// Instances among which the limits of targets are divided.
     pub(crate) senders: Senders<'call>,
 }
@@ -71,13 +73,13 @@
 ///
 /// Targets that are paused or load weights are used only if there are no others. Even ejected
 /// targets are used as a last resort, since trying them is better than refusing the call. Never
-/// used are targets that are draining, were tried already, have outdated weights, or whose limit
-/// allows this instance no call now.
+/// used are targets that are draining, were tried already, run other software than the one that
+/// began the call's stream, have outdated weights, or whose limit allows this instance no call now.
 pub(crate) fn pick(view: &View, pool: &str, context: &PickContext<'_>) -> Option<PickedTarget> {
     let targets = view.pools.get(pool)?;
     let usable: Vec<&Arc<TargetState>> = targets
         .iter()
-        .filter(|target| !target.draining && !context.tried_targets.contains(&target.id))
+        .filter(|target| is_allowed(target, context))
         .filter(|target| !is_outdated(view, target, context))
         .filter(|target| time_until_call(target, context) == Some(Duration::ZERO))
         .collect();
@@ -117,6 +119,20 @@
     })
 }
 
+/// Whether the target takes new calls, was not tried, and may go on with the call's stream.
+fn is_allowed(target: &TargetState, context: &PickContext<'_>) -> bool {
+    let began_stream = |version: &str| target.software_version == version;
+    !target.draining
+        && !context.tried_targets.contains(&target.id)
+        && context.software_version.is_none_or(began_stream)
+}
+
+/// Whether a target of `pool` may go on with the call's stream, now or later.
+pub(crate) fn has_origin(view: &View, pool: &str, software_version: &str) -> bool {
+    let mut targets = view.pools.get(pool).into_iter().flatten();
+    targets.any(|it| !it.draining && it.software_version == software_version)
+}
+
 /// Time until the target's limit lets this instance send a call; `None` if other instances use the
 /// whole limit.
 fn time_until_call(target: &TargetState, context: &PickContext<'_>) -> Option<Duration> {
@@ -132,7 +148,7 @@
     context: &PickContext<'_>,
 ) -> Option<Duration> {
     let targets = view.pools.get(pool)?.iter();
-    let usable = targets.filter(|it| !it.draining && !context.tried_targets.contains(&it.id));
+    let usable = targets.filter(|target| is_allowed(target, context));
     let waits = usable.filter_map(|target| time_until_call(target, context));
     waits.filter(|wait| !wait.is_zero()).min()
 }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -32,6 +32,11 @@
     Overloaded,
     /// The call or a part of its prompt crashed targets, so the call is not sent to another one.
     Quarantined,
+    /// The call resumes a stream that can have begun at one of several software versions, and it is
+    /// not known at which.
+    OriginUnknown,
+    /// No target runs the software version that began the stream which the call resumes.
+    OriginGone,
     /// The time limit expired, and the call has not run.
     TooLate,
     /// The time limit expired; the call may have run.
@@ -58,6 +63,8 @@
             | Self::NoTarget
             | Self::Overloaded
             | Self::Quarantined
+            | Self::OriginUnknown
+            | Self::OriginGone
             | Self::TooLate
             | Self::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -86,6 +93,12 @@
             Self::Quarantined => {
                 "the call, or a part of its prompt, crashed several targets; change it, or come back later"
             }
+            Self::OriginUnknown => {
+                "it is not known which software version began the stream; begin it anew, without the last event's id"
+            }
+            Self::OriginGone => {
+                "no target runs the software version that began the stream; begin it anew, without the last event's id"
+            }
             Self::TooLate => "no target could be reached in time; the call has not run",
             Self::TimedOut => "the target took too long; the call may have run",
             Self::TargetFailed => "the target broke off; the call may have run",
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        Answer, AnswerCutoff, HeaderFormat, Reason, Refusal, SuspectReports, TruncatedAnswer, View,
+        Answer, AnswerCutoff, HeaderFormat, Reason, Refusal, StreamOrigins, SuspectReports,
+        TruncatedAnswer, View,
         active_call::ActiveCall,
         admit::{Admitted, admit},
         answer::{refused, streamed, whole},
@@ -75,6 +76,8 @@
     pub peer_loads: Arc<Mutex<PeerLoads>>,
     /// What calls of this instance show of prompt parts and calls that may crash targets.
     pub suspect_reports: Arc<SuspectReports>,
+    /// Where streams began that callers may take up.
+    pub stream_origins: Arc<StreamOrigins>,
     /// Signal that ends all incomplete answers when this instance stops.
     pub answer_cutoff: AnswerCutoff,
 }
@@ -188,7 +191,7 @@
         };
         let answered = tokio::select! {
             biased;
-            answered = active_call.run(&mut recorder, None) => answered,
+            answered = active_call.answer(&mut recorder) => answered,
             () = answer_cutoff.triggered() => Err(active_call.cut_refusal()),
         };
         let answer = match answered {
--- /dev/null
+++ b/crates/relay/src/stream_origins.rs
@@ -0,0 +1,167 @@
+//! The origins of streams that an instance knows, and its requests to other instances about them.
+
+use {
+    crate::{View, boot_time},
+    origins::{OriginKnowledge, OriginRecord, OriginTable, PoolVersions, StreamKey},
+    std::{
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        time::timeout,
+    },
+};
+
+/// Number of records and of questions that may wait to be sent to other instances.
+const MAX_WAITING_COUNT: usize = 4_096;
+/// Time within which other instances tell what they know of a stream.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A question to the other instances: where a stream began.
+#[derive(Debug)]
+pub struct OriginQuestion {
+    /// Key of the stream.
+    pub key: StreamKey,
+    /// Receives what they know.
+    pub answer: oneshot::Sender<OriginKnowledge>,
+}
+
+/// Receives what this instance wants other instances to keep or to tell.
+#[derive(Debug)]
+pub struct OriginRequests {
+    /// Records for the holders of their keys.
+    pub records: mpsc::Receiver<OriginRecord>,
+    /// Questions to the holders of their keys.
+    pub questions: mpsc::Receiver<OriginQuestion>,
+}
+
+/// The origins of streams that an instance knows. Another task sends its requests to other instances
+/// and keeps their records here.
+#[derive(Debug)]
+pub struct StreamOrigins {
+    state: Mutex<State>,
+    records: mpsc::Sender<OriginRecord>,
+    questions: mpsc::Sender<OriginQuestion>,
+    requests: tokio::sync::Mutex<OriginRequests>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    table: OriginTable,
+    pool_versions: PoolVersions,
+}
+
+impl Default for StreamOrigins {
+    fn default() -> Self {
+        let (record_sender, records) = mpsc::channel(MAX_WAITING_COUNT);
+        let (question_sender, questions) = mpsc::channel(MAX_WAITING_COUNT);
+        Self {
+            state: Mutex::default(),
+            records: record_sender,
+            questions: question_sender,
+            requests: tokio::sync::Mutex::new(OriginRequests { records, questions }),
+        }
+    }
+}
+
+impl StreamOrigins {
+    /// Waits for the requests of this instance, which one task handles at a time.
+    pub async fn requests(&self) -> tokio::sync::MutexGuard<'_, OriginRequests> {
+        self.requests.lock().await
+    }
+
+    /// Takes over the software versions of the targets in `view`. Sends the records of this
+    /// instance's streams in the pools that have more than one version from now on.
+    pub fn observe(&self, view: &View) {
+        let now = boot_time();
+        let pools = view.pools.iter();
+        let targets = pools.flat_map(|(pool, targets)| {
+            let versions = targets.iter().map(|it| it.software_version.as_str());
+            versions.map(|version| (pool.as_str(), version))
+        });
+        let mut state = self.lock();
+        for pool in state.pool_versions.observe(targets, now) {
+            let records = state.table.own_records(&pool, now);
+            log::info!(
+                "pool {pool} has several software versions; sending the origins of {} streams",
+                records.len()
+            );
+            for record in records {
+                self.send(record);
+            }
+        }
+    }
+
+    /// Whether streams of these pools can have begun at more than one pool or software version.
+    pub(crate) fn is_mixed<'pool, Pools>(&self, pools: Pools) -> bool
+    where
+        Pools: Iterator<Item = &'pool String>,
+    {
+        self.lock().pool_versions.is_mixed(pools, boot_time())
+    }
+
+    /// Whether it is certain, if [`StreamOrigins::is_mixed`] says no.
+    pub(crate) fn is_history_known<'pool, Pools>(&self, pools: Pools) -> bool
+    where
+        Pools: Iterator<Item = &'pool String>,
+    {
+        self.lock()
+            .pool_versions
+            .is_history_known(pools, boot_time())
+    }
+
+    /// Keeps the origin of a stream whose first event this instance passes on. If `is_sent`, other
+    /// instances keep it as well.
+    pub(crate) fn begin(&self, record: OriginRecord, is_sent: bool) {
+        self.lock().table.record(&record, true, boot_time());
+        if is_sent {
+            self.send(record);
+        }
+    }
+
+    /// What is known of the origin of a stream, here or at the instances that keep it.
+    pub(crate) async fn find(&self, key: StreamKey) -> OriginKnowledge {
+        let known = self.known(key);
+        if known != OriginKnowledge::Unknown {
+            return known;
+        }
+        let (answer, answered) = oneshot::channel();
+        if let Err(error) = self.questions.try_send(OriginQuestion { key, answer }) {
+            log::warn!("cannot ask where a stream began, it counts as unknown: {error}");
+            return OriginKnowledge::Unknown;
+        }
+        match timeout(ANSWER_TIMEOUT, answered).await {
+            Ok(Ok(known)) => known,
+            // Nobody has told in time, or nobody is there to ask.
+            Ok(Err(_)) | Err(_) => OriginKnowledge::Unknown,
+        }
+    }
+
+    /// What this instance itself knows of the origin of a stream.
+    #[must_use]
+    pub fn known(&self, key: StreamKey) -> OriginKnowledge {
+        self.lock().table.origin(key, boot_time())
+    }
+
+    /// Keeps the record of another instance.
+    pub fn hold(&self, record: &OriginRecord) {
+        self.lock().table.record(record, false, boot_time());
+    }
+
+    /// Number of streams whose origin is kept.
+    #[must_use]
+    pub fn kept_count(&self) -> usize {
+        self.lock().table.len()
+    }
+
+    fn send(&self, record: OriginRecord) {
+        if let Err(error) = self.records.try_send(record) {
+            log::warn!("the origin of a stream is kept here only: {error}");
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -15,8 +15,8 @@
     meters::Meters,
     parts::PartDirectory,
     relay::{
-        AnswerCutoff, LoadedModel, Relay, RelaySettings, RelayState, Shutdown, SuspectReports,
-        TargetState, TargetStats, View, boot_time,
+        AnswerCutoff, LoadedModel, Relay, RelaySettings, RelayState, Shutdown, StreamOrigins,
+        SuspectReports, TargetState, TargetStats, View, boot_time,
     },
     routes::{Account, RetryPolicy, Route, RouteConfig, RouteTable},
     scripted_target::ScriptedTarget,
@@ -36,12 +36,40 @@
 /// A listening relay and the state that it depends on.
 pub struct TestRelay {
     pub address: SocketAddr,
-    pub view: Arc<ArcSwap<View>>,
+    pub view: WatchedView,
     pub cache_index: Arc<Mutex<PartDirectory>>,
     pub answer_cutoff: AnswerCutoff,
     pub suspect_reports: Arc<SuspectReports>,
 }
 
+/// The view of a relay, whose changes the relay's origins of streams are told of.
+pub struct WatchedView {
+    view: Arc<ArcSwap<View>>,
+    stream_origins: Arc<StreamOrigins>,
+}
+
+impl WatchedView {
+    fn new(view: View) -> Self {
+        let watched = Self {
+            view: Arc::default(),
+            stream_origins: Arc::default(),
+        };
+        watched.store(Arc::new(view));
+        watched
+    }
+
+    /// The current view.
+    pub fn load(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Replaces the view.
+    pub fn store(&self, view: Arc<View>) {
+        self.stream_origins.observe(&view);
+        self.view.store(view);
+    }
+}
+
 /// Routes `/idempotent/`, `/once/`, `/stream/`, `/resumable/` and `/gapped/` to one pool.
 pub fn routes() -> Vec<Route> {
     let route = |name: &str, retry_policy| {
@@ -113,7 +141,7 @@
 
     /// Starts a relay in front of `targets` with this retry budget.
     pub async fn start_with(targets: &[&ScriptedTarget], retry_bounds: RetryBounds) -> Self {
-        let view = Arc::new(ArcSwap::from_pointee(view(targets)));
+        let view = WatchedView::new(view(targets));
         let cache_index = Arc::new(Mutex::new(PartDirectory::default()));
         let answer_cutoff = AnswerCutoff::default();
         let suspect_reports = Arc::<SuspectReports>::default();
@@ -127,7 +155,8 @@
             TestHeaderFormat,
             Client::new(ClientSettings::default()),
             RelayState {
-                view: view.clone(),
+                view: view.view.clone(),
+                stream_origins: view.stream_origins.clone(),
                 cache_index: cache_index.clone(),
                 answer_cutoff: answer_cutoff.clone(),
                 suspect_reports: suspect_reports.clone(),
