Streams are not taken up by a target that may have restarted with other software

Cause: the version of a registration was believed although a connection to the target had failed since. Change: after a failed connection, a stream bound to a version does not go on at that target until the key-value service has confirmed the registrations 2.5 s later, or a new registration has come. The test failed before (200 from the restarted target).

--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -79,7 +79,7 @@
     let targets = view.pools.get(pool)?;
     let usable: Vec<&Arc<TargetState>> = targets
         .iter()
-        .filter(|target| is_allowed(target, context))
+        .filter(|target| is_allowed(view, target, context))
         .filter(|target| !is_outdated(view, target, context))
         .filter(|target| time_until_call(target, context) == Some(Duration::ZERO))
         .collect();
@@ -120,8 +120,11 @@
 }
 
 /// Whether the target takes new calls, was not tried, and may go on with the call's stream.
-fn is_allowed(target: &TargetState, context: &PickContext<'_>) -> bool {
-    let began_stream = |version: &str| target.software_version == version;
+fn is_allowed(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
+    let began_stream = |version: &str| {
+        target.software_version == version
+            && !target.call_stats.may_have_restarted(view.confirmed_at)
+    };
     !target.draining
         && !context.tried_targets.contains(&target.id)
         && context.software_version.is_none_or(began_stream)
@@ -148,7 +151,7 @@
     context: &PickContext<'_>,
 ) -> Option<Duration> {
     let targets = view.pools.get(pool)?.iter();
-    let usable = targets.filter(|target| is_allowed(target, context));
+    let usable = targets.filter(|target| is_allowed(view, target, context));
     let waits = usable.filter_map(|target| time_until_call(target, context));
     waits.filter(|wait| !wait.is_zero()).min()
 }
--- a/crates/relay/src/silent_target.rs
+++ b/crates/relay/src/silent_target.rs
@@ -4,6 +4,7 @@
     crate::{
         HeaderFormat, InFlightGuard,
         active_call::{ActiveCall, MAX_TRIED_TARGETS_COUNT, MIN_TIME_LEFT},
+        boot_time,
     },
     std::{
         sync::atomic::Ordering,
@@ -65,6 +66,13 @@
         }
     }
 
+    /// Records that the connection to the present target failed.
+    pub(crate) fn record_disconnect(&self) {
+        if let Some(in_flight) = &self.in_flight {
+            in_flight.call_stats().record_disconnect(boot_time());
+        }
+    }
+
     /// When the call was sent to its present target; `None` before that, and once the target has
     /// refused it.
     pub(crate) fn sent_at(&self) -> SentAt {
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -89,6 +89,7 @@
                 },
                 Err(error) => {
                     self.end_attempt(format!("torn: {error}"));
+                    self.call.record_disconnect();
                     self.call.record_identity(&mut self.recorder);
                     self.resume().await?;
                     self.read().await?
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -18,6 +18,9 @@
 /// has ended may be older than the answer.
 const LIMIT_END_DELAY: Duration = Duration::from_millis(500);
 
+/// Time from the restart of a target under its id until its new registration is known.
+const RESTART_NEWS_TIME: Duration = Duration::from_millis(2_500);
+
 /// What a target's last answer to this instance said of a limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitObservation {
@@ -50,6 +53,8 @@
     answered_at: Option<Duration>,
     /// Whether an answer has stated a limit that is no number.
     has_stated_invalid_limit: bool,
+    /// When a connection to the target last failed, by [`crate::boot_time`].
+    disconnected_at: Option<Duration>,
 }
 
 impl Observations {
@@ -104,6 +109,20 @@
         self.lock().start_delay.expected(now)
     }
 
+    /// Records that a connection to the target failed at `now`, by [`crate::boot_time`]: it may have
+    /// restarted with other software.
+    pub(crate) fn record_disconnect(&self, now: Duration) {
+        self.lock().disconnected_at = Some(now);
+    }
+
+    /// Whether the target may have restarted since its registration was read. `confirmed_at` is when
+    /// the key-value service last confirmed that the registrations are current.
+    #[must_use]
+    pub(crate) fn may_have_restarted(&self, confirmed_at: Duration) -> bool {
+        let disconnected_at = self.lock().disconnected_at;
+        disconnected_at.is_some_and(|at| confirmed_at < at + RESTART_NEWS_TIME)
+    }
+
     /// Pauses the target until `until`, for example while it loads weights.
     pub fn pause(&self, until: Duration) {
         let mut observations = self.lock();
--- a/crates/relay/tests/software_versions.rs
+++ b/crates/relay/tests/software_versions.rs
@@ -175,3 +175,21 @@
     assert_eq!(response.status, 503, "{response:?}");
     assert_eq!(one.arrived().len() + two.arrived().len(), 0);
 }
+
+#[tokio::test]
+async fn stream_is_not_taken_up_by_its_target_that_may_have_restarted_with_other_software() {
+    let first = ScriptedTarget::start("first", vec![torn(), rest()]).await;
+    let first = first.software("v1");
+    let other = successor("other", "v2").await;
+    let relay = TestRelay::start(&[&first]).await;
+    let both = support::view(&[&first, &other]);
+    let mut only_first = both.clone();
+    only_first.pools.get_mut("pool").unwrap().truncate(1);
+    relay.view.store(Arc::new(only_first));
+    caller::call(relay.address, "/resumable/7", "").await;
+    relay.view.store(Arc::new(both));
+    let headers = "resumes: c1\r\nlast-event-id: 1\r\n";
+    let response = caller::call(relay.address, "/resumable/7", headers).await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!((first.arrived().len(), other.arrived().len()), (1, 0));
+}
