--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -45,6 +45,8 @@
     pub request_id: String,
     /// Id of the caller's attempt whose stream the call resumes; empty if it resumes none.
     pub resumes: String,
+    /// Software version at which that stream began; empty if it is not known or needs not be.
+    pub origin_version: String,
     /// Route; empty if none matched.
     pub route: String,
     /// Client account; empty if none was identified.
--- a/crates/eventlog/src/trace.rs
+++ b/crates/eventlog/src/trace.rs
@@ -174,6 +174,13 @@
             call["instances_count"],
             call["time_limit_ms"],
         );
+        if call["resumes"].as_str().is_some_and(|id| !id.is_empty()) {
+            let _ = writeln!(
+                text,
+                "  it resumes the stream of {}, begun at software version {}",
+                call["resumes"], call["origin_version"],
+            );
+        }
         for line in &self.state_events {
             let age_ms = self
                 .time_ms
@@ -183,10 +190,11 @@
         for attempt in call["attempts"].as_array().into_iter().flatten() {
             let _ = writeln!(
                 text,
-                "  +{} ms: target {}, of {}, with {} calls under way; fetch {}, save {}, read {} \
+                "  +{} ms: target {} (software {}), of {}, with {} calls under way; fetch {}, save {}, read {} \
                  tokens: {}",
                 attempt["at_ms"],
                 attempt["target"],
+                attempt["software_version"],
                 attempt["candidates_count"],
                 attempt["in_flight_count"],
                 attempt["fetch_tokens"],
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -167,6 +167,8 @@
         if let Some(pool) = self.origin.find(&self.admitted, view_age).await? {
             self.pool = pool;
         }
+        let origin_version = self.origin.software_version().unwrap_or_default();
+        origin_version.clone_into(&mut recorder.line.origin_version);
         self.run(recorder, None).await
     }
 
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -197,6 +197,9 @@
         }
         self.record_answer_time();
         self.meters.count("calls", self.line.outcome);
+        if !self.line.resumes.is_empty() {
+            self.meters.count("resumed_streams", self.line.outcome);
+        }
         self.meters.time("call", took);
         if self.line.first_byte_ms > 0 {
             let first_byte = Duration::from_millis(self.line.first_byte_ms);
