--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -13,14 +13,21 @@
         StatedLimit,
     },
     routes::{Account, RetryPolicy, Route, RouteConfig},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
 };
 
 /// Plain-text formats. The keys are `operators/configuration` (value: a version),
 /// `operators/version/MODEL` (a version) and `targets/NAME` (`ADDRESS VERSION`, and
 /// the version of its software if there is one).
-#[derive(Clone, Copy, Debug)]
-pub struct Formats;
+#[derive(Clone, Debug, Default)]
+pub struct Formats {
+    /// Address at which the instance finds every target in place of its own, while it is cut off.
+    pub unreachable: Arc<Mutex<Option<SocketAddr>>>,
+}
 
 /// Ids of the parts of a prompt, from the header `parts`.
 pub fn prompt_parts(headers: &HeaderMap) -> Option<Vec<String>> {
@@ -124,7 +131,9 @@
             _ => {
                 let mut fields = text.split(' ');
                 let (address, version) = (fields.next().unwrap(), fields.next().unwrap());
-                let mut entry = TargetRegistration::new("pool", address.parse().unwrap());
+                let unreachable = *self.unreachable.lock().unwrap();
+                let address = unreachable.unwrap_or_else(|| address.parse().unwrap());
+                let mut entry = TargetRegistration::new("pool", address);
                 entry.models = vec![LoadedModel {
                     model: "m".to_owned(),
                     version: version.parse().unwrap(),
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -38,6 +38,8 @@
     pub settings: Settings,
     pub stop: CancellationToken,
     pub ended: JoinHandle<Result<(), entry::StartError>>,
+    /// Address at which the instance finds every target while it is cut off.
+    pub unreachable: Arc<Mutex<Option<SocketAddr>>>,
     lines: Lines,
 }
 
@@ -121,7 +123,9 @@
         let stop = CancellationToken::new();
         let lines = Lines::default();
         let log = EventLog::start(lines.clone());
-        let run = entry::run(settings.clone(), kv, Formats, log, stop.clone());
+        let formats = Formats::default();
+        let unreachable = formats.unreachable.clone();
+        let run = entry::run(settings.clone(), kv, formats, log, stop.clone());
         let ended = tokio::spawn(async move {
             let ended = run.await;
             if let Err(error) = &ended {
@@ -133,6 +137,7 @@
             settings,
             stop,
             ended,
+            unreachable,
             lines,
         }
     }
