--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -23,6 +23,7 @@
 mod health;
 mod limit_share;
 mod peer_loads;
+mod reachability;
 pub mod rendezvous;
 mod retry_budget_share;
 mod start_delay;
@@ -34,6 +35,7 @@
     health::{CallOutcome, Health},
     limit_share::{LimitShare, limit_part},
     peer_loads::{PeerLoads, TargetLoad},
+    reachability::Reachability,
     retry_budget_share::{RetryBounds, RetryBudgetShare},
     start_delay::StartDelay,
 };
--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -75,6 +75,9 @@
     /// Address at which other instances read its feed of stores and engines.
     #[serde(default)]
     pub feed: Option<SocketAddr>,
+    /// Address at which it answers calls of other instances.
+    #[serde(default)]
+    pub peer_calls: Option<SocketAddr>,
 }
 
 /// The holder of the order lock.
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -9,7 +9,7 @@
     balance::rendezvous,
     catalog::{InstanceId, ModelId, Revision, TargetId},
     quarantine::{Quarantine, SuspectKey},
-    relay::{Shutdown, TargetState, TargetStats, View, WantedVersions},
+    relay::{Peer, Shutdown, TargetState, TargetStats, View, WantedVersions},
     routes::RouteTable,
     std::{
         collections::{BTreeMap, HashMap},
@@ -339,6 +339,14 @@
         let ready_members = self.members.values().filter(|member| member.record.ready);
         let instance_seeds: Arc<[u64]> = ready_members.map(|member| member.seed).collect();
         let instances_count = instance_seeds.len().max(1);
+        let peers = self.members.iter().filter_map(|(name, member)| {
+            let address = member.record.peer_calls?;
+            member.record.ready.then(|| Peer {
+                name: name.clone(),
+                seed: member.seed,
+                address,
+            })
+        });
         View {
             route_table: self.table.clone(),
             pools,
@@ -351,6 +359,7 @@
             quarantine: self.quarantine.clone(),
             instances_count: u32::try_from(instances_count).unwrap_or(u32::MAX),
             instance_seeds,
+            peers: peers.collect(),
             confirmed_at: self.confirmed_at.unwrap_or(now),
             shutdown: self.shutdown(),
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -44,6 +44,7 @@
 mod start;
 mod suspects;
 mod suspension_detector;
+mod target_probe;
 
 pub use {
     item::{
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -113,6 +113,7 @@
         failure_domain: shared.settings.failure_domain.clone(),
         ready,
         feed: Some(shared.settings.feed_listen),
+        peer_calls: shared.settings.peer_listen,
     };
     let value = serde_json::to_vec(&record).map_err(|error| KvError::Refused {
         reason: error.to_string(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -47,6 +47,7 @@
     ready_listen: SocketAddr,
     directory_listen: SocketAddr,
     feed_listen: SocketAddr,
+    peer_listen: Option<SocketAddr>,
     metrics_listen: Option<SocketAddr>,
     kv_endpoint: SocketAddr,
     memory_mb: f64,
@@ -78,6 +79,9 @@
     pub directory_listen: SocketAddr,
     /// Address at which other instances read this one's feed of stores and engines.
     pub feed_listen: SocketAddr,
+    /// Address at which this instance answers the calls of other instances that cannot reach targets;
+    /// `None` answers none.
+    pub peer_listen: Option<SocketAddr>,
     /// Address that serves metrics; `None` disables it.
     pub metrics_listen: Option<SocketAddr>,
     /// Address of the key-value service.
@@ -142,6 +146,7 @@
             ready_listen: raw.ready_listen,
             directory_listen: raw.directory_listen,
             feed_listen: raw.feed_listen,
+            peer_listen: raw.peer_listen,
             metrics_listen: raw.metrics_listen,
             kv_endpoint: raw.kv_endpoint,
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -8,13 +8,13 @@
         listener::{self, FLUSH_TIME, ListenerControl},
         membership, orders, origin_exchange, peer_watch, place_watch, recent_versions,
         shared::Shared,
-        suspects,
+        suspects, target_probe,
     },
     eventlog::{Event, EventLog},
     feed::Feed,
     hyper::{Request, body::Incoming},
     keyvalue::KeyValue,
-    relay::{Relay, RelaySettings, boot_time},
+    relay::{CallSource, Relay, RelaySettings, boot_time},
     routes::CallLimits,
     snafu::{ResultExt, Snafu},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
@@ -102,10 +102,8 @@
     let readiness_listener = listen(settings.ready_listen).await?;
     let directory_listener = listen(settings.directory_listen).await?;
     let feed_listener = Arc::new(listen(settings.feed_listen).await?);
-    let metrics_listener = match settings.metrics_listen {
-        Some(address) => Some(listen(address).await?),
-        None => None,
-    };
+    let peer_listener = listen_if_set(settings.peer_listen).await?;
+    let metrics_listener = listen_if_set(settings.metrics_listen).await?;
     let shared = Arc::new(Shared::new(settings, kv, format, log));
     let control_stop = CancellationToken::new();
     let control = tokio::spawn(run_on_thread(
@@ -114,11 +112,18 @@
     ));
     let mut servers = JoinSet::new();
     let stop_accepting = CancellationToken::new();
-    servers.spawn(serve_calls(
-        shared.clone(),
-        call_listener,
-        stop_accepting.clone(),
-    ));
+    let relay = relay(&shared);
+    let call_listeners = [(call_listener, CallSource::Caller)].into_iter();
+    let peer_listeners = peer_listener.map(|listener| (listener, CallSource::Instance));
+    for (listener, source) in call_listeners.chain(peer_listeners) {
+        servers.spawn(serve_calls(
+            shared.clone(),
+            relay.clone(),
+            listener,
+            source,
+            stop_accepting.clone(),
+        ));
+    }
     for listener in [readiness_listener, directory_listener]
         .into_iter()
         .chain(metrics_listener)
@@ -250,6 +255,7 @@
     let (for_peers, own_feed) = (shared.clone(), shared.feed.clone());
     let (for_recent_versions, for_suspects) = (shared.clone(), shared.clone());
     let (for_limits, for_origins) = (shared.clone(), shared.clone());
+    let for_probes = shared.clone();
     let tree = Supervisor::new("control").restart_limit(limit);
     tree.child(Child::new("follower", move |token| {
         follower::follow(for_follower.clone(), token)
@@ -275,6 +281,9 @@
     .child(Child::new("origins", move |token| {
         origin_exchange::run(for_origins.clone(), token)
     }))
+    .child(Child::new("target probes", move |token| {
+        target_probe::run(for_probes.clone(), token)
+    }))
     .child(Child::new("feed", move |token| {
         serve_feed(feed_listener.clone(), own_feed.clone(), token)
     }))
@@ -304,12 +313,9 @@
     Client::new(settings)
 }
 
-async fn serve_calls<Kv, Format>(
-    shared: Arc<Shared<Kv, Format>>,
-    listener: TcpListener,
-    stop: CancellationToken,
-) where
-    Kv: KeyValue,
+/// Creates the relay that answers the calls of callers and of other instances.
+fn relay<Kv, Format>(shared: &Shared<Kv, Format>) -> Relay<Format>
+where
     Format: Platform,
 {
     let settings = &shared.settings;
@@ -320,14 +326,27 @@
         stale_weights_grace: settings.version_bound.mul_f64(OLD_WEIGHTS_SHARE),
         max_buffered_bytes: settings.memory_bytes / 4,
     };
-    let relay = Relay::new(
+    Relay::new(
         relay_settings,
         shared.format.clone(),
         client(),
         shared.relay_state.clone(),
         shared.log.clone(),
         shared.meters.clone(),
-    );
+    )
+}
+
+async fn serve_calls<Kv, Format>(
+    shared: Arc<Shared<Kv, Format>>,
+    relay: Relay<Format>,
+    listener: TcpListener,
+    source: CallSource,
+    stop: CancellationToken,
+) where
+    Kv: KeyValue,
+    Format: Platform,
+{
+    let settings = &shared.settings;
     let descriptors = f64::from(u32::try_from(settings.max_descriptors_count).unwrap_or(u32::MAX));
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let max_connections_count = (descriptors * CALLER_DESCRIPTORS_SHARE) as usize;
@@ -348,7 +367,7 @@
         limits,
         move |request: Request<Incoming>| {
             let relay = relay.clone();
-            async move { relay.serve(request).await }
+            async move { relay.serve(request, source).await }
         },
     )
     .await;
@@ -385,6 +404,13 @@
     .await;
 }
 
+async fn listen_if_set(address: Option<SocketAddr>) -> Result<Option<TcpListener>, StartError> {
+    match address {
+        Some(address) => listen(address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -247,6 +247,7 @@
             failure_domain: "d".to_owned(),
             ready,
             feed: None,
+            peer_calls: None,
         };
         known.put(name, Item::Member(record), 1, START);
     }
@@ -259,6 +260,7 @@
         failure_domain: "a".to_owned(),
         ready,
         feed: None,
+        peer_calls: None,
     })
 }
 
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -47,6 +47,10 @@
     pub resumes: String,
     /// Software version at which that stream began; empty if it is not known or needs not be.
     pub origin_version: String,
+    /// Whether another instance passed the call on, since it could not reach the targets.
+    pub is_forwarded: bool,
+    /// Instance to which the call was passed on last for that reason; empty if to none.
+    pub forwarded_to: String,
     /// Route; empty if none matched.
     pub route: String,
     /// Client account; empty if none was identified.
--- a/crates/eventlog/src/trace.rs
+++ b/crates/eventlog/src/trace.rs
@@ -174,6 +174,12 @@
             call["instances_count"],
             call["time_limit_ms"],
         );
+        if call["is_forwarded"] == true {
+            let _ = writeln!(text, "  another instance passed it on");
+        }
+        if let Some(peer) = call["forwarded_to"].as_str().filter(|it| !it.is_empty()) {
+            let _ = writeln!(text, "  it passed the call on to {peer}");
+        }
         if call["resumes"].as_str().is_some_and(|id| !id.is_empty()) {
             let _ = writeln!(
                 text,
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
-        HeaderFormat, InFlightGuard, Reason, Refusal,
+        CallSource, HeaderFormat, InFlightGuard, Peer, Reason, Refusal,
         admit::Admitted,
         attempt::{AttemptOutcome, AttemptParams, Content, TargetAnswer, attempt},
         body_memory::BodyPermit,
         boot_time,
         call_origin::CallOrigin,
         call_recorder::CallRecorder,
+        peer_caller::PeerCall,
         pick::PickedTarget,
         quarantined_calls::part_keys,
         relay::Inner,
@@ -68,6 +69,10 @@
     pub(crate) tried_targets: Vec<TargetId>,
     /// Number of targets that ran the call or may have run it.
     pub(crate) may_have_run_count: u32,
+    /// Whether another instance may reach the call's targets if this one does not.
+    has_other_way: bool,
+    /// Number of targets tried to which no connection could be opened.
+    unreachable_count: usize,
     /// Counts the call as in flight at the current target.
     pub(crate) in_flight: Option<InFlightGuard>,
     /// Whether a retry was taken from the budget for a silent target that is given up.
@@ -108,6 +113,8 @@
             origin,
             tried_targets: Vec::new(),
             may_have_run_count: 0,
+            has_other_way: false,
+            unreachable_count: 0,
             in_flight: None,
             has_reserved_retry: AtomicBool::new(false),
             sent_at: watch::Sender::default(),
@@ -157,12 +164,65 @@
             .try_retry(&self.pool, instances_count, now)
     }
 
-    /// Answers the call. A call that resumes a stream goes to the pool and software version that
-    /// began it.
+    /// Answers the call, or has another instance answer it if this one reaches none of its targets.
     pub(crate) async fn answer(
         &mut self,
         recorder: &mut CallRecorder,
+        source: CallSource,
     ) -> Result<TargetAnswer, Refusal> {
+        let peers = match source {
+            CallSource::Caller => self.peers(),
+            CallSource::Instance => Vec::new(),
+        };
+        self.has_other_way = !peers.is_empty() || source == CallSource::Instance;
+        let answered = if self.is_cut_off() {
+            Err(Refusal::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER))
+        } else {
+            self.answer_here(recorder).await
+        };
+        if answered.is_ok() || peers.is_empty() || !self.has_reached_no_target() {
+            return answered;
+        }
+        let call = PeerCall {
+            id: &self.admitted.call.id,
+            head: &self.head,
+            body: &self.body,
+            deadline: self.deadline(),
+            is_stream: self.retry_policy().is_stream(),
+            answer_memory: &self.inner.answer_memory,
+        };
+        let (peer_caller, format) = (&self.inner.peer_caller, &self.inner.header_format);
+        peer_caller.answer(format, &call, peers, recorder).await
+    }
+
+    /// The other instances that answer calls for this one.
+    fn peers(&self) -> Vec<Peer> {
+        let view = self.inner.state.view();
+        let own_seed = self.inner.settings.instance_seed;
+        let others = view.peers.iter().filter(|peer| peer.seed != own_seed);
+        others.cloned().collect()
+    }
+
+    /// Whether this instance reaches none of the call's targets, and somebody else may.
+    fn is_cut_off(&self) -> bool {
+        let state = &self.inner.state;
+        self.has_other_way && state.reachability.is_cut_off(&state.view(), &self.pool)
+    }
+
+    /// Whether the call got to no target because none could be reached.
+    fn has_reached_no_target(&self) -> bool {
+        let is_unreached = self.unreachable_count == self.tried_targets.len();
+        is_unreached && (self.unreachable_count > 0 || self.is_cut_off())
+    }
+
+    /// When the time limit of the call passes.
+    pub(crate) fn deadline(&self) -> Instant {
+        self.arrived + self.time_limit()
+    }
+
+    /// Has targets answer the call. A call that resumes a stream goes to the pool and software
+    /// version that began it.
+    async fn answer_here(&mut self, recorder: &mut CallRecorder) -> Result<TargetAnswer, Refusal> {
         let view_age = self.inner.state.view().age();
         if let Some(pool) = self.origin.find(&self.admitted, view_age).await? {
             self.pool = pool;
@@ -209,6 +269,9 @@
                 last_refusal = refusal;
                 break;
             }
+            if self.has_reached_no_target() && self.is_cut_off() {
+                break;
+            }
             let picked = match self.choose_target() {
                 Ok(picked) => picked,
                 Err(refusal) => {
@@ -227,6 +290,9 @@
                 record_limit(&picked, metadata);
             }
             self.record_attempt(&picked, &outcome);
+            if matches!(outcome, AttemptOutcome::NotSent(_)) {
+                self.unreachable_count += 1;
+            }
             if matches!(outcome, AttemptOutcome::Unknown { .. }) {
                 self.record_identity(recorder);
             }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -24,6 +24,8 @@
     Whole(Bytes),
     /// An event stream whose first event has arrived.
     Events(Box<EventStream>),
+    /// An event stream that another instance passes on.
+    Forwarded(Box<Reply>),
 }
 
 /// An answer from a target.
@@ -43,7 +45,7 @@
     /// Whether the target has begun to answer the call: with the whole body, or with an event.
     pub(crate) fn has_begun(&self) -> bool {
         let has_content = match &self.content {
-            Content::Whole(_) => true,
+            Content::Whole(_) | Content::Forwarded(_) => true,
             Content::Events(events) => events.has_first_event(),
         };
         has_content && self.status.is_success()
@@ -210,7 +212,7 @@
             .await
             .map(|events| Content::Events(Box::new(events)))
     } else {
-        read_whole(&mut reply, params, time_left)
+        read_whole(&mut reply, params.answer_memory, time_left)
             .await
             .map(Content::Whole)
     };
@@ -226,9 +228,9 @@
 }
 
 /// Reads a whole body within `time_left` and the memory for answers.
-async fn read_whole<Timeout>(
+pub(crate) async fn read_whole(
     reply: &mut Reply,
-    params: &AttemptParams<'_, Timeout>,
+    answer_memory: &BodyMemory,
     time_left: Duration,
 ) -> Result<Bytes, SendError> {
     let address = reply.address();
@@ -237,7 +239,7 @@
         reason: "there is no memory for the answer".to_owned(),
         disconnected: false,
     };
-    let mut permit = params.answer_memory.reserve(0).ok_or_else(no_memory)?;
+    let mut permit = answer_memory.reserve(0).ok_or_else(no_memory)?;
     reply
         .body_with(time_left, |length| {
             let has_memory = permit.resize(length);
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -197,6 +197,12 @@
         }
         self.record_answer_time();
         self.meters.count("calls", self.line.outcome);
+        if self.line.is_forwarded {
+            self.meters.count("forwarded_calls", "received");
+        }
+        if !self.line.forwarded_to.is_empty() {
+            self.meters.count("forwarded_calls", "sent");
+        }
         if !self.line.resumes.is_empty() {
             self.meters.count("resumed_streams", self.line.outcome);
         }
--- a/crates/relay/src/header_format.rs
+++ b/crates/relay/src/header_format.rs
@@ -70,6 +70,10 @@
     /// without those that only the system may set, plus those for `metadata`.
     fn target_headers(&self, headers: &HeaderMap, metadata: &OutboundMetadata) -> HeaderMap;
 
+    /// Headers of the same call to another instance, which handles it as its own caller's: the
+    /// caller's headers without connection headers, and with the time left.
+    fn peer_headers(&self, headers: &HeaderMap, time_left: Duration) -> HeaderMap;
+
     /// Parses the headers of a target's answer.
     fn parse_reply(&self, headers: &HeaderMap) -> ReplyMetadata;
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,8 +31,10 @@
 mod discard_body;
 mod ending_calls;
 mod event_stream;
+mod forwarded_stream;
 mod header_format;
 mod outbound_metadata;
+mod peer_caller;
 mod pick;
 mod quarantined_calls;
 mod refusal;
@@ -46,6 +48,7 @@
 mod suspect_reports;
 mod target_feedback;
 mod target_limit;
+mod target_reachability;
 mod target_stats;
 mod view;
 mod wanted_versions;
@@ -57,12 +60,13 @@
     call::{BadCall, Call, Part, PartId, Prompt},
     header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata, StatedLimit},
     refusal::{Reason, Refusal},
-    relay::{Relay, RelaySettings, RelayState},
+    relay::{CallSource, Relay, RelaySettings, RelayState},
     salt::salt_version,
     shutdown::{AnswerCutoff, Shutdown},
     stream_origins::{OriginQuestion, OriginRequests, StreamOrigins},
     suspect_reports::SuspectReports,
+    target_reachability::TargetReachability,
     target_stats::{InFlightGuard, LimitObservation, TargetStats},
-    view::{LoadedModel, TargetState, View},
+    view::{LoadedModel, Peer, TargetState, View},
     wanted_versions::{WantedVersion, WantedVersions},
 };
--- /dev/null
+++ b/crates/relay/src/peer_caller.rs
@@ -0,0 +1,203 @@
+//! Has another instance answer a call whose targets this one cannot reach.
+
+use {
+    crate::{
+        HeaderFormat, Peer, Reason, Refusal,
+        attempt::{Content, TargetAnswer, read_whole},
+        body_memory::BodyMemory,
+        call_recorder::CallRecorder,
+    },
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{
+        Request, StatusCode,
+        header::{CONTENT_LENGTH, RETRY_AFTER},
+        http::request,
+    },
+    std::{
+        collections::HashMap,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    target::{Client, Reply, Reuse, SendError},
+};
+
+/// Number of instances that are asked to answer one call.
+const MAX_PEERS_COUNT: usize = 3;
+/// Time for which others are preferred to an instance that did not take a call.
+const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
+/// Time left below which a call is not passed on any more.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
+/// Part of the time left that is kept for the way back from the other instance.
+const RETURN_TIME: Duration = Duration::from_millis(10);
+/// Retry delay for callers if no instance reaches a target.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// Passes calls on to other instances.
+pub(crate) struct PeerCaller {
+    client: Client,
+    /// When an instance last did not take a call, by its seed.
+    refused_at: Mutex<HashMap<u64, Instant>>,
+}
+
+/// A call as it is passed on.
+pub(crate) struct PeerCall<'call> {
+    /// Request id, which the answer must carry.
+    pub(crate) id: &'call str,
+    /// Head as the caller sent it.
+    pub(crate) head: &'call request::Parts,
+    /// Whole body.
+    pub(crate) body: &'call Bytes,
+    /// When the caller stops waiting.
+    pub(crate) deadline: Instant,
+    /// Whether a successful answer is an event stream.
+    pub(crate) is_stream: bool,
+    /// Memory for an answer that is read as a whole.
+    pub(crate) answer_memory: &'call BodyMemory,
+}
+
+/// Why an instance did not answer a call.
+enum PeerFailure {
+    /// It did not take the call, which has not run; after which time it may.
+    NotTaken(Option<Duration>),
+    /// It took the call, and there is no usable answer.
+    Failed(Reason),
+}
+
+impl From<SendError> for PeerFailure {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::NotSent { .. } => Self::NotTaken(None),
+            _ => Self::Failed(Reason::TargetFailed),
+        }
+    }
+}
+
+impl PeerCaller {
+    /// Creates a caller that uses the connections of `client`.
+    pub(crate) fn new(client: Client) -> Self {
+        Self {
+            client,
+            refused_at: Mutex::default(),
+        }
+    }
+
+    /// Passes a call on to one of `peers` after another until one takes it. Refuses it if none does.
+    pub(crate) async fn answer<Format>(
+        &self,
+        header_format: &Format,
+        call: &PeerCall<'_>,
+        peers: Vec<Peer>,
+        recorder: &mut CallRecorder,
+    ) -> Result<TargetAnswer, Refusal>
+    where
+        Format: HeaderFormat,
+    {
+        let mut retry_after = NO_TARGET_RETRY_AFTER;
+        for peer in self.order(peers).into_iter().take(MAX_PEERS_COUNT) {
+            if call.time_left() < MIN_TIME_LEFT {
+                return Err(Reason::TooLate.into());
+            }
+            recorder.line.forwarded_to.clone_from(&peer.name);
+            match self.send(header_format, call, &peer).await {
+                Ok(answer) => return Ok(answer),
+                Err(PeerFailure::NotTaken(asked)) => {
+                    self.lock().insert(peer.seed, Instant::now());
+                    retry_after = asked.unwrap_or(retry_after);
+                }
+                Err(PeerFailure::Failed(reason)) => return Err(reason.into()),
+            }
+        }
+        Err(Refusal::new(Reason::NoTarget).retry_after(retry_after))
+    }
+
+    /// Orders instances by chance, with those last that did not take a call lately.
+    fn order(&self, mut peers: Vec<Peer>) -> Vec<Peer> {
+        let mut refused_at = self.lock();
+        refused_at.retain(|_, refused_at| refused_at.elapsed() < REFUSAL_PAUSE);
+        peers.sort_by_cached_key(|peer| {
+            (refused_at.contains_key(&peer.seed), rand::random::<u64>())
+        });
+        peers
+    }
+
+    async fn send<Format>(
+        &self,
+        header_format: &Format,
+        call: &PeerCall<'_>,
+        peer: &Peer,
+    ) -> Result<TargetAnswer, PeerFailure>
+    where
+        Format: HeaderFormat,
+    {
+        let time_left = call.time_left();
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.head.method.clone();
+        *request.uri_mut() = call.head.uri.clone();
+        let peer_time = time_left.saturating_sub(RETURN_TIME);
+        *request.headers_mut() = header_format.peer_headers(&call.head.headers, peer_time);
+        let sent = self
+            .client
+            .send(peer.address, request, Reuse::Allowed, time_left);
+        read_answer(header_format, call, sent.await?).await
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, Instant>> {
+        self.refused_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PeerCall<'_> {
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Reads an answer that another instance passes on from a target. What the other instance says itself
+/// is not passed on, since its caller is this instance.
+async fn read_answer<Format>(
+    header_format: &Format,
+    call: &PeerCall<'_>,
+    mut reply: Reply,
+) -> Result<TargetAnswer, PeerFailure>
+where
+    Format: HeaderFormat,
+{
+    let (status, headers) = (reply.status(), reply.headers().clone());
+    let metadata = header_format.parse_reply(&headers);
+    if !metadata.has_proof {
+        let retry_after = headers.get(RETRY_AFTER).and_then(|it| it.to_str().ok());
+        let seconds = retry_after.and_then(|it| it.parse().ok());
+        let retry_after = seconds.and_then(|it| Duration::try_from_secs_f64(it).ok());
+        return Err(own_answer(status, retry_after));
+    }
+    if metadata.id.as_deref().is_some_and(|id| id != call.id) {
+        return Err(PeerFailure::Failed(Reason::TargetFailed));
+    }
+    let is_streamed =
+        call.is_stream && status.is_success() && !headers.contains_key(CONTENT_LENGTH);
+    let content = if is_streamed {
+        Content::Forwarded(Box::new(reply))
+    } else {
+        Content::Whole(read_whole(&mut reply, call.answer_memory, call.time_left()).await?)
+    };
+    Ok(TargetAnswer {
+        status,
+        headers,
+        metadata,
+        content,
+    })
+}
+
+/// What the other instance means by an answer of its own. It may have another configuration, so its
+/// word that a route or a key is unknown is no reason to refuse the call for good.
+fn own_answer(status: StatusCode, retry_after: Option<Duration>) -> PeerFailure {
+    match status {
+        StatusCode::GATEWAY_TIMEOUT => PeerFailure::Failed(Reason::TimedOut),
+        StatusCode::SERVICE_UNAVAILABLE => PeerFailure::NotTaken(retry_after),
+        status if status.is_client_error() => PeerFailure::NotTaken(retry_after),
+        _ => PeerFailure::Failed(Reason::TargetFailed),
+    }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Answer, AnswerCutoff, HeaderFormat, Reason, Refusal, StreamOrigins, SuspectReports,
-        TruncatedAnswer, View,
+        TargetReachability, TruncatedAnswer, View,
         active_call::ActiveCall,
         admit::{Admitted, admit},
         answer::{refused, streamed, whole},
@@ -12,6 +12,8 @@
         body_memory::{BodyMemory, BodyPermit},
         call_recorder::{CallRecorder, millis},
         discard_body::discard_body,
+        forwarded_stream::ForwardedStream,
+        peer_caller::PeerCaller,
         retry_budgets::RetryBudgets,
         stream_forwarder::{Aborted, StreamForwarder},
     },
@@ -20,7 +22,7 @@
     bytes::Bytes,
     catalog::FailureDomainId,
     eventlog::EventLog,
-    futures::{Stream, stream},
+    futures::{Stream, future::Either, stream},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
         Request,
@@ -76,6 +78,8 @@
     pub peer_loads: Arc<Mutex<PeerLoads>>,
     /// What calls of this instance show of prompt parts and calls that may crash targets.
     pub suspect_reports: Arc<SuspectReports>,
+    /// Which pools this instance can reach.
+    pub reachability: Arc<TargetReachability>,
     /// Where streams began that callers may take up.
     pub stream_origins: Arc<StreamOrigins>,
     /// Signal that ends all incomplete answers when this instance stops.
@@ -104,6 +108,15 @@
     }
 }
 
+/// Who sends a call to this instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallSource {
+    /// A caller.
+    Caller,
+    /// Another instance, which cannot reach the call's targets. Such a call is not passed on again.
+    Instance,
+}
+
 /// Forwards calls to targets and their answers to callers. Clones share everything.
 #[derive(Clone)]
 pub struct Relay<Format> {
@@ -115,6 +128,7 @@
     pub(crate) settings: RelaySettings,
     pub(crate) header_format: Format,
     pub(crate) client: Client,
+    pub(crate) peer_caller: PeerCaller,
     pub(crate) state: RelayState,
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) answer_times: AnswerTimes,
@@ -149,6 +163,7 @@
             inner: Arc::new(Inner {
                 settings,
                 header_format,
+                peer_caller: PeerCaller::new(client.with_own_connections()),
                 client,
                 state,
                 retry_budgets,
@@ -172,6 +187,7 @@
     pub async fn serve(
         &self,
         request: Request<Incoming>,
+        source: CallSource,
     ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, TruncatedAnswer>> + use<Format>> {
         let arrived = Instant::now();
         let (log, meters) = (self.inner.log.clone(), self.inner.meters.clone());
@@ -179,6 +195,7 @@
         let answer_cutoff = self.inner.state.answer_cutoff.clone();
         let mut recorder =
             CallRecorder::new(log, meters, answer_times, answer_cutoff.clone(), arrived);
+        recorder.line.is_forwarded = source == CallSource::Instance;
         let (head, body) = request.into_parts();
         let accepted = tokio::select! {
             biased;
@@ -191,7 +208,7 @@
         };
         let answered = tokio::select! {
             biased;
-            answered = active_call.answer(&mut recorder) => answered,
+            answered = active_call.answer(&mut recorder, source) => answered,
             () = answer_cutoff.triggered() => Err(active_call.cut_refusal()),
         };
         let answer = match answered {
@@ -217,7 +234,13 @@
                         Err(Aborted) => Some((Err(TruncatedAnswer), None)),
                     }
                 });
-                streamed(status, headers, frames)
+                streamed(status, headers, Either::Left(frames))
+            }
+            Content::Forwarded(reply) => {
+                recorder.line.status = status.as_u16();
+                let deadline = active_call.deadline();
+                let forwarded = ForwardedStream::new(*reply, recorder, answer_cutoff, deadline);
+                streamed(status, headers, Either::Right(forwarded.frames()))
             }
         }
     }
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -67,6 +67,8 @@
         attempt_outcome: &AttemptOutcome<TargetAnswer>,
     ) {
         let now = self.inner.origin.elapsed();
+        let reachability = &self.inner.state.reachability;
+        reachability.record_attempt(&self.pool, &picked.target, attempt_outcome);
         let outcome = match attempt_outcome {
             // Judged by `record_answer`, together with the other answers to the call.
             AttemptOutcome::Answered(_) => return,
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Shutdown, TargetStats, WantedVersions, boot_time},
-    catalog::{FailureDomainId, ModelId, SoftwareVersion, TargetId},
+    catalog::{FailureDomainId, InstanceId, ModelId, SoftwareVersion, TargetId},
     quarantine::Quarantine,
     routes::{PoolId, RouteTable},
     std::{
@@ -57,6 +57,17 @@
     }
 }
 
+/// Another instance that answers calls for this one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Name of the instance.
+    pub name: InstanceId,
+    /// Rendezvous seed of the name.
+    pub seed: u64,
+    /// Address at which it answers calls of other instances.
+    pub address: SocketAddr,
+}
+
 /// Immutable snapshot of what an instance knows. Every change replaces the whole view.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -74,6 +85,8 @@
     pub instances_count: u32,
     /// Rendezvous seeds of the names of the ready instances.
     pub instance_seeds: Arc<[u64]>,
+    /// Ready instances that answer calls of others, including this one.
+    pub peers: Arc<[Peer]>,
     /// When the key-value service last confirmed that the view is current, by [`boot_time`].
     pub confirmed_at: Duration,
     /// Shutdown schedule of this instance, if it is shutting down.
@@ -90,6 +103,7 @@
             quarantine: Arc::default(),
             instances_count: 1,
             instance_seeds: Arc::default(),
+            peers: Arc::default(),
             confirmed_at: boot_time(),
             shutdown: None,
         }
--- a/crates/relay/tests/support/header_format.rs
+++ b/crates/relay/tests/support/header_format.rs
@@ -5,6 +5,7 @@
     relay::{
         BadCall, Call, HeaderFormat, OutboundMetadata, Part, Prompt, ReplyMetadata, StatedLimit,
     },
+    std::time::Duration,
 };
 
 /// Uses the names of metadata fields as header names.
@@ -58,6 +59,12 @@
         out
     }
 
+    fn peer_headers(&self, headers: &HeaderMap, _time_left: Duration) -> HeaderMap {
+        let mut out = headers.clone();
+        out.remove("connection");
+        out
+    }
+
     fn parse_reply(&self, headers: &HeaderMap) -> ReplyMetadata {
         let text = |name: &str| headers.get(name).and_then(|it| it.to_str().ok());
         ReplyMetadata {
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -116,6 +116,12 @@
         }
     }
 
+    /// A client with the same settings that shares no connection with this one.
+    #[must_use]
+    pub fn with_own_connections(&self) -> Self {
+        Self::new(self.settings)
+    }
+
     /// Sends `request` at most once and waits for the head of the answer until `timeout` gives up.
     ///
     /// If an idle connection turns out to be closed before any byte was written, the request goes
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -29,6 +29,16 @@
     response: Response<Incoming>,
 }
 
+impl std::fmt::Debug for Reply {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("Reply")
+            .field("address", &self.address)
+            .field("status", &self.response.status())
+            .finish_non_exhaustive()
+    }
+}
+
 impl Reply {
     pub(crate) fn new(
         client: Client,
