Tests of calls that another instance answers: run once, come back unchanged, end with their caller

Nine tests at the relay before scripted instances. They were written after the fix, and none was seen to fail on it but for faults of the tests themselves (an answer without the target's proof; a wait without an end).

--- /dev/null
+++ b/crates/relay/tests/forwarded_calls.rs
@@ -0,0 +1,162 @@
+//! Calls whose targets cannot be reached are answered by another instance, with the same guarantees.
+
+mod support;
+
+use {
+    relay::{CallSource, Peer, View},
+    std::{sync::Arc, time::Duration},
+    support::{
+        TestRelay, caller,
+        scripted_target::{ScriptedTarget, Step, answer, stream},
+    },
+    tokio::{io::AsyncReadExt, time::sleep},
+};
+
+const END: &str = "0\r\n\r\n";
+/// Time that another instance takes between two events.
+const GAP: Duration = Duration::from_millis(400);
+
+/// A target that cannot be reached.
+fn unreachable() -> ScriptedTarget {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    ScriptedTarget::at("gone", listener.local_addr().unwrap())
+}
+
+/// The view of an instance that reaches no target, before these other instances.
+fn view(peers: &[&ScriptedTarget]) -> Arc<View> {
+    let mut view = support::view(&[&unreachable()]);
+    let peers = peers.iter().enumerate().map(|(index, peer)| Peer {
+        name: peer.name.clone(),
+        seed: index as u64 + 1,
+        address: peer.address,
+    });
+    view.peers = peers.collect();
+    Arc::new(view)
+}
+
+/// An instance that reaches no target, before these other instances.
+async fn start(peers: &[&ScriptedTarget], source: CallSource) -> TestRelay {
+    let relay = TestRelay::start_for(&[], source).await;
+    relay.view.store(view(peers));
+    relay
+}
+
+/// An answer of another instance itself.
+fn own_answer(status: &str) -> Step {
+    let text = format!("HTTP/1.1 {status}\r\ncontent-length: 2\r\n\r\nno");
+    Step::Respond(text)
+}
+
+#[tokio::test]
+async fn call_is_passed_on_with_its_key_and_body() {
+    let peer = ScriptedTarget::start("peer", vec![]).await;
+    let relay = start(&[&peer], CallSource::Caller).await;
+    let response = caller::call(relay.address, "/once/7?x=1", "extra: 1\r\n").await;
+    assert_eq!(response.status, 200, "{response:?}");
+    let arrived = peer.arrived();
+    assert_eq!(arrived.len(), 1);
+    assert!(arrived[0].head.starts_with("POST /once/7?x=1 "));
+    for (name, value) in [("key", support::KEY), ("id", "c1"), ("extra", "1")] {
+        assert_eq!(arrived[0].header(name), Some(value));
+    }
+}
+
+#[tokio::test]
+async fn call_of_another_instance_is_not_passed_on_again() {
+    let peer = ScriptedTarget::start("peer", vec![]).await;
+    let relay = start(&[&peer], CallSource::Instance).await;
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(peer.arrived().len(), 0);
+}
+
+#[tokio::test]
+async fn call_that_another_instance_may_have_run_is_not_sent_again() {
+    let breaks_off = || vec![Step::RespondThenClose(String::new()); 2];
+    let one = ScriptedTarget::start("one", breaks_off()).await;
+    let two = ScriptedTarget::start("two", breaks_off()).await;
+    let relay = start(&[&one, &two], CallSource::Caller).await;
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert_eq!(response.status, 502, "{response:?}");
+    assert_eq!(one.arrived().len() + two.arrived().len(), 1);
+}
+
+#[tokio::test]
+async fn call_that_other_instances_do_not_take_is_refused_as_not_run() {
+    let statuses = ["503 Busy", "404 Not Found", "401 Unauthorized"];
+    let mut peers = Vec::new();
+    for status in statuses {
+        peers.push(ScriptedTarget::start(status, vec![own_answer(status)]).await);
+    }
+    let all: Vec<&ScriptedTarget> = peers.iter().collect();
+    let relay = start(&all, CallSource::Caller).await;
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.header("retry-after").is_some());
+    assert!(peers.iter().all(|peer| peer.arrived().len() == 1));
+}
+
+#[tokio::test]
+async fn failure_of_a_target_comes_back_from_another_instance_unchanged() {
+    let failed = answer("500 Failed", "stamp: s\r\n", "broken");
+    let peer = ScriptedTarget::start("peer", vec![Step::Respond(failed)]).await;
+    let relay = start(&[&peer], CallSource::Caller).await;
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert_eq!(response.status, 500);
+    assert!(response.text.ends_with("broken"), "{response:?}");
+}
+
+#[tokio::test]
+async fn stream_comes_back_event_by_event() {
+    let first = stream(&["id: 1\ndata: a\n\n"]);
+    let rest = "F\r\nid: 2\ndata: b\n\n\r\n".to_owned() + END;
+    let step = Step::RespondInTwo(first, GAP, rest);
+    let peer = ScriptedTarget::start("peer", vec![step]).await;
+    let relay = start(&[&peer], CallSource::Caller).await;
+    let mut connection = caller::send(relay.address, "/stream/7", "").await;
+    let mut begun = Vec::new();
+    while !begun.ends_with(b"data: a\n\n\r\n") {
+        assert!(connection.read_buf(&mut begun).await.unwrap() > 0);
+    }
+    assert!(!String::from_utf8_lossy(&begun).contains("data: b"));
+    let mut rest = Vec::new();
+    while !rest.ends_with(END.as_bytes()) {
+        assert!(connection.read_buf(&mut rest).await.unwrap() > 0);
+    }
+    assert!(String::from_utf8_lossy(&rest).contains("data: b"));
+}
+
+#[tokio::test]
+async fn stream_that_another_instance_breaks_off_is_visibly_incomplete() {
+    let torn = Step::RespondThenClose(stream(&["id: 1\ndata: a\n\n"]));
+    let peer = ScriptedTarget::start("peer", vec![torn]).await;
+    let relay = start(&[&peer], CallSource::Caller).await;
+    let response = caller::call(relay.address, "/resumable/7", "").await;
+    assert!(response.text.contains("data: a"));
+    assert!(!response.is_complete, "{response:?}");
+}
+
+#[tokio::test]
+async fn caller_that_leaves_ends_the_call_at_the_other_instance() {
+    let peer = ScriptedTarget::start("peer", vec![Step::NeverRespond]).await;
+    let relay = start(&[&peer], CallSource::Caller).await;
+    let connection = caller::send(relay.address, "/once/7", "").await;
+    while peer.arrived().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    drop(connection);
+    assert!(peer.saw_caller_disconnect().await);
+}
+
+#[tokio::test]
+async fn call_that_a_target_may_have_run_is_not_passed_on() {
+    let target = ScriptedTarget::start("target", vec![Step::RespondThenClose(String::new())]).await;
+    let peer = ScriptedTarget::start("peer", vec![]).await;
+    let relay = start(&[&peer], CallSource::Caller).await;
+    let mut reached = support::view(&[&target]);
+    reached.peers = relay.view.load().peers.clone();
+    relay.view.store(Arc::new(reached));
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert_eq!(response.status, 502, "{response:?}");
+    assert_eq!(peer.arrived().len(), 0);
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -141,6 +141,19 @@
 
     /// Starts a relay in front of `targets` with this retry budget.
     pub async fn start_with(targets: &[&ScriptedTarget], retry_bounds: RetryBounds) -> Self {
+        Self::start_all(targets, retry_bounds, CallSource::Caller).await
+    }
+
+    /// Starts a relay in front of `targets` whose calls come from `source`.
+    pub async fn start_for(targets: &[&ScriptedTarget], source: CallSource) -> Self {
+        Self::start_all(targets, RetryBounds::default(), source).await
+    }
+
+    async fn start_all(
+        targets: &[&ScriptedTarget],
+        retry_bounds: RetryBounds,
+        source: CallSource,
+    ) -> Self {
         let view = WatchedView::new(view(targets));
         let cache_index = Arc::new(Mutex::new(PartDirectory::default()));
         let answer_cutoff = AnswerCutoff::default();
@@ -172,7 +185,7 @@
                 let relay = relay.clone();
                 let service = service_fn(move |request: Request<Incoming>| {
                     let relay = relay.clone();
-                    async move { Ok::<_, Infallible>(relay.serve(request, CallSource::Caller).await) }
+                    async move { Ok::<_, Infallible>(relay.serve(request, source).await) }
                 });
                 let stream = TokioIo::new(stream);
                 tokio::spawn(http1::Builder::new().serve_connection(stream, service));
