Passing calls on: no list of instances is copied for calls that stay; connection bounds at 320 instances

The list of other instances is copied only for a call that is passed on. The feed's listener takes two connections of each of 320 instances (origins beside feeds). Calls of other instances have a share of the descriptors of their own, so that both listeners together stay within the process's limit.

--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -48,6 +48,8 @@
 /// Share of the file descriptors that caller connections may use. The rest is for files,
 /// connections to the key-value service and connections to targets.
 const CALLER_DESCRIPTORS_SHARE: f64 = 0.6;
+/// Share of the file descriptors that connections of other instances' calls may use.
+const PEER_DESCRIPTORS_SHARE: f64 = 0.1;
 /// Connections served concurrently on each of the listeners for readiness, addresses and metrics.
 const MAX_QUERY_CONNECTIONS_COUNT: usize = 256;
 /// Longest request head on those listeners, in bytes.
@@ -348,8 +350,12 @@
 {
     let settings = &shared.settings;
     let descriptors = f64::from(u32::try_from(settings.max_descriptors_count).unwrap_or(u32::MAX));
+    let share = match source {
+        CallSource::Caller => CALLER_DESCRIPTORS_SHARE,
+        CallSource::Instance => PEER_DESCRIPTORS_SHARE,
+    };
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let max_connections_count = (descriptors * CALLER_DESCRIPTORS_SHARE) as usize;
+    let max_connections_count = (descriptors * share) as usize;
     let control = ListenerControl {
         max_connections_count,
         draining: shared.draining.clone(),
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -19,8 +19,9 @@
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
-/// Number of connections that are served at once; further ones wait.
-const MAX_CONNECTIONS_COUNT: usize = 512;
+/// Number of connections that are served at once; further ones wait. Each instance may have two: one
+/// reads the feed, the other exchanges the origins of streams.
+const MAX_CONNECTIONS_COUNT: usize = 1_024;
 /// Number of calls that run at once on one connection. A reader makes only one at a time.
 const MAX_CALLS_COUNT: usize = 4;
 /// Longest time that a call waits for a change.
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -170,17 +170,14 @@
         recorder: &mut CallRecorder,
         source: CallSource,
     ) -> Result<TargetAnswer, Refusal> {
-        let peers = match source {
-            CallSource::Caller => self.peers(),
-            CallSource::Instance => Vec::new(),
-        };
-        self.has_other_way = !peers.is_empty() || source == CallSource::Instance;
+        self.has_other_way = source == CallSource::Instance || self.has_peers();
         let answered = if self.is_cut_off() {
             Err(Refusal::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER))
         } else {
             self.answer_here(recorder).await
         };
-        if answered.is_ok() || peers.is_empty() || !self.has_reached_no_target() {
+        let may_pass_on = source == CallSource::Caller && self.has_other_way;
+        if answered.is_ok() || !may_pass_on || !self.has_reached_no_target() {
             return answered;
         }
         let call = PeerCall {
@@ -192,17 +189,27 @@
             answer_memory: &self.inner.answer_memory,
         };
         let (peer_caller, format) = (&self.inner.peer_caller, &self.inner.header_format);
-        peer_caller.answer(format, &call, peers, recorder).await
+        peer_caller
+            .answer(format, &call, self.peers(), recorder)
+            .await
     }
 
     /// The other instances that answer calls for this one.
     fn peers(&self) -> Vec<Peer> {
         let view = self.inner.state.view();
-        let own_seed = self.inner.settings.instance_seed;
-        let others = view.peers.iter().filter(|peer| peer.seed != own_seed);
+        let others = view.peers.iter().filter(|peer| self.is_other(peer));
         others.cloned().collect()
     }
 
+    fn has_peers(&self) -> bool {
+        let view = self.inner.state.view();
+        view.peers.iter().any(|peer| self.is_other(peer))
+    }
+
+    fn is_other(&self, peer: &Peer) -> bool {
+        peer.seed != self.inner.settings.instance_seed
+    }
+
     /// Whether this instance reaches none of the call's targets, and somebody else may.
     fn is_cut_off(&self) -> bool {
         let state = &self.inner.state;
