Targets that say how many refusals they bear are not made to refuse more

An instance now sends such a target no call while all its places are taken, and after a refusal none for instances / bound seconds, so that one refusal of each instance in that time keeps the bound. Without the check the tests failed: 30 calls arrived in place of 1 after a refusal, 31 in place of 3 at a full target.

--- a/crates/relay/src/header_format.rs
+++ b/crates/relay/src/header_format.rs
@@ -54,6 +54,9 @@
     pub target: Option<String>,
     /// Version of the model weights that ran the call.
     pub version: Option<u64>,
+    /// Calls per second that the target can refuse to all instances together before it fails; `None`
+    /// if it states no such bound.
+    pub max_refusals_per_s: Option<f64>,
     /// Limit that the target sets for all instances together from now on; `None` if it sets none.
     pub limit: Option<StatedLimit>,
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,6 +38,7 @@
 mod pick;
 mod quarantined_calls;
 mod refusal;
+mod refusal_bound;
 mod relay;
 mod retry_budgets;
 mod salt;
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -81,6 +81,7 @@
         .iter()
         .filter(|target| is_allowed(view, target, context))
         .filter(|target| !is_outdated(view, target, context))
+        .filter(|target| !is_spared(view, target, context))
         .filter(|target| time_until_call(target, context) == Some(Duration::ZERO))
         .collect();
     let is_available = |target: &&&Arc<TargetState>| {
@@ -130,6 +131,24 @@
         && context.software_version.is_none_or(began_stream)
 }
 
+/// Whether the target gets no call now because it could refuse it, which it does not bear.
+fn is_spared(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
+    let in_flight_count = || in_flight_count(view, target, context);
+    let call_stats = &target.call_stats;
+    call_stats.is_spared(target.slots_count, boot_time(), in_flight_count)
+}
+
+/// Estimated number of calls that all instances have in flight at the target. Calls without a prompt
+/// are too short to appear in peers' reports, so it is this instance's times the number of instances.
+fn in_flight_count(view: &View, target: &TargetState, context: &PickContext<'_>) -> f64 {
+    let own_count = target.call_stats.in_flight_count();
+    if context.call.prompt.is_none() {
+        return f64::from(own_count) * f64::from(view.instances_count.max(1));
+    }
+    let loads = context.peer_loads;
+    loads.estimate_in_flight(target.seed, own_count, view.instances_count)
+}
+
 /// Whether a target of `pool` may go on with the call's stream, now or later.
 pub(crate) fn has_origin(view: &View, pool: &str, software_version: &str) -> bool {
     let mut targets = view.pools.get(pool).into_iter().flatten();
@@ -216,20 +235,14 @@
     context: &PickContext<'_>,
     shared_parts: &mut SharedPartsByVersion,
 ) -> Candidate {
-    let own_count = target.call_stats.in_flight_count();
-    let candidate = Candidate::new(target.seed, target.slots_count);
+    let in_flight_count = in_flight_count(view, target, context);
+    let candidate = Candidate::new(target.seed, target.slots_count).with_in_flight(in_flight_count);
     let Some(prompt) = &context.call.prompt else {
-        // Calls without a prompt are too short to appear in peers' reports, so estimate this
-        // instance's calls times the number of instances.
-        let in_flight_count = f64::from(own_count) * f64::from(view.instances_count.max(1));
         return Candidate {
             in_preferred_domain: target.failure_domain == *context.failure_domain,
-            ..candidate.with_in_flight(in_flight_count)
+            ..candidate
         };
     };
-    let loads = context.peer_loads;
-    let in_flight_count = loads.estimate_in_flight(target.seed, own_count, view.instances_count);
-    let candidate = candidate.with_in_flight(in_flight_count);
     let Some(version) = target.version(&prompt.model) else {
         return candidate;
     };
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -77,6 +77,9 @@
                 CallOutcome::Full
             }
             AttemptOutcome::NotRun(..) => {
+                let instances_count = self.inner.state.view().instances_count;
+                let call_stats = &picked.target.call_stats;
+                call_stats.record_refusal(instances_count, boot_time());
                 picked.target.call_stats.pause(now + REFUSAL_PAUSE);
                 CallOutcome::Full
             }
@@ -155,6 +158,8 @@
     if is_other_target(picked, metadata) {
         return;
     }
+    let call_stats = &picked.target.call_stats;
+    call_stats.record_refusal_bound(metadata.max_refusals_per_s);
     let limit_per_s = match &metadata.limit {
         Some(StatedLimit::Invalid(text)) => {
             if picked.target.call_stats.record_invalid_limit() {
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -1,7 +1,10 @@
 //! What this instance has observed of a target by its own calls.
 
 use {
-    crate::target_limit::{Senders, TargetLimit},
+    crate::{
+        refusal_bound::RefusalBound,
+        target_limit::{Senders, TargetLimit},
+    },
     balance::{CallOutcome, Health, StartDelay},
     catalog::ModelId,
     std::{
@@ -53,6 +56,7 @@
     answered_at: Option<Duration>,
     /// Whether an answer has stated a limit that is no number.
     has_stated_invalid_limit: bool,
+    refusal_bound: RefusalBound,
     /// When a connection to the target last failed, by [`crate::boot_time`].
     disconnected_at: Option<Duration>,
 }
@@ -109,6 +113,33 @@
         self.lock().start_delay.expected(now)
     }
 
+    /// Records how many refusals per second the target bears, as an answer states; `None` if it
+    /// states no bound.
+    pub(crate) fn record_refusal_bound(&self, max_per_s: Option<f64>) {
+        self.lock().refusal_bound.state(max_per_s);
+    }
+
+    /// Records that the target refused a call for want of room.
+    pub(crate) fn record_refusal(&self, instances_count: u32, now: Duration) {
+        let bound = &mut self.lock().refusal_bound;
+        bound.record_refusal(instances_count, now);
+    }
+
+    /// Whether the target gets no call now because it could refuse it, which it does not bear.
+    /// `in_flight_count` gives the calls of all instances there; it is called only if that matters.
+    pub(crate) fn is_spared<Count>(
+        &self,
+        slots_count: u32,
+        now: Duration,
+        in_flight_count: Count,
+    ) -> bool
+    where
+        Count: FnOnce() -> f64,
+    {
+        let bound = self.lock().refusal_bound;
+        bound.is_stated() && bound.forbids_call(in_flight_count(), slots_count, now)
+    }
+
     /// Records that a connection to the target failed at `now`, by [`crate::boot_time`]: it may have
     /// restarted with other software.
     pub(crate) fn record_disconnect(&self, now: Duration) {
--- a/crates/relay/tests/support/header_format.rs
+++ b/crates/relay/tests/support/header_format.rs
@@ -73,6 +73,7 @@
             not_run: headers.contains_key("not-run"),
             target: text("target").map(str::to_owned),
             version: text("version").and_then(|it| it.parse().ok()),
+            max_refusals_per_s: text("max-refusals").and_then(|it| it.parse().ok()),
             limit: text("limit").map(|it| {
                 let limit_per_s = it.parse().map(StatedLimit::PerSecond);
                 limit_per_s.unwrap_or_else(|_| StatedLimit::Invalid(it.to_owned()))
