Streams: a target is suspected of a restart only while software versions differ, and only if it broke off a connection

Found by reading: after a cut, every target to which no connection could be opened counted as one that may have restarted, for up to 4.5 s after the last failure, so that streams bound to a version would have been refused though their targets served; and that held for broken streams of pools with one version as well, where nothing can be mixed. A connection that could not be opened is no sign of a restart. Without the first half of the change the new test fails (503 in place of 200); the second half, on connections that could not be opened, has no test of its own. The test that a stream which nobody knows goes on now also checks the status: a refusal is a complete answer, too.

--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -4,7 +4,9 @@
     HeaderFormat, Reason, Refusal, View,
     active_call::ActiveCall,
     boot_time,
-    pick::{PickContext, PickedTarget, has_origin, pick, time_until_limits_allow},
+    pick::{
+        PickContext, PickedTarget, has_origin, has_other_software, pick, time_until_limits_allow,
+    },
     target_limit::Senders,
 };
 
@@ -54,6 +56,7 @@
             own_seed: self.inner.settings.instance_seed,
             instance_seeds: &view.instance_seeds,
         };
+        let software_version = self.origin.software_version();
         let context = PickContext {
             call: &self.admitted.call,
             tried_targets: &self.tried_targets,
@@ -64,7 +67,9 @@
             cache_index: &cache_index,
             peer_loads: &peer_loads,
             isolated_account: self.isolated_account(),
-            software_version: self.origin.software_version(),
+            software_version,
+            is_mixed: software_version
+                .is_some_and(|version| has_other_software(&view, &self.pool, version)),
             senders,
         };
         choose(&view, &context)
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -35,6 +35,8 @@
     pub(crate) isolated_account: Option<&'call str>,
     /// Software version that began the call's stream; no other may go on with it.
     pub(crate) software_version: Option<&'call str>,
+    /// Whether the pool has targets of other versions, so that one which restarts may have another.
+    pub(crate) is_mixed: bool,
     /// Instances among which the limits of targets are divided.
     pub(crate) senders: Senders<'call>,
 }
@@ -124,7 +126,7 @@
 fn is_allowed(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
     let began_stream = |version: &str| {
         target.software_version == version
-            && !target.call_stats.may_have_restarted(view.confirmed_at)
+            && !(context.is_mixed && target.call_stats.may_have_restarted(view.confirmed_at))
     };
     !target.draining
         && !context.tried_targets.contains(&target.id)
@@ -149,6 +151,12 @@
     loads.estimate_in_flight(target.seed, own_count, view.instances_count)
 }
 
+/// Whether a target of `pool` runs other software than `software_version`.
+pub(crate) fn has_other_software(view: &View, pool: &str, software_version: &str) -> bool {
+    let mut targets = view.pools.get(pool).into_iter().flatten();
+    targets.any(|it| it.software_version != software_version)
+}
+
 /// Whether a target of `pool` may go on with the call's stream, now or later.
 pub(crate) fn has_origin(view: &View, pool: &str, software_version: &str) -> bool {
     let mut targets = view.pools.get(pool).into_iter().flatten();
--- a/crates/relay/src/silent_target.rs
+++ b/crates/relay/src/silent_target.rs
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Records that the connection to the present target failed.
+    /// Records that the present target broke off the connection.
     pub(crate) fn record_disconnect(&self) {
         if let Some(in_flight) = &self.in_flight {
             in_flight.call_stats().record_disconnect(boot_time());
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -83,14 +83,13 @@
                 picked.target.call_stats.pause(now + REFUSAL_PAUSE);
                 CallOutcome::Full
             }
-            AttemptOutcome::NotSent(_)
-            | AttemptOutcome::Unknown {
+            AttemptOutcome::Unknown {
                 disconnected: true, ..
             } => {
                 picked.target.call_stats.record_disconnect(boot_time());
                 CallOutcome::Failed
             }
-            AttemptOutcome::Unknown { .. } => CallOutcome::Failed,
+            AttemptOutcome::NotSent(_) | AttemptOutcome::Unknown { .. } => CallOutcome::Failed,
         };
         self.record_outcome(picked, outcome, &describe_outcome(attempt_outcome));
     }
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -57,7 +57,7 @@
     /// Whether an answer has stated a limit that is no number.
     has_stated_invalid_limit: bool,
     refusal_bound: RefusalBound,
-    /// When a connection to the target last failed, by [`crate::boot_time`].
+    /// When the target last broke off a connection, by [`crate::boot_time`].
     disconnected_at: Option<Duration>,
 }
 
@@ -140,7 +140,7 @@
         bound.is_stated() && bound.forbids_call(in_flight_count(), slots_count, now)
     }
 
-    /// Records that a connection to the target failed at `now`, by [`crate::boot_time`]: it may have
+    /// Records that the target broke off a connection at `now`, by [`crate::boot_time`]: it may have
     /// restarted with other software.
     pub(crate) fn record_disconnect(&self, now: Duration) {
         self.lock().disconnected_at = Some(now);
--- a/crates/relay/tests/software_versions.rs
+++ b/crates/relay/tests/software_versions.rs
@@ -154,6 +154,7 @@
     let relay = TestRelay::start(&[&one, &two]).await;
     let headers = "resumes: nobody\r\nlast-event-id: 1\r\n";
     let response = caller::call(relay.address, "/resumable/7", headers).await;
+    assert_eq!(response.status, 200, "{response:?}");
     assert!(response.is_complete, "{response:?}");
 }
 
@@ -193,3 +194,15 @@
     assert_eq!(response.status, 503, "{response:?}");
     assert_eq!((first.arrived().len(), other.arrived().len()), (1, 0));
 }
+
+#[tokio::test]
+async fn stream_is_taken_up_by_the_target_that_broke_it_off_while_one_version_serves() {
+    let first = ScriptedTarget::start("first", vec![torn(), rest()]).await;
+    let first = first.software("v1");
+    let relay = TestRelay::start(&[&first]).await;
+    caller::call(relay.address, "/resumable/7", "").await;
+    let headers = "resumes: c1\r\nlast-event-id: 1\r\n";
+    let response = caller::call(relay.address, "/resumable/7", headers).await;
+    assert_eq!(response.status, 200, "{response:?}");
+    assert!(response.is_complete, "{response:?}");
+}
