Tests of entry: ports enough for instances that listen at five addresses

Cause, from the output: an instance ended with 'cannot listen, address already in use'. A test process had 100 ports, handed out in turn and started over; with the fifth address of each instance (peer_listen) the eight tests of that file need 120 to 135, so that a port was handed out again before its first instance listened on it.

--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -30,6 +30,13 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// First port of the instances of all test processes.
+const FIRST_PORT: u16 = 21_000;
+/// Number of ports of one test process. More than its tests use, since a port may be taken again
+/// before its first instance listens on it.
+const PORTS_COUNT: u16 = 250;
+/// Number of ranges of ports among which test processes are spread.
+const PORT_RANGES_COUNT: u32 = 45;
 /// Time after which [`wait_until`] gives up.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
@@ -273,9 +280,10 @@
 /// taken by a connection before the instance listens on it.
 fn free_address() -> SocketAddr {
     static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-    let first = 21_000 + u16::try_from(std::process::id() % 80).unwrap() * 100;
+    let process = u16::try_from(std::process::id() % PORT_RANGES_COUNT).unwrap();
+    let first = FIRST_PORT + process * PORTS_COUNT;
     loop {
-        let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % 100;
+        let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS_COUNT;
         let address = SocketAddr::from(([127, 0, 0, 1], first + offset));
         if TcpListener::bind(address).is_ok() {
             return address;
