CallOrigin: the word for its version and the name of the caller's time limit say what they are

No change of behaviour. The comment said that a version is left out where only one serves, which held before a call knows its origin only; the parameter named time left is the whole time limit.

--- a/crates/relay/src/call_origin.rs
+++ b/crates/relay/src/call_origin.rs
@@ -33,8 +33,8 @@
         }
     }
 
-    /// Software version at which the stream must go on; `None` if it has not begun, or if it cannot
-    /// have begun at another version than the one that serves.
+    /// Software version at which the stream must go on; `None` if it has not begun, or if a call that
+    /// resumes it may go to any target of its pool.
     pub(crate) fn software_version(&self) -> Option<&str> {
         let origin = self.origin.as_ref()?;
         Some(origin.software_version.as_str())
@@ -84,13 +84,13 @@
     }
 
     /// Records that the stream goes on, or begins, at a target of this pool and software version.
-    /// `time_left` is the time that the caller waits.
+    /// `time_limit` is the time that the caller waits, from the call's arrival.
     pub(crate) fn record(
         &mut self,
         admitted: &Admitted,
         pool: &PoolId,
         software_version: &str,
-        time_left: Duration,
+        time_limit: Duration,
     ) {
         if self.is_recorded {
             return;
@@ -105,7 +105,7 @@
         let record = OriginRecord {
             key: key(admitted, request_id),
             origin: origin.clone(),
-            lifetime: time_left.min(MAX_LIFETIME) + LIFETIME_MARGIN,
+            lifetime: time_limit.min(MAX_LIFETIME) + LIFETIME_MARGIN,
         };
         let is_mixed = self.origins.is_mixed(pools(&admitted.route));
         self.origins.begin(record, is_mixed);
