--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -3,8 +3,8 @@
 use {
     bytes::Bytes,
     entry::{
-        HeldPart, Item, ItemError, ItemName, OrderOutcome, PartEvents, PartList, Platform,
-        TargetRegistration, TargetReport, VersionOrder,
+        HeldPart, Item, ItemError, ItemName, OrderOutcome, PartChange, PartEvents, PartList,
+        Platform, TargetRegistration, TargetReport, VersionOrder,
     },
     http_body_util::Full,
     hyper::{HeaderMap, Request, header::CONTENT_TYPE, http::request},
@@ -12,7 +12,7 @@
         BadCall, Call, HeaderFormat, LoadedModel, OutboundMetadata, Part, Prompt, ReplyMetadata,
         StatedLimit,
     },
-    routes::{Account, RetryPolicy, Route, RouteConfig},
+    routes::{Account, Pool, PoolKind, RetryPolicy, Route, RouteConfig, StoreProperties},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -20,8 +20,8 @@
     },
 };
 
-/// Plain-text formats. The keys are `operators/configuration` (value: a version),
-/// `operators/version/MODEL` (a version) and `targets/NAME` (`ADDRESS VERSION`, and
+/// Plain-text formats. The keys are `operators/configuration` (value: a version, and the addresses of
+/// stores of cached parts), `operators/version/MODEL` (a version) and `targets/NAME` (`ADDRESS VERSION`, and
 /// the version of its software if there is one).
 #[derive(Clone, Debug, Default)]
 pub struct Formats {
@@ -55,6 +55,45 @@
     ]
 }
 
+/// A pool with one store of cached parts.
+fn store_pool(address: &str) -> Pool {
+    Pool {
+        name: format!("store {address}"),
+        kind: PoolKind::Store(StoreProperties {
+            address: address.parse().unwrap(),
+            failure_domain: "a".to_owned(),
+            capacity_tokens: 1_000_000,
+            link_bits_per_s: 1e12,
+            transfer_latency: Duration::ZERO,
+            managed: true,
+        }),
+        ..Pool::default()
+    }
+}
+
+/// A part of a prompt, written `ID` or `ID:TOKENS`.
+fn parse_part(text: &str) -> Part {
+    let (id, tokens) = text.split_once(':').unwrap_or((text, "1"));
+    Part {
+        id: id.to_owned(),
+        tokens: tokens.parse().unwrap(),
+    }
+}
+
+/// A change at a store, written `SIGN SALT ID TOKENS`.
+fn parse_change(line: &str) -> PartChange {
+    let fields: Vec<&str> = line.split(' ').collect();
+    PartChange {
+        added: fields[0] == "+",
+        part: HeldPart {
+            salt: fields[1].to_owned(),
+            id: fields[2].to_owned(),
+            tokens: fields[3].parse().unwrap(),
+            model: "m".to_owned(),
+        },
+    }
+}
+
 /// Client accounts, each with one key.
 fn accounts() -> Vec<Account> {
     let account = |name: &str, key: &str| Account {
@@ -70,7 +109,7 @@
         let text = |name: &str| head.headers.get(name).and_then(|it| it.to_str().ok());
         let prompt = prompt_parts(&head.headers).map(|ids| Prompt {
             model: "m".to_owned(),
-            parts: ids.into_iter().map(|id| Part { id, tokens: 1 }).collect(),
+            parts: ids.iter().map(|text| parse_part(text)).collect(),
             ..Prompt::default()
         });
         Ok(Call {
@@ -86,6 +125,9 @@
     fn target_headers(&self, headers: &HeaderMap, metadata: &OutboundMetadata) -> HeaderMap {
         let mut out = headers.clone();
         out.insert("target", metadata.target.parse().unwrap());
+        if let Some(place) = metadata.fetch_from.iter().flatten().next() {
+            out.insert("fetch", place.to_string().parse().unwrap());
+        }
         out
     }
 
@@ -130,8 +172,13 @@
         let text = std::str::from_utf8(value).unwrap();
         Ok(match name {
             ItemName::Configuration => {
-                let config = RouteConfig::default().version(text.parse().unwrap());
-                let config = config.routes(routes()).accounts(accounts());
+                let mut fields = text.split(' ');
+                let version = fields.next().unwrap().parse().unwrap();
+                let mut config = RouteConfig::default().version(version);
+                config = config.routes(routes()).accounts(accounts());
+                for pool in fields.map(store_pool) {
+                    config.pools.insert(pool.name.clone(), pool);
+                }
                 Item::Configuration(Box::new(config))
             }
             ItemName::Version(_) => Item::Version(text.parse().unwrap()),
@@ -183,16 +230,28 @@
         })
     }
 
-    fn events_request(&self, _since: u64, _wait: Duration) -> Request<Full<Bytes>> {
-        Request::get("/events").body(Full::default()).unwrap()
+    fn events_request(&self, since: u64, _wait: Duration) -> Request<Full<Bytes>> {
+        let request = Request::get("/events").header("since", since);
+        request.body(Full::default()).unwrap()
     }
 
-    fn parse_events(&self, _body: &[u8]) -> Option<PartEvents> {
-        None
+    fn parse_events(&self, body: &[u8]) -> Option<PartEvents> {
+        let mut lines = std::str::from_utf8(body).ok()?.lines();
+        let (next_seq, clock_ms) = lines.next()?.split_once(' ')?;
+        Some(PartEvents {
+            next_seq: next_seq.parse().ok()?,
+            clock: Some(Duration::from_millis(clock_ms.parse().ok()?)),
+            changes: lines.map(parse_change).collect(),
+            ..PartEvents::default()
+        })
     }
 
-    fn free_request(&self, _parts: &[HeldPart], _start: u64) -> Request<Full<Bytes>> {
-        Request::post("/free").body(Full::default()).unwrap()
+    fn free_request(&self, parts: &[HeldPart], _start: u64) -> Request<Full<Bytes>> {
+        let lines = parts
+            .iter()
+            .map(|part| format!("{} {}\n", part.salt, part.id));
+        let body: String = lines.collect();
+        Request::post("/free").body(Full::from(body)).unwrap()
     }
 
     fn list_request(&self) -> Request<Full<Bytes>> {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod crashing_target;
 pub mod formats;
 pub mod late_target;
+pub mod part_store;
 pub mod stream_target;
 pub mod target;
 
@@ -112,6 +113,12 @@
         }
     }
 
+    /// Sets the path.
+    pub fn path(mut self, path: &str) -> Self {
+        path.clone_into(&mut self.path);
+        self
+    }
+
     /// Sets the key of the client account.
     pub fn key(mut self, key: &str) -> Self {
         key.clone_into(&mut self.key);
--- /dev/null
+++ b/crates/entry/tests/support/part_store.rs
@@ -0,0 +1,82 @@
+//! A store of cached prompt parts, which keeps every part until it is told to free it.
+
+use {
+    super::target::respond,
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
+    std::{
+        convert::Infallible,
+        fmt::Write,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Instant,
+    },
+    tokio::net::TcpListener,
+};
+
+/// A running store. Each of its changes is a line `SIGN SALT ID TOKENS`, which
+/// [`super::formats::Formats`] parses.
+#[derive(Clone)]
+pub struct PartStore {
+    pub address: SocketAddr,
+    started: Instant,
+    changes: Arc<Mutex<Vec<String>>>,
+    freed: Arc<Mutex<Vec<String>>>,
+}
+
+impl PartStore {
+    /// Starts an empty store.
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let store = Self {
+            address: listener.local_addr().unwrap(),
+            started: Instant::now(),
+            changes: Arc::default(),
+            freed: Arc::default(),
+        };
+        let shared = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let shared = shared.clone();
+                let service = service_fn(move |request| {
+                    let shared = shared.clone();
+                    async move { Ok::<_, Infallible>(shared.answer(request).await) }
+                });
+                let stream = TokioIo::new(stream);
+                tokio::spawn(http1::Builder::new().serve_connection(stream, service));
+            }
+        });
+        store
+    }
+
+    /// Has the store hold a part.
+    pub fn hold(&self, salt: &str, id: &str, tokens: u32) {
+        let change = format!("+ {salt} {id} {tokens}");
+        self.changes.lock().unwrap().push(change);
+    }
+
+    /// Salts and ids of the parts that instances asked to free.
+    pub fn freed(&self) -> Vec<String> {
+        self.freed.lock().unwrap().clone()
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.uri().path() == "/free" {
+            let body = request.into_body().collect().await.unwrap().to_bytes();
+            let text = String::from_utf8_lossy(&body);
+            let freed = text.lines().map(str::to_owned);
+            self.freed.lock().unwrap().extend(freed);
+            return respond(200, String::new());
+        }
+        let since = request.headers()["since"].to_str().unwrap();
+        let changes = self.changes.lock().unwrap();
+        let clock_ms = self.started.elapsed().as_millis();
+        let mut body = format!("{} {clock_ms}\n", changes.len());
+        for change in changes.iter().skip(since.parse().unwrap()) {
+            writeln!(body, "{change}").unwrap();
+        }
+        respond(200, body)
+    }
+}
--- a/crates/entry/tests/support/target.rs
+++ b/crates/entry/tests/support/target.rs
@@ -36,6 +36,8 @@
     calls_count: Arc<AtomicUsize>,
     /// Time of arrival of each call.
     arrivals: Arc<Mutex<Vec<Instant>>>,
+    /// Place from which each call was to fetch a part of its prompt, if any.
+    fetches: Arc<Mutex<Vec<Option<SocketAddr>>>>,
     /// Calls per second that the target states as its limit.
     limit_per_s: Arc<Mutex<Option<f64>>>,
 }
@@ -49,6 +51,7 @@
             orders: Arc::default(),
             calls_count: Arc::default(),
             arrivals: Arc::default(),
+            fetches: Arc::default(),
             limit_per_s: Arc::default(),
         };
         let shared = target.clone();
@@ -88,6 +91,11 @@
         self.arrivals.lock().unwrap().clone()
     }
 
+    /// Returns the place from which the latest call was to fetch a part of its prompt, if any.
+    pub fn last_fetch(&self) -> Option<SocketAddr> {
+        self.fetches.lock().unwrap().last().copied().flatten()
+    }
+
     /// Sets the limit that all further answers state; `None` states none.
     pub fn set_limit(&self, limit_per_s: Option<f64>) {
         *self.limit_per_s.lock().unwrap() = limit_per_s;
@@ -113,6 +121,9 @@
         }
         self.calls_count.fetch_add(1, Ordering::Relaxed);
         self.arrivals.lock().unwrap().push(Instant::now());
+        let fetch = request.headers().get("fetch");
+        let fetch = fetch.map(|place| place.to_str().unwrap().parse().unwrap());
+        self.fetches.lock().unwrap().push(fetch);
         let work = if path.starts_with("/slow/") {
             SLOW_WORK
         } else {
