--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -54,6 +54,7 @@
     known_state::{AnnouncedLimit, KnownState, OwnShutdown},
     order_lock::{InstanceLease, OrderLock},
     ownership::Ownership,
+    parts_by_salt::PartsBySalt,
     platform::{
         HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, RunningRequests,
         TargetReport, VersionOrder,
--- a/crates/entry/src/obsolete_parts.rs
+++ b/crates/entry/src/obsolete_parts.rs
@@ -1,23 +1,25 @@
-//! Decides which parts a store may free.
+//! Decides when parts that a store holds are withdrawn from the reports of it, and freed.
 //!
-//! Stores evict nothing by themselves, so parts computed with replaced weights would fill them.
+//! Stores evict nothing by themselves, so parts that replaced weights have computed would fill them.
+//! No part may be freed while a target fetches it. The instance that follows a store therefore first
+//! withdraws the parts from what it reports, and frees them once nobody can act on a report from
+//! before.
 
 use {
-    relay::{WantedVersions, salt_version},
+    parts::MAX_REPORT_AGE,
+    relay::{MAX_FETCH_TIME, WantedVersions, salt_version},
     std::time::Duration,
 };
 
-/// Time after this instance learned of a newer version from which no instance fetches parts of
-/// older weights.
-///
-/// Calls fetch them for up to 6 s after their own instance learned of the version, which may happen
-/// 4 s late, and each fetch times out within 2 s. The sum is doubled as a safety margin.
-pub const OBSOLETE_AGE: Duration = Duration::from_secs(24);
+/// Time allowed for differences between the clocks of instances, engines and stores.
+const CLOCK_MARGIN: Duration = Duration::from_secs(1);
+/// Time after parts were withdrawn at which no target fetches them any more.
+pub const FREE_DELAY: Duration = MAX_REPORT_AGE
+    .saturating_add(MAX_FETCH_TIME)
+    .saturating_add(CLOCK_MARGIN);
 
-/// Whether no instance reads the parts under `salt` any more, given the `wanted` versions of their
-/// model.
+/// Whether the parts under `salt` are of no more use, given the `wanted` versions of their model.
 #[must_use]
 pub fn is_obsolete(salt: &str, wanted: &WantedVersions, now: Duration) -> bool {
-    let is_replaced = salt_version(salt).is_some_and(|version| version < wanted.newest_version());
-    is_replaced && wanted.known_for(now) >= OBSOLETE_AGE
+    salt_version(salt).is_some_and(|version| !wanted.uses_parts_of(version, now))
 }
--- a/crates/entry/src/peer_watch.rs
+++ b/crates/entry/src/peer_watch.rs
@@ -108,6 +108,7 @@
                 position = None;
             }
             places = owned;
+            let requested_at = boot_time();
             let answer = self.reader.read(position, LONG_POLL_WAIT).await;
             if answer.is_ok() != available {
                 available = answer.is_ok();
@@ -121,13 +122,14 @@
                 continue;
             };
             position = Some(batch.position);
-            self.apply_batch(batch, &places);
+            self.apply_batch(batch, &places, requested_at);
             sleep(self.poll_delay).await;
         }
     }
 
-    /// Applies what the instance reports, but only the changes to places that it owns.
-    fn apply_batch(&mut self, batch: Batch, places: &HashSet<SocketAddr>) {
+    /// Applies what the instance reported after `requested_at`, but only the changes to places that it
+    /// owns.
+    fn apply_batch(&mut self, batch: Batch, places: &HashSet<SocketAddr>, requested_at: Duration) {
         let now = boot_time();
         self.shared.note_heard(&self.name, now);
         let mut peer_loads = self.shared.relay_state.peer_loads();
@@ -148,5 +150,8 @@
         for change in own.filter(|change| places.contains(&change.place())) {
             cache_index.apply(change, now);
         }
+        for place in places {
+            cache_index.set_reported(*place, requested_at);
+        }
     }
 }
--- a/crates/entry/src/place_follower.rs
+++ b/crates/entry/src/place_follower.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        HeldPart, PartEvents, Platform, obsolete_parts::is_obsolete, parts_by_salt::PartsBySalt,
+        HeldPart, PartEvents, PartsBySalt, Platform,
+        obsolete_parts::{FREE_DELAY, is_obsolete},
         shared::Shared,
     },
     bytes::Bytes,
@@ -24,6 +25,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Largest number of parts freed by one request.
 const MAX_FREED_COUNT: usize = 500;
+/// Age of the view up to which this instance relies on being the one that a store is assigned to.
+const MAX_VIEW_AGE: Duration = Duration::from_secs(4);
 /// Delay between requests to a store.
 const STORE_POLL_DELAY: Duration = Duration::from_millis(60);
 /// Delay between requests to an engine.
@@ -79,8 +82,13 @@
         // published.
         let mut available = None;
         loop {
+            let requested_at = boot_time();
             let outcome = self.poll().await;
             let is_available = outcome.is_ok();
+            if is_available && (self.is_owner() || self.has_recent_view()) {
+                let mut cache_index = self.shared.relay_state.cache_index();
+                cache_index.set_reported(place, requested_at);
+            }
             if self.is_store && Some(is_available) != available {
                 available = Some(is_available);
                 self.shared.feed.publish(Change::Available {
@@ -92,7 +100,8 @@
                 self.shared.report_dependency("store", is_available, reason);
             }
             if is_available && self.is_store {
-                self.free_obsolete().await;
+                self.withdraw_obsolete();
+                self.free_withdrawn().await;
             }
             sleep(if is_available {
                 self.poll_delay()
@@ -124,6 +133,10 @@
         else {
             return Err(self.unreadable_answer());
         };
+        if let Some(clock) = events.clock {
+            let mut cache_index = self.shared.relay_state.cache_index();
+            cache_index.set_clock(clock, boot_time());
+        }
         let restarted = self
             .position
             .is_some_and(|it| it.incarnation != events.incarnation);
@@ -148,12 +161,6 @@
     }
 
     fn apply_events(&mut self, events: &PartEvents) {
-        if let Some(clock) = events.clock {
-            self.shared
-                .relay_state
-                .cache_index()
-                .set_clock(clock, boot_time());
-        }
         if events.changes.is_empty() {
             return;
         }
@@ -184,63 +191,85 @@
         Ok(())
     }
 
-    /// Records what the place now holds of these parts, and publishes it in the feed.
+    /// Records what the place now holds of these parts, and publishes it in the feed, except for
+    /// withdrawn parts.
     fn record_parts<'part, Parts>(&mut self, parts: Parts)
     where
         Parts: Iterator<Item = &'part HeldPart>,
     {
-        let mut recorded = Vec::new();
+        let mut reported = Vec::new();
         for part in parts {
-            recorded.push(CachedPart {
-                part: part_key(&part.salt, &part.id),
-                tokens: part.tokens,
-            });
+            if !self.held.is_withdrawn(part) {
+                reported.push(cached_part(part, part.tokens));
+            }
             if self.is_store {
                 self.held.set(part);
             }
         }
-        self.shared.feed.publish(Change::Held {
-            place: self.place,
-            parts: recorded,
+        self.publish_held(reported);
+    }
+
+    fn publish_held(&self, parts: Vec<CachedPart>) {
+        let place = self.place;
+        self.shared.feed.publish(Change::Held { place, parts });
+    }
+
+    /// Publishes the parts that are of no more use as no longer held, so that nobody fetches them.
+    fn withdraw_obsolete(&mut self) {
+        let now = boot_time();
+        let known = self.shared.known();
+        let withdrawn = self.held.withdraw(now, |model, salt| {
+            let wanted = known.wanted().get(model);
+            wanted.is_some_and(|wanted| is_obsolete(salt, wanted, now))
         });
+        drop(known);
+        if !withdrawn.is_empty() {
+            let parts = withdrawn.iter().map(|part| cached_part(part, 0));
+            self.publish_held(parts.collect());
+        }
     }
 
-    /// Asks the store to free obsolete parts, if this instance owns the store.
-    async fn free_obsolete(&mut self) {
-        let own = &self.shared.settings.instance;
-        let is_owner = self.shared.ownership.load().owner(self.place) == Some(own);
-        let Some(position) = self.position.filter(|_| is_owner) else {
+    /// Asks the store to free parts that were withdrawn long enough ago, if this instance owns the
+    /// store.
+    async fn free_withdrawn(&mut self) {
+        let may_free = self.is_owner() && self.has_recent_view();
+        let Some(position) = self.position.filter(|_| may_free) else {
+            return;
+        };
+        let Some(cutoff) = boot_time().checked_sub(FREE_DELAY) else {
             return;
         };
-        let obsolete = self.obsolete_parts();
-        if obsolete.is_empty() {
+        let freed: Vec<HeldPart> = self
+            .held
+            .withdrawn_by(cutoff)
+            .take(MAX_FREED_COUNT)
+            .collect();
+        if freed.is_empty() {
             return;
         }
         let call = self
             .shared
             .format
-            .free_request(&obsolete, position.incarnation);
+            .free_request(&freed, position.incarnation);
         if let Err(error) = self.fetch(call, Duration::ZERO).await {
             log::info!("failed to free obsolete parts, retrying: {error}");
             return;
         }
-        let freed = obsolete
-            .into_iter()
-            .map(|part| HeldPart { tokens: 0, ..part });
-        let freed: Vec<HeldPart> = freed.collect();
-        self.record_parts(freed.iter());
         self.log_parts(0, freed.len(), false);
+        for part in freed {
+            self.held.set(&HeldPart { tokens: 0, ..part });
+        }
     }
 
-    /// Returns up to [`MAX_FREED_COUNT`] parts that no instance reads any more.
-    fn obsolete_parts(&self) -> Vec<HeldPart> {
-        let known = self.shared.known();
-        let now = boot_time();
-        let obsolete = self.held.matching(|model, salt| {
-            let wanted = known.wanted().get(model);
-            wanted.is_some_and(|wanted| is_obsolete(salt, wanted, now))
-        });
-        obsolete.take(MAX_FREED_COUNT).collect()
+    /// Whether the place is assigned to this instance, as far as it knows.
+    fn is_owner(&self) -> bool {
+        let own = &self.shared.settings.instance;
+        self.shared.ownership.load().owner(self.place) == Some(own)
+    }
+
+    /// Whether this instance would know of another owner.
+    fn has_recent_view(&self) -> bool {
+        self.shared.relay_state.view().age() <= MAX_VIEW_AGE
     }
 
     fn clear(&mut self) {
@@ -279,3 +308,11 @@
         });
     }
 }
+
+/// What is reported of a part of which `tokens` tokens are held.
+fn cached_part(part: &HeldPart, tokens: u32) -> CachedPart {
+    CachedPart {
+        part: part_key(&part.salt, &part.id),
+        tokens,
+    }
+}
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -51,9 +51,14 @@
         self.publish(Change::Cleared { place });
     }
 
-    /// Stops publishing `place`.
+    /// Stops publishing `place`. Instances that still read this feed for it learn that nothing more
+    /// is known here.
     pub fn unfollow(&self, place: SocketAddr) {
-        self.lock_state().followed_places.remove(&place);
+        let mut state = self.lock_state();
+        state.followed_places.remove(&place);
+        state.log.push(Change::Cleared { place });
+        drop(state);
+        self.changed.notify_waiters();
     }
 
     /// Applies and publishes what this instance has learned about a place that it follows.
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -4,7 +4,7 @@
 //! A prompt consists of parts that several calls may share. Stores keep the parts that engines have
 //! evicted. The [`PartDirectory`] applies what each store and engine reports, and plans calls: a
 //! part that a store holds completely is fetched from it, and a part that no store holds is saved
-//! once. The crate does no I/O and reads no clock; the current time is passed in.
+//! once. Both need a recent report of the store. The crate does no I/O and reads no clock; the current time is passed in.
 //!
 //! ```
 //! use parts::{CachedPart, Change, PartDirectory, PromptPart, Store, part_key};
@@ -13,6 +13,7 @@
 //! let mut directory = PartDirectory::default();
 //! let store = ([127, 0, 0, 1], 9100).into();
 //! directory.set_store(Store::new(store, 100_000));
+//! directory.set_reported(store, Duration::ZERO);
 //! let prompt_parts = ["template", "session"].map(|id| PromptPart::new("v1", id, 5_000));
 //! let engine = (([127, 0, 0, 1], 9200).into(), "almaty-a");
 //! let first_plan = directory.plan(&prompt_parts, engine, Duration::ZERO, true);
@@ -38,5 +39,5 @@
     part_directory::{LinkUse, PartDirectory},
     part_key::{PartKey, part_key},
     plan::{Plan, PromptPart, Transfer},
-    store::Store,
+    store::{MAX_REPORT_AGE, Store},
 };
--- a/crates/parts/src/part_directory.rs
+++ b/crates/parts/src/part_directory.rs
@@ -56,6 +56,7 @@
                 link_free_at: known.link_free_at,
                 slowdown: known.slowdown,
                 available: known.available,
+                reported_at: known.reported_at,
                 ..store
             },
             None => store,
@@ -90,6 +91,15 @@
         }
     }
 
+    /// Records that a report of a store was requested at `requested_at`, and has arrived. Parts are
+    /// fetched from a store, and saved to it, only for [`MAX_REPORT_AGE`](crate::MAX_REPORT_AGE)
+    /// from then on.
+    pub fn set_reported(&mut self, address: SocketAddr, requested_at: Duration) {
+        if let Some(store) = self.stores.get_mut(&address) {
+            store.reported_at = store.reported_at.max(Some(requested_at));
+        }
+    }
+
     /// Applies a change that was reported at `now`.
     pub fn apply(&mut self, change: &Change, now: Duration) {
         match change {
@@ -237,7 +247,7 @@
             .clone()
             .filter_map(|place| self.stores.get(&place));
         let ready = stores.filter(|store| {
-            store.available && (is_on_engine || queue_time(store, now) <= max_queue)
+            store.is_usable(now) && (is_on_engine || queue_time(store, now) <= max_queue)
         });
         let soonest = ready.min_by_key(|store| {
             queue_time(store, now) + store.transfer_time(prompt_part.tokens, failure_domain, now)
@@ -289,7 +299,7 @@
         now: Duration,
     ) -> Option<SocketAddr> {
         let ready = self.stores.values().filter(|store| {
-            store.available
+            store.is_usable(now)
                 && store.free_share() > MIN_FREE_SHARE
                 && queue_time(store, now) <= MAX_SAVE_QUEUE
         });
--- a/crates/parts/src/store.rs
+++ b/crates/parts/src/store.rs
@@ -23,6 +23,9 @@
     pub held_tokens: u64,
     /// Whether the store answers.
     pub available: bool,
+    /// Time at which what is known of the store was last requested from the instance that follows
+    /// it, and then received; `None` before that.
+    pub(crate) reported_at: Option<Duration>,
     /// Seed for rendezvous hashing, derived from the address.
     pub(crate) seed: u64,
     /// Estimated time at which the link has finished all planned transfers.
@@ -44,6 +47,7 @@
             setup_time: Duration::ZERO,
             held_tokens: 0,
             available: true,
+            reported_at: None,
             link_free_at: Duration::ZERO,
             slowdown: Slowdown::default(),
         }
@@ -57,6 +61,12 @@
         (1.0 - used_share).max(0.0)
     }
 
+    /// Whether the store answers, and what is known of it is recent enough to act on.
+    pub(crate) fn is_usable(&self, now: Duration) -> bool {
+        let report_age = self.reported_at.map(|at| now.saturating_sub(at));
+        self.available && report_age.is_some_and(|age| age <= MAX_REPORT_AGE)
+    }
+
     /// Adds `time` to the time for which the link is in use.
     pub(crate) fn reserve_link(&mut self, time: Duration, now: Duration) {
         self.link_free_at = self.link_free_at.max(now) + time;
@@ -96,6 +106,11 @@
     }
 }
 
+/// Age up to which a report of a store's parts is acted on. Whoever frees parts of a store withdraws
+/// them from its reports, and waits for at least this long before it frees them.
+///
+/// With 320 instances, two reads of the same instance's reports are up to 4.9 s apart.
+pub const MAX_REPORT_AGE: Duration = Duration::from_secs(5);
 /// Factor on the transfer time per token between different failure domains.
 const REMOTE_FACTOR: f64 = 2.0;
 /// Factor on the weight of a store in the engine's own failure domain.
--- a/crates/relay/src/outbound_metadata.rs
+++ b/crates/relay/src/outbound_metadata.rs
@@ -13,14 +13,10 @@
     std::time::Duration,
 };
 
-/// Maximum time since the view was last confirmed as current for which cached parts are fetched and
-/// saved.
-const MAX_VIEW_AGE: Duration = Duration::from_secs(4);
 /// Time allowed for fetches beyond twice the expected time. About the time to compute a long part.
 const FETCH_MARGIN: Duration = Duration::from_millis(200);
-/// Time after newer weights are requested during which parts of the replaced weights are still
-/// fetched.
-const MAX_REPLACED_WEIGHTS_AGE: Duration = Duration::from_secs(6);
+/// Longest time from the choice of a target until its fetches are complete or given up.
+pub const MAX_FETCH_TIME: Duration = Duration::from_secs(2);
 
 impl<Format> ActiveCall<Format>
 where
@@ -64,16 +60,15 @@
             return None;
         }
         let engine_time = self.inner.state.cache_index().clock(boot_time())?;
-        Some(engine_time + FETCH_MARGIN + plan.expected_wait() * 2)
+        let fetch_time = FETCH_MARGIN + plan.expected_wait() * 2;
+        Some(engine_time + fetch_time.min(MAX_FETCH_TIME))
     }
 
     /// Plans which parts that the prompt shares with other calls are fetched and saved, and
     /// reserves time on the links of the stores for them.
     ///
-    /// The plan is empty if the weights may have been replaced more than
-    /// [`MAX_REPLACED_WEIGHTS_AGE`] ago or the view is too old. Parts of replaced weights can
-    /// therefore be freed once every instance must know of the new weights. Parts of weights that
-    /// are being replaced are fetched but no longer saved.
+    /// The plan is empty if the weights were replaced too long ago. Parts of weights that are being
+    /// replaced are fetched but no longer saved.
     pub(crate) fn plan_part_transfers(
         &self,
         picked: &PickedTarget,
@@ -89,10 +84,9 @@
         let view = self.inner.state.view();
         let wanted = view.wanted_versions.get(&prompt.model);
         let is_current = wanted.is_none_or(|wanted| wanted.newest_version() == version);
-        let wanted_age = wanted.and_then(|wanted| wanted.max_age(boot_time()));
-        let is_usable = is_current || wanted_age.is_some_and(|age| age < MAX_REPLACED_WEIGHTS_AGE);
+        let uses_parts = wanted.is_none_or(|wanted| wanted.uses_parts_of(version, boot_time()));
         let parts = shared_parts(prompt, &salt);
-        if parts.is_empty() || !is_usable || view.age() > MAX_VIEW_AGE {
+        if parts.is_empty() || !uses_parts {
             return Plan::default();
         }
         let engine = (picked.target.address, picked.target.failure_domain.as_str());
--- a/crates/relay/src/wanted_versions.rs
+++ b/crates/relay/src/wanted_versions.rs
@@ -2,6 +2,10 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
+/// Time after newer weights are requested during which parts of the replaced weights are still
+/// fetched.
+const REPLACED_PARTS_AGE: Duration = Duration::from_secs(6);
+
 /// A version of a model's weights that the operators want in use, and since when.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WantedVersion {
@@ -120,11 +124,11 @@
         self.versions.last()?.max_age(now)
     }
 
-    /// Time for which this instance has known the newest version.
+    /// Whether calls still fetch cached parts that `version` has computed. Parts of replaced weights
+    /// are fetched only while targets are being given the newer ones.
     #[must_use]
-    pub fn known_for(&self, now: Duration) -> Duration {
-        let learned_at = self.versions.last().map_or(now, |newest| newest.learned_at);
-        now.saturating_sub(learned_at)
+    pub fn uses_parts_of(&self, version: u64, now: Duration) -> bool {
+        version >= self.min_required_version(now, REPLACED_PARTS_AGE)
     }
 
     /// The oldest version that may still be used at `now`, if each version must be in use
--- a/crates/relay/tests/let_in.rs
+++ b/crates/relay/tests/let_in.rs
@@ -169,6 +169,7 @@
     {
         let mut cache_index = relay.cache_index.lock().unwrap();
         cache_index.set_store(parts::Store::new(place, 10_000));
+        cache_index.set_reported(place, relay::boot_time());
         let parts = vec![CachedPart {
             part: part_key("1", "s"),
             tokens: 64,
