--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod directory;
 mod follower;
+mod follower_pace;
 mod item;
 mod known_state;
 mod limit_news;
@@ -47,6 +48,7 @@
 mod target_probe;
 
 pub use {
+    follower_pace::{FollowerPace, MAX_STARTED_COUNT, START_PERIOD},
     item::{
         HolderRecord, Item, ItemError, ItemName, LimitRecord, LoadingRecord, MemberRecord,
         RecentVersion, SuspectRecord, TargetRegistration,
--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -2,7 +2,10 @@
 //! followers.
 
 use {
-    crate::{Ownership, Platform, place_follower::PlaceFollower, shared::Shared},
+    crate::{
+        FollowerPace, Ownership, Platform, START_PERIOD, place_follower::PlaceFollower,
+        shared::Shared,
+    },
     catalog::InstanceId,
     parts::Store,
     relay::{View, boot_time},
@@ -47,17 +50,23 @@
         places: BTreeMap::new(),
         instances: Vec::new(),
         followers: HashMap::new(),
+        pace: FollowerPace::default(),
         tasks: JoinSet::new(),
         expires_at: boot_time() + EXPIRY_PERIOD,
     };
     let shared = watch.shared.clone();
     loop {
         let changed = shared.changed.notified();
-        watch.update();
+        let follows_all = watch.update();
+        let period = if follows_all {
+            CHECK_PERIOD
+        } else {
+            START_PERIOD
+        };
         tokio::select! {
             () = token.cancelled() => return Ok(()),
             () = changed => {}
-            () = sleep(CHECK_PERIOD) => {}
+            () = sleep(period) => {}
         }
     }
 }
@@ -72,6 +81,8 @@
     /// Instances that the places are assigned to.
     instances: Vec<InstanceId>,
     followers: HashMap<SocketAddr, CancellationToken>,
+    /// Limits how fast places are added to `followers`.
+    pace: FollowerPace,
     /// Tasks of the followers, aborted on drop.
     tasks: JoinSet<()>,
     /// Time of the next removal of old records.
@@ -83,17 +94,21 @@
     Kv: Send + Sync + 'static,
     Format: Platform,
 {
-    fn update(&mut self) {
+    /// Brings the followers in line with the view. Returns whether all places that this instance should
+    /// follow are followed; otherwise the rest have to wait.
+    fn update(&mut self) -> bool {
         let view = self.shared.relay_state.view();
         let places_changed = self.update_places(&view);
         self.assign(places_changed);
         let ownership = self.shared.ownership.load_full();
-        let wanted: Vec<SocketAddr> = self
+        let mut wanted: Vec<SocketAddr> = self
             .places
             .keys()
             .copied()
             .filter(|place| self.is_followed_here(&ownership, *place))
             .collect();
+        // Calls use what stores hold before what other engines hold.
+        wanted.sort_by_key(|place| !self.places[place]);
         self.followers.retain(|place, stop| {
             let stays = wanted.contains(place);
             if !stays {
@@ -102,10 +117,20 @@
             }
             stays
         });
+        let now = boot_time();
+        let mut follows_all = true;
         for place in wanted {
+            if self.followers.contains_key(&place) {
+                continue;
+            }
+            if !self.pace.try_start(now) {
+                follows_all = false;
+                break;
+            }
             self.follow(place);
         }
-        self.expire_old_records(boot_time());
+        self.expire_old_records(now);
+        follows_all
     }
 
     /// Assigns the places to the instances, if either have changed.
@@ -165,9 +190,6 @@
     }
 
     fn follow(&mut self, place: SocketAddr) {
-        if self.followers.contains_key(&place) {
-            return;
-        }
         let stop = CancellationToken::new();
         self.followers.insert(place, stop.clone());
         self.shared.feed.follow(place);
