--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 //! ```
 
 mod directory;
+mod drain;
 mod follower;
 mod follower_pace;
 mod item;
@@ -32,6 +33,7 @@
 mod origin_exchange;
 mod own_keys;
 mod ownership;
+mod part_freeing;
 mod parts_by_salt;
 mod peer_watch;
 mod place_follower;
@@ -40,6 +42,7 @@
 mod recent_versions;
 mod record_lease;
 pub mod rollout;
+mod servers;
 mod settings;
 mod shared;
 mod start;
--- a/crates/entry/src/place_follower.rs
+++ b/crates/entry/src/place_follower.rs
@@ -1,11 +1,7 @@
 //! Follows which parts one store or engine reports to hold.
 
 use {
-    crate::{
-        HeldPart, PartEvents, PartsBySalt, Platform,
-        obsolete_parts::{FREE_DELAY, is_obsolete},
-        shared::Shared,
-    },
+    crate::{HeldPart, PartEvents, PartsBySalt, Platform, shared::Shared},
     bytes::Bytes,
     eventlog::Event,
     http_body_util::Full,
@@ -23,10 +19,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay after a failed request.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Largest number of parts freed by one request.
-const MAX_FREED_COUNT: usize = 500;
-/// Age of the view up to which this instance relies on being the one that a store is assigned to.
-const MAX_VIEW_AGE: Duration = Duration::from_secs(4);
 /// Delay between requests to a store.
 const STORE_POLL_DELAY: Duration = Duration::from_millis(60);
 /// Delay between requests to an engine.
@@ -34,23 +26,23 @@
 
 /// Position of a follower in the changes of a place.
 #[derive(Clone, Copy, Debug)]
-struct Position {
+pub(crate) struct Position {
     /// Incarnation of the place, which changes when it restarts.
-    incarnation: u64,
+    pub(crate) incarnation: u64,
     /// Sequence number of the next change to request.
     next_seq: u64,
 }
 
 /// Follows one place, that is, a store or an engine.
 pub(crate) struct PlaceFollower<Kv, Format> {
-    shared: Arc<Shared<Kv, Format>>,
+    pub(crate) shared: Arc<Shared<Kv, Format>>,
     client: Client,
-    place: SocketAddr,
+    pub(crate) place: SocketAddr,
     is_store: bool,
-    position: Option<Position>,
+    pub(crate) position: Option<Position>,
     /// Parts that the store holds, with the salts and ids that a free request needs. Empty for an
     /// engine.
-    held: PartsBySalt,
+    pub(crate) held: PartsBySalt,
 }
 
 impl<Kv, Format> PlaceFollower<Kv, Format>
@@ -209,69 +201,11 @@
         self.publish_held(reported);
     }
 
-    fn publish_held(&self, parts: Vec<CachedPart>) {
+    pub(crate) fn publish_held(&self, parts: Vec<CachedPart>) {
         let place = self.place;
         self.shared.feed.publish(Change::Held { place, parts });
     }
 
-    /// Publishes the parts that are of no more use as no longer held, so that nobody fetches them.
-    fn withdraw_obsolete(&mut self) {
-        let now = boot_time();
-        let known = self.shared.known();
-        let withdrawn = self.held.withdraw(now, |model, salt| {
-            let wanted = known.wanted().get(model);
-            wanted.is_some_and(|wanted| is_obsolete(salt, wanted, now))
-        });
-        drop(known);
-        if !withdrawn.is_empty() {
-            let parts = withdrawn.iter().map(|part| cached_part(part, 0));
-            self.publish_held(parts.collect());
-        }
-    }
-
-    /// Asks the store to free parts that were withdrawn long enough ago, if this instance owns the
-    /// store.
-    async fn free_withdrawn(&mut self) {
-        let may_free = self.is_owner() && self.has_recent_view();
-        let Some(position) = self.position.filter(|_| may_free) else {
-            return;
-        };
-        let Some(cutoff) = boot_time().checked_sub(FREE_DELAY) else {
-            return;
-        };
-        let freed: Vec<HeldPart> = self
-            .held
-            .withdrawn_by(cutoff)
-            .take(MAX_FREED_COUNT)
-            .collect();
-        if freed.is_empty() {
-            return;
-        }
-        let call = self
-            .shared
-            .format
-            .free_request(&freed, position.incarnation);
-        if let Err(error) = self.fetch(call, Duration::ZERO).await {
-            log::info!("failed to free obsolete parts, retrying: {error}");
-            return;
-        }
-        self.log_parts(0, freed.len(), false);
-        for part in freed {
-            self.held.set(&HeldPart { tokens: 0, ..part });
-        }
-    }
-
-    /// Whether the place is assigned to this instance, as far as it knows.
-    fn is_owner(&self) -> bool {
-        let own = &self.shared.settings.instance;
-        self.shared.ownership.load().owner(self.place) == Some(own)
-    }
-
-    /// Whether this instance would know of another owner.
-    fn has_recent_view(&self) -> bool {
-        self.shared.relay_state.view().age() <= MAX_VIEW_AGE
-    }
-
     fn clear(&mut self) {
         self.held.clear();
         let place = self.place;
@@ -279,7 +213,11 @@
     }
 
     /// Sends a request, which the place may hold for up to `wait`, and returns the response body.
-    async fn fetch(&self, call: Request<Full<Bytes>>, wait: Duration) -> Result<Bytes, SendError> {
+    pub(crate) async fn fetch(
+        &self,
+        call: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<Bytes, SendError> {
         let limit = wait + ANSWER_TIMEOUT;
         let mut reply = self
             .client
@@ -299,7 +237,7 @@
         }
     }
 
-    fn log_parts(&self, added_count: usize, removed_count: usize, listed: bool) {
+    pub(crate) fn log_parts(&self, added_count: usize, removed_count: usize, listed: bool) {
         self.shared.log.emit(&Event::Parts {
             place: self.place.to_string(),
             added_count,
@@ -310,7 +248,7 @@
 }
 
 /// What is reported of a part of which `tokens` tokens are held.
-fn cached_part(part: &HeldPart, tokens: u32) -> CachedPart {
+pub(crate) fn cached_part(part: &HeldPart, tokens: u32) -> CachedPart {
     CachedPart {
         part: part_key(&part.salt, &part.id),
         tokens,
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -2,20 +2,18 @@
 
 use {
     crate::{
-        OwnShutdown, Platform, Settings,
-        directory::{self, CALLER_REFRESH_TIME},
-        follower, limit_news,
-        listener::{self, FLUSH_TIME, ListenerControl},
-        membership, orders, origin_exchange, peer_watch, place_watch, recent_versions,
+        Platform, Settings,
+        drain::drain,
+        follower, limit_news, membership, orders, origin_exchange, peer_watch, place_watch,
+        recent_versions,
+        servers::{relay, serve_calls, serve_queries},
         shared::Shared,
         suspects, target_probe,
     },
     eventlog::{Event, EventLog},
     feed::Feed,
-    hyper::{Request, body::Incoming},
     keyvalue::KeyValue,
-    relay::{CallSource, Relay, RelaySettings, boot_time},
-    routes::CallLimits,
+    relay::{CallSource, boot_time},
     snafu::{ResultExt, Snafu},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     supervisor::{
@@ -25,7 +23,7 @@
     tokio::{
         net::TcpListener,
         task::{JoinHandle, JoinSet},
-        time::{sleep, timeout},
+        time::timeout,
     },
     tokio_util::sync::CancellationToken,
 };
@@ -36,27 +34,8 @@
 const CONNECTION_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Longest time that bytes sent to a target may stay unacknowledged.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time for callers to learn the addresses of other instances before connections are refused. Some
-/// callers cache a response for three times its maximum age.
-const REDIRECT_TIME: Duration = Duration::from_millis(3_500);
-/// Time before the forced kill at which responses in progress are cut off and the exit begins.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Time before the forced kill that is reserved for writing the log.
 const LOG_MARGIN: Duration = Duration::from_millis(100);
-/// Share of the version bound after which calls avoid older weights.
-const OLD_WEIGHTS_SHARE: f64 = 0.8;
-/// Share of the file descriptors that caller connections may use. The rest is for files,
-/// connections to the key-value service and connections to targets.
-const CALLER_DESCRIPTORS_SHARE: f64 = 0.6;
-/// Share of the file descriptors that connections of other instances' calls may use.
-const PEER_DESCRIPTORS_SHARE: f64 = 0.1;
-/// Connections served concurrently on each of the listeners for readiness, addresses and metrics.
-const MAX_QUERY_CONNECTIONS_COUNT: usize = 256;
-/// Longest request head on those listeners, in bytes.
-const MAX_QUERY_HEAD_BYTES: usize = 16 << 10;
-/// Time that an idle connection to those listeners is kept.
-const QUERY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The instance cannot start or cannot continue.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -114,7 +93,7 @@
     ));
     let mut servers = JoinSet::new();
     let stop_accepting = CancellationToken::new();
-    let relay = relay(&shared);
+    let relay = relay(&shared, client());
     let call_listeners = [(call_listener, CallSource::Caller)].into_iter();
     let peer_listeners = peer_listener.map(|listener| (listener, CallSource::Instance));
     for (listener, source) in call_listeners.chain(peer_listeners) {
@@ -177,68 +156,6 @@
     }
 }
 
-/// Directs callers to other instances, then returns once every call in progress has been answered.
-/// The relay refuses calls that would not end in time; responses still in progress are cut off
-/// shortly before the forced kill.
-async fn drain<Kv, Format>(
-    shared: &Shared<Kv, Format>,
-    stop_accepting: &CancellationToken,
-    servers: &mut JoinSet<()>,
-) where
-    Format: Platform,
-{
-    let grace_period = shared.settings.grace;
-    let answers_time = grace_period.saturating_sub(EXIT_MARGIN);
-    let now = boot_time();
-    shared.log.emit(&Event::Draining {
-        grace_ms: u64::try_from(grace_period.as_millis()).unwrap_or(u64::MAX),
-    });
-    shared.draining.cancel();
-    let answer_deadline = now + answers_time;
-    shared.known().begin_shutdown(OwnShutdown {
-        instance: shared.settings.instance.clone(),
-        started_at: now,
-        grace_period,
-        announced_at: now + CALLER_REFRESH_TIME.min(grace_period / 2),
-        answer_deadline,
-    });
-    shared.publish();
-    let _ = timeout(answers_time, redirect_callers(shared)).await;
-    stop_accepting.cancel();
-    let rest = answer_deadline.saturating_sub(boot_time());
-    if timeout(rest, wait_for_servers(servers)).await.is_ok() {
-        return;
-    }
-    log::warn!("calls in progress took too long; cutting off their responses");
-    shared.relay_state.answer_cutoff.trigger();
-    if timeout(FLUSH_TIME * 2, wait_for_servers(servers))
-        .await
-        .is_err()
-    {
-        log::warn!("some connections did not close in time; they close when the process exits");
-    }
-}
-
-/// Waits until callers have had time to learn the addresses of other instances. While no other
-/// instance is ready, callers have nowhere else to go, so this one keeps answering what it can.
-async fn redirect_callers<Kv, Format>(shared: &Shared<Kv, Format>) {
-    if shared.relay_state.view().route_table.is_none() {
-        // Without a configuration this instance was never ready, so callers do not know it.
-        return;
-    }
-    let redirect_time = REDIRECT_TIME.min(shared.settings.grace / 2);
-    sleep(redirect_time).await;
-    if shared.has_ready_peer() {
-        return;
-    }
-    shared.wait_for_ready_peer().await;
-    sleep(redirect_time).await;
-}
-
-async fn wait_for_servers(servers: &mut JoinSet<()>) {
-    while servers.join_next().await.is_some() {}
-}
-
 /// Builds the supervisor tree of the control thread.
 fn control_tree<Kv, Format>(
     shared: &Arc<Shared<Kv, Format>>,
@@ -315,101 +232,6 @@
     Client::new(settings)
 }
 
-/// Creates the relay that answers the calls of callers and of other instances.
-fn relay<Kv, Format>(shared: &Shared<Kv, Format>) -> Relay<Format>
-where
-    Format: Platform,
-{
-    let settings = &shared.settings;
-    let relay_settings = RelaySettings {
-        failure_domain: settings.failure_domain.clone(),
-        instance_seed: shared.instance_seed(),
-        retry_bounds: settings.retries,
-        stale_weights_grace: settings.version_bound.mul_f64(OLD_WEIGHTS_SHARE),
-        max_buffered_bytes: settings.memory_bytes / 4,
-    };
-    Relay::new(
-        relay_settings,
-        shared.format.clone(),
-        client(),
-        shared.relay_state.clone(),
-        shared.log.clone(),
-        shared.meters.clone(),
-    )
-}
-
-async fn serve_calls<Kv, Format>(
-    shared: Arc<Shared<Kv, Format>>,
-    relay: Relay<Format>,
-    listener: TcpListener,
-    source: CallSource,
-    stop: CancellationToken,
-) where
-    Kv: KeyValue,
-    Format: Platform,
-{
-    let settings = &shared.settings;
-    let descriptors = f64::from(u32::try_from(settings.max_descriptors_count).unwrap_or(u32::MAX));
-    let share = match source {
-        CallSource::Caller => CALLER_DESCRIPTORS_SHARE,
-        CallSource::Instance => PEER_DESCRIPTORS_SHARE,
-    };
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let max_connections_count = (descriptors * share) as usize;
-    let control = ListenerControl {
-        max_connections_count,
-        draining: shared.draining.clone(),
-        stop,
-        answer_cutoff: shared.relay_state.answer_cutoff.clone(),
-    };
-    let view = shared.relay_state.view.clone();
-    let limits = move || {
-        let table = view.load().route_table.clone();
-        table.map(|table| table.config().limits).unwrap_or_default()
-    };
-    listener::serve(
-        listener,
-        control,
-        limits,
-        move |request: Request<Incoming>| {
-            let relay = relay.clone();
-            async move { relay.serve(request, source).await }
-        },
-    )
-    .await;
-}
-
-async fn serve_queries<Kv, Format>(
-    shared: Arc<Shared<Kv, Format>>,
-    listener: TcpListener,
-    stop: CancellationToken,
-) where
-    Kv: KeyValue,
-    Format: Platform,
-{
-    let control = ListenerControl {
-        max_connections_count: MAX_QUERY_CONNECTIONS_COUNT,
-        draining: shared.draining.clone(),
-        stop,
-        answer_cutoff: shared.relay_state.answer_cutoff.clone(),
-    };
-    let limits = || CallLimits {
-        max_head_bytes: MAX_QUERY_HEAD_BYTES,
-        idle_timeout: QUERY_IDLE_TIMEOUT,
-        ..CallLimits::default()
-    };
-    listener::serve(
-        listener,
-        control,
-        limits,
-        move |request: Request<Incoming>| {
-            let answer = directory::answer(&shared, &request);
-            async move { answer }
-        },
-    )
-    .await;
-}
-
 async fn listen_if_set(address: Option<SocketAddr>) -> Result<Option<TcpListener>, StartError> {
     match address {
         Some(address) => listen(address).await.map(Some),
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -233,6 +233,13 @@
         /// Whether the whole list was read because events were missed.
         listed: bool,
     },
+    /// Calls no longer fetch parts that replaced weights have computed; the store frees them later.
+    PartsWithdrawn {
+        /// Store that keeps the parts.
+        place: String,
+        /// Number of the parts.
+        count: usize,
+    },
     /// A service that the process depends on became unavailable or available again.
     Dependency {
         /// Name of the service.
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -84,6 +84,10 @@
             removed_count: 0,
             listed: false,
         },
+        Event::PartsWithdrawn {
+            place: text(),
+            count: 0,
+        },
         Event::Dependency {
             name: "",
             available: false,
@@ -121,6 +125,7 @@
         Event::Note { .. } => 16,
         Event::SuspectPart { .. } => 17,
         Event::SuspectCall { .. } => 18,
+        Event::PartsWithdrawn { .. } => 19,
     }
 }
 
