--- a/crates/feed/tests/feed_reads.rs
+++ b/crates/feed/tests/feed_reads.rs
@@ -130,3 +130,19 @@
     assert!(batch.changes.is_empty(), "{batch:?}");
     instance.stop().await;
 }
+
+/// Guards against a reader that goes on fetching what another instance frees, since it has not learned
+/// yet that this one no longer follows the store.
+#[tokio::test]
+async fn reader_forgets_a_place_that_is_no_longer_followed() {
+    let (listener, address) = listen("127.0.0.1:0").await;
+    let instance = Instance::start(listener);
+    instance.feed.follow(place());
+    instance.feed.publish(held(1));
+    let mut reader = FeedReader::new(address);
+    let before = reader.read(None, WAIT).await.unwrap().position;
+    instance.feed.unfollow(place());
+    let batch = reader.read(Some(before), WAIT).await.unwrap();
+    assert_eq!(batch.changes, [Change::Cleared { place: place() }]);
+    instance.stop().await;
+}
