Test of recent versions: the fake service keeps telling instances that they are current

An instance marks a version only if it was requested in the last 3.8 s; without changes the service in memory confirms nothing, so after a pause the version may be as old as the pause. What is checked is unchanged.

--- a/crates/entry/tests/instance_lifecycle.rs
+++ b/crates/entry/tests/instance_lifecycle.rs
@@ -5,7 +5,7 @@
 use {
     keyvalue::{KeyValue, MemoryKv},
     std::time::Duration,
-    support::{Instance, put, target::Target, wait_until},
+    support::{Instance, keep_current, put, target::Target, wait_until},
 };
 
 async fn fleet(target: &Target) -> MemoryKv {
@@ -111,6 +111,7 @@
     let target = Target::start(Duration::ZERO).await;
     let kv = fleet(&target).await;
     let _instances = two_instances(kv.clone()).await;
+    keep_current(&kv);
     put(&kv, "operators/version/m", "2").await;
     let mark = async |key: &str| {
         let range = kv.range(key).await.unwrap();
--- a/crates/entry/tests/stored_parts.rs
+++ b/crates/entry/tests/stored_parts.rs
@@ -5,7 +5,10 @@
 use {
     keyvalue::MemoryKv,
     std::time::Duration,
-    support::{Instance, OutgoingCall, part_store::PartStore, put, target::Target, wait_until},
+    support::{
+        Instance, OutgoingCall, keep_current, part_store::PartStore, put, target::Target,
+        wait_until,
+    },
     tokio::time::sleep,
 };
 
@@ -25,18 +28,6 @@
     kv
 }
 
-/// Changes a key that nobody uses again and again, so that instances know that what they have read is
-/// current. The service in memory tells them only with a change.
-fn keep_current(kv: &MemoryKv) {
-    let kv = kv.peer();
-    tokio::spawn(async move {
-        for count in 0.. {
-            put(&kv, "unused", &format!("{count}")).await;
-            sleep(Duration::from_millis(500)).await;
-        }
-    });
-}
-
 /// Starts instances that have read what the store holds.
 async fn start(names: &[&str], kv: &MemoryKv, target: &Target, store: &PartStore) -> Vec<Instance> {
     let instances: Vec<Instance> = names
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -261,6 +261,18 @@
     kv.txn(write).await.unwrap();
 }
 
+/// Changes a key that nobody uses again and again, so that instances know that what they have read is
+/// current. The service in memory tells them only with a change.
+pub fn keep_current(kv: &MemoryKv) {
+    let kv = kv.peer();
+    tokio::spawn(async move {
+        for count in 0.. {
+            put(&kv, "unused", &format!("{count}")).await;
+            sleep(Duration::from_millis(500)).await;
+        }
+    });
+}
+
 async fn get(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Option<Answer> {
     let mut builder = Request::get(path);
     for (name, value) in headers {
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -4,7 +4,8 @@
 //! A prompt consists of parts that several calls may share. Stores keep the parts that engines have
 //! evicted. The [`PartDirectory`] applies what each store and engine reports, and plans calls: a
 //! part that a store holds completely is fetched from it, and a part that no store holds is saved
-//! once. Both need a recent report of the store. The crate does no I/O and reads no clock; the current time is passed in.
+//! once. Both need a recent report of the store. The crate does no I/O and reads no clock; the
+//! current time is passed in.
 //!
 //! ```
 //! use parts::{CachedPart, Change, PartDirectory, PromptPart, Store, part_key};
