Read once more: no work for engines' parts and empty reports; what stood twice in entry and relay stands once

place_follower asked for each part of an engine whether it was withdrawn, which copies two strings, and took a lock at each poll to confirm a report that only stores have; both are for stores only now, and the confirmation stands beside the freeing that relies on it. A report of no parts, which withdrawn parts had made possible, is not published: it woke all readers for nothing. One ListenerControl for both kinds of servers, one retry delay for calls without a target, one method for the time that a caller waits. No call is decided otherwise.

--- a/crates/entry/src/part_freeing.rs
+++ b/crates/entry/src/part_freeing.rs
@@ -20,6 +20,16 @@
 where
     Format: Platform,
 {
+    /// Records that what this instance knows of the store was requested at `requested_at`. An instance
+    /// that follows the store in place of another one does so only while it would know of newer
+    /// weights.
+    pub(crate) fn confirm_report(&self, requested_at: Duration) {
+        if self.is_owner() || self.has_recent_view() {
+            let mut cache_index = self.shared.relay_state.cache_index();
+            cache_index.set_reported(self.place, requested_at);
+        }
+    }
+
     /// Publishes the parts that are of no more use as no longer held, so that nobody fetches them.
     pub(crate) fn withdraw_obsolete(&mut self) {
         let now = boot_time();
@@ -75,13 +85,13 @@
     }
 
     /// Whether the place is assigned to this instance, as far as it knows.
-    pub(crate) fn is_owner(&self) -> bool {
+    fn is_owner(&self) -> bool {
         let own = &self.shared.settings.instance;
         self.shared.ownership.load().owner(self.place) == Some(own)
     }
 
     /// Whether this instance would know of another owner.
-    pub(crate) fn has_recent_view(&self) -> bool {
+    fn has_recent_view(&self) -> bool {
         self.shared.relay_state.view().age() <= MAX_VIEW_AGE
     }
 }
--- a/crates/entry/src/place_follower.rs
+++ b/crates/entry/src/place_follower.rs
@@ -77,10 +77,6 @@
             let requested_at = boot_time();
             let outcome = self.poll().await;
             let is_available = outcome.is_ok();
-            if is_available && (self.is_owner() || self.has_recent_view()) {
-                let mut cache_index = self.shared.relay_state.cache_index();
-                cache_index.set_reported(place, requested_at);
-            }
             if self.is_store && Some(is_available) != available {
                 available = Some(is_available);
                 self.shared.feed.publish(Change::Available {
@@ -92,6 +88,7 @@
                 self.shared.report_dependency("store", is_available, reason);
             }
             if is_available && self.is_store {
+                self.confirm_report(requested_at);
                 self.withdraw_obsolete();
                 self.free_withdrawn().await;
             }
@@ -191,17 +188,22 @@
     {
         let mut reported = Vec::new();
         for part in parts {
-            if !self.held.is_withdrawn(part) {
-                reported.push(cached_part(part, part.tokens));
-            }
             if self.is_store {
+                let is_withdrawn = self.held.is_withdrawn(part);
                 self.held.set(part);
+                if is_withdrawn {
+                    continue;
+                }
             }
+            reported.push(cached_part(part, part.tokens));
         }
         self.publish_held(reported);
     }
 
     pub(crate) fn publish_held(&self, parts: Vec<CachedPart>) {
+        if parts.is_empty() {
+            return;
+        }
         let place = self.place;
         self.shared.feed.publish(Change::Held { place, parts });
     }
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -71,12 +71,7 @@
     };
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let max_connections_count = (descriptors * share) as usize;
-    let control = ListenerControl {
-        max_connections_count,
-        draining: shared.draining.clone(),
-        stop,
-        answer_cutoff: shared.relay_state.answer_cutoff.clone(),
-    };
+    let control = listener_control(&shared, max_connections_count, stop);
     let view = shared.relay_state.view.clone();
     let limits = move || {
         let table = view.load().route_table.clone();
@@ -102,12 +97,7 @@
     Kv: KeyValue,
     Format: Platform,
 {
-    let control = ListenerControl {
-        max_connections_count: MAX_QUERY_CONNECTIONS_COUNT,
-        draining: shared.draining.clone(),
-        stop,
-        answer_cutoff: shared.relay_state.answer_cutoff.clone(),
-    };
+    let control = listener_control(&shared, MAX_QUERY_CONNECTIONS_COUNT, stop);
     let limits = || CallLimits {
         max_head_bytes: MAX_QUERY_HEAD_BYTES,
         idle_timeout: QUERY_IDLE_TIMEOUT,
@@ -124,3 +114,16 @@
     )
     .await;
 }
+
+fn listener_control<Kv, Format>(
+    shared: &Shared<Kv, Format>,
+    max_connections_count: usize,
+    stop: CancellationToken,
+) -> ListenerControl {
+    ListenerControl {
+        max_connections_count,
+        draining: shared.draining.clone(),
+        stop,
+        answer_cutoff: shared.relay_state.answer_cutoff.clone(),
+    }
+}
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -36,6 +36,7 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time before the forced kill that is reserved for writing the log.
 const LOG_MARGIN: Duration = Duration::from_millis(100);
+
 /// The instance cannot start or cannot continue.
 #[derive(Debug, Snafu)]
 pub enum StartError {
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -12,6 +12,7 @@
         peer_caller::PeerCall,
         pick::PickedTarget,
         quarantined_calls::part_keys,
+        refusal::NO_TARGET_RETRY_AFTER,
         relay::Inner,
         silent_target::AttemptTimeout,
         target_feedback::record_limit,
@@ -40,8 +41,6 @@
 /// Maximum number of targets tried per call, including those that were unreachable or did not run
 /// it.
 pub(crate) const MAX_TRIED_TARGETS_COUNT: usize = 4;
-/// Retry delay for callers if no target is available.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Retry delay for callers if a target refused the call without running it, for example because it
 /// is at capacity.
 const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -437,8 +436,7 @@
         if !matches!(answer.content, Content::Events(_)) || !answer.has_begun() {
             return;
         }
-        let caller_time = self.admitted.call.time_limit;
-        let time_limit = caller_time.unwrap_or(self.admitted.route.time_limit);
+        let time_limit = self.admitted.caller_time_limit();
         let software_version = &picked.target.software_version;
         self.origin
             .record(&self.admitted, &self.pool, software_version, time_limit);
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -27,6 +27,13 @@
     pub(crate) account: Option<Account>,
 }
 
+impl Admitted {
+    /// Time that the caller waits, or the time limit of the route if the caller states none.
+    pub(crate) fn caller_time_limit(&self) -> Duration {
+        self.call.time_limit.unwrap_or(self.route.time_limit)
+    }
+}
+
 /// Finds the route and the client account of a call.
 ///
 /// # Errors
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -6,6 +6,7 @@
         attempt::{Content, TargetAnswer, read_whole},
         body_memory::BodyMemory,
         call_recorder::CallRecorder,
+        refusal::NO_TARGET_RETRY_AFTER,
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -30,8 +31,6 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Part of the time left that is kept for the way back from the other instance.
 const RETURN_TIME: Duration = Duration::from_millis(10);
-/// Retry delay for callers if no instance reaches a target.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 
 /// Passes calls on to other instances.
 pub(crate) struct PeerCaller {
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -9,6 +9,9 @@
     std::time::Duration,
 };
 
+/// Retry delay for callers if no target can be reached, here or from other instances.
+pub(crate) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
+
 /// Why a call was not answered by a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reason {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -338,10 +338,7 @@
 /// route's if the caller sets none.
 async fn read_body(admitted: &Admitted, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = admitted.table.config().limits;
-    let time_limit = admitted
-        .call
-        .time_limit
-        .unwrap_or(admitted.route.time_limit);
+    let time_limit = admitted.caller_time_limit();
     let reading = Limited::new(body, limits.max_body_bytes).collect();
     match timeout(time_limit, reading).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
