--- a/crates/entry/tests/support/late_target.rs
+++ b/crates/entry/tests/support/late_target.rs
@@ -1,14 +1,12 @@
 //! A target that executes some of its orders late or never, without a response.
 
 use {
-    super::target::respond,
+    super::target::{respond, serve},
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::TokioIo,
+    hyper::{Request, Response, body::Incoming},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
-        convert::Infallible,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
         time::Duration,
@@ -85,16 +83,9 @@
             })),
         };
         let shared = target.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let shared = shared.clone();
-                let service = service_fn(move |request| {
-                    let shared = shared.clone();
-                    async move { Ok::<_, Infallible>(shared.answer(&request).await) }
-                });
-                let stream = TokioIo::new(stream);
-                tokio::spawn(http1::Builder::new().serve_connection(stream, service));
-            }
+        serve(listener, move |request| {
+            let shared = shared.clone();
+            async move { shared.answer(&request).await }
         });
         target
     }
--- a/crates/entry/tests/support/part_store.rs
+++ b/crates/entry/tests/support/part_store.rs
@@ -1,13 +1,11 @@
 //! A store of cached prompt parts, which keeps every part until it is told to free it.
 
 use {
-    super::target::respond,
+    super::target::{respond, serve},
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
-    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::TokioIo,
+    hyper::{Request, Response, body::Incoming},
     std::{
-        convert::Infallible,
         fmt::Write,
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -37,16 +35,9 @@
             freed: Arc::default(),
         };
         let shared = store.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let shared = shared.clone();
-                let service = service_fn(move |request| {
-                    let shared = shared.clone();
-                    async move { Ok::<_, Infallible>(shared.answer(request).await) }
-                });
-                let stream = TokioIo::new(stream);
-                tokio::spawn(http1::Builder::new().serve_connection(stream, service));
-            }
+        serve(listener, move |request| {
+            let shared = shared.clone();
+            async move { shared.answer(request).await }
         });
         store
     }
--- a/crates/entry/tests/support/target.rs
+++ b/crates/entry/tests/support/target.rs
@@ -55,22 +55,15 @@
             limit_per_s: Arc::default(),
         };
         let shared = target.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let shared = shared.clone();
-                let service = service_fn(move |request| {
-                    let shared = shared.clone();
-                    async move {
-                        let mut answer = shared.answer(&request, work).await;
-                        if let Some(limit_per_s) = *shared.limit_per_s.lock().unwrap() {
-                            let limit = limit_per_s.to_string().parse().unwrap();
-                            answer.headers_mut().insert("limit", limit);
-                        }
-                        Ok::<_, Infallible>(answer)
-                    }
-                });
-                let stream = TokioIo::new(stream);
-                tokio::spawn(http1::Builder::new().serve_connection(stream, service));
+        serve(listener, move |request| {
+            let shared = shared.clone();
+            async move {
+                let mut answer = shared.answer(&request, work).await;
+                if let Some(limit_per_s) = *shared.limit_per_s.lock().unwrap() {
+                    let limit = limit_per_s.to_string().parse().unwrap();
+                    answer.headers_mut().insert("limit", limit);
+                }
+                answer
             }
         });
         target
@@ -139,3 +132,22 @@
     let response = Response::builder().status(status);
     response.body(Full::new(Bytes::from(body))).unwrap()
 }
+
+/// Answers each request that arrives at `listener` with what `answer` returns.
+pub fn serve<Answer, Answering>(listener: TcpListener, answer: Answer)
+where
+    Answer: Fn(Request<Incoming>) -> Answering + Clone + Send + 'static,
+    Answering: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            let service = service_fn(move |request| {
+                let answering = answer(request);
+                async move { Ok::<_, Infallible>(answering.await) }
+            });
+            let stream = TokioIo::new(stream);
+            tokio::spawn(http1::Builder::new().serve_connection(stream, service));
+        }
+    });
+}
--- a/crates/feed/tests/feed_reads.rs
+++ b/crates/feed/tests/feed_reads.rs
@@ -49,6 +49,15 @@
     (listener, address)
 }
 
+/// Starts an instance that follows the place and knows one part there, and returns its address.
+async fn instance_with_a_part() -> (Instance, SocketAddr) {
+    let (listener, address) = listen("127.0.0.1:0").await;
+    let instance = Instance::start(listener);
+    instance.feed.follow(place());
+    instance.feed.publish(held(1));
+    (instance, address)
+}
+
 fn place() -> SocketAddr {
     ([127, 0, 0, 1], 9).into()
 }
@@ -73,10 +82,7 @@
 
 #[tokio::test]
 async fn reader_gets_the_whole_state_and_then_only_changes() {
-    let (listener, address) = listen("127.0.0.1:0").await;
-    let instance = Instance::start(listener);
-    instance.feed.follow(place());
-    instance.feed.publish(held(1));
+    let (instance, address) = instance_with_a_part().await;
     let mut reader = FeedReader::new(address);
     let first = reader.read(None, PATIENCE).await.unwrap();
     let mut replica = part_directory();
@@ -94,10 +100,7 @@
 
 #[tokio::test]
 async fn reader_of_a_restarted_instance_gets_its_whole_state() {
-    let (listener, address) = listen("127.0.0.1:0").await;
-    let instance = Instance::start(listener);
-    instance.feed.follow(place());
-    instance.feed.publish(held(1));
+    let (instance, address) = instance_with_a_part().await;
     let mut reader = FeedReader::new(address);
     let before = reader.read(None, PATIENCE).await.unwrap().position;
     instance.stop().await;
@@ -124,10 +127,7 @@
 
 #[tokio::test]
 async fn unfollowed_place_is_not_read() {
-    let (listener, address) = listen("127.0.0.1:0").await;
-    let instance = Instance::start(listener);
-    instance.feed.follow(place());
-    instance.feed.publish(held(1));
+    let (instance, address) = instance_with_a_part().await;
     instance.feed.unfollow(place());
     let mut reader = FeedReader::new(address);
     let batch = reader.read(None, PATIENCE).await.unwrap();
@@ -139,10 +139,7 @@
 /// yet that this one no longer follows the store.
 #[tokio::test]
 async fn reader_forgets_a_place_that_is_no_longer_followed() {
-    let (listener, address) = listen("127.0.0.1:0").await;
-    let instance = Instance::start(listener);
-    instance.feed.follow(place());
-    instance.feed.publish(held(1));
+    let (instance, address) = instance_with_a_part().await;
     let mut reader = FeedReader::new(address);
     let before = reader.read(None, PATIENCE).await.unwrap().position;
     instance.feed.unfollow(place());
