--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -10,7 +10,7 @@
     hyper::{HeaderMap, Request, header::CONTENT_TYPE, http::request},
     relay::{
         BadCall, Call, HeaderFormat, LoadedModel, OutboundMetadata, Part, Prompt, ReplyMetadata,
-        StatedLimit,
+        RetryAfter, Stated, TargetStatements,
     },
     routes::{Account, Pool, PoolKind, RetryPolicy, Route, RouteConfig, StoreProperties},
     std::{
@@ -138,11 +138,19 @@
     }
 
     fn parse_reply(&self, headers: &HeaderMap) -> ReplyMetadata {
-        let limit = headers.get("limit").and_then(|limit| limit.to_str().ok());
+        let text = |name: &str| headers.get(name).and_then(|it| it.to_str().ok());
+        let seconds = |text: &str| Duration::from_secs_f64(text.parse().unwrap());
         ReplyMetadata {
             // Only the relay's own answers have a content type.
             has_proof: !headers.contains_key(CONTENT_TYPE),
-            limit: limit.map(|limit| StatedLimit::PerSecond(limit.parse().unwrap())),
+            not_run: text("not-run").is_some(),
+            statements: TargetStatements {
+                is_leaving: text("leaving").map(|it| Stated::Valid(it == "1")),
+                retry_after: text("retry-after")
+                    .map(|it| Stated::Valid(RetryAfter::Delay(seconds(it)))),
+                limit_per_s: text("limit").map(|it| Stated::Valid(it.parse().unwrap())),
+                ..TargetStatements::default()
+            },
             ..ReplyMetadata::default()
         }
     }
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -34,6 +34,11 @@
     /// Calls per second that the target's answer allows from all instances together; `None` if it
     /// states no limit.
     pub limit_per_s: Option<f64>,
+    /// Whether the target's answer states that it is about to exit.
+    pub is_leaving: bool,
+    /// Time for which the target's answer asks for no calls, in milliseconds; `None` if it asks for
+    /// none.
+    pub retry_after_ms: Option<u64>,
     /// Result of the attempt.
     pub outcome: String,
 }
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -292,7 +292,7 @@
             let outcome = self.send(&picked, last_event_id, recorder).await;
             recorder.end_attempt(describe_outcome(&outcome));
             if let Some(metadata) = outcome.metadata() {
-                recorder.record_limit(metadata.limit.as_ref());
+                recorder.record_statements(&metadata.statements);
                 record_limit(&picked, metadata);
             }
             self.record_attempt(&picked, &outcome);
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        AnswerCutoff, Call, Reason, StatedLimit, answer_times::AnswerTimes, pick::PickedTarget,
+        AnswerCutoff, Call, Reason, Stated, TargetStatements, answer_times::AnswerTimes,
+        pick::PickedTarget,
     },
     eventlog::{AttemptLine, CallLine, Event, EventLog},
     meters::Meters,
@@ -10,7 +11,7 @@
     quarantine::CallKey,
     std::{
         net::SocketAddr,
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime},
     },
 };
 
@@ -117,13 +118,15 @@
         self.line.attempts.len().saturating_sub(1)
     }
 
-    /// Records the limit that the current attempt's target states.
-    pub(crate) fn record_limit(&mut self, limit: Option<&StatedLimit>) {
-        if let (Some(StatedLimit::PerSecond(limit_per_s)), Some(attempt)) =
-            (limit, self.line.attempts.last_mut())
-        {
-            attempt.limit_per_s = Some(*limit_per_s);
-        }
+    /// Enters in the line of the current attempt what its target states of itself.
+    pub(crate) fn record_statements(&mut self, statements: &TargetStatements) {
+        let Some(attempt) = self.line.attempts.last_mut() else {
+            return;
+        };
+        attempt.is_leaving = statements.is_leaving == Some(Stated::Valid(true));
+        let retry_after = statements.retry_after.and_then(Stated::valid);
+        attempt.retry_after_ms = retry_after.map(|it| millis(it.delay(SystemTime::now())));
+        attempt.limit_per_s = statements.limit_per_s.and_then(Stated::valid);
     }
 
     /// Enters in the call's log line what identifies it if it comes again, since an attempt had no
--- a/crates/relay/src/header_format.rs
+++ b/crates/relay/src/header_format.rs
@@ -1,7 +1,7 @@
 //! Parsing and writing of the headers of calls and answers.
 
 use {
-    crate::{BadCall, Call},
+    crate::{BadCall, Call, TargetStatements},
     hyper::{HeaderMap, http::request},
     std::time::Duration,
 };
@@ -32,15 +32,6 @@
     pub save_to: Vec<Option<std::net::SocketAddr>>,
 }
 
-/// A limit that a target states in its answer, for all instances together.
-#[derive(Clone, Debug, PartialEq)]
-pub enum StatedLimit {
-    /// Calls per second; finite and not negative.
-    PerSecond(f64),
-    /// The text is no such number.
-    Invalid(String),
-}
-
 /// Metadata of a target's answer, parsed from its headers.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReplyMetadata {
@@ -54,11 +45,8 @@
     pub target: Option<String>,
     /// Version of the model weights that ran the call.
     pub version: Option<u64>,
-    /// Calls per second that the target can refuse to all instances together before it fails; `None`
-    /// if it states no such bound.
-    pub max_refusals_per_s: Option<f64>,
-    /// Limit that the target sets for all instances together from now on; `None` if it sets none.
-    pub limit: Option<StatedLimit>,
+    /// What the target states of itself.
+    pub statements: TargetStatements,
 }
 
 /// Parses and writes the headers of calls and answers. Implementations are stateless.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -50,6 +50,7 @@
 mod target_feedback;
 mod target_limit;
 mod target_reachability;
+mod target_statements;
 mod target_stats;
 mod view;
 mod wanted_versions;
@@ -59,7 +60,7 @@
     attempt::AttemptOutcome,
     boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
-    header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata, StatedLimit},
+    header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata},
     outbound_metadata::MAX_FETCH_TIME,
     refusal::{Reason, Refusal},
     relay::{CallSource, Relay, RelaySettings, RelayState},
@@ -68,6 +69,7 @@
     stream_origins::{OriginQuestion, OriginRequests, StreamOrigins},
     suspect_reports::SuspectReports,
     target_reachability::TargetReachability,
+    target_statements::{MalformedHeader, RetryAfter, Stated, TargetStatements},
     target_stats::{InFlightGuard, LimitObservation, TargetStats},
     view::{LoadedModel, Peer, TargetState, View},
     wanted_versions::{WantedVersion, WantedVersions},
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        HeaderFormat, ReplyMetadata, StatedLimit,
+        HeaderFormat, MalformedHeader, ReplyMetadata, Stated,
         active_call::{ActiveCall, describe_outcome},
         attempt::{AttemptOutcome, TargetAnswer},
         boot_time,
@@ -158,18 +158,22 @@
         return;
     }
     let call_stats = &picked.target.call_stats;
-    call_stats.record_refusal_bound(metadata.max_refusals_per_s);
-    let limit_per_s = match &metadata.limit {
-        Some(StatedLimit::Invalid(text)) => {
-            if picked.target.call_stats.record_invalid_limit() {
-                let target = &picked.target.id;
-                log::warn!("{target} states the limit {text:?}, which is no number; ignored");
-            }
-            return;
+    let statements = &metadata.statements;
+    let max_refusals_per_s = statements.max_refusals_per_s.and_then(Stated::valid);
+    call_stats.record_refusal_bound(max_refusals_per_s);
+    if call_stats.record_malformed(!statements.malformed.is_empty()) {
+        let target = &picked.target.id;
+        for header in &statements.malformed {
+            let MalformedHeader { name, text } = header;
+            log::warn!(
+                "{target} sends the header {name} with the value {text:?}, which cannot be read or is sent twice; check the target"
+            );
         }
-        Some(StatedLimit::PerSecond(limit_per_s)) => Some(*limit_per_s),
-        None => None,
-    };
+    }
+    if statements.limit_per_s == Some(Stated::Invalid) {
+        return;
+    }
+    let limit_per_s = statements.limit_per_s.and_then(Stated::valid);
     let call_stats = &picked.target.call_stats;
     call_stats.record_limit(limit_per_s, boot_time());
 }
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -54,8 +54,8 @@
     limit: Option<TargetLimit>,
     /// When the last answer came, which stated a limit or none, by [`crate::boot_time`].
     answered_at: Option<Duration>,
-    /// Whether an answer has stated a limit that is no number.
-    has_stated_invalid_limit: bool,
+    /// Whether an answer had a header that cannot be read.
+    has_malformed_header: bool,
     refusal_bound: RefusalBound,
     /// When the target last broke off a connection, by [`crate::boot_time`].
     disconnected_at: Option<Duration>,
@@ -231,10 +231,12 @@
         })
     }
 
-    /// Records that an answer states a limit that is no number. Returns whether it is the first.
-    pub(crate) fn record_invalid_limit(&self) -> bool {
+    /// Records whether an answer has a malformed header. Returns whether it is the first such answer.
+    pub(crate) fn record_malformed(&self, is_malformed: bool) -> bool {
         let mut observations = self.lock();
-        !std::mem::replace(&mut observations.has_stated_invalid_limit, true)
+        let was_malformed = observations.has_malformed_header;
+        observations.has_malformed_header |= is_malformed;
+        is_malformed && !was_malformed
     }
 
     /// Time until the target's limit lets this instance send a call: zero if there is no limit,
--- a/crates/relay/tests/support/header_format.rs
+++ b/crates/relay/tests/support/header_format.rs
@@ -3,7 +3,8 @@
 use {
     hyper::{HeaderMap, header::HeaderName, http::request},
     relay::{
-        BadCall, Call, HeaderFormat, OutboundMetadata, Part, Prompt, ReplyMetadata, StatedLimit,
+        BadCall, Call, HeaderFormat, OutboundMetadata, Part, Prompt, ReplyMetadata, RetryAfter,
+        Stated, TargetStatements,
     },
     std::time::Duration,
 };
@@ -73,11 +74,18 @@
             not_run: headers.contains_key("not-run"),
             target: text("target").map(str::to_owned),
             version: text("version").and_then(|it| it.parse().ok()),
-            max_refusals_per_s: text("max-refusals").and_then(|it| it.parse().ok()),
-            limit: text("limit").map(|it| {
-                let limit_per_s = it.parse().map(StatedLimit::PerSecond);
-                limit_per_s.unwrap_or_else(|_| StatedLimit::Invalid(it.to_owned()))
-            }),
+            statements: TargetStatements {
+                is_leaving: text("leaving").map(|it| Stated::Valid(it == "1")),
+                retry_after: text("retry-after").map(|it| match it.parse() {
+                    Ok(delay_s) => {
+                        Stated::Valid(RetryAfter::Delay(Duration::from_secs_f64(delay_s)))
+                    }
+                    Err(_) => Stated::Invalid,
+                }),
+                limit_per_s: text("limit").map(stated_rate),
+                max_refusals_per_s: text("max-refusals").map(stated_rate),
+                malformed: Vec::new(),
+            },
         }
     }
 
@@ -88,3 +96,8 @@
         out
     }
 }
+
+fn stated_rate(text: &str) -> Stated<f64> {
+    let rate = text.parse().map(Stated::Valid);
+    rate.unwrap_or(Stated::Invalid)
+}
