--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -261,6 +261,15 @@
     kv.txn(write).await.unwrap();
 }
 
+/// Deletes a key.
+pub async fn delete(kv: &MemoryKv, key: &str) {
+    let write = Txn {
+        success: vec![Op::Delete(key.to_owned())],
+        ..Txn::default()
+    };
+    kv.txn(write).await.unwrap();
+}
+
 /// Changes a key that nobody uses again and again, so that instances know that what they have read is
 /// current. The service in memory tells them only with a change.
 pub fn keep_current(kv: &MemoryKv) {
--- a/crates/entry/tests/support/target.rs
+++ b/crates/entry/tests/support/target.rs
@@ -3,14 +3,17 @@
 use {
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        Request, Response, body::Incoming, header::HeaderValue, server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::TokioIo,
     std::{
         convert::Infallible,
         net::SocketAddr,
         sync::{
             Arc, Mutex,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -40,6 +43,10 @@
     fetches: Arc<Mutex<Vec<Option<SocketAddr>>>>,
     /// Calls per second that the target states as its limit.
     limit_per_s: Arc<Mutex<Option<f64>>>,
+    /// Whether all answers state that the target is about to exit.
+    is_leaving: Arc<AtomicBool>,
+    /// Time in seconds that the target names when it refuses a call; `None` while it refuses none.
+    retry_after_s: Arc<Mutex<Option<f64>>>,
 }
 
 impl Target {
@@ -53,12 +60,18 @@
             arrivals: Arc::default(),
             fetches: Arc::default(),
             limit_per_s: Arc::default(),
+            is_leaving: Arc::default(),
+            retry_after_s: Arc::default(),
         };
         let shared = target.clone();
         serve(listener, move |request| {
             let shared = shared.clone();
             async move {
                 let mut answer = shared.answer(&request, work).await;
+                if shared.is_leaving.load(Ordering::Relaxed) {
+                    let leaving = HeaderValue::from_static("1");
+                    answer.headers_mut().insert("leaving", leaving);
+                }
                 if let Some(limit_per_s) = *shared.limit_per_s.lock().unwrap() {
                     let limit = limit_per_s.to_string().parse().unwrap();
                     answer.headers_mut().insert("limit", limit);
@@ -94,6 +107,16 @@
         *self.limit_per_s.lock().unwrap() = limit_per_s;
     }
 
+    /// Sets whether all further answers state that the target is about to exit.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
+    /// Sets the time that the target names in refusals of all further calls; `None` to serve them.
+    pub fn set_retry_after(&self, retry_after_s: Option<f64>) {
+        *self.retry_after_s.lock().unwrap() = retry_after_s;
+    }
+
     async fn answer(&self, request: &Request<Incoming>, work: Duration) -> Response<Full<Bytes>> {
         let path = request.uri().path();
         if path == "/report" {
@@ -114,6 +137,11 @@
         }
         self.calls_count.fetch_add(1, Ordering::Relaxed);
         self.arrivals.lock().unwrap().push(Instant::now());
+        if let Some(retry_after_s) = *self.retry_after_s.lock().unwrap() {
+            let refusal = Response::builder().status(503).header("not-run", "1");
+            let refusal = refusal.header("retry-after", retry_after_s.to_string());
+            return refusal.body(Full::default()).unwrap();
+        }
         let fetch = request.headers().get("fetch");
         let fetch = fetch.map(|place| place.to_str().unwrap().parse().unwrap());
         self.fetches.lock().unwrap().push(fetch);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -200,6 +200,14 @@
         }
     }
 
+    /// Adds a target to the pool.
+    pub fn add_target(&self, target: &ScriptedTarget) {
+        let mut changed = View::clone(&self.view.load());
+        let mut added = view(&[target]).pools.remove("pool").unwrap();
+        changed.pools.get_mut("pool").unwrap().append(&mut added);
+        self.view.store(Arc::new(changed));
+    }
+
     /// Sets the maximum length of a body.
     pub fn limit_bodies(&self, max_body_bytes: usize) {
         let mut view = View::clone(&self.view.load());
