Targets that state that they leave get no new calls

Cause: nothing decided by what a target states of itself in its answers, except for two statements (limit, refusals borne) that were checked in two places and recorded only from answers that could be used.

Fix: relay::TargetConditions holds all that a target has stated and answers when this instance may send it a call; relay::pick, the one place where targets are chosen (first tries, retries, resumed and moved streams, calls of other instances), asks it. The statement is recorded when the head of an answer arrives, so that answers which break off, cannot be used or have only begun count too, and answers to reports, orders and event requests. It belongs to one start of the target: a registration that is read again, or lapses and returns, does not bring the target back, a later start under its id does.

target_statement lines and the counters target_statements and passed_over_targets explain it.

--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -32,6 +32,14 @@
     expires_at: Option<Duration>,
 }
 
+/// A target whose registration is gone.
+#[derive(Clone, Debug)]
+struct DepartedTarget {
+    state: Arc<TargetState>,
+    /// When the target is forgotten.
+    until: Duration,
+}
+
 /// A known entry instance.
 #[derive(Clone, Debug)]
 struct KnownMember {
@@ -77,6 +85,10 @@
     pub fencing: Revision,
 }
 
+/// Time for which it is remembered what a target stated whose registration is gone. A target that is
+/// about to exit has exited by then.
+const DEPARTED_MEMORY: Duration = Duration::from_mins(1);
+
 /// If the last confirmation is older than this, a change may have been made long before this
 /// instance learns of it. Longer than a watch request waits for changes.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(2_500);
@@ -107,6 +119,9 @@
     quarantine: Arc<Quarantine>,
     /// Limits of targets that instances have announced.
     limits: BTreeMap<TargetId, AnnouncedLimit>,
+    /// Targets without a registration that have stated that they want no calls. The registration of a
+    /// target may lapse and return while the target runs.
+    departed: BTreeMap<TargetId, DepartedTarget>,
 }
 
 impl KnownState {
@@ -162,7 +177,7 @@
         match name {
             ItemName::Target(id) => match (expires_at, self.targets.get_mut(id)) {
                 (Some(_), Some(target)) if !target.record.leaving => target.expires_at = expires_at,
-                _ => drop(self.targets.remove(id)),
+                _ => self.remove_target(id, now),
             },
             ItemName::Member(id) => match (expires_at, self.members.get_mut(id)) {
                 (Some(_), Some(member)) => member.expires_at = expires_at,
@@ -280,7 +295,11 @@
     pub fn expire(&mut self, now: Duration) -> bool {
         let before = self.targets.len() + self.members.len();
         let stays = |at: Option<Duration>| at.is_none_or(|at| now < at);
-        self.targets.retain(|_, target| stays(target.expires_at));
+        let expired = self.targets.iter().filter(|(_, it)| !stays(it.expires_at));
+        let expired: Vec<TargetId> = expired.map(|(id, _)| id.clone()).collect();
+        for id in expired {
+            self.remove_target(&id, now);
+        }
         self.members.retain(|_, member| stays(member.expires_at));
         before != self.targets.len() + self.members.len()
     }
@@ -327,6 +346,12 @@
         self.targets.values().map(|target| &target.state)
     }
 
+    /// Returns the target at an address.
+    #[must_use]
+    pub fn target_at(&self, address: SocketAddr) -> Option<&Arc<TargetState>> {
+        self.targets().find(|target| target.address == address)
+    }
+
     /// Builds the view that the request path works with. Before the first confirmation its age is
     /// unknown and counts as zero; the age is only logged.
     #[must_use]
@@ -434,18 +459,41 @@
         Arc::new(call_stats)
     }
 
+    /// Removes a target, and remembers it for a while if it wants no calls.
+    fn remove_target(&mut self, id: &str, now: Duration) {
+        self.departed.retain(|_, departed| now < departed.until);
+        let Some(target) = self.targets.remove(id) else {
+            return;
+        };
+        if target.state.call_stats.refuses_calls(now) {
+            let departed = DepartedTarget {
+                state: target.state,
+                until: now + DEPARTED_MEMORY,
+            };
+            self.departed.insert(id.to_owned(), departed);
+        }
+    }
+
+    /// Stats of the target that `record` registers, if it is known since the same start.
+    fn known_target_stats(
+        &self,
+        id: &str,
+        record: &TargetRegistration,
+    ) -> Option<Arc<TargetStats>> {
+        let registered = self.targets.get(id).map(|it| &it.state);
+        let departed = self.departed.get(id).map(|it| &it.state);
+        let state = registered.or(departed)?;
+        let is_same_start =
+            state.started_unix_ms == record.started_unix_ms && state.address == record.address;
+        is_same_start.then(|| state.call_stats.clone())
+    }
+
     /// Adds or updates a target. If the start time or the address has changed, the target has
     /// restarted under the same id, so what calls observed of it before no longer applies.
     fn put_target(&mut self, id: &str, record: TargetRegistration, now: Duration) {
-        let before = self.targets.get(id);
-        let same_start = before.filter(|it| {
-            it.record.started_unix_ms == record.started_unix_ms
-                && it.record.address == record.address
-        });
-        let call_stats = same_start.map_or_else(
-            || self.new_target_stats(id, now),
-            |it| it.state.call_stats.clone(),
-        );
+        let call_stats = self.known_target_stats(id, &record);
+        let call_stats = call_stats.unwrap_or_else(|| self.new_target_stats(id, now));
+        self.departed.remove(id);
         let state = TargetState {
             id: id.to_owned(),
             seed: rendezvous::member_seed(id),
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -161,7 +161,7 @@
         let mut planned = Vec::new();
         for (model, wanted) in &view.wanted_versions {
             for targets in view.pools.values() {
-                let active = targets.iter().filter(|target| !target.draining);
+                let active = targets.iter().filter(|target| !target.is_leaving());
                 let pool: Vec<RolloutCandidate> = active
                     .filter_map(|target| {
                         Some(RolloutCandidate {
--- a/crates/entry/src/orders/replacing.rs
+++ b/crates/entry/src/orders/replacing.rs
@@ -215,6 +215,9 @@
             .client
             .send(target.address, call, Reuse::Fresh, ORDER_TIMEOUT)
             .await;
+        if let Ok(reply) = &sent {
+            self.shared.record_report(target, reply);
+        }
         let outcome = sent.map(|reply| self.shared.format.order_outcome(reply.status().as_u16()));
         self.shared.log.emit(&Event::Order {
             target: order.target,
@@ -269,7 +272,10 @@
             .send(target.address, call, Reuse::Allowed, REPORT_TIMEOUT)
             .await;
         let body = match sent {
-            Ok(mut reply) => reply.body(REPORT_TIMEOUT).await,
+            Ok(mut reply) => {
+                self.shared.record_report(target, &reply);
+                reply.body(REPORT_TIMEOUT).await
+            }
             Err(error) => Err(error),
         };
         match body {
--- a/crates/entry/src/place_follower.rs
+++ b/crates/entry/src/place_follower.rs
@@ -221,10 +221,15 @@
         wait: Duration,
     ) -> Result<Bytes, SendError> {
         let limit = wait + ANSWER_TIMEOUT;
+        // The target may restart under its id meanwhile.
+        let target = self.shared.known().target_at(self.place).cloned();
         let mut reply = self
             .client
             .send(self.place, call, Reuse::Allowed, limit)
             .await?;
+        if let Some(target) = target {
+            self.shared.record_report(&target, &reply);
+        }
         if !reply.status().is_success() {
             return Err(reply.into_error(ANSWER_TIMEOUT).await);
         }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -9,13 +9,14 @@
     feed::Feed,
     meters::Meters,
     quarantine::{CrashId, SuspectKey},
-    relay::{RelayState, boot_time},
+    relay::{HeaderFormat, RelayState, TargetState, boot_time, record_report},
     std::{
         collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
+    target::Reply,
     tokio::sync::Notify,
     tokio_util::sync::CancellationToken,
 };
@@ -287,6 +288,21 @@
     }
 }
 
+impl<Kv, Format> Shared<Kv, Format>
+where
+    Format: HeaderFormat,
+{
+    /// Records what a target states of itself in an answer that is no answer to a call.
+    pub(crate) fn record_report(&self, target: &TargetState, reply: &Reply) {
+        let metadata = self.format.parse_reply(reply.headers());
+        let names_other = metadata.target.is_some_and(|id| id != target.id);
+        if !names_other {
+            let statements = &metadata.statements;
+            record_report(target, reply.status(), statements, &self.log, &self.meters);
+        }
+    }
+}
+
 /// The suspect that an item is about, if any.
 fn item_suspect(name: &ItemName) -> Option<SuspectKey> {
     match name {
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -160,6 +160,19 @@
         /// Revision of the key-value service at which this was read.
         revision: u64,
     },
+    /// A target stated something of itself in an answer that it had not stated before.
+    TargetStatement {
+        /// Target.
+        target: String,
+        /// `leaving` (it is about to exit), `backoff` (it wants no calls for a while), `limit` (calls
+        /// per second that it takes from all instances), `max_refusals` (refusals per second that
+        /// it bears) or `malformed` (a header cannot be read or is sent more than once).
+        statement: &'static str,
+        /// The rate, or the malformed header; empty otherwise, and if the rate is not stated any more.
+        value: String,
+        /// Length of the backoff in milliseconds.
+        for_ms: Option<u64>,
+    },
     /// This instance excludes a target from new calls for a while, because earlier calls failed
     /// there.
     LeftOut {
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -59,6 +59,12 @@
             state: "",
             crashes: Vec::new(),
         },
+        Event::TargetStatement {
+            target: text(),
+            statement: "",
+            value: text(),
+            for_ms: None,
+        },
         Event::Instances { ready: Vec::new() },
         Event::Version {
             model: text(),
@@ -126,6 +132,7 @@
         Event::SuspectPart { .. } => 17,
         Event::SuspectCall { .. } => 18,
         Event::PartsWithdrawn { .. } => 19,
+        Event::TargetStatement { .. } => 20,
     }
 }
 
--- a/crates/meters/src/meters.rs
+++ b/crates/meters/src/meters.rs
@@ -37,8 +37,13 @@
 
     /// Adds one to the counter `name` with the tag `kind`.
     pub fn count(&self, name: &str, kind: &str) {
+        self.count_many(name, kind, 1);
+    }
+
+    /// Adds `count` to the counter `name` with the tag `kind`.
+    pub fn count_many(&self, name: &str, kind: &str, count: u64) {
         self.client
-            .count_with_tags(name, 1_i64)
+            .count_with_tags(name, count)
             .with_tag(KIND_TAG, kind)
             .send();
     }
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        CallSource, HeaderFormat, InFlightGuard, Peer, Reason, Refusal,
+        CallSource, HeaderFormat, InFlightGuard, Peer, Reason, Refusal, ReplyMetadata,
         admit::Admitted,
         attempt::{AttemptOutcome, AttemptParams, Content, TargetAnswer, attempt},
         body_memory::BodyPermit,
@@ -15,7 +15,6 @@
         refusal::NO_TARGET_RETRY_AFTER,
         relay::Inner,
         silent_target::AttemptTimeout,
-        target_feedback::record_limit,
     },
     balance::CallOutcome,
     bytes::Bytes,
@@ -41,10 +40,6 @@
 /// Maximum number of targets tried per call, including those that were unreachable or did not run
 /// it.
 pub(crate) const MAX_TRIED_TARGETS_COUNT: usize = 4;
-/// Retry delay for callers if a target refused the call without running it, for example because it
-/// is at capacity.
-const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(250);
-
 /// A call that is being served.
 pub(crate) struct ActiveCall<Format> {
     pub(crate) inner: Arc<Inner<Format>>,
@@ -291,10 +286,6 @@
             let sent_at = boot_time();
             let outcome = self.send(&picked, last_event_id, recorder).await;
             recorder.end_attempt(describe_outcome(&outcome));
-            if let Some(metadata) = outcome.metadata() {
-                recorder.record_statements(&metadata.statements);
-                record_limit(&picked, metadata);
-            }
             self.record_attempt(&picked, &outcome);
             if matches!(outcome, AttemptOutcome::NotSent(_)) {
                 self.unreachable_count += 1;
@@ -314,10 +305,7 @@
                     continue;
                 }
                 AttemptOutcome::NotSent(_) => (last_refusal, false),
-                AttemptOutcome::NotRun(..) => {
-                    let overloaded = Refusal::new(Reason::Overloaded);
-                    (overloaded.retry_after(OVERLOADED_RETRY_AFTER), true)
-                }
+                AttemptOutcome::NotRun(..) => (self.overload_refusal(), true),
                 AttemptOutcome::Unknown { disconnected, .. } => {
                     if disconnected && last_event_id.is_none() {
                         self.report_disconnect(&picked, sent_at);
@@ -373,6 +361,11 @@
         self.sent_at.send_replace(None);
         let time_left = self.time_left();
         let start_timeout = AttemptTimeout { call: self };
+        let statements = OnceLock::new();
+        let observe = |status, metadata: &ReplyMetadata| {
+            self.observe_answer(picked, status, metadata);
+            let _ = statements.set(metadata.statements.clone());
+        };
         let params = AttemptParams {
             address: target.address,
             id: &self.admitted.call.id,
@@ -382,6 +375,7 @@
             answer_memory: &self.inner.answer_memory,
             stream: self.retry_policy().is_stream(),
             is_resumed: last_event_id.or(self.admitted.call.last_event_id).is_some(),
+            observe,
         };
         let outcome = attempt(
             &self.inner.client,
@@ -390,6 +384,9 @@
             params,
         )
         .await;
+        if let Some(statements) = statements.get() {
+            recorder.record_statements(statements);
+        }
         if matches!(
             outcome,
             AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { .. }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -71,17 +71,6 @@
     },
 }
 
-impl AttemptOutcome<TargetAnswer> {
-    /// Metadata of the answer, if there is a usable one or a refusal.
-    pub(crate) fn metadata(&self) -> Option<&ReplyMetadata> {
-        match self {
-            Self::Answered(answer) => Some(&answer.metadata),
-            Self::NotRun(_, metadata) => Some(metadata),
-            Self::NotSent(_) | Self::Unknown { .. } => None,
-        }
-    }
-}
-
 impl<Answer> AttemptOutcome<Answer> {
     /// Outcome of an attempt whose answer came but cannot be used.
     fn unusable(reason: impl Into<String>) -> Self {
@@ -112,7 +101,7 @@
 
 /// Parameters of one attempt.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct AttemptParams<'call, Timeout> {
+pub(crate) struct AttemptParams<'call, Timeout, Observe> {
     /// Address of the target.
     pub(crate) address: SocketAddr,
     /// Request id that the answer must carry.
@@ -129,18 +118,21 @@
     pub(crate) stream: bool,
     /// Whether the call resumes a stream.
     pub(crate) is_resumed: bool,
+    /// Called with the head of the answer once that has arrived, whatever becomes of the answer.
+    pub(crate) observe: Observe,
 }
 
 /// Sends a call to a target once and reads its answer, or the first event of its stream.
-pub(crate) async fn attempt<Format, Timeout>(
+pub(crate) async fn attempt<Format, Timeout, Observe>(
     client: &Client,
     header_format: &Format,
     request: Request<Full<Bytes>>,
-    params: AttemptParams<'_, Timeout>,
+    params: AttemptParams<'_, Timeout, Observe>,
 ) -> AttemptOutcome<TargetAnswer>
 where
     Format: HeaderFormat,
     Timeout: StartTimeout,
+    Observe: Fn(StatusCode, &ReplyMetadata),
 {
     let AttemptParams {
         address,
@@ -154,6 +146,7 @@
     };
     let metadata = header_format.parse_reply(reply.headers());
     let status = reply.status();
+    (params.observe)(status, &metadata);
     if metadata.id.as_deref().is_some_and(|id| id != params.id) {
         // This is the late answer to an earlier call on this connection. The answer to this call
         // may still follow, so the connection must not be reused: dropping `reply` closes it. The
@@ -197,10 +190,10 @@
 }
 
 /// Reads the body of an answer, or the first event of its stream.
-async fn read_answer<Timeout>(
+async fn read_answer<Timeout, Observe>(
     mut reply: Reply,
     metadata: ReplyMetadata,
-    params: &AttemptParams<'_, Timeout>,
+    params: &AttemptParams<'_, Timeout, Observe>,
 ) -> AttemptOutcome<TargetAnswer>
 where
     Timeout: StartTimeout,
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -1,46 +1,68 @@
 //! Choice of the next target of a call, within the limits that targets state.
 
-use crate::{
-    HeaderFormat, Reason, Refusal, View,
-    active_call::ActiveCall,
-    boot_time,
-    pick::{
-        PickContext, PickedTarget, has_origin, has_other_software, pick, time_until_limits_allow,
+use {
+    crate::{
+        HeaderFormat, Reason, Refusal, View,
+        active_call::ActiveCall,
+        pick::{PickContext, PickedTarget, call_conditions, has_origin, has_other_software, pick},
+        refusal::OVERLOADED_RETRY_AFTER,
+        target_limit::Senders,
     },
-    target_limit::Senders,
+    std::time::Duration,
 };
 
 impl<Format> ActiveCall<Format>
 where
     Format: HeaderFormat,
 {
-    /// Chooses the next target for the call, and takes the right to send a call there if the target
-    /// has a limit. Fails if no target may take the call, with a refusal if limits are the reason.
+    /// Chooses the next target for the call, and takes the right to send a call there. Fails if no
+    /// target may take the call, with a refusal if the reason is what targets state.
     pub(crate) fn choose_target(&self) -> Result<PickedTarget, Option<Refusal>> {
         self.with_pick_context(|view, context| {
             // Another call may take the last right to a target between its choice and this one.
-            while let Some(picked) = pick(view, &self.pool, context) {
+            loop {
+                let choice = pick(view, &self.pool, context);
+                self.inner.count_passed_over(&choice.passed_over);
+                let Some(picked) = choice.picked else {
+                    return Err(self.no_target_refusal(view, context, choice.wait));
+                };
                 let target = &picked.target;
-                if target
-                    .call_stats
-                    .try_take_call(target.seed, context.senders, boot_time())
-                {
+                let conditions = call_conditions(target, context.senders);
+                if target.call_stats.try_take_call(&conditions) {
                     return Ok(picked);
                 }
             }
-            if let Some(version) = context.software_version
-                && !has_origin(view, &self.pool, version)
-            {
-                return Err(Some(Reason::OriginGone.into()));
-            }
-            let wait = time_until_limits_allow(view, &self.pool, context);
-            Err(wait.map(|wait| Refusal::new(Reason::Overloaded).retry_after(wait)))
         })
     }
 
+    /// Refusal for a call that no target may take, if the reason is known.
+    fn no_target_refusal(
+        &self,
+        view: &View,
+        context: &PickContext<'_>,
+        wait: Option<Duration>,
+    ) -> Option<Refusal> {
+        if let Some(version) = context.software_version
+            && !has_origin(view, &self.pool, version)
+        {
+            return Some(Reason::OriginGone.into());
+        }
+        wait.map(|wait| Refusal::new(Reason::Overloaded).retry_after(wait))
+    }
+
+    /// Refusal for a call that targets refused: it may come again once another target, or one of
+    /// these, may take it.
+    pub(crate) fn overload_refusal(&self) -> Refusal {
+        let wait = self.with_pick_context(|view, context| {
+            let choice = pick(view, &self.pool, context);
+            choice.wait.filter(|_| choice.picked.is_none())
+        });
+        Refusal::new(Reason::Overloaded).retry_after(wait.unwrap_or(OVERLOADED_RETRY_AFTER))
+    }
+
     /// Whether there is a target that may take the call now.
     pub(crate) fn can_choose_target(&self) -> bool {
-        self.with_pick_context(|view, context| pick(view, &self.pool, context).is_some())
+        self.with_pick_context(|view, context| pick(view, &self.pool, context).picked.is_some())
     }
 
     /// Calls `choose` with the current view and the other inputs of a choice.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,9 +44,11 @@
 mod salt;
 mod shutdown;
 mod silent_target;
+mod statement_log;
 mod stream_forwarder;
 mod stream_origins;
 mod suspect_reports;
+mod target_conditions;
 mod target_feedback;
 mod target_limit;
 mod target_reachability;
@@ -55,6 +57,8 @@
 mod view;
 mod wanted_versions;
 
+use target_statements::NewStatement;
+
 pub use {
     answer::{Answer, TruncatedAnswer},
     attempt::AttemptOutcome,
@@ -66,6 +70,7 @@
     relay::{CallSource, Relay, RelaySettings, RelayState},
     salt::salt_version,
     shutdown::{AnswerCutoff, Shutdown},
+    statement_log::record_report,
     stream_origins::{OriginQuestion, OriginRequests, StreamOrigins},
     suspect_reports::SuspectReports,
     target_reachability::TargetReachability,
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        Call, Prompt, TargetState, View, WantedVersions, boot_time, salt::salt,
+        Call, Prompt, TargetState, View, WantedVersions, boot_time,
+        refusal::OVERLOADED_RETRY_AFTER,
+        salt::salt,
+        target_conditions::{CallConditions, NextCall, PassedOver},
         target_limit::Senders,
     },
     balance::{Candidate, PeerLoads, choose, rendezvous},
@@ -71,21 +74,56 @@
     pub(crate) start_delay: Duration,
 }
 
-/// Chooses a target of `pool`, or `None` if no target may run the call.
+/// Result of a choice.
+#[derive(Debug)]
+pub(crate) struct Choice {
+    /// The chosen target; `None` if no target may run the call now.
+    pub(crate) picked: Option<PickedTarget>,
+    /// Targets that were passed over because of what they state.
+    pub(crate) passed_over: PassedOver,
+    /// Time until one of these may take the call; `None` if there are none, or it is not known.
+    pub(crate) wait: Option<Duration>,
+}
+
+/// Chooses a target of `pool`.
 ///
 /// Targets that are paused or load weights are used only if there are no others. Even ejected
 /// targets are used as a last resort, since trying them is better than refusing the call. Never
 /// used are targets that are draining, were tried already, run other software than the one that
-/// began the call's stream, have outdated weights, or whose limit allows this instance no call now.
-pub(crate) fn pick(view: &View, pool: &str, context: &PickContext<'_>) -> Option<PickedTarget> {
-    let targets = view.pools.get(pool)?;
-    let usable: Vec<&Arc<TargetState>> = targets
-        .iter()
-        .filter(|target| is_allowed(view, target, context))
-        .filter(|target| !is_outdated(view, target, context))
-        .filter(|target| !is_spared(view, target, context))
-        .filter(|target| time_until_call(target, context) == Some(Duration::ZERO))
-        .collect();
+/// began the call's stream, have outdated weights, or have stated something that forbids the call.
+pub(crate) fn pick(view: &View, pool: &str, context: &PickContext<'_>) -> Choice {
+    let mut usable = Vec::new();
+    let mut passed_over = PassedOver::default();
+    let mut waits = Vec::new();
+    for target in view.pools.get(pool).into_iter().flatten() {
+        if !takes_calls(view, target, context) {
+            continue;
+        }
+        let was_tried = context.tried_targets.contains(&target.id);
+        let is_outdated = is_outdated(view, target, context);
+        match next_call(view, target, context) {
+            NextCall::Now if was_tried => waits.push(OVERLOADED_RETRY_AFTER),
+            NextCall::Now if is_outdated => {}
+            NextCall::Now => usable.push(target),
+            NextCall::Later { obstacle, wait } => {
+                passed_over.record(obstacle);
+                waits.extend(wait);
+            }
+        }
+    }
+    Choice {
+        picked: pick_usable(view, usable, context),
+        wait: waits.into_iter().min().filter(|_| !passed_over.is_empty()),
+        passed_over,
+    }
+}
+
+/// Chooses one of the `usable` targets.
+fn pick_usable(
+    view: &View,
+    usable: Vec<&Arc<TargetState>>,
+    context: &PickContext<'_>,
+) -> Option<PickedTarget> {
     let is_available = |target: &&&Arc<TargetState>| {
         !target.call_stats.is_paused(context.now) && !view.loading.contains(&target.id)
     };
@@ -122,22 +160,33 @@
     })
 }
 
-/// Whether the target takes new calls, was not tried, and may go on with the call's stream.
-fn is_allowed(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
+/// Whether the target takes new calls by its registration, and may go on with the call's stream.
+fn takes_calls(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
     let began_stream = |version: &str| {
         target.software_version == version
             && !(context.is_mixed && target.call_stats.may_have_restarted(view.confirmed_at))
     };
-    !target.draining
-        && !context.tried_targets.contains(&target.id)
-        && context.software_version.is_none_or(began_stream)
+    !target.draining && context.software_version.is_none_or(began_stream)
 }
 
-/// Whether the target gets no call now because it could refuse it, which it does not bear.
-fn is_spared(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
+/// When the target's statements let this instance send it the call.
+fn next_call(view: &View, target: &TargetState, context: &PickContext<'_>) -> NextCall {
     let in_flight_count = || in_flight_count(view, target, context);
-    let call_stats = &target.call_stats;
-    call_stats.is_spared(target.slots_count, boot_time(), in_flight_count)
+    let conditions = call_conditions(target, context.senders);
+    target.call_stats.next_call(&conditions, in_flight_count)
+}
+
+/// What the target's statements are weighed against at the moment.
+pub(crate) fn call_conditions<'view>(
+    target: &TargetState,
+    senders: Senders<'view>,
+) -> CallConditions<'view> {
+    CallConditions {
+        target_seed: target.seed,
+        slots_count: target.slots_count,
+        senders,
+        now: boot_time(),
+    }
 }
 
 /// Estimated number of calls that all instances have in flight at the target. Calls without a prompt
@@ -160,27 +209,7 @@
 /// Whether a target of `pool` may go on with the call's stream, now or later.
 pub(crate) fn has_origin(view: &View, pool: &str, software_version: &str) -> bool {
     let mut targets = view.pools.get(pool).into_iter().flatten();
-    targets.any(|it| !it.draining && it.software_version == software_version)
-}
-
-/// Time until the target's limit lets this instance send a call; `None` if other instances use the
-/// whole limit.
-fn time_until_call(target: &TargetState, context: &PickContext<'_>) -> Option<Duration> {
-    let call_stats = &target.call_stats;
-    call_stats.time_until_call(target.seed, context.senders, boot_time())
-}
-
-/// Shortest time until the limit of a target of `pool` lets this instance send a call; `None` if no
-/// limit is in the way.
-pub(crate) fn time_until_limits_allow(
-    view: &View,
-    pool: &str,
-    context: &PickContext<'_>,
-) -> Option<Duration> {
-    let targets = view.pools.get(pool)?.iter();
-    let usable = targets.filter(|target| is_allowed(view, target, context));
-    let waits = usable.filter_map(|target| time_until_call(target, context));
-    waits.filter(|wait| !wait.is_zero()).min()
+    targets.any(|it| !it.is_leaving() && it.software_version == software_version)
 }
 
 /// Weights that a call is expected to run on at `target`, and the wanted version.
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -12,6 +12,12 @@
 /// Retry delay for callers if no target can be reached, here or from other instances.
 pub(crate) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Retry delay for callers if a target refused the call without running it, for example because it
+/// is at capacity, and named no time.
+pub(crate) const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Longest retry delay for callers: later, other targets may have been added.
+const MAX_RETRY_AFTER: Duration = Duration::from_mins(1);
+
 /// Why a call was not answered by a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reason {
@@ -141,10 +147,10 @@
         }
     }
 
-    /// Sets the delay after which the caller should retry.
+    /// Sets the delay after which the caller should retry, at most a minute.
     #[must_use]
     pub fn retry_after(mut self, retry_after: Duration) -> Self {
-        self.retry_after = Some(retry_after);
+        self.retry_after = Some(retry_after.min(MAX_RETRY_AFTER));
         self
     }
 
--- a/crates/relay/src/refusal_bound.rs
+++ b/crates/relay/src/refusal_bound.rs
@@ -18,9 +18,11 @@
 }
 
 impl RefusalBound {
-    /// Records what an answer states.
-    pub(crate) fn state(&mut self, max_per_s: Option<f64>) {
+    /// Records what an answer states. Returns whether that is new.
+    pub(crate) fn state(&mut self, max_per_s: Option<f64>) -> bool {
+        let is_new = self.max_per_s != max_per_s;
         self.max_per_s = max_per_s;
+        is_new
     }
 
     /// Whether the target's last answer stated a bound.
@@ -48,4 +50,12 @@
         let is_full = in_flight_count >= f64::from(slots_count);
         self.is_stated() && (now < self.spared_until || is_full)
     }
+
+    /// Time for which the target is still spared; `None` if its places are taken, which may end at any
+    /// time.
+    pub(crate) fn spared_for(&self, now: Duration) -> Option<Duration> {
+        self.spared_until
+            .checked_sub(now)
+            .filter(|it| !it.is_zero())
+    }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -16,6 +16,7 @@
         peer_caller::PeerCaller,
         retry_budgets::RetryBudgets,
         stream_forwarder::{Aborted, StreamForwarder},
+        target_conditions::PassedOver,
     },
     arc_swap::ArcSwap,
     balance::{PeerLoads, RetryBounds},
@@ -139,7 +140,17 @@
     /// Memory for answers that are being read as a whole.
     pub(crate) answer_memory: BodyMemory,
     pub(crate) log: EventLog,
-    meters: Meters,
+    pub(crate) meters: Meters,
+}
+
+impl<Format> Inner<Format> {
+    /// Counts targets that were passed over because of what they state.
+    pub(crate) fn count_passed_over(&self, passed_over: &PassedOver) {
+        for (obstacle, count) in passed_over.by_name() {
+            self.meters
+                .count_many("passed_over_targets", obstacle, count.into());
+        }
+    }
 }
 
 impl<Format> Relay<Format>
--- /dev/null
+++ b/crates/relay/src/target_conditions.rs
@@ -0,0 +1,142 @@
+//! What a target has stated of itself, and whether it may be sent a call now.
+
+use {
+    crate::{
+        refusal_bound::RefusalBound,
+        target_limit::{Senders, TargetLimit},
+    },
+    std::time::Duration,
+};
+
+/// Why a target gets no call now although its registration says that it takes calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Obstacle {
+    /// It has stated that it is about to exit.
+    Leaving,
+    /// Its limit allows this instance no call.
+    Limit,
+    /// It could refuse the call, and bears few refusals.
+    RefusalBound,
+}
+
+impl Obstacle {
+    /// All obstacles, in the order of [`PassedOver`].
+    const ALL: [Self; 3] = [Self::Leaving, Self::Limit, Self::RefusalBound];
+
+    /// Name in the metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Limit => "limit",
+            Self::RefusalBound => "refusal_bound",
+        }
+    }
+}
+
+/// Number of targets that were passed over in one choice, by obstacle.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct PassedOver {
+    counts: [u32; Obstacle::ALL.len()],
+}
+
+impl PassedOver {
+    /// Counts a target.
+    pub(crate) fn record(&mut self, obstacle: Obstacle) {
+        self.counts[obstacle as usize] += 1;
+    }
+
+    /// Whether no target was counted.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.counts.iter().all(|count| *count == 0)
+    }
+
+    /// Names of the obstacles that were in the way, with the number of targets.
+    pub(crate) fn by_name(&self) -> impl Iterator<Item = (&'static str, u32)> {
+        let names = Obstacle::ALL.map(Obstacle::name);
+        let counts = names.into_iter().zip(self.counts);
+        counts.filter(|(_, count)| *count > 0)
+    }
+}
+
+/// When a target may be sent the next call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum NextCall {
+    /// Now.
+    Now,
+    /// After `wait`, or at a time that is not known, because of the obstacle.
+    Later {
+        obstacle: Obstacle,
+        wait: Option<Duration>,
+    },
+}
+
+/// What the answer depends on besides the target's statements.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallConditions<'view> {
+    /// Rendezvous seed of the target.
+    pub(crate) target_seed: u64,
+    /// Number of calls that the target runs concurrently.
+    pub(crate) slots_count: u32,
+    /// Instances among which the limit is divided.
+    pub(crate) senders: Senders<'view>,
+    /// Time by [`crate::boot_time`].
+    pub(crate) now: Duration,
+}
+
+/// What a target has stated of itself in its answers and what other instances have announced of it,
+/// as far as it decides whether the target may be sent a call.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TargetConditions {
+    /// Whether the target is about to exit. It stays so until the target starts anew, which another
+    /// instance of this type stands for.
+    pub(crate) is_leaving: bool,
+    /// Limit that the last answer stated or another instance announced; `None` without one.
+    pub(crate) limit: Option<TargetLimit>,
+    /// Refusals that the target bears.
+    pub(crate) refusal_bound: RefusalBound,
+}
+
+impl TargetConditions {
+    /// When this instance may send the target a call. `in_flight_count` gives the calls of all
+    /// instances there; it is called only if that matters.
+    pub(crate) fn next_call<Count>(
+        &mut self,
+        call: &CallConditions<'_>,
+        in_flight_count: Count,
+    ) -> NextCall
+    where
+        Count: FnOnce() -> f64,
+    {
+        let later = |obstacle, wait| NextCall::Later { obstacle, wait };
+        if self.is_leaving {
+            return later(Obstacle::Leaving, None);
+        }
+        let bound = &self.refusal_bound;
+        if bound.is_stated() && bound.forbids_call(in_flight_count(), call.slots_count, call.now) {
+            return later(Obstacle::RefusalBound, bound.spared_for(call.now));
+        }
+        let wait = self.time_until_limit_allows(call);
+        if wait != Some(Duration::ZERO) {
+            return later(Obstacle::Limit, wait);
+        }
+        NextCall::Now
+    }
+
+    /// Takes the right to send one call. Returns false if another call has taken the last one since
+    /// [`TargetConditions::next_call`] was asked.
+    pub(crate) fn try_take(&mut self, call: &CallConditions<'_>) -> bool {
+        if self.is_leaving {
+            return false;
+        }
+        let limit = self.limit.as_mut();
+        limit.is_none_or(|it| it.try_take(call.target_seed, call.senders, call.now))
+    }
+
+    /// Time until the limit allows a call; `None` if other instances use the whole limit.
+    fn time_until_limit_allows(&mut self, call: &CallConditions<'_>) -> Option<Duration> {
+        match &mut self.limit {
+            Some(limit) => limit.time_until_call(call.target_seed, call.senders, call.now),
+            None => Some(Duration::ZERO),
+        }
+    }
+}
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
-        HeaderFormat, MalformedHeader, ReplyMetadata, Stated,
+        HeaderFormat, ReplyMetadata,
         active_call::{ActiveCall, describe_outcome},
         attempt::{AttemptOutcome, TargetAnswer},
         boot_time,
         pick::PickedTarget,
+        statement_log,
     },
     balance::CallOutcome,
     eventlog::Event,
@@ -22,6 +23,20 @@
 where
     Format: HeaderFormat,
 {
+    /// Records what the target states of itself in the head of an answer.
+    pub(crate) fn observe_answer(
+        &self,
+        picked: &PickedTarget,
+        status: StatusCode,
+        metadata: &ReplyMetadata,
+    ) {
+        if !is_other_target(picked, metadata) {
+            let (target, statements) = (&picked.target, &metadata.statements);
+            let (log, meters) = (&self.inner.log, &self.inner.meters);
+            statement_log::record_answer(target, status, statements, log, meters);
+        }
+    }
+
     /// Records what the final answer shows about its target, and about the `suspects` that answered
     /// the same call with an error status before.
     ///
@@ -152,32 +167,6 @@
     }
 }
 
-/// Records the limit that a target states in its answer, or that it states none any more.
-pub(crate) fn record_limit(picked: &PickedTarget, metadata: &ReplyMetadata) {
-    if is_other_target(picked, metadata) {
-        return;
-    }
-    let call_stats = &picked.target.call_stats;
-    let statements = &metadata.statements;
-    let max_refusals_per_s = statements.max_refusals_per_s.and_then(Stated::valid);
-    call_stats.record_refusal_bound(max_refusals_per_s);
-    if call_stats.record_malformed(!statements.malformed.is_empty()) {
-        let target = &picked.target.id;
-        for header in &statements.malformed {
-            let MalformedHeader { name, text } = header;
-            log::warn!(
-                "{target} sends the header {name} with the value {text:?}, which cannot be read or is sent twice; check the target"
-            );
-        }
-    }
-    if statements.limit_per_s == Some(Stated::Invalid) {
-        return;
-    }
-    let limit_per_s = statements.limit_per_s.and_then(Stated::valid);
-    let call_stats = &picked.target.call_stats;
-    call_stats.record_limit(limit_per_s, boot_time());
-}
-
 /// Whether the answer names another target than the one that was meant.
 fn is_other_target(picked: &PickedTarget, metadata: &ReplyMetadata) -> bool {
     let answering = metadata.target.as_ref();
--- a/crates/relay/src/target_statements.rs
+++ b/crates/relay/src/target_statements.rs
@@ -67,3 +67,16 @@
     /// Malformed headers among these, for the log.
     pub malformed: Vec<MalformedHeader>,
 }
+
+/// Something that a target has not stated before.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum NewStatement {
+    /// It is about to exit.
+    Leaving,
+    /// Its limit in calls per second; `None` if it has none any more.
+    Limit(Option<f64>),
+    /// The refusals per second that it bears; `None` if it states no bound any more.
+    MaxRefusals(Option<f64>),
+    /// A header that cannot be read, or that is sent more than once.
+    Malformed(MalformedHeader),
+}
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -2,11 +2,13 @@
 
 use {
     crate::{
-        refusal_bound::RefusalBound,
-        target_limit::{Senders, TargetLimit},
+        NewStatement, Stated, TargetStatements,
+        target_conditions::{CallConditions, NextCall, TargetConditions},
+        target_limit::TargetLimit,
     },
     balance::{CallOutcome, Health, StartDelay},
     catalog::ModelId,
+    hyper::StatusCode,
     std::{
         collections::HashMap,
         sync::{
@@ -50,13 +52,12 @@
     paused_until: Duration,
     /// Newest version of each model's weights that answers have shown.
     versions: HashMap<ModelId, u64>,
-    /// Limit that the last answer stated or another instance announced; `None` without one.
-    limit: Option<TargetLimit>,
     /// When the last answer came, which stated a limit or none, by [`crate::boot_time`].
     answered_at: Option<Duration>,
     /// Whether an answer had a header that cannot be read.
     has_malformed_header: bool,
-    refusal_bound: RefusalBound,
+    /// What the target has stated of itself.
+    conditions: TargetConditions,
     /// When the target last broke off a connection, by [`crate::boot_time`].
     disconnected_at: Option<Duration>,
 }
@@ -64,8 +65,8 @@
 impl Observations {
     /// Returns the limit, created with `limit_per_s` if there is none.
     fn limit_or_new(&mut self, limit_per_s: f64, now: Duration) -> &mut TargetLimit {
-        self.limit
-            .get_or_insert_with(|| TargetLimit::new(limit_per_s, now, rand::random()))
+        let limit = &mut self.conditions.limit;
+        limit.get_or_insert_with(|| TargetLimit::new(limit_per_s, now, rand::random()))
     }
 }
 
@@ -114,30 +115,73 @@
     }
 
     /// Records how many refusals per second the target bears, as an answer states; `None` if it
-    /// states no bound.
-    pub(crate) fn record_refusal_bound(&self, max_per_s: Option<f64>) {
-        self.lock().refusal_bound.state(max_per_s);
+    /// states no bound. Returns whether that is new.
+    fn record_refusal_bound(&self, max_per_s: Option<f64>) -> bool {
+        self.lock().conditions.refusal_bound.state(max_per_s)
     }
 
     /// Records that the target refused a call for want of room.
     pub(crate) fn record_refusal(&self, instances_count: u32, now: Duration) {
-        let bound = &mut self.lock().refusal_bound;
+        let bound = &mut self.lock().conditions.refusal_bound;
         bound.record_refusal(instances_count, now);
     }
 
-    /// Whether the target gets no call now because it could refuse it, which it does not bear.
-    /// `in_flight_count` gives the calls of all instances there; it is called only if that matters.
-    pub(crate) fn is_spared<Count>(
+    /// Whether the target has stated that it is about to exit.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.lock().conditions.is_leaving
+    }
+
+    /// Whether the target has stated that it is about to exit or that it wants no calls for a while, so
+    /// that this must be remembered if its registration disappears for a while.
+    #[must_use]
+    pub fn refuses_calls(&self, _now: Duration) -> bool {
+        let conditions = self.lock().conditions;
+        conditions.is_leaving
+    }
+
+    /// Records what an answer states that is no answer to a call, such as a report. Returns what is
+    /// new.
+    pub(crate) fn observe_report(
         &self,
-        slots_count: u32,
+        _status: StatusCode,
+        statements: &TargetStatements,
+        _now: Duration,
+    ) -> Vec<NewStatement> {
+        let mut news = Vec::new();
+        let conditions = &mut self.lock().conditions;
+        if statements.is_leaving == Some(Stated::Valid(true)) && !conditions.is_leaving {
+            conditions.is_leaving = true;
+            news.push(NewStatement::Leaving);
+        }
+        news
+    }
+
+    /// Records what an answer to a call states. Returns what is new.
+    pub(crate) fn observe_answer(
+        &self,
+        status: StatusCode,
+        statements: &TargetStatements,
         now: Duration,
-        in_flight_count: Count,
-    ) -> bool
-    where
-        Count: FnOnce() -> f64,
-    {
-        let bound = self.lock().refusal_bound;
-        bound.is_stated() && bound.forbids_call(in_flight_count(), slots_count, now)
+    ) -> Vec<NewStatement> {
+        let mut news = self.observe_report(status, statements, now);
+        if self.record_malformed(!statements.malformed.is_empty()) {
+            let malformed = statements.malformed.iter().cloned();
+            news.extend(malformed.map(NewStatement::Malformed));
+        }
+        let max_refusals_per_s = statements.max_refusals_per_s.and_then(Stated::valid);
+        if self.record_refusal_bound(max_refusals_per_s) {
+            news.push(NewStatement::MaxRefusals(max_refusals_per_s));
+        }
+        if statements.limit_per_s != Some(Stated::Invalid) {
+            let limit_per_s = statements.limit_per_s.and_then(Stated::valid);
+            let before = self.limit_observation().and_then(|it| it.limit_per_s);
+            self.record_limit(limit_per_s, now);
+            if before != limit_per_s {
+                news.push(NewStatement::Limit(limit_per_s));
+            }
+        }
+        news
     }
 
     /// Records that the target broke off a connection at `now`, by [`crate::boot_time`]: it may have
@@ -194,7 +238,7 @@
             Some(limit_per_s) => observations
                 .limit_or_new(limit_per_s, now)
                 .state(limit_per_s, now),
-            None => observations.limit = None,
+            None => observations.conditions.limit = None,
         }
     }
 
@@ -210,7 +254,7 @@
     /// Applies the word of another instance that the limit has ended, unless an answer stated it to
     /// this instance just before.
     pub fn announce_limit_end(&self, now: Duration) {
-        let limit = &mut self.lock().limit;
+        let limit = &mut self.lock().conditions.limit;
         let is_recent = |stated_at| now.saturating_sub(stated_at) < LIMIT_END_DELAY;
         match limit {
             Some(limit) if limit.stated_at().is_some_and(is_recent) => limit.end_announcement(),
@@ -223,7 +267,7 @@
     pub fn limit_observation(&self) -> Option<LimitObservation> {
         let observations = self.lock();
         let answered_at = observations.answered_at?;
-        let limit = observations.limit.as_ref();
+        let limit = observations.conditions.limit.as_ref();
         let stated = limit.filter(|limit| limit.stated_at() == Some(answered_at));
         Some(LimitObservation {
             limit_per_s: stated.map(TargetLimit::limit_per_s),
@@ -239,32 +283,22 @@
         is_malformed && !was_malformed
     }
 
-    /// Time until the target's limit lets this instance send a call: zero if there is no limit,
-    /// `None` if other instances use the whole limit.
-    pub(crate) fn time_until_call(
+    /// When this instance may send the target a call. `in_flight_count` gives the calls of all
+    /// instances there, and must not ask these stats for what they observe.
+    pub(crate) fn next_call<Count>(
         &self,
-        target_seed: u64,
-        senders: Senders<'_>,
-        now: Duration,
-    ) -> Option<Duration> {
-        match &mut self.lock().limit {
-            Some(limit) => limit.time_until_call(target_seed, senders, now),
-            None => Some(Duration::ZERO),
-        }
+        call: &CallConditions<'_>,
+        in_flight_count: Count,
+    ) -> NextCall
+    where
+        Count: FnOnce() -> f64,
+    {
+        self.lock().conditions.next_call(call, in_flight_count)
     }
 
-    /// Takes the right to send one call under the target's limit. Returns false if there is none
-    /// now.
-    pub(crate) fn try_take_call(
-        &self,
-        target_seed: u64,
-        senders: Senders<'_>,
-        now: Duration,
-    ) -> bool {
-        let limit = &mut self.lock().limit;
-        limit
-            .as_mut()
-            .is_none_or(|limit| limit.try_take(target_seed, senders, now))
+    /// Takes the right to send the target one call. Returns false if there is none now.
+    pub(crate) fn try_take_call(&self, call: &CallConditions<'_>) -> bool {
+        self.lock().conditions.try_take(call)
     }
 
     fn lock(&self) -> MutexGuard<'_, Observations> {
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -39,7 +39,7 @@
     pub failure_domain: FailureDomainId,
     /// Number of calls that the target runs concurrently.
     pub slots_count: u32,
-    /// Whether the target is shutting down and gets no new calls.
+    /// Whether the target is shutting down by its registration and gets no new calls.
     pub draining: bool,
     /// Weights that the target had at its last report.
     pub models: Vec<LoadedModel>,
@@ -48,6 +48,12 @@
 }
 
 impl TargetState {
+    /// Whether the target shuts down, by its registration or by its answers.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.draining || self.call_stats.is_leaving()
+    }
+
     /// Version of a model's weights: the newer of the target's report and its answers.
     #[must_use]
     pub fn version(&self, model: &str) -> Option<u64> {
