Targets that name a time in a refusal get no calls until then

Cause: the time that a refusal names was not read; every refusal kept calls away for 200 ms, and only if there was another target.

Fix: relay::RequestedBackoff, one more of the conditions that relay::pick asks. A 503 with a time keeps all calls of this instance away until the end of the longest time named, also if there is no other target. Afterwards one call goes first, and each answer lets two more through, for a second.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,7 @@
 mod refusal;
 mod refusal_bound;
 mod relay;
+mod requested_backoff;
 mod retry_budgets;
 mod salt;
 mod shutdown;
--- /dev/null
+++ b/crates/relay/src/requested_backoff.rs
@@ -0,0 +1,60 @@
+//! The time for which a target that refused a call wants no more calls.
+
+use std::time::Duration;
+
+/// Time after a backoff in which calls go to the target one by one at first, so that it is not
+/// overrun by all that have waited for it.
+const RECOVERY_TIME: Duration = Duration::from_secs(1);
+/// Number of calls that each answer in the recovery time lets through.
+const CALLS_PER_ANSWER: u32 = 2;
+
+/// A backoff that a target has requested, and the gradual return to it. Times are by
+/// [`crate::boot_time`].
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct RequestedBackoff {
+    /// End of the backoff; `None` if the target has requested none.
+    until: Option<Duration>,
+    /// Number of calls that may still be sent in the recovery time.
+    allowed_count: u32,
+}
+
+impl RequestedBackoff {
+    /// Records that the target wants no calls for `delay` from `now` on. An earlier request that lasts
+    /// longer still holds. Returns whether the target takes calls later than it did before.
+    pub(crate) fn request(&mut self, delay: Duration, now: Duration) -> bool {
+        let before = self.until;
+        let until = now.saturating_add(delay);
+        self.until = before.max(Some(until));
+        self.allowed_count = 1;
+        self.until > before
+    }
+
+    /// Time until a call may be sent; zero if it may be sent now.
+    pub(crate) fn time_until_call(&self, now: Duration) -> Duration {
+        let Some(until) = self.until else {
+            return Duration::ZERO;
+        };
+        let is_over = now >= until;
+        if is_over && self.allowed_count > 0 {
+            return Duration::ZERO;
+        }
+        let recovery_time = if is_over {
+            RECOVERY_TIME
+        } else {
+            Duration::ZERO
+        };
+        until.saturating_add(recovery_time).saturating_sub(now)
+    }
+
+    /// Records that a call is sent.
+    pub(crate) fn take(&mut self) {
+        self.allowed_count = self.allowed_count.saturating_sub(1);
+    }
+
+    /// Records that the target has taken a call and answers it.
+    pub(crate) fn record_answer(&mut self, now: Duration) {
+        if self.until.is_some_and(|until| now >= until) {
+            self.allowed_count = self.allowed_count.saturating_add(CALLS_PER_ANSWER);
+        }
+    }
+}
--- a/crates/relay/src/statement_log.rs
+++ b/crates/relay/src/statement_log.rs
@@ -1,7 +1,7 @@
 //! Records and logs what targets state of themselves.
 
 use {
-    crate::{NewStatement, TargetState, TargetStatements, boot_time},
+    crate::{NewStatement, TargetState, TargetStatements, boot_time, call_recorder::millis},
     eventlog::{Event, EventLog},
     hyper::StatusCode,
     meters::Meters,
@@ -40,6 +40,7 @@
     for statement in news {
         let (name, value, for_ms) = match statement {
             NewStatement::Leaving => ("leaving", String::new(), None),
+            NewStatement::Backoff(delay) => ("backoff", String::new(), Some(millis(delay))),
             NewStatement::Limit(limit_per_s) => ("limit", rate_text(limit_per_s), None),
             NewStatement::MaxRefusals(per_s) => ("max_refusals", rate_text(per_s), None),
             NewStatement::Malformed(header) => {
--- a/crates/relay/src/target_conditions.rs
+++ b/crates/relay/src/target_conditions.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         refusal_bound::RefusalBound,
+        requested_backoff::RequestedBackoff,
         target_limit::{Senders, TargetLimit},
     },
     std::time::Duration,
@@ -13,6 +14,8 @@
 pub(crate) enum Obstacle {
     /// It has stated that it is about to exit.
     Leaving,
+    /// It has refused a call and named the time from which it takes calls again.
+    Backoff,
     /// Its limit allows this instance no call.
     Limit,
     /// It could refuse the call, and bears few refusals.
@@ -21,12 +24,18 @@
 
 impl Obstacle {
     /// All obstacles, in the order of [`PassedOver`].
-    const ALL: [Self; 3] = [Self::Leaving, Self::Limit, Self::RefusalBound];
+    const ALL: [Self; 4] = [
+        Self::Leaving,
+        Self::Backoff,
+        Self::Limit,
+        Self::RefusalBound,
+    ];
 
     /// Name in the metrics.
     fn name(self) -> &'static str {
         match self {
             Self::Leaving => "leaving",
+            Self::Backoff => "backoff",
             Self::Limit => "limit",
             Self::RefusalBound => "refusal_bound",
         }
@@ -90,6 +99,8 @@
     /// Whether the target is about to exit. It stays so until the target starts anew, which another
     /// instance of this type stands for.
     pub(crate) is_leaving: bool,
+    /// Backoff that the target has requested.
+    pub(crate) backoff: RequestedBackoff,
     /// Limit that the last answer stated or another instance announced; `None` without one.
     pub(crate) limit: Option<TargetLimit>,
     /// Refusals that the target bears.
@@ -111,6 +122,10 @@
         if self.is_leaving {
             return later(Obstacle::Leaving, None);
         }
+        let wait = self.backoff.time_until_call(call.now);
+        if !wait.is_zero() {
+            return later(Obstacle::Backoff, Some(wait));
+        }
         let bound = &self.refusal_bound;
         if bound.is_stated() && bound.forbids_call(in_flight_count(), call.slots_count, call.now) {
             return later(Obstacle::RefusalBound, bound.spared_for(call.now));
@@ -125,11 +140,15 @@
     /// Takes the right to send one call. Returns false if another call has taken the last one since
     /// [`TargetConditions::next_call`] was asked.
     pub(crate) fn try_take(&mut self, call: &CallConditions<'_>) -> bool {
-        if self.is_leaving {
+        if self.is_leaving || !self.backoff.time_until_call(call.now).is_zero() {
             return false;
         }
         let limit = self.limit.as_mut();
-        limit.is_none_or(|it| it.try_take(call.target_seed, call.senders, call.now))
+        if !limit.is_none_or(|it| it.try_take(call.target_seed, call.senders, call.now)) {
+            return false;
+        }
+        self.backoff.take();
+        true
     }
 
     /// Time until the limit allows a call; `None` if other instances use the whole limit.
--- a/crates/relay/src/target_statements.rs
+++ b/crates/relay/src/target_statements.rs
@@ -73,6 +73,8 @@
 pub(crate) enum NewStatement {
     /// It is about to exit.
     Leaving,
+    /// It wants no calls for this time.
+    Backoff(Duration),
     /// Its limit in calls per second; `None` if it has none any more.
     Limit(Option<f64>),
     /// The refusals per second that it bears; `None` if it states no bound any more.
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -15,7 +15,7 @@
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU32, Ordering},
         },
-        time::Duration,
+        time::{Duration, SystemTime},
     },
 };
 
@@ -135,18 +135,18 @@
     /// Whether the target has stated that it is about to exit or that it wants no calls for a while, so
     /// that this must be remembered if its registration disappears for a while.
     #[must_use]
-    pub fn refuses_calls(&self, _now: Duration) -> bool {
+    pub fn refuses_calls(&self, now: Duration) -> bool {
         let conditions = self.lock().conditions;
-        conditions.is_leaving
+        conditions.is_leaving || !conditions.backoff.time_until_call(now).is_zero()
     }
 
     /// Records what an answer states that is no answer to a call, such as a report. Returns what is
     /// new.
     pub(crate) fn observe_report(
         &self,
-        _status: StatusCode,
+        status: StatusCode,
         statements: &TargetStatements,
-        _now: Duration,
+        now: Duration,
     ) -> Vec<NewStatement> {
         let mut news = Vec::new();
         let conditions = &mut self.lock().conditions;
@@ -154,6 +154,11 @@
             conditions.is_leaving = true;
             news.push(NewStatement::Leaving);
         }
+        if let Some(delay) = requested_backoff(status, statements)
+            && conditions.backoff.request(delay, now)
+        {
+            news.push(NewStatement::Backoff(delay));
+        }
         news
     }
 
@@ -165,6 +170,9 @@
         now: Duration,
     ) -> Vec<NewStatement> {
         let mut news = self.observe_report(status, statements, now);
+        if requested_backoff(status, statements).is_none() {
+            self.lock().conditions.backoff.record_answer(now);
+        }
         if self.record_malformed(!statements.malformed.is_empty()) {
             let malformed = statements.malformed.iter().cloned();
             news.extend(malformed.map(NewStatement::Malformed));
@@ -308,6 +316,16 @@
     }
 }
 
+/// Time for which an answer asks for no calls. Only a refusal because of the target's own state does:
+/// 429 is about the rate of one caller.
+fn requested_backoff(status: StatusCode, statements: &TargetStatements) -> Option<Duration> {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let retry_after = statements.retry_after?.valid()?;
+    Some(retry_after.delay(SystemTime::now()))
+}
+
 /// Counts a call as in flight until dropped.
 #[derive(Debug)]
 pub struct InFlightGuard {
