--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -27,6 +27,8 @@
 pub struct Formats {
     /// Address at which the instance finds every target in place of its own, while it is cut off.
     pub unreachable: Arc<Mutex<Option<SocketAddr>>>,
+    /// Name of the instance, which targets are told.
+    pub instance: String,
 }
 
 /// Ids of the parts of a prompt, from the header `parts`.
@@ -125,6 +127,7 @@
     fn target_headers(&self, headers: &HeaderMap, metadata: &OutboundMetadata) -> HeaderMap {
         let mut out = headers.clone();
         out.insert("target", metadata.target.parse().unwrap());
+        out.insert("sender", self.instance.parse().unwrap());
         if let Some(place) = metadata.fetch_from.iter().flatten().next() {
             out.insert("fetch", place.to_string().parse().unwrap());
         }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod formats;
 pub mod late_target;
 pub mod part_store;
+pub mod stating_target;
 pub mod stream_target;
 pub mod target;
 
@@ -137,7 +138,10 @@
         let stop = CancellationToken::new();
         let lines = Lines::default();
         let log = EventLog::start(lines.clone());
-        let formats = Formats::default();
+        let formats = Formats {
+            instance: settings.instance.clone(),
+            ..Formats::default()
+        };
         let unreachable = formats.unreachable.clone();
         let run = entry::run(settings.clone(), kv, formats, log, stop.clone());
         let ended = tokio::spawn(async move {
--- a/crates/entry/tests/target_statements.rs
+++ b/crates/entry/tests/target_statements.rs
@@ -18,7 +18,7 @@
 struct Fleet {
     kv: MemoryKv,
     a: Target,
-    _b: Target,
+    b: Target,
     instance: Instance,
 }
 
@@ -35,12 +35,7 @@
             a.calls_count() > 0 && b.calls_count() > 0
         })
         .await;
-        Self {
-            kv,
-            a,
-            _b: b,
-            instance,
-        }
+        Self { kv, a, b, instance }
     }
 
     /// Sends calls, which must all be answered with success, and returns how many of them reached `a`.
@@ -118,3 +113,54 @@
     sleep(Duration::from_millis(500)).await;
     assert_eq!(fleet.calls_of_a().await, 0);
 }
+
+#[tokio::test]
+async fn target_that_says_in_a_report_that_it_leaves_gets_no_calls() {
+    let fleet = Fleet::start().await;
+    fleet.a.set_leaving(true);
+    // The new version has the instance ask for reports before it sends orders.
+    put(&fleet.kv, "operators/version/m", "2").await;
+    wait_until("the statement", async || {
+        !fleet.instance.lines("target_statement").is_empty()
+    })
+    .await;
+    assert_eq!(fleet.calls_of_a().await, 0);
+}
+
+#[tokio::test]
+async fn call_goes_through_another_instance_if_all_known_targets_have_left() {
+    let fleet = Fleet::start().await;
+    let cut_off = fleet.kv.peer();
+    let first = Instance::start("two", cut_off.clone());
+    wait_until("two instances", async || {
+        fleet.instance.addresses().await.len() == 2 && first.is_ready().await
+    })
+    .await;
+    cut_off.set_faults(|faults| faults.unreachable = true);
+    cut_off.cut_watches();
+    fleet.a.set_leaving(true);
+    fleet.b.set_leaving(true);
+    let new = Target::start(WORK).await;
+    put(&fleet.kv, "targets/new", &registration(&new, 1)).await;
+    // Until its view is old, the instance takes the targets that it knows for all that there are.
+    wait_until("a call that reaches the new target", async || {
+        first
+            .call("/x")
+            .await
+            .is_some_and(|(status, _)| status == 200)
+            && new.calls_count() > 0
+    })
+    .await;
+    // The other instance learns from the first answer of each target that it leaves.
+    wait_until("both statements", async || {
+        fleet.instance.call("/x").await;
+        fleet.instance.lines("target_statement").len() == 2
+    })
+    .await;
+    let known_count = fleet.a.calls_count() + fleet.b.calls_count();
+    for _ in 0..CALLS_COUNT {
+        let (status, _) = first.call("/x").await.unwrap();
+        assert_eq!(status, 200);
+    }
+    assert_eq!(fleet.a.calls_count() + fleet.b.calls_count(), known_count);
+}
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -15,6 +15,7 @@
         refusal::NO_TARGET_RETRY_AFTER,
         relay::Inner,
         silent_target::AttemptTimeout,
+        view::MAX_VIEW_AGE,
     },
     balance::CallOutcome,
     bytes::Bytes,
@@ -210,10 +211,22 @@
         self.has_other_way && state.reachability.is_cut_off(&state.view(), &self.pool)
     }
 
-    /// Whether the call got to no target because none could be reached.
+    /// Whether the call got to no target because none could be reached, or because this instance may
+    /// not know those that have replaced the ones it knows.
     fn has_reached_no_target(&self) -> bool {
         let is_unreached = self.unreachable_count == self.tried_targets.len();
-        is_unreached && (self.unreachable_count > 0 || self.is_cut_off())
+        is_unreached
+            && (self.unreachable_count > 0
+                || self.is_cut_off()
+                || self.knows_only_leaving_targets())
+    }
+
+    /// Whether all targets of the call's pool are leaving, by a view that may be old.
+    fn knows_only_leaving_targets(&self) -> bool {
+        let view = self.inner.state.view();
+        let targets = view.pools.get(&self.pool);
+        let are_leaving = targets.is_some_and(|it| it.iter().all(|target| target.is_leaving()));
+        are_leaving && view.age() > MAX_VIEW_AGE
     }
 
     /// When the time limit of the call passes.
--- a/crates/relay/src/call_origin.rs
+++ b/crates/relay/src/call_origin.rs
@@ -1,15 +1,12 @@
 //! Where the stream of a call began, which decides where it may go on.
 
 use {
-    crate::{Reason, Refusal, StreamOrigins, admit::Admitted},
+    crate::{Reason, Refusal, StreamOrigins, admit::Admitted, view::MAX_VIEW_AGE},
     origins::{Origin, OriginKnowledge, OriginRecord, stream_key},
     routes::{PoolId, Route},
     std::{sync::Arc, time::Duration},
 };
 
-/// Oldest confirmation of the view with which an instance trusts that it knows all versions of a
-/// pool. Longer than a watch request waits for changes.
-const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
 /// Longest time for which an origin is kept after its stream began.
 const MAX_LIFETIME: Duration = Duration::from_mins(10);
 /// Time for which an origin is kept beyond the time that the caller waits.
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -13,6 +13,10 @@
     },
 };
 
+/// Oldest confirmation of the view with which an instance trusts that it knows all targets of a pool.
+/// Longer than a watch request waits for changes.
+pub(crate) const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+
 /// A model whose weights a target has loaded.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LoadedModel {
