--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -3,13 +3,13 @@
 
 use {
     crate::{
-        HolderRecord, Item, ItemName, LoadingRecord, MemberRecord, RecentVersion,
-        TargetRegistration,
+        AnnouncedLimit, HolderRecord, Item, ItemName, LoadingRecord, MemberRecord, RecentVersion,
+        known_targets::KnownTargets,
     },
     balance::rendezvous,
-    catalog::{InstanceId, ModelId, Revision, TargetId},
+    catalog::{InstanceId, ModelId, Revision},
     quarantine::{Quarantine, SuspectKey},
-    relay::{Peer, Shutdown, TargetState, TargetStats, View, WantedVersions},
+    relay::{Peer, Shutdown, TargetState, View, WantedVersions},
     routes::RouteTable,
     std::{
         collections::{BTreeMap, HashMap},
@@ -23,23 +23,6 @@
 /// if they are alive and can reach the service.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2_500);
 
-/// A known target.
-#[derive(Clone, Debug)]
-struct KnownTarget {
-    record: TargetRegistration,
-    state: Arc<TargetState>,
-    /// When the target counts as gone unless it registers again.
-    expires_at: Option<Duration>,
-}
-
-/// A target whose registration is gone.
-#[derive(Clone, Debug)]
-struct DepartedTarget {
-    state: Arc<TargetState>,
-    /// When the target is forgotten.
-    until: Duration,
-}
-
 /// A known entry instance.
 #[derive(Clone, Debug)]
 struct KnownMember {
@@ -51,15 +34,6 @@
     unready_since: Option<Duration>,
 }
 
-/// A limit of a target that an instance has announced.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct AnnouncedLimit {
-    /// Calls per second that the target takes from all instances together.
-    pub limit_per_s: f64,
-    /// When this instance learned of the announcement.
-    pub learned_at: Duration,
-}
-
 /// The shutdown of this instance. Times are by the clock of [`KnownState`].
 #[derive(Clone, Debug)]
 pub struct OwnShutdown {
@@ -85,10 +59,6 @@
     pub fencing: Revision,
 }
 
-/// Time for which it is remembered what a target stated whose registration is gone. A target that is
-/// about to exit has exited by then.
-const DEPARTED_MEMORY: Duration = Duration::from_mins(1);
-
 /// If the last confirmation is older than this, a change may have been made long before this
 /// instance learns of it. Longer than a watch request waits for changes.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(2_500);
@@ -103,7 +73,7 @@
 pub struct KnownState {
     table: Option<Arc<RouteTable>>,
     wanted: HashMap<ModelId, WantedVersions>,
-    targets: BTreeMap<TargetId, KnownTarget>,
+    targets: KnownTargets,
     members: BTreeMap<InstanceId, KnownMember>,
     holder: Option<KnownHolder>,
     /// Targets that are loading new weights.
@@ -117,11 +87,6 @@
     own_shutdown: Option<OwnShutdown>,
     /// Prompt parts and calls that may crash targets.
     quarantine: Arc<Quarantine>,
-    /// Limits of targets that instances have announced.
-    limits: BTreeMap<TargetId, AnnouncedLimit>,
-    /// Targets without a registration that have stated that they want no calls. The registration of a
-    /// target may lapse and return while the target runs.
-    departed: BTreeMap<TargetId, DepartedTarget>,
 }
 
 impl KnownState {
@@ -141,8 +106,8 @@
                 wanted.add(version, since, now);
             }
             Item::Recent(record) => self.mark_recent(id, &record, now),
-            Item::Target(record) => self.put_target(id, record, now),
-            Item::Limit(record) => self.put_limit(id, record.limit_per_s, now),
+            Item::Target(record) => self.targets.put(id, record, now),
+            Item::Limit(record) => self.targets.put_limit(id, record.limit_per_s, now),
             Item::Member(record) => {
                 self.put_member(id, record, now);
             }
@@ -175,10 +140,7 @@
     pub fn delete(&mut self, name: &ItemName, now: Duration) {
         let expires_at = self.reregistration_until.filter(|until| now < *until);
         match name {
-            ItemName::Target(id) => match (expires_at, self.targets.get_mut(id)) {
-                (Some(_), Some(target)) if !target.record.leaving => target.expires_at = expires_at,
-                _ => self.remove_target(id, now),
-            },
+            ItemName::Target(id) => self.targets.delete(id, expires_at, now),
             ItemName::Member(id) => match (expires_at, self.members.get_mut(id)) {
                 (Some(_), Some(member)) => member.expires_at = expires_at,
                 _ => drop(self.members.remove(id)),
@@ -193,12 +155,7 @@
             ItemName::Crash(suspect, crash) => {
                 Arc::make_mut(&mut self.quarantine).remove_crash(*suspect, crash);
             }
-            ItemName::Limit(id) => {
-                self.limits.remove(id);
-                if let Some(target) = self.targets.get(id) {
-                    target.state.call_stats.announce_limit_end(now);
-                }
-            }
+            ItemName::Limit(id) => self.targets.delete_limit(id, now),
             ItemName::Answered(suspect) => {
                 Arc::make_mut(&mut self.quarantine).set_answered(*suspect, false);
             }
@@ -293,15 +250,10 @@
     /// Removes targets and instances that did not register again in time. Returns whether anything
     /// changed.
     pub fn expire(&mut self, now: Duration) -> bool {
-        let before = self.targets.len() + self.members.len();
+        let members_count = self.members.len();
         let stays = |at: Option<Duration>| at.is_none_or(|at| now < at);
-        let expired = self.targets.iter().filter(|(_, it)| !stays(it.expires_at));
-        let expired: Vec<TargetId> = expired.map(|(id, _)| id.clone()).collect();
-        for id in expired {
-            self.remove_target(&id, now);
-        }
         self.members.retain(|_, member| stays(member.expires_at));
-        before != self.targets.len() + self.members.len()
+        self.targets.expire(now) || self.members.len() < members_count
     }
 
     /// Returns the holder of the order lock.
@@ -343,24 +295,19 @@
 
     /// Returns all known targets.
     pub fn targets(&self) -> impl Iterator<Item = &Arc<TargetState>> {
-        self.targets.values().map(|target| &target.state)
+        self.targets.iter()
     }
 
     /// Returns the target at an address.
     #[must_use]
     pub fn target_at(&self, address: SocketAddr) -> Option<&Arc<TargetState>> {
-        self.targets().find(|target| target.address == address)
+        self.targets.at(address)
     }
 
     /// Builds the view that the request path works with. Before the first confirmation its age is
     /// unknown and counts as zero; the age is only logged.
     #[must_use]
     pub fn view(&self, now: Duration) -> View {
-        let mut pools: HashMap<_, Vec<_>> = HashMap::new();
-        for target in self.targets.values() {
-            let pool = pools.entry(target.record.pool.clone()).or_default();
-            pool.push(target.state.clone());
-        }
         let ready_members = self.members.values().filter(|member| member.record.ready);
         let instance_seeds: Arc<[u64]> = ready_members.map(|member| member.seed).collect();
         let instances_count = instance_seeds.len().max(1);
@@ -374,7 +321,7 @@
         });
         View {
             route_table: self.table.clone(),
-            pools,
+            pools: self.targets.by_pool(),
             loading: self
                 .loading
                 .iter()
@@ -395,7 +342,7 @@
     fn note_loaded(&self, record: &LoadingRecord) {
         for id in &record.loaded {
             if let Some(target) = self.targets.get(id) {
-                let call_stats = &target.state.call_stats;
+                let call_stats = &target.call_stats;
                 call_stats.record_version(&record.model, record.version);
             }
         }
@@ -432,85 +379,9 @@
         self.members.insert(name.to_owned(), member);
     }
 
-    /// Records a limit that an instance announced.
-    fn put_limit(&mut self, id: &str, limit_per_s: f64, now: Duration) {
-        let limit = AnnouncedLimit {
-            limit_per_s,
-            learned_at: now,
-        };
-        self.limits.insert(id.to_owned(), limit);
-        if let Some(target) = self.targets.get(id) {
-            target.state.call_stats.announce_limit(limit_per_s, now);
-        }
-    }
-
     /// Returns the limit of a target that an instance has announced.
     #[must_use]
     pub fn announced_limit(&self, target: &str) -> Option<AnnouncedLimit> {
-        self.limits.get(target).copied()
-    }
-
-    /// Creates the stats of a target that no call was sent to, with its announced limit.
-    fn new_target_stats(&self, id: &str, now: Duration) -> Arc<TargetStats> {
-        let call_stats = TargetStats::default();
-        if let Some(limit) = self.announced_limit(id) {
-            call_stats.announce_limit(limit.limit_per_s, now);
-        }
-        Arc::new(call_stats)
-    }
-
-    /// Removes a target, and remembers it for a while if it wants no calls.
-    fn remove_target(&mut self, id: &str, now: Duration) {
-        self.departed.retain(|_, departed| now < departed.until);
-        let Some(target) = self.targets.remove(id) else {
-            return;
-        };
-        if target.state.call_stats.refuses_calls(now) {
-            let departed = DepartedTarget {
-                state: target.state,
-                until: now + DEPARTED_MEMORY,
-            };
-            self.departed.insert(id.to_owned(), departed);
-        }
-    }
-
-    /// Stats of the target that `record` registers, if it is known since the same start.
-    fn known_target_stats(
-        &self,
-        id: &str,
-        record: &TargetRegistration,
-    ) -> Option<Arc<TargetStats>> {
-        let registered = self.targets.get(id).map(|it| &it.state);
-        let departed = self.departed.get(id).map(|it| &it.state);
-        let state = registered.or(departed)?;
-        let is_same_start =
-            state.started_unix_ms == record.started_unix_ms && state.address == record.address;
-        is_same_start.then(|| state.call_stats.clone())
-    }
-
-    /// Adds or updates a target. If the start time or the address has changed, the target has
-    /// restarted under the same id, so what calls observed of it before no longer applies.
-    fn put_target(&mut self, id: &str, record: TargetRegistration, now: Duration) {
-        let call_stats = self.known_target_stats(id, &record);
-        let call_stats = call_stats.unwrap_or_else(|| self.new_target_stats(id, now));
-        self.departed.remove(id);
-        let state = TargetState {
-            id: id.to_owned(),
-            seed: rendezvous::member_seed(id),
-            started_unix_ms: record.started_unix_ms,
-            software_version: record.software_version.clone(),
-            address: record.address,
-            failure_domain: record.failure_domain.clone(),
-            slots_count: record.slots_count,
-            draining: record.leaving,
-            models: record.models.clone(),
-            call_stats,
-        };
-        let target = KnownTarget {
-            record,
-            state: Arc::new(state),
-            expires_at: None,
-        };
-        self.targets.insert(id.to_owned(), target);
+        self.targets.announced_limit(target)
     }
 }
--- /dev/null
+++ b/crates/entry/src/known_targets.rs
@@ -0,0 +1,189 @@
+//! The targets that an instance knows, and what is remembered of those whose registration is gone.
+
+use {
+    crate::TargetRegistration,
+    balance::rendezvous,
+    catalog::TargetId,
+    relay::{TargetState, TargetStats},
+    routes::PoolId,
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Time for which it is remembered what a target stated whose registration is gone. A target that is
+/// about to exit has exited by then.
+const DEPARTED_MEMORY: Duration = Duration::from_mins(1);
+
+/// A registered target.
+#[derive(Clone, Debug)]
+struct KnownTarget {
+    pool: PoolId,
+    state: Arc<TargetState>,
+    /// When the target counts as gone unless it registers again.
+    expires_at: Option<Duration>,
+}
+
+/// A target whose registration is gone.
+#[derive(Clone, Debug)]
+struct DepartedTarget {
+    state: Arc<TargetState>,
+    /// When the target is forgotten.
+    until: Duration,
+}
+
+/// A limit of a target that an instance has announced.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AnnouncedLimit {
+    /// Calls per second that the target takes from all instances together.
+    pub limit_per_s: f64,
+    /// When this instance learned of the announcement.
+    pub learned_at: Duration,
+}
+
+/// The targets that an instance knows by their registrations, with their announced limits. Times are
+/// by the clock of [`crate::KnownState`].
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KnownTargets {
+    registered: BTreeMap<TargetId, KnownTarget>,
+    /// Targets without a registration that have stated that they want no calls. The registration of a
+    /// target may lapse and return while the target runs.
+    departed: BTreeMap<TargetId, DepartedTarget>,
+    /// Limits of targets that instances have announced, also of targets that are not known.
+    limits: BTreeMap<TargetId, AnnouncedLimit>,
+}
+
+impl KnownTargets {
+    /// Adds or updates a target. If the start time or the address has changed, the target has
+    /// restarted under the same id, so what calls observed of it before no longer applies.
+    pub(crate) fn put(&mut self, id: &str, record: TargetRegistration, now: Duration) {
+        let call_stats = self.same_start_stats(id, &record);
+        let call_stats = call_stats.unwrap_or_else(|| self.new_stats(id, now));
+        self.departed.remove(id);
+        let state = TargetState {
+            id: id.to_owned(),
+            seed: rendezvous::member_seed(id),
+            started_unix_ms: record.started_unix_ms,
+            software_version: record.software_version,
+            address: record.address,
+            failure_domain: record.failure_domain,
+            slots_count: record.slots_count,
+            draining: record.leaving,
+            models: record.models,
+            call_stats,
+        };
+        let target = KnownTarget {
+            pool: record.pool,
+            state: Arc::new(state),
+            expires_at: None,
+        };
+        self.registered.insert(id.to_owned(), target);
+    }
+
+    /// Applies the deletion of a registration. With `expires_at`, the target stays until then, since it
+    /// may register again; a target that was draining is removed at once.
+    pub(crate) fn delete(&mut self, id: &str, expires_at: Option<Duration>, now: Duration) {
+        match (expires_at, self.registered.get_mut(id)) {
+            (Some(_), Some(target)) if !target.state.draining => target.expires_at = expires_at,
+            _ => self.remove(id, now),
+        }
+    }
+
+    /// Removes targets that did not register again in time. Returns whether there were any.
+    pub(crate) fn expire(&mut self, now: Duration) -> bool {
+        let is_expired = |target: &KnownTarget| target.expires_at.is_some_and(|at| now >= at);
+        let registered = self.registered.iter();
+        let expired = registered.filter(|(_, target)| is_expired(target));
+        let expired: Vec<TargetId> = expired.map(|(id, _)| id.clone()).collect();
+        for id in &expired {
+            self.remove(id, now);
+        }
+        !expired.is_empty()
+    }
+
+    /// Removes a target, and remembers it for a while if it wants no calls.
+    fn remove(&mut self, id: &str, now: Duration) {
+        self.departed.retain(|_, departed| now < departed.until);
+        let Some(target) = self.registered.remove(id) else {
+            return;
+        };
+        if target.state.call_stats.refuses_calls(now) {
+            let departed = DepartedTarget {
+                state: target.state,
+                until: now + DEPARTED_MEMORY,
+            };
+            self.departed.insert(id.to_owned(), departed);
+        }
+    }
+
+    /// Returns a target by its id.
+    pub(crate) fn get(&self, id: &str) -> Option<&Arc<TargetState>> {
+        self.registered.get(id).map(|target| &target.state)
+    }
+
+    /// Returns all targets in the order of their ids.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Arc<TargetState>> {
+        self.registered.values().map(|target| &target.state)
+    }
+
+    /// Returns the target at an address.
+    pub(crate) fn at(&self, address: SocketAddr) -> Option<&Arc<TargetState>> {
+        self.iter().find(|target| target.address == address)
+    }
+
+    /// Returns the targets of each pool.
+    pub(crate) fn by_pool(&self) -> HashMap<PoolId, Vec<Arc<TargetState>>> {
+        let mut pools: HashMap<_, Vec<_>> = HashMap::new();
+        for target in self.registered.values() {
+            let pool = pools.entry(target.pool.clone()).or_default();
+            pool.push(target.state.clone());
+        }
+        pools
+    }
+
+    /// Records a limit that an instance announced.
+    pub(crate) fn put_limit(&mut self, id: &str, limit_per_s: f64, now: Duration) {
+        let limit = AnnouncedLimit {
+            limit_per_s,
+            learned_at: now,
+        };
+        self.limits.insert(id.to_owned(), limit);
+        if let Some(target) = self.get(id) {
+            target.call_stats.announce_limit(limit_per_s, now);
+        }
+    }
+
+    /// Records that a limit is no longer announced.
+    pub(crate) fn delete_limit(&mut self, id: &str, now: Duration) {
+        self.limits.remove(id);
+        if let Some(target) = self.get(id) {
+            target.call_stats.announce_limit_end(now);
+        }
+    }
+
+    /// Returns the limit of a target that an instance has announced.
+    pub(crate) fn announced_limit(&self, id: &str) -> Option<AnnouncedLimit> {
+        self.limits.get(id).copied()
+    }
+
+    /// Stats of the target that `record` registers, if it is known since the same start.
+    fn same_start_stats(&self, id: &str, record: &TargetRegistration) -> Option<Arc<TargetStats>> {
+        let departed = || self.departed.get(id).map(|departed| &departed.state);
+        let state = self.get(id).or_else(departed)?;
+        let is_same_start =
+            state.started_unix_ms == record.started_unix_ms && state.address == record.address;
+        is_same_start.then(|| state.call_stats.clone())
+    }
+
+    /// Creates the stats of a target that no call was sent to, with its announced limit.
+    fn new_stats(&self, id: &str, now: Duration) -> Arc<TargetStats> {
+        let call_stats = TargetStats::default();
+        if let Some(limit) = self.announced_limit(id) {
+            call_stats.announce_limit(limit.limit_per_s, now);
+        }
+        Arc::new(call_stats)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod follower_pace;
 mod item;
 mod known_state;
+mod known_targets;
 mod limit_news;
 mod listener;
 mod membership;
@@ -56,7 +57,8 @@
         HolderRecord, Item, ItemError, ItemName, LimitRecord, LoadingRecord, MemberRecord,
         RecentVersion, SuspectRecord, TargetRegistration,
     },
-    known_state::{AnnouncedLimit, KnownState, OwnShutdown},
+    known_state::{KnownState, OwnShutdown},
+    known_targets::AnnouncedLimit,
     order_lock::{InstanceLease, OrderLock},
     ownership::Ownership,
     parts_by_salt::PartsBySalt,
--- a/crates/entry/src/limit_news.rs
+++ b/crates/entry/src/limit_news.rs
@@ -4,8 +4,7 @@
 
 use {
     crate::{
-        LimitRecord,
-        known_state::{AnnouncedLimit, KnownState},
+        AnnouncedLimit, KnownState, LimitRecord,
         own_keys::limit_key,
         record_lease::{MAX_WRITTEN_COUNT, REFRESH_AGE, RecordChange, RecordLease},
         shared::Shared,
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -2,20 +2,18 @@
 
 use {
     crate::{
-        CallSource, HeaderFormat, InFlightGuard, Peer, Reason, Refusal, ReplyMetadata,
+        HeaderFormat, InFlightGuard, Reason, Refusal, ReplyMetadata,
         admit::Admitted,
         attempt::{AttemptOutcome, AttemptParams, Content, TargetAnswer, attempt},
         body_memory::BodyPermit,
         boot_time,
         call_origin::CallOrigin,
         call_recorder::CallRecorder,
-        peer_caller::PeerCall,
         pick::PickedTarget,
         quarantined_calls::part_keys,
         refusal::NO_TARGET_RETRY_AFTER,
         relay::Inner,
         silent_target::AttemptTimeout,
-        view::MAX_VIEW_AGE,
     },
     balance::CallOutcome,
     bytes::Bytes,
@@ -65,9 +63,9 @@
     /// Number of targets that ran the call or may have run it.
     pub(crate) may_have_run_count: u32,
     /// Whether another instance may reach the call's targets if this one does not.
-    has_other_way: bool,
+    pub(crate) has_other_way: bool,
     /// Number of targets tried to which no connection could be opened.
-    unreachable_count: usize,
+    pub(crate) unreachable_count: usize,
     /// Counts the call as in flight at the current target.
     pub(crate) in_flight: Option<InFlightGuard>,
     /// Whether a retry was taken from the budget for a silent target that is given up.
@@ -159,76 +157,6 @@
             .try_retry(&self.pool, instances_count, now)
     }
 
-    /// Answers the call, or has another instance answer it if this one reaches none of its targets.
-    pub(crate) async fn answer(
-        &mut self,
-        recorder: &mut CallRecorder,
-        source: CallSource,
-    ) -> Result<TargetAnswer, Refusal> {
-        self.has_other_way = source == CallSource::Instance || self.has_peers();
-        let answered = if self.is_cut_off() {
-            Err(Refusal::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER))
-        } else {
-            self.answer_here(recorder).await
-        };
-        let may_pass_on = source == CallSource::Caller && self.has_other_way;
-        if answered.is_ok() || !may_pass_on || !self.has_reached_no_target() {
-            return answered;
-        }
-        let call = PeerCall {
-            id: &self.admitted.call.id,
-            head: &self.head,
-            body: &self.body,
-            deadline: self.deadline(),
-            is_stream: self.retry_policy().is_stream(),
-            answer_memory: &self.inner.answer_memory,
-        };
-        let (peer_caller, format) = (&self.inner.peer_caller, &self.inner.header_format);
-        peer_caller
-            .answer(format, &call, self.peers(), recorder)
-            .await
-    }
-
-    /// The other instances that answer calls for this one.
-    fn peers(&self) -> Vec<Peer> {
-        let view = self.inner.state.view();
-        let others = view.peers.iter().filter(|peer| self.is_other(peer));
-        others.cloned().collect()
-    }
-
-    fn has_peers(&self) -> bool {
-        let view = self.inner.state.view();
-        view.peers.iter().any(|peer| self.is_other(peer))
-    }
-
-    fn is_other(&self, peer: &Peer) -> bool {
-        peer.seed != self.inner.settings.instance_seed
-    }
-
-    /// Whether this instance reaches none of the call's targets, and somebody else may.
-    fn is_cut_off(&self) -> bool {
-        let state = &self.inner.state;
-        self.has_other_way && state.reachability.is_cut_off(&state.view(), &self.pool)
-    }
-
-    /// Whether the call got to no target because none could be reached, or because this instance may
-    /// not know those that have replaced the ones it knows.
-    fn has_reached_no_target(&self) -> bool {
-        let is_unreached = self.unreachable_count == self.tried_targets.len();
-        is_unreached
-            && (self.unreachable_count > 0
-                || self.is_cut_off()
-                || self.knows_only_leaving_targets())
-    }
-
-    /// Whether all targets of the call's pool are leaving, by a view that may be old.
-    fn knows_only_leaving_targets(&self) -> bool {
-        let view = self.inner.state.view();
-        let targets = view.pools.get(&self.pool);
-        let are_leaving = targets.is_some_and(|it| it.iter().all(|target| target.is_leaving()));
-        are_leaving && view.age() > MAX_VIEW_AGE
-    }
-
     /// When the time limit of the call passes.
     pub(crate) fn deadline(&self) -> Instant {
         self.arrived + self.time_limit()
@@ -236,7 +164,10 @@
 
     /// Has targets answer the call. A call that resumes a stream goes to the pool and software
     /// version that began it.
-    async fn answer_here(&mut self, recorder: &mut CallRecorder) -> Result<TargetAnswer, Refusal> {
+    pub(crate) async fn answer_here(
+        &mut self,
+        recorder: &mut CallRecorder,
+    ) -> Result<TargetAnswer, Refusal> {
         let view_age = self.inner.state.view().age();
         if let Some(pool) = self.origin.find(&self.admitted, view_age).await? {
             self.pool = pool;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,7 @@
 mod forwarded_stream;
 mod header_format;
 mod outbound_metadata;
+mod pass_on;
 mod peer_caller;
 mod pick;
 mod quarantined_calls;
