--- a/crates/entry/tests/statement_histories.rs
+++ b/crates/entry/tests/statement_histories.rs
@@ -94,6 +94,15 @@
         counts.into_iter().fold((0, 0), sum)
     }
 
+    /// Stops all instances and waits until they have ended, which frees their ports.
+    async fn stop(self) {
+        for instance in self.instances {
+            instance.stop.cancel();
+            let ended = instance.ended.await.unwrap();
+            assert!(ended.is_ok(), "{ended:?}");
+        }
+    }
+
     /// Plays one random step.
     async fn step(&self, random: &mut StdRng) {
         let index = random.random_range(0..TARGETS_COUNT);
@@ -187,6 +196,7 @@
         served_count * 10 >= sent_count * 9,
         "seed {seed}: one target always takes calls, and {served_count} of {sent_count} were served"
     );
+    fleet.stop().await;
     statements_count
 }
 
