--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -4,7 +4,7 @@
     crate::{
         HeaderFormat, Reason, Refusal, View,
         active_call::ActiveCall,
-        pick::{PickContext, PickedTarget, call_conditions, has_origin, has_other_software, pick},
+        pick::{PickContext, PickedTarget, call_context, has_origin, has_other_software, pick},
         refusal::OVERLOADED_RETRY_AFTER,
         target_limit::Senders,
     },
@@ -27,8 +27,8 @@
                     return Err(self.no_target_refusal(view, context, choice.wait));
                 };
                 let target = &picked.target;
-                let conditions = call_conditions(target, context.senders);
-                if target.call_stats.try_take_call(&conditions) {
+                let call = call_context(target, context.senders);
+                if target.call_stats.try_take_call(&call) {
                     return Ok(picked);
                 }
             }
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -5,7 +5,7 @@
         Call, Prompt, TargetState, View, WantedVersions, boot_time,
         refusal::OVERLOADED_RETRY_AFTER,
         salt::salt,
-        target_conditions::{CallConditions, NextCall, PassedOver},
+        target_conditions::{CallContext, NextCall, PassedOver},
         target_limit::Senders,
     },
     balance::{Candidate, PeerLoads, choose, rendezvous},
@@ -172,16 +172,16 @@
 /// When the target's statements let this instance send it the call.
 fn next_call(view: &View, target: &TargetState, context: &PickContext<'_>) -> NextCall {
     let in_flight_count = || in_flight_count(view, target, context);
-    let conditions = call_conditions(target, context.senders);
-    target.call_stats.next_call(&conditions, in_flight_count)
+    let call = call_context(target, context.senders);
+    target.call_stats.next_call(&call, in_flight_count)
 }
 
 /// What the target's statements are weighed against at the moment.
-pub(crate) fn call_conditions<'view>(
+pub(crate) fn call_context<'view>(
     target: &TargetState,
     senders: Senders<'view>,
-) -> CallConditions<'view> {
-    CallConditions {
+) -> CallContext<'view> {
+    CallContext {
         target_seed: target.seed,
         slots_count: target.slots_count,
         senders,
--- a/crates/relay/src/requested_backoff.rs
+++ b/crates/relay/src/requested_backoff.rs
@@ -5,6 +5,9 @@
 /// Time after a backoff in which calls go to the target one by one at first, so that it is not
 /// overrun by all that have waited for it.
 const RECOVERY_TIME: Duration = Duration::from_secs(1);
+/// Extension of a backoff that is worth telling. The refusals of calls that were under way together
+/// extend it by less.
+const NOTABLE_EXTENSION: Duration = Duration::from_millis(500);
 /// Number of calls that each answer in the recovery time lets through.
 const CALLS_PER_ANSWER: u32 = 2;
 
@@ -20,13 +23,13 @@
 
 impl RequestedBackoff {
     /// Records that the target wants no calls for `delay` from `now` on. An earlier request that lasts
-    /// longer still holds. Returns whether the target takes calls later than it did before.
+    /// longer still holds. Returns whether a backoff begins or becomes notably longer.
     pub(crate) fn request(&mut self, delay: Duration, now: Duration) -> bool {
-        let before = self.until;
         let until = now.saturating_add(delay);
-        self.until = before.max(Some(until));
+        let running_until = self.until.filter(|running_until| now < *running_until);
+        self.until = self.until.max(Some(until));
         self.allowed_count = 1;
-        self.until > before
+        running_until.is_none_or(|before| until.saturating_sub(before) > NOTABLE_EXTENSION)
     }
 
     /// Time until a call may be sent; zero if it may be sent now.
--- a/crates/relay/src/target_conditions.rs
+++ b/crates/relay/src/target_conditions.rs
@@ -79,9 +79,9 @@
     },
 }
 
-/// What the answer depends on besides the target's statements.
+/// What [`TargetConditions::next_call`] depends on besides what the target has stated.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct CallConditions<'view> {
+pub(crate) struct CallContext<'view> {
     /// Rendezvous seed of the target.
     pub(crate) target_seed: u64,
     /// Number of calls that the target runs concurrently.
@@ -112,7 +112,7 @@
     /// instances there; it is called only if that matters.
     pub(crate) fn next_call<Count>(
         &mut self,
-        call: &CallConditions<'_>,
+        call: &CallContext<'_>,
         in_flight_count: Count,
     ) -> NextCall
     where
@@ -139,7 +139,7 @@
 
     /// Takes the right to send one call. Returns false if another call has taken the last one since
     /// [`TargetConditions::next_call`] was asked.
-    pub(crate) fn try_take(&mut self, call: &CallConditions<'_>) -> bool {
+    pub(crate) fn try_take(&mut self, call: &CallContext<'_>) -> bool {
         if self.is_leaving || !self.backoff.time_until_call(call.now).is_zero() {
             return false;
         }
@@ -152,7 +152,7 @@
     }
 
     /// Time until the limit allows a call; `None` if other instances use the whole limit.
-    fn time_until_limit_allows(&mut self, call: &CallConditions<'_>) -> Option<Duration> {
+    fn time_until_limit_allows(&mut self, call: &CallContext<'_>) -> Option<Duration> {
         match &mut self.limit {
             Some(limit) => limit.time_until_call(call.target_seed, call.senders, call.now),
             None => Some(Duration::ZERO),
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         NewStatement, Stated, TargetStatements,
-        target_conditions::{CallConditions, NextCall, TargetConditions},
+        target_conditions::{CallContext, NextCall, TargetConditions},
         target_limit::TargetLimit,
     },
     balance::{CallOutcome, Health, StartDelay},
@@ -295,7 +295,7 @@
     /// instances there, and must not ask these stats for what they observe.
     pub(crate) fn next_call<Count>(
         &self,
-        call: &CallConditions<'_>,
+        call: &CallContext<'_>,
         in_flight_count: Count,
     ) -> NextCall
     where
@@ -305,7 +305,7 @@
     }
 
     /// Takes the right to send the target one call. Returns false if there is none now.
-    pub(crate) fn try_take_call(&self, call: &CallConditions<'_>) -> bool {
+    pub(crate) fn try_take_call(&self, call: &CallContext<'_>) -> bool {
         self.lock().conditions.try_take(call)
     }
 
