--- a/crates/relay/tests/retry_after.rs
+++ b/crates/relay/tests/retry_after.rs
@@ -20,9 +20,30 @@
 const RETRY_AFTER_S: &str = "1.2";
 const RETRY_AFTER: Duration = Duration::from_millis(1_200);
 
-fn refusal(retry_after: &str) -> Step {
+fn refusal_text(retry_after: &str) -> String {
     let headers = format!("not-run: 1\r\nretry-after: {retry_after}\r\n");
-    Step::Respond(answer("503 Service Unavailable", &headers, ""))
+    answer("503 Service Unavailable", &headers, "")
+}
+
+fn refusal(retry_after: &str) -> Step {
+    Step::Respond(refusal_text(retry_after))
+}
+
+/// A target that has two calls under way before it refuses them with these times, and the relay
+/// before it, half a second after that.
+async fn after_two_refusals(first: &str, second: &str) -> (ScriptedTarget, TestRelay) {
+    let refusal = |text| {
+        Step::RespondInTwo(
+            String::new(),
+            Duration::from_millis(150),
+            refusal_text(text),
+        )
+    };
+    let target = ScriptedTarget::start("one", vec![refusal(first), refusal(second)]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    join_all([(); 2].map(|()| caller::call(relay.address, "/once/1", ""))).await;
+    sleep(Duration::from_millis(500)).await;
+    (target, relay)
 }
 
 /// Number of calls that reach a target whose only answer so far is `first`, while another target
@@ -89,16 +110,7 @@
 
 #[tokio::test]
 async fn later_refusal_does_not_shorten_the_time() {
-    // Both calls are under way before the target refuses the first one.
-    let wait = |text: &str| {
-        let headers = format!("not-run: 1\r\nretry-after: {text}\r\n");
-        let refusal = answer("503 Service Unavailable", &headers, "");
-        Step::RespondInTwo(String::new(), Duration::from_millis(150), refusal)
-    };
-    let target = ScriptedTarget::start("one", vec![wait(RETRY_AFTER_S), wait("0.1")]).await;
-    let relay = TestRelay::start(&[&target]).await;
-    join_all([(); 2].map(|()| caller::call(relay.address, "/once/1", ""))).await;
-    sleep(Duration::from_millis(500)).await;
+    let (target, relay) = after_two_refusals(RETRY_AFTER_S, "0.1").await;
     let response = caller::call(relay.address, "/once/1", "").await;
     assert_eq!(response.status, 503);
     assert_eq!(target.arrived().len(), 2);
@@ -106,15 +118,7 @@
 
 #[tokio::test]
 async fn later_refusal_extends_the_time() {
-    let wait = |text: &str| {
-        let headers = format!("not-run: 1\r\nretry-after: {text}\r\n");
-        let refusal = answer("503 Service Unavailable", &headers, "");
-        Step::RespondInTwo(String::new(), Duration::from_millis(150), refusal)
-    };
-    let target = ScriptedTarget::start("one", vec![wait("0.1"), wait(RETRY_AFTER_S)]).await;
-    let relay = TestRelay::start(&[&target]).await;
-    join_all([(); 2].map(|()| caller::call(relay.address, "/once/1", ""))).await;
-    sleep(Duration::from_millis(500)).await;
+    let (target, relay) = after_two_refusals("0.1", RETRY_AFTER_S).await;
     let response = caller::call(relay.address, "/once/1", "").await;
     assert_eq!(response.status, 503);
     assert_eq!(target.arrived().len(), 2);
