Stopping instance: late calls are taken by their time limit, not by an estimate

Cause: from three seconds on a call was taken if twice the longest recent call of its route fitted into the time left (1.3 s here). That is an estimate; a call's time limit is the only bound. A call that was passed on to another instance, because this one had noticed that it reaches no target, was not checked at all. The three seconds were counted from the handling of the signal, not from its sending.

Change: once callers know other addresses, only a call whose time limit ends in time is taken, also if it is passed on; the three seconds end 0.2 s earlier. The estimate still decides before, and whether a call in progress moves to another target.

Tests of relay and entry: green.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -17,6 +17,8 @@
 /// Time for callers to learn the addresses of other instances before connections are refused. Some
 /// callers cache a response for three times its maximum age.
 const REDIRECT_TIME: Duration = Duration::from_millis(3_500);
+/// Time by which the signal may be handled later than it was sent. Callers count from when it was sent.
+const SIGNAL_DELAY: Duration = Duration::from_millis(200);
 /// Time before the forced kill at which responses in progress are cut off and the exit begins.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
@@ -33,6 +35,7 @@
     let grace_period = shared.settings.grace;
     let answers_time = grace_period.saturating_sub(EXIT_MARGIN);
     let now = boot_time();
+    let refresh_time = CALLER_REFRESH_TIME.min(grace_period / 2);
     shared.log.emit(&Event::Draining {
         grace_ms: u64::try_from(grace_period.as_millis()).unwrap_or(u64::MAX),
     });
@@ -42,7 +45,7 @@
         instance: shared.settings.instance.clone(),
         started_at: now,
         grace_period,
-        announced_at: now + CALLER_REFRESH_TIME.min(grace_period / 2),
+        announced_at: now + refresh_time.saturating_sub(SIGNAL_DELAY),
         answer_deadline,
     });
     shared.publish();
--- a/crates/relay/src/ending_calls.rs
+++ b/crates/relay/src/ending_calls.rs
@@ -29,14 +29,19 @@
         reason.into()
     }
 
-    /// Refuses the call if the instance is shutting down and the call is not expected to finish by
-    /// the answer deadline.
+    /// Refuses the call if the instance is shutting down and the call may outlast it. Once callers
+    /// know other instances, only its time limit shows that it will not; before, an estimate decides.
+    /// A call that may have run already is not refused for its time limit, since it was taken before.
     pub(crate) fn check_shutdown(&self, recorder: &mut CallRecorder) -> Result<(), Refusal> {
         let Some(shutdown) = self.inner.state.view().shutdown else {
             return Ok(());
         };
         let now = boot_time();
-        let expected = self.expected_duration(&shutdown, now);
+        let expected = if shutdown.is_announced(now) && self.may_have_run_count == 0 {
+            self.time_left()
+        } else {
+            self.expected_duration(&shutdown, now)
+        };
         recorder.line.expected_ms = millis(expected);
         if shutdown.can_finish(expected, now) {
             Ok(())
--- a/crates/relay/src/pass_on.rs
+++ b/crates/relay/src/pass_on.rs
@@ -26,6 +26,7 @@
         if answered.is_ok() || !may_pass_on || !self.has_reached_no_target() {
             return answered;
         }
+        self.check_shutdown(recorder)?;
         let call = PeerCall {
             id: &self.admitted.call.id,
             head: &self.head,
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -34,7 +34,7 @@
 impl Shutdown {
     /// Whether callers at `now` know the addresses of other instances. Before, a call is refused
     /// only if its typical duration does not fit, so a few answers may have to be cut. Afterwards,
-    /// the upper bound of its duration has to fit, since no answer may be cut then.
+    /// its time limit has to fit, since no answer to a call taken then may be cut.
     #[must_use]
     pub fn is_announced(&self, now: Duration) -> bool {
         now >= self.announced_at
