A call that another instance may run is not refused as not run

Cause: the refusal promised 'not run' if this instance had no attempt of its own; a call that was passed on has none.

Change: a call that is passed on counts as one that may have run, from before it is sent until all instances that were asked have refused it. Cut meanwhile, it is answered 502.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -64,6 +64,9 @@
     pub(crate) may_have_run_count: u32,
     /// Whether another instance may reach the call's targets if this one does not.
     pub(crate) has_other_way: bool,
+    /// Whether other instances were asked to answer the call and have not all said that it did not
+    /// run.
+    pub(crate) is_passed_on: bool,
     /// Number of targets tried to which no connection could be opened.
     pub(crate) unreachable_count: usize,
     /// Counts the call as in flight at the current target.
@@ -107,6 +110,7 @@
             tried_targets: Vec::new(),
             may_have_run_count: 0,
             has_other_way: false,
+            is_passed_on: false,
             unreachable_count: 0,
             in_flight: None,
             has_reserved_retry: AtomicBool::new(false),
--- a/crates/relay/src/ending_calls.rs
+++ b/crates/relay/src/ending_calls.rs
@@ -18,9 +18,10 @@
     Format: HeaderFormat,
 {
     /// Refusal for a call that the shutdown ended before it was answered: [`Reason::Cut`] if it may
-    /// have run, [`Reason::ShuttingDown`] otherwise.
+    /// have run, here or where another instance sent it, and [`Reason::ShuttingDown`] otherwise.
     pub(crate) fn cut_refusal(&self) -> Refusal {
-        let may_have_run = self.in_flight.is_some() || self.may_have_run_count > 0;
+        let may_have_run =
+            self.in_flight.is_some() || self.may_have_run_count > 0 || self.is_passed_on;
         let reason = if may_have_run {
             Reason::Cut
         } else {
--- a/crates/relay/src/pass_on.rs
+++ b/crates/relay/src/pass_on.rs
@@ -27,6 +27,17 @@
             return answered;
         }
         self.check_shutdown(recorder)?;
+        self.is_passed_on = true;
+        let answered = self.pass_on(recorder).await;
+        self.is_passed_on = match &answered {
+            Ok(_) => true,
+            Err(refusal) => !refusal.reason.promises_not_run(),
+        };
+        answered
+    }
+
+    /// Has another instance answer the call.
+    async fn pass_on(&self, recorder: &mut CallRecorder) -> Result<TargetAnswer, Refusal> {
         let call = PeerCall {
             id: &self.admitted.call.id,
             head: &self.head,
--- a/crates/relay/tests/stopping_instance.rs
+++ b/crates/relay/tests/stopping_instance.rs
@@ -12,6 +12,7 @@
         TestRelay, caller,
         scripted_target::{ScriptedTarget, Step, answer},
     },
+    tokio::time::sleep,
 };
 
 /// Number of calls after which the relay estimates how long those of a route last.
@@ -91,3 +92,19 @@
     assert_eq!(response.status, 503, "{response:?}");
     assert_eq!(peer.arrived().len(), passed_on_count);
 }
+
+/// Guards against telling the caller that its call has not run while another instance runs it: the
+/// caller would send it again, and it would run twice.
+#[tokio::test]
+async fn call_cut_while_another_instance_runs_it_is_not_refused_as_not_run() {
+    let peer = ScriptedTarget::start("peer", vec![Step::NeverRespond]).await;
+    let relay = TestRelay::start_for(&[], CallSource::Caller).await;
+    cut_off_before(&relay, &peer);
+    let connection = caller::send(relay.address, "/once/7", "").await;
+    while peer.arrived().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    relay.answer_cutoff.trigger();
+    let response = caller::read_response(connection).await;
+    assert_eq!(response.status, 502, "{response:?}");
+}
