An instance's word that a call has not run is explicit between instances

Cause: 'not run' was read off a missing proof.

Change: a refusal to another instance says x-rattan-not-run; a target's header of that name is removed. Errors that repeat the request id are the target's and come back unchanged. Without either, only a 503, with which no target's answer is passed on, counts as not run (older builds).

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -1,11 +1,11 @@
 //! HTTP responses to the caller.
 
 use {
-    crate::Refusal,
+    crate::{CallSource, Refusal, peer_caller::NOT_RUN},
     bytes::Bytes,
     futures::Stream,
     http_body_util::{Either, Full, StreamBody},
-    hyper::{HeaderMap, Response, StatusCode, body::Frame},
+    hyper::{HeaderMap, Response, StatusCode, body::Frame, header::HeaderValue},
     snafu::Snafu,
 };
 
@@ -26,12 +26,17 @@
     with_head(status, headers, Either::Left(Full::new(body)))
 }
 
-/// Creates the answer for a refusal.
-pub(crate) fn refused<Events>(refusal: &Refusal) -> Answer<Events>
+/// Creates the answer for a refusal. Another instance, which is not bound by the status alone, is told
+/// explicitly if the call has not run.
+pub(crate) fn refused<Events>(refusal: &Refusal, source: CallSource) -> Answer<Events>
 where
     Events: Stream<Item = Result<Frame<Bytes>, TruncatedAnswer>>,
 {
-    whole(refusal.reason.status(), refusal.headers(), refusal.body())
+    let mut headers = refusal.headers();
+    if source == CallSource::Instance && refusal.reason.is_not_run() {
+        headers.insert(NOT_RUN, HeaderValue::from_static("1"));
+    }
+    whole(refusal.reason.status(), headers, refusal.body())
 }
 
 /// Creates an answer whose body is streamed.
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -11,8 +11,8 @@
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
-        Request, StatusCode,
-        header::{CONTENT_LENGTH, RETRY_AFTER},
+        HeaderMap, Request, StatusCode,
+        header::{CONTENT_LENGTH, HeaderName, RETRY_AFTER},
         http::request,
     },
     std::{
@@ -32,6 +32,9 @@
 /// Part of the time left that is kept for the way back from the other instance.
 const RETURN_TIME: Duration = Duration::from_millis(10);
 
+/// Header of a refusal to another instance: the call has not run and will not run.
+pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("x-rattan-not-run");
+
 /// Passes calls on to other instances.
 pub(crate) struct PeerCaller {
     client: Client,
@@ -166,13 +169,13 @@
 {
     let (status, headers) = (reply.status(), reply.headers().clone());
     let metadata = header_format.parse_reply(&headers);
-    if !metadata.has_proof {
-        let retry_after = headers.get(RETRY_AFTER).and_then(|it| it.to_str().ok());
-        let seconds = retry_after.and_then(|it| it.parse().ok());
-        let retry_after = seconds.and_then(|it| Duration::try_from_secs_f64(it).ok());
-        return Err(own_answer(status, retry_after));
+    let id = metadata.id.as_deref();
+    // Targets repeat the request id. Some errors of targets bear no proof.
+    let is_target_error = id == Some(call.id) && !status.is_success();
+    if !metadata.has_proof && !is_target_error {
+        return Err(own_answer(status, &headers));
     }
-    if metadata.id.as_deref().is_some_and(|id| id != call.id) {
+    if id.is_some_and(|id| id != call.id) {
         return Err(PeerFailure::Failed(Reason::TargetFailed));
     }
     let is_streamed =
@@ -190,13 +193,24 @@
     })
 }
 
-/// What the other instance means by an answer of its own. It may have another configuration, so its
-/// word that a route or a key is unknown is no reason to refuse the call for good.
-fn own_answer(status: StatusCode, retry_after: Option<Duration>) -> PeerFailure {
+/// What the other instance means by an answer of its own. Only its explicit word shows that the call
+/// has not run. Builds before that word was added give it for no status but 503, which no target's
+/// answer is passed on with.
+///
+/// The other instance may have another configuration, so its word that a route or a key is unknown is no
+/// reason to refuse the call for good.
+fn own_answer(status: StatusCode, headers: &HeaderMap) -> PeerFailure {
     match status {
         StatusCode::GATEWAY_TIMEOUT => PeerFailure::Failed(Reason::TimedOut),
-        StatusCode::SERVICE_UNAVAILABLE => PeerFailure::NotTaken(retry_after),
-        status if status.is_client_error() => PeerFailure::NotTaken(retry_after),
+        status if headers.contains_key(&NOT_RUN) || status == StatusCode::SERVICE_UNAVAILABLE => {
+            PeerFailure::NotTaken(parse_retry_after(headers))
+        }
         _ => PeerFailure::Failed(Reason::TargetFailed),
     }
 }
+
+fn parse_retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let retry_after = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    let seconds = retry_after.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -87,6 +87,12 @@
         self.status() == StatusCode::SERVICE_UNAVAILABLE
     }
 
+    /// Whether the call has not run and will not run, also where the status promises nothing.
+    #[must_use]
+    pub fn is_not_run(self) -> bool {
+        !matches!(self, Self::TimedOut | Self::TargetFailed | Self::Cut)
+    }
+
     /// Message for the caller: what happened, and what to do about it.
     #[must_use]
     pub fn message(self) -> &'static str {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -13,7 +13,7 @@
         call_recorder::{CallRecorder, millis},
         discard_body::discard_body,
         forwarded_stream::ForwardedStream,
-        peer_caller::PeerCaller,
+        peer_caller::{NOT_RUN, PeerCaller},
         retry_budgets::RetryBudgets,
         stream_forwarder::{Aborted, StreamForwarder},
         target_conditions::PassedOver,
@@ -215,7 +215,7 @@
         };
         let mut active_call = match accepted {
             Ok(active_call) => active_call,
-            Err(refusal) => return refuse(recorder, &refusal),
+            Err(refusal) => return refuse(recorder, &refusal, source),
         };
         let answered = tokio::select! {
             biased;
@@ -224,9 +224,11 @@
         };
         let answer = match answered {
             Ok(answer) => answer,
-            Err(refusal) => return refuse(recorder, &refusal),
+            Err(refusal) => return refuse(recorder, &refusal, source),
         };
-        let headers = self.inner.header_format.caller_headers(&answer.headers);
+        let mut headers = self.inner.header_format.caller_headers(&answer.headers);
+        // Only an instance says this of a call, never a target.
+        headers.remove(NOT_RUN);
         let status = answer.status;
         recorder.record_first_byte();
         match answer.content {
@@ -359,7 +361,11 @@
 }
 
 /// Answers a call with a refusal and records it.
-fn refuse<Events>(mut recorder: CallRecorder, refusal: &Refusal) -> Answer<Events>
+fn refuse<Events>(
+    mut recorder: CallRecorder,
+    refusal: &Refusal,
+    source: CallSource,
+) -> Answer<Events>
 where
     Events: Stream<Item = Result<Frame<Bytes>, TruncatedAnswer>>,
 {
@@ -374,5 +380,5 @@
         refusal.reason.status().as_u16(),
         refusal.reason.message(),
     );
-    refused(refusal)
+    refused(refusal, source)
 }
