--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        Item, ItemError, ItemName, Platform, SuspensionDetector,
+        Item, ItemError, ItemName, Platform, SuspensionDetector, outage_check,
         own_keys::{parse_own_item, parse_own_key},
         shared::Shared,
     },
@@ -14,7 +14,10 @@
     relay::boot_time,
     std::{collections::HashSet, pin::pin, sync::Arc, time::Duration},
     supervisor::ChildResult,
-    tokio::time::{interval, sleep},
+    tokio::{
+        task::JoinSet,
+        time::{interval, sleep},
+    },
     tokio_util::sync::CancellationToken,
 };
 
@@ -43,6 +46,7 @@
         applied_revision: None,
         known_names: HashSet::new(),
         available: true,
+        outage_checks: JoinSet::new(),
     };
     let mut retry_delay = FIRST_RETRY_DELAY;
     loop {
@@ -73,6 +77,8 @@
     /// Items that existed at the last listing or were written since.
     known_names: HashSet<ItemName>,
     available: bool,
+    /// Finds out whether the last outage concerned this instance only.
+    outage_checks: JoinSet<()>,
 }
 
 impl<Kv, Format> Follower<Kv, Format>
@@ -178,13 +184,19 @@
             }
             Err(error) => {
                 log::warn!("{error}");
-                self.delete(&name, pair.mod_revision);
+                self.log_gone(&name, pair.mod_revision);
+                self.shared.remove(&name);
             }
         }
         self.known_names.insert(name);
     }
 
     fn delete(&self, name: &ItemName, revision: Revision) {
+        self.log_gone(name, revision);
+        self.shared.delete(name);
+    }
+
+    fn log_gone(&self, name: &ItemName, revision: Revision) {
         if let ItemName::Target(target) = name {
             self.shared.log.emit(&LogEvent::Target {
                 target: target.clone(),
@@ -195,10 +207,10 @@
                 revision,
             });
         }
-        self.shared.delete(name);
     }
 
     fn confirm(&self, current_at: Duration) {
+        self.shared.feed.record_service_contact(current_at);
         self.shared.known().confirm(current_at);
         self.shared.publish();
     }
@@ -229,10 +241,15 @@
             return;
         }
         self.available = true;
-        self.shared.known().service_recovered(boot_time());
+        let silence = self.shared.known().service_recovered(boot_time());
         let reason = "the service is followed again".to_owned();
         self.shared
             .report_dependency("key-value service", true, reason);
+        if let Some(silence) = silence {
+            self.outage_checks.abort_all();
+            let check = outage_check::run(self.shared.clone(), silence);
+            self.outage_checks.spawn(check);
+        }
     }
 
     fn note_unavailable(&mut self, error: &KvError) {
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -22,6 +22,12 @@
 /// Time after an outage of the service within which the owners of expired records write them again,
 /// if they are alive and can reach the service.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2_500);
+/// Longest time for which a target or an instance is kept whose record is deleted after the outage.
+/// Shorter than the time for which a target that leaves goes on serving.
+const MAX_KEEPING_TIME: Duration = Duration::from_millis(1_500);
+/// A shorter time without word from the service lets no record expire, since owners write their
+/// records again several times in the lifetime of their leases.
+pub(crate) const MIN_LAPSE_TIME: Duration = Duration::from_millis(2_300);
 
 /// A known entry instance.
 #[derive(Clone, Debug)]
@@ -34,6 +40,27 @@
     unready_since: Option<Duration>,
 }
 
+/// An outage of the service that has ended, and that may have let records expire.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    /// Until then, a missing record may have expired only because of the outage.
+    reregistration_until: Duration,
+    /// Whether all changes made during the outage are known.
+    is_caught_up: bool,
+}
+
+impl Outage {
+    /// When a record that is deleted at `now` counts as gone; `None` if it does at once.
+    fn record_expiry(self, now: Duration) -> Option<Duration> {
+        let until = if self.is_caught_up {
+            self.reregistration_until.min(now + MAX_KEEPING_TIME)
+        } else {
+            self.reregistration_until
+        };
+        (now < self.reregistration_until).then_some(until)
+    }
+}
+
 /// The shutdown of this instance. Times are by the clock of [`KnownState`].
 #[derive(Clone, Debug)]
 pub struct OwnShutdown {
@@ -78,8 +105,8 @@
     holder: Option<KnownHolder>,
     /// Targets that are loading new weights.
     loading: Option<LoadingRecord>,
-    /// Until then, a missing record may have expired only because of an outage.
-    reregistration_until: Option<Duration>,
+    /// The last outage of the service, while records that it let expire may be written again.
+    outage: Option<Outage>,
     confirmed_at: Option<Duration>,
     /// Whether changes received since `confirmed_at` may have been delayed by a suspension of this
     /// process.
@@ -138,7 +165,17 @@
     /// Applies the deletion of an item. After an outage, instances and targets stay for a while,
     /// since they may register again; targets that were draining are removed at once.
     pub fn delete(&mut self, name: &ItemName, now: Duration) {
-        let expires_at = self.reregistration_until.filter(|until| now < *until);
+        let expires_at = self.outage.and_then(|outage| outage.record_expiry(now));
+        self.delete_at(name, expires_at, now);
+    }
+
+    /// Applies that an item was replaced by something that is none, so its owner is gone.
+    pub fn remove(&mut self, name: &ItemName, now: Duration) {
+        self.delete_at(name, None, now);
+    }
+
+    /// Applies the deletion of an item. With `expires_at`, instances and targets stay until then.
+    fn delete_at(&mut self, name: &ItemName, expires_at: Option<Duration>, now: Duration) {
         match name {
             ItemName::Target(id) => self.targets.delete(id, expires_at, now),
             ItemName::Member(id) => match (expires_at, self.members.get_mut(id)) {
@@ -187,9 +224,31 @@
         &self.quarantine
     }
 
-    /// Records that the service is reachable again after an outage.
-    pub fn service_recovered(&mut self, now: Duration) {
-        self.reregistration_until = Some(now + REREGISTRATION_TIME);
+    /// Records that the service is reachable again after a failed request. Returns for how long there
+    /// was no word from it, if records may have expired meanwhile.
+    pub fn service_recovered(&mut self, now: Duration) -> Option<Duration> {
+        let confirmed_at = self.confirmed_at.unwrap_or_default();
+        let silence = now.saturating_sub(confirmed_at);
+        if silence < MIN_LAPSE_TIME {
+            return None;
+        }
+        self.outage = Some(Outage {
+            reregistration_until: now + REREGISTRATION_TIME,
+            is_caught_up: false,
+        });
+        Some(silence)
+    }
+
+    /// Records that the service was there during the last outage and only this instance could not
+    /// reach it. Records that were deleted since have not expired because of it, so their owners are
+    /// gone.
+    pub fn rule_out_lapse(&mut self, now: Duration) {
+        self.outage = None;
+        self.targets.expire_kept(now);
+        for member in self.members.values_mut() {
+            member.expires_at = member.expires_at.map(|at| at.min(now));
+        }
+        self.expire(now);
     }
 
     /// Records that this state was current at `current_at`, which may be in the past: for a listing
@@ -197,6 +256,9 @@
     pub fn confirm(&mut self, current_at: Duration) {
         self.confirmed_at = Some(current_at);
         self.was_suspended = false;
+        if let Some(outage) = &mut self.outage {
+            outage.is_caught_up = true;
+        }
     }
 
     /// Records that this process was suspended, so changes that it receives until the next
--- a/crates/entry/src/known_targets.rs
+++ b/crates/entry/src/known_targets.rs
@@ -92,6 +92,13 @@
         }
     }
 
+    /// Has all targets without a registration expire at `now`.
+    pub(crate) fn expire_kept(&mut self, now: Duration) {
+        for target in self.registered.values_mut() {
+            target.expires_at = target.expires_at.map(|at| at.min(now));
+        }
+    }
+
     /// Removes targets that did not register again in time. Returns whether there were any.
     pub(crate) fn expire(&mut self, now: Duration) -> bool {
         let is_expired = |target: &KnownTarget| target.expires_at.is_some_and(|at| now >= at);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod order_lock;
 mod orders;
 mod origin_exchange;
+mod outage_check;
 mod own_keys;
 mod ownership;
 mod part_freeing;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -132,6 +132,11 @@
         self.update_suspect(item_suspect(name), |known| known.delete(name, boot_time()));
     }
 
+    /// Applies to the known state that an item was replaced by something that is none.
+    pub(crate) fn remove(&self, name: &ItemName) {
+        self.update_suspect(item_suspect(name), |known| known.remove(name, boot_time()));
+    }
+
     /// Records that a target crashed before it began to answer a call with a suspect part, or a
     /// suspect call.
     pub(crate) fn note_crash(&self, suspect: SuspectKey, label: &str, crash: &str) {
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -83,6 +83,59 @@
     assert!(is_known(&known, "b"));
 }
 
+/// Guards against calls to targets that left after a single request to the service failed.
+#[test]
+fn removed_target_disappears_at_once_after_a_disruption_too_short_for_a_lapse() {
+    let mut known = KnownState::default();
+    known.put("a", target(1), 1, START);
+    known.confirm(at(0.0));
+    known.service_recovered(at(2.2));
+    known.delete(&target_name("a"), at(2.3));
+    assert!(!is_known(&known, "a"));
+}
+
+/// Guards against calls to targets that left while only this instance was cut off from the service.
+#[test]
+fn removed_target_disappears_once_the_service_is_known_to_have_been_there() {
+    let mut known = KnownState::default();
+    known.put("a", target(1), 1, START);
+    known.put("b", target(2), 1, START);
+    known.confirm(at(0.0));
+    known.service_recovered(at(5.5));
+    known.delete(&target_name("a"), at(5.5));
+    assert!(is_known(&known, "a"), "its registration may have lapsed");
+    known.rule_out_lapse(at(5.6));
+    assert!(!is_known(&known, "a"));
+    known.delete(&target_name("b"), at(5.7));
+    assert!(!is_known(&known, "b"));
+}
+
+/// Guards against calls to a target whose registration was overwritten with something unreadable: that
+/// is no lapse.
+#[test]
+fn target_whose_registration_became_unreadable_is_not_kept_after_an_outage() {
+    let mut known = KnownState::default();
+    known.put("a", target(1), 1, START);
+    known.service_recovered(at(0.0));
+    known.remove(&target_name("a"), at(0.1));
+    assert!(!is_known(&known, "a"));
+}
+
+/// Guards against calls that reach a target after it has stopped serving.
+#[test]
+fn target_removed_after_the_outage_is_kept_for_less_time_than_it_goes_on_serving() {
+    let mut known = KnownState::default();
+    known.put("a", target(1), 1, START);
+    known.confirm(at(0.0));
+    known.service_recovered(at(5.5));
+    known.confirm(at(5.5));
+    known.delete(&target_name("a"), at(6.3));
+    known.expire(at(7.7));
+    assert!(is_known(&known, "a"));
+    known.expire(at(7.9));
+    assert!(!is_known(&known, "a"));
+}
+
 #[test]
 fn draining_target_is_not_kept_through_an_outage() {
     let mut known = KnownState::default();
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -267,6 +267,16 @@
         /// What the process observed.
         reason: String,
     },
+    /// An outage of the key-value service has ended that may have let registrations expire.
+    Outage {
+        /// Time for which this instance had no word from the service, in milliseconds.
+        silence_ms: u64,
+        /// Number of instances that were asked whether the service was there.
+        asked_count: usize,
+        /// Instance that had word from the service throughout, so that no registration has expired;
+        /// empty if none says so.
+        witness: String,
+    },
     /// Lines were dropped because the queue of the log was full.
     Dropped {
         /// Number of dropped lines.
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -16,6 +16,11 @@
         ..CallLine::default()
     };
     vec![
+        Event::Outage {
+            silence_ms: 0,
+            asked_count: 0,
+            witness: text(),
+        },
         Event::Started {
             instance: text(),
             failure_domain: text(),
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -4,7 +4,8 @@
 //! A store or an engine answers only a few requests at a time, so each is followed by one instance,
 //! and the other instances read what that one has learned. [`Feed`] holds what an instance
 //! publishes, [`serve`] answers readers, and a [`FeedReader`] reads the feed of another instance. An
-//! [`OriginClient`] has another instance keep, and tell, where streams began.
+//! [`OriginClient`] has another instance keep, and tell, where streams began. [`ask_service_gap`] asks
+//! one whether the key-value service was there, of which it keeps a [`ServiceContact`].
 //! The content is only hints, and a reader that missed changes gets the whole state.
 //!
 //! ```
@@ -24,14 +25,16 @@
 
 mod batch;
 mod connection;
+mod contact_question;
 mod error;
 mod feed_reader;
 mod origin_client;
 mod server;
 mod service;
+mod service_contact;
 mod source;
 
 pub use {
-    batch::Batch, error::FeedError, feed_reader::FeedReader, origin_client::OriginClient,
-    server::serve, source::Feed,
+    batch::Batch, contact_question::ask_service_gap, error::FeedError, feed_reader::FeedReader,
+    origin_client::OriginClient, server::serve, service_contact::ServiceContact, source::Feed,
 };
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -83,4 +83,8 @@
     ) -> Vec<OriginKnowledge> {
         self.feed.exchange_origins(&records, &asked)
     }
+
+    async fn service_gap(self, _: Context, within: Duration) -> Duration {
+        self.feed.service_gap(within)
+    }
 }
--- a/crates/feed/src/service.rs
+++ b/crates/feed/src/service.rs
@@ -21,4 +21,8 @@
         records: Vec<OriginRecord>,
         asked: Vec<StreamKey>,
     ) -> Vec<OriginKnowledge>;
+
+    /// Returns the longest time without word from the key-value service in the last `within`; all
+    /// of `within` if this instance cannot tell.
+    async fn service_gap(within: Duration) -> Duration;
 }
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -1,7 +1,7 @@
 //! The feed that an instance publishes to the others.
 
 use {
-    crate::Batch,
+    crate::{Batch, ServiceContact},
     balance::TargetLoad,
     origins::{OriginKnowledge, OriginRecord, StreamKey},
     parts::{Change, ChangeLog, Position},
@@ -22,6 +22,7 @@
     relay_state: RelayState,
     state: Mutex<State>,
     changed: Notify,
+    service_contact: Mutex<ServiceContact>,
 }
 
 #[derive(Debug)]
@@ -42,6 +43,7 @@
             relay_state,
             state: Mutex::new(state),
             changed: Notify::new(),
+            service_contact: Mutex::default(),
         }
     }
 
@@ -101,6 +103,16 @@
         known.collect()
     }
 
+    /// Records that the key-value service was there at `at`, by [`boot_time`].
+    pub fn record_service_contact(&self, at: Duration) {
+        self.lock_service_contact().record(at);
+    }
+
+    /// Longest time without word from the key-value service in the last `within`.
+    pub(crate) fn service_gap(&self, within: Duration) -> Duration {
+        self.lock_service_contact().longest_gap(within, boot_time())
+    }
+
     /// Reads like [`Self::read`], but waits up to `wait` for a change if there is none.
     pub(crate) async fn read_or_wait(&self, since: Option<Position>, wait: Duration) -> Batch {
         let change = self.changed.notified();
@@ -117,6 +129,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_service_contact(&self) -> MutexGuard<'_, ServiceContact> {
+        let service_contact = self.service_contact.lock();
+        service_contact.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the calls in flight at each target that has any.
     fn in_flight_loads(&self) -> Vec<TargetLoad> {
         let view = self.relay_state.view();
