--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -138,6 +138,7 @@
         Event::SuspectCall { .. } => 18,
         Event::PartsWithdrawn { .. } => 19,
         Event::TargetStatement { .. } => 20,
+        Event::Outage { .. } => 21,
     }
 }
 
