An empty list of client accounts is not a missing one

Cause: the empty list was read like a missing one, which means that calls need no key.

Change: RouteConfig::accounts is optional; if it is there, calls need a key of an account in it, also if there is none. A key that two accounts have identifies neither, and the log names both. The configuration line says how many keys there are and warns if there is none; gauge account_keys.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -28,6 +28,10 @@
 /// Interval between checks for expired targets and instances.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
+/// Warning in the log about a configuration without any key.
+const NO_KEYS_WARNING: &str =
+    "no client account has a key, so only public routes can be called; add a key to one";
+
 /// Delay after a batch of changes, so that changes in quick succession arrive in one response.
 const BATCH_DELAY: Duration = Duration::from_millis(50);
 
@@ -263,12 +267,24 @@
 
     fn log_change(&self, name: &ItemName, item: &Item, revision: Revision) {
         let event = match (name, item) {
-            (_, Item::Configuration(config)) => LogEvent::Configuration {
-                version: config.version,
-                revision,
-                routes_count: config.routes.len(),
-                accounts_count: config.accounts.len(),
-            },
+            (_, Item::Configuration(config)) => {
+                let keys_count = config.keys_count();
+                self.shared
+                    .meters
+                    .gauge("account_keys", keys_count.unwrap_or_default() as u64);
+                LogEvent::Configuration {
+                    version: config.version,
+                    revision,
+                    routes_count: config.routes.len(),
+                    accounts_count: config.accounts.as_ref().map_or(0, Vec::len),
+                    keys_count,
+                    warning: if keys_count == Some(0) {
+                        NO_KEYS_WARNING
+                    } else {
+                        ""
+                    },
+                }
+            }
             (ItemName::Version(model), Item::Version(version)) => LogEvent::Version {
                 model: model.clone(),
                 version: *version,
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -144,6 +144,10 @@
         routes_count: usize,
         /// Number of client accounts.
         accounts_count: usize,
+        /// Number of their keys; `None` if calls need no key.
+        keys_count: Option<usize>,
+        /// What operators should look at; empty if nothing.
+        warning: &'static str,
     },
     /// The known state of a target changed.
     Target {
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -40,6 +40,8 @@
             revision: 0,
             routes_count: 0,
             accounts_count: 0,
+            keys_count: None,
+            warning: "",
         },
         Event::Target {
             target: text(),
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -54,7 +54,7 @@
     let route = route
         .ok_or_else(|| refuse_unknown(Reason::NoRoute))?
         .clone();
-    let account = if route.public || !table.has_accounts() {
+    let account = if route.public || !table.needs_keys() {
         None
     } else {
         let account = call.key.as_deref().and_then(|key| table.account(key));
--- a/crates/relay/tests/let_in.rs
+++ b/crates/relay/tests/let_in.rs
@@ -5,6 +5,7 @@
 use {
     parts::{CachedPart, Change, part_key},
     relay::{TargetState, View, boot_time},
+    routes::{RouteConfig, RouteTable},
     std::{sync::Arc, time::Duration},
     support::{
         KEY, TestRelay, caller,
@@ -52,6 +53,20 @@
     assert!(response.header("retry-after").is_some());
 }
 
+/// Guards against opening all routes to everybody once a configuration takes the last account away.
+#[tokio::test]
+async fn no_key_is_accepted_once_no_account_is_left() {
+    let target = ScriptedTarget::start("one", vec![]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let config = RouteConfig::default().version(8).routes(support::routes());
+    let mut view = support::view(&[&target]);
+    view.route_table = Some(Arc::new(RouteTable::new(config.accounts(vec![]))));
+    relay.view.store(Arc::new(view));
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert_eq!(response.status, 401, "{response:?}");
+    assert_eq!(target.arrived().len(), 0);
+}
+
 #[tokio::test]
 async fn call_is_refused_if_the_pool_has_no_target() {
     let relay = TestRelay::start(&[]).await;
--- a/crates/routes/src/route_config.rs
+++ b/crates/routes/src/route_config.rs
@@ -38,8 +38,9 @@
     pub routes: Vec<Route>,
     /// Target pools by name.
     pub pools: BTreeMap<PoolId, Pool>,
-    /// Client accounts that may call non-public routes.
-    pub accounts: Vec<Account>,
+    /// Client accounts that may call non-public routes. `None` if calls need no key; an empty list
+    /// lets nobody call them.
+    pub accounts: Option<Vec<Account>>,
     /// Limits on what callers send.
     pub limits: CallLimits,
 }
@@ -52,13 +53,20 @@
         self
     }
 
-    /// Sets the client accounts.
+    /// Sets the client accounts, so that calls of non-public routes need a key of one of them.
     #[must_use]
     pub fn accounts(mut self, accounts: Vec<Account>) -> Self {
-        self.accounts = accounts;
+        self.accounts = Some(accounts);
         self
     }
 
+    /// Number of keys with which non-public routes can be called; `None` if calls need no key.
+    #[must_use]
+    pub fn keys_count(&self) -> Option<usize> {
+        let accounts = self.accounts.as_ref()?;
+        Some(accounts.iter().map(|account| account.keys.len()).sum())
+    }
+
     /// Sets the version.
     #[must_use]
     pub fn version(mut self, version: u64) -> Self {
--- a/crates/routes/src/route_table.rs
+++ b/crates/routes/src/route_table.rs
@@ -1,7 +1,7 @@
 //! Lookup of routes by host and path, and of client accounts by key.
 
 use {
-    crate::{Account, Route, RouteConfig},
+    crate::{Account, AccountKey, Route, RouteConfig},
     std::{cmp::Reverse, collections::HashMap},
 };
 
@@ -14,8 +14,8 @@
     config: RouteConfig,
     /// Routes by lowercase host name, the longest prefix first.
     by_host: HashMap<String, Vec<Index>>,
-    /// Accounts by key.
-    by_key: HashMap<String, Index>,
+    /// Accounts by key. A key that two accounts have is left out, since it identifies neither.
+    by_key: HashMap<AccountKey, Index>,
 }
 
 impl RouteTable {
@@ -30,10 +30,7 @@
         for indexes in by_host.values_mut() {
             indexes.sort_by_key(|index| Reverse(config.routes[*index].path_prefix.len()));
         }
-        let mut by_key = HashMap::new();
-        for (index, account) in config.accounts.iter().enumerate() {
-            by_key.extend(account.keys.iter().map(|key| (key.clone(), index)));
-        }
+        let by_key = index_keys(config.accounts.as_deref().unwrap_or_default());
         Self {
             config,
             by_host,
@@ -64,12 +61,34 @@
     #[must_use]
     pub fn account(&self, key: &str) -> Option<&Account> {
         let index = self.by_key.get(key)?;
-        self.config.accounts.get(*index)
+        self.config.accounts.as_ref()?.get(*index)
     }
 
-    /// Whether any client account is configured. Without one, no call needs a key.
+    /// Whether calls of non-public routes need the key of a client account.
     #[must_use]
-    pub fn has_accounts(&self) -> bool {
-        !self.config.accounts.is_empty()
+    pub fn needs_keys(&self) -> bool {
+        self.config.accounts.is_some()
+    }
+}
+
+/// Indexes accounts by key, and logs an error for each key that belongs to two of them.
+fn index_keys(accounts: &[Account]) -> HashMap<AccountKey, Index> {
+    let mut by_key = HashMap::new();
+    let mut ambiguous = Vec::new();
+    for (index, account) in accounts.iter().enumerate() {
+        for key in &account.keys {
+            let earlier: Option<Index> = by_key.insert(key.clone(), index);
+            if let Some(earlier) = earlier.filter(|earlier| *earlier != index) {
+                log::error!(
+                    "client accounts {} and {} have the same key, which identifies neither; give each \
+                     account keys of its own",
+                    accounts[earlier].name,
+                    account.name
+                );
+                ambiguous.push(key);
+            }
+        }
     }
+    by_key.retain(|key, _| !ambiguous.contains(&key));
+    by_key
 }
