Nothing is saved to a restarted store while older reports of it may be acted on

Cause: what is known of a store's parts is acted on for 5 s after the report was asked for, and was not tied to the store's incarnation. Frees wait until older reports have lapsed; saves after a restart did not.

Change: after a store has lost its content, an instance plans no saves to it for 8 s (5 s for reports, 2 s for fetches, 1 s for clocks), the time that frees wait too. A store that shows its content again takes saves at once.

--- a/crates/entry/src/obsolete_parts.rs
+++ b/crates/entry/src/obsolete_parts.rs
@@ -6,17 +6,13 @@
 //! before.
 
 use {
-    parts::MAX_REPORT_AGE,
-    relay::{MAX_FETCH_TIME, WantedVersions, salt_version},
+    parts::OLD_REPORT_LIFETIME,
+    relay::{WantedVersions, salt_version},
     std::time::Duration,
 };
 
-/// Time allowed for differences between the clocks of instances, engines and stores.
-const CLOCK_MARGIN: Duration = Duration::from_secs(1);
 /// Time after parts were withdrawn at which no target fetches them any more.
-pub const FREE_DELAY: Duration = MAX_REPORT_AGE
-    .saturating_add(MAX_FETCH_TIME)
-    .saturating_add(CLOCK_MARGIN);
+pub const FREE_DELAY: Duration = OLD_REPORT_LIFETIME;
 
 /// Whether the parts under `salt` are of no more use, given the `wanted` versions of their model.
 #[must_use]
--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -169,7 +169,7 @@
         }
         let mut cache_index = self.shared.relay_state.cache_index();
         for gone in self.places.keys().filter(|it| !places.contains_key(it)) {
-            cache_index.clear(*gone);
+            cache_index.clear(*gone, boot_time());
             cache_index.set_available(*gone, false);
         }
         for store in stores {
--- a/crates/entry/tests/obsolete_parts.rs
+++ b/crates/entry/tests/obsolete_parts.rs
@@ -6,9 +6,9 @@
         HeldPart, PartsBySalt,
         obsolete_parts::{FREE_DELAY, is_obsolete},
     },
-    parts::MAX_REPORT_AGE,
+    parts::{MAX_FETCH_TIME, MAX_REPORT_AGE},
     proptest::prelude::*,
-    relay::{MAX_FETCH_TIME, WantedVersions},
+    relay::WantedVersions,
     std::{collections::HashMap, time::Duration},
 };
 
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -40,5 +40,5 @@
     part_directory::{LinkUse, PartDirectory},
     part_key::{PartKey, part_key},
     plan::{Plan, PromptPart, Transfer},
-    store::{MAX_REPORT_AGE, Store},
+    store::{MAX_FETCH_TIME, MAX_REPORT_AGE, OLD_REPORT_LIFETIME, Store},
 };
--- a/crates/parts/src/part_directory.rs
+++ b/crates/parts/src/part_directory.rs
@@ -57,6 +57,7 @@
                 slowdown: known.slowdown,
                 available: known.available,
                 reported_at: known.reported_at,
+                dropped: known.dropped,
                 ..store
             },
             None => store,
@@ -108,7 +109,7 @@
                     self.set_held(*place, *held, now);
                 }
             }
-            Change::Cleared { place } => self.clear(*place),
+            Change::Cleared { place } => self.clear(*place, now),
             Change::Available { place, available } => self.set_available(*place, *available),
         }
     }
@@ -168,11 +169,11 @@
         stores.next().map(|store| store.failure_domain.as_str())
     }
 
-    /// Removes everything that a place held, for example after its restart.
-    pub fn clear(&mut self, address: SocketAddr) {
+    /// Removes everything that a place held, at `now`, for example after its restart.
+    pub fn clear(&mut self, address: SocketAddr, now: Duration) {
         self.holders.clear(address);
         if let Some(store) = self.stores.get_mut(&address) {
-            store.held_tokens = 0;
+            store.drop_content(now);
         }
     }
 
@@ -300,6 +301,7 @@
     ) -> Option<SocketAddr> {
         let ready = self.stores.values().filter(|store| {
             store.is_usable(now)
+                && store.takes_saves(now)
                 && store.free_share() > MIN_FREE_SHARE
                 && queue_time(store, now) <= MAX_SAVE_QUEUE
         });
--- a/crates/parts/src/store.rs
+++ b/crates/parts/src/store.rs
@@ -32,6 +32,18 @@
     pub(crate) link_free_at: Duration,
     /// Slowdown of the store's transfers, as observed lately.
     pub(crate) slowdown: Slowdown,
+    /// What the store held when all that was known of it was dropped.
+    pub(crate) dropped: Option<DroppedContent>,
+}
+
+/// What a store held when all that was known of it was dropped, because it has restarted or is read
+/// anew.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct DroppedContent {
+    /// Tokens that it held.
+    tokens: u64,
+    /// Until when other instances may believe that it holds them.
+    believed_until: Duration,
 }
 
 impl Store {
@@ -50,9 +62,32 @@
             reported_at: None,
             link_free_at: Duration::ZERO,
             slowdown: Slowdown::default(),
+            dropped: None,
         }
     }
 
+    /// Drops what is known of the store's content at `now`.
+    pub(crate) fn drop_content(&mut self, now: Duration) {
+        let dropped = self.dropped.filter(|it| now < it.believed_until);
+        let tokens = dropped.map_or(0, |it| it.tokens).max(self.held_tokens);
+        self.held_tokens = 0;
+        self.dropped = (tokens > 0).then_some(DroppedContent {
+            tokens,
+            believed_until: now + OLD_REPORT_LIFETIME,
+        });
+    }
+
+    /// Whether parts may be saved to the store: not after it has lost its content, while another
+    /// instance may still believe that it holds a part. An engine that fetched the part by that
+    /// belief would read it while it is being written.
+    pub(crate) fn takes_saves(&self, now: Duration) -> bool {
+        self.dropped.is_none_or(|dropped| {
+            #[allow(clippy::cast_precision_loss)]
+            let kept_share = self.held_tokens as f64 / dropped.tokens as f64;
+            now >= dropped.believed_until || kept_share >= MIN_KEPT_SHARE
+        })
+    }
+
     /// Free share of the capacity, from 0 to 1.
     #[must_use]
     pub fn free_share(&self) -> f64 {
@@ -111,6 +146,17 @@
 ///
 /// With 320 instances, two reads of the same instance's reports are up to 4.9 s apart.
 pub const MAX_REPORT_AGE: Duration = Duration::from_secs(5);
+/// Longest time from the choice of a target until its fetches are complete or given up.
+pub const MAX_FETCH_TIME: Duration = Duration::from_secs(2);
+/// Time allowed for differences between the clocks of instances, engines and stores.
+const CLOCK_MARGIN: Duration = Duration::from_secs(1);
+/// Time after a change at a store from which on nobody acts on a report from before it, and no fetch that
+/// was planned by such a report runs any more.
+pub const OLD_REPORT_LIFETIME: Duration = MAX_REPORT_AGE
+    .saturating_add(MAX_FETCH_TIME)
+    .saturating_add(CLOCK_MARGIN);
+/// Share of its content that a store must still hold when it is read anew. With less, it has restarted.
+const MIN_KEPT_SHARE: f64 = 0.9;
 /// Factor on the transfer time per token between different failure domains.
 const REMOTE_FACTOR: f64 = 2.0;
 /// Factor on the weight of a store in the engine's own failure domain.
--- a/crates/parts/tests/part_plans.rs
+++ b/crates/parts/tests/part_plans.rs
@@ -1,7 +1,10 @@
 //! Plans of what a call fetches and saves, depending on what stores and engines report.
 
 use {
-    parts::{CachedPart, Change, MAX_REPORT_AGE, PartDirectory, PromptPart, Store, part_key},
+    parts::{
+        CachedPart, Change, MAX_FETCH_TIME, MAX_REPORT_AGE, OLD_REPORT_LIFETIME, PartDirectory,
+        PromptPart, Store, part_key,
+    },
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -43,6 +46,73 @@
     assert!(directory.plan(&parts, engine(), later, true).save[0].is_some());
 }
 
+/// Has a store restart: it holds nothing any more.
+fn restart(directory: &mut PartDirectory, place: SocketAddr, now: Duration) {
+    directory.apply(&Change::Cleared { place }, now);
+    directory.set_reported(place, now);
+}
+
+/// Guards against a fetch of a part that is just being saved again: an instance that has not heard of
+/// the restart believes that the store holds the part.
+#[test]
+fn nothing_is_saved_to_a_restarted_store_while_older_reports_are_acted_on() {
+    let mut directory = PartDirectory::default();
+    directory.set_store(Store::new(address(1), 50_000));
+    set_held(&mut directory, address(1), "1", "session", 5_000);
+    restart(&mut directory, address(1), NOW);
+    let parts = [PromptPart::new("1", "session", 5_000)];
+    for passed in [
+        Duration::ZERO,
+        MAX_REPORT_AGE,
+        MAX_REPORT_AGE + MAX_FETCH_TIME,
+    ] {
+        let now = NOW + passed;
+        directory.set_reported(address(1), now);
+        assert_eq!(
+            directory.plan(&parts, engine(), now, true).save,
+            [None],
+            "{passed:?}"
+        );
+    }
+    let later = NOW + OLD_REPORT_LIFETIME;
+    directory.set_reported(address(1), later);
+    assert_eq!(
+        directory.plan(&parts, engine(), later, true).save,
+        [Some(address(1))]
+    );
+}
+
+#[test]
+fn parts_are_saved_to_another_store_while_one_has_restarted() {
+    let mut directory = directory();
+    set_held(&mut directory, address(1), "1", "session", 5_000);
+    restart(&mut directory, address(1), NOW);
+    for id in ["a", "b", "c", "d", "e", "f", "g", "h"] {
+        let parts = [PromptPart::new("1", id, 5_000)];
+        assert_eq!(
+            directory.plan(&parts, engine(), NOW, true).save,
+            [Some(address(2))]
+        );
+    }
+}
+
+/// Another instance that begins to follow a store reads its whole content, which is no restart.
+#[test]
+fn store_that_still_holds_its_parts_takes_saves_after_it_was_read_anew() {
+    let mut directory = PartDirectory::default();
+    directory.set_store(Store::new(address(1), 50_000));
+    directory.set_reported(address(1), NOW);
+    set_held(&mut directory, address(1), "1", "session", 5_000);
+    restart(&mut directory, address(1), NOW);
+    let parts = [PromptPart::new("1", "other", 5_000)];
+    assert_eq!(directory.plan(&parts, engine(), NOW, true).save, [None]);
+    set_held(&mut directory, address(1), "1", "session", 5_000);
+    assert_eq!(
+        directory.plan(&parts, engine(), NOW, true).save,
+        [Some(address(1))]
+    );
+}
+
 #[test]
 fn part_of_another_salt_is_not_fetched() {
     let mut directory = directory();
@@ -81,7 +151,7 @@
     let parts = [PromptPart::new("1", "session", 5_000)];
     assert_eq!(directory.plan(&parts, engine(), NOW, true).fetch, [None]);
     directory.set_available(address(1), true);
-    directory.clear(address(1));
+    directory.clear(address(1), NOW);
     assert_eq!(directory.plan(&parts, engine(), NOW, true).fetch, [None]);
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -67,7 +67,6 @@
     boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
     header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata},
-    outbound_metadata::MAX_FETCH_TIME,
     refusal::{Reason, Refusal},
     relay::{CallSource, Relay, RelaySettings, RelayState},
     salt::salt_version,
--- a/crates/relay/src/outbound_metadata.rs
+++ b/crates/relay/src/outbound_metadata.rs
@@ -9,14 +9,12 @@
         pick::{PickedTarget, shared_parts},
         salt::salt,
     },
-    parts::Plan,
+    parts::{MAX_FETCH_TIME, Plan},
     std::time::Duration,
 };
 
 /// Time allowed for fetches beyond twice the expected time. About the time to compute a long part.
 const FETCH_MARGIN: Duration = Duration::from_millis(200);
-/// Longest time from the choice of a target until its fetches are complete or given up.
-pub const MAX_FETCH_TIME: Duration = Duration::from_secs(2);
 
 impl<Format> ActiveCall<Format>
 where
--- a/crates/relay/tests/let_in.rs
+++ b/crates/relay/tests/let_in.rs
@@ -193,7 +193,7 @@
     }
     let headers = "parts: t:64,s:64,o:9\r\n";
     caller::call(relay.address, "/once/7", headers).await;
-    relay.cache_index.lock().unwrap().clear(place);
+    relay.cache_index.lock().unwrap().clear(place, boot_time());
     caller::call(relay.address, "/once/7", headers).await;
     let arrived = one.arrived();
     assert_eq!(arrived[0].header("fetch"), Some("127.0.0.1:9"));
