A call is not answered by an instance with an older configuration than the one that admitted it

Change: the call states the version of the configuration that admitted it; an instance with an older one refuses it as not run, and the next one is asked. Older builds ignore the statement.

Evidence: two new tests in relay/tests/forwarded_calls.rs failed before.

--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -10,17 +10,17 @@
 
 /// Creates one event of each kind.
 fn samples() -> Vec<Event> {
+    [work(), surroundings()].concat()
+}
+
+/// Creates one event of each kind about an instance and what it works with.
+fn work() -> Vec<Event> {
     let text = String::new;
     let call = CallLine {
         attempts: vec![AttemptLine::default()],
         ..CallLine::default()
     };
     vec![
-        Event::Outage {
-            silence_ms: 0,
-            asked_count: 0,
-            witness: text(),
-        },
         Event::Started {
             instance: text(),
             failure_domain: text(),
@@ -101,11 +101,23 @@
             place: text(),
             count: 0,
         },
+    ]
+}
+
+/// Creates one event of each kind about what an instance depends on, and about the log itself.
+fn surroundings() -> Vec<Event> {
+    let text = String::new;
+    vec![
         Event::Dependency {
             name: "",
             available: false,
             reason: text(),
         },
+        Event::Outage {
+            silence_ms: 0,
+            asked_count: 0,
+            witness: text(),
+        },
         Event::Dropped { count: 0 },
         Event::Note {
             level: text(),
--- a/crates/feed/src/service_contact.rs
+++ b/crates/feed/src/service_contact.rs
@@ -52,7 +52,7 @@
         }
         let open_gap = now.saturating_sub(self.last_word_at);
         let gaps = self.gaps.iter().filter(|gap| gap.until > since);
-        let longest = gaps.map(|gap| gap.until - gap.from).max();
+        let longest = gaps.map(|gap| gap.until.saturating_sub(gap.from)).max();
         longest.unwrap_or_default().max(open_gap)
     }
 }
--- a/crates/feed/tests/service_gaps.rs
+++ b/crates/feed/tests/service_gaps.rs
@@ -66,7 +66,7 @@
         times.push(now);
         let since = now.saturating_sub(ms(within_ms));
         for pair in times.windows(2).filter(|pair| pair[1] > since) {
-            longest = longest.max(pair[1] - pair[0].max(since));
+            longest = longest.max(pair[1].saturating_sub(pair[0].max(since)));
         }
         let told = contact.longest_gap(ms(within_ms), now);
         prop_assert!(told + ms(500) >= longest, "told {told:?}, was {longest:?}");
--- a/crates/relay/src/pass_on.rs
+++ b/crates/relay/src/pass_on.rs
@@ -42,6 +42,7 @@
             id: &self.admitted.call.id,
             head: &self.head,
             body: &self.body,
+            configuration: self.admitted.table.config().version,
             deadline: self.deadline(),
             is_stream: self.retry_policy().is_stream(),
             answer_memory: &self.inner.answer_memory,
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -12,7 +12,7 @@
     http_body_util::Full,
     hyper::{
         HeaderMap, Request, StatusCode,
-        header::{CONTENT_LENGTH, HeaderName, RETRY_AFTER},
+        header::{CONTENT_LENGTH, HeaderName, HeaderValue, RETRY_AFTER},
         http::request,
     },
     std::{
@@ -35,6 +35,9 @@
 /// Header of a refusal to another instance: the call has not run and will not run.
 pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("x-rattan-not-run");
 
+/// Header of a call that is passed on: version of the configuration by which it was admitted.
+pub(crate) const CONFIGURATION: HeaderName = HeaderName::from_static("x-rattan-configuration");
+
 /// Passes calls on to other instances.
 pub(crate) struct PeerCaller {
     client: Client,
@@ -50,6 +53,9 @@
     pub(crate) head: &'call request::Parts,
     /// Whole body.
     pub(crate) body: &'call Bytes,
+    /// Version of the configuration by which the call was admitted. An instance with an older one does
+    /// not take the call.
+    pub(crate) configuration: u64,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
     /// Whether a successful answer is an event stream.
@@ -138,6 +144,8 @@
         *request.uri_mut() = call.head.uri.clone();
         let peer_time = time_left.saturating_sub(RETURN_TIME);
         *request.headers_mut() = header_format.peer_headers(&call.head.headers, peer_time);
+        let version = HeaderValue::from(call.configuration);
+        request.headers_mut().insert(CONFIGURATION, version);
         let sent = self
             .client
             .send(peer.address, request, Reuse::Allowed, time_left);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -13,7 +13,7 @@
         call_recorder::{CallRecorder, millis},
         discard_body::discard_body,
         forwarded_stream::ForwardedStream,
-        peer_caller::{NOT_RUN, PeerCaller},
+        peer_caller::{CONFIGURATION, NOT_RUN, PeerCaller},
         retry_budgets::RetryBudgets,
         stream_forwarder::{Aborted, StreamForwarder},
         target_conditions::PassedOver,
@@ -28,6 +28,7 @@
     hyper::{
         Request,
         body::{Body, Frame, Incoming},
+        header::HeaderValue,
         http::request,
     },
     meters::Meters,
@@ -207,10 +208,14 @@
         let mut recorder =
             CallRecorder::new(log, meters, answer_times, answer_cutoff.clone(), arrived);
         recorder.line.is_forwarded = source == CallSource::Instance;
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
+        let admitted_by = match source {
+            CallSource::Instance => head.headers.remove(CONFIGURATION),
+            CallSource::Caller => None,
+        };
         let accepted = tokio::select! {
             biased;
-            accepted = self.accept(&mut recorder, arrived, head, body) => accepted,
+            accepted = self.accept(&mut recorder, arrived, head, body, admitted_by) => accepted,
             () = answer_cutoff.triggered() => Err(Reason::ShuttingDown.into()),
         };
         let mut active_call = match accepted {
@@ -304,15 +309,21 @@
     }
 
     /// Accepts a call by its head, then reads its body into memory, or discards it if the call is
-    /// refused.
+    /// refused. `admitted_by` is the version of the configuration by which another instance has admitted the
+    /// call.
     async fn accept(
         &self,
         recorder: &mut CallRecorder,
         arrived: Instant,
         head: request::Parts,
         body: Incoming,
+        admitted_by: Option<HeaderValue>,
     ) -> Result<ActiveCall<Format>, Refusal> {
         let view = self.view();
+        if is_newer(admitted_by.as_ref(), &view) {
+            let refusal = Refusal::new(Reason::NotReady);
+            return Err(discard_body(refusal, &view, &head.headers, body).await);
+        }
         recorder.line.configuration = view.configuration_version();
         recorder.line.view_age_ms = millis(view.age());
         recorder.line.instances_count = view.instances_count;
@@ -337,6 +348,13 @@
     }
 }
 
+/// Whether another instance admitted a call by a newer configuration than that of `view`. A version that
+/// cannot be read is of a build that does not state it.
+fn is_newer(admitted_by: Option<&HeaderValue>, view: &View) -> bool {
+    let version = admitted_by.and_then(|it| it.to_str().ok()?.parse::<u64>().ok());
+    version.is_some_and(|version| version > view.configuration_version())
+}
+
 /// Assumed length of a body without a declared length, in bytes.
 const ASSUMED_BODY_BYTES: usize = 256 << 10;
 /// Retry delay for callers while too many bodies are buffered.
--- a/crates/relay/tests/forwarded_calls.rs
+++ b/crates/relay/tests/forwarded_calls.rs
@@ -7,7 +7,7 @@
     std::{sync::Arc, time::Duration},
     support::{
         TestRelay, caller,
-        scripted_target::{ScriptedTarget, Step, answer, stream},
+        scripted_target::{Arrived, ScriptedTarget, Step, answer, stream},
     },
     tokio::{io::AsyncReadExt, time::sleep},
 };
@@ -66,6 +66,45 @@
     }
 }
 
+/// The configuration of the test relays has version 7.
+const VERSION: u64 = 7;
+
+#[tokio::test]
+async fn other_instance_is_told_the_version_of_the_configuration() {
+    let peer = ScriptedTarget::start("peer", vec![]).await;
+    let relay = start(&[&peer], CallSource::Caller).await;
+    let forged = "x-rattan-configuration: 99\r\n";
+    let response = caller::call(relay.address, "/once/7", forged).await;
+    assert_eq!(response.status, 200, "{response:?}");
+    let told = peer.arrived()[0]
+        .header("x-rattan-configuration")
+        .map(str::to_owned);
+    assert_eq!(told, Some(VERSION.to_string()));
+}
+
+/// Guards against handling a call as only an older configuration allows, after its caller's instance
+/// has shown the effects of a newer one.
+#[tokio::test]
+async fn call_is_not_handled_by_an_older_configuration_than_that_of_its_instance() {
+    let target = ScriptedTarget::start("one", vec![]).await;
+    let relay = TestRelay::start_for(&[&target], CallSource::Instance).await;
+    let newer = format!("x-rattan-configuration: {}\r\n", VERSION + 1);
+    let response = caller::call(relay.address, "/once/7", &newer).await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.header("x-rattan-not-run").is_some());
+    assert_eq!(target.arrived().len(), 0);
+    for version in ["7", "6", "unreadable"] {
+        let header = format!("x-rattan-configuration: {version}\r\n");
+        let response = caller::call(relay.address, "/once/7", &header).await;
+        assert_eq!(response.status, 200, "{version}: {response:?}");
+    }
+    let told = |arrived: &Arrived| arrived.header("x-rattan-configuration").is_some();
+    assert!(
+        !target.arrived().iter().any(told),
+        "only instances are told"
+    );
+}
+
 #[tokio::test]
 async fn call_of_another_instance_is_not_passed_on_again() {
     let peer = ScriptedTarget::start("peer", vec![]).await;
