A restarted store takes parts that it did not hold

Change: only parts that the store held before the restart wait for 8 s; any other for 2 s, in which others may have heard of a part that this instance has not. The time in which the store did not answer counts towards both, since nobody had a report of it then.

--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -167,10 +167,11 @@
         if places == self.places {
             return false;
         }
+        let now = boot_time();
         let mut cache_index = self.shared.relay_state.cache_index();
         for gone in self.places.keys().filter(|it| !places.contains_key(it)) {
-            cache_index.clear(*gone, boot_time());
-            cache_index.set_available(*gone, false);
+            cache_index.clear(*gone, now);
+            cache_index.set_available(*gone, false, now);
         }
         for store in stores {
             cache_index.set_store(store);
--- a/crates/parts/src/part_directory.rs
+++ b/crates/parts/src/part_directory.rs
@@ -56,8 +56,9 @@
                 link_free_at: known.link_free_at,
                 slowdown: known.slowdown,
                 available: known.available,
+                unavailable_since: known.unavailable_since,
                 reported_at: known.reported_at,
-                dropped: known.dropped,
+                dropped: known.dropped.clone(),
                 ..store
             },
             None => store,
@@ -85,10 +86,10 @@
         (clock + now).checked_sub(received_at)
     }
 
-    /// Sets whether a store answers.
-    pub fn set_available(&mut self, address: SocketAddr, available: bool) {
+    /// Sets whether a store answers, as reported at `now`.
+    pub fn set_available(&mut self, address: SocketAddr, available: bool, now: Duration) {
         if let Some(store) = self.stores.get_mut(&address) {
-            store.available = available;
+            store.set_available(available, now);
         }
     }
 
@@ -110,7 +111,7 @@
                 }
             }
             Change::Cleared { place } => self.clear(*place, now),
-            Change::Available { place, available } => self.set_available(*place, *available),
+            Change::Available { place, available } => self.set_available(*place, *available, now),
         }
     }
 
@@ -171,9 +172,9 @@
 
     /// Removes everything that a place held, at `now`, for example after its restart.
     pub fn clear(&mut self, address: SocketAddr, now: Duration) {
-        self.holders.clear(address);
+        let parts = self.holders.clear(address);
         if let Some(store) = self.stores.get_mut(&address) {
-            store.drop_content(now);
+            store.drop_content(parts, now);
         }
     }
 
@@ -301,7 +302,7 @@
     ) -> Option<SocketAddr> {
         let ready = self.stores.values().filter(|store| {
             store.is_usable(now)
-                && store.takes_saves(now)
+                && store.takes_save_of(prompt_part.part, now)
                 && store.free_share() > MIN_FREE_SHARE
                 && queue_time(store, now) <= MAX_SAVE_QUEUE
         });
--- a/crates/parts/src/part_holders.rs
+++ b/crates/parts/src/part_holders.rs
@@ -3,7 +3,7 @@
 use {
     crate::{CachedPart, Change, PartKey},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         time::Duration,
     },
@@ -65,9 +65,13 @@
         self.retain(|holder| holder.reported_at >= cutoff || keep(holder.place));
     }
 
-    /// Removes all entries of a place.
-    pub(crate) fn clear(&mut self, place: SocketAddr) {
+    /// Removes all entries of a place, and returns the parts that it held.
+    pub(crate) fn clear(&mut self, place: SocketAddr) -> HashSet<PartKey> {
+        let is_held = |holders: &Vec<Holder>| holders.iter().any(|it| it.place == place);
+        let held = self.parts.iter().filter(|(_, holders)| is_held(holders));
+        let held = held.map(|(part, _)| *part).collect();
         self.retain(|holder| holder.place != place);
+        held
     }
 
     /// Returns everything that the places hold for which `is_wanted` returns true, as one change
--- a/crates/parts/src/store.rs
+++ b/crates/parts/src/store.rs
@@ -3,7 +3,7 @@
 use {
     crate::{PartKey, slowdown::Slowdown},
     balance::rendezvous,
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::HashSet, net::SocketAddr, time::Duration},
 };
 
 /// A store as one instance sees it.
@@ -32,17 +32,22 @@
     pub(crate) link_free_at: Duration,
     /// Slowdown of the store's transfers, as observed lately.
     pub(crate) slowdown: Slowdown,
+    /// When the store stopped answering, if it has not answered since.
+    pub(crate) unavailable_since: Option<Duration>,
     /// What the store held when all that was known of it was dropped.
     pub(crate) dropped: Option<DroppedContent>,
 }
 
 /// What a store held when all that was known of it was dropped, because it has restarted or is read
-/// anew.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// anew. Other instances may go on believing for a while that it holds these parts. An engine that
+/// fetched one of them by that belief, while another engine saves it again, would read it unfinished.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct DroppedContent {
-    /// Tokens that it held.
-    tokens: u64,
-    /// Until when other instances may believe that it holds them.
+    /// Parts that it held.
+    parts: HashSet<PartKey>,
+    /// Until when others may know of parts that this instance has not heard of.
+    unheard_until: Duration,
+    /// Until when others may believe that the store holds the parts.
     believed_until: Duration,
 }
 
@@ -62,32 +67,48 @@
             reported_at: None,
             link_free_at: Duration::ZERO,
             slowdown: Slowdown::default(),
+            unavailable_since: None,
             dropped: None,
         }
     }
 
-    /// Drops what is known of the store's content at `now`.
-    pub(crate) fn drop_content(&mut self, now: Duration) {
-        let dropped = self.dropped.filter(|it| now < it.believed_until);
-        let tokens = dropped.map_or(0, |it| it.tokens).max(self.held_tokens);
+    /// Drops what is known of the store's content at `now`: `parts`.
+    pub(crate) fn drop_content(&mut self, parts: HashSet<PartKey>, now: Duration) {
         self.held_tokens = 0;
-        self.dropped = (tokens > 0).then_some(DroppedContent {
-            tokens,
-            believed_until: now + OLD_REPORT_LIFETIME,
-        });
+        if parts.is_empty() {
+            return;
+        }
+        // Nobody has had a report of the earlier content since the store stopped answering.
+        let last_report_at = self.unavailable_since.unwrap_or(now);
+        let mut dropped = self.dropped.take().unwrap_or_default();
+        if dropped.believed_until <= now {
+            dropped.parts.clear();
+        }
+        dropped.parts.extend(parts);
+        dropped.unheard_until = last_report_at + REPORT_LAG;
+        dropped.believed_until = last_report_at + OLD_REPORT_LIFETIME;
+        self.dropped = Some(dropped);
     }
 
-    /// Whether parts may be saved to the store: not after it has lost its content, while another
-    /// instance may still believe that it holds a part. An engine that fetched the part by that
-    /// belief would read it while it is being written.
-    pub(crate) fn takes_saves(&self, now: Duration) -> bool {
-        self.dropped.is_none_or(|dropped| {
-            #[allow(clippy::cast_precision_loss)]
-            let kept_share = self.held_tokens as f64 / dropped.tokens as f64;
-            now >= dropped.believed_until || kept_share >= MIN_KEPT_SHARE
+    /// Whether a part may be saved to the store: not while another instance may believe that the
+    /// store holds it from before a restart.
+    pub(crate) fn takes_save_of(&self, part: PartKey, now: Duration) -> bool {
+        self.dropped.as_ref().is_none_or(|dropped| {
+            let is_believed = dropped.parts.contains(&part) && now < dropped.believed_until;
+            now >= dropped.unheard_until && !is_believed
         })
     }
 
+    /// Records whether the store answers.
+    pub(crate) fn set_available(&mut self, available: bool, now: Duration) {
+        self.available = available;
+        self.unavailable_since = if available {
+            None
+        } else {
+            self.unavailable_since.or(Some(now))
+        };
+    }
+
     /// Free share of the capacity, from 0 to 1.
     #[must_use]
     pub fn free_share(&self) -> f64 {
@@ -155,8 +176,8 @@
 pub const OLD_REPORT_LIFETIME: Duration = MAX_REPORT_AGE
     .saturating_add(MAX_FETCH_TIME)
     .saturating_add(CLOCK_MARGIN);
-/// Share of its content that a store must still hold when it is read anew. With less, it has restarted.
-const MIN_KEPT_SHARE: f64 = 0.9;
+/// Time after which all instances that can be reached have heard of a part, in most fleets.
+const REPORT_LAG: Duration = Duration::from_secs(2);
 /// Factor on the transfer time per token between different failure domains.
 const REMOTE_FACTOR: f64 = 2.0;
 /// Factor on the weight of a store in the engine's own failure domain.
