--- a/crates/parts/tests/part_plans.rs
+++ b/crates/parts/tests/part_plans.rs
@@ -128,7 +128,7 @@
         directory.set_available(address(1), available, now);
     }
     let parts = [PromptPart::new("1", "session", 5_000)];
-    let before = NOW + OLD_REPORT_LIFETIME - Duration::from_millis(1);
+    let before = (NOW + OLD_REPORT_LIFETIME).saturating_sub(Duration::from_millis(1));
     assert_eq!(directory.plan(&parts, engine(), before, true).save, [None]);
     let after = NOW + OLD_REPORT_LIFETIME;
     assert_eq!(
