A target that sends events out of order is cancelled before its stream is resumed

Cause: any unusable stream was resumed elsewhere as if its connection had ended.

Change: the connection is closed first.

Evidence: target_whose_events_are_out_of_order_is_cancelled_before_the_stream_is_resumed failed before (the first target saw no end within 2 s).

--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -88,6 +88,8 @@
                     None => self.read().await?,
                 },
                 Err(error) => {
+                    // A target that sent something unusable would otherwise go on with the call.
+                    self.events.close();
                     self.end_attempt(format!("torn: {error}"));
                     self.call.record_disconnect();
                     self.call.record_identity(&mut self.recorder);
--- a/crates/relay/tests/whole_streams.rs
+++ b/crates/relay/tests/whole_streams.rs
@@ -154,6 +154,25 @@
     assert!(!response.text.contains("again"));
 }
 
+/// Guards against two targets that work on one stream: the first went on while the second was asked to
+/// resume the stream.
+#[tokio::test]
+async fn target_whose_events_are_out_of_order_is_cancelled_before_the_stream_is_resumed() {
+    let mixed = stream(&["id: 2\ndata: b\n\n", "id: 1\ndata: a\n\n"]);
+    let pause = Duration::from_secs(2);
+    let goes_on = Step::RespondInTwo(mixed, pause, String::new());
+    let one = ScriptedTarget::start("one", vec![goes_on]).await;
+    let two = ScriptedTarget::start("two", vec![Step::NeverRespond]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let connection = caller::send(relay.address, "/resumable/7", "").await;
+    relay.add_target(&two);
+    while two.arrived().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    assert!(one.saw_caller_disconnect().await);
+    drop(connection);
+}
+
 #[tokio::test]
 async fn call_at_the_target_is_canceled_when_the_caller_disconnects() {
     for path in ["/stream/7", "/once/7"] {
