Instances that were cut off with this one stay until they register again

The places were dealt out anew, and each instance read the whole feeds of others. A registration of a target that is gone shows that the target has left; a record of an instance does not, since its lease may have been lost in the same cut.

Change: the witness decides about targets only; instances are kept for 2.5 s as before.

Evidence: instance_that_was_cut_off_too_stays_until_it_registers_again failed before (1 in place of 2).

--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -22,8 +22,7 @@
 /// Time after an outage of the service within which the owners of expired records write them again,
 /// if they are alive and can reach the service.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2_500);
-/// Longest time for which a target or an instance is kept whose record is deleted after the outage.
-/// Shorter than the time for which a target that leaves goes on serving.
+/// Longest time for which a target is kept whose registration is deleted after the outage. Shorter than the time for which a target that leaves goes on serving.
 const MAX_KEEPING_TIME: Duration = Duration::from_millis(1_500);
 /// A shorter time without word from the service lets no record expire, since owners write their
 /// records again several times in the lifetime of their leases.
@@ -105,8 +104,11 @@
     holder: Option<KnownHolder>,
     /// Targets that are loading new weights.
     loading: Option<LoadingRecord>,
-    /// The last outage of the service, while records that it let expire may be written again.
+    /// The last outage of the service, while registrations of targets that it let expire may be written
+    /// again.
     outage: Option<Outage>,
+    /// Until then, instances that could not reach the service either may register again.
+    members_return_until: Option<Duration>,
     confirmed_at: Option<Duration>,
     /// Whether changes received since `confirmed_at` may have been delayed by a suspension of this
     /// process.
@@ -165,7 +167,10 @@
     /// Applies the deletion of an item. After an outage, instances and targets stay for a while,
     /// since they may register again; targets that were draining are removed at once.
     pub fn delete(&mut self, name: &ItemName, now: Duration) {
-        let expires_at = self.outage.and_then(|outage| outage.record_expiry(now));
+        let expires_at = match name {
+            ItemName::Member(_) => self.members_return_until.filter(|until| now < *until),
+            _ => self.outage.and_then(|outage| outage.record_expiry(now)),
+        };
         self.delete_at(name, expires_at, now);
     }
 
@@ -227,6 +232,7 @@
     /// Records that the service is reachable again after a failed request. Returns for how long there
     /// was no word from it, if records may have expired meanwhile.
     pub fn service_recovered(&mut self, now: Duration) -> Option<Duration> {
+        self.members_return_until = Some(now + REREGISTRATION_TIME);
         let confirmed_at = self.confirmed_at.unwrap_or_default();
         let silence = now.saturating_sub(confirmed_at);
         if silence < MIN_LAPSE_TIME {
@@ -239,15 +245,12 @@
         Some(silence)
     }
 
-    /// Records that the service was there during the last outage and only this instance could not
-    /// reach it. Records that were deleted since have not expired because of it, so their owners are
-    /// gone.
+    /// Records that the service was there during the last outage and this instance could not reach it.
+    /// Registrations of targets that were deleted since have not expired because of it, so these
+    /// targets are gone. Other instances may have been cut off like this one, so they stay for a while.
     pub fn rule_out_lapse(&mut self, now: Duration) {
         self.outage = None;
         self.targets.expire_kept(now);
-        for member in self.members.values_mut() {
-            member.expires_at = member.expires_at.map(|at| at.min(now));
-        }
         self.expire(now);
     }
 
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -317,6 +317,27 @@
     })
 }
 
+/// Guards against the work of instances being dealt out anew, twice, because several of them were cut off
+/// from the service together and lost their records.
+#[test]
+fn instance_that_was_cut_off_too_stays_until_it_registers_again() {
+    let mut known = KnownState::default();
+    known.put("a", member(1, true), 1, at(0.0));
+    known.put("b", member(2, true), 2, at(0.0));
+    known.confirm(at(0.0));
+    known.service_recovered(at(5.0));
+    known.delete(&ItemName::Member("a".to_owned()), at(5.0));
+    known.rule_out_lapse(at(5.1));
+    known.delete(&ItemName::Member("b".to_owned()), at(5.2));
+    assert_eq!(known.view(at(5.2)).instances_count, 2);
+    known.put("b", member(2, true), 3, at(6.0));
+    known.expire(at(7.6));
+    assert_eq!(
+        *known.view(at(7.6)).instance_seeds,
+        ["b"].map(rendezvous::member_seed)
+    );
+}
+
 #[test]
 fn view_has_the_seeds_of_ready_instances_in_name_order() {
     let mut known = KnownState::default();
