Read once more: the other instances' feeds stand once, and smaller simplifications

Shared::other_feeds serves peer_watch, origin_exchange and outage_check, each of which left out its own instance by itself. The log line of a configuration is made by a function of its own. A new outage check replaces the set of the earlier one, in which handles of finished checks were kept.

Behaviour is as it was.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -12,6 +12,7 @@
     futures::StreamExt,
     keyvalue::{Event, KeyValue, KvError, KvPair},
     relay::boot_time,
+    routes::RouteConfig,
     std::{collections::HashSet, pin::pin, sync::Arc, time::Duration},
     supervisor::ChildResult,
     tokio::{
@@ -250,7 +251,8 @@
         self.shared
             .report_dependency("key-value service", true, reason);
         if let Some(silence) = silence {
-            self.outage_checks.abort_all();
+            // Ends a check of an earlier outage.
+            self.outage_checks = JoinSet::new();
             let check = outage_check::run(self.shared.clone(), silence);
             self.outage_checks.spawn(check);
         }
@@ -268,22 +270,9 @@
     fn log_change(&self, name: &ItemName, item: &Item, revision: Revision) {
         let event = match (name, item) {
             (_, Item::Configuration(config)) => {
-                let keys_count = config.keys_count();
-                self.shared
-                    .meters
-                    .gauge("account_keys", keys_count.unwrap_or_default() as u64);
-                LogEvent::Configuration {
-                    version: config.version,
-                    revision,
-                    routes_count: config.routes.len(),
-                    accounts_count: config.accounts.as_ref().map_or(0, Vec::len),
-                    keys_count,
-                    warning: if keys_count == Some(0) {
-                        NO_KEYS_WARNING
-                    } else {
-                        ""
-                    },
-                }
+                let keys_count = config.keys_count().unwrap_or_default();
+                self.shared.meters.gauge("account_keys", keys_count as u64);
+                configuration_event(config, revision)
             }
             (ItemName::Version(model), Item::Version(version)) => LogEvent::Version {
                 model: model.clone(),
@@ -303,3 +292,16 @@
         self.shared.log.emit(&event);
     }
 }
+
+fn configuration_event(config: &RouteConfig, revision: Revision) -> LogEvent {
+    let keys_count = config.keys_count();
+    let has_no_key = keys_count == Some(0);
+    LogEvent::Configuration {
+        version: config.version,
+        revision,
+        routes_count: config.routes.len(),
+        accounts_count: config.accounts.as_ref().map_or(0, Vec::len),
+        keys_count,
+        warning: if has_no_key { NO_KEYS_WARNING } else { "" },
+    }
+}
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -22,7 +22,8 @@
 /// Time after an outage of the service within which the owners of expired records write them again,
 /// if they are alive and can reach the service.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2_500);
-/// Longest time for which a target is kept whose registration is deleted after the outage. Shorter than the time for which a target that leaves goes on serving.
+/// Longest time for which a target is kept whose registration is deleted after the outage. Shorter than
+/// the time for which a target that leaves goes on serving.
 const MAX_KEEPING_TIME: Duration = Duration::from_millis(1_500);
 /// A shorter time without word from the service lets no record expire, since owners write their
 /// records again several times in the lifetime of their leases.
--- a/crates/entry/src/origin_exchange.rs
+++ b/crates/entry/src/origin_exchange.rs
@@ -50,8 +50,7 @@
 
 /// The other ready instances, each with its rendezvous seed and the address of its feed.
 fn other_instances<Kv, Format>(shared: &Shared<Kv, Format>) -> Vec<(u64, SocketAddr)> {
-    let instances = shared.known().feed_addresses().into_iter();
-    let others = instances.filter(|(name, _)| *name != shared.settings.instance);
+    let others = shared.other_feeds().into_iter();
     others
         .map(|(name, address)| (member_seed(&name), address))
         .collect()
--- a/crates/entry/src/outage_check.rs
+++ b/crates/entry/src/outage_check.rs
@@ -9,7 +9,7 @@
     futures::{StreamExt, stream::FuturesUnordered},
     rand::seq::IteratorRandom,
     relay::boot_time,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
 };
 
 /// Number of instances that are asked. One that had word from the service throughout is enough.
@@ -23,7 +23,8 @@
     Kv: Send + Sync + 'static,
     Format: Send + Sync + 'static,
 {
-    let asked = asked_instances(&shared);
+    let others = shared.other_feeds().into_iter();
+    let asked = others.sample(&mut rand::rng(), ASKED_COUNT);
     let asked_count = asked.len();
     let mut answers: FuturesUnordered<_> = asked
         .into_iter()
@@ -49,10 +50,3 @@
         witness,
     });
 }
-
-/// Some of the other ready instances, by chance, with the addresses of their feeds.
-fn asked_instances<Kv, Format>(shared: &Shared<Kv, Format>) -> Vec<(InstanceId, SocketAddr)> {
-    let instances = shared.known().feed_addresses().into_iter();
-    let others = instances.filter(|(name, _)| *name != shared.settings.instance);
-    others.sample(&mut rand::rng(), ASKED_COUNT)
-}
--- a/crates/entry/src/peer_watch.rs
+++ b/crates/entry/src/peer_watch.rs
@@ -40,8 +40,7 @@
     let mut tasks = JoinSet::new();
     loop {
         let changed = shared.changed.notified();
-        let mut instances = shared.known().feed_addresses();
-        instances.remove(&shared.settings.instance);
+        let instances = shared.other_feeds();
         followed.retain(|(name, address), stop| {
             let stays = instances.get(name) == Some(address);
             if !stays {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -11,7 +11,7 @@
     quarantine::{CrashId, SuspectKey},
     relay::{HeaderFormat, RelayState, TargetState, boot_time, record_report},
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
@@ -245,6 +245,13 @@
         });
     }
 
+    /// Feed addresses of the other ready instances.
+    pub(crate) fn other_feeds(&self) -> BTreeMap<InstanceId, SocketAddr> {
+        let mut feeds = self.known().feed_addresses();
+        feeds.remove(&self.settings.instance);
+        feeds
+    }
+
     /// Rendezvous seed of the name of this instance.
     pub(crate) fn instance_seed(&self) -> u64 {
         rendezvous::member_seed(&self.settings.instance)
