Fix ORDER: an answer that ends with its connection is complete only if its target still runs

Callers saw streams that ended as complete before their last event, and half a body with status 200. Cause: an answer with neither a length nor chunks ends with its connection, and the operating system ends the connections of a killed process in the same way (FIN, unless bytes were unread). The end of the connection was taken for the end of the answer, without evidence of which of the two it was.

Reading a reply that was closed here fails now, as its documentation said; it returned the regular end before.

Answers with a length or chunks take the same path as before.

Remains: a target that is killed and starts again at the same address within the check, or while this instance is suspended.

--- /dev/null
+++ b/crates/relay/tests/killed_targets.rs
@@ -0,0 +1,81 @@
+//! Answers that have neither a length nor chunks, of targets that are killed: the operating system ends their
+//! connections like those of complete answers.
+
+mod support;
+
+use {
+    std::sync::Arc,
+    support::{
+        TestRelay, caller,
+        scripted_target::{ScriptedTarget, Step, stream, unframed},
+    },
+    tokio::task::yield_now,
+};
+
+const END: &str = "0\r\n\r\n";
+
+/// A target that is killed after its first event.
+async fn killed_target(name: &str) -> ScriptedTarget {
+    let killed = Step::RespondThenDie(unframed("id: 1\ndata: a\n\n"));
+    ScriptedTarget::start(name, vec![killed]).await
+}
+
+/// Sends a call to `one` and adds `two` to the targets once it has arrived there.
+async fn call_beside(one: &ScriptedTarget, two: &ScriptedTarget) -> caller::Response {
+    let relay = TestRelay::start(&[one]).await;
+    let connection = caller::send(relay.address, "/resumable/7", "").await;
+    while one.arrived().is_empty() {
+        yield_now().await;
+    }
+    relay.view.store(Arc::new(support::view(&[one, two])));
+    caller::read_response(connection).await
+}
+
+#[tokio::test]
+async fn stream_of_a_killed_target_is_visibly_incomplete() {
+    for path in ["/stream/7", "/resumable/7"] {
+        let target = killed_target("one").await;
+        let relay = TestRelay::start(&[&target]).await;
+        let response = caller::call(relay.address, path, "").await;
+        assert!(!response.is_complete, "{path}: {response:?}");
+        assert!(response.text.contains("data: a"));
+    }
+}
+
+#[tokio::test]
+async fn stream_of_a_killed_target_is_resumed_by_another_one() {
+    let one = killed_target("one").await;
+    let rest = stream(&["id: 2\ndata: b\n\n"]) + END;
+    let two = ScriptedTarget::start("two", vec![Step::Respond(rest)]).await;
+    let response = call_beside(&one, &two).await;
+    assert!(response.is_complete, "{response:?}");
+    assert_eq!(two.arrived()[0].header("after"), Some("1"));
+}
+
+#[tokio::test]
+async fn resumed_stream_whose_target_is_killed_before_an_event_is_visibly_incomplete() {
+    let one = killed_target("one").await;
+    let two = ScriptedTarget::start("two", vec![Step::RespondThenDie(unframed(""))]).await;
+    let response = call_beside(&one, &two).await;
+    assert_eq!(two.arrived().len(), 1);
+    assert!(!response.is_complete, "{response:?}");
+}
+
+#[tokio::test]
+async fn body_of_a_killed_target_is_no_whole_answer() {
+    let killed = Step::RespondThenDie(unframed("half of a"));
+    let target = ScriptedTarget::start("one", vec![killed]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert_eq!(response.status, 502, "{response:?}");
+}
+
+#[tokio::test]
+async fn body_of_a_target_that_goes_on_is_whole() {
+    let answer = Step::RespondThenClose(unframed("all of a body"));
+    let target = ScriptedTarget::start("one", vec![answer]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert_eq!(response.status, 200, "{response:?}");
+    assert!(response.is_complete && response.text.contains("all of a body"));
+}
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -10,6 +10,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        task::AbortHandle,
         time::{sleep, timeout},
     },
 };
@@ -27,6 +28,9 @@
     RespondInTwo(String, Duration, String),
     /// Sends nothing and waits up to 2 seconds for the caller to disconnect.
     NeverRespond,
+    /// Sends these bytes, then ends as a killed process does: nothing listens any more, and the
+    /// connection is closed.
+    RespondThenDie(String),
 }
 
 /// A call that arrived.
@@ -56,6 +60,8 @@
     script: Mutex<VecDeque<Step>>,
     arrived: Mutex<Vec<Arrived>>,
     disconnects_count: Mutex<u32>,
+    /// Task that accepts connections.
+    listener: Mutex<Option<AbortHandle>>,
 }
 
 impl ScriptedTarget {
@@ -68,11 +74,12 @@
             ..State::default()
         });
         let shared = state.clone();
-        tokio::spawn(async move {
+        let accepting = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::spawn(serve(stream, shared.clone()));
             }
         });
+        *state.listener.lock().unwrap() = Some(accepting.abort_handle());
         Self {
             name: name.to_owned(),
             address,
@@ -162,6 +169,14 @@
                 sleep(Duration::from_millis(30)).await;
                 return;
             }
+            Step::RespondThenDie(text) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                if let Some(accepting) = state.listener.lock().unwrap().take() {
+                    accepting.abort();
+                }
+                sleep(Duration::from_millis(30)).await;
+                return;
+            }
             Step::RespondThenStall(text) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
                 sleep(Duration::from_secs(6)).await;
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -9,7 +9,7 @@
     http_body_util::BodyExt,
     hyper::{
         Response, StatusCode,
-        body::Incoming,
+        body::{Body, Incoming},
         header::{self, HeaderMap},
     },
     serde::de::DeserializeOwned,
@@ -27,6 +27,10 @@
     address: SocketAddr,
     connection: Option<Connection>,
     response: Response<Incoming>,
+    /// Whether the body has neither a length nor chunks.
+    ends_with_connection: bool,
+    /// Whether all of the body was read.
+    body_ended: bool,
 }
 
 impl std::fmt::Debug for Reply {
@@ -46,11 +50,15 @@
         connection: Connection,
         response: Response<Incoming>,
     ) -> Self {
+        let is_chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
+        let has_length = response.body().size_hint().exact().is_some();
         Self {
             client,
             address,
             connection: Some(connection),
             response,
+            ends_with_connection: !is_chunked && !has_length,
+            body_ended: false,
         }
     }
 
@@ -87,13 +95,19 @@
     /// Waits for the next part of the body, however long it takes; `None` at its end. Dropping the
     /// future loses nothing: the next call goes on where it was.
     ///
+    /// If the end of the connection ends the body, the body is complete only if the target still runs:
+    /// the connections of a process that is killed end in the same way.
+    ///
     /// # Errors
-    /// [`SendError::Unknown`] if the body is truncated.
+    /// [`SendError::Unknown`] if the body is truncated or the connection was closed here.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, SendError> {
-        loop {
+        while !self.body_ended {
+            if self.is_closed() {
+                return Err(self.unknown("the connection was closed here".to_owned(), false));
+            }
             let Some(frame) = self.response.body_mut().frame().await else {
-                self.release_connection();
-                return Ok(None);
+                self.body_ended = true;
+                break;
             };
             let frame =
                 frame.map_err(|error| self.unknown(error.to_string(), is_disconnect(&error)))?;
@@ -101,6 +115,11 @@
                 return Ok(Some(data));
             }
         }
+        if self.ends_with_connection && !self.client.still_runs(self.address).await {
+            return Err(self.unknown("the target ended during its answer".to_owned(), true));
+        }
+        self.release_connection();
+        Ok(None)
     }
 
     /// Closes the connection, so that the target stops the request; reading the body fails from now
@@ -243,9 +262,7 @@
     /// Whether the body has neither a length nor chunks, so that the end of the connection ends it.
     #[must_use]
     pub fn ends_with_connection(&self) -> bool {
-        let headers = self.headers();
-        !headers.contains_key(header::CONTENT_LENGTH)
-            && !headers.contains_key(header::TRANSFER_ENCODING)
+        self.ends_with_connection
     }
 
     fn unknown(&self, reason: String, disconnected: bool) -> SendError {
