A resumed stream that ends with its connection before an event is not complete

Callers saw: a target that was ended between its head and its first event, after a caller or an instance had asked it to resume a stream, made the stream end as complete, with its last events missing.

Cause: EventStream::open took an end before the first event for the end of the stream whenever the call was a resumption, also where the answer had neither a length nor chunks.

Change: only a length or chunks show that a resumed run has no events left. Otherwise another target is tried, or the stream breaks off visibly.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -322,7 +322,6 @@
             deadline: sent + time_left,
             answer_memory: &self.inner.answer_memory,
             stream: self.retry_policy().is_stream(),
-            is_resumed: last_event_id.or(self.admitted.call.last_event_id).is_some(),
             observe,
         };
         let outcome = attempt(
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -116,8 +116,6 @@
     pub(crate) answer_memory: &'call BodyMemory,
     /// Whether a successful answer is an event stream.
     pub(crate) stream: bool,
-    /// Whether the call resumes a stream.
-    pub(crate) is_resumed: bool,
     /// Called with the head of the answer once that has arrived, whatever becomes of the answer.
     pub(crate) observe: Observe,
 }
@@ -201,7 +199,7 @@
     let (status, headers) = (reply.status(), reply.headers().clone());
     let time_left = params.deadline.saturating_duration_since(Instant::now());
     let content = if params.stream && status.is_success() {
-        EventStream::open(reply, params.start_timeout, params.is_resumed)
+        EventStream::open(reply, params.start_timeout)
             .await
             .map(|events| Content::Events(Box::new(events)))
     } else {
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -44,12 +44,9 @@
     /// nothing, so another target can still be tried without the caller noticing.
     ///
     /// Fails if the connection ends before an event, since nothing else marks the end of a stream
-    /// that has neither a length nor chunks. A resumed stream may have no events left.
-    pub(crate) async fn open<Timeout>(
-        reply: Reply,
-        timeout: &Timeout,
-        is_resumed: bool,
-    ) -> Result<Self, SendError>
+    /// that has neither a length nor chunks. A resumed stream may have no events left, but only a
+    /// length or chunks tell that from a target that was ended before its first event.
+    pub(crate) async fn open<Timeout>(reply: Reply, timeout: &Timeout) -> Result<Self, SendError>
     where
         Timeout: StartTimeout,
     {
@@ -70,7 +67,7 @@
                 StreamStep::Silent => {}
             }
         };
-        if events.first_event.is_none() && !is_resumed && events.reply.ends_with_connection() {
+        if events.first_event.is_none() && events.reply.ends_with_connection() {
             return Err(events.torn("it ends before its first event"));
         }
         Ok(events)
