A streamed answer states no length

Callers saw: a target's stream with a Content-Length broke off and was resumed at another target; the caller's answer kept the first length. With a shorter first length the rest was cut off at that byte and the answer looked complete, with a longer one it never did.

Cause: the headers of the first target were passed on as they were.

Change: an answer that is forwarded event by event drops Content-Length and is framed by this instance, so that its end is shown by the end of the stream alone.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -5,7 +5,11 @@
     bytes::Bytes,
     futures::Stream,
     http_body_util::{Either, Full, StreamBody},
-    hyper::{HeaderMap, Response, StatusCode, body::Frame, header::HeaderValue},
+    hyper::{
+        HeaderMap, Response, StatusCode,
+        body::Frame,
+        header::{CONTENT_LENGTH, HeaderValue},
+    },
     snafu::Snafu,
 };
 
@@ -39,15 +43,17 @@
     whole(refusal.reason.status(), headers, refusal.body())
 }
 
-/// Creates an answer whose body is streamed.
+/// Creates an answer whose body is streamed. It states no length, since the rest of the stream may come
+/// from another target.
 pub(crate) fn streamed<Events>(
     status: StatusCode,
-    headers: HeaderMap,
+    mut headers: HeaderMap,
     events: Events,
 ) -> Answer<Events>
 where
     Events: Stream<Item = Result<Frame<Bytes>, TruncatedAnswer>>,
 {
+    headers.remove(CONTENT_LENGTH);
     with_head(status, headers, Either::Right(StreamBody::new(events)))
 }
 
--- a/crates/relay/tests/stream_positions.rs
+++ b/crates/relay/tests/stream_positions.rs
@@ -47,3 +47,26 @@
         assert!(response.is_complete, "{response:?}");
     }
 }
+
+/// Guards against the length of a first answer that is shorter or longer than its continuation.
+#[tokio::test]
+async fn resumed_stream_does_not_keep_the_length_of_its_first_answer() {
+    for length in [25, 300] {
+        let head = format!("content-length: {length}\r\nstamp");
+        let torn = unframed("id: 4\ndata: a\n\nid: 5").replace("stamp", &head);
+        let one = ScriptedTarget::start("one", vec![Step::RespondThenClose(torn)]).await;
+        let rest = stream(&["id: 5\ndata: b\n\n", "id: 6\ndata: c\n\n"]) + END;
+        let two = ScriptedTarget::start("two", vec![Step::Respond(rest)]).await;
+        let relay = TestRelay::start(&[&one]).await;
+        let connection = caller::send(relay.address, "/resumable/7", "").await;
+        while one.arrived().is_empty() {
+            yield_now().await;
+        }
+        relay.add_target(&two);
+        let response = caller::read_response(connection).await;
+        assert!(response.is_complete, "{response:?}");
+        for event in ["data: a\n\n", "data: b\n\n", "data: c\n\n"] {
+            assert_eq!(response.text.matches(event).count(), 1, "{response:?}");
+        }
+    }
+}
