A resumption is checked against the last event that its caller has

Callers saw: a call with Last-Event-Id was answered with whatever the target sent, also with a stream that began again or with events without an id, which the caller appended to the events that it had.

Cause: ids were compared within one answer and, for resumptions by the instance, in resume_after; the caller's own id was compared with nothing.

Change: target::StreamPosition holds the position of a stream and decides what may follow. EventStream::open starts from it on every path to a target, so an unusable continuation counts as an attempt without a usable answer: another target is tried, or the call fails with 502. Routes without resumption ignore Last-Event-Id as before.

The test failed before: status 200 with "id: 1\ndata: x" after last-event-id: 4.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -30,7 +30,7 @@
         },
         time::{Duration, Instant},
     },
-    target::Reuse,
+    target::{Reuse, StreamPosition},
     tokio::sync::watch,
 };
 
@@ -141,6 +141,15 @@
             && self.may_have_run_count < self.admitted.route.max_attempts
     }
 
+    /// Where the stream of the call goes on: after `last_event_id` within one answer, otherwise after
+    /// the last event that its caller has. Streams of other routes always begin anew.
+    pub(crate) fn stream_position(&self, last_event_id: Option<u64>) -> StreamPosition {
+        if self.retry_policy() != RetryPolicy::ResumableStream {
+            return StreamPosition::default();
+        }
+        StreamPosition::after(last_event_id.or(self.admitted.call.last_event_id))
+    }
+
     /// Pause between events that still meets the route's objective. It is not a timeout: the stream
     /// forwarder waits several times as long.
     pub(crate) fn max_event_gap(&self) -> Option<Duration> {
@@ -322,6 +331,7 @@
             deadline: sent + time_left,
             answer_memory: &self.inner.answer_memory,
             stream: self.retry_policy().is_stream(),
+            position: self.stream_position(last_event_id),
             observe,
         };
         let outcome = attempt(
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,7 +9,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    target::{Client, Reply, Reuse, SendError, StartTimeout},
+    target::{Client, Reply, Reuse, SendError, StartTimeout, StreamPosition},
 };
 
 /// Longest body of a refusal that is read, in bytes.
@@ -116,6 +116,8 @@
     pub(crate) answer_memory: &'call BodyMemory,
     /// Whether a successful answer is an event stream.
     pub(crate) stream: bool,
+    /// Where the events of a stream must go on.
+    pub(crate) position: StreamPosition,
     /// Called with the head of the answer once that has arrived, whatever becomes of the answer.
     pub(crate) observe: Observe,
 }
@@ -199,7 +201,7 @@
     let (status, headers) = (reply.status(), reply.headers().clone());
     let time_left = params.deadline.saturating_duration_since(Instant::now());
     let content = if params.stream && status.is_success() {
-        EventStream::open(reply, params.start_timeout)
+        EventStream::open(reply, params.start_timeout, params.position)
             .await
             .map(|events| Content::Events(Box::new(events)))
     } else {
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     std::time::{Duration, Instant},
-    target::{Reply, SendError, SseParser, StartTimeout, event_id},
+    target::{BodyEnd, Misplaced, Reply, SendError, SseParser, StartTimeout, StreamPosition},
     tokio::time::timeout,
 };
 
@@ -26,7 +26,7 @@
     /// First event, until [`EventStream::next`] returns it; `None` also for a stream without
     /// events.
     first_event: Option<Bytes>,
-    last_event_id: Option<u64>,
+    position: StreamPosition,
 }
 
 impl std::fmt::Debug for EventStream {
@@ -34,7 +34,7 @@
         formatter
             .debug_struct("EventStream")
             .field("target", &self.reply.address())
-            .field("last_event_id", &self.last_event_id)
+            .field("position", &self.position)
             .finish_non_exhaustive()
     }
 }
@@ -43,10 +43,13 @@
     /// Waits for the first event until `timeout` gives up. Until then, the caller has received
     /// nothing, so another target can still be tried without the caller noticing.
     ///
-    /// Fails if the connection ends before an event, since nothing else marks the end of a stream
-    /// that has neither a length nor chunks. A resumed stream may have no events left, but only a
-    /// length or chunks tell that from a target that was ended before its first event.
-    pub(crate) async fn open<Timeout>(reply: Reply, timeout: &Timeout) -> Result<Self, SendError>
+    /// Fails if the first event does not continue the stream at `position`, or if the connection
+    /// ends before it and nothing shows that no event is left.
+    pub(crate) async fn open<Timeout>(
+        reply: Reply,
+        timeout: &Timeout,
+        position: StreamPosition,
+    ) -> Result<Self, SendError>
     where
         Timeout: StartTimeout,
     {
@@ -55,7 +58,7 @@
             reply,
             parser: SseParser::default(),
             first_event: None,
-            last_event_id: None,
+            position,
         };
         events.first_event = loop {
             match events.read_event(timeout.duration()).await? {
@@ -67,35 +70,14 @@
                 StreamStep::Silent => {}
             }
         };
-        if events.first_event.is_none() && events.reply.ends_with_connection() {
-            return Err(events.torn("it ends before its first event"));
-        }
         Ok(events)
     }
 
-    /// Takes the stream as the continuation of one whose last event was `last_event_id`; `None` if
-    /// it repeats events up to that one.
-    pub(crate) fn resume_after(
-        mut self: Box<Self>,
-        last_event_id: Option<u64>,
-    ) -> Option<Box<Self>> {
-        let first_event_id = self.first_event_id();
-        if first_event_id.is_some_and(|first| Some(first) <= last_event_id) {
-            return None;
-        }
-        self.last_event_id = self.last_event_id.max(last_event_id);
-        Some(self)
-    }
-
     /// Whether the first event has arrived and was not returned yet.
     pub(crate) fn has_first_event(&self) -> bool {
         self.first_event.is_some()
     }
 
-    fn first_event_id(&self) -> Option<u64> {
-        event_id(self.first_event.as_deref()?)
-    }
-
     /// Waits for the next complete event or the regular end of the stream, for up to
     /// `event_timeout`.
     pub(crate) async fn next(&mut self, event_timeout: Duration) -> Result<StreamStep, SendError> {
@@ -115,9 +97,9 @@
         self.reply.is_closed()
     }
 
-    /// Id of the last event that was read.
-    pub(crate) fn last_event_id(&self) -> Option<u64> {
-        self.last_event_id
+    /// Id of the event after which another target may resume the stream, if it can be resumed.
+    pub(crate) fn resume_point(&self) -> Option<u64> {
+        self.position.resume_point()
     }
 
     /// Reads the next complete event, within `event_timeout`.
@@ -131,7 +113,9 @@
     async fn read_chunks(&mut self) -> Result<Option<Bytes>, SendError> {
         loop {
             if let Some(event) = self.parser.next_event() {
-                return self.check_order(event).map(Some);
+                let advanced = self.position.advance(&event);
+                advanced.map_err(|misplaced| self.misplaced(misplaced))?;
+                return Ok(Some(event));
             }
             if self.parser.overflowed() {
                 return Err(self.invalid("an event exceeds its bound"));
@@ -141,20 +125,30 @@
                 None if self.parser.has_part() => {
                     return Err(self.torn("it ends within an event"));
                 }
-                None => return Ok(None),
+                None => return self.end(),
             }
         }
     }
 
-    /// Checks that event ids strictly increase within the stream. Events without an id may occur
-    /// anywhere.
-    fn check_order(&mut self, event: Bytes) -> Result<Bytes, SendError> {
-        let id = event_id(&event);
-        if id.is_some() && id <= self.last_event_id {
-            return Err(self.invalid("an event came out of order"));
+    /// Checks that the stream may be complete at the end of its body.
+    fn end(&self) -> Result<Option<Bytes>, SendError> {
+        let end = if self.reply.ends_with_connection() {
+            BodyEnd::Connection
+        } else {
+            BodyEnd::Framing
+        };
+        let ended = self.position.end(end);
+        ended.map_err(|misplaced| self.misplaced(misplaced))?;
+        Ok(None)
+    }
+
+    /// Error for a stream that does not go on as its position demands.
+    fn misplaced(&self, misplaced: Misplaced) -> SendError {
+        let reason = misplaced.to_string();
+        match misplaced {
+            Misplaced::NoEvent => self.torn(&reason),
+            Misplaced::Repeated | Misplaced::Unplaced => self.invalid(&reason),
         }
-        self.last_event_id = id.or(self.last_event_id);
-        Ok(event)
     }
 
     /// Error for a stream that was silent for too long.
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -116,7 +116,7 @@
 
     /// Lets another target resume the stream after it broke off.
     async fn resume(&mut self) -> Result<(), Aborted> {
-        let last_event_id = self.events.last_event_id();
+        let last_event_id = self.events.resume_point();
         let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
         loop {
             if let Err(reason) = self.reserve_resumption() {
@@ -149,7 +149,7 @@
         }
         let silence_ms = self.silence_timeout().as_millis();
         self.end_attempt(format!("silent for {silence_ms} ms"));
-        let last_event_id = self.events.last_event_id();
+        let last_event_id = self.events.resume_point();
         let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
         let mut present = self.call.suspend_attempt();
         let sent_at = self.call.sent_at();
@@ -192,7 +192,7 @@
         if call.retry_policy() != RetryPolicy::ResumableStream {
             return Err("the target broke off; the route does not allow resuming");
         }
-        if self.events.last_event_id().is_none() {
+        if self.events.resume_point().is_none() {
             return Err("the target broke off before an event with an id");
         }
         if !call.can_finish_elsewhere_after(Duration::ZERO) {
@@ -257,7 +257,7 @@
 enum NotResumed {
     /// No target took the call.
     NotTaken,
-    /// A target took the call, but its answer does not continue the stream.
+    /// A target answered the call, but not with a stream.
     Unusable,
 }
 
@@ -274,12 +274,7 @@
         return Err(NotResumed::NotTaken);
     };
     match answer.content {
-        Content::Events(events) if answer.status.is_success() => {
-            events.resume_after(last_event_id).ok_or_else(|| {
-                recorder.end_attempt("the stream began again".to_owned());
-                NotResumed::Unusable
-            })
-        }
+        Content::Events(events) if answer.status.is_success() => Ok(events),
         _ => Err(NotResumed::Unusable),
     }
 }
--- a/crates/relay/tests/stream_positions.rs
+++ b/crates/relay/tests/stream_positions.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    std::time::Duration,
     support::{
         TestRelay, caller,
         scripted_target::{ScriptedTarget, Step, stream, unframed},
@@ -13,6 +14,26 @@
 const END: &str = "0\r\n\r\n";
 /// Header of a caller that has the events up to the fourth.
 const AFTER_4: &str = "last-event-id: 4\r\n";
+/// Time for a test to add a target while another one answers.
+const PAUSE: Duration = Duration::from_millis(100);
+
+fn rest() -> String {
+    stream(&["id: 5\ndata: b\n\n"]) + END
+}
+
+/// Sends a call to a target that answers with `first`, and adds one that answers with `second`.
+async fn call_two(path: &str, headers: &str, first: String, second: Step) -> caller::Response {
+    let first = Step::RespondInTwo(String::new(), PAUSE, first);
+    let one = ScriptedTarget::start("one", vec![first]).await;
+    let two = ScriptedTarget::start("two", vec![second]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let connection = caller::send(relay.address, path, headers).await;
+    while one.arrived().is_empty() {
+        yield_now().await;
+    }
+    relay.add_target(&two);
+    caller::read_response(connection).await
+}
 
 /// Guards against taking the crash of a target before its first event for the end of a resumed stream.
 #[tokio::test]
@@ -48,6 +69,32 @@
     }
 }
 
+/// Guards against a caller that gets events again, or events of another run, after the ones it has.
+#[tokio::test]
+async fn resumption_that_begins_again_never_reaches_its_caller() {
+    for again in ["id: 1\ndata: x\n\n", "id: 4\ndata: x\n\n", "data: x\n\n"] {
+        let again = stream(&[again]) + END;
+        let target = ScriptedTarget::start("one", vec![Step::Respond(again.clone())]).await;
+        let relay = TestRelay::start(&[&target]).await;
+        let response = caller::call(relay.address, "/resumable/7", AFTER_4).await;
+        assert_eq!(response.status, 502, "{response:?}");
+        let rest = Step::Respond(rest());
+        let response = call_two("/resumable/7", AFTER_4, again, rest).await;
+        assert!(response.is_complete, "{response:?}");
+        assert!(response.text.contains("data: b"), "{response:?}");
+        assert!(!response.text.contains("data: x"), "{response:?}");
+    }
+}
+
+#[tokio::test]
+async fn last_event_id_means_nothing_where_streams_are_not_resumed() {
+    let begun = stream(&["id: 1\ndata: a\n\n"]) + END;
+    let target = ScriptedTarget::start("one", vec![Step::Respond(begun)]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/stream/7", AFTER_4).await;
+    assert!(response.is_complete, "{response:?}");
+}
+
 /// Guards against the length of a first answer that is shorter or longer than its continuation.
 #[tokio::test]
 async fn resumed_stream_does_not_keep_the_length_of_its_first_answer() {
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -31,6 +31,7 @@
 mod sse_parser;
 mod start_timeout;
 mod store;
+mod stream_position;
 
 pub use {
     answer_stream::{AnswerEvent, AnswerStream},
@@ -47,4 +48,5 @@
     sse_parser::{SseParser, event_id},
     start_timeout::StartTimeout,
     store::{StoreBlock, StoreBlocks, StoreClient, StoreUsage},
+    stream_position::{BodyEnd, Misplaced, StreamPosition},
 };
