A stream is not resumed after an event without an id

Callers saw: after an event without an id, a broken stream was resumed after the last id before it; the event could come twice, or what had followed it be missing.

Cause: the last id alone decided where to resume.

Change: StreamPosition has no resume point until an event with an id follows; the stream breaks off visibly instead. Comments are no events.

The test failed before: "id: 4", "data: x", "id: 5" joined from two targets, is_complete: true.

--- a/crates/relay/tests/stream_positions.rs
+++ b/crates/relay/tests/stream_positions.rs
@@ -95,6 +95,23 @@
     assert!(response.is_complete, "{response:?}");
 }
 
+/// Guards against a gap or a repeat after an event that has no place in the order.
+#[tokio::test]
+async fn stream_is_not_resumed_after_an_event_without_an_id() {
+    let torn = stream(&["id: 4\ndata: a\n\n", "data: x\n\n", "id: 5\nda"]);
+    let one = ScriptedTarget::start("one", vec![Step::RespondThenClose(torn)]).await;
+    let two = ScriptedTarget::start("two", vec![Step::Respond(rest())]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let connection = caller::send(relay.address, "/resumable/7", "").await;
+    while one.arrived().is_empty() {
+        yield_now().await;
+    }
+    relay.add_target(&two);
+    let response = caller::read_response(connection).await;
+    assert!(!response.is_complete, "{response:?}");
+    assert!(two.arrived().is_empty());
+}
+
 /// Guards against the length of a first answer that is shorter or longer than its continuation.
 #[tokio::test]
 async fn resumed_stream_does_not_keep_the_length_of_its_first_answer() {
--- a/crates/target/src/stream_position.rs
+++ b/crates/target/src/stream_position.rs
@@ -25,6 +25,8 @@
     last_id: Option<u64>,
     /// Whether this answer has brought an event.
     has_event: bool,
+    /// Whether the events after `last_id` include one without an id.
+    has_unplaced: bool,
 }
 
 /// What ended the body of an answer.
@@ -70,10 +72,11 @@
             Some(id) if Some(id) <= self.last_id => return Err(Misplaced::Repeated),
             Some(id) => {
                 self.last_id = Some(id);
+                self.has_unplaced = false;
             }
             None if !has_data(event) => return Ok(()),
             None if self.last_id.is_some() && !self.has_event => return Err(Misplaced::Unplaced),
-            None => {}
+            None => self.has_unplaced = true,
         }
         self.has_event = true;
         Ok(())
@@ -90,11 +93,11 @@
         Ok(())
     }
 
-    /// Id of the event after which another answer may continue the stream; `None` if none
-    /// has an id.
+    /// Id of the event after which another answer may continue the stream; `None` if no id tells what has
+    /// been forwarded.
     #[must_use]
     pub fn resume_point(&self) -> Option<u64> {
-        self.last_id
+        self.last_id.filter(|_| !self.has_unplaced)
     }
 }
 
