A stream that another instance passes on is checked event by event

Callers saw: whatever bytes the other instance sent, also the begun part of an event before it broke off, events out of order, and answers that began again after Last-Event-Id.

Cause: ForwardedStream passed chunks on as they came; an answer with a length was read whole before its first event reached the caller.

Change: the answer is an EventStream from the caller's position on. It is not resumed here, since the other instance resumes it within the call's attempts.

The tests failed before: "id: 1\ndata: a\n\nid: 2\ndata: x" passed on; status 200 with "id: 1\ndata: x" after last-event-id: 4.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -24,8 +24,8 @@
     Whole(Bytes),
     /// An event stream whose first event has arrived.
     Events(Box<EventStream>),
-    /// An event stream that another instance passes on.
-    Forwarded(Box<Reply>),
+    /// An event stream that another instance passes on, and whose first event has arrived.
+    Forwarded(Box<EventStream>),
 }
 
 /// An answer from a target.
@@ -45,8 +45,8 @@
     /// Whether the target has begun to answer the call: with the whole body, or with an event.
     pub(crate) fn has_begun(&self) -> bool {
         let has_content = match &self.content {
-            Content::Whole(_) | Content::Forwarded(_) => true,
-            Content::Events(events) => events.has_first_event(),
+            Content::Whole(_) => true,
+            Content::Events(events) | Content::Forwarded(events) => events.has_first_event(),
         };
         has_content && self.status.is_success()
     }
--- a/crates/relay/src/forwarded_stream.rs
+++ b/crates/relay/src/forwarded_stream.rs
@@ -1,36 +1,40 @@
 //! Forwarding of an event stream that another instance passes on.
 
 use {
-    crate::{AnswerCutoff, TruncatedAnswer, call_recorder::CallRecorder},
+    crate::{
+        AnswerCutoff, TruncatedAnswer,
+        call_recorder::CallRecorder,
+        event_stream::{EventStream, StreamStep},
+    },
     bytes::Bytes,
     futures::{Stream, stream},
     hyper::body::Frame,
     std::time::{Duration, Instant},
-    target::Reply,
-    tokio::time::timeout_at,
 };
 
 /// Time after the call's deadline within which the other instance ends the stream itself.
 const END_MARGIN: Duration = Duration::from_millis(100);
 
-/// An event stream that another instance passes on, and that is passed on as it comes.
+/// An event stream that another instance passes on. Its events are checked as those of a target are,
+/// since the other instance may be of another build. It is not resumed here: the other instance does
+/// that, within the attempts that the call may take.
 pub(crate) struct ForwardedStream {
-    reply: Reply,
+    events: EventStream,
     recorder: CallRecorder,
     answer_cutoff: AnswerCutoff,
     deadline: Instant,
 }
 
 impl ForwardedStream {
-    /// Passes on the body of `reply` until `deadline`.
+    /// Passes on `events` until `deadline`.
     pub(crate) fn new(
-        reply: Reply,
+        events: EventStream,
         recorder: CallRecorder,
         answer_cutoff: AnswerCutoff,
         deadline: Instant,
     ) -> Self {
         Self {
-            reply,
+            events,
             recorder,
             answer_cutoff,
             deadline: deadline + END_MARGIN,
@@ -42,7 +46,7 @@
         stream::unfold(Some(self), |forwarded| async move {
             let mut forwarded = forwarded?;
             match forwarded.next().await {
-                Ok(Some(chunk)) => Some((Ok(Frame::data(chunk)), Some(forwarded))),
+                Ok(Some(event)) => Some((Ok(Frame::data(event)), Some(forwarded))),
                 Ok(None) => None,
                 Err(truncated) => Some((Err(truncated), None)),
             }
@@ -51,32 +55,33 @@
 
     async fn next(&mut self) -> Result<Option<Bytes>, TruncatedAnswer> {
         let status = self.recorder.line.status;
-        let chunk = tokio::select! {
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        let step = tokio::select! {
             biased;
-            chunk = timeout_at(self.deadline.into(), self.reply.next_chunk()) => chunk,
+            step = self.events.next(time_left) => step,
             () = self.answer_cutoff.triggered() => {
                 self.recorder.cut();
                 return Err(TruncatedAnswer);
             }
         };
-        match chunk {
-            Ok(Ok(Some(chunk))) => {
+        match step {
+            Ok(StreamStep::Event(event)) => {
                 self.recorder.record_event();
-                Ok(Some(chunk))
+                Ok(Some(event))
             }
-            Ok(Ok(None)) => {
+            Ok(StreamStep::End) => {
                 self.recorder.end("answered", status, "");
                 Ok(None)
             }
-            Ok(Err(error)) => {
-                self.recorder.end("torn", status, &error.to_string());
-                Err(TruncatedAnswer)
-            }
-            Err(_) => {
+            Ok(StreamStep::Silent) => {
                 let reason = "the time limit of the call passed";
                 self.recorder.end("torn", status, reason);
                 Err(TruncatedAnswer)
             }
+            Err(error) => {
+                self.recorder.end("torn", status, &error.to_string());
+                Err(TruncatedAnswer)
+            }
         }
     }
 }
--- a/crates/relay/src/pass_on.rs
+++ b/crates/relay/src/pass_on.rs
@@ -45,6 +45,7 @@
             configuration: self.admitted.table.config().version,
             deadline: self.deadline(),
             is_stream: self.retry_policy().is_stream(),
+            position: self.stream_position(None),
             answer_memory: &self.inner.answer_memory,
         };
         let (peer_caller, format) = (&self.inner.peer_caller, &self.inner.header_format);
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -6,13 +6,14 @@
         attempt::{Content, TargetAnswer, read_whole},
         body_memory::BodyMemory,
         call_recorder::CallRecorder,
+        event_stream::EventStream,
         refusal::NO_TARGET_RETRY_AFTER,
     },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
         HeaderMap, Request, StatusCode,
-        header::{CONTENT_LENGTH, HeaderName, HeaderValue, RETRY_AFTER},
+        header::{HeaderName, HeaderValue, RETRY_AFTER},
         http::request,
     },
     std::{
@@ -20,7 +21,7 @@
         sync::{Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
-    target::{Client, Reply, Reuse, SendError},
+    target::{Client, Reply, Reuse, SendError, StreamPosition},
 };
 
 /// Number of instances that are asked to answer one call.
@@ -60,6 +61,8 @@
     pub(crate) deadline: Instant,
     /// Whether a successful answer is an event stream.
     pub(crate) is_stream: bool,
+    /// Where the events of a stream must go on.
+    pub(crate) position: StreamPosition,
     /// Memory for an answer that is read as a whole.
     pub(crate) answer_memory: &'call BodyMemory,
 }
@@ -186,10 +189,9 @@
     if id.is_some_and(|id| id != call.id) {
         return Err(PeerFailure::Failed(Reason::TargetFailed));
     }
-    let is_streamed =
-        call.is_stream && status.is_success() && !headers.contains_key(CONTENT_LENGTH);
-    let content = if is_streamed {
-        Content::Forwarded(Box::new(reply))
+    let content = if call.is_stream && status.is_success() {
+        let events = EventStream::open(reply, &call.time_left(), call.position).await?;
+        Content::Forwarded(Box::new(events))
     } else {
         Content::Whole(read_whole(&mut reply, call.answer_memory, call.time_left()).await?)
     };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -254,10 +254,10 @@
                 });
                 streamed(status, headers, Either::Left(frames))
             }
-            Content::Forwarded(reply) => {
+            Content::Forwarded(events) => {
                 recorder.line.status = status.as_u16();
                 let deadline = active_call.deadline();
-                let forwarded = ForwardedStream::new(*reply, recorder, answer_cutoff, deadline);
+                let forwarded = ForwardedStream::new(*events, recorder, answer_cutoff, deadline);
                 streamed(status, headers, Either::Right(forwarded.frames()))
             }
         }
--- a/crates/relay/tests/stream_positions.rs
+++ b/crates/relay/tests/stream_positions.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use {
-    std::time::Duration,
+    relay::{CallSource, Peer},
+    std::{sync::Arc, time::Duration},
     support::{
         TestRelay, caller,
         scripted_target::{ScriptedTarget, Step, stream, unframed},
@@ -35,6 +36,24 @@
     caller::read_response(connection).await
 }
 
+/// An instance that reaches no target, before another instance that answers with `answer`.
+async fn call_through_peer(path: &str, headers: &str, answer: Step) -> caller::Response {
+    let peer = ScriptedTarget::start("peer", vec![answer]).await;
+    let relay = TestRelay::start_for(&[], CallSource::Caller).await;
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let gone = ScriptedTarget::at("gone", listener.local_addr().unwrap());
+    drop(listener);
+    let mut view = support::view(&[&gone]);
+    view.peers = [Peer {
+        name: "peer".to_owned(),
+        seed: 1,
+        address: peer.address,
+    }]
+    .into();
+    relay.view.store(Arc::new(view));
+    caller::call(relay.address, path, headers).await
+}
+
 /// Guards against taking the crash of a target before its first event for the end of a resumed stream.
 #[tokio::test]
 async fn unframed_resumption_without_an_event_is_no_end() {
@@ -112,6 +131,28 @@
     assert!(two.arrived().is_empty());
 }
 
+/// Guards against a caller that gets a part of an event, or events out of order, from another instance.
+#[tokio::test]
+async fn stream_of_another_instance_is_checked_event_by_event() {
+    let part = stream(&["id: 1\ndata: a\n\nid: 2\ndata: x"]);
+    let repeat = stream(&["id: 1\ndata: a\n\n", "id: 1\ndata: x\n\n"]) + END;
+    let cut = unframed("id: 1\ndata: a\n\nid: 2\ndata: x");
+    for answer in [part, repeat, cut] {
+        let answer = Step::RespondThenClose(answer);
+        let response = call_through_peer("/stream/7", "", answer).await;
+        assert!(response.text.contains("data: a"), "{response:?}");
+        assert!(!response.text.contains("data: x"), "{response:?}");
+        assert!(!response.is_complete, "{response:?}");
+    }
+}
+
+#[tokio::test]
+async fn resumption_of_another_instance_that_begins_again_never_reaches_its_caller() {
+    let again = stream(&["id: 1\ndata: x\n\n"]) + END;
+    let response = call_through_peer("/resumable/7", AFTER_4, Step::Respond(again)).await;
+    assert_eq!(response.status, 502, "{response:?}");
+}
+
 /// Guards against the length of a first answer that is shorter or longer than its continuation.
 #[tokio::test]
 async fn resumed_stream_does_not_keep_the_length_of_its_first_answer() {
