--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -121,7 +121,7 @@
                 return Err(self.invalid("an event exceeds its bound"));
             }
             match self.reply.next_chunk().await? {
-                Some(chunk) => self.parser.push(&chunk),
+                Some(chunk) => self.parser.push_chunk(chunk),
                 None if self.parser.has_part() => {
                     return Err(self.torn("it ends within an event"));
                 }
--- a/crates/target/src/sse_parser.rs
+++ b/crates/target/src/sse_parser.rs
@@ -1,6 +1,9 @@
 //! Incremental parser of server-sent events.
 
-use bytes::{Bytes, BytesMut};
+use {
+    bytes::{Bytes, BytesMut},
+    std::mem,
+};
 
 /// Largest event that is accepted.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -19,15 +22,33 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct SseParser {
+    /// Bytes of an event that began in an earlier chunk, and what followed them.
     buffer: BytesMut,
+    /// Bytes of the last chunk, which is not copied as long as its events are whole.
+    chunk: Bytes,
 }
 
 impl SseParser {
     /// Appends received bytes.
     pub fn push(&mut self, chunk: &[u8]) {
+        self.buffer_chunk();
         self.buffer.extend_from_slice(chunk);
     }
 
+    /// Appends received bytes, without copying those of whole events if they begin with an event.
+    pub fn push_chunk(&mut self, chunk: Bytes) {
+        self.buffer_chunk();
+        if self.buffer.is_empty() {
+            self.chunk = chunk;
+        } else {
+            self.buffer.extend_from_slice(&chunk);
+        }
+    }
+
+    fn buffer_chunk(&mut self) {
+        self.buffer.extend_from_slice(&mem::take(&mut self.chunk));
+    }
+
     /// Returns the data of the next complete event, if one has arrived. Events without data are
     /// skipped.
     pub fn next_data(&mut self) -> Option<Bytes> {
@@ -41,6 +62,10 @@
 
     /// Returns the bytes of the next complete event, with the blank line that ends it.
     pub fn next_event(&mut self) -> Option<Bytes> {
+        if self.buffer.is_empty() {
+            let (end, blank_line_bytes) = find_event_end(&self.chunk)?;
+            return Some(self.chunk.split_to(end + blank_line_bytes));
+        }
         let (end, blank_line_bytes) = find_event_end(&self.buffer)?;
         Some(self.buffer.split_to(end + blank_line_bytes).freeze())
     }
@@ -48,13 +73,13 @@
     /// Whether bytes are buffered that no complete event was returned for, such as a partial event.
     #[must_use]
     pub fn has_part(&self) -> bool {
-        !self.buffer.is_empty()
+        !self.buffer.is_empty() || !self.chunk.is_empty()
     }
 
     /// Whether more than the largest accepted event is buffered.
     #[must_use]
     pub fn overflowed(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+        self.buffer.len().max(self.chunk.len()) > MAX_EVENT_BYTES
     }
 }
 
--- a/crates/target/tests/event_parsing.rs
+++ b/crates/target/tests/event_parsing.rs
@@ -26,14 +26,19 @@
     #[test]
     fn chunk_boundaries_do_not_matter(
         events in proptest::collection::vec("[a-z{}: ]{1,12}", 0..8),
-        chunk_bytes in 1..7_usize,
+        chunk_bytes in 1..40_usize,
+        copies in any::<bool>(),
     ) {
         let parts = events.iter().flat_map(|data| ["data: ", data, "\n\n"]);
         let text: String = parts.collect();
         let mut parser = SseParser::default();
         let mut read = Vec::new();
         for part in text.as_bytes().chunks(chunk_bytes) {
-            parser.push(part);
+            if copies {
+                parser.push(part);
+            } else {
+                parser.push_chunk(part.to_vec().into());
+            }
             read.extend(all_data(&mut parser));
         }
         let expected: Vec<Vec<u8>> = events.iter().map(|data| data.clone().into_bytes()).collect();
