--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,7 +9,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    target::{Client, Reply, Reuse, SendError, StartTimeout},
+    target::{Client, Reply, Reuse, SendError, StartTimeout, StreamPosition},
 };
 
 /// Longest body of a refusal that is read, in bytes.
@@ -24,8 +24,8 @@
     Whole(Bytes),
     /// An event stream whose first event has arrived.
     Events(Box<EventStream>),
-    /// An event stream that another instance passes on.
-    Forwarded(Box<Reply>),
+    /// An event stream that another instance passes on, and whose first event has arrived.
+    Forwarded(Box<EventStream>),
 }
 
 /// An answer from a target.
@@ -45,8 +45,8 @@
     /// Whether the target has begun to answer the call: with the whole body, or with an event.
     pub(crate) fn has_begun(&self) -> bool {
         let has_content = match &self.content {
-            Content::Whole(_) | Content::Forwarded(_) => true,
-            Content::Events(events) => events.has_first_event(),
+            Content::Whole(_) => true,
+            Content::Events(events) | Content::Forwarded(events) => events.has_first_event(),
         };
         has_content && self.status.is_success()
     }
@@ -116,8 +116,8 @@
     pub(crate) answer_memory: &'call BodyMemory,
     /// Whether a successful answer is an event stream.
     pub(crate) stream: bool,
-    /// Whether the call resumes a stream.
-    pub(crate) is_resumed: bool,
+    /// Where the events of a stream must go on.
+    pub(crate) position: StreamPosition,
     /// Called with the head of the answer once that has arrived, whatever becomes of the answer.
     pub(crate) observe: Observe,
 }
@@ -201,7 +201,7 @@
     let (status, headers) = (reply.status(), reply.headers().clone());
     let time_left = params.deadline.saturating_duration_since(Instant::now());
     let content = if params.stream && status.is_success() {
-        EventStream::open(reply, params.start_timeout, params.is_resumed)
+        EventStream::open(reply, params.start_timeout, params.position)
             .await
             .map(|events| Content::Events(Box::new(events)))
     } else {
