Accounts that are isolated later share no parts from before

Callers of other accounts had their prompts answered from parts that an account had made before a configuration isolated it. Cause: all accounts that are not isolated share one salt by weights version, and it stayed the same when the set of isolated accounts changed.

The shared salt now carries a digest of the isolated accounts' names, so that parts under it were made only by accounts outside of that set; with no isolated account it is what it was. Which accounts are isolated is asked of the configuration in force at each choice, so that a retry does not go on by the configuration under which the call arrived.

The price: a change of the set of isolated accounts has the others compute their shared parts once more. Instances of older builds beside new ones share no parts with them while an account is isolated.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        HeaderFormat, InFlightGuard, Reason, Refusal, ReplyMetadata,
+        HeaderFormat, InFlightGuard, Reason, Refusal, ReplyMetadata, View,
         admit::Admitted,
         attempt::{AttemptOutcome, AttemptParams, Content, TargetAnswer, attempt},
         body_memory::BodyPermit,
@@ -13,6 +13,7 @@
         quarantined_calls::part_keys,
         refusal::NO_TARGET_RETRY_AFTER,
         relay::Inner,
+        salt::CacheScope,
         silent_target::AttemptTimeout,
     },
     balance::CallOutcome,
@@ -369,11 +370,14 @@
         outcome
     }
 
-    /// Name of the client account, if its cached parts are kept apart from those of others.
-    pub(crate) fn isolated_account(&self) -> Option<&str> {
-        let account = self.admitted.account.as_ref();
-        let account = account.filter(|account| account.isolated);
-        account.map(|account| account.name.as_str())
+    /// Who may use the prompt's cached parts, by the configuration that is in force now: the one that
+    /// admitted the call may have isolated other accounts.
+    pub(crate) fn cache_scope(&self, view: &View) -> CacheScope {
+        if self.admitted.call.prompt.is_none() {
+            return CacheScope::Everyone;
+        }
+        let table = view.route_table.as_ref().unwrap_or(&self.admitted.table);
+        CacheScope::new(table, self.admitted.account.as_ref())
     }
 
     /// Records where the stream of the call began, if an event of it has arrived.
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -74,6 +74,7 @@
         let view = state.view();
         let cache_index = state.cache_index();
         let peer_loads = state.peer_loads();
+        let cache_scope = self.cache_scope(&view);
         let senders = Senders {
             own_seed: self.inner.settings.instance_seed,
             instance_seeds: &view.instance_seeds,
@@ -88,7 +89,7 @@
             random: rand::random(),
             cache_index: &cache_index,
             peer_loads: &peer_loads,
-            isolated_account: self.isolated_account(),
+            cache_scope: &cache_scope,
             software_version,
             is_mixed: software_version
                 .is_some_and(|version| has_other_software(&view, &self.pool, version)),
--- a/crates/relay/src/outbound_metadata.rs
+++ b/crates/relay/src/outbound_metadata.rs
@@ -31,7 +31,8 @@
         let account = self.admitted.account.as_ref();
         let prompt = call.prompt.as_ref();
         let version = prompt.and_then(|prompt| picked.target.version(&prompt.model));
-        let salt = prompt.map(|_| salt(version.unwrap_or(0), self.isolated_account()));
+        let view = self.inner.state.view();
+        let salt = prompt.map(|_| salt(version.unwrap_or(0), &self.cache_scope(&view)));
         let account_priority = account.and_then(|account| account.priority);
         OutboundMetadata {
             target: picked.target.id.clone(),
@@ -78,8 +79,8 @@
         let Some(version) = picked.target.version(&prompt.model) else {
             return Plan::default();
         };
-        let salt = salt(version, self.isolated_account());
         let view = self.inner.state.view();
+        let salt = salt(version, &self.cache_scope(&view));
         let wanted = view.wanted_versions.get(&prompt.model);
         let is_current = wanted.is_none_or(|wanted| wanted.newest_version() == version);
         let uses_parts = wanted.is_none_or(|wanted| wanted.uses_parts_of(version, boot_time()));
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -4,7 +4,7 @@
     crate::{
         Call, Prompt, TargetState, View, WantedVersions, boot_time,
         refusal::OVERLOADED_RETRY_AFTER,
-        salt::salt,
+        salt::{CacheScope, salt},
         target_conditions::{CallContext, NextCall, PassedOver},
         target_limit::Senders,
     },
@@ -34,8 +34,8 @@
     pub(crate) cache_index: &'call PartDirectory,
     /// Calls that other instances have in flight.
     pub(crate) peer_loads: &'call PeerLoads,
-    /// Client account, if its cached parts are kept apart from those of others.
-    pub(crate) isolated_account: Option<&'call str>,
+    /// Who may use the prompt's cached parts.
+    pub(crate) cache_scope: &'call CacheScope,
     /// Software version that began the call's stream; no other may go on with it.
     pub(crate) software_version: Option<&'call str>,
     /// Whether the pool has targets of other versions, so that one which restarts may have another.
@@ -226,7 +226,7 @@
 }
 
 /// The parts of a prompt that other calls may share: all but the last. Their cache keys include
-/// `salt`, which stands for the weights version and the isolated account.
+/// `salt`, which stands for the weights version and for who may use the parts.
 pub(crate) fn shared_parts(prompt: &Prompt, salt: &str) -> Vec<PromptPart> {
     let [shared @ .., _] = prompt.parts.as_slice() else {
         return Vec::new();
@@ -245,15 +245,10 @@
 
 impl SharedPartsByVersion {
     /// Shared parts for weights `version`, computed at the first use.
-    fn for_version(
-        &mut self,
-        version: u64,
-        prompt: &Prompt,
-        isolated_account: Option<&str>,
-    ) -> &[PromptPart] {
+    fn for_version(&mut self, version: u64, prompt: &Prompt, scope: &CacheScope) -> &[PromptPart] {
         let position = self.by_version.iter().position(|it| it.0 == version);
         let index = position.unwrap_or_else(|| {
-            let salt = salt(version, isolated_account);
+            let salt = salt(version, scope);
             self.by_version.push((version, shared_parts(prompt, &salt)));
             self.by_version.len() - 1
         });
@@ -283,7 +278,7 @@
     let Some(version) = target.version(&prompt.model) else {
         return candidate;
     };
-    let parts = shared_parts.for_version(version, prompt, context.isolated_account);
+    let parts = shared_parts.for_version(version, prompt, context.cache_scope);
     let Some(session) = parts.last() else {
         return candidate;
     };
