An answer stream without events times out however many bytes arrive

A completion was held without end by an engine that sent a byte now and then: comments, events without text, or one event that never ended. Cause: the limit for the next token was a limit for the next chunk, and started again with each. It now covers the wait for one event, whatever else arrives meanwhile.

--- a/crates/target/src/answer_stream.rs
+++ b/crates/target/src/answer_stream.rs
@@ -4,6 +4,7 @@
     crate::{Reply, SendError, SseParser, Usage, engine_wire::ChunkWire},
     catalog::{RequestId, VersionDigest},
     std::time::Duration,
+    tokio::time::timeout,
 };
 
 /// Data of the event that ends a complete answer.
@@ -60,13 +61,25 @@
         self.received_count
     }
 
-    /// Waits for the next event, at most `read_timeout` for each part of the body.
+    /// Waits for the next event, at most `event_timeout`, whatever else arrives meanwhile.
     ///
     /// # Errors
     /// [`SendError::Unknown`] if the stream is truncated or times out before its end marker;
     /// [`SendError::OtherVersion`] if it comes from another version; [`SendError::Failed`] if it
     /// belongs to another request, is invalid, or reports a wrong token count.
-    pub async fn next(&mut self, read_timeout: Duration) -> Result<AnswerEvent, SendError> {
+    pub async fn next(&mut self, event_timeout: Duration) -> Result<AnswerEvent, SendError> {
+        let address = self.reply.address();
+        let read = timeout(event_timeout, self.read_next()).await;
+        read.unwrap_or_else(|_| {
+            Err(SendError::Unknown {
+                address,
+                reason: format!("no event in {} ms", event_timeout.as_millis()),
+                disconnected: false,
+            })
+        })
+    }
+
+    async fn read_next(&mut self) -> Result<AnswerEvent, SendError> {
         loop {
             while let Some(data) = self.parser.next_data() {
                 if let Some(event) = self.read_event(&data)? {
@@ -76,7 +89,7 @@
             if self.parser.overflowed() {
                 return Err(self.failed("event too large"));
             }
-            match self.reply.chunk(read_timeout).await? {
+            match self.reply.next_chunk().await? {
                 Some(chunk) => self.parser.push(&chunk),
                 None => return Err(self.truncated()),
             }
