A stored answer that cannot be read is refused, not replayed as empty

A caller that repeated a completion under its idempotency key got a complete answer without text if the instance could not read the stored one, for example one that a newer build had stored in another form. Cause: `unwrap_or_default` on the parsed answer. It is a refusal now that says that the request ran, and what to do; the cause is logged.

Before: `no answer to replay: CompletionStream { first: Some(Text("")) ..`.

--- a/crates/serving/src/claim.rs
+++ b/crates/serving/src/claim.rs
@@ -99,6 +99,18 @@
     }
 }
 
+pub(crate) fn answer_unreadable(error: &serde_json::Error) -> Refusal {
+    log::error!("the stored answer of a completion is unreadable: {error}");
+    Refusal {
+        outcome: Outcome::Run,
+        ..Refusal::not_run(
+            RefusalKind::Conflict,
+            "an earlier request with this Idempotency-Key ran, but this instance cannot read its \
+             stored answer; ask another instance, or ask anew under another key",
+        )
+    }
+}
+
 pub(crate) fn task_failed(error: &JoinError) -> Refusal {
     log::error!("the task of a claimed request ended early: {error}");
     Refusal::unknown(
--- a/crates/serving/src/claimed_completion.rs
+++ b/crates/serving/src/claimed_completion.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         PeerDirectory, Permit, RequestHandler,
-        claim::{ClaimDecision, claim_expired, request_digest, task_failed},
+        claim::{ClaimDecision, answer_unreadable, claim_expired, request_digest, task_failed},
         plan::CompletionContext,
     },
     gateway::{CompletionEvent, CompletionJob, CompletionStream, Refusal},
@@ -87,7 +87,8 @@
         let claim = match self.claim(&job.client_account, key, digest).await? {
             ClaimDecision::Acquired(claim) => claim,
             ClaimDecision::Replay(stored) => {
-                return Ok(serde_json::from_slice(&stored.body).unwrap_or_default());
+                return serde_json::from_slice(&stored.body)
+                    .map_err(|error| answer_unreadable(&error));
             }
         };
         if !claim.may_send() {
