A repeatable request is not sent again after the last connection

After its third silent connection an attempt looked the run up once more and, if the engine did not know it, sent the request a fourth time, then dropped the answer unread. The engine ran it for nobody, and another target was asked as well. The attempt now ends with its last connection. `Attempt` is public, so that a test can run one without a daemon.

--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -59,16 +59,23 @@
 /// and resumes it after the last token received. The request is sent again only if the engine does
 /// not know the run, no token has arrived and the request may run twice, because the request sent
 /// over the silent connection can still reach the engine.
-pub(crate) struct Attempt<'a> {
-    pub(crate) engine: &'a EngineClient,
-    pub(crate) completion: &'a CompletionRequest,
-    pub(crate) timeouts: Timeouts,
-    pub(crate) may_run_twice: bool,
-    pub(crate) events: &'a mpsc::Sender<CompletionEvent>,
+#[derive(Clone, Copy)]
+pub struct Attempt<'a> {
+    /// The engine.
+    pub engine: &'a EngineClient,
+    /// The request.
+    pub completion: &'a CompletionRequest,
+    /// Timeouts on each connection.
+    pub timeouts: Timeouts,
+    /// Whether the request may run more than once.
+    pub may_run_twice: bool,
+    /// Takes the answer's tokens.
+    pub events: &'a mpsc::Sender<CompletionEvent>,
 }
 
 impl Attempt<'_> {
-    pub(crate) async fn run<OnFirstToken>(&self, mut on_first_token: OnFirstToken) -> AttemptReport
+    /// Runs the request and calls `on_first_token` when its first token arrives.
+    pub async fn run<OnFirstToken>(&self, mut on_first_token: OnFirstToken) -> AttemptReport
     where
         OnFirstToken: FnMut(),
     {
@@ -81,7 +88,7 @@
             reconnects_count: 0,
         };
         let mut connection = self.send(Reuse::Allowed).await;
-        for _ in 0..MAX_CONNECTIONS {
+        loop {
             let error = match connection {
                 Ok(answer) => match self
                     .forward(answer, started, &mut report, &mut on_first_token)
@@ -98,13 +105,14 @@
             };
             report.may_have_run |= !error.not_run();
             report.end = AttemptEnd::Failed(error.clone());
-            if !matches!(error, SendError::Unknown { .. }) || self.events.is_closed() {
-                break;
+            let is_last = report.reconnects_count + 1 == MAX_CONNECTIONS;
+            let may_reconnect = matches!(error, SendError::Unknown { .. }) && !is_last;
+            if !may_reconnect || self.events.is_closed() {
+                return report;
             }
             report.reconnects_count += 1;
             connection = self.reconnect(report.forwarded_tokens_count).await;
         }
-        report
     }
 
     async fn send(&self, reuse: Reuse) -> Result<AnswerStream, SendError> {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use {
     admission_queue::{AdmissionQueue, Permit},
-    attempt::{AttemptEnd, AttemptReport, Timeouts},
+    attempt::{Attempt, AttemptEnd, AttemptReport, Timeouts},
     decision_records::DecisionRecords,
     request_handler::{HandlerState, RequestHandler},
     settings::ServingSettings,
