A target that refused a fencing token is not taken back with the same one

A target that had seen a higher token, as after the key-value service was restored from an older copy, got no orders any more from its holder: it was dropped at the refusal, but its key stayed, so that the next pass took it back with the token that it had just refused. The key is deleted now, and the next creation has a higher revision.

--- a/crates/orders/src/lease_holder.rs
+++ b/crates/orders/src/lease_holder.rs
@@ -81,7 +81,7 @@
     held: BTreeMap<TargetId, HeldTarget>,
     /// Targets for which it is unknown whether the key was created.
     unconfirmed: BTreeSet<TargetId>,
-    /// Targets that are no longer wanted but whose key may still exist.
+    /// Targets that are no longer wanted, or refused the fencing token, but whose key may still exist.
     releasing: BTreeMap<TargetId, Revision>,
 }
 
@@ -173,9 +173,12 @@
         may_order.then_some(held.fencing_token)
     }
 
-    /// Drops a target that refused this instance's fencing token as stale.
+    /// Drops a target that refused this instance's fencing token as stale. Its key is deleted, so that
+    /// whoever holds the target next has a higher token.
     pub fn mark_lost(&mut self, target: &TargetId) {
-        self.held.remove(target);
+        if let Some(held) = self.held.remove(target) {
+            self.releasing.insert(target.clone(), held.fencing_token);
+        }
     }
 
     /// Iterates over the held targets, including those to which no orders may be given yet.
--- a/crates/orders/tests/order_passes.rs
+++ b/crates/orders/tests/order_passes.rs
@@ -202,3 +202,27 @@
     assert_eq!(reconciler.holder().fencing_token(&target, true), None);
     assert!(engines.state.lock().unwrap()[&target].version.is_empty());
 }
+
+/// Guards against a target that is taken back with the fencing token that it has refused.
+#[tokio::test(start_paused = true)]
+async fn target_that_refused_a_fencing_token_gets_orders_under_a_higher_one() {
+    let kv = MemoryKv::new();
+    let (catalog, engines) = (catalog(1), Engines::default());
+    let mut reconciler = reconciler(&kv, &engines, "a");
+    let newest_token = 12;
+    let engine = Engine {
+        newest_token,
+        ..Engine::default()
+    };
+    let target = "engine-00".to_owned();
+    engines.state.lock().unwrap().insert(target.clone(), engine);
+    let mut tokens = Vec::new();
+    for _ in 0..newest_token {
+        let outcomes = reconciler.run_once(&catalog, |_| true).await.unwrap();
+        tokens.extend(outcomes.iter().map(|outcome| outcome.fencing_token));
+        sleep(Duration::from_secs(1)).await;
+    }
+    assert!(tokens[0] < newest_token, "{tokens:?}");
+    assert!(tokens.is_sorted_by(|one, next| one < next), "{tokens:?}");
+    assert_eq!(engines.state.lock().unwrap()[&target].version, "d1");
+}
