Series of durations count towards the limit on series

Counters and gauges beyond 200 series were dropped and counted, but each new name of a duration got a histogram of its own. Before: 1,000 names were all kept and no drop counted; now 800 are dropped.

--- a/crates/meters/src/registry.rs
+++ b/crates/meters/src/registry.rs
@@ -15,7 +15,7 @@
 const MAX_DURATION_MS: u64 = 120_000;
 /// Number of significant decimal digits that the histograms keep.
 const SIGNIFICANT_DIGITS: u8 = 2;
-/// Maximum number of series. New counters and gauges beyond it are dropped, and the drops counted.
+/// Maximum number of series. New ones beyond it are dropped, and the drops counted.
 const MAX_SERIES_COUNT: usize = 200;
 /// Quantiles exported for each histogram.
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 1.0];
@@ -123,6 +123,9 @@
             }
             "ms" => {
                 if !self.durations.contains_key(&name) {
+                    if is_full {
+                        return None;
+                    }
                     let empty_histogram =
                         Histogram::new_with_max(MAX_DURATION_MS, SIGNIFICANT_DIGITS).ok()?;
                     let series = DurationSeries {
--- a/crates/meters/tests/text_values.rs
+++ b/crates/meters/tests/text_values.rs
@@ -45,3 +45,15 @@
     assert!(text.lines().count() <= 201, "{}", text.lines().count());
     assert!(text.contains("rattan_meters_dropped_total 800\n"), "{text}");
 }
+
+#[test]
+fn series_of_durations_beyond_the_limit_are_dropped_and_counted() {
+    let meters = Meters::new();
+    for name in 0..1_000 {
+        meters.time(&format!("wait_{name}"), Duration::from_millis(1));
+    }
+    meters.time("wait_0", Duration::from_millis(1));
+    let text = meters.prometheus_text();
+    assert!(text.contains("rattan_meters_dropped_total 800\n"), "{text}");
+    assert!(text.contains("rattan_wait_0_ms_count 2\n"), "{text}");
+}
