A directory takes no target past its 65,536th for another one

Names beyond the 65,536th shared the last id, so that blocks of one target were looked for, read and freed at another, and accounts had each other's statistics. Names are never removed, so that an instance could get there by replacements alone. A name without an id is not tracked now: its blocks are not found, a write to it is refused (`WriteError::TooManyTargets`, which names the remedy), and its account's uses are not counted.

--- a/crates/directory/src/cache_events.rs
+++ b/crates/directory/src/cache_events.rs
@@ -71,7 +71,8 @@
 
 impl Directory {
     /// Applies events of one engine in the order of their sequence numbers. Events up to `after`,
-    /// or up to the last applied one, are ignored, so responses may be late, repeated or reordered.
+    /// or up to the last applied one, are ignored, so responses may be late, repeated or reordered. All
+    /// events of an engine are ignored if the directory has seen too many targets to track it.
     pub fn apply_events(
         &mut self,
         target: &TargetId,
@@ -79,7 +80,12 @@
         events: &[CacheEvent],
         now: Duration,
     ) -> ApplyOutcome {
-        let index = self.targets.intern(target);
+        let Some(index) = self.targets.intern(target) else {
+            let last_seq = events.iter().map(|event| event.seq).max();
+            return ApplyOutcome::Applied {
+                last_seq: last_seq.unwrap_or(after).max(after),
+            };
+        };
         let is_known = self.engine_caches.contains_key(&index);
         let mut view = self.engine_caches.get(&index).copied().unwrap_or_default();
         if !is_known {
@@ -111,7 +117,9 @@
     /// Marks all copies in an engine's memory as uncertain, for example while its events cannot be
     /// read. [`Self::resync`] clears the mark.
     pub fn mark_uncertain(&mut self, target: &TargetId) {
-        let index = self.targets.intern(target);
+        let Some(index) = self.targets.intern(target) else {
+            return;
+        };
         let view = self.engine_caches.entry(index).or_default();
         view.uncertain_until_seq = view.last_seq;
     }
@@ -150,7 +158,9 @@
 
     /// Replaces the view of an engine's memory with its full content as of `last_seq`.
     pub fn resync(&mut self, target: &TargetId, last_seq: u64, blocks: &[BlockKey], now: Duration) {
-        let index = self.targets.intern(target);
+        let Some(index) = self.targets.intern(target) else {
+            return;
+        };
         for block in self.blocks.values_mut() {
             if block
                 .copy(index)
@@ -176,7 +186,9 @@
         cached_blocks: usize,
         now: Duration,
     ) {
-        let index = self.targets.intern(target);
+        let Some(index) = self.targets.intern(target) else {
+            return;
+        };
         let seq = self.engine_caches.entry(index).or_default().last_seq + 1;
         for (position, key) in keys.iter().enumerate() {
             let is_known = self
@@ -201,7 +213,9 @@
         predicted_blocks: usize,
         cached_blocks: usize,
     ) {
-        let index = self.targets.intern(target);
+        let Some(index) = self.targets.intern(target) else {
+            return;
+        };
         let view = self.engine_caches.entry(index).or_default();
         if predicted_blocks == 0 {
             view.miss_ratio *= MISS_DECAY_FACTOR;
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -5,13 +5,13 @@
         AccountReuse, BlockCopy, CopyState, Generation, Place, StoreCopy, StoreWrite, WriteError,
         block::{Block, CopyEntry, Tick},
         cache_events::EngineCacheView,
-        error::{DeletingSnafu, ExistsSnafu, FreedSnafu, NotWritingSnafu},
+        error::{DeletingSnafu, ExistsSnafu, FreedSnafu, NotWritingSnafu, TooManyTargetsSnafu},
         interner::{Interner, NameId},
         store_usage::StoreUsage,
     },
     catalog::{ClientAccountId, TargetId},
     prefix::BlockKey,
-    snafu::ensure,
+    snafu::{OptionExt, ensure},
     std::{collections::HashMap, time::Duration},
 };
 
@@ -56,9 +56,13 @@
     /// # Errors
     /// [`WriteError::Exists`] if the store has the block or is receiving it,
     /// [`WriteError::Freed`] if this generation was freed before, [`WriteError::Deleting`] if the
-    /// store has not yet deleted the last freed generation.
+    /// store has not yet deleted the last freed generation, [`WriteError::TooManyTargets`] if the
+    /// store is not tracked.
     pub fn begin_write(&mut self, write: &StoreWrite, now: Duration) -> Result<(), WriteError> {
         let target = self.targets.intern(&write.target);
+        let target = target.context(TooManyTargetsSnafu {
+            target: &write.target,
+        })?;
         let account = self.accounts.intern(&write.client_account);
         let block = self.blocks.entry(write.key).or_default();
         if let Some(entry) = block.copy(target) {
@@ -81,7 +85,7 @@
         {
             block.size_bytes = u32::try_from(write.size_bytes).unwrap_or(u32::MAX);
         }
-        block.account = Some(account);
+        block.account = account;
         let (owner, size_bytes) = (block.account, block.size_bytes);
         block.remove(target);
         block.push(CopyEntry {
@@ -136,7 +140,9 @@
         listed_at: Duration,
         now: Duration,
     ) -> bool {
-        let target = self.targets.intern(&write.target);
+        let Some(target) = self.targets.intern(&write.target) else {
+            return false;
+        };
         let forgotten_at = self.forgotten_at.get(&target);
         let is_stale = now.saturating_sub(listed_at) >= FREED_RETENTION
             || forgotten_at.is_some_and(|forgotten_at| Tick::from(listed_at) <= *forgotten_at);
@@ -282,7 +288,10 @@
     /// as computed, and each use raises their value for eviction and export.
     pub fn record_use(&mut self, prompt: &PromptBlocks<'_>, now: Duration) {
         let account = self.accounts.intern(prompt.client_account);
-        let account_reuse = self.account_reuse.entry(account).or_default();
+        let mut untracked = AccountReuse::default();
+        let account_reuse = account.map_or(&mut untracked, |account| {
+            self.account_reuse.entry(account).or_default()
+        });
         for (depth, key) in prompt.keys.iter().enumerate() {
             let block = self.blocks.entry(*key).or_default();
             if block.is_computed {
@@ -292,7 +301,7 @@
             }
             block.reuse.record_use(now);
             block.is_computed = true;
-            block.account = Some(account);
+            block.account = account;
             block.depth = u16::try_from(depth).unwrap_or(u16::MAX);
             if block.size_bytes == 0 {
                 block.size_bytes = u32::try_from(prompt.block_bytes).unwrap_or(u32::MAX);
--- a/crates/directory/src/error.rs
+++ b/crates/directory/src/error.rs
@@ -39,6 +39,15 @@
         /// The freed generation.
         generation: Generation,
     },
+    /// The directory has seen more targets than it has ids for.
+    #[snafu(display(
+        "store {target:?} cannot be tracked, since this instance has seen too many targets; restart \
+         the instance"
+    ))]
+    TooManyTargets {
+        /// The store.
+        target: TargetId,
+    },
     /// No write with this generation is in progress.
     #[snafu(display(
         "no write of generation {generation} of the block to store {target:?} is under way; begin \
--- a/crates/directory/src/interner.rs
+++ b/crates/directory/src/interner.rs
@@ -14,16 +14,16 @@
 }
 
 impl Interner {
-    /// Returns the id of `name` and assigns one if it has none. Names beyond the first 65,536 share
-    /// the last id; a fleet has far fewer targets than that.
-    pub(crate) fn intern(&mut self, name: &str) -> NameId {
+    /// Returns the id of `name` and assigns one if it has none; `None` once all 65,536 ids belong to
+    /// other names.
+    pub(crate) fn intern(&mut self, name: &str) -> Option<NameId> {
         if let Some(id) = self.ids.get(name) {
-            return *id;
+            return Some(*id);
         }
-        let id = NameId::try_from(self.names.len()).unwrap_or(NameId::MAX);
+        let id = NameId::try_from(self.names.len()).ok()?;
         self.names.push(name.to_owned());
         self.ids.insert(name.to_owned(), id);
-        id
+        Some(id)
     }
 
     /// Returns the id of `name`, if it has one.
