Key-value service: a new incarnation is noticed on any answer

Callers saw: a watch that hung at a revision which the service gave out a second time, after it came back from an older copy, went on without an error and missed what was written in between; leases and revisions of before were used further. Cause: nothing read the header that numbers the copies. Change: the client takes note of it on every answer (read, watch, transaction, lease call, error) and fails calls that were sent in one incarnation and answered in another, with KvError::Restored. Late answers of an older one change nothing, no header is one incarnation for good, a malformed or falling number is logged once and taken for a change.

--- a/crates/keyvalue/src/etcd_kv.rs
+++ b/crates/keyvalue/src/etcd_kv.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        Event, KeyValue, KvError, Lease, LeaseId, Range, Txn, TxnOutcome,
+        Event, Incarnation, IncarnationTracker, KeyValue, KvError, Lease, LeaseId, Range, Txn,
+        TxnOutcome,
         etcd_requests::{LeaseGrantRequest, LeaseRequest, RangeRequest, TxnRequest, WatchRequest},
         etcd_responses::{
             ErrorBody, LeaseResponse, RangeResponse, StreamMessage, TxnResponse, malformed,
@@ -28,7 +29,7 @@
         },
         time::Duration,
     },
-    tokio::time::Instant,
+    tokio::{sync::watch, time::Instant},
 };
 
 /// Endpoints and timeout of the key-value service.
@@ -56,6 +57,8 @@
     pools: Vec<HttpPool>,
     preferred_index: AtomicUsize,
     timeout: Duration,
+    /// Answers name no incarnation: an operator who restores a copy starts a new cluster.
+    incarnations: IncarnationTracker,
 }
 
 impl EtcdKv {
@@ -68,6 +71,7 @@
                 pools: pools.collect(),
                 preferred_index: AtomicUsize::new(0),
                 timeout: settings.timeout,
+                incarnations: IncarnationTracker::default(),
             }),
         }
     }
@@ -142,6 +146,10 @@
 }
 
 impl KeyValue for EtcdKv {
+    fn incarnation(&self) -> watch::Receiver<Incarnation> {
+        self.shared.incarnations.subscribe()
+    }
+
     async fn range(&self, prefix: &str) -> Result<Range, KvError> {
         let request = RangeRequest::prefix(prefix);
         let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
--- a/crates/keyvalue/src/http_pool.rs
+++ b/crates/keyvalue/src/http_pool.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
-        Request, Response, StatusCode,
+        HeaderMap, Request, Response, StatusCode,
         body::Incoming,
         client::conn::http1::{self, SendRequest},
     },
@@ -58,6 +58,8 @@
 pub struct HttpResponse {
     /// Status code.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -124,13 +126,16 @@
         deadline: Instant,
     ) -> Result<HttpResponse, CallError> {
         let (response, connection) = self.send(request, connect_by, deadline).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_BODY_BYTES).collect();
         match timeout_at(deadline, body).await {
             Ok(Ok(body)) => {
                 self.put_idle(connection);
-                let body = body.to_bytes();
-                Ok(HttpResponse { status, body })
+                Ok(HttpResponse {
+                    status: head.status,
+                    headers: head.headers,
+                    body: body.to_bytes(),
+                })
             }
             Ok(Err(error)) => Err(CallError::NoAnswer(error.to_string())),
             Err(_) => Err(self.on_timeout()),
--- a/crates/keyvalue/src/kv.rs
+++ b/crates/keyvalue/src/kv.rs
@@ -1,11 +1,13 @@
 //! The interface of the key-value service: data types, errors and the [`KeyValue`] trait.
 
 use {
+    crate::Incarnation,
     bytes::Bytes,
     catalog::Revision,
     futures::Stream,
     snafu::Snafu,
     std::{future::Future, time::Duration},
+    tokio::sync::watch,
 };
 
 /// Id that the key-value service assigned to a lease.
@@ -131,6 +133,16 @@
         /// Oldest revision still kept.
         revision: Revision,
     },
+    /// The service came back from an older copy of its data, as another incarnation. The call may have
+    /// taken effect in either; revisions and leases from before mean nothing any more.
+    #[snafu(display(
+        "key-value service came back from an older copy, as incarnation {number}; read everything \
+         again and request a new lease"
+    ))]
+    Restored {
+        /// Number that the service names now; 0 if it names none.
+        number: u64,
+    },
     /// The service refused the call; nothing took effect.
     #[snafu(display("key-value service refused the call: {reason}; correct the call"))]
     Refused {
@@ -140,7 +152,14 @@
 }
 
 /// A key-value service with compare-and-swap transactions, leases and watches.
+///
+/// Calls that are sent in one incarnation and answered in another fail with [`KvError::Restored`], and
+/// so do watches that were opened in an earlier one.
 pub trait KeyValue: Clone + Send + Sync + 'static {
+    /// Returns the incarnation of the service, as seen in the answers to this client, and is notified
+    /// when a new one begins.
+    fn incarnation(&self) -> watch::Receiver<Incarnation>;
+
     /// Reads every key that starts with `prefix`.
     fn range(&self, prefix: &str) -> impl Future<Output = Result<Range, KvError>> + Send;
 
--- a/crates/keyvalue/src/lib.rs
+++ b/crates/keyvalue/src/lib.rs
@@ -28,9 +28,11 @@
 mod etcd_watch;
 mod http_instance_list;
 mod http_pool;
+mod incarnation;
 mod instance;
 mod kv;
 mod kv_faults;
+mod memory_copy;
 mod memory_instances;
 mod memory_kv;
 mod memory_state;
@@ -39,9 +41,11 @@
     etcd_kv::{EtcdKv, EtcdSettings},
     http_instance_list::HttpInstanceList,
     http_pool::{CallError, Connection, HttpPool, HttpResponse},
+    incarnation::{Incarnation, IncarnationTracker, NamedIncarnation},
     instance::{Instance, InstanceList, InstanceListError, InstanceState},
     kv::{Compare, Event, KeyValue, KvError, KvPair, Lease, LeaseId, Op, Range, Txn, TxnOutcome},
     kv_faults::KvFaults,
+    memory_copy::KvCopy,
     memory_instances::MemoryInstances,
     memory_kv::{KvCalls, MemoryKv},
 };
--- a/crates/keyvalue/src/memory_kv.rs
+++ b/crates/keyvalue/src/memory_kv.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        Event, KeyValue, KvError, KvFaults, Lease, LeaseId, Range, Txn, TxnOutcome,
+        Event, Incarnation, IncarnationTracker, KeyValue, KvError, KvFaults, Lease, LeaseId, Range,
+        Txn, TxnOutcome,
         kv_faults::CallOutcome,
         memory_state::{MemoryState, event_revision},
     },
@@ -43,6 +44,7 @@
     active: Mutex<KvFaults>,
     changed: watch::Sender<()>,
     watch_cut: watch::Sender<u64>,
+    incarnations: IncarnationTracker,
 }
 
 /// A key-value service in memory, for tests of code that uses [`KeyValue`].
@@ -76,6 +78,14 @@
         Self::default()
     }
 
+    /// Creates an empty service whose answers name incarnation 1.
+    #[must_use]
+    pub fn with_incarnation() -> Self {
+        let kv = Self::default();
+        kv.with_state(|state| state.set_incarnation(1));
+        kv
+    }
+
     /// Returns another handle to the same service, with its own faults, all off.
     #[must_use]
     pub fn peer(&self) -> Self {
@@ -156,6 +166,7 @@
             return Err(unreachable());
         }
         let faults = self.faults();
+        let sent_in = self.faults.incarnations.current();
         sleep_for(faults.call_delay).await;
         match outcome {
             CallOutcome::LostCall => return Err(no_answer()),
@@ -165,11 +176,16 @@
             }
             _ => {}
         }
-        let answer = self.apply(operation);
+        let named_answer = |state: &mut MemoryState| {
+            let answer = operation(state);
+            Ok((answer, state.named_incarnation()))
+        };
+        let (answer, named) = self.apply(named_answer)?;
         sleep_for(faults.answer_delay).await;
         if outcome == CallOutcome::LostAnswer {
             return Err(no_answer());
         }
+        self.faults.incarnations.observe(named, sent_in)?;
         answer
     }
 
@@ -201,6 +217,19 @@
         answer
     }
 
+    /// Reads or replaces the state, without waking the watches.
+    pub(crate) fn with_state<Output, Operation>(&self, operation: Operation) -> Output
+    where
+        Operation: FnOnce(&mut MemoryState) -> Output,
+    {
+        operation(&mut lock(&self.shared.state))
+    }
+
+    /// Has all watches look for events.
+    pub(crate) fn notify_watches(&self) {
+        self.shared.changed.send_replace(());
+    }
+
     async fn wait_while_paused(&self) {
         let mut changed = self.faults.changed.subscribe();
         while self.faults().paused {
@@ -219,6 +248,10 @@
 }
 
 impl KeyValue for MemoryKv {
+    fn incarnation(&self) -> watch::Receiver<Incarnation> {
+        self.faults.incarnations.subscribe()
+    }
+
     async fn range(&self, prefix: &str) -> Result<Range, KvError> {
         self.count_call(|calls| calls.range_count += 1);
         self.wait_while_paused().await;
@@ -259,6 +292,7 @@
             kv: self.clone(),
             prefix: prefix.to_owned(),
             next_revision: from,
+            opened_in: self.faults.incarnations.current(),
             cut: self.faults.watch_cut.subscribe(),
             changed: self.shared.changed.subscribe(),
             faults_changed: self.faults.changed.subscribe(),
@@ -277,6 +311,7 @@
     kv: MemoryKv,
     prefix: String,
     next_revision: Revision,
+    opened_in: Incarnation,
     cut: watch::Receiver<u64>,
     changed: watch::Receiver<()>,
     faults_changed: watch::Receiver<()>,
@@ -317,7 +352,11 @@
             return Ok(Vec::new());
         }
         let (prefix, from) = (self.prefix.clone(), self.next_revision);
-        self.kv.apply(move |state| state.events(&prefix, from))
+        let incarnations = &self.kv.faults.incarnations;
+        self.kv.apply(|state| {
+            incarnations.observe(state.named_incarnation(), self.opened_in)?;
+            state.events(&prefix, from)
+        })
     }
 
     /// Moves past `events` and appends the progress event.
@@ -368,6 +407,7 @@
         active: Mutex::default(),
         changed: watch::Sender::new(()),
         watch_cut: watch::Sender::new(0),
+        incarnations: IncarnationTracker::default(),
     })
 }
 
--- a/crates/keyvalue/src/memory_state.rs
+++ b/crates/keyvalue/src/memory_state.rs
@@ -1,7 +1,10 @@
 //! State of the in-memory key-value service, without locks, faults or waiting.
 
 use {
-    crate::{Compare, Event, KvError, KvPair, Lease, LeaseId, Op, Range, Txn, TxnOutcome},
+    crate::{
+        Compare, Event, KvError, KvPair, Lease, LeaseId, NamedIncarnation, Op, Range, Txn,
+        TxnOutcome,
+    },
     catalog::Revision,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -18,8 +21,10 @@
 }
 
 /// Keys, leases and the history of changes since the last compaction.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct MemoryState {
+    /// Number of the incarnation; `None` if answers do not name it.
+    incarnation: Option<u64>,
     revision: Revision,
     compacted_revision: Revision,
     pairs: BTreeMap<String, KvPair>,
@@ -35,6 +40,27 @@
         self.revision
     }
 
+    /// What answers say of the incarnation.
+    pub(crate) fn named_incarnation(&self) -> NamedIncarnation<'static> {
+        self.incarnation
+            .map_or(NamedIncarnation::Missing, NamedIncarnation::Number)
+    }
+
+    /// Sets the number of the incarnation that answers name.
+    pub(crate) fn set_incarnation(&mut self, number: u64) {
+        self.incarnation = Some(number);
+    }
+
+    /// Becomes `copy`, which was taken `age` ago, as the next incarnation.
+    pub(crate) fn replace(&mut self, copy: Self, age: Duration) {
+        let incarnation = self.incarnation.unwrap_or_default() + 1;
+        *self = copy;
+        self.incarnation = Some(incarnation);
+        for lease in self.leases.values_mut() {
+            lease.expires_at += age;
+        }
+    }
+
     /// Drops all changes before the current revision.
     pub(crate) fn compact(&mut self) {
         self.compacted_revision = self.revision;
@@ -132,9 +158,10 @@
     /// Returns the changes of keys that start with `prefix`, from revision `from` on.
     ///
     /// # Errors
-    /// [`KvError::Compacted`] with the oldest kept revision if `from` lies before it.
+    /// [`KvError::Compacted`] with the oldest kept revision if `from` lies before it, or beyond the next
+    /// revision.
     pub(crate) fn events(&self, prefix: &str, from: Revision) -> Result<Vec<Event>, KvError> {
-        if from < self.compacted_revision {
+        if from < self.compacted_revision || from > self.revision + 1 {
             return Err(KvError::Compacted {
                 revision: self.compacted_revision,
             });
