Entry: an instance survives a key-value service that comes back from an older copy

Callers saw: nothing yet, since no service did so; played with the service in memory, an instance went on with a watch at revisions that were given out a second time and missed what was written, never registered again under a lease of before, and two instances could give orders with one fencing token. Cause: revisions, leases and acknowledged writes were believed over a return. Change: at a change of the incarnation an instance reads everything again; targets and instances that the copy lacks stay for 2.5 s from the last return, also if a peer was connected throughout; a target that was leaving stays so until it starts again, a registration of an earlier start changes nothing, suspects stay, limits are announced again; the lease is dropped at once and requested again after a random delay of 6 ms per instance, at most 1.9 s. The order lock is dropped with the first answer of the new incarnation; the next one gives no order until a lease of before and the order gap have passed since it learned of the incarnation. Fencing tokens are incarnation x 2^40 + revision, the revision alone where none is named. A record bound to this instance's lease by another one, since the service gave the id out again, is replaced. One event, restored, and the counter restores tell of it.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -10,7 +10,7 @@
     catalog::Revision,
     eventlog::Event as LogEvent,
     futures::StreamExt,
-    keyvalue::{Event, KeyValue, KvError, KvPair},
+    keyvalue::{Event, Incarnation, KeyValue, KvError, KvPair},
     relay::boot_time,
     routes::RouteConfig,
     std::{collections::HashSet, pin::pin, sync::Arc, time::Duration},
@@ -26,6 +26,10 @@
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Longest delay after a failed request.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(700);
+/// Longest delay per instance before the listing after the service came back from an older copy.
+const RESTORED_DELAY_PER_INSTANCE: Duration = Duration::from_millis(3);
+/// Longest such delay.
+const MAX_RESTORED_DELAY: Duration = Duration::from_secs(1);
 /// Interval between checks for expired targets and instances.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
@@ -48,6 +52,7 @@
     let mut follower = Follower {
         shared,
         suspension: SuspensionDetector::new(boot_time()),
+        incarnation: Incarnation::default(),
         applied_revision: None,
         known_names: HashSet::new(),
         available: true,
@@ -60,10 +65,13 @@
             () = token.cancelled() => return Ok(()),
             error = follower.run() => error,
         };
-        if matches!(error, KvError::Compacted { .. }) {
-            follower.applied_revision = None;
-        } else {
-            follower.note_unavailable(&error);
+        match error {
+            KvError::Compacted { .. } => follower.applied_revision = None,
+            KvError::Restored { .. } => {
+                follower.wait_after_restore().await;
+                continue;
+            }
+            error => follower.note_unavailable(&error),
         }
         retry_delay = if before == follower.applied_revision {
             (retry_delay * 2).min(MAX_RETRY_DELAY)
@@ -77,6 +85,8 @@
 struct Follower<Kv, Format> {
     shared: Arc<Shared<Kv, Format>>,
     suspension: SuspensionDetector,
+    /// Incarnation of the service that `applied_revision` belongs to.
+    incarnation: Incarnation,
     /// All changes up to this revision have been applied; `None` before the first listing.
     applied_revision: Option<Revision>,
     /// Items that existed at the last listing or were written since.
@@ -93,9 +103,14 @@
 {
     /// Follows the service until a request fails.
     async fn run(&mut self) -> KvError {
+        let incarnation = self.shared.incarnation();
+        let is_restored = !self.incarnation.is_same(&incarnation);
+        if is_restored {
+            self.applied_revision = None;
+        }
         let applied_revision = match self.applied_revision {
             Some(applied_revision) => applied_revision,
-            None => match self.list().await {
+            None => match self.list(incarnation).await {
                 Ok(applied_revision) => applied_revision,
                 Err(error) => return error,
             },
@@ -103,10 +118,14 @@
         let shared = self.shared.clone();
         let prefix = shared.format.watched_prefix();
         let mut events = pin!(shared.kv.watch(prefix, applied_revision + 1));
+        // A watch that was opened in a later incarnation than the listing ends here.
+        let mut restored = pin!(shared.restored(incarnation));
         let mut has_pending_changes = false;
         let mut expiry = interval(EXPIRY_PERIOD);
         loop {
             let event = tokio::select! {
+                biased;
+                error = &mut restored => return error,
                 event = events.next() => event,
                 _ = expiry.tick() => {
                     self.check_suspension();
@@ -132,21 +151,46 @@
         }
     }
 
-    async fn list(&mut self) -> Result<Revision, KvError> {
+    /// Waits for a random time, so that the instances do not all read everything at once.
+    async fn wait_after_restore(&self) {
+        let shared = &self.shared;
+        sleep(shared.spread_delay(RESTORED_DELAY_PER_INSTANCE, MAX_RESTORED_DELAY)).await;
+    }
+
+    /// Reads all items, in an `incarnation` that may be another than that of the last listing.
+    async fn list(&mut self, incarnation: Incarnation) -> Result<Revision, KvError> {
+        let is_restored = !self.incarnation.is_same(&incarnation);
         let asked_at = boot_time();
         let range = self
             .shared
             .kv
             .range(self.shared.format.watched_prefix())
             .await?;
+        let latest = self.shared.incarnation();
+        if !latest.is_same(&incarnation) {
+            let number = latest.number;
+            return Err(KvError::Restored { number });
+        }
         self.note_available();
+        if is_restored {
+            self.shared.known().service_restored(boot_time());
+        }
         let before = std::mem::take(&mut self.known_names);
         for pair in &range.pairs {
             self.put(pair);
         }
-        for name in before.difference(&self.known_names) {
-            self.delete(name, range.revision);
+        let missing: Vec<ItemName> = before.difference(&self.known_names).cloned().collect();
+        for name in &missing {
+            if is_restored {
+                self.lapse(name);
+            } else {
+                self.delete(name, range.revision);
+            }
         }
+        self.incarnation = incarnation;
+        self.shared.known().set_incarnation(incarnation);
+        self.shared
+            .note_read(incarnation, range.pairs.len(), missing.len());
         self.applied_revision = Some(range.revision);
         self.suspension = SuspensionDetector::new(boot_time());
         self.confirm(asked_at);
@@ -201,6 +245,11 @@
         self.shared.delete(name);
     }
 
+    /// Applies that an older copy of the service lacks an item.
+    fn lapse(&self, name: &ItemName) {
+        self.shared.known().lapse(name, boot_time());
+    }
+
     fn log_gone(&self, name: &ItemName, revision: Revision) {
         if let ItemName::Target(target) = name {
             self.shared.log.emit(&LogEvent::Target {
@@ -270,6 +319,9 @@
     fn log_change(&self, name: &ItemName, item: &Item, revision: Revision) {
         let event = match (name, item) {
             (_, Item::Configuration(config)) => {
+                if self.shared.known().has_newer(config) {
+                    return;
+                }
                 let keys_count = config.keys_count().unwrap_or_default();
                 self.shared.meters.gauge("account_keys", keys_count as u64);
                 configuration_event(config, revision)
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -8,9 +8,10 @@
     },
     balance::rendezvous,
     catalog::{InstanceId, ModelId, Revision},
+    keyvalue::Incarnation,
     quarantine::{Quarantine, SuspectKey},
     relay::{Peer, Shutdown, TargetState, View, WantedVersions},
-    routes::RouteTable,
+    routes::{RouteConfig, RouteTable},
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
@@ -82,8 +83,8 @@
 pub struct KnownHolder {
     /// The record that the holder wrote.
     pub record: HolderRecord,
-    /// Fencing token: the revision at which the lock was acquired.
-    pub fencing: Revision,
+    /// Revision at which the lock was acquired.
+    pub revision: Revision,
 }
 
 /// If the last confirmation is older than this, a change may have been made long before this
@@ -108,6 +109,10 @@
     /// The last outage of the service, while registrations of targets that it let expire may be written
     /// again.
     outage: Option<Outage>,
+    /// Incarnation of the service that everything was last read in.
+    incarnation: Incarnation,
+    /// Until then, registrations may be those of an older copy of the service, or lacking in it.
+    restored_until: Option<Duration>,
     /// Until then, instances that could not reach the service either may register again.
     members_return_until: Option<Duration>,
     confirmed_at: Option<Duration>,
@@ -136,7 +141,10 @@
                 wanted.add(version, since, now);
             }
             Item::Recent(record) => self.mark_recent(id, &record, now),
-            Item::Target(record) => self.targets.put(id, record, now),
+            Item::Target(record) => match self.restored_until.filter(|until| now < *until) {
+                Some(until) => self.targets.put_restored(id, record, until, now),
+                None => self.targets.put(id, record, now),
+            },
             Item::Limit(record) => self.targets.put_limit(id, record.limit_per_s, now),
             Item::Member(record) => {
                 self.put_member(id, record, now);
@@ -146,10 +154,7 @@
                 self.loading = Some(record);
             }
             Item::Holder(record) => {
-                self.holder = Some(KnownHolder {
-                    record,
-                    fencing: revision,
-                });
+                self.holder = Some(KnownHolder { record, revision });
             }
             Item::Crash {
                 suspect,
@@ -175,6 +180,18 @@
         self.delete_at(name, expires_at, now);
     }
 
+    /// Applies that an older copy of the service lacks an item. What operators and targets wrote is
+    /// about to be written again by them, and what instances wrote by instances.
+    pub fn lapse(&mut self, name: &ItemName, now: Duration) {
+        match (name, self.restored_until) {
+            // Written again with the next call that is refused for it.
+            (ItemName::Crash(suspect, _), _) => self.set_suspect_written(*suspect, Duration::ZERO),
+            (ItemName::Answered(_), _) => {}
+            (ItemName::Limit(id), Some(until)) => self.targets.lapse_limit(id, until),
+            _ => self.delete(name, now),
+        }
+    }
+
     /// Applies that an item was replaced by something that is none, so its owner is gone.
     pub fn remove(&mut self, name: &ItemName, now: Duration) {
         self.delete_at(name, None, now);
@@ -246,10 +263,49 @@
         Some(silence)
     }
 
+    /// Records that the service came back from an older copy at `now`. Targets and instances that the
+    /// copy lacks stay for a while, since they may register again.
+    pub fn service_restored(&mut self, now: Duration) {
+        let until = now + REREGISTRATION_TIME;
+        self.members_return_until = Some(until);
+        self.restored_until = Some(until);
+        // Those that are missing may have registered again before, which the copy lacks too.
+        self.targets.extend_kept(until);
+        for member in self.members.values_mut() {
+            member.expires_at = member.expires_at.map(|at| at.max(until));
+        }
+        self.outage = Some(Outage {
+            reregistration_until: until,
+            is_caught_up: false,
+        });
+    }
+
+    /// Records that everything was read in this incarnation of the service.
+    pub fn set_incarnation(&mut self, incarnation: Incarnation) {
+        self.incarnation = incarnation;
+    }
+
+    /// Returns the incarnation of the service in which everything was last read.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Whether a configuration newer than `config` is in force.
+    #[must_use]
+    pub fn has_newer(&self, config: &RouteConfig) -> bool {
+        let newest = self.table.as_ref().map(|table| table.config().version);
+        newest.is_some_and(|newest| newest > config.version)
+    }
+
     /// Records that the service was there during the last outage and this instance could not reach it.
     /// Registrations of targets that were deleted since have not expired because of it, so these
     /// targets are gone. Other instances may have been cut off like this one, so they stay for a while.
     pub fn rule_out_lapse(&mut self, now: Duration) {
+        // The copy that the service came back from may lack registrations all the same.
+        if self.restored_until.is_some_and(|until| now < until) {
+            return;
+        }
         self.outage = None;
         self.targets.expire_kept(now);
         self.expire(now);
--- a/crates/entry/src/known_targets.rs
+++ b/crates/entry/src/known_targets.rs
@@ -54,6 +54,8 @@
     departed: BTreeMap<TargetId, DepartedTarget>,
     /// Limits of targets that instances have announced, also of targets that are not known.
     limits: BTreeMap<TargetId, AnnouncedLimit>,
+    /// Targets whose announced limit an older copy of the service lacks, and when it counts as ended.
+    lapsed_limits: BTreeMap<TargetId, Duration>,
 }
 
 impl KnownTargets {
@@ -83,6 +85,31 @@
         self.registered.insert(id.to_owned(), target);
     }
 
+    /// Adds or updates a target by a registration that may be that of an older copy of the service. One
+    /// of an earlier start changes nothing; the target then stays until `until` unless it registers
+    /// again. A target that was leaving since the same start goes on leaving.
+    pub(crate) fn put_restored(
+        &mut self,
+        id: &str,
+        mut record: TargetRegistration,
+        until: Duration,
+        now: Duration,
+    ) {
+        if let Some(known) = self.registered.get_mut(id)
+            && record.started_unix_ms < known.state.started_unix_ms
+        {
+            known.expires_at.get_or_insert(until);
+            return;
+        }
+        let departed = || self.departed.get(id).map(|departed| &departed.state);
+        let was_leaving = self
+            .get(id)
+            .or_else(departed)
+            .is_some_and(|state| state.draining && state.started_unix_ms == record.started_unix_ms);
+        record.leaving |= was_leaving;
+        self.put(id, record, now);
+    }
+
     /// Applies the deletion of a registration. With `expires_at`, the target stays until then, since it
     /// may register again; a target that was draining is removed at once.
     pub(crate) fn delete(&mut self, id: &str, expires_at: Option<Duration>, now: Duration) {
@@ -92,6 +119,16 @@
         }
     }
 
+    /// Keeps all targets and limits that are missing until `until`.
+    pub(crate) fn extend_kept(&mut self, until: Duration) {
+        for target in self.registered.values_mut() {
+            target.expires_at = target.expires_at.map(|at| at.max(until));
+        }
+        for at in self.lapsed_limits.values_mut() {
+            *at = until.max(*at);
+        }
+    }
+
     /// Has all targets without a registration expire at `now`.
     pub(crate) fn expire_kept(&mut self, now: Duration) {
         for target in self.registered.values_mut() {
@@ -101,6 +138,13 @@
 
     /// Removes targets that did not register again in time. Returns whether there were any.
     pub(crate) fn expire(&mut self, now: Duration) -> bool {
+        let lapsed = self.lapsed_limits.iter();
+        let ended = lapsed.filter(|(_, until)| now >= **until);
+        let ended: Vec<TargetId> = ended.map(|(id, _)| id.clone()).collect();
+        for id in &ended {
+            self.lapsed_limits.remove(id);
+            self.delete_limit(id, now);
+        }
         let is_expired = |target: &KnownTarget| target.expires_at.is_some_and(|at| now >= at);
         let registered = self.registered.iter();
         let expired = registered.filter(|(_, target)| is_expired(target));
@@ -117,7 +161,7 @@
         let Some(target) = self.registered.remove(id) else {
             return;
         };
-        if target.state.call_stats.refuses_calls(now) {
+        if target.state.draining || target.state.call_stats.refuses_calls(now) {
             let departed = DepartedTarget {
                 state: target.state,
                 until: now + DEPARTED_MEMORY,
@@ -158,11 +202,19 @@
             learned_at: now,
         };
         self.limits.insert(id.to_owned(), limit);
+        self.lapsed_limits.remove(id);
         if let Some(target) = self.get(id) {
             target.call_stats.announce_limit(limit_per_s, now);
         }
     }
 
+    /// Records that an older copy of the service lacks a limit. It is due to be announced again, and holds
+    /// until then, at most until `until`.
+    pub(crate) fn lapse_limit(&mut self, id: &str, until: Duration) {
+        self.limits.remove(id);
+        self.lapsed_limits.insert(id.to_owned(), until);
+    }
+
     /// Records that a limit is no longer announced.
     pub(crate) fn delete_limit(&mut self, id: &str, now: Duration) {
         self.limits.remove(id);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod follower;
 mod follower_pace;
 mod item;
+mod known_incarnation;
 mod known_state;
 mod known_targets;
 mod limit_news;
@@ -58,7 +59,7 @@
         HolderRecord, Item, ItemError, ItemName, LimitRecord, LoadingRecord, MemberRecord,
         RecentVersion, SuspectRecord, TargetRegistration,
     },
-    known_state::{KnownState, OwnShutdown},
+    known_state::{KnownHolder, KnownState, OwnShutdown},
     known_targets::AnnouncedLimit,
     order_lock::{InstanceLease, OrderLock},
     ownership::Ownership,
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{InstanceLease, MemberRecord, own_keys::member_key, shared::Shared},
-    keyvalue::{KeyValue, KvError, Op, Txn},
+    keyvalue::{Incarnation, KeyValue, KvError, Op, Txn},
     relay::boot_time,
     std::{sync::Arc, time::Duration},
     supervisor::ChildResult,
@@ -11,11 +11,16 @@
 };
 
 /// TTL of the lease. Callers are directed to a dead instance for no longer than this.
-const LEASE_TTL: Duration = Duration::from_secs(2);
+pub(crate) const LEASE_TTL: Duration = Duration::from_secs(2);
 /// Renewals per TTL.
 const RENEWALS_PER_TTL_COUNT: u32 = 3;
 /// Delay before a new lease is requested after one was lost.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Longest delay per instance before a new lease is requested after the service came back from an older
+/// copy.
+const RESTORED_DELAY_PER_INSTANCE: Duration = Duration::from_millis(6);
+/// Longest such delay. The others keep an instance that is not registered for longer.
+const MAX_RESTORED_DELAY: Duration = Duration::from_millis(1_900);
 
 /// Maintains the lease until `token` is cancelled, then revokes it.
 pub(crate) async fn maintain<Kv, Format>(
@@ -27,13 +32,23 @@
     Format: Send + Sync + 'static,
 {
     loop {
+        let incarnation = shared.incarnation();
         let error = tokio::select! {
             () = token.cancelled() => break,
-            error = hold_lease(&shared) => error,
+            error = hold_lease(&shared, incarnation) => error,
         };
         log::info!("instance lease lost, requesting a new one: {error}");
+        let is_restored = !shared.incarnation().is_same(&incarnation);
         shared.set_lease(None);
-        sleep(RETRY_DELAY).await;
+        let delay = if is_restored {
+            shared.spread_delay(RESTORED_DELAY_PER_INSTANCE, MAX_RESTORED_DELAY)
+        } else {
+            RETRY_DELAY
+        };
+        tokio::select! {
+            () = token.cancelled() => break,
+            () = sleep(delay) => {}
+        }
     }
     if let Some(lease) = shared.lease()
         && let Err(error) = shared.kv.revoke(lease.id).await
@@ -47,7 +62,7 @@
 }
 
 /// Obtains a lease and renews it until it is lost. Returns the error that ended it.
-async fn hold_lease<Kv, Format>(shared: &Shared<Kv, Format>) -> KvError
+async fn hold_lease<Kv, Format>(shared: &Shared<Kv, Format>, incarnation: Incarnation) -> KvError
 where
     Kv: KeyValue,
 {
@@ -57,30 +72,35 @@
         Ok(granted) => granted,
         Err(error) => return error,
     };
-    let mut lease = InstanceLease::new(granted.id, sent_at, granted.ttl);
+    let lease_from =
+        |sent_at, ttl| InstanceLease::new(granted.id, sent_at, ttl).incarnation(incarnation);
+    let mut lease = lease_from(sent_at, granted.ttl);
     let mut written_ready: Option<bool> = None;
     loop {
         let ready = shared.is_ready();
         if written_ready != Some(ready) {
             if let Err(error) = write_member(shared, lease, ready).await {
-                if !lease.is_valid(boot_time(), Duration::ZERO) {
+                let is_restored = matches!(error, KvError::Restored { .. });
+                if is_restored || !lease.is_valid(boot_time(), Duration::ZERO) {
                     return error;
                 }
                 log::info!("failed to write the member record, retrying: {error}");
             } else {
                 written_ready = Some(ready);
+                shared.note_registered(incarnation);
             }
         }
         shared.set_lease(Some(lease));
         let renewal = sleep(granted.ttl / RENEWALS_PER_TTL_COUNT);
         tokio::select! {
             () = renewal => {}
+            error = shared.restored(incarnation) => return error,
             () = readiness_changed(shared, written_ready) => continue,
         }
         let sent_at = boot_time();
         match shared.kv.keep_alive(lease.id).await {
-            Ok(renewed) => lease = InstanceLease::new(lease.id, sent_at, renewed.ttl),
-            Err(error @ KvError::Refused { .. }) => return error,
+            Ok(renewed) => lease = lease_from(sent_at, renewed.ttl),
+            Err(error @ (KvError::Refused { .. } | KvError::Restored { .. })) => return error,
             Err(error) if !lease.is_valid(boot_time(), Duration::ZERO) => return error,
             Err(error) => log::info!("failed to renew the lease, retrying: {error}"),
         }
--- a/crates/entry/src/order_lock.rs
+++ b/crates/entry/src/order_lock.rs
@@ -1,7 +1,10 @@
 //! The order lock, which lets one instance at a time send orders to targets, and the lease that it
 //! is bound to.
 
-use {catalog::Revision, std::time::Duration};
+use {catalog::Revision, keyvalue::Incarnation, std::time::Duration};
+
+/// Bits of a fencing token that hold the revision; the ones above hold the incarnation.
+const REVISION_BITS: u32 = 40;
 
 /// This instance's lease in the key-value service. Times are those of a clock that keeps running
 /// during suspension.
@@ -11,6 +14,8 @@
     pub id: keyvalue::LeaseId,
     /// Time from which the lease may have expired.
     pub expires_at: Duration,
+    /// Incarnation of the service that granted it; it is gone in any other.
+    pub incarnation: Incarnation,
 }
 
 impl InstanceLease {
@@ -21,9 +26,17 @@
         Self {
             id,
             expires_at: sent_at + ttl,
+            incarnation: Incarnation::default(),
         }
     }
 
+    /// Sets the incarnation of the service that granted the lease.
+    #[must_use]
+    pub fn incarnation(mut self, incarnation: Incarnation) -> Self {
+        self.incarnation = incarnation;
+        self
+    }
+
     /// Whether the lease stays valid for at least `margin` after `now`.
     #[must_use]
     pub fn is_valid(&self, now: Duration, margin: Duration) -> bool {
@@ -36,24 +49,38 @@
 pub struct OrderLock {
     /// Lease that the lock is bound to.
     pub lease_id: keyvalue::LeaseId,
-    /// Fencing token: the revision at which the lock was acquired, which grows with each holder.
-    pub fencing: Revision,
+    /// Incarnation of the service that the lock is held in.
+    pub incarnation: Incarnation,
+    /// Revision at which the lock was acquired.
+    pub revision: Revision,
+    /// Fencing token, which grows with each holder, also over incarnations.
+    pub fencing: u64,
     /// No order is sent before this time, since the previous holder's last order may still be in
     /// transit.
     pub usable_from: Duration,
 }
 
 impl OrderLock {
-    /// Creates a lock that was acquired at `now` and allows orders after `gap`.
+    /// Creates a lock that was acquired at `revision` and at `now`, and that allows orders after `gap`.
     #[must_use]
-    pub fn new(lease: &InstanceLease, fencing: Revision, now: Duration, gap: Duration) -> Self {
+    pub fn new(lease: &InstanceLease, revision: Revision, now: Duration, gap: Duration) -> Self {
         Self {
             lease_id: lease.id,
-            fencing,
+            incarnation: lease.incarnation,
+            revision,
+            fencing: fencing_token(&lease.incarnation, revision),
             usable_from: now + gap,
         }
     }
 
+    /// Allows no order before `at`. A holder of an earlier incarnation that cannot reach the service
+    /// relies on its lease for the lease's time to live.
+    #[must_use]
+    pub fn not_before(mut self, at: Duration) -> Self {
+        self.usable_from = self.usable_from.max(at);
+        self
+    }
+
     /// Time until orders may be sent. Rollouts must not be planned earlier, since instances avoid the
     /// planned targets from then on.
     #[must_use]
@@ -70,8 +97,18 @@
         lease: &InstanceLease,
         now: Duration,
         margin: Duration,
-    ) -> Option<Revision> {
-        let is_own = lease.id == self.lease_id && lease.is_valid(now, margin);
+    ) -> Option<u64> {
+        let is_same = lease.id == self.lease_id && lease.incarnation.is_same(&self.incarnation);
+        let is_own = is_same && lease.is_valid(now, margin);
         (is_own && self.time_until_usable(now).is_zero()).then_some(self.fencing)
     }
 }
+
+/// Returns the fencing token of a lock that was acquired at `revision`. The service gives revisions out
+/// again after it came back from an older copy, and carries over only the number of its incarnation.
+fn fencing_token(incarnation: &Incarnation, revision: Revision) -> u64 {
+    let first = incarnation
+        .highest_number
+        .saturating_mul(1 << REVISION_BITS);
+    first.saturating_add(revision)
+}
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -59,6 +59,8 @@
         check_delay = CHECK_PERIOD;
         held_lock = issuer.hold_lock(held_lock).await;
         let Some(lock) = held_lock else {
+            // The record is bound to the lease that the lock was held under.
+            announced = LoadingRecord::default();
             continue;
         };
         let wait = lock.time_until_usable(boot_time());
--- a/crates/entry/src/recent_versions.rs
+++ b/crates/entry/src/recent_versions.rs
@@ -124,6 +124,7 @@
 where
     Kv: KeyValue,
 {
+    let incarnation = shared.incarnation();
     let granted = timeout(GRANT_TIMEOUT, shared.kv.grant(unmarked.time_left)).await;
     let lease = granted.map_err(|_| KvError::Unknown {
         reason: "the lease was not granted in time".to_owned(),
@@ -133,6 +134,10 @@
         let reason = "the lease would expire too late".to_owned();
         return Err(KvError::Refused { reason });
     }
+    if !shared.incarnation().is_same(&incarnation) {
+        let reason = "the lease is of an earlier incarnation".to_owned();
+        return Err(KvError::Refused { reason });
+    }
     let record = &unmarked.record;
     let value = serde_json::to_vec(record).map_err(|error| KvError::Refused {
         reason: error.to_string(),
--- a/crates/entry/src/record_lease.rs
+++ b/crates/entry/src/record_lease.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    keyvalue::{KeyValue, KvError, LeaseId, Op, Txn},
+    keyvalue::{Incarnation, KeyValue, KvError, LeaseId, Op, Txn},
     relay::boot_time,
     std::time::Duration,
 };
@@ -28,8 +28,8 @@
 /// A lease that is never renewed and replaced by another one after a while.
 #[derive(Debug, Default)]
 pub(crate) struct RecordLease {
-    /// The current lease, and when it was granted.
-    granted: Option<(LeaseId, Duration)>,
+    /// The current lease, when it was granted, and by which incarnation of the service.
+    granted: Option<(LeaseId, Duration, Incarnation)>,
 }
 
 impl RecordLease {
@@ -70,13 +70,15 @@
         Kv: KeyValue,
     {
         let now = boot_time();
-        if let Some((lease, granted_at)) = self.granted
+        let incarnation = *kv.incarnation().borrow();
+        if let Some((lease, granted_at, granted_in)) = self.granted
             && now.saturating_sub(granted_at) < LEASE_REUSE_TIME
+            && granted_in.is_same(&incarnation)
         {
             return Ok(lease);
         }
         let lease = kv.grant(RECORD_TTL).await?;
-        self.granted = Some((lease.id, now));
+        self.granted = Some((lease.id, now, incarnation));
         Ok(lease.id)
     }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,12 +1,16 @@
 //! State that the tasks of an instance share.
 
 use {
-    crate::{InstanceLease, Item, ItemName, KnownState, Ownership, Settings},
+    crate::{
+        InstanceLease, Item, ItemName, KnownState, Ownership, Settings,
+        known_incarnation::KnownIncarnation,
+    },
     arc_swap::ArcSwap,
     balance::rendezvous,
     catalog::{InstanceId, Revision},
     eventlog::{Event, EventLog},
     feed::Feed,
+    keyvalue::{Incarnation, KeyValue, KvError},
     meters::Meters,
     quarantine::{CrashId, SuspectKey},
     relay::{HeaderFormat, RelayState, TargetState, boot_time, record_report},
@@ -53,19 +57,25 @@
     pub(crate) draining: CancellationToken,
     known: Mutex<KnownState>,
     lease: Mutex<Option<InstanceLease>>,
+    incarnation: Mutex<KnownIncarnation>,
     /// Ready instances as last written to the event log.
     logged_ready: Mutex<Vec<InstanceId>>,
     /// Time of the last response of each other instance.
     last_heard: Mutex<HashMap<InstanceId, Duration>>,
 }
 
-impl<Kv, Format> Shared<Kv, Format> {
+impl<Kv, Format> Shared<Kv, Format>
+where
+    Kv: KeyValue,
+{
     /// Creates the state of an instance that has not read anything from the service yet.
     pub(crate) fn new(settings: Settings, kv: Kv, format: Format, log: EventLog) -> Self {
         let relay_state = RelayState::default();
+        let incarnation = KnownIncarnation::new(kv.incarnation());
         Self {
             settings,
             kv,
+            incarnation: Mutex::new(incarnation),
             format,
             log,
             meters: Meters::new(),
@@ -82,6 +92,20 @@
         }
     }
 
+    /// Waits until an incarnation other than `known` has begun.
+    pub(crate) async fn restored(&self, known: Incarnation) -> KvError {
+        let mut receiver = self.kv.incarnation();
+        let changed = receiver.wait_for(|latest| !latest.is_same(&known)).await;
+        let Ok(latest) = changed.map(|latest| *latest) else {
+            return std::future::pending().await;
+        };
+        KvError::Restored {
+            number: latest.number,
+        }
+    }
+}
+
+impl<Kv, Format> Shared<Kv, Format> {
     /// Locks the known state. Hold the guard briefly, never across an await.
     pub(crate) fn known(&self) -> MutexGuard<'_, KnownState> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
@@ -111,9 +135,63 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns this instance's lease, if it holds one.
+    /// Returns this instance's lease, if it holds one of the present incarnation.
     pub(crate) fn lease(&self) -> Option<InstanceLease> {
-        *self.lease.lock().unwrap_or_else(PoisonError::into_inner)
+        let current = self.incarnation();
+        let lease = *self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        lease.filter(|lease| lease.incarnation.is_same(&current))
+    }
+
+    /// Returns the incarnation of the service that this instance works in.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.known_incarnation().current()
+    }
+
+    /// Returns when this instance learned of the present incarnation; `None` while the service names
+    /// none.
+    pub(crate) fn incarnation_since(&self) -> Option<Duration> {
+        self.known_incarnation().since()
+    }
+
+    /// Records that all items were read again in `incarnation`, without those that the copy lacks.
+    pub(crate) fn note_read(&self, incarnation: Incarnation, count: usize, missing_count: usize) {
+        let mut known = self.known_incarnation();
+        if known.current().is_same(&incarnation)
+            && let Some(event) = known.note_read(count, missing_count)
+        {
+            self.log.emit(&event);
+        }
+    }
+
+    /// Records that this instance is registered in `incarnation`.
+    pub(crate) fn note_registered(&self, incarnation: Incarnation) {
+        let mut known = self.known_incarnation();
+        if known.current().is_same(&incarnation)
+            && let Some(event) = known.note_registered()
+        {
+            self.log.emit(&event);
+        }
+    }
+
+    /// Returns a random time, at most `per_instance` for each ready instance and at most `max`, so that
+    /// the instances do not all call the service at once.
+    pub(crate) fn spread_delay(&self, per_instance: Duration, max: Duration) -> Duration {
+        let instances_count = self.known().ready_members().len();
+        let instances_count = u32::try_from(instances_count).unwrap_or(u32::MAX);
+        let longest = per_instance.saturating_mul(instances_count).min(max);
+        longest.mul_f64(rand::random())
+    }
+
+    fn known_incarnation(&self) -> MutexGuard<'_, KnownIncarnation> {
+        let lease = *self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut known = self
+            .incarnation
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if known.update(lease.is_some()) {
+            self.meters.count("restores", "noticed");
+        }
+        known
     }
 
     pub(crate) fn set_lease(&self, lease: Option<InstanceLease>) {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -235,6 +235,12 @@
     }
 }
 
+/// Sends a call to the instance at `address`; returns the status of its answer.
+pub async fn call_at(address: SocketAddr, path: &str) -> Option<u16> {
+    let headers = [("host", "a.example"), ("id", "c1")];
+    get(address, path, &headers).await.map(|got| got.status)
+}
+
 /// Waits until `check` returns true; panics after [`WAIT_LIMIT`].
 pub async fn wait_until<Check, CheckFuture>(what: &str, mut check: Check)
 where
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -281,6 +281,24 @@
         /// empty if none says so.
         witness: String,
     },
+    /// The key-value service came back from an older copy, and this instance has read everything again
+    /// and is registered again.
+    Restored {
+        /// Number of the incarnation before; 0 if the service named none.
+        incarnation_before: u64,
+        /// Number of the present incarnation.
+        incarnation: u64,
+        /// Whether this instance held a lease, which it dropped.
+        lease_dropped: bool,
+        /// Number of items that were read again.
+        items_count: usize,
+        /// Number of known items that the copy lacks.
+        missing_count: usize,
+        /// Time from the news until everything was read again, in milliseconds.
+        read_ms: u64,
+        /// Time from the news until this instance was registered again, in milliseconds.
+        registered_ms: u64,
+    },
     /// Lines were dropped because the queue of the log was full.
     Dropped {
         /// Number of dropped lines.
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -113,6 +113,15 @@
             available: false,
             reason: text(),
         },
+        Event::Restored {
+            incarnation_before: 0,
+            incarnation: 0,
+            lease_dropped: false,
+            items_count: 0,
+            missing_count: 0,
+            read_ms: 0,
+            registered_ms: 0,
+        },
         Event::Outage {
             silence_ms: 0,
             asked_count: 0,
@@ -153,6 +162,7 @@
         Event::PartsWithdrawn { .. } => 19,
         Event::TargetStatement { .. } => 20,
         Event::Outage { .. } => 21,
+        Event::Restored { .. } => 22,
     }
 }
 
