Entry: instances return to the key-value service one after the other

Callers would see an instance that was refused and so missing among the addresses: the delays after a return were drawn at random, so that many instances could write in the same 100 ms. Change: each instance waits by its rank in name order, which spaces them evenly; all are registered within 1.7 s, so that with the 0.7 s in which a renewal brings the news nobody is dropped after 2.5 s.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -26,10 +26,6 @@
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Longest delay after a failed request.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(700);
-/// Longest delay per instance before the listing after the service came back from an older copy.
-const RESTORED_DELAY_PER_INSTANCE: Duration = Duration::from_millis(3);
-/// Longest such delay.
-const MAX_RESTORED_DELAY: Duration = Duration::from_secs(1);
 /// Interval between checks for expired targets and instances.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
@@ -68,7 +64,7 @@
         match error {
             KvError::Compacted { .. } => follower.applied_revision = None,
             KvError::Restored { .. } => {
-                follower.wait_after_restore().await;
+                sleep(follower.shared.return_pace().read_delay()).await;
                 continue;
             }
             error => follower.note_unavailable(&error),
@@ -151,12 +147,6 @@
         }
     }
 
-    /// Waits for a random time, so that the instances do not all read everything at once.
-    async fn wait_after_restore(&self) {
-        let shared = &self.shared;
-        sleep(shared.spread_delay(RESTORED_DELAY_PER_INSTANCE, MAX_RESTORED_DELAY)).await;
-    }
-
     /// Reads all items, in an `incarnation` that may be another than that of the last listing.
     async fn list(&mut self, incarnation: Incarnation) -> Result<Revision, KvError> {
         let is_restored = !self.incarnation.is_same(&incarnation);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -44,6 +44,7 @@
 mod platform;
 mod recent_versions;
 mod record_lease;
+mod return_pace;
 pub mod rollout;
 mod servers;
 mod settings;
@@ -68,6 +69,7 @@
         HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, RunningRequests,
         TargetReport, VersionOrder,
     },
+    return_pace::ReturnPace,
     settings::{Settings, SettingsError},
     start::{StartError, run},
     suspension_detector::SuspensionDetector,
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -16,11 +16,6 @@
 const RENEWALS_PER_TTL_COUNT: u32 = 3;
 /// Delay before a new lease is requested after one was lost.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Longest delay per instance before a new lease is requested after the service came back from an older
-/// copy.
-const RESTORED_DELAY_PER_INSTANCE: Duration = Duration::from_millis(6);
-/// Longest such delay. The others keep an instance that is not registered for longer.
-const MAX_RESTORED_DELAY: Duration = Duration::from_millis(1_900);
 
 /// Maintains the lease until `token` is cancelled, then revokes it.
 pub(crate) async fn maintain<Kv, Format>(
@@ -41,7 +36,7 @@
         let is_restored = !shared.incarnation().is_same(&incarnation);
         shared.set_lease(None);
         let delay = if is_restored {
-            shared.spread_delay(RESTORED_DELAY_PER_INSTANCE, MAX_RESTORED_DELAY)
+            shared.return_pace().registration_delay()
         } else {
             RETRY_DELAY
         };
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        InstanceLease, Item, ItemName, KnownState, Ownership, Settings,
+        InstanceLease, Item, ItemName, KnownState, Ownership, ReturnPace, Settings,
         known_incarnation::KnownIncarnation,
     },
     arc_swap::ArcSwap,
@@ -173,13 +173,17 @@
         }
     }
 
-    /// Returns a random time, at most `per_instance` for each ready instance and at most `max`, so that
-    /// the instances do not all call the service at once.
-    pub(crate) fn spread_delay(&self, per_instance: Duration, max: Duration) -> Duration {
-        let instances_count = self.known().ready_members().len();
-        let instances_count = u32::try_from(instances_count).unwrap_or(u32::MAX);
-        let longest = per_instance.saturating_mul(instances_count).min(max);
-        longest.mul_f64(rand::random())
+    /// Returns the place of this instance among those that call the service one after the other.
+    pub(crate) fn return_pace(&self) -> ReturnPace {
+        let known = self.known();
+        let ready = known.ready_members();
+        let own = &self.settings.instance;
+        let before_count = ready.iter().filter(|(name, _)| *name < own).count();
+        let to_u32 = |count| u32::try_from(count).unwrap_or(u32::MAX);
+        ReturnPace {
+            rank: to_u32(before_count),
+            instances_count: to_u32(ready.len()),
+        }
     }
 
     fn known_incarnation(&self) -> MutexGuard<'_, KnownIncarnation> {
