Entry: outages and returns of the known state in a module of their own; leaving targets in the runs

The seeded runs over random returns have a target that leaves and starts again; it gets no calls while it leaves. No change in what callers see.

--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -1,7 +1,11 @@
-//! The instance's copy of the shared state, and how changes and outages of the key-value service
-//! affect it.
+//! The instance's copy of the shared state, and how changes of the key-value service affect it.
+
+mod outages;
+
+pub(crate) use outages::MIN_LAPSE_TIME;
 
 use {
+    self::outages::Outage,
     crate::{
         AnnouncedLimit, HolderRecord, Item, ItemName, LoadingRecord, MemberRecord, RecentVersion,
         known_targets::KnownTargets,
@@ -20,16 +24,6 @@
     },
 };
 
-/// Time after an outage of the service within which the owners of expired records write them again,
-/// if they are alive and can reach the service.
-const REREGISTRATION_TIME: Duration = Duration::from_millis(2_500);
-/// Longest time for which a target is kept whose registration is deleted after the outage. Shorter than
-/// the time for which a target that leaves goes on serving.
-const MAX_KEEPING_TIME: Duration = Duration::from_millis(1_500);
-/// A shorter time without word from the service lets no record expire, since owners write their
-/// records again several times in the lifetime of their leases.
-pub(crate) const MIN_LAPSE_TIME: Duration = Duration::from_millis(2_300);
-
 /// A known entry instance.
 #[derive(Clone, Debug)]
 struct KnownMember {
@@ -41,27 +35,6 @@
     unready_since: Option<Duration>,
 }
 
-/// An outage of the service that has ended, and that may have let records expire.
-#[derive(Clone, Copy, Debug)]
-struct Outage {
-    /// Until then, a missing record may have expired only because of the outage.
-    reregistration_until: Duration,
-    /// Whether all changes made during the outage are known.
-    is_caught_up: bool,
-}
-
-impl Outage {
-    /// When a record that is deleted at `now` counts as gone; `None` if it does at once.
-    fn record_expiry(self, now: Duration) -> Option<Duration> {
-        let until = if self.is_caught_up {
-            self.reregistration_until.min(now + MAX_KEEPING_TIME)
-        } else {
-            self.reregistration_until
-        };
-        (now < self.reregistration_until).then_some(until)
-    }
-}
-
 /// The shutdown of this instance. Times are by the clock of [`KnownState`].
 #[derive(Clone, Debug)]
 pub struct OwnShutdown {
@@ -180,18 +153,6 @@
         self.delete_at(name, expires_at, now);
     }
 
-    /// Applies that an older copy of the service lacks an item. What operators and targets wrote is
-    /// about to be written again by them, and what instances wrote by instances.
-    pub fn lapse(&mut self, name: &ItemName, now: Duration) {
-        match (name, self.restored_until) {
-            // Written again with the next call that is refused for it.
-            (ItemName::Crash(suspect, _), _) => self.set_suspect_written(*suspect, Duration::ZERO),
-            (ItemName::Answered(_), _) => {}
-            (ItemName::Limit(id), Some(until)) => self.targets.lapse_limit(id, until),
-            _ => self.delete(name, now),
-        }
-    }
-
     /// Applies that an item was replaced by something that is none, so its owner is gone.
     pub fn remove(&mut self, name: &ItemName, now: Duration) {
         self.delete_at(name, None, now);
@@ -247,39 +208,6 @@
         &self.quarantine
     }
 
-    /// Records that the service is reachable again after a failed request. Returns for how long there
-    /// was no word from it, if records may have expired meanwhile.
-    pub fn service_recovered(&mut self, now: Duration) -> Option<Duration> {
-        self.members_return_until = Some(now + REREGISTRATION_TIME);
-        let confirmed_at = self.confirmed_at.unwrap_or_default();
-        let silence = now.saturating_sub(confirmed_at);
-        if silence < MIN_LAPSE_TIME {
-            return None;
-        }
-        self.outage = Some(Outage {
-            reregistration_until: now + REREGISTRATION_TIME,
-            is_caught_up: false,
-        });
-        Some(silence)
-    }
-
-    /// Records that the service came back from an older copy at `now`. Targets and instances that the
-    /// copy lacks stay for a while, since they may register again.
-    pub fn service_restored(&mut self, now: Duration) {
-        let until = now + REREGISTRATION_TIME;
-        self.members_return_until = Some(until);
-        self.restored_until = Some(until);
-        // Those that are missing may have registered again before, which the copy lacks too.
-        self.targets.extend_kept(until);
-        for member in self.members.values_mut() {
-            member.expires_at = member.expires_at.map(|at| at.max(until));
-        }
-        self.outage = Some(Outage {
-            reregistration_until: until,
-            is_caught_up: false,
-        });
-    }
-
     /// Records that everything was read in this incarnation of the service.
     pub fn set_incarnation(&mut self, incarnation: Incarnation) {
         self.incarnation = incarnation;
@@ -298,19 +226,6 @@
         newest.is_some_and(|newest| newest > config.version)
     }
 
-    /// Records that the service was there during the last outage and this instance could not reach it.
-    /// Registrations of targets that were deleted since have not expired because of it, so these
-    /// targets are gone. Other instances may have been cut off like this one, so they stay for a while.
-    pub fn rule_out_lapse(&mut self, now: Duration) {
-        // The copy that the service came back from may lack registrations all the same.
-        if self.restored_until.is_some_and(|until| now < until) {
-            return;
-        }
-        self.outage = None;
-        self.targets.expire_kept(now);
-        self.expire(now);
-    }
-
     /// Records that this state was current at `current_at`, which may be in the past: for a listing
     /// it is when the request was sent, after a suspension the last time before it.
     pub fn confirm(&mut self, current_at: Duration) {
--- a/crates/entry/tests/restored_instances.rs
+++ b/crates/entry/tests/restored_instances.rs
@@ -150,6 +150,30 @@
     assert!(line.contains("\"lease_dropped\":true"), "{line}");
 }
 
+/// Guards against calls at a target that is about to exit, since the copy says that it is ready.
+#[tokio::test]
+async fn target_that_was_leaving_gets_no_calls_after_a_return() {
+    let fleet = Fleet::start().await;
+    let second = Target::start(Duration::ZERO).await;
+    put(&fleet.kv, "targets/t2", &format!("{} 1", second.address)).await;
+    let leaving = format!("{} 1 s 0", fleet.target.address);
+    put(&fleet.kv, "targets/t1", &leaving).await;
+    let copy = fleet.kv.take_copy();
+    put(&fleet.kv, "targets/t1", &format!("{leaving} leaving")).await;
+    sleep(LOOK_PERIOD * 10).await;
+    let before_count = fleet.target.calls_count();
+    fleet.kv.restore(&copy);
+    let restored_at = Instant::now();
+    while restored_at.elapsed() < RETURN_TIME {
+        for instance in &fleet.instances {
+            assert_eq!(instance.call("/x").await.map(|got| got.0), Some(200));
+        }
+        sleep(LOOK_PERIOD).await;
+    }
+    assert_eq!(fleet.target.calls_count(), before_count);
+    assert!(second.calls_count() > 0);
+}
+
 #[tokio::test]
 async fn outage_before_the_return_changes_nothing() {
     let fleet = Fleet::start().await;
--- a/crates/entry/tests/restored_promises.rs
+++ b/crates/entry/tests/restored_promises.rs
@@ -8,6 +8,7 @@
     keyvalue::{KeyValue, KvCopy, MemoryKv, Op, Txn},
     std::{
         env,
+        net::SocketAddr,
         sync::{
             Arc, Mutex,
             atomic::{AtomicBool, Ordering},
@@ -21,7 +22,7 @@
 /// Names of the instances.
 const NAMES: [&str; 3] = ["one", "two", "three"];
 /// Number of targets.
-const TARGETS_COUNT: usize = 2;
+const TARGETS_COUNT: usize = 3;
 /// Number of random steps with one seed.
 const STEPS_COUNT: usize = 12;
 /// Number of seeds unless the environment sets another.
@@ -56,6 +57,20 @@
 struct Wanted {
     configuration: u64,
     version: u64,
+    /// Start time of the first target, and whether it is leaving.
+    started: u64,
+    is_leaving: bool,
+}
+
+impl Wanted {
+    /// Registration of the target at an index.
+    fn registration(&self, index: usize, address: SocketAddr) -> String {
+        match index {
+            0 if self.is_leaving => format!("{address} 1 s {} leaving", self.started),
+            0 => format!("{address} 1 s {}", self.started),
+            _ => format!("{address} 1"),
+        }
+    }
 }
 
 /// Writes what is wanted whenever the service lacks it, as operators and targets do.
@@ -74,7 +89,8 @@
                 ("unused".to_owned(), format!("{round}")),
             ];
             for (index, address) in addresses.iter().enumerate() {
-                items.push((format!("targets/t{index}"), format!("{address} 1")));
+                let registration = now.registration(index, *address);
+                items.push((format!("targets/t{index}"), registration));
             }
             for (key, value) in items {
                 write_if_missing(&kv, &key, &value).await;
@@ -119,6 +135,8 @@
         let wanted = Wanted {
             configuration: 1,
             version: 2,
+            started: 1,
+            is_leaving: false,
         };
         let wanted = Arc::new(Mutex::new(wanted));
         keep_written(&kv, &wanted, &targets);
@@ -164,7 +182,7 @@
 
     /// Takes one random step.
     async fn step(&mut self, random: &mut Random) -> String {
-        match random.below(10) {
+        match random.below(12) {
             0 | 1 => self.change(|wanted| wanted.configuration += 1, "configuration"),
             2..4 => self.change(|wanted| wanted.version += 1, "version"),
             4 => {
@@ -173,6 +191,7 @@
             }
             5 => self.restart_holder(random).await,
             6 => self.cut_holder(random).await,
+            10 | 11 => self.leave_or_start_again().await,
             7 => {
                 self.come_back(random, Duration::ZERO).await;
                 self.come_back(random, Duration::ZERO).await
@@ -184,6 +203,35 @@
         }
     }
 
+    /// Has the first target state that it leaves, or start again if it does. Waits until every instance
+    /// has heard of it.
+    async fn leave_or_start_again(&self) -> String {
+        let what = self.change(
+            |wanted| {
+                wanted.is_leaving = !wanted.is_leaving;
+                wanted.started += u64::from(!wanted.is_leaving);
+            },
+            "leaving or started",
+        );
+        let wanted = self.wanted.lock().unwrap().clone();
+        let state = if wanted.is_leaving {
+            "leaving"
+        } else {
+            "ready"
+        };
+        let heard = format!("\"target\":\"t0\",\"state\":\"{state}\"");
+        wait_until("the word of the target", async || {
+            let has_heard = |instance: &Instance| {
+                let lines = instance.lines("\"target\":\"t0\",\"state\"");
+                lines.last().is_some_and(|line| line.contains(&heard))
+            };
+            self.instances.iter().all(has_heard)
+        })
+        .await;
+        sleep(CHECK_PERIOD * 4).await;
+        what
+    }
+
     fn change<Change>(&self, change: Change, what: &str) -> String
     where
         Change: FnOnce(&mut Wanted),
@@ -296,7 +344,8 @@
                     let last = target.orders().last().map_or(1, |order| order.version);
                     last == wanted.version
                 };
-                self.targets.iter().all(has_newest)
+                let skipped = usize::from(wanted.is_leaving);
+                self.targets.iter().skip(skipped).all(has_newest)
             },
         )
         .await;
@@ -351,6 +400,8 @@
             .iter()
             .map(|it| keep_calling(&fleet.instances[*it], &stop));
         let callers: Vec<_> = callers.collect();
+        let was_leaving = fleet.wanted.lock().unwrap().is_leaving;
+        let before_count = fleet.targets[0].calls_count();
         steps.push(fleet.step(&mut random).await);
         sleep(random.millis_below(600)).await;
         stop.store(true, Ordering::Relaxed);
@@ -361,6 +412,13 @@
                 "seed {seed}: calls failed: {failed:?} in {steps:?}"
             );
         }
+        if was_leaving && fleet.wanted.lock().unwrap().is_leaving {
+            let count = fleet.targets[0].calls_count() - before_count;
+            assert_eq!(
+                count, 0,
+                "seed {seed}: calls at a leaving target: {steps:?}"
+            );
+        }
         fleet.check_orders(seed);
         fleet.check_configurations(seed);
     }
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -22,7 +22,7 @@
 
 /// Plain-text formats. The keys are `operators/configuration` (value: a version, and the addresses of
 /// stores of cached parts), `operators/version/MODEL` (a version) and `targets/NAME` (`ADDRESS VERSION`, and
-/// the version of its software and its start time if there are any).
+/// the version of its software, its start time and `leaving` if there are any).
 #[derive(Clone, Debug, Default)]
 pub struct Formats {
     /// Address at which the instance finds every target in place of its own, while it is cut off.
@@ -206,6 +206,7 @@
                 let software = fields.next().unwrap_or_default();
                 software.clone_into(&mut entry.software_version);
                 entry.started_unix_ms = fields.next().map_or(0, |it| it.parse().unwrap());
+                entry.leaving = fields.next() == Some("leaving");
                 Item::Target(entry)
             }
         })
