--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -1,16 +1,21 @@
-//! The instance's copy of the shared state, and how changes and outages of the key-value service
-//! affect it.
+//! The instance's copy of the shared state, and how changes of the key-value service affect it.
+
+mod outages;
+
+pub(crate) use outages::MIN_LAPSE_TIME;
 
 use {
+    self::outages::Outage,
     crate::{
         AnnouncedLimit, HolderRecord, Item, ItemName, LoadingRecord, MemberRecord, RecentVersion,
         known_targets::KnownTargets,
     },
     balance::rendezvous,
     catalog::{InstanceId, ModelId, Revision},
+    keyvalue::Incarnation,
     quarantine::{Quarantine, SuspectKey},
     relay::{Peer, Shutdown, TargetState, View, WantedVersions},
-    routes::RouteTable,
+    routes::{RouteConfig, RouteTable},
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
@@ -19,16 +24,6 @@
     },
 };
 
-/// Time after an outage of the service within which the owners of expired records write them again,
-/// if they are alive and can reach the service.
-const REREGISTRATION_TIME: Duration = Duration::from_millis(2_500);
-/// Longest time for which a target is kept whose registration is deleted after the outage. Shorter than
-/// the time for which a target that leaves goes on serving.
-const MAX_KEEPING_TIME: Duration = Duration::from_millis(1_500);
-/// A shorter time without word from the service lets no record expire, since owners write their
-/// records again several times in the lifetime of their leases.
-pub(crate) const MIN_LAPSE_TIME: Duration = Duration::from_millis(2_300);
-
 /// A known entry instance.
 #[derive(Clone, Debug)]
 struct KnownMember {
@@ -40,27 +35,6 @@
     unready_since: Option<Duration>,
 }
 
-/// An outage of the service that has ended, and that may have let records expire.
-#[derive(Clone, Copy, Debug)]
-struct Outage {
-    /// Until then, a missing record may have expired only because of the outage.
-    reregistration_until: Duration,
-    /// Whether all changes made during the outage are known.
-    is_caught_up: bool,
-}
-
-impl Outage {
-    /// When a record that is deleted at `now` counts as gone; `None` if it does at once.
-    fn record_expiry(self, now: Duration) -> Option<Duration> {
-        let until = if self.is_caught_up {
-            self.reregistration_until.min(now + MAX_KEEPING_TIME)
-        } else {
-            self.reregistration_until
-        };
-        (now < self.reregistration_until).then_some(until)
-    }
-}
-
 /// The shutdown of this instance. Times are by the clock of [`KnownState`].
 #[derive(Clone, Debug)]
 pub struct OwnShutdown {
@@ -82,8 +56,8 @@
 pub struct KnownHolder {
     /// The record that the holder wrote.
     pub record: HolderRecord,
-    /// Fencing token: the revision at which the lock was acquired.
-    pub fencing: Revision,
+    /// Revision at which the lock was acquired.
+    pub revision: Revision,
 }
 
 /// If the last confirmation is older than this, a change may have been made long before this
@@ -108,6 +82,10 @@
     /// The last outage of the service, while registrations of targets that it let expire may be written
     /// again.
     outage: Option<Outage>,
+    /// Incarnation of the service that everything was last read in.
+    incarnation: Incarnation,
+    /// Until then, registrations may be those of an older copy of the service, or lacking in it.
+    restored_until: Option<Duration>,
     /// Until then, instances that could not reach the service either may register again.
     members_return_until: Option<Duration>,
     confirmed_at: Option<Duration>,
@@ -136,7 +114,10 @@
                 wanted.add(version, since, now);
             }
             Item::Recent(record) => self.mark_recent(id, &record, now),
-            Item::Target(record) => self.targets.put(id, record, now),
+            Item::Target(record) => match self.restored_until.filter(|until| now < *until) {
+                Some(until) => self.targets.put_restored(id, record, until, now),
+                None => self.targets.put(id, record, now),
+            },
             Item::Limit(record) => self.targets.put_limit(id, record.limit_per_s, now),
             Item::Member(record) => {
                 self.put_member(id, record, now);
@@ -146,10 +127,7 @@
                 self.loading = Some(record);
             }
             Item::Holder(record) => {
-                self.holder = Some(KnownHolder {
-                    record,
-                    fencing: revision,
-                });
+                self.holder = Some(KnownHolder { record, revision });
             }
             Item::Crash {
                 suspect,
@@ -230,29 +208,22 @@
         &self.quarantine
     }
 
-    /// Records that the service is reachable again after a failed request. Returns for how long there
-    /// was no word from it, if records may have expired meanwhile.
-    pub fn service_recovered(&mut self, now: Duration) -> Option<Duration> {
-        self.members_return_until = Some(now + REREGISTRATION_TIME);
-        let confirmed_at = self.confirmed_at.unwrap_or_default();
-        let silence = now.saturating_sub(confirmed_at);
-        if silence < MIN_LAPSE_TIME {
-            return None;
-        }
-        self.outage = Some(Outage {
-            reregistration_until: now + REREGISTRATION_TIME,
-            is_caught_up: false,
-        });
-        Some(silence)
+    /// Records that everything was read in this incarnation of the service.
+    pub fn set_incarnation(&mut self, incarnation: Incarnation) {
+        self.incarnation = incarnation;
     }
 
-    /// Records that the service was there during the last outage and this instance could not reach it.
-    /// Registrations of targets that were deleted since have not expired because of it, so these
-    /// targets are gone. Other instances may have been cut off like this one, so they stay for a while.
-    pub fn rule_out_lapse(&mut self, now: Duration) {
-        self.outage = None;
-        self.targets.expire_kept(now);
-        self.expire(now);
+    /// Returns the incarnation of the service in which everything was last read.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Whether a configuration newer than `config` is in force.
+    #[must_use]
+    pub fn has_newer(&self, config: &RouteConfig) -> bool {
+        let newest = self.table.as_ref().map(|table| table.config().version);
+        newest.is_some_and(|newest| newest > config.version)
     }
 
     /// Records that this state was current at `current_at`, which may be in the past: for a listing
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod follower;
 mod follower_pace;
 mod item;
+mod known_incarnation;
 mod known_state;
 mod known_targets;
 mod limit_news;
@@ -43,6 +44,7 @@
 mod platform;
 mod recent_versions;
 mod record_lease;
+mod return_pace;
 pub mod rollout;
 mod servers;
 mod settings;
@@ -58,7 +60,7 @@
         HolderRecord, Item, ItemError, ItemName, LimitRecord, LoadingRecord, MemberRecord,
         RecentVersion, SuspectRecord, TargetRegistration,
     },
-    known_state::{KnownState, OwnShutdown},
+    known_state::{KnownHolder, KnownState, OwnShutdown},
     known_targets::AnnouncedLimit,
     order_lock::{InstanceLease, OrderLock},
     ownership::Ownership,
@@ -67,6 +69,7 @@
         HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, RunningRequests,
         TargetReport, VersionOrder,
     },
+    return_pace::ReturnPace,
     settings::{Settings, SettingsError},
     start::{StartError, run},
     suspension_detector::SuspensionDetector,
