Targets of the random histories state what refusals they bear

The histories had leaving, times and limits, but no target that bears few refusals (`max-refusals`). A target now fills up at times: it refuses without naming a time and says that it bears one refusal in two seconds. Checked, for each instance on its own and as if it were the only one: after a refusal it sends that target no call for those two seconds, once half a second has passed, unless the target has stated no bound meanwhile.

--- a/crates/entry/tests/statement_histories.rs
+++ b/crates/entry/tests/statement_histories.rs
@@ -1,5 +1,5 @@
-//! Random histories of targets that state that they leave, want no calls or have a limit, beside
-//! restarts under their ids, outages of the key-value service and the shutdown of an instance.
+//! Random histories of targets that state that they leave, want no calls, have a limit or bear few
+//! refusals, beside restarts under their ids, outages of the key-value service and the shutdown of an instance.
 //! Checked is what reaches the targets. `TEST_SEED` sets the first seed, `TEST_RUNS` their number.
 
 mod support;
@@ -34,6 +34,8 @@
 const REFUSAL_SLACK: Duration = Duration::from_millis(500);
 /// Calls that may arrive later, but before the time that the refusal named.
 const MAX_EARLY_CALLS_COUNT: usize = 2;
+/// Refusals per second that a target says it bears.
+const MAX_REFUSALS_PER_S: f64 = 0.5;
 
 /// Instances before targets that state something at times.
 struct Fleet {
@@ -108,7 +110,7 @@
         let index = random.random_range(0..TARGETS_COUNT);
         let target = &self.targets[index];
         let kv = &self.instance_kvs[random.random_range(0..INSTANCES_COUNT)];
-        match random.random_range(0..8) {
+        match random.random_range(0..10) {
             0 | 1 => target.leave(),
             2 | 3 => {
                 let time_ms = random.random_range(700..2_500);
@@ -128,6 +130,13 @@
                 kv.set_faults(|faults| faults.unreachable = is_away);
                 kv.cut_watches();
             }
+            7 | 8 => {
+                let time_ms = random.random_range(700..2_500);
+                target.fill_for(Duration::from_millis(time_ms), MAX_REFUSALS_PER_S);
+                if random.random_bool(0.2) {
+                    target.bear_all_refusals();
+                }
+            }
             _ => {
                 let has_limit: bool = random.random();
                 target.set_limit(has_limit.then_some(3.0));
@@ -141,6 +150,26 @@
     format!("targets/t{index}")
 }
 
+/// Time after a refusal in which its sender, even if it were the only instance, causes no further one at
+/// a target that states how many it bears.
+fn pause(told: &Exchange) -> Option<Duration> {
+    let is_refusal = matches!(told.outcome, Outcome::Refused(_) | Outcome::RefusedFull);
+    let max_per_s = told.max_refusals_per_s.filter(|_| is_refusal)?;
+    Some(Duration::from_secs_f64(1.0 / max_per_s))
+}
+
+/// Whether the sender was told between a refusal and a later call that the target states no bound any
+/// more.
+fn is_revoked(told: &Exchange, later: &Exchange, exchanges: &[Exchange]) -> bool {
+    exchanges.iter().any(|between| {
+        between.sender == told.sender
+            && between.start == told.start
+            && between.max_refusals_per_s.is_none()
+            && between.answered > told.answered
+            && between.answered < later.arrived
+    })
+}
+
 /// What is wrong with the calls that reached a target, if anything.
 fn violations(exchanges: &[Exchange]) -> Vec<String> {
     let mut violations = Vec::new();
@@ -151,8 +180,14 @@
                 && later.arrived > told.answered
         });
         let after = |it: &&Exchange| it.arrived.duration_since(told.answered);
+        if let Some(pause) = pause(told) {
+            let early = later.clone().filter(|it| {
+                after(it) > REFUSAL_SLACK && after(it) < pause && !is_revoked(told, it, exchanges)
+            });
+            violations.extend(early.map(|it| format!("{it:?} after the refusal {told:?}")));
+        }
         match told.outcome {
-            Outcome::Served => {}
+            Outcome::Served | Outcome::RefusedFull => {}
             Outcome::ServedLeaving => {
                 let late = later.filter(|it| after(it) > DRAIN_TIME);
                 violations.extend(late.map(|it| format!("{it:?} after {told:?}")));
@@ -225,6 +260,7 @@
         arrived: begin + Duration::from_millis(after_ms),
         answered: begin + Duration::from_millis(after_ms),
         outcome,
+        max_refusals_per_s: None,
     };
     let later = arrivals_ms.iter().map(|ms| exchange(*ms, Outcome::Served));
     std::iter::once(exchange(0, first)).chain(later).collect()
@@ -240,4 +276,10 @@
     let refused = Outcome::Refused(Duration::from_secs(2));
     assert!(violations(&exchanges(refused, &[400, 450, 600, 700, 2_100])).is_empty());
     assert_eq!(violations(&exchanges(refused, &[600, 700, 800])).len(), 1);
+    let mut refused = exchanges(Outcome::RefusedFull, &[400, 600, 2_100]);
+    assert!(violations(&refused).is_empty());
+    refused[0].max_refusals_per_s = Some(0.5);
+    assert!(violations(&refused).is_empty(), "revoked after 400 ms");
+    refused[1].max_refusals_per_s = Some(0.5);
+    assert_eq!(violations(&refused).len(), 1);
 }
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -152,6 +152,8 @@
                 retry_after: text("retry-after")
                     .map(|it| Stated::Valid(RetryAfter::Delay(seconds(it)))),
                 limit_per_s: text("limit").map(|it| Stated::Valid(it.parse().unwrap())),
+                max_refusals_per_s: text("max-refusals")
+                    .map(|it| Stated::Valid(it.parse().unwrap())),
                 ..TargetStatements::default()
             },
             ..ReplyMetadata::default()
--- a/crates/entry/tests/support/stating_target.rs
+++ b/crates/entry/tests/support/stating_target.rs
@@ -1,4 +1,4 @@
-//! A target that states that it leaves or wants no calls, and records what reaches it nevertheless.
+//! A target that states that it leaves, wants no calls or bears few refusals, and records what reaches it nevertheless.
 
 use {
     super::target::{respond, serve},
@@ -24,6 +24,8 @@
     ServedLeaving,
     /// Refused for this time.
     Refused(Duration),
+    /// Refused without a time, since the target is full.
+    RefusedFull,
 }
 
 /// A call that arrived.
@@ -36,6 +38,8 @@
     pub arrived: Instant,
     pub answered: Instant,
     pub outcome: Outcome,
+    /// Refusals per second that the answer says the target bears.
+    pub max_refusals_per_s: Option<f64>,
 }
 
 #[derive(Debug, Default)]
@@ -44,7 +48,10 @@
     is_leaving: bool,
     /// Calls are refused until then.
     refuses_until: Option<Instant>,
+    /// Calls are refused until then, without a time.
+    full_until: Option<Instant>,
     limit_per_s: Option<f64>,
+    max_refusals_per_s: Option<f64>,
     exchanges: Vec<Exchange>,
 }
 
@@ -86,6 +93,8 @@
         state.start += 1;
         state.is_leaving = false;
         state.refuses_until = None;
+        state.full_until = None;
+        state.max_refusals_per_s = None;
     }
 
     /// Refuses all calls for a time, which it names.
@@ -93,6 +102,18 @@
         self.lock().refuses_until = Some(Instant::now() + time);
     }
 
+    /// States how many refusals it bears, and refuses all calls for a time that it does not name.
+    pub fn fill_for(&self, time: Duration, max_refusals_per_s: f64) {
+        let mut state = self.lock();
+        state.full_until = Some(Instant::now() + time);
+        state.max_refusals_per_s = Some(max_refusals_per_s);
+    }
+
+    /// States no more how many refusals it bears.
+    pub fn bear_all_refusals(&self) {
+        self.lock().max_refusals_per_s = None;
+    }
+
     pub fn set_limit(&self, limit_per_s: Option<f64>) {
         self.lock().limit_per_s = limit_per_s;
     }
@@ -108,17 +129,17 @@
             return respond(500, String::new());
         }
         let start = self.lock().start;
-        let refusal = self.lock().refuses_until;
-        let refusal = refusal.and_then(|until| until.checked_duration_since(arrived));
+        let refusal = self.lock().refusal(arrived);
         if refusal.is_none() {
             sleep(WORK).await;
         }
         let mut state = self.lock();
         let outcome = match refusal {
-            Some(time) => Outcome::Refused(time),
+            Some(refusal) => refusal,
             None if state.is_leaving => Outcome::ServedLeaving,
             None => Outcome::Served,
         };
+        let max_refusals_per_s = state.max_refusals_per_s;
         let sender = request.headers().get("sender");
         let sender = sender.and_then(|sender| sender.to_str().ok());
         state.exchanges.push(Exchange {
@@ -127,6 +148,7 @@
             arrived,
             answered: Instant::now(),
             outcome,
+            max_refusals_per_s,
         });
         response(&state, outcome)
     }
@@ -136,12 +158,22 @@
     }
 }
 
+impl State {
+    /// How a call that arrives now is refused, if it is.
+    fn refusal(&self, now: Instant) -> Option<Outcome> {
+        let time_left = |until: Option<Instant>| until?.checked_duration_since(now);
+        let refused = time_left(self.refuses_until).map(Outcome::Refused);
+        refused.or_else(|| time_left(self.full_until).map(|_| Outcome::RefusedFull))
+    }
+}
+
 fn response(state: &State, outcome: Outcome) -> Response<Full<Bytes>> {
     let mut response = match outcome {
         Outcome::Refused(time) => {
             let refusal = Response::builder().status(503).header("not-run", "1");
             refusal.header("retry-after", time.as_secs_f64().to_string())
         }
+        Outcome::RefusedFull => Response::builder().status(503).header("not-run", "1"),
         Outcome::Served | Outcome::ServedLeaving => Response::builder().status(200),
     };
     if state.is_leaving {
@@ -150,5 +182,8 @@
     if let Some(limit_per_s) = state.limit_per_s {
         response = response.header("limit", limit_per_s.to_string());
     }
+    if let Some(max_refusals_per_s) = state.max_refusals_per_s {
+        response = response.header("max-refusals", max_refusals_per_s.to_string());
+    }
     response.body(Full::default()).unwrap()
 }
