--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -121,9 +121,7 @@
 
     /// Time limit of the call: the shorter of the caller's and the route's.
     pub(crate) fn time_limit(&self) -> Duration {
-        let route = self.admitted.route.time_limit;
-        let caller = self.admitted.call.time_limit;
-        caller.map_or(route, |caller| caller.min(route))
+        self.admitted.time_limit()
     }
 
     /// Time left until the time limit.
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -32,6 +32,11 @@
     pub(crate) fn caller_time_limit(&self) -> Duration {
         self.call.time_limit.unwrap_or(self.route.time_limit)
     }
+
+    /// Time limit of the call: the shorter of the caller's and the route's.
+    pub(crate) fn time_limit(&self) -> Duration {
+        self.caller_time_limit().min(self.route.time_limit)
+    }
 }
 
 /// Finds the route and the client account of a call.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -365,11 +365,10 @@
     Refusal::new(Reason::Overloaded).retry_after(BODY_MEMORY_RETRY_AFTER)
 }
 
-/// Reads the body of a call within the configured size limit and the caller's time limit, or the
-/// route's if the caller sets none.
+/// Reads the body of a call within the configured size limit and the time limit of the call.
 async fn read_body(admitted: &Admitted, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = admitted.table.config().limits;
-    let time_limit = admitted.caller_time_limit();
+    let time_limit = admitted.time_limit();
     let reading = Limited::new(body, limits.max_body_bytes).collect();
     match timeout(time_limit, reading).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -132,12 +132,15 @@
         self.lock().conditions.is_leaving
     }
 
-    /// Whether the target has stated that it is about to exit or that it wants no calls for a while, so
-    /// that this must be remembered if its registration disappears for a while.
+    /// Whether the target has stated that it is about to exit, that it wants no calls for a while or, in
+    /// a recent refusal, that it bears few, so that this must be remembered if its registration
+    /// disappears for a while.
     #[must_use]
     pub fn refuses_calls(&self, now: Duration) -> bool {
         let conditions = self.lock().conditions;
-        conditions.is_leaving || !conditions.backoff.time_until_call(now).is_zero()
+        conditions.is_leaving
+            || !conditions.backoff.time_until_call(now).is_zero()
+            || conditions.refusal_bound.spared_for(now).is_some()
     }
 
     /// Records what an answer states that is no answer to a call, such as a report. Returns what is
--- a/crates/relay/tests/support/header_format.rs
+++ b/crates/relay/tests/support/header_format.rs
@@ -35,6 +35,7 @@
         Ok(Call {
             id: id.to_owned(),
             key: text("key").map(str::to_owned),
+            time_limit: text("limit-ms").map(|it| Duration::from_millis(it.parse().unwrap())),
             prompt: parsed_prompt,
             last_event_id: text("last-event-id").and_then(|it| it.parse().ok()),
             resumes: text("resumes").map(str::to_owned),
