--- a/crates/relay/tests/forwarded_calls.rs
+++ b/crates/relay/tests/forwarded_calls.rs
@@ -16,15 +16,9 @@
 /// Time that another instance takes between two events.
 const GAP: Duration = Duration::from_millis(400);
 
-/// A target that cannot be reached.
-fn unreachable() -> ScriptedTarget {
-    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
-    ScriptedTarget::at("gone", listener.local_addr().unwrap())
-}
-
 /// The view of an instance that reaches no target, before these other instances.
 fn view(peers: &[&ScriptedTarget]) -> Arc<View> {
-    let mut view = support::view(&[&unreachable()]);
+    let mut view = support::view(&[&support::unreachable_target()]);
     let peers = peers.iter().enumerate().map(|(index, peer)| Peer {
         name: peer.name.clone(),
         seed: index as u64 + 1,
--- a/crates/relay/tests/stream_positions.rs
+++ b/crates/relay/tests/stream_positions.rs
@@ -40,9 +40,7 @@
 async fn call_through_peer(path: &str, headers: &str, answer: Step) -> caller::Response {
     let peer = ScriptedTarget::start("peer", vec![answer]).await;
     let relay = TestRelay::start_for(&[], CallSource::Caller).await;
-    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
-    let gone = ScriptedTarget::at("gone", listener.local_addr().unwrap());
-    drop(listener);
+    let gone = support::unreachable_target();
     let mut view = support::view(&[&gone]);
     view.peers = [Peer {
         name: "peer".to_owned(),
--- a/crates/relay/tests/stream_rate.rs
+++ b/crates/relay/tests/stream_rate.rs
@@ -49,9 +49,7 @@
     let one = target("one").await;
     measure("target", &TestRelay::start(&[&one]).await).await;
     let peer = target("peer").await;
-    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
-    let gone = ScriptedTarget::at("gone", listener.local_addr().unwrap());
-    drop(listener);
+    let gone = support::unreachable_target();
     let mut view = support::view(&[&gone]);
     view.peers = [Peer {
         name: "peer".to_owned(),
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod header_format;
+pub mod run_target;
 pub mod scripted_target;
 
 use {
@@ -27,7 +28,7 @@
         time::Duration,
     },
     target::{Client, ClientSettings},
-    tokio::net::TcpListener,
+    tokio::net::{TcpListener, TcpSocket},
 };
 
 /// Key of the only client account.
@@ -70,6 +71,15 @@
     }
 }
 
+/// A target that cannot be reached, at a port that nothing else gets during the test.
+pub fn unreachable_target() -> ScriptedTarget {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let address = socket.local_addr().unwrap();
+    Box::leak(Box::new(socket));
+    ScriptedTarget::at("gone", address)
+}
+
 /// Routes `/idempotent/`, `/once/`, `/stream/`, `/resumable/` and `/gapped/` to one pool.
 pub fn routes() -> Vec<Route> {
     let route = |name: &str, retry_policy| {
@@ -149,7 +159,8 @@
         Self::start_all(targets, RetryBounds::default(), source).await
     }
 
-    async fn start_all(
+    /// Starts a relay in front of `targets` with this retry budget, whose calls come from `source`.
+    pub async fn start_all(
         targets: &[&ScriptedTarget],
         retry_bounds: RetryBounds,
         source: CallSource,
