A refusal that promises "not run" is made from evidence only

A promise of 503 could be made anywhere from a Reason.

NotRun has no public constructor and no copy. It comes from a request that was read by nobody (NotSent), an attempt that wrote no byte, a target's refusal, or another instance's word. Its three ways of being made check the fact themselves (not_run.rs). Refusal::not_run takes one; every check on the way (admission, shutdown, quarantine, choice) now gives a Declined, which promises nothing. A call in progress keeps its evidence; sending takes it out, and only the attempt's own evidence puts it back, so a call that is cut while it is sent or passed on has nothing to promise with. What may have run is refused by LostAnswer (502, 504).

The doctests of NotRun and NotSent show that the wrong promise no longer compiles: a refusal from a Declined alone (E0277), evidence made by hand (E0423), evidence used twice or after sending (E0382); each checked by hand with rustc for that code, beside two that compile.

The doctest of the crate changed, since Refusal::new is gone.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        HeaderFormat, InFlightGuard, Reason, Refusal, ReplyMetadata,
+        Declined, HeaderFormat, InFlightGuard, LostAnswer, NotRun, NotSent, Reason, ReplyMetadata,
+        accept::AcceptedCall,
         admit::Admitted,
         attempt::{AttemptOutcome, AttemptParams, Content, TargetAnswer, attempt},
         body_memory::BodyPermit,
@@ -11,7 +12,7 @@
         call_recorder::CallRecorder,
         pick::PickedTarget,
         quarantined_calls::part_keys,
-        refusal::NO_TARGET_RETRY_AFTER,
+        refusal::{NO_TARGET_RETRY_AFTER, Unanswered},
         relay::Inner,
         silent_target::AttemptTimeout,
     },
@@ -60,13 +61,13 @@
     pub(crate) origin: CallOrigin,
     /// Targets that were tried for the call, including those that could not be reached.
     pub(crate) tried_targets: Vec<TargetId>,
+    /// Shows that the call has not run and never will; `None` while somebody has it, and once somebody
+    /// may have run it.
+    pub(crate) not_run: Option<NotRun>,
     /// Number of targets that ran the call or may have run it.
     pub(crate) may_have_run_count: u32,
     /// Whether another instance may reach the call's targets if this one does not.
     pub(crate) has_other_way: bool,
-    /// Whether other instances were asked to answer the call and have not all said that it did not
-    /// run.
-    pub(crate) is_passed_on: bool,
     /// Number of targets tried to which no connection could be opened.
     pub(crate) unreachable_count: usize,
     /// Counts the call as in flight at the current target.
@@ -86,12 +87,16 @@
     /// target.
     pub(crate) fn new(
         inner: Arc<Inner<Format>>,
-        admitted: Admitted,
-        head: request::Parts,
-        body: Bytes,
-        body_permit: BodyPermit,
+        accepted: AcceptedCall,
+        not_sent: NotSent,
         arrived: Instant,
     ) -> Self {
+        let AcceptedCall {
+            admitted,
+            head,
+            body,
+            body_permit,
+        } = accepted;
         let pool = admitted.route.draw_pool(rand::random());
         let pool = pool.cloned().unwrap_or_default();
         let part_keys = part_keys(&admitted.call);
@@ -108,9 +113,9 @@
             pool,
             origin,
             tried_targets: Vec::new(),
+            not_run: Some(not_sent.into()),
             may_have_run_count: 0,
             has_other_way: false,
-            is_passed_on: false,
             unreachable_count: 0,
             in_flight: None,
             has_reserved_retry: AtomicBool::new(false),
@@ -171,7 +176,7 @@
     pub(crate) async fn answer_here(
         &mut self,
         recorder: &mut CallRecorder,
-    ) -> Result<TargetAnswer, Refusal> {
+    ) -> Result<TargetAnswer, Unanswered> {
         let view_age = self.inner.state.view().age();
         if let Some(pool) = self.origin.find(&self.admitted, view_age).await? {
             self.pool = pool;
@@ -194,14 +199,14 @@
         &mut self,
         recorder: &mut CallRecorder,
         last_event_id: Option<u64>,
-    ) -> Result<TargetAnswer, Refusal> {
+    ) -> Result<TargetAnswer, Unanswered> {
         if last_event_id.is_none() {
             let instances_count = self.instances_count();
             self.inner
                 .retry_budgets
                 .record_call(&self.pool, instances_count);
         }
-        let mut last_refusal = Refusal::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER);
+        let mut last_declined = Declined::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER);
         let mut error_answer = None;
         let mut suspects = Vec::new();
         while self.tried_targets.len() < MAX_TRIED_TARGETS_COUNT && self.time_left() > MIN_TIME_LEFT
@@ -209,13 +214,13 @@
             // For a resumed stream, the stream forwarder has checked the time once, before this
             // loop.
             if last_event_id.is_none()
-                && let Err(refusal) = self.check_shutdown(recorder)
+                && let Err(declined) = self.check_shutdown(recorder)
             {
-                last_refusal = refusal;
+                last_declined = declined;
                 break;
             }
-            if let Err(refusal) = self.check_quarantine(recorder) {
-                last_refusal = refusal;
+            if let Err(declined) = self.check_quarantine(recorder) {
+                last_declined = declined;
                 break;
             }
             if self.has_reached_no_target() && self.is_cut_off() {
@@ -223,8 +228,8 @@
             }
             let picked = match self.choose_target() {
                 Ok(picked) => picked,
-                Err(refusal) => {
-                    last_refusal = refusal.unwrap_or(last_refusal);
+                Err(declined) => {
+                    last_declined = declined.unwrap_or(last_declined);
                     break;
                 }
             };
@@ -232,16 +237,17 @@
             recorder.begin_attempt(&picked);
             self.tried_targets.push(target.clone());
             let sent_at = boot_time();
+            let earlier = self.not_run.take();
             let outcome = self.send(&picked, last_event_id, recorder).await;
             recorder.end_attempt(describe_outcome(&outcome));
             self.record_attempt(&picked, &outcome);
-            if matches!(outcome, AttemptOutcome::NotSent(_)) {
+            if matches!(outcome, AttemptOutcome::NotSent(..)) {
                 self.unreachable_count += 1;
             }
             if matches!(outcome, AttemptOutcome::Unknown { .. }) {
                 self.record_identity(recorder);
             }
-            let (refusal, counts_as_retry) = match outcome {
+            let (declined, counts_as_retry) = match outcome {
                 AttemptOutcome::Answered(answer) => {
                     if !self.should_try_another(&answer) || !self.try_retry() {
                         self.record_answer(&picked, &answer, &suspects);
@@ -252,8 +258,14 @@
                     error_answer = Some(answer);
                     continue;
                 }
-                AttemptOutcome::NotSent(_) => (last_refusal, false),
-                AttemptOutcome::NotRun(..) => (self.overload_refusal(), true),
+                AttemptOutcome::NotSent(_, not_run) => {
+                    self.not_run = earlier.and(Some(not_run));
+                    (last_declined, false)
+                }
+                AttemptOutcome::NotRun(_, _, not_run) => {
+                    self.not_run = earlier.and(Some(not_run));
+                    (self.overloaded(), true)
+                }
                 AttemptOutcome::Unknown { disconnected, .. } => {
                     if disconnected && last_event_id.is_none() {
                         self.report_disconnect(&picked, sent_at);
@@ -261,10 +273,10 @@
                     if !self.can_run_again() || self.may_have_crashed_target() {
                         break;
                     }
-                    (last_refusal, true)
+                    (last_declined, true)
                 }
             };
-            last_refusal = refusal;
+            last_declined = declined;
             let has_retry = self.has_reserved_retry.swap(false, Ordering::Relaxed);
             if counts_as_retry && !has_retry && !self.try_retry() {
                 break;
@@ -274,13 +286,13 @@
             self.record_suspects(&suspects, CallOutcome::Failed);
             return Ok(error_answer);
         }
-        if self.may_have_run_count > 0 {
-            return Err(self.unknown_outcome_refusal());
+        if self.not_run.is_none() {
+            return Err(Unanswered::Lost(self.lost_answer()));
         }
         if self.time_left() <= MIN_TIME_LEFT {
-            last_refusal = Reason::TooLate.into();
+            last_declined = Reason::TooLate.into();
         }
-        Err(last_refusal)
+        Err(last_declined.into())
     }
 
     /// Sends the call to one target and reads its answer, or the first event of its stream.
@@ -395,14 +407,13 @@
             && self.can_finish_elsewhere_after(Duration::ZERO)
     }
 
-    /// Refusal for a call that may have run but has no answer.
-    fn unknown_outcome_refusal(&self) -> Refusal {
-        let reason = if self.time_left() <= MIN_TIME_LEFT {
-            Reason::TimedOut
+    /// Why a call that may have run has no answer.
+    pub(crate) fn lost_answer(&self) -> LostAnswer {
+        if self.time_left() <= MIN_TIME_LEFT {
+            LostAnswer::TimedOut
         } else {
-            Reason::TargetFailed
-        };
-        Refusal::new(reason)
+            LostAnswer::TargetFailed
+        }
     }
 }
 
@@ -410,8 +421,8 @@
 pub(crate) fn describe_outcome(outcome: &AttemptOutcome<TargetAnswer>) -> String {
     match outcome {
         AttemptOutcome::Answered(answer) => format!("answered {}", answer.status.as_u16()),
-        AttemptOutcome::NotSent(reason) => format!("not sent: {reason}"),
-        AttemptOutcome::NotRun(status, _) => format!("not run: {}", status.as_u16()),
+        AttemptOutcome::NotSent(reason, _) => format!("not sent: {reason}"),
+        AttemptOutcome::NotRun(status, ..) => format!("not run: {}", status.as_u16()),
         AttemptOutcome::Unknown { reason, .. } => format!("unknown: {reason}"),
     }
 }
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -1,7 +1,7 @@
 //! Admission of calls: finds the route and authenticates the client account.
 
 use {
-    crate::{Call, Reason, Refusal, View},
+    crate::{Call, Declined, Reason, View},
     hyper::{header::HOST, http::request},
     routes::{Account, Route, RouteTable},
     std::{sync::Arc, time::Duration},
@@ -39,13 +39,13 @@
 /// # Errors
 /// [`Reason::NoRoute`] or [`Reason::NoAccount`] if there is none; [`Reason::NotReady`] if the
 /// instance has no configuration, or one that was not confirmed recently enough to reject the call.
-pub(crate) fn admit(view: &View, head: &request::Parts, call: Call) -> Result<Admitted, Refusal> {
-    let not_ready = Refusal::new(Reason::NotReady).retry_after(NOT_READY_RETRY_AFTER);
+pub(crate) fn admit(view: &View, head: &request::Parts, call: Call) -> Result<Admitted, Declined> {
+    let not_ready = Declined::new(Reason::NotReady).retry_after(NOT_READY_RETRY_AFTER);
     let table = view.route_table.clone().ok_or(not_ready)?;
     let refuse_unknown = |reason| {
         let is_current = view.age() <= MAX_CONFIG_AGE;
         if is_current {
-            Refusal::new(reason)
+            Declined::new(reason)
         } else {
             not_ready
         }
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -1,7 +1,7 @@
 //! HTTP responses to the caller.
 
 use {
-    crate::{CallSource, Refusal, peer_caller::NOT_RUN},
+    crate::{CallSource, Refusal, not_run::NOT_RUN},
     bytes::Bytes,
     futures::Stream,
     http_body_util::{Either, Full, StreamBody},
@@ -33,10 +33,10 @@
     Events: Stream<Item = Result<Frame<Bytes>, TruncatedAnswer>>,
 {
     let mut headers = refusal.headers();
-    if source == CallSource::Instance && refusal.reason.is_not_run() {
+    if source == CallSource::Instance && refusal.is_not_run() {
         headers.insert(NOT_RUN, HeaderValue::from_static("1"));
     }
-    whole(refusal.reason.status(), headers, refusal.body())
+    whole(refusal.status(), headers, refusal.body())
 }
 
 /// Creates an answer whose body is streamed.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,7 +1,9 @@
 //! A single attempt to have a target run a call.
 
 use {
-    crate::{HeaderFormat, ReplyMetadata, body_memory::BodyMemory, event_stream::EventStream},
+    crate::{
+        HeaderFormat, NotRun, ReplyMetadata, body_memory::BodyMemory, event_stream::EventStream,
+    },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{HeaderMap, Request, StatusCode},
@@ -58,9 +60,9 @@
     /// The target answered the call, with a success or with its own error status.
     Answered(Answer),
     /// No byte of the call was sent, so it has not run; the reason.
-    NotSent(String),
+    NotSent(String, NotRun),
     /// The target said that it did not run the call; the status and metadata of its answer.
-    NotRun(StatusCode, ReplyMetadata),
+    NotRun(StatusCode, ReplyMetadata, NotRun),
     /// The target may have run the call, but its answer is missing or unusable.
     Unknown {
         /// Why.
@@ -83,9 +85,9 @@
 
 impl<Answer> From<SendError> for AttemptOutcome<Answer> {
     fn from(error: SendError) -> Self {
-        match error {
-            SendError::NotSent { reason, .. } => Self::NotSent(reason),
-            error => Self::Unknown {
+        match NotRun::of_unsent(error) {
+            Ok((not_run, reason)) => Self::NotSent(reason, not_run),
+            Err(error) => Self::Unknown {
                 disconnected: matches!(
                     error,
                     SendError::Unknown {
@@ -154,8 +156,9 @@
         client.close_idle(address);
         return AttemptOutcome::unusable("the answer belongs to another call");
     }
-    if metadata.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        return read_not_run(reply, metadata).await;
+    if let Some(not_run) = NotRun::of_target(status, &metadata) {
+        read_refusal(reply).await;
+        return AttemptOutcome::NotRun(status, metadata, not_run);
     }
     if promises_not_run(status) {
         let reason = format!("{status} without word that the call did not run");
@@ -180,13 +183,11 @@
 
 /// Reads the body of a target's refusal, so that its connection can be reused. A body that is long
 /// or slow is not worth the wait.
-async fn read_not_run(mut reply: Reply, metadata: ReplyMetadata) -> AttemptOutcome<TargetAnswer> {
-    let status = reply.status();
+async fn read_refusal(mut reply: Reply) {
     let body = reply.limited_body(MAX_REFUSAL_BYTES, REFUSAL_BODY_TIMEOUT);
     if let Err(error) = body.await {
         log::debug!("could not read the body of a target's refusal: {error}");
     }
-    AttemptOutcome::NotRun(status, metadata)
 }
 
 /// Reads the body of an answer, or the first event of its stream.
--- a/crates/relay/src/call_origin.rs
+++ b/crates/relay/src/call_origin.rs
@@ -1,7 +1,7 @@
 //! Where the stream of a call began, which decides where it may go on.
 
 use {
-    crate::{Reason, Refusal, StreamOrigins, admit::Admitted, view::MAX_VIEW_AGE},
+    crate::{Declined, Reason, StreamOrigins, admit::Admitted, view::MAX_VIEW_AGE},
     origins::{Origin, OriginKnowledge, OriginRecord, stream_key},
     routes::{PoolId, Route},
     std::{sync::Arc, time::Duration},
@@ -46,7 +46,7 @@
         &mut self,
         admitted: &Admitted,
         view_age: Duration,
-    ) -> Result<Option<PoolId>, Refusal> {
+    ) -> Result<Option<PoolId>, Declined> {
         let call = &admitted.call;
         let is_resumed = call.resumes.is_some() || call.last_event_id.is_some();
         if !admitted.route.retry_policy.is_stream() || !is_resumed {
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        AnswerCutoff, Call, Reason, Stated, TargetStatements, answer_times::AnswerTimes,
+        AnswerCutoff, Call, LostAnswer, Stated, TargetStatements, answer_times::AnswerTimes,
         pick::PickedTarget,
     },
     eventlog::{AttemptLine, CallLine, Event, EventLog},
@@ -149,7 +149,7 @@
     /// Records that the shutdown ended the answer before it was complete.
     pub(crate) fn cut(&mut self) {
         let status = self.line.status;
-        self.end("cut", status, Reason::Cut.message());
+        self.end("cut", status, LostAnswer::Cut.message());
     }
 
     /// Adds the call to the answer times of its route: a complete 2xx answer in full, and any other
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        HeaderFormat, Reason, Refusal, View,
+        Declined, HeaderFormat, Reason, View,
         active_call::ActiveCall,
         pick::{PickContext, PickedTarget, call_context, has_origin, has_other_software, pick},
         refusal::OVERLOADED_RETRY_AFTER,
@@ -17,7 +17,7 @@
 {
     /// Chooses the next target for the call, and takes the right to send a call there. Fails if no
     /// target may take the call, with a refusal if the reason is what targets state.
-    pub(crate) fn choose_target(&self) -> Result<PickedTarget, Option<Refusal>> {
+    pub(crate) fn choose_target(&self) -> Result<PickedTarget, Option<Declined>> {
         self.with_pick_context(|view, context| {
             // Another call may take the last right to a target between its choice and this one.
             loop {
@@ -35,29 +35,29 @@
         })
     }
 
-    /// Refusal for a call that no target may take, if the reason is known.
+    /// Declined for a call that no target may take, if the reason is known.
     fn no_target_refusal(
         &self,
         view: &View,
         context: &PickContext<'_>,
         wait: Option<Duration>,
-    ) -> Option<Refusal> {
+    ) -> Option<Declined> {
         if let Some(version) = context.software_version
             && !has_origin(view, &self.pool, version)
         {
             return Some(Reason::OriginGone.into());
         }
-        wait.map(|wait| Refusal::new(Reason::Overloaded).retry_after(wait))
+        wait.map(|wait| Declined::new(Reason::Overloaded).retry_after(wait))
     }
 
-    /// Refusal for a call that targets refused: it may come again once another target, or one of
+    /// Declined for a call that targets refused: it may come again once another target, or one of
     /// these, may take it.
-    pub(crate) fn overload_refusal(&self) -> Refusal {
+    pub(crate) fn overloaded(&self) -> Declined {
         let wait = self.with_pick_context(|view, context| {
             let choice = pick(view, &self.pool, context);
             choice.wait.filter(|_| choice.picked.is_none())
         });
-        Refusal::new(Reason::Overloaded).retry_after(wait.unwrap_or(OVERLOADED_RETRY_AFTER))
+        Declined::new(Reason::Overloaded).retry_after(wait.unwrap_or(OVERLOADED_RETRY_AFTER))
     }
 
     /// Whether there is a target that may take the call now.
--- a/crates/relay/src/discard_body.rs
+++ b/crates/relay/src/discard_body.rs
@@ -4,7 +4,7 @@
 //! before the whole body has arrived.
 
 use {
-    crate::{Refusal, View},
+    crate::{Declined, View},
     http_body_util::{BodyExt, Limited},
     hyper::{
         body::{Body, Incoming},
@@ -20,11 +20,11 @@
 /// Discards the body of a refused call, as far as the caller sends it soon and the configuration
 /// allows its length. Returns the refusal, which closes the connection if the body has not ended.
 pub(crate) async fn discard_body(
-    refusal: Refusal,
+    refusal: Declined,
     view: &View,
     headers: &HeaderMap,
     body: Incoming,
-) -> Refusal {
+) -> Declined {
     if refusal.close || body.is_end_stream() {
         return refusal;
     }
@@ -32,7 +32,7 @@
     let has_ended = !awaits_continue(headers)
         && !is_longer(&body, max_bytes)
         && read_to_end(body, max_bytes).await;
-    Refusal {
+    Declined {
         close: !has_ended,
         ..refusal
     }
--- a/crates/relay/src/ending_calls.rs
+++ b/crates/relay/src/ending_calls.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
-        HeaderFormat, Reason, Refusal, Shutdown,
+        Declined, HeaderFormat, LostAnswer, Reason, Refusal, Shutdown,
         active_call::ActiveCall,
         boot_time,
         call_recorder::{CallRecorder, millis},
+        refusal::Unanswered,
     },
     std::time::Duration,
 };
@@ -17,23 +18,24 @@
 where
     Format: HeaderFormat,
 {
-    /// Refusal for a call that the shutdown ended before it was answered: [`Reason::Cut`] if it may
-    /// have run, here or where another instance sent it, and [`Reason::ShuttingDown`] otherwise.
-    pub(crate) fn cut_refusal(&self) -> Refusal {
-        let may_have_run =
-            self.in_flight.is_some() || self.may_have_run_count > 0 || self.is_passed_on;
-        let reason = if may_have_run {
-            Reason::Cut
-        } else {
-            Reason::ShuttingDown
-        };
-        reason.into()
+    /// Refusal for a call that got no answer. It promises that the call has not run only with evidence,
+    /// whatever ended the call.
+    pub(crate) fn refusal(mut self, unanswered: Unanswered) -> Refusal {
+        match (self.not_run.take(), unanswered) {
+            (Some(not_run), Unanswered::Declined(declined)) => Refusal::not_run(declined, not_run),
+            (Some(not_run), Unanswered::Cut) => {
+                Refusal::not_run(Reason::ShuttingDown.into(), not_run)
+            }
+            (_, Unanswered::Lost(lost)) => Refusal::unknown(lost),
+            (None, Unanswered::Cut) => Refusal::unknown(LostAnswer::Cut),
+            (None, Unanswered::Declined(_)) => Refusal::unknown(self.lost_answer()),
+        }
     }
 
     /// Refuses the call if the instance is shutting down and the call may outlast it. Once callers
     /// know other instances, only its time limit shows that it will not; before, an estimate decides.
     /// A call that may have run already is not refused for its time limit, since it was taken before.
-    pub(crate) fn check_shutdown(&self, recorder: &mut CallRecorder) -> Result<(), Refusal> {
+    pub(crate) fn check_shutdown(&self, recorder: &mut CallRecorder) -> Result<(), Declined> {
         let Some(shutdown) = self.inner.state.view().shutdown else {
             return Ok(());
         };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,19 +4,23 @@
 //! [`View`], chooses a target, forwards the call and returns the answer. A [`HeaderFormat`] parses
 //! and writes the headers, so the relay depends on no header names.
 //!
-//! A refusal that promises that the call has not run is always true. An attempt counts as not run
-//! only if no byte of the call was written ([`AttemptOutcome::NotSent`]) or if the target said so
-//! ([`AttemptOutcome::NotRun`]). Any other attempt without a usable answer is
-//! [`AttemptOutcome::Unknown`], after which a call that may run at most once is not retried.
+//! A refusal that promises that the call has not run is always true, since it is made from evidence:
+//! a [`NotRun`]. An attempt gives one only if no byte of the call was written
+//! ([`AttemptOutcome::NotSent`]) or if the target said so ([`AttemptOutcome::NotRun`]). Any other
+//! attempt without a usable answer is [`AttemptOutcome::Unknown`], after which a call that may run at
+//! most once is not retried.
 //!
 //! ```
-//! use relay::{Refusal, Reason};
+//! use relay::{Declined, NotSent, Reason, Refusal};
 //! use std::time::Duration;
 //!
-//! let refusal = Refusal::new(Reason::NoTarget).retry_after(Duration::from_millis(300));
-//! assert!(refusal.reason.promises_not_run());
+//! fn refuse_early(not_sent: NotSent) -> Refusal {
+//!     let declined = Declined::new(Reason::NoTarget).retry_after(Duration::from_millis(300));
+//!     Refusal::not_run(declined, not_sent.into())
+//! }
 //! ```
 
+mod accept;
 mod active_call;
 mod admit;
 mod answer;
@@ -33,6 +37,7 @@
 mod event_stream;
 mod forwarded_stream;
 mod header_format;
+mod not_run;
 mod outbound_metadata;
 mod pass_on;
 mod peer_caller;
@@ -67,7 +72,8 @@
     boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
     header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata},
-    refusal::{Reason, Refusal},
+    not_run::{NotRun, NotSent},
+    refusal::{Declined, LostAnswer, Reason, Refusal},
     relay::{CallSource, Relay, RelaySettings, RelayState},
     salt::salt_version,
     shutdown::{AnswerCutoff, Shutdown},
--- a/crates/relay/src/pass_on.rs
+++ b/crates/relay/src/pass_on.rs
@@ -1,9 +1,13 @@
 //! Whether a call is passed on to another instance, because this one gets it to no target.
 
 use crate::{
-    CallSource, HeaderFormat, Peer, Reason, Refusal, active_call::ActiveCall,
-    attempt::TargetAnswer, call_recorder::CallRecorder, peer_caller::PeerCall,
-    refusal::NO_TARGET_RETRY_AFTER, view::MAX_VIEW_AGE,
+    CallSource, Declined, HeaderFormat, Peer, Reason,
+    active_call::ActiveCall,
+    attempt::TargetAnswer,
+    call_recorder::CallRecorder,
+    peer_caller::PeerCall,
+    refusal::{NO_TARGET_RETRY_AFTER, Unanswered},
+    view::MAX_VIEW_AGE,
 };
 
 impl<Format> ActiveCall<Format>
@@ -15,10 +19,11 @@
         &mut self,
         recorder: &mut CallRecorder,
         source: CallSource,
-    ) -> Result<TargetAnswer, Refusal> {
+    ) -> Result<TargetAnswer, Unanswered> {
         self.has_other_way = source == CallSource::Instance || self.has_peers();
         let answered = if self.is_cut_off() {
-            Err(Refusal::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER))
+            let declined = Declined::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER);
+            Err(declined.into())
         } else {
             self.answer_here(recorder).await
         };
@@ -27,17 +32,12 @@
             return answered;
         }
         self.check_shutdown(recorder)?;
-        self.is_passed_on = true;
-        let answered = self.pass_on(recorder).await;
-        self.is_passed_on = match &answered {
-            Ok(_) => true,
-            Err(refusal) => !refusal.reason.promises_not_run(),
-        };
-        answered
+        self.pass_on(recorder).await
     }
 
     /// Has another instance answer the call.
-    async fn pass_on(&self, recorder: &mut CallRecorder) -> Result<TargetAnswer, Refusal> {
+    async fn pass_on(&mut self, recorder: &mut CallRecorder) -> Result<TargetAnswer, Unanswered> {
+        let peers = self.peers();
         let call = PeerCall {
             id: &self.admitted.call.id,
             head: &self.head,
@@ -49,7 +49,7 @@
         };
         let (peer_caller, format) = (&self.inner.peer_caller, &self.inner.header_format);
         peer_caller
-            .answer(format, &call, self.peers(), recorder)
+            .answer(format, &call, peers, &mut self.not_run, recorder)
             .await
     }
 
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        HeaderFormat, Peer, Reason, Refusal,
+        Declined, HeaderFormat, LostAnswer, NotRun, Peer, Reason,
         attempt::{Content, TargetAnswer, read_whole},
         body_memory::BodyMemory,
         call_recorder::CallRecorder,
-        refusal::NO_TARGET_RETRY_AFTER,
+        refusal::{NO_TARGET_RETRY_AFTER, Unanswered},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -32,9 +32,6 @@
 /// Part of the time left that is kept for the way back from the other instance.
 const RETURN_TIME: Duration = Duration::from_millis(10);
 
-/// Header of a refusal to another instance: the call has not run and will not run.
-pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("x-rattan-not-run");
-
 /// Header of a call that is passed on: version of the configuration by which it was admitted.
 pub(crate) const CONFIGURATION: HeaderName = HeaderName::from_static("x-rattan-configuration");
 
@@ -67,16 +64,16 @@
 /// Why an instance did not answer a call.
 enum PeerFailure {
     /// It did not take the call, which has not run; after which time it may.
-    NotTaken(Option<Duration>),
-    /// It took the call, and there is no usable answer.
-    Failed(Reason),
+    NotTaken(NotRun, Option<Duration>),
+    /// It may have taken the call, and there is no usable answer.
+    Failed(LostAnswer),
 }
 
 impl From<SendError> for PeerFailure {
     fn from(error: SendError) -> Self {
-        match error {
-            SendError::NotSent { .. } => Self::NotTaken(None),
-            _ => Self::Failed(Reason::TargetFailed),
+        match NotRun::of_unsent(error) {
+            Ok((not_run, _)) => Self::NotTaken(not_run, None),
+            Err(_) => Self::Failed(LostAnswer::TargetFailed),
         }
     }
 }
@@ -90,33 +87,38 @@
         }
     }
 
-    /// Passes a call on to one of `peers` after another until one takes it. Refuses it if none does.
+    /// Passes a call on to one of `peers` after another until one takes it. `not_run` is what shows that
+    /// the call has not run; it is there again afterwards only if no instance took the call.
     pub(crate) async fn answer<Format>(
         &self,
         header_format: &Format,
         call: &PeerCall<'_>,
         peers: Vec<Peer>,
+        not_run: &mut Option<NotRun>,
         recorder: &mut CallRecorder,
-    ) -> Result<TargetAnswer, Refusal>
+    ) -> Result<TargetAnswer, Unanswered>
     where
         Format: HeaderFormat,
     {
         let mut retry_after = NO_TARGET_RETRY_AFTER;
         for peer in self.order(peers).into_iter().take(MAX_PEERS_COUNT) {
             if call.time_left() < MIN_TIME_LEFT {
-                return Err(Reason::TooLate.into());
+                return Err(Declined::new(Reason::TooLate).into());
             }
             recorder.line.forwarded_to.clone_from(&peer.name);
+            let earlier = not_run.take();
             match self.send(header_format, call, &peer).await {
                 Ok(answer) => return Ok(answer),
-                Err(PeerFailure::NotTaken(asked)) => {
+                Err(PeerFailure::NotTaken(evidence, asked)) => {
+                    *not_run = earlier.and(Some(evidence));
                     self.lock().insert(peer.seed, Instant::now());
                     retry_after = asked.unwrap_or(retry_after);
                 }
-                Err(PeerFailure::Failed(reason)) => return Err(reason.into()),
+                Err(PeerFailure::Failed(lost)) => return Err(Unanswered::Lost(lost)),
             }
         }
-        Err(Refusal::new(Reason::NoTarget).retry_after(retry_after))
+        let declined = Declined::new(Reason::NoTarget).retry_after(retry_after);
+        Err(declined.into())
     }
 
     /// Orders instances by chance, with those last that did not take a call lately.
@@ -184,7 +186,7 @@
         return Err(own_answer(status, &headers));
     }
     if id.is_some_and(|id| id != call.id) {
-        return Err(PeerFailure::Failed(Reason::TargetFailed));
+        return Err(PeerFailure::Failed(LostAnswer::TargetFailed));
     }
     let is_streamed =
         call.is_stream && status.is_success() && !headers.contains_key(CONTENT_LENGTH);
@@ -202,18 +204,17 @@
 }
 
 /// What the other instance means by an answer of its own. Only its explicit word shows that the call
-/// has not run. Builds before that word was added give it for no status but 503, which no target's
-/// answer is passed on with.
+/// has not run.
 ///
 /// The other instance may have another configuration, so its word that a route or a key is unknown is no
 /// reason to refuse the call for good.
 fn own_answer(status: StatusCode, headers: &HeaderMap) -> PeerFailure {
-    match status {
-        StatusCode::GATEWAY_TIMEOUT => PeerFailure::Failed(Reason::TimedOut),
-        status if headers.contains_key(&NOT_RUN) || status == StatusCode::SERVICE_UNAVAILABLE => {
-            PeerFailure::NotTaken(parse_retry_after(headers))
-        }
-        _ => PeerFailure::Failed(Reason::TargetFailed),
+    if status == StatusCode::GATEWAY_TIMEOUT {
+        return PeerFailure::Failed(LostAnswer::TimedOut);
+    }
+    match NotRun::of_instance(status, headers) {
+        Some(not_run) => PeerFailure::NotTaken(not_run, parse_retry_after(headers)),
+        None => PeerFailure::Failed(LostAnswer::TargetFailed),
     }
 }
 
--- a/crates/relay/src/quarantined_calls.rs
+++ b/crates/relay/src/quarantined_calls.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        HeaderFormat, Reason, Refusal, active_call::ActiveCall, admit::called_host, boot_time,
+        Declined, HeaderFormat, Reason, active_call::ActiveCall, admit::called_host, boot_time,
         call_recorder::CallRecorder, pick::PickedTarget,
     },
     hyper::http::uri::PathAndQuery,
@@ -26,7 +26,7 @@
     Format: HeaderFormat,
 {
     /// Refuses the call if it or one of its parts crashes targets.
-    pub(crate) fn check_quarantine(&self, recorder: &mut CallRecorder) -> Result<(), Refusal> {
+    pub(crate) fn check_quarantine(&self, recorder: &mut CallRecorder) -> Result<(), Declined> {
         let Some(key) = self.blocking_suspect() else {
             return Ok(());
         };
@@ -36,7 +36,7 @@
         if let SuspectKey::Part(_) = key {
             recorder.line.quarantined_part = self.label(key);
         }
-        Err(Refusal::new(Reason::Quarantined).retry_after(QUARANTINED_RETRY_AFTER))
+        Err(Declined::new(Reason::Quarantined).retry_after(QUARANTINED_RETRY_AFTER))
     }
 
     /// The part, or the call itself, because of which the call must be refused.
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -1,6 +1,7 @@
 //! Refusals: answers that the relay gives instead of a target.
 
 use {
+    crate::NotRun,
     bytes::Bytes,
     hyper::{
         StatusCode,
@@ -18,7 +19,7 @@
 /// Longest retry delay for callers: later, other targets may have been added.
 const MAX_RETRY_AFTER: Duration = Duration::from_mins(1);
 
-/// Why a call was not answered by a target.
+/// Why a call is not sent to a target, or to no further one. It alone promises nothing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reason {
     /// A header is missing or invalid.
@@ -48,15 +49,9 @@
     OriginGone,
     /// The time limit expired, and the call has not run.
     TooLate,
-    /// The time limit expired; the call may have run.
-    TimedOut,
-    /// A target failed without a usable answer; the call may have run.
-    TargetFailed,
     /// This instance is shutting down, and the call is not expected to finish in time or was ended
     /// before it could run.
     ShuttingDown,
-    /// This instance shut down before the target answered; the call may have run.
-    Cut,
 }
 
 impl Reason {
@@ -76,23 +71,9 @@
             | Self::OriginGone
             | Self::TooLate
             | Self::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Self::TargetFailed | Self::Cut => StatusCode::BAD_GATEWAY,
         }
     }
 
-    /// Whether the status tells the caller that the call has not run and will not run.
-    #[must_use]
-    pub fn promises_not_run(self) -> bool {
-        self.status() == StatusCode::SERVICE_UNAVAILABLE
-    }
-
-    /// Whether the call has not run and will not run, also where the status promises nothing.
-    #[must_use]
-    pub fn is_not_run(self) -> bool {
-        !matches!(self, Self::TimedOut | Self::TargetFailed | Self::Cut)
-    }
-
     /// Message for the caller: what happened, and what to do about it.
     #[must_use]
     pub fn message(self) -> &'static str {
@@ -115,11 +96,40 @@
                 "no target runs the software version that began the stream; begin it anew, without the last event's id"
             }
             Self::TooLate => "no target could be reached in time; the call has not run",
-            Self::TimedOut => "the target took too long; the call may have run",
-            Self::TargetFailed => "the target broke off; the call may have run",
             Self::ShuttingDown => {
                 "this instance shuts down before the call would end; use another address"
             }
+        }
+    }
+}
+
+/// Why a call that may have run has no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LostAnswer {
+    /// The time limit expired.
+    TimedOut,
+    /// A target, or another instance, failed without a usable answer.
+    TargetFailed,
+    /// This instance shut down before the answer.
+    Cut,
+}
+
+impl LostAnswer {
+    /// HTTP status of the answer, which promises nothing.
+    #[must_use]
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TargetFailed | Self::Cut => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Message for the caller: what happened.
+    #[must_use]
+    pub fn message(self) -> &'static str {
+        match self {
+            Self::TimedOut => "the target took too long; the call may have run",
+            Self::TargetFailed => "the target broke off; the call may have run",
             Self::Cut => {
                 "this instance shuts down before the target answered; the call may have run"
             }
@@ -127,20 +137,21 @@
     }
 }
 
-/// An answer that the relay gives instead of a target.
+/// A call that is not sent, or not sent again, and what the caller may do. It becomes a [`Refusal`]
+/// with evidence that the call has not run, and promises nothing without.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Refusal {
-    /// Why the call was refused.
+pub struct Declined {
+    /// Why.
     pub reason: Reason,
     /// Delay after which the caller should retry, if retrying makes sense.
     pub retry_after: Option<Duration>,
-    /// Whether the connection is closed after this answer.
+    /// Whether the connection is closed after the answer.
     pub close: bool,
 }
 
-impl Refusal {
-    /// Creates a refusal without a retry delay. The connection is closed if the body may not have
-    /// been read or if the instance is shutting down.
+impl Declined {
+    /// Declines a call without a retry delay. The connection is closed if the body may not have been
+    /// read or if the instance is shutting down.
     #[must_use]
     pub fn new(reason: Reason) -> Self {
         Self {
@@ -148,7 +159,7 @@
             retry_after: None,
             close: matches!(
                 reason,
-                Reason::BodyTooLong | Reason::BodyIncomplete | Reason::ShuttingDown | Reason::Cut
+                Reason::BodyTooLong | Reason::BodyIncomplete | Reason::ShuttingDown
             ),
         }
     }
@@ -159,6 +170,104 @@
         self.retry_after = Some(retry_after.min(MAX_RETRY_AFTER));
         self
     }
+}
+
+impl From<Reason> for Declined {
+    fn from(reason: Reason) -> Self {
+        Self::new(reason)
+    }
+}
+
+/// Why no target answered a call. Whether the call has run is for whoever knows who had it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Unanswered {
+    /// The call is sent to nobody any more.
+    Declined(Declined),
+    /// Whoever took the call gave no usable answer.
+    Lost(LostAnswer),
+    /// The shutdown ended the call.
+    Cut,
+}
+
+impl From<Declined> for Unanswered {
+    fn from(declined: Declined) -> Self {
+        Self::Declined(declined)
+    }
+}
+
+/// An answer that the relay gives instead of a target.
+#[derive(Debug)]
+pub struct Refusal {
+    cause: Cause,
+    retry_after: Option<Duration>,
+    close: bool,
+}
+
+/// Why a call is refused.
+#[derive(Debug)]
+enum Cause {
+    /// The call has not run and will not run.
+    NotRun(Reason, NotRun),
+    /// The call may have run.
+    Unknown(LostAnswer),
+}
+
+impl Refusal {
+    /// Refuses a call that has not run and will not run, as the evidence shows.
+    #[must_use]
+    pub fn not_run(declined: Declined, evidence: NotRun) -> Self {
+        Self {
+            cause: Cause::NotRun(declined.reason, evidence),
+            retry_after: declined.retry_after,
+            close: declined.close,
+        }
+    }
+
+    /// Refuses a call that may have run.
+    #[must_use]
+    pub fn unknown(lost: LostAnswer) -> Self {
+        Self {
+            cause: Cause::Unknown(lost),
+            retry_after: None,
+            close: lost == LostAnswer::Cut,
+        }
+    }
+
+    /// Whether the call has not run and will not run, also where the status promises nothing.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        matches!(self.cause, Cause::NotRun(..))
+    }
+
+    /// How the call ended, for its log line.
+    pub(crate) fn outcome(&self) -> &'static str {
+        match self.cause {
+            Cause::Unknown(LostAnswer::Cut) => "cut",
+            Cause::NotRun(reason, _) if reason.status() == StatusCode::SERVICE_UNAVAILABLE => {
+                "refused"
+            }
+            Cause::NotRun(..) | Cause::Unknown(_) => "failed",
+        }
+    }
+
+    /// HTTP status of the answer. Only 503 promises the caller that the call has not run and will not
+    /// run.
+    #[must_use]
+    pub fn status(&self) -> StatusCode {
+        match self.cause {
+            Cause::NotRun(reason, _) => reason.status(),
+            Cause::Unknown(lost) => lost.status(),
+        }
+    }
+
+    /// Message for the caller.
+    #[must_use]
+    pub fn message(&self) -> &'static str {
+        match self.cause {
+            Cause::NotRun(reason, _) => reason.message(),
+            Cause::Unknown(lost) => lost.message(),
+        }
+    }
 
     /// Headers of the answer; `Retry-After` is in seconds with milliseconds as decimals.
     #[must_use]
@@ -177,15 +286,9 @@
         headers
     }
 
-    /// Body of the answer: the message of the reason.
+    /// Body of the answer: the message.
     #[must_use]
     pub fn body(&self) -> Bytes {
-        Bytes::from_static(self.reason.message().as_bytes())
-    }
-}
-
-impl From<Reason> for Refusal {
-    fn from(reason: Reason) -> Self {
-        Self::new(reason)
+        Bytes::from_static(self.message().as_bytes())
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,18 +2,17 @@
 
 use {
     crate::{
-        Answer, AnswerCutoff, HeaderFormat, Reason, Refusal, StreamOrigins, SuspectReports,
+        Answer, AnswerCutoff, HeaderFormat, Refusal, StreamOrigins, SuspectReports,
         TargetReachability, TruncatedAnswer, View,
-        active_call::ActiveCall,
-        admit::{Admitted, admit},
         answer::{refused, streamed, whole},
         answer_times::AnswerTimes,
         attempt::Content,
-        body_memory::{BodyMemory, BodyPermit},
-        call_recorder::{CallRecorder, millis},
-        discard_body::discard_body,
+        body_memory::BodyMemory,
+        call_recorder::CallRecorder,
         forwarded_stream::ForwardedStream,
-        peer_caller::{CONFIGURATION, NOT_RUN, PeerCaller},
+        not_run::NOT_RUN,
+        peer_caller::PeerCaller,
+        refusal::Unanswered,
         retry_budgets::RetryBudgets,
         stream_forwarder::{Aborted, StreamForwarder},
         target_conditions::PassedOver,
@@ -24,12 +23,9 @@
     catalog::FailureDomainId,
     eventlog::EventLog,
     futures::{Stream, future::Either, stream},
-    http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
         Request,
-        body::{Body, Frame, Incoming},
-        header::HeaderValue,
-        http::request,
+        body::{Frame, Incoming},
     },
     meters::Meters,
     parts::PartDirectory,
@@ -38,7 +34,6 @@
         time::{Duration, Instant},
     },
     target::Client,
-    tokio::time::timeout,
 };
 
 /// Settings of a relay.
@@ -137,7 +132,7 @@
     /// Start of the relay; times passed to `balance` are relative to it.
     pub(crate) origin: Instant,
     /// Memory for request bodies.
-    body_memory: BodyMemory,
+    pub(crate) body_memory: BodyMemory,
     /// Memory for answers that are being read as a whole.
     pub(crate) answer_memory: BodyMemory,
     pub(crate) log: EventLog,
@@ -208,16 +203,7 @@
         let mut recorder =
             CallRecorder::new(log, meters, answer_times, answer_cutoff.clone(), arrived);
         recorder.line.is_forwarded = source == CallSource::Instance;
-        let (mut head, body) = request.into_parts();
-        let admitted_by = match source {
-            CallSource::Instance => head.headers.remove(CONFIGURATION),
-            CallSource::Caller => None,
-        };
-        let accepted = tokio::select! {
-            biased;
-            accepted = self.accept(&mut recorder, arrived, head, body, admitted_by) => accepted,
-            () = answer_cutoff.triggered() => Err(Reason::ShuttingDown.into()),
-        };
+        let accepted = self.accept(&mut recorder, arrived, request, source).await;
         let mut active_call = match accepted {
             Ok(active_call) => active_call,
             Err(refusal) => return refuse(recorder, &refusal, source),
@@ -225,11 +211,11 @@
         let answered = tokio::select! {
             biased;
             answered = active_call.answer(&mut recorder, source) => answered,
-            () = answer_cutoff.triggered() => Err(active_call.cut_refusal()),
+            () = answer_cutoff.triggered() => Err(Unanswered::Cut),
         };
         let answer = match answered {
             Ok(answer) => answer,
-            Err(refusal) => return refuse(recorder, &refusal, source),
+            Err(unanswered) => return refuse(recorder, &active_call.refusal(unanswered), source),
         };
         let mut headers = self.inner.header_format.caller_headers(&answer.headers);
         // Only an instance says this of a call, never a target.
@@ -262,120 +248,6 @@
             }
         }
     }
-
-    /// Reserves memory for the body of a call, according to its declared length or, if it declares
-    /// none, an assumed one.
-    fn reserve_body_memory(
-        &self,
-        admitted: &Admitted,
-        body: &Incoming,
-    ) -> Result<BodyPermit, Refusal> {
-        let max_bytes = admitted.table.config().limits.max_body_bytes;
-        let declared_length = body.size_hint().exact();
-        let declared_length =
-            declared_length.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
-        if declared_length.is_some_and(|length| length > max_bytes) {
-            return Err(Reason::BodyTooLong.into());
-        }
-        let length = declared_length.unwrap_or(ASSUMED_BODY_BYTES.min(max_bytes));
-        self.inner
-            .body_memory
-            .reserve(length)
-            .ok_or_else(no_body_memory)
-    }
-
-    /// Parses and admits a call by its head, and reserves memory for its body. Enters in the call's
-    /// log line what is known by then.
-    fn accept_head(
-        &self,
-        recorder: &mut CallRecorder,
-        view: &View,
-        head: &request::Parts,
-        body: &Incoming,
-    ) -> Result<(Admitted, BodyPermit), Refusal> {
-        let call = self.inner.header_format.parse_call(head).map_err(|error| {
-            log::info!("call refused: {error}");
-            Refusal::new(Reason::BadHead)
-        })?;
-        recorder.line.request_id.clone_from(&call.id);
-        recorder.line.resumes = call.resumes.clone().unwrap_or_default();
-        let admitted = admit(view, head, call)?;
-        recorder.line.route.clone_from(&admitted.route.name);
-        if let Some(account) = &admitted.account {
-            recorder.line.account.clone_from(&account.name);
-        }
-        let body_permit = self.reserve_body_memory(&admitted, body)?;
-        Ok((admitted, body_permit))
-    }
-
-    /// Accepts a call by its head, then reads its body into memory, or discards it if the call is
-    /// refused. `admitted_by` is the version of the configuration by which another instance has admitted the
-    /// call.
-    async fn accept(
-        &self,
-        recorder: &mut CallRecorder,
-        arrived: Instant,
-        head: request::Parts,
-        body: Incoming,
-        admitted_by: Option<HeaderValue>,
-    ) -> Result<ActiveCall<Format>, Refusal> {
-        let view = self.view();
-        if is_newer(admitted_by.as_ref(), &view) {
-            let refusal = Refusal::new(Reason::NotReady);
-            return Err(discard_body(refusal, &view, &head.headers, body).await);
-        }
-        recorder.line.configuration = view.configuration_version();
-        recorder.line.view_age_ms = millis(view.age());
-        recorder.line.instances_count = view.instances_count;
-        let (admitted, mut body_permit) = match self.accept_head(recorder, &view, &head, &body) {
-            Ok(accepted) => accepted,
-            Err(refusal) => return Err(discard_body(refusal, &view, &head.headers, body).await),
-        };
-        let body = read_body(&admitted, body).await?;
-        if !body_permit.resize(body.len()) {
-            return Err(no_body_memory());
-        }
-        let active_call = ActiveCall::new(
-            self.inner.clone(),
-            admitted,
-            head,
-            body,
-            body_permit,
-            arrived,
-        );
-        recorder.line.time_limit_ms = millis(active_call.time_limit());
-        Ok(active_call)
-    }
-}
-
-/// Whether another instance admitted a call by a newer configuration than that of `view`. A version that
-/// cannot be read is of a build that does not state it.
-fn is_newer(admitted_by: Option<&HeaderValue>, view: &View) -> bool {
-    let version = admitted_by.and_then(|it| it.to_str().ok()?.parse::<u64>().ok());
-    version.is_some_and(|version| version > view.configuration_version())
-}
-
-/// Assumed length of a body without a declared length, in bytes.
-const ASSUMED_BODY_BYTES: usize = 256 << 10;
-/// Retry delay for callers while too many bodies are buffered.
-const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
-
-/// Refusal for a call whose body does not fit into memory now.
-fn no_body_memory() -> Refusal {
-    Refusal::new(Reason::Overloaded).retry_after(BODY_MEMORY_RETRY_AFTER)
-}
-
-/// Reads the body of a call within the configured size limit and the caller's time limit, or the
-/// route's if the caller sets none.
-async fn read_body(admitted: &Admitted, body: Incoming) -> Result<Bytes, Refusal> {
-    let limits = admitted.table.config().limits;
-    let time_limit = admitted.caller_time_limit();
-    let reading = Limited::new(body, limits.max_body_bytes).collect();
-    match timeout(time_limit, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::BodyTooLong.into()),
-        Ok(Err(_)) | Err(_) => Err(Reason::BodyIncomplete.into()),
-    }
 }
 
 /// Answers a call with a refusal and records it.
@@ -387,16 +259,11 @@
 where
     Events: Stream<Item = Result<Frame<Bytes>, TruncatedAnswer>>,
 {
-    let outcome = match refusal.reason {
-        Reason::Cut => "cut",
-        reason if reason.promises_not_run() => "refused",
-        _ => "failed",
-    };
     recorder.record_first_byte();
     recorder.end(
-        outcome,
-        refusal.reason.status().as_u16(),
-        refusal.reason.message(),
+        refusal.outcome(),
+        refusal.status().as_u16(),
+        refusal.message(),
     );
     refused(refusal, source)
 }
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -2,7 +2,7 @@
 //! are cut, that is, ended early.
 
 use {
-    crate::{Reason, Refusal},
+    crate::{Declined, Reason},
     std::{
         sync::{
             Arc,
@@ -46,16 +46,16 @@
         now + expected <= self.answer_deadline
     }
 
-    /// Refusal for a call that would not finish in time. `random`, from 0 to 1, spreads the
+    /// Declined for a call that would not finish in time. `random`, from 0 to 1, spreads the
     /// retries, since otherwise all callers would return at once to the first instance that is
     /// back.
     #[must_use]
-    pub fn refusal(&self, now: Duration, random: f64) -> Refusal {
+    pub fn refusal(&self, now: Duration, random: f64) -> Declined {
         let wait = self.back_at.map(|at| at.saturating_sub(now));
         let wait = wait.map_or(OTHER_INSTANCE_RETRY_AFTER, |wait| {
             wait.max(MIN_RESTART_RETRY_AFTER) + RESTART_RETRY_JITTER.mul_f64(random)
         });
-        Refusal::new(Reason::ShuttingDown).retry_after(wait)
+        Declined::new(Reason::ShuttingDown).retry_after(wait)
     }
 }
 
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -87,7 +87,7 @@
         let outcome = match attempt_outcome {
             // Judged by `record_answer`, together with the other answers to the call.
             AttemptOutcome::Answered(_) => return,
-            AttemptOutcome::NotRun(StatusCode::MISDIRECTED_REQUEST, metadata) => {
+            AttemptOutcome::NotRun(StatusCode::MISDIRECTED_REQUEST, metadata, _) => {
                 self.record_misdirected(picked, metadata);
                 CallOutcome::Full
             }
@@ -104,7 +104,7 @@
                 picked.target.call_stats.record_disconnect(boot_time());
                 CallOutcome::Failed
             }
-            AttemptOutcome::NotSent(_) | AttemptOutcome::Unknown { .. } => CallOutcome::Failed,
+            AttemptOutcome::NotSent(..) | AttemptOutcome::Unknown { .. } => CallOutcome::Failed,
         };
         self.record_outcome(picked, outcome, &describe_outcome(attempt_outcome));
     }
--- a/crates/relay/src/target_reachability.rs
+++ b/crates/relay/src/target_reachability.rs
@@ -50,7 +50,7 @@
     ) {
         match outcome {
             AttemptOutcome::Answered(_) | AttemptOutcome::NotRun(..) => self.record_reached(pool),
-            AttemptOutcome::NotSent(_) => {
+            AttemptOutcome::NotSent(..) => {
                 let mut pools = self.lock();
                 let reachability = pools.entry(pool.clone()).or_default();
                 reachability.record_failure(target.seed, boot_time());
