A call in progress knows who has it

CallHolder { Nobody(NotRun), Target, Instance } takes the place of an optional evidence in a call in progress. Each hand-over replaces it; taking the call back needs evidence from whoever has it, and leads back to Nobody only if nobody had the call before who may have run it. Evidence from before a hand-over is in a field that only call_holder.rs reads, so it can't be used while somebody has the call.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
-        Declined, HeaderFormat, InFlightGuard, LostAnswer, NotRun, NotSent, Reason, ReplyMetadata,
+        Declined, HeaderFormat, InFlightGuard, LostAnswer, NotSent, Reason, ReplyMetadata,
         accept::AcceptedCall,
         admit::Admitted,
         attempt::{AttemptOutcome, AttemptParams, Content, TargetAnswer, attempt},
         body_memory::BodyPermit,
         boot_time,
+        call_holder::CallHolder,
         call_origin::CallOrigin,
         call_recorder::CallRecorder,
         pick::PickedTarget,
@@ -61,9 +62,8 @@
     pub(crate) origin: CallOrigin,
     /// Targets that were tried for the call, including those that could not be reached.
     pub(crate) tried_targets: Vec<TargetId>,
-    /// Shows that the call has not run and never will; `None` while somebody has it, and once somebody
-    /// may have run it.
-    pub(crate) not_run: Option<NotRun>,
+    /// Who has the call.
+    pub(crate) holder: CallHolder,
     /// Number of targets that ran the call or may have run it.
     pub(crate) may_have_run_count: u32,
     /// Whether another instance may reach the call's targets if this one does not.
@@ -113,7 +113,7 @@
             pool,
             origin,
             tried_targets: Vec::new(),
-            not_run: Some(not_sent.into()),
+            holder: not_sent.into(),
             may_have_run_count: 0,
             has_other_way: false,
             unreachable_count: 0,
@@ -237,7 +237,7 @@
             recorder.begin_attempt(&picked);
             self.tried_targets.push(target.clone());
             let sent_at = boot_time();
-            let earlier = self.not_run.take();
+            self.holder.hand_to_target();
             let outcome = self.send(&picked, last_event_id, recorder).await;
             recorder.end_attempt(describe_outcome(&outcome));
             self.record_attempt(&picked, &outcome);
@@ -259,11 +259,11 @@
                     continue;
                 }
                 AttemptOutcome::NotSent(_, not_run) => {
-                    self.not_run = earlier.and(Some(not_run));
+                    self.holder.take_back(not_run);
                     (last_declined, false)
                 }
                 AttemptOutcome::NotRun(_, _, not_run) => {
-                    self.not_run = earlier.and(Some(not_run));
+                    self.holder.take_back(not_run);
                     (self.overloaded(), true)
                 }
                 AttemptOutcome::Unknown { disconnected, .. } => {
@@ -286,7 +286,7 @@
             self.record_suspects(&suspects, CallOutcome::Failed);
             return Ok(error_answer);
         }
-        if self.not_run.is_none() {
+        if !self.holder.is_nobody() {
             return Err(Unanswered::Lost(self.lost_answer()));
         }
         if self.time_left() <= MIN_TIME_LEFT {
--- a/crates/relay/src/ending_calls.rs
+++ b/crates/relay/src/ending_calls.rs
@@ -5,6 +5,7 @@
         Declined, HeaderFormat, LostAnswer, Reason, Refusal, Shutdown,
         active_call::ActiveCall,
         boot_time,
+        call_holder::CallHolder,
         call_recorder::{CallRecorder, millis},
         refusal::Unanswered,
     },
@@ -18,17 +19,24 @@
 where
     Format: HeaderFormat,
 {
-    /// Refusal for a call that got no answer. It promises that the call has not run only with evidence,
-    /// whatever ended the call.
-    pub(crate) fn refusal(mut self, unanswered: Unanswered) -> Refusal {
-        match (self.not_run.take(), unanswered) {
-            (Some(not_run), Unanswered::Declined(declined)) => Refusal::not_run(declined, not_run),
-            (Some(not_run), Unanswered::Cut) => {
+    /// Refusal for a call that got no answer. It promises that the call has not run only if nobody has
+    /// it, whatever ended the call.
+    pub(crate) fn refusal(self, unanswered: Unanswered) -> Refusal {
+        let lost_answer = self.lost_answer();
+        match (self.holder, unanswered) {
+            (_, Unanswered::Lost(lost)) => Refusal::unknown(lost),
+            (CallHolder::Nobody(not_run), Unanswered::Declined(declined)) => {
+                Refusal::not_run(declined, not_run)
+            }
+            (CallHolder::Nobody(not_run), Unanswered::Cut) => {
                 Refusal::not_run(Reason::ShuttingDown.into(), not_run)
             }
-            (_, Unanswered::Lost(lost)) => Refusal::unknown(lost),
-            (None, Unanswered::Cut) => Refusal::unknown(LostAnswer::Cut),
-            (None, Unanswered::Declined(_)) => Refusal::unknown(self.lost_answer()),
+            (CallHolder::Target(_) | CallHolder::Instance(_), Unanswered::Declined(_)) => {
+                Refusal::unknown(lost_answer)
+            }
+            (CallHolder::Target(_) | CallHolder::Instance(_), Unanswered::Cut) => {
+                Refusal::unknown(LostAnswer::Cut)
+            }
         }
     }
 
@@ -40,7 +48,7 @@
             return Ok(());
         };
         let now = boot_time();
-        let expected = if shutdown.is_announced(now) && self.may_have_run_count == 0 {
+        let expected = if shutdown.is_announced(now) && self.holder.is_nobody() {
             self.time_left()
         } else {
             self.expected_duration(&shutdown, now)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod body_memory;
 mod boot_clock;
 mod call;
+mod call_holder;
 mod call_origin;
 mod call_recorder;
 mod choose_target;
--- a/crates/relay/src/pass_on.rs
+++ b/crates/relay/src/pass_on.rs
@@ -49,7 +49,7 @@
         };
         let (peer_caller, format) = (&self.inner.peer_caller, &self.inner.header_format);
         peer_caller
-            .answer(format, &call, peers, &mut self.not_run, recorder)
+            .answer(format, &call, peers, &mut self.holder, recorder)
             .await
     }
 
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -5,6 +5,7 @@
         Declined, HeaderFormat, LostAnswer, NotRun, Peer, Reason,
         attempt::{Content, TargetAnswer, read_whole},
         body_memory::BodyMemory,
+        call_holder::CallHolder,
         call_recorder::CallRecorder,
         refusal::{NO_TARGET_RETRY_AFTER, Unanswered},
     },
@@ -61,19 +62,22 @@
     pub(crate) answer_memory: &'call BodyMemory,
 }
 
-/// Why an instance did not answer a call.
-enum PeerFailure {
+/// How it ended that an instance was asked to answer a call. Of older builds as well, only what
+/// [`NotRun`] takes for evidence shows that the call has not run.
+enum PeerOutcome {
+    /// It passed on a target's answer.
+    Answered(Box<TargetAnswer>),
     /// It did not take the call, which has not run; after which time it may.
-    NotTaken(NotRun, Option<Duration>),
-    /// It may have taken the call, and there is no usable answer.
-    Failed(LostAnswer),
+    NotRun(NotRun, Option<Duration>),
+    /// It may have taken the call, which may have run or may run yet.
+    Unknown(LostAnswer),
 }
 
-impl From<SendError> for PeerFailure {
+impl From<SendError> for PeerOutcome {
     fn from(error: SendError) -> Self {
         match NotRun::of_unsent(error) {
-            Ok((not_run, _)) => Self::NotTaken(not_run, None),
-            Err(_) => Self::Failed(LostAnswer::TargetFailed),
+            Ok((not_run, _)) => Self::NotRun(not_run, None),
+            Err(_) => Self::Unknown(LostAnswer::TargetFailed),
         }
     }
 }
@@ -87,14 +91,14 @@
         }
     }
 
-    /// Passes a call on to one of `peers` after another until one takes it. `not_run` is what shows that
-    /// the call has not run; it is there again afterwards only if no instance took the call.
+    /// Passes a call on to one of `peers` after another until one takes it. `holder` says who has the
+    /// call at any moment, also if this is dropped.
     pub(crate) async fn answer<Format>(
         &self,
         header_format: &Format,
         call: &PeerCall<'_>,
         peers: Vec<Peer>,
-        not_run: &mut Option<NotRun>,
+        holder: &mut CallHolder,
         recorder: &mut CallRecorder,
     ) -> Result<TargetAnswer, Unanswered>
     where
@@ -106,15 +110,15 @@
                 return Err(Declined::new(Reason::TooLate).into());
             }
             recorder.line.forwarded_to.clone_from(&peer.name);
-            let earlier = not_run.take();
+            holder.hand_to_instance();
             match self.send(header_format, call, &peer).await {
-                Ok(answer) => return Ok(answer),
-                Err(PeerFailure::NotTaken(evidence, asked)) => {
-                    *not_run = earlier.and(Some(evidence));
+                PeerOutcome::Answered(answer) => return Ok(*answer),
+                PeerOutcome::NotRun(evidence, asked) => {
+                    holder.take_back(evidence);
                     self.lock().insert(peer.seed, Instant::now());
                     retry_after = asked.unwrap_or(retry_after);
                 }
-                Err(PeerFailure::Failed(lost)) => return Err(Unanswered::Lost(lost)),
+                PeerOutcome::Unknown(lost) => return Err(Unanswered::Lost(lost)),
             }
         }
         let declined = Declined::new(Reason::NoTarget).retry_after(retry_after);
@@ -136,7 +140,7 @@
         header_format: &Format,
         call: &PeerCall<'_>,
         peer: &Peer,
-    ) -> Result<TargetAnswer, PeerFailure>
+    ) -> PeerOutcome
     where
         Format: HeaderFormat,
     {
@@ -151,7 +155,10 @@
         let sent = self
             .client
             .send(peer.address, request, Reuse::Allowed, time_left);
-        read_answer(header_format, call, sent.await?).await
+        match sent.await {
+            Ok(reply) => read_answer(header_format, call, reply).await,
+            Err(error) => error.into(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<u64, Instant>> {
@@ -173,7 +180,7 @@
     header_format: &Format,
     call: &PeerCall<'_>,
     mut reply: Reply,
-) -> Result<TargetAnswer, PeerFailure>
+) -> PeerOutcome
 where
     Format: HeaderFormat,
 {
@@ -183,24 +190,27 @@
     // Targets repeat the request id. Some errors of targets bear no proof.
     let is_target_error = id == Some(call.id) && !status.is_success();
     if !metadata.has_proof && !is_target_error {
-        return Err(own_answer(status, &headers));
+        return own_answer(status, &headers);
     }
     if id.is_some_and(|id| id != call.id) {
-        return Err(PeerFailure::Failed(LostAnswer::TargetFailed));
+        return PeerOutcome::Unknown(LostAnswer::TargetFailed);
     }
     let is_streamed =
         call.is_stream && status.is_success() && !headers.contains_key(CONTENT_LENGTH);
     let content = if is_streamed {
         Content::Forwarded(Box::new(reply))
     } else {
-        Content::Whole(read_whole(&mut reply, call.answer_memory, call.time_left()).await?)
+        match read_whole(&mut reply, call.answer_memory, call.time_left()).await {
+            Ok(body) => Content::Whole(body),
+            Err(error) => return error.into(),
+        }
     };
-    Ok(TargetAnswer {
+    PeerOutcome::Answered(Box::new(TargetAnswer {
         status,
         headers,
         metadata,
         content,
-    })
+    }))
 }
 
 /// What the other instance means by an answer of its own. Only its explicit word shows that the call
@@ -208,13 +218,13 @@
 ///
 /// The other instance may have another configuration, so its word that a route or a key is unknown is no
 /// reason to refuse the call for good.
-fn own_answer(status: StatusCode, headers: &HeaderMap) -> PeerFailure {
+fn own_answer(status: StatusCode, headers: &HeaderMap) -> PeerOutcome {
     if status == StatusCode::GATEWAY_TIMEOUT {
-        return PeerFailure::Failed(LostAnswer::TimedOut);
+        return PeerOutcome::Unknown(LostAnswer::TimedOut);
     }
     match NotRun::of_instance(status, headers) {
-        Some(not_run) => PeerFailure::NotTaken(not_run, parse_retry_after(headers)),
-        None => PeerFailure::Failed(LostAnswer::TargetFailed),
+        Some(not_run) => PeerOutcome::NotRun(not_run, parse_retry_after(headers)),
+        None => PeerOutcome::Unknown(LostAnswer::TargetFailed),
     }
 }
 
