A store's content is read from a report that has not lapsed

Store::is_usable was asked by convention. StoreReport is given by Store::report(now), which gives nothing once the last report is older than MAX_REPORT_AGE or the store does not answer; free capacity, queue, transfer time, save weight and what may be saved are its methods, so fetches and saves can't be planned without it. It carries the time, so no other can be asked with. The public fields available and held_tokens are private to the crate now; Store::unavailable() takes the place of one.

--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -240,6 +240,5 @@
     store.failure_domain.clone_from(&properties.failure_domain);
     store.time_per_token = Duration::try_from_secs_f64(token_s).unwrap_or_default();
     store.setup_time = properties.transfer_latency;
-    store.available = false;
-    store
+    store.unavailable()
 }
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -33,6 +33,7 @@
 mod plan;
 mod slowdown;
 mod store;
+mod store_report;
 
 pub use {
     change::{CachedPart, Change},
--- a/crates/parts/src/part_directory.rs
+++ b/crates/parts/src/part_directory.rs
@@ -245,36 +245,31 @@
         } else {
             MAX_FETCH_QUEUE
         };
-        let stores = complete_holders
+        let reports = complete_holders
             .clone()
-            .filter_map(|place| self.stores.get(&place));
-        let ready = stores.filter(|store| {
-            store.is_usable(now) && (is_on_engine || queue_time(store, now) <= max_queue)
+            .filter_map(|place| self.stores.get(&place)?.report(now));
+        let ready = reports.filter(|report| is_on_engine || report.queue_time() <= max_queue);
+        let soonest = ready.min_by_key(|report| {
+            report.queue_time() + report.transfer_time(prompt_part.tokens, failure_domain)
         });
-        let soonest = ready.min_by_key(|store| {
-            queue_time(store, now) + store.transfer_time(prompt_part.tokens, failure_domain, now)
-        });
-        let Some(store) = soonest else {
+        let Some(report) = soonest else {
             let mut engines = complete_holders.filter(|place| !self.stores.contains_key(place));
             return engines
                 .find(|place| *place != engine)
                 .map(|place| (place, None));
         };
-        let address = store.address;
+        let store = report.address();
         if is_on_engine {
-            return Some((address, None));
+            return Some((store, None));
         }
-        let expected_wait =
-            queue_time(store, now) + store.transfer_time(prompt_part.tokens, failure_domain, now);
-        self.reserve_link(address, prompt_part.tokens, failure_domain, now);
-        let store = address;
-        Some((
-            address,
-            Some(Transfer {
-                store,
-                expected_wait,
-            }),
-        ))
+        let transfer_time = report.transfer_time(prompt_part.tokens, failure_domain);
+        let expected_wait = report.queue_time() + transfer_time;
+        self.reserve_link(store, transfer_time, now);
+        let transfer = Transfer {
+            store,
+            expected_wait,
+        };
+        Some((store, Some(transfer)))
     }
 
     /// Records that a call with this plan took `took` to its first event. Calls without transfers
@@ -300,37 +295,28 @@
         failure_domain: &str,
         now: Duration,
     ) -> Option<SocketAddr> {
-        let ready = self.stores.values().filter(|store| {
-            store.is_usable(now)
-                && store.takes_save_of(prompt_part.part, now)
-                && store.free_share() > MIN_FREE_SHARE
-                && queue_time(store, now) <= MAX_SAVE_QUEUE
+        let reports = self.stores.values().filter_map(|store| store.report(now));
+        let ready = reports.filter(|report| {
+            report.takes_save_of(prompt_part.part)
+                && report.free_share() > MIN_FREE_SHARE
+                && report.queue_time() <= MAX_SAVE_QUEUE
         });
-        let weighted = ready.map(|store| {
-            (
-                store.save_weight(prompt_part.part, failure_domain),
-                store.address,
-            )
-        });
-        let (_, address) = weighted.max_by(|left, right| left.0.total_cmp(&right.0))?;
-        self.reserve_link(address, prompt_part.tokens, failure_domain, now);
+        let weighted =
+            ready.map(|report| (report.save_weight(prompt_part.part, failure_domain), report));
+        let (_, report) = weighted.max_by(|left, right| left.0.total_cmp(&right.0))?;
+        let address = report.address();
+        let transfer_time = report.transfer_time(prompt_part.tokens, failure_domain);
+        self.reserve_link(address, transfer_time, now);
         Some(address)
     }
 
     /// Reserves time on a store's link for a transfer planned by this instance.
-    fn reserve_link(
-        &mut self,
-        address: SocketAddr,
-        tokens: u32,
-        failure_domain: &str,
-        now: Duration,
-    ) {
+    fn reserve_link(&mut self, address: SocketAddr, transfer_time: Duration, now: Duration) {
         let Some(store) = self.stores.get_mut(&address) else {
             return;
         };
-        let transfer = store.transfer_time(tokens, failure_domain, now);
-        store.reserve_link(transfer, now);
-        *self.link_use.entry(address).or_default() += transfer;
+        store.reserve_link(transfer_time, now);
+        *self.link_use.entry(address).or_default() += transfer_time;
     }
 
     /// Total time for which this instance has planned to use each store's link since its start.
@@ -347,8 +333,3 @@
         }
     }
 }
-
-/// Time until a store's link has finished its planned transfers.
-fn queue_time(store: &Store, now: Duration) -> Duration {
-    store.link_free_at.saturating_sub(now)
-}
--- a/crates/parts/src/store.rs
+++ b/crates/parts/src/store.rs
@@ -20,9 +20,9 @@
     /// Fixed time that each transfer takes in addition.
     pub setup_time: Duration,
     /// Tokens that the store holds, as far as its reports show.
-    pub held_tokens: u64,
+    pub(crate) held_tokens: u64,
     /// Whether the store answers.
-    pub available: bool,
+    pub(crate) available: bool,
     /// Time at which what is known of the store was last requested from the instance that follows
     /// it, and then received; `None` before that.
     pub(crate) reported_at: Option<Duration>,
@@ -51,8 +51,16 @@
     believed_until: Duration,
 }
 
+impl DroppedContent {
+    /// Whether another instance may believe at `now` that the store holds the part.
+    pub(crate) fn may_be_believed(&self, part: PartKey, now: Duration) -> bool {
+        let is_believed = self.parts.contains(&part) && now < self.believed_until;
+        now < self.unheard_until || is_believed
+    }
+}
+
 impl Store {
-    /// Creates an empty store whose transfers take no time.
+    /// Creates an empty store that answers and whose transfers take no time.
     #[must_use]
     pub fn new(address: SocketAddr, capacity_tokens: u64) -> Self {
         Self {
@@ -72,6 +80,13 @@
         }
     }
 
+    /// Has the store not answer until it is known to.
+    #[must_use]
+    pub fn unavailable(mut self) -> Self {
+        self.available = false;
+        self
+    }
+
     /// Drops what is known of the store's content at `now`: `parts`.
     pub(crate) fn drop_content(&mut self, parts: HashSet<PartKey>, now: Duration) {
         self.held_tokens = 0;
@@ -90,15 +105,6 @@
         self.dropped = Some(dropped);
     }
 
-    /// Whether a part may be saved to the store: not while another instance may believe that the
-    /// store holds it from before a restart.
-    pub(crate) fn takes_save_of(&self, part: PartKey, now: Duration) -> bool {
-        self.dropped.as_ref().is_none_or(|dropped| {
-            let is_believed = dropped.parts.contains(&part) && now < dropped.believed_until;
-            now >= dropped.unheard_until && !is_believed
-        })
-    }
-
     /// Records whether the store answers.
     pub(crate) fn set_available(&mut self, available: bool, now: Duration) {
         self.available = available;
@@ -109,57 +115,10 @@
         };
     }
 
-    /// Free share of the capacity, from 0 to 1.
-    #[must_use]
-    pub fn free_share(&self) -> f64 {
-        #[allow(clippy::cast_precision_loss)]
-        let used_share = self.held_tokens as f64 / self.capacity_tokens.max(1) as f64;
-        (1.0 - used_share).max(0.0)
-    }
-
-    /// Whether the store answers, and what is known of it is recent enough to act on.
-    pub(crate) fn is_usable(&self, now: Duration) -> bool {
-        let report_age = self.reported_at.map(|at| now.saturating_sub(at));
-        self.available && report_age.is_some_and(|age| age <= MAX_REPORT_AGE)
-    }
-
     /// Adds `time` to the time for which the link is in use.
     pub(crate) fn reserve_link(&mut self, time: Duration, now: Duration) {
         self.link_free_at = self.link_free_at.max(now) + time;
     }
-
-    /// Weight of this store in rendezvous hashing for a part that an engine in `failure_domain`
-    /// saves. It is proportional to the free capacity, and higher for stores in the engine's
-    /// failure domain.
-    pub(crate) fn save_weight(&self, part: PartKey, failure_domain: &str) -> f64 {
-        let hash = rendezvous::score(part, self.seed);
-        #[allow(clippy::cast_precision_loss)]
-        let uniform = ((hash >> 11) as f64 + 0.5) / 2_f64.powi(53);
-        #[allow(clippy::cast_precision_loss)]
-        let free_tokens = self.capacity_tokens as f64 * self.free_share();
-        let locality = if self.failure_domain == failure_domain {
-            LOCAL_WEIGHT
-        } else {
-            1.0
-        };
-        free_tokens.max(1.0) / -uniform.ln() * locality
-    }
-
-    /// Time that one transfer from or to `failure_domain` takes, without the wait for the link.
-    pub(crate) fn transfer_time(
-        &self,
-        tokens: u32,
-        failure_domain: &str,
-        now: Duration,
-    ) -> Duration {
-        let distance_factor = if self.failure_domain == failure_domain {
-            1.0
-        } else {
-            REMOTE_FACTOR
-        };
-        self.setup_time
-            + (self.time_per_token * tokens).mul_f64(distance_factor * self.slowdown.factor(now))
-    }
 }
 
 /// Age up to which a report of a store's parts is acted on. Whoever frees parts of a store withdraws
@@ -178,7 +137,3 @@
     .saturating_add(CLOCK_MARGIN);
 /// Time after which all instances that can be reached have heard of a part, in most fleets.
 const REPORT_LAG: Duration = Duration::from_secs(2);
-/// Factor on the transfer time per token between different failure domains.
-const REMOTE_FACTOR: f64 = 2.0;
-/// Factor on the weight of a store in the engine's own failure domain.
-const LOCAL_WEIGHT: f64 = 4.0;
