A call is refused for good only by a configuration confirmed lately

401 and 404 could be made from a Reason by any code; admission compared the view's age by hand. Absence shows that a view lacks a route or a key and was confirmed within 3 s; View::absence_of gives it, and Reason::Absent takes it. A doctest shows that it can't be made by hand. View::age is for the log line only; the other three comparisons ask View::is_confirmed_within.

--- a/crates/entry/src/part_freeing.rs
+++ b/crates/entry/src/part_freeing.rs
@@ -92,6 +92,7 @@
 
     /// Whether this instance would know of another owner.
     fn has_recent_view(&self) -> bool {
-        self.shared.relay_state.view().age() <= MAX_VIEW_AGE
+        let view = self.shared.relay_state.view();
+        view.is_confirmed_within(MAX_VIEW_AGE)
     }
 }
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -177,8 +177,8 @@
         &mut self,
         recorder: &mut CallRecorder,
     ) -> Result<TargetAnswer, Unanswered> {
-        let view_age = self.inner.state.view().age();
-        if let Some(pool) = self.origin.find(&self.admitted, view_age).await? {
+        let view = self.inner.state.view();
+        if let Some(pool) = self.origin.find(&self.admitted, &view).await? {
             self.pool = pool;
         }
         let origin_version = self.origin.software_version().unwrap_or_default();
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -1,16 +1,12 @@
 //! Admission of calls: finds the route and authenticates the client account.
 
 use {
-    crate::{Call, Declined, Reason, View},
+    crate::{Call, Declined, Named, Reason, View},
     hyper::{header::HOST, http::request},
     routes::{Account, Route, RouteTable},
     std::{sync::Arc, time::Duration},
 };
 
-/// Maximum time since the configuration was last confirmed as current for which it may reject a
-/// call with an unknown route or key. Later, a newer configuration may have added the route or key,
-/// so the caller is told to retry instead.
-const MAX_CONFIG_AGE: Duration = Duration::from_secs(3);
 /// Retry delay for callers while the instance has no current configuration.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -37,30 +33,24 @@
 /// Finds the route and the client account of a call.
 ///
 /// # Errors
-/// [`Reason::NoRoute`] or [`Reason::NoAccount`] if there is none; [`Reason::NotReady`] if the
+/// [`Reason::Absent`] if there is none; [`Reason::NotReady`] if the
 /// instance has no configuration, or one that was not confirmed recently enough to reject the call.
 pub(crate) fn admit(view: &View, head: &request::Parts, call: Call) -> Result<Admitted, Declined> {
     let not_ready = Declined::new(Reason::NotReady).retry_after(NOT_READY_RETRY_AFTER);
     let table = view.route_table.clone().ok_or(not_ready)?;
-    let refuse_unknown = |reason| {
-        let is_current = view.age() <= MAX_CONFIG_AGE;
-        if is_current {
-            Declined::new(reason)
-        } else {
-            not_ready
-        }
+    let refuse_unknown = |named| {
+        let absence = view.absence_of(named);
+        absence.map_or(not_ready, |it| Reason::Absent(it).into())
     };
     let route = table.route(called_host(head), head.uri.path());
-    let route = route
-        .ok_or_else(|| refuse_unknown(Reason::NoRoute))?
-        .clone();
+    let route = route.ok_or_else(|| refuse_unknown(Named::Route))?.clone();
     let account = if route.public || !table.needs_keys() {
         None
     } else {
         let account = call.key.as_deref().and_then(|key| table.account(key));
         Some(
             account
-                .ok_or_else(|| refuse_unknown(Reason::NoAccount))?
+                .ok_or_else(|| refuse_unknown(Named::Account))?
                 .clone(),
         )
     };
--- a/crates/relay/src/call_origin.rs
+++ b/crates/relay/src/call_origin.rs
@@ -1,7 +1,7 @@
 //! Where the stream of a call began, which decides where it may go on.
 
 use {
-    crate::{Declined, Reason, StreamOrigins, admit::Admitted, view::MAX_VIEW_AGE},
+    crate::{Declined, Reason, StreamOrigins, View, admit::Admitted, view::MAX_VIEW_AGE},
     origins::{Origin, OriginKnowledge, OriginRecord, stream_key},
     routes::{PoolId, Route},
     std::{sync::Arc, time::Duration},
@@ -45,7 +45,7 @@
     pub(crate) async fn find(
         &mut self,
         admitted: &Admitted,
-        view_age: Duration,
+        view: &View,
     ) -> Result<Option<PoolId>, Declined> {
         let call = &admitted.call;
         let is_resumed = call.resumes.is_some() || call.last_event_id.is_some();
@@ -54,7 +54,7 @@
         }
         let is_mixed = self.origins.is_mixed(pools(&admitted.route));
         if !is_mixed
-            && view_age <= MAX_VIEW_AGE
+            && view.is_confirmed_within(MAX_VIEW_AGE)
             && self.origins.is_history_known(pools(&admitted.route))
         {
             return Ok(None);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -84,6 +84,6 @@
     target_reachability::TargetReachability,
     target_statements::{MalformedHeader, RetryAfter, Stated, TargetStatements},
     target_stats::{InFlightGuard, LimitObservation, TargetStats},
-    view::{LoadedModel, Peer, TargetState, View},
+    view::{Absence, LoadedModel, Named, Peer, TargetState, View},
     wanted_versions::{WantedVersion, WantedVersions},
 };
--- a/crates/relay/src/pass_on.rs
+++ b/crates/relay/src/pass_on.rs
@@ -90,6 +90,6 @@
         let view = self.inner.state.view();
         let targets = view.pools.get(&self.pool);
         let are_leaving = targets.is_some_and(|it| it.iter().all(|target| target.is_leaving()));
-        are_leaving && view.age() > MAX_VIEW_AGE
+        are_leaving && !view.is_confirmed_within(MAX_VIEW_AGE)
     }
 }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -1,7 +1,7 @@
 //! Refusals: answers that the relay gives instead of a target.
 
 use {
-    crate::NotRun,
+    crate::{Absence, Named, NotRun},
     bytes::Bytes,
     hyper::{
         StatusCode,
@@ -28,10 +28,8 @@
     BodyTooLong,
     /// The body did not arrive completely.
     BodyIncomplete,
-    /// No route matches the host and path.
-    NoRoute,
-    /// The key is missing or belongs to no client account.
-    NoAccount,
+    /// No route matches the host and path, or the key is missing or belongs to no client account.
+    Absent(Absence),
     /// No configuration is known yet, or the known one is too old to reject an unknown route or
     /// key.
     NotReady,
@@ -61,8 +59,10 @@
         match self {
             Self::BadHead | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoRoute => StatusCode::NOT_FOUND,
-            Self::NoAccount => StatusCode::UNAUTHORIZED,
+            Self::Absent(absence) => match absence.of() {
+                Named::Route => StatusCode::NOT_FOUND,
+                Named::Account => StatusCode::UNAUTHORIZED,
+            },
             Self::NotReady
             | Self::NoTarget
             | Self::Overloaded
@@ -81,8 +81,10 @@
             Self::BadHead => "the head of the call can't be used; correct it",
             Self::BodyTooLong => "the body is too long; send a shorter one",
             Self::BodyIncomplete => "the body did not arrive whole; send it again",
-            Self::NoRoute => "no route matches host and path; check both",
-            Self::NoAccount => "no client account holds this key; use a valid one",
+            Self::Absent(absence) => match absence.of() {
+                Named::Route => "no route matches host and path; check both",
+                Named::Account => "no client account holds this key; use a valid one",
+            },
             Self::NotReady => "this instance has no current configuration; use another address",
             Self::NoTarget => "no target may take the call now; come back later",
             Self::Overloaded => "all targets are full; come back later",
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -16,6 +16,10 @@
 /// Oldest confirmation of the view with which an instance trusts that it knows all targets of a pool.
 /// Longer than a watch request waits for changes.
 pub(crate) const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+/// Oldest confirmation of the configuration by which it may reject a call with an unknown route or
+/// key. Later, a newer configuration may have added the route or key, so the caller is told to retry
+/// instead.
+const MAX_CONFIG_AGE: Duration = Duration::from_secs(3);
 
 /// A model whose weights a target has loaded.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -120,13 +124,54 @@
     }
 }
 
+/// What a call names and the configuration may lack.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Named {
+    /// The route, by host and path.
+    Route,
+    /// The client account, by its key.
+    Account,
+}
+
+/// Shows that a configuration lacks what a call names, and was in force a moment ago. Only with it is
+/// a call refused for good.
+///
+/// ```compile_fail,E0423
+/// use relay::{Absence, Declined, Named, Reason};
+///
+/// fn refuse() -> Declined {
+///     Reason::Absent(Absence(Named::Account)).into()
+/// }
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Absence(Named);
+
+impl Absence {
+    /// What the configuration lacks.
+    #[must_use]
+    pub fn of(self) -> Named {
+        self.0
+    }
+}
+
 impl View {
     /// Time since the key-value service last confirmed that the view is current.
-    #[must_use]
-    pub fn age(&self) -> Duration {
+    pub(crate) fn age(&self) -> Duration {
         boot_time().saturating_sub(self.confirmed_at)
     }
 
+    /// Whether the key-value service confirmed within `max_age` that the view is current.
+    #[must_use]
+    pub fn is_confirmed_within(&self, max_age: Duration) -> bool {
+        self.age() <= max_age
+    }
+
+    /// Shows that what a call names and this view lacks is not there; `None` if the view may be old.
+    pub(crate) fn absence_of(&self, named: Named) -> Option<Absence> {
+        self.is_confirmed_within(MAX_CONFIG_AGE)
+            .then_some(Absence(named))
+    }
+
     /// Version of the current configuration; 0 if none is known.
     #[must_use]
     pub fn configuration_version(&self) -> u64 {
