A target's 503 that another instance passes on is no promise

What callers saw: a caller took 503, 429 or 408 for the word that its call has not run, though another instance had passed on a target's answer with that status, and the target may have run it.

Cause: the check that such a status of a target is passed on to nobody was made for this instance's own attempts, and not for the answer of another.

Change: PeerCaller makes the same check; the outcome is unknown, the caller gets 502.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -172,7 +172,7 @@
 
 /// Whether callers take `status` as a promise that the call has not run. Unless the target made
 /// that promise explicitly, such an answer is not passed on and the outcome counts as unknown.
-fn promises_not_run(status: StatusCode) -> bool {
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Declined, HeaderFormat, LostAnswer, NotRun, Peer, Reason,
-        attempt::{Content, TargetAnswer, read_whole},
+        attempt::{Content, TargetAnswer, promises_not_run, read_whole},
         body_memory::BodyMemory,
         call_holder::CallHolder,
         call_recorder::CallRecorder,
@@ -192,7 +192,7 @@
     if !metadata.has_proof && !is_target_error {
         return own_answer(status, &headers);
     }
-    if id.is_some_and(|id| id != call.id) {
+    if id.is_some_and(|id| id != call.id) || promises_not_run(status) {
         return PeerOutcome::Unknown(LostAnswer::TargetFailed);
     }
     let is_streamed =
--- a/crates/relay/tests/forwarded_calls.rs
+++ b/crates/relay/tests/forwarded_calls.rs
@@ -176,6 +176,19 @@
     assert_eq!(response.status, 503, "{response:?}");
 }
 
+/// Guards against a promise that no instance has made: the target may have run the call.
+#[tokio::test]
+async fn status_of_a_target_that_another_instance_passes_on_is_no_promise() {
+    for status in ["503 Busy", "429 Too Many", "408 Timeout"] {
+        let busy = answer(status, "stamp: s\r\n", "busy");
+        let peer = ScriptedTarget::start("peer", vec![Step::Respond(busy)]).await;
+        let relay = start(&[&peer], CallSource::Caller).await;
+        let response = caller::call(relay.address, "/once/7", "").await;
+        assert_eq!(response.status, 502, "{response:?}");
+        assert_eq!(peer.arrived().len(), 1);
+    }
+}
+
 #[tokio::test]
 async fn other_instances_are_told_that_a_refused_call_has_not_run() {
     for (path, status) in [("/once/7", 503), ("/none/7", 404)] {
