A call can't be sent without saying who has it

CallHolder was replaced before each sending by convention: a sending that forgot it would have left the evidence with nobody. hand_to_target and hand_to_instance now give a HandedOver, which attempt and PeerCaller::send take.

--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -237,7 +237,6 @@
             recorder.begin_attempt(&picked);
             self.tried_targets.push(target.clone());
             let sent_at = boot_time();
-            self.holder.hand_to_target();
             let outcome = self.send(&picked, last_event_id, recorder).await;
             recorder.end_attempt(describe_outcome(&outcome));
             self.record_attempt(&picked, &outcome);
@@ -319,6 +318,7 @@
             .target_headers(&self.head.headers, &metadata);
         self.in_flight = Some(target.call_stats.start_call());
         self.sent_at.send_replace(None);
+        let handed_over = self.holder.hand_to_target();
         let time_left = self.time_left();
         let start_timeout = AttemptTimeout { call: self };
         let statements = OnceLock::new();
@@ -342,6 +342,7 @@
             &self.inner.header_format,
             request,
             params,
+            handed_over,
         )
         .await;
         if let Some(statements) = statements.get() {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        HeaderFormat, NotRun, ReplyMetadata, body_memory::BodyMemory, event_stream::EventStream,
+        HeaderFormat, NotRun, ReplyMetadata, body_memory::BodyMemory, call_holder::HandedOver,
+        event_stream::EventStream,
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -130,6 +131,7 @@
     header_format: &Format,
     request: Request<Full<Bytes>>,
     params: AttemptParams<'_, Timeout, Observe>,
+    _: HandedOver,
 ) -> AttemptOutcome<TargetAnswer>
 where
     Format: HeaderFormat,
--- a/crates/relay/src/call_holder.rs
+++ b/crates/relay/src/call_holder.rs
@@ -22,15 +22,20 @@
 #[derive(Debug)]
 pub(crate) struct Earlier(Option<NotRun>);
 
+/// Shows that the holder of a call was replaced before the call is sent. Each sending takes one.
+#[derive(Debug)]
+#[must_use]
+pub(crate) struct HandedOver(());
+
 impl CallHolder {
     /// Hands the call to a target.
-    pub(crate) fn hand_to_target(&mut self) {
-        self.hand_over(Self::Target);
+    pub(crate) fn hand_to_target(&mut self) -> HandedOver {
+        self.hand_over(Self::Target)
     }
 
     /// Hands the call to another instance.
-    pub(crate) fn hand_to_instance(&mut self) {
-        self.hand_over(Self::Instance);
+    pub(crate) fn hand_to_instance(&mut self) -> HandedOver {
+        self.hand_over(Self::Instance)
     }
 
     /// Takes the call back from whoever has it, by evidence that it has not run there and will not.
@@ -48,10 +53,11 @@
         matches!(self, Self::Nobody(_))
     }
 
-    fn hand_over(&mut self, to: fn(Earlier) -> Self) {
+    fn hand_over(&mut self, to: fn(Earlier) -> Self) -> HandedOver {
         if let Self::Nobody(not_run) = mem::replace(self, to(Earlier(None))) {
             *self = to(Earlier(Some(not_run)));
         }
+        HandedOver(())
     }
 }
 
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -5,7 +5,7 @@
         Declined, HeaderFormat, LostAnswer, NotRun, Peer, Reason,
         attempt::{Content, TargetAnswer, promises_not_run, read_whole},
         body_memory::BodyMemory,
-        call_holder::CallHolder,
+        call_holder::{CallHolder, HandedOver},
         call_recorder::CallRecorder,
         refusal::{NO_TARGET_RETRY_AFTER, Unanswered},
     },
@@ -110,8 +110,8 @@
                 return Err(Declined::new(Reason::TooLate).into());
             }
             recorder.line.forwarded_to.clone_from(&peer.name);
-            holder.hand_to_instance();
-            match self.send(header_format, call, &peer).await {
+            let handed_over = holder.hand_to_instance();
+            match self.send(header_format, call, &peer, handed_over).await {
                 PeerOutcome::Answered(answer) => return Ok(*answer),
                 PeerOutcome::NotRun(evidence, asked) => {
                     holder.take_back(evidence);
@@ -140,6 +140,7 @@
         header_format: &Format,
         call: &PeerCall<'_>,
         peer: &Peer,
+        _: HandedOver,
     ) -> PeerOutcome
     where
         Format: HeaderFormat,
