--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -2,16 +2,18 @@
 
 use {
     crate::{
-        HeaderFormat, InFlightGuard, Reason, Refusal, ReplyMetadata, View,
+        Declined, HeaderFormat, InFlightGuard, LostAnswer, NotSent, Reason, ReplyMetadata, View,
+        accept::AcceptedCall,
         admit::Admitted,
         attempt::{AttemptOutcome, AttemptParams, Content, TargetAnswer, attempt},
         body_memory::BodyPermit,
         boot_time,
+        call_holder::CallHolder,
         call_origin::CallOrigin,
         call_recorder::CallRecorder,
         pick::PickedTarget,
         quarantined_calls::part_keys,
-        refusal::NO_TARGET_RETRY_AFTER,
+        refusal::{NO_TARGET_RETRY_AFTER, Unanswered},
         relay::Inner,
         salt::CacheScope,
         silent_target::AttemptTimeout,
@@ -61,13 +63,12 @@
     pub(crate) origin: CallOrigin,
     /// Targets that were tried for the call, including those that could not be reached.
     pub(crate) tried_targets: Vec<TargetId>,
+    /// Who has the call.
+    pub(crate) holder: CallHolder,
     /// Number of targets that ran the call or may have run it.
     pub(crate) may_have_run_count: u32,
     /// Whether another instance may reach the call's targets if this one does not.
     pub(crate) has_other_way: bool,
-    /// Whether other instances were asked to answer the call and have not all said that it did not
-    /// run.
-    pub(crate) is_passed_on: bool,
     /// Number of targets tried to which no connection could be opened.
     pub(crate) unreachable_count: usize,
     /// Counts the call as in flight at the current target.
@@ -87,12 +88,16 @@
     /// target.
     pub(crate) fn new(
         inner: Arc<Inner<Format>>,
-        admitted: Admitted,
-        head: request::Parts,
-        body: Bytes,
-        body_permit: BodyPermit,
+        accepted: AcceptedCall,
+        not_sent: NotSent,
         arrived: Instant,
     ) -> Self {
+        let AcceptedCall {
+            admitted,
+            head,
+            body,
+            body_permit,
+        } = accepted;
         let pool = admitted.route.draw_pool(rand::random());
         let pool = pool.cloned().unwrap_or_default();
         let part_keys = part_keys(&admitted.call);
@@ -109,9 +114,9 @@
             pool,
             origin,
             tried_targets: Vec::new(),
+            holder: not_sent.into(),
             may_have_run_count: 0,
             has_other_way: false,
-            is_passed_on: false,
             unreachable_count: 0,
             in_flight: None,
             has_reserved_retry: AtomicBool::new(false),
@@ -179,9 +184,9 @@
     pub(crate) async fn answer_here(
         &mut self,
         recorder: &mut CallRecorder,
-    ) -> Result<TargetAnswer, Refusal> {
-        let view_age = self.inner.state.view().age();
-        if let Some(pool) = self.origin.find(&self.admitted, view_age).await? {
+    ) -> Result<TargetAnswer, Unanswered> {
+        let view = self.inner.state.view();
+        if let Some(pool) = self.origin.find(&self.admitted, &view).await? {
             self.pool = pool;
         }
         let origin_version = self.origin.software_version().unwrap_or_default();
@@ -202,14 +207,14 @@
         &mut self,
         recorder: &mut CallRecorder,
         last_event_id: Option<u64>,
-    ) -> Result<TargetAnswer, Refusal> {
+    ) -> Result<TargetAnswer, Unanswered> {
         if last_event_id.is_none() {
             let instances_count = self.instances_count();
             self.inner
                 .retry_budgets
                 .record_call(&self.pool, instances_count);
         }
-        let mut last_refusal = Refusal::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER);
+        let mut last_declined = Declined::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER);
         let mut error_answer = None;
         let mut suspects = Vec::new();
         while self.tried_targets.len() < MAX_TRIED_TARGETS_COUNT && self.time_left() > MIN_TIME_LEFT
@@ -217,13 +222,13 @@
             // For a resumed stream, the stream forwarder has checked the time once, before this
             // loop.
             if last_event_id.is_none()
-                && let Err(refusal) = self.check_shutdown(recorder)
+                && let Err(declined) = self.check_shutdown(recorder)
             {
-                last_refusal = refusal;
+                last_declined = declined;
                 break;
             }
-            if let Err(refusal) = self.check_quarantine(recorder) {
-                last_refusal = refusal;
+            if let Err(declined) = self.check_quarantine(recorder) {
+                last_declined = declined;
                 break;
             }
             if self.has_reached_no_target() && self.is_cut_off() {
@@ -231,8 +236,8 @@
             }
             let picked = match self.choose_target() {
                 Ok(picked) => picked,
-                Err(refusal) => {
-                    last_refusal = refusal.unwrap_or(last_refusal);
+                Err(declined) => {
+                    last_declined = declined.unwrap_or(last_declined);
                     break;
                 }
             };
@@ -243,13 +248,13 @@
             let outcome = self.send(&picked, last_event_id, recorder).await;
             recorder.end_attempt(describe_outcome(&outcome));
             self.record_attempt(&picked, &outcome);
-            if matches!(outcome, AttemptOutcome::NotSent(_)) {
+            if matches!(outcome, AttemptOutcome::NotSent(..)) {
                 self.unreachable_count += 1;
             }
             if matches!(outcome, AttemptOutcome::Unknown { .. }) {
                 self.record_identity(recorder);
             }
-            let (refusal, counts_as_retry) = match outcome {
+            let (declined, counts_as_retry) = match outcome {
                 AttemptOutcome::Answered(answer) => {
                     if !self.should_try_another(&answer) || !self.try_retry() {
                         self.record_answer(&picked, &answer, &suspects);
@@ -260,8 +265,14 @@
                     error_answer = Some(answer);
                     continue;
                 }
-                AttemptOutcome::NotSent(_) => (last_refusal, false),
-                AttemptOutcome::NotRun(..) => (self.overload_refusal(), true),
+                AttemptOutcome::NotSent(_, not_run) => {
+                    self.holder.take_back(not_run);
+                    (last_declined, false)
+                }
+                AttemptOutcome::NotRun(_, _, not_run) => {
+                    self.holder.take_back(not_run);
+                    (self.overloaded(), true)
+                }
                 AttemptOutcome::Unknown { disconnected, .. } => {
                     if disconnected && last_event_id.is_none() {
                         self.report_disconnect(&picked, sent_at);
@@ -269,10 +280,10 @@
                     if !self.can_run_again() || self.may_have_crashed_target() {
                         break;
                     }
-                    (last_refusal, true)
+                    (last_declined, true)
                 }
             };
-            last_refusal = refusal;
+            last_declined = declined;
             let has_retry = self.has_reserved_retry.swap(false, Ordering::Relaxed);
             if counts_as_retry && !has_retry && !self.try_retry() {
                 break;
@@ -282,13 +293,13 @@
             self.record_suspects(&suspects, CallOutcome::Failed);
             return Ok(error_answer);
         }
-        if self.may_have_run_count > 0 {
-            return Err(self.unknown_outcome_refusal());
+        if !self.holder.is_nobody() {
+            return Err(Unanswered::Lost(self.lost_answer()));
         }
         if self.time_left() <= MIN_TIME_LEFT {
-            last_refusal = Reason::TooLate.into();
+            last_declined = Reason::TooLate.into();
         }
-        Err(last_refusal)
+        Err(last_declined.into())
     }
 
     /// Sends the call to one target and reads its answer, or the first event of its stream.
@@ -315,6 +326,7 @@
             .target_headers(&self.head.headers, &metadata);
         self.in_flight = Some(target.call_stats.start_call());
         self.sent_at.send_replace(None);
+        let handed_over = self.holder.hand_to_target();
         let time_left = self.time_left();
         let start_timeout = AttemptTimeout { call: self };
         let statements = OnceLock::new();
@@ -338,6 +350,7 @@
             &self.inner.header_format,
             request,
             params,
+            handed_over,
         )
         .await;
         if let Some(statements) = statements.get() {
@@ -406,14 +419,13 @@
             && self.can_finish_elsewhere_after(Duration::ZERO)
     }
 
-    /// Refusal for a call that may have run but has no answer.
-    fn unknown_outcome_refusal(&self) -> Refusal {
-        let reason = if self.time_left() <= MIN_TIME_LEFT {
-            Reason::TimedOut
+    /// Why a call that may have run has no answer.
+    pub(crate) fn lost_answer(&self) -> LostAnswer {
+        if self.time_left() <= MIN_TIME_LEFT {
+            LostAnswer::TimedOut
         } else {
-            Reason::TargetFailed
-        };
-        Refusal::new(reason)
+            LostAnswer::TargetFailed
+        }
     }
 }
 
@@ -421,8 +433,8 @@
 pub(crate) fn describe_outcome(outcome: &AttemptOutcome<TargetAnswer>) -> String {
     match outcome {
         AttemptOutcome::Answered(answer) => format!("answered {}", answer.status.as_u16()),
-        AttemptOutcome::NotSent(reason) => format!("not sent: {reason}"),
-        AttemptOutcome::NotRun(status, _) => format!("not run: {}", status.as_u16()),
+        AttemptOutcome::NotSent(reason, _) => format!("not sent: {reason}"),
+        AttemptOutcome::NotRun(status, ..) => format!("not run: {}", status.as_u16()),
         AttemptOutcome::Unknown { reason, .. } => format!("unknown: {reason}"),
     }
 }
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
-        HeaderFormat, Peer, Reason, Refusal,
-        attempt::{Content, TargetAnswer, read_whole},
+        Declined, HeaderFormat, LostAnswer, NotRun, Peer, Reason,
+        attempt::{Content, TargetAnswer, promises_not_run, read_whole},
         body_memory::BodyMemory,
+        call_holder::{CallHolder, HandedOver},
         call_recorder::CallRecorder,
         event_stream::EventStream,
-        refusal::NO_TARGET_RETRY_AFTER,
+        refusal::{NO_TARGET_RETRY_AFTER, Unanswered},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -33,9 +34,6 @@
 /// Part of the time left that is kept for the way back from the other instance.
 const RETURN_TIME: Duration = Duration::from_millis(10);
 
-/// Header of a refusal to another instance: the call has not run and will not run.
-pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("x-rattan-not-run");
-
 /// Header of a call that is passed on: version of the configuration by which it was admitted.
 pub(crate) const CONFIGURATION: HeaderName = HeaderName::from_static("x-rattan-configuration");
 
@@ -67,19 +65,22 @@
     pub(crate) answer_memory: &'call BodyMemory,
 }
 
-/// Why an instance did not answer a call.
-enum PeerFailure {
+/// How it ended that an instance was asked to answer a call. Of older builds as well, only what
+/// [`NotRun`] takes for evidence shows that the call has not run.
+enum PeerOutcome {
+    /// It passed on a target's answer.
+    Answered(Box<TargetAnswer>),
     /// It did not take the call, which has not run; after which time it may.
-    NotTaken(Option<Duration>),
-    /// It took the call, and there is no usable answer.
-    Failed(Reason),
+    NotRun(NotRun, Option<Duration>),
+    /// It may have taken the call, which may have run or may run yet.
+    Unknown(LostAnswer),
 }
 
-impl From<SendError> for PeerFailure {
+impl From<SendError> for PeerOutcome {
     fn from(error: SendError) -> Self {
-        match error {
-            SendError::NotSent { .. } => Self::NotTaken(None),
-            _ => Self::Failed(Reason::TargetFailed),
+        match NotRun::of_unsent(error) {
+            Ok((not_run, _)) => Self::NotRun(not_run, None),
+            Err(_) => Self::Unknown(LostAnswer::TargetFailed),
         }
     }
 }
@@ -93,33 +94,38 @@
         }
     }
 
-    /// Passes a call on to one of `peers` after another until one takes it. Refuses it if none does.
+    /// Passes a call on to one of `peers` after another until one takes it. `holder` says who has the
+    /// call at any moment, also if this is dropped.
     pub(crate) async fn answer<Format>(
         &self,
         header_format: &Format,
         call: &PeerCall<'_>,
         peers: Vec<Peer>,
+        holder: &mut CallHolder,
         recorder: &mut CallRecorder,
-    ) -> Result<TargetAnswer, Refusal>
+    ) -> Result<TargetAnswer, Unanswered>
     where
         Format: HeaderFormat,
     {
         let mut retry_after = NO_TARGET_RETRY_AFTER;
         for peer in self.order(peers).into_iter().take(MAX_PEERS_COUNT) {
             if call.time_left() < MIN_TIME_LEFT {
-                return Err(Reason::TooLate.into());
+                return Err(Declined::new(Reason::TooLate).into());
             }
             recorder.line.forwarded_to.clone_from(&peer.name);
-            match self.send(header_format, call, &peer).await {
-                Ok(answer) => return Ok(answer),
-                Err(PeerFailure::NotTaken(asked)) => {
+            let handed_over = holder.hand_to_instance();
+            match self.send(header_format, call, &peer, handed_over).await {
+                PeerOutcome::Answered(answer) => return Ok(*answer),
+                PeerOutcome::NotRun(evidence, asked) => {
+                    holder.take_back(evidence);
                     self.lock().insert(peer.seed, Instant::now());
                     retry_after = asked.unwrap_or(retry_after);
                 }
-                Err(PeerFailure::Failed(reason)) => return Err(reason.into()),
+                PeerOutcome::Unknown(lost) => return Err(Unanswered::Lost(lost)),
             }
         }
-        Err(Refusal::new(Reason::NoTarget).retry_after(retry_after))
+        let declined = Declined::new(Reason::NoTarget).retry_after(retry_after);
+        Err(declined.into())
     }
 
     /// Orders instances by chance, with those last that did not take a call lately.
@@ -137,7 +143,8 @@
         header_format: &Format,
         call: &PeerCall<'_>,
         peer: &Peer,
-    ) -> Result<TargetAnswer, PeerFailure>
+        _: HandedOver,
+    ) -> PeerOutcome
     where
         Format: HeaderFormat,
     {
@@ -152,7 +159,10 @@
         let sent = self
             .client
             .send(peer.address, request, Reuse::Allowed, time_left);
-        read_answer(header_format, call, sent.await?).await
+        match sent.await {
+            Ok(reply) => read_answer(header_format, call, reply).await,
+            Err(error) => error.into(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<u64, Instant>> {
@@ -174,7 +184,7 @@
     header_format: &Format,
     call: &PeerCall<'_>,
     mut reply: Reply,
-) -> Result<TargetAnswer, PeerFailure>
+) -> PeerOutcome
 where
     Format: HeaderFormat,
 {
@@ -184,38 +194,42 @@
     // Targets repeat the request id. Some errors of targets bear no proof.
     let is_target_error = id == Some(call.id) && !status.is_success();
     if !metadata.has_proof && !is_target_error {
-        return Err(own_answer(status, &headers));
+        return own_answer(status, &headers);
     }
-    if id.is_some_and(|id| id != call.id) {
-        return Err(PeerFailure::Failed(Reason::TargetFailed));
+    if id.is_some_and(|id| id != call.id) || promises_not_run(status) {
+        return PeerOutcome::Unknown(LostAnswer::TargetFailed);
     }
     let content = if call.is_stream && status.is_success() {
-        let events = EventStream::open(reply, &call.time_left(), call.position).await?;
-        Content::Forwarded(Box::new(events))
+        match EventStream::open(reply, &call.time_left(), call.position).await {
+            Ok(events) => Content::Forwarded(Box::new(events)),
+            Err(error) => return error.into(),
+        }
     } else {
-        Content::Whole(read_whole(&mut reply, call.answer_memory, call.time_left()).await?)
+        match read_whole(&mut reply, call.answer_memory, call.time_left()).await {
+            Ok(body) => Content::Whole(body),
+            Err(error) => return error.into(),
+        }
     };
-    Ok(TargetAnswer {
+    PeerOutcome::Answered(Box::new(TargetAnswer {
         status,
         headers,
         metadata,
         content,
-    })
+    }))
 }
 
 /// What the other instance means by an answer of its own. Only its explicit word shows that the call
-/// has not run. Builds before that word was added give it for no status but 503, which no target's
-/// answer is passed on with.
+/// has not run.
 ///
 /// The other instance may have another configuration, so its word that a route or a key is unknown is no
 /// reason to refuse the call for good.
-fn own_answer(status: StatusCode, headers: &HeaderMap) -> PeerFailure {
-    match status {
-        StatusCode::GATEWAY_TIMEOUT => PeerFailure::Failed(Reason::TimedOut),
-        status if headers.contains_key(&NOT_RUN) || status == StatusCode::SERVICE_UNAVAILABLE => {
-            PeerFailure::NotTaken(parse_retry_after(headers))
-        }
-        _ => PeerFailure::Failed(Reason::TargetFailed),
+fn own_answer(status: StatusCode, headers: &HeaderMap) -> PeerOutcome {
+    if status == StatusCode::GATEWAY_TIMEOUT {
+        return PeerOutcome::Unknown(LostAnswer::TimedOut);
+    }
+    match NotRun::of_instance(status, headers) {
+        Some(not_run) => PeerOutcome::NotRun(not_run, parse_retry_after(headers)),
+        None => PeerOutcome::Unknown(LostAnswer::TargetFailed),
     }
 }
 
