Answers that end with their connection: findings of the review of the fix

A reviewer who had not seen the work found, by reading: - A transfer coding other than chunks counted as framing, so that the fault acted there still. Only chunks as the last coding do now (killed_targets, stream_without_chunks...; not run on the code before). - An open idle connection counted as evidence that the target still runs, which is silence again. A new connection is always opened now, and kept. - 10 ms here and 20 ms for the same purpose in quarantined_calls: one constant, 20 ms. - A whole body found incomplete so was reported as a crash, also of a target that had only stopped listening. It no longer is. - The body of a refusal without framing was read for a connection that cannot be used again. - Reading on after an error, or after close() during the check, could return the regular end. The state of the body is kept now. - A field like 'dataset:' counted as data of an event.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -183,8 +183,8 @@
     )
 }
 
-/// Reads the body of a target's refusal, so that its connection can be reused. A body that is long
-/// or slow is not worth the wait.
+/// Reads the body of a target's refusal, so that its connection can be reused. A body that is long,
+/// slow or ends with the connection is not worth the wait.
 async fn read_refusal(mut reply: Reply) {
     let body = reply.limited_body(MAX_REFUSAL_BYTES, REFUSAL_BODY_TIMEOUT);
     if let Err(error) = body.await {
--- a/crates/relay/src/quarantined_calls.rs
+++ b/crates/relay/src/quarantined_calls.rs
@@ -9,12 +9,10 @@
     parts::{PartKey, part_key},
     quarantine::{CallIdentity, CallKey, CrashReport, ReportedSuspect, SuspectKey},
     std::time::Duration,
+    target::PROCESS_EXIT_TIME,
     tokio::time::sleep,
 };
 
-/// Delay after a connection broke until the check whether the target still listens. A process that
-/// dies closes its sockets one after the other.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(20);
 /// Retry delay for callers of a quarantined part or call. Retries before then only prolong the
 /// quarantine.
 const QUARANTINED_RETRY_AFTER: Duration = Duration::from_mins(10);
@@ -101,7 +99,7 @@
         let client = self.inner.client.clone();
         let address = picked.target.address;
         tokio::spawn(async move {
-            sleep(CRASH_CHECK_DELAY).await;
+            sleep(PROCESS_EXIT_TIME).await;
             let has_crashed = client.refuses_connections(address).await;
             reports.end_check(&crash, has_crashed);
         });
--- a/crates/relay/tests/killed_targets.rs
+++ b/crates/relay/tests/killed_targets.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// Guards against any transfer coding counting as chunks.
+#[tokio::test]
+async fn stream_without_chunks_of_a_killed_target_is_visibly_incomplete() {
+    let head = "HTTP/1.1 200 OK\r\nid: {id}\r\nstamp: s\r\ntransfer-encoding: identity\r\n\r\n";
+    let killed = Step::RespondThenDie(format!("{head}id: 1\ndata: a\n\n"));
+    let target = ScriptedTarget::start("one", vec![killed]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/stream/7", "").await;
+    assert!(!response.is_complete, "{response:?}");
+}
+
 #[tokio::test]
 async fn stream_of_a_killed_target_is_resumed_by_another_one() {
     let one = killed_target("one").await;
--- a/crates/relay/tests/support/header_format.rs
+++ b/crates/relay/tests/support/header_format.rs
@@ -39,7 +39,6 @@
             prompt: parsed_prompt,
             last_event_id: text("last-event-id").and_then(|it| it.parse().ok()),
             resumes: text("resumes").map(str::to_owned),
-            ..Call::default()
         })
     }
 
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -28,8 +28,7 @@
     RespondInTwo(String, Duration, String),
     /// Sends nothing and waits up to 2 seconds for the caller to disconnect.
     NeverRespond,
-    /// Sends these bytes, then ends as a killed process does: nothing listens any more, and the
-    /// connection is closed.
+    /// Sends these bytes; then nothing listens any more, and after 30 ms the connection is closed.
     RespondThenDie(String),
 }
 
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -29,8 +29,9 @@
 
 /// Idle connections kept for each address.
 const MAX_IDLE_COUNT: usize = 64;
-/// Time within which the operating system closes all sockets of a process that is killed.
-const PROCESS_EXIT_TIME: Duration = Duration::from_millis(10);
+/// Time for the operating system to close all sockets of a process that is killed, from the first one
+/// on.
+pub const PROCESS_EXIT_TIME: Duration = Duration::from_millis(20);
 
 /// Timeouts of connections.
 #[derive(Clone, Copy, Debug)]
@@ -179,31 +180,24 @@
         matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
     }
 
-    /// Whether the process that has just closed a connection from `address` still runs: another
-    /// connection to it is open, or a new one can be opened, which is kept for reuse.
-    pub(crate) async fn still_runs(&self, address: SocketAddr) -> bool {
+    /// Whether the target still accepts connections after it has ended one. The new connection is kept
+    /// for reuse.
+    pub(crate) async fn still_accepts(&self, address: SocketAddr) -> bool {
         sleep(PROCESS_EXIT_TIME).await;
-        if self.has_idle(address) {
-            return true;
-        }
         match self.connect(address).await {
             Ok(connection) => {
                 self.put_idle(address, connection, None);
                 true
             }
             Err(error) => {
-                log::debug!("a target that ended an answer with its connection is gone: {error}");
+                log::info!(
+                    "an answer ended with its connection, and is taken as broken off: {error}"
+                );
                 false
             }
         }
     }
 
-    fn has_idle(&self, address: SocketAddr) -> bool {
-        let idle = self.lock_idle();
-        let mut connections = idle.get(&address).into_iter().flatten();
-        connections.any(|it| !it.connection.sender.is_closed())
-    }
-
     /// Keeps a connection for reuse until the idle timeout, or for half the time that the target
     /// keeps it if that is shorter.
     pub(crate) fn put_idle(
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -35,7 +35,7 @@
 
 pub use {
     answer_stream::{AnswerEvent, AnswerStream},
-    client::{Client, ClientSettings, Reuse},
+    client::{Client, ClientSettings, PROCESS_EXIT_TIME, Reuse},
     engine::EngineClient,
     engine_wire::{
         BlockRef, CacheBlock, CacheBlocks, CacheEvent, CacheEventKind, CacheEvents,
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -29,8 +29,20 @@
     response: Response<Incoming>,
     /// Whether the body has neither a length nor chunks.
     ends_with_connection: bool,
-    /// Whether all of the body was read.
-    body_ended: bool,
+    body_state: BodyState,
+}
+
+/// How far a body was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BodyState {
+    /// More may follow.
+    Open,
+    /// Its connection has ended, and with it the body. Whether it is complete is not known yet.
+    Ended,
+    /// It was read to its end.
+    Complete,
+    /// It broke off, or its connection was closed here.
+    Failed,
 }
 
 impl std::fmt::Debug for Reply {
@@ -50,15 +62,15 @@
         connection: Connection,
         response: Response<Incoming>,
     ) -> Self {
-        let is_chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
         let has_length = response.body().size_hint().exact().is_some();
+        let ends_with_connection = !has_length && !is_chunked(response.headers());
         Self {
             client,
             address,
             connection: Some(connection),
             response,
-            ends_with_connection: !is_chunked && !has_length,
-            body_ended: false,
+            ends_with_connection,
+            body_state: BodyState::Open,
         }
     }
 
@@ -95,28 +107,37 @@
     /// Waits for the next part of the body, however long it takes; `None` at its end. Dropping the
     /// future loses nothing: the next call goes on where it was.
     ///
-    /// If the end of the connection ends the body, the body is complete only if the target still runs:
-    /// the connections of a process that is killed end in the same way.
+    /// If the end of the connection ends the body, the body is complete only if the target accepts
+    /// another connection: those of a process that is killed end in the same way.
     ///
     /// # Errors
     /// [`SendError::Unknown`] if the body is truncated or the connection was closed here.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, SendError> {
-        while !self.body_ended {
-            if self.is_closed() {
-                return Err(self.unknown("the connection was closed here".to_owned(), false));
+        while self.body_state == BodyState::Open {
+            match self.response.body_mut().frame().await {
+                None if self.ends_with_connection => self.body_state = BodyState::Ended,
+                None => self.body_state = BodyState::Complete,
+                Some(Err(error)) => {
+                    self.body_state = BodyState::Failed;
+                    return Err(self.unknown(error.to_string(), is_disconnect(&error)));
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
             }
-            let Some(frame) = self.response.body_mut().frame().await else {
-                self.body_ended = true;
-                break;
+        }
+        if self.body_state == BodyState::Ended {
+            let is_complete = self.client.still_accepts(self.address).await;
+            self.body_state = if is_complete {
+                BodyState::Complete
+            } else {
+                BodyState::Failed
             };
-            let frame =
-                frame.map_err(|error| self.unknown(error.to_string(), is_disconnect(&error)))?;
-            if let Ok(data) = frame.into_data() {
-                return Ok(Some(data));
-            }
         }
-        if self.ends_with_connection && !self.client.still_runs(self.address).await {
-            return Err(self.unknown("the target ended during its answer".to_owned(), true));
+        if self.body_state == BodyState::Failed {
+            return Err(self.unknown("its body is incomplete".to_owned(), false));
         }
         self.release_connection();
         Ok(None)
@@ -126,6 +147,9 @@
     /// on.
     pub fn close(&mut self) {
         self.connection = None;
+        if self.body_state != BodyState::Complete {
+            self.body_state = BodyState::Failed;
+        }
     }
 
     /// Whether the connection was closed or, after the end of the body, given back for reuse.
@@ -282,6 +306,16 @@
     }
 }
 
+/// Whether chunks mark the end of the body. With any other last coding, the end of the connection does.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back();
+    let last = codings.and_then(|it| it.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// How long the target keeps an idle connection, if its `keep-alive` header says so.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/target/src/stream_position.rs
+++ b/crates/target/src/stream_position.rs
@@ -104,5 +104,5 @@
 /// Whether an event carries data, rather than only comments.
 fn has_data(event: &[u8]) -> bool {
     let mut lines = event.split(|byte| *byte == b'\n');
-    lines.any(|line| line.starts_with(b"data"))
+    lines.any(|line| line.starts_with(b"data:") || line.trim_ascii_end() == b"data")
 }
