Configuration: a change whose answer brings the news of an older copy is looked up

Callers saw: "not applied" for a change that stands in the history that the key-value service came back to. Cause: only a lost answer was looked up, and the new error counted as a refusal. Change: it is resolved as a lost answer. Measured: change_that_is_applied_while_the_service_comes_back_is_confirmed failed with NotApplied; with the change all 9 tests of writer_changes pass.

--- a/crates/configuration/src/writer.rs
+++ b/crates/configuration/src/writer.rs
@@ -140,7 +140,11 @@
         let txn = build_txn(&plan, last_change_revision, changes, change_id, lease);
         match self.with_timeout(self.kv.txn(txn)).await {
             Ok(outcome) => read_txn_outcome(&plan, changes, change_id, &outcome),
-            Err(KvError::Unknown { reason }) => {
+            Err(error @ (KvError::Unknown { .. } | KvError::Restored { .. })) => {
+                let reason = match error {
+                    KvError::Unknown { reason } => reason,
+                    error => error.to_string(),
+                };
                 self.resolve_unknown(&plan, changes, change_id, lease, &reason)
                     .await
             }
--- a/crates/configuration/tests/writer_changes.rs
+++ b/crates/configuration/tests/writer_changes.rs
@@ -8,6 +8,7 @@
     keyvalue::MemoryKv,
     std::time::Duration,
     support::{account, delete, put, rule, version},
+    tokio::time::sleep,
 };
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -193,3 +194,23 @@
     assert_eq!(snapshot.catalog.placement_rules.len(), 300);
     assert_eq!(snapshot.catalog.revision, accepted.revision);
 }
+
+/// Guards against the word that a change was not applied, which holds in the history that the service
+/// came back to.
+#[tokio::test(start_paused = true)]
+async fn change_that_is_applied_while_the_service_comes_back_is_confirmed() {
+    let kv = MemoryKv::with_incarnation();
+    kv.set_faults(|faults| faults.call_delay = Duration::from_millis(100));
+    let writer = writer(&kv);
+    let changes = [put(rule("a", 1), 0)];
+    let come_back = async {
+        sleep(Duration::from_millis(210)).await;
+        let copy = kv.take_copy();
+        sleep(Duration::from_millis(40)).await;
+        kv.restore(&copy);
+    };
+    let (applied, ()) = tokio::join!(writer.apply(&changes, "c1"), come_back);
+    let snapshot = writer.read().await.expect("read");
+    assert_eq!(snapshot.catalog.placement_rules.len(), 1);
+    assert!(applied.is_ok(), "{applied:?}");
+}
