Schedule of a shutdown and the word of a witness are functions without I/O

OwnShutdown::new and KnownState::note_gap_of_other hold what drain and outage_check decided inline, so that a model can drive them with simulated time. Behaviour unchanged.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -22,6 +22,26 @@
 /// Time before the forced kill at which responses in progress are cut off and the exit begins.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+impl OwnShutdown {
+    /// Schedule of the shutdown of `instance` that begins at `now`.
+    #[must_use]
+    pub fn new(instance: &str, now: Duration, grace_period: Duration) -> Self {
+        let refresh_time = CALLER_REFRESH_TIME.min(grace_period / 2);
+        Self {
+            instance: instance.to_owned(),
+            started_at: now,
+            grace_period,
+            announced_at: now + refresh_time.saturating_sub(SIGNAL_DELAY),
+            answer_deadline: now + answers_time(grace_period),
+        }
+    }
+}
+
+/// Time for answers in progress.
+fn answers_time(grace_period: Duration) -> Duration {
+    grace_period.saturating_sub(EXIT_MARGIN)
+}
+
 /// Directs callers to other instances, then returns once every call in progress has been answered.
 /// The relay refuses calls that would not end in time; responses still in progress are cut off
 /// shortly before the forced kill.
@@ -33,21 +53,14 @@
     Format: Platform,
 {
     let grace_period = shared.settings.grace;
-    let answers_time = grace_period.saturating_sub(EXIT_MARGIN);
-    let now = boot_time();
-    let refresh_time = CALLER_REFRESH_TIME.min(grace_period / 2);
+    let answers_time = answers_time(grace_period);
     shared.log.emit(&Event::Draining {
         grace_ms: u64::try_from(grace_period.as_millis()).unwrap_or(u64::MAX),
     });
     shared.draining.cancel();
-    let answer_deadline = now + answers_time;
-    shared.known().begin_shutdown(OwnShutdown {
-        instance: shared.settings.instance.clone(),
-        started_at: now,
-        grace_period,
-        announced_at: now + refresh_time.saturating_sub(SIGNAL_DELAY),
-        answer_deadline,
-    });
+    let shutdown = OwnShutdown::new(&shared.settings.instance, boot_time(), grace_period);
+    let answer_deadline = shutdown.answer_deadline;
+    shared.known().begin_shutdown(shutdown);
     shared.publish();
     let _ = timeout(answers_time, redirect_callers(shared)).await;
     stop_accepting.cancel();
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -27,7 +27,7 @@
 const MAX_KEEPING_TIME: Duration = Duration::from_millis(1_500);
 /// A shorter time without word from the service lets no record expire, since owners write their
 /// records again several times in the lifetime of their leases.
-pub(crate) const MIN_LAPSE_TIME: Duration = Duration::from_millis(2_300);
+const MIN_LAPSE_TIME: Duration = Duration::from_millis(2_300);
 
 /// A known entry instance.
 #[derive(Clone, Debug)]
@@ -255,6 +255,17 @@
         self.expire(now);
     }
 
+    /// Records that another instance was without word from the service for at most `gap` during the last
+    /// outage. Returns whether the service was there then; if not, that instance could not reach it
+    /// either, or cannot tell.
+    pub fn note_gap_of_other(&mut self, gap: Duration, now: Duration) -> bool {
+        let was_there = gap < MIN_LAPSE_TIME;
+        if was_there {
+            self.rule_out_lapse(now);
+        }
+        was_there
+    }
+
     /// Records that this state was current at `current_at`, which may be in the past: for a listing
     /// it is when the request was sent, after a suspension the last time before it.
     pub fn confirm(&mut self, current_at: Duration) {
--- a/crates/entry/src/outage_check.rs
+++ b/crates/entry/src/outage_check.rs
@@ -2,7 +2,7 @@
 //! instance could not reach it. In the second case no registration has expired because of it.
 
 use {
-    crate::{known_state::MIN_LAPSE_TIME, shared::Shared},
+    crate::shared::Shared,
     catalog::InstanceId,
     eventlog::Event,
     feed::ask_service_gap,
@@ -33,14 +33,13 @@
     let mut witness = InstanceId::new();
     while let Some((name, answer)) = answers.next().await {
         match answer {
-            Ok(gap) if gap < MIN_LAPSE_TIME => {
-                shared.known().rule_out_lapse(boot_time());
-                shared.publish();
-                witness = name;
-                break;
+            Ok(gap) => {
+                if shared.known().note_gap_of_other(gap, boot_time()) {
+                    shared.publish();
+                    witness = name;
+                    break;
+                }
             }
-            // It could not reach the service either, or cannot tell.
-            Ok(_) => {}
             Err(error) => log::info!("{name} does not tell whether the service was there: {error}"),
         }
     }
