What a stopping instance decides about a call stands in pure functions

Shutdown::time_to_take and expected_duration, and CutCall::reason, take what ActiveCall knows as values, so that a model can drive them with simulated time.

--- a/crates/relay/src/ending_calls.rs
+++ b/crates/relay/src/ending_calls.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        HeaderFormat, Reason, Refusal, Shutdown,
+        CutCall, HeaderFormat, KnownDuration, Refusal,
         active_call::ActiveCall,
         boot_time,
         call_recorder::{CallRecorder, millis},
@@ -17,32 +17,23 @@
 where
     Format: HeaderFormat,
 {
-    /// Refusal for a call that the shutdown ended before it was answered: [`Reason::Cut`] if it may
-    /// have run, here or where another instance sent it, and [`Reason::ShuttingDown`] otherwise.
+    /// Refusal for a call that the shutdown ended before it was answered.
     pub(crate) fn cut_refusal(&self) -> Refusal {
-        let may_have_run =
-            self.in_flight.is_some() || self.may_have_run_count > 0 || self.is_passed_on;
-        let reason = if may_have_run {
-            Reason::Cut
-        } else {
-            Reason::ShuttingDown
+        let cut = CutCall {
+            is_in_flight: self.in_flight.is_some(),
+            may_have_run: self.may_have_run_count > 0,
+            is_passed_on: self.is_passed_on,
         };
-        reason.into()
+        cut.reason().into()
     }
 
-    /// Refuses the call if the instance is shutting down and the call may outlast it. Once callers
-    /// know other instances, only its time limit shows that it will not; before, an estimate decides.
-    /// A call that may have run already is not refused for its time limit, since it was taken before.
+    /// Refuses the call if the instance is shutting down and the call may outlast it.
     pub(crate) fn check_shutdown(&self, recorder: &mut CallRecorder) -> Result<(), Refusal> {
         let Some(shutdown) = self.inner.state.view().shutdown else {
             return Ok(());
         };
         let now = boot_time();
-        let expected = if shutdown.is_announced(now) && self.may_have_run_count == 0 {
-            self.time_left()
-        } else {
-            self.expected_duration(&shutdown, now)
-        };
+        let expected = shutdown.time_to_take(&self.known_duration(), now);
         recorder.line.expected_ms = millis(expected);
         if shutdown.can_finish(expected, now) {
             Ok(())
@@ -56,23 +47,21 @@
     pub(crate) fn can_finish_elsewhere_after(&self, wait: Duration) -> bool {
         self.inner.state.view().shutdown.is_none_or(|shutdown| {
             let start = boot_time() + wait + FAILOVER_TIME;
-            shutdown.can_finish(self.expected_duration(&shutdown, start), start)
+            shutdown.can_finish(
+                shutdown.expected_duration(&self.known_duration(), start),
+                start,
+            )
         })
     }
 
-    /// Expected duration of the call if it starts at `start`: the time within which 80 % of the
-    /// route's recent calls ended, or twice the longest recent one if the shutdown is announced by
-    /// then. At most the call's time left at present, and all of it if there are too few recent
-    /// calls.
-    fn expected_duration(&self, shutdown: &Shutdown, start: Duration) -> Duration {
+    fn known_duration(&self) -> KnownDuration {
         let route = &self.admitted.route.name;
         let times = &self.inner.answer_times;
-        let observed = if shutdown.is_announced(start) {
-            times.upper_bound(route)
-        } else {
-            times.typical(route)
-        };
-        let time_left = self.time_left();
-        observed.map_or(time_left, |observed| observed.min(time_left))
+        KnownDuration {
+            time_left: self.time_left(),
+            typical: times.typical(route),
+            upper_bound: times.upper_bound(route),
+            may_have_run: self.may_have_run_count > 0,
+        }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -70,7 +70,7 @@
     refusal::{Reason, Refusal},
     relay::{CallSource, Relay, RelaySettings, RelayState},
     salt::salt_version,
-    shutdown::{AnswerCutoff, Shutdown},
+    shutdown::{AnswerCutoff, CutCall, KnownDuration, Shutdown},
     statement_log::record_report,
     stream_origins::{OriginQuestion, OriginRequests, StreamOrigins},
     suspect_reports::SuspectReports,
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -46,6 +46,31 @@
         now + expected <= self.answer_deadline
     }
 
+    /// Time that a call has to have for the instance to take it at `now`. Once callers know other
+    /// instances, only the call's time limit shows that it ends in time; before, an estimate decides.
+    /// A call that may have run already is not held to its time limit, since it was taken before.
+    #[must_use]
+    pub fn time_to_take(&self, known: &KnownDuration, now: Duration) -> Duration {
+        if self.is_announced(now) && !known.may_have_run {
+            known.time_left
+        } else {
+            self.expected_duration(known, now)
+        }
+    }
+
+    /// Expected duration of a call if it starts at `start`: the time within which 80 % of the route's
+    /// recent calls ended, or twice the longest recent one if the shutdown is announced by then. At
+    /// most the call's time left at present, and all of it if there are too few recent calls.
+    #[must_use]
+    pub fn expected_duration(&self, known: &KnownDuration, start: Duration) -> Duration {
+        let observed = if self.is_announced(start) {
+            known.upper_bound
+        } else {
+            known.typical
+        };
+        observed.map_or(known.time_left, |observed| observed.min(known.time_left))
+    }
+
     /// Refusal for a call that would not finish in time. `random`, from 0 to 1, spreads the
     /// retries, since otherwise all callers would return at once to the first instance that is
     /// back.
@@ -59,6 +84,43 @@
     }
 }
 
+/// What is known of the time that a call takes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KnownDuration {
+    /// Time left until the call's time limit.
+    pub time_left: Duration,
+    /// Time within which 80 % of the route's recent calls ended; `None` if there are too few.
+    pub typical: Option<Duration>,
+    /// Twice the longest recent call of the route; `None` if there are too few.
+    pub upper_bound: Option<Duration>,
+    /// Whether a target ran the call or may have run it.
+    pub may_have_run: bool,
+}
+
+/// A call that a shutdown ends before it was answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CutCall {
+    /// Whether it is in flight at a target.
+    pub is_in_flight: bool,
+    /// Whether a target ran it or may have run it.
+    pub may_have_run: bool,
+    /// Whether other instances were asked to answer it and have not all said that it did not run.
+    pub is_passed_on: bool,
+}
+
+impl CutCall {
+    /// Why the call is refused: [`Reason::Cut`] if it may have run, here or where another instance
+    /// sent it, and [`Reason::ShuttingDown`] otherwise.
+    #[must_use]
+    pub fn reason(self) -> Reason {
+        if self.is_in_flight || self.may_have_run || self.is_passed_on {
+            Reason::Cut
+        } else {
+            Reason::ShuttingDown
+        }
+    }
+}
+
 /// Signal to cut all answers that are still incomplete, because the instance ends. Clones share the
 /// signal.
 #[derive(Clone, Debug, Default)]
