--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -226,6 +226,17 @@
         newest.is_some_and(|newest| newest > config.version)
     }
 
+    /// Records that another instance was without word from the service for at most `gap` during the last
+    /// outage. Returns whether the service was there then; if not, that instance could not reach it
+    /// either, or cannot tell.
+    pub fn note_gap_of_other(&mut self, gap: Duration, now: Duration) -> bool {
+        let was_there = gap < MIN_LAPSE_TIME;
+        if was_there {
+            self.rule_out_lapse(now);
+        }
+        was_there
+    }
+
     /// Records that this state was current at `current_at`, which may be in the past: for a listing
     /// it is when the request was sent, after a suspension the last time before it.
     pub fn confirm(&mut self, current_at: Duration) {
--- a/crates/relay/src/ending_calls.rs
+++ b/crates/relay/src/ending_calls.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Declined, HeaderFormat, LostAnswer, Reason, Refusal, Shutdown,
+        Declined, HeaderFormat, KnownDuration, LostAnswer, Reason, Refusal,
         active_call::ActiveCall,
         boot_time,
         call_holder::CallHolder,
@@ -40,19 +40,13 @@
         }
     }
 
-    /// Refuses the call if the instance is shutting down and the call may outlast it. Once callers
-    /// know other instances, only its time limit shows that it will not; before, an estimate decides.
-    /// A call that may have run already is not refused for its time limit, since it was taken before.
+    /// Refuses the call if the instance is shutting down and the call may outlast it.
     pub(crate) fn check_shutdown(&self, recorder: &mut CallRecorder) -> Result<(), Declined> {
         let Some(shutdown) = self.inner.state.view().shutdown else {
             return Ok(());
         };
         let now = boot_time();
-        let expected = if shutdown.is_announced(now) && self.holder.is_nobody() {
-            self.time_left()
-        } else {
-            self.expected_duration(&shutdown, now)
-        };
+        let expected = shutdown.time_to_take(&self.known_duration(), now);
         recorder.line.expected_ms = millis(expected);
         if shutdown.can_finish(expected, now) {
             Ok(())
@@ -66,23 +60,21 @@
     pub(crate) fn can_finish_elsewhere_after(&self, wait: Duration) -> bool {
         self.inner.state.view().shutdown.is_none_or(|shutdown| {
             let start = boot_time() + wait + FAILOVER_TIME;
-            shutdown.can_finish(self.expected_duration(&shutdown, start), start)
+            shutdown.can_finish(
+                shutdown.expected_duration(&self.known_duration(), start),
+                start,
+            )
         })
     }
 
-    /// Expected duration of the call if it starts at `start`: the time within which 80 % of the
-    /// route's recent calls ended, or twice the longest recent one if the shutdown is announced by
-    /// then. At most the call's time left at present, and all of it if there are too few recent
-    /// calls.
-    fn expected_duration(&self, shutdown: &Shutdown, start: Duration) -> Duration {
+    fn known_duration(&self) -> KnownDuration {
         let route = &self.admitted.route.name;
         let times = &self.inner.answer_times;
-        let observed = if shutdown.is_announced(start) {
-            times.upper_bound(route)
-        } else {
-            times.typical(route)
-        };
-        let time_left = self.time_left();
-        observed.map_or(time_left, |observed| observed.min(time_left))
+        KnownDuration {
+            time_left: self.time_left(),
+            typical: times.typical(route),
+            upper_bound: times.upper_bound(route),
+            may_have_run: !self.holder.is_nobody(),
+        }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -77,7 +77,7 @@
     refusal::{Declined, LostAnswer, Reason, Refusal},
     relay::{CallSource, Relay, RelaySettings, RelayState},
     salt::salt_version,
-    shutdown::{AnswerCutoff, Shutdown},
+    shutdown::{AnswerCutoff, KnownDuration, Shutdown},
     statement_log::record_report,
     stream_origins::{OriginQuestion, OriginRequests, StreamOrigins},
     suspect_reports::SuspectReports,
