--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -18,6 +18,7 @@
     "rattan whole_answers answers_are_whole_and_ones_own_or_end_in_an_error 1"
     "rattan not_run refusals_agree_with_what_ran 2"
     "entry promise_model promises_agree_with_what_callers_and_targets_see 3"
+    "platform paused_targets paused_targets_do_not_break_streams 3"
 )
 
 mkdir -p out/soak
