--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -137,7 +137,7 @@
             };
         }
         if self.body_state == BodyState::Failed {
-            return Err(self.unknown("its body is incomplete".to_owned(), false));
+            return Err(self.unknown("its body is incomplete".to_owned(), true));
         }
         self.release_connection();
         Ok(None)
