Lines of attempts tell the bound on refusals that was known, and the instance's own calls there

Cause: the log could not distinguish whether an instance sent a call to a full target because it did not know how few refusals the target bears, because it had taken all places itself, or because it took a place for free that another instance had. Change: own_in_flight_count and max_refusals_per_s in the lines of attempts.

--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -11,6 +11,11 @@
     pub at_ms: u64,
     /// Calls in flight at the target, as assumed when it was chosen.
     pub in_flight_count: f64,
+    /// Calls that this instance had in flight there itself.
+    pub own_in_flight_count: u32,
+    /// Refusals per second that the target was taken to bear when it was chosen; `None` if no bound
+    /// was known.
+    pub max_refusals_per_s: Option<f64>,
     /// Number of targets that could have been chosen.
     pub candidates_count: usize,
     /// Version of the target's software, as registered when it was chosen.
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -72,6 +72,8 @@
             target: picked.target.id.clone(),
             at_ms,
             in_flight_count: picked.in_flight_count,
+            own_in_flight_count: picked.own_in_flight_count,
+            max_refusals_per_s: picked.max_refusals_per_s,
             candidates_count: picked.candidates_count,
             software_version: picked.target.software_version.clone(),
             version: weights.version,
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -52,6 +52,10 @@
     pub(crate) target: Arc<TargetState>,
     /// Estimated number of calls that all instances have in flight at the target.
     pub(crate) in_flight_count: f64,
+    /// Number of calls that this instance has in flight there itself.
+    pub(crate) own_in_flight_count: u32,
+    /// Refusals per second that the target is taken to bear; `None` if no bound is known.
+    pub(crate) max_refusals_per_s: Option<f64>,
     /// Number of targets that were eligible.
     pub(crate) candidates_count: usize,
     /// Weights that the call is expected to run on, and the wanted version.
@@ -155,6 +159,8 @@
     Some(PickedTarget {
         target: eligible[index].clone(),
         in_flight_count: candidates[index].in_flight_count,
+        own_in_flight_count: eligible[index].call_stats.in_flight_count(),
+        max_refusals_per_s: eligible[index].call_stats.max_refusals_per_s(),
         candidates_count: candidates.len(),
         weights: picked_weights(view, eligible[index], context),
     })
--- a/crates/relay/src/refusal_bound.rs
+++ b/crates/relay/src/refusal_bound.rs
@@ -25,6 +25,11 @@
         is_new
     }
 
+    /// Refusals per second that the target bears; `None` if its last answer states no bound.
+    pub(crate) fn max_per_s(&self) -> Option<f64> {
+        self.max_per_s
+    }
+
     /// Whether the target's last answer stated a bound.
     pub(crate) fn is_stated(&self) -> bool {
         self.max_per_s.is_some()
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -120,6 +120,11 @@
         self.lock().conditions.refusal_bound.state(max_per_s)
     }
 
+    /// Refusals per second that the target's last answer says it bears; `None` if it states no bound.
+    pub(crate) fn max_refusals_per_s(&self) -> Option<f64> {
+        self.lock().conditions.refusal_bound.max_per_s()
+    }
+
     /// Records that the target refused a call for want of room.
     pub(crate) fn record_refusal(&self, instances_count: u32, now: Duration) {
         let bound = &mut self.lock().conditions.refusal_bound;
