--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -22,7 +22,7 @@
 
 /// Plain-text formats. The keys are `operators/configuration` (value: a version, and the addresses of
 /// stores of cached parts), `operators/version/MODEL` (a version) and `targets/NAME` (`ADDRESS VERSION`, and
-/// the version of its software, its start time and `leaving` if there are any).
+/// the version of its software, its start time, `leaving` or `-`, and its number of places, if there are any).
 #[derive(Clone, Debug, Default)]
 pub struct Formats {
     /// Address at which the instance finds every target in place of its own, while it is cut off.
@@ -209,6 +209,9 @@
                 software.clone_into(&mut entry.software_version);
                 entry.started_unix_ms = fields.next().map_or(0, |it| it.parse().unwrap());
                 entry.leaving = fields.next() == Some("leaving");
+                if let Some(slots_count) = fields.next() {
+                    entry.slots_count = slots_count.parse().unwrap();
+                }
                 Item::Target(entry)
             }
         })
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod crashing_fleet;
 pub mod crashing_target;
+pub mod failing_target;
 pub mod formats;
 pub mod late_target;
 pub mod part_store;
@@ -195,6 +196,11 @@
 
     /// Sends a call with a new request id; returns the status of its answer.
     pub async fn send(&self, call: &OutgoingCall) -> Option<u16> {
+        self.sent(call).await
+    }
+
+    /// Sends a call as [`Instance::send`] does, without borrowing the instance.
+    pub fn sent(&self, call: &OutgoingCall) -> impl Future<Output = Option<u16>> + use<> {
         static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
         let id = format!("call-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
         let mut request = Request::builder().method(&call.method).uri(&call.path);
@@ -204,9 +210,9 @@
                 request = request.header(name, value);
             }
         }
-        let body = Full::from(call.body.clone());
-        let got = send(self.settings.listen, request.body(body).unwrap()).await?;
-        Some(got.status)
+        let request = request.body(Full::from(call.body.clone())).unwrap();
+        let address = self.settings.listen;
+        async move { Some(send(address, request).await?.status) }
     }
 
     /// Begins a stream; returns the status of its answer, if that is whole.
