Fix LIMIT: instances divide the places of a target that bears few refusals

Callers saw: with more instances than a target has places, targets that bear few refusals failed again and again, and nearly no call was served (24 to 32 of 961 in a burst of 3 s that five targets can serve about 600 of).

Cause: each instance decided from its own calls whether such a target has a free place, and took all others to have as many as itself. One call of each of 16 instances is more than a target of 6 places and 2 that wait takes; four of them were refused in one round, before any had heard of a refusal.

Change: places are divided among few instances, so that the target bears two refusals of each; a call takes its place in the same step in which it is counted; a larger part is used 2 s after it is due; an instance without a free place passes the call on to one with a part; what one target of a pool states counts for those that have not answered since; a refusal in spite of that halves what is sent at the same time. The retry budget counts a call where it is attempted.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -23,9 +23,11 @@
 mod health;
 mod limit_share;
 mod peer_loads;
+mod place_share;
 mod reachability;
 pub mod rendezvous;
 mod retry_budget_share;
+mod room_estimate;
 mod start_delay;
 
 pub use {
@@ -35,7 +37,9 @@
     health::{CallOutcome, Health},
     limit_share::{LimitShare, limit_part},
     peer_loads::{PeerLoads, TargetLoad},
+    place_share::{BoundedPlaces, PlaceShare},
     reachability::Reachability,
     retry_budget_share::{RetryBounds, RetryBudgetShare},
+    room_estimate::RoomEstimate,
     start_delay::StartDelay,
 };
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -16,6 +16,9 @@
     /// Refusals per second that the target was taken to bear when it was chosen; `None` if no bound
     /// was known.
     pub max_refusals_per_s: Option<f64>,
+    /// Number of calls that this instance might have in flight there for that reason; `None` if no
+    /// bound was known.
+    pub places_count: Option<u32>,
     /// Number of targets that could have been chosen.
     pub candidates_count: usize,
     /// Version of the target's software, as registered when it was chosen.
@@ -57,10 +60,13 @@
     pub resumes: String,
     /// Software version at which that stream began; empty if it is not known or needs not be.
     pub origin_version: String,
-    /// Whether another instance passed the call on, since it could not reach the targets.
+    /// Whether another instance passed the call on.
     pub is_forwarded: bool,
-    /// Instance to which the call was passed on last for that reason; empty if to none.
+    /// Instance to which the call was passed on last; empty if to none.
     pub forwarded_to: String,
+    /// Why it was passed on: `no_target_reached`, or `no_place` if targets bear few refusals and this
+    /// instance may use no free place there; empty if it was not.
+    pub forward_reason: &'static str,
     /// Route; empty if none matched.
     pub route: String,
     /// Client account; empty if none was identified.
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -69,6 +69,8 @@
     pub(crate) may_have_run_count: u32,
     /// Whether another instance may reach the call's targets if this one does not.
     pub(crate) has_other_way: bool,
+    /// Whether this instance has no free place at targets that bear few refusals.
+    pub(crate) has_no_place: bool,
     /// Number of targets tried to which no connection could be opened.
     pub(crate) unreachable_count: usize,
     /// Counts the call as in flight at the current target.
@@ -117,6 +119,7 @@
             holder: not_sent.into(),
             may_have_run_count: 0,
             has_other_way: false,
+            has_no_place: false,
             unreachable_count: 0,
             in_flight: None,
             has_reserved_retry: AtomicBool::new(false),
@@ -208,12 +211,6 @@
         recorder: &mut CallRecorder,
         last_event_id: Option<u64>,
     ) -> Result<TargetAnswer, Unanswered> {
-        if last_event_id.is_none() {
-            let instances_count = self.instances_count();
-            self.inner
-                .retry_budgets
-                .record_call(&self.pool, instances_count);
-        }
         let mut last_declined = Declined::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER);
         let mut error_answer = None;
         let mut suspects = Vec::new();
@@ -236,11 +233,19 @@
             }
             let picked = match self.choose_target() {
                 Ok(picked) => picked,
-                Err(declined) => {
-                    last_declined = declined.unwrap_or(last_declined);
+                Err(no_target) => {
+                    self.has_no_place = no_target.has_no_place;
+                    last_declined = no_target.declined.unwrap_or(last_declined);
                     break;
                 }
             };
+            // A call that is passed on without an attempt counts where it is attempted.
+            if last_event_id.is_none() && self.tried_targets.is_empty() {
+                let instances_count = self.instances_count();
+                self.inner
+                    .retry_budgets
+                    .record_call(&self.pool, instances_count);
+            }
             let target = &picked.target.id;
             recorder.begin_attempt(&picked);
             self.tried_targets.push(target.clone());
@@ -304,9 +309,9 @@
 
     /// Sends the call to one target and reads its answer, or the first event of its stream.
     ///
-    /// Plans the cache transfers, which reserves time on the links of stores, and counts the call
-    /// as in flight. Afterwards updates [`ActiveCall::may_have_run_count`] and the target's start
-    /// delay. For a prompt that is not streamed, the recorded start delay spans the whole answer.
+    /// Plans the cache transfers, which reserves time on the links of stores. Afterwards updates
+    /// [`ActiveCall::may_have_run_count`] and the target's start delay. For a prompt that is not
+    /// streamed, the recorded start delay spans the whole answer.
     async fn send(
         &mut self,
         picked: &PickedTarget,
@@ -324,7 +329,6 @@
             .inner
             .header_format
             .target_headers(&self.head.headers, &metadata);
-        self.in_flight = Some(target.call_stats.start_call());
         self.sent_at.send_replace(None);
         let handed_over = self.holder.hand_to_target();
         let time_left = self.time_left();
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -2,37 +2,87 @@
 
 use {
     crate::{
-        Declined, HeaderFormat, Reason, View,
+        Declined, HeaderFormat, Reason, TargetState, View,
         active_call::ActiveCall,
-        pick::{PickContext, PickedTarget, call_context, has_origin, has_other_software, pick},
+        pick::{PickContext, PickedTarget, has_origin, has_other_software, pick},
+        pool_bounds::PoolBound,
         refusal::OVERLOADED_RETRY_AFTER,
+        target_conditions::{CallContext, Obstacle},
         target_limit::Senders,
     },
-    std::time::Duration,
+    std::{collections::HashSet, time::Duration},
 };
 
+/// Why no target may take a call now.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NoTarget {
+    /// What the caller is told; `None` if the reason is not known.
+    pub(crate) declined: Option<Declined>,
+    /// Whether a target bears few refusals, and this instance has no free place there.
+    pub(crate) has_no_place: bool,
+}
+
 impl<Format> ActiveCall<Format>
 where
     Format: HeaderFormat,
 {
     /// Chooses the next target for the call, and takes the right to send a call there. Fails if no
     /// target may take the call, with a refusal if the reason is what targets state.
-    pub(crate) fn choose_target(&self) -> Result<PickedTarget, Option<Declined>> {
-        self.with_pick_context(|view, context| {
+    pub(crate) fn choose_target(&mut self) -> Result<PickedTarget, NoTarget> {
+        let (picked, in_flight) = self.with_pick_context(|view, context| {
             // Another call may take the last right to a target between its choice and this one.
             loop {
                 let choice = pick(view, &self.pool, context);
                 self.inner.count_passed_over(&choice.passed_over);
                 let Some(picked) = choice.picked else {
-                    return Err(self.no_target_refusal(view, context, choice.wait));
+                    return Err(NoTarget {
+                        declined: self.no_target_refusal(view, context, choice.wait),
+                        has_no_place: choice.passed_over.has(Obstacle::RefusalBound),
+                    });
                 };
-                let target = &picked.target;
-                let call = call_context(target, context.senders);
-                if target.call_stats.try_take_call(&call) {
-                    return Ok(picked);
+                let call = context.target_context(&picked.target);
+                if let Some(in_flight) = picked.target.call_stats.try_take_call(&call) {
+                    return Ok((picked, in_flight));
                 }
             }
-        })
+        })?;
+        self.in_flight = Some(in_flight);
+        Ok(picked)
+    }
+
+    /// Records that a target refused the call for want of room.
+    pub(crate) fn record_refusal(&self, target: &TargetState) {
+        let view = self.inner.state.view();
+        let call = CallContext::new(target, self.senders(&view), self.pool_bound());
+        target.call_stats.record_refusal(&call);
+    }
+
+    /// Rendezvous seeds of the instances that may use places of targets which bear few refusals.
+    pub(crate) fn place_holders(&self) -> HashSet<u64> {
+        let view = self.inner.state.view();
+        let (senders, pool_bound) = (self.senders(&view), self.pool_bound());
+        let targets = view.pools.get(&self.pool).into_iter().flatten();
+        let open = targets.filter(|target| !target.is_leaving());
+        let bounded = open.filter_map(|target| {
+            let call = CallContext::new(target, senders, pool_bound);
+            target.call_stats.places(&call)
+        });
+        bounded
+            .flat_map(|places| places.senders(senders.instance_seeds))
+            .collect()
+    }
+
+    /// The instances among which limits and places are divided.
+    fn senders<'view>(&self, view: &'view View) -> Senders<'view> {
+        Senders {
+            own_seed: self.inner.settings.instance_seed,
+            instance_seeds: &view.instance_seeds,
+        }
+    }
+
+    /// Refusals that a target of the call's pool has lately said it bears.
+    fn pool_bound(&self) -> Option<PoolBound> {
+        self.inner.pool_bounds.recent(&self.pool)
     }
 
     /// Declined for a call that no target may take, if the reason is known.
@@ -75,10 +125,7 @@
         let cache_index = state.cache_index();
         let peer_loads = state.peer_loads();
         let cache_scope = self.cache_scope(&view);
-        let senders = Senders {
-            own_seed: self.inner.settings.instance_seed,
-            instance_seeds: &view.instance_seeds,
-        };
+        let senders = self.senders(&view);
         let software_version = self.origin.software_version();
         let context = PickContext {
             call: &self.admitted.call,
@@ -94,6 +141,7 @@
             is_mixed: software_version
                 .is_some_and(|version| has_other_software(&view, &self.pool, version)),
             senders,
+            pool_bound: self.pool_bound(),
         };
         choose(&view, &context)
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -43,6 +43,7 @@
 mod pass_on;
 mod peer_caller;
 mod pick;
+mod pool_bounds;
 mod quarantined_calls;
 mod refusal;
 mod refusal_bound;
--- a/crates/relay/src/pass_on.rs
+++ b/crates/relay/src/pass_on.rs
@@ -1,4 +1,5 @@
-//! Whether a call is passed on to another instance, because this one gets it to no target.
+//! Whether a call is passed on to another instance, because this one gets it to no target or may use
+//! no free place there.
 
 use crate::{
     CallSource, Declined, HeaderFormat, Peer, Reason,
@@ -14,7 +15,8 @@
 where
     Format: HeaderFormat,
 {
-    /// Answers the call, or has another instance answer it if this one reaches none of its targets.
+    /// Answers the call, or has another instance answer it if this one reaches none of its targets, or
+    /// may use no free place at them.
     pub(crate) async fn answer(
         &mut self,
         recorder: &mut CallRecorder,
@@ -28,16 +30,30 @@
             self.answer_here(recorder).await
         };
         let may_pass_on = source == CallSource::Caller && self.has_other_way;
-        if answered.is_ok() || !may_pass_on || !self.has_reached_no_target() {
+        if answered.is_ok() || !may_pass_on {
+            return answered;
+        }
+        let (reason, peers) = if self.has_no_place && self.holder.is_nobody() {
+            ("no_place", self.peers_with_places())
+        } else if self.has_reached_no_target() {
+            ("no_target_reached", self.peers())
+        } else {
+            return answered;
+        };
+        if peers.is_empty() {
             return answered;
         }
         self.check_shutdown(recorder)?;
-        self.pass_on(recorder).await
+        recorder.line.forward_reason = reason;
+        self.pass_on(peers, recorder).await
     }
 
-    /// Has another instance answer the call.
-    async fn pass_on(&mut self, recorder: &mut CallRecorder) -> Result<TargetAnswer, Unanswered> {
-        let peers = self.peers();
+    /// Has one of `peers` answer the call.
+    async fn pass_on(
+        &mut self,
+        peers: Vec<Peer>,
+        recorder: &mut CallRecorder,
+    ) -> Result<TargetAnswer, Unanswered> {
         let call = PeerCall {
             id: &self.admitted.call.id,
             head: &self.head,
@@ -61,6 +77,14 @@
         others.cloned().collect()
     }
 
+    /// The other instances that may use places of targets which bear few refusals.
+    fn peers_with_places(&self) -> Vec<Peer> {
+        let holders = self.place_holders();
+        let mut peers = self.peers();
+        peers.retain(|peer| holders.contains(&peer.seed));
+        peers
+    }
+
     fn has_peers(&self) -> bool {
         let view = self.inner.state.view();
         view.peers.iter().any(|peer| self.is_other(peer))
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -3,7 +3,9 @@
 use {
     crate::{
         Call, Prompt, TargetState, View, WantedVersions, boot_time,
+        pool_bounds::PoolBound,
         refusal::OVERLOADED_RETRY_AFTER,
+        refusal_bound::KnownBound,
         salt::{CacheScope, salt},
         target_conditions::{CallContext, NextCall, PassedOver},
         target_limit::Senders,
@@ -40,8 +42,17 @@
     pub(crate) software_version: Option<&'call str>,
     /// Whether the pool has targets of other versions, so that one which restarts may have another.
     pub(crate) is_mixed: bool,
-    /// Instances among which the limits of targets are divided.
+    /// Instances among which the limits and places of targets are divided.
     pub(crate) senders: Senders<'call>,
+    /// Refusals that a target of the pool has lately said it bears.
+    pub(crate) pool_bound: Option<PoolBound>,
+}
+
+impl<'call> PickContext<'call> {
+    /// What the statements of `target` are weighed against at the moment.
+    pub(crate) fn target_context(&self, target: &TargetState) -> CallContext<'call> {
+        CallContext::new(target, self.senders, self.pool_bound)
+    }
 }
 
 /// The chosen target, with the inputs of the choice. They are logged, and the weights version is
@@ -54,8 +65,8 @@
     pub(crate) in_flight_count: f64,
     /// Number of calls that this instance has in flight there itself.
     pub(crate) own_in_flight_count: u32,
-    /// Refusals per second that the target is taken to bear; `None` if no bound is known.
-    pub(crate) max_refusals_per_s: Option<f64>,
+    /// Bound on the target's refusals; `None` if none is known.
+    pub(crate) refusal_bound: Option<KnownBound>,
     /// Number of targets that were eligible.
     pub(crate) candidates_count: usize,
     /// Weights that the call is expected to run on, and the wanted version.
@@ -105,7 +116,7 @@
         }
         let was_tried = context.tried_targets.contains(&target.id);
         let is_outdated = is_outdated(view, target, context);
-        match next_call(view, target, context) {
+        match target.call_stats.next_call(&context.target_context(target)) {
             NextCall::Now if was_tried => waits.push(OVERLOADED_RETRY_AFTER),
             NextCall::Now if is_outdated => {}
             NextCall::Now => usable.push(target),
@@ -160,7 +171,9 @@
         target: eligible[index].clone(),
         in_flight_count: candidates[index].in_flight_count,
         own_in_flight_count: eligible[index].call_stats.in_flight_count(),
-        max_refusals_per_s: eligible[index].call_stats.max_refusals_per_s(),
+        refusal_bound: eligible[index]
+            .call_stats
+            .refusal_bound(&context.target_context(eligible[index])),
         candidates_count: candidates.len(),
         weights: picked_weights(view, eligible[index], context),
     })
@@ -175,26 +188,6 @@
     !target.draining && context.software_version.is_none_or(began_stream)
 }
 
-/// When the target's statements let this instance send it the call.
-fn next_call(view: &View, target: &TargetState, context: &PickContext<'_>) -> NextCall {
-    let in_flight_count = || in_flight_count(view, target, context);
-    let call = call_context(target, context.senders);
-    target.call_stats.next_call(&call, in_flight_count)
-}
-
-/// What the target's statements are weighed against at the moment.
-pub(crate) fn call_context<'view>(
-    target: &TargetState,
-    senders: Senders<'view>,
-) -> CallContext<'view> {
-    CallContext {
-        target_seed: target.seed,
-        slots_count: target.slots_count,
-        senders,
-        now: boot_time(),
-    }
-}
-
 /// Estimated number of calls that all instances have in flight at the target. Calls without a prompt
 /// are too short to appear in peers' reports, so it is this instance's times the number of instances.
 fn in_flight_count(view: &View, target: &TargetState, context: &PickContext<'_>) -> f64 {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,6 +12,7 @@
         forwarded_stream::ForwardedStream,
         not_run::NOT_RUN,
         peer_caller::PeerCaller,
+        pool_bounds::PoolBounds,
         refusal::Unanswered,
         retry_budgets::RetryBudgets,
         stream_forwarder::{Aborted, StreamForwarder},
@@ -110,7 +111,8 @@
 pub enum CallSource {
     /// A caller.
     Caller,
-    /// Another instance, which cannot reach the call's targets. Such a call is not passed on again.
+    /// Another instance, which cannot reach the call's targets or may use no place there. Such a call is
+    /// not passed on again.
     Instance,
 }
 
@@ -128,6 +130,7 @@
     pub(crate) peer_caller: PeerCaller,
     pub(crate) state: RelayState,
     pub(crate) retry_budgets: RetryBudgets,
+    pub(crate) pool_bounds: PoolBounds,
     pub(crate) answer_times: AnswerTimes,
     /// Start of the relay; times passed to `balance` are relative to it.
     pub(crate) origin: Instant,
@@ -174,6 +177,7 @@
                 client,
                 state,
                 retry_budgets,
+                pool_bounds: PoolBounds::default(),
                 answer_times: AnswerTimes::new(),
                 origin: Instant::now(),
                 body_memory,
--- a/crates/relay/src/target_conditions.rs
+++ b/crates/relay/src/target_conditions.rs
@@ -2,6 +2,8 @@
 
 use {
     crate::{
+        TargetState, boot_time,
+        pool_bounds::PoolBound,
         refusal_bound::RefusalBound,
         requested_backoff::RequestedBackoff,
         target_limit::{Senders, TargetLimit},
@@ -18,7 +20,7 @@
     Backoff,
     /// Its limit allows this instance no call.
     Limit,
-    /// It could refuse the call, and bears few refusals.
+    /// It bears few refusals, and has refused a call lately or has no place for one of this instance.
     RefusalBound,
 }
 
@@ -54,6 +56,11 @@
         self.counts[obstacle as usize] += 1;
     }
 
+    /// Whether a target was passed over because of `obstacle`.
+    pub(crate) fn has(&self, obstacle: Obstacle) -> bool {
+        self.counts[obstacle as usize] > 0
+    }
+
     /// Whether no target was counted.
     pub(crate) fn is_empty(&self) -> bool {
         self.counts.iter().all(|count| *count == 0)
@@ -86,12 +93,31 @@
     pub(crate) target_seed: u64,
     /// Number of calls that the target runs concurrently.
     pub(crate) slots_count: u32,
-    /// Instances among which the limit is divided.
+    /// Instances among which the limit and the places are divided.
     pub(crate) senders: Senders<'view>,
+    /// Refusals that another target of the pool has lately said it bears.
+    pub(crate) pool_bound: Option<PoolBound>,
     /// Time by [`crate::boot_time`].
     pub(crate) now: Duration,
 }
 
+impl<'view> CallContext<'view> {
+    /// Creates the context of a call at `target` at the moment.
+    pub(crate) fn new(
+        target: &TargetState,
+        senders: Senders<'view>,
+        pool_bound: Option<PoolBound>,
+    ) -> Self {
+        Self {
+            target_seed: target.seed,
+            slots_count: target.slots_count,
+            senders,
+            pool_bound,
+            now: boot_time(),
+        }
+    }
+}
+
 /// What a target has stated of itself in its answers and what other instances have announced of it,
 /// as far as it decides whether the target may be sent a call.
 #[derive(Clone, Copy, Debug, Default)]
@@ -108,16 +134,8 @@
 }
 
 impl TargetConditions {
-    /// When this instance may send the target a call. `in_flight_count` gives the calls of all
-    /// instances there; it is called only if that matters.
-    pub(crate) fn next_call<Count>(
-        &mut self,
-        call: &CallContext<'_>,
-        in_flight_count: Count,
-    ) -> NextCall
-    where
-        Count: FnOnce() -> f64,
-    {
+    /// When this instance, which has `in_flight_count` calls at the target, may send it another one.
+    pub(crate) fn next_call(&mut self, call: &CallContext<'_>, in_flight_count: u32) -> NextCall {
         let later = |obstacle, wait| NextCall::Later { obstacle, wait };
         if self.is_leaving {
             return later(Obstacle::Leaving, None);
@@ -126,9 +144,9 @@
         if !wait.is_zero() {
             return later(Obstacle::Backoff, Some(wait));
         }
-        let bound = &self.refusal_bound;
-        if bound.is_stated() && bound.forbids_call(in_flight_count(), call.slots_count, call.now) {
-            return later(Obstacle::RefusalBound, bound.spared_for(call.now));
+        if self.refusal_bound.forbids_call(call, in_flight_count) {
+            let wait = self.refusal_bound.spared_for(call.now);
+            return later(Obstacle::RefusalBound, wait);
         }
         let wait = self.time_until_limit_allows(call);
         if wait != Some(Duration::ZERO) {
@@ -137,12 +155,15 @@
         NextCall::Now
     }
 
-    /// Takes the right to send one call. Returns false if another call has taken the last one since
-    /// [`TargetConditions::next_call`] was asked.
-    pub(crate) fn try_take(&mut self, call: &CallContext<'_>) -> bool {
+    /// Takes the right to send one call besides the `in_flight_count` of this instance. Returns false
+    /// if another call has taken the last one since [`TargetConditions::next_call`] was asked.
+    pub(crate) fn try_take(&mut self, call: &CallContext<'_>, in_flight_count: u32) -> bool {
         if self.is_leaving || !self.backoff.time_until_call(call.now).is_zero() {
             return false;
         }
+        if self.refusal_bound.forbids_call(call, in_flight_count) {
+            return false;
+        }
         let limit = self.limit.as_mut();
         if !limit.is_none_or(|it| it.try_take(call.target_seed, call.senders, call.now)) {
             return false;
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        HeaderFormat, ReplyMetadata,
+        HeaderFormat, ReplyMetadata, Stated,
         active_call::{ActiveCall, describe_outcome},
         attempt::{AttemptOutcome, TargetAnswer},
         boot_time,
@@ -34,6 +34,9 @@
             let (target, statements) = (&picked.target, &metadata.statements);
             let (log, meters) = (&self.inner.log, &self.inner.meters);
             statement_log::record_answer(target, status, statements, log, meters);
+            if let Some(Stated::Valid(max_per_s)) = statements.max_refusals_per_s {
+                self.inner.pool_bounds.record(&self.pool, max_per_s);
+            }
         }
     }
 
@@ -92,9 +95,7 @@
                 CallOutcome::Full
             }
             AttemptOutcome::NotRun(..) => {
-                let instances_count = self.inner.state.view().instances_count;
-                let call_stats = &picked.target.call_stats;
-                call_stats.record_refusal(instances_count, boot_time());
+                self.record_refusal(&picked.target);
                 picked.target.call_stats.pause(now + REFUSAL_PAUSE);
                 CallOutcome::Full
             }
--- a/crates/relay/src/target_limit.rs
+++ b/crates/relay/src/target_limit.rs
@@ -20,6 +20,13 @@
     pub(crate) instance_seeds: &'view [u64],
 }
 
+impl Senders<'_> {
+    /// Number of ready instances.
+    pub(crate) fn instances_count(self) -> u32 {
+        u32::try_from(self.instance_seeds.len()).unwrap_or(u32::MAX)
+    }
+}
+
 /// The limit of a target as known to this instance, and the part of this instance. Times are by
 /// [`crate::boot_time`].
 #[derive(Clone, Copy, Debug)]
@@ -137,9 +144,8 @@
         if self.is_announced {
             return false;
         }
-        let instances_count = u32::try_from(senders.instance_seeds.len()).unwrap_or(u32::MAX);
         let period = TRIAL_PERIOD_PER_INSTANCE
-            .saturating_mul(instances_count)
+            .saturating_mul(senders.instances_count())
             .max(MIN_TRIAL_PERIOD);
         let quiet_since = self.stated_at.unwrap_or_default().max(self.tried_at);
         now.saturating_sub(quiet_since) > period.mul_f64(1.0 + self.trial_jitter)
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -3,10 +3,11 @@
 use {
     crate::{
         NewStatement, Stated, TargetStatements,
+        refusal_bound::KnownBound,
         target_conditions::{CallContext, NextCall, TargetConditions},
         target_limit::TargetLimit,
     },
-    balance::{CallOutcome, Health, StartDelay},
+    balance::{BoundedPlaces, CallOutcome, Health, StartDelay},
     catalog::ModelId,
     hyper::StatusCode,
     std::{
@@ -79,7 +80,7 @@
 
     /// Counts a call as in flight until the guard is dropped.
     #[must_use]
-    pub fn start_call(self: &Arc<Self>) -> InFlightGuard {
+    fn start_call(self: &Arc<Self>) -> InFlightGuard {
         self.in_flight_count.fetch_add(1, Ordering::Relaxed);
         InFlightGuard {
             call_stats: self.clone(),
@@ -116,19 +117,24 @@
 
     /// Records how many refusals per second the target bears, as an answer states; `None` if it
     /// states no bound. Returns whether that is new.
-    fn record_refusal_bound(&self, max_per_s: Option<f64>) -> bool {
-        self.lock().conditions.refusal_bound.state(max_per_s)
+    fn record_refusal_bound(&self, max_per_s: Option<f64>, now: Duration) -> bool {
+        self.lock().conditions.refusal_bound.state(max_per_s, now)
     }
 
-    /// Refusals per second that the target's last answer says it bears; `None` if it states no bound.
-    pub(crate) fn max_refusals_per_s(&self) -> Option<f64> {
-        self.lock().conditions.refusal_bound.max_per_s()
+    /// Bound on the target's refusals; `None` if none is known.
+    pub(crate) fn refusal_bound(&self, call: &CallContext<'_>) -> Option<KnownBound> {
+        self.lock().conditions.refusal_bound.known(call)
+    }
+
+    /// The target's places, if it is taken to bear few refusals.
+    pub(crate) fn places(&self, call: &CallContext<'_>) -> Option<BoundedPlaces> {
+        self.lock().conditions.refusal_bound.places(call)
     }
 
     /// Records that the target refused a call for want of room.
-    pub(crate) fn record_refusal(&self, instances_count: u32, now: Duration) {
+    pub(crate) fn record_refusal(&self, call: &CallContext<'_>) {
         let bound = &mut self.lock().conditions.refusal_bound;
-        bound.record_refusal(instances_count, now);
+        bound.record_refusal(call, self.in_flight_count());
     }
 
     /// Whether the target has stated that it is about to exit.
@@ -186,7 +192,7 @@
             news.extend(malformed.map(NewStatement::Malformed));
         }
         let max_refusals_per_s = statements.max_refusals_per_s.and_then(Stated::valid);
-        if self.record_refusal_bound(max_refusals_per_s) {
+        if self.record_refusal_bound(max_refusals_per_s, now) {
             news.push(NewStatement::MaxRefusals(max_refusals_per_s));
         }
         if statements.limit_per_s != Some(Stated::Invalid) {
@@ -299,22 +305,18 @@
         is_malformed && !was_malformed
     }
 
-    /// When this instance may send the target a call. `in_flight_count` gives the calls of all
-    /// instances there, and must not ask these stats for what they observe.
-    pub(crate) fn next_call<Count>(
-        &self,
-        call: &CallContext<'_>,
-        in_flight_count: Count,
-    ) -> NextCall
-    where
-        Count: FnOnce() -> f64,
-    {
-        self.lock().conditions.next_call(call, in_flight_count)
-    }
-
-    /// Takes the right to send the target one call. Returns false if there is none now.
-    pub(crate) fn try_take_call(&self, call: &CallContext<'_>) -> bool {
-        self.lock().conditions.try_take(call)
+    /// When this instance may send the target a call.
+    pub(crate) fn next_call(&self, call: &CallContext<'_>) -> NextCall {
+        let conditions = &mut self.lock().conditions;
+        conditions.next_call(call, self.in_flight_count())
+    }
+
+    /// Takes the right to send the target one call, which counts as in flight until the guard is
+    /// dropped; `None` if there is none now.
+    pub(crate) fn try_take_call(self: &Arc<Self>, call: &CallContext<'_>) -> Option<InFlightGuard> {
+        let conditions = &mut self.lock().conditions;
+        let is_taken = conditions.try_take(call, self.in_flight_count());
+        is_taken.then(|| self.start_call())
     }
 
     fn lock(&self) -> MutexGuard<'_, Observations> {
