--- a/crates/entry/tests/bounded_refusals.rs
+++ b/crates/entry/tests/bounded_refusals.rs
@@ -123,7 +123,10 @@
     }
 
     fn failures_count(&self) -> usize {
-        self.targets.iter().map(|it| it.failed_at().len()).sum()
+        self.targets
+            .iter()
+            .map(|it| it.places.failures_count())
+            .sum()
     }
 
     /// Refused attempts by the bound that was known when they were sent and the calls that the
@@ -152,7 +155,7 @@
     fn refused_by_sender(&self) -> BTreeMap<(usize, String), usize> {
         let mut counts = BTreeMap::new();
         for (index, target) in self.targets.iter().enumerate() {
-            for refused in target.refused() {
+            for refused in target.places.refused() {
                 *counts.entry((index, refused.sender)).or_default() += 1;
             }
         }
@@ -167,7 +170,7 @@
     let before = Duration::from_secs(1);
     fleet.play(CALM_PER_S, before, &mut random).await;
     for target in &fleet.targets {
-        target.state_bound(setting.max_refusals_per_s);
+        target.places.set_max_refusals(setting.max_refusals_per_s);
     }
     fleet.play(CALM_PER_S, NOTICE, &mut random).await;
     for target in &fleet.targets {
--- a/crates/entry/tests/support/target.rs
+++ b/crates/entry/tests/support/target.rs
@@ -18,6 +18,7 @@
         time::{Duration, Instant},
     },
     tokio::{net::TcpListener, time::sleep},
+    tokio_util::sync::CancellationToken,
 };
 
 /// Duration of a call to a path below `/slow/`.
@@ -167,15 +168,26 @@
     Answer: Fn(Request<Incoming>) -> Answering + Clone + Send + 'static,
     Answering: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let answer = answer.clone();
-            let service = service_fn(move |request| {
-                let answering = answer(request);
-                async move { Ok::<_, Infallible>(answering.await) }
-            });
-            let stream = TokioIo::new(stream);
-            tokio::spawn(http1::Builder::new().serve_connection(stream, service));
-        }
-    });
+    tokio::spawn(serve_until(listener, CancellationToken::new(), answer));
+}
+
+/// Answers requests as [`serve`] does until `end` is cancelled, which also ends all connections.
+pub async fn serve_until<Answer, Answering>(
+    listener: TcpListener,
+    end: CancellationToken,
+    answer: Answer,
+) where
+    Answer: Fn(Request<Incoming>) -> Answering + Clone + Send + 'static,
+    Answering: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    while let Some(Ok((stream, _))) = end.run_until_cancelled(listener.accept()).await {
+        let answer = answer.clone();
+        let service = service_fn(move |request| {
+            let answering = answer(request);
+            async move { Ok::<_, Infallible>(answering.await) }
+        });
+        let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let end = end.clone();
+        tokio::spawn(async move { end.run_until_cancelled(served).await });
+    }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -29,6 +29,7 @@
 mod faults;
 mod http;
 mod link;
+mod places;
 mod server;
 mod sync;
 
@@ -38,5 +39,6 @@
     faults::{CommonFaults, FaultError, FaultSwitches},
     http::{Answer, Body, Cut},
     link::Link,
+    places::{Places, Refused},
     server::{Role, Server},
 };
