An instance without places hears of a bound on refusals through the calls that it passes on

Callers saw: an instance that has no part of a target's places passed all calls on for good, also after the target had stopped stating a bound, since it never heard of the target again. And 10 s after its last own answer it no longer took a target that had returned to bear few refusals, and filled it.

Change: what a target states in an answer that was passed on is recorded for its pool; a bound that is not stated for 10 s has ended.

--- a/crates/relay/src/pass_on.rs
+++ b/crates/relay/src/pass_on.rs
@@ -65,9 +65,12 @@
             answer_memory: &self.inner.answer_memory,
         };
         let (peer_caller, format) = (&self.inner.peer_caller, &self.inner.header_format);
-        peer_caller
+        let answer = peer_caller
             .answer(format, &call, peers, &mut self.holder, recorder)
-            .await
+            .await?;
+        let statements = &answer.metadata.statements;
+        self.inner.pool_bounds.record(&self.pool, statements);
+        Ok(answer)
     }
 
     /// The other instances that answer calls for this one.
--- a/crates/relay/src/pool_bounds.rs
+++ b/crates/relay/src/pool_bounds.rs
@@ -1,7 +1,7 @@
 //! What targets of each pool state of the refusals that they bear.
 
 use {
-    crate::boot_time,
+    crate::{Stated, TargetStatements, boot_time},
     routes::PoolId,
     std::{
         collections::HashMap,
@@ -10,8 +10,9 @@
     },
 };
 
-/// Time for which what a target states counts for those of its pool that have not answered since.
-const PRESUMED_TIME: Duration = Duration::from_secs(10);
+/// Time for which what a target states counts if nothing is heard since, also for other targets of
+/// its pool. It ends in this way for instances that send it no calls.
+pub(crate) const PRESUMED_TIME: Duration = Duration::from_secs(10);
 
 /// The bound that a target of a pool stated last.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -30,8 +31,12 @@
 }
 
 impl PoolBounds {
-    /// Records what an answer of a target of `pool` states.
-    pub(crate) fn record(&self, pool: &PoolId, max_per_s: f64) {
+    /// Records what an answer of a target of `pool` states, to this instance or to one that a call was
+    /// passed on to.
+    pub(crate) fn record(&self, pool: &PoolId, statements: &TargetStatements) {
+        let Some(Stated::Valid(max_per_s)) = statements.max_refusals_per_s else {
+            return;
+        };
         let bound = PoolBound {
             max_per_s,
             stated_at: boot_time(),
--- a/crates/relay/src/refusal_bound.rs
+++ b/crates/relay/src/refusal_bound.rs
@@ -1,7 +1,11 @@
 //! Protection of a target that fails if it has to refuse too many calls.
 
 use {
-    crate::{pool_bounds::PoolBound, target_conditions::CallContext, target_limit::Senders},
+    crate::{
+        pool_bounds::{PRESUMED_TIME, PoolBound},
+        target_conditions::CallContext,
+        target_limit::Senders,
+    },
     balance::{BoundedPlaces, PlaceShare, RoomEstimate},
     std::time::Duration,
 };
@@ -51,13 +55,19 @@
     }
 
     /// Refusals per second that the target is taken to bear; `None` if no bound is known. What the
-    /// target states itself goes before what others of its pool state.
-    fn max_per_s(&self, pool_bound: Option<PoolBound>) -> Option<f64> {
-        let presumed = pool_bound.filter(|bound| {
+    /// target states itself goes before what others of its pool state, as long as either is recent.
+    fn max_per_s(&self, call: &CallContext<'_>) -> Option<f64> {
+        let answer_age = self.answered_at.map(|it| call.now.saturating_sub(it));
+        let has_answered_lately = answer_age.is_some_and(|age| age < PRESUMED_TIME);
+        if self.max_per_s.is_some() && (has_answered_lately || call.pool_bound.is_some()) {
+            return self.max_per_s;
+        }
+        let is_presumed = |bound: &PoolBound| {
             let answered_at = self.answered_at;
             answered_at.is_none_or(|it| it + MAX_ANSWER_AGE < bound.stated_at)
-        });
-        self.max_per_s.or(presumed.map(|it| it.max_per_s))
+        };
+        let presumed = call.pool_bound.filter(is_presumed);
+        presumed.map(|it| it.max_per_s)
     }
 
     /// Records that the target refused a call while it had `in_flight_count` others of this instance.
@@ -108,7 +118,7 @@
         Some(BoundedPlaces {
             target_seed: call.target_seed,
             places_count: call.slots_count,
-            max_refusals_per_s: self.max_per_s(call.pool_bound)?,
+            max_refusals_per_s: self.max_per_s(call)?,
         })
     }
 }
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        HeaderFormat, ReplyMetadata, Stated,
+        HeaderFormat, ReplyMetadata,
         active_call::{ActiveCall, describe_outcome},
         attempt::{AttemptOutcome, TargetAnswer},
         boot_time,
@@ -34,9 +34,7 @@
             let (target, statements) = (&picked.target, &metadata.statements);
             let (log, meters) = (&self.inner.log, &self.inner.meters);
             statement_log::record_answer(target, status, statements, log, meters);
-            if let Some(Stated::Valid(max_per_s)) = statements.max_refusals_per_s {
-                self.inner.pool_bounds.record(&self.pool, max_per_s);
-            }
+            self.inner.pool_bounds.record(&self.pool, statements);
         }
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -39,6 +39,6 @@
     faults::{CommonFaults, FaultError, FaultSwitches},
     http::{Answer, Body, Cut},
     link::Link,
-    places::{Places, Refused},
+    places::{Place, Places, Refused},
     server::{Role, Server},
 };
