--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -1,10 +1,11 @@
-//! A TCP relay that can close, delay or silence the connections through it.
+//! A TCP relay that can close, reset, delay, hold back or silence the connections through it.
 
 use {
     crate::{
         faults::FaultSwitches,
         http::{self, Answer},
         server::{Role, Server},
+        sync::lock,
     },
     hyper::{Request, body::Incoming},
     serde::{Deserialize, Serialize},
@@ -13,7 +14,7 @@
         io,
         net::{Ipv4Addr, SocketAddr},
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
@@ -22,7 +23,7 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
             TcpListener, TcpStream,
-            tcp::{OwnedReadHalf, OwnedWriteHalf},
+            tcp::{ReadHalf, WriteHalf},
         },
         sync::watch,
         task::JoinSet,
@@ -32,6 +33,8 @@
 
 /// Most bytes forwarded at a time.
 const BUFFER_BYTES: usize = 16 * 1024;
+/// Pause between two tries to listen again.
+const LISTEN_PAUSE: Duration = Duration::from_millis(10);
 
 /// Settings of a relay.
 #[derive(Clone, Copy, Debug)]
@@ -69,6 +72,40 @@
     Blackhole,
     /// Open and new connections stay open but forward no data.
     BlackholeAll,
+    /// Connections stay open. Data, and the end of connections, waits until the mode changes.
+    Hold,
+    /// Like [`RelayMode::Hold`], for what callers send only.
+    HoldCalls,
+    /// Like [`RelayMode::Hold`], for what the target sends only.
+    HoldAnswers,
+    /// Resets all open and all new connections.
+    Reset,
+    /// Closes all open connections and listens no more.
+    Refuse,
+}
+
+impl RelayMode {
+    /// Whether open connections end.
+    fn ends_connections(self) -> bool {
+        matches!(self, Self::Cut | Self::Reset | Self::Refuse)
+    }
+
+    /// Whether data in this direction waits.
+    fn holds(self, direction: Direction) -> bool {
+        match self {
+            Self::Hold => true,
+            Self::HoldCalls => direction == Direction::ToTarget,
+            Self::HoldAnswers => direction == Direction::ToCaller,
+            _ => false,
+        }
+    }
+}
+
+/// Direction of data.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Direction {
+    ToTarget,
+    ToCaller,
 }
 
 /// Fault switches of a relay.
@@ -88,7 +125,8 @@
     /// Address on which the relay accepts connections.
     pub address: SocketAddr,
     to: SocketAddr,
-    listener: TcpListener,
+    /// The listener until [`Role::background`] takes it.
+    listener: Mutex<Option<TcpListener>>,
     switches: FaultSwitches<RelayFaults>,
     /// Number of changes of the switches; tells connections opened before a change from later ones.
     epoch: watch::Sender<u64>,
@@ -106,7 +144,7 @@
         let relay = Arc::new(Self {
             address: listener.local_addr()?,
             to: settings.to,
-            listener,
+            listener: Mutex::new(Some(listener)),
             switches: FaultSwitches::default(),
             epoch: watch::Sender::new(0),
             passed_bytes: AtomicU64::new(0),
@@ -114,14 +152,32 @@
         Server::start(settings.control, relay).await
     }
 
+    /// What the relay does with connections.
+    #[must_use]
+    pub fn mode(&self) -> RelayMode {
+        self.switches.get().mode
+    }
+
+    /// Sets what the relay does with connections.
+    pub fn set_mode(&self, mode: RelayMode) {
+        self.switches.update(|faults| faults.mode = mode);
+        self.faults_changed();
+    }
+
+    /// Sets the delay of every chunk of data.
+    pub fn set_delay(&self, delay: Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.switches.update(|faults| faults.delay_ms = delay_ms);
+    }
+
     /// Bytes forwarded since the start, in both directions.
     #[must_use]
     pub fn passed_bytes(&self) -> u64 {
         self.passed_bytes.load(Ordering::Relaxed)
     }
 
-    async fn relay(self: Arc<Self>, caller: TcpStream) {
-        let Ok(target) = TcpStream::connect(self.to).await else {
+    async fn relay(self: Arc<Self>, mut caller: TcpStream) {
+        let Ok(mut target) = TcpStream::connect(self.to).await else {
             return;
         };
         let _ = caller.set_nodelay(true);
@@ -131,17 +187,49 @@
             opened_epoch: *self.epoch.borrow(),
             silent: AtomicBool::new(false),
         };
-        let (caller_read, caller_write) = caller.into_split();
-        let (target_read, target_write) = target.into_split();
+        let (caller_read, caller_write) = caller.split();
+        let (target_read, target_write) = target.split();
         tokio::select! {
-            () = connection.wait_until_cut() => {}
+            () = connection.wait_until_ended() => {}
             _ = async {
                 tokio::join!(
-                    connection.forward(caller_read, target_write),
-                    connection.forward(target_read, caller_write),
+                    connection.forward(caller_read, target_write, Direction::ToTarget),
+                    connection.forward(target_read, caller_write, Direction::ToCaller),
                 )
             } => {}
         }
+        if self.mode() == RelayMode::Reset {
+            let _ = caller.set_zero_linger();
+            let _ = target.set_zero_linger();
+        }
+    }
+
+    /// Accepts connections until the relay is told to refuse them.
+    async fn accept(self: &Arc<Self>, listener: TcpListener) {
+        let mut connections = JoinSet::new();
+        let refuses = |faults: &RelayFaults| faults.mode == RelayMode::Refuse;
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => if let Ok((caller, _)) = accepted {
+                    connections.spawn(Arc::clone(self).relay(caller));
+                },
+                () = self.switches.wait_for(refuses) => return,
+            }
+            while connections.try_join_next().is_some() {}
+        }
+    }
+
+    /// Listens at the relay's address again.
+    async fn listen_again(&self) -> TcpListener {
+        let accepts = |faults: &RelayFaults| faults.mode != RelayMode::Refuse;
+        loop {
+            self.switches.wait_for(accepts).await;
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => return listener,
+                Err(error) => log::warn!("relay {} cannot listen again: {error}", self.address),
+            }
+            sleep(LISTEN_PAUSE).await;
+        }
     }
 }
 
@@ -154,13 +242,15 @@
 
 impl Connection {
     /// Forwards data in one direction until it ends. Never returns once the connection is silenced.
-    async fn forward(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    async fn forward(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, direction: Direction) {
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
             let read = tokio::select! {
                 read = from.read(&mut buffer) => read,
                 () = self.wait_until_silent() => return pending().await,
             };
+            let passes = |faults: &RelayFaults| !faults.mode.holds(direction);
+            self.relay.switches.wait_for(passes).await;
             let Ok(length @ 1..) = read else {
                 let _ = to.shutdown().await;
                 return;
@@ -183,10 +273,10 @@
 
     /// Whether the connection is silenced. Once silenced, it stays so when the mode changes.
     fn update_silent(&self) -> bool {
-        let silent = match self.relay.switches.get().mode {
+        let silent = match self.relay.mode() {
             RelayMode::BlackholeAll => true,
             RelayMode::Blackhole => self.opened_epoch < *self.relay.epoch.borrow(),
-            RelayMode::Pass | RelayMode::Cut => false,
+            _ => false,
         };
         if silent {
             self.silent.store(true, Ordering::Relaxed);
@@ -203,10 +293,10 @@
         }
     }
 
-    async fn wait_until_cut(&self) {
+    async fn wait_until_ended(&self) {
         self.relay
             .switches
-            .wait_for(|faults| faults.mode == RelayMode::Cut)
+            .wait_for(|faults| faults.mode.ends_connections())
             .await;
     }
 }
@@ -223,12 +313,12 @@
     }
 
     async fn background(self: Arc<Self>) {
-        let mut connections = JoinSet::new();
+        let mut listener = lock(&self.listener).take();
         loop {
-            if let Ok((caller, _)) = self.listener.accept().await {
-                connections.spawn(Arc::clone(&self).relay(caller));
+            match listener.take() {
+                Some(listener) => self.accept(listener).await,
+                None => listener = Some(self.listen_again().await),
             }
-            while connections.try_join_next().is_some() {}
         }
     }
 
