--- a/crates/entry/src/place_follower.rs
+++ b/crates/entry/src/place_follower.rs
@@ -231,7 +231,7 @@
             self.shared.record_report(&target, &reply);
         }
         if !reply.status().is_success() {
-            return Err(reply.into_error(ANSWER_TIMEOUT).await);
+            return Err(reply.into_error(ANSWER_TIMEOUT, None).await);
         }
         reply.body(ANSWER_TIMEOUT).await
     }
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -47,6 +47,14 @@
     /// Time for which the target's answer asks for no calls, in milliseconds; `None` if it asks for
     /// none.
     pub retry_after_ms: Option<u64>,
+    /// Request id that the answer names; empty without one, or without an answer.
+    pub answer_id: String,
+    /// Target that the answer names; empty without one, or without an answer.
+    pub answered_by: String,
+    /// Age of the connection when the answer began, in milliseconds; `None` without an answer.
+    pub connection_age_ms: Option<u64>,
+    /// Calls that the connection carried before this one; `None` without an answer.
+    pub earlier_calls_count: Option<u32>,
     /// Result of the attempt.
     pub outcome: String,
 }
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -11,6 +11,7 @@
         call_holder::CallHolder,
         call_origin::CallOrigin,
         call_recorder::CallRecorder,
+        observed_answer::ObservedAnswer,
         pick::PickedTarget,
         quarantined_calls::part_keys,
         refusal::{NO_TARGET_RETRY_AFTER, Unanswered},
@@ -33,7 +34,7 @@
         },
         time::{Duration, Instant},
     },
-    target::{Reuse, StreamPosition},
+    target::{Reply, Reuse, StreamPosition},
     tokio::sync::watch,
 };
 
@@ -333,13 +334,14 @@
         let handed_over = self.holder.hand_to_target();
         let time_left = self.time_left();
         let start_timeout = AttemptTimeout { call: self };
-        let statements = OnceLock::new();
-        let observe = |status, metadata: &ReplyMetadata| {
-            self.observe_answer(picked, status, metadata);
-            let _ = statements.set(metadata.statements.clone());
+        let observed = OnceLock::new();
+        let observe = |reply: &Reply, metadata: &ReplyMetadata| {
+            self.observe_answer(picked, reply.status(), metadata);
+            let _ = observed.set(ObservedAnswer::new(reply, metadata));
         };
         let params = AttemptParams {
             address: target.address,
+            target: &target.id,
             id: &self.admitted.call.id,
             reuse: Reuse::Allowed,
             start_timeout: &start_timeout,
@@ -357,8 +359,15 @@
             handed_over,
         )
         .await;
-        if let Some(statements) = statements.get() {
-            recorder.record_statements(statements);
+        if let Some(observed) = observed.get() {
+            recorder.record_observed(observed);
+        }
+        if let AttemptOutcome::Unknown {
+            turned_away: Some(turned_away),
+            ..
+        } = &outcome
+        {
+            recorder.count_turned_away(*turned_away);
         }
         if matches!(
             outcome,
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -1,7 +1,10 @@
 //! HTTP responses to the caller.
 
 use {
-    crate::{CallSource, Refusal, not_run::NOT_RUN},
+    crate::{
+        CallSource, Refusal,
+        not_run::{NOT_RUN, UNNAMED_CALL},
+    },
     bytes::Bytes,
     futures::Stream,
     http_body_util::{Either, Full, StreamBody},
@@ -31,14 +34,18 @@
 }
 
 /// Creates the answer for a refusal. Another instance, which is not bound by the status alone, is told
-/// explicitly if the call has not run.
-pub(crate) fn refused<Events>(refusal: &Refusal, source: CallSource) -> Answer<Events>
+/// explicitly if the call with `id` has not run; the id is empty if the head had none.
+pub(crate) fn refused<Events>(refusal: &Refusal, source: CallSource, id: &str) -> Answer<Events>
 where
     Events: Stream<Item = Result<Frame<Bytes>, TruncatedAnswer>>,
 {
     let mut headers = refusal.headers();
     if source == CallSource::Instance && refusal.is_not_run() {
-        headers.insert(NOT_RUN, HeaderValue::from_static("1"));
+        let named = HeaderValue::from_str(id).ok().filter(|it| !it.is_empty());
+        headers.insert(
+            NOT_RUN,
+            named.unwrap_or(HeaderValue::from_static(UNNAMED_CALL)),
+        );
     }
     whole(refusal.status(), headers, refusal.body())
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        HeaderFormat, NotRun, ReplyMetadata, body_memory::BodyMemory, call_holder::HandedOver,
-        event_stream::EventStream,
+        HeaderFormat, NotRun, ReplyMetadata, TurnedAway, body_memory::BodyMemory,
+        call_holder::HandedOver, event_stream::EventStream,
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -71,15 +71,17 @@
         /// Whether the connection ended before the answer, or the first event of its stream, was
         /// complete.
         disconnected: bool,
+        /// Why an answer that came is not used; `None` if none came.
+        turned_away: Option<TurnedAway>,
     },
 }
 
-impl<Answer> AttemptOutcome<Answer> {
-    /// Outcome of an attempt whose answer came but cannot be used.
-    fn unusable(reason: impl Into<String>) -> Self {
+impl<Answer> From<TurnedAway> for AttemptOutcome<Answer> {
+    fn from(turned_away: TurnedAway) -> Self {
         Self::Unknown {
-            reason: reason.into(),
+            reason: turned_away.to_string(),
             disconnected: false,
+            turned_away: Some(turned_away),
         }
     }
 }
@@ -97,6 +99,7 @@
                     }
                 ),
                 reason: error.to_string(),
+                turned_away: None,
             },
         }
     }
@@ -107,7 +110,9 @@
 pub(crate) struct AttemptParams<'call, Timeout, Observe> {
     /// Address of the target.
     pub(crate) address: SocketAddr,
-    /// Request id that the answer must carry.
+    /// Id of the target.
+    pub(crate) target: &'call str,
+    /// Request id of the call, which shows that an answer belongs to it.
     pub(crate) id: &'call str,
     /// Whether an idle connection of the pool may be used.
     pub(crate) reuse: Reuse,
@@ -136,7 +141,7 @@
 where
     Format: HeaderFormat,
     Timeout: StartTimeout,
-    Observe: Fn(StatusCode, &ReplyMetadata),
+    Observe: Fn(&Reply, &ReplyMetadata),
 {
     let AttemptParams {
         address,
@@ -144,30 +149,31 @@
         start_timeout,
         ..
     } = params;
-    let reply = match client.send(address, request, reuse, start_timeout).await {
+    let mut reply = match client.send(address, request, reuse, start_timeout).await {
         Ok(reply) => reply,
         Err(error) => return error.into(),
     };
     let metadata = header_format.parse_reply(reply.headers());
     let status = reply.status();
-    (params.observe)(status, &metadata);
-    if metadata.id.as_deref().is_some_and(|id| id != params.id) {
-        // This is the late answer to an earlier call on this connection. The answer to this call
-        // may still follow, so the connection must not be reused: dropping `reply` closes it. The
-        // idle connections to the target are closed as well.
-        client.close_idle(address);
-        return AttemptOutcome::unusable("the answer belongs to another call");
-    }
-    if let Some(not_run) = NotRun::of_target(status, &metadata) {
+    (params.observe)(&reply, &metadata);
+    let evidence = match reply.check_id(metadata.id.as_deref(), params.id) {
+        Ok(evidence) => evidence,
+        Err(reason) => {
+            // This is a late answer to an earlier call on this connection; others may be on their way
+            // on those that are idle.
+            client.close_idle(address);
+            return TurnedAway::Unattributed { reason }.into();
+        }
+    };
+    if let Some(not_run) = NotRun::of_target(params.target, status, &metadata, &evidence) {
         read_refusal(reply).await;
         return AttemptOutcome::NotRun(status, metadata, not_run);
     }
     if promises_not_run(status) {
-        let reason = format!("{status} without word that the call did not run");
-        return AttemptOutcome::unusable(reason);
+        return TurnedAway::NoWord.into();
     }
     if status.is_success() && !metadata.has_proof {
-        return AttemptOutcome::unusable("the answer carries no proof of its target");
+        return TurnedAway::NoProof.into();
     }
     read_answer(reply, metadata, &params).await
 }
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        AnswerCutoff, Call, LostAnswer, Stated, TargetStatements, answer_times::AnswerTimes,
-        pick::PickedTarget,
+        AnswerCutoff, Call, LostAnswer, Stated, TurnedAway, answer_times::AnswerTimes,
+        observed_answer::ObservedAnswer, pick::PickedTarget,
     },
     eventlog::{AttemptLine, CallLine, Event, EventLog},
     meters::Meters,
@@ -121,17 +121,29 @@
         self.line.attempts.len().saturating_sub(1)
     }
 
-    /// Enters in the line of the current attempt what its target states of itself.
-    pub(crate) fn record_statements(&mut self, statements: &TargetStatements) {
+    /// Enters in the line of the current attempt whose answer came, and what its target states of
+    /// itself.
+    pub(crate) fn record_observed(&mut self, observed: &ObservedAnswer) {
         let Some(attempt) = self.line.attempts.last_mut() else {
             return;
         };
+        attempt.answer_id.clone_from(&observed.id);
+        attempt.answered_by.clone_from(&observed.target);
+        attempt.connection_age_ms = Some(millis(observed.connection_age));
+        attempt.earlier_calls_count = Some(observed.earlier_requests_count);
+        let statements = &observed.statements;
         attempt.is_leaving = statements.is_leaving == Some(Stated::Valid(true));
         let retry_after = statements.retry_after.and_then(Stated::valid);
         attempt.retry_after_ms = retry_after.map(|it| millis(it.delay(SystemTime::now())));
         attempt.limit_per_s = statements.limit_per_s.and_then(Stated::valid);
     }
 
+    /// Counts an answer that is not used.
+    pub(crate) fn count_turned_away(&self, turned_away: TurnedAway) {
+        self.meters
+            .count("turned_away_answers", turned_away.label());
+    }
+
     /// Enters in the call's log line what identifies it if it comes again, since an attempt had no
     /// complete answer.
     pub(crate) fn record_identity(&mut self, call: &Call, call_key: CallKey) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -39,6 +39,7 @@
 mod forwarded_stream;
 mod header_format;
 mod not_run;
+mod observed_answer;
 mod outbound_metadata;
 mod pass_on;
 mod peer_caller;
@@ -63,6 +64,7 @@
 mod target_reachability;
 mod target_statements;
 mod target_stats;
+mod turned_away;
 mod view;
 mod wanted_versions;
 
@@ -85,6 +87,7 @@
     target_reachability::TargetReachability,
     target_statements::{MalformedHeader, RetryAfter, Stated, TargetStatements},
     target_stats::{InFlightGuard, LimitObservation, TargetStats},
+    turned_away::TurnedAway,
     view::{Absence, LoadedModel, Named, Peer, TargetState, View},
     wanted_versions::{WantedVersion, WantedVersions},
 };
--- a/crates/relay/src/not_run.rs
+++ b/crates/relay/src/not_run.rs
@@ -2,13 +2,17 @@
 
 use {
     crate::ReplyMetadata,
-    hyper::{HeaderMap, Request, StatusCode, body::Incoming, header::HeaderName, http::request},
-    target::SendError,
+    hyper::{Request, StatusCode, body::Incoming, header::HeaderName, http::request},
+    target::{AnswersRequest, Reply, SendError},
 };
 
-/// Header of a refusal to another instance: the call has not run and will not run.
+/// Header of a refusal to another instance: the call with the id that it names has not run and will not
+/// run.
 pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("x-rattan-not-run");
 
+/// Value of [`NOT_RUN`] that names no call.
+pub(crate) const UNNAMED_CALL: &str = "1";
+
 /// Shows that a call, or one attempt at it, has not run and never will.
 ///
 /// There is no public constructor and no copy: it comes from a call that was not sent yet, from an
@@ -71,17 +75,27 @@
         }
     }
 
-    /// Evidence of a target that refused the call: it says so, or it is not the one that was meant.
-    pub(crate) fn of_target(status: StatusCode, metadata: &ReplyMetadata) -> Option<Self> {
-        let is_refused = metadata.not_run || status == StatusCode::MISDIRECTED_REQUEST;
+    /// Evidence of `target` that refused the call, from an answer that is known to belong to it: the
+    /// target says so, or whoever listens there says that it is another one.
+    pub(crate) fn of_target(
+        target: &str,
+        status: StatusCode,
+        metadata: &ReplyMetadata,
+        _: &AnswersRequest,
+    ) -> Option<Self> {
+        let is_other = metadata.target.as_deref().is_some_and(|it| it != target);
+        let says_so = metadata.not_run && !is_other;
+        let is_refused = says_so || status == StatusCode::MISDIRECTED_REQUEST;
         is_refused.then_some(Self(()))
     }
 
-    /// Evidence of another instance, by an answer of its own. Builds before [`NOT_RUN`] was added give
-    /// their word by status 503, with which no target's answer is passed on.
-    pub(crate) fn of_instance(status: StatusCode, headers: &HeaderMap) -> Option<Self> {
-        let says_so = headers.contains_key(&NOT_RUN) || status == StatusCode::SERVICE_UNAVAILABLE;
-        says_so.then_some(Self(()))
+    /// Evidence of another instance, by an answer of its own that names the call with `id`. Builds that
+    /// name no call say [`UNNAMED_CALL`], which counts for the first call on a connection.
+    pub(crate) fn of_instance(id: &str, reply: &Reply) -> Option<Self> {
+        let named = reply.headers().get(&NOT_RUN)?;
+        let is_first = reply.earlier_requests_count() == 0;
+        let is_this_call = named == id || named == UNNAMED_CALL && is_first;
+        is_this_call.then_some(Self(()))
     }
 }
 
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Declined, HeaderFormat, LostAnswer, NotRun, Peer, Reason,
+        Declined, HeaderFormat, LostAnswer, NotRun, Peer, Reason, TurnedAway,
         attempt::{Content, TargetAnswer, promises_not_run, read_whole},
         body_memory::BodyMemory,
         call_holder::{CallHolder, HandedOver},
@@ -74,6 +74,8 @@
     NotRun(NotRun, Option<Duration>),
     /// It may have taken the call, which may have run or may run yet.
     Unknown(LostAnswer),
+    /// An answer came that is not used; the same as [`PeerOutcome::Unknown`].
+    TurnedAway(TurnedAway),
 }
 
 impl From<SendError> for PeerOutcome {
@@ -122,6 +124,10 @@
                     retry_after = asked.unwrap_or(retry_after);
                 }
                 PeerOutcome::Unknown(lost) => return Err(Unanswered::Lost(lost)),
+                PeerOutcome::TurnedAway(turned_away) => {
+                    recorder.count_turned_away(turned_away);
+                    return Err(Unanswered::Lost(LostAnswer::TargetFailed));
+                }
             }
         }
         let declined = Declined::new(Reason::NoTarget).retry_after(retry_after);
@@ -194,10 +200,13 @@
     // Targets repeat the request id. Some errors of targets bear no proof.
     let is_target_error = id == Some(call.id) && !status.is_success();
     if !metadata.has_proof && !is_target_error {
-        return own_answer(status, &headers);
+        return own_answer(call, &reply);
+    }
+    if let Err(reason) = reply.check_id(id, call.id) {
+        return PeerOutcome::TurnedAway(TurnedAway::Unattributed { reason });
     }
-    if id.is_some_and(|id| id != call.id) || promises_not_run(status) {
-        return PeerOutcome::Unknown(LostAnswer::TargetFailed);
+    if promises_not_run(status) {
+        return PeerOutcome::TurnedAway(TurnedAway::NoWord);
     }
     let content = if call.is_stream && status.is_success() {
         match EventStream::open(reply, &call.time_left(), call.position).await {
@@ -223,12 +232,14 @@
 ///
 /// The other instance may have another configuration, so its word that a route or a key is unknown is no
 /// reason to refuse the call for good.
-fn own_answer(status: StatusCode, headers: &HeaderMap) -> PeerOutcome {
+fn own_answer(call: &PeerCall<'_>, reply: &Reply) -> PeerOutcome {
+    let status = reply.status();
     if status == StatusCode::GATEWAY_TIMEOUT {
         return PeerOutcome::Unknown(LostAnswer::TimedOut);
     }
-    match NotRun::of_instance(status, headers) {
-        Some(not_run) => PeerOutcome::NotRun(not_run, parse_retry_after(headers)),
+    match NotRun::of_instance(call.id, reply) {
+        Some(not_run) => PeerOutcome::NotRun(not_run, parse_retry_after(reply.headers())),
+        None if promises_not_run(status) => PeerOutcome::TurnedAway(TurnedAway::NoWord),
         None => PeerOutcome::Unknown(LostAnswer::TargetFailed),
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -269,5 +269,5 @@
         refusal.status().as_u16(),
         refusal.message(),
     );
-    refused(refusal, source)
+    refused(refusal, source, &recorder.line.request_id)
 }
--- a/crates/relay/tests/forwarded_calls.rs
+++ b/crates/relay/tests/forwarded_calls.rs
@@ -37,7 +37,7 @@
 
 /// A refusal of another instance itself, which says that the call has not run.
 fn own_refusal(status: &str) -> Step {
-    own_answer(status, "x-rattan-not-run: 1\r\n")
+    own_answer(status, "x-rattan-not-run: {id}\r\n")
 }
 
 /// An answer of another instance itself, with these headers.
@@ -161,13 +161,36 @@
     assert_eq!(one.arrived().len() + two.arrived().len(), 1);
 }
 
-/// Old builds say that a call has not run by the status alone.
+/// Guards against believing whatever listens at another instance's address.
 #[tokio::test]
-async fn plain_refusal_of_an_older_build_counts_as_not_run() {
-    let old = ScriptedTarget::start("old", vec![own_answer("503 Busy", "")]).await;
+async fn plain_refusal_at_the_address_of_an_instance_shows_nothing() {
+    let other = ScriptedTarget::start("other", vec![own_answer("503 Busy", "")]).await;
+    let relay = start(&[&other], CallSource::Caller).await;
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert_eq!(response.status, 502, "{response:?}");
+}
+
+/// Builds before refusals named their call.
+#[tokio::test]
+async fn refusal_that_names_no_call_counts_for_the_first_one_on_a_connection() {
+    let unnamed = || own_answer("503 Busy", "x-rattan-not-run: 1\r\n");
+    let answered = Step::Respond(answer("200 OK", "stamp: s\r\n", "ok"));
+    let old = ScriptedTarget::start("old", vec![unnamed(), answered, unnamed()]).await;
     let relay = start(&[&old], CallSource::Caller).await;
+    for status in [503, 200, 502] {
+        let response = caller::call(relay.address, "/once/7", "").await;
+        assert_eq!(response.status, status, "{response:?}");
+    }
+}
+
+/// Guards against taking the refusal of another call for that of this one.
+#[tokio::test]
+async fn refusal_that_names_another_call_shows_nothing() {
+    let refusal = own_answer("503 Busy", "x-rattan-not-run: c0\r\n");
+    let peer = ScriptedTarget::start("peer", vec![refusal]).await;
+    let relay = start(&[&peer], CallSource::Caller).await;
     let response = caller::call(relay.address, "/once/7", "").await;
-    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(response.status, 502, "{response:?}");
 }
 
 /// Guards against a promise that no instance has made: the target may have run the call.
@@ -190,7 +213,8 @@
             let relay = TestRelay::start_for(&[], source).await;
             let response = caller::call(relay.address, path, "").await;
             assert_eq!(response.status, status, "{response:?}");
-            assert_eq!(response.header("x-rattan-not-run").is_some(), is_told);
+            let told = response.header("x-rattan-not-run");
+            assert_eq!(told, is_told.then_some("c1"));
         }
     }
 }
--- a/crates/relay/tests/one_run.rs
+++ b/crates/relay/tests/one_run.rs
@@ -111,3 +111,72 @@
     assert_eq!(response.status, 500, "{response:?}");
     assert_eq!(response.header("stamp"), Some("s"));
 }
+
+/// An answer like `answer`, that names no call.
+fn unnamed(answer: &str) -> Step {
+    Step::Respond(answer.replace("id: {id}\r\n", ""))
+}
+
+/// Guards against taking an extra answer for that of the call which its connection carries by then.
+#[tokio::test]
+async fn refusal_without_an_id_on_a_used_connection_shows_nothing() {
+    let full = answer("503 Service Unavailable", "not-run: 1\r\n", "");
+    let script = vec![Step::Respond(success("ok")), unnamed(&full)];
+    let target = ScriptedTarget::start("one", script).await;
+    let relay = TestRelay::start(&[&target]).await;
+    assert_eq!(caller::call(relay.address, "/once/7", "").await.status, 200);
+    let response = caller::call(relay.address, "/once/8", "").await;
+    assert_eq!(response.status, 502, "the call may run: {response:?}");
+    assert_eq!(target.arrived().len(), 2, "it is sent once");
+}
+
+/// Guards against passing on the answer to another call.
+#[tokio::test]
+async fn success_without_an_id_on_a_used_connection_is_not_passed_on() {
+    let script = vec![Step::Respond(success("ok")), unnamed(&success("other"))];
+    let target = ScriptedTarget::start("one", script).await;
+    let relay = TestRelay::start(&[&target]).await;
+    assert_eq!(caller::call(relay.address, "/once/7", "").await.status, 200);
+    let response = caller::call(relay.address, "/once/8", "").await;
+    assert_eq!(response.status, 502, "{response:?}");
+}
+
+#[tokio::test]
+async fn answers_without_an_id_count_on_connections_of_their_own() {
+    let full = answer("503 Service Unavailable", "not-run: 1\r\n", "");
+    let script = vec![
+        unnamed(&success("ok")),
+        unnamed(&success("ok")),
+        unnamed(&full),
+    ];
+    let target = ScriptedTarget::start("one", script).await;
+    let relay = TestRelay::start(&[&target]).await;
+    for status in [200, 200, 503] {
+        let response = caller::call(relay.address, "/once/7", "").await;
+        assert_eq!(response.status, status, "{response:?}");
+    }
+}
+
+/// Guards against believing a target that was not asked.
+#[tokio::test]
+async fn refusal_that_names_another_target_shows_nothing() {
+    let full = answer(
+        "503 Service Unavailable",
+        "target: another\r\nnot-run: 1\r\n",
+        "",
+    );
+    let (one, two) = two_targets(vec![Step::Respond(full)]).await;
+    let relay = TestRelay::start(&[&one, &two]).await;
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert_eq!(response.status, 502, "{response:?}");
+    assert_eq!(arrivals((&one, &two)), 1);
+}
+
+#[tokio::test]
+async fn misdirected_call_is_sent_to_another_target_whoever_says_so() {
+    let misdirected = answer("421 Misdirected Request", "target: another\r\n", "");
+    let one = ScriptedTarget::start("one", vec![Step::Respond(misdirected)]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert_eq!(response.status, 503, "{response:?}");
+}
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -92,9 +92,24 @@
 /// A connection. Dropping it closes it immediately, even during an exchange.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    opened: Instant,
+    /// Requests that were sent on it, the present one included.
+    requests_count: u32,
     _driver: AbortOnDropHandle<Result<(), hyper::Error>>,
 }
 
+impl Connection {
+    /// Time since it was opened.
+    pub(crate) fn age(&self) -> Duration {
+        self.opened.elapsed()
+    }
+
+    /// Requests that were sent on it before the present one.
+    pub(crate) fn earlier_requests_count(&self) -> u32 {
+        self.requests_count.saturating_sub(1)
+    }
+}
+
 struct IdleConnection {
     connection: Connection,
     usable_until: Instant,
@@ -258,6 +273,8 @@
             .map_err(|error| not_sent(error.to_string()))?;
         Ok(Connection {
             sender,
+            opened: Instant::now(),
+            requests_count: 0,
             _driver: AbortOnDropHandle::new(tokio::spawn(driver)),
         })
     }
@@ -281,6 +298,7 @@
         };
         let started = Instant::now();
         start_timeout.start();
+        connection.requests_count += 1;
         let mut sending = pin!(connection.sender.try_send_request(request));
         let sent = loop {
             match timeout(start_timeout.duration(), sending.as_mut()).await {
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -204,12 +204,13 @@
 
     async fn answer_stream(
         &self,
-        reply: Reply,
+        mut reply: Reply,
         completion: &CompletionRequest,
         received_count: u64,
     ) -> Result<AnswerStream, SendError> {
         if !reply.status().is_success() {
-            return Err(reply.into_error(BODY_READ_TIMEOUT).await);
+            let evidence = reply.check_id_header(&completion.request_id)?;
+            return Err(reply.into_error(BODY_READ_TIMEOUT, Some(evidence)).await);
         }
         Ok(AnswerStream::new(
             reply,
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -21,6 +21,7 @@
 //! ```
 
 mod answer_stream;
+mod answers_request;
 mod client;
 mod engine;
 mod engine_wire;
@@ -35,6 +36,7 @@
 
 pub use {
     answer_stream::{AnswerEvent, AnswerStream},
+    answers_request::{AnswersRequest, Unattributed},
     client::{Client, ClientSettings, PROCESS_EXIT_TIME, Reuse},
     engine::EngineClient,
     engine_wire::{
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Client, SendError,
+        AnswersRequest, Client, SendError,
         client::{Connection, is_disconnect},
     },
     bytes::{Bytes, BytesMut},
@@ -30,6 +30,9 @@
     /// Whether the body has neither a length nor chunks.
     ends_with_connection: bool,
     body_state: BodyState,
+    is_reusable: bool,
+    connection_age: Duration,
+    earlier_requests_count: u32,
 }
 
 /// How far a body was read.
@@ -67,10 +70,13 @@
         Self {
             client,
             address,
+            connection_age: connection.age(),
+            earlier_requests_count: connection.earlier_requests_count(),
             connection: Some(connection),
             response,
             ends_with_connection,
             body_state: BodyState::Open,
+            is_reusable: true,
         }
     }
 
@@ -92,6 +98,23 @@
         self.address
     }
 
+    /// Age of the connection when the head of the answer had arrived.
+    #[must_use]
+    pub fn connection_age(&self) -> Duration {
+        self.connection_age
+    }
+
+    /// Number of requests that the connection carried before this one.
+    #[must_use]
+    pub fn earlier_requests_count(&self) -> u32 {
+        self.earlier_requests_count
+    }
+
+    /// Has the connection closed at the end of the body.
+    pub(crate) fn forbid_reuse(&mut self) {
+        self.is_reusable = false;
+    }
+
     /// Reads the next part of the body; `None` at its end.
     ///
     /// # Errors
@@ -237,7 +260,7 @@
         Value: DeserializeOwned,
     {
         if !self.status().is_success() {
-            return Err(self.into_error(body_timeout).await);
+            return Err(self.into_error(body_timeout, None).await);
         }
         let body = self.body(body_timeout).await?;
         serde_json::from_slice(&body).map_err(|error| SendError::Failed {
@@ -249,7 +272,15 @@
 
     /// Reads an unsuccessful answer as an error: [`SendError::Refused`] if it states that the
     /// request did not run, otherwise [`SendError::Failed`].
-    pub async fn into_error(mut self, body_timeout: Duration) -> SendError {
+    ///
+    /// Without evidence that the answer belongs to this request, its statement counts only on a
+    /// connection that carried no other one.
+    pub async fn into_error(
+        mut self,
+        body_timeout: Duration,
+        evidence: Option<AnswersRequest>,
+    ) -> SendError {
+        let is_attributed = evidence.is_some() || self.earlier_requests_count == 0;
         let status = self.status();
         let body = match self.body(body_timeout).await {
             Ok(body) => body,
@@ -263,12 +294,12 @@
         let kind = parsed
             .as_ref()
             .map_or("", |parsed| parsed.error.kind.as_str());
-        if is_not_run
+        let is_refused = is_not_run
             || matches!(
                 kind,
                 "version_mismatch" | "leaving" | "full" | "stale_fencing"
-            )
-        {
+            );
+        if is_refused && is_attributed {
             return SendError::Refused {
                 address: self.address,
                 reason: if kind.is_empty() { "not_run" } else { kind }.to_owned(),
@@ -297,9 +328,11 @@
         }
     }
 
-    /// Returns the connection to the client for reuse.
+    /// Returns the connection to the client for reuse, unless that is forbidden.
     fn release_connection(&mut self) {
-        if let Some(connection) = self.connection.take() {
+        if let Some(connection) = self.connection.take()
+            && self.is_reusable
+        {
             let keep_alive = keep_alive_timeout(self.response.headers());
             self.client.put_idle(self.address, connection, keep_alive);
         }
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -90,16 +90,9 @@
             .client
             .send(self.address, request, Reuse::Fresh, timeout)
             .await?;
+        let evidence = reply.check_id_header(&call.request_id)?;
         if reply.headers().contains_key("x-outcome") {
-            return Err(reply.into_error(BODY_READ_TIMEOUT).await);
-        }
-        let echoed_id = reply.headers().get("x-request-id");
-        if echoed_id.is_some_and(|id| id.as_bytes() != call.request_id.as_bytes()) {
-            return Err(SendError::Unknown {
-                address: self.address,
-                reason: "answer belongs to another request".to_owned(),
-                disconnected: false,
-            });
+            return Err(reply.into_error(BODY_READ_TIMEOUT, Some(evidence)).await);
         }
         Ok(ServiceAnswer {
             status: reply.status().as_u16(),
--- a/crates/target/src/store.rs
+++ b/crates/target/src/store.rs
@@ -84,7 +84,7 @@
             reply.body(CONTROL_TIMEOUT).await?;
             return Ok(());
         }
-        Err(reply.into_error(CONTROL_TIMEOUT).await)
+        Err(reply.into_error(CONTROL_TIMEOUT, None).await)
     }
 
     /// Reads one page of the store's blocks, after the key `after` (empty for the first page).
