serving: a completion that may not run twice goes on a new connection

Cause, from reading: engines name no request in their errors, so that a refusal on a connection that carried other requests cannot be told from a late one. Change: it gets a connection of its own.

--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -87,7 +87,7 @@
             first_token: None,
             reconnects_count: 0,
         };
-        let mut connection = self.send(Reuse::Allowed).await;
+        let mut connection = self.send(self.reuse()).await;
         loop {
             let error = match connection {
                 Ok(answer) => match self
@@ -115,6 +115,16 @@
         }
     }
 
+    /// A request that may not run twice goes on a new connection, so that a refusal is certain to be
+    /// its own: engines name no request in their errors.
+    fn reuse(&self) -> Reuse {
+        if self.may_run_twice {
+            Reuse::Allowed
+        } else {
+            Reuse::Fresh
+        }
+    }
+
     async fn send(&self, reuse: Reuse) -> Result<AnswerStream, SendError> {
         self.engine
             .complete(self.completion, reuse, self.timeouts.first_byte)
