--- a/crates/relay/tests/early_refusals.rs
+++ b/crates/relay/tests/early_refusals.rs
@@ -197,3 +197,33 @@
     let response = caller::read_response(stream).await;
     assert_refused_and_closed(&response, 404);
 }
+
+/// Guards against running what a caller sent as the body of a refused call.
+#[tokio::test]
+async fn body_of_a_refused_call_is_not_read_as_a_call() {
+    let target = ScriptedTarget::start("one", vec![]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let body = head_with_length("/once/smuggled", KEY, 0).repeat(PIECES_COUNT);
+    let chunk = format!("{:x}\r\n{body}\r\n", body.len());
+    let framed = [
+        (format!("content-length: {}", body.len()), body.clone()),
+        (
+            "transfer-encoding: chunked".to_owned(),
+            format!("{chunk}0\r\n\r\n"),
+        ),
+    ];
+    for (framing, sent) in framed {
+        let head = head("/none/", KEY, &framing);
+        assert_refused_and_kept(&relay, 404, &head, std::slice::from_ref(&sent)).await;
+        // The body comes after the refusal has closed the connection.
+        let mut stream = TcpStream::connect(relay.address).await.unwrap();
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let response = caller::read_next_response(&mut stream).await;
+        assert_refused_and_closed(&response, 404);
+        let _ = stream.write_all(sent.as_bytes()).await;
+        sleep(BODY_DELAY).await;
+    }
+    let arrived = target.arrived();
+    let smuggled = arrived.iter().filter(|it| it.head.contains("smuggled"));
+    assert_eq!(smuggled.count(), 0, "{arrived:?}");
+}
