--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -19,6 +19,8 @@
     "rattan not_run refusals_agree_with_what_ran 2"
     "entry promise_model promises_agree_with_what_callers_and_targets_see 3"
     "platform paused_targets paused_targets_do_not_break_streams 3"
+    "platform kept_promises refused_calls_do_not_run_and_no_call_runs_twice 2"
+    "platform kept_promises answers_without_an_id_are_not_taken_for_those_of_another_call 2"
 )
 
 mkdir -p out/soak
