Fix the known red of few refusals: two calls at most beyond the room that a target has shown

Cause: an instance uses its whole part of the registered places at once, and hears late of the first refusal: refused attempts had the bound 3.0 and 10 to 23 own calls in flight at a target with room for 8.

Change: balance::ShownRoom keeps the largest number of own calls that a target lately had when it took one, and an instance sends two more at most, the refusals that one sender may cause. It counts also before a bound is known, and begins anew with a target that returns.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod rendezvous;
 mod retry_budget_share;
 mod room_estimate;
+mod shown_room;
 mod start_delay;
 
 pub use {
@@ -41,5 +42,6 @@
     reachability::Reachability,
     retry_budget_share::{RetryBounds, RetryBudgetShare},
     room_estimate::RoomEstimate,
+    shown_room::ShownRoom,
     start_delay::StartDelay,
 };
--- a/crates/relay/src/refusal_bound.rs
+++ b/crates/relay/src/refusal_bound.rs
@@ -6,7 +6,7 @@
         target_conditions::CallContext,
         target_limit::Senders,
     },
-    balance::{BoundedPlaces, PlaceShare, RoomEstimate},
+    balance::{BoundedPlaces, PlaceShare, RoomEstimate, ShownRoom},
     std::time::Duration,
 };
 
@@ -43,6 +43,8 @@
     share: Option<PlaceShare>,
     /// Room that the target's last refusal shows.
     room: Option<RoomEstimate>,
+    /// Room that the target has shown by taking calls, also while no bound was known.
+    shown_room: ShownRoom,
 }
 
 impl RefusalBound {
@@ -79,6 +81,11 @@
         }
     }
 
+    /// Records that the target took a call when that made up `in_flight_count` calls of this instance.
+    pub(crate) fn record_accepted(&mut self, in_flight_count: u32, now: Duration) {
+        self.shown_room.record(in_flight_count, now);
+    }
+
     /// The bound, if one is known.
     pub(crate) fn known(&mut self, call: &CallContext<'_>) -> Option<KnownBound> {
         let Some(places) = self.places(call) else {
@@ -94,7 +101,9 @@
             .map(|room| room.places_count(raise_period, call.now));
         Some(KnownBound {
             max_refusals_per_s: places.max_refusals_per_s,
-            places_count: room.map_or(share, |room| room.min(share)),
+            places_count: room
+                .map_or(share, |room| room.min(share))
+                .min(self.shown_room.places_count(call.now)),
         })
     }
 
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -86,8 +86,13 @@
         let reachability = &self.inner.state.reachability;
         reachability.record_attempt(&self.pool, &picked.target, attempt_outcome);
         let outcome = match attempt_outcome {
-            // Judged by `record_answer`, together with the other answers to the call.
-            AttemptOutcome::Answered(_) => return,
+            AttemptOutcome::Answered(_) => {
+                let in_flight_count = picked.own_in_flight_count + 1;
+                let call_stats = &picked.target.call_stats;
+                call_stats.record_accepted(in_flight_count, boot_time());
+                // Judged by `record_answer`, together with the other answers to the call.
+                return;
+            }
             AttemptOutcome::NotRun(StatusCode::MISDIRECTED_REQUEST, metadata, _) => {
                 self.record_misdirected(picked, metadata);
                 CallOutcome::Full
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -137,6 +137,13 @@
         bound.record_refusal(call, self.in_flight_count());
     }
 
+    /// Records that the target took a call, sent when that made up `in_flight_count` calls of this
+    /// instance there.
+    pub(crate) fn record_accepted(&self, in_flight_count: u32, now: Duration) {
+        let bound = &mut self.lock().conditions.refusal_bound;
+        bound.record_accepted(in_flight_count, now);
+    }
+
     /// Whether the target has stated that it is about to exit.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
