--- a/crates/target/tests/attributed_answers.rs
+++ b/crates/target/tests/attributed_answers.rs
@@ -37,6 +37,14 @@
     address
 }
 
+/// Asks an engine for its load, then for a completion on the same connection, which it refuses like this.
+async fn refusal_on_a_used_connection(full: String) -> SendError {
+    let engine = start(vec![answer("200 OK", "", LOAD), full]).await;
+    let engine = EngineClient::new(Client::new(ClientSettings::default()), engine);
+    engine.load().await.unwrap();
+    complete(&engine, Reuse::Allowed).await
+}
+
 async fn complete(engine: &EngineClient, reuse: Reuse) -> SendError {
     let completion = CompletionRequest {
         request_id: "r1".to_owned(),
@@ -49,11 +57,7 @@
 /// Guards against taking a late refusal for that of the next request.
 #[tokio::test]
 async fn refusal_without_an_id_on_a_used_connection_shows_nothing() {
-    let full = answer("503 Full", "", FULL);
-    let engine = start(vec![answer("200 OK", "", LOAD), full]).await;
-    let engine = EngineClient::new(Client::new(ClientSettings::default()), engine);
-    engine.load().await.unwrap();
-    let error = complete(&engine, Reuse::Allowed).await;
+    let error = refusal_on_a_used_connection(answer("503 Full", "", FULL)).await;
     assert!(matches!(error, SendError::Unknown { .. }), "{error}");
 }
 
@@ -68,10 +72,7 @@
 #[tokio::test]
 async fn refusal_that_names_the_request_counts_on_a_used_connection() {
     let full = answer("503 Full", "x-request-id: r1\r\n", FULL);
-    let engine = start(vec![answer("200 OK", "", LOAD), full]).await;
-    let engine = EngineClient::new(Client::new(ClientSettings::default()), engine);
-    engine.load().await.unwrap();
-    let error = complete(&engine, Reuse::Allowed).await;
+    let error = refusal_on_a_used_connection(full).await;
     assert!(matches!(error, SendError::Refused { .. }), "{error}");
 }
 
