Log: whether an attempt's answer ends with its connection

A stream that ended too early could not be told apart by its call line: hypothesis 1 needs an answer without a length and without chunks. The attempt's line says it now (is_unframed).

--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -55,6 +55,9 @@
     pub connection_age_ms: Option<u64>,
     /// Calls that the connection carried before this one; `None` without an answer.
     pub earlier_calls_count: Option<u32>,
+    /// Whether the answer has neither a length nor chunks, so that only the end of its connection ends
+    /// it.
+    pub is_unframed: bool,
     /// Result of the attempt.
     pub outcome: String,
 }
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -131,6 +131,7 @@
         attempt.answered_by.clone_from(&observed.target);
         attempt.connection_age_ms = Some(millis(observed.connection_age));
         attempt.earlier_calls_count = Some(observed.earlier_requests_count);
+        attempt.is_unframed = observed.is_unframed;
         let statements = &observed.statements;
         attempt.is_leaving = statements.is_leaving == Some(Stated::Valid(true));
         let retry_after = statements.retry_after.and_then(Stated::valid);
