Known red: unframed answers of targets that are gone behind an address that accepts

Callers saw streams that ended as complete before their last event. A scripted target sends its answer with neither a length nor chunks and is gone; its address goes on accepting by the hand of a proxy, of another target, or of the same one started again.

--- a/crates/relay/tests/killed_targets.rs
+++ b/crates/relay/tests/killed_targets.rs
@@ -1,5 +1,5 @@
 //! Answers that have neither a length nor chunks, of targets that are killed: the operating system ends their
-//! connections like those of complete answers.
+//! connections like those of complete answers, and their addresses may go on accepting.
 
 mod support;
 
@@ -7,7 +7,7 @@
     std::sync::Arc,
     support::{
         TestRelay, caller,
-        scripted_target::{ScriptedTarget, Step, stream, unframed},
+        scripted_target::{STARTED_UNIX_MS, ScriptedTarget, Step, Successor, stream, unframed},
     },
     tokio::task::yield_now,
 };
@@ -90,3 +90,61 @@
     assert_eq!(response.status, 200, "{response:?}");
     assert!(response.is_complete && response.text.contains("all of a body"));
 }
+
+/// Successors of a target `one` that show that it is gone.
+fn successors() -> [Successor; 3] {
+    [
+        Successor::Proxy,
+        Successor::Target("other".to_owned(), STARTED_UNIX_MS + 1),
+        Successor::Target("one".to_owned(), STARTED_UNIX_MS + 1),
+    ]
+}
+
+/// A target `one` that sends `body`, and whose address then goes on accepting without it.
+async fn passed_target(body: &str, successor: Successor) -> ScriptedTarget {
+    let step = Step::RespondThenPass(unframed(body), successor);
+    ScriptedTarget::start("one", vec![step]).await
+}
+
+#[tokio::test]
+async fn stream_of_a_target_whose_address_goes_on_accepting_is_visibly_incomplete() {
+    for successor in successors() {
+        for path in ["/stream/7", "/resumable/7"] {
+            let target = passed_target("id: 1\ndata: a\n\n", successor.clone()).await;
+            let relay = TestRelay::start(&[&target]).await;
+            let response = caller::call(relay.address, path, "").await;
+            assert!(!response.is_complete, "{successor:?} {path}: {response:?}");
+            assert!(response.text.contains("data: a"));
+        }
+    }
+}
+
+#[tokio::test]
+async fn stream_of_a_target_whose_address_goes_on_accepting_is_resumed_by_another_one() {
+    for successor in successors() {
+        let one = passed_target("id: 1\ndata: a\n\n", successor.clone()).await;
+        let rest = stream(&["id: 2\ndata: b\n\n"]) + END;
+        let two = ScriptedTarget::start("two", vec![Step::Respond(rest)]).await;
+        let response = call_beside(&one, &two).await;
+        assert!(response.is_complete, "{successor:?}: {response:?}");
+        assert_eq!(two.arrived()[0].header("after"), Some("1"));
+    }
+}
+
+#[tokio::test]
+async fn body_of_a_target_whose_address_goes_on_accepting_is_no_whole_answer() {
+    for successor in successors() {
+        let target = passed_target("half of a", successor.clone()).await;
+        let relay = TestRelay::start(&[&target]).await;
+        let response = caller::call(relay.address, "/once/7", "").await;
+        assert_eq!(response.status, 502, "{successor:?}: {response:?}");
+    }
+}
+
+#[tokio::test]
+async fn stream_whose_target_is_silent_after_its_end_is_visibly_incomplete() {
+    let target = passed_target("id: 1\ndata: a\n\n", Successor::SilentProxy).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/stream/7", "").await;
+    assert!(!response.is_complete, "{response:?}");
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -116,7 +116,7 @@
         Arc::new(TargetState {
             id: target.name.clone(),
             seed: rendezvous::member_seed(&target.name),
-            started_unix_ms: 0,
+            started_unix_ms: target.started_unix_ms,
             software_version: target.software_version.clone(),
             address: target.address,
             failure_domain: "here".to_owned(),
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -4,12 +4,16 @@
     std::{
         collections::VecDeque,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicU32, Ordering},
+        },
         time::Duration,
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        sync::watch,
         task::AbortHandle,
         time::{sleep, timeout},
     },
@@ -30,6 +34,20 @@
     NeverRespond,
     /// Sends these bytes; then nothing listens any more, and after 30 ms the connection is closed.
     RespondThenDie(String),
+    /// Sends these bytes and closes all connections. Its address goes on accepting, by the hand of
+    /// this successor.
+    RespondThenPass(String, Successor),
+}
+
+/// Who accepts connections at the address of a target that is gone.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Successor {
+    /// A proxy, which closes them without an answer.
+    Proxy,
+    /// A proxy, which never answers.
+    SilentProxy,
+    /// A target with this name and start time.
+    Target(String, u64),
 }
 
 /// A call that arrived.
@@ -51,11 +69,23 @@
     pub name: String,
     pub address: SocketAddr,
     pub software_version: String,
+    /// Start time that it states, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
     state: Arc<State>,
 }
 
+/// Start time of the targets, in milliseconds since the Unix epoch.
+pub const STARTED_UNIX_MS: u64 = 1_000;
+/// Path at which a target says which process it is.
+const IDENTITY_PATH: &str = "/identity";
+
 #[derive(Default)]
 struct State {
+    /// Who answers in place of the target, once it is gone.
+    successor: watch::Sender<Option<Successor>>,
+    /// Whether the target states its start time.
+    hides_start: AtomicBool,
+    identity_requests_count: AtomicU32,
     script: Mutex<VecDeque<Step>>,
     arrived: Mutex<Vec<Arrived>>,
     disconnects_count: Mutex<u32>,
@@ -73,9 +103,14 @@
             ..State::default()
         });
         let shared = state.clone();
+        let name_of_task = name.to_owned();
         let accepting = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, shared.clone()));
+                tokio::spawn(serve_until_gone(
+                    stream,
+                    shared.clone(),
+                    name_of_task.clone(),
+                ));
             }
         });
         *state.listener.lock().unwrap() = Some(accepting.abort_handle());
@@ -83,10 +118,22 @@
             name: name.to_owned(),
             address,
             software_version: String::new(),
+            started_unix_ms: STARTED_UNIX_MS,
             state,
         }
     }
 
+    /// Has the target name itself without its start time.
+    pub fn without_start(self) -> Self {
+        self.state.hides_start.store(true, Ordering::Relaxed);
+        self
+    }
+
+    /// How often the target was asked which process it is.
+    pub fn identity_requests_count(&self) -> u32 {
+        self.state.identity_requests_count.load(Ordering::Relaxed)
+    }
+
     /// Sets the version of the target's software.
     pub fn software(mut self, version: &str) -> Self {
         version.clone_into(&mut self.software_version);
@@ -99,6 +146,7 @@
             name: name.to_owned(),
             address,
             software_version: String::new(),
+            started_unix_ms: STARTED_UNIX_MS,
             state: Arc::default(),
         }
     }
@@ -146,9 +194,54 @@
     format!("HTTP/1.1 200 OK\r\nid: {{id}}\r\nstamp: s\r\n\r\n{body}")
 }
 
-async fn serve(mut stream: TcpStream, state: Arc<State>) {
+/// Serves a connection until the target is gone, then as its successor does.
+async fn serve_until_gone(mut stream: TcpStream, state: Arc<State>, name: String) {
+    let mut successor = state.successor.subscribe();
+    let was_opened_before = successor.borrow_and_update().is_none();
+    if was_opened_before {
+        let is_gone = async { successor.wait_for(Option::is_some).await.map(|_| ()) };
+        tokio::select! {
+            biased;
+            _ = is_gone => {}
+            () = serve(&mut stream, &state, &name) => {}
+        }
+        return;
+    }
+    let present = successor.borrow().clone();
+    match present {
+        None | Some(Successor::Proxy) => {}
+        Some(Successor::SilentProxy) => sleep(Duration::from_secs(60)).await,
+        Some(Successor::Target(name, started_unix_ms)) => {
+            let mut buffer = Vec::new();
+            while read_call(&mut stream, &mut buffer).await.is_some() {
+                let answer = identity(&name, Some(started_unix_ms));
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        }
+    }
+}
+
+/// Answer that says which process a target is.
+fn identity(name: &str, started_unix_ms: Option<u64>) -> String {
+    let started = started_unix_ms.map(|it| format!("started: {it}\r\n"));
+    let headers = format!("target: {name}\r\n{}", started.unwrap_or_default());
+    answer("200 OK", &headers, "")
+}
+
+async fn serve(stream: &mut TcpStream, state: &State, name: &str) {
     let mut buffer = Vec::new();
-    while let Some(head) = read_call(&mut stream, &mut buffer).await {
+    while let Some(head) = read_call(stream, &mut buffer).await {
+        if head.contains(IDENTITY_PATH) {
+            state
+                .identity_requests_count
+                .fetch_add(1, Ordering::Relaxed);
+            let is_hidden = state.hides_start.load(Ordering::Relaxed);
+            let started_unix_ms = (!is_hidden).then_some(STARTED_UNIX_MS);
+            let _ = stream
+                .write_all(identity(name, started_unix_ms).as_bytes())
+                .await;
+            continue;
+        }
         let arrived = Arrived { head };
         let id = arrived.header("id").unwrap_or_default().to_owned();
         state.arrived.lock().unwrap().push(arrived);
@@ -176,6 +269,12 @@
                 sleep(Duration::from_millis(30)).await;
                 return;
             }
+            Step::RespondThenPass(text, successor) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                sleep(Duration::from_millis(30)).await;
+                state.successor.send_replace(Some(successor));
+                return;
+            }
             Step::RespondThenStall(text) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
                 sleep(Duration::from_secs(6)).await;
