Fix ORDER: an unframed answer is complete only if its target shows that the process that began it still runs

What callers saw: streams that ended as complete before their last event, and halves of bodies as whole answers, when a target was gone whose answers have neither a length nor chunks and whose address went on accepting (a proxy before it, or another process there).

Cause: a new connection to the address counted as proof that the process lives. It proves only that something listens. The class: an answer is taken as complete because nothing speaks against it.

Change: target::WholeBody is needed to end an answer regularly. Reply makes it at the end of the framing, or, where the connection ended the body, once the target has said which process it is (IncarnationProbe): the same start, or, where no start is stated, the same id on a connection that was opened while the answer still arrived. Engines are asked for their report, which states their start; plain services for their health check. A target that has closed its listener answers on that older connection, so one that leaves is told from a killed one. JSON shows its end itself (Reply::delimited_body). The wait of 20 ms is gone.

--- a/crates/entry/src/orders/replacing.rs
+++ b/crates/entry/src/orders/replacing.rs
@@ -274,7 +274,7 @@
         let body = match sent {
             Ok(mut reply) => {
                 self.shared.record_report(target, &reply);
-                reply.body(REPORT_TIMEOUT).await
+                reply.delimited_body(REPORT_TIMEOUT).await
             }
             Err(error) => Err(error),
         };
--- a/crates/entry/src/place_follower.rs
+++ b/crates/entry/src/place_follower.rs
@@ -233,7 +233,7 @@
         if !reply.status().is_success() {
             return Err(reply.into_error(ANSWER_TIMEOUT, None).await);
         }
-        reply.body(ANSWER_TIMEOUT).await
+        reply.delimited_body(ANSWER_TIMEOUT).await
     }
 
     fn unreadable_answer(&self) -> SendError {
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -10,7 +10,7 @@
     hyper::{HeaderMap, Request, header::CONTENT_TYPE, http::request},
     relay::{
         BadCall, Call, HeaderFormat, LoadedModel, OutboundMetadata, Part, Prompt, ReplyMetadata,
-        RetryAfter, Stated, TargetStatements,
+        RetryAfter, Stated, TargetState, TargetStatements,
     },
     routes::{Account, Pool, PoolKind, RetryPolicy, Route, RouteConfig, StoreProperties},
     std::{
@@ -18,6 +18,7 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
+    target::{Incarnation, IncarnationProbe},
 };
 
 /// Plain-text formats. The keys are `operators/configuration` (value: a version, and the addresses of
@@ -124,6 +125,16 @@
         })
     }
 
+    fn incarnation_probe(&self, target: &TargetState, health_path: &str) -> IncarnationProbe {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = health_path.parse().unwrap_or_default();
+        IncarnationProbe {
+            request,
+            expected: Incarnation::default().target(target.id.clone()),
+            parse: |_, _| Incarnation::default(),
+        }
+    }
+
     fn target_headers(&self, headers: &HeaderMap, metadata: &OutboundMetadata) -> HeaderMap {
         let mut out = headers.clone();
         out.insert("target", metadata.target.parse().unwrap());
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -340,8 +340,8 @@
             let _ = observed.set(ObservedAnswer::new(reply, metadata));
         };
         let params = AttemptParams {
-            address: target.address,
-            target: &target.id,
+            target,
+            health_path: self.health_path(),
             id: &self.admitted.call.id,
             reuse: Reuse::Allowed,
             start_timeout: &start_timeout,
@@ -403,6 +403,12 @@
         outcome
     }
 
+    /// Path of the health check of the call's pool; empty if there is none.
+    fn health_path(&self) -> &str {
+        let pool = self.admitted.table.config().pools.get(&self.pool);
+        pool.map_or("", |pool| pool.health_path.as_str())
+    }
+
     /// Who may use the prompt's cached parts, by the configuration that is in force now: the one that
     /// admitted the call may have isolated other accounts.
     pub(crate) fn cache_scope(&self, view: &View) -> CacheScope {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,16 +2,13 @@
 
 use {
     crate::{
-        HeaderFormat, NotRun, ReplyMetadata, TurnedAway, body_memory::BodyMemory,
+        HeaderFormat, NotRun, ReplyMetadata, TargetState, TurnedAway, body_memory::BodyMemory,
         call_holder::HandedOver, event_stream::EventStream,
     },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{HeaderMap, Request, StatusCode},
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::time::{Duration, Instant},
     target::{Client, Reply, Reuse, SendError, StartTimeout, StreamPosition},
 };
 
@@ -108,10 +105,10 @@
 /// Parameters of one attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptParams<'call, Timeout, Observe> {
-    /// Address of the target.
-    pub(crate) address: SocketAddr,
-    /// Id of the target.
-    pub(crate) target: &'call str,
+    /// The target.
+    pub(crate) target: &'call TargetState,
+    /// Path of the health check of its pool; empty if there is none.
+    pub(crate) health_path: &'call str,
     /// Request id of the call, which shows that an answer belongs to it.
     pub(crate) id: &'call str,
     /// Whether an idle connection of the pool may be used.
@@ -144,11 +141,12 @@
     Observe: Fn(&Reply, &ReplyMetadata),
 {
     let AttemptParams {
-        address,
+        target,
         reuse,
         start_timeout,
         ..
     } = params;
+    let address = target.address;
     let mut reply = match client.send(address, request, reuse, start_timeout).await {
         Ok(reply) => reply,
         Err(error) => return error.into(),
@@ -165,7 +163,7 @@
             return TurnedAway::Unattributed { reason }.into();
         }
     };
-    if let Some(not_run) = NotRun::of_target(params.target, status, &metadata, &evidence) {
+    if let Some(not_run) = NotRun::of_target(&target.id, status, &metadata, &evidence) {
         read_refusal(reply).await;
         return AttemptOutcome::NotRun(status, metadata, not_run);
     }
@@ -175,6 +173,10 @@
     if status.is_success() && !metadata.has_proof {
         return TurnedAway::NoProof.into();
     }
+    if reply.ends_with_connection() {
+        let probe = header_format.incarnation_probe(target, params.health_path);
+        reply.expect_incarnation(probe);
+    }
     read_answer(reply, metadata, &params).await
 }
 
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -13,6 +13,7 @@
         net::SocketAddr,
         time::{Duration, Instant, SystemTime},
     },
+    target::{BodyEnd, WholeBody},
 };
 
 /// A stream that lasts longer is also logged once while it is in progress, as under way.
@@ -162,6 +163,16 @@
         reason.clone_into(&mut self.line.reason);
     }
 
+    /// Records that the whole stream was forwarded, which `whole` shows.
+    pub(crate) fn end_stream(&mut self, whole: WholeBody) {
+        let end = match whole.end() {
+            BodyEnd::Framing => "framing",
+            BodyEnd::Connection => "connection",
+        };
+        self.meters.count("whole_streams", end);
+        self.end("answered", self.line.status, "");
+    }
+
     /// Records that the shutdown ended the answer before it was complete.
     pub(crate) fn cut(&mut self) {
         let status = self.line.status;
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -3,7 +3,9 @@
 use {
     bytes::Bytes,
     std::time::{Duration, Instant},
-    target::{BodyEnd, Misplaced, Reply, SendError, SseParser, StartTimeout, StreamPosition},
+    target::{
+        BodyPart, Misplaced, Reply, SendError, SseParser, StartTimeout, StreamPosition, WholeBody,
+    },
     tokio::time::timeout,
 };
 
@@ -12,8 +14,8 @@
 pub(crate) enum StreamStep {
     /// A complete event.
     Event(Bytes),
-    /// The regular end of the stream.
-    End,
+    /// The regular end of the stream, and what shows that it is complete.
+    End(WholeBody),
     /// No event was complete in time. The stream can be read on.
     Silent,
 }
@@ -23,9 +25,8 @@
 pub(crate) struct EventStream {
     reply: Reply,
     parser: SseParser,
-    /// First event, until [`EventStream::next`] returns it; `None` also for a stream without
-    /// events.
-    first_event: Option<Bytes>,
+    /// First event, or the end of a stream without events, until [`EventStream::next`] returns it.
+    first_step: Option<StreamStep>,
     position: StreamPosition,
 }
 
@@ -57,32 +58,33 @@
         let mut events = Self {
             reply,
             parser: SseParser::default(),
-            first_event: None,
+            first_step: None,
             position,
         };
-        events.first_event = loop {
+        loop {
             match events.read_event(timeout.duration()).await? {
-                StreamStep::Event(event) => break Some(event),
-                StreamStep::End => break None,
                 StreamStep::Silent if timeout.gives_up() => {
                     return Err(events.silent(started.elapsed()));
                 }
                 StreamStep::Silent => {}
+                step => {
+                    events.first_step = Some(step);
+                    return Ok(events);
+                }
             }
-        };
-        Ok(events)
+        }
     }
 
     /// Whether the first event has arrived and was not returned yet.
     pub(crate) fn has_first_event(&self) -> bool {
-        self.first_event.is_some()
+        matches!(self.first_step, Some(StreamStep::Event(_)))
     }
 
     /// Waits for the next complete event or the regular end of the stream, for up to
     /// `event_timeout`.
     pub(crate) async fn next(&mut self, event_timeout: Duration) -> Result<StreamStep, SendError> {
-        match self.first_event.take() {
-            Some(first) => Ok(StreamStep::Event(first)),
+        match self.first_step.take() {
+            Some(first) => Ok(first),
             None => self.read_event(event_timeout).await,
         }
     }
@@ -104,42 +106,37 @@
 
     /// Reads the next complete event, within `event_timeout`.
     async fn read_event(&mut self, event_timeout: Duration) -> Result<StreamStep, SendError> {
-        match timeout(event_timeout, self.read_chunks()).await {
-            Ok(read) => Ok(read?.map_or(StreamStep::End, StreamStep::Event)),
+        match timeout(event_timeout, self.read_parts()).await {
+            Ok(read) => read,
             Err(_) => Ok(StreamStep::Silent),
         }
     }
 
-    async fn read_chunks(&mut self) -> Result<Option<Bytes>, SendError> {
+    async fn read_parts(&mut self) -> Result<StreamStep, SendError> {
         loop {
             if let Some(event) = self.parser.next_event() {
                 let advanced = self.position.advance(&event);
                 advanced.map_err(|misplaced| self.misplaced(misplaced))?;
-                return Ok(Some(event));
+                return Ok(StreamStep::Event(event));
             }
             if self.parser.overflowed() {
                 return Err(self.invalid("an event exceeds its bound"));
             }
-            match self.reply.next_chunk().await? {
-                Some(chunk) => self.parser.push_chunk(chunk),
-                None if self.parser.has_part() => {
+            match self.reply.next_part().await? {
+                BodyPart::Data(data) => self.parser.push_chunk(data),
+                BodyPart::End(_) if self.parser.has_part() => {
                     return Err(self.torn("it ends within an event"));
                 }
-                None => return self.end(),
+                BodyPart::End(whole) => return self.end(whole),
             }
         }
     }
 
     /// Checks that the stream may be complete at the end of its body.
-    fn end(&self) -> Result<Option<Bytes>, SendError> {
-        let end = if self.reply.ends_with_connection() {
-            BodyEnd::Connection
-        } else {
-            BodyEnd::Framing
-        };
-        let ended = self.position.end(end);
+    fn end(&self, whole: WholeBody) -> Result<StreamStep, SendError> {
+        let ended = self.position.end(whole.end());
         ended.map_err(|misplaced| self.misplaced(misplaced))?;
-        Ok(None)
+        Ok(StreamStep::End(whole))
     }
 
     /// Error for a stream that does not go on as its position demands.
--- a/crates/relay/src/forwarded_stream.rs
+++ b/crates/relay/src/forwarded_stream.rs
@@ -69,8 +69,8 @@
                 self.recorder.record_event();
                 Ok(Some(event))
             }
-            Ok(StreamStep::End) => {
-                self.recorder.end("answered", status, "");
+            Ok(StreamStep::End(whole)) => {
+                self.recorder.end_stream(whole);
                 Ok(None)
             }
             Ok(StreamStep::Silent) => {
--- a/crates/relay/src/header_format.rs
+++ b/crates/relay/src/header_format.rs
@@ -1,9 +1,10 @@
 //! Parsing and writing of the headers of calls and answers.
 
 use {
-    crate::{BadCall, Call, TargetStatements},
+    crate::{BadCall, Call, TargetState, TargetStatements},
     hyper::{HeaderMap, http::request},
     std::time::Duration,
+    target::IncarnationProbe,
 };
 
 /// Metadata that the relay adds to a call that it sends to a target.
@@ -68,6 +69,10 @@
     /// Parses the headers of a target's answer.
     fn parse_reply(&self, headers: &HeaderMap) -> ReplyMetadata;
 
+    /// Asks `target` whether the process that its registration names still runs. `health_path` is the path
+    /// of the health check of its pool; empty if there is none.
+    fn incarnation_probe(&self, target: &TargetState, health_path: &str) -> IncarnationProbe;
+
     /// Headers of a target's answer that are passed on to the caller.
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap;
 }
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -78,9 +78,8 @@
                     self.recorder.record_event();
                     return Ok(Some(event));
                 }
-                Ok(StreamStep::End) => {
-                    let status = self.recorder.line.status;
-                    self.recorder.end("answered", status, "");
+                Ok(StreamStep::End(whole)) => {
+                    self.recorder.end_stream(whole);
                     return Ok(None);
                 }
                 Ok(StreamStep::Silent) => match self.move_silent().await? {
--- a/crates/relay/tests/killed_targets.rs
+++ b/crates/relay/tests/killed_targets.rs
@@ -95,8 +95,8 @@
 fn successors() -> [Successor; 3] {
     [
         Successor::Proxy,
-        Successor::Target("other".to_owned(), STARTED_UNIX_MS + 1),
-        Successor::Target("one".to_owned(), STARTED_UNIX_MS + 1),
+        Successor::Target("other".to_owned(), Some(STARTED_UNIX_MS + 1)),
+        Successor::Target("one".to_owned(), Some(STARTED_UNIX_MS + 1)),
     ]
 }
 
@@ -148,3 +148,53 @@
     let response = caller::call(relay.address, "/stream/7", "").await;
     assert!(!response.is_complete, "{response:?}");
 }
+
+/// Guards against a restarted target that states no start time counting as the one before.
+#[tokio::test]
+async fn stream_of_a_target_that_restarts_without_a_stated_start_is_visibly_incomplete() {
+    let successor = Successor::Target("one".to_owned(), None);
+    let target = passed_target("id: 1\ndata: a\n\n", successor).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/stream/7", "").await;
+    assert!(!response.is_complete, "{response:?}");
+}
+
+#[tokio::test]
+async fn stream_of_a_target_without_a_stated_start_is_whole() {
+    let answer = Step::RespondThenClose(unframed("id: 1\ndata: a\n\n"));
+    let target = ScriptedTarget::start("one", vec![answer])
+        .await
+        .without_start();
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/stream/7", "").await;
+    assert!(response.is_complete, "{response:?}");
+}
+
+#[tokio::test]
+async fn answers_of_a_target_that_leaves_before_they_end_are_whole() {
+    for (path, body) in [
+        ("/stream/7", "id: 1\ndata: a\n\n"),
+        ("/once/7", "all of a body"),
+    ] {
+        let answer = Step::RespondThenLeave(unframed(body));
+        let target = ScriptedTarget::start("one", vec![answer]).await;
+        let relay = TestRelay::start(&[&target]).await;
+        let response = caller::call(relay.address, path, "").await;
+        assert!(
+            response.is_complete && response.text.contains(body),
+            "{path}: {response:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn whole_unframed_answer_costs_one_request_and_framed_ones_none() {
+    let script = vec![Step::RespondThenClose(unframed("all of a body"))];
+    let target = ScriptedTarget::start("one", script).await;
+    let relay = TestRelay::start(&[&target]).await;
+    for _ in 0..3 {
+        let response = caller::call(relay.address, "/once/7", "").await;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    assert_eq!(target.identity_requests_count(), 1);
+}
--- a/crates/relay/tests/support/header_format.rs
+++ b/crates/relay/tests/support/header_format.rs
@@ -1,12 +1,15 @@
 //! Header format of the tests, with short header names.
 
 use {
-    hyper::{HeaderMap, header::HeaderName, http::request},
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{HeaderMap, Request, Uri, header::HeaderName, http::request},
     relay::{
         BadCall, Call, HeaderFormat, OutboundMetadata, Part, Prompt, ReplyMetadata, RetryAfter,
-        Stated, TargetStatements,
+        Stated, TargetState, TargetStatements,
     },
     std::time::Duration,
+    target::{Incarnation, IncarnationProbe},
 };
 
 /// Uses the names of metadata fields as header names.
@@ -89,6 +92,25 @@
         }
     }
 
+    fn incarnation_probe(&self, target: &TargetState, _health_path: &str) -> IncarnationProbe {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = Uri::from_static("/identity");
+        let expected = Incarnation::default()
+            .target(target.id.clone())
+            .started_unix_ms(target.started_unix_ms);
+        IncarnationProbe {
+            request,
+            expected,
+            parse: |headers, _| {
+                let text = |name: &str| headers.get(name).and_then(|it| it.to_str().ok());
+                Incarnation {
+                    target: text("target").map(str::to_owned),
+                    started_unix_ms: text("started").and_then(|it| it.parse().ok()),
+                }
+            },
+        }
+    }
+
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap {
         let mut out = headers.clone();
         out.remove("transfer-encoding");
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -34,6 +34,9 @@
     NeverRespond,
     /// Sends these bytes; then nothing listens any more, and after 30 ms the connection is closed.
     RespondThenDie(String),
+    /// Sends these bytes; after 30 ms nothing listens any more, and the connection is closed. Others are
+    /// served on.
+    RespondThenLeave(String),
     /// Sends these bytes and closes all connections. Its address goes on accepting, by the hand of
     /// this successor.
     RespondThenPass(String, Successor),
@@ -46,8 +49,8 @@
     Proxy,
     /// A proxy, which never answers.
     SilentProxy,
-    /// A target with this name and start time.
-    Target(String, u64),
+    /// A target with this name and start time; `None` if it does not state it.
+    Target(String, Option<u64>),
 }
 
 /// A call that arrived.
@@ -214,7 +217,7 @@
         Some(Successor::Target(name, started_unix_ms)) => {
             let mut buffer = Vec::new();
             while read_call(&mut stream, &mut buffer).await.is_some() {
-                let answer = identity(&name, Some(started_unix_ms));
+                let answer = identity(&name, started_unix_ms);
                 let _ = stream.write_all(answer.as_bytes()).await;
             }
         }
@@ -269,6 +272,14 @@
                 sleep(Duration::from_millis(30)).await;
                 return;
             }
+            Step::RespondThenLeave(text) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                sleep(Duration::from_millis(30)).await;
+                if let Some(accepting) = state.listener.lock().unwrap().take() {
+                    accepting.abort();
+                }
+                return;
+            }
             Step::RespondThenPass(text, successor) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
                 sleep(Duration::from_millis(30)).await;
--- a/crates/routes/src/pool.rs
+++ b/crates/routes/src/pool.rs
@@ -56,6 +56,8 @@
     pub name: PoolId,
     /// Kind of the targets.
     pub kind: PoolKind,
+    /// Path of the targets' health check, which names the target that answers; empty if not stated.
+    pub health_path: String,
     /// Maximum number of connections that one target accepts from all callers together; `None` if
     /// not stated.
     pub max_connections: Option<u32>,
--- a/crates/target/src/answer_stream.rs
+++ b/crates/target/src/answer_stream.rs
@@ -1,7 +1,7 @@
 //! The answer to a completion request, read as it arrives.
 
 use {
-    crate::{Reply, SendError, SseParser, Usage, engine_wire::ChunkWire},
+    crate::{BodyPart, Reply, SendError, SseParser, Usage, engine_wire::ChunkWire},
     catalog::{RequestId, VersionDigest},
     std::time::Duration,
     tokio::time::timeout,
@@ -89,9 +89,9 @@
             if self.parser.overflowed() {
                 return Err(self.failed("event too large"));
             }
-            match self.reply.next_chunk().await? {
-                Some(chunk) => self.parser.push(&chunk),
-                None => return Err(self.truncated()),
+            match self.reply.next_part().await? {
+                BodyPart::Data(data) => self.parser.push(&data),
+                BodyPart::End(_) => return Err(self.truncated()),
             }
         }
     }
--- a/crates/target/src/answers_request.rs
+++ b/crates/target/src/answers_request.rs
@@ -43,7 +43,7 @@
         match named {
             Some(named) if named == id => Ok(AnswersRequest(())),
             Some(_) => Err(Unattributed::OtherRequest),
-            None if self.earlier_requests_count() > 0 => Err(Unattributed::NoRequestId),
+            None if !self.is_first_of_connection() => Err(Unattributed::NoRequestId),
             None => {
                 self.forbid_reuse();
                 Ok(AnswersRequest(()))
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -20,10 +20,7 @@
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
-    tokio::{
-        net::TcpStream,
-        time::{sleep, timeout},
-    },
+    tokio::{net::TcpStream, time::timeout},
     tokio_util::task::AbortOnDropHandle,
 };
 
@@ -99,6 +96,11 @@
 }
 
 impl Connection {
+    /// When it was opened.
+    pub(crate) fn opened(&self) -> Instant {
+        self.opened
+    }
+
     /// Time since it was opened.
     pub(crate) fn age(&self) -> Duration {
         self.opened.elapsed()
@@ -174,14 +176,16 @@
         let connection = self.connect(address).await?;
         match self.exchange(address, connection, request, &timeout).await {
             Exchange::Done(result) => result,
-            Exchange::Unsent(_) => error::NotSentSnafu {
-                address,
-                reason: "connection closed before the request was written",
-            }
-            .fail(),
+            Exchange::Unsent(_) => Err(self.closed_unwritten(address)),
         }
     }
 
+    /// Error for a connection that was closed before a request was written.
+    pub(crate) fn closed_unwritten(&self, address: SocketAddr) -> SendError {
+        let reason = "connection closed before the request was written";
+        error::NotSentSnafu { address, reason }.build()
+    }
+
     /// Closes the idle connections to `address`, for example after one of them timed out.
     pub fn close_idle(&self, address: SocketAddr) {
         self.lock_idle().remove(&address);
@@ -195,21 +199,11 @@
         matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
     }
 
-    /// Whether the target still accepts connections after it has ended one. The new connection is kept
-    /// for reuse.
-    pub(crate) async fn still_accepts(&self, address: SocketAddr) -> bool {
-        sleep(PROCESS_EXIT_TIME).await;
-        match self.connect(address).await {
-            Ok(connection) => {
-                self.put_idle(address, connection, None);
-                true
-            }
-            Err(error) => {
-                log::info!(
-                    "an answer ended with its connection, and is taken as broken off: {error}"
-                );
-                false
-            }
+    /// An idle connection to `address`, or a new one.
+    pub(crate) async fn idle_or_new(&self, address: SocketAddr) -> Result<Connection, SendError> {
+        match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => self.connect(address).await,
         }
     }
 
@@ -237,7 +231,7 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    pub(crate) fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.lock_idle();
         let connections = idle.get_mut(&address)?;
         while let Some(idle_connection) = connections.pop() {
@@ -256,7 +250,7 @@
             .is_ok_and(|ready| ready.is_ok())
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
+    pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
         let not_sent = |reason: String| SendError::NotSent { address, reason };
         let stream = timeout(self.settings.connect_timeout, TcpStream::connect(address))
             .await
@@ -279,7 +273,7 @@
         })
     }
 
-    async fn exchange<Timeout>(
+    pub(crate) async fn exchange<Timeout>(
         &self,
         address: SocketAddr,
         mut connection: Connection,
@@ -367,7 +361,7 @@
 }
 
 /// Result of sending a request on one connection.
-enum Exchange {
+pub(crate) enum Exchange {
     /// The request was answered, or may have been sent.
     Done(Result<Reply, SendError>),
     /// No byte of the request was written; it can be sent on another connection.
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -85,7 +85,7 @@
         let path = format!("/v1/runs/{run}");
         let request = self.empty_request(Method::DELETE, &path);
         let mut reply = self.send_control(request).await?;
-        reply.body(BODY_READ_TIMEOUT).await?;
+        reply.delimited_body(BODY_READ_TIMEOUT).await?;
         Ok(())
     }
 
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -26,6 +26,7 @@
 mod engine;
 mod engine_wire;
 mod error;
+mod incarnation;
 mod reply;
 mod request;
 mod service;
@@ -33,6 +34,8 @@
 mod start_timeout;
 mod store;
 mod stream_position;
+mod whole_body;
+mod witness;
 
 pub use {
     answer_stream::{AnswerEvent, AnswerStream},
@@ -45,10 +48,12 @@
         LoadReport, OrderReply, PromptDetails, Usage,
     },
     error::SendError,
+    incarnation::{Incarnation, IncarnationProbe},
     reply::Reply,
     service::{ServiceAnswer, ServiceClient, ServiceRequest},
     sse_parser::{SseParser, event_id},
     start_timeout::StartTimeout,
     store::{StoreBlock, StoreBlocks, StoreClient, StoreUsage},
     stream_position::{BodyEnd, Misplaced, StreamPosition},
+    whole_body::{BodyPart, WholeBody},
 };
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        AnswersRequest, Client, SendError,
+        AnswersRequest, BodyEnd, BodyPart, Client, IncarnationProbe, SendError, WholeBody,
         client::{Connection, is_disconnect},
+        witness::{Unconfirmed, Witness},
     },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
@@ -13,7 +14,10 @@
         header::{self, HeaderMap},
     },
     serde::de::DeserializeOwned,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     tokio::time::timeout,
 };
 
@@ -29,6 +33,8 @@
     response: Response<Incoming>,
     /// Whether the body has neither a length nor chunks.
     ends_with_connection: bool,
+    /// What can show that such a body is complete.
+    witness: Option<Witness>,
     body_state: BodyState,
     is_reusable: bool,
     connection_age: Duration,
@@ -40,10 +46,10 @@
 enum BodyState {
     /// More may follow.
     Open,
-    /// Its connection has ended, and with it the body. Whether it is complete is not known yet.
-    Ended,
-    /// It was read to its end.
-    Complete,
+    /// Its connection ended, and with it the body, at this time. Whether it is complete is not known.
+    Ended(Instant),
+    /// It is complete.
+    Complete(WholeBody),
     /// It broke off, or its connection was closed here.
     Failed,
 }
@@ -75,6 +81,7 @@
             connection: Some(connection),
             response,
             ends_with_connection,
+            witness: None,
             body_state: BodyState::Open,
             is_reusable: true,
         }
@@ -110,36 +117,77 @@
         self.earlier_requests_count
     }
 
+    /// Whether the connection carried no other request, so that an answer that names none belongs to this
+    /// one.
+    pub(crate) fn is_first_of_connection(&self) -> bool {
+        self.earlier_requests_count == 0
+    }
+
     /// Has the connection closed at the end of the body.
     pub(crate) fn forbid_reuse(&mut self) {
         self.is_reusable = false;
     }
 
-    /// Reads the next part of the body; `None` at its end.
+    /// Prepares for the end of a body that has neither a length nor chunks. `probe` asks the target
+    /// whether the process that answers still runs; without it, such a body is never complete.
+    ///
+    /// Call this once the head of the answer has arrived: connections that are opened while the body
+    /// arrives can show more than later ones.
+    pub fn expect_incarnation(&mut self, probe: IncarnationProbe) {
+        if self.ends_with_connection {
+            self.witness = Some(Witness::new(self.client.clone(), self.address, probe));
+        }
+    }
+
+    /// Reads the next part of the body.
     ///
     /// # Errors
     /// [`SendError::Unknown`] if the body is truncated or nothing arrives within `read_timeout`.
-    pub async fn chunk(&mut self, read_timeout: Duration) -> Result<Option<Bytes>, SendError> {
-        let read = timeout(read_timeout, self.next_chunk()).await;
-        read.unwrap_or_else(|_| {
-            let reason = format!("silent for {} ms", read_timeout.as_millis());
-            Err(self.unknown(reason, false))
-        })
+    pub async fn part(&mut self, read_timeout: Duration) -> Result<BodyPart, SendError> {
+        let read = timeout(read_timeout, self.next_part()).await;
+        read.unwrap_or_else(|_| Err(self.silent(read_timeout)))
     }
 
-    /// Waits for the next part of the body, however long it takes; `None` at its end. Dropping the
-    /// future loses nothing: the next call goes on where it was.
+    /// Waits for the next part of the body, however long it takes. Dropping the future loses nothing:
+    /// the next call goes on where it was.
     ///
-    /// If the end of the connection ends the body, the body is complete only if the target accepts
-    /// another connection: those of a process that is killed end in the same way.
+    /// If the end of the connection ends the body, its end also takes the target's word that the process
+    /// which began it still runs ([`Reply::expect_incarnation`]): the connections of one that is killed end
+    /// in the same way.
     ///
     /// # Errors
-    /// [`SendError::Unknown`] if the body is truncated or the connection was closed here.
-    pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, SendError> {
+    /// [`SendError::Unknown`] if the body is truncated, nothing shows that it is complete, or the
+    /// connection was closed here.
+    pub async fn next_part(&mut self) -> Result<BodyPart, SendError> {
+        if let Some(data) = self.next_data().await? {
+            return Ok(BodyPart::Data(data));
+        }
+        if let BodyState::Ended(ended) = self.body_state {
+            self.body_state = match self.confirm_end(ended).await {
+                Ok(whole) => BodyState::Complete(whole),
+                Err(reason) => {
+                    log::info!("the answer of {} is incomplete: {reason}", self.address);
+                    BodyState::Failed
+                }
+            };
+        }
+        match self.body_state {
+            BodyState::Complete(whole) => {
+                self.release_connection();
+                Ok(BodyPart::End(whole))
+            }
+            _ => Err(self.unknown("its body is incomplete".to_owned(), true)),
+        }
+    }
+
+    /// Waits for the next data of the body; `None` at its end, whether or not it is complete.
+    async fn next_data(&mut self) -> Result<Option<Bytes>, SendError> {
         while self.body_state == BodyState::Open {
             match self.response.body_mut().frame().await {
-                None if self.ends_with_connection => self.body_state = BodyState::Ended,
-                None => self.body_state = BodyState::Complete,
+                None if self.ends_with_connection => {
+                    self.body_state = BodyState::Ended(Instant::now());
+                }
+                None => self.body_state = BodyState::Complete(WholeBody::new(BodyEnd::Framing)),
                 Some(Err(error)) => {
                     self.body_state = BodyState::Failed;
                     return Err(self.unknown(error.to_string(), is_disconnect(&error)));
@@ -151,26 +199,21 @@
                 }
             }
         }
-        if self.body_state == BodyState::Ended {
-            let is_complete = self.client.still_accepts(self.address).await;
-            self.body_state = if is_complete {
-                BodyState::Complete
-            } else {
-                BodyState::Failed
-            };
-        }
-        if self.body_state == BodyState::Failed {
-            return Err(self.unknown("its body is incomplete".to_owned(), true));
-        }
-        self.release_connection();
         Ok(None)
     }
 
+    /// Has the target show that a body is complete that ended with its connection.
+    async fn confirm_end(&mut self, ended: Instant) -> Result<WholeBody, Unconfirmed> {
+        let witness = self.witness.as_mut().ok_or(Unconfirmed::NoProbe)?;
+        witness.confirm(ended).await?;
+        Ok(WholeBody::new(BodyEnd::Connection))
+    }
+
     /// Closes the connection, so that the target stops the request; reading the body fails from now
     /// on.
     pub fn close(&mut self) {
         self.connection = None;
-        if self.body_state != BodyState::Complete {
+        if !matches!(self.body_state, BodyState::Complete(_)) {
             self.body_state = BodyState::Failed;
         }
     }
@@ -201,17 +244,10 @@
         body_timeout: Duration,
     ) -> Result<Bytes, SendError> {
         let address = self.address;
-        let check = |length| {
-            if length <= max_bytes {
-                return Ok(());
-            }
-            Err(SendError::Unknown {
-                address,
-                reason: format!("answer exceeds {max_bytes} bytes"),
-                disconnected: false,
-            })
-        };
-        self.body_with(body_timeout, check).await
+        self.body_with(body_timeout, |length| {
+            check_length(address, length, max_bytes)
+        })
+        .await
     }
 
     /// Reads the whole body, and calls `check` with its length so far before each part is kept.
@@ -228,10 +264,7 @@
         Check: FnMut(usize) -> Result<(), SendError>,
     {
         let read = timeout(body_timeout, self.read_body(body_timeout, check)).await;
-        read.unwrap_or_else(|_| {
-            let reason = format!("no whole body in {} ms", body_timeout.as_millis());
-            Err(self.unknown(reason, false))
-        })
+        read.unwrap_or_else(|_| Err(self.not_in_time(body_timeout)))
     }
 
     async fn read_body<Check>(
@@ -243,9 +276,34 @@
         Check: FnMut(usize) -> Result<(), SendError>,
     {
         let mut body = BytesMut::new();
-        while let Some(chunk) = self.chunk(read_timeout).await? {
-            check(body.len() + chunk.len())?;
-            body.extend_from_slice(&chunk);
+        while let BodyPart::Data(data) = self.part(read_timeout).await? {
+            check(body.len() + data.len())?;
+            body.extend_from_slice(&data);
+        }
+        Ok(body.freeze())
+    }
+
+    /// Reads a body in a format that shows by itself whether it is complete, like JSON. It may also end
+    /// with its connection.
+    ///
+    /// # Errors
+    /// [`SendError::Unknown`] if the body is truncated by its framing, larger than 16 MiB or has not ended
+    /// within `body_timeout`.
+    pub async fn delimited_body(&mut self, body_timeout: Duration) -> Result<Bytes, SendError> {
+        let read = timeout(body_timeout, self.read_delimited()).await;
+        read.unwrap_or_else(|_| Err(self.not_in_time(body_timeout)))
+    }
+
+    async fn read_delimited(&mut self) -> Result<Bytes, SendError> {
+        let mut body = BytesMut::new();
+        while let Some(data) = self.next_data().await? {
+            check_length(self.address, body.len() + data.len(), MAX_ANSWER_BYTES)?;
+            body.extend_from_slice(&data);
+        }
+        match self.body_state {
+            BodyState::Failed => return Err(self.unknown("it was closed".to_owned(), false)),
+            BodyState::Complete(_) => self.release_connection(),
+            BodyState::Open | BodyState::Ended(_) => {}
         }
         Ok(body.freeze())
     }
@@ -262,7 +320,7 @@
         if !self.status().is_success() {
             return Err(self.into_error(body_timeout, None).await);
         }
-        let body = self.body(body_timeout).await?;
+        let body = self.delimited_body(body_timeout).await?;
         serde_json::from_slice(&body).map_err(|error| SendError::Failed {
             address: self.address,
             status: self.status().as_u16(),
@@ -280,9 +338,9 @@
         body_timeout: Duration,
         evidence: Option<AnswersRequest>,
     ) -> SendError {
-        let is_attributed = evidence.is_some() || self.earlier_requests_count == 0;
+        let is_attributed = evidence.is_some() || self.is_first_of_connection();
         let status = self.status();
-        let body = match self.body(body_timeout).await {
+        let body = match self.delimited_body(body_timeout).await {
             Ok(body) => body,
             Err(error) => return error,
         };
@@ -320,6 +378,16 @@
         self.ends_with_connection
     }
 
+    fn silent(&self, read_timeout: Duration) -> SendError {
+        let reason = format!("silent for {} ms", read_timeout.as_millis());
+        self.unknown(reason, false)
+    }
+
+    fn not_in_time(&self, body_timeout: Duration) -> SendError {
+        let reason = format!("no whole body in {} ms", body_timeout.as_millis());
+        self.unknown(reason, false)
+    }
+
     fn unknown(&self, reason: String, disconnected: bool) -> SendError {
         SendError::Unknown {
             address: self.address,
@@ -339,6 +407,18 @@
     }
 }
 
+/// Checks that a body of `length` bytes is not too long.
+fn check_length(address: SocketAddr, length: usize, max_bytes: usize) -> Result<(), SendError> {
+    if length <= max_bytes {
+        return Ok(());
+    }
+    Err(SendError::Unknown {
+        address,
+        reason: format!("answer exceeds {max_bytes} bytes"),
+        disconnected: false,
+    })
+}
+
 /// Whether chunks mark the end of the body. With any other last coding, the end of the connection does.
 fn is_chunked(headers: &HeaderMap) -> bool {
     let codings = headers
--- a/crates/target/src/store.rs
+++ b/crates/target/src/store.rs
@@ -81,7 +81,7 @@
             .send(self.address, request, Reuse::Allowed, CONTROL_TIMEOUT)
             .await?;
         if reply.status().is_success() || reply.status() == StatusCode::NOT_FOUND {
-            reply.body(CONTROL_TIMEOUT).await?;
+            reply.delimited_body(CONTROL_TIMEOUT).await?;
             return Ok(());
         }
         Err(reply.into_error(CONTROL_TIMEOUT, None).await)
