--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -176,16 +176,10 @@
         let connection = self.connect(address).await?;
         match self.exchange(address, connection, request, &timeout).await {
             Exchange::Done(result) => result,
-            Exchange::Unsent(_) => Err(self.closed_unwritten(address)),
+            Exchange::Unsent(_) => Err(closed_unwritten(address)),
         }
     }
 
-    /// Error for a connection that was closed before a request was written.
-    pub(crate) fn closed_unwritten(&self, address: SocketAddr) -> SendError {
-        let reason = "connection closed before the request was written";
-        error::NotSentSnafu { address, reason }.build()
-    }
-
     /// Closes the idle connections to `address`, for example after one of them timed out.
     pub fn close_idle(&self, address: SocketAddr) {
         self.lock_idle().remove(&address);
@@ -343,6 +337,12 @@
     socket.set_tcp_user_timeout(Some(limit))
 }
 
+/// Error for a connection that was closed before a request was written.
+pub(crate) fn closed_unwritten(address: SocketAddr) -> SendError {
+    let reason = "connection closed before the request was written";
+    error::NotSentSnafu { address, reason }.build()
+}
+
 /// Whether the peer ended the connection, rather than the network or the protocol failing.
 pub(crate) fn is_disconnect(error: &hyper::Error) -> bool {
     if error.is_incomplete_message() || error.is_closed() {
