--- a/crates/relay/tests/support/run_target.rs
+++ b/crates/relay/tests/support/run_target.rs
@@ -1,7 +1,7 @@
 //! A fake target that works on a run, goes on with it after any event, and fails in various ways.
 
 use {
-    super::scripted_target::ScriptedTarget,
+    super::scripted_target::{STARTED_UNIX_MS, ScriptedTarget, identity, is_identity_request},
     std::{
         collections::VecDeque,
         sync::{Arc, Mutex},
@@ -57,21 +57,33 @@
     let target = ScriptedTarget::at(name, listener.local_addr().unwrap());
     let conducts: VecDeque<Conduct> = conducts.iter().copied().collect();
     let conducts = Arc::new(Mutex::new(conducts));
+    let name_of_task = name.to_owned();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream, run.clone(), conducts.clone()));
+            let name = name_of_task.clone();
+            tokio::spawn(serve(stream, name, run.clone(), conducts.clone()));
         }
     });
     target
 }
 
-/// Answers one call on a connection and closes it.
-async fn serve(mut stream: TcpStream, run: Arc<Run>, conducts: Arc<Mutex<VecDeque<Conduct>>>) {
+/// Answers one call on a connection and closes it. Before, says which process this is, as often as asked.
+async fn serve(
+    mut stream: TcpStream,
+    name: String,
+    run: Arc<Run>,
+    conducts: Arc<Mutex<VecDeque<Conduct>>>,
+) {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\nbody") {
         if stream.read_buf(&mut head).await.unwrap_or(0) == 0 {
             return;
         }
+        if is_identity_request(&String::from_utf8_lossy(&head)) {
+            head.clear();
+            let answer = identity(&name, Some(STARTED_UNIX_MS));
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
     }
     let head = String::from_utf8(head).unwrap();
     let header = |name| head.lines().find_map(|line| line.strip_prefix(name));
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -24,6 +24,8 @@
 pub enum Step {
     /// Sends these bytes; `{id}` is replaced by the call's id.
     Respond(String),
+    /// Sends these bytes, then closes the connection.
+    RespondThenEnd(String),
     /// Sends these bytes, then closes the connection after 30 ms.
     RespondThenClose(String),
     /// Sends these bytes, then nothing for 6 seconds before it closes the connection.
@@ -224,8 +226,13 @@
     }
 }
 
+/// Whether a head asks a target which process it is.
+pub fn is_identity_request(head: &str) -> bool {
+    head.contains(IDENTITY_PATH)
+}
+
 /// Answer that says which process a target is.
-fn identity(name: &str, started_unix_ms: Option<u64>) -> String {
+pub fn identity(name: &str, started_unix_ms: Option<u64>) -> String {
     let started = started_unix_ms.map(|it| format!("started: {it}\r\n"));
     let headers = format!("target: {name}\r\n{}", started.unwrap_or_default());
     answer("200 OK", &headers, "")
@@ -234,7 +241,7 @@
 async fn serve(stream: &mut TcpStream, state: &State, name: &str) {
     let mut buffer = Vec::new();
     while let Some(head) = read_call(stream, &mut buffer).await {
-        if head.contains(IDENTITY_PATH) {
+        if is_identity_request(&head) {
             state
                 .identity_requests_count
                 .fetch_add(1, Ordering::Relaxed);
@@ -259,6 +266,10 @@
                     return;
                 }
             }
+            Step::RespondThenEnd(text) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                return;
+            }
             Step::RespondThenClose(text) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
                 sleep(Duration::from_millis(30)).await;
