Target: ask which process answers only on connections that carried no other request

What a target wrote before it was killed, a late answer to another request, could be read there as its answer, and would show a life that has ended.

Change: the connection that is opened while the answer arrives is always new, and so is the one that is tried after it.

--- a/crates/relay/tests/killed_targets.rs
+++ b/crates/relay/tests/killed_targets.rs
@@ -4,10 +4,12 @@
 mod support;
 
 use {
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
     support::{
         TestRelay, caller,
-        scripted_target::{STARTED_UNIX_MS, ScriptedTarget, Step, Successor, stream, unframed},
+        scripted_target::{
+            STARTED_UNIX_MS, ScriptedTarget, Step, Successor, stream, success, unframed,
+        },
     },
     tokio::task::yield_now,
 };
@@ -198,3 +200,23 @@
     }
     assert_eq!(target.identity_requests_count(), 1);
 }
+
+/// Guards against what a target wrote before it was killed counting as its word afterwards.
+#[tokio::test]
+async fn late_answer_on_a_kept_connection_does_not_show_that_a_killed_target_lives() {
+    let answer = success("ok");
+    let (begin, rest) = answer.split_at(answer.len() - 1);
+    let slow = Step::RespondInTwo(begin.to_owned(), Duration::from_millis(10), rest.to_owned());
+    let body = unframed("id: 1\ndata: a\n\n");
+    let killed = Step::RespondThenPass(body, Successor::LateProxy);
+    let target = ScriptedTarget::start("one", vec![slow, killed]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let kept = caller::send(relay.address, "/once/7", "").await;
+    while target.arrived().is_empty() {
+        yield_now().await;
+    }
+    let killed = caller::send(relay.address, "/stream/7", "").await;
+    assert_eq!(caller::read_response(kept).await.status, 200);
+    let response = caller::read_response(killed).await;
+    assert!(!response.is_complete, "{response:?}");
+}
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -51,6 +51,9 @@
     Proxy,
     /// A proxy, which never answers.
     SilentProxy,
+    /// A proxy, which closes new connections, and on those that carried a call still passes on what the
+    /// target has written: who it is.
+    LateProxy,
     /// A target with this name and start time; `None` if it does not state it.
     Target(String, Option<u64>),
 }
@@ -203,29 +206,40 @@
 async fn serve_until_gone(mut stream: TcpStream, state: Arc<State>, name: String) {
     let mut successor = state.successor.subscribe();
     let was_opened_before = successor.borrow_and_update().is_none();
+    let calls_count = AtomicU32::new(0);
     if was_opened_before {
         let is_gone = async { successor.wait_for(Option::is_some).await.map(|_| ()) };
         tokio::select! {
             biased;
             _ = is_gone => {}
-            () = serve(&mut stream, &state, &name) => {}
+            () = serve(&mut stream, &state, &name, &calls_count) => return,
         }
-        return;
     }
     let present = successor.borrow().clone();
     match present {
         None | Some(Successor::Proxy) => {}
+        Some(Successor::LateProxy) => {
+            if calls_count.load(Ordering::Relaxed) > 0 {
+                state_identity(&mut stream, &name, Some(STARTED_UNIX_MS)).await;
+            }
+        }
+        Some(Successor::SilentProxy | Successor::Target(..)) if was_opened_before => {}
         Some(Successor::SilentProxy) => sleep(Duration::from_mins(1)).await,
         Some(Successor::Target(name, started_unix_ms)) => {
-            let mut buffer = Vec::new();
-            while read_call(&mut stream, &mut buffer).await.is_some() {
-                let answer = identity(&name, started_unix_ms);
-                let _ = stream.write_all(answer.as_bytes()).await;
-            }
+            state_identity(&mut stream, &name, started_unix_ms).await;
         }
     }
 }
 
+/// Answers all that comes with which process this is.
+async fn state_identity(stream: &mut TcpStream, name: &str, started_unix_ms: Option<u64>) {
+    let mut buffer = Vec::new();
+    while read_call(stream, &mut buffer).await.is_some() {
+        let answer = identity(name, started_unix_ms);
+        let _ = stream.write_all(answer.as_bytes()).await;
+    }
+}
+
 /// Whether a head asks a target which process it is.
 pub fn is_identity_request(head: &str) -> bool {
     head.contains(IDENTITY_PATH)
@@ -238,7 +252,7 @@
     answer("200 OK", &headers, "")
 }
 
-async fn serve(stream: &mut TcpStream, state: &State, name: &str) {
+async fn serve(stream: &mut TcpStream, state: &State, name: &str, calls_count: &AtomicU32) {
     let mut buffer = Vec::new();
     while let Some(head) = read_call(stream, &mut buffer).await {
         if is_identity_request(&head) {
@@ -252,6 +266,7 @@
                 .await;
             continue;
         }
+        calls_count.fetch_add(1, Ordering::Relaxed);
         let arrived = Arrived { head };
         let id = arrived.header("id").unwrap_or_default().to_owned();
         state.arrived.lock().unwrap().push(arrived);
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -193,14 +193,6 @@
         matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
     }
 
-    /// An idle connection to `address`, or a new one.
-    pub(crate) async fn idle_or_new(&self, address: SocketAddr) -> Result<Connection, SendError> {
-        match self.take_idle(address) {
-            Some(connection) => Ok(connection),
-            None => self.connect(address).await,
-        }
-    }
-
     /// Keeps a connection for reuse until the idle timeout, or for half the time that the target
     /// keeps it if that is shorter.
     pub(crate) fn put_idle(
@@ -225,7 +217,7 @@
         }
     }
 
-    pub(crate) fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.lock_idle();
         let connections = idle.get_mut(&address)?;
         while let Some(idle_connection) = connections.pop() {
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -55,7 +55,7 @@
     /// Begins to open a connection to the process at `address`, which is answering a request.
     pub(crate) fn new(client: Client, address: SocketAddr, probe: IncarnationProbe) -> Self {
         let opener = client.clone();
-        let connecting = tokio::spawn(async move { opener.idle_or_new(address).await.ok() });
+        let connecting = tokio::spawn(async move { opener.connect(address).await.ok() });
         Self {
             client,
             address,
@@ -71,27 +71,23 @@
         confirmed.unwrap_or(Err(Unconfirmed::Silent))
     }
 
-    /// Asks on the connection that was opened while the answer arrived, and on others if it has ended.
+    /// Asks on the connection that was opened while the answer arrived, and on a new one if it has ended.
+    /// Neither has carried another request, whose late answer could be taken for this one.
     async fn ask(&mut self, ended: Instant) -> Result<(), Unconfirmed> {
-        while let Some(connection) = self.older_connection().await {
-            if let Ok(stated) = self.ask_on(connection, ended).await {
-                return stated;
-            }
+        if let Some(connection) = self.older_connection().await
+            && let Ok(stated) = self.ask_on(connection, ended).await
+        {
+            return stated;
         }
         let connection = self.client.connect(self.address).await?;
         self.ask_on(connection, ended).await?
     }
 
-    /// A connection that was opened before; `None` if there is none left.
+    /// The connection that was opened while the answer arrived; `None` if that failed or it was used.
     async fn older_connection(&mut self) -> Option<Connection> {
-        if let Some(connecting) = &mut self.connecting {
-            let connection = connecting.await.ok().flatten();
-            self.connecting = None;
-            if connection.is_some() {
-                return connection;
-            }
-        }
-        self.client.take_idle(self.address)
+        let connection = self.connecting.as_mut()?.await;
+        self.connecting = None;
+        connection.ok().flatten()
     }
 
     /// Asks on one connection. Fails if it gives no answer.
