Fix broken streams that end regularly: only the last chunk of a whole answer ends a streamed response

Who goes by the framing, or does not wait for [DONE], took half an answer for a whole one.

Cause: gateway::ResponseBody ended its stream when the sender was dropped, whatever dropped it.

Change: StreamedBody ends regularly only after a LastChunk, which is made from CompletionEvent::End alone and handed to StreamSender::finish. A sender dropped before that, by an early return, a failure or a panic, ends the body with StreamBroken, so that hyper closes the connection without the last chunk, and a line decision=broken_off is logged. The error event still goes out before: the body is pending once, so that the server writes what it holds. The crate has no metrics, so there is no counter.

Producers: Attempt, run_attempts and complete_claimed send events over a channel; a dropped one is None for the formatter, which sends the error event and drops the sender. GatewayBackend passes the stream on unchanged.

Cost: a client that collects the response before parsing it sees the error of the connection in place of the event.

--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -2,13 +2,13 @@
 
 use {
     crate::{
-        CompletionEvent, CompletionJob, CompletionStream, Refusal, RefusalKind,
+        CallerLeft, CompletionEvent, CompletionJob, CompletionStream, LastChunk, Refusal,
+        RefusalKind, StreamSender, StreamedBody,
         respond::{self, HttpResponse},
         response_body::ResponseBody,
     },
     bytes::Bytes,
     catalog::{ClientAccountId, RequestId},
-    futures::{SinkExt, channel::mpsc},
     serde::Deserialize,
     serde_json::{Value, json},
     std::fmt::Write,
@@ -18,9 +18,6 @@
 const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Largest limit of generated tokens that a caller may set.
 const LARGEST_MAX_TOKENS: u32 = 32_768;
-/// Chunks of a stream that are buffered for a slow caller. When the buffer is full, backpressure
-/// slows the run.
-const STREAM_BUFFER_CHUNKS_COUNT: usize = 64;
 
 /// The completion API that a request uses.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -121,23 +118,14 @@
 }
 
 impl ResponseFormatter {
-    /// Streams the completion as server-sent events. A truncated completion ends with an `error`
-    /// event and without the end marker `[DONE]`.
-    pub(crate) fn stream(self, mut completion: CompletionStream) -> HttpResponse {
-        let (mut chunks, body) = mpsc::channel(STREAM_BUFFER_CHUNKS_COUNT);
+    /// Streams the completion as server-sent events. Only a whole completion ends the response
+    /// regularly. A truncated one ends with an `error` event and without the end marker `[DONE]`, and
+    /// then the connection breaks off.
+    pub(crate) fn stream(self, completion: CompletionStream) -> HttpResponse {
+        let (sender, body) = StreamedBody::new(self.request.clone());
         tokio::spawn(async move {
-            let mut ended = false;
-            while let Some(event) = completion.next().await {
-                ended = matches!(
-                    event,
-                    CompletionEvent::End { .. } | CompletionEvent::Failed(_)
-                );
-                if chunks.send(self.format_event(&event)).await.is_err() || ended {
-                    break;
-                }
-            }
-            if !ended {
-                let _ = chunks.send(error_event(&interrupted())).await;
+            if let Err(CallerLeft) = self.send_events(completion, sender).await {
+                log::debug!("the caller of request {} has left", self.request);
             }
         });
         let mut response = respond::with_body(200, "text/event-stream", ResponseBody::Stream(body));
@@ -148,6 +136,26 @@
         response
     }
 
+    /// Sends the events of the completion as they come. Drops the sender unless the completion becomes
+    /// whole.
+    async fn send_events(
+        &self,
+        mut completion: CompletionStream,
+        mut sender: StreamSender,
+    ) -> Result<(), CallerLeft> {
+        while let Some(event) = completion.next().await {
+            let chunk = self.format_event(&event);
+            if let Some(last) = LastChunk::new(&event, chunk.clone()) {
+                return sender.finish(last).await;
+            }
+            sender.send(chunk).await?;
+            if let CompletionEvent::Failed(_) = event {
+                return Ok(());
+            }
+        }
+        sender.send(error_event(&interrupted())).await
+    }
+
     /// Waits for the end of the completion and returns it as one JSON object, or the refusal if it
     /// failed.
     pub(crate) async fn whole(self, mut completion: CompletionStream) -> HttpResponse {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod backend;
 mod completion;
 mod keys;
+mod last_chunk;
 mod listener;
 mod refusal;
 mod request_reader;
@@ -27,6 +28,8 @@
 mod router;
 mod service;
 mod settings;
+mod stream_sender;
+mod streamed_body;
 
 pub use {
     backend::{
@@ -35,7 +38,10 @@
     },
     completion::{CompletionApi, CompletionBody},
     keys::{digest_of, new_request_id},
+    last_chunk::LastChunk,
     listener::{DrainSignal, Gateway},
     refusal::{Refusal, RefusalKind},
     settings::GatewaySettings,
+    stream_sender::{CallerLeft, StreamSender},
+    streamed_body::{StreamBroken, StreamedBody},
 };
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -1,11 +1,10 @@
-//! Response body: known in full, or streamed from a channel.
+//! Response body: known in full, or streamed.
 
 use {
+    crate::{StreamBroken, StreamedBody},
     bytes::Bytes,
-    futures::channel::mpsc,
     hyper::body::{Body, Frame, SizeHint},
     std::{
-        convert::Infallible,
         pin::Pin,
         task::{Context, Poll},
     },
@@ -15,8 +14,8 @@
 pub(crate) enum ResponseBody {
     /// Known in full; `None` if empty or already sent.
     Full(Option<Bytes>),
-    /// Arrives in chunks. Ends when the sender is dropped.
-    Stream(mpsc::Receiver<Bytes>),
+    /// Arrives in chunks.
+    Stream(StreamedBody),
 }
 
 impl ResponseBody {
@@ -27,23 +26,23 @@
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = StreamBroken;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(chunks) => {
-                let next = futures::Stream::poll_next(Pin::new(chunks), context);
-                next.map(|chunk| chunk.map(|bytes| Ok(Frame::data(bytes))))
-            }
+            Self::Stream(body) => Pin::new(body).poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Full(None))
+        match self {
+            Self::Full(bytes) => bytes.is_none(),
+            Self::Stream(body) => body.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,8 +5,8 @@
     decision::Record,
     gateway::{
         Backend, Caller, CompletionEvent, CompletionJob, CompletionStream, DrainSignal, Entries,
-        Gateway, GatewaySettings, OperatorRequest, OperatorResponse, Refusal, ServiceJob,
-        ServiceResponse, digest_of,
+        Gateway, GatewaySettings, OperatorRequest, OperatorResponse, Refusal, RefusalKind,
+        ServiceJob, ServiceResponse, digest_of,
     },
     serde_json::json,
     std::{net::SocketAddr, time::Duration},
@@ -26,7 +26,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Backend that returns every prompt as the answer and has the decision record `decided` of
-/// `kitchens`. Answers of the model `torn` end without [`CompletionEvent::End`].
+/// `kitchens`. Answers of the models `torn` and `panicking` end without [`CompletionEvent::End`], the
+/// latter by a panic; those of `failing` end with [`CompletionEvent::Failed`].
 #[derive(Clone)]
 pub struct EchoBackend;
 
@@ -43,15 +44,21 @@
         let (events, receiver) = mpsc::channel(2);
         tokio::spawn(async move {
             let _ = events.send(CompletionEvent::Text(job.prompt)).await;
-            if job.model != "torn" {
-                let end = CompletionEvent::End {
+            let end = match job.model.as_str() {
+                "torn" => return,
+                "panicking" => panic!("of the test"),
+                "failing" => CompletionEvent::Failed(Refusal::unknown(
+                    RefusalKind::TargetFailed,
+                    "the engine is out of memory; send the request again",
+                )),
+                _ => CompletionEvent::End {
                     finish_reason: "stop".to_owned(),
                     prompt_tokens: 1,
                     cached_tokens: 0,
                     completion_tokens: 1,
-                };
-                let _ = events.send(end).await;
-            }
+                },
+            };
+            let _ = events.send(end).await;
         });
         CompletionStream::start(receiver).await
     }
