Services: say what is missing when an answer has neither a length nor chunks

What callers saw: since a plain service whose answers end with their connection has every call of rattand refused with 502, outcome unknown, as it must be, since the answer may be half of one. The refusal, the record and the log of the call only said that its body is incomplete: nobody could tell that the service has to frame its answers.

Cause: Reply::next_part logged why nothing shows that a body is complete, and left it out of its error. Its log line names no request.

Change: the error carries the reason, which names the remedy; the log line of the reply also says the status; serving logs decision=outcome_unknown with request, account, target, call and error.

Readers looked through: whoever uses Reply::delimited_body parses one JSON value (reports, part lists and events, loads, orders, error bodies, incarnations) or ignores the body after a status that says all (cancel, free, part freeing). etcd-form, instance list and the platform's key-value client parse one JSON value too.

--- a/crates/keyvalue/tests/etcd_faults.rs
+++ b/crates/keyvalue/tests/etcd_faults.rs
@@ -26,6 +26,8 @@
 enum Step {
     Answer(Vec<u8>),
     AnswerAndClose(Vec<u8>),
+    /// Sends the answer with neither a length nor chunks, and closes.
+    Unframed(Vec<u8>),
     Close,
     Silence,
 }
@@ -72,6 +74,11 @@
         match step {
             Step::Answer(body) => write_response(&mut stream, &body).await,
             Step::AnswerAndClose(body) => return write_response(&mut stream, &body).await,
+            Step::Unframed(body) => {
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await;
+                let _ = stream.write_all(&body).await;
+                return;
+            }
             Step::Close => return,
             Step::Silence => std::future::pending().await,
         }
@@ -173,6 +180,27 @@
     assert!(kv.txn(put()).await.is_ok());
 }
 
+/// Guards against half an answer that is read as one with fewer keys or another outcome.
+#[tokio::test]
+async fn an_answer_that_ends_with_its_connection_counts_only_if_it_is_whole() {
+    for length in 0..=WRITTEN.len() {
+        let answer = vec![Step::Unframed(WRITTEN[..length].to_vec())];
+        let server = ScriptedServer::start(vec![answer.clone(), answer]).await;
+        let kv = server.kv();
+        let (written, read) = (kv.txn(put()).await, kv.range("/").await);
+        if length == WRITTEN.len() {
+            assert!(written.unwrap().succeeded);
+            assert!(read.unwrap().pairs.is_empty());
+        } else {
+            assert!(
+                matches!(written, Err(KvError::Unknown { .. })),
+                "{written:?}"
+            );
+            assert!(matches!(read, Err(KvError::Unknown { .. })), "{read:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_watch_passes_on_events_and_ends_with_an_error() {
     let lines = concat!(
--- a/crates/serving/src/service_call.rs
+++ b/crates/serving/src/service_call.rs
@@ -235,7 +235,16 @@
         let (outcome, error) = match &result {
             Ok(_) => (Outcome::Run, String::new()),
             Err(error) if error.not_run() => (Outcome::NotRun, error.to_string()),
-            Err(error) => (Outcome::Unknown, error.to_string()),
+            Err(error) => {
+                log::warn!(
+                    target: "decision",
+                    "request={} client_account={} decision=outcome_unknown target={} \
+                     service={}{} error={error:?}",
+                    call.request_id, call.client_account, target.name, target.service, call.path,
+                    error = error.to_string()
+                );
+                (Outcome::Unknown, error.to_string())
+            }
         };
         if let (Some(view), Err(SendError::NotSent { .. })) = (view, &result) {
             view.avoid(Instant::now());
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -165,9 +165,14 @@
         if let BodyState::Ended(ended) = self.body_state {
             self.body_state = match self.confirm_end(ended).await {
                 Ok(whole) => BodyState::Complete(whole),
-                Err(reason) => {
-                    log::info!("the answer of {} is incomplete: {reason}", self.address);
-                    BodyState::Failed
+                Err(unconfirmed) => {
+                    self.body_state = BodyState::Failed;
+                    let status = self.status().as_u16();
+                    log::info!(
+                        "the answer of {} with status {status} is incomplete: {unconfirmed}",
+                        self.address
+                    );
+                    return Err(self.unknown(unconfirmed.to_string(), true));
                 }
             };
         }
