Target: pass Clippy pedantic again

Cause: left an unused self, an error passed by value and an Exchange whose variants differ by more than 200 bytes. The witness of an answer, which only unframed ones have, is boxed. Behaviour unchanged.

--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -176,16 +176,10 @@
         let connection = self.connect(address).await?;
         match self.exchange(address, connection, request, &timeout).await {
             Exchange::Done(result) => result,
-            Exchange::Unsent(_) => Err(self.closed_unwritten(address)),
+            Exchange::Unsent(_) => Err(closed_unwritten(address)),
         }
     }
 
-    /// Error for a connection that was closed before a request was written.
-    pub(crate) fn closed_unwritten(&self, address: SocketAddr) -> SendError {
-        let reason = "connection closed before the request was written";
-        error::NotSentSnafu { address, reason }.build()
-    }
-
     /// Closes the idle connections to `address`, for example after one of them timed out.
     pub fn close_idle(&self, address: SocketAddr) {
         self.lock_idle().remove(&address);
@@ -330,6 +324,12 @@
     }
 }
 
+/// Error for a connection that was closed before a request was written.
+pub(crate) fn closed_unwritten(address: SocketAddr) -> SendError {
+    let reason = "connection closed before the request was written";
+    error::NotSentSnafu { address, reason }.build()
+}
+
 /// Has the operating system close the connection once sent bytes or keep-alive probes stay
 /// unacknowledged for `limit`.
 fn set_unacknowledged_timeout(stream: &TcpStream, limit: Duration) -> std::io::Result<()> {
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -34,7 +34,7 @@
     /// Whether the body has neither a length nor chunks.
     ends_with_connection: bool,
     /// What can show that such a body is complete.
-    witness: Option<Witness>,
+    witness: Option<Box<Witness>>,
     body_state: BodyState,
     is_reusable: bool,
     connection_age: Duration,
@@ -135,7 +135,8 @@
     /// arrives can show more than later ones.
     pub fn expect_incarnation(&mut self, probe: IncarnationProbe) {
         if self.ends_with_connection {
-            self.witness = Some(Witness::new(self.client.clone(), self.address, probe));
+            let witness = Witness::new(self.client.clone(), self.address, probe);
+            self.witness = Some(Box::new(witness));
         }
     }
 
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Client, IncarnationProbe, SendError,
-        client::{Connection, Exchange},
+        client::{Connection, Exchange, closed_unwritten},
     },
     snafu::Snafu,
     std::{
@@ -78,8 +78,14 @@
                 return stated;
             }
         }
-        let connection = self.client.connect(self.address).await.map_err(gone)?;
-        self.ask_on(connection, ended).await.map_err(gone)?
+        let connection = self
+            .client
+            .connect(self.address)
+            .await
+            .map_err(|error| gone(&error))?;
+        self.ask_on(connection, ended)
+            .await
+            .map_err(|error| gone(&error))?
     }
 
     /// A connection that was opened before; `None` if there is none left.
@@ -107,7 +113,7 @@
             .exchange(self.address, connection, request, &CONFIRM_TIMEOUT);
         let mut reply = match exchange.await {
             Exchange::Done(reply) => reply?,
-            Exchange::Unsent(_) => return Err(self.client.closed_unwritten(self.address)),
+            Exchange::Unsent(_) => return Err(closed_unwritten(self.address)),
         };
         let body = reply.delimited_body(CONFIRM_TIMEOUT).await?;
         let stated = (self.probe.parse)(reply.headers(), &body);
@@ -118,7 +124,7 @@
     }
 }
 
-fn gone(error: SendError) -> Unconfirmed {
+fn gone(error: &SendError) -> Unconfirmed {
     Unconfirmed::Gone {
         reason: error.to_string(),
     }
