Balance: one constant for the calls sent beyond the shown room

shown_room::UNSHOWN_CALLS_COUNT and place_share::MAX_REFUSALS_PER_SENDER said the same: an instance sends two calls beyond the room that a target has shown, so it causes at most two refusals before it hears of the first. place_share now derives its bound from the former. Behaviour unchanged.

--- a/crates/balance/src/place_share.rs
+++ b/crates/balance/src/place_share.rs
@@ -1,15 +1,13 @@
 //! This instance's part of the places of a target that must not be sent more calls than it has places.
 
 use {
-    crate::rendezvous,
+    crate::{rendezvous, shown_room::UNSHOWN_CALLS_COUNT},
     std::{cmp::Reverse, time::Duration},
 };
 
 /// Places of a target that one instance uses at least. With fewer, calls would find no place at one
 /// instance while another one has some.
 const MIN_PLACES_PER_SENDER: u32 = 8;
-/// Refusals that one instance may cause at a full target before it has heard of the first.
-const MAX_REFUSALS_PER_SENDER: f64 = 2.0;
 /// Time after which an instance uses a larger part, so that others have given it up before.
 const RAISE_DELAY: Duration = Duration::from_secs(2);
 
@@ -30,8 +28,9 @@
     #[must_use]
     pub fn senders_count(&self, instances_count: u32) -> u32 {
         let with_enough_places = self.places_count / MIN_PLACES_PER_SENDER;
+        let max_refusals_per_sender = f64::from(UNSHOWN_CALLS_COUNT);
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let within_bound = (self.max_refusals_per_s.max(0.0) / MAX_REFUSALS_PER_SENDER) as u32;
+        let within_bound = (self.max_refusals_per_s.max(0.0) / max_refusals_per_sender) as u32;
         let senders_count = with_enough_places.min(within_bound).max(1);
         senders_count.min(instances_count.max(1))
     }
--- a/crates/balance/src/shown_room.rs
+++ b/crates/balance/src/shown_room.rs
@@ -5,8 +5,9 @@
 /// Time for which a call that was taken shows room, at least; at most twice as long.
 const SHOWN_TIME: Duration = Duration::from_secs(2);
 /// Number of calls that are sent beyond the room that was shown, before more is shown. If there is none,
-/// the target refuses so many before the first refusal is heard, however late that is.
-const UNSHOWN_CALLS_COUNT: u32 = 2;
+/// the target refuses so many before the first refusal is heard, however late that is; so this is also the
+/// number of refusals that one instance may cause at a full target.
+pub(crate) const UNSHOWN_CALLS_COUNT: u32 = 2;
 
 /// Largest number of calls of this instance that a target has lately had at the same time without
 /// refusing the last of them. Times are by any clock that does not go back.
