Relay: record what an answer states under one lock

TargetStats::observe_answer took and released the lock of its target up to six times for each answer, once for each kind of statement. What is recorded is now a function of Observations, which one holder of the lock calls. LimitObservation has a file of its own.

Behaviour unchanged.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,7 +38,9 @@
 mod event_stream;
 mod forwarded_stream;
 mod header_format;
+mod limit_observation;
 mod not_run;
+mod observations;
 mod observed_answer;
 mod outbound_metadata;
 mod pass_on;
@@ -76,6 +78,7 @@
     boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
     header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata},
+    limit_observation::LimitObservation,
     not_run::{NotRun, NotSent},
     refusal::{Declined, LostAnswer, Reason, Refusal},
     relay::{CallSource, Relay, RelaySettings, RelayState},
@@ -86,7 +89,7 @@
     suspect_reports::SuspectReports,
     target_reachability::TargetReachability,
     target_statements::{MalformedHeader, RetryAfter, Stated, TargetStatements},
-    target_stats::{InFlightGuard, LimitObservation, TargetStats},
+    target_stats::{InFlightGuard, TargetStats},
     turned_away::TurnedAway,
     view::{Absence, LoadedModel, Named, Peer, TargetState, View},
     wanted_versions::{WantedVersion, WantedVersions},
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -2,21 +2,19 @@
 
 use {
     crate::{
-        NewStatement, Stated, TargetStatements,
+        LimitObservation, NewStatement, TargetStatements,
+        observations::Observations,
         refusal_bound::KnownBound,
-        target_conditions::{CallContext, NextCall, TargetConditions},
-        target_limit::TargetLimit,
+        target_conditions::{CallContext, NextCall},
     },
-    balance::{BoundedPlaces, CallOutcome, Health, StartDelay},
-    catalog::ModelId,
+    balance::{BoundedPlaces, CallOutcome},
     hyper::StatusCode,
     std::{
-        collections::HashMap,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU32, Ordering},
         },
-        time::{Duration, SystemTime},
+        time::Duration,
     },
 };
 
@@ -27,15 +25,6 @@
 /// Time from the restart of a target under its id until its new registration is known.
 const RESTART_NEWS_TIME: Duration = Duration::from_millis(2_500);
 
-/// What a target's last answer to this instance said of a limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitObservation {
-    /// The limit in calls per second of all instances together; `None` if the answer stated none.
-    pub limit_per_s: Option<f64>,
-    /// When the answer came, by [`crate::boot_time`].
-    pub answered_at: Duration,
-}
-
 /// What this instance has observed of a target by its own calls. Shared by successive views.
 ///
 /// Times are relative to the start of the relay.
@@ -45,32 +34,6 @@
     observations: Mutex<Observations>,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Observations {
-    health: Health,
-    start_delay: StartDelay,
-    /// Time until which calls go to other targets, if there are any.
-    paused_until: Duration,
-    /// Newest version of each model's weights that answers have shown.
-    versions: HashMap<ModelId, u64>,
-    /// When the last answer came, which stated a limit or none, by [`crate::boot_time`].
-    answered_at: Option<Duration>,
-    /// Whether an answer had a header that cannot be read.
-    has_malformed_header: bool,
-    /// What the target has stated of itself.
-    conditions: TargetConditions,
-    /// When the target last broke off a connection, by [`crate::boot_time`].
-    disconnected_at: Option<Duration>,
-}
-
-impl Observations {
-    /// Returns the limit, created with `limit_per_s` if there is none.
-    fn limit_or_new(&mut self, limit_per_s: f64, now: Duration) -> &mut TargetLimit {
-        let limit = &mut self.conditions.limit;
-        limit.get_or_insert_with(|| TargetLimit::new(limit_per_s, now, rand::random()))
-    }
-}
-
 impl TargetStats {
     /// Number of calls that this instance has in flight at the target.
     #[must_use]
@@ -115,12 +78,6 @@
         self.lock().start_delay.expected(now)
     }
 
-    /// Records how many refusals per second the target bears, as an answer states; `None` if it
-    /// states no bound. Returns whether that is new.
-    fn record_refusal_bound(&self, max_per_s: Option<f64>, now: Duration) -> bool {
-        self.lock().conditions.refusal_bound.state(max_per_s, now)
-    }
-
     /// Bound on the target's refusals; `None` if none is known.
     pub(crate) fn refusal_bound(&self, call: &CallContext<'_>) -> Option<KnownBound> {
         self.lock().conditions.refusal_bound.known(call)
@@ -169,18 +126,7 @@
         statements: &TargetStatements,
         now: Duration,
     ) -> Vec<NewStatement> {
-        let mut news = Vec::new();
-        let conditions = &mut self.lock().conditions;
-        if statements.is_leaving == Some(Stated::Valid(true)) && !conditions.is_leaving {
-            conditions.is_leaving = true;
-            news.push(NewStatement::Leaving);
-        }
-        if let Some(delay) = requested_backoff(status, statements)
-            && conditions.backoff.request(delay, now)
-        {
-            news.push(NewStatement::Backoff(delay));
-        }
-        news
+        self.lock().observe_report(status, statements, now)
     }
 
     /// Records what an answer to a call states. Returns what is new.
@@ -190,27 +136,7 @@
         statements: &TargetStatements,
         now: Duration,
     ) -> Vec<NewStatement> {
-        let mut news = self.observe_report(status, statements, now);
-        if requested_backoff(status, statements).is_none() {
-            self.lock().conditions.backoff.record_answer(now);
-        }
-        if self.record_malformed(!statements.malformed.is_empty()) {
-            let malformed = statements.malformed.iter().cloned();
-            news.extend(malformed.map(NewStatement::Malformed));
-        }
-        let max_refusals_per_s = statements.max_refusals_per_s.and_then(Stated::valid);
-        if self.record_refusal_bound(max_refusals_per_s, now) {
-            news.push(NewStatement::MaxRefusals(max_refusals_per_s));
-        }
-        if statements.limit_per_s != Some(Stated::Invalid) {
-            let limit_per_s = statements.limit_per_s.and_then(Stated::valid);
-            let before = self.limit_observation().and_then(|it| it.limit_per_s);
-            self.record_limit(limit_per_s, now);
-            if before != limit_per_s {
-                news.push(NewStatement::Limit(limit_per_s));
-            }
-        }
-        news
+        self.lock().observe_answer(status, statements, now)
     }
 
     /// Records that the target broke off a connection at `now`, by [`crate::boot_time`]: it may have
@@ -261,14 +187,7 @@
     /// Records the limit that an answer states, in calls per second of all instances together;
     /// `None` if it states none. `now` is by [`crate::boot_time`], as all times of limits are.
     pub fn record_limit(&self, limit_per_s: Option<f64>, now: Duration) {
-        let mut observations = self.lock();
-        observations.answered_at = Some(now);
-        match limit_per_s {
-            Some(limit_per_s) => observations
-                .limit_or_new(limit_per_s, now)
-                .state(limit_per_s, now),
-            None => observations.conditions.limit = None,
-        }
+        self.lock().record_limit(limit_per_s, now);
     }
 
     /// Applies a limit that another instance announces. It replaces an earlier announcement, but
@@ -294,22 +213,7 @@
     /// What the last answer to this instance said of a limit; `None` before the first answer.
     #[must_use]
     pub fn limit_observation(&self) -> Option<LimitObservation> {
-        let observations = self.lock();
-        let answered_at = observations.answered_at?;
-        let limit = observations.conditions.limit.as_ref();
-        let stated = limit.filter(|limit| limit.stated_at() == Some(answered_at));
-        Some(LimitObservation {
-            limit_per_s: stated.map(TargetLimit::limit_per_s),
-            answered_at,
-        })
-    }
-
-    /// Records whether an answer has a malformed header. Returns whether it is the first such answer.
-    pub(crate) fn record_malformed(&self, is_malformed: bool) -> bool {
-        let mut observations = self.lock();
-        let was_malformed = observations.has_malformed_header;
-        observations.has_malformed_header |= is_malformed;
-        is_malformed && !was_malformed
+        self.lock().limit_observation()
     }
 
     /// When this instance may send the target a call.
@@ -333,16 +237,6 @@
     }
 }
 
-/// Time for which an answer asks for no calls. Only a refusal because of the target's own state does:
-/// 429 is about the rate of one caller.
-fn requested_backoff(status: StatusCode, statements: &TargetStatements) -> Option<Duration> {
-    if status != StatusCode::SERVICE_UNAVAILABLE {
-        return None;
-    }
-    let retry_after = statements.retry_after?.valid()?;
-    Some(retry_after.delay(SystemTime::now()))
-}
-
 /// Counts a call as in flight until dropped.
 #[derive(Debug)]
 pub struct InFlightGuard {
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -213,7 +213,7 @@
     let present = successor.borrow().clone();
     match present {
         None | Some(Successor::Proxy) => {}
-        Some(Successor::SilentProxy) => sleep(Duration::from_secs(60)).await,
+        Some(Successor::SilentProxy) => sleep(Duration::from_mins(1)).await,
         Some(Successor::Target(name, started_unix_ms)) => {
             let mut buffer = Vec::new();
             while read_call(&mut stream, &mut buffer).await.is_some() {
