Relay: split the call in progress by job

active_call.rs held what a call is, the loop over targets and the sending of one attempt in 459 lines. The loop is now in call_attempts.rs (154), one attempt in sent_attempt.rs (134), the rest stays (200). Lines are moved only; instances_count and send became pub(crate).

--- /dev/null
+++ b/crates/relay/src/sent_attempt.rs
@@ -0,0 +1,134 @@
+//! Sends a call to one target once, and records what that shows of the call.
+
+use {
+    crate::{
+        HeaderFormat, ReplyMetadata,
+        active_call::ActiveCall,
+        attempt::{AttemptOutcome, AttemptParams, TargetAnswer, attempt},
+        boot_time,
+        call_recorder::CallRecorder,
+        observed_answer::ObservedAnswer,
+        pick::PickedTarget,
+        silent_target::AttemptTimeout,
+    },
+    http_body_util::Full,
+    hyper::Request,
+    std::{sync::OnceLock, time::Instant},
+    target::{Reply, Reuse},
+};
+
+impl<Format> ActiveCall<Format>
+where
+    Format: HeaderFormat,
+{
+    /// Sends the call to one target and reads its answer, or the first event of its stream.
+    ///
+    /// Plans the cache transfers, which reserves time on the links of stores. Afterwards updates
+    /// [`ActiveCall::may_have_run_count`] and the target's start delay. For a prompt that is not
+    /// streamed, the recorded start delay spans the whole answer.
+    pub(crate) async fn send(
+        &mut self,
+        picked: &PickedTarget,
+        last_event_id: Option<u64>,
+        recorder: &mut CallRecorder,
+    ) -> AttemptOutcome<TargetAnswer> {
+        let target = &picked.target;
+        let plan = self.plan_part_transfers(picked, recorder);
+        let metadata = self.outbound_metadata(picked, last_event_id, &plan);
+        let sent = Instant::now();
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = self
+            .inner
+            .header_format
+            .target_headers(&self.head.headers, &metadata);
+        self.sent_at.send_replace(None);
+        let handed_over = self.holder.hand_to_target();
+        let time_left = self.time_left();
+        let start_timeout = AttemptTimeout { call: self };
+        let observed = OnceLock::new();
+        let observe = |reply: &Reply, metadata: &ReplyMetadata| {
+            self.observe_answer(picked, reply.status(), metadata);
+            let _ = observed.set(ObservedAnswer::new(reply, metadata));
+        };
+        let params = AttemptParams {
+            target,
+            health_path: self.health_path(),
+            id: &self.admitted.call.id,
+            reuse: Reuse::Allowed,
+            start_timeout: &start_timeout,
+            deadline: sent + time_left,
+            answer_memory: &self.inner.answer_memory,
+            stream: self.retry_policy().is_stream(),
+            position: self.stream_position(last_event_id),
+            observe,
+        };
+        let outcome = attempt(
+            &self.inner.client,
+            &self.inner.header_format,
+            request,
+            params,
+            handed_over,
+        )
+        .await;
+        if let Some(observed) = observed.get() {
+            recorder.record_observed(observed);
+        }
+        if let AttemptOutcome::Unknown {
+            turned_away: Some(turned_away),
+            ..
+        } = &outcome
+        {
+            recorder.count_turned_away(*turned_away);
+        }
+        if matches!(
+            outcome,
+            AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { .. }
+        ) {
+            self.may_have_run_count += 1;
+        } else {
+            self.sent_at.send_replace(None);
+        }
+        let has_prompt = self.admitted.call.prompt.is_some();
+        if has_prompt
+            && matches!(
+                outcome,
+                AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { .. }
+            )
+        {
+            // An attempt without an answer shows that the start takes at least this long.
+            let now = self.inner.origin.elapsed();
+            target.call_stats.record_start_delay(sent.elapsed(), now);
+        }
+        if let AttemptOutcome::Answered(answer) = &outcome
+            && answer.has_begun()
+        {
+            self.record_answered();
+        }
+        if has_prompt && matches!(outcome, AttemptOutcome::Answered(_)) {
+            let mut cache_index = self.inner.state.cache_index();
+            cache_index.record_first_event(&plan, sent.elapsed(), boot_time());
+        }
+        if !matches!(outcome, AttemptOutcome::Answered(_)) {
+            self.in_flight = None;
+        }
+        outcome
+    }
+
+    /// Path of the health check of the call's pool; empty if there is none.
+    fn health_path(&self) -> &str {
+        let pool = self.admitted.table.config().pools.get(&self.pool);
+        pool.map_or("", |pool| pool.health_path.as_str())
+    }
+}
+
+/// Text for the log that describes the outcome of an attempt.
+pub(crate) fn describe_outcome(outcome: &AttemptOutcome<TargetAnswer>) -> String {
+    match outcome {
+        AttemptOutcome::Answered(answer) => format!("answered {}", answer.status.as_u16()),
+        AttemptOutcome::NotSent(reason, _) => format!("not sent: {reason}"),
+        AttemptOutcome::NotRun(status, ..) => format!("not run: {}", status.as_u16()),
+        AttemptOutcome::Unknown { reason, .. } => format!("unknown: {reason}"),
+    }
+}
--- a/crates/relay/src/silent_target.rs
+++ b/crates/relay/src/silent_target.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         HeaderFormat, InFlightGuard,
-        active_call::{ActiveCall, MAX_TRIED_TARGETS_COUNT, MIN_TIME_LEFT},
+        active_call::{ActiveCall, MIN_TIME_LEFT},
         boot_time,
+        call_attempts::MAX_TRIED_TARGETS_COUNT,
     },
     std::{
         sync::atomic::Ordering,
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -3,10 +3,11 @@
 use {
     crate::{
         HeaderFormat, ReplyMetadata,
-        active_call::{ActiveCall, describe_outcome},
+        active_call::ActiveCall,
         attempt::{AttemptOutcome, TargetAnswer},
         boot_time,
         pick::PickedTarget,
+        sent_attempt::describe_outcome,
         statement_log,
     },
     balance::CallOutcome,
