--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod body_memory;
 mod boot_clock;
 mod call;
+mod call_attempts;
 mod call_holder;
 mod call_origin;
 mod call_recorder;
@@ -38,7 +39,9 @@
 mod event_stream;
 mod forwarded_stream;
 mod header_format;
+mod limit_observation;
 mod not_run;
+mod observations;
 mod observed_answer;
 mod outbound_metadata;
 mod pass_on;
@@ -52,6 +55,7 @@
 mod requested_backoff;
 mod retry_budgets;
 mod salt;
+mod sent_attempt;
 mod shutdown;
 mod silent_target;
 mod statement_log;
@@ -76,6 +80,7 @@
     boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
     header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata},
+    limit_observation::LimitObservation,
     not_run::{NotRun, NotSent},
     refusal::{Declined, LostAnswer, Reason, Refusal},
     relay::{CallSource, Relay, RelaySettings, RelayState},
@@ -86,7 +91,7 @@
     suspect_reports::SuspectReports,
     target_reachability::TargetReachability,
     target_statements::{MalformedHeader, RetryAfter, Stated, TargetStatements},
-    target_stats::{InFlightGuard, LimitObservation, TargetStats},
+    target_stats::{InFlightGuard, TargetStats},
     turned_away::TurnedAway,
     view::{Absence, LoadedModel, Named, Peer, TargetState, View},
     wanted_versions::{WantedVersion, WantedVersions},
