Target: an unframed answer is complete only if a connection beside it outlives it

By reading: a cut of the path (all connections end with FIN, the target lives) looked like a regular end.

Change: a task opens a connection beside the answer, opens it again if it ends, and asks on it 20 ms after the answer. It must not have ended within 500 ms before the answer's end, and what the target says must not be of another id or start. A proxy's own answer says nothing of a target and shows nothing. While the target is asked, its silence moves no stream.

A refusal's body without framing is dropped without the check.

--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -18,7 +18,7 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    target::{Incarnation, IncarnationProbe},
+    target::IncarnationProbe,
 };
 
 /// Plain-text formats. The keys are `operators/configuration` (value: a version, and the addresses of
@@ -125,14 +125,8 @@
         })
     }
 
-    fn incarnation_probe(&self, target: &TargetState, health_path: &str) -> IncarnationProbe {
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = health_path.parse().unwrap_or_default();
-        IncarnationProbe {
-            request,
-            expected: Incarnation::default().target(target.id.clone()),
-            parse: |_, _| Incarnation::default(),
-        }
+    fn incarnation_probe(&self, _: &TargetState, _: &str) -> Option<IncarnationProbe> {
+        None
     }
 
     fn target_headers(&self, headers: &HeaderMap, metadata: &OutboundMetadata) -> HeaderMap {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -173,8 +173,9 @@
     if status.is_success() && !metadata.has_proof {
         return TurnedAway::NoProof.into();
     }
-    if reply.ends_with_connection() {
-        let probe = header_format.incarnation_probe(target, params.health_path);
+    if reply.ends_with_connection()
+        && let Some(probe) = header_format.incarnation_probe(target, params.health_path)
+    {
         reply.expect_incarnation(probe);
     }
     read_answer(reply, metadata, &params).await
@@ -194,7 +195,7 @@
 /// Reads the body of a target's refusal, so that its connection can be reused. A body that is long,
 /// slow or ends with the connection is not worth the wait.
 async fn read_refusal(mut reply: Reply) {
-    let body = reply.limited_body(MAX_REFUSAL_BYTES, REFUSAL_BODY_TIMEOUT);
+    let body = reply.discard_body(MAX_REFUSAL_BYTES, REFUSAL_BODY_TIMEOUT);
     if let Err(error) = body.await {
         log::debug!("could not read the body of a target's refusal: {error}");
     }
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Whether all of it has been read, and its target has not yet shown that it is complete.
+    pub(crate) fn is_unconfirmed(&self) -> bool {
+        self.reply.is_unconfirmed()
+    }
+
     /// Closes the connection to the target; reading fails from now on.
     pub(crate) fn close(&mut self) {
         self.reply.close();
--- a/crates/relay/src/header_format.rs
+++ b/crates/relay/src/header_format.rs
@@ -70,8 +70,12 @@
     fn parse_reply(&self, headers: &HeaderMap) -> ReplyMetadata;
 
     /// Asks `target` whether the process that its registration names still runs. `health_path` is the path
-    /// of the health check of its pool; empty if there is none.
-    fn incarnation_probe(&self, target: &TargetState, health_path: &str) -> IncarnationProbe;
+    /// of the health check of its pool; empty if there is none. `None` if the target cannot be asked.
+    fn incarnation_probe(
+        &self,
+        target: &TargetState,
+        health_path: &str,
+    ) -> Option<IncarnationProbe>;
 
     /// Headers of a target's answer that are passed on to the caller.
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap;
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -82,6 +82,7 @@
                     self.recorder.end_stream(whole);
                     return Ok(None);
                 }
+                Ok(StreamStep::Silent) if self.events.is_unconfirmed() => self.read().await?,
                 Ok(StreamStep::Silent) => match self.move_silent().await? {
                     Some(step) => step,
                     None => self.read().await?,
--- a/crates/relay/tests/killed_targets.rs
+++ b/crates/relay/tests/killed_targets.rs
@@ -93,10 +93,12 @@
     assert!(response.is_complete && response.text.contains("all of a body"));
 }
 
-/// Successors of a target `one` that show that it is gone.
-fn successors() -> [Successor; 3] {
+/// Who accepts at the address of a target `one` after all connections to it have ended: it itself if
+/// the path was cut for a moment.
+fn successors() -> [Successor; 4] {
     [
         Successor::Proxy,
+        Successor::Target("one".to_owned(), Some(STARTED_UNIX_MS)),
         Successor::Target("other".to_owned(), Some(STARTED_UNIX_MS + 1)),
         Successor::Target("one".to_owned(), Some(STARTED_UNIX_MS + 1)),
     ]
@@ -220,3 +222,51 @@
     let response = caller::read_response(killed).await;
     assert!(!response.is_complete, "{response:?}");
 }
+
+/// Guards against a sound answer counting as broken off because its end came together with its head.
+#[tokio::test]
+async fn short_answers_that_end_at_once_are_whole() {
+    for (path, body) in [
+        ("/stream/7", "id: 1\ndata: a\n\n"),
+        ("/once/7", "all of a body"),
+    ] {
+        let answer = Step::RespondThenEnd(unframed(body));
+        let target = ScriptedTarget::start("one", vec![answer]).await;
+        let target = target.without_start();
+        let relay = TestRelay::start(&[&target]).await;
+        let response = caller::call(relay.address, path, "").await;
+        assert!(
+            response.is_complete && response.text.contains(body),
+            "{path}: {response:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn answer_of_a_target_that_is_full_when_it_ends_is_whole() {
+    let answer = Step::RespondThenClose(unframed("all of a body"));
+    let target = ScriptedTarget::start("one", vec![answer]).await.full();
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/once/7", "").await;
+    assert!(
+        response.is_complete && response.status == 200,
+        "{response:?}"
+    );
+}
+
+/// Guards against a whole stream being sent elsewhere while its target takes long to say that it lives.
+#[tokio::test]
+async fn whole_stream_is_not_resumed_while_its_target_is_asked() {
+    let answer = Step::RespondThenClose(unframed("id: 1\ndata: a\n\n"));
+    let one = ScriptedTarget::start("one", vec![answer]).await.slow(1_500);
+    let two = ScriptedTarget::start("two", vec![]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let connection = caller::send(relay.address, "/gapped/7", "").await;
+    while one.arrived().is_empty() {
+        yield_now().await;
+    }
+    relay.add_target(&two);
+    let response = caller::read_response(connection).await;
+    assert!(response.is_complete, "{response:?}");
+    assert_eq!((one.identity_requests_count(), two.arrived().len()), (1, 0));
+}
--- a/crates/relay/tests/support/header_format.rs
+++ b/crates/relay/tests/support/header_format.rs
@@ -92,23 +92,29 @@
         }
     }
 
-    fn incarnation_probe(&self, target: &TargetState, _health_path: &str) -> IncarnationProbe {
+    fn incarnation_probe(
+        &self,
+        target: &TargetState,
+        _health_path: &str,
+    ) -> Option<IncarnationProbe> {
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = Uri::from_static("/identity");
         let expected = Incarnation::default()
             .target(target.id.clone())
             .started_unix_ms(target.started_unix_ms);
-        IncarnationProbe {
+        Some(IncarnationProbe {
             request,
             expected,
             parse: |headers, _| {
                 let text = |name: &str| headers.get(name).and_then(|it| it.to_str().ok());
-                Incarnation {
+                let stated = Incarnation {
                     target: text("target").map(str::to_owned),
                     started_unix_ms: text("started").and_then(|it| it.parse().ok()),
-                }
+                };
+                let is_refusal = headers.contains_key("not-run");
+                (is_refusal || stated != Incarnation::default()).then_some(stated)
             },
-        }
+        })
     }
 
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap {
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -6,7 +6,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex,
-            atomic::{AtomicBool, AtomicU32, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -49,7 +49,7 @@
 pub enum Successor {
     /// A proxy, which closes them without an answer.
     Proxy,
-    /// A proxy, which never answers.
+    /// A proxy, which keeps connections that carry no call and never answers.
     SilentProxy,
     /// A proxy, which closes new connections, and on those that carried a call still passes on what the
     /// target has written: who it is.
@@ -91,8 +91,12 @@
 struct State {
     /// Who answers in place of the target, once it is gone.
     successor: watch::Sender<Option<Successor>>,
-    /// Whether the target states its start time.
+    /// Whether the target does not state its start time.
     hides_start: AtomicBool,
+    /// Whether the target refuses to say which process it is, since it is full.
+    is_full: AtomicBool,
+    /// Time that it takes to say which process it is.
+    identity_delay_ms: AtomicU64,
     identity_requests_count: AtomicU32,
     script: Mutex<VecDeque<Step>>,
     arrived: Mutex<Vec<Arrived>>,
@@ -101,6 +105,22 @@
     listener: Mutex<Option<AbortHandle>>,
 }
 
+impl State {
+    /// Answers the question which process this is.
+    async fn say_identity(&self, stream: &mut TcpStream, name: &str) {
+        self.identity_requests_count.fetch_add(1, Ordering::Relaxed);
+        let delay_ms = self.identity_delay_ms.load(Ordering::Relaxed);
+        sleep(Duration::from_millis(delay_ms)).await;
+        let is_hidden = self.hides_start.load(Ordering::Relaxed);
+        let answer = if self.is_full.load(Ordering::Relaxed) {
+            answer("503 Service Unavailable", "not-run: 1\r\n", "")
+        } else {
+            identity(name, (!is_hidden).then_some(STARTED_UNIX_MS))
+        };
+        let _ = stream.write_all(answer.as_bytes()).await;
+    }
+}
+
 impl ScriptedTarget {
     /// Starts a target that follows `script`, then answers every further call with success.
     pub async fn start(name: &str, script: Vec<Step>) -> Self {
@@ -137,6 +157,19 @@
         self
     }
 
+    /// Has the target refuse, without its name, to say which process it is.
+    pub fn full(self) -> Self {
+        self.state.is_full.store(true, Ordering::Relaxed);
+        self
+    }
+
+    /// Has the target take this time to say which process it is.
+    pub fn slow(self, delay_ms: u64) -> Self {
+        let delay = &self.state.identity_delay_ms;
+        delay.store(delay_ms, Ordering::Relaxed);
+        self
+    }
+
     /// How often the target was asked which process it is.
     pub fn identity_requests_count(&self) -> u32 {
         self.state.identity_requests_count.load(Ordering::Relaxed)
@@ -223,7 +256,7 @@
                 state_identity(&mut stream, &name, Some(STARTED_UNIX_MS)).await;
             }
         }
-        Some(Successor::SilentProxy | Successor::Target(..)) if was_opened_before => {}
+        Some(Successor::Target(..)) if was_opened_before => {}
         Some(Successor::SilentProxy) => sleep(Duration::from_mins(1)).await,
         Some(Successor::Target(name, started_unix_ms)) => {
             state_identity(&mut stream, &name, started_unix_ms).await;
@@ -256,14 +289,7 @@
     let mut buffer = Vec::new();
     while let Some(head) = read_call(stream, &mut buffer).await {
         if is_identity_request(&head) {
-            state
-                .identity_requests_count
-                .fetch_add(1, Ordering::Relaxed);
-            let is_hidden = state.hides_start.load(Ordering::Relaxed);
-            let started_unix_ms = (!is_hidden).then_some(STARTED_UNIX_MS);
-            let _ = stream
-                .write_all(identity(name, started_unix_ms).as_bytes())
-                .await;
+            state.say_identity(stream, name).await;
             continue;
         }
         calls_count.fetch_add(1, Ordering::Relaxed);
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -92,13 +92,14 @@
     opened: Instant,
     /// Requests that were sent on it, the present one included.
     requests_count: u32,
-    _driver: AbortOnDropHandle<Result<(), hyper::Error>>,
+    driver: AbortOnDropHandle<Result<(), hyper::Error>>,
 }
 
 impl Connection {
-    /// When it was opened.
-    pub(crate) fn opened(&self) -> Instant {
-        self.opened
+    /// Waits until it has ended. Do not wait again afterwards.
+    pub(crate) async fn ended(&mut self) {
+        // An error is an end like any other.
+        let _ = (&mut self.driver).await;
     }
 
     /// Time since it was opened.
@@ -255,7 +256,7 @@
             sender,
             opened: Instant::now(),
             requests_count: 0,
-            _driver: AbortOnDropHandle::new(tokio::spawn(driver)),
+            driver: AbortOnDropHandle::new(tokio::spawn(driver)),
         })
     }
 
--- a/crates/target/src/incarnation.rs
+++ b/crates/target/src/incarnation.rs
@@ -16,8 +16,8 @@
 /// let begun = Incarnation::default().target("engine-1").started_unix_ms(1_000);
 /// let restarted = Incarnation::default().target("engine-1").started_unix_ms(2_000);
 /// let nameless = Incarnation::default().started_unix_ms(1_000);
-/// assert!(!begun.is_shown_by(&restarted, true));
-/// assert!(begun.is_shown_by(&nameless, false));
+/// assert!(!begun.agrees_with(&restarted));
+/// assert!(begun.agrees_with(&nameless));
 /// ```
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Incarnation {
@@ -46,25 +46,27 @@
         self
     }
 
-    /// Whether `answered`, which a process states of itself now, shows that it is this incarnation.
-    ///
-    /// The same start shows it, since two processes at one address do not start at the same time. Without a
-    /// start on either side, the same id does if the process was there before: its connection was opened
-    /// while this incarnation still answered (`was_there_before`).
+    /// Whether `stated`, which a process says of itself, may be said of this incarnation: neither its id nor
+    /// its start is another one.
     #[must_use]
-    pub fn is_shown_by(&self, answered: &Self, was_there_before: bool) -> bool {
-        if let (Some(own), Some(stated)) = (&self.target, &answered.target)
-            && own != stated
-        {
-            return false;
-        }
-        match (self.started_unix_ms, answered.started_unix_ms) {
-            (Some(own), Some(stated)) => own == stated,
-            _ => was_there_before && self.target.is_some() && self.target == answered.target,
-        }
+    pub fn agrees_with(&self, stated: &Self) -> bool {
+        let is_same_target = are_equal(self.target.as_ref(), stated.target.as_ref());
+        is_same_target
+            && are_equal(
+                self.started_unix_ms.as_ref(),
+                stated.started_unix_ms.as_ref(),
+            )
     }
 }
 
+/// Whether two values are equal, as far as both are known.
+fn are_equal<Value>(one: Option<&Value>, other: Option<&Value>) -> bool
+where
+    Value: PartialEq,
+{
+    one.is_none() || other.is_none() || one == other
+}
+
 /// Asks a target which incarnation answers at its address.
 #[derive(Clone, Debug)]
 pub struct IncarnationProbe {
@@ -72,6 +74,7 @@
     pub request: Request<Full<Bytes>>,
     /// Incarnation that must answer.
     pub expected: Incarnation,
-    /// What an answer with these headers and this body, which may be empty, states.
-    pub parse: fn(&HeaderMap, &[u8]) -> Incarnation,
+    /// What an answer with these headers and this body, which may be empty, states; `None` if nothing shows
+    /// that a target sent it, rather than something before it.
+    pub parse: fn(&HeaderMap, &[u8]) -> Option<Incarnation>,
 }
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -14,10 +14,7 @@
         header::{self, HeaderMap},
     },
     serde::de::DeserializeOwned,
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, time::Duration},
     tokio::time::timeout,
 };
 
@@ -46,8 +43,8 @@
 enum BodyState {
     /// More may follow.
     Open,
-    /// Its connection ended, and with it the body, at this time. Whether it is complete is not known.
-    Ended(Instant),
+    /// Its connection has ended, and with it the body. Whether it is complete is not known yet.
+    Ended,
     /// It is complete.
     Complete(WholeBody),
     /// It broke off, or its connection was closed here.
@@ -129,10 +126,8 @@
     }
 
     /// Prepares for the end of a body that has neither a length nor chunks. `probe` asks the target
-    /// whether the process that answers still runs; without it, such a body is never complete.
-    ///
-    /// Call this once the head of the answer has arrived: connections that are opened while the body
-    /// arrives can show more than later ones.
+    /// whether the process that answers still runs; without it, such a body is never complete. Opens another
+    /// connection to the target, on which it is asked.
     pub fn expect_incarnation(&mut self, probe: IncarnationProbe) {
         if self.ends_with_connection {
             let witness = Witness::new(self.client.clone(), self.address, probe);
@@ -163,8 +158,8 @@
         if let Some(data) = self.next_data().await? {
             return Ok(BodyPart::Data(data));
         }
-        if let BodyState::Ended(ended) = self.body_state {
-            self.body_state = match self.confirm_end(ended).await {
+        if self.body_state == BodyState::Ended {
+            self.body_state = match self.confirm_end().await {
                 Ok(whole) => BodyState::Complete(whole),
                 Err(unconfirmed) => {
                     self.body_state = BodyState::Failed;
@@ -191,7 +186,7 @@
         while self.body_state == BodyState::Open {
             match self.response.body_mut().frame().await {
                 None if self.ends_with_connection => {
-                    self.body_state = BodyState::Ended(Instant::now());
+                    self.body_state = BodyState::Ended;
                 }
                 None => self.body_state = BodyState::Complete(WholeBody::new(BodyEnd::Framing)),
                 Some(Err(error)) => {
@@ -209,12 +204,33 @@
     }
 
     /// Has the target show that a body is complete that ended with its connection.
-    async fn confirm_end(&mut self, ended: Instant) -> Result<WholeBody, Unconfirmed> {
+    async fn confirm_end(&mut self) -> Result<WholeBody, Unconfirmed> {
         let witness = self.witness.as_mut().ok_or(Unconfirmed::NoProbe)?;
-        witness.confirm(ended).await?;
+        witness.confirm().await?;
         Ok(WholeBody::new(BodyEnd::Connection))
     }
 
+    /// Whether the body has ended with its connection, and the target has not yet shown that it is complete.
+    #[must_use]
+    pub fn is_unconfirmed(&self) -> bool {
+        self.body_state == BodyState::Ended
+    }
+
+    /// Reads and drops a body of at most `max_bytes`, so that its connection can be reused.
+    ///
+    /// # Errors
+    /// [`SendError::Unknown`] if the body is truncated by its framing, larger, or has not ended within
+    /// `body_timeout`.
+    pub async fn discard_body(
+        &mut self,
+        max_bytes: usize,
+        body_timeout: Duration,
+    ) -> Result<(), SendError> {
+        let read = timeout(body_timeout, self.read_delimited(max_bytes)).await;
+        read.unwrap_or_else(|_| Err(self.not_in_time(body_timeout)))?;
+        Ok(())
+    }
+
     /// Closes the connection, so that the target stops the request; reading the body fails from now
     /// on.
     pub fn close(&mut self) {
@@ -296,20 +312,20 @@
     /// [`SendError::Unknown`] if the body is truncated by its framing, larger than 16 MiB or has not ended
     /// within `body_timeout`.
     pub async fn delimited_body(&mut self, body_timeout: Duration) -> Result<Bytes, SendError> {
-        let read = timeout(body_timeout, self.read_delimited()).await;
+        let read = timeout(body_timeout, self.read_delimited(MAX_ANSWER_BYTES)).await;
         read.unwrap_or_else(|_| Err(self.not_in_time(body_timeout)))
     }
 
-    async fn read_delimited(&mut self) -> Result<Bytes, SendError> {
+    async fn read_delimited(&mut self, max_bytes: usize) -> Result<Bytes, SendError> {
         let mut body = BytesMut::new();
         while let Some(data) = self.next_data().await? {
-            check_length(self.address, body.len() + data.len(), MAX_ANSWER_BYTES)?;
+            check_length(self.address, body.len() + data.len(), max_bytes)?;
             body.extend_from_slice(&data);
         }
         match self.body_state {
             BodyState::Failed => return Err(self.unknown("it was closed".to_owned(), false)),
             BodyState::Complete(_) => self.release_connection(),
-            BodyState::Open | BodyState::Ended(_) => {}
+            BodyState::Open | BodyState::Ended => {}
         }
         Ok(body.freeze())
     }
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -3,20 +3,27 @@
 use {
     crate::{
         Client, IncarnationProbe, SendError,
-        client::{Connection, Exchange, closed_unwritten},
+        client::{Connection, Exchange, PROCESS_EXIT_TIME, closed_unwritten},
     },
     snafu::Snafu,
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    tokio::time::timeout_at,
+    tokio::{
+        sync::oneshot,
+        time::{sleep, timeout},
+    },
     tokio_util::task::AbortOnDropHandle,
 };
 
-/// Time within which a target must show that the process that began an answer still runs. Shorter than
-/// callers wait for the next event of a stream.
+/// Time within which a target must say which process it is. Shorter than callers wait for the next event
+/// of a stream.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause before a connection beside the answer is opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(200);
+/// Time between the ends of two connections that may have had one cause, also if both are noticed late.
+const COMMON_END_TIME: Duration = Duration::from_millis(500);
 
 /// Why nothing shows that a body is complete that ended with its connection.
 #[derive(Clone, Debug, Snafu)]
@@ -26,12 +33,10 @@
         "it ended with its connection, and nothing can show that it is complete; have the target send a length or chunks"
     ))]
     NoProbe,
-    /// No process answers at the address.
-    #[snafu(display(
-        "it ended with its connection, and its process does not answer any more ({reason})"
-    ))]
+    /// The other connection to the process has ended too, or could not be opened.
+    #[snafu(display("it ended with its connection, and so did the one beside it ({reason})"))]
     Gone { reason: String },
-    /// Another process answers at the address.
+    /// Another process answers.
     #[snafu(display("it ended with its connection, and another process answers there now"))]
     Replaced,
     /// Nothing answers in time.
@@ -42,82 +47,106 @@
     Silent,
 }
 
-/// Shows whether the process that answers a request still runs.
+impl From<SendError> for Unconfirmed {
+    fn from(error: SendError) -> Self {
+        Self::Gone {
+            reason: error.to_string(),
+        }
+    }
+}
+
+/// Shows whether the process that sends an answer still runs once the answer has ended with its
+/// connection. Beside the answer it keeps another connection to the process, on which it asks. If the process
+/// was killed or the path to it was cut, that one has ended as well. Dropping it closes the connection.
 pub(crate) struct Witness {
-    client: Client,
-    address: SocketAddr,
-    probe: IncarnationProbe,
-    /// Connection to the same process, opened while the answer arrives.
-    connecting: Option<AbortOnDropHandle<Option<Connection>>>,
+    ended: Option<oneshot::Sender<()>>,
+    confirming: AbortOnDropHandle<Result<(), Unconfirmed>>,
+    confirmed: Option<Result<(), Unconfirmed>>,
 }
 
 impl Witness {
     /// Begins to open a connection to the process at `address`, which is answering a request.
     pub(crate) fn new(client: Client, address: SocketAddr, probe: IncarnationProbe) -> Self {
-        let opener = client.clone();
-        let connecting = tokio::spawn(async move { opener.connect(address).await.ok() });
-        Self {
+        let (sender, ended) = oneshot::channel();
+        let beside = BesideAnswer {
             client,
             address,
             probe,
-            connecting: Some(AbortOnDropHandle::new(connecting)),
+        };
+        Self {
+            ended: Some(sender),
+            confirming: AbortOnDropHandle::new(tokio::spawn(beside.confirm_after(ended))),
+            confirmed: None,
         }
     }
 
-    /// Has the process show that it still runs, after its answer ended with its connection at `ended`.
-    pub(crate) async fn confirm(&mut self, ended: Instant) -> Result<(), Unconfirmed> {
-        let deadline = ended + CONFIRM_TIMEOUT;
-        let confirmed = timeout_at(deadline.into(), self.ask(ended)).await;
-        confirmed.unwrap_or(Err(Unconfirmed::Silent))
-    }
-
-    /// Asks on the connection that was opened while the answer arrived, and on a new one if it has ended.
-    /// Neither has carried another request, whose late answer could be taken for this one.
-    async fn ask(&mut self, ended: Instant) -> Result<(), Unconfirmed> {
-        if let Some(connection) = self.older_connection().await
-            && let Ok(stated) = self.ask_on(connection, ended).await
-        {
-            return stated;
+    /// Has the process show that it still runs, now that its answer has ended with its connection. Dropping
+    /// the future loses nothing.
+    pub(crate) async fn confirm(&mut self) -> Result<(), Unconfirmed> {
+        if let Some(ended) = self.ended.take() {
+            // The task that receives it ends later.
+            let _ = ended.send(());
+        }
+        if self.confirmed.is_none() {
+            let confirmed = (&mut self.confirming).await;
+            self.confirmed = Some(confirmed.unwrap_or(Err(Unconfirmed::NoProbe)));
         }
-        let connection = self.client.connect(self.address).await?;
-        self.ask_on(connection, ended).await?
+        self.confirmed.clone().unwrap_or(Err(Unconfirmed::NoProbe))
     }
+}
 
-    /// The connection that was opened while the answer arrived; `None` if that failed or it was used.
-    async fn older_connection(&mut self) -> Option<Connection> {
-        let connection = self.connecting.as_mut()?.await;
-        self.connecting = None;
-        connection.ok().flatten()
+/// Keeps a connection beside an answer, and asks on it.
+struct BesideAnswer {
+    client: Client,
+    address: SocketAddr,
+    probe: IncarnationProbe,
+}
+
+impl BesideAnswer {
+    /// Keeps a connection until the answer has `ended`, then asks on it.
+    async fn confirm_after(self, mut ended: oneshot::Receiver<()>) -> Result<(), Unconfirmed> {
+        let mut last_end = None::<Instant>;
+        let mut opened = self.client.connect(self.address).await;
+        loop {
+            let is_over = async {
+                match &mut opened {
+                    Ok(connection) => connection.ended().await,
+                    Err(_) => sleep(REOPEN_PAUSE).await,
+                }
+            };
+            tokio::select! {
+                biased;
+                () = is_over => {}
+                _ = &mut ended => break,
+            }
+            last_end = Some(Instant::now());
+            opened = self.client.connect(self.address).await;
+        }
+        if last_end.is_some_and(|it| it.elapsed() < COMMON_END_TIME) {
+            let reason = "shortly before".to_owned();
+            return Err(Unconfirmed::Gone { reason });
+        }
+        let connection = opened?;
+        // A process that ends closes its connections one after another.
+        sleep(PROCESS_EXIT_TIME).await;
+        let asked = timeout(CONFIRM_TIMEOUT, self.ask_on(connection)).await;
+        asked.unwrap_or(Err(Unconfirmed::Silent))
     }
 
-    /// Asks on one connection. Fails if it gives no answer.
-    async fn ask_on(
-        &self,
-        connection: Connection,
-        ended: Instant,
-    ) -> Result<Result<(), Unconfirmed>, SendError> {
-        let was_there_before = connection.opened() < ended;
+    async fn ask_on(&self, connection: Connection) -> Result<(), Unconfirmed> {
         let request = self.probe.request.clone();
         let exchange = self
             .client
             .exchange(self.address, connection, request, &CONFIRM_TIMEOUT);
         let mut reply = match exchange.await {
             Exchange::Done(reply) => reply?,
-            Exchange::Unsent(_) => return Err(closed_unwritten(self.address)),
+            Exchange::Unsent(_) => return Err(closed_unwritten(self.address).into()),
         };
         let body = reply.delimited_body(CONFIRM_TIMEOUT).await?;
         let stated = (self.probe.parse)(reply.headers(), &body);
-        if self.probe.expected.is_shown_by(&stated, was_there_before) {
-            return Ok(Ok(()));
-        }
-        Ok(Err(Unconfirmed::Replaced))
-    }
-}
-
-impl From<SendError> for Unconfirmed {
-    fn from(error: SendError) -> Self {
-        Self::Gone {
-            reason: error.to_string(),
+        if stated.is_some_and(|stated| self.probe.expected.agrees_with(&stated)) {
+            return Ok(());
         }
+        Err(Unconfirmed::Replaced)
     }
 }
