--- a/crates/serving/tests/stored_answers.rs
+++ b/crates/serving/tests/stored_answers.rs
@@ -1,30 +1,21 @@
 //! A completion that is sent again gets its stored answer or an error, never another answer.
 
+mod support;
+
 use {
-    admission::Limits,
-    catalog::{Catalog, ClientAccount, Labels, ModelVersion, Objective, PlacementRule, Selector},
-    configuration::{Follower, FollowerSettings, Snapshot},
-    decision::{Outcome, RecordBufferLimits},
+    catalog::{Catalog, Labels, ModelVersion},
+    decision::Outcome,
     gateway::{CompletionEvent, CompletionJob, CompletionStream, Refusal},
     idempotency::{ClaimOutcome, ClaimSettings, Claims, StoredAnswer},
     keyvalue::MemoryKv,
-    serving::{
-        AdmissionQueue, DecisionRecords, HandlerState, NoPeers, RequestHandler, ServingSettings,
-        SharedDirectory,
-    },
-    std::{sync::Arc, time::Duration},
-    target::{Client, ClientSettings},
+    support::ACCOUNT,
 };
 
-const ACCOUNT: &str = "bakery";
 const KEY: &str = "review-81";
 const WHOLE: &[u8] = br#"{"text":"fresh","finish_reason":"stop","prompt_tokens":2,"cached_tokens":0,"completion_tokens":1}"#;
 
 fn catalog() -> Catalog {
-    let mut catalog = Catalog {
-        revision: 1,
-        ..Catalog::default()
-    };
+    let mut catalog = support::catalog();
     let version = ModelVersion {
         name: "v1".to_owned(),
         model: "m".to_owned(),
@@ -35,28 +26,7 @@
         piece_tokens: 1,
         kv_bytes_per_token: 1,
     };
-    let rule = PlacementRule {
-        name: "all".to_owned(),
-        labels: Labels::new(),
-        precedence: 0,
-        client_accounts: Selector::default(),
-        model_versions: Selector::default(),
-        targets: Selector::default(),
-        stores: Selector::default(),
-        priority: 0,
-        objective: Objective::default(),
-    };
-    let account = ClientAccount {
-        name: ACCOUNT.to_owned(),
-        labels: Labels::new(),
-        key_digests: Vec::new(),
-        max_running_count: 8,
-        tokens_per_s: 1_000,
-        weight: 1,
-    };
     catalog.model_versions.insert("v1".to_owned(), version);
-    catalog.placement_rules.insert("all".to_owned(), rule);
-    catalog.client_accounts.insert(ACCOUNT.to_owned(), account);
     catalog
 }
 
@@ -103,24 +73,7 @@
         body: body.into(),
     };
     other.complete(claim, answer).await;
-    let configuration = Follower::new(kv.clone(), FollowerSettings::default()).handle();
-    let snapshot = Snapshot {
-        catalog: Arc::new(catalog()),
-        as_of: 1,
-        ..Snapshot::default()
-    };
-    assert!(configuration.offer(snapshot, Duration::ZERO));
-    let handler = RequestHandler::new(HandlerState {
-        settings: ServingSettings::default(),
-        configuration,
-        fleet: Arc::default(),
-        directory: SharedDirectory::default(),
-        records: DecisionRecords::new(RecordBufferLimits::default()),
-        claims: Claims::new(kv.peer(), ClaimSettings::new("b".to_owned())),
-        admission: AdmissionQueue::new(Limits::default()),
-        client: Client::new(ClientSettings::default()),
-        peers: NoPeers,
-    });
+    let handler = support::handler(catalog(), kv.peer());
     handler.complete(job()).await
 }
 
--- a/crates/serving/tests/unframed_services.rs
+++ b/crates/serving/tests/unframed_services.rs
@@ -1,38 +1,28 @@
 //! A plain service that answers with neither a length nor chunks may have run its call: nothing shows that its
 //! answer is whole, so it is neither passed on nor stored.
 
+mod support;
+
 use {
-    admission::Limits,
-    catalog::{
-        Catalog, ClientAccount, Labels, Objective, PlacementRule, Selector, ServiceCall, Target,
-        TargetKind,
-    },
-    configuration::{Follower, FollowerSettings, Snapshot},
-    decision::{Outcome, RecordBufferLimits, Step},
-    fleet::Fleet,
+    catalog::{Catalog, Labels, ServiceCall, Target, TargetKind},
+    decision::{Outcome, Step},
     gateway::{Refusal, RefusalKind, ServiceJob, ServiceResponse},
-    idempotency::{ClaimSettings, Claims},
     keyvalue::MemoryKv,
-    serving::{
-        AdmissionQueue, DecisionRecords, HandlerState, NoPeers, RequestHandler, ServingSettings,
-        SharedDirectory,
-    },
+    serving::{NoPeers, RequestHandler},
     std::{
         net::SocketAddr,
         sync::{
             Arc,
             atomic::{AtomicU32, Ordering},
         },
-        time::Duration,
     },
-    target::{Client, ClientSettings},
+    support::ACCOUNT,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
     },
 };
 
-const ACCOUNT: &str = "bakery";
 const SERVICE: &str = "cut-orders";
 const REMEDY: &str = "have the target send a length or chunks";
 
@@ -46,28 +36,7 @@
     async fn start() -> Self {
         let runs_count = Arc::default();
         let address = start_service(Arc::clone(&runs_count)).await;
-        let catalog = catalog(address);
-        let fleet = Fleet::default();
-        fleet.sync(&catalog);
-        let kv = MemoryKv::new();
-        let configuration = Follower::new(kv.clone(), FollowerSettings::default()).handle();
-        let snapshot = Snapshot {
-            catalog: Arc::new(catalog),
-            as_of: 1,
-            ..Snapshot::default()
-        };
-        assert!(configuration.offer(snapshot, Duration::ZERO));
-        let handler = RequestHandler::new(HandlerState {
-            settings: ServingSettings::default(),
-            configuration,
-            fleet: Arc::new(fleet),
-            directory: SharedDirectory::default(),
-            records: DecisionRecords::new(RecordBufferLimits::default()),
-            claims: Claims::new(kv, ClaimSettings::new("a".to_owned())),
-            admission: AdmissionQueue::new(Limits::default()),
-            client: Client::new(ClientSettings::default()),
-            peers: NoPeers,
-        });
+        let handler = support::handler(catalog(address), MemoryKv::new());
         Self {
             handler,
             runs_count,
@@ -107,10 +76,7 @@
 }
 
 fn catalog(service: SocketAddr) -> Catalog {
-    let mut catalog = Catalog {
-        revision: 1,
-        ..Catalog::default()
-    };
+    let mut catalog = support::catalog();
     let target = Target {
         name: "service-1".to_owned(),
         kind: TargetKind::Service,
@@ -129,28 +95,7 @@
             idempotent: true,
         }],
     };
-    let rule = PlacementRule {
-        name: "all".to_owned(),
-        labels: Labels::new(),
-        precedence: 0,
-        client_accounts: Selector::default(),
-        model_versions: Selector::default(),
-        targets: Selector::default(),
-        stores: Selector::default(),
-        priority: 0,
-        objective: Objective::default(),
-    };
-    let account = ClientAccount {
-        name: ACCOUNT.to_owned(),
-        labels: Labels::new(),
-        key_digests: Vec::new(),
-        max_running_count: 8,
-        tokens_per_s: 1_000,
-        weight: 1,
-    };
     catalog.targets.insert(target.name.clone(), target);
-    catalog.placement_rules.insert("all".to_owned(), rule);
-    catalog.client_accounts.insert(ACCOUNT.to_owned(), account);
     catalog
 }
 
