--- a/crates/keyvalue/tests/instance_list.rs
+++ b/crates/keyvalue/tests/instance_list.rs
@@ -30,3 +30,24 @@
     server.await.unwrap();
     assert!(list.instances().await.is_err());
 }
+
+/// Guards against half a list that is read as one with fewer instances.
+#[tokio::test]
+async fn a_list_that_ends_with_its_connection_counts_only_if_it_is_whole() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let list = HttpInstanceList::new(listener.local_addr().unwrap(), Duration::from_secs(5));
+    let server = tokio::spawn(async move {
+        for length in 0..=LIST.len() {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut [0; 4096]).await.unwrap() > 0);
+            let answer = format!("HTTP/1.1 200 OK\r\n\r\n{}", &LIST[..length]);
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    for _ in 0..LIST.len() {
+        let half = list.instances().await;
+        assert!(half.is_err(), "{half:?}");
+    }
+    assert_eq!(list.instances().await.unwrap().len(), 1);
+    server.await.unwrap();
+}
