Forward events that arrived together in one frame, and register timers once a stream

Change: SseParser::next_events checks every event and gives all that have arrived, up to the first that does not fit, in one piece; they make one frame. No event waits for a later one. A misplaced event is found by the next read, after those before it were forwarded. WaitTimer and CutoffWatch stay registered between the waits of a stream; the cutoff is read without a lock. memchr, already built for others, finds the ends of events.

Also a fault: where a sound event and a misplaced one came in one chunk, the server discarded the head and the sound event with the error. TruncatedAnswer::after_flush lets it send them first.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -14,6 +14,7 @@
         header::{CONTENT_LENGTH, HeaderValue},
     },
     snafu::Snafu,
+    tokio::task::yield_now,
 };
 
 /// An event stream ended before its last event. Returning this error makes the server close the
@@ -22,6 +23,14 @@
 #[snafu(display("the answer ended before its last event; the caller may request the rest"))]
 pub struct TruncatedAnswer;
 
+impl TruncatedAnswer {
+    /// Lets the server send the frames that it holds, then gives the error, at which it discards them.
+    pub(crate) async fn after_flush() -> Self {
+        yield_now().await;
+        Self
+    }
+}
+
 /// An HTTP response to a caller. `Events` is the stream of body frames of a streamed answer.
 pub type Answer<Events> = Response<Either<Full<Bytes>, StreamBody<Events>>>;
 
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -197,9 +197,9 @@
         }
     }
 
-    /// Records that an event is forwarded now.
-    pub(crate) fn record_event(&mut self) {
-        self.line.events_count += 1;
+    /// Records that this number of events is forwarded now.
+    pub(crate) fn record_events(&mut self, count: u64) {
+        self.line.events_count += count;
         let elapsed = self.elapsed();
         self.line.last_event_ms = millis(elapsed);
         if elapsed >= PROGRESS_LOG_DELAY && !self.is_progress_logged {
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -1,19 +1,19 @@
 //! Event stream of a target, split into complete events.
 
 use {
-    bytes::Bytes,
+    crate::wait_timer::WaitTimer,
     std::time::{Duration, Instant},
     target::{
-        BodyPart, Misplaced, Reply, SendError, SseParser, StartTimeout, StreamPosition, WholeBody,
+        BodyPart, EventBatch, Misplaced, Reply, SendError, SseParser, StartTimeout, StreamPosition,
+        WholeBody,
     },
-    tokio::time::timeout,
 };
 
 /// What the next read of an event stream gives.
 #[derive(Clone, Debug)]
 pub(crate) enum StreamStep {
-    /// A complete event.
-    Event(Bytes),
+    /// Complete events that arrived together.
+    Events(EventBatch),
     /// The regular end of the stream, and what shows that it is complete.
     End(WholeBody),
     /// No event was complete in time. The stream can be read on.
@@ -23,10 +23,16 @@
 /// Event stream of one target, read as complete events. If the stream breaks off within an event,
 /// that partial event is never returned.
 pub(crate) struct EventStream {
+    reader: EventReader,
+    /// First events, or the end of a stream without events, until [`EventStream::next`] returns it.
+    first_step: Option<StreamStep>,
+    timer: WaitTimer,
+}
+
+/// Reads the events of an answer and checks their position.
+struct EventReader {
     reply: Reply,
     parser: SseParser,
-    /// First event, or the end of a stream without events, until [`EventStream::next`] returns it.
-    first_step: Option<StreamStep>,
     position: StreamPosition,
 }
 
@@ -34,8 +40,8 @@
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter
             .debug_struct("EventStream")
-            .field("target", &self.reply.address())
-            .field("position", &self.position)
+            .field("target", &self.reader.reply.address())
+            .field("position", &self.reader.position)
             .finish_non_exhaustive()
     }
 }
@@ -56,15 +62,18 @@
     {
         let started = Instant::now();
         let mut events = Self {
-            reply,
-            parser: SseParser::default(),
+            reader: EventReader {
+                reply,
+                parser: SseParser::default(),
+                position,
+            },
             first_step: None,
-            position,
+            timer: WaitTimer::default(),
         };
         loop {
-            match events.read_event(timeout.duration()).await? {
+            match events.read(timeout.duration()).await? {
                 StreamStep::Silent if timeout.gives_up() => {
-                    return Err(events.silent(started.elapsed()));
+                    return Err(events.reader.silent(started.elapsed()));
                 }
                 StreamStep::Silent => {}
                 step => {
@@ -77,47 +86,47 @@
 
     /// Whether the first event has arrived and was not returned yet.
     pub(crate) fn has_first_event(&self) -> bool {
-        matches!(self.first_step, Some(StreamStep::Event(_)))
+        matches!(self.first_step, Some(StreamStep::Events(_)))
     }
 
-    /// Waits for the next complete event or the regular end of the stream, for up to
-    /// `event_timeout`.
+    /// Waits for the next complete events or the regular end of the stream, for up to
+    /// `event_timeout`. Returns as soon as one event is complete, with all that arrived together with it.
     pub(crate) async fn next(&mut self, event_timeout: Duration) -> Result<StreamStep, SendError> {
         match self.first_step.take() {
             Some(first) => Ok(first),
-            None => self.read_event(event_timeout).await,
+            None => self.read(event_timeout).await,
         }
     }
 
     /// Closes the connection to the target; reading fails from now on.
     pub(crate) fn close(&mut self) {
-        self.reply.close();
+        self.reader.reply.close();
     }
 
     /// Whether [`EventStream::close`] was called.
     pub(crate) fn is_closed(&self) -> bool {
-        self.reply.is_closed()
+        self.reader.reply.is_closed()
     }
 
     /// Id of the event after which another target may resume the stream, if it can be resumed.
     pub(crate) fn resume_point(&self) -> Option<u64> {
-        self.position.resume_point()
+        self.reader.position.resume_point()
     }
 
-    /// Reads the next complete event, within `event_timeout`.
-    async fn read_event(&mut self, event_timeout: Duration) -> Result<StreamStep, SendError> {
-        match timeout(event_timeout, self.read_parts()).await {
-            Ok(read) => read,
-            Err(_) => Ok(StreamStep::Silent),
-        }
+    async fn read(&mut self, event_timeout: Duration) -> Result<StreamStep, SendError> {
+        let read = self.timer.limit(event_timeout, self.reader.read()).await;
+        read.unwrap_or(Ok(StreamStep::Silent))
     }
+}
 
-    async fn read_parts(&mut self) -> Result<StreamStep, SendError> {
+impl EventReader {
+    /// Waits for the next complete events, or the regular end. Dropping the future loses nothing.
+    async fn read(&mut self) -> Result<StreamStep, SendError> {
         loop {
-            if let Some(event) = self.parser.next_event() {
-                let advanced = self.position.advance(&event);
-                advanced.map_err(|misplaced| self.misplaced(misplaced))?;
-                return Ok(StreamStep::Event(event));
+            let position = &mut self.position;
+            let arrived = self.parser.next_events(|event| position.advance(event));
+            if let Some(events) = arrived.map_err(|misplaced| self.misplaced(misplaced))? {
+                return Ok(StreamStep::Events(events));
             }
             if self.parser.overflowed() {
                 return Err(self.invalid("an event exceeds its bound"));
--- a/crates/relay/src/forwarded_stream.rs
+++ b/crates/relay/src/forwarded_stream.rs
@@ -5,6 +5,8 @@
         AnswerCutoff, TruncatedAnswer,
         call_recorder::CallRecorder,
         event_stream::{EventStream, StreamStep},
+        shutdown::CutoffWatch,
+        stream_forwarder::Aborted,
     },
     bytes::Bytes,
     futures::{Stream, stream},
@@ -21,7 +23,7 @@
 pub(crate) struct ForwardedStream {
     events: EventStream,
     recorder: CallRecorder,
-    answer_cutoff: AnswerCutoff,
+    cutoff: CutoffWatch,
     deadline: Instant,
 }
 
@@ -36,7 +38,7 @@
         Self {
             events,
             recorder,
-            answer_cutoff,
+            cutoff: CutoffWatch::new(answer_cutoff),
             deadline: deadline + END_MARGIN,
         }
     }
@@ -46,28 +48,25 @@
         stream::unfold(Some(self), |forwarded| async move {
             let mut forwarded = forwarded?;
             match forwarded.next().await {
-                Ok(Some(event)) => Some((Ok(Frame::data(event)), Some(forwarded))),
+                Ok(Some(events)) => Some((Ok(Frame::data(events)), Some(forwarded))),
                 Ok(None) => None,
-                Err(truncated) => Some((Err(truncated), None)),
+                Err(Aborted) => Some((Err(TruncatedAnswer::after_flush().await), None)),
             }
         })
     }
 
-    async fn next(&mut self) -> Result<Option<Bytes>, TruncatedAnswer> {
+    async fn next(&mut self) -> Result<Option<Bytes>, Aborted> {
         let status = self.recorder.line.status;
         let time_left = self.deadline.saturating_duration_since(Instant::now());
-        let step = tokio::select! {
-            biased;
-            step = self.events.next(time_left) => step,
-            () = self.answer_cutoff.triggered() => {
-                self.recorder.cut();
-                return Err(TruncatedAnswer);
-            }
+        let next = self.events.next(time_left);
+        let Some(step) = self.cutoff.unless_cut(next).await else {
+            self.recorder.cut();
+            return Err(Aborted);
         };
         match step {
-            Ok(StreamStep::Event(event)) => {
-                self.recorder.record_event();
-                Ok(Some(event))
+            Ok(StreamStep::Events(events)) => {
+                self.recorder.record_events(events.count);
+                Ok(Some(events.bytes))
             }
             Ok(StreamStep::End(whole)) => {
                 self.recorder.end_stream(whole);
@@ -76,11 +75,11 @@
             Ok(StreamStep::Silent) => {
                 let reason = "the time limit of the call passed";
                 self.recorder.end("torn", status, reason);
-                Err(TruncatedAnswer)
+                Err(Aborted)
             }
             Err(error) => {
                 self.recorder.end("torn", status, &error.to_string());
-                Err(TruncatedAnswer)
+                Err(Aborted)
             }
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -66,6 +66,7 @@
 mod target_stats;
 mod turned_away;
 mod view;
+mod wait_timer;
 mod wanted_versions;
 
 use target_statements::NewStatement;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -237,9 +237,9 @@
                 let frames = stream::unfold(Some(forwarder), |forwarder| async move {
                     let mut forwarder = forwarder?;
                     match forwarder.next().await {
-                        Ok(Some(event)) => Some((Ok(Frame::data(event)), Some(forwarder))),
+                        Ok(Some(events)) => Some((Ok(Frame::data(events)), Some(forwarder))),
                         Ok(None) => None,
-                        Err(Aborted) => Some((Err(TruncatedAnswer), None)),
+                        Err(Aborted) => Some((Err(TruncatedAnswer::after_flush().await), None)),
                     }
                 });
                 streamed(status, headers, Either::Left(frames))
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -4,13 +4,16 @@
 use {
     crate::{Declined, Reason},
     std::{
+        future::{Future, poll_fn},
+        pin::{Pin, pin},
         sync::{
             Arc,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
+        task::{Context, Poll, Waker},
         time::Duration,
     },
-    tokio_util::sync::CancellationToken,
+    tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned},
 };
 
 /// Retry delay for callers if another instance accepts calls now.
@@ -102,12 +105,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct AnswerCutoff {
     token: CancellationToken,
-    cut_count: Arc<AtomicU64>,
+    state: Arc<CutoffState>,
+}
+
+#[derive(Debug, Default)]
+struct CutoffState {
+    is_triggered: AtomicBool,
+    cut_count: AtomicU64,
 }
 
 impl AnswerCutoff {
     /// Cuts all incomplete answers now.
     pub fn trigger(&self) {
+        self.state.is_triggered.store(true, Ordering::Release);
         self.token.cancel();
     }
 
@@ -119,17 +129,70 @@
     /// Whether [`AnswerCutoff::trigger`] was called.
     #[must_use]
     pub fn is_triggered(&self) -> bool {
-        self.token.is_cancelled()
+        self.state.is_triggered.load(Ordering::Acquire)
     }
 
     /// Counts an answer that was cut.
     pub(crate) fn record_cut(&self) {
-        self.cut_count.fetch_add(1, Ordering::Relaxed);
+        self.state.cut_count.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Number of answers that were cut.
     #[must_use]
     pub fn cut_count(&self) -> u64 {
-        self.cut_count.load(Ordering::Relaxed)
+        self.state.cut_count.load(Ordering::Relaxed)
+    }
+}
+
+/// Waits of one answer that end at the cutoff. A task that waits again and again is registered with the
+/// cutoff only once.
+#[derive(Debug)]
+pub(crate) struct CutoffWatch {
+    cutoff: AnswerCutoff,
+    triggered: Pin<Box<WaitForCancellationFutureOwned>>,
+    /// Wakes the task that is registered with `triggered`.
+    registered: Option<Waker>,
+}
+
+impl CutoffWatch {
+    /// Watches `cutoff`.
+    pub(crate) fn new(cutoff: AnswerCutoff) -> Self {
+        let triggered = Box::pin(cutoff.token.clone().cancelled_owned());
+        Self {
+            cutoff,
+            triggered,
+            registered: None,
+        }
+    }
+
+    /// Waits for `future`; `None` if the cutoff comes first.
+    pub(crate) async fn unless_cut<Awaited>(&mut self, future: Awaited) -> Option<Awaited::Output>
+    where
+        Awaited: Future,
+    {
+        let mut future = pin!(future);
+        poll_fn(|context| {
+            if let Poll::Ready(output) = future.as_mut().poll(context) {
+                return Poll::Ready(Some(output));
+            }
+            self.poll_triggered(context).map(|()| None)
+        })
+        .await
+    }
+
+    fn poll_triggered(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if self.cutoff.is_triggered() {
+            return Poll::Ready(());
+        }
+        let waker = context.waker();
+        if self
+            .registered
+            .as_ref()
+            .is_some_and(|it| it.will_wake(waker))
+        {
+            return Poll::Pending;
+        }
+        self.registered = Some(waker.clone());
+        self.triggered.as_mut().poll(context)
     }
 }
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -7,6 +7,7 @@
         attempt::Content,
         call_recorder::CallRecorder,
         event_stream::{EventStream, StreamStep},
+        shutdown::CutoffWatch,
         silent_target::{SentAt, SuspendedAttempt},
     },
     bytes::Bytes,
@@ -42,6 +43,7 @@
     call: ActiveCall<Format>,
     events: EventStream,
     recorder: CallRecorder,
+    cutoff: CutoffWatch,
     /// Index of the attempt that `events` belongs to.
     attempt_index: usize,
 }
@@ -57,15 +59,17 @@
         recorder: CallRecorder,
     ) -> Self {
         let attempt_index = recorder.last_attempt_index();
+        let cutoff = CutoffWatch::new(call.inner.state.answer_cutoff.clone());
         Self {
             call,
             events,
             recorder,
+            cutoff,
             attempt_index,
         }
     }
 
-    /// Returns the next event, or `None` at the end of the stream.
+    /// Returns the next events, or `None` at the end of the stream.
     ///
     /// If the stream breaks off, another target resumes it after the last forwarded event, provided
     /// that the route, the remaining time and the retry budget allow it. A silent stream is moved in
@@ -74,9 +78,9 @@
         let mut step = self.read().await?;
         loop {
             step = match step {
-                Ok(StreamStep::Event(event)) => {
-                    self.recorder.record_event();
-                    return Ok(Some(event));
+                Ok(StreamStep::Events(events)) => {
+                    self.recorder.record_events(events.count);
+                    return Ok(Some(events.bytes));
                 }
                 Ok(StreamStep::End(whole)) => {
                     self.recorder.end_stream(whole);
@@ -105,11 +109,10 @@
             return Err(self.torn("the time limit of the call passed"));
         }
         let silence_timeout = self.silence_timeout();
-        let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
-        tokio::select! {
-            biased;
-            step = self.events.next(silence_timeout) => Ok(step),
-            () = answer_cutoff.triggered() => Err(self.cut()),
+        let next = self.events.next(silence_timeout);
+        match self.cutoff.unless_cut(next).await {
+            Some(step) => Ok(step),
+            None => Err(self.cut()),
         }
     }
 
--- a/crates/relay/tests/stream_positions.rs
+++ b/crates/relay/tests/stream_positions.rs
@@ -9,7 +9,7 @@
         TestRelay, caller,
         scripted_target::{ScriptedTarget, Step, stream, unframed},
     },
-    tokio::task::yield_now,
+    tokio::{io::AsyncReadExt, task::yield_now, time::timeout},
 };
 
 const END: &str = "0\r\n\r\n";
@@ -39,6 +39,12 @@
 /// An instance that reaches no target, before another instance that answers with `answer`.
 async fn call_through_peer(path: &str, headers: &str, answer: Step) -> caller::Response {
     let peer = ScriptedTarget::start("peer", vec![answer]).await;
+    let relay = before_peer(&peer).await;
+    caller::call(relay.address, path, headers).await
+}
+
+/// Starts an instance that reaches no target, before another instance.
+async fn before_peer(peer: &ScriptedTarget) -> TestRelay {
     let relay = TestRelay::start_for(&[], CallSource::Caller).await;
     let gone = support::unreachable_target();
     let mut view = support::view(&[&gone]);
@@ -49,7 +55,7 @@
     }]
     .into();
     relay.view.store(Arc::new(view));
-    caller::call(relay.address, path, headers).await
+    relay
 }
 
 /// Guards against taking the crash of a target before its first event for the end of a resumed stream.
@@ -144,6 +150,57 @@
     }
 }
 
+/// Guards against events that pass unchecked, or sound ones that are lost, where several share a chunk.
+#[tokio::test]
+async fn events_that_arrive_together_are_checked_one_by_one() {
+    let good = "id: 1\ndata: a\n\nid: 4\ndata: c\n\n";
+    for bad in ["id: 4\ndata: x\n\nid: 5\ndata: x\n\n", "id: 3\ndata: x\n\n"] {
+        let answer = stream(&[&format!("{good}{bad}")]) + END;
+        let target = ScriptedTarget::start("one", vec![Step::Respond(answer.clone())]).await;
+        let relay = TestRelay::start(&[&target]).await;
+        let from_target = caller::call(relay.address, "/stream/7", "").await;
+        let from_peer = call_through_peer("/stream/7", "", Step::Respond(answer.clone())).await;
+        for response in [from_target, from_peer] {
+            assert!(response.text.contains(good), "{response:?}");
+            assert!(!response.text.contains("data: x"), "{response:?}");
+            assert!(!response.is_complete, "{response:?}");
+        }
+        let resumed = call_two("/resumable/7", "", answer, Step::Respond(rest())).await;
+        assert!(resumed.is_complete, "{resumed:?}");
+        assert!(resumed.text.contains(good), "{resumed:?}");
+        assert!(resumed.text.contains("data: b"), "{resumed:?}");
+        assert!(!resumed.text.contains("data: x"), "{resumed:?}");
+    }
+}
+
+/// Guards against events that wait for later ones, to be forwarded together with them.
+#[tokio::test]
+async fn event_is_forwarded_although_the_next_one_is_not_complete() {
+    let first = stream(&["id: 1\ndata: a\n\nid: 2\nda"]);
+    let second = "7\r\nta: b\n\n\r\n".to_owned() + END;
+    let answer = Step::RespondInTwo(first, Duration::from_secs(1), second);
+    let target = ScriptedTarget::start("one", vec![answer.clone()]).await;
+    let of_target = TestRelay::start(&[&target]).await;
+    let peer = ScriptedTarget::start("peer", vec![answer]).await;
+    let of_peer = before_peer(&peer).await;
+    for relay in [of_target, of_peer] {
+        let mut connection = caller::send(relay.address, "/stream/7", "").await;
+        let mut bytes = Vec::new();
+        let mut read_until = async |end: &[u8]| {
+            while !bytes.windows(end.len()).any(|window| window == end) {
+                assert!(connection.read_buf(&mut bytes).await.unwrap() > 0);
+            }
+        };
+        let first = read_until(b"data: a\n\n");
+        timeout(Duration::from_millis(500), first).await.unwrap();
+        let rest = async {
+            read_until(b"id: 2\ndata: b\n\n").await;
+            read_until(END.as_bytes()).await;
+        };
+        timeout(Duration::from_secs(3), rest).await.unwrap();
+    }
+}
+
 #[tokio::test]
 async fn resumption_of_another_instance_that_begins_again_never_reaches_its_caller() {
     let again = stream(&["id: 1\ndata: x\n\n"]) + END;
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -51,7 +51,7 @@
     incarnation::{Incarnation, IncarnationProbe},
     reply::Reply,
     service::{ServiceAnswer, ServiceClient, ServiceRequest},
-    sse_parser::{SseParser, event_id},
+    sse_parser::{EventBatch, SseParser, event_id},
     start_timeout::StartTimeout,
     store::{StoreBlock, StoreBlocks, StoreClient, StoreUsage},
     stream_position::{BodyEnd, Misplaced, StreamPosition},
--- a/crates/target/src/sse_parser.rs
+++ b/crates/target/src/sse_parser.rs
@@ -2,6 +2,7 @@
 
 use {
     bytes::{Bytes, BytesMut},
+    memchr::memchr_iter,
     std::mem,
 };
 
@@ -28,6 +29,15 @@
     chunk: Bytes,
 }
 
+/// Complete events that arrived together, with the blank lines that end them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EventBatch {
+    /// Their bytes, one event after the other.
+    pub bytes: Bytes,
+    /// Number of events.
+    pub count: u64,
+}
+
 impl SseParser {
     /// Appends received bytes.
     pub fn push(&mut self, chunk: &[u8]) {
@@ -62,12 +72,68 @@
 
     /// Returns the bytes of the next complete event, with the blank line that ends it.
     pub fn next_event(&mut self) -> Option<Bytes> {
+        let length = event_length(self.unread())?;
+        Some(self.split_to(length))
+    }
+
+    /// Returns the complete events that have arrived, up to the first one that `check` rejects; `None` if
+    /// no event is complete. A rejected event is kept, and checked again by the next call.
+    ///
+    /// ```
+    /// use target::{Misplaced, SseParser, StreamPosition};
+    ///
+    /// let mut parser = SseParser::default();
+    /// parser.push(b"id: 1\n\nid: 2\n\nid: 2\n\nid: 3");
+    /// let mut position = StreamPosition::default();
+    /// let mut next = || parser.next_events(|event| position.advance(event));
+    /// let batch = next().unwrap().unwrap();
+    /// assert_eq!((&batch.bytes[..], batch.count), (&b"id: 1\n\nid: 2\n\n"[..], 2));
+    /// assert_eq!(next(), Err(Misplaced::Repeated));
+    /// ```
+    ///
+    /// # Errors
+    /// What `check` returns for the first event.
+    pub fn next_events<Check, Rejection>(
+        &mut self,
+        mut check: Check,
+    ) -> Result<Option<EventBatch>, Rejection>
+    where
+        Check: FnMut(&[u8]) -> Result<(), Rejection>,
+    {
+        let unread = self.unread();
+        let (mut end, mut count) = (0, 0);
+        while let Some(length) = event_length(&unread[end..]) {
+            match check(&unread[end..end + length]) {
+                Ok(()) => {}
+                Err(rejection) if count == 0 => return Err(rejection),
+                Err(_) => break,
+            }
+            end += length;
+            count += 1;
+        }
+        if count == 0 {
+            return Ok(None);
+        }
+        let bytes = self.split_to(end);
+        Ok(Some(EventBatch { bytes, count }))
+    }
+
+    /// Bytes that were not returned yet.
+    fn unread(&self) -> &[u8] {
         if self.buffer.is_empty() {
-            let (end, blank_line_bytes) = find_event_end(&self.chunk)?;
-            return Some(self.chunk.split_to(end + blank_line_bytes));
+            &self.chunk
+        } else {
+            &self.buffer
+        }
+    }
+
+    /// Takes the first `length` bytes of [`Self::unread`].
+    fn split_to(&mut self, length: usize) -> Bytes {
+        if self.buffer.is_empty() {
+            self.chunk.split_to(length)
+        } else {
+            self.buffer.split_to(length).freeze()
         }
-        let (end, blank_line_bytes) = find_event_end(&self.buffer)?;
-        Some(self.buffer.split_to(end + blank_line_bytes).freeze())
     }
 
     /// Whether bytes are buffered that no complete event was returned for, such as a partial event.
@@ -83,21 +149,14 @@
     }
 }
 
-/// Finds the end of the first complete event and the number of bytes that terminate it. Lines end
-/// with a line feed, or with a carriage return and a line feed.
-fn find_event_end(buffer: &[u8]) -> Option<(usize, usize)> {
-    let line_feeds = buffer
-        .iter()
-        .enumerate()
-        .filter(|(_, byte)| **byte == b'\n');
-    for (line_feed, _) in line_feeds {
-        match &buffer[line_feed + 1..] {
-            [b'\n', ..] => return Some((line_feed, 2)),
-            [b'\r', b'\n', ..] => return Some((line_feed, 3)),
-            _ => {}
-        }
-    }
-    None
+/// Length of the first complete event, with the blank line that ends it. Lines end with a line feed, or
+/// with a carriage return and a line feed.
+fn event_length(buffer: &[u8]) -> Option<usize> {
+    memchr_iter(b'\n', buffer).find_map(|line_feed| match &buffer[line_feed + 1..] {
+        [b'\n', ..] => Some(line_feed + 2),
+        [b'\r', b'\n', ..] => Some(line_feed + 3),
+        _ => None,
+    })
 }
 
 /// The number in the `id` field of an event; `None` if the field is missing or not a number.
