--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -100,7 +100,7 @@
 
     /// Whether all of it has been read, and its target has not yet shown that it is complete.
     pub(crate) fn is_unconfirmed(&self) -> bool {
-        self.reply.is_unconfirmed()
+        self.reader.reply.is_unconfirmed()
     }
 
     /// Closes the connection to the target; reading fails from now on.
--- a/crates/relay/src/forwarded_stream.rs
+++ b/crates/relay/src/forwarded_stream.rs
@@ -6,7 +6,7 @@
         call_recorder::CallRecorder,
         event_stream::{EventStream, StreamStep},
         shutdown::CutoffWatch,
-        stream_forwarder::Aborted,
+        stream_forwarder::{Aborted, Forwarded},
     },
     bytes::Bytes,
     futures::{Stream, stream},
@@ -48,14 +48,17 @@
         stream::unfold(Some(self), |forwarded| async move {
             let mut forwarded = forwarded?;
             match forwarded.next().await {
-                Ok(Some(events)) => Some((Ok(Frame::data(events)), Some(forwarded))),
-                Ok(None) => None,
+                Ok(Forwarded::Events(events)) => Some((Ok(Frame::data(events)), Some(forwarded))),
+                Ok(Forwarded::End(whole)) => {
+                    forwarded.recorder.end_stream(whole);
+                    None
+                }
                 Err(Aborted) => Some((Err(TruncatedAnswer::after_flush().await), None)),
             }
         })
     }
 
-    async fn next(&mut self) -> Result<Option<Bytes>, Aborted> {
+    async fn next(&mut self) -> Result<Forwarded, Aborted> {
         let status = self.recorder.line.status;
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let next = self.events.next(time_left);
@@ -66,12 +69,9 @@
         match step {
             Ok(StreamStep::Events(events)) => {
                 self.recorder.record_events(events.count);
-                Ok(Some(events.bytes))
-            }
-            Ok(StreamStep::End(whole)) => {
-                self.recorder.end_stream(whole);
-                Ok(None)
+                Ok(Forwarded::Events(events.bytes))
             }
+            Ok(StreamStep::End(whole)) => Ok(Forwarded::End(whole)),
             Ok(StreamStep::Silent) => {
                 let reason = "the time limit of the call passed";
                 self.recorder.end("torn", status, reason);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -15,7 +15,7 @@
         pool_bounds::PoolBounds,
         refusal::Unanswered,
         retry_budgets::RetryBudgets,
-        stream_forwarder::{Aborted, StreamForwarder},
+        stream_forwarder::{Aborted, Forwarded, StreamForwarder},
         target_conditions::PassedOver,
     },
     arc_swap::ArcSwap,
@@ -237,8 +237,13 @@
                 let frames = stream::unfold(Some(forwarder), |forwarder| async move {
                     let mut forwarder = forwarder?;
                     match forwarder.next().await {
-                        Ok(Some(events)) => Some((Ok(Frame::data(events)), Some(forwarder))),
-                        Ok(None) => None,
+                        Ok(Forwarded::Events(events)) => {
+                            Some((Ok(Frame::data(events)), Some(forwarder)))
+                        }
+                        Ok(Forwarded::End(whole)) => {
+                            forwarder.end(whole);
+                            None
+                        }
                         Err(Aborted) => Some((Err(TruncatedAnswer::after_flush().await), None)),
                     }
                 });
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -13,7 +13,7 @@
     bytes::Bytes,
     routes::RetryPolicy,
     std::{future::pending, time::Duration},
-    target::SendError,
+    target::{SendError, WholeBody},
     tokio::time::sleep_until,
 };
 
@@ -35,6 +35,15 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Aborted;
 
+/// What the caller is sent next.
+#[derive(Debug)]
+pub(crate) enum Forwarded {
+    /// Events, one after the other.
+    Events(Bytes),
+    /// The regular end, and what shows that the stream is complete.
+    End(WholeBody),
+}
+
 /// What a read of the stream gave.
 type Step = Result<StreamStep, SendError>;
 
@@ -69,22 +78,21 @@
         }
     }
 
-    /// Returns the next events, or `None` at the end of the stream.
+    /// Returns the next events, or the end of the stream.
     ///
     /// If the stream breaks off, another target resumes it after the last forwarded event, provided
     /// that the route, the remaining time and the retry budget allow it. A silent stream is moved in
     /// the same way, and read on if no other target takes it.
-    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, Aborted> {
+    pub(crate) async fn next(&mut self) -> Result<Forwarded, Aborted> {
         let mut step = self.read().await?;
         loop {
             step = match step {
                 Ok(StreamStep::Events(events)) => {
                     self.recorder.record_events(events.count);
-                    return Ok(Some(events.bytes));
+                    return Ok(Forwarded::Events(events.bytes));
                 }
                 Ok(StreamStep::End(whole)) => {
-                    self.recorder.end_stream(whole);
-                    return Ok(None);
+                    return Ok(Forwarded::End(whole));
                 }
                 Ok(StreamStep::Silent) if self.events.is_unconfirmed() => self.read().await?,
                 Ok(StreamStep::Silent) => match self.move_silent().await? {
@@ -104,6 +112,11 @@
         }
     }
 
+    /// Records that the whole stream was forwarded.
+    pub(crate) fn end(mut self, whole: WholeBody) {
+        self.recorder.end_stream(whole);
+    }
+
     /// Reads the stream until something comes or the target has been silent for long.
     async fn read(&mut self) -> Result<Step, Aborted> {
         if self.call.time_left().is_zero() {
--- a/crates/relay/src/wait_timer.rs
+++ b/crates/relay/src/wait_timer.rs
@@ -11,7 +11,7 @@
 };
 
 /// Wait that never passes in practice.
-const FAR_FUTURE: Duration = Duration::from_secs(30 * 365 * 24 * 60 * 60);
+const FAR_FUTURE: Duration = Duration::from_hours(30 * 365 * 24);
 
 /// Timer of one wait after another. It stays registered between them: a wait that ends later than the
 /// registered time registers anew only once that has passed.
