--- a/crates/relay/tests/silent_targets.rs
+++ b/crates/relay/tests/silent_targets.rs
@@ -6,7 +6,10 @@
     balance::RetryBounds,
     relay::boot_time,
     routes::{Route, RouteTable},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     support::{
         TestRelay, caller,
         scripted_target::{ScriptedTarget, Step, answer, stream, success},
@@ -69,6 +72,25 @@
     }
 }
 
+/// Guards against silence that is counted from an earlier event than the last.
+#[tokio::test]
+async fn silence_is_counted_from_the_last_event() {
+    let pause = Duration::from_millis(700);
+    let second = rest().replace(END, "");
+    let falls_silent = Step::RespondInTwo(first_event(), pause, second);
+    let one = ScriptedTarget::start("one", vec![falls_silent]).await;
+    let third = stream(&["id: 3\ndata: c\n\n"]) + END;
+    let two = ScriptedTarget::start("two", vec![Step::Respond(third)]).await;
+    let relay = TestRelay::start(&[&one]).await;
+    let started = Instant::now();
+    let response = call_beside(&relay, "/gapped/7", &one, &[&two]).await;
+    let took = started.elapsed();
+    assert_whole_stream(&response);
+    assert_eq!(two.arrived()[0].header("after"), Some("2"));
+    let expected = Duration::from_millis(1_690)..Duration::from_millis(2_600);
+    assert!(expected.contains(&took), "{took:?}");
+}
+
 #[tokio::test]
 async fn silent_stream_goes_on_if_the_other_targets_refuse_it() {
     let one = silent_target().await;
--- a/crates/relay/tests/stream_positions.rs
+++ b/crates/relay/tests/stream_positions.rs
@@ -201,6 +201,41 @@
     }
 }
 
+/// Guards against attempts beyond those that the other instance has made within the call's.
+#[tokio::test]
+async fn broken_stream_of_another_instance_is_not_resumed_here() {
+    let torn = Step::RespondThenClose(stream(&["id: 1\ndata: a\n\n"]));
+    let peer = ScriptedTarget::start("peer", vec![torn, Step::Respond(rest())]).await;
+    let relay = before_peer(&peer).await;
+    let response = caller::call(relay.address, "/resumable/7", "").await;
+    assert!(response.text.contains("data: a"), "{response:?}");
+    assert!(!response.is_complete, "{response:?}");
+    assert_eq!(peer.arrived().len(), 1);
+}
+
+/// Guards against an answer that waits on although the instance ends, after it has waited before.
+#[tokio::test]
+async fn stream_of_another_instance_is_cut_after_several_events() {
+    let first = stream(&["id: 1\ndata: a\n\n"]);
+    let second = "f\r\nid: 2\ndata: b\n\n\r\n".to_owned();
+    let in_two = Step::RespondInTwo(first, PAUSE, second);
+    let peer = ScriptedTarget::start("peer", vec![in_two]).await;
+    let relay = before_peer(&peer).await;
+    let mut connection = caller::send(relay.address, "/resumable/7", "").await;
+    let mut bytes = Vec::new();
+    while !String::from_utf8_lossy(&bytes).contains("data: b\n\n") {
+        assert!(connection.read_buf(&mut bytes).await.unwrap() > 0);
+    }
+    relay.answer_cutoff.trigger();
+    let rest = timeout(
+        Duration::from_millis(500),
+        connection.read_to_end(&mut bytes),
+    );
+    rest.await.unwrap().unwrap();
+    assert!(!bytes.ends_with(END.as_bytes()));
+    assert_eq!(relay.answer_cutoff.cut_count(), 1);
+}
+
 #[tokio::test]
 async fn resumption_of_another_instance_that_begins_again_never_reaches_its_caller() {
     let again = stream(&["id: 1\ndata: x\n\n"]) + END;
--- a/crates/relay/tests/whole_streams.rs
+++ b/crates/relay/tests/whole_streams.rs
@@ -151,6 +151,7 @@
     let relay = TestRelay::start(&[&target]).await;
     let response = caller::call(relay.address, "/stream/7", "").await;
     assert!(!response.is_complete);
+    assert!(response.text.contains("data: a\n\n"), "{response:?}");
     assert!(!response.text.contains("again"));
 }
 
