--- a/crates/relay/tests/stream_histories.rs
+++ b/crates/relay/tests/stream_histories.rs
@@ -29,6 +29,8 @@
     /// What each target does with its calls, in order.
     targets: Vec<Vec<Conduct>>,
     between: Between,
+    /// Number of events of a target that arrive together.
+    part_events_count: usize,
 }
 
 /// What stands between the caller's instance and the targets.
@@ -70,11 +72,14 @@
         Just(Between::Instance),
         Just(Between::UncheckedInstances)
     ];
-    (strides, targets, between).prop_map(|(strides, targets, between)| History {
-        strides,
-        targets,
-        between,
-    })
+    (strides, targets, between, 1..4_usize).prop_map(
+        |(strides, targets, between, part_events_count)| History {
+            strides,
+            targets,
+            between,
+            part_events_count,
+        },
+    )
 }
 
 fn run(strides: &[u64]) -> Run {
@@ -120,7 +125,9 @@
     let run = Arc::new(run(&history.strides));
     let mut targets = Vec::new();
     for (index, conducts) in history.targets.iter().enumerate() {
-        targets.push(run_target::start(&format!("target-{index}"), run.clone(), conducts).await);
+        let name = format!("target-{index}");
+        let together = history.part_events_count;
+        targets.push(run_target::start(&name, run.clone(), conducts, together).await);
     }
     let targets: Vec<_> = targets.iter().collect();
     let bounds = RetryBounds {
--- a/crates/relay/tests/support/run_target.rs
+++ b/crates/relay/tests/support/run_target.rs
@@ -51,22 +51,38 @@
     format!("id: {id}\ndata: {text}\n\n")
 }
 
-/// Starts a target that works on `run` and treats its calls by `conducts`, and further calls well.
-pub async fn start(name: &str, run: Arc<Run>, conducts: &[Conduct]) -> ScriptedTarget {
+/// Starts a target that works on `run` and treats its calls by `conducts`, and further calls well. Up to
+/// `part_events_count` events arrive together, and the begin of one that is broken off with them.
+pub async fn start(
+    name: &str,
+    run: Arc<Run>,
+    conducts: &[Conduct],
+    part_events_count: usize,
+) -> ScriptedTarget {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let target = ScriptedTarget::at(name, listener.local_addr().unwrap());
     let conducts: VecDeque<Conduct> = conducts.iter().copied().collect();
     let conducts = Arc::new(Mutex::new(conducts));
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream, run.clone(), conducts.clone()));
+            tokio::spawn(serve(
+                stream,
+                run.clone(),
+                conducts.clone(),
+                part_events_count,
+            ));
         }
     });
     target
 }
 
 /// Answers one call on a connection and closes it.
-async fn serve(mut stream: TcpStream, run: Arc<Run>, conducts: Arc<Mutex<VecDeque<Conduct>>>) {
+async fn serve(
+    mut stream: TcpStream,
+    run: Arc<Run>,
+    conducts: Arc<Mutex<VecDeque<Conduct>>>,
+    part_events_count: usize,
+) {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\nbody") {
         if stream.read_buf(&mut head).await.unwrap_or(0) == 0 {
@@ -79,7 +95,7 @@
     let after: u64 = after.map_or(0, |it| it.parse().unwrap());
     let conduct = conducts.lock().unwrap().pop_front();
     let conduct = conduct.unwrap_or(Conduct::Whole(Framing::Chunks));
-    let _ = answer(&mut stream, &run, after, conduct).await;
+    let _ = answer(&mut stream, &run, after, conduct, part_events_count).await;
 }
 
 async fn answer(
@@ -87,6 +103,7 @@
     run: &Run,
     after: u64,
     conduct: Conduct,
+    part_events_count: usize,
 ) -> std::io::Result<()> {
     let begin = run.partition_point(|(id, _)| *id <= after);
     let mut events: Vec<String> = run[begin..].iter().map(event).collect();
@@ -130,17 +147,25 @@
     };
     let head = format!("HTTP/1.1 200 OK\r\nid: c1\r\nstamp: s\r\n{framing_header}\r\n");
     stream.write_all(head.as_bytes()).await?;
-    for event in &events[..sent] {
-        send(stream, event, framing).await?;
+    let (begin, rest) = events.split_at(sent);
+    let mut parts = join(begin, part_events_count);
+    if is_cut {
+        let cut = &rest[0][..rest[0].len() - 2];
+        match parts.last_mut() {
+            Some(last) if part_events_count > 1 => last.push_str(cut),
+            _ => parts.push(cut.to_owned()),
+        }
+    }
+    for part in &parts {
+        send(stream, part, framing).await?;
     }
     if is_cut {
-        let part = &events[sent][..events[sent].len() - 2];
-        return send(stream, part, framing).await;
+        return Ok(());
     }
     if !pause.is_zero() {
         sleep(pause).await;
-        for event in &events[sent..] {
-            send(stream, event, framing).await?;
+        for part in join(rest, part_events_count) {
+            send(stream, &part, framing).await?;
         }
     }
     match framing {
@@ -149,6 +174,14 @@
     }
 }
 
+/// Joins events that arrive together.
+fn join(events: &[String], part_events_count: usize) -> Vec<String> {
+    events
+        .chunks(part_events_count)
+        .map(<[String]>::concat)
+        .collect()
+}
+
 async fn send(stream: &mut TcpStream, part: &str, framing: Framing) -> std::io::Result<()> {
     let part = match framing {
         Framing::Chunks => format!("{:x}\r\n{part}\r\n", part.len()),
