--- a/crates/relay/tests/stream_rate.rs
+++ b/crates/relay/tests/stream_rate.rs
@@ -48,7 +48,7 @@
         .collect();
     let chunks: Vec<String> = events
         .chunks(chunk_events_count)
-        .map(|events| events.concat())
+        .map(<[String]>::concat)
         .collect();
     let chunks: Vec<&str> = chunks.iter().map(String::as_str).collect();
     let answer = Step::Respond(stream(&chunks) + "0\r\n\r\n");
