order_holders: a change that got no answer of the key-value service is made again

The known red: once, on a busy machine, the first change of the version was refused with "key-value service gave no answer (timed out)", and the test ended there. Cause: the daemon waits 1 s for the service; a silence of that length gives this very answer, which says that the change may have taken effect and that the key has to be read before trying again. The test's operator did not do so. Its check, that orders of a holder do not follow those of its successor, had not begun.

Now the test brings that silence about and asserts the answer, and its operator reads and changes again after it; any other failure of a change fails the test as before. Whether the run that was seen was silent for want of processor time is not shown.

--- a/crates/rattan/tests/order_holders.rs
+++ b/crates/rattan/tests/order_holders.rs
@@ -41,6 +41,12 @@
     operator.json(Method::POST, path, &change).await.map(drop)
 }
 
+/// Whether a change may have taken effect without an answer of the key-value service.
+fn is_unknown(error: &io::Error) -> bool {
+    let text = error.to_string();
+    text.contains("key-value service gave no answer") && text.contains("may have taken effect")
+}
+
 /// Changes the version repeatedly until `done` returns true or `timeout` has passed.
 async fn change_version_until<Done>(
     system: &TestSystem,
@@ -61,12 +67,30 @@
         if Instant::now() >= deadline {
             return Err(io::Error::other(format!("orders so far: {orders:?}")));
         }
-        change_version(&mut operator, digest).await?;
+        if let Err(error) = change_version(&mut operator, digest).await {
+            // The next change reads the version again, as the answer asks for.
+            assert!(is_unknown(&error), "{error}");
+            println!("repeated: {error}");
+        }
         sleep(VERSION_CHANGE_INTERVAL).await;
     }
     Ok(())
 }
 
+/// Silences the key-value service until a change has failed for that reason.
+async fn change_during_silence(system: &TestSystem) -> io::Error {
+    let mut operator = Connection::open(system.entries[0].address, OPERATOR_KEY).await;
+    let operator = operator.as_mut().expect("a connection");
+    let set_silent = |is_silent| {
+        let faults = json!({"hang": is_silent});
+        system.kv.set_faults(&faults).expect("known faults");
+    };
+    set_silent(true);
+    let changed = change_version(operator, "e3e3e3e3").await;
+    set_silent(false);
+    changed.expect_err("no answer of the key-value service")
+}
+
 /// Index of the entry that holds the engine.
 async fn holder(system: &TestSystem) -> usize {
     let kv = EtcdKv::new(EtcdSettings {
@@ -93,6 +117,8 @@
     let system = TestSystem::start(settings)
         .await
         .expect("the system starts");
+    let error = change_during_silence(&system).await;
+    assert!(is_unknown(&error), "{error}");
     let ordered = |orders: &[u64]| orders.len() >= 3;
     change_version_until(&system, 0, TAKEOVER_TIMEOUT, ordered)
         .await
