standin: a relay's fault ends all connections that were open, however short it is

A fault of 2 ms that ends all connections of a link was over before each connection had looked at the mode: answers ended, the connections beside them did not. RelayMode::Cut says that all open connections end; now each such fault is numbered, and a connection that was open at it ends.

A path that really ends one connection regularly and leaves the others, while its target lives, is what docs/design/stream-positions.md names as not shown.

--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -130,6 +130,9 @@
     switches: FaultSwitches<RelayFaults>,
     /// Number of changes of the switches; tells connections opened before a change from later ones.
     epoch: watch::Sender<u64>,
+    /// What ended the open connections last; a connection that was open then has ended, however short
+    /// the fault was.
+    last_end: watch::Sender<LastEnd>,
     passed_bytes: AtomicU64,
 }
 
@@ -147,6 +150,7 @@
             listener: Mutex::new(Some(listener)),
             switches: FaultSwitches::default(),
             epoch: watch::Sender::new(0),
+            last_end: watch::Sender::default(),
             passed_bytes: AtomicU64::new(0),
         });
         Server::start(settings.control, relay).await
@@ -185,6 +189,7 @@
         let connection = Connection {
             relay: Arc::clone(&self),
             opened_epoch: *self.epoch.borrow(),
+            opened_after: self.last_end.borrow().number,
             silent: AtomicBool::new(false),
         };
         let (caller_read, caller_write) = caller.split();
@@ -198,7 +203,9 @@
                 )
             } => {}
         }
-        if self.mode() == RelayMode::Reset {
+        let ended = *self.last_end.borrow();
+        let was_reset = ended.number > connection.opened_after && ended.mode == RelayMode::Reset;
+        if was_reset || self.mode() == RelayMode::Reset {
             let _ = caller.set_zero_linger();
             let _ = target.set_zero_linger();
         }
@@ -233,10 +240,20 @@
     }
 }
 
+/// The last fault that ended all open connections.
+#[derive(Clone, Copy, Debug, Default)]
+struct LastEnd {
+    /// Number of such faults so far.
+    number: u64,
+    mode: RelayMode,
+}
+
 /// One connection through the relay, with its caller and its target.
 struct Connection {
     relay: Arc<Relay>,
     opened_epoch: u64,
+    /// Number of the last fault that ended connections before it was opened.
+    opened_after: u64,
     silent: AtomicBool,
 }
 
@@ -294,10 +311,13 @@
     }
 
     async fn wait_until_ended(&self) {
-        self.relay
-            .switches
-            .wait_for(|faults| faults.mode.ends_connections())
-            .await;
+        let mut last_end = self.relay.last_end.subscribe();
+        let is_ended = |last: &LastEnd| last.number > self.opened_after;
+        tokio::select! {
+            // The sender lives as long as the relay.
+            _ = last_end.wait_for(is_ended) => {}
+            () = self.relay.switches.wait_for(|faults| faults.mode.ends_connections()) => {}
+        }
     }
 }
 
@@ -310,6 +330,13 @@
 
     fn faults_changed(&self) {
         self.epoch.send_modify(|epoch| *epoch += 1);
+        let mode = self.mode();
+        if mode.ends_connections() {
+            self.last_end.send_modify(|last| {
+                let number = last.number + 1;
+                *last = LastEnd { number, mode };
+            });
+        }
     }
 
     async fn background(self: Arc<Self>) {
