Target: 4 s to say which process it is; the state of a stream's frames in a box

A sound target may be silent for some seconds, and nothing better than waiting is known for them: 4 s.

Streams moved their whole forwarder at each event.

--- a/crates/relay/src/forwarded_stream.rs
+++ b/crates/relay/src/forwarded_stream.rs
@@ -45,7 +45,7 @@
 
     /// The frames of the answer to the caller. If the stream breaks off, the last one is an error.
     pub(crate) fn frames(self) -> impl Stream<Item = Result<Frame<Bytes>, TruncatedAnswer>> {
-        stream::unfold(Some(self), |forwarded| async move {
+        stream::unfold(Some(Box::new(self)), |forwarded| async move {
             let mut forwarded = forwarded?;
             match forwarded.next().await {
                 Ok(Forwarded::Events(events)) => Some((Ok(Frame::data(events)), Some(forwarded))),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -234,7 +234,7 @@
             Content::Events(events) => {
                 recorder.line.status = status.as_u16();
                 let forwarder = StreamForwarder::new(active_call, *events, recorder);
-                let frames = stream::unfold(Some(forwarder), |forwarder| async move {
+                let frames = stream::unfold(Some(Box::new(forwarder)), |forwarder| async move {
                     let mut forwarder = forwarder?;
                     match forwarder.next().await {
                         Ok(Forwarded::Events(events)) => {
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -17,9 +17,9 @@
     tokio_util::task::AbortOnDropHandle,
 };
 
-/// Time within which a target must say which process it is. Shorter than callers wait for the next event
-/// of a stream.
-const CONFIRM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time within which a target must say which process it is. Sound targets may be silent for some
+/// seconds.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(4);
 /// Pause before a connection beside the answer is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(200);
 /// Time between the ends of two connections that may have had one cause, also if both are noticed late.
