--- a/crates/relay/tests/killed_targets.rs
+++ b/crates/relay/tests/killed_targets.rs
@@ -4,14 +4,25 @@
 mod support;
 
 use {
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
     support::{
         TestRelay, caller,
         scripted_target::{
             STARTED_UNIX_MS, ScriptedTarget, Step, Successor, stream, success, unframed,
         },
     },
-    tokio::task::yield_now,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        task::yield_now,
+        time::timeout,
+    },
 };
 
 const END: &str = "0\r\n\r\n";
@@ -270,3 +281,31 @@
     assert!(response.is_complete, "{response:?}");
     assert_eq!((one.identity_requests_count(), two.arrived().len()), (1, 0));
 }
+
+/// Serves one stream without framing for 700 ms. Ends all other connections at once, and counts them.
+async fn serve_one_stream(listener: TcpListener, others_count: Arc<AtomicU32>) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut head = vec![0; 4_096];
+    assert!(stream.read(&mut head).await.unwrap() > 0);
+    let answer = unframed("id: 1\ndata: a\n\n").replace("{id}", "c1");
+    stream.write_all(answer.as_bytes()).await.unwrap();
+    let accepting = async {
+        while listener.accept().await.is_ok() {
+            others_count.fetch_add(1, Ordering::Relaxed);
+        }
+    };
+    let _ = timeout(Duration::from_millis(700), accepting).await;
+}
+
+#[tokio::test]
+async fn target_that_ends_the_connections_beside_an_answer_is_not_flooded() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let target = ScriptedTarget::at("one", listener.local_addr().unwrap());
+    let others_count = Arc::new(AtomicU32::new(0));
+    tokio::spawn(serve_one_stream(listener, others_count.clone()));
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/stream/7", "").await;
+    assert!(!response.is_complete, "{response:?}");
+    let count = others_count.load(Ordering::Relaxed);
+    assert!((1..=5).contains(&count), "{count} connections");
+}
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -55,6 +55,12 @@
     }
 }
 
+/// The connection beside an answer could not be kept.
+fn gone() -> Unconfirmed {
+    let reason = "there is none that was open for some time".to_owned();
+    Unconfirmed::Gone { reason }
+}
+
 /// Shows whether the process that sends an answer still runs once the answer has ended with its
 /// connection. Beside the answer it keeps another connection to the process, on which it asks. If the process
 /// was killed or the path to it was cut, that one has ended as well. Dropping it closes the connection.
@@ -104,33 +110,40 @@
 
 impl BesideAnswer {
     /// Keeps a connection until the answer has `ended`, then asks on it.
-    async fn confirm_after(self, mut ended: oneshot::Receiver<()>) -> Result<(), Unconfirmed> {
+    async fn confirm_after(self, ended: oneshot::Receiver<()>) -> Result<(), Unconfirmed> {
+        let connection = self.keep_until(ended).await?;
+        // A process that ends closes its connections one after another.
+        sleep(PROCESS_EXIT_TIME).await;
+        let asked = timeout(CONFIRM_TIMEOUT, self.ask_on(connection)).await;
+        asked.unwrap_or(Err(Unconfirmed::Silent))
+    }
+
+    /// Keeps a connection until the answer has `ended`, and opens it again if it ends before. Fails if it
+    /// ended together with the answer.
+    async fn keep_until(
+        &self,
+        mut ended: oneshot::Receiver<()>,
+    ) -> Result<Connection, Unconfirmed> {
         let mut last_end = None::<Instant>;
         let mut opened = self.client.connect(self.address).await;
         loop {
-            let is_over = async {
-                match &mut opened {
-                    Ok(connection) => connection.ended().await,
-                    Err(_) => sleep(REOPEN_PAUSE).await,
+            if let Ok(mut connection) = opened {
+                tokio::select! {
+                    biased;
+                    () = connection.ended() => {}
+                    _ = &mut ended => {
+                        let is_common = last_end.is_some_and(|it| it.elapsed() < COMMON_END_TIME);
+                        return if is_common { Err(gone()) } else { Ok(connection) };
+                    }
                 }
-            };
-            tokio::select! {
-                biased;
-                () = is_over => {}
-                _ = &mut ended => break,
             }
             last_end = Some(Instant::now());
+            tokio::select! {
+                () = sleep(REOPEN_PAUSE) => {}
+                _ = &mut ended => return Err(gone()),
+            }
             opened = self.client.connect(self.address).await;
         }
-        if last_end.is_some_and(|it| it.elapsed() < COMMON_END_TIME) {
-            let reason = "shortly before".to_owned();
-            return Err(Unconfirmed::Gone { reason });
-        }
-        let connection = opened?;
-        // A process that ends closes its connections one after another.
-        sleep(PROCESS_EXIT_TIME).await;
-        let asked = timeout(CONFIRM_TIMEOUT, self.ask_on(connection)).await;
-        asked.unwrap_or(Err(Unconfirmed::Silent))
     }
 
     async fn ask_on(&self, connection: Connection) -> Result<(), Unconfirmed> {
