Target: a restart that is not registered yet breaks no sound stream off

Data that comes after the connection beside the answer was open shows that both ends were there at the same time, and two processes do not listen at one address. Then only the id is compared. The test fails before and holds now.

--- a/crates/relay/tests/killed_targets.rs
+++ b/crates/relay/tests/killed_targets.rs
@@ -309,3 +309,16 @@
     let count = others_count.load(Ordering::Relaxed);
     assert!((1..=5).contains(&count), "{count} connections");
 }
+
+/// Guards against a sound stream counting as broken off because the target's new registration is not known yet.
+#[tokio::test]
+async fn stream_of_a_target_that_has_restarted_before_its_registration_is_whole() {
+    let begin = unframed("id: 1\ndata: a\n\n");
+    let rest = "id: 2\ndata: b\n\n".to_owned();
+    let answer = Step::RespondInTwoThenEnd(begin, Duration::from_millis(100), rest);
+    let mut target = ScriptedTarget::start("one", vec![answer]).await;
+    target.started_unix_ms = STARTED_UNIX_MS - 1;
+    let relay = TestRelay::start(&[&target]).await;
+    let response = caller::call(relay.address, "/stream/7", "").await;
+    assert!(response.is_complete, "{response:?}");
+}
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -32,6 +32,8 @@
     RespondThenStall(String),
     /// Sends these bytes, then nothing for a while, then the rest.
     RespondInTwo(String, Duration, String),
+    /// Sends these bytes, then nothing for a while, then the rest, and closes the connection.
+    RespondInTwoThenEnd(String, Duration, String),
     /// Sends nothing and waits up to 2 seconds for the caller to disconnect.
     NeverRespond,
     /// Sends these bytes; then nothing listens any more, and after 30 ms the connection is closed.
@@ -307,6 +309,14 @@
                     return;
                 }
             }
+            Step::RespondInTwoThenEnd(begin, pause, rest) => {
+                let _ = stream
+                    .write_all(begin.replace("{id}", &id).as_bytes())
+                    .await;
+                sleep(pause).await;
+                let _ = stream.write_all(rest.as_bytes()).await;
+                return;
+            }
             Step::RespondThenEnd(text) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
                 return;
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -96,6 +96,11 @@
 }
 
 impl Connection {
+    /// When it was opened.
+    pub(crate) fn opened(&self) -> Instant {
+        self.opened
+    }
+
     /// Waits until it has ended. Do not wait again afterwards.
     pub(crate) async fn ended(&mut self) {
         // An error is an end like any other.
--- a/crates/target/src/incarnation.rs
+++ b/crates/target/src/incarnation.rs
@@ -46,16 +46,21 @@
         self
     }
 
+    /// Whether `stated`, which a process says of itself, may be said of this target: its id is no other one.
+    #[must_use]
+    pub fn is_same_target(&self, stated: &Self) -> bool {
+        are_equal(self.target.as_ref(), stated.target.as_ref())
+    }
+
     /// Whether `stated`, which a process says of itself, may be said of this incarnation: neither its id nor
     /// its start is another one.
     #[must_use]
     pub fn agrees_with(&self, stated: &Self) -> bool {
-        let is_same_target = are_equal(self.target.as_ref(), stated.target.as_ref());
-        is_same_target
-            && are_equal(
-                self.started_unix_ms.as_ref(),
-                stated.started_unix_ms.as_ref(),
-            )
+        let is_same_start = are_equal(
+            self.started_unix_ms.as_ref(),
+            stated.started_unix_ms.as_ref(),
+        );
+        self.is_same_target(stated) && is_same_start
     }
 }
 
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -14,7 +14,10 @@
         header::{self, HeaderMap},
     },
     serde::de::DeserializeOwned,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     tokio::time::timeout,
 };
 
@@ -32,6 +35,8 @@
     ends_with_connection: bool,
     /// What can show that such a body is complete.
     witness: Option<Box<Witness>>,
+    /// When the last data of such a body came.
+    last_data: Option<Instant>,
     body_state: BodyState,
     is_reusable: bool,
     connection_age: Duration,
@@ -79,6 +84,7 @@
             response,
             ends_with_connection,
             witness: None,
+            last_data: None,
             body_state: BodyState::Open,
             is_reusable: true,
         }
@@ -195,6 +201,7 @@
                 }
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.last_data = self.ends_with_connection.then(Instant::now);
                         return Ok(Some(data));
                     }
                 }
@@ -206,7 +213,7 @@
     /// Has the target show that a body is complete that ended with its connection.
     async fn confirm_end(&mut self) -> Result<WholeBody, Unconfirmed> {
         let witness = self.witness.as_mut().ok_or(Unconfirmed::NoProbe)?;
-        witness.confirm().await?;
+        witness.confirm(self.last_data).await?;
         Ok(WholeBody::new(BodyEnd::Connection))
     }
 
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Client, IncarnationProbe, SendError,
+        Client, Incarnation, IncarnationProbe, SendError,
         client::{Connection, Exchange, PROCESS_EXIT_TIME, closed_unwritten},
     },
     snafu::Snafu,
@@ -61,11 +61,14 @@
     Unconfirmed::Gone { reason }
 }
 
+/// When the last data of an answer came; `None` if none did after its head.
+type LastData = Option<Instant>;
+
 /// Shows whether the process that sends an answer still runs once the answer has ended with its
 /// connection. Beside the answer it keeps another connection to the process, on which it asks. If the process
 /// was killed or the path to it was cut, that one has ended as well. Dropping it closes the connection.
 pub(crate) struct Witness {
-    ended: Option<oneshot::Sender<()>>,
+    ended: Option<oneshot::Sender<LastData>>,
     confirming: AbortOnDropHandle<Result<(), Unconfirmed>>,
     confirmed: Option<Result<(), Unconfirmed>>,
 }
@@ -88,10 +91,10 @@
 
     /// Has the process show that it still runs, now that its answer has ended with its connection. Dropping
     /// the future loses nothing.
-    pub(crate) async fn confirm(&mut self) -> Result<(), Unconfirmed> {
+    pub(crate) async fn confirm(&mut self, last_data: LastData) -> Result<(), Unconfirmed> {
         if let Some(ended) = self.ended.take() {
             // The task that receives it ends later.
-            let _ = ended.send(());
+            let _ = ended.send(last_data);
         }
         if self.confirmed.is_none() {
             let confirmed = (&mut self.confirming).await;
@@ -110,20 +113,29 @@
 
 impl BesideAnswer {
     /// Keeps a connection until the answer has `ended`, then asks on it.
-    async fn confirm_after(self, ended: oneshot::Receiver<()>) -> Result<(), Unconfirmed> {
-        let connection = self.keep_until(ended).await?;
+    async fn confirm_after(self, ended: oneshot::Receiver<LastData>) -> Result<(), Unconfirmed> {
+        let (connection, last_data) = self.keep_until(ended).await?;
+        // Data that came later is of the same process: two do not listen at one address.
+        let has_overlapped = last_data.is_some_and(|it| connection.opened() < it);
         // A process that ends closes its connections one after another.
         sleep(PROCESS_EXIT_TIME).await;
         let asked = timeout(CONFIRM_TIMEOUT, self.ask_on(connection)).await;
-        asked.unwrap_or(Err(Unconfirmed::Silent))
+        let stated = asked.unwrap_or(Err(Unconfirmed::Silent))?;
+        let expected = &self.probe.expected;
+        let is_shown = if has_overlapped {
+            expected.is_same_target(&stated)
+        } else {
+            expected.agrees_with(&stated)
+        };
+        is_shown.then_some(()).ok_or(Unconfirmed::Replaced)
     }
 
     /// Keeps a connection until the answer has `ended`, and opens it again if it ends before. Fails if it
     /// ended together with the answer.
     async fn keep_until(
         &self,
-        mut ended: oneshot::Receiver<()>,
-    ) -> Result<Connection, Unconfirmed> {
+        mut ended: oneshot::Receiver<LastData>,
+    ) -> Result<(Connection, LastData), Unconfirmed> {
         let mut last_end = None::<Instant>;
         let mut opened = self.client.connect(self.address).await;
         loop {
@@ -131,9 +143,13 @@
                 tokio::select! {
                     biased;
                     () = connection.ended() => {}
-                    _ = &mut ended => {
+                    last_data = &mut ended => {
                         let is_common = last_end.is_some_and(|it| it.elapsed() < COMMON_END_TIME);
-                        return if is_common { Err(gone()) } else { Ok(connection) };
+                        return if is_common {
+                            Err(gone())
+                        } else {
+                            Ok((connection, last_data.unwrap_or_default()))
+                        };
                     }
                 }
             }
@@ -146,7 +162,8 @@
         }
     }
 
-    async fn ask_on(&self, connection: Connection) -> Result<(), Unconfirmed> {
+    /// Asks which process answers on `connection`.
+    async fn ask_on(&self, connection: Connection) -> Result<Incarnation, Unconfirmed> {
         let request = self.probe.request.clone();
         let exchange = self
             .client
@@ -156,10 +173,6 @@
             Exchange::Unsent(_) => return Err(closed_unwritten(self.address).into()),
         };
         let body = reply.delimited_body(CONFIRM_TIMEOUT).await?;
-        let stated = (self.probe.parse)(reply.headers(), &body);
-        if stated.is_some_and(|stated| self.probe.expected.agrees_with(&stated)) {
-            return Ok(());
-        }
-        Err(Unconfirmed::Replaced)
+        (self.probe.parse)(reply.headers(), &body).ok_or(Unconfirmed::Replaced)
     }
 }
