Target: one reader for delimited bodies; no second copy of what a witness has found

Read once more: a reply asks its witness once, so the stored result was never used; discard_body and delimited_body had the same timeout around the same reader; limited_body and part had one caller each, in the same file. Behaviour as it was.

--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -145,7 +145,7 @@
     ///
     /// # Errors
     /// [`SendError::Unknown`] if the body is truncated or nothing arrives within `read_timeout`.
-    pub async fn part(&mut self, read_timeout: Duration) -> Result<BodyPart, SendError> {
+    async fn part(&mut self, read_timeout: Duration) -> Result<BodyPart, SendError> {
         let read = timeout(read_timeout, self.next_part()).await;
         read.unwrap_or_else(|_| Err(self.silent(read_timeout)))
     }
@@ -233,9 +233,9 @@
         max_bytes: usize,
         body_timeout: Duration,
     ) -> Result<(), SendError> {
-        let read = timeout(body_timeout, self.read_delimited(max_bytes)).await;
-        read.unwrap_or_else(|_| Err(self.not_in_time(body_timeout)))?;
-        Ok(())
+        self.delimited_within(max_bytes, body_timeout)
+            .await
+            .map(drop)
     }
 
     /// Closes the connection, so that the target stops the request; reading the body fails from now
@@ -259,22 +259,9 @@
     /// [`SendError::Unknown`] if the body is truncated, larger than 16 MiB or not complete within
     /// `body_timeout`.
     pub async fn body(&mut self, body_timeout: Duration) -> Result<Bytes, SendError> {
-        self.limited_body(MAX_ANSWER_BYTES, body_timeout).await
-    }
-
-    /// Reads the whole body if it has at most `max_bytes`.
-    ///
-    /// # Errors
-    /// [`SendError::Unknown`] if the body is truncated, larger, or not complete within
-    /// `body_timeout`.
-    pub async fn limited_body(
-        &mut self,
-        max_bytes: usize,
-        body_timeout: Duration,
-    ) -> Result<Bytes, SendError> {
         let address = self.address;
         self.body_with(body_timeout, |length| {
-            check_length(address, length, max_bytes)
+            check_length(address, length, MAX_ANSWER_BYTES)
         })
         .await
     }
@@ -319,7 +306,15 @@
     /// [`SendError::Unknown`] if the body is truncated by its framing, larger than 16 MiB or has not ended
     /// within `body_timeout`.
     pub async fn delimited_body(&mut self, body_timeout: Duration) -> Result<Bytes, SendError> {
-        let read = timeout(body_timeout, self.read_delimited(MAX_ANSWER_BYTES)).await;
+        self.delimited_within(MAX_ANSWER_BYTES, body_timeout).await
+    }
+
+    async fn delimited_within(
+        &mut self,
+        max_bytes: usize,
+        body_timeout: Duration,
+    ) -> Result<Bytes, SendError> {
+        let read = timeout(body_timeout, self.read_delimited(max_bytes)).await;
         read.unwrap_or_else(|_| Err(self.not_in_time(body_timeout)))
     }
 
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -26,7 +26,7 @@
 const COMMON_END_TIME: Duration = Duration::from_millis(500);
 
 /// Why nothing shows that a body is complete that ended with its connection.
-#[derive(Clone, Debug, Snafu)]
+#[derive(Debug, Snafu)]
 pub(crate) enum Unconfirmed {
     /// Nobody can be asked.
     #[snafu(display(
@@ -70,7 +70,6 @@
 pub(crate) struct Witness {
     ended: Option<oneshot::Sender<LastData>>,
     confirming: AbortOnDropHandle<Result<(), Unconfirmed>>,
-    confirmed: Option<Result<(), Unconfirmed>>,
 }
 
 impl Witness {
@@ -85,22 +84,18 @@
         Self {
             ended: Some(sender),
             confirming: AbortOnDropHandle::new(tokio::spawn(beside.confirm_after(ended))),
-            confirmed: None,
         }
     }
 
     /// Has the process show that it still runs, now that its answer has ended with its connection. Dropping
-    /// the future loses nothing.
+    /// the future loses nothing. Do not ask again once it has completed.
     pub(crate) async fn confirm(&mut self, last_data: LastData) -> Result<(), Unconfirmed> {
         if let Some(ended) = self.ended.take() {
             // The task that receives it ends later.
             let _ = ended.send(last_data);
         }
-        if self.confirmed.is_none() {
-            let confirmed = (&mut self.confirming).await;
-            self.confirmed = Some(confirmed.unwrap_or(Err(Unconfirmed::NoProbe)));
-        }
-        self.confirmed.clone().unwrap_or(Err(Unconfirmed::NoProbe))
+        let confirmed = (&mut self.confirming).await;
+        confirmed.unwrap_or(Err(Unconfirmed::NoProbe))
     }
 }
 
