Relay: one function makes the frames of a streamed answer; the pool of a target is looked up only for answers without framing

Read once more: streams of targets and of other instances were made into frames by two copies of one function, which had both changed. EventForwarding is what differs; frames does the rest. A moved or resumed stream waits for the cutoff by the same CutoffWatch as each read does. The path of the health check was looked up at each attempt, and needed only where an answer ends with its connection. Behaviour as it was.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -8,7 +8,11 @@
     bytes::Bytes,
     http_body_util::Full,
     hyper::{HeaderMap, Request, StatusCode},
-    std::time::{Duration, Instant},
+    routes::{Pool, PoolId},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
     target::{Client, Reply, Reuse, SendError, StartTimeout, StreamPosition},
 };
 
@@ -107,8 +111,10 @@
 pub(crate) struct AttemptParams<'call, Timeout, Observe> {
     /// The target.
     pub(crate) target: &'call TargetState,
-    /// Path of the health check of its pool; empty if there is none.
-    pub(crate) health_path: &'call str,
+    /// Pools of the configuration that admitted the call.
+    pub(crate) pools: &'call BTreeMap<PoolId, Pool>,
+    /// Pool of the target.
+    pub(crate) pool: &'call PoolId,
     /// Request id of the call, which shows that an answer belongs to it.
     pub(crate) id: &'call str,
     /// Whether an idle connection of the pool may be used.
@@ -173,10 +179,12 @@
     if status.is_success() && !metadata.has_proof {
         return TurnedAway::NoProof.into();
     }
-    if reply.ends_with_connection()
-        && let Some(probe) = header_format.incarnation_probe(target, params.health_path)
-    {
-        reply.expect_incarnation(probe);
+    if reply.ends_with_connection() {
+        let pool = params.pools.get(params.pool);
+        let health_path = pool.map_or("", |pool| pool.health_path.as_str());
+        if let Some(probe) = header_format.incarnation_probe(target, health_path) {
+            reply.expect_incarnation(probe);
+        }
     }
     read_answer(reply, metadata, &params).await
 }
--- a/crates/relay/src/forwarded_stream.rs
+++ b/crates/relay/src/forwarded_stream.rs
@@ -2,15 +2,12 @@
 
 use {
     crate::{
-        AnswerCutoff, TruncatedAnswer,
+        AnswerCutoff,
         call_recorder::CallRecorder,
+        event_forwarding::{Aborted, EventForwarding, Forwarded},
         event_stream::{EventStream, StreamStep},
         shutdown::CutoffWatch,
-        stream_forwarder::{Aborted, Forwarded},
     },
-    bytes::Bytes,
-    futures::{Stream, stream},
-    hyper::body::Frame,
     std::time::{Duration, Instant},
 };
 
@@ -42,22 +39,9 @@
             deadline: deadline + END_MARGIN,
         }
     }
+}
 
-    /// The frames of the answer to the caller. If the stream breaks off, the last one is an error.
-    pub(crate) fn frames(self) -> impl Stream<Item = Result<Frame<Bytes>, TruncatedAnswer>> {
-        stream::unfold(Some(Box::new(self)), |forwarded| async move {
-            let mut forwarded = forwarded?;
-            match forwarded.next().await {
-                Ok(Forwarded::Events(events)) => Some((Ok(Frame::data(events)), Some(forwarded))),
-                Ok(Forwarded::End(whole)) => {
-                    forwarded.recorder.end_stream(whole);
-                    None
-                }
-                Err(Aborted) => Some((Err(TruncatedAnswer::after_flush().await), None)),
-            }
-        })
-    }
-
+impl EventForwarding for ForwardedStream {
     async fn next(&mut self) -> Result<Forwarded, Aborted> {
         let status = self.recorder.line.status;
         let time_left = self.deadline.saturating_duration_since(Instant::now());
@@ -83,4 +67,7 @@
             }
         }
     }
+    fn recorder(&mut self) -> &mut CallRecorder {
+        &mut self.recorder
+    }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,6 +36,7 @@
 mod choose_target;
 mod discard_body;
 mod ending_calls;
+mod event_forwarding;
 mod event_stream;
 mod forwarded_stream;
 mod header_format;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,13 +9,14 @@
         attempt::Content,
         body_memory::BodyMemory,
         call_recorder::CallRecorder,
+        event_forwarding::frames,
         forwarded_stream::ForwardedStream,
         not_run::NOT_RUN,
         peer_caller::PeerCaller,
         pool_bounds::PoolBounds,
         refusal::Unanswered,
         retry_budgets::RetryBudgets,
-        stream_forwarder::{Aborted, Forwarded, StreamForwarder},
+        stream_forwarder::StreamForwarder,
         target_conditions::PassedOver,
     },
     arc_swap::ArcSwap,
@@ -23,7 +24,7 @@
     bytes::Bytes,
     catalog::FailureDomainId,
     eventlog::EventLog,
-    futures::{Stream, future::Either, stream},
+    futures::{Stream, future::Either},
     hyper::{
         Request,
         body::{Frame, Incoming},
@@ -234,26 +235,13 @@
             Content::Events(events) => {
                 recorder.line.status = status.as_u16();
                 let forwarder = StreamForwarder::new(active_call, *events, recorder);
-                let frames = stream::unfold(Some(Box::new(forwarder)), |forwarder| async move {
-                    let mut forwarder = forwarder?;
-                    match forwarder.next().await {
-                        Ok(Forwarded::Events(events)) => {
-                            Some((Ok(Frame::data(events)), Some(forwarder)))
-                        }
-                        Ok(Forwarded::End(whole)) => {
-                            forwarder.end(whole);
-                            None
-                        }
-                        Err(Aborted) => Some((Err(TruncatedAnswer::after_flush().await), None)),
-                    }
-                });
-                streamed(status, headers, Either::Left(frames))
+                streamed(status, headers, Either::Left(frames(forwarder)))
             }
             Content::Forwarded(events) => {
                 recorder.line.status = status.as_u16();
                 let deadline = active_call.deadline();
                 let forwarded = ForwardedStream::new(*events, recorder, answer_cutoff, deadline);
-                streamed(status, headers, Either::Right(forwarded.frames()))
+                streamed(status, headers, Either::Right(frames(forwarded)))
             }
         }
     }
--- a/crates/relay/src/sent_attempt.rs
+++ b/crates/relay/src/sent_attempt.rs
@@ -54,7 +54,8 @@
         };
         let params = AttemptParams {
             target,
-            health_path: self.health_path(),
+            pools: &self.admitted.table.config().pools,
+            pool: &self.pool,
             id: &self.admitted.call.id,
             reuse: Reuse::Allowed,
             start_timeout: &start_timeout,
@@ -115,12 +116,6 @@
         }
         outcome
     }
-
-    /// Path of the health check of the call's pool; empty if there is none.
-    fn health_path(&self) -> &str {
-        let pool = self.admitted.table.config().pools.get(&self.pool);
-        pool.map_or("", |pool| pool.health_path.as_str())
-    }
 }
 
 /// Text for the log that describes the outcome of an attempt.
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -110,6 +110,7 @@
 
 #[derive(Debug, Default)]
 struct CutoffState {
+    /// The same as the token, whose state is read under a lock.
     is_triggered: AtomicBool,
     cut_count: AtomicU64,
 }
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -6,14 +6,14 @@
         active_call::ActiveCall,
         attempt::Content,
         call_recorder::CallRecorder,
+        event_forwarding::{Aborted, EventForwarding, Forwarded},
         event_stream::{EventStream, StreamStep},
         shutdown::CutoffWatch,
         silent_target::{SentAt, SuspendedAttempt},
     },
-    bytes::Bytes,
     routes::RetryPolicy,
     std::{future::pending, time::Duration},
-    target::{SendError, WholeBody},
+    target::SendError,
     tokio::time::sleep_until,
 };
 
@@ -31,19 +31,6 @@
 /// still finish the stream before a shutdown.
 const FAILOVER_MARGIN: Duration = Duration::from_millis(300);
 
-/// The stream ended early; the call's recorder holds the reason.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Aborted;
-
-/// What the caller is sent next.
-#[derive(Debug)]
-pub(crate) enum Forwarded {
-    /// Events, one after the other.
-    Events(Bytes),
-    /// The regular end, and what shows that the stream is complete.
-    End(WholeBody),
-}
-
 /// What a read of the stream gave.
 type Step = Result<StreamStep, SendError>;
 
@@ -78,45 +65,6 @@
         }
     }
 
-    /// Returns the next events, or the end of the stream.
-    ///
-    /// If the stream breaks off, another target resumes it after the last forwarded event, provided
-    /// that the route, the remaining time and the retry budget allow it. A silent stream is moved in
-    /// the same way, and read on if no other target takes it.
-    pub(crate) async fn next(&mut self) -> Result<Forwarded, Aborted> {
-        let mut step = self.read().await?;
-        loop {
-            step = match step {
-                Ok(StreamStep::Events(events)) => {
-                    self.recorder.record_events(events.count);
-                    return Ok(Forwarded::Events(events.bytes));
-                }
-                Ok(StreamStep::End(whole)) => {
-                    return Ok(Forwarded::End(whole));
-                }
-                Ok(StreamStep::Silent) if self.events.is_unconfirmed() => self.read().await?,
-                Ok(StreamStep::Silent) => match self.move_silent().await? {
-                    Some(step) => step,
-                    None => self.read().await?,
-                },
-                Err(error) => {
-                    // A target that sent something unusable would otherwise go on with the call.
-                    self.events.close();
-                    self.end_attempt(format!("torn: {error}"));
-                    self.call.record_disconnect();
-                    self.call.record_identity(&mut self.recorder);
-                    self.resume().await?;
-                    self.read().await?
-                }
-            };
-        }
-    }
-
-    /// Records that the whole stream was forwarded.
-    pub(crate) fn end(mut self, whole: WholeBody) {
-        self.recorder.end_stream(whole);
-    }
-
     /// Reads the stream until something comes or the target has been silent for long.
     async fn read(&mut self) -> Result<Step, Aborted> {
         if self.call.time_left().is_zero() {
@@ -133,15 +81,13 @@
     /// Lets another target resume the stream after it broke off.
     async fn resume(&mut self) -> Result<(), Aborted> {
         let last_event_id = self.events.resume_point();
-        let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
         loop {
             if let Err(reason) = self.reserve_resumption() {
                 return Err(self.torn(reason));
             }
-            let resumed = tokio::select! {
-                biased;
-                resumed = resume_elsewhere(&mut self.call, &mut self.recorder, last_event_id) => resumed,
-                () = answer_cutoff.triggered() => return Err(self.cut()),
+            let resuming = resume_elsewhere(&mut self.call, &mut self.recorder, last_event_id);
+            let Some(resumed) = self.cutoff.unless_cut(resuming).await else {
+                return Err(self.cut());
             };
             match resumed {
                 Ok(events) => {
@@ -166,14 +112,17 @@
         let silence_ms = self.silence_timeout().as_millis();
         self.end_attempt(format!("silent for {silence_ms} ms"));
         let last_event_id = self.events.resume_point();
-        let answer_cutoff = self.call.inner.state.answer_cutoff.clone();
         let mut present = self.call.suspend_attempt();
         let sent_at = self.call.sent_at();
-        let first = tokio::select! {
-            biased;
-            resumed = resume_elsewhere(&mut self.call, &mut self.recorder, last_event_id) => First::Other(resumed),
-            step = read_until_taken(&mut self.events, &mut present, sent_at) => First::Present(step),
-            () = answer_cutoff.triggered() => return Err(self.cut()),
+        let first = async {
+            tokio::select! {
+                biased;
+                resumed = resume_elsewhere(&mut self.call, &mut self.recorder, last_event_id) => First::Other(resumed),
+                step = read_until_taken(&mut self.events, &mut present, sent_at) => First::Present(step),
+            }
+        };
+        let Some(first) = self.cutoff.unless_cut(first).await else {
+            return Err(self.cut());
         };
         match first {
             First::Other(Ok(events)) => self.go_on_with(events),
@@ -260,6 +209,47 @@
     }
 }
 
+impl<Format> EventForwarding for StreamForwarder<Format>
+where
+    Format: HeaderFormat,
+{
+    /// Returns the next events, or the end of the stream.
+    ///
+    /// If the stream breaks off, another target resumes it after the last forwarded event, provided
+    /// that the route, the remaining time and the retry budget allow it. A silent stream is moved in
+    /// the same way, and read on if no other target takes it.
+    async fn next(&mut self) -> Result<Forwarded, Aborted> {
+        let mut step = self.read().await?;
+        loop {
+            step = match step {
+                Ok(StreamStep::Events(events)) => {
+                    self.recorder.record_events(events.count);
+                    return Ok(Forwarded::Events(events.bytes));
+                }
+                Ok(StreamStep::End(whole)) => return Ok(Forwarded::End(whole)),
+                Ok(StreamStep::Silent) if self.events.is_unconfirmed() => self.read().await?,
+                Ok(StreamStep::Silent) => match self.move_silent().await? {
+                    Some(step) => step,
+                    None => self.read().await?,
+                },
+                Err(error) => {
+                    // A target that sent something unusable would otherwise go on with the call.
+                    self.events.close();
+                    self.end_attempt(format!("torn: {error}"));
+                    self.call.record_disconnect();
+                    self.call.record_identity(&mut self.recorder);
+                    self.resume().await?;
+                    self.read().await?
+                }
+            };
+        }
+    }
+
+    fn recorder(&mut self) -> &mut CallRecorder {
+        &mut self.recorder
+    }
+}
+
 /// What came first after another target was asked to resume a silent stream.
 enum First {
     /// The other target took the stream, or none does.
