Relay tests: what stood twice in the tests of ends of answers stands once

The instance before another one (stream_positions, stream_rate), a call through a relay and the check of a whole answer (killed_targets), the sending of a step's text and the end of listening (scripted_target). Assertions as they were.

--- a/crates/relay/tests/killed_targets.rs
+++ b/crates/relay/tests/killed_targets.rs
@@ -26,6 +26,26 @@
 };
 
 const END: &str = "0\r\n\r\n";
+/// Paths of a stream and of a call whose answer is read as a whole, and the bodies of answers there.
+const WHOLE_BODIES: [(&str, &str); 2] = [
+    ("/stream/7", "id: 1\ndata: a\n\n"),
+    ("/once/7", "all of a body"),
+];
+
+/// Calls `target` through a relay.
+async fn call(target: &ScriptedTarget, path: &str) -> caller::Response {
+    let relay = TestRelay::start(&[target]).await;
+    caller::call(relay.address, path, "").await
+}
+
+/// Checks that the answer of `target` at `path` is `body`, and whole.
+async fn assert_whole(target: &ScriptedTarget, path: &str, body: &str) {
+    let response = call(target, path).await;
+    assert!(
+        response.is_complete && response.text.contains(body),
+        "{path}: {response:?}"
+    );
+}
 
 /// A target that is killed after its first event.
 async fn killed_target(name: &str) -> ScriptedTarget {
@@ -48,8 +68,7 @@
 async fn stream_of_a_killed_target_is_visibly_incomplete() {
     for path in ["/stream/7", "/resumable/7"] {
         let target = killed_target("one").await;
-        let relay = TestRelay::start(&[&target]).await;
-        let response = caller::call(relay.address, path, "").await;
+        let response = call(&target, path).await;
         assert!(!response.is_complete, "{path}: {response:?}");
         assert!(response.text.contains("data: a"));
     }
@@ -61,8 +80,7 @@
     let head = "HTTP/1.1 200 OK\r\nid: {id}\r\nstamp: s\r\ntransfer-encoding: identity\r\n\r\n";
     let killed = Step::RespondThenDie(format!("{head}id: 1\ndata: a\n\n"));
     let target = ScriptedTarget::start("one", vec![killed]).await;
-    let relay = TestRelay::start(&[&target]).await;
-    let response = caller::call(relay.address, "/stream/7", "").await;
+    let response = call(&target, "/stream/7").await;
     assert!(!response.is_complete, "{response:?}");
 }
 
@@ -89,8 +107,7 @@
 async fn body_of_a_killed_target_is_no_whole_answer() {
     let killed = Step::RespondThenDie(unframed("half of a"));
     let target = ScriptedTarget::start("one", vec![killed]).await;
-    let relay = TestRelay::start(&[&target]).await;
-    let response = caller::call(relay.address, "/once/7", "").await;
+    let response = call(&target, "/once/7").await;
     assert_eq!(response.status, 502, "{response:?}");
 }
 
@@ -98,8 +115,7 @@
 async fn body_of_a_target_that_goes_on_is_whole() {
     let answer = Step::RespondThenClose(unframed("all of a body"));
     let target = ScriptedTarget::start("one", vec![answer]).await;
-    let relay = TestRelay::start(&[&target]).await;
-    let response = caller::call(relay.address, "/once/7", "").await;
+    let response = call(&target, "/once/7").await;
     assert_eq!(response.status, 200, "{response:?}");
     assert!(response.is_complete && response.text.contains("all of a body"));
 }
@@ -126,8 +142,7 @@
     for successor in successors() {
         for path in ["/stream/7", "/resumable/7"] {
             let target = passed_target("id: 1\ndata: a\n\n", successor.clone()).await;
-            let relay = TestRelay::start(&[&target]).await;
-            let response = caller::call(relay.address, path, "").await;
+            let response = call(&target, path).await;
             assert!(!response.is_complete, "{successor:?} {path}: {response:?}");
             assert!(response.text.contains("data: a"));
         }
@@ -150,8 +165,7 @@
 async fn body_of_a_target_whose_address_goes_on_accepting_is_no_whole_answer() {
     for successor in successors() {
         let target = passed_target("half of a", successor.clone()).await;
-        let relay = TestRelay::start(&[&target]).await;
-        let response = caller::call(relay.address, "/once/7", "").await;
+        let response = call(&target, "/once/7").await;
         assert_eq!(response.status, 502, "{successor:?}: {response:?}");
     }
 }
@@ -159,8 +173,7 @@
 #[tokio::test]
 async fn stream_whose_target_is_silent_after_its_end_is_visibly_incomplete() {
     let target = passed_target("id: 1\ndata: a\n\n", Successor::SilentProxy).await;
-    let relay = TestRelay::start(&[&target]).await;
-    let response = caller::call(relay.address, "/stream/7", "").await;
+    let response = call(&target, "/stream/7").await;
     assert!(!response.is_complete, "{response:?}");
 }
 
@@ -169,8 +182,7 @@
 async fn stream_of_a_target_that_restarts_without_a_stated_start_is_visibly_incomplete() {
     let successor = Successor::Target("one".to_owned(), None);
     let target = passed_target("id: 1\ndata: a\n\n", successor).await;
-    let relay = TestRelay::start(&[&target]).await;
-    let response = caller::call(relay.address, "/stream/7", "").await;
+    let response = call(&target, "/stream/7").await;
     assert!(!response.is_complete, "{response:?}");
 }
 
@@ -180,25 +192,16 @@
     let target = ScriptedTarget::start("one", vec![answer])
         .await
         .without_start();
-    let relay = TestRelay::start(&[&target]).await;
-    let response = caller::call(relay.address, "/stream/7", "").await;
+    let response = call(&target, "/stream/7").await;
     assert!(response.is_complete, "{response:?}");
 }
 
 #[tokio::test]
 async fn answers_of_a_target_that_leaves_before_they_end_are_whole() {
-    for (path, body) in [
-        ("/stream/7", "id: 1\ndata: a\n\n"),
-        ("/once/7", "all of a body"),
-    ] {
+    for (path, body) in WHOLE_BODIES {
         let answer = Step::RespondThenLeave(unframed(body));
         let target = ScriptedTarget::start("one", vec![answer]).await;
-        let relay = TestRelay::start(&[&target]).await;
-        let response = caller::call(relay.address, path, "").await;
-        assert!(
-            response.is_complete && response.text.contains(body),
-            "{path}: {response:?}"
-        );
+        assert_whole(&target, path, body).await;
     }
 }
 
@@ -237,19 +240,11 @@
 /// Guards against a sound answer counting as broken off because its end came together with its head.
 #[tokio::test]
 async fn short_answers_that_end_at_once_are_whole() {
-    for (path, body) in [
-        ("/stream/7", "id: 1\ndata: a\n\n"),
-        ("/once/7", "all of a body"),
-    ] {
+    for (path, body) in WHOLE_BODIES {
         let answer = Step::RespondThenEnd(unframed(body));
         let target = ScriptedTarget::start("one", vec![answer]).await;
         let target = target.without_start();
-        let relay = TestRelay::start(&[&target]).await;
-        let response = caller::call(relay.address, path, "").await;
-        assert!(
-            response.is_complete && response.text.contains(body),
-            "{path}: {response:?}"
-        );
+        assert_whole(&target, path, body).await;
     }
 }
 
@@ -257,8 +252,7 @@
 async fn answer_of_a_target_that_is_full_when_it_ends_is_whole() {
     let answer = Step::RespondThenClose(unframed("all of a body"));
     let target = ScriptedTarget::start("one", vec![answer]).await.full();
-    let relay = TestRelay::start(&[&target]).await;
-    let response = caller::call(relay.address, "/once/7", "").await;
+    let response = call(&target, "/once/7").await;
     assert!(
         response.is_complete && response.status == 200,
         "{response:?}"
@@ -303,8 +297,7 @@
     let target = ScriptedTarget::at("one", listener.local_addr().unwrap());
     let others_count = Arc::new(AtomicU32::new(0));
     tokio::spawn(serve_one_stream(listener, others_count.clone()));
-    let relay = TestRelay::start(&[&target]).await;
-    let response = caller::call(relay.address, "/stream/7", "").await;
+    let response = call(&target, "/stream/7").await;
     assert!(!response.is_complete, "{response:?}");
     let count = others_count.load(Ordering::Relaxed);
     assert!((1..=5).contains(&count), "{count} connections");
@@ -318,7 +311,6 @@
     let answer = Step::RespondInTwoThenEnd(begin, Duration::from_millis(100), rest);
     let mut target = ScriptedTarget::start("one", vec![answer]).await;
     target.started_unix_ms = STARTED_UNIX_MS - 1;
-    let relay = TestRelay::start(&[&target]).await;
-    let response = caller::call(relay.address, "/stream/7", "").await;
+    let response = call(&target, "/stream/7").await;
     assert!(response.is_complete, "{response:?}");
 }
--- a/crates/relay/tests/stream_positions.rs
+++ b/crates/relay/tests/stream_positions.rs
@@ -3,8 +3,7 @@
 mod support;
 
 use {
-    relay::{CallSource, Peer},
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
     support::{
         TestRelay, caller,
         scripted_target::{ScriptedTarget, Step, stream, unframed},
@@ -39,25 +38,10 @@
 /// An instance that reaches no target, before another instance that answers with `answer`.
 async fn call_through_peer(path: &str, headers: &str, answer: Step) -> caller::Response {
     let peer = ScriptedTarget::start("peer", vec![answer]).await;
-    let relay = before_peer(&peer).await;
+    let relay = TestRelay::start_before_peer(&peer).await;
     caller::call(relay.address, path, headers).await
 }
 
-/// Starts an instance that reaches no target, before another instance.
-async fn before_peer(peer: &ScriptedTarget) -> TestRelay {
-    let relay = TestRelay::start_for(&[], CallSource::Caller).await;
-    let gone = support::unreachable_target();
-    let mut view = support::view(&[&gone]);
-    view.peers = [Peer {
-        name: "peer".to_owned(),
-        seed: 1,
-        address: peer.address,
-    }]
-    .into();
-    relay.view.store(Arc::new(view));
-    relay
-}
-
 /// Guards against taking the crash of a target before its first event for the end of a resumed stream.
 #[tokio::test]
 async fn unframed_resumption_without_an_event_is_no_end() {
@@ -182,7 +166,7 @@
     let target = ScriptedTarget::start("one", vec![answer.clone()]).await;
     let of_target = TestRelay::start(&[&target]).await;
     let peer = ScriptedTarget::start("peer", vec![answer]).await;
-    let of_peer = before_peer(&peer).await;
+    let of_peer = TestRelay::start_before_peer(&peer).await;
     for relay in [of_target, of_peer] {
         let mut connection = caller::send(relay.address, "/stream/7", "").await;
         let mut bytes = Vec::new();
@@ -206,7 +190,7 @@
 async fn broken_stream_of_another_instance_is_not_resumed_here() {
     let torn = Step::RespondThenClose(stream(&["id: 1\ndata: a\n\n"]));
     let peer = ScriptedTarget::start("peer", vec![torn, Step::Respond(rest())]).await;
-    let relay = before_peer(&peer).await;
+    let relay = TestRelay::start_before_peer(&peer).await;
     let response = caller::call(relay.address, "/resumable/7", "").await;
     assert!(response.text.contains("data: a"), "{response:?}");
     assert!(!response.is_complete, "{response:?}");
@@ -220,7 +204,7 @@
     let second = "f\r\nid: 2\ndata: b\n\n\r\n".to_owned();
     let in_two = Step::RespondInTwo(first, PAUSE, second);
     let peer = ScriptedTarget::start("peer", vec![in_two]).await;
-    let relay = before_peer(&peer).await;
+    let relay = TestRelay::start_before_peer(&peer).await;
     let mut connection = caller::send(relay.address, "/resumable/7", "").await;
     let mut bytes = Vec::new();
     while !String::from_utf8_lossy(&bytes).contains("data: b\n\n") {
--- a/crates/relay/tests/stream_rate.rs
+++ b/crates/relay/tests/stream_rate.rs
@@ -5,12 +5,10 @@
 mod support;
 
 use {
-    relay::{CallSource, Peer},
     rustix::time::{ClockId, clock_gettime},
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpStream},
-        sync::Arc,
         time::{Duration, Instant},
     },
     support::{
@@ -100,16 +98,7 @@
         let relay = TestRelay::start(&[&one]).await;
         measure("target", chunk_events_count, &relay).await;
         let peer = start_target(&runtime, "peer", chunk_events_count).await;
-        let gone = support::unreachable_target();
-        let mut view = support::view(&[&gone]);
-        view.peers = [Peer {
-            name: "peer".to_owned(),
-            seed: 1,
-            address: peer.address,
-        }]
-        .into();
-        let relay = TestRelay::start_for(&[], CallSource::Caller).await;
-        relay.view.store(Arc::new(view));
+        let relay = TestRelay::start_before_peer(&peer).await;
         measure("other instance", chunk_events_count, &relay).await;
     }
     runtime.shutdown_background();
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -16,7 +16,7 @@
     meters::Meters,
     parts::PartDirectory,
     relay::{
-        AnswerCutoff, CallSource, LoadedModel, Relay, RelaySettings, RelayState, Shutdown,
+        AnswerCutoff, CallSource, LoadedModel, Peer, Relay, RelaySettings, RelayState, Shutdown,
         StreamOrigins, SuspectReports, TargetState, TargetStats, View, boot_time,
     },
     routes::{Account, RetryPolicy, Route, RouteConfig, RouteTable},
@@ -159,6 +159,21 @@
         Self::start_all(targets, RetryBounds::default(), source).await
     }
 
+    /// Starts the relay of an instance that reaches no target, before another instance.
+    pub async fn start_before_peer(peer: &ScriptedTarget) -> Self {
+        let relay = Self::start_for(&[], CallSource::Caller).await;
+        let gone = unreachable_target();
+        let mut view = view(&[&gone]);
+        view.peers = [Peer {
+            name: "peer".to_owned(),
+            seed: 1,
+            address: peer.address,
+        }]
+        .into();
+        relay.view.store(Arc::new(view));
+        relay
+    }
+
     /// Starts a relay in front of `targets` with this retry budget, whose calls come from `source`.
     pub async fn start_all(
         targets: &[&ScriptedTarget],
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -108,6 +108,12 @@
 }
 
 impl State {
+    fn stop_listening(&self) {
+        if let Some(accepting) = self.listener.lock().unwrap().take() {
+            accepting.abort();
+        }
+    }
+
     /// Answers the question which process this is.
     async fn say_identity(&self, stream: &mut TcpStream, name: &str) {
         self.identity_requests_count.fetch_add(1, Ordering::Relaxed);
@@ -287,6 +293,11 @@
     answer("200 OK", &headers, "")
 }
 
+/// Sends `text` as the answer, or a part of it, to the call with `id`.
+async fn send(stream: &mut TcpStream, text: &str, id: &str) -> std::io::Result<()> {
+    stream.write_all(text.replace("{id}", id).as_bytes()).await
+}
+
 async fn serve(stream: &mut TcpStream, state: &State, name: &str, calls_count: &AtomicU32) {
     let mut buffer = Vec::new();
     while let Some(head) = read_call(stream, &mut buffer).await {
@@ -301,69 +312,57 @@
         let step = state.script.lock().unwrap().pop_front();
         match step.unwrap_or_else(|| Step::Respond(success("ok"))) {
             Step::Respond(text) => {
-                if stream
-                    .write_all(text.replace("{id}", &id).as_bytes())
-                    .await
-                    .is_err()
-                {
+                if send(stream, &text, &id).await.is_err() {
                     return;
                 }
             }
             Step::RespondInTwoThenEnd(begin, pause, rest) => {
-                let _ = stream
-                    .write_all(begin.replace("{id}", &id).as_bytes())
-                    .await;
+                let _ = send(stream, &begin, &id).await;
                 sleep(pause).await;
-                let _ = stream.write_all(rest.as_bytes()).await;
+                let _ = send(stream, &rest, &id).await;
                 return;
             }
             Step::RespondThenEnd(text) => {
-                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                let _ = send(stream, &text, &id).await;
                 return;
             }
             Step::RespondThenClose(text) => {
-                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                let _ = send(stream, &text, &id).await;
                 sleep(Duration::from_millis(30)).await;
                 return;
             }
             Step::RespondThenDie(text) => {
-                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
-                if let Some(accepting) = state.listener.lock().unwrap().take() {
-                    accepting.abort();
-                }
+                let _ = send(stream, &text, &id).await;
+                state.stop_listening();
                 sleep(Duration::from_millis(30)).await;
                 return;
             }
             Step::RespondThenLeave(text) => {
-                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                let _ = send(stream, &text, &id).await;
                 sleep(Duration::from_millis(30)).await;
-                if let Some(accepting) = state.listener.lock().unwrap().take() {
-                    accepting.abort();
-                }
+                state.stop_listening();
                 return;
             }
             Step::RespondThenPass(text, successor) => {
-                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                let _ = send(stream, &text, &id).await;
                 sleep(Duration::from_millis(30)).await;
                 state.successor.send_replace(Some(successor));
                 return;
             }
             Step::RespondThenStall(text) => {
-                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                let _ = send(stream, &text, &id).await;
                 sleep(Duration::from_secs(6)).await;
                 return;
             }
             Step::RespondInTwo(begin, pause, rest) => {
-                let begin = begin.replace("{id}", &id);
-                let _ = stream.write_all(begin.as_bytes()).await;
+                let _ = send(stream, &begin, &id).await;
                 let mut byte = [0];
                 let read = timeout(pause, stream.read(&mut byte)).await;
                 if matches!(read, Ok(Ok(0) | Err(_))) {
                     *state.disconnects_count.lock().unwrap() += 1;
                     return;
                 }
-                let rest = rest.replace("{id}", &id);
-                if stream.write_all(rest.as_bytes()).await.is_err() {
+                if send(stream, &rest, &id).await.is_err() {
                     return;
                 }
             }
