Log whether the connection of an attempt had carried the same call before

Cause: the line of an attempt could not tell a refusal of this attempt from the copy of a refusal of an earlier one; both name the call. Change: a connection keeps the ids of what it has carried, as hashes; an attempt's line has was_carried_before. No decision depends on it.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -13,7 +13,7 @@
         collections::BTreeMap,
         time::{Duration, Instant},
     },
-    target::{Client, Reply, Reuse, SendError, StartTimeout, StreamPosition},
+    target::{Client, NamedRequest, Reply, Reuse, SendError, StartTimeout, StreamPosition},
 };
 
 /// Longest body of a refusal that is read, in bytes.
@@ -153,7 +153,12 @@
         ..
     } = params;
     let address = target.address;
-    let mut reply = match client.send(address, request, reuse, start_timeout).await {
+    let named = NamedRequest {
+        request,
+        id: params.id,
+    };
+    let sent = client.send_named(address, named, reuse, start_timeout);
+    let mut reply = match sent.await {
         Ok(reply) => reply,
         Err(error) => return error.into(),
     };
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -22,7 +22,7 @@
         sync::{Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
-    target::{Client, Reply, Reuse, SendError, StreamPosition},
+    target::{Client, NamedRequest, Reply, Reuse, SendError, StreamPosition},
 };
 
 /// Number of instances that are asked to answer one call.
@@ -162,9 +162,13 @@
         *request.headers_mut() = header_format.peer_headers(&call.head.headers, peer_time);
         let version = HeaderValue::from(call.configuration);
         request.headers_mut().insert(CONFIGURATION, version);
+        let named = NamedRequest {
+            request,
+            id: call.id,
+        };
         let sent = self
             .client
-            .send(peer.address, request, Reuse::Allowed, time_left);
+            .send_named(peer.address, named, Reuse::Allowed, time_left);
         match sent.await {
             Ok(reply) => read_answer(header_format, call, reply).await,
             Err(error) => error.into(),
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -1,7 +1,11 @@
 //! Pool of HTTP/1 connections to targets, with one exchange at a time on each.
 
 use {
-    crate::{Reply, SendError, StartTimeout, error},
+    crate::{
+        Reply, SendError, StartTimeout,
+        carried_ids::{CarriedIds, IdHash, IdHasher},
+        error,
+    },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -92,6 +96,9 @@
     opened: Instant,
     /// Requests that were sent on it, the present one included.
     requests_count: u32,
+    carried: CarriedIds,
+    /// Whether it had carried the present request before.
+    has_carried_before: bool,
     driver: AbortOnDropHandle<Result<(), hyper::Error>>,
 }
 
@@ -116,6 +123,29 @@
     pub(crate) fn earlier_requests_count(&self) -> u32 {
         self.requests_count.saturating_sub(1)
     }
+
+    /// Whether it had carried the present request before.
+    pub(crate) fn has_carried_before(&self) -> bool {
+        self.has_carried_before
+    }
+
+    /// Counts a request, with this id if it has one, that is about to be sent.
+    fn carry(&mut self, id: Option<IdHash>) {
+        self.requests_count += 1;
+        self.has_carried_before = id.is_some_and(|id| self.carried.has(id));
+        if let Some(id) = id {
+            self.carried.add(id);
+        }
+    }
+}
+
+/// A request with the id by which its answer is known.
+#[derive(Clone, Debug)]
+pub struct NamedRequest<'id> {
+    /// The request, which states the id in the way of its target.
+    pub request: Request<Full<Bytes>>,
+    /// Its id.
+    pub id: &'id str,
 }
 
 struct IdleConnection {
@@ -133,6 +163,7 @@
 pub struct Client {
     settings: ClientSettings,
     pool: Arc<Pool>,
+    id_hasher: Arc<IdHasher>,
 }
 
 impl Client {
@@ -142,6 +173,7 @@
         Self {
             settings,
             pool: Arc::default(),
+            id_hasher: Arc::default(),
         }
     }
 
@@ -151,17 +183,51 @@
         Self::new(self.settings)
     }
 
-    /// Sends `request` at most once and waits for the head of the answer until `timeout` gives up.
+    /// Sends a request without an id, such as a question for a target's state. Otherwise like
+    /// [`Client::send_named`].
+    ///
+    /// # Errors
+    /// Like [`Client::send_named`].
+    pub async fn send<Timeout>(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        reuse: Reuse,
+        timeout: Timeout,
+    ) -> Result<Reply, SendError>
+    where
+        Timeout: StartTimeout,
+    {
+        self.send_as(address, request, None, reuse, timeout).await
+    }
+
+    /// Sends a request at most once and waits for the head of the answer until `timeout` gives up.
     ///
     /// If an idle connection turns out to be closed before any byte was written, the request goes
     /// to another connection.
     ///
     /// # Errors
     /// [`SendError::NotSent`] if no byte was sent, [`SendError::Unknown`] if the answer is missing.
-    pub async fn send<Timeout>(
+    pub async fn send_named<Timeout>(
+        &self,
+        address: SocketAddr,
+        named: NamedRequest<'_>,
+        reuse: Reuse,
+        timeout: Timeout,
+    ) -> Result<Reply, SendError>
+    where
+        Timeout: StartTimeout,
+    {
+        let id = self.id_hasher.hash(named.id);
+        self.send_as(address, named.request, Some(id), reuse, timeout)
+            .await
+    }
+
+    async fn send_as<Timeout>(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        id: Option<IdHash>,
         reuse: Reuse,
         timeout: Timeout,
     ) -> Result<Reply, SendError>
@@ -173,14 +239,16 @@
                 if !self.is_ready(&mut connection).await {
                     continue;
                 }
-                match self.exchange(address, connection, request, &timeout).await {
+                let exchange = self.exchange(address, connection, request, id, &timeout);
+                match exchange.await {
                     Exchange::Done(result) => return result,
                     Exchange::Unsent(unsent) => request = unsent,
                 }
             }
         }
         let connection = self.connect(address).await?;
-        match self.exchange(address, connection, request, &timeout).await {
+        let exchange = self.exchange(address, connection, request, id, &timeout);
+        match exchange.await {
             Exchange::Done(result) => result,
             Exchange::Unsent(_) => Err(closed_unwritten(address)),
         }
@@ -261,6 +329,8 @@
             sender,
             opened: Instant::now(),
             requests_count: 0,
+            carried: CarriedIds::default(),
+            has_carried_before: false,
             driver: AbortOnDropHandle::new(tokio::spawn(driver)),
         })
     }
@@ -270,6 +340,7 @@
         address: SocketAddr,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
+        id: Option<IdHash>,
         start_timeout: &Timeout,
     ) -> Exchange
     where
@@ -284,7 +355,7 @@
         };
         let started = Instant::now();
         start_timeout.start();
-        connection.requests_count += 1;
+        connection.carry(id);
         let mut sending = pin!(connection.sender.try_send_request(request));
         let sent = loop {
             match timeout(start_timeout.duration(), sending.as_mut()).await {
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         AnswerStream, CacheBlocks, CacheEvents, Client, CompletionRequest, ExportReply,
-        ExportRequest, ImportReply, ImportRequest, LoadReport, OrderReply, Reply, Reuse, SendError,
-        engine_wire::OrderRequest, request,
+        ExportRequest, ImportReply, ImportRequest, LoadReport, NamedRequest, OrderReply, Reply,
+        Reuse, SendError, engine_wire::OrderRequest, request,
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -43,9 +43,13 @@
         first_byte_timeout: Duration,
     ) -> Result<AnswerStream, SendError> {
         let request = request::post_json("/v1/completions", completion, self.address);
+        let named = NamedRequest {
+            request,
+            id: &completion.request_id,
+        };
         let reply = self
             .client
-            .send(self.address, request, reuse, first_byte_timeout)
+            .send_named(self.address, named, reuse, first_byte_timeout)
             .await?;
         self.answer_stream(reply, completion, 0).await
     }
@@ -65,14 +69,13 @@
             "/v1/runs/{}?from_token={received_count}",
             completion.request_id
         );
+        let named = NamedRequest {
+            request: self.empty_request(Method::GET, &path),
+            id: &completion.request_id,
+        };
         let reply = self
             .client
-            .send(
-                self.address,
-                self.empty_request(Method::GET, &path),
-                Reuse::Fresh,
-                first_byte_timeout,
-            )
+            .send_named(self.address, named, Reuse::Fresh, first_byte_timeout)
             .await?;
         self.answer_stream(reply, completion, received_count).await
     }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod answer_stream;
 mod answers_request;
+mod carried_ids;
 mod client;
 mod engine;
 mod engine_wire;
@@ -40,7 +41,7 @@
 pub use {
     answer_stream::{AnswerEvent, AnswerStream},
     answers_request::{AnswersRequest, Unattributed},
-    client::{Client, ClientSettings, PROCESS_EXIT_TIME, Reuse},
+    client::{Client, ClientSettings, NamedRequest, PROCESS_EXIT_TIME, Reuse},
     engine::EngineClient,
     engine_wire::{
         BlockRef, CacheBlock, CacheBlocks, CacheEvent, CacheEventKind, CacheEvents,
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -41,6 +41,7 @@
     is_reusable: bool,
     connection_age: Duration,
     earlier_requests_count: u32,
+    was_carried_before: bool,
 }
 
 /// How far a body was read.
@@ -80,6 +81,7 @@
             address,
             connection_age: connection.age(),
             earlier_requests_count: connection.earlier_requests_count(),
+            was_carried_before: connection.has_carried_before(),
             connection: Some(connection),
             response,
             ends_with_connection,
@@ -120,6 +122,12 @@
         self.earlier_requests_count
     }
 
+    /// Whether the connection had carried the same request before, by its id.
+    #[must_use]
+    pub fn was_carried_before(&self) -> bool {
+        self.was_carried_before
+    }
+
     /// Whether the connection carried no other request, so that an answer that names none belongs to this
     /// one.
     pub(crate) fn is_first_of_connection(&self) -> bool {
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -1,7 +1,7 @@
 //! Client of one plain service.
 
 use {
-    crate::{Client, Reuse, SendError, request},
+    crate::{Client, NamedRequest, Reuse, SendError, request},
     bytes::Bytes,
     catalog::RequestId,
     http_body_util::Full,
@@ -86,9 +86,13 @@
                 request.headers_mut().insert(name, value);
             }
         }
+        let named = NamedRequest {
+            request,
+            id: &call.request_id,
+        };
         let mut reply = self
             .client
-            .send(self.address, request, Reuse::Fresh, timeout)
+            .send_named(self.address, named, Reuse::Fresh, timeout)
             .await?;
         let evidence = reply.check_id_header(&call.request_id)?;
         if reply.headers().contains_key("x-outcome") {
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -160,9 +160,9 @@
     /// Asks which process answers on `connection`.
     async fn ask_on(&self, connection: Connection) -> Result<Incarnation, Unconfirmed> {
         let request = self.probe.request.clone();
-        let exchange = self
-            .client
-            .exchange(self.address, connection, request, &CONFIRM_TIMEOUT);
+        let exchange =
+            self.client
+                .exchange(self.address, connection, request, None, &CONFIRM_TIMEOUT);
         let mut reply = match exchange.await {
             Exchange::Done(reply) => reply?,
             Exchange::Unsent(_) => return Err(closed_unwritten(self.address).into()),
