--- a/crates/relay/tests/forwarded_calls.rs
+++ b/crates/relay/tests/forwarded_calls.rs
@@ -16,22 +16,10 @@
 /// Time that another instance takes between two events.
 const GAP: Duration = Duration::from_millis(400);
 
-/// The view of an instance that reaches no target, before these other instances.
-fn view(peers: &[&ScriptedTarget]) -> Arc<View> {
-    let mut view = support::view(&[&support::unreachable_target()]);
-    let peers = peers.iter().enumerate().map(|(index, peer)| Peer {
-        name: peer.name.clone(),
-        seed: index as u64 + 1,
-        address: peer.address,
-    });
-    view.peers = peers.collect();
-    Arc::new(view)
-}
-
 /// An instance that reaches no target, before these other instances.
 async fn start(peers: &[&ScriptedTarget], source: CallSource) -> TestRelay {
     let relay = TestRelay::start_for(&[], source).await;
-    relay.view.store(view(peers));
+    relay.pass_on_to(peers);
     relay
 }
 
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -226,6 +226,18 @@
         }
     }
 
+    /// Has other instances answer the calls of this one, which reaches no target.
+    pub fn pass_on_to(&self, peers: &[&ScriptedTarget]) {
+        let mut view = view(&[&unreachable_target()]);
+        let peers = peers.iter().enumerate().map(|(index, peer)| Peer {
+            name: peer.name.clone(),
+            seed: index as u64 + 1,
+            address: peer.address,
+        });
+        view.peers = peers.collect();
+        self.view.store(Arc::new(view));
+    }
+
     /// Adds a target to the pool.
     pub fn add_target(&self, target: &ScriptedTarget) {
         let mut changed = View::clone(&self.view.load());
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -24,6 +24,8 @@
 pub enum Step {
     /// Sends these bytes; `{id}` is replaced by the call's id.
     Respond(String),
+    /// Sends these bytes, and once more right before the next answer on this connection.
+    RespondTwice(String),
     /// Sends these bytes, then closes the connection.
     RespondThenEnd(String),
     /// Sends these bytes, then closes the connection after 30 ms.
@@ -300,11 +302,16 @@
 
 async fn serve(stream: &mut TcpStream, state: &State, name: &str, calls_count: &AtomicU32) {
     let mut buffer = Vec::new();
+    let mut late_copy = String::new();
     while let Some(head) = read_call(stream, &mut buffer).await {
         if is_identity_request(&head) {
             state.say_identity(stream, name).await;
             continue;
         }
+        let copy = std::mem::take(&mut late_copy);
+        if stream.write_all(copy.as_bytes()).await.is_err() {
+            return;
+        }
         calls_count.fetch_add(1, Ordering::Relaxed);
         let arrived = Arrived { head };
         let id = arrived.header("id").unwrap_or_default().to_owned();
@@ -316,6 +323,12 @@
                     return;
                 }
             }
+            Step::RespondTwice(text) => {
+                late_copy = text.replace("{id}", &id);
+                if send(stream, &text, &id).await.is_err() {
+                    return;
+                }
+            }
             Step::RespondInTwoThenEnd(begin, pause, rest) => {
                 let _ = send(stream, &begin, &id).await;
                 sleep(pause).await;
