A connection carries a request once, so the copy of its refusal counts for nothing

Callers saw calls that ran though they had been refused (REFUSED), and calls that ran twice (TWICE).

Cause: an answer counts for a call if it names its id. That shows whose it is only where the connection has carried that call once. A call that comes again on a connection which carried it before (a second target registered at the address, a caller that uses one id again, an attempt that was set aside) can be answered by the copy of its earlier refusal.

Client::send_named takes an idle connection that has not carried the id, or opens one; CarriedOnce is what sending gives, and Reply::check_id compares with the id in it, for targets, other instances (NotRun::of_instance) and the clients of serving.

Three tests of used connections sent one id twice, which now takes a new connection; they send two ids. was_carried_before is out of the log: it can't be true any more.

--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -55,8 +55,6 @@
     pub connection_age_ms: Option<u64>,
     /// Calls that the connection carried before this one; `None` without an answer.
     pub earlier_calls_count: Option<u32>,
-    /// Whether the connection had carried the same call before; false without an answer.
-    pub was_carried_before: bool,
     /// Whether the answer has neither a length nor chunks, so that only the end of its connection ends
     /// it.
     pub is_unframed: bool,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -165,7 +165,7 @@
     let metadata = header_format.parse_reply(reply.headers());
     let status = reply.status();
     (params.observe)(&reply, &metadata);
-    let evidence = match reply.check_id(metadata.id.as_deref(), params.id) {
+    let evidence = match reply.check_id(metadata.id.as_deref()) {
         Ok(evidence) => evidence,
         Err(reason) => {
             // This is a late answer to an earlier call on this connection; others may be on their way
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -132,7 +132,6 @@
         attempt.answered_by.clone_from(&observed.target);
         attempt.connection_age_ms = Some(millis(observed.connection_age));
         attempt.earlier_calls_count = Some(observed.earlier_requests_count);
-        attempt.was_carried_before = observed.was_carried_before;
         attempt.is_unframed = observed.is_unframed;
         let statements = &observed.statements;
         attempt.is_leaving = statements.is_leaving == Some(Stated::Valid(true));
--- a/crates/relay/src/not_run.rs
+++ b/crates/relay/src/not_run.rs
@@ -89,13 +89,14 @@
         is_refused.then_some(Self(()))
     }
 
-    /// Evidence of another instance, by an answer of its own that names the call with `id`. Builds that
-    /// name no call say [`UNNAMED_CALL`], which counts for the first call on a connection.
-    pub(crate) fn of_instance(id: &str, reply: &Reply) -> Option<Self> {
+    /// Evidence of another instance, by an answer of its own that names the call. Builds that name no call
+    /// say [`UNNAMED_CALL`], which counts for the first call on a connection.
+    pub(crate) fn of_instance(reply: &mut Reply) -> Option<Self> {
         let named = reply.headers().get(&NOT_RUN)?;
-        let is_first = reply.earlier_requests_count() == 0;
-        let is_this_call = named == id || named == UNNAMED_CALL && is_first;
-        is_this_call.then_some(Self(()))
+        let named = String::from_utf8_lossy(named.as_bytes()).into_owned();
+        let named = (named != UNNAMED_CALL).then_some(named);
+        let _answers: AnswersRequest = reply.check_id(named.as_deref()).ok()?;
+        Some(Self(()))
     }
 }
 
--- a/crates/relay/src/observed_answer.rs
+++ b/crates/relay/src/observed_answer.rs
@@ -17,8 +17,6 @@
     pub(crate) connection_age: Duration,
     /// Calls that the connection carried before.
     pub(crate) earlier_requests_count: u32,
-    /// Whether the connection had carried the same call before.
-    pub(crate) was_carried_before: bool,
     /// Whether it ends with its connection.
     pub(crate) is_unframed: bool,
     /// What the target states of itself.
@@ -33,7 +31,6 @@
             target: metadata.target.clone().unwrap_or_default(),
             connection_age: reply.connection_age(),
             earlier_requests_count: reply.earlier_requests_count(),
-            was_carried_before: reply.was_carried_before(),
             is_unframed: reply.ends_with_connection(),
             statements: metadata.statements.clone(),
         }
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -204,9 +204,9 @@
     // Targets repeat the request id. Some errors of targets bear no proof.
     let is_target_error = id == Some(call.id) && !status.is_success();
     if !metadata.has_proof && !is_target_error {
-        return own_answer(call, &reply);
+        return own_answer(reply);
     }
-    if let Err(reason) = reply.check_id(id, call.id) {
+    if let Err(reason) = reply.check_id(id) {
         return PeerOutcome::TurnedAway(TurnedAway::Unattributed { reason });
     }
     if promises_not_run(status) {
@@ -236,12 +236,12 @@
 ///
 /// The other instance may have another configuration, so its word that a route or a key is unknown is no
 /// reason to refuse the call for good.
-fn own_answer(call: &PeerCall<'_>, reply: &Reply) -> PeerOutcome {
+fn own_answer(mut reply: Reply) -> PeerOutcome {
     let status = reply.status();
     if status == StatusCode::GATEWAY_TIMEOUT {
         return PeerOutcome::Unknown(LostAnswer::TimedOut);
     }
-    match NotRun::of_instance(call.id, reply) {
+    match NotRun::of_instance(&mut reply) {
         Some(not_run) => PeerOutcome::NotRun(not_run, parse_retry_after(reply.headers())),
         None if promises_not_run(status) => PeerOutcome::TurnedAway(TurnedAway::NoWord),
         None => PeerOutcome::Unknown(LostAnswer::TargetFailed),
--- a/crates/relay/tests/forwarded_calls.rs
+++ b/crates/relay/tests/forwarded_calls.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    relay::{CallSource, Peer, View},
+    relay::CallSource,
     std::{sync::Arc, time::Duration},
     support::{
         TestRelay, caller,
@@ -165,8 +165,8 @@
     let answered = Step::Respond(answer("200 OK", "stamp: s\r\n", "ok"));
     let old = ScriptedTarget::start("old", vec![unnamed(), answered, unnamed()]).await;
     let relay = start(&[&old], CallSource::Caller).await;
-    for status in [503, 200, 502] {
-        let response = caller::call(relay.address, "/once/7", "").await;
+    for (id, status) in [("c1", 503), ("c2", 200), ("c3", 502)] {
+        let response = caller::call_as(id, relay.address, "/once/7").await;
         assert_eq!(response.status, status, "{response:?}");
     }
 }
--- a/crates/relay/tests/one_run.rs
+++ b/crates/relay/tests/one_run.rs
@@ -125,7 +125,7 @@
     let target = ScriptedTarget::start("one", script).await;
     let relay = TestRelay::start(&[&target]).await;
     assert_eq!(caller::call(relay.address, "/once/7", "").await.status, 200);
-    let response = caller::call(relay.address, "/once/8", "").await;
+    let response = caller::call_as("c2", relay.address, "/once/8").await;
     assert_eq!(response.status, 502, "the call may run: {response:?}");
     assert_eq!(target.arrived().len(), 2, "it is sent once");
 }
@@ -137,7 +137,7 @@
     let target = ScriptedTarget::start("one", script).await;
     let relay = TestRelay::start(&[&target]).await;
     assert_eq!(caller::call(relay.address, "/once/7", "").await.status, 200);
-    let response = caller::call(relay.address, "/once/8", "").await;
+    let response = caller::call_as("c2", relay.address, "/once/8").await;
     assert_eq!(response.status, 502, "{response:?}");
 }
 
--- a/crates/relay/tests/support/caller.rs
+++ b/crates/relay/tests/support/caller.rs
@@ -35,8 +35,13 @@
 
 /// Sends a call on a connection.
 pub async fn send_on(stream: &mut TcpStream, path: &str, headers: &str) {
+    send_as("c1", stream, path, headers).await;
+}
+
+/// Sends a call with this id on a connection.
+async fn send_as(id: &str, stream: &mut TcpStream, path: &str, headers: &str) {
     let call = format!(
-        "POST {path} HTTP/1.1\r\nhost: a.example\r\nid: c1\r\nkey: {KEY}\r\n{headers}\
+        "POST {path} HTTP/1.1\r\nhost: a.example\r\nid: {id}\r\nkey: {KEY}\r\n{headers}\
          content-length: 4\r\n\r\nbody"
     );
     stream.write_all(call.as_bytes()).await.unwrap();
@@ -47,6 +52,13 @@
     read_response(send(relay, path, headers).await).await
 }
 
+/// Sends a call with this id and reads its response.
+pub async fn call_as(id: &str, relay: SocketAddr, path: &str) -> Response {
+    let mut stream = TcpStream::connect(relay).await.unwrap();
+    send_as(id, &mut stream, path, "").await;
+    read_response(stream).await
+}
+
 /// Reads the only response of a connection.
 pub async fn read_response(mut stream: TcpStream) -> Response {
     read_next_response(&mut stream).await
--- a/crates/target/src/answers_request.rs
+++ b/crates/target/src/answers_request.rs
@@ -26,22 +26,18 @@
 }
 
 impl Reply {
-    /// Checks that this answers the request with `id`; `named` is the id that the answer names.
+    /// Checks that this answers its request; `named` is the id that the answer names.
     ///
-    /// An answer without an id belongs to the request only if its connection carried no other one.
-    /// Such a connection is not reused, since a later answer there could not be told from one to
-    /// another request.
+    /// The id of the request shows that, since its connection has carried that request once. An answer
+    /// without an id belongs to the request only if its connection carried no other one. Such a connection
+    /// is not reused, since a later answer there could not be told from one to another request.
     ///
     /// # Errors
     /// [`Unattributed`] if the answer may belong to another request. The answer to this one may still
     /// follow, so drop the reply, which closes the connection.
-    pub fn check_id(
-        &mut self,
-        named: Option<&str>,
-        id: &str,
-    ) -> Result<AnswersRequest, Unattributed> {
+    pub fn check_id(&mut self, named: Option<&str>) -> Result<AnswersRequest, Unattributed> {
         match named {
-            Some(named) if named == id => Ok(AnswersRequest(())),
+            Some(named) if self.carried_id() == Some(named) => Ok(AnswersRequest(())),
             Some(_) => Err(Unattributed::OtherRequest),
             None if !self.is_first_of_connection() => Err(Unattributed::NoRequestId),
             None => {
@@ -52,10 +48,10 @@
     }
 
     /// Like [`Reply::check_id`], for answers that name their request in `x-request-id`.
-    pub(crate) fn check_id_header(&mut self, id: &str) -> Result<AnswersRequest, SendError> {
+    pub(crate) fn check_id_header(&mut self) -> Result<AnswersRequest, SendError> {
         let named = self.headers().get(REQUEST_ID);
         let named = named.map(|it| String::from_utf8_lossy(it.as_bytes()).into_owned());
-        self.check_id(named.as_deref(), id)
+        self.check_id(named.as_deref())
             .map_err(|unattributed| SendError::Unknown {
                 address: self.address(),
                 reason: unattributed.to_string(),
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Reply, SendError, StartTimeout,
-        carried_ids::{CarriedIds, IdHash, IdHasher},
+        carried_ids::{CarriedIds, CarriedOnce, HashedId, IdHasher},
         error,
     },
     bytes::Bytes,
@@ -96,9 +96,8 @@
     opened: Instant,
     /// Requests that were sent on it, the present one included.
     requests_count: u32,
+    /// Ids of those that have one.
     carried: CarriedIds,
-    /// Whether it had carried the present request before.
-    has_carried_before: bool,
     driver: AbortOnDropHandle<Result<(), hyper::Error>>,
 }
 
@@ -124,18 +123,9 @@
         self.requests_count.saturating_sub(1)
     }
 
-    /// Whether it had carried the present request before.
-    pub(crate) fn has_carried_before(&self) -> bool {
-        self.has_carried_before
-    }
-
-    /// Counts a request, with this id if it has one, that is about to be sent.
-    fn carry(&mut self, id: Option<IdHash>) {
-        self.requests_count += 1;
-        self.has_carried_before = id.is_some_and(|id| self.carried.has(id));
-        if let Some(id) = id {
-            self.carried.add(id);
-        }
+    /// Whether it may carry a request, with this id if it has one.
+    fn may_carry(&self, id: Option<HashedId<'_>>) -> bool {
+        id.is_none_or(|id| !self.carried.has(id))
     }
 }
 
@@ -203,8 +193,9 @@
 
     /// Sends a request at most once and waits for the head of the answer until `timeout` gives up.
     ///
-    /// If an idle connection turns out to be closed before any byte was written, the request goes
-    /// to another connection.
+    /// It goes on no connection that has carried a request with its id before: a copy of the answer to that
+    /// one would be taken for the answer to this one. If an idle connection turns out to be closed before
+    /// any byte was written, the request goes to another connection.
     ///
     /// # Errors
     /// [`SendError::NotSent`] if no byte was sent, [`SendError::Unknown`] if the answer is missing.
@@ -227,7 +218,7 @@
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
-        id: Option<IdHash>,
+        id: Option<HashedId<'_>>,
         reuse: Reuse,
         timeout: Timeout,
     ) -> Result<Reply, SendError>
@@ -235,7 +226,7 @@
         Timeout: StartTimeout,
     {
         if reuse == Reuse::Allowed {
-            while let Some(mut connection) = self.take_idle(address) {
+            while let Some(mut connection) = self.take_idle(address, id) {
                 if !self.is_ready(&mut connection).await {
                     continue;
                 }
@@ -275,7 +266,7 @@
         connection: Connection,
         keep_alive: Option<Duration>,
     ) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.carried.is_full() {
             return;
         }
         let idle_time = keep_alive.map_or(self.settings.idle_timeout, |keep_alive| {
@@ -291,16 +282,16 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes the idle connection that was used last and may carry a request, with this id if it has one.
+    fn take_idle(&self, address: SocketAddr, id: Option<HashedId<'_>>) -> Option<Connection> {
         let mut idle = self.lock_idle();
         let connections = idle.get_mut(&address)?;
-        while let Some(idle_connection) = connections.pop() {
-            let is_fresh = Instant::now() < idle_connection.usable_until;
-            if is_fresh && !idle_connection.connection.sender.is_closed() {
-                return Some(idle_connection.connection);
-            }
-        }
-        None
+        let now = Instant::now();
+        connections.retain(|it| now < it.usable_until && !it.connection.sender.is_closed());
+        let usable = connections
+            .iter()
+            .rposition(|it| it.connection.may_carry(id))?;
+        Some(connections.remove(usable).connection)
     }
 
     /// Waits until the connection can take a request; false if it is closed or takes too long.
@@ -330,7 +321,6 @@
             opened: Instant::now(),
             requests_count: 0,
             carried: CarriedIds::default(),
-            has_carried_before: false,
             driver: AbortOnDropHandle::new(tokio::spawn(driver)),
         })
     }
@@ -340,7 +330,7 @@
         address: SocketAddr,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
-        id: Option<IdHash>,
+        id: Option<HashedId<'_>>,
         start_timeout: &Timeout,
     ) -> Exchange
     where
@@ -353,9 +343,14 @@
                 disconnected,
             }))
         };
+        let carried = match id.map(|id| connection.carried.carry(id)) {
+            Some(None) => return Exchange::Unsent(request),
+            Some(carried) => carried,
+            None => None,
+        };
         let started = Instant::now();
         start_timeout.start();
-        connection.carry(id);
+        connection.requests_count += 1;
         let mut sending = pin!(connection.sender.try_send_request(request));
         let sent = loop {
             match timeout(start_timeout.duration(), sending.as_mut()).await {
@@ -368,7 +363,7 @@
             }
         };
         match sent {
-            Ok(response) => Exchange::Done(Ok(self.reply(address, connection, response))),
+            Ok(response) => Exchange::Done(Ok(self.reply(address, connection, carried, response))),
             Err(mut failure) => match failure.take_message() {
                 Some(unsent) => Exchange::Unsent(unsent),
                 None => unknown(failure.error().to_string(), is_disconnect(failure.error())),
@@ -380,9 +375,10 @@
         &self,
         address: SocketAddr,
         connection: Connection,
+        carried: Option<CarriedOnce>,
         response: hyper::Response<Incoming>,
     ) -> Reply {
-        Reply::new(self.clone(), address, connection, response)
+        Reply::new(self.clone(), address, connection, carried, response)
     }
 
     fn lock_idle(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -212,7 +212,7 @@
         received_count: u64,
     ) -> Result<AnswerStream, SendError> {
         if !reply.status().is_success() {
-            let evidence = reply.check_id_header(&completion.request_id)?;
+            let evidence = reply.check_id_header()?;
             return Err(reply.into_error(BODY_READ_TIMEOUT, Some(evidence)).await);
         }
         Ok(AnswerStream::new(
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         AnswersRequest, BodyEnd, BodyPart, Client, IncarnationProbe, SendError, WholeBody,
+        carried_ids::CarriedOnce,
         client::{Connection, is_disconnect},
         witness::{Unconfirmed, Witness},
     },
@@ -41,7 +42,8 @@
     is_reusable: bool,
     connection_age: Duration,
     earlier_requests_count: u32,
-    was_carried_before: bool,
+    /// Shows that the connection carried the request once; `None` if the request has no id.
+    carried: Option<CarriedOnce>,
 }
 
 /// How far a body was read.
@@ -72,6 +74,7 @@
         client: Client,
         address: SocketAddr,
         connection: Connection,
+        carried: Option<CarriedOnce>,
         response: Response<Incoming>,
     ) -> Self {
         let has_length = response.body().size_hint().exact().is_some();
@@ -81,7 +84,7 @@
             address,
             connection_age: connection.age(),
             earlier_requests_count: connection.earlier_requests_count(),
-            was_carried_before: connection.has_carried_before(),
+            carried,
             connection: Some(connection),
             response,
             ends_with_connection,
@@ -122,10 +125,9 @@
         self.earlier_requests_count
     }
 
-    /// Whether the connection had carried the same request before, by its id.
-    #[must_use]
-    pub fn was_carried_before(&self) -> bool {
-        self.was_carried_before
+    /// Id of the request, which its connection carried once; `None` if it has none.
+    pub(crate) fn carried_id(&self) -> Option<&str> {
+        self.carried.as_ref().map(CarriedOnce::id)
     }
 
     /// Whether the connection carried no other request, so that an answer that names none belongs to this
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -94,7 +94,7 @@
             .client
             .send_named(self.address, named, Reuse::Fresh, timeout)
             .await?;
-        let evidence = reply.check_id_header(&call.request_id)?;
+        let evidence = reply.check_id_header()?;
         if reply.headers().contains_key("x-outcome") {
             return Err(reply.into_error(BODY_READ_TIMEOUT, Some(evidence)).await);
         }
