--- a/crates/relay/src/not_run.rs
+++ b/crates/relay/src/not_run.rs
@@ -94,9 +94,12 @@
     pub(crate) fn of_instance(reply: &mut Reply) -> Option<Self> {
         let named = reply.headers().get(&NOT_RUN)?;
         let named = String::from_utf8_lossy(named.as_bytes()).into_owned();
-        let named = (named != UNNAMED_CALL).then_some(named);
-        let _answers: AnswersRequest = reply.check_id(named.as_deref()).ok()?;
-        Some(Self(()))
+        let evidence: Option<AnswersRequest> = match reply.check_id(Some(&named)) {
+            Ok(evidence) => Some(evidence),
+            Err(_) if named == UNNAMED_CALL => reply.check_id(None).ok(),
+            Err(_) => None,
+        };
+        evidence.map(|_| Self(()))
     }
 }
 
--- a/crates/relay/tests/forwarded_calls.rs
+++ b/crates/relay/tests/forwarded_calls.rs
@@ -171,6 +171,18 @@
     }
 }
 
+/// Guards against taking the id of a call for the word of those builds.
+#[tokio::test]
+async fn refusal_names_a_call_whose_id_is_the_word_of_older_builds() {
+    let served = Step::Respond(answer("200 OK", "stamp: s\r\n", "ok"));
+    let peer = ScriptedTarget::start("peer", vec![served, own_refusal("503 Busy")]).await;
+    let relay = start(&[&peer], CallSource::Caller).await;
+    for (id, status) in [("c1", 200), ("1", 503)] {
+        let response = caller::call_as(id, relay.address, "/once/7").await;
+        assert_eq!(response.status, status, "{response:?}");
+    }
+}
+
 /// Guards against taking the refusal of another call for that of this one.
 #[tokio::test]
 async fn refusal_that_names_another_call_shows_nothing() {
--- a/crates/target/src/carried_ids.rs
+++ b/crates/target/src/carried_ids.rs
@@ -25,8 +25,9 @@
     }
 }
 
-/// Shows that its connection carries the request with this id for the first time, so that no answer to
-/// an earlier sending of that request can arrive there. Only [`CarriedIds::carry`] makes one.
+/// Shows that its connection carries the request with this id for the first time, so that whoever it leads
+/// to can't answer an earlier sending of that request there. A proxy that shares its own connections
+/// among those of this client could. Only [`CarriedIds::carry`] makes one.
 #[derive(Debug)]
 #[must_use]
 pub(crate) struct CarriedOnce {
