--- a/crates/relay/tests/copied_refusals.rs
+++ b/crates/relay/tests/copied_refusals.rs
@@ -43,7 +43,7 @@
 
 #[tokio::test]
 async fn call_is_not_refused_by_a_copy_that_another_target_left_at_the_address() {
-    for refuse in [refuse_twice(), misdirect_twice()] {
+    for refuse in [misdirect_twice(), refuse_twice()] {
         let target = ScriptedTarget::start("one", vec![refuse]).await;
         let successor = ScriptedTarget::at("two", target.address);
         let relay = TestRelay::start(&[&target, &successor]).await;
@@ -55,7 +55,7 @@
 
 #[tokio::test]
 async fn call_does_not_run_twice_after_a_copy_that_another_target_left_at_the_address() {
-    for refuse in [refuse_twice(), misdirect_twice()] {
+    for refuse in [misdirect_twice(), refuse_twice()] {
         for _ in 0..ROUNDS_COUNT {
             let target = ScriptedTarget::start("one", vec![refuse.clone()]).await;
             let successor = ScriptedTarget::at("two", target.address);
