Relay tests: copies of every kind of answer, and the other ways back to an address

The tests of the copied refusal knew three ways by which a call comes to one address again. New in copied_refusals: the same target started again, an attempt that was set aside for a silent target and restored, and a stream that is resumed by a successor at the address. copied_answers has the copies of 503, 429, 421, 500, a success, a whole stream and the head of one, each before the answer to another call that may not run twice, may run again or may be resumed, before the same call, and without ids.

--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -26,6 +26,8 @@
     Respond(String),
     /// Sends these bytes, and once more right before the next answer on this connection.
     RespondTwice(String),
+    /// Sends the first bytes, and the second ones right before the next answer on this connection.
+    RespondThenExtra(String, String),
     /// Sends these bytes, then closes the connection.
     RespondThenEnd(String),
     /// Sends these bytes, then closes the connection after 30 ms.
@@ -329,6 +331,12 @@
                     return;
                 }
             }
+            Step::RespondThenExtra(text, extra) => {
+                late_copy = extra.replace("{id}", &id);
+                if send(stream, &text, &id).await.is_err() {
+                    return;
+                }
+            }
             Step::RespondInTwoThenEnd(begin, pause, rest) => {
                 let _ = send(stream, &begin, &id).await;
                 sleep(pause).await;
