Stores: the copy of an answer is not taken for the answer to a later request

Requests to stores and engines for their parts have no ids, and share connections.

Cause: the copy of an answer to a request for events counts for whatever that connection carries next. As the answer to a free it shows a part as freed though the store refused that; the part then stays there for good. As the answer to a later request for events it moves the follower back, and the answer after it, which does not repeat what lies between, leaves a freed part known as held. As the answer to a request for the list, which has the same fields but for the parts, it would empty what is known of the store.

Change: frees and lists have connections of their own, as orders have. After a failed request the idle connection is closed too.

For the list there is no test.

--- a/crates/entry/src/place_follower.rs
+++ b/crates/entry/src/place_follower.rs
@@ -31,6 +31,30 @@
     pub(crate) incarnation: u64,
     /// Sequence number of the next change to request.
     next_seq: u64,
+    /// Clock of the place at its last answer; `None` if that did not state it.
+    clock: Option<Duration>,
+}
+
+impl Position {
+    /// Whether these changes may be the answer to a request for those from here on. If not, they answer an
+    /// earlier one.
+    fn may_precede(&self, events: &PartEvents) -> bool {
+        let has_moved = if events.changes.is_empty() {
+            events.next_seq >= self.next_seq
+        } else {
+            events.next_seq > self.next_seq
+        };
+        let clocks = self.clock.zip(events.clock);
+        let is_later = clocks.is_none_or(|(before, after)| before < after);
+        events.incarnation == self.incarnation && has_moved && is_later
+    }
+}
+
+/// A successful answer of a place.
+struct PlaceAnswer {
+    body: Bytes,
+    /// Whether its connection carried no other request, so that it is the answer to this one.
+    is_first: bool,
 }
 
 /// Follows one place, that is, a store or an engine.
@@ -77,6 +101,10 @@
             let requested_at = boot_time();
             let outcome = self.poll().await;
             let is_available = outcome.is_ok();
+            if !is_available {
+                // Its answer may still come, where the next one is due.
+                self.client.close_idle(self.place);
+            }
             if self.is_store && Some(is_available) != available {
                 available = Some(is_available);
                 self.shared.feed.publish(Change::Available {
@@ -113,15 +141,7 @@
     /// Reads the next changes of the place and applies them. Starts over if the place has restarted,
     /// or if some changes are no longer available.
     async fn poll(&mut self) -> Result<(), SendError> {
-        let since = self.position.map_or(0, |position| position.next_seq);
-        let call = self.shared.format.events_request(since, LONG_POLL_WAIT);
-        let Some(events) = self
-            .shared
-            .format
-            .parse_events(&self.fetch(call, LONG_POLL_WAIT).await?)
-        else {
-            return Err(self.unreadable_answer());
-        };
+        let events = self.next_events().await?;
         if let Some(clock) = events.clock {
             let mut cache_index = self.shared.relay_state.cache_index();
             cache_index.set_clock(clock, boot_time());
@@ -145,10 +165,35 @@
         self.position = Some(Position {
             incarnation: events.incarnation,
             next_seq: events.next_seq,
+            clock: events.clock,
         });
         Ok(())
     }
 
+    /// Requests the next changes. These requests have no id, so an answer that cannot follow from them is
+    /// turned away with its connection, and the place is asked on a connection of its own.
+    async fn next_events(&self) -> Result<PartEvents, SendError> {
+        let (events, is_first) = self.request_events(Reuse::Allowed).await?;
+        let position = self.position;
+        if is_first || position.is_some_and(|it| it.may_precede(&events)) {
+            return Ok(events);
+        }
+        log::info!("{} answered an earlier request again", self.place);
+        self.client.close_idle(self.place);
+        let (events, _) = self.request_events(Reuse::Fresh).await?;
+        Ok(events)
+    }
+
+    /// Requests the next changes once. Returns them, and whether they are known to answer this request.
+    async fn request_events(&self, reuse: Reuse) -> Result<(PartEvents, bool), SendError> {
+        let since = self.position.map_or(0, |position| position.next_seq);
+        let call = self.shared.format.events_request(since, LONG_POLL_WAIT);
+        let answer = self.request(call, LONG_POLL_WAIT, reuse).await?;
+        let parsed = self.shared.format.parse_events(&answer.body);
+        let events = parsed.ok_or_else(|| self.unreadable_answer())?;
+        Ok((events, answer.is_first))
+    }
+
     fn apply_events(&mut self, events: &PartEvents) {
         if events.changes.is_empty() {
             return;
@@ -176,6 +221,7 @@
         self.position = Some(Position {
             incarnation: list.incarnation,
             next_seq: list.next_seq,
+            clock: None,
         });
         Ok(())
     }
@@ -214,26 +260,41 @@
         self.shared.feed.publish(Change::Cleared { place });
     }
 
-    /// Sends a request, which the place may hold for up to `wait`, and returns the response body.
+    /// Sends a request on a connection that carries no other one, and returns the body of the answer.
     pub(crate) async fn fetch(
         &self,
         call: Request<Full<Bytes>>,
         wait: Duration,
     ) -> Result<Bytes, SendError> {
+        let answer = self.request(call, wait, Reuse::Fresh).await?;
+        Ok(answer.body)
+    }
+
+    /// Sends a request, which the place may hold for up to `wait`. With [`Reuse::Fresh`], its connection
+    /// carries no other one, also later.
+    async fn request(
+        &self,
+        call: Request<Full<Bytes>>,
+        wait: Duration,
+        reuse: Reuse,
+    ) -> Result<PlaceAnswer, SendError> {
         let limit = wait + ANSWER_TIMEOUT;
         // The target may restart under its id meanwhile.
         let target = self.shared.known().target_at(self.place).cloned();
-        let mut reply = self
-            .client
-            .send(self.place, call, Reuse::Allowed, limit)
-            .await?;
+        let mut reply = self.client.send(self.place, call, reuse, limit).await?;
+        if reuse == Reuse::Fresh {
+            reply.forbid_reuse();
+        }
         if let Some(target) = target {
             self.shared.record_report(&target, &reply);
         }
         if !reply.status().is_success() {
             return Err(reply.into_error(ANSWER_TIMEOUT, None).await);
         }
-        reply.delimited_body(ANSWER_TIMEOUT).await
+        Ok(PlaceAnswer {
+            is_first: reply.earlier_requests_count() == 0,
+            body: reply.delimited_body(ANSWER_TIMEOUT).await?,
+        })
     }
 
     fn unreadable_answer(&self) -> SendError {
--- /dev/null
+++ b/crates/entry/tests/copied_control_answers.rs
@@ -0,0 +1,120 @@
+//! The copy of an answer of a target or store, where the answer to a later control request is due.
+
+mod support;
+
+use {
+    keyvalue::MemoryKv,
+    std::{
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+    support::{
+        Instance, OutgoingCall,
+        copying_server::{CopyingServer, LateCopy, Question},
+        keep_current, put,
+        target::Target,
+        wait_until,
+    },
+    tokio::time::sleep,
+};
+
+/// Longer than parts are withdrawn before they are freed.
+const FREE_TIME: Duration = Duration::from_secs(10);
+
+/// What happened at a store that holds one part, of version 1.
+#[derive(Clone, Debug, Default)]
+struct StoreRecord {
+    /// Number of requests to free that are still refused.
+    refusals_count: u32,
+    /// Bodies of the requests to free that were carried out.
+    freed: Vec<String>,
+}
+
+/// A store and what happened there.
+async fn store(refusals_count: u32) -> (CopyingServer, Arc<Mutex<StoreRecord>>) {
+    let record = Arc::new(Mutex::new(StoreRecord {
+        refusals_count,
+        ..StoreRecord::default()
+    }));
+    let (shared, started) = (record.clone(), Instant::now());
+    let answer = move |question: &Question| {
+        let mut record = shared.lock().unwrap();
+        if question.path() == "/free" {
+            if record.refusals_count > 0 {
+                record.refusals_count -= 1;
+                return (503, String::new());
+            }
+            record.freed.push(question.body.trim().to_owned());
+            return (200, String::new());
+        }
+        let changes = ["+ 1 session 5000", "- 1 session 0"];
+        let changes = &changes[..=record.freed.len().min(1)];
+        let since: usize = question.header("since").unwrap().parse().unwrap();
+        let lines = changes.iter().skip(since).map(|it| format!("{it}\n"));
+        let clock_ms = started.elapsed().as_millis();
+        let lines: String = lines.collect();
+        (200, format!("{} {clock_ms}\n{lines}", changes.len()))
+    };
+    (CopyingServer::start(answer).await, record)
+}
+
+/// An instance that knows what the store holds, all of which a new version makes obsolete.
+async fn instance_with_obsolete_parts(store: &CopyingServer) -> Instance {
+    let kv = MemoryKv::new();
+    let target = Target::start(Duration::ZERO).await;
+    let configuration = format!("1 {}", store.address);
+    put(&kv, "operators/configuration", &configuration).await;
+    put(&kv, "operators/version/m", "1").await;
+    put(&kv, "targets/t1", &format!("{} 1", target.address)).await;
+    keep_current(&kv);
+    let instance = Instance::start("one", kv.clone());
+    let prompt = OutgoingCall::prompt("session:5000,own:10").path("/once/");
+    wait_until("a part that is fetched", async || {
+        instance.send(&prompt).await == Some(200) && target.last_fetch() == Some(store.address)
+    })
+    .await;
+    put(&kv, "operators/version/m", "2").await;
+    sleep(Duration::from_secs(4)).await;
+    put(&kv, "operators/version/m", "3").await;
+    instance
+}
+
+/// Guards against parts that stay in a store for good.
+#[tokio::test]
+async fn refused_free_is_repeated_though_the_copy_of_an_answer_came_before_the_refusal() {
+    let (store, record) = store(1).await;
+    let instance = instance_with_obsolete_parts(&store).await;
+    store.copy(LateCopy {
+        of: "/events",
+        before: "/free",
+    });
+    wait_until("a refused free", async || {
+        record.lock().unwrap().refusals_count == 0
+    })
+    .await;
+    sleep(FREE_TIME).await;
+    assert_eq!(record.lock().unwrap().freed, ["1 session"]);
+    drop(instance);
+}
+
+/// Guards against parts that are reported as held once they are freed.
+#[tokio::test]
+async fn copy_of_earlier_events_does_not_bring_back_a_freed_part() {
+    let (store, record) = store(0).await;
+    let instance = instance_with_obsolete_parts(&store).await;
+    wait_until("a freed part", async || {
+        !record.lock().unwrap().freed.is_empty()
+    })
+    .await;
+    // The removal is read.
+    sleep(Duration::from_secs(1)).await;
+    store.copy(LateCopy {
+        of: "/events",
+        before: "/events",
+    });
+    wait_until("a copy", async || store.has_copied()).await;
+    sleep(FREE_TIME).await;
+    let freed = record.lock().unwrap().freed.clone();
+    assert_eq!(freed, ["1 session"], "it is freed once");
+    drop(instance);
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Runs entry instances on an in-memory key-value service, with test formats and test targets.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod copying_server;
 pub mod crashing_fleet;
 pub mod crashing_target;
 pub mod failing_target;
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -137,7 +137,7 @@
     }
 
     /// Has the connection closed at the end of the body.
-    pub(crate) fn forbid_reuse(&mut self) {
+    pub fn forbid_reuse(&mut self) {
         self.is_reusable = false;
     }
 
