Roll-outs: a target's report is read on a connection of its own

Cause: a report names no request. The copy of one, where the next is due, counted for it: the order that followed stated an outdated number of accepted orders, the target refused it (409), and the target was set back as failed. The answer to each later request was then the one before, for as long as the connection was used (at most 4 s apart).

Change: each request for a report has a connection of its own, as orders have.

Evidence: order_is_based_on_the_present_report_of_its_target failed before (one refused order, three of three runs) and holds now; all tests of entry pass (one run).

--- a/crates/entry/src/orders/replacing.rs
+++ b/crates/entry/src/orders/replacing.rs
@@ -265,14 +265,17 @@
         AttemptOutcome::NotFailed
     }
 
+    /// Reads the report of a target, on a connection that carries no other request: a report names no
+    /// request, so an earlier one could not be told from it.
     async fn fetch_report(&self, target: &TargetState) -> Option<TargetReport> {
         let call = self.shared.format.report_request();
         let sent = self
             .client
-            .send(target.address, call, Reuse::Allowed, REPORT_TIMEOUT)
+            .send(target.address, call, Reuse::Fresh, REPORT_TIMEOUT)
             .await;
         let body = match sent {
             Ok(mut reply) => {
+                reply.forbid_reuse();
                 self.shared.record_report(target, &reply);
                 reply.delimited_body(REPORT_TIMEOUT).await
             }
--- a/crates/entry/tests/copied_control_answers.rs
+++ b/crates/entry/tests/copied_control_answers.rs
@@ -118,3 +118,63 @@
     assert_eq!(freed, ["1 session"], "it is freed once");
     drop(instance);
 }
+
+/// What a target has and was ordered.
+#[derive(Clone, Debug)]
+struct OrderRecord {
+    version: u64,
+    accepted_count: u64,
+    refused_count: u64,
+}
+
+/// A target that loads at once, and what happened there.
+async fn target() -> (CopyingServer, Arc<Mutex<OrderRecord>>) {
+    let record = Arc::new(Mutex::new(OrderRecord {
+        version: 1,
+        accepted_count: 0,
+        refused_count: 0,
+    }));
+    let shared = record.clone();
+    let answer = move |question: &Question| {
+        let mut record = shared.lock().unwrap();
+        if question.path() == "/report" {
+            let report = format!("{} false {}", record.version, record.accepted_count);
+            return (200, report);
+        }
+        let Some(order) = question.path().strip_prefix("/order/") else {
+            return (500, String::new());
+        };
+        let fields: Vec<&str> = order.split('/').collect();
+        if fields[3].parse() != Ok(record.accepted_count) {
+            record.refused_count += 1;
+            return (409, String::new());
+        }
+        record.accepted_count += 1;
+        record.version = fields[2].parse().unwrap();
+        (202, String::new())
+    };
+    (CopyingServer::start(answer).await, record)
+}
+
+/// Guards against orders that a target refuses because of an earlier report.
+#[tokio::test]
+async fn order_is_based_on_the_present_report_of_its_target() {
+    let kv = MemoryKv::new();
+    put(&kv, "operators/configuration", "1").await;
+    let (target, record) = target().await;
+    put(&kv, "targets/t1", &format!("{} 1", target.address)).await;
+    let instance = Instance::start("one", kv.clone());
+    wait_until("ready", async || instance.is_ready().await).await;
+    sleep(Duration::from_secs(1)).await;
+    put(&kv, "operators/version/m", "2").await;
+    wait_until("version 2", async || record.lock().unwrap().version == 2).await;
+    sleep(Duration::from_secs(1)).await;
+    target.copy(LateCopy {
+        of: "/report",
+        before: "/report",
+    });
+    put(&kv, "operators/version/m", "3").await;
+    wait_until("version 3", async || record.lock().unwrap().version == 3).await;
+    assert_eq!(record.lock().unwrap().refused_count, 0, "refused orders");
+    drop(instance);
+}
