Relay: what an answer states counts for the target only if it answers the call

Cause: the head of an answer was observed (leaving, backoff, limits) before it was known to belong to the call. The copy of an answer of an earlier target at the address, on a connection that a proxy keeps, made the target that is there now count as leaving, and that is never taken back: a sound target gets no more calls.

Change: AnswersRequest is needed to observe an answer. The line of the attempt still shows what came.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -13,7 +13,9 @@
         collections::BTreeMap,
         time::{Duration, Instant},
     },
-    target::{Client, NamedRequest, Reply, Reuse, SendError, StartTimeout, StreamPosition},
+    target::{
+        AnswersRequest, Client, NamedRequest, Reply, Reuse, SendError, StartTimeout, StreamPosition,
+    },
 };
 
 /// Longest body of a refusal that is read, in bytes.
@@ -129,7 +131,8 @@
     pub(crate) stream: bool,
     /// Where the events of a stream must go on.
     pub(crate) position: StreamPosition,
-    /// Called with the head of the answer once that has arrived, whatever becomes of the answer.
+    /// Called with the head of the answer once that has arrived, whatever becomes of the answer, and with
+    /// the evidence that it belongs to the call.
     pub(crate) observe: Observe,
 }
 
@@ -144,7 +147,7 @@
 where
     Format: HeaderFormat,
     Timeout: StartTimeout,
-    Observe: Fn(&Reply, &ReplyMetadata),
+    Observe: Fn(&Reply, &ReplyMetadata, Option<&AnswersRequest>),
 {
     let AttemptParams {
         target,
@@ -164,8 +167,9 @@
     };
     let metadata = header_format.parse_reply(reply.headers());
     let status = reply.status();
-    (params.observe)(&reply, &metadata);
-    let evidence = match reply.check_id(metadata.id.as_deref()) {
+    let checked = reply.check_id(metadata.id.as_deref());
+    (params.observe)(&reply, &metadata, checked.as_ref().ok());
+    let evidence = match checked {
         Ok(evidence) => evidence,
         Err(reason) => {
             // This is a late answer to an earlier call on this connection; others may be on their way
--- a/crates/relay/src/sent_attempt.rs
+++ b/crates/relay/src/sent_attempt.rs
@@ -14,7 +14,7 @@
     http_body_util::Full,
     hyper::Request,
     std::{sync::OnceLock, time::Instant},
-    target::{Reply, Reuse},
+    target::{AnswersRequest, Reply, Reuse},
 };
 
 impl<Format> ActiveCall<Format>
@@ -48,10 +48,13 @@
         let time_left = self.time_left();
         let start_timeout = AttemptTimeout { call: self };
         let observed = OnceLock::new();
-        let observe = |reply: &Reply, metadata: &ReplyMetadata| {
-            self.observe_answer(picked, reply.status(), metadata);
-            let _ = observed.set(ObservedAnswer::new(reply, metadata));
-        };
+        let observe =
+            |reply: &Reply, metadata: &ReplyMetadata, evidence: Option<&AnswersRequest>| {
+                if let Some(evidence) = evidence {
+                    self.observe_answer(picked, reply.status(), metadata, evidence);
+                }
+                let _ = observed.set(ObservedAnswer::new(reply, metadata));
+            };
         let params = AttemptParams {
             target,
             pools: &self.admitted.table.config().pools,
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -14,6 +14,7 @@
     eventlog::Event,
     hyper::StatusCode,
     std::time::Duration,
+    target::AnswersRequest,
 };
 
 /// Time for which calls avoid a target after it refused one without running it, because it is
@@ -24,12 +25,13 @@
 where
     Format: HeaderFormat,
 {
-    /// Records what the target states of itself in the head of an answer.
+    /// Records what the target states of itself in the head of an answer to the call.
     pub(crate) fn observe_answer(
         &self,
         picked: &PickedTarget,
         status: StatusCode,
         metadata: &ReplyMetadata,
+        _: &AnswersRequest,
     ) {
         if !is_other_target(picked, metadata) {
             let (target, statements) = (&picked.target, &metadata.statements);
--- a/crates/relay/tests/copied_answers.rs
+++ b/crates/relay/tests/copied_answers.rs
@@ -146,3 +146,16 @@
         assert!(response.text.ends_with("ok"), "{step:?}: {response:?}");
     }
 }
+
+/// Guards against a sound target that gets no more calls since an earlier one at its address was leaving.
+#[tokio::test]
+async fn copy_of_an_answer_says_nothing_of_the_target_that_is_asked() {
+    let leaving = answer("503 Full", "not-run: 1\r\nleaving: 1\r\n", "copied");
+    let (earlier, relay) = target_with_copy("/once/7", Step::RespondTwice(leaving)).await;
+    let target = ScriptedTarget::at("two", earlier.address);
+    relay.view.store(Arc::new(support::view(&[&target])));
+    let response = caller::call_as("c2", relay.address, "/once/8").await;
+    assert_eq!(response.status, 502, "the copy comes: {response:?}");
+    let response = caller::call_as("c3", relay.address, "/once/9").await;
+    assert_eq!(response.status, 200, "{response:?}");
+}
