Crashes count alike in whichever order they become known

Crashes of one cause (a rack, a switch) within 200 ms count once, unless the later one is of a call that was sent after the earlier crash. The comparison took the crash that was counted last for the earlier one. If the check of the first target takes longer than that of the second, the first crash becomes known last and was dropped, though the retry had crashed the second target by itself.

Now the two are compared by when they were. A new test failed before (0 crashes due in place of 1, the retry's known first) and passes; the other six of pending_crashes pass unchanged.

--- a/crates/quarantine/src/pending_crashes.rs
+++ b/crates/quarantine/src/pending_crashes.rs
@@ -47,7 +47,36 @@
 pub struct PendingCrashes {
     reports: VecDeque<CrashReport>,
     /// The last crash that was counted for each part and call.
-    counted: HashMap<SuspectKey, (CrashId, Duration)>,
+    counted: HashMap<SuspectKey, CountedCrash>,
+}
+
+/// A crash that was counted for a part or call, and the call under which it was.
+#[derive(Clone, Debug)]
+struct CountedCrash {
+    crash: CrashId,
+    sent_at: Duration,
+    at: Duration,
+}
+
+impl CountedCrash {
+    fn new(report: &CrashReport) -> Self {
+        Self {
+            crash: report.crash.clone(),
+            sent_at: report.sent_at,
+            at: report.at,
+        }
+    }
+
+    /// Whether both crashes may have one cause other than the call. Either may be the earlier one, since the
+    /// checks of targets take different times.
+    fn may_have_common_cause(&self, other: &Self) -> bool {
+        let (earlier, later) = if self.at <= other.at {
+            (self, other)
+        } else {
+            (other, self)
+        };
+        later.sent_at < earlier.at && self.at.abs_diff(other.at) < COMMON_CAUSE_TIME
+    }
 }
 
 impl PendingCrashes {
@@ -90,17 +119,17 @@
 
     /// Whether the crash counts for the part or call, and remembers it if so.
     fn counts(&mut self, key: SuspectKey, report: &CrashReport) -> bool {
-        if let Some((counted, counted_at)) = self.counted.get(&key) {
-            let may_have_common_cause = report.sent_at < *counted_at
-                && report.at.saturating_sub(*counted_at) < COMMON_CAUSE_TIME;
-            if *counted == report.crash || may_have_common_cause {
-                return *counted == report.crash;
+        let crash = CountedCrash::new(report);
+        if let Some(counted) = self.counted.get(&key) {
+            let is_same = counted.crash == crash.crash;
+            if is_same || counted.may_have_common_cause(&crash) {
+                return is_same;
             }
         }
         if self.counted.len() >= MAX_COUNTED_COUNT {
             self.counted.clear();
         }
-        self.counted.insert(key, (report.crash.clone(), report.at));
+        self.counted.insert(key, crash);
         true
     }
 }
--- a/crates/quarantine/tests/pending_crashes.rs
+++ b/crates/quarantine/tests/pending_crashes.rs
@@ -71,6 +71,23 @@
     }
 }
 
+#[test]
+fn crashes_count_alike_in_whichever_order_they_become_known() {
+    let answered = AnsweredKeys::default();
+    let retried = CrashReport {
+        sent_at: at(1_002),
+        ..report("b", 1_070, &[DEADLY_CALL])
+    };
+    let mut pending = PendingCrashes::default();
+    pending.push(retried);
+    assert_eq!(pending.take_due(&answered, at(2_000)).len(), 1);
+    for (crash, millis, due_count) in [("a", 1_000, 1), ("lost together", 950, 0), ("c", 700, 1)] {
+        pending.push(report(crash, millis, &[DEADLY_CALL]));
+        let due = pending.take_due(&answered, at(3_000));
+        assert_eq!(due.len(), due_count, "{crash}");
+    }
+}
+
 #[test]
 fn crashes_one_after_the_other_all_count() {
     let mut pending = PendingCrashes::default();
