A target behind a proxy that accepts connections counts as crashed too

Callers: a call that crashes each target which runs it is held back after three crashes. Behind proxies that go on accepting connections it never was, and reached more targets than allowed.

Cause: whether a target had crashed was told by its address refusing connections 20 ms after the break, and only by that.

Change: the target is asked which process it is, with the probe that ends of answers use (target::CrashEvidence). Another id, another start or a 421 is a crash, also if it comes only once the target is back, up to 2 s later. The same process, silence, an answer that names no process and a missing path are none. An address that ends all connections for 2 s is a crash only if this target has answered no call since and another one has: a cut of the path looks the same and mostly takes all targets. A 421 also ends the question of ends of answers (before: its not-run header was taken for the full target's own).

Questions for each check: 1 at a live target, 4 at a silent address, 6 at one that ends all connections.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,7 @@
 mod call_origin;
 mod call_recorder;
 mod choose_target;
+mod crash_check;
 mod discard_body;
 mod ending_calls;
 mod event_forwarding;
--- a/crates/relay/src/quarantined_calls.rs
+++ b/crates/relay/src/quarantined_calls.rs
@@ -3,14 +3,12 @@
 use {
     crate::{
         Declined, HeaderFormat, Reason, active_call::ActiveCall, admit::called_host, boot_time,
-        call_recorder::CallRecorder, pick::PickedTarget,
+        call_recorder::CallRecorder, crash_check::CrashCheck, pick::PickedTarget,
     },
     hyper::http::uri::PathAndQuery,
     parts::{PartKey, part_key},
     quarantine::{CallIdentity, CallKey, CrashReport, ReportedSuspect, SuspectKey},
     std::time::Duration,
-    target::PROCESS_EXIT_TIME,
-    tokio::time::sleep,
 };
 
 /// Retry delay for callers of a quarantined part or call. Retries before then only prolong the
@@ -86,21 +84,29 @@
         if suspects.is_empty() {
             return;
         }
+        let at = boot_time();
         let crash = format!("{}@{}", picked.target.id, picked.target.started_unix_ms);
         let must_check = reports.begin_check(CrashReport {
             crash: crash.clone(),
             sent_at,
-            at: boot_time(),
+            at,
             suspects,
         });
         if !must_check {
             return;
         }
-        let client = self.inner.client.clone();
-        let address = picked.target.address;
+        let pool = self.admitted.table.config().pools.get(&self.pool);
+        let health_path = pool.map_or("", |pool| pool.health_path.as_str());
+        let header_format = &self.inner.header_format;
+        let check = CrashCheck {
+            probe: header_format.incarnation_probe(&picked.target, health_path),
+            target: picked.target.clone(),
+            broke_at: at,
+            client: self.inner.client.clone(),
+            state: self.inner.state.clone(),
+        };
         tokio::spawn(async move {
-            sleep(PROCESS_EXIT_TIME).await;
-            let has_crashed = client.refuses_connections(address).await;
+            let has_crashed = check.has_crashed().await;
             reports.end_check(&crash, has_crashed);
         });
     }
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -216,6 +216,12 @@
         self.lock().limit_observation()
     }
 
+    /// Whether the target has answered a call of this instance after `since`, by [`crate::boot_time`].
+    pub(crate) fn has_answered_since(&self, since: Duration) -> bool {
+        let answered_at = self.lock().answered_at;
+        answered_at.is_some_and(|at| since < at)
+    }
+
     /// When this instance may send the target a call.
     pub(crate) fn next_call(&self, call: &CallContext<'_>) -> NextCall {
         let conditions = &mut self.lock().conditions;
--- a/crates/relay/tests/crash_reports.rs
+++ b/crates/relay/tests/crash_reports.rs
@@ -4,54 +4,19 @@
 
 use {
     quarantine::{ReportedSuspect, SuspectKey},
-    relay::boot_time,
-    std::time::Duration,
     support::{
         TestRelay, caller,
+        reported_crashes::{reported_calls, reported_parts, reported_suspects},
         scripted_target::{ScriptedTarget, Step, unframed},
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
-        time::sleep,
     },
 };
 
 const PARTS: &str = "parts: template:5,deadly:3,own:1\r\n";
 
-/// Time between two looks at the reports; enough for a check of a target on an idle machine.
-const LOOK_PERIOD: Duration = Duration::from_millis(200);
-/// Number of looks after which nothing more is expected to be reported.
-const MAX_LOOKS_COUNT: usize = 10;
-
-/// What the relay reports, each with the crash. Returns as soon as something is reported.
-async fn reported_suspects(relay: &TestRelay) -> Vec<ReportedSuspect> {
-    for _ in 0..MAX_LOOKS_COUNT {
-        sleep(LOOK_PERIOD).await;
-        let later = boot_time() + Duration::from_secs(1);
-        let reports = relay.suspect_reports.take_due_crashes(later).into_iter();
-        let suspects: Vec<ReportedSuspect> = reports.flat_map(|it| it.suspects).collect();
-        if !suspects.is_empty() {
-            return suspects;
-        }
-    }
-    Vec::new()
-}
-
-/// Ids of the parts that the relay reports, each with the crash.
-async fn reported_parts(relay: &TestRelay) -> Vec<String> {
-    let suspects = reported_suspects(relay).await.into_iter();
-    let parts = suspects.filter(|it| matches!(it.key, SuspectKey::Part(_)));
-    parts.map(|it| it.label).collect()
-}
-
-/// Labels of the calls that the relay reports, each with the crash.
-async fn reported_calls(relay: &TestRelay) -> Vec<String> {
-    let suspects = reported_suspects(relay).await.into_iter();
-    let calls = suspects.filter(|it| matches!(it.key, SuspectKey::Call(_)));
-    calls.map(|it| it.label).collect()
-}
-
 /// Starts a target that answers its first call with `bytes` and then ends.
 async fn target_that_ends(name: &str, bytes: impl Into<String>) -> ScriptedTarget {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod header_format;
+pub mod reported_crashes;
 pub mod run_target;
 pub mod scripted_target;
 
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -60,6 +60,8 @@
     LateProxy,
     /// A target with this name and start time; `None` if it does not state it.
     Target(String, Option<u64>),
+    /// A target that refuses what is meant for another one, and does not name itself.
+    NamelessTarget,
 }
 
 /// A call that arrived.
@@ -180,6 +182,11 @@
         self
     }
 
+    /// Has this successor accept connections from now on, in place of the present one.
+    pub fn pass_to(&self, successor: Successor) {
+        self.state.successor.send_replace(Some(successor));
+    }
+
     /// How often the target was asked which process it is.
     pub fn identity_requests_count(&self) -> u32 {
         self.state.identity_requests_count.load(Ordering::Relaxed)
@@ -266,11 +273,18 @@
                 state_identity(&mut stream, &name, Some(STARTED_UNIX_MS)).await;
             }
         }
-        Some(Successor::Target(..)) if was_opened_before => {}
+        Some(Successor::Target(..) | Successor::NamelessTarget) if was_opened_before => {}
         Some(Successor::SilentProxy) => sleep(Duration::from_mins(1)).await,
         Some(Successor::Target(name, started_unix_ms)) => {
             state_identity(&mut stream, &name, started_unix_ms).await;
         }
+        Some(Successor::NamelessTarget) => {
+            let mut buffer = Vec::new();
+            while read_call(&mut stream, &mut buffer).await.is_some() {
+                let refusal = answer("421 Misdirected Request", "not-run: 1\r\n", "");
+                let _ = stream.write_all(refusal.as_bytes()).await;
+            }
+        }
     }
 }
 
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -32,7 +32,7 @@
 const MAX_IDLE_COUNT: usize = 64;
 /// Time for the operating system to close all sockets of a process that is killed, from the first one
 /// on.
-pub const PROCESS_EXIT_TIME: Duration = Duration::from_millis(20);
+pub(crate) const PROCESS_EXIT_TIME: Duration = Duration::from_millis(20);
 
 /// Timeouts of connections.
 #[derive(Clone, Copy, Debug)]
@@ -250,14 +250,6 @@
         self.lock_idle().remove(&address);
     }
 
-    /// Whether nothing listens at `address`, as after a crash of the target. False if the target
-    /// cannot be reached at all.
-    pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
-        let connecting = TcpStream::connect(address);
-        let connected = timeout(self.settings.connect_timeout, connecting).await;
-        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
-    }
-
     /// Keeps a connection for reuse until the idle timeout, or for half the time that the target
     /// keeps it if that is shorter.
     pub(crate) fn put_idle(
@@ -302,20 +294,34 @@
     }
 
     pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
-        let not_sent = |reason: String| SendError::NotSent { address, reason };
-        let stream = timeout(self.settings.connect_timeout, TcpStream::connect(address))
+        let not_sent = |error: io::Error| SendError::NotSent {
+            address,
+            reason: error.to_string(),
+        };
+        let stream = self.open(address).await.map_err(not_sent)?;
+        self.begin(stream).await.map_err(not_sent)
+    }
+
+    /// Opens a connection, which carries nothing yet.
+    pub(crate) async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        timeout(self.settings.connect_timeout, TcpStream::connect(address))
             .await
-            .map_err(|_| not_sent("connecting timed out".to_owned()))?
-            .map_err(|error| not_sent(error.to_string()))?;
+            .unwrap_or_else(|_| {
+                let reason = "connecting timed out";
+                Err(io::Error::new(ErrorKind::TimedOut, reason))
+            })
+    }
+
+    /// Prepares an open connection for requests.
+    pub(crate) async fn begin(&self, stream: TcpStream) -> io::Result<Connection> {
         // Without TCP_NODELAY, requests only take longer.
         let _ = stream.set_nodelay(true);
         if let Some(limit) = self.settings.unacknowledged_timeout {
-            set_unacknowledged_timeout(&stream, limit)
-                .map_err(|error| not_sent(error.to_string()))?;
+            set_unacknowledged_timeout(&stream, limit)?;
         }
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| not_sent(error.to_string()))?;
+            .map_err(io::Error::other)?;
         Ok(Connection {
             sender,
             opened: Instant::now(),
--- a/crates/target/src/incarnation.rs
+++ b/crates/target/src/incarnation.rs
@@ -1,10 +1,15 @@
 //! Which process of a target answers at its address.
 
 use {
+    crate::{
+        Client, SendError,
+        client::{Connection, Exchange, closed_unwritten},
+    },
     bytes::Bytes,
     catalog::TargetId,
     http_body_util::Full,
-    hyper::{HeaderMap, Request},
+    hyper::{HeaderMap, Request, StatusCode},
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// One start of a target. A target that starts again, also under the same id and address, is another
@@ -75,7 +80,8 @@
 /// Asks a target which incarnation answers at its address.
 #[derive(Clone, Debug)]
 pub struct IncarnationProbe {
-    /// Request that the target answers without running a call.
+    /// Request that the target answers without running a call, and that any other target may refuse with
+    /// status 421.
     pub request: Request<Full<Bytes>>,
     /// Incarnation that must answer.
     pub expected: Incarnation,
@@ -83,3 +89,39 @@
     /// that a target sent it, rather than something before it.
     pub parse: fn(&HeaderMap, &[u8]) -> Option<Incarnation>,
 }
+
+/// What an answer says of the process that sent it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Statement {
+    /// Which one it is.
+    Process(Incarnation),
+    /// That it is another target than the one that was asked.
+    OtherTarget,
+    /// Nothing.
+    Nothing,
+}
+
+impl IncarnationProbe {
+    /// Asks on `connection` which process answers, within `answer_timeout` for the head of the answer and
+    /// again for its body.
+    pub(crate) async fn ask(
+        &self,
+        client: &Client,
+        address: SocketAddr,
+        connection: Connection,
+        answer_timeout: Duration,
+    ) -> Result<Statement, SendError> {
+        let request = self.request.clone();
+        let exchange = client.exchange(address, connection, request, None, &answer_timeout);
+        let mut reply = match exchange.await {
+            Exchange::Done(reply) => reply?,
+            Exchange::Unsent(_) => return Err(closed_unwritten(address)),
+        };
+        if reply.status() == StatusCode::MISDIRECTED_REQUEST {
+            return Ok(Statement::OtherTarget);
+        }
+        let body = reply.delimited_body(answer_timeout).await?;
+        let stated = (self.parse)(reply.headers(), &body);
+        Ok(stated.map_or(Statement::Nothing, Statement::Process))
+    }
+}
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -24,6 +24,7 @@
 mod answers_request;
 mod carried_ids;
 mod client;
+mod crash_evidence;
 mod engine;
 mod engine_wire;
 mod error;
@@ -41,7 +42,8 @@
 pub use {
     answer_stream::{AnswerEvent, AnswerStream},
     answers_request::{AnswersRequest, Unattributed},
-    client::{Client, ClientSettings, NamedRequest, PROCESS_EXIT_TIME, Reuse},
+    client::{Client, ClientSettings, NamedRequest, Reuse},
+    crash_evidence::CrashEvidence,
     engine::EngineClient,
     engine_wire::{
         BlockRef, CacheBlock, CacheBlocks, CacheEvent, CacheEventKind, CacheEvents,
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         Client, Incarnation, IncarnationProbe, SendError,
-        client::{Connection, Exchange, PROCESS_EXIT_TIME, closed_unwritten},
+        client::{Connection, PROCESS_EXIT_TIME},
+        incarnation::Statement,
     },
     snafu::Snafu,
     std::{
@@ -159,15 +160,11 @@
 
     /// Asks which process answers on `connection`.
     async fn ask_on(&self, connection: Connection) -> Result<Incarnation, Unconfirmed> {
-        let request = self.probe.request.clone();
-        let exchange =
-            self.client
-                .exchange(self.address, connection, request, None, &CONFIRM_TIMEOUT);
-        let mut reply = match exchange.await {
-            Exchange::Done(reply) => reply?,
-            Exchange::Unsent(_) => return Err(closed_unwritten(self.address).into()),
-        };
-        let body = reply.delimited_body(CONFIRM_TIMEOUT).await?;
-        (self.probe.parse)(reply.headers(), &body).ok_or(Unconfirmed::Replaced)
+        let (client, address) = (&self.client, self.address);
+        let asked = self.probe.ask(client, address, connection, CONFIRM_TIMEOUT);
+        match asked.await? {
+            Statement::Process(stated) => Ok(stated),
+            Statement::OtherTarget | Statement::Nothing => Err(Unconfirmed::Replaced),
+        }
     }
 }
