The refusal of another target is no word of the one that was asked

A target that is full refuses the question which process it is without its id, and counts as alive for that. Another target behind a proxy refuses it too, with 421.

--- a/crates/relay/tests/killed_targets.rs
+++ b/crates/relay/tests/killed_targets.rs
@@ -259,6 +259,15 @@
     );
 }
 
+/// Guards against the refusal of another target behind a proxy counting as that of a target that is full.
+#[tokio::test]
+async fn answer_after_which_another_target_refuses_the_question_is_no_whole_answer() {
+    let answer = Step::RespondThenClose(unframed("half of a"));
+    let target = ScriptedTarget::start("one", vec![answer]).await;
+    let response = call(&target.misdirected(), "/once/7").await;
+    assert_eq!(response.status, 502, "{response:?}");
+}
+
 /// Guards against a whole stream being sent elsewhere while its target takes long to say that it lives.
 #[tokio::test]
 async fn whole_stream_is_not_resumed_while_its_target_is_asked() {
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -101,6 +101,8 @@
     hides_start: AtomicBool,
     /// Whether the target refuses to say which process it is, since it is full.
     is_full: AtomicBool,
+    /// Whether another target gets the question in its place, and refuses it.
+    is_misdirected: AtomicBool,
     /// Time that it takes to say which process it is.
     identity_delay_ms: AtomicU64,
     identity_requests_count: AtomicU32,
@@ -124,7 +126,9 @@
         let delay_ms = self.identity_delay_ms.load(Ordering::Relaxed);
         sleep(Duration::from_millis(delay_ms)).await;
         let is_hidden = self.hides_start.load(Ordering::Relaxed);
-        let answer = if self.is_full.load(Ordering::Relaxed) {
+        let answer = if self.is_misdirected.load(Ordering::Relaxed) {
+            answer("421 Misdirected Request", "not-run: 1\r\n", "")
+        } else if self.is_full.load(Ordering::Relaxed) {
             answer("503 Service Unavailable", "not-run: 1\r\n", "")
         } else {
             identity(name, (!is_hidden).then_some(STARTED_UNIX_MS))
@@ -175,6 +179,12 @@
         self
     }
 
+    /// Has another target get the question which process this is, and refuse it without its name.
+    pub fn misdirected(self) -> Self {
+        self.state.is_misdirected.store(true, Ordering::Relaxed);
+        self
+    }
+
     /// Has the target take this time to say which process it is.
     pub fn slow(self, delay_ms: u64) -> Self {
         let delay = &self.state.identity_delay_ms;
