target_statements: a target's unexpected calls are printed when the test fails

The known red test failed once with one call at the target that leaves. What that call was is not known: its target counts whatever reaches its port. It keeps request line and headers now (the instance's calls name their target and sender), and a failing test prints them. Nothing is counted or checked differently.

--- a/crates/entry/tests/support/target.rs
+++ b/crates/entry/tests/support/target.rs
@@ -40,6 +40,8 @@
     calls_count: Arc<AtomicUsize>,
     /// Time of arrival of each call.
     arrivals: Arc<Mutex<Vec<Instant>>>,
+    /// Request line and headers of each call, as text for a test that fails.
+    heads: Arc<Mutex<Vec<String>>>,
     /// Place from which each call was to fetch a part of its prompt, if any.
     fetches: Arc<Mutex<Vec<Option<SocketAddr>>>>,
     /// Calls per second that the target states as its limit.
@@ -59,6 +61,7 @@
             orders: Arc::default(),
             calls_count: Arc::default(),
             arrivals: Arc::default(),
+            heads: Arc::default(),
             fetches: Arc::default(),
             limit_per_s: Arc::default(),
             is_leaving: Arc::default(),
@@ -98,6 +101,11 @@
         self.arrivals.lock().unwrap().clone()
     }
 
+    /// Returns request line and headers of each call that has arrived, as text for a test that fails.
+    pub fn heads(&self) -> Vec<String> {
+        self.heads.lock().unwrap().clone()
+    }
+
     /// Returns the place from which the latest call was to fetch a part of its prompt, if any.
     pub fn last_fetch(&self) -> Option<SocketAddr> {
         self.fetches.lock().unwrap().last().copied().flatten()
@@ -138,6 +146,8 @@
         }
         self.calls_count.fetch_add(1, Ordering::Relaxed);
         self.arrivals.lock().unwrap().push(Instant::now());
+        let head = format!("{} {path} {:?}", request.method(), request.headers());
+        self.heads.lock().unwrap().push(head);
         if let Some(retry_after_s) = *self.retry_after_s.lock().unwrap() {
             let refusal = Response::builder().status(503).header("not-run", "1");
             let refusal = refusal.header("retry-after", retry_after_s.to_string());
--- a/crates/entry/tests/target_statements.rs
+++ b/crates/entry/tests/target_statements.rs
@@ -45,6 +45,9 @@
             let (status, _) = self.instance.call("/x").await.unwrap();
             assert_eq!(status, 200);
         }
+        for head in self.a.heads().iter().skip(before_count) {
+            println!("reached a: {head}");
+        }
         self.a.calls_count() - before_count
     }
 
