--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -62,6 +62,8 @@
     LateProxy,
     /// A target with this name and start time; `None` if it does not state it.
     Target(String, Option<u64>),
+    /// A target that refuses what is meant for another one, and does not name itself.
+    NamelessTarget,
 }
 
 /// A call that arrived.
@@ -101,6 +103,8 @@
     hides_start: AtomicBool,
     /// Whether the target refuses to say which process it is, since it is full.
     is_full: AtomicBool,
+    /// Whether another target gets the question in its place, and refuses it.
+    is_misdirected: AtomicBool,
     /// Time that it takes to say which process it is.
     identity_delay_ms: AtomicU64,
     identity_requests_count: AtomicU32,
@@ -124,7 +128,9 @@
         let delay_ms = self.identity_delay_ms.load(Ordering::Relaxed);
         sleep(Duration::from_millis(delay_ms)).await;
         let is_hidden = self.hides_start.load(Ordering::Relaxed);
-        let answer = if self.is_full.load(Ordering::Relaxed) {
+        let answer = if self.is_misdirected.load(Ordering::Relaxed) {
+            answer("421 Misdirected Request", "not-run: 1\r\n", "")
+        } else if self.is_full.load(Ordering::Relaxed) {
             answer("503 Service Unavailable", "not-run: 1\r\n", "")
         } else {
             identity(name, (!is_hidden).then_some(STARTED_UNIX_MS))
@@ -175,6 +181,12 @@
         self
     }
 
+    /// Has another target get the question which process this is, and refuse it without its name.
+    pub fn misdirected(self) -> Self {
+        self.state.is_misdirected.store(true, Ordering::Relaxed);
+        self
+    }
+
     /// Has the target take this time to say which process it is.
     pub fn slow(self, delay_ms: u64) -> Self {
         let delay = &self.state.identity_delay_ms;
@@ -182,6 +194,11 @@
         self
     }
 
+    /// Has this successor accept connections from now on, in place of the present one.
+    pub fn pass_to(&self, successor: Successor) {
+        self.state.successor.send_replace(Some(successor));
+    }
+
     /// How often the target was asked which process it is.
     pub fn identity_requests_count(&self) -> u32 {
         self.state.identity_requests_count.load(Ordering::Relaxed)
@@ -268,11 +285,18 @@
                 state_identity(&mut stream, &name, Some(STARTED_UNIX_MS)).await;
             }
         }
-        Some(Successor::Target(..)) if was_opened_before => {}
+        Some(Successor::Target(..) | Successor::NamelessTarget) if was_opened_before => {}
         Some(Successor::SilentProxy) => sleep(Duration::from_mins(1)).await,
         Some(Successor::Target(name, started_unix_ms)) => {
             state_identity(&mut stream, &name, started_unix_ms).await;
         }
+        Some(Successor::NamelessTarget) => {
+            let mut buffer = Vec::new();
+            while read_call(&mut stream, &mut buffer).await.is_some() {
+                let refusal = answer("421 Misdirected Request", "not-run: 1\r\n", "");
+                let _ = stream.write_all(refusal.as_bytes()).await;
+            }
+        }
     }
 }
 
