The limits of a client account hold for all instances of rattand together

Change: `cluster::AccountShares` works out this instance's part for each account from the members; `AdmissionQueue` offers an account with that part of its limits. Callers connect to the first address of GET /v1/entries, so equal parts would leave them one part in K. The first instance of a region grants 0.6, the second one 0.2, all together the remaining 0.2 in equal parts, and each at least one request. The smallest part of the last 2 s counts; an instance that has just started grants its equal part only. Refusals because of a limit of an account name the part and the number of instances. `Limits::account_share` is gone.

Tests of admission, cluster and serving: all pass. Tests changed: the field `account_share: 1.0` is left out of the limits in fair_queue, and the struct update of what is now a complete literal in admission_queue; no check changes. Not measured: what working out a part costs for each call.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -21,16 +21,13 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Admission limits of one entry instance.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
     /// Maximum number of running requests of all client accounts.
     pub max_running_count: u32,
     /// Maximum time in the queue. A request whose expected wait is longer is refused at once, and a
     /// request that has waited this long is refused then.
     pub max_wait: Duration,
-    /// Share, from 0 to 1, of each client account's limits that this instance may grant: one
-    /// divided by the number of instances that the account's callers use.
-    pub account_share: f64,
 }
 
 impl Default for Limits {
@@ -38,7 +35,6 @@
         Self {
             max_running_count: 1_024,
             max_wait: Duration::from_secs(1),
-            account_share: 1.0,
         }
     }
 }
@@ -57,6 +53,8 @@
 
 /// Admits requests of all client accounts at one entry instance.
 ///
+/// The limits of an account are those that it is offered with: this instance's part of them.
+///
 /// Each client account has a limit on running requests and a token rate. Requests beyond the token
 /// rate are refused; requests beyond the running limit of the account or of the instance wait in a
 /// fair queue. It serves accounts in proportion to their weights, measured in tokens, so a large
@@ -137,12 +135,13 @@
         now: Instant,
     ) -> Result<Option<Ticket>, Refused> {
         let limits = self.limits;
-        let tokens_per_s = instance_tokens_per_s(account, &limits);
+        #[allow(clippy::cast_precision_loss)]
+        let tokens_per_s = account.tokens_per_s as f64;
         let state = self
             .accounts
             .entry(account.name.clone())
             .or_insert_with(|| AccountState::new(account, tokens_per_s, now));
-        state.max_running_count = instance_max_running_count(account, &limits);
+        state.max_running_count = account.max_running_count;
         state.weight = account.weight.max(1);
         let can_start_now = state.waiting.is_empty()
             && state.may_run()
@@ -179,6 +178,7 @@
             .try_take(cost_tokens as f64, tokens_per_s, now);
         taken.map_err(|wait| Refused {
             limit: format!("tokens_per_s of client account {:?}", account.name),
+            is_of_account: true,
             retry_after: wait.max(MIN_RETRY_DELAY),
         })
     }
@@ -252,9 +252,14 @@
         }
         let retry_after = self.service_time.estimate(now).max(max_wait);
         let refuse = |(name, queue_key): (ClientAccountId, QueueKey)| {
+            let is_of_account = self.accounts.get(&name).is_some_and(|it| !it.may_run());
             self.remove_and_refund(&name, queue_key);
-            let limit = format!("the queue for client account {name:?}");
-            (queue_key.1, Refused { limit, retry_after })
+            let refused = Refused {
+                limit: format!("the queue for client account {name:?}"),
+                is_of_account,
+                retry_after,
+            };
+            (queue_key.1, refused)
         };
         overdue.into_iter().map(refuse).collect()
     }
@@ -349,25 +354,16 @@
 
     fn wait_refusal(&self, account: &ClientAccount, wait: Duration) -> Refused {
         let state = self.accounts.get(&account.name);
-        let limit = if state.is_some_and(|state| !state.may_run()) {
+        let is_of_account = state.is_some_and(|state| !state.may_run());
+        let limit = if is_of_account {
             format!("max_running_count of client account {:?}", account.name)
         } else {
             "the number of requests that run at once at this instance".to_owned()
         };
         Refused {
             limit,
+            is_of_account,
             retry_after: wait.max(MIN_RETRY_DELAY),
         }
     }
 }
-
-#[allow(clippy::cast_precision_loss)]
-fn instance_tokens_per_s(account: &ClientAccount, limits: &Limits) -> f64 {
-    account.tokens_per_s as f64 * limits.account_share.clamp(0.0, 1.0)
-}
-
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn instance_max_running_count(account: &ClientAccount, limits: &Limits) -> u32 {
-    let count = f64::from(account.max_running_count) * limits.account_share.clamp(0.0, 1.0);
-    count.ceil() as u32
-}
--- a/crates/admission/src/refused.rs
+++ b/crates/admission/src/refused.rs
@@ -11,6 +11,8 @@
 pub struct Refused {
     /// The limit that was hit, for example `max_running_count of client account "kitchens"`.
     pub limit: String,
+    /// Whether it is a limit of the client account, and not of the instance.
+    pub is_of_account: bool,
     /// How long the caller should wait before it retries.
     pub retry_after: Duration,
 }
--- a/crates/admission/tests/fair_queue.rs
+++ b/crates/admission/tests/fair_queue.rs
@@ -21,7 +21,6 @@
     let limits = Limits {
         max_running_count: SLOTS_COUNT,
         max_wait: Duration::from_millis(500),
-        account_share: 1.0,
     };
     Admission::new(limits, now)
 }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -26,6 +26,7 @@
 //! assert_ne!(owners[0].failure_domain, owners[1].failure_domain);
 //! ```
 
+mod account_shares;
 mod circuit_breaker;
 mod cluster;
 mod connection;
@@ -49,6 +50,7 @@
 mod update_queue;
 
 pub use {
+    account_shares::AccountShares,
     circuit_breaker::CircuitBreaker,
     cluster::Cluster,
     connection::transport,
--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -4,7 +4,7 @@
     crate::Member,
     balance::rendezvous::{key_seed, member_seed, score},
     catalog::RegionId,
-    std::cmp::Reverse,
+    std::{cmp::Reverse, collections::BTreeMap},
 };
 
 /// Maximum number of instances that [`Members::entry_instances_for`] returns.
@@ -19,6 +19,25 @@
     by_name: Vec<Member>,
     /// Hash of each member's name, in the order of `by_name`.
     seeds: Vec<u64>,
+    region_counts: RegionCounts,
+}
+
+/// Numbers of regions with members in any state.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct RegionCounts {
+    /// Regions with a member.
+    pub(crate) all_count: usize,
+    /// Regions with at least two.
+    pub(crate) with_two_count: usize,
+}
+
+/// Which instance of its region the callers of a client account use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum EntryRank {
+    /// The one that they use.
+    First,
+    /// The one that they use if the first one fails.
+    Second,
 }
 
 impl Members {
@@ -33,10 +52,12 @@
             .iter()
             .map(|member| member_seed(&member.instance))
             .collect();
+        let region_counts = RegionCounts::of(&members);
         Self {
             region,
             by_name: members,
             seeds,
+            region_counts,
         }
     }
 
@@ -93,6 +114,40 @@
         entries
     }
 
+    /// Numbers of regions with members.
+    pub(crate) fn region_counts(&self) -> RegionCounts {
+        self.region_counts
+    }
+
+    /// Rank of `instance` among the live members of this region that callers of the account use.
+    /// The second one is in another failure domain, as in [`Self::entry_instances_for`], if any is.
+    pub(crate) fn entry_rank(&self, account: &str, instance: &str) -> Option<EntryRank> {
+        let key_seed = key_seed(account.as_bytes());
+        let first = self.best(key_seed, |_| true)?;
+        if first.instance == instance {
+            return Some(EntryRank::First);
+        }
+        let second = self
+            .best(key_seed, |it| it.failure_domain != first.failure_domain)
+            .or_else(|| self.best(key_seed, |it| it.instance != first.instance))?;
+        (second.instance == instance).then_some(EntryRank::Second)
+    }
+
+    /// The live member of this region that passes `filter` and has the highest score; of several,
+    /// the first by name.
+    fn best<Filter>(&self, key_seed: u64, filter: Filter) -> Option<&Member>
+    where
+        Filter: Fn(&Member) -> bool,
+    {
+        self.by_name
+            .iter()
+            .zip(&self.seeds)
+            .filter(|(member, _)| member.is_live() && member.region == self.region)
+            .filter(|(member, _)| filter(member))
+            .min_by_key(|(_, seed)| Reverse(score(key_seed, **seed)))
+            .map(|(member, _)| member)
+    }
+
     /// Returns the live members that pass `filter`, highest score first.
     fn ranked<Filter>(&self, key: &[u8], filter: Filter) -> Vec<&Member>
     where
@@ -112,6 +167,19 @@
     }
 }
 
+impl RegionCounts {
+    fn of(members: &[Member]) -> Self {
+        let mut counts = BTreeMap::<&RegionId, usize>::new();
+        for member in members {
+            *counts.entry(&member.region).or_default() += 1;
+        }
+        Self {
+            all_count: counts.len(),
+            with_two_count: counts.values().filter(|count| **count > 1).count(),
+        }
+    }
+}
+
 /// Picks `count` members in ranked order, first one per failure domain, then from the rest.
 fn spread_over_domains(ranked: Vec<&Member>, count: usize) -> Vec<&Member> {
     if count == 0 {
--- a/crates/rattan/src/control/membership_watch.rs
+++ b/crates/rattan/src/control/membership_watch.rs
@@ -4,6 +4,7 @@
     cluster::{Cluster, Member, MemberState},
     configuration::{FollowerHandle, Snapshot},
     keyvalue::{Instance, InstanceState},
+    serving::AdmissionQueue,
     std::{sync::Arc, time::Duration},
     tokio::{
         sync::watch,
@@ -27,6 +28,7 @@
     pub(crate) cluster: Arc<Cluster>,
     pub(crate) instances: Arc<watch::Sender<Vec<Instance>>>,
     pub(crate) configuration: FollowerHandle,
+    pub(crate) admission: AdmissionQueue,
 }
 
 impl MembershipWatch {
@@ -64,6 +66,8 @@
         if !listed.is_empty() {
             self.cluster.apply_instance_list(&listed);
         }
+        let own = self.cluster.own_member().instance;
+        self.admission.set_members(&own, &self.cluster.members());
     }
 
     /// Fetches the configuration from a peer if it has a newer one, which happens while this
--- a/crates/rattan/src/control/tree.rs
+++ b/crates/rattan/src/control/tree.rs
@@ -22,6 +22,7 @@
         cluster: state.cluster.clone(),
         instances: state.instances.clone(),
         configuration: follower.handle(),
+        admission: state.admission.clone(),
     };
     let updates = PeerUpdates {
         peers: state.peers.clone(),
--- a/crates/serving/src/admission_queue.rs
+++ b/crates/serving/src/admission_queue.rs
@@ -3,6 +3,7 @@
 use {
     admission::{Admission, Limits, OfferOutcome, Refused, Ticket},
     catalog::{ClientAccount, ClientAccountId},
+    cluster::{AccountShares, Members},
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -22,6 +23,8 @@
 #[derive(Debug)]
 struct State {
     admission: Admission,
+    /// This instance's parts of the limits; `None` until it knows any view, when it grants all.
+    shares: Option<AccountShares>,
     waiting: HashMap<Ticket, (ClientAccountId, TurnSender)>,
 }
 
@@ -48,6 +51,7 @@
     pub fn new(limits: Limits) -> Self {
         let state = State {
             admission: Admission::new(limits, Instant::now()),
+            shares: None,
             waiting: HashMap::new(),
         };
         Self {
@@ -61,12 +65,21 @@
         let limits = Limits {
             max_running_count,
             max_wait: self.max_wait,
-            ..Limits::default()
         };
         self.lock().admission.set_limits(limits);
         self.admit_next(Instant::now());
     }
 
+    /// Divides the limits of client accounts among `members`, as seen by the instance `own`. Must be
+    /// called at least once a second, also if they are unchanged.
+    pub fn set_members(&self, own: &str, members: &Arc<Members>) {
+        let (mut state, now) = (self.lock(), Instant::now());
+        match &mut state.shares {
+            Some(shares) => shares.update(members, now),
+            None => state.shares = Some(AccountShares::new(own, members.clone(), now)),
+        }
+    }
+
     /// Waits until a request may run. `cost_tokens` is the sum of its prompt and answer tokens.
     ///
     /// # Errors
@@ -81,9 +94,12 @@
         let (ticket, turn) = {
             let mut state = self.lock();
             let now = Instant::now();
-            match state.admission.offer(account, cost_tokens, priority, now) {
+            let part = state.account_part(account, now);
+            match state.admission.offer(&part, cost_tokens, priority, now) {
                 OfferOutcome::Admitted => return Ok(self.permit(account)),
-                OfferOutcome::Refused(refused) => return Err(refused),
+                OfferOutcome::Refused(refused) => {
+                    return Err(state.naming_share(refused, account, now));
+                }
                 OfferOutcome::Queued(ticket) => {
                     let (sender, turn) = oneshot::channel();
                     state.waiting.insert(ticket, (account.name.clone(), sender));
@@ -97,7 +113,7 @@
         };
         let turn = self.wait(turn).await;
         drop(queued);
-        turn
+        turn.map_err(|refused| self.lock().naming_share(refused, account, Instant::now()))
     }
 
     /// Returns the number of running and of waiting requests.
@@ -124,6 +140,7 @@
     fn queue_closed(&self) -> Refused {
         Refused {
             limit: "the queue of this instance".to_owned(),
+            is_of_account: false,
             retry_after: self.max_wait,
         }
     }
@@ -180,6 +197,38 @@
     }
 }
 
+impl State {
+    /// The account with this instance's part of its limits, at least 1 each.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
+    fn account_part(&self, account: &ClientAccount, now: Instant) -> ClientAccount {
+        let mut part = account.clone();
+        if let Some(shares) = &self.shares {
+            let share = shares.share(&account.name, now);
+            part.max_running_count = (f64::from(account.max_running_count) * share).max(1.0) as u32;
+            part.tokens_per_s = (account.tokens_per_s as f64 * share).max(1.0) as u64;
+        }
+        part
+    }
+
+    /// Adds to a refusal which part of the account's limits this instance grants.
+    fn naming_share(&self, refused: Refused, account: &ClientAccount, now: Instant) -> Refused {
+        let Some(shares) = self.shares.as_ref().filter(|_| refused.is_of_account) else {
+            return refused;
+        };
+        let (share, count) = (shares.share(&account.name, now), shares.instances_count());
+        let limit = format!(
+            "{} (this instance of {count} grants {share:.4} of that limit; \
+             GET /v1/entries names first the one that grants most)",
+            refused.limit
+        );
+        Refused { limit, ..refused }
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         self.queue.release(&self.account, self.admitted_at);
