Instances return one by one to a target whose backoff is over

Change: `balance::return_delay` gives each instance its turn after the end of the backoff, in the order of rendezvous hashing, 10 ms after the one before or all within 2 s. Before its turn an instance uses another target of the pool that is neither paused, ejected nor loading. Without one it returns at once, as before, so a single target still gets one call from each instance. The second in which calls grow gradually begins with the turn; at a single target that hasn't answered the first call after a second, that is up to 2 s later. New reason `return` of rattan_passed_over_targets_total.

What the other targets bear meanwhile at a scale of hundreds of instances was not measured.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -27,6 +27,7 @@
 mod reachability;
 pub mod rendezvous;
 mod retry_budget_share;
+mod return_delay;
 mod room_estimate;
 mod shown_room;
 mod start_delay;
@@ -41,6 +42,7 @@
     place_share::{BoundedPlaces, PlaceShare},
     reachability::Reachability,
     retry_budget_share::{RetryBounds, RetryBudgetShare},
+    return_delay::return_delay,
     room_estimate::RoomEstimate,
     shown_room::ShownRoom,
     start_delay::StartDelay,
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -7,7 +7,7 @@
         refusal::OVERLOADED_RETRY_AFTER,
         refusal_bound::KnownBound,
         salt::{CacheScope, salt},
-        target_conditions::{CallContext, NextCall, PassedOver},
+        target_conditions::{CallContext, NextCall, Obstacle, PassedOver},
         target_limit::Senders,
     },
     balance::{Candidate, PeerLoads, choose, rendezvous},
@@ -108,6 +108,7 @@
 /// began the call's stream, have outdated weights, or have stated something that forbids the call.
 pub(crate) fn pick(view: &View, pool: &str, context: &PickContext<'_>) -> Choice {
     let mut usable = Vec::new();
+    let mut returning = Vec::new();
     let mut passed_over = PassedOver::default();
     let mut waits = Vec::new();
     for target in view.pools.get(pool).into_iter().flatten() {
@@ -116,9 +117,12 @@
         }
         let was_tried = context.tried_targets.contains(&target.id);
         let is_outdated = is_outdated(view, target, context);
-        match target.call_stats.next_call(&context.target_context(target)) {
+        let target_context = context.target_context(target);
+        let is_before_return = target.call_stats.is_before_return(&target_context);
+        match target.call_stats.next_call(&target_context) {
             NextCall::Now if was_tried => waits.push(OVERLOADED_RETRY_AFTER),
             NextCall::Now if is_outdated => {}
+            NextCall::Now if is_before_return => returning.push(target),
             NextCall::Now => usable.push(target),
             NextCall::Later { obstacle, wait } => {
                 passed_over.record(obstacle);
@@ -126,6 +130,15 @@
             }
         }
     }
+    if usable
+        .iter()
+        .any(|target| is_preferred(view, target, context))
+    {
+        let count = returning.len();
+        (0..count).for_each(|_| passed_over.record(Obstacle::Return));
+    } else {
+        usable.append(&mut returning);
+    }
     Choice {
         picked: pick_usable(view, usable, context),
         wait: waits.into_iter().min().filter(|_| !passed_over.is_empty()),
@@ -133,6 +146,14 @@
     }
 }
 
+/// Whether the target is neither paused, ejected nor loading weights.
+fn is_preferred(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
+    let stats = &target.call_stats;
+    !stats.is_paused(context.now)
+        && !stats.is_ejected(context.now)
+        && !view.loading.contains(&target.id)
+}
+
 /// Chooses one of the `usable` targets.
 fn pick_usable(
     view: &View,
--- a/crates/relay/src/requested_backoff.rs
+++ b/crates/relay/src/requested_backoff.rs
@@ -8,6 +8,8 @@
 /// Extension of a backoff that is worth telling. The refusals of calls that were under way together
 /// extend it by less.
 const NOTABLE_EXTENSION: Duration = Duration::from_millis(500);
+/// Time after a backoff from which each instance has returned.
+const MAX_RETURN_TIME: Duration = Duration::from_secs(3);
 /// Number of calls that each answer in the recovery time lets through.
 const CALLS_PER_ANSWER: u32 = 2;
 
@@ -19,6 +21,8 @@
     until: Option<Duration>,
     /// Number of calls that may still be sent in the recovery time.
     allowed_count: u32,
+    /// Time after the end of the backoff at which it is this instance's turn to return.
+    return_delay: Duration,
 }
 
 impl RequestedBackoff {
@@ -42,13 +46,33 @@
             return Duration::ZERO;
         }
         let recovery_time = if is_over {
-            RECOVERY_TIME
+            self.return_delay + RECOVERY_TIME
         } else {
             Duration::ZERO
         };
         until.saturating_add(recovery_time).saturating_sub(now)
     }
 
+    /// Whether other instances go to the target first, and this one only if it has no other target.
+    /// `return_delay` is asked for the time after the end of the backoff at which it is its turn.
+    pub(crate) fn is_before_turn<ReturnDelay>(
+        &mut self,
+        now: Duration,
+        return_delay: ReturnDelay,
+    ) -> bool
+    where
+        ReturnDelay: FnOnce() -> Duration,
+    {
+        let Some(since_end) = self.until.and_then(|until| now.checked_sub(until)) else {
+            return false;
+        };
+        if since_end >= MAX_RETURN_TIME {
+            return false;
+        }
+        self.return_delay = return_delay();
+        since_end < self.return_delay
+    }
+
     /// Records that a call is sent.
     pub(crate) fn take(&mut self) {
         self.allowed_count = self.allowed_count.saturating_sub(1);
--- a/crates/relay/src/target_conditions.rs
+++ b/crates/relay/src/target_conditions.rs
@@ -8,6 +8,7 @@
         requested_backoff::RequestedBackoff,
         target_limit::{Senders, TargetLimit},
     },
+    balance::return_delay,
     std::time::Duration,
 };
 
@@ -22,15 +23,18 @@
     Limit,
     /// It bears few refusals, and has refused a call lately or has no place for one of this instance.
     RefusalBound,
+    /// Its backoff is over, but other instances return to it first.
+    Return,
 }
 
 impl Obstacle {
     /// All obstacles, in the order of [`PassedOver`].
-    const ALL: [Self; 4] = [
+    const ALL: [Self; 5] = [
         Self::Leaving,
         Self::Backoff,
         Self::Limit,
         Self::RefusalBound,
+        Self::Return,
     ];
 
     /// Name in the metrics.
@@ -40,6 +44,7 @@
             Self::Backoff => "backoff",
             Self::Limit => "limit",
             Self::RefusalBound => "refusal_bound",
+            Self::Return => "return",
         }
     }
 }
@@ -155,6 +160,16 @@
         NextCall::Now
     }
 
+    /// Whether the target's backoff is over, but other instances return to it first.
+    pub(crate) fn is_before_return(&mut self, call: &CallContext<'_>) -> bool {
+        let Senders {
+            own_seed,
+            instance_seeds,
+        } = call.senders;
+        let delay = || return_delay(call.target_seed, own_seed, instance_seeds);
+        self.backoff.is_before_turn(call.now, delay)
+    }
+
     /// Takes the right to send one call besides the `in_flight_count` of this instance. Returns false
     /// if another call has taken the last one since [`TargetConditions::next_call`] was asked.
     pub(crate) fn try_take(&mut self, call: &CallContext<'_>, in_flight_count: u32) -> bool {
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -222,6 +222,11 @@
         conditions.next_call(call, self.in_flight_count())
     }
 
+    /// Whether the target's backoff is over, but other instances return to it first.
+    pub(crate) fn is_before_return(&self, call: &CallContext<'_>) -> bool {
+        self.lock().conditions.is_before_return(call)
+    }
+
     /// Takes the right to send the target one call, which counts as in flight until the guard is
     /// dropped; `None` if there is none now.
     pub(crate) fn try_take_call(self: &Arc<Self>, call: &CallContext<'_>) -> Option<InFlightGuard> {
