Entry tests: a copy of events is not read as the list of a store

The test format reads lists now (before, all lists were malformed), and like the platform it reads events as a list without parts and a list as no events.

--- a/crates/entry/tests/copied_control_answers.rs
+++ b/crates/entry/tests/copied_control_answers.rs
@@ -5,6 +5,7 @@
 use {
     keyvalue::MemoryKv,
     std::{
+        mem,
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
@@ -28,6 +29,10 @@
     refusals_count: u32,
     /// Bodies of the requests to free that were carried out.
     freed: Vec<String>,
+    /// Whether the next events have a gap.
+    has_gap: bool,
+    /// Number of requests for the list.
+    lists_count: u32,
 }
 
 /// A store and what happened there.
@@ -47,19 +52,33 @@
             record.freed.push(question.body.trim().to_owned());
             return (200, String::new());
         }
+        let clock_ms = started.elapsed().as_millis();
+        if question.path() == "/list" {
+            record.lists_count += 1;
+            return (200, format!("1 {clock_ms}\n= 1 session 5000\n"));
+        }
+        let gap = if mem::take(&mut record.has_gap) {
+            " gap"
+        } else {
+            ""
+        };
         let changes = ["+ 1 session 5000", "- 1 session 0"];
         let changes = &changes[..=record.freed.len().min(1)];
         let since: usize = question.header("since").unwrap().parse().unwrap();
         let lines = changes.iter().skip(since).map(|it| format!("{it}\n"));
-        let clock_ms = started.elapsed().as_millis();
         let lines: String = lines.collect();
-        (200, format!("{} {clock_ms}\n{lines}", changes.len()))
+        (200, format!("{} {clock_ms}{gap}\n{lines}", changes.len()))
     };
     (CopyingServer::start(answer).await, record)
 }
 
-/// An instance that knows what the store holds, all of which a new version makes obsolete.
-async fn instance_with_obsolete_parts(store: &CopyingServer) -> Instance {
+/// A prompt whose first part the store holds.
+fn prompt() -> OutgoingCall {
+    OutgoingCall::prompt("session:5000,own:10").path("/once/")
+}
+
+/// An instance that knows what the store holds, with its key-value service and a target.
+async fn instance_before(store: &CopyingServer) -> (Instance, MemoryKv, Target) {
     let kv = MemoryKv::new();
     let target = Target::start(Duration::ZERO).await;
     let configuration = format!("1 {}", store.address);
@@ -68,11 +87,16 @@
     put(&kv, "targets/t1", &format!("{} 1", target.address)).await;
     keep_current(&kv);
     let instance = Instance::start("one", kv.clone());
-    let prompt = OutgoingCall::prompt("session:5000,own:10").path("/once/");
     wait_until("a part that is fetched", async || {
-        instance.send(&prompt).await == Some(200) && target.last_fetch() == Some(store.address)
+        instance.send(&prompt()).await == Some(200) && target.last_fetch() == Some(store.address)
     })
     .await;
+    (instance, kv, target)
+}
+
+/// The same, once new versions have made obsolete what the store holds.
+async fn instance_with_obsolete_parts(store: &CopyingServer) -> Instance {
+    let (instance, kv, _target) = instance_before(store).await;
     put(&kv, "operators/version/m", "2").await;
     sleep(Duration::from_secs(4)).await;
     put(&kv, "operators/version/m", "3").await;
@@ -119,6 +143,22 @@
     drop(instance);
 }
 
+/// Guards against parts that are forgotten, and never freed, since events read as an empty list.
+#[tokio::test]
+async fn copy_of_events_is_not_read_as_the_list_of_a_store() {
+    let (store, record) = store(0).await;
+    let (instance, _kv, target) = instance_before(&store).await;
+    store.copy(LateCopy {
+        of: "/events",
+        before: "/list",
+    });
+    record.lock().unwrap().has_gap = true;
+    wait_until("a list", async || record.lock().unwrap().lists_count > 0).await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(instance.send(&prompt()).await, Some(200));
+    assert_eq!(target.last_fetch(), Some(store.address));
+}
+
 /// What a target has and was ordered.
 #[derive(Clone, Debug)]
 struct OrderRecord {
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -260,11 +260,15 @@
 
     fn parse_events(&self, body: &[u8]) -> Option<PartEvents> {
         let mut lines = std::str::from_utf8(body).ok()?.lines();
-        let (next_seq, clock_ms) = lines.next()?.split_once(' ')?;
+        let mut fields = lines.next()?.split(' ');
         Some(PartEvents {
-            next_seq: next_seq.parse().ok()?,
-            clock: Some(Duration::from_millis(clock_ms.parse().ok()?)),
-            changes: lines.map(parse_change).collect(),
+            next_seq: fields.next()?.parse().ok()?,
+            clock: Some(Duration::from_millis(fields.next()?.parse().ok()?)),
+            has_gap: fields.next() == Some("gap"),
+            changes: lines
+                .filter(|line| !line.starts_with('='))
+                .map(parse_change)
+                .collect(),
             ..PartEvents::default()
         })
     }
@@ -281,8 +285,17 @@
         Request::get("/list").body(Full::default()).unwrap()
     }
 
-    fn parse_list(&self, _body: &[u8]) -> Option<PartList> {
-        None
+    /// Takes the lines that begin with `=`. As on the platform, events read as a list without parts, and a
+    /// list as no events.
+    fn parse_list(&self, body: &[u8]) -> Option<PartList> {
+        let mut lines = std::str::from_utf8(body).ok()?.lines();
+        let (next_seq, _) = lines.next()?.split_once(' ')?;
+        let parts = lines.filter(|line| line.starts_with('='));
+        Some(PartList {
+            next_seq: next_seq.parse().ok()?,
+            parts: parts.map(|line| parse_change(line).part).collect(),
+            ..PartList::default()
+        })
     }
 
     fn order_request(&self, order: &VersionOrder) -> Request<Full<Bytes>> {
