Stand-in relay: new connections can be forwarded to another address

Relay::set_to leads new connections to another address, while open ones stay where they are, as behind a proxy that takes a new process into use. The test is new; relay_modes holds.

--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -124,7 +124,7 @@
 pub struct Relay {
     /// Address on which the relay accepts connections.
     pub address: SocketAddr,
-    to: SocketAddr,
+    to: Mutex<SocketAddr>,
     /// The listener until [`Role::background`] takes it.
     listener: Mutex<Option<TcpListener>>,
     switches: FaultSwitches<RelayFaults>,
@@ -146,7 +146,7 @@
         let listener = TcpListener::bind(settings.listen).await?;
         let relay = Arc::new(Self {
             address: listener.local_addr()?,
-            to: settings.to,
+            to: Mutex::new(settings.to),
             listener: Mutex::new(Some(listener)),
             switches: FaultSwitches::default(),
             epoch: watch::Sender::new(0),
@@ -174,6 +174,11 @@
         self.switches.update(|faults| faults.delay_ms = delay_ms);
     }
 
+    /// Forwards new connections to another address. Open ones stay where they are.
+    pub fn set_to(&self, to: SocketAddr) {
+        *lock(&self.to) = to;
+    }
+
     /// Bytes forwarded since the start, in both directions.
     #[must_use]
     pub fn passed_bytes(&self) -> u64 {
@@ -181,7 +186,8 @@
     }
 
     async fn relay(self: Arc<Self>, mut caller: TcpStream) {
-        let Ok(mut target) = TcpStream::connect(self.to).await else {
+        let to = *lock(&self.to);
+        let Ok(mut target) = TcpStream::connect(to).await else {
             return;
         };
         let _ = caller.set_nodelay(true);
--- a/crates/standin/tests/relay_modes.rs
+++ b/crates/standin/tests/relay_modes.rs
@@ -91,3 +91,15 @@
     }
     connect(&relay).await;
 }
+
+#[tokio::test]
+async fn connections_that_are_open_stay_when_new_ones_go_elsewhere() {
+    let relay = start().await;
+    let mut stream = connect(&relay).await;
+    let elsewhere = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    relay.role().set_to(elsewhere.local_addr().unwrap());
+    let _new = TcpStream::connect(relay.role().address).await.unwrap();
+    assert!(timeout(ARRIVAL, elsewhere.accept()).await.is_ok());
+    send(&mut stream).await;
+    assert!(receives(&mut stream, ARRIVAL).await);
+}
