The connection beside unframed answers is kept and leads to the target before they end

What callers saw: half of a short answer with neither a length nor chunks as a whole one, if the link to its target ended all connections for a moment. The connection beside the answer was opened only when its head had come, so after the cut, and showed a target that lives.

A client keeps the connection on which a target has been asked after such an answer, for a minute after the last one, and opens it again when it ends. It shows the end of an answer only if it led to the target before: it was opened before the request was sent, or the target had answered on it before data of the answer, or its end, came. One question answers all answers that end within 20 ms. The first such answer of a target within a minute is shown as before, by a connection opened beside it; the gap remains there. A target that ends each connection after its answer is always asked so.

A stated start may be later than the registered one: that of a restart that is not registered yet.

--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -46,6 +46,8 @@
     /// Sends these bytes and closes all connections. Its address goes on accepting, by the hand of
     /// this successor.
     RespondThenPass(String, Successor),
+    /// Sends these bytes and ends all connections at once, as a link does that is cut for a moment.
+    RespondThenCut(String),
 }
 
 /// Who accepts connections at the address of a target that is gone.
@@ -95,10 +97,14 @@
 struct State {
     /// Who answers in place of the target, once it is gone.
     successor: watch::Sender<Option<Successor>>,
+    /// How often all connections were ended.
+    cuts_count: watch::Sender<u32>,
     /// Whether the target does not state its start time.
     hides_start: AtomicBool,
     /// Whether the target refuses to say which process it is, since it is full.
     is_full: AtomicBool,
+    /// Whether the target ends connections on which it has said which process it is.
+    keeps_none: AtomicBool,
     /// Time that it takes to say which process it is.
     identity_delay_ms: AtomicU64,
     identity_requests_count: AtomicU32,
@@ -173,6 +179,12 @@
         self
     }
 
+    /// Has the target end connections on which it has said which process it is.
+    pub fn without_kept_connections(self) -> Self {
+        self.state.keeps_none.store(true, Ordering::Relaxed);
+        self
+    }
+
     /// Has the target take this time to say which process it is.
     pub fn slow(self, delay_ms: u64) -> Self {
         let delay = &self.state.identity_delay_ms;
@@ -248,6 +260,7 @@
 /// Serves a connection until the target is gone, then as its successor does.
 async fn serve_until_gone(mut stream: TcpStream, state: Arc<State>, name: String) {
     let mut successor = state.successor.subscribe();
+    let mut cuts = state.cuts_count.subscribe();
     let was_opened_before = successor.borrow_and_update().is_none();
     let calls_count = AtomicU32::new(0);
     if was_opened_before {
@@ -255,6 +268,7 @@
         tokio::select! {
             biased;
             _ = is_gone => {}
+            _ = cuts.changed() => return,
             () = serve(&mut stream, &state, &name, &calls_count) => return,
         }
     }
@@ -306,6 +320,9 @@
     while let Some(head) = read_call(stream, &mut buffer).await {
         if is_identity_request(&head) {
             state.say_identity(stream, name).await;
+            if state.keeps_none.load(Ordering::Relaxed) {
+                return;
+            }
             continue;
         }
         let copy = std::mem::take(&mut late_copy);
@@ -362,6 +379,11 @@
                 state.successor.send_replace(Some(successor));
                 return;
             }
+            Step::RespondThenCut(text) => {
+                let _ = send(stream, &text, &id).await;
+                state.cuts_count.send_modify(|count| *count += 1);
+                return;
+            }
             Step::RespondThenStall(text) => {
                 let _ = send(stream, &text, &id).await;
                 sleep(Duration::from_secs(6)).await;
--- a/crates/target/src/incarnation.rs
+++ b/crates/target/src/incarnation.rs
@@ -62,6 +62,14 @@
         );
         self.is_same_target(stated) && is_same_start
     }
+
+    /// Whether `stated`, which a process says of itself, may be said of this incarnation, or of a later
+    /// one of the same target that is not registered yet.
+    #[must_use]
+    pub fn may_have_become(&self, stated: &Self) -> bool {
+        let starts = self.started_unix_ms.zip(stated.started_unix_ms);
+        self.is_same_target(stated) && starts.is_none_or(|(known, stated)| known <= stated)
+    }
 }
 
 /// Whether two values are equal, as far as both are known.
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -22,12 +22,14 @@
 
 mod answer_stream;
 mod answers_request;
+mod body_framing;
 mod carried_ids;
 mod client;
 mod engine;
 mod engine_wire;
 mod error;
 mod incarnation;
+mod kept_witness;
 mod reply;
 mod request;
 mod service;
@@ -35,6 +37,7 @@
 mod start_timeout;
 mod store;
 mod stream_position;
+mod unframed_body;
 mod whole_body;
 mod witness;
 
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -4,6 +4,7 @@
     crate::{
         Client, Incarnation, IncarnationProbe, SendError,
         client::{Connection, Exchange, PROCESS_EXIT_TIME, closed_unwritten},
+        kept_witness::{EndedAnswer, KeptUse, Stated},
     },
     snafu::Snafu,
     std::{
@@ -12,21 +13,21 @@
     },
     tokio::{
         sync::oneshot,
-        time::{sleep, timeout},
+        time::{sleep, timeout, timeout_at},
     },
     tokio_util::task::AbortOnDropHandle,
 };
 
 /// Time within which a target must say which process it is. Sound targets may be silent for some
 /// seconds.
-const CONFIRM_TIMEOUT: Duration = Duration::from_secs(4);
+pub(crate) const CONFIRM_TIMEOUT: Duration = Duration::from_secs(4);
 /// Pause before a connection beside the answer is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(200);
 /// Time between the ends of two connections that may have had one cause, also if both are noticed late.
 const COMMON_END_TIME: Duration = Duration::from_millis(500);
 
 /// Why nothing shows that a body is complete that ended with its connection.
-#[derive(Debug, Snafu)]
+#[derive(Clone, Debug, Snafu)]
 pub(crate) enum Unconfirmed {
     /// Nobody can be asked.
     #[snafu(display(
@@ -55,8 +56,8 @@
     }
 }
 
-/// The connection beside an answer could not be kept.
-fn gone() -> Unconfirmed {
+/// There was no connection beside an answer, or none that shows anything.
+pub(crate) fn gone() -> Unconfirmed {
     let reason = "there is none that was open for some time".to_owned();
     Unconfirmed::Gone { reason }
 }
@@ -65,41 +66,82 @@
 type LastData = Option<Instant>;
 
 /// Shows whether the process that sends an answer still runs once the answer has ended with its
-/// connection. Beside the answer it keeps another connection to the process, on which it asks. If the process
-/// was killed or the path to it was cut, that one has ended as well. Dropping it closes the connection.
+/// connection. Another connection to the process is open meanwhile, on which it is asked. If the process
+/// was killed or the path to it was cut, that one has ended as well.
 pub(crate) struct Witness {
-    ended: Option<oneshot::Sender<LastData>>,
-    confirming: AbortOnDropHandle<Result<(), Unconfirmed>>,
+    probe: IncarnationProbe,
+    state: WitnessState,
+}
+
+enum WitnessState {
+    /// Dropping it closes the connection, which is for this answer alone.
+    Beside(
+        AbortOnDropHandle<Result<(), Unconfirmed>>,
+        Option<oneshot::Sender<LastData>>,
+    ),
+    /// The client keeps a connection to the target.
+    Kept(KeptUse),
+    /// The process has been asked on that connection.
+    Asked(oneshot::Receiver<Stated>),
 }
 
 impl Witness {
-    /// Begins to open a connection to the process at `address`, which is answering a request.
-    pub(crate) fn new(client: Client, address: SocketAddr, probe: IncarnationProbe) -> Self {
-        let (sender, ended) = oneshot::channel();
-        let beside = BesideAnswer {
-            client,
-            address,
-            probe,
+    /// Prepares for the end of an answer to a request that was sent to `address` at `sent_at`. Begins to
+    /// open a connection to the process there, unless one was kept before.
+    pub(crate) fn new(
+        client: Client,
+        address: SocketAddr,
+        probe: IncarnationProbe,
+        sent_at: Instant,
+    ) -> Self {
+        let kept = client.kept_witnesses().use_before(address, sent_at);
+        let state = if let Some(kept) = kept {
+            WitnessState::Kept(kept)
+        } else {
+            let (sender, ended) = oneshot::channel();
+            let beside = BesideAnswer {
+                client,
+                address,
+                probe: probe.clone(),
+            };
+            let confirming = tokio::spawn(beside.confirm_after(ended));
+            WitnessState::Beside(AbortOnDropHandle::new(confirming), Some(sender))
         };
-        Self {
-            ended: Some(sender),
-            confirming: AbortOnDropHandle::new(tokio::spawn(beside.confirm_after(ended))),
-        }
+        Self { probe, state }
     }
 
     /// Has the process show that it still runs, now that its answer has ended with its connection. Dropping
     /// the future loses nothing. Do not ask again once it has completed.
-    pub(crate) async fn confirm(&mut self, last_data: LastData) -> Result<(), Unconfirmed> {
-        if let Some(ended) = self.ended.take() {
-            // The task that receives it ends later.
-            let _ = ended.send(last_data);
+    pub(crate) async fn confirm(
+        &mut self,
+        answer: EndedAnswer,
+        last_data: LastData,
+    ) -> Result<(), Unconfirmed> {
+        if let WitnessState::Kept(kept) = &self.state {
+            self.state = WitnessState::Asked(kept.ask(answer, self.probe.clone()));
+        }
+        match &mut self.state {
+            WitnessState::Beside(confirming, ended) => {
+                if let Some(ended) = ended.take() {
+                    // The task that receives it ends later.
+                    let _ = ended.send(last_data);
+                }
+                confirming.await.unwrap_or(Err(Unconfirmed::NoProbe))
+            }
+            WitnessState::Asked(stated) => {
+                let until = answer.ended + PROCESS_EXIT_TIME + CONFIRM_TIMEOUT;
+                let stated = timeout_at(until.into(), stated).await;
+                let stated = stated.map_err(|_| Unconfirmed::Silent)?;
+                let stated = stated.unwrap_or_else(|_| Err(gone()))?;
+                let is_shown = self.probe.expected.may_have_become(&stated);
+                is_shown.then_some(()).ok_or(Unconfirmed::Replaced)
+            }
+            WitnessState::Kept(_) => Err(Unconfirmed::NoProbe),
         }
-        let confirmed = (&mut self.confirming).await;
-        confirmed.unwrap_or(Err(Unconfirmed::NoProbe))
     }
 }
 
-/// Keeps a connection beside an answer, and asks on it.
+/// Keeps a connection beside one answer, and asks on it.
 struct BesideAnswer {
     client: Client,
     address: SocketAddr,
@@ -107,15 +149,20 @@
 }
 
 impl BesideAnswer {
-    /// Keeps a connection until the answer has `ended`, then asks on it.
+    /// Keeps a connection until the answer has `ended`, then asks on it, and has the client keep it.
     async fn confirm_after(self, ended: oneshot::Receiver<LastData>) -> Result<(), Unconfirmed> {
         let (connection, last_data) = self.keep_until(ended).await?;
         // Data that came later is of the same process: two do not listen at one address.
         let has_overlapped = last_data.is_some_and(|it| connection.opened() < it);
         // A process that ends closes its connections one after another.
         sleep(PROCESS_EXIT_TIME).await;
-        let asked = timeout(CONFIRM_TIMEOUT, self.ask_on(connection)).await;
-        let stated = asked.unwrap_or(Err(Unconfirmed::Silent))?;
+        let asked = ask_on(&self.client, self.address, connection, &self.probe);
+        let asked = timeout(CONFIRM_TIMEOUT, asked).await;
+        let (stated, connection) = asked.unwrap_or(Err(Unconfirmed::Silent))?;
+        if let Some(connection) = connection {
+            let kept = self.client.kept_witnesses();
+            kept.keep(&self.client, self.address, connection, self.probe.clone());
+        }
         let expected = &self.probe.expected;
         let is_shown = if has_overlapped {
             expected.is_same_target(&stated)
@@ -156,18 +203,23 @@
             opened = self.client.connect(self.address).await;
         }
     }
+}
 
-    /// Asks which process answers on `connection`.
-    async fn ask_on(&self, connection: Connection) -> Result<Incarnation, Unconfirmed> {
-        let request = self.probe.request.clone();
-        let exchange =
-            self.client
-                .exchange(self.address, connection, request, None, &CONFIRM_TIMEOUT);
-        let mut reply = match exchange.await {
-            Exchange::Done(reply) => reply?,
-            Exchange::Unsent(_) => return Err(closed_unwritten(self.address).into()),
-        };
-        let body = reply.delimited_body(CONFIRM_TIMEOUT).await?;
-        (self.probe.parse)(reply.headers(), &body).ok_or(Unconfirmed::Replaced)
-    }
+/// Asks which process answers on `connection`, and gives that back if it can carry another request.
+pub(crate) async fn ask_on(
+    client: &Client,
+    address: SocketAddr,
+    connection: Connection,
+    probe: &IncarnationProbe,
+) -> Result<(Incarnation, Option<Connection>), Unconfirmed> {
+    let request = probe.request.clone();
+    let exchange = client.exchange(address, connection, request, None, &CONFIRM_TIMEOUT);
+    let reply = match exchange.await {
+        Exchange::Done(reply) => reply?,
+        Exchange::Unsent(_) => return Err(closed_unwritten(address).into()),
+    };
+    let headers = reply.headers().clone();
+    let (body, connection) = reply.into_delimited(CONFIRM_TIMEOUT).await?;
+    let stated = (probe.parse)(&headers, &body).ok_or(Unconfirmed::Replaced)?;
+    Ok((stated, connection))
 }
