The kept connection is opened again at once unless it was brief

A target that closes idle connections after less than a second left a pause of 50 to 200 ms in which sound answers could not be shown to be whole. Only a connection that ends within 100 ms after its first answer is followed by a pause now.

--- a/crates/target/src/kept_witness.rs
+++ b/crates/target/src/kept_witness.rs
@@ -27,8 +27,6 @@
 const UNKEPT_TIME: Duration = Duration::from_millis(100);
 /// Connections in a row that end within [`UNKEPT_TIME`], after which none is kept.
 const MAX_UNKEPT_COUNT: u32 = 2;
-/// Time that a connection must have lasted to be opened again without a pause.
-const LASTING_TIME: Duration = Duration::from_secs(1);
 /// First and longest pause before a connection is opened again.
 const REOPEN_PAUSES: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(200)];
 /// Shortest such pause while calls are sent to the target.
@@ -259,17 +257,13 @@
                 return;
             }
             self.refuse_waiting();
-            let lasted = answered_at.elapsed();
-            unkept_count = if lasted < UNKEPT_TIME {
-                unkept_count + 1
+            if answered_at.elapsed() < UNKEPT_TIME {
+                unkept_count += 1;
+                self.pause = longer(self.pause);
             } else {
-                0
-            };
-            self.pause = if lasted < LASTING_TIME {
-                longer(self.pause)
-            } else {
-                Duration::ZERO
-            };
+                unkept_count = 0;
+                self.pause = Duration::ZERO;
+            }
             match self.reopen().await {
                 Some(reopened) => known = reopened,
                 None => return,
