Data counts as later than the first answer beside it only after 100 ms

A reader that a busy machine delays by more than 10 ms takes old data for new, and a connection opened again meanwhile then seems to have been there before. So 100 ms must lie between. The cost falls on answers to calls that were sent before that connection was open again and end within 100 ms after it has answered.

A line says when a target's connection is kept no longer since it ends them.

--- a/crates/target/src/kept_witness.rs
+++ b/crates/target/src/kept_witness.rs
@@ -27,6 +27,8 @@
 const UNKEPT_TIME: Duration = Duration::from_millis(100);
 /// Connections in a row that end within [`UNKEPT_TIME`], after which none is kept.
 const MAX_UNKEPT_COUNT: u32 = 2;
+/// Longest time by which a busy instance reads data late.
+const READ_DELAY: Duration = Duration::from_millis(100);
 /// First and longest pause before a connection is opened again.
 const REOPEN_PAUSES: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(200)];
 /// Shortest such pause while calls are sent to the target.
@@ -224,7 +226,7 @@
     /// Whether it led to the target before `answer` ended. A connection that was open before the request
     /// was sent has been passed on by whatever lies between, since the request has.
     fn is_beside(&self, answer: &EndedAnswer) -> bool {
-        self.connection.opened() < answer.sent || self.answered_at < answer.last_open
+        self.connection.opened() < answer.sent || self.answered_at + READ_DELAY < answer.last_open
     }
 }
 
@@ -269,6 +271,7 @@
                 None => return,
             }
         }
+        log::info!("{} ends connections on which it has answered", self.address);
         if let Some(witnesses) = self.witnesses.upgrade() {
             witnesses.remove(self.address);
         }
