--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -169,6 +169,12 @@
         } else {
             expected.agrees_with(&stated)
         };
+        if is_shown {
+            log::info!(
+                "an answer of {} is whole by a connection that was opened after its head",
+                self.address
+            );
+        }
         is_shown.then_some(()).ok_or(Unconfirmed::Replaced)
     }
 
