An answer whose call was sent before the connection was kept needs it too

Its call was sent before another answer of the target had a connection kept, so that it did without. The log says so ("whole by a connection that was opened after its head").

--- a/crates/relay/tests/cut_links.rs
+++ b/crates/relay/tests/cut_links.rs
@@ -27,7 +27,7 @@
 fn whole_then_cut(body: &str) -> Vec<Step> {
     vec![
         Step::RespondThenEnd(unframed(body)),
-        Step::RespondThenCut(unframed(body)),
+        Step::RespondThenCut(Duration::ZERO, unframed(body)),
     ]
 }
 
@@ -41,6 +41,24 @@
     assert_eq!(response.status, 502, "{response:?}");
 }
 
+/// Guards against a call that was sent before the connection was kept doing without it.
+#[tokio::test]
+async fn late_short_body_whose_link_ends_all_connections_is_no_whole_answer() {
+    let script = vec![
+        Step::RespondThenCut(2 * KEPT_AFTER, unframed("half of a")),
+        Step::RespondThenEnd(unframed("all of a body")),
+    ];
+    let target = ScriptedTarget::start("one", script).await;
+    let relay = TestRelay::start(&[&target]).await;
+    let late = caller::send(relay.address, "/once/7", "").await;
+    while target.arrived().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(call(&relay, "/once/7").await.status, 200);
+    let response = caller::read_response(late).await;
+    assert_eq!(response.status, 502, "{response:?}");
+}
+
 #[tokio::test]
 async fn short_stream_whose_link_ends_all_connections_is_visibly_incomplete() {
     for path in ["/stream/7", "/resumable/7"] {
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -46,8 +46,9 @@
     /// Sends these bytes and closes all connections. Its address goes on accepting, by the hand of
     /// this successor.
     RespondThenPass(String, Successor),
-    /// Sends these bytes and ends all connections at once, as a link does that is cut for a moment.
-    RespondThenCut(String),
+    /// Sends these bytes after a while and ends all connections at once, as a link does that is cut for a
+    /// moment.
+    RespondThenCut(Duration, String),
 }
 
 /// Who accepts connections at the address of a target that is gone.
@@ -379,7 +380,8 @@
                 state.successor.send_replace(Some(successor));
                 return;
             }
-            Step::RespondThenCut(text) => {
+            Step::RespondThenCut(pause, text) => {
+                sleep(pause).await;
                 let _ = send(stream, &text, &id).await;
                 state.cuts_count.send_modify(|count| *count += 1);
                 return;
--- a/crates/target/src/kept_witness.rs
+++ b/crates/target/src/kept_witness.rs
@@ -71,7 +71,6 @@
 
 /// A kept connection to one address. Dropping it closes the connection.
 struct KeptWitness {
-    since: Instant,
     called: Arc<Notify>,
     uses: KeptUse,
     _keeping: AbortOnDropHandle<()>,
@@ -105,11 +104,9 @@
 }
 
 impl KeptWitnesses {
-    /// Has the connection to `address` kept further; `None` if there was none before `sent_at`.
-    pub(crate) fn use_before(&self, address: SocketAddr, sent_at: Instant) -> Option<KeptUse> {
-        let kept = self.lock();
-        let kept = kept.get(&address).filter(|it| it.since < sent_at);
-        kept.map(|it| it.uses.clone())
+    /// Has the connection to `address` kept further; `None` if there is none.
+    pub(crate) fn use_at(&self, address: SocketAddr) -> Option<KeptUse> {
+        self.lock().get(&address).map(|it| it.uses.clone())
     }
 
     /// Notes that a call is about to be sent to `address`, whose answer may need the connection there.
@@ -166,7 +163,6 @@
         };
         let keeping = tokio::spawn(keeper.keep(known));
         vacant.insert(KeptWitness {
-            since: Instant::now(),
             called,
             uses: KeptUse(questions),
             _keeping: AbortOnDropHandle::new(keeping),
--- a/crates/target/src/unframed_body.rs
+++ b/crates/target/src/unframed_body.rs
@@ -49,7 +49,7 @@
         address: SocketAddr,
         probe: IncarnationProbe,
     ) {
-        self.witness = Some(Witness::new(client, address, probe, self.sent_at));
+        self.witness = Some(Witness::new(client, address, probe));
     }
 
     /// Records data that was waited for since `waits_from`.
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -86,15 +86,10 @@
 }
 
 impl Witness {
-    /// Prepares for the end of an answer to a request that was sent to `address` at `sent_at`. Begins to
-    /// open a connection to the process there, unless one was kept before.
-    pub(crate) fn new(
-        client: Client,
-        address: SocketAddr,
-        probe: IncarnationProbe,
-        sent_at: Instant,
-    ) -> Self {
-        let kept = client.kept_witnesses().use_before(address, sent_at);
+    /// Prepares for the end of an answer of `address` whose head has arrived. Begins to open a connection to
+    /// the process there, unless one is kept.
+    pub(crate) fn new(client: Client, address: SocketAddr, probe: IncarnationProbe) -> Self {
+        let kept = client.kept_witnesses().use_at(address);
         let state = if let Some(kept) = kept {
             WitnessState::Kept(kept)
         } else {
