--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -48,6 +48,19 @@
     /// Sends these bytes and closes all connections. Its address goes on accepting, by the hand of
     /// this successor.
     RespondThenPass(String, Successor),
+    /// Sends these bytes after a while and ends all connections at once, as a link does that is cut for a
+    /// moment.
+    RespondThenCut(Duration, String),
+}
+
+impl Step {
+    /// The same step without short forms.
+    fn spelled_out(self) -> Self {
+        match self {
+            Self::RespondTwice(text) => Self::RespondThenExtra(text.clone(), text),
+            step => step,
+        }
+    }
 }
 
 /// Who accepts connections at the address of a target that is gone.
@@ -99,12 +112,16 @@
 struct State {
     /// Who answers in place of the target, once it is gone.
     successor: watch::Sender<Option<Successor>>,
+    /// How often all connections were ended.
+    cuts_count: watch::Sender<u32>,
     /// Whether the target does not state its start time.
     hides_start: AtomicBool,
     /// Whether the target refuses to say which process it is, since it is full.
     is_full: AtomicBool,
     /// Whether another target gets the question in its place, and refuses it.
     is_misdirected: AtomicBool,
+    /// Whether the target ends connections on which it has said which process it is.
+    keeps_none: AtomicBool,
     /// Time that it takes to say which process it is.
     identity_delay_ms: AtomicU64,
     identity_requests_count: AtomicU32,
@@ -187,6 +204,12 @@
         self
     }
 
+    /// Has the target end connections on which it has said which process it is.
+    pub fn without_kept_connections(self) -> Self {
+        self.state.keeps_none.store(true, Ordering::Relaxed);
+        self
+    }
+
     /// Has the target take this time to say which process it is.
     pub fn slow(self, delay_ms: u64) -> Self {
         let delay = &self.state.identity_delay_ms;
@@ -267,6 +290,7 @@
 /// Serves a connection until the target is gone, then as its successor does.
 async fn serve_until_gone(mut stream: TcpStream, state: Arc<State>, name: String) {
     let mut successor = state.successor.subscribe();
+    let mut cuts = state.cuts_count.subscribe();
     let was_opened_before = successor.borrow_and_update().is_none();
     let calls_count = AtomicU32::new(0);
     if was_opened_before {
@@ -274,6 +298,7 @@
         tokio::select! {
             biased;
             _ = is_gone => {}
+            _ = cuts.changed() => return,
             () = serve(&mut stream, &state, &name, &calls_count) => return,
         }
     }
@@ -326,12 +351,21 @@
     stream.write_all(text.replace("{id}", id).as_bytes()).await
 }
 
+/// Sends `text` as the answer, or a part of it, to the call with `id`, then waits.
+async fn send_then_wait(stream: &mut TcpStream, text: &str, id: &str, pause: Duration) {
+    let _ = send(stream, text, id).await;
+    sleep(pause).await;
+}
+
 async fn serve(stream: &mut TcpStream, state: &State, name: &str, calls_count: &AtomicU32) {
     let mut buffer = Vec::new();
     let mut late_copy = String::new();
     while let Some(head) = read_call(stream, &mut buffer).await {
         if is_identity_request(&head) {
             state.say_identity(stream, name).await;
+            if state.keeps_none.load(Ordering::Relaxed) {
+                return;
+            }
             continue;
         }
         let copy = std::mem::take(&mut late_copy);
@@ -343,18 +377,16 @@
         let id = arrived.header("id").unwrap_or_default().to_owned();
         state.arrived.lock().unwrap().push(arrived);
         let step = state.script.lock().unwrap().pop_front();
-        match step.unwrap_or_else(|| Step::Respond(success("ok"))) {
+        match step
+            .unwrap_or_else(|| Step::Respond(success("ok")))
+            .spelled_out()
+        {
             Step::Respond(text) => {
                 if send(stream, &text, &id).await.is_err() {
                     return;
                 }
             }
-            Step::RespondTwice(text) => {
-                late_copy = text.replace("{id}", &id);
-                if send(stream, &text, &id).await.is_err() {
-                    return;
-                }
-            }
+            Step::RespondTwice(_) => unreachable!("it is spelled out"),
             Step::RespondThenExtra(text, extra) => {
                 late_copy = extra.replace("{id}", &id);
                 if send(stream, &text, &id).await.is_err() {
@@ -372,8 +404,7 @@
                 return;
             }
             Step::RespondThenClose(text) => {
-                let _ = send(stream, &text, &id).await;
-                sleep(Duration::from_millis(30)).await;
+                send_then_wait(stream, &text, &id, Duration::from_millis(30)).await;
                 return;
             }
             Step::RespondThenDie(text) => {
@@ -383,20 +414,23 @@
                 return;
             }
             Step::RespondThenLeave(text) => {
-                let _ = send(stream, &text, &id).await;
-                sleep(Duration::from_millis(30)).await;
+                send_then_wait(stream, &text, &id, Duration::from_millis(30)).await;
                 state.stop_listening();
                 return;
             }
             Step::RespondThenPass(text, successor) => {
-                let _ = send(stream, &text, &id).await;
-                sleep(Duration::from_millis(30)).await;
+                send_then_wait(stream, &text, &id, Duration::from_millis(30)).await;
                 state.successor.send_replace(Some(successor));
                 return;
             }
-            Step::RespondThenStall(text) => {
+            Step::RespondThenCut(pause, text) => {
+                sleep(pause).await;
                 let _ = send(stream, &text, &id).await;
-                sleep(Duration::from_secs(6)).await;
+                state.cuts_count.send_modify(|count| *count += 1);
+                return;
+            }
+            Step::RespondThenStall(text) => {
+                send_then_wait(stream, &text, &id, Duration::from_secs(6)).await;
                 return;
             }
             Step::RespondInTwo(begin, pause, rest) => {
