--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -5,7 +5,6 @@
         Reply, SendError, StartTimeout,
         carried_ids::{CarriedIds, CarriedOnce, HashedId, IdHasher},
         error,
-        kept_witness::KeptWitnesses,
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -46,9 +45,6 @@
     /// Longest time that sent bytes or keep-alive probes may stay unacknowledged before the
     /// connection is closed; `None` keeps the limits of the operating system.
     pub unacknowledged_timeout: Option<Duration>,
-    /// Time for which a connection on which a target is asked which process it is, after answers that end
-    /// with their connections, is kept after the last such answer.
-    pub witness_idle_timeout: Duration,
 }
 
 impl Default for ClientSettings {
@@ -57,7 +53,6 @@
             connect_timeout: Duration::from_millis(500),
             idle_timeout: Duration::from_secs(2),
             unacknowledged_timeout: None,
-            witness_idle_timeout: Duration::from_mins(1),
         }
     }
 }
@@ -83,13 +78,6 @@
         self.unacknowledged_timeout = Some(timeout);
         self
     }
-
-    /// Sets the time for which a connection beside answers is kept after the last one.
-    #[must_use]
-    pub fn witness_idle_timeout(mut self, timeout: Duration) -> Self {
-        self.witness_idle_timeout = timeout;
-        self
-    }
 }
 
 /// Whether a request may be sent on a connection that served an earlier one.
@@ -166,7 +154,6 @@
     settings: ClientSettings,
     pool: Arc<Pool>,
     id_hasher: Arc<IdHasher>,
-    kept_witnesses: Arc<KeptWitnesses>,
 }
 
 impl Client {
@@ -177,7 +164,6 @@
             settings,
             pool: Arc::default(),
             id_hasher: Arc::default(),
-            kept_witnesses: Arc::default(),
         }
     }
 
@@ -223,7 +209,6 @@
     where
         Timeout: StartTimeout,
     {
-        self.kept_witnesses.expect_call(address);
         let id = self.id_hasher.hash(named.id);
         self.send_as(address, named.request, Some(id), reuse, timeout)
             .await
@@ -384,10 +369,7 @@
             }
         };
         match sent {
-            Ok(response) => {
-                let reply = self.reply(address, connection, carried, started, response);
-                Exchange::Done(Ok(reply))
-            }
+            Ok(response) => Exchange::Done(Ok(self.reply(address, connection, carried, response))),
             Err(mut failure) => match failure.take_message() {
                 Some(unsent) => Exchange::Unsent(unsent),
                 None => unknown(failure.error().to_string(), is_disconnect(failure.error())),
@@ -400,27 +382,9 @@
         address: SocketAddr,
         connection: Connection,
         carried: Option<CarriedOnce>,
-        sent_at: Instant,
         response: hyper::Response<Incoming>,
     ) -> Reply {
-        Reply::new(
-            self.clone(),
-            address,
-            connection,
-            carried,
-            sent_at,
-            response,
-        )
-    }
-
-    /// Timeouts of the connections.
-    pub(crate) fn settings(&self) -> &ClientSettings {
-        &self.settings
-    }
-
-    /// The connections on which targets are asked which process they are.
-    pub(crate) fn kept_witnesses(&self) -> &Arc<KeptWitnesses> {
-        &self.kept_witnesses
+        Reply::new(self.clone(), address, connection, carried, response)
     }
 
     fn lock_idle(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
--- a/crates/target/src/incarnation.rs
+++ b/crates/target/src/incarnation.rs
@@ -67,14 +67,6 @@
         );
         self.is_same_target(stated) && is_same_start
     }
-
-    /// Whether `stated`, which a process says of itself, may be said of this incarnation, or of a later
-    /// one of the same target that is not registered yet.
-    #[must_use]
-    pub fn may_have_become(&self, stated: &Self) -> bool {
-        let starts = self.started_unix_ms.zip(stated.started_unix_ms);
-        self.is_same_target(stated) && starts.is_none_or(|(known, stated)| known <= stated)
-    }
 }
 
 /// Whether two values are equal, as far as both are known.
@@ -111,27 +103,25 @@
 
 impl IncarnationProbe {
     /// Asks on `connection` which process answers, within `answer_timeout` for the head of the answer and
-    /// again for its body. Gives the connection back if it can carry another request.
+    /// again for its body.
     pub(crate) async fn ask(
         &self,
         client: &Client,
         address: SocketAddr,
         connection: Connection,
         answer_timeout: Duration,
-    ) -> Result<(Statement, Option<Connection>), SendError> {
+    ) -> Result<Statement, SendError> {
         let request = self.request.clone();
         let exchange = client.exchange(address, connection, request, None, &answer_timeout);
-        let reply = match exchange.await {
+        let mut reply = match exchange.await {
             Exchange::Done(reply) => reply?,
             Exchange::Unsent(_) => return Err(closed_unwritten(address)),
         };
         if reply.status() == StatusCode::MISDIRECTED_REQUEST {
-            return Ok((Statement::OtherTarget, None));
+            return Ok(Statement::OtherTarget);
         }
-        let headers = reply.headers().clone();
-        let (body, connection) = reply.into_delimited(answer_timeout).await?;
-        let stated = (self.parse)(&headers, &body);
-        let statement = stated.map_or(Statement::Nothing, Statement::Process);
-        Ok((statement, connection))
+        let body = reply.delimited_body(answer_timeout).await?;
+        let stated = (self.parse)(reply.headers(), &body);
+        Ok(stated.map_or(Statement::Nothing, Statement::Process))
     }
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -22,7 +22,6 @@
 
 mod answer_stream;
 mod answers_request;
-mod body_framing;
 mod carried_ids;
 mod client;
 mod crash_evidence;
@@ -30,7 +29,6 @@
 mod engine_wire;
 mod error;
 mod incarnation;
-mod kept_witness;
 mod reply;
 mod request;
 mod service;
@@ -38,7 +36,6 @@
 mod start_timeout;
 mod store;
 mod stream_position;
-mod unframed_body;
 mod whole_body;
 mod witness;
 
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -3,15 +3,17 @@
 use {
     crate::{
         AnswersRequest, BodyEnd, BodyPart, Client, IncarnationProbe, SendError, WholeBody,
-        body_framing,
         carried_ids::CarriedOnce,
         client::{Connection, is_disconnect},
-        unframed_body::UnframedBody,
-        witness::Unconfirmed,
+        witness::{Unconfirmed, Witness},
     },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
-    hyper::{Response, StatusCode, body::Incoming, header::HeaderMap},
+    hyper::{
+        Response, StatusCode,
+        body::{Body, Incoming},
+        header::{self, HeaderMap},
+    },
     serde::de::DeserializeOwned,
     std::{
         net::SocketAddr,
@@ -30,12 +32,14 @@
     address: SocketAddr,
     connection: Option<Connection>,
     response: Response<Incoming>,
-    /// The end of a body that has neither a length nor chunks.
-    unframed: Option<Box<UnframedBody>>,
+    /// Whether the body has neither a length nor chunks.
+    ends_with_connection: bool,
+    /// What can show that such a body is complete.
+    witness: Option<Box<Witness>>,
+    /// When the last data of such a body came.
+    last_data: Option<Instant>,
     body_state: BodyState,
     is_reusable: bool,
-    /// Whether the connection is taken by whoever reads the body.
-    is_taken: bool,
     connection_age: Duration,
     earlier_requests_count: u32,
     /// Shows that the connection carried the request once; `None` if the request has no id.
@@ -71,10 +75,10 @@
         address: SocketAddr,
         connection: Connection,
         carried: Option<CarriedOnce>,
-        sent_at: Instant,
         response: Response<Incoming>,
     ) -> Self {
-        let ends_with_connection = !body_framing::has_framing(&response);
+        let has_length = response.body().size_hint().exact().is_some();
+        let ends_with_connection = !has_length && !is_chunked(response.headers());
         Self {
             client,
             address,
@@ -83,10 +87,11 @@
             carried,
             connection: Some(connection),
             response,
-            unframed: ends_with_connection.then(|| Box::new(UnframedBody::new(sent_at))),
+            ends_with_connection,
+            witness: None,
+            last_data: None,
             body_state: BodyState::Open,
             is_reusable: true,
-            is_taken: false,
         }
     }
 
@@ -140,8 +145,9 @@
     /// whether the process that answers still runs; without it, such a body is never complete. Opens another
     /// connection to the target, on which it is asked.
     pub fn expect_incarnation(&mut self, probe: IncarnationProbe) {
-        if let Some(unframed) = &mut self.unframed {
-            unframed.expect_incarnation(self.client.clone(), self.address, probe);
+        if self.ends_with_connection {
+            let witness = Witness::new(self.client.clone(), self.address, probe);
+            self.witness = Some(Box::new(witness));
         }
     }
 
@@ -194,26 +200,18 @@
     /// Waits for the next data of the body; `None` at its end, whether or not it is complete.
     async fn next_data(&mut self) -> Result<Option<Bytes>, SendError> {
         while self.body_state == BodyState::Open {
-            let waits_from = Instant::now();
             match self.response.body_mut().frame().await {
-                None => {
-                    self.body_state = match &mut self.unframed {
-                        Some(unframed) => {
-                            unframed.record_end(waits_from);
-                            BodyState::Ended
-                        }
-                        None => BodyState::Complete(WholeBody::new(BodyEnd::Framing)),
-                    };
+                None if self.ends_with_connection => {
+                    self.body_state = BodyState::Ended;
                 }
+                None => self.body_state = BodyState::Complete(WholeBody::new(BodyEnd::Framing)),
                 Some(Err(error)) => {
                     self.body_state = BodyState::Failed;
                     return Err(self.unknown(error.to_string(), is_disconnect(&error)));
                 }
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        if let Some(unframed) = &mut self.unframed {
-                            unframed.record_data(waits_from);
-                        }
+                        self.last_data = self.ends_with_connection.then(Instant::now);
                         return Ok(Some(data));
                     }
                 }
@@ -224,8 +222,8 @@
 
     /// Has the target show that a body is complete that ended with its connection.
     async fn confirm_end(&mut self) -> Result<WholeBody, Unconfirmed> {
-        let unframed = self.unframed.as_mut().ok_or(Unconfirmed::NoProbe)?;
-        unframed.confirm().await?;
+        let witness = self.witness.as_mut().ok_or(Unconfirmed::NoProbe)?;
+        witness.confirm(self.last_data).await?;
         Ok(WholeBody::new(BodyEnd::Connection))
     }
 
@@ -321,17 +319,6 @@
         self.delimited_within(MAX_ANSWER_BYTES, body_timeout).await
     }
 
-    /// Like [`Reply::delimited_body`], and gives the connection back if the body left it open.
-    pub(crate) async fn into_delimited(
-        mut self,
-        body_timeout: Duration,
-    ) -> Result<(Bytes, Option<Connection>), SendError> {
-        self.is_taken = true;
-        let body = self.delimited_body(body_timeout).await?;
-        let is_open = matches!(self.body_state, BodyState::Complete(_));
-        Ok((body, self.connection.take().filter(|_| is_open)))
-    }
-
     async fn delimited_within(
         &mut self,
         max_bytes: usize,
@@ -422,7 +409,7 @@
     /// Whether the body has neither a length nor chunks, so that the end of the connection ends it.
     #[must_use]
     pub fn ends_with_connection(&self) -> bool {
-        self.unframed.is_some()
+        self.ends_with_connection
     }
 
     fn silent(&self, read_timeout: Duration) -> SendError {
@@ -445,9 +432,6 @@
 
     /// Returns the connection to the client for reuse, unless that is forbidden.
     fn release_connection(&mut self) {
-        if self.is_taken {
-            return;
-        }
         if let Some(connection) = self.connection.take()
             && self.is_reusable
         {
@@ -469,6 +453,16 @@
     })
 }
 
+/// Whether chunks mark the end of the body. With any other last coding, the end of the connection does.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back();
+    let last = codings.and_then(|it| it.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// How long the target keeps an idle connection, if its `keep-alive` header says so.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -5,7 +5,6 @@
         Client, Incarnation, IncarnationProbe, SendError,
         client::{Connection, PROCESS_EXIT_TIME},
         incarnation::Statement,
-        kept_witness::{EndedAnswer, KeptUse, Stated},
     },
     snafu::Snafu,
     std::{
@@ -14,21 +13,21 @@
     },
     tokio::{
         sync::oneshot,
-        time::{sleep, timeout, timeout_at},
+        time::{sleep, timeout},
     },
     tokio_util::task::AbortOnDropHandle,
 };
 
 /// Time within which a target must say which process it is. Sound targets may be silent for some
 /// seconds.
-pub(crate) const CONFIRM_TIMEOUT: Duration = Duration::from_secs(4);
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(4);
 /// Pause before a connection beside the answer is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(200);
 /// Time between the ends of two connections that may have had one cause, also if both are noticed late.
 const COMMON_END_TIME: Duration = Duration::from_millis(500);
 
 /// Why nothing shows that a body is complete that ended with its connection.
-#[derive(Clone, Debug, Snafu)]
+#[derive(Debug, Snafu)]
 pub(crate) enum Unconfirmed {
     /// Nobody can be asked.
     #[snafu(display(
@@ -57,8 +56,8 @@
     }
 }
 
-/// There was no connection beside an answer, or none that shows anything.
-pub(crate) fn gone() -> Unconfirmed {
+/// The connection beside an answer could not be kept.
+fn gone() -> Unconfirmed {
     let reason = "there is none that was open for some time".to_owned();
     Unconfirmed::Gone { reason }
 }
@@ -67,77 +66,41 @@
 type LastData = Option<Instant>;
 
 /// Shows whether the process that sends an answer still runs once the answer has ended with its
-/// connection. Another connection to the process is open meanwhile, on which it is asked. If the process
-/// was killed or the path to it was cut, that one has ended as well.
+/// connection. Beside the answer it keeps another connection to the process, on which it asks. If the process
+/// was killed or the path to it was cut, that one has ended as well. Dropping it closes the connection.
 pub(crate) struct Witness {
-    probe: IncarnationProbe,
-    state: WitnessState,
-}
-
-enum WitnessState {
-    /// Dropping it closes the connection, which is for this answer alone.
-    Beside(
-        AbortOnDropHandle<Result<(), Unconfirmed>>,
-        Option<oneshot::Sender<LastData>>,
-    ),
-    /// The client keeps a connection to the target.
-    Kept(KeptUse),
-    /// The process has been asked on that connection.
-    Asked(oneshot::Receiver<Stated>),
+    ended: Option<oneshot::Sender<LastData>>,
+    confirming: AbortOnDropHandle<Result<(), Unconfirmed>>,
 }
 
 impl Witness {
-    /// Prepares for the end of an answer of `address` whose head has arrived. Begins to open a connection to
-    /// the process there, unless one is kept.
+    /// Begins to open a connection to the process at `address`, which is answering a request.
     pub(crate) fn new(client: Client, address: SocketAddr, probe: IncarnationProbe) -> Self {
-        let kept = client.kept_witnesses().use_at(address);
-        let state = if let Some(kept) = kept {
-            WitnessState::Kept(kept)
-        } else {
-            let (sender, ended) = oneshot::channel();
-            let beside = BesideAnswer {
-                client,
-                address,
-                probe: probe.clone(),
-            };
-            let confirming = tokio::spawn(beside.confirm_after(ended));
-            WitnessState::Beside(AbortOnDropHandle::new(confirming), Some(sender))
+        let (sender, ended) = oneshot::channel();
+        let beside = BesideAnswer {
+            client,
+            address,
+            probe,
         };
-        Self { probe, state }
+        Self {
+            ended: Some(sender),
+            confirming: AbortOnDropHandle::new(tokio::spawn(beside.confirm_after(ended))),
+        }
     }
 
     /// Has the process show that it still runs, now that its answer has ended with its connection. Dropping
     /// the future loses nothing. Do not ask again once it has completed.
-    pub(crate) async fn confirm(
-        &mut self,
-        answer: EndedAnswer,
-        last_data: LastData,
-    ) -> Result<(), Unconfirmed> {
-        if let WitnessState::Kept(kept) = &self.state {
-            self.state = WitnessState::Asked(kept.ask(answer, self.probe.clone()));
-        }
-        match &mut self.state {
-            WitnessState::Beside(confirming, ended) => {
-                if let Some(ended) = ended.take() {
-                    // The task that receives it ends later.
-                    let _ = ended.send(last_data);
-                }
-                confirming.await.unwrap_or(Err(Unconfirmed::NoProbe))
-            }
-            WitnessState::Asked(stated) => {
-                let until = answer.ended + PROCESS_EXIT_TIME + CONFIRM_TIMEOUT;
-                let stated = timeout_at(until.into(), stated).await;
-                let stated = stated.map_err(|_| Unconfirmed::Silent)?;
-                let stated = stated.unwrap_or_else(|_| Err(gone()))?;
-                let is_shown = self.probe.expected.may_have_become(&stated);
-                is_shown.then_some(()).ok_or(Unconfirmed::Replaced)
-            }
-            WitnessState::Kept(_) => Err(Unconfirmed::NoProbe),
+    pub(crate) async fn confirm(&mut self, last_data: LastData) -> Result<(), Unconfirmed> {
+        if let Some(ended) = self.ended.take() {
+            // The task that receives it ends later.
+            let _ = ended.send(last_data);
         }
+        let confirmed = (&mut self.confirming).await;
+        confirmed.unwrap_or(Err(Unconfirmed::NoProbe))
     }
 }
 
-/// Keeps a connection beside one answer, and asks on it.
+/// Keeps a connection beside an answer, and asks on it.
 struct BesideAnswer {
     client: Client,
     address: SocketAddr,
@@ -145,32 +108,21 @@
 }
 
 impl BesideAnswer {
-    /// Keeps a connection until the answer has `ended`, then asks on it, and has the client keep it.
+    /// Keeps a connection until the answer has `ended`, then asks on it.
     async fn confirm_after(self, ended: oneshot::Receiver<LastData>) -> Result<(), Unconfirmed> {
         let (connection, last_data) = self.keep_until(ended).await?;
         // Data that came later is of the same process: two do not listen at one address.
         let has_overlapped = last_data.is_some_and(|it| connection.opened() < it);
         // A process that ends closes its connections one after another.
         sleep(PROCESS_EXIT_TIME).await;
-        let asked = ask_on(&self.client, self.address, connection, &self.probe);
-        let asked = timeout(CONFIRM_TIMEOUT, asked).await;
-        let (stated, connection) = asked.unwrap_or(Err(Unconfirmed::Silent))?;
-        if let Some(connection) = connection {
-            let kept = self.client.kept_witnesses();
-            kept.keep(&self.client, self.address, connection, self.probe.clone());
-        }
+        let asked = timeout(CONFIRM_TIMEOUT, self.ask_on(connection)).await;
+        let stated = asked.unwrap_or(Err(Unconfirmed::Silent))?;
         let expected = &self.probe.expected;
         let is_shown = if has_overlapped {
             expected.is_same_target(&stated)
         } else {
             expected.agrees_with(&stated)
         };
-        if is_shown {
-            log::info!(
-                "an answer of {} is whole by a connection that was opened after its head",
-                self.address
-            );
-        }
         is_shown.then_some(()).ok_or(Unconfirmed::Replaced)
     }
 
@@ -205,18 +157,14 @@
             opened = self.client.connect(self.address).await;
         }
     }
-}
 
-/// Asks which process answers on `connection`, and gives that back if it can carry another request.
-pub(crate) async fn ask_on(
-    client: &Client,
-    address: SocketAddr,
-    connection: Connection,
-    probe: &IncarnationProbe,
-) -> Result<(Incarnation, Option<Connection>), Unconfirmed> {
-    let asked = probe.ask(client, address, connection, CONFIRM_TIMEOUT);
-    match asked.await? {
-        (Statement::Process(stated), connection) => Ok((stated, connection)),
-        (Statement::OtherTarget | Statement::Nothing, _) => Err(Unconfirmed::Replaced),
+    /// Asks which process answers on `connection`.
+    async fn ask_on(&self, connection: Connection) -> Result<Incarnation, Unconfirmed> {
+        let (client, address) = (&self.client, self.address);
+        let asked = self.probe.ask(client, address, connection, CONFIRM_TIMEOUT);
+        match asked.await? {
+            Statement::Process(stated) => Ok(stated),
+            Statement::OtherTarget | Statement::Nothing => Err(Unconfirmed::Replaced),
+        }
     }
 }
