--- a/crates/relay/tests/copied_answers.rs
+++ b/crates/relay/tests/copied_answers.rs
@@ -64,8 +64,19 @@
     (target, relay)
 }
 
-/// Sends other calls until one reaches the target, and returns the response to that one.
-async fn next_call(target: &ScriptedTarget, relay: &TestRelay, path: &str) -> caller::Response {
+/// Sends other calls until one reaches the target whose copy is still to come, beside another target with this
+/// script, and returns the response to that one.
+async fn call_that_meets_the_copy(
+    answered_path: &str,
+    step: Step,
+    other_script: Vec<Step>,
+    path: &str,
+) -> caller::Response {
+    let (target, relay) = target_with_copy(answered_path, step).await;
+    let other = ScriptedTarget::start("two", other_script).await;
+    relay
+        .view
+        .store(Arc::new(support::view(&[&target, &other])));
     for index in 0..50 {
         let response = caller::call_as(&format!("other-{index}"), relay.address, path).await;
         if target.arrived().len() > 1 {
@@ -79,12 +90,7 @@
 #[tokio::test]
 async fn call_that_may_not_run_twice_ends_unknown_where_the_copy_of_another_answer_comes() {
     for (path, step) in answers() {
-        let (target, relay) = target_with_copy(path, step.clone()).await;
-        let other = ScriptedTarget::start("two", vec![]).await;
-        relay
-            .view
-            .store(Arc::new(support::view(&[&target, &other])));
-        let response = next_call(&target, &relay, "/once/8").await;
+        let response = call_that_meets_the_copy(path, step.clone(), vec![], "/once/8").await;
         assert_eq!(response.status, 502, "{step:?}: {response:?}");
         assert!(!response.text.contains("copied"), "{step:?}: {response:?}");
     }
@@ -93,12 +99,7 @@
 #[tokio::test]
 async fn call_that_may_run_again_is_answered_elsewhere_where_the_copy_of_another_answer_comes() {
     for (path, step) in answers() {
-        let (target, relay) = target_with_copy(path, step.clone()).await;
-        let other = ScriptedTarget::start("two", vec![]).await;
-        relay
-            .view
-            .store(Arc::new(support::view(&[&target, &other])));
-        let response = next_call(&target, &relay, "/idempotent/8").await;
+        let response = call_that_meets_the_copy(path, step.clone(), vec![], "/idempotent/8").await;
         assert_eq!(response.status, 200, "{step:?}: {response:?}");
         assert!(!response.text.contains("copied"), "{step:?}: {response:?}");
     }
@@ -107,13 +108,9 @@
 #[tokio::test]
 async fn stream_that_may_be_resumed_is_whole_where_the_copy_of_another_answer_comes() {
     for (path, step) in answers() {
-        let (target, relay) = target_with_copy(path, step.clone()).await;
         let own = stream(&["id: 1\ndata: own\n\n"]) + "0\r\n\r\n";
-        let other = ScriptedTarget::start("two", vec![Step::Respond(own); 50]).await;
-        relay
-            .view
-            .store(Arc::new(support::view(&[&target, &other])));
-        let response = next_call(&target, &relay, "/resumable/8").await;
+        let others = vec![Step::Respond(own); 50];
+        let response = call_that_meets_the_copy(path, step.clone(), others, "/resumable/8").await;
         assert!(response.is_complete, "{step:?}: {response:?}");
         assert!(
             response.text.contains("data: own"),
