Choice of a target: one lock for each target, and nothing for returns that are not due

A target's conditions were locked twice for each choice, whether a target is preferred was worked out also when no instance waits for its turn, and by a copy of the filters of pick_usable.

--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -118,8 +118,8 @@
         let was_tried = context.tried_targets.contains(&target.id);
         let is_outdated = is_outdated(view, target, context);
         let target_context = context.target_context(target);
-        let is_before_return = target.call_stats.is_before_return(&target_context);
-        match target.call_stats.next_call(&target_context) {
+        let (next_call, is_before_return) = target.call_stats.next_call(&target_context);
+        match next_call {
             NextCall::Now if was_tried => waits.push(OVERLOADED_RETRY_AFTER),
             NextCall::Now if is_outdated => {}
             NextCall::Now if is_before_return => returning.push(target),
@@ -130,12 +130,13 @@
             }
         }
     }
-    if usable
-        .iter()
-        .any(|target| is_preferred(view, target, context))
-    {
-        let count = returning.len();
-        (0..count).for_each(|_| passed_over.record(Obstacle::Return));
+    let is_preferred = |target: &&Arc<TargetState>| {
+        is_available(view, target, context) && is_healthy(target, context)
+    };
+    if !returning.is_empty() && usable.iter().any(is_preferred) {
+        for _ in returning {
+            passed_over.record(Obstacle::Return);
+        }
     } else {
         usable.append(&mut returning);
     }
@@ -146,12 +147,14 @@
     }
 }
 
-/// Whether the target is neither paused, ejected nor loading weights.
-fn is_preferred(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
-    let stats = &target.call_stats;
-    !stats.is_paused(context.now)
-        && !stats.is_ejected(context.now)
-        && !view.loading.contains(&target.id)
+/// Whether the target is neither paused nor loading weights.
+fn is_available(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
+    !target.call_stats.is_paused(context.now) && !view.loading.contains(&target.id)
+}
+
+/// Whether the target is not ejected.
+fn is_healthy(target: &TargetState, context: &PickContext<'_>) -> bool {
+    !target.call_stats.is_ejected(context.now)
 }
 
 /// Chooses one of the `usable` targets.
@@ -160,10 +163,8 @@
     usable: Vec<&Arc<TargetState>>,
     context: &PickContext<'_>,
 ) -> Option<PickedTarget> {
-    let is_available = |target: &&&Arc<TargetState>| {
-        !target.call_stats.is_paused(context.now) && !view.loading.contains(&target.id)
-    };
-    let is_healthy = |target: &&&Arc<TargetState>| !target.call_stats.is_ejected(context.now);
+    let is_available = |target: &&&Arc<TargetState>| is_available(view, target, context);
+    let is_healthy = |target: &&&Arc<TargetState>| is_healthy(target, context);
     let mut eligible: Vec<&Arc<TargetState>> = usable
         .iter()
         .filter(is_available)
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -222,15 +222,13 @@
         answered_at.is_some_and(|at| since < at)
     }
 
-    /// When this instance may send the target a call.
-    pub(crate) fn next_call(&self, call: &CallContext<'_>) -> NextCall {
+    /// When this instance may send the target a call, and whether the target's backoff is over, but other
+    /// instances return to it first.
+    pub(crate) fn next_call(&self, call: &CallContext<'_>) -> (NextCall, bool) {
         let conditions = &mut self.lock().conditions;
-        conditions.next_call(call, self.in_flight_count())
-    }
-
-    /// Whether the target's backoff is over, but other instances return to it first.
-    pub(crate) fn is_before_return(&self, call: &CallContext<'_>) -> bool {
-        self.lock().conditions.is_before_return(call)
+        let is_before_return = conditions.is_before_return(call);
+        let next_call = conditions.next_call(call, self.in_flight_count());
+        (next_call, is_before_return)
     }
 
     /// Takes the right to send the target one call, which counts as in flight until the guard is
