--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -81,6 +81,9 @@
     /// Address at which it answers calls of other instances.
     #[serde(default)]
     pub peer_calls: Option<SocketAddr>,
+    /// Rate of its link in bits per second; `None` if it is not known, also in records of older builds.
+    #[serde(default)]
+    pub link_bits_per_s: Option<u64>,
 }
 
 /// The holder of the order lock.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 //! assert_eq!(known.view(Duration::ZERO).pools["engines"][0].id, "engine-1");
 //! ```
 
+mod aggregators;
 mod caller_addresses;
 mod directory;
 mod drain;
@@ -56,6 +57,7 @@
 mod target_probe;
 
 pub use {
+    aggregators::{Aggregator, Aggregators, MIN_INSTANCES_COUNT},
     caller_addresses::AddressQuery,
     follower_pace::{FollowerPace, MAX_STARTED_COUNT, START_PERIOD},
     item::{
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -55,6 +55,7 @@
     kv_endpoint: SocketAddr,
     memory_mb: f64,
     max_descriptors_count: usize,
+    link_mbps: Option<f64>,
     grace_s: f64,
     max_address_age_s: f64,
     order_gap_ms: f64,
@@ -95,6 +96,8 @@
     pub memory_bytes: usize,
     /// Limit on open file descriptors of the process.
     pub max_descriptors_count: usize,
+    /// Rate of the instance's link in bits per second; `None` if it is not known.
+    pub link_bits_per_s: Option<u64>,
     /// Time from the stop signal until the platform kills the process.
     pub grace: Duration,
     /// Longest time that callers may cache an address response.
@@ -145,6 +148,9 @@
         let mut regions = raw.regions;
         regions.add(raw.failure_domain.clone(), raw.region.clone());
         let memory_bytes = positive("memory_mb", raw.memory_mb)? * f64::from(1 << 20);
+        let link_mbps = raw.link_mbps.map(|it| positive("link_mbps", it));
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let link_bits_per_s = link_mbps.transpose()?.map(|it| (it * 1e6) as u64);
         Ok(Self {
             instance: raw.instance,
             region: raw.region,
@@ -160,6 +166,7 @@
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             memory_bytes: memory_bytes as usize,
             max_descriptors_count: raw.max_descriptors_count,
+            link_bits_per_s,
             grace: seconds("grace_s", raw.grace_s)?,
             max_address_age: seconds("max_address_age_s", raw.max_address_age_s)?,
             order_gap: seconds("order_gap_ms", raw.order_gap_ms / 1e3)?,
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -301,6 +301,7 @@
             ready,
             feed: None,
             peer_calls: None,
+            link_bits_per_s: None,
         };
         known.put(name, Item::Member(record), 1, START);
     }
@@ -314,6 +315,7 @@
         ready,
         feed: None,
         peer_calls: None,
+        link_bits_per_s: None,
     })
 }
 
--- a/crates/entry/tests/promise_model/instance.rs
+++ b/crates/entry/tests/promise_model/instance.rs
@@ -178,6 +178,7 @@
             ready: self.stopped_at.is_none(),
             feed: Some(address(self.index)),
             peer_calls: Some(address(self.index)),
+            link_bits_per_s: None,
         }
     }
 
--- a/crates/entry/tests/restored_state.rs
+++ b/crates/entry/tests/restored_state.rs
@@ -122,6 +122,7 @@
         ready: true,
         feed: None,
         peer_calls: None,
+        link_bits_per_s: None,
     };
     known.put("one", Item::Member(record), 7, START);
     known.service_restored(at(1.0));
