--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -57,9 +57,9 @@
     #[allow(clippy::cast_precision_loss)]
     let candidates_count = candidates.len().max(1) as f64;
     let slots_count: f64 = candidates.iter().map(|it| f64::from(it.slots_count)).sum();
-    let in_flight_count: f64 = candidates.iter().map(|it| it.in_flight_count).sum();
+    let work_count: f64 = candidates.iter().map(Candidate::work_count).sum();
     // The call to be placed counts as well.
-    let mean_count = in_flight_count / candidates_count + 1.0;
+    let mean_count = work_count / candidates_count + 1.0;
     (mean_count + SPILL_DEVIATIONS * mean_count.sqrt()) * candidates_count / slots_count.max(1.0)
 }
 
