A failure domain can be evacuated by a key of the key-value service

Cause: operators need to keep calls from all targets of a failure domain without marking each one, and without a new configuration.

Change: the key is an item of the known state and of the view. Reach, the only path from a call to targets and places, leaves out the targets there, so that calls, retries, resumed streams and passed-on calls go elsewhere and no parts are fetched from engines there. Engines there are not followed, not probed and not asked whether they have crashed. Running streams, stores and orders to load weights go on. With only evacuated targets left a call is refused at once with a retry time. A log line marks begin and end, two gauges say what is evacuated. The platform's names check covers the key.

The page of log lines had to list the new kind (event_page), and the test formats got the key, a failure domain of a target and a pool of engines.

--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -169,6 +169,8 @@
     Answered(SuspectKey),
     /// A limit that a target states.
     Limit(LimitRecord),
+    /// The targets of a failure domain get no calls.
+    Evacuation,
 }
 
 /// Parsed key of an item.
@@ -194,6 +196,8 @@
     Answered(SuspectKey),
     /// The limit that a target states.
     Limit(TargetId),
+    /// The request that the targets of a failure domain get no calls.
+    Evacuation(FailureDomainId),
 }
 
 impl ItemName {
@@ -202,7 +206,7 @@
     #[must_use]
     pub fn belongs_to_platform(&self) -> bool {
         match self {
-            Self::Configuration | Self::Version(_) | Self::Target(_) => true,
+            Self::Configuration | Self::Version(_) | Self::Target(_) | Self::Evacuation(_) => true,
             Self::Member(_)
             | Self::Holder
             | Self::Loading
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -11,7 +11,7 @@
         known_targets::KnownTargets,
     },
     balance::rendezvous,
-    catalog::{InstanceId, ModelId, Revision},
+    catalog::{FailureDomainId, InstanceId, ModelId, Revision},
     keyvalue::Incarnation,
     quarantine::{Quarantine, SuspectKey},
     relay::{Peer, Shutdown, TargetState, View, WantedVersions},
@@ -95,6 +95,9 @@
     own_shutdown: Option<OwnShutdown>,
     /// Prompt parts and calls that may crash targets.
     quarantine: Arc<Quarantine>,
+    /// Evacuated failure domains, and when the evacuation counts as ended since an older copy of the
+    /// service lacks it.
+    evacuations: BTreeMap<FailureDomainId, Option<Duration>>,
 }
 
 impl KnownState {
@@ -140,6 +143,9 @@
             Item::Answered(suspect) => {
                 Arc::make_mut(&mut self.quarantine).set_answered(suspect, true);
             }
+            Item::Evacuation => {
+                self.evacuations.insert(id.to_owned(), None);
+            }
         }
     }
 
@@ -180,6 +186,9 @@
             ItemName::Answered(suspect) => {
                 Arc::make_mut(&mut self.quarantine).set_answered(*suspect, false);
             }
+            ItemName::Evacuation(domain) => {
+                self.evacuations.remove(domain);
+            }
             // The last accepted configuration and versions stay in force.
             ItemName::Configuration | ItemName::Version(_) => {}
         }
@@ -301,13 +310,17 @@
         first + own.grace_period + RESTART_TIME
     }
 
-    /// Removes targets and instances that did not register again in time. Returns whether anything
-    /// changed.
+    /// Removes targets and instances that did not register again in time, and evacuations that were not
+    /// written again. Returns whether anything changed.
     pub fn expire(&mut self, now: Duration) -> bool {
         let members_count = self.members.len();
         let stays = |at: Option<Duration>| at.is_none_or(|at| now < at);
         self.members.retain(|_, member| stays(member.expires_at));
-        self.targets.expire(now) || self.members.len() < members_count
+        let evacuations_count = self.evacuations.len();
+        self.evacuations.retain(|_, expires_at| stays(*expires_at));
+        self.targets.expire(now)
+            || self.members.len() < members_count
+            || self.evacuations.len() < evacuations_count
     }
 
     /// Returns the holder of the order lock.
@@ -352,6 +365,11 @@
         self.targets.iter()
     }
 
+    /// Returns the evacuated failure domains, in order.
+    pub fn evacuated_domains(&self) -> impl Iterator<Item = &FailureDomainId> {
+        self.evacuations.keys()
+    }
+
     /// Returns the target at an address.
     #[must_use]
     pub fn target_at(&self, address: SocketAddr) -> Option<&Arc<TargetState>> {
@@ -389,6 +407,7 @@
             peers: peers.collect(),
             confirmed_at: self.confirmed_at.unwrap_or(now),
             shutdown: self.shutdown(),
+            evacuated_domains: self.evacuated_domains().cloned().collect(),
         }
     }
 
--- a/crates/entry/src/known_state/outages.rs
+++ b/crates/entry/src/known_state/outages.rs
@@ -42,10 +42,18 @@
             (ItemName::Crash(suspect, _), _) => self.set_suspect_written(*suspect, Duration::ZERO),
             (ItemName::Answered(_), _) => {}
             (ItemName::Limit(id), Some(until)) => self.targets.lapse_limit(id, until),
+            (ItemName::Evacuation(domain), Some(until)) => self.lapse_evacuation(domain, until),
             _ => self.delete(name, now),
         }
     }
 
+    /// Keeps an evacuation until `until`, since the operators may write it again.
+    fn lapse_evacuation(&mut self, domain: &str, until: Duration) {
+        if let Some(expires_at) = self.evacuations.get_mut(domain) {
+            expires_at.get_or_insert(until);
+        }
+    }
+
     /// Records that the service is reachable again after a failed request. Returns for how long there
     /// was no word from it, if records may have expired meanwhile.
     pub fn service_recovered(&mut self, now: Duration) -> Option<Duration> {
@@ -70,6 +78,9 @@
         self.restored_until = Some(until);
         // Those that are missing may have registered again before, which the copy lacks too.
         self.targets.extend_kept(until);
+        for expires_at in self.evacuations.values_mut() {
+            *expires_at = expires_at.map(|at| at.max(until));
+        }
         for member in self.members.values_mut() {
             member.expires_at = member.expires_at.map(|at| at.max(until));
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod known_targets;
 mod limit_news;
 mod listener;
+mod logged_evacuations;
 mod membership;
 pub mod obsolete_parts;
 mod order_lock;
--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -206,16 +206,14 @@
     }
 }
 
-/// Returns the addresses of the registered engines.
+/// Returns the addresses of the registered engines outside evacuated failure domains.
 fn engines(view: &View) -> Vec<SocketAddr> {
     let Some(table) = &view.route_table else {
         return Vec::new();
     };
     let pools = table.config().pools.values();
     let pools = pools.filter(|pool| matches!(pool.kind, PoolKind::Engine(_)));
-    let targets = pools
-        .filter_map(|pool| view.pools.get(&pool.name))
-        .flatten();
+    let targets = pools.flat_map(|pool| view.targets_in_use(&pool.name));
     targets.map(|target| target.address).collect()
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,6 +4,7 @@
     crate::{
         InstanceLease, Item, ItemName, KnownState, Ownership, ReturnPace, Settings,
         caller_addresses::CallerAddress, known_incarnation::KnownIncarnation,
+        logged_evacuations::LoggedEvacuations,
     },
     arc_swap::ArcSwap,
     balance::rendezvous,
@@ -61,6 +62,8 @@
     incarnation: Mutex<KnownIncarnation>,
     /// Ready instances as last written to the event log.
     logged_ready: Mutex<Vec<InstanceId>>,
+    /// Evacuations as last written to the event log.
+    logged_evacuations: Mutex<LoggedEvacuations>,
     /// Time of the last response of each other instance.
     last_heard: Mutex<HashMap<InstanceId, Duration>>,
 }
@@ -89,6 +92,7 @@
             known: Mutex::default(),
             lease: Mutex::default(),
             logged_ready: Mutex::default(),
+            logged_evacuations: Mutex::default(),
             last_heard: Mutex::default(),
         }
     }
@@ -305,6 +309,7 @@
     pub(crate) fn publish(&self) {
         let known = self.known();
         self.log_ready_instances(&known);
+        self.report_evacuations(&known);
         let view = Arc::new(known.view(boot_time()));
         self.relay_state.stream_origins.observe(&view);
         self.relay_state.view.store(view);
@@ -343,6 +348,22 @@
         });
     }
 
+    /// Logs the evacuations that have begun or ended, and counts those in force.
+    fn report_evacuations(&self, known: &KnownState) {
+        let mut logged = self
+            .logged_evacuations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let report = logged.update(known);
+        for event in &report.events {
+            self.log.emit(event);
+        }
+        let domains_count = known.evacuated_domains().count();
+        self.meters.gauge("evacuated_domains", domains_count as u64);
+        let targets_count = report.targets_count;
+        self.meters.gauge("evacuated_targets", targets_count as u64);
+    }
+
     /// Feed addresses of the other ready instances.
     pub(crate) fn other_feeds(&self) -> BTreeMap<InstanceId, SocketAddr> {
         let mut feeds = self.known().feed_addresses();
@@ -444,6 +465,7 @@
         | ItemName::Target(id)
         | ItemName::Member(id)
         | ItemName::Limit(id)
+        | ItemName::Evacuation(id)
         | ItemName::Recent(id, _) => id,
         ItemName::Configuration
         | ItemName::Holder
--- a/crates/entry/src/target_probe.rs
+++ b/crates/entry/src/target_probe.rs
@@ -63,7 +63,7 @@
 
 /// Whether one of some targets of the pool accepts a connection.
 async fn reaches_any(view: &View, pool: &str) -> bool {
-    let targets = view.pools.get(pool).into_iter().flatten();
+    let targets = view.targets_in_use(pool);
     let serving = targets.filter(|target| !target.is_leaving());
     let addresses = serving.map(|target| target.address);
     let chosen = addresses.sample(&mut rand::rng(), PROBED_COUNT);
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -380,3 +380,71 @@
     assert!(back_at > at(12.0) && back_at < at(13.0), "{back_at:?}");
     assert_eq!(known.unready_after(at(4.5)), [address(1)]);
 }
+
+fn domain_target(port: u16, failure_domain: &str) -> Item {
+    let mut registration = TargetRegistration::new("engines", address(port));
+    failure_domain.clone_into(&mut registration.failure_domain);
+    Item::Target(registration)
+}
+
+fn evacuation(failure_domain: &str) -> ItemName {
+    ItemName::Evacuation(failure_domain.to_owned())
+}
+
+/// Ids of the targets that may get calls.
+fn targets_in_use(known: &KnownState) -> Vec<String> {
+    let view = known.view(START);
+    let targets = view.targets_in_use("engines");
+    targets.map(|target| target.id.clone()).collect()
+}
+
+/// Guards against calls to the targets of an evacuated failure domain, also of those that register later,
+/// and against a domain that stays empty afterwards.
+#[test]
+fn targets_of_an_evacuated_domain_are_not_used_until_the_key_is_gone() {
+    let mut known = KnownState::default();
+    known.put("a", domain_target(1, "east"), 1, START);
+    known.put("b", domain_target(2, "west"), 1, START);
+    known.put("east", Item::Evacuation, 2, at(1.0));
+    known.put("c", domain_target(3, "east"), 3, at(2.0));
+    assert_eq!(targets_in_use(&known), ["b"]);
+    assert_eq!(known.targets().count(), 3, "they stay known");
+    known.delete(&evacuation("east"), at(3.0));
+    assert_eq!(targets_in_use(&known), ["a", "b", "c"]);
+}
+
+/// Guards against an evacuation that ends because the service is away: the last known state holds.
+#[test]
+fn evacuation_lasts_while_the_service_is_away() {
+    let mut known = KnownState::default();
+    known.put("a", domain_target(1, "east"), 1, START);
+    known.put("east", Item::Evacuation, 2, START);
+    known.confirm(START);
+    known.expire(at(600.0));
+    known.service_recovered(at(600.0));
+    known.expire(at(700.0));
+    assert!(targets_in_use(&known).is_empty());
+}
+
+/// Guards against an evacuation that an operator ended and that is kept like a registration which may
+/// have expired in an outage: keys of operators do not expire.
+#[test]
+fn evacuation_ends_at_once_after_an_outage() {
+    let mut known = KnownState::default();
+    known.put("a", domain_target(1, "east"), 1, START);
+    known.put("east", Item::Evacuation, 2, START);
+    known.confirm(START);
+    known.service_recovered(at(5.5));
+    known.delete(&evacuation("east"), at(5.6));
+    assert_eq!(targets_in_use(&known), ["a"]);
+}
+
+/// Guards against a key with a wrong name that stops calls.
+#[test]
+fn evacuation_of_an_unknown_domain_changes_nothing() {
+    let mut known = KnownState::default();
+    known.put("nowhere", Item::Evacuation, 1, START);
+    known.put("a", domain_target(1, "east"), 2, START);
+    known.put("b", target(2), 2, START);
+    assert_eq!(targets_in_use(&known), ["a", "b"]);
+}
--- a/crates/entry/tests/restored_state.rs
+++ b/crates/entry/tests/restored_state.rs
@@ -230,3 +230,52 @@
     assert_eq!(lock.usable_fencing(&lease, at(2.2), MARGIN), None);
     assert_eq!(lock.usable_fencing(&lease, at(2.3), MARGIN), Some(41));
 }
+
+fn evacuated_domains(known: &KnownState) -> Vec<&str> {
+    known.evacuated_domains().map(String::as_str).collect()
+}
+
+/// Guards against calls to an evacuated failure domain in the moment before the operators write its key
+/// again, and against an evacuation that lasts for good though nobody does.
+#[test]
+fn evacuation_that_the_copy_lacks_stays_until_the_bound() {
+    let east = ItemName::Evacuation("east".to_owned());
+    let west = ItemName::Evacuation("west".to_owned());
+    let mut known = KnownState::default();
+    known.put("east", Item::Evacuation, 7, START);
+    known.put("west", Item::Evacuation, 8, START);
+    known.service_restored(at(1.0));
+    known.lapse(&east, at(1.0));
+    known.lapse(&west, at(1.0));
+    known.put("west", Item::Evacuation, 3, at(2.0));
+    known.expire(at(3.4));
+    assert_eq!(evacuated_domains(&known), ["east", "west"]);
+    assert!(known.expire(at(1.0) + RETURN_TIME), "the view changes");
+    assert_eq!(evacuated_domains(&known), ["west"], "one was written again");
+}
+
+/// Guards against an evacuation that ends before the listing of the new incarnation has shown that its
+/// key is missing.
+#[test]
+fn evacuation_lasts_until_a_listing_lacks_it() {
+    let mut known = KnownState::default();
+    known.put("east", Item::Evacuation, 7, START);
+    known.service_restored(at(1.0));
+    known.expire(at(60.0));
+    assert_eq!(evacuated_domains(&known), ["east"]);
+}
+
+/// Guards against two returns in a row: the second copy may lack what was written again after the first.
+#[test]
+fn second_return_prolongs_the_time_for_a_lapsed_evacuation() {
+    let east = ItemName::Evacuation("east".to_owned());
+    let mut known = KnownState::default();
+    known.put("east", Item::Evacuation, 7, START);
+    known.service_restored(at(1.0));
+    known.lapse(&east, at(1.0));
+    known.service_restored(at(3.0));
+    known.expire(at(5.4));
+    assert_eq!(evacuated_domains(&known), ["east"]);
+    known.expire(at(3.0) + RETURN_TIME);
+    assert!(evacuated_domains(&known).is_empty());
+}
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -12,7 +12,10 @@
         BadCall, Call, HeaderFormat, LoadedModel, OutboundMetadata, Part, Prompt, ReplyMetadata,
         RetryAfter, Stated, TargetState, TargetStatements,
     },
-    routes::{Account, Homes, Pool, PoolKind, RetryPolicy, Route, RouteConfig, StoreProperties},
+    routes::{
+        Account, EngineProperties, Homes, Pool, PoolKind, RetryPolicy, Route, RouteConfig,
+        StoreProperties,
+    },
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -60,6 +63,18 @@
     ]
 }
 
+/// The pool of all targets if they are `engines`, otherwise a pool of the store at this address.
+fn declared_pool(text: &str) -> Pool {
+    if text != "engines" {
+        return store_pool(text);
+    }
+    Pool {
+        name: "pool".to_owned(),
+        kind: PoolKind::Engine(EngineProperties::default()),
+        ..Pool::default()
+    }
+}
+
 /// A pool with one store of cached parts.
 fn store_pool(address: &str) -> Pool {
     Pool {
@@ -184,6 +199,9 @@
         if let Some(model) = key.strip_prefix("operators/version/") {
             return Some(ItemName::Version(model.to_owned()));
         }
+        if let Some(domain) = key.strip_prefix("operators/evacuate/") {
+            return Some(ItemName::Evacuation(domain.to_owned()));
+        }
         let target = key.strip_prefix("targets/")?;
         Some(ItemName::Target(target.to_owned()))
     }
@@ -196,12 +214,13 @@
                 let version = fields.next().unwrap().parse().unwrap();
                 let mut config = RouteConfig::default().version(version);
                 config = config.routes(routes()).accounts(accounts());
-                for pool in fields.map(store_pool) {
+                for pool in fields.map(declared_pool) {
                     config.pools.insert(pool.name.clone(), pool);
                 }
                 Item::Configuration(Box::new(config))
             }
             ItemName::Version(_) => Item::Version(text.parse().unwrap()),
+            ItemName::Evacuation(_) => Item::Evacuation,
             _ => {
                 let mut fields = text.split(' ');
                 let (address, version) = (fields.next().unwrap(), fields.next().unwrap());
@@ -219,6 +238,9 @@
                 if let Some(slots_count) = fields.next() {
                     entry.slots_count = slots_count.parse().unwrap();
                 }
+                if let Some(domain) = fields.next() {
+                    domain.clone_into(&mut entry.failure_domain);
+                }
                 Item::Target(entry)
             }
         })
--- a/crates/entry/tests/support/target.rs
+++ b/crates/entry/tests/support/target.rs
@@ -38,6 +38,8 @@
     pub address: SocketAddr,
     orders: Arc<Mutex<Vec<Order>>>,
     calls_count: Arc<AtomicUsize>,
+    /// Requests for changes of the parts that the target holds.
+    events_requests_count: Arc<AtomicUsize>,
     /// Time of arrival of each call.
     arrivals: Arc<Mutex<Vec<Instant>>>,
     /// Request line and headers of each call, as text for a test that fails.
@@ -60,6 +62,7 @@
             address: listener.local_addr().unwrap(),
             orders: Arc::default(),
             calls_count: Arc::default(),
+            events_requests_count: Arc::default(),
             arrivals: Arc::default(),
             heads: Arc::default(),
             fetches: Arc::default(),
@@ -96,6 +99,11 @@
         self.calls_count.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of requests for changes of the parts that the target holds.
+    pub fn events_requests_count(&self) -> usize {
+        self.events_requests_count.load(Ordering::Relaxed)
+    }
+
     /// Returns the times at which calls have arrived.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.arrivals.lock().unwrap().clone()
@@ -142,6 +150,7 @@
             return respond(202, String::new());
         }
         if path == "/events" {
+            self.events_requests_count.fetch_add(1, Ordering::Relaxed);
             return respond(500, String::new());
         }
         self.calls_count.fetch_add(1, Ordering::Relaxed);
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -237,6 +237,17 @@
         /// Names of the instances that accept callers.
         ready: Vec<String>,
     },
+    /// The evacuation of a failure domain has begun or ended.
+    Evacuation {
+        /// Failure domain whose targets get no calls while it is evacuated.
+        failure_domain: String,
+        /// `begun` or `ended`.
+        state: &'static str,
+        /// Number of registered targets there.
+        targets_count: usize,
+        /// Something wrong with the evacuation; empty if nothing is.
+        warning: &'static str,
+    },
     /// A newer version of a model's weights is wanted.
     Version {
         /// Model.
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -73,6 +73,12 @@
             for_ms: None,
         },
         Event::Instances { ready: Vec::new() },
+        Event::Evacuation {
+            failure_domain: text(),
+            state: "",
+            targets_count: 0,
+            warning: "",
+        },
         Event::Version {
             model: text(),
             version: 0,
@@ -163,6 +169,7 @@
         Event::TargetStatement { .. } => 20,
         Event::Outage { .. } => 21,
         Event::Restored { .. } => 22,
+        Event::Evacuation { .. } => 23,
     }
 }
 
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -4,7 +4,9 @@
     crate::{
         Declined, HeaderFormat, Reason, TargetState, View,
         active_call::ActiveCall,
-        pick::{PickContext, PickedTarget, has_origin, has_other_software, pick},
+        pick::{
+            PickContext, PickedTarget, are_all_evacuated, has_origin, has_other_software, pick,
+        },
         pool_bounds::PoolBound,
         refusal::{NO_TARGET_RETRY_AFTER, OVERLOADED_RETRY_AFTER},
         target_conditions::{CallContext, Obstacle},
@@ -36,7 +38,7 @@
                 self.inner.count_passed_over(&choice.passed_over);
                 let Some(picked) = choice.picked else {
                     return Err(NoTarget {
-                        declined: self.no_target_refusal(context, choice.wait),
+                        declined: self.no_target_refusal(view, context, choice.wait),
                         has_no_place: choice.passed_over.has(Obstacle::RefusalBound),
                     });
                 };
@@ -89,6 +91,7 @@
     /// Declined for a call that no target may take, if the reason is known.
     fn no_target_refusal(
         &self,
+        view: &View,
         context: &PickContext<'_>,
         wait: Option<Duration>,
     ) -> Option<Declined> {
@@ -101,6 +104,9 @@
         {
             return Some(Reason::OriginGone.into());
         }
+        if are_all_evacuated(view, &self.pool, context) {
+            return Some(Declined::new(Reason::Evacuated).retry_after(NO_TARGET_RETRY_AFTER));
+        }
         wait.map(|wait| Declined::new(Reason::Overloaded).retry_after(wait))
     }
 
--- a/crates/relay/src/crash_check.rs
+++ b/crates/relay/src/crash_check.rs
@@ -4,8 +4,12 @@
     crate::{RelayState, TargetState},
     std::{sync::Arc, time::Duration},
     target::{Client, CrashEvidence, IncarnationProbe},
+    tokio::time::sleep,
 };
 
+/// Interval between looks whether the target's failure domain is evacuated.
+const EVACUATION_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// Finds out whether a target has crashed that broke off a call.
 pub(crate) struct CrashCheck {
     /// The target as it was known when the call was sent.
@@ -19,11 +23,15 @@
 }
 
 impl CrashCheck {
-    /// Whether the target has crashed. Takes some seconds at most.
+    /// Whether the target has crashed. Takes some seconds at most. A target in an evacuated failure domain
+    /// is not asked, so nothing is known of it.
     pub(crate) async fn has_crashed(&self) -> bool {
         let address = self.target.address;
-        let gathered = CrashEvidence::gather(&self.client, address, self.probe.as_ref());
-        let evidence = gathered.await;
+        let evidence = tokio::select! {
+            biased;
+            () = self.evacuated() => CrashEvidence::Absent,
+            evidence = CrashEvidence::gather(&self.client, address, self.probe.as_ref()) => evidence,
+        };
         let has_crashed = match evidence {
             CrashEvidence::Shown => true,
             CrashEvidence::Absent => false,
@@ -36,6 +44,13 @@
         has_crashed
     }
 
+    /// Waits until the target's failure domain is evacuated.
+    async fn evacuated(&self) {
+        while !self.state.view().is_evacuated(&self.target) {
+            sleep(EVACUATION_CHECK_PERIOD).await;
+        }
+    }
+
     /// Whether the target has answered no call since it broke this one off, while others have: a path that is
     /// cut mostly leads to all of them, and a live target that is full ends new connections only.
     fn is_only_one_without_answers(&self) -> bool {
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -230,12 +230,25 @@
     targets.any(|it| it.software_version != software_version)
 }
 
-/// Whether a target of `pool` that the call may reach may go on with its stream, now or later.
+/// Whether a target of `pool` in the call's homes may go on with its stream, now or later.
 pub(crate) fn has_origin(reach: &Reach<'_>, pool: &str, software_version: &str) -> bool {
-    let mut targets = reach.targets(pool);
+    let mut targets = reach.targets_in_homes(pool);
     targets.any(|it| !it.is_leaving() && it.software_version == software_version)
 }
 
+/// Whether all targets of `pool` that may otherwise run the call, now or later, are in evacuated failure
+/// domains.
+pub(crate) fn are_all_evacuated(view: &View, pool: &str, context: &PickContext<'_>) -> bool {
+    let is_possible = |target: &&Arc<TargetState>| {
+        let version = context.software_version;
+        !target.is_leaving() && version.is_none_or(|it| target.software_version == it)
+    };
+    let mut possible = context.reach.targets_in_homes(pool).filter(is_possible);
+    possible.next().is_some_and(|first| {
+        view.is_evacuated(first) && possible.all(|target| view.is_evacuated(target))
+    })
+}
+
 /// Weights that a call is expected to run on at `target`, and the wanted version.
 fn picked_weights(view: &View, target: &TargetState, context: &PickContext<'_>) -> PickedWeights {
     let Some((wanted, version)) = wanted_and_loaded_versions(view, target, context) else {
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -20,16 +20,26 @@
 }
 
 impl<'view> Reach<'view> {
-    /// The targets of a pool that the call may reach.
+    /// The targets of a pool that the call may reach now: those in its homes, outside evacuated failure
+    /// domains.
     pub(crate) fn targets(&self, pool: &str) -> impl Iterator<Item = &'view Arc<TargetState>> {
+        let targets = self.targets_in_homes(pool);
+        targets.filter(|target| !self.view.is_evacuated(target))
+    }
+
+    /// The targets of a pool in the call's homes, also those in evacuated failure domains.
+    pub(crate) fn targets_in_homes(
+        &self,
+        pool: &str,
+    ) -> impl Iterator<Item = &'view Arc<TargetState>> {
         let targets = self.view.pools.get(pool).into_iter().flatten();
         targets.filter(|target| self.homes.allow(self.regions, &target.failure_domain))
     }
 
-    /// Whether a pool has targets, but none that the call may reach.
+    /// Whether a pool has targets, but none in the call's homes.
     pub(crate) fn leaves_none_of(&self, pool: &str) -> bool {
         let targets = self.view.pools.get(pool);
-        targets.is_some_and(|it| !it.is_empty()) && self.targets(pool).next().is_none()
+        targets.is_some_and(|it| !it.is_empty()) && self.targets_in_homes(pool).next().is_none()
     }
 
     /// The instances that may answer the call, this one among them.
@@ -41,6 +51,9 @@
     /// Whether parts of the call's prompt may be fetched from the engine or store at `address`, or
     /// saved there.
     pub(crate) fn has_place(&self, address: SocketAddr) -> bool {
+        if self.is_evacuated_target(address) {
+            return false;
+        }
         if self.homes.regions().is_none() {
             return true;
         }
@@ -48,6 +61,15 @@
         domain.is_some_and(|domain| self.homes.allow(self.regions, domain))
     }
 
+    /// Whether the place is a target in an evacuated failure domain. Stores there are still used.
+    fn is_evacuated_target(&self, address: SocketAddr) -> bool {
+        if self.view.evacuated_domains.is_empty() {
+            return false;
+        }
+        let mut targets = self.view.pools.values().flatten();
+        targets.any(|it| it.address == address && self.view.is_evacuated(it))
+    }
+
     /// Failure domain of an engine or store.
     fn failure_domain(&self, address: SocketAddr) -> Option<&'view str> {
         let table = self.view.route_table.as_ref();
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -39,6 +39,8 @@
     NoHome,
     /// All targets of the call's pool are outside its homes.
     OutsideHomes,
+    /// All targets that might run the call are in evacuated failure domains.
+    Evacuated,
     /// A target refused the call without running it, for example because it is at capacity, or this
     /// instance buffers too many request bodies.
     Overloaded,
@@ -71,6 +73,7 @@
             | Self::NoTarget
             | Self::NoHome
             | Self::OutsideHomes
+            | Self::Evacuated
             | Self::Overloaded
             | Self::Quarantined
             | Self::OriginUnknown
@@ -99,6 +102,9 @@
             Self::OutsideHomes => {
                 "no target is in a home of the call; add targets there, or add a region with targets to the homes"
             }
+            Self::Evacuated => {
+                "all targets of the call are in evacuated failure domains; come back later"
+            }
             Self::Overloaded => "all targets are full; come back later",
             Self::Quarantined => {
                 "the call, or a part of its prompt, crashed several targets; change it, or come back later"
--- a/crates/relay/src/target_reachability.rs
+++ b/crates/relay/src/target_reachability.rs
@@ -20,7 +20,12 @@
     /// Whether this instance is taken to be cut off from all targets of a pool.
     #[must_use]
     pub fn is_cut_off(&self, view: &View, pool: &str) -> bool {
-        let targets_count = view.pools.get(pool).map_or(0, Vec::len);
+        let targets_count = view.targets_in_use(pool).count();
+        // Nobody else reaches targets that get no calls.
+        let has_only_evacuated = targets_count == 0 && view.pools.contains_key(pool);
+        if has_only_evacuated {
+            return false;
+        }
         let pools = self.lock();
         let reachability = pools.get(pool);
         reachability.is_some_and(|it| it.is_cut_off(targets_count, boot_time()))
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -107,6 +107,8 @@
     pub confirmed_at: Duration,
     /// Shutdown schedule of this instance, if it is shutting down.
     pub shutdown: Option<Shutdown>,
+    /// Failure domains whose targets get nothing new.
+    pub evacuated_domains: HashSet<FailureDomainId>,
 }
 
 impl Default for View {
@@ -122,6 +124,7 @@
             peers: Arc::default(),
             confirmed_at: boot_time(),
             shutdown: None,
+            evacuated_domains: HashSet::new(),
         }
     }
 }
@@ -157,6 +160,18 @@
 }
 
 impl View {
+    /// Whether the target is in an evacuated failure domain.
+    #[must_use]
+    pub fn is_evacuated(&self, target: &TargetState) -> bool {
+        self.evacuated_domains.contains(&target.failure_domain)
+    }
+
+    /// Targets of a pool outside evacuated failure domains.
+    pub fn targets_in_use(&self, pool: &str) -> impl Iterator<Item = &Arc<TargetState>> {
+        let targets = self.pools.get(pool).into_iter().flatten();
+        targets.filter(|target| !self.is_evacuated(target))
+    }
+
     /// Time since the key-value service last confirmed that the view is current.
     pub(crate) fn age(&self) -> Duration {
         boot_time().saturating_sub(self.confirmed_at)
--- a/scripts/platform-names.sh
+++ b/scripts/platform-names.sh
@@ -5,7 +5,7 @@
 
 names=(
     'x-rattanpost-' 'X-Rattanpost-' 'kv-range' 'kv-watch' 'kv-txn' 'kv-lease' 'kv-keep' 'kv-key'
-    'kv-events' 'kv-list' 'kv-free' 'kv-copy' 'kv-move' 'op/config' 'op/version' '"servers/'
+    'kv-events' 'kv-list' 'kv-free' 'kv-copy' 'kv-move' 'op/config' 'op/version' 'op/evacuate' '"servers/'
     'RATTANPOST_NODE_FILE' 'tenants\b' 'pathPrefix' 'bootEpoch' 'boot_epoch' 'seqNo' 'seq_no' 'ttlS' 'maxAttempts' 'kvCapacity' 'trafficSplit' 'non_idempotent'
 )
 pattern="$(IFS='|'; echo "${names[*]}")"
