Reported loads carry tokens, and a report may cover several instances

A report of calls in flight said nothing of the memory that these calls hold at their target, and counted as that of one instance. TargetLoad becomes a struct with the number of calls and of tokens (prompt and largest output), PeerLoads scales by the number of instances that its reports cover, and estimates tokens as well. TargetStats counts the tokens of its calls in flight. The RPC read keeps its wire format, without tokens, for instances of older builds.

The relay tests' header format now states the prompt's length, as the platform's does.

--- a/crates/balance/src/peer_loads.rs
+++ b/crates/balance/src/peer_loads.rs
@@ -1,58 +1,120 @@
 //! Calls in flight from other instances.
 
-use {catalog::InstanceId, std::collections::HashMap};
+use {
+    catalog::InstanceId,
+    serde::{Deserialize, Serialize},
+    std::collections::HashMap,
+};
 
-/// Rendezvous seed of a target and the number of calls in flight to it from one instance.
-pub type TargetLoad = (u64, u32);
+/// Calls that instances have in flight at a target.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetLoad {
+    /// Rendezvous seed of the target.
+    pub target_seed: u64,
+    /// Number of calls.
+    pub calls_count: u32,
+    /// Prompt tokens and expected output tokens of these calls.
+    pub tokens_count: u64,
+}
+
+/// Sum of the reported loads of a target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct LoadSum {
+    calls_count: u64,
+    tokens_count: u64,
+}
+
+/// The last report of one source.
+#[derive(Clone, Debug, Default)]
+struct LoadReport {
+    loads: Vec<TargetLoad>,
+    /// Number of instances whose loads the report adds up.
+    instances_count: u32,
+}
 
 /// Calls in flight from the other instances to each target, as they last reported.
 ///
 /// An instance's own calls say little about the load of a target when thirty other instances send
-/// calls there too. Targets are identified by their rendezvous seeds.
+/// calls there too. Targets are identified by their rendezvous seeds. A source is another instance
+/// that reports its own loads, or an aggregator that reports those of many instances.
 #[derive(Clone, Debug, Default)]
 pub struct PeerLoads {
-    loads_by_peer: HashMap<InstanceId, Vec<TargetLoad>>,
-    in_flight_sums: HashMap<u64, u64>,
+    report_by_source: HashMap<InstanceId, LoadReport>,
+    sums: HashMap<u64, LoadSum>,
+    covered_count: u32,
 }
 
 impl PeerLoads {
-    /// Replaces the loads reported by `peer`.
+    /// Replaces the loads reported by `peer`, which are its own.
     pub fn set(&mut self, peer: &str, loads: Vec<TargetLoad>) {
-        self.remove(peer);
-        for (target, count) in &loads {
-            *self.in_flight_sums.entry(*target).or_default() += u64::from(*count);
+        self.set_merged(peer, loads, 1);
+    }
+
+    /// Replaces the loads reported by `source`, which are those of `instances_count` instances
+    /// together.
+    pub fn set_merged(&mut self, source: &str, loads: Vec<TargetLoad>, instances_count: u32) {
+        self.remove(source);
+        for load in &loads {
+            let sum = self.sums.entry(load.target_seed).or_default();
+            sum.calls_count += u64::from(load.calls_count);
+            sum.tokens_count = sum.tokens_count.saturating_add(load.tokens_count);
         }
-        self.loads_by_peer.insert(peer.to_owned(), loads);
+        self.covered_count = self.covered_count.saturating_add(instances_count);
+        let report = LoadReport {
+            loads,
+            instances_count,
+        };
+        self.report_by_source.insert(source.to_owned(), report);
     }
 
-    /// Removes the loads of a peer that has gone or stopped reporting.
-    pub fn remove(&mut self, peer: &str) {
-        for (target, count) in self.loads_by_peer.remove(peer).unwrap_or_default() {
-            let Some(sum) = self.in_flight_sums.get_mut(&target) else {
+    /// Removes the loads of a source that has gone or stopped reporting.
+    pub fn remove(&mut self, source: &str) {
+        let report = self.report_by_source.remove(source).unwrap_or_default();
+        self.covered_count = self.covered_count.saturating_sub(report.instances_count);
+        for load in report.loads {
+            let Some(sum) = self.sums.get_mut(&load.target_seed) else {
                 continue;
             };
-            *sum = sum.saturating_sub(u64::from(count));
-            if *sum == 0 {
-                self.in_flight_sums.remove(&target);
+            sum.calls_count = sum.calls_count.saturating_sub(u64::from(load.calls_count));
+            sum.tokens_count = sum.tokens_count.saturating_sub(load.tokens_count);
+            if *sum == LoadSum::default() {
+                self.sums.remove(&load.target_seed);
             }
         }
     }
 
+    /// Number of other instances whose loads are known.
+    #[must_use]
+    pub fn covered_count(&self) -> u32 {
+        self.covered_count
+    }
+
     /// Estimates the number of calls in flight to a target from all `instances_count` instances.
     ///
     /// `own_count` is this instance's own share. Instances without a report are assumed to have the
     /// mean of the others.
     #[must_use]
     pub fn estimate_in_flight(&self, target: u64, own_count: u32, instances_count: u32) -> f64 {
-        let reported = self
-            .in_flight_sums
-            .get(&target)
-            .copied()
-            .unwrap_or_default()
-            + u64::from(own_count);
-        let reporting_count = self.loads_by_peer.len() + 1;
-        #[allow(clippy::cast_precision_loss)]
-        let extrapolation_factor = f64::from(instances_count) / reporting_count as f64;
+        let reported = self.sum(target).calls_count + u64::from(own_count);
+        self.extrapolate(reported, instances_count)
+    }
+
+    /// Estimates the prompt tokens and expected output tokens of these calls, of which `own_count` are
+    /// this instance's. Instances of builds that do not report tokens count as having none.
+    #[must_use]
+    pub fn estimate_tokens(&self, target: u64, own_count: u64, instances_count: u32) -> f64 {
+        let reported = self.sum(target).tokens_count.saturating_add(own_count);
+        self.extrapolate(reported, instances_count)
+    }
+
+    fn sum(&self, target: u64) -> LoadSum {
+        self.sums.get(&target).copied().unwrap_or_default()
+    }
+
+    /// Scales what this instance and those with a report have up to all `instances_count` instances.
+    fn extrapolate(&self, reported: u64, instances_count: u32) -> f64 {
+        let reporting_count = f64::from(self.covered_count) + 1.0;
+        let extrapolation_factor = f64::from(instances_count) / reporting_count;
         #[allow(clippy::cast_precision_loss)]
         let reported = reported as f64;
         reported * extrapolation_factor.max(1.0)
--- a/crates/balance/tests/peer_loads.rs
+++ b/crates/balance/tests/peer_loads.rs
@@ -1,6 +1,17 @@
 //! Estimates of the calls in flight to a target from the reports of the instances.
 
-use {balance::PeerLoads, proptest::prelude::*};
+use {
+    balance::{PeerLoads, TargetLoad},
+    proptest::prelude::*,
+};
+
+fn load(target_seed: u64, calls_count: u32, tokens_count: u64) -> TargetLoad {
+    TargetLoad {
+        target_seed,
+        calls_count,
+        tokens_count,
+    }
+}
 
 #[test]
 fn single_instance_counts_only_its_own_calls() {
@@ -14,18 +25,39 @@
         (loads.estimate_in_flight(7, 2, 5) - 10.0).abs() < 1e-9,
         "no instance has reported"
     );
-    loads.set("b", vec![(7, 4)]);
+    loads.set("b", vec![load(7, 4, 100)]);
     assert!(
         (loads.estimate_in_flight(7, 2, 4) - 12.0).abs() < 1e-9,
         "two of four instances have six calls in flight"
     );
-    loads.set("b", vec![(8, 1)]);
+    loads.set("b", vec![load(8, 1, 10)]);
     assert!(
         (loads.estimate_in_flight(7, 2, 2) - 2.0).abs() < 1e-9,
         "a new report replaces the old one"
     );
 }
 
+/// Guards against an estimate that is too high by the number of instances that a merged report adds up.
+#[test]
+fn merged_report_counts_for_the_instances_that_it_covers() {
+    let mut loads = PeerLoads::default();
+    loads.set_merged("aggregator", vec![load(7, 30, 3_000)], 9);
+    assert!((loads.estimate_in_flight(7, 2, 10) - 32.0).abs() < 1e-9);
+    assert!((loads.estimate_tokens(7, 200, 10) - 3_200.0).abs() < 1e-9);
+    assert!(
+        (loads.estimate_in_flight(7, 2, 20) - 64.0).abs() < 1e-9,
+        "half of the instances are covered"
+    );
+    loads.set("b", vec![load(7, 4, 400)]);
+    assert_eq!(loads.covered_count(), 10);
+    loads.remove("aggregator");
+    assert_eq!(loads.covered_count(), 1);
+    assert!(
+        (loads.estimate_in_flight(7, 2, 2) - 6.0).abs() < 1e-9,
+        "the merged report is gone"
+    );
+}
+
 proptest! {
     #[test]
     fn estimate_is_the_sum_of_the_latest_reports(
@@ -36,17 +68,20 @@
         let mut loads = PeerLoads::default();
         let mut latest = std::collections::HashMap::new();
         for (peer, counts) in reports {
+            let counts: Vec<_> = counts.into_iter().map(|(seed, count)| load(seed, count, 3 * u64::from(count))).collect();
             loads.set(&name(peer), counts.clone());
             latest.insert(peer, counts);
         }
         loads.remove(&name(removed_peer));
         latest.remove(&removed_peer);
         for target in 0..4 {
-            let counts = latest.values().flatten().filter(|(it, _)| *it == target);
-            let sum: u32 = counts.map(|(_, count)| count).sum();
+            let counts = latest.values().flatten().filter(|it| it.target_seed == target);
+            let sum: u32 = counts.map(|it| it.calls_count).sum();
             let instances_count = u32::try_from(latest.len()).unwrap() + 1;
             let estimate = loads.estimate_in_flight(target, 1, instances_count);
             prop_assert!((estimate - f64::from(sum + 1)).abs() < 1e-9);
+            let tokens = loads.estimate_tokens(target, 3, instances_count);
+            prop_assert!((tokens - f64::from(3 * (sum + 1))).abs() < 1e-9);
         }
     }
 }
--- a/crates/feed/src/batch.rs
+++ b/crates/feed/src/batch.rs
@@ -3,19 +3,18 @@
 use {
     balance::TargetLoad,
     parts::{Change, LinkUse, Position},
-    serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
 /// The answer to one read of a feed.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Batch {
     /// Position from which to read next.
     pub position: Position,
     /// Time of the clock that engines and stores share, when this was read; `None` if it is not
     /// known.
     pub clock: Option<Duration>,
-    /// Number of calls that the instance has in flight now, by the rendezvous seed of their target.
+    /// Calls that the instance has in flight now, by target.
     pub loads: Vec<TargetLoad>,
     /// Total time for which the instance has planned to use each store's link, since its start.
     pub link_use: Vec<LinkUse>,
--- a/crates/feed/src/feed_reader.rs
+++ b/crates/feed/src/feed_reader.rs
@@ -34,10 +34,11 @@
         since: Option<Position>,
         wait: Duration,
     ) -> Result<Batch, FeedError> {
-        self.connection
+        let read = self
+            .connection
             .call(wait + ANSWER_TIMEOUT, async |client, context| {
                 client.read(context, since, wait).await
-            })
-            .await
+            });
+        read.await.map(Batch::from)
     }
 }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -28,6 +28,7 @@
 mod contact_question;
 mod error;
 mod feed_reader;
+mod former_batch;
 mod origin_client;
 mod server;
 mod service;
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -1,7 +1,7 @@
 //! The server that answers the readers of a feed.
 
 use {
-    crate::{Batch, Feed, service::FeedService},
+    crate::{Feed, former_batch::FormerBatch, service::FeedService},
     cluster::{accept_connection, transport},
     futures::StreamExt,
     origins::{OriginKnowledge, OriginRecord, StreamKey},
@@ -71,8 +71,9 @@
 }
 
 impl FeedService for FeedServer {
-    async fn read(self, _: Context, since: Option<Position>, wait: Duration) -> Batch {
-        self.feed.read_or_wait(since, wait.min(MAX_WAIT)).await
+    async fn read(self, _: Context, since: Option<Position>, wait: Duration) -> FormerBatch {
+        let batch = self.feed.read_or_wait(since, wait.min(MAX_WAIT)).await;
+        batch.into()
     }
 
     async fn exchange_origins(
--- a/crates/feed/src/service.rs
+++ b/crates/feed/src/service.rs
@@ -4,7 +4,7 @@
 #![allow(missing_docs)]
 
 use {
-    crate::Batch,
+    crate::former_batch::FormerBatch,
     origins::{OriginKnowledge, OriginRecord, StreamKey},
     parts::Position,
     std::time::Duration,
@@ -14,7 +14,7 @@
 pub(crate) trait FeedService {
     /// Returns what was learned since `since`, or the whole state. Without changes it waits up to
     /// `wait` for one.
-    async fn read(since: Option<Position>, wait: Duration) -> Batch;
+    async fn read(since: Option<Position>, wait: Duration) -> FormerBatch;
 
     /// Keeps `records`, and returns what is known of the origins of the streams in `asked`.
     async fn exchange_origins(
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -138,7 +138,11 @@
     fn in_flight_loads(&self) -> Vec<TargetLoad> {
         let view = self.relay_state.view();
         let targets = view.pools.values().flatten();
-        let loads = targets.map(|target| (target.seed, target.call_stats.in_flight_count()));
-        loads.filter(|(_, count)| *count > 0).collect()
+        let loads = targets.map(|target| TargetLoad {
+            target_seed: target.seed,
+            calls_count: target.call_stats.in_flight_count(),
+            tokens_count: target.call_stats.in_flight_tokens_count(),
+        });
+        loads.filter(|load| load.calls_count > 0).collect()
     }
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -39,6 +39,12 @@
             [.., session, _] => Some(session),
         }
     }
+
+    /// Tokens that the call is expected to hold at its target: the prompt and the output.
+    #[must_use]
+    pub fn expected_tokens(&self) -> u64 {
+        u64::from(self.input_tokens) + u64::from(self.max_output_tokens)
+    }
 }
 
 /// Metadata of a call, parsed from its headers.
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Declined, HeaderFormat, Reason, TargetState, View,
+        Declined, HeaderFormat, Prompt, Reason, TargetState, View,
         active_call::ActiveCall,
         pick::{PickContext, PickedTarget, has_origin, has_other_software, pick},
         pool_bounds::PoolBound,
@@ -29,6 +29,8 @@
     /// Chooses the next target for the call, and takes the right to send a call there. Fails if no
     /// target may take the call, with a refusal if the reason is what targets state.
     pub(crate) fn choose_target(&mut self) -> Result<PickedTarget, NoTarget> {
+        let prompt = self.admitted.call.prompt.as_ref();
+        let tokens_count = prompt.map_or(0, Prompt::expected_tokens);
         let (picked, in_flight) = self.with_pick_context(|view, context| {
             // Another call may take the last right to a target between its choice and this one.
             loop {
@@ -41,7 +43,8 @@
                     });
                 };
                 let call = context.target_context(&picked.target);
-                if let Some(in_flight) = picked.target.call_stats.try_take_call(&call) {
+                if let Some(in_flight) = picked.target.call_stats.try_take_call(&call, tokens_count)
+                {
                     return Ok((picked, in_flight));
                 }
             }
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -12,7 +12,7 @@
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicU32, Ordering},
+            atomic::{AtomicU32, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -31,6 +31,7 @@
 #[derive(Debug, Default)]
 pub struct TargetStats {
     in_flight_count: AtomicU32,
+    in_flight_tokens_count: AtomicU64,
     observations: Mutex<Observations>,
 }
 
@@ -41,12 +42,21 @@
         self.in_flight_count.load(Ordering::Relaxed)
     }
 
-    /// Counts a call as in flight until the guard is dropped.
+    /// Prompt tokens and expected output tokens of these calls.
     #[must_use]
-    fn start_call(self: &Arc<Self>) -> InFlightGuard {
+    pub fn in_flight_tokens_count(&self) -> u64 {
+        self.in_flight_tokens_count.load(Ordering::Relaxed)
+    }
+
+    /// Counts a call of `tokens_count` tokens as in flight until the guard is dropped.
+    #[must_use]
+    fn start_call(self: &Arc<Self>, tokens_count: u64) -> InFlightGuard {
         self.in_flight_count.fetch_add(1, Ordering::Relaxed);
+        self.in_flight_tokens_count
+            .fetch_add(tokens_count, Ordering::Relaxed);
         InFlightGuard {
             call_stats: self.clone(),
+            tokens_count,
         }
     }
 
@@ -231,12 +241,16 @@
         (next_call, is_before_return)
     }
 
-    /// Takes the right to send the target one call, which counts as in flight until the guard is
-    /// dropped; `None` if there is none now.
-    pub(crate) fn try_take_call(self: &Arc<Self>, call: &CallContext<'_>) -> Option<InFlightGuard> {
+    /// Takes the right to send the target one call of `tokens_count` tokens, which counts as in flight
+    /// until the guard is dropped; `None` if there is none now.
+    pub(crate) fn try_take_call(
+        self: &Arc<Self>,
+        call: &CallContext<'_>,
+        tokens_count: u64,
+    ) -> Option<InFlightGuard> {
         let conditions = &mut self.lock().conditions;
         let is_taken = conditions.try_take(call, self.in_flight_count());
-        is_taken.then(|| self.start_call())
+        is_taken.then(|| self.start_call(tokens_count))
     }
 
     fn lock(&self) -> MutexGuard<'_, Observations> {
@@ -250,6 +264,7 @@
 #[derive(Debug)]
 pub struct InFlightGuard {
     call_stats: Arc<TargetStats>,
+    tokens_count: u64,
 }
 
 impl InFlightGuard {
@@ -265,5 +280,8 @@
         self.call_stats
             .in_flight_count
             .fetch_sub(1, Ordering::Relaxed);
+        self.call_stats
+            .in_flight_tokens_count
+            .fetch_sub(self.tokens_count, Ordering::Relaxed);
     }
 }
--- a/crates/relay/tests/support/header_format.rs
+++ b/crates/relay/tests/support/header_format.rs
@@ -29,9 +29,11 @@
                 id: id.to_owned(),
                 tokens: tokens.parse().unwrap(),
             });
+            let parts: Vec<Part> = parts.collect();
             Prompt {
                 model: "m".to_owned(),
-                parts: parts.collect(),
+                input_tokens: parts.iter().map(|part| part.tokens).sum(),
+                parts,
                 ..Prompt::default()
             }
         });
