Large fleets choose engines by the prompt tokens still to be read there

Cause: a long prompt counts as one call although it keeps an engine busy as long as ten short ones (docs/design/uneven-load.md, findings).

Parts that some place holds count as read.

--- a/crates/balance/src/peer_loads.rs
+++ b/crates/balance/src/peer_loads.rs
@@ -15,6 +15,8 @@
     pub calls_count: u32,
     /// Prompt tokens and expected output tokens of these calls.
     pub tokens_count: u64,
+    /// Prompt tokens that the target has still to read for these calls.
+    pub unread_tokens_count: u64,
 }
 
 /// Sum of the reported loads of a target.
@@ -22,6 +24,7 @@
 struct LoadSum {
     calls_count: u64,
     tokens_count: u64,
+    unread_tokens_count: u64,
 }
 
 /// The last report of one source.
@@ -58,6 +61,8 @@
             let sum = self.sums.entry(load.target_seed).or_default();
             sum.calls_count += u64::from(load.calls_count);
             sum.tokens_count = sum.tokens_count.saturating_add(load.tokens_count);
+            let unread_count = load.unread_tokens_count;
+            sum.unread_tokens_count = sum.unread_tokens_count.saturating_add(unread_count);
         }
         self.covered_count = self.covered_count.saturating_add(instances_count);
         let report = LoadReport {
@@ -77,6 +82,8 @@
             };
             sum.calls_count = sum.calls_count.saturating_sub(u64::from(load.calls_count));
             sum.tokens_count = sum.tokens_count.saturating_sub(load.tokens_count);
+            let unread_count = load.unread_tokens_count;
+            sum.unread_tokens_count = sum.unread_tokens_count.saturating_sub(unread_count);
             if *sum == LoadSum::default() {
                 self.sums.remove(&load.target_seed);
             }
@@ -107,6 +114,14 @@
         self.extrapolate(reported, instances_count)
     }
 
+    /// Estimates the prompt tokens that the target has still to read for these calls, of which
+    /// `own_count` are this instance's.
+    #[must_use]
+    pub fn estimate_unread_tokens(&self, target: u64, own_count: u64, instances_count: u32) -> f64 {
+        let reported = self.sum(target).unread_tokens_count;
+        self.extrapolate(reported.saturating_add(own_count), instances_count)
+    }
+
     fn sum(&self, target: u64) -> LoadSum {
         self.sums.get(&target).copied().unwrap_or_default()
     }
--- a/crates/balance/tests/peer_loads.rs
+++ b/crates/balance/tests/peer_loads.rs
@@ -10,6 +10,7 @@
         target_seed,
         calls_count,
         tokens_count,
+        unread_tokens_count: tokens_count / 2,
     }
 }
 
--- a/crates/feed/src/former_batch.rs
+++ b/crates/feed/src/former_batch.rs
@@ -39,6 +39,7 @@
             target_seed,
             calls_count,
             tokens_count: 0,
+            unread_tokens_count: 0,
         });
         Self {
             position: batch.position,
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -142,6 +142,7 @@
             target_seed: target.seed,
             calls_count: target.call_stats.in_flight_count(),
             tokens_count: target.call_stats.in_flight_tokens_count(),
+            unread_tokens_count: target.call_stats.unread_tokens_count(),
         });
         loads.filter(|load| load.calls_count > 0).collect()
     }
--- a/crates/parts/src/part_directory.rs
+++ b/crates/parts/src/part_directory.rs
@@ -160,6 +160,18 @@
         })
     }
 
+    /// Number of tokens of the leading parts that some place holds completely. Only these can be had
+    /// without reading, since a part is of use only after all parts before it.
+    #[must_use]
+    pub fn held_tokens(&self, prompt_parts: &[PromptPart]) -> u64 {
+        let is_held = |prompt_part: &&PromptPart| {
+            let mut places = self.holders.places(prompt_part.part);
+            places.any(|(_, tokens)| tokens >= prompt_part.tokens)
+        };
+        let held = prompt_parts.iter().take_while(is_held);
+        held.map(|prompt_part| u64::from(prompt_part.tokens)).sum()
+    }
+
     /// Failure domain of a store that holds some or all tokens of a part, if there is one.
     #[must_use]
     pub fn store_failure_domain(&self, part: PartKey) -> Option<&str> {
--- a/crates/parts/tests/usable_places.rs
+++ b/crates/parts/tests/usable_places.rs
@@ -70,3 +70,29 @@
     assert_eq!(plan.fetch, [None]);
     assert_eq!(plan.save, [Some(address(2))]);
 }
+
+/// Guards against prompts that count as held although a part before the held ones has to be read.
+#[test]
+fn only_leading_held_parts_need_no_reading() {
+    let store: SocketAddr = ([127, 0, 0, 1], 9_100).into();
+    let parts =
+        [("a", 500), ("b", 300), ("c", 100)].map(|(id, tokens)| PromptPart::new("s", id, tokens));
+    let mut directory = PartDirectory::default();
+    assert_eq!(directory.held_tokens(&parts), 0);
+    let held = |index: usize| CachedPart {
+        part: parts[index].part,
+        tokens: parts[index].tokens,
+    };
+    let change = Change::Held {
+        place: store,
+        parts: vec![held(0), held(2)],
+    };
+    directory.apply(&change, Duration::ZERO);
+    assert_eq!(directory.held_tokens(&parts), 500);
+    let change = Change::Held {
+        place: store,
+        parts: vec![held(1)],
+    };
+    directory.apply(&change, Duration::ZERO);
+    assert_eq!(directory.held_tokens(&parts), 900);
+}
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -4,6 +4,7 @@
     crate::{
         Declined, HeaderFormat, Prompt, Reason, TargetState, View,
         active_call::ActiveCall,
+        call_tokens::CallTokens,
         pick::{
             PickContext, PickedTarget, are_all_evacuated, has_origin, has_other_software, pick,
         },
@@ -32,7 +33,7 @@
     /// target may take the call, with a refusal if the reason is what targets state.
     pub(crate) fn choose_target(&mut self) -> Result<PickedTarget, NoTarget> {
         let prompt = self.admitted.call.prompt.as_ref();
-        let tokens_count = prompt.map_or(0, Prompt::expected_tokens);
+        let held_count = prompt.map_or(0, Prompt::expected_tokens);
         let (picked, in_flight) = self.with_pick_context(|view, context| {
             // Another call may take the last right to a target between its choice and this one.
             loop {
@@ -45,8 +46,11 @@
                     });
                 };
                 let call = context.target_context(&picked.target);
-                if let Some(in_flight) = picked.target.call_stats.try_take_call(&call, tokens_count)
-                {
+                let tokens = CallTokens {
+                    held_count,
+                    unread_count: picked.unread_tokens_count,
+                };
+                if let Some(in_flight) = picked.target.call_stats.try_take_call(&call, tokens) {
                     return Ok((picked, in_flight));
                 }
             }
@@ -151,6 +155,7 @@
             random: rand::random(),
             cache_index: &cache_index,
             peer_loads: &peer_loads,
+            weighs_tokens: self.inner.settings.is_large_fleet(view.instances_count),
             cache_scope: &cache_scope,
             software_version,
             is_mixed: software_version
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod call_holder;
 mod call_origin;
 mod call_recorder;
+mod call_tokens;
 mod choose_target;
 mod crash_check;
 mod discard_body;
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -39,6 +39,8 @@
     pub(crate) cache_index: &'call PartDirectory,
     /// Calls that other instances have in flight.
     pub(crate) peer_loads: &'call PeerLoads,
+    /// Whether targets are compared by prompt tokens besides calls.
+    pub(crate) weighs_tokens: bool,
     /// Who may use the prompt's cached parts.
     pub(crate) cache_scope: &'call CacheScope,
     /// Software version that began the call's stream; no other may go on with it.
@@ -74,6 +76,8 @@
     pub(crate) candidates_count: usize,
     /// Weights that the call is expected to run on, and the wanted version.
     pub(crate) weights: PickedWeights,
+    /// Prompt tokens that the target has to read for the call.
+    pub(crate) unread_tokens_count: u64,
 }
 
 /// Weights of a chosen target, the wanted version, and the target's start delay. All fields have
@@ -201,9 +205,28 @@
             .refusal_bound(&context.target_context(eligible[index])),
         candidates_count: candidates.len(),
         weights: picked_weights(view, eligible[index], context),
+        unread_tokens_count: unread_tokens_count(eligible[index], context, &mut shared_parts),
     })
 }
 
+/// Prompt tokens that the target has to read for the call: those that it would neither find in its
+/// memory nor fetch.
+fn unread_tokens_count(
+    target: &TargetState,
+    context: &PickContext<'_>,
+    shared_parts: &mut SharedPartsByVersion,
+) -> u64 {
+    let Some(prompt) = &context.call.prompt else {
+        return 0;
+    };
+    let Some(version) = target.version(&prompt.model) else {
+        return u64::from(prompt.input_tokens);
+    };
+    let parts = shared_parts.for_version(version, prompt, context.cache_scope);
+    let held_tokens_count = context.cache_index.held_tokens(parts);
+    u64::from(prompt.input_tokens).saturating_sub(held_tokens_count)
+}
+
 /// Whether the target takes new calls by its registration, and may go on with the call's stream.
 fn takes_calls(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
     let began_stream = |version: &str| {
@@ -224,6 +247,17 @@
     loads.estimate_in_flight(target.seed, own_count, view.instances_count)
 }
 
+/// Estimated number of prompt tokens that the target has still to read for the calls of all instances;
+/// 0 in small fleets, where an instance's own calls and reports of calls say enough.
+fn estimate_unread_tokens(view: &View, target: &TargetState, context: &PickContext<'_>) -> f64 {
+    if context.call.prompt.is_none() || !context.weighs_tokens {
+        return 0.0;
+    }
+    let own_count = target.call_stats.unread_tokens_count();
+    let loads = context.peer_loads;
+    loads.estimate_unread_tokens(target.seed, own_count, view.instances_count)
+}
+
 /// Whether a target of `pool` runs other software than `software_version`.
 pub(crate) fn has_other_software(view: &View, pool: &str, software_version: &str) -> bool {
     let mut targets = view.pools.get(pool).into_iter().flatten();
@@ -305,7 +339,9 @@
     shared_parts: &mut SharedPartsByVersion,
 ) -> Candidate {
     let in_flight_count = in_flight_count(view, target, context);
-    let candidate = Candidate::new(target.seed, target.slots_count).with_in_flight(in_flight_count);
+    let candidate = Candidate::new(target.seed, target.slots_count)
+        .with_in_flight(in_flight_count)
+        .with_unread_tokens(estimate_unread_tokens(view, target, context));
     let Some(prompt) = &context.call.prompt else {
         return Candidate {
             in_preferred_domain: target.failure_domain == *context.failure_domain,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -56,6 +56,16 @@
     /// Maximum size of all request bodies buffered at the same time, in bytes. Answers that are read
     /// as a whole may take half as much besides.
     pub max_buffered_bytes: usize,
+    /// Number of ready instances from which the fleet counts as large. An instance of a large fleet
+    /// sends a small part of the calls, so it goes by what all of them report.
+    pub large_fleet_instances_count: u32,
+}
+
+impl RelaySettings {
+    /// Whether a fleet of `instances_count` ready instances is large.
+    pub(crate) fn is_large_fleet(&self, instances_count: u32) -> bool {
+        instances_count >= self.large_fleet_instances_count
+    }
 }
 
 impl Default for RelaySettings {
@@ -67,6 +77,7 @@
             retry_bounds: RetryBounds::default(),
             stale_weights_grace: Duration::from_secs(7),
             max_buffered_bytes: 32 << 20,
+            large_fleet_instances_count: u32::MAX,
         }
     }
 }
--- a/crates/relay/src/sent_attempt.rs
+++ b/crates/relay/src/sent_attempt.rs
@@ -109,6 +109,9 @@
         if let AttemptOutcome::Answered(answer) = &outcome
             && answer.has_begun()
         {
+            if let Some(in_flight) = &mut self.in_flight {
+                in_flight.record_begun();
+            }
             self.record_answered();
         }
         if has_prompt && matches!(outcome, AttemptOutcome::Answered(_)) {
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         LimitObservation, NewStatement, TargetStatements,
+        call_tokens::CallTokens,
         observations::Observations,
         refusal_bound::KnownBound,
         target_conditions::{CallContext, NextCall},
@@ -32,6 +33,7 @@
 pub struct TargetStats {
     in_flight_count: AtomicU32,
     in_flight_tokens_count: AtomicU64,
+    unread_tokens_count: AtomicU64,
     observations: Mutex<Observations>,
 }
 
@@ -48,15 +50,24 @@
         self.in_flight_tokens_count.load(Ordering::Relaxed)
     }
 
-    /// Counts a call of `tokens_count` tokens as in flight until the guard is dropped.
+    /// Prompt tokens that the target has still to read for those of these calls that have not begun.
     #[must_use]
-    fn start_call(self: &Arc<Self>, tokens_count: u64) -> InFlightGuard {
+    pub fn unread_tokens_count(&self) -> u64 {
+        self.unread_tokens_count.load(Ordering::Relaxed)
+    }
+
+    /// Counts a call as in flight until the guard is dropped.
+    #[must_use]
+    fn start_call(self: &Arc<Self>, tokens: CallTokens) -> InFlightGuard {
         self.in_flight_count.fetch_add(1, Ordering::Relaxed);
         self.in_flight_tokens_count
-            .fetch_add(tokens_count, Ordering::Relaxed);
+            .fetch_add(tokens.held_count, Ordering::Relaxed);
+        self.unread_tokens_count
+            .fetch_add(tokens.unread_count, Ordering::Relaxed);
         InFlightGuard {
             call_stats: self.clone(),
-            tokens_count,
+            held_tokens_count: tokens.held_count,
+            unread_tokens_count: tokens.unread_count,
         }
     }
 
@@ -241,16 +252,16 @@
         (next_call, is_before_return)
     }
 
-    /// Takes the right to send the target one call of `tokens_count` tokens, which counts as in flight
-    /// until the guard is dropped; `None` if there is none now.
+    /// Takes the right to send the target one call, which counts as in flight until the guard is
+    /// dropped; `None` if there is none now.
     pub(crate) fn try_take_call(
         self: &Arc<Self>,
         call: &CallContext<'_>,
-        tokens_count: u64,
+        tokens: CallTokens,
     ) -> Option<InFlightGuard> {
         let conditions = &mut self.lock().conditions;
         let is_taken = conditions.try_take(call, self.in_flight_count());
-        is_taken.then(|| self.start_call(tokens_count))
+        is_taken.then(|| self.start_call(tokens))
     }
 
     fn lock(&self) -> MutexGuard<'_, Observations> {
@@ -264,7 +275,9 @@
 #[derive(Debug)]
 pub struct InFlightGuard {
     call_stats: Arc<TargetStats>,
-    tokens_count: u64,
+    held_tokens_count: u64,
+    /// Tokens that count as unread; 0 once the call has begun.
+    unread_tokens_count: u64,
 }
 
 impl InFlightGuard {
@@ -273,6 +286,14 @@
     pub fn call_stats(&self) -> &TargetStats {
         &self.call_stats
     }
+
+    /// Records that the target has begun to answer, so it has read the prompt.
+    pub(crate) fn record_begun(&mut self) {
+        let unread_tokens_count = std::mem::take(&mut self.unread_tokens_count);
+        self.call_stats
+            .unread_tokens_count
+            .fetch_sub(unread_tokens_count, Ordering::Relaxed);
+    }
 }
 
 impl Drop for InFlightGuard {
@@ -282,6 +303,7 @@
             .fetch_sub(1, Ordering::Relaxed);
         self.call_stats
             .in_flight_tokens_count
-            .fetch_sub(self.tokens_count, Ordering::Relaxed);
+            .fetch_sub(self.held_tokens_count, Ordering::Relaxed);
+        self.record_begun();
     }
 }
