--- a/crates/balance/src/peer_loads.rs
+++ b/crates/balance/src/peer_loads.rs
@@ -22,9 +22,9 @@
 /// Sum of the reported loads of a target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 struct LoadSum {
-    calls_count: u64,
-    tokens_count: u64,
-    unread_tokens_count: u64,
+    calls: u64,
+    tokens: u64,
+    unread_tokens: u64,
 }
 
 /// The last report of one source.
@@ -59,10 +59,10 @@
         self.remove(source);
         for load in &loads {
             let sum = self.sums.entry(load.target_seed).or_default();
-            sum.calls_count += u64::from(load.calls_count);
-            sum.tokens_count = sum.tokens_count.saturating_add(load.tokens_count);
+            sum.calls += u64::from(load.calls_count);
+            sum.tokens = sum.tokens.saturating_add(load.tokens_count);
             let unread_count = load.unread_tokens_count;
-            sum.unread_tokens_count = sum.unread_tokens_count.saturating_add(unread_count);
+            sum.unread_tokens = sum.unread_tokens.saturating_add(unread_count);
         }
         self.covered_count = self.covered_count.saturating_add(instances_count);
         let report = LoadReport {
@@ -80,10 +80,10 @@
             let Some(sum) = self.sums.get_mut(&load.target_seed) else {
                 continue;
             };
-            sum.calls_count = sum.calls_count.saturating_sub(u64::from(load.calls_count));
-            sum.tokens_count = sum.tokens_count.saturating_sub(load.tokens_count);
+            sum.calls = sum.calls.saturating_sub(u64::from(load.calls_count));
+            sum.tokens = sum.tokens.saturating_sub(load.tokens_count);
             let unread_count = load.unread_tokens_count;
-            sum.unread_tokens_count = sum.unread_tokens_count.saturating_sub(unread_count);
+            sum.unread_tokens = sum.unread_tokens.saturating_sub(unread_count);
             if *sum == LoadSum::default() {
                 self.sums.remove(&load.target_seed);
             }
@@ -102,7 +102,7 @@
     /// mean of the others.
     #[must_use]
     pub fn estimate_in_flight(&self, target: u64, own_count: u32, instances_count: u32) -> f64 {
-        let reported = self.sum(target).calls_count + u64::from(own_count);
+        let reported = self.sum(target).calls + u64::from(own_count);
         self.extrapolate(reported, instances_count)
     }
 
@@ -110,7 +110,7 @@
     /// this instance's. Instances of builds that do not report tokens count as having none.
     #[must_use]
     pub fn estimate_tokens(&self, target: u64, own_count: u64, instances_count: u32) -> f64 {
-        let reported = self.sum(target).tokens_count.saturating_add(own_count);
+        let reported = self.sum(target).tokens.saturating_add(own_count);
         self.extrapolate(reported, instances_count)
     }
 
@@ -118,7 +118,7 @@
     /// `own_count` are this instance's.
     #[must_use]
     pub fn estimate_unread_tokens(&self, target: u64, own_count: u64, instances_count: u32) -> f64 {
-        let reported = self.sum(target).unread_tokens_count;
+        let reported = self.sum(target).unread_tokens;
         self.extrapolate(reported.saturating_add(own_count), instances_count)
     }
 
