Calls to cold targets stay within the bound of all instances together

Cause: `balance::ColdBound` and `ColdShare` were not used, so a cold target got 21 calls in a second where 17 were allowed.

Change: `relay::ColdPool` and `ColdState` hold every call that is chosen for a target (calls, retries, resumed streams, calls passed on by other instances) to this instance's share while the target is or may be cold. A target is cold until the time that its registration or an answer states, and possibly cold after a lost connection, an address that takes none, an idle connection that the target ended, or while the pool is out of reach, until a registration could have told of a new process. Health checks of plain services delay the next call. Shares of warm targets are kept up to date at each change of the view, and a process that replaces another one of the same id takes over the share. Warm targets with a free slot come first; an instance without a share passes the call on to one that has it; otherwise the call is refused at once with the time until the next one. Settings `cold_overage_factor` and `cold_slack_count`; without both, or without a rate of the pool, nothing changes.

--- a/crates/balance/src/cold_share.rs
+++ b/crates/balance/src/cold_share.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{limit_share::LimitShare, rendezvous, smallest_part::SmallestPart},
-    std::time::Duration,
+    std::{cmp::Reverse, time::Duration},
 };
 
 /// Time in which no more calls than the bound may be sent to a cold target.
@@ -81,6 +81,17 @@
         self.rate_per_s() / f64::from(senders_count)
     }
 
+    /// The instances of `instance_seeds` that send calls to the target, which agree with
+    /// [`ColdBound::part`].
+    #[must_use]
+    pub fn senders(&self, instance_seeds: &[u64]) -> Vec<u64> {
+        let senders_count = usize::try_from(self.max_senders_count()).unwrap_or(usize::MAX);
+        let mut seeds = instance_seeds.to_vec();
+        seeds.sort_by_cached_key(|seed| Reverse(rendezvous::score(self.target_seed, *seed)));
+        seeds.truncate(senders_count);
+        seeds
+    }
+
     /// Calls per second of all senders together. It does not depend on their number, so that views of
     /// different size do not add up to more.
     fn rate_per_s(&self) -> f64 {
@@ -131,6 +142,14 @@
         self.calls.as_mut().is_some_and(|calls| calls.try_take(now))
     }
 
+    /// Counts a request that was sent without the right to it, such as a health check: the next call
+    /// waits for so much longer.
+    pub fn charge(&mut self, now: Duration) {
+        if let Some(calls) = &mut self.calls {
+            calls.charge(now);
+        }
+    }
+
     /// Time until this instance may send a call; `None` if other instances use the whole bound.
     #[must_use]
     pub fn time_until_call(&self, now: Duration) -> Option<Duration> {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -20,6 +20,7 @@
 mod answer_time_histogram;
 mod candidate;
 mod choose;
+mod cold_allowance;
 mod cold_share;
 mod health;
 mod limit_share;
@@ -38,6 +39,7 @@
     answer_time_histogram::AnswerTimeHistogram,
     candidate::Candidate,
     choose::choose,
+    cold_allowance::ColdAllowance,
     cold_share::{ColdBound, ColdShare},
     health::{CallOutcome, Health},
     limit_share::{LimitShare, limit_part},
--- a/crates/balance/src/limit_share.rs
+++ b/crates/balance/src/limit_share.rs
@@ -11,6 +11,9 @@
 /// Calls that an instance may send at once at least.
 const MIN_BURST_COUNT: f64 = 1.0;
 
+/// Most tokens that are taken before they are there.
+const MAX_DEBT_COUNT: f64 = 3.0;
+
 /// Returns the part of `limit_per_s`, in calls per second, that the instance `own_seed` may use at
 /// the target `target_seed`; 0 if other instances use all of it.
 ///
@@ -88,6 +91,12 @@
         is_available
     }
 
+    /// Takes a token that may be missing. The debt is limited to [`MAX_DEBT_COUNT`].
+    pub(crate) fn charge(&mut self, now: Duration) {
+        self.refill(now);
+        self.tokens_count = (self.tokens_count - 1.0).max(-MAX_DEBT_COUNT);
+    }
+
     /// Time until there is a token; `None` if there never will be at this rate.
     #[must_use]
     pub fn time_until_token(mut self, now: Duration) -> Option<Duration> {
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -8,7 +8,7 @@
     self::outages::Outage,
     crate::{
         AnnouncedLimit, HolderRecord, Item, ItemName, LoadingRecord, MemberRecord, RecentVersion,
-        known_targets::KnownTargets,
+        known_targets::{KnownTargets, Writing},
     },
     balance::rendezvous,
     catalog::{InstanceId, ModelId, Revision},
@@ -114,10 +114,16 @@
                 wanted.add(version, since, now);
             }
             Item::Recent(record) => self.mark_recent(id, &record, now),
-            Item::Target(record) => match self.restored_until.filter(|until| now < *until) {
-                Some(until) => self.targets.put_restored(id, record, until, now),
-                None => self.targets.put(id, record, now),
-            },
+            Item::Target(record) => {
+                let writing = Writing {
+                    revision,
+                    after: self.confirmed_at,
+                };
+                match self.restored_until.filter(|until| now < *until) {
+                    Some(until) => self.targets.put_restored(id, record, writing, until, now),
+                    None => self.targets.put(id, record, writing, now),
+                }
+            }
             Item::Limit(record) => self.targets.put_limit(id, record.limit_per_s, now),
             Item::Member(record) => {
                 self.put_member(id, record, now);
@@ -358,7 +364,8 @@
         self.targets.at(address)
     }
 
-    /// Builds the view that the request path works with. Before the first confirmation its age is
+    /// Builds the view that the request path works with, with ready instances that are known since `now`.
+    /// Before the first confirmation its age is
     /// unknown and counts as zero; the age is only logged.
     #[must_use]
     pub fn view(&self, now: Duration) -> View {
@@ -386,6 +393,7 @@
             quarantine: self.quarantine.clone(),
             instances_count: u32::try_from(instances_count).unwrap_or(u32::MAX),
             instance_seeds,
+            instances_since: now,
             peers: peers.collect(),
             confirmed_at: self.confirmed_at.unwrap_or(now),
             shutdown: self.shutdown(),
--- a/crates/entry/src/known_targets.rs
+++ b/crates/entry/src/known_targets.rs
@@ -3,8 +3,8 @@
 use {
     crate::TargetRegistration,
     balance::rendezvous,
-    catalog::TargetId,
-    relay::{TargetState, TargetStats},
+    catalog::{Revision, TargetId},
+    relay::{RegisteredCold, TargetState, TargetStats},
     routes::PoolId,
     std::{
         collections::{BTreeMap, HashMap},
@@ -35,6 +35,15 @@
     until: Duration,
 }
 
+/// When a registration was written.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Writing {
+    /// Revision at which it was written.
+    pub(crate) revision: Revision,
+    /// Time after which it was written; `None` if it may have been written at any time.
+    pub(crate) after: Option<Duration>,
+}
+
 /// A limit of a target that an instance has announced.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AnnouncedLimit {
@@ -61,9 +70,32 @@
 impl KnownTargets {
     /// Adds or updates a target. If the start time or the address has changed, the target has
     /// restarted under the same id, so what calls observed of it before no longer applies.
-    pub(crate) fn put(&mut self, id: &str, record: TargetRegistration, now: Duration) {
+    pub(crate) fn put(
+        &mut self,
+        id: &str,
+        record: TargetRegistration,
+        writing: Writing,
+        now: Duration,
+    ) {
+        let registered_cold = RegisteredCold {
+            cold_left: record.cold_left,
+            revision: writing.revision,
+            written_after: writing.after,
+            may_be_older_copy: false,
+        };
+        self.apply(id, record, registered_cold, now);
+    }
+
+    fn apply(
+        &mut self,
+        id: &str,
+        record: TargetRegistration,
+        registered_cold: RegisteredCold,
+        now: Duration,
+    ) {
         let call_stats = self.same_start_stats(id, &record);
         let call_stats = call_stats.unwrap_or_else(|| self.new_stats(id, now));
+        call_stats.register_cold(registered_cold, now);
         self.departed.remove(id);
         let state = TargetState {
             id: id.to_owned(),
@@ -92,6 +124,7 @@
         &mut self,
         id: &str,
         mut record: TargetRegistration,
+        writing: Writing,
         until: Duration,
         now: Duration,
     ) {
@@ -105,7 +138,13 @@
             .registered_or_departed(id)
             .is_some_and(|state| state.draining && state.started_unix_ms == record.started_unix_ms);
         record.leaving |= was_leaving;
-        self.put(id, record, now);
+        let registered_cold = RegisteredCold {
+            cold_left: record.cold_left,
+            revision: writing.revision,
+            written_after: None,
+            may_be_older_copy: true,
+        };
+        self.apply(id, record, registered_cold, now);
     }
 
     /// Applies the deletion of a registration. With `expires_at`, the target stays until then, since it
@@ -238,9 +277,12 @@
         is_same_start.then(|| state.call_stats.clone())
     }
 
-    /// Creates the stats of a target that no call was sent to, with its announced limit.
+    /// Creates the stats of a target that no call was sent to, with its announced limit. If it replaces
+    /// a process of the same id, it takes over the share of what that bears while it is cold.
     fn new_stats(&self, id: &str, now: Duration) -> Arc<TargetStats> {
-        let call_stats = TargetStats::default();
+        let replaced = self.get(id);
+        let call_stats = replaced.map(|state| state.call_stats.of_new_process());
+        let call_stats = call_stats.unwrap_or_default();
         if let Some(limit) = self.announced_limit(id) {
             call_stats.announce_limit(limit.limit_per_s, now);
         }
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -41,6 +41,7 @@
         regions: settings.regions.clone(),
         instance_seed: shared.instance_seed(),
         retry_bounds: settings.retries,
+        cold_allowance: settings.cold_allowance,
         stale_weights_grace: settings.version_bound.mul_f64(OLD_WEIGHTS_SHARE),
         max_buffered_bytes: settings.memory_bytes / 4,
     };
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of an entry instance, read from its JSON settings file.
 
 use {
-    balance::RetryBounds,
+    balance::{ColdAllowance, RetryBounds},
     catalog::{FailureDomainId, InstanceId, RegionId},
     routes::Regions,
     serde::Deserialize,
@@ -64,6 +64,8 @@
     retries_per_call: f64,
     retry_window_s: f64,
     retry_slack_count: f64,
+    cold_overage_factor: Option<f64>,
+    cold_slack_count: Option<f64>,
 }
 
 /// Validated settings of an entry instance.
@@ -110,6 +112,8 @@
     pub min_lease: Duration,
     /// Retry budget, shared by all instances.
     pub retries: RetryBounds,
+    /// How far one second may exceed what cold targets bear; `None` if their calls are not bounded.
+    pub cold_allowance: Option<ColdAllowance>,
 }
 
 impl Settings {
@@ -151,6 +155,7 @@
         let link_mbps = raw.link_mbps.map(|it| positive("link_mbps", it));
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let link_bits_per_s = link_mbps.transpose()?.map(|it| (it * 1e6) as u64);
+        let cold_allowance = cold_allowance(raw.cold_overage_factor, raw.cold_slack_count)?;
         Ok(Self {
             instance: raw.instance,
             region: raw.region,
@@ -177,6 +182,7 @@
                 window: seconds("retry_window_s", raw.retry_window_s)?,
                 slack_count: positive("retry_slack_count", raw.retry_slack_count)?,
             },
+            cold_allowance,
         })
     }
 }
@@ -189,6 +195,28 @@
     ValueSnafu { name, problem }.fail()
 }
 
+fn not_negative(name: &'static str, value: f64) -> Result<f64, SettingsError> {
+    if value.is_finite() && value >= 0.0 {
+        return Ok(value);
+    }
+    let problem = "negative";
+    ValueSnafu { name, problem }.fail()
+}
+
+/// Takes the value that adds nothing for one that is missing, since the lower bound is the safe one.
+fn cold_allowance(
+    overage_factor: Option<f64>,
+    slack_count: Option<f64>,
+) -> Result<Option<ColdAllowance>, SettingsError> {
+    if overage_factor.is_none() && slack_count.is_none() {
+        return Ok(None);
+    }
+    Ok(Some(ColdAllowance {
+        overage_factor: not_negative("cold_overage_factor", overage_factor.unwrap_or(1.0))?,
+        slack_count: not_negative("cold_slack_count", slack_count.unwrap_or(0.0))?,
+    }))
+}
+
 fn seconds(name: &'static str, value: f64) -> Result<Duration, SettingsError> {
     let value = positive(name, value)?;
     Duration::try_from_secs_f64(value).map_err(|_| SettingsError::Value {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -13,7 +13,9 @@
     keyvalue::{Incarnation, KeyValue, KvError},
     meters::Meters,
     quarantine::{CrashId, SuspectKey},
-    relay::{HeaderFormat, RelayState, TargetState, boot_time, record_report},
+    relay::{
+        HeaderFormat, RelayState, TargetState, View, boot_time, record_report, update_cold_shares,
+    },
     routes::RouteConfig,
     std::{
         collections::{BTreeMap, HashMap},
@@ -305,7 +307,16 @@
     pub(crate) fn publish(&self) {
         let known = self.known();
         self.log_ready_instances(&known);
-        let view = Arc::new(known.view(boot_time()));
+        let now = boot_time();
+        let mut view = known.view(now);
+        let before = self.relay_state.view();
+        if has_same_grants(&before, &view) {
+            view.instances_since = before.instances_since;
+        }
+        if let Some(allowance) = self.settings.cold_allowance {
+            update_cold_shares(&view, allowance, self.instance_seed(), now);
+        }
+        let view = Arc::new(view);
         self.relay_state.stream_origins.observe(&view);
         self.relay_state.view.store(view);
         let members = known.ready_members().into_iter();
@@ -413,6 +424,12 @@
     }
 }
 
+/// Whether two views divide what is granted to all instances in the same way.
+fn has_same_grants(before: &View, after: &View) -> bool {
+    before.instance_seeds == after.instance_seeds
+        && before.configuration_version() == after.configuration_version()
+}
+
 /// The suspect that an item is about, if any.
 fn item_suspect(name: &ItemName) -> Option<SuspectKey> {
     match name {
--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -21,9 +21,10 @@
     target::IncarnationProbe,
 };
 
-/// Plain-text formats. The keys are `operators/configuration` (value: a version, and the addresses of
-/// stores of cached parts), `operators/version/MODEL` (a version) and `targets/NAME` (`ADDRESS VERSION`, and
-/// the version of its software, its start time, `leaving` or `-`, and its number of places, if there are any).
+/// Plain-text formats. The keys are `operators/configuration` (value: a version, and `cold=` with the calls
+/// per second of a cold target or the addresses of stores of cached parts), `operators/version/MODEL` (a
+/// version) and `targets/NAME` (`ADDRESS VERSION`, and the version of its software, its start time, `leaving`
+/// or `-`, its number of places, and the milliseconds for which it stays cold, if there are any).
 #[derive(Clone, Debug, Default)]
 pub struct Formats {
     /// Address at which the instance finds every target in place of its own, while it is cut off.
@@ -76,6 +77,15 @@
     }
 }
 
+/// The pool of the targets, which bear `calls_per_s` while they are cold.
+fn cold_pool(calls_per_s: &str) -> Pool {
+    Pool {
+        name: "pool".to_owned(),
+        cold_calls_per_s: Some(calls_per_s.parse().unwrap()),
+        ..Pool::default()
+    }
+}
+
 /// A part of a prompt, written `ID` or `ID:TOKENS`.
 fn parse_part(text: &str) -> Part {
     let (id, tokens) = text.split_once(':').unwrap_or((text, "1"));
@@ -196,7 +206,11 @@
                 let version = fields.next().unwrap().parse().unwrap();
                 let mut config = RouteConfig::default().version(version);
                 config = config.routes(routes()).accounts(accounts());
-                for pool in fields.map(store_pool) {
+                let pools = fields.map(|field| match field.strip_prefix("cold=") {
+                    Some(calls_per_s) => cold_pool(calls_per_s),
+                    None => store_pool(field),
+                });
+                for pool in pools {
                     config.pools.insert(pool.name.clone(), pool);
                 }
                 Item::Configuration(Box::new(config))
@@ -219,6 +233,9 @@
                 if let Some(slots_count) = fields.next() {
                     entry.slots_count = slots_count.parse().unwrap();
                 }
+                if let Some(cold_ms) = fields.next() {
+                    entry.cold_left = Duration::from_millis(cold_ms.parse().unwrap());
+                }
                 Item::Target(entry)
             }
         })
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -19,6 +19,8 @@
     /// Number of calls that this instance might have in flight there for that reason; `None` if no
     /// bound was known.
     pub places_count: Option<u32>,
+    /// Whether the target was or might be cold, so that its calls were bounded.
+    pub is_cold: bool,
     /// Number of targets that could have been chosen.
     pub candidates_count: usize,
     /// Version of the target's software, as registered when it was chosen.
@@ -76,7 +78,8 @@
     /// Instance to which the call was passed on last; empty if to none.
     pub forwarded_to: String,
     /// Why it was passed on: `no_target_reached`, or `no_place` if targets bear few refusals and this
-    /// instance may use no free place there; empty if it was not.
+    /// instance may use no free place there, or only cold targets are left of which other instances use
+    /// all that they bear; empty if it was not.
     pub forward_reason: &'static str,
     /// Route; empty if none matched.
     pub route: String,
@@ -112,6 +115,9 @@
     pub view_age_ms: u64,
     /// Number of instances known to share the retry budget.
     pub instances_count: u32,
+    /// Number of targets that were passed over since they were or might be cold and this instance might
+    /// send them no call, in the choice that found no target; otherwise 0.
+    pub cold_targets_count: u32,
     /// Id of the part because of which the call was refused, since it crashed targets; otherwise
     /// empty.
     pub quarantined_part: String,
--- a/crates/relay/src/call_attempts.rs
+++ b/crates/relay/src/call_attempts.rs
@@ -62,6 +62,7 @@
                 Ok(picked) => picked,
                 Err(no_target) => {
                     self.has_no_place = no_target.has_no_place;
+                    recorder.line.cold_targets_count = no_target.cold_targets_count;
                     last_declined = no_target.declined.unwrap_or(last_declined);
                     break;
                 }
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -76,6 +76,7 @@
             own_in_flight_count: picked.own_in_flight_count,
             max_refusals_per_s: picked.refusal_bound.map(|it| it.max_refusals_per_s),
             places_count: picked.refusal_bound.map(|it| it.places_count),
+            is_cold: picked.is_cold,
             candidates_count: picked.candidates_count,
             software_version: picked.target.software_version.clone(),
             version: weights.version,
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::{
-        Declined, HeaderFormat, Reason, TargetState, View,
+        ColdPool, Declined, HeaderFormat, Reason, TargetState, View,
         active_call::ActiveCall,
+        boot_time,
         pick::{PickContext, PickedTarget, has_origin, has_other_software, pick},
         pool_bounds::PoolBound,
+        reach::Reach,
         refusal::{NO_TARGET_RETRY_AFTER, OVERLOADED_RETRY_AFTER},
         target_conditions::{CallContext, Obstacle},
         target_limit::Senders,
@@ -18,8 +20,11 @@
 pub(crate) struct NoTarget {
     /// What the caller is told; `None` if the reason is not known.
     pub(crate) declined: Option<Declined>,
-    /// Whether a target bears few refusals, and this instance has no free place there.
+    /// Whether a target bears few refusals, and this instance has no free place there, or only cold
+    /// targets are left of which other instances use all that they bear.
     pub(crate) has_no_place: bool,
+    /// Number of targets that were passed over since they are or may be cold.
+    pub(crate) cold_targets_count: u32,
 }
 
 impl<Format> ActiveCall<Format>
@@ -37,7 +42,9 @@
                 let Some(picked) = choice.picked else {
                     return Err(NoTarget {
                         declined: self.no_target_refusal(context, choice.wait),
-                        has_no_place: choice.passed_over.has(Obstacle::RefusalBound),
+                        has_no_place: choice.passed_over.has(Obstacle::RefusalBound)
+                            || choice.has_no_cold_share,
+                        cold_targets_count: choice.passed_over.count(Obstacle::Cold),
                     });
                 };
                 let call = context.target_context(&picked.target);
@@ -53,24 +60,32 @@
     /// Records that a target refused the call for want of room.
     pub(crate) fn record_refusal(&self, target: &TargetState) {
         let view = self.inner.state.view();
-        let call = CallContext::new(target, self.senders(&view), self.pool_bound());
+        let cold_pool = self.cold_pool(&view);
+        let call = CallContext::new(target, self.senders(&view), self.pool_bound(), cold_pool);
         target.call_stats.record_refusal(&call);
     }
 
-    /// Rendezvous seeds of the instances that may use places of targets which bear few refusals.
+    /// Rendezvous seeds of the instances that may use places of targets which bear few refusals, or
+    /// send calls to cold targets.
     pub(crate) fn place_holders(&self) -> HashSet<u64> {
         let view = self.inner.state.view();
         let (senders, pool_bound) = (self.senders(&view), self.pool_bound());
+        let cold_pool = self.cold_pool(&view);
         let reach = self.reach(&view);
         let targets = reach.targets(&self.pool);
         let open = targets.filter(|target| !target.is_leaving());
-        let bounded = open.filter_map(|target| {
-            let call = CallContext::new(target, senders, pool_bound);
-            target.call_stats.places(&call)
-        });
-        bounded
-            .flat_map(|places| places.senders(senders.instance_seeds))
-            .collect()
+        let mut holders = HashSet::new();
+        for target in open {
+            let call = CallContext::new(target, senders, pool_bound, cold_pool);
+            if let Some(places) = target.call_stats.places(&call) {
+                holders.extend(places.senders(senders.instance_seeds));
+            }
+            if let Some(pool) = cold_pool.filter(|pool| pool.is_cold(target, call.now)) {
+                let bound = pool.bound(target.seed);
+                holders.extend(bound.senders(senders.instance_seeds));
+            }
+        }
+        holders
     }
 
     /// The instances among which limits and places are divided.
@@ -81,6 +96,13 @@
         }
     }
 
+    /// What cold targets of the call's pool bear; `None` if their calls are not bounded.
+    fn cold_pool<'view>(&self, view: &'view View) -> Option<ColdPool<'view>> {
+        let settings = &self.inner.settings;
+        let allowance = settings.cold_allowance?;
+        ColdPool::new(view, &self.pool, allowance, settings.instance_seed)
+    }
+
     /// Refusals that a target of the call's pool has lately said it bears.
     fn pool_bound(&self) -> Option<PoolBound> {
         self.inner.pool_bounds.recent(&self.pool)
@@ -119,6 +141,26 @@
         self.with_pick_context(|view, context| pick(view, &self.pool, context).picked.is_some())
     }
 
+    /// Records which targets that bear few calls while they are cold may have restarted, since they have
+    /// ended idle connections.
+    fn note_lost_connections(&self, reach: &Reach<'_>) {
+        let now = boot_time();
+        for target in reach.targets(&self.pool) {
+            if self.inner.client.has_lost_idle(target.address) {
+                target.call_stats.record_unreached(now);
+            }
+        }
+    }
+
+    /// Records that all targets of the pool may restart while this instance reaches none of them.
+    pub(crate) fn note_unreached_pool(&self) {
+        let view = self.inner.state.view();
+        let now = boot_time();
+        for target in self.reach(&view).targets(&self.pool) {
+            target.call_stats.record_unreached(now);
+        }
+    }
+
     /// Calls `choose` with the current view and the other inputs of a choice.
     fn with_pick_context<Choice, Choose>(&self, choose: Choose) -> Choice
     where
@@ -132,6 +174,10 @@
         let senders = self.senders(&view);
         let reach = self.reach(&view);
         let software_version = self.origin.software_version();
+        let cold_pool = self.cold_pool(&view);
+        if cold_pool.is_some() {
+            self.note_lost_connections(&reach);
+        }
         let context = PickContext {
             call: &self.admitted.call,
             reach: &reach,
@@ -148,6 +194,7 @@
                 .is_some_and(|version| has_other_software(&view, &self.pool, version)),
             senders,
             pool_bound: self.pool_bound(),
+            cold_pool,
         };
         choose(&view, &context)
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,8 @@
 mod call_origin;
 mod call_recorder;
 mod choose_target;
+mod cold_pool;
+mod cold_state;
 mod crash_check;
 mod discard_body;
 mod ending_calls;
@@ -87,6 +89,8 @@
     attempt::AttemptOutcome,
     boot_clock::boot_time,
     call::{BadCall, Call, Part, PartId, Prompt},
+    cold_pool::{ColdPool, update_cold_shares},
+    cold_state::RegisteredCold,
     header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata},
     limit_observation::LimitObservation,
     not_run::{NotRun, NotSent},
--- a/crates/relay/src/observations.rs
+++ b/crates/relay/src/observations.rs
@@ -53,6 +53,11 @@
         {
             news.push(NewStatement::Backoff(delay));
         }
+        if let Some(Stated::Valid(cold_left)) = statements.cold_left
+            && conditions.cold.state(cold_left, now)
+        {
+            news.push(NewStatement::Cold(cold_left));
+        }
         news
     }
 
--- a/crates/relay/src/pass_on.rs
+++ b/crates/relay/src/pass_on.rs
@@ -24,6 +24,7 @@
     ) -> Result<TargetAnswer, Unanswered> {
         self.has_other_way = source == CallSource::Instance || self.has_peers();
         let answered = if self.is_cut_off() {
+            self.note_unreached_pool();
             let declined = Declined::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER);
             Err(declined.into())
         } else {
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Call, Prompt, TargetState, View, WantedVersions, boot_time,
+        Call, ColdPool, Prompt, TargetState, View, WantedVersions, boot_time,
         pool_bounds::PoolBound,
         reach::Reach,
         refusal::OVERLOADED_RETRY_AFTER,
@@ -49,12 +49,20 @@
     pub(crate) senders: Senders<'call>,
     /// Refusals that a target of the pool has lately said it bears.
     pub(crate) pool_bound: Option<PoolBound>,
+    /// What cold targets of the pool bear; `None` if their calls are not bounded.
+    pub(crate) cold_pool: Option<ColdPool<'call>>,
 }
 
 impl<'call> PickContext<'call> {
     /// What the statements of `target` are weighed against at the moment.
     pub(crate) fn target_context(&self, target: &TargetState) -> CallContext<'call> {
-        CallContext::new(target, self.senders, self.pool_bound)
+        CallContext::new(target, self.senders, self.pool_bound, self.cold_pool)
+    }
+
+    /// Whether `target` is or may be cold, so that its calls are bounded.
+    fn is_cold(&self, target: &TargetState) -> bool {
+        let now = boot_time();
+        self.cold_pool.is_some_and(|pool| pool.is_cold(target, now))
     }
 }
 
@@ -70,6 +78,8 @@
     pub(crate) own_in_flight_count: u32,
     /// Bound on the target's refusals; `None` if none is known.
     pub(crate) refusal_bound: Option<KnownBound>,
+    /// Whether the target was or might be cold.
+    pub(crate) is_cold: bool,
     /// Number of targets that were eligible.
     pub(crate) candidates_count: usize,
     /// Weights that the call is expected to run on, and the wanted version.
@@ -101,17 +111,23 @@
     pub(crate) passed_over: PassedOver,
     /// Time until one of these may take the call; `None` if there are none, or it is not known.
     pub(crate) wait: Option<Duration>,
+    /// Whether targets were passed over since they are cold, and other instances use all that they
+    /// bear.
+    pub(crate) has_no_cold_share: bool,
 }
 
 /// Chooses a target of `pool`.
 ///
 /// Targets that are paused or load weights are used only if there are no others. Even ejected
-/// targets are used as a last resort, since trying them is better than refusing the call. Never
+/// targets are used as a last resort, since trying them is better than refusing the call. Cold targets
+/// are used, within what they bear, if no warm one has a free slot. Never
 /// used are targets that are draining, were tried already, run other software than the one that
 /// began the call's stream, have outdated weights, or have stated something that forbids the call.
 pub(crate) fn pick(view: &View, pool: &str, context: &PickContext<'_>) -> Choice {
     let mut usable = Vec::new();
     let mut returning = Vec::new();
+    let mut cold = Vec::new();
+    let mut has_cold_share = false;
     let mut passed_over = PassedOver::default();
     let mut waits = Vec::new();
     for target in context.reach.targets(pool) {
@@ -126,9 +142,11 @@
             NextCall::Now if was_tried => waits.push(OVERLOADED_RETRY_AFTER),
             NextCall::Now if is_outdated => {}
             NextCall::Now if is_before_return => returning.push(target),
+            NextCall::Now if context.is_cold(target) => cold.push(target),
             NextCall::Now => usable.push(target),
             NextCall::Later { obstacle, wait } => {
                 passed_over.record(obstacle);
+                has_cold_share |= obstacle == Obstacle::Cold && wait.is_some();
                 waits.extend(wait);
             }
         }
@@ -136,6 +154,13 @@
     let is_preferred = |target: &&Arc<TargetState>| {
         is_available(view, target, context) && is_healthy(target, context)
     };
+    let has_free_slot = |target: &&Arc<TargetState>| {
+        in_flight_count(view, target, context) < f64::from(target.slots_count)
+    };
+    let is_warm_free = |target| is_preferred(target) && has_free_slot(target);
+    if !usable.iter().any(is_warm_free) {
+        usable.append(&mut cold);
+    }
     if !returning.is_empty() && usable.iter().any(is_preferred) {
         for _ in returning {
             passed_over.record(Obstacle::Return);
@@ -146,6 +171,7 @@
     Choice {
         picked: pick_usable(view, usable, context),
         wait: waits.into_iter().min().filter(|_| !passed_over.is_empty()),
+        has_no_cold_share: passed_over.has(Obstacle::Cold) && !has_cold_share,
         passed_over,
     }
 }
@@ -199,6 +225,7 @@
         refusal_bound: eligible[index]
             .call_stats
             .refusal_bound(&context.target_context(eligible[index])),
+        is_cold: context.is_cold(eligible[index]),
         candidates_count: candidates.len(),
         weights: picked_weights(view, eligible[index], context),
     })
--- a/crates/relay/src/pool_probe.rs
+++ b/crates/relay/src/pool_probe.rs
@@ -1,14 +1,14 @@
 //! The question which process of a target answers at its address.
 
 use {
-    crate::{HeaderFormat, TargetState},
-    routes::{Pool, PoolId},
+    crate::{HeaderFormat, TargetState, boot_time},
+    routes::{Pool, PoolId, PoolKind},
     std::collections::BTreeMap,
     target::IncarnationProbe,
 };
 
 /// Asks `target` of `pool` which process it is, at the health path of its pool if it has no report; `None` if it
-/// cannot be asked.
+/// cannot be asked. A health check counts as a call to a cold target, a report does not.
 pub(crate) fn incarnation_probe<Format>(
     header_format: &Format,
     target: &TargetState,
@@ -18,6 +18,11 @@
 where
     Format: HeaderFormat,
 {
-    let health_path = pools.get(pool).map_or("", |it| it.health_path.as_str());
-    header_format.incarnation_probe(target, health_path)
+    let pool = pools.get(pool);
+    let health_path = pool.map_or("", |it| it.health_path.as_str());
+    let probe = header_format.incarnation_probe(target, health_path)?;
+    if pool.is_some_and(|it| it.kind == PoolKind::Service) {
+        target.call_stats.charge_cold(boot_time());
+    }
+    Some(probe)
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -21,7 +21,7 @@
         unframed_pools::UnframedPools,
     },
     arc_swap::ArcSwap,
-    balance::{PeerLoads, RetryBounds},
+    balance::{ColdAllowance, PeerLoads, RetryBounds},
     bytes::Bytes,
     catalog::FailureDomainId,
     eventlog::EventLog,
@@ -51,6 +51,8 @@
     pub instance_seed: u64,
     /// Limits of the retry budget of each pool, summed over all instances.
     pub retry_bounds: RetryBounds,
+    /// How far one second may exceed what cold targets bear; `None` sends them calls without a bound.
+    pub cold_allowance: Option<ColdAllowance>,
     /// Time after a newer version is requested during which older weights may still be used.
     pub stale_weights_grace: Duration,
     /// Maximum size of all request bodies buffered at the same time, in bytes. Answers that are read
@@ -65,6 +67,7 @@
             regions: Regions::default(),
             instance_seed: 0,
             retry_bounds: RetryBounds::default(),
+            cold_allowance: None,
             stale_weights_grace: Duration::from_secs(7),
             max_buffered_bytes: 32 << 20,
         }
--- a/crates/relay/src/statement_log.rs
+++ b/crates/relay/src/statement_log.rs
@@ -41,6 +41,7 @@
         let (name, value, for_ms) = match statement {
             NewStatement::Leaving => ("leaving", String::new(), None),
             NewStatement::Backoff(delay) => ("backoff", String::new(), Some(millis(delay))),
+            NewStatement::Cold(left) => ("cold", String::new(), Some(millis(left))),
             NewStatement::Limit(limit_per_s) => ("limit", rate_text(limit_per_s), None),
             NewStatement::MaxRefusals(per_s) => ("max_refusals", rate_text(per_s), None),
             NewStatement::Malformed(header) => {
--- a/crates/relay/src/target_conditions.rs
+++ b/crates/relay/src/target_conditions.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        TargetState, boot_time,
+        ColdPool, TargetState, boot_time,
+        cold_state::ColdState,
         pool_bounds::PoolBound,
         refusal_bound::RefusalBound,
         requested_backoff::RequestedBackoff,
@@ -21,6 +22,8 @@
     Backoff,
     /// Its limit allows this instance no call.
     Limit,
+    /// It is or may be cold, and this instance has no share of what it bears, or has used it.
+    Cold,
     /// It bears few refusals, and has refused a call lately or has no place for one of this instance.
     RefusalBound,
     /// Its backoff is over, but other instances return to it first.
@@ -29,10 +32,11 @@
 
 impl Obstacle {
     /// All obstacles, in the order of [`PassedOver`].
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Leaving,
         Self::Backoff,
         Self::Limit,
+        Self::Cold,
         Self::RefusalBound,
         Self::Return,
     ];
@@ -43,6 +47,7 @@
             Self::Leaving => "leaving",
             Self::Backoff => "backoff",
             Self::Limit => "limit",
+            Self::Cold => "cold",
             Self::RefusalBound => "refusal_bound",
             Self::Return => "return",
         }
@@ -63,7 +68,12 @@
 
     /// Whether a target was passed over because of `obstacle`.
     pub(crate) fn has(&self, obstacle: Obstacle) -> bool {
-        self.counts[obstacle as usize] > 0
+        self.count(obstacle) > 0
+    }
+
+    /// Number of targets that were passed over because of `obstacle`.
+    pub(crate) fn count(&self, obstacle: Obstacle) -> u32 {
+        self.counts[obstacle as usize]
     }
 
     /// Whether no target was counted.
@@ -102,6 +112,8 @@
     pub(crate) senders: Senders<'view>,
     /// Refusals that another target of the pool has lately said it bears.
     pub(crate) pool_bound: Option<PoolBound>,
+    /// What cold targets of the pool bear; `None` if their calls are not bounded.
+    pub(crate) cold_pool: Option<ColdPool<'view>>,
     /// Time by [`crate::boot_time`].
     pub(crate) now: Duration,
 }
@@ -112,12 +124,14 @@
         target: &TargetState,
         senders: Senders<'view>,
         pool_bound: Option<PoolBound>,
+        cold_pool: Option<ColdPool<'view>>,
     ) -> Self {
         Self {
             target_seed: target.seed,
             slots_count: target.slots_count,
             senders,
             pool_bound,
+            cold_pool,
             now: boot_time(),
         }
     }
@@ -136,6 +150,8 @@
     pub(crate) limit: Option<TargetLimit>,
     /// Refusals that the target bears.
     pub(crate) refusal_bound: RefusalBound,
+    /// How long the target stays cold.
+    pub(crate) cold: ColdState,
 }
 
 impl TargetConditions {
@@ -153,6 +169,10 @@
             let wait = self.refusal_bound.spared_for(call.now);
             return later(Obstacle::RefusalBound, wait);
         }
+        let wait = self.time_until_cold_allows(call);
+        if wait != Some(Duration::ZERO) {
+            return later(Obstacle::Cold, wait);
+        }
         let wait = self.time_until_limit_allows(call);
         if wait != Some(Duration::ZERO) {
             return later(Obstacle::Limit, wait);
@@ -179,14 +199,31 @@
         if self.refusal_bound.forbids_call(call, in_flight_count) {
             return false;
         }
+        if self.time_until_cold_allows(call) != Some(Duration::ZERO) {
+            return false;
+        }
         let limit = self.limit.as_mut();
         if !limit.is_none_or(|it| it.try_take(call.target_seed, call.senders, call.now)) {
             return false;
         }
+        if let Some(pool) = &call.cold_pool
+            && !self.cold.try_take(pool, call.target_seed, call.now)
+        {
+            return false;
+        }
         self.backoff.take();
         true
     }
 
+    /// Time until what the target bears while it is cold allows a call; `None` if this instance has no
+    /// share of it.
+    fn time_until_cold_allows(&mut self, call: &CallContext<'_>) -> Option<Duration> {
+        match &call.cold_pool {
+            Some(pool) => self.cold.time_until_call(pool, call.target_seed, call.now),
+            None => Some(Duration::ZERO),
+        }
+    }
+
     /// Time until the limit allows a call; `None` if other instances use the whole limit.
     fn time_until_limit_allows(&mut self, call: &CallContext<'_>) -> Option<Duration> {
         match &mut self.limit {
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -111,7 +111,11 @@
                 picked.target.call_stats.record_disconnect(boot_time());
                 CallOutcome::Failed
             }
-            AttemptOutcome::NotSent(..) | AttemptOutcome::Unknown { .. } => CallOutcome::Failed,
+            AttemptOutcome::NotSent(..) => {
+                picked.target.call_stats.record_unreached(boot_time());
+                CallOutcome::Failed
+            }
+            AttemptOutcome::Unknown { .. } => CallOutcome::Failed,
         };
         self.record_outcome(picked, outcome, &describe_outcome(attempt_outcome));
     }
--- a/crates/relay/src/target_statements.rs
+++ b/crates/relay/src/target_statements.rs
@@ -77,6 +77,8 @@
     Leaving,
     /// It wants no calls for this time.
     Backoff(Duration),
+    /// It stays cold for this time.
+    Cold(Duration),
     /// Its limit in calls per second; `None` if it has none any more.
     Limit(Option<f64>),
     /// The refusals per second that it bears; `None` if it states no bound any more.
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        LimitObservation, NewStatement, TargetStatements,
+        ColdPool, LimitObservation, NewStatement, RegisteredCold, TargetStatements,
+        cold_state::RESTART_NEWS_TIME,
         observations::Observations,
         refusal_bound::KnownBound,
         target_conditions::{CallContext, NextCall},
@@ -22,9 +23,6 @@
 /// has ended may be older than the answer.
 const LIMIT_END_DELAY: Duration = Duration::from_millis(500);
 
-/// Time from the restart of a target under its id until its new registration is known.
-const RESTART_NEWS_TIME: Duration = Duration::from_millis(2_500);
-
 /// What this instance has observed of a target by its own calls. Shared by successive views.
 ///
 /// Times are relative to the start of the relay.
@@ -35,6 +33,54 @@
 }
 
 impl TargetStats {
+    /// Stats of a process that has replaced the one of these stats, under the same id.
+    #[must_use]
+    pub fn of_new_process(&self) -> Self {
+        let mut observations = Observations::default();
+        observations.conditions.cold = self.lock().conditions.cold.of_new_process();
+        Self {
+            in_flight_count: AtomicU32::default(),
+            observations: Mutex::new(observations),
+        }
+    }
+
+    /// Applies what the target's registration, known from `now` on, states of how long it stays cold.
+    pub fn register_cold(&self, registered: RegisteredCold, now: Duration) {
+        self.lock().conditions.cold.register(registered, now);
+    }
+
+    /// Records that no connection to the target could be opened at `now`: it may be restarting.
+    pub(crate) fn record_unreached(&self, now: Duration) {
+        self.lock().conditions.cold.suspect_restart(now);
+    }
+
+    /// Counts a request to the target besides calls, such as a health check.
+    pub(crate) fn charge_cold(&self, now: Duration) {
+        self.lock().conditions.cold.charge(now);
+    }
+
+    /// Whether the target is or may be cold.
+    pub(crate) fn is_cold(&self, pool: &ColdPool<'_>, now: Duration) -> bool {
+        self.lock().conditions.cold.is_cold(pool, now)
+    }
+
+    /// See [`ColdPool::try_take`].
+    pub(crate) fn try_take_cold(
+        &self,
+        pool: &ColdPool<'_>,
+        target_seed: u64,
+        now: Duration,
+    ) -> bool {
+        let cold = &mut self.lock().conditions.cold;
+        cold.try_take(pool, target_seed, now)
+    }
+
+    /// See [`ColdPool::update_share`].
+    pub(crate) fn update_cold_share(&self, pool: &ColdPool<'_>, target_seed: u64, now: Duration) {
+        let cold = &mut self.lock().conditions.cold;
+        cold.update_share(pool, target_seed, now);
+    }
+
     /// Number of calls that this instance has in flight at the target.
     #[must_use]
     pub fn in_flight_count(&self) -> u32 {
@@ -142,7 +188,9 @@
     /// Records that the target broke off a connection at `now`, by [`crate::boot_time`]: it may have
     /// restarted with other software.
     pub(crate) fn record_disconnect(&self, now: Duration) {
-        self.lock().disconnected_at = Some(now);
+        let mut observations = self.lock();
+        observations.disconnected_at = Some(now);
+        observations.conditions.cold.suspect_restart(now);
     }
 
     /// Whether the target may have restarted since its registration was read. `confirmed_at` is when
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -101,6 +101,9 @@
     pub instances_count: u32,
     /// Rendezvous seeds of the names of the ready instances.
     pub instance_seeds: Arc<[u64]>,
+    /// Since when these have been the ready instances, and the configuration has been in force, by
+    /// [`boot_time`].
+    pub instances_since: Duration,
     /// Ready instances that answer calls of others, including this one.
     pub peers: Arc<[Peer]>,
     /// When the key-value service last confirmed that the view is current, by [`boot_time`].
@@ -119,6 +122,7 @@
             quarantine: Arc::default(),
             instances_count: 1,
             instance_seeds: Arc::default(),
+            instances_since: boot_time(),
             peers: Arc::default(),
             confirmed_at: boot_time(),
             shutdown: None,
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -9,7 +9,7 @@
 
 use {
     arc_swap::ArcSwap,
-    balance::{RetryBounds, rendezvous},
+    balance::{ColdAllowance, RetryBounds, rendezvous},
     eventlog::EventLog,
     header_format::TestHeaderFormat,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
@@ -35,6 +35,12 @@
 /// Key of the only client account.
 pub const KEY: &str = "key-of-chain";
 
+/// What the relays allow beyond what cold targets bear. It has no effect on pools without a rate.
+pub const COLD_ALLOWANCE: ColdAllowance = ColdAllowance {
+    overage_factor: 1.5,
+    slack_count: 5.0,
+};
+
 /// A listening relay and the state that it depends on.
 pub struct TestRelay {
     pub address: SocketAddr,
@@ -204,6 +210,7 @@
             failure_domain: "here".to_owned(),
             regions: regions(),
             retry_bounds,
+            cold_allowance: Some(COLD_ALLOWANCE),
             ..RelaySettings::default()
         };
         let relay = Relay::new(
@@ -264,6 +271,19 @@
         self.view.store(Arc::new(changed));
     }
 
+    /// Has the pool state the calls per second that its cold targets bear. `instance_seeds` have been
+    /// ready for long.
+    pub fn bound_cold_calls(&self, calls_per_s: f64, instance_seeds: &[u64]) {
+        let mut view = View::clone(&self.view.load());
+        let mut config = view.route_table.as_ref().unwrap().config().clone();
+        let pool = config.pools.entry("pool".to_owned()).or_default();
+        pool.cold_calls_per_s = Some(calls_per_s);
+        view.route_table = Some(Arc::new(RouteTable::new(config)));
+        view.instance_seeds = instance_seeds.into();
+        view.instances_since = Duration::ZERO;
+        self.view.store(Arc::new(view));
+    }
+
     /// Sets the maximum length of a body.
     pub fn limit_bodies(&self, max_body_bytes: usize) {
         let mut view = View::clone(&self.view.load());
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -34,6 +34,8 @@
 
 /// Idle connections kept for each address.
 const MAX_IDLE_COUNT: usize = 64;
+/// Time since the last use of an idle connection in which a running target does not end it.
+const RECENT_USE_TIME: Duration = Duration::from_secs(2);
 /// Longest wait for the connection beside answers before a request is sent.
 const WITNESS_OPEN_TIME: Duration = Duration::from_millis(300);
 /// Time for the operating system to close all sockets of a process that is killed, from the first one
@@ -146,6 +148,7 @@
 
 struct IdleConnection {
     connection: Connection,
+    idle_since: Instant,
     usable_until: Instant,
 }
 
@@ -294,6 +297,18 @@
         self.lock_idle().remove(&address);
     }
 
+    /// Whether the target at `address` has ended an idle connection that was in use shortly before, so
+    /// that its process may have ended.
+    #[must_use]
+    pub fn has_lost_idle(&self, address: SocketAddr) -> bool {
+        let idle = self.lock_idle();
+        let mut connections = idle.get(&address).into_iter().flatten();
+        connections.any(|it| {
+            let is_recent = it.idle_since.elapsed() < RECENT_USE_TIME;
+            is_recent && it.connection.sender.is_closed() && Instant::now() < it.usable_until
+        })
+    }
+
     /// Keeps a connection for reuse until the idle timeout, or for half the time that the target
     /// keeps it if that is shorter.
     pub(crate) fn put_idle(
@@ -313,6 +328,7 @@
         if connections.len() < MAX_IDLE_COUNT {
             connections.push(IdleConnection {
                 connection,
+                idle_since: Instant::now(),
                 usable_until: Instant::now() + idle_time,
             });
         }
