--- a/crates/entry/tests/support/formats.rs
+++ b/crates/entry/tests/support/formats.rs
@@ -24,9 +24,11 @@
     target::IncarnationProbe,
 };
 
-/// Plain-text formats. The keys are `operators/configuration` (value: a version, and the addresses of
-/// stores of cached parts), `operators/version/MODEL` (a version) and `targets/NAME` (`ADDRESS VERSION`, and
-/// the version of its software, its start time, `leaving` or `-`, and its number of places, if there are any).
+/// Plain-text formats. The keys are `operators/configuration` (value: a version, and `cold=` with the calls
+/// per second of a cold target or the addresses of stores of cached parts), `operators/version/MODEL` (a
+/// version) and `targets/NAME` (`ADDRESS VERSION`, and the version of its software, its start time, `leaving`
+/// or `-`, its number of places, its failure domain, and `cold_ms=` with the milliseconds for which it stays
+/// cold, if there are any).
 #[derive(Clone, Debug, Default)]
 pub struct Formats {
     /// Address at which the instance finds every target in place of its own, while it is cut off.
@@ -91,6 +93,15 @@
     }
 }
 
+/// The pool of the targets, which bear `calls_per_s` while they are cold.
+fn cold_pool(calls_per_s: &str) -> Pool {
+    Pool {
+        name: "pool".to_owned(),
+        cold_calls_per_s: Some(calls_per_s.parse().unwrap()),
+        ..Pool::default()
+    }
+}
+
 /// A part of a prompt, written `ID` or `ID:TOKENS`.
 fn parse_part(text: &str) -> Part {
     let (id, tokens) = text.split_once(':').unwrap_or((text, "1"));
@@ -214,7 +225,11 @@
                 let version = fields.next().unwrap().parse().unwrap();
                 let mut config = RouteConfig::default().version(version);
                 config = config.routes(routes()).accounts(accounts());
-                for pool in fields.map(declared_pool) {
+                let pools = fields.map(|field| match field.strip_prefix("cold=") {
+                    Some(calls_per_s) => cold_pool(calls_per_s),
+                    None => declared_pool(field),
+                });
+                for pool in pools {
                     config.pools.insert(pool.name.clone(), pool);
                 }
                 Item::Configuration(Box::new(config))
@@ -238,8 +253,13 @@
                 if let Some(slots_count) = fields.next() {
                     entry.slots_count = slots_count.parse().unwrap();
                 }
-                if let Some(domain) = fields.next() {
-                    domain.clone_into(&mut entry.failure_domain);
+                for field in fields {
+                    match field.strip_prefix("cold_ms=") {
+                        Some(cold_ms) => {
+                            entry.cold_left = Duration::from_millis(cold_ms.parse().unwrap());
+                        }
+                        None => field.clone_into(&mut entry.failure_domain),
+                    }
                 }
                 Item::Target(entry)
             }
