Instances of a large fleet read one merged feed

With 128 instances, each read the feeds of 127 others, every 1.5 s, and what it knew of the calls in flight said nothing. From MIN_INSTANCES_COUNT ready instances on, an aggregator reads the instances of its failure domain and the merged feed of one aggregator of each other domain, and the other instances read the merged feed of one aggregator of theirs (RPC read_merged), all every 150 ms. An aggregator that does not answer within 0.8 s is left for the other one, from its whole state on. Reads of an instance's own feed (RPC read_places) name their places, and whole states are sent only for those that were added; the RPC read stays for older builds. In such a fleet, places are followed by an instance of their own failure domain, and those of a silent owner by the next one in rendezvous order. The delay between direct reads follows from the present number of instances.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 //! assert_eq!(known.view(Duration::ZERO).pools["engines"][0].id, "engine-1");
 //! ```
 
+mod aggregator_choice;
 mod aggregators;
 mod caller_addresses;
 mod directory;
@@ -29,8 +30,10 @@
 mod known_state;
 mod known_targets;
 mod limit_news;
+mod link_use_reports;
 mod listener;
 mod membership;
+mod merged_follower;
 pub mod obsolete_parts;
 mod order_lock;
 mod orders;
@@ -40,10 +43,12 @@
 mod ownership;
 mod part_freeing;
 mod parts_by_salt;
+mod peer_follower;
 mod peer_watch;
 mod place_follower;
 mod place_watch;
 mod platform;
+mod reading_plan;
 mod recent_versions;
 mod record_lease;
 mod return_pace;
@@ -51,12 +56,14 @@
 mod servers;
 mod settings;
 mod shared;
+mod silences;
 mod start;
 mod suspects;
 mod suspension_detector;
 mod target_probe;
 
 pub use {
+    aggregator_choice::AggregatorChoice,
     aggregators::{Aggregator, Aggregators, MIN_INSTANCES_COUNT},
     caller_addresses::AddressQuery,
     follower_pace::{FollowerPace, MAX_STARTED_COUNT, START_PERIOD},
@@ -73,6 +80,7 @@
         HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, RunningRequests,
         TargetReport, VersionOrder,
     },
+    reading_plan::{FeedSource, ReadingPlan},
     return_pace::ReturnPace,
     settings::{Settings, SettingsError},
     start::{StartError, run},
--- a/crates/entry/src/peer_watch.rs
+++ b/crates/entry/src/peer_watch.rs
@@ -1,33 +1,19 @@
-//! Reads the feeds of the other instances: what they have learned of the stores and engines that
-//! they follow.
+//! Reads the feeds of other instances: what they have learned of the stores and engines that they
+//! follow, and their calls in flight.
 
 use {
-    crate::{Platform, shared::Shared},
-    catalog::InstanceId,
-    feed::{Batch, FeedReader},
-    relay::boot_time,
-    std::{
-        collections::{HashMap, HashSet},
-        net::SocketAddr,
-        sync::Arc,
-        time::Duration,
+    crate::{
+        FeedSource, Platform, ReadingPlan, merged_follower::MergedFollower,
+        peer_follower::PeerFollower, shared::Shared,
     },
+    relay::boot_time,
+    std::{collections::HashMap, sync::Arc},
     supervisor::ChildResult,
-    tokio::{task::JoinSet, time::sleep},
+    tokio::task::JoinSet,
     tokio_util::sync::CancellationToken,
 };
 
-/// Longest time that an instance may hold a request while it has no changes.
-const LONG_POLL_WAIT: Duration = Duration::from_secs(1);
-/// Delay after a failed request.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Delay between requests per known instance, so that the request rate at an instance does not grow
-/// with the number of instances.
-const POLL_DELAY_PER_INSTANCE: Duration = Duration::from_millis(12);
-/// Shortest delay between requests, so that changes arrive in batches.
-const MIN_POLL_DELAY: Duration = Duration::from_millis(60);
-
-/// Reads every other instance's feed until `token` is cancelled.
+/// Reads the feeds that the [`ReadingPlan`] names until `token` is cancelled.
 pub(crate) async fn watch<Kv, Format>(
     shared: Arc<Shared<Kv, Format>>,
     token: CancellationToken,
@@ -36,41 +22,14 @@
     Kv: Send + Sync + 'static,
     Format: Platform,
 {
-    let mut followed: HashMap<(InstanceId, SocketAddr), CancellationToken> = HashMap::new();
-    let mut tasks = JoinSet::new();
+    let mut watch = PeerWatch {
+        shared: shared.clone(),
+        followed: HashMap::new(),
+        tasks: JoinSet::new(),
+    };
     loop {
         let changed = shared.changed.notified();
-        let instances = shared.other_feeds();
-        followed.retain(|(name, address), stop| {
-            let stays = instances.get(name) == Some(address);
-            if !stays {
-                stop.cancel();
-                shared.forget_peer(name);
-            }
-            stays
-        });
-        let poll_delay = MIN_POLL_DELAY.max(POLL_DELAY_PER_INSTANCE * to_u32(instances.len()));
-        for (name, address) in instances {
-            if followed.contains_key(&(name.clone(), address)) {
-                continue;
-            }
-            let stop = CancellationToken::new();
-            followed.insert((name.clone(), address), stop.clone());
-            shared.note_heard(&name, boot_time());
-            let peer = PeerFollower {
-                shared: shared.clone(),
-                name,
-                reader: FeedReader::new(address),
-                poll_delay,
-                link_use: HashMap::new(),
-            };
-            tasks.spawn(async move {
-                tokio::select! {
-                    () = stop.cancelled() => {}
-                    () = peer.run() => {}
-                }
-            });
-        }
+        watch.update();
         tokio::select! {
             () = token.cancelled() => return Ok(()),
             () = changed => {}
@@ -78,79 +37,74 @@
     }
 }
 
-fn to_u32(length: usize) -> u32 {
-    u32::try_from(length).unwrap_or(u32::MAX)
-}
-
-struct PeerFollower<Kv, Format> {
+struct PeerWatch<Kv, Format> {
     shared: Arc<Shared<Kv, Format>>,
-    name: InstanceId,
-    reader: FeedReader,
-    /// Delay between requests.
-    poll_delay: Duration,
-    /// Use of each store's link that the instance reported last.
-    link_use: HashMap<SocketAddr, Duration>,
+    followed: HashMap<FeedSource, CancellationToken>,
+    /// Tasks of the followers, aborted on drop.
+    tasks: JoinSet<()>,
 }
 
-impl<Kv, Format> PeerFollower<Kv, Format>
+impl<Kv, Format> PeerWatch<Kv, Format>
 where
+    Kv: Send + Sync + 'static,
     Format: Platform,
 {
-    async fn run(mut self) {
-        let mut position = None;
-        let mut places = HashSet::new();
-        let mut available = true;
-        loop {
-            let owned = self.shared.ownership.load().places_of(&self.name);
-            if !owned.is_subset(&places) {
-                // Earlier changes to the added places were skipped, so read the whole state again.
-                position = None;
+    /// Brings the followers in line with the ready instances.
+    fn update(&mut self) {
+        let settings = &self.shared.settings;
+        let ready = self.shared.ready_members();
+        let aggregators = self.shared.aggregators.load();
+        let plan = ReadingPlan::new(
+            &ready,
+            &aggregators,
+            &settings.instance,
+            &settings.failure_domain,
+        );
+        if plan.is_aggregator {
+            self.shared.feed.begin_aggregation(boot_time());
+        } else {
+            self.shared.feed.end_aggregation();
+        }
+        let shared = &self.shared;
+        self.followed.retain(|source, stop| {
+            let stays = plan.sources.contains(source);
+            if !stays {
+                stop.cancel();
+                if let FeedSource::Instance(name, _) = source {
+                    shared.forget_peer(name);
+                }
             }
-            places = owned;
-            let requested_at = boot_time();
-            let answer = self.reader.read(position, LONG_POLL_WAIT).await;
-            if answer.is_ok() != available {
-                available = answer.is_ok();
-                let reason = answer.as_ref().err().map(ToString::to_string);
-                let reason = reason.unwrap_or_else(|| format!("{} answers", self.name));
-                self.shared.report_dependency("instance", available, reason);
+            stays
+        });
+        while self.tasks.try_join_next().is_some() {}
+        for source in plan.sources {
+            if !self.followed.contains_key(&source) {
+                self.follow(source);
             }
-            let Ok(batch) = answer else {
-                self.shared.relay_state.peer_loads().remove(&self.name);
-                sleep(RETRY_DELAY).await;
-                continue;
-            };
-            position = Some(batch.position);
-            self.apply_batch(batch, &places, requested_at);
-            sleep(self.poll_delay).await;
         }
     }
 
-    /// Applies what the instance reported after `requested_at`, but only the changes to places that it
-    /// owns.
-    fn apply_batch(&mut self, batch: Batch, places: &HashSet<SocketAddr>, requested_at: Duration) {
-        let now = boot_time();
-        self.shared.note_heard(&self.name, now);
-        let mut peer_loads = self.shared.relay_state.peer_loads();
-        peer_loads.set(&self.name, batch.loads);
-        drop(peer_loads);
-        let mut cache_index = self.shared.relay_state.cache_index();
-        if let Some(clock) = batch.clock {
-            cache_index.set_clock(clock, now);
-        }
-        for (store, time) in batch.link_use {
-            let before = self.link_use.insert(store, time);
-            // At the first report there is nothing to compare with, and most transfers planned
-            // before it have ended.
-            let added_time = before.map_or(Duration::ZERO, |before| time.saturating_sub(before));
-            cache_index.add_peer_link_use(store, added_time, now);
-        }
-        let own = batch.changes.iter();
-        for change in own.filter(|change| places.contains(&change.place())) {
-            cache_index.apply(change, now);
-        }
-        for place in places {
-            cache_index.set_reported(*place, requested_at);
-        }
+    fn follow(&mut self, source: FeedSource) {
+        let stop = CancellationToken::new();
+        self.followed.insert(source.clone(), stop.clone());
+        let shared = self.shared.clone();
+        self.tasks.spawn(async move {
+            let follow = async {
+                match source {
+                    FeedSource::Instance(name, address) => {
+                        PeerFollower::new(shared, name, address).run().await;
+                    }
+                    FeedSource::Merged(failure_domain, scope) => {
+                        MergedFollower::new(shared, failure_domain, scope)
+                            .run()
+                            .await;
+                    }
+                }
+            };
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = follow => {}
+            }
+        });
     }
 }
--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -6,12 +6,12 @@
         FollowerPace, Ownership, Platform, START_PERIOD, place_follower::PlaceFollower,
         shared::Shared,
     },
-    catalog::InstanceId,
+    catalog::{FailureDomainId, InstanceId},
     parts::Store,
     relay::{View, boot_time},
     routes::{PoolKind, RouteTable, StoreProperties},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         sync::Arc,
         time::Duration,
@@ -49,6 +49,7 @@
         client,
         places: BTreeMap::new(),
         instances: Vec::new(),
+        silent: BTreeSet::new(),
         followers: HashMap::new(),
         pace: FollowerPace::default(),
         tasks: JoinSet::new(),
@@ -71,15 +72,22 @@
     }
 }
 
-/// Whether a place is a store; otherwise it is an engine.
-type IsStore = bool;
+/// A store or an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Place {
+    /// Whether it is a store; otherwise it is an engine.
+    is_store: bool,
+    failure_domain: FailureDomainId,
+}
 
 struct PlaceWatch<Kv, Format> {
     shared: Arc<Shared<Kv, Format>>,
     client: Client,
-    places: BTreeMap<SocketAddr, IsStore>,
-    /// Instances that the places are assigned to.
-    instances: Vec<InstanceId>,
+    places: BTreeMap<SocketAddr, Place>,
+    /// Instances that the places are assigned to, with their failure domains.
+    instances: Vec<(InstanceId, FailureDomainId)>,
+    /// Those of them that don't answer, in a fleet with aggregators.
+    silent: BTreeSet<InstanceId>,
     followers: HashMap<SocketAddr, CancellationToken>,
     /// Limits how fast places are added to `followers`.
     pace: FollowerPace,
@@ -108,7 +116,7 @@
             .filter(|place| self.is_followed_here(&ownership, *place))
             .collect();
         // Calls use what stores hold before what other engines hold.
-        wanted.sort_by_key(|place| !self.places[place]);
+        wanted.sort_by_key(|place| !self.places[place].is_store);
         self.followers.retain(|place, stop| {
             let stays = wanted.contains(place);
             if !stays {
@@ -133,18 +141,37 @@
         follows_all
     }
 
-    /// Assigns the places to the instances, if either have changed.
+    /// Assigns the places to the instances, if any of these have changed.
     fn assign(&mut self, places_changed: bool) {
-        let instances = self.shared.known().feed_addresses();
-        let own = &self.shared.settings.instance;
-        let mut names: Vec<_> = instances.into_keys().filter(|name| name != own).collect();
-        names.push(own.clone());
-        if !places_changed && names == self.instances {
+        let ready = self.shared.ready_members();
+        let has_aggregators = self.shared.has_aggregators();
+        let settings = &self.shared.settings;
+        let others = ready
+            .iter()
+            .filter(|(name, record)| *name != settings.instance && record.feed.is_some());
+        let mut instances: Vec<_> = others
+            .map(|(name, record)| (name.clone(), record.failure_domain.clone()))
+            .collect();
+        instances.push((settings.instance.clone(), settings.failure_domain.clone()));
+        let silent = if has_aggregators {
+            self.shared.silences().longer_than(MAX_SILENCE, boot_time())
+        } else {
+            BTreeSet::new()
+        };
+        if !places_changed && instances == self.instances && silent == self.silent {
             return;
         }
-        let ownership = Ownership::new(self.places.keys().copied(), &names);
+        let ownership = if has_aggregators {
+            let places = self.places.iter();
+            let places = places.map(|(address, place)| (*address, place.failure_domain.as_str()));
+            Ownership::within_domains(places, &instances, &silent)
+        } else {
+            let names: Vec<_> = instances.iter().map(|(name, _)| name.clone()).collect();
+            Ownership::new(self.places.keys().copied(), &names)
+        };
         self.shared.ownership.store(Arc::new(ownership));
-        self.instances = names;
+        self.instances = instances;
+        self.silent = silent;
     }
 
     fn expire_old_records(&mut self, now: Duration) {
@@ -159,11 +186,14 @@
     /// Updates the stores and engines from the view. Returns whether they have changed.
     fn update_places(&mut self, view: &View) -> bool {
         let stores = view.route_table.as_deref().map(stores).unwrap_or_default();
-        let mut places: BTreeMap<SocketAddr, IsStore> = engines(view)
-            .into_iter()
-            .map(|address| (address, false))
-            .collect();
-        places.extend(stores.iter().map(|store| (store.address, true)));
+        let mut places = engines(view);
+        places.extend(stores.iter().map(|store| {
+            let place = Place {
+                is_store: true,
+                failure_domain: store.failure_domain.clone(),
+            };
+            (store.address, place)
+        }));
         if places == self.places {
             return false;
         }
@@ -181,8 +211,13 @@
         true
     }
 
-    /// Whether this instance owns the place, or the owner is silent.
+    /// Whether this instance owns the place, or the owner is silent. In a fleet with aggregators, one
+    /// instance follows the place of a silent one, which the others read through them; in a small one,
+    /// each that can't read the owner does.
     fn is_followed_here(&self, ownership: &Ownership, place: SocketAddr) -> bool {
+        if self.shared.has_aggregators() {
+            return ownership.follower(place) == Some(&self.shared.settings.instance);
+        }
         let Some(owner) = ownership.owner(place) else {
             return false;
         };
@@ -194,7 +229,7 @@
         let stop = CancellationToken::new();
         self.followers.insert(place, stop.clone());
         self.shared.feed.follow(place);
-        let is_store = self.places.get(&place).copied().unwrap_or_default();
+        let is_store = self.places.get(&place).is_some_and(|it| it.is_store);
         let (shared, client) = (self.shared.clone(), self.client.clone());
         let task = PlaceFollower::new(shared, client, place, is_store);
         self.tasks.spawn(async move {
@@ -206,17 +241,24 @@
     }
 }
 
-/// Returns the addresses of the registered engines.
-fn engines(view: &View) -> Vec<SocketAddr> {
+/// Returns the registered engines by address.
+fn engines(view: &View) -> BTreeMap<SocketAddr, Place> {
     let Some(table) = &view.route_table else {
-        return Vec::new();
+        return BTreeMap::new();
     };
     let pools = table.config().pools.values();
     let pools = pools.filter(|pool| matches!(pool.kind, PoolKind::Engine(_)));
     let targets = pools
         .filter_map(|pool| view.pools.get(&pool.name))
         .flatten();
-    targets.map(|target| target.address).collect()
+    let engines = targets.map(|target| {
+        let place = Place {
+            is_store: false,
+            failure_domain: target.failure_domain.clone(),
+        };
+        (target.address, place)
+    });
+    engines.collect()
 }
 
 /// Returns the stores of a configuration.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        InstanceLease, Item, ItemName, KnownState, Ownership, ReturnPace, Settings,
-        caller_addresses::CallerAddress, known_incarnation::KnownIncarnation,
+        Aggregators, InstanceLease, Item, ItemName, KnownState, MemberRecord, Ownership,
+        ReturnPace, Settings, caller_addresses::CallerAddress, known_incarnation::KnownIncarnation,
+        silences::Silences,
     },
     arc_swap::ArcSwap,
     balance::rendezvous,
@@ -16,7 +17,7 @@
     relay::{HeaderFormat, RelayState, TargetState, boot_time, record_report},
     routes::RouteConfig,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::BTreeMap,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
@@ -52,6 +53,8 @@
     pub(crate) feed: Arc<Feed>,
     /// Assignment of stores and engines to the instances that follow them.
     pub(crate) ownership: ArcSwap<Ownership>,
+    /// Instances that read for others, among the ready ones.
+    pub(crate) aggregators: ArcSwap<Aggregators>,
     /// Notified whenever the known state has changed.
     pub(crate) changed: Notify,
     /// Cancelled once this instance starts to drain.
@@ -59,10 +62,9 @@
     known: Mutex<KnownState>,
     lease: Mutex<Option<InstanceLease>>,
     incarnation: Mutex<KnownIncarnation>,
-    /// Ready instances as last written to the event log.
-    logged_ready: Mutex<Vec<InstanceId>>,
-    /// Time of the last response of each other instance.
-    last_heard: Mutex<HashMap<InstanceId, Duration>>,
+    /// Ready instances at the last change, in name order.
+    ready: ArcSwap<Vec<(InstanceId, MemberRecord)>>,
+    silences: Mutex<Silences>,
 }
 
 impl<Kv, Format> Shared<Kv, Format>
@@ -84,12 +86,13 @@
             feed: Arc::new(Feed::new(relay_state.clone())),
             relay_state,
             ownership: ArcSwap::default(),
+            aggregators: ArcSwap::default(),
             changed: Notify::new(),
             draining: CancellationToken::new(),
             known: Mutex::default(),
             lease: Mutex::default(),
-            logged_ready: Mutex::default(),
-            last_heard: Mutex::default(),
+            ready: ArcSwap::default(),
+            silences: Mutex::default(),
         }
     }
 
@@ -114,26 +117,35 @@
 
     /// Records that another instance responded at `now`, or that reading its feed started then.
     pub(crate) fn note_heard(&self, instance: &str, now: Duration) {
-        self.last_heard().insert(instance.to_owned(), now);
+        self.silences().note_heard(instance, now);
     }
 
-    /// Removes what is stored about an instance that is gone.
+    /// Removes what is stored about an instance that is gone or not read any more.
     pub(crate) fn forget_peer(&self, instance: &str) {
-        self.last_heard().remove(instance);
+        self.silences().forget(instance);
         self.relay_state.peer_loads().remove(instance);
+        self.feed.remove_source(instance);
     }
 
     /// Returns the time since another instance last responded, or since reading its feed started;
     /// zero if its feed is not read.
     pub(crate) fn silence(&self, instance: &str, now: Duration) -> Duration {
-        let heard = self.last_heard().get(instance).copied();
-        now.saturating_sub(heard.unwrap_or(now))
+        self.silences().silence(instance, now)
     }
 
-    fn last_heard(&self) -> MutexGuard<'_, HashMap<InstanceId, Duration>> {
-        self.last_heard
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    /// For how long other instances have not answered. Hold the guard briefly, never across an await.
+    pub(crate) fn silences(&self) -> MutexGuard<'_, Silences> {
+        self.silences.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ready instances in name order.
+    pub(crate) fn ready_members(&self) -> Arc<Vec<(InstanceId, MemberRecord)>> {
+        self.ready.load_full()
+    }
+
+    /// Whether there are enough ready instances that some read for others.
+    pub(crate) fn has_aggregators(&self) -> bool {
+        !self.aggregators.load().is_empty()
     }
 
     /// Returns this instance's lease, if it holds one of the present incarnation.
@@ -304,7 +316,7 @@
     /// Publishes the known state to the request path and notifies the other tasks.
     pub(crate) fn publish(&self) {
         let known = self.known();
-        self.log_ready_instances(&known);
+        self.update_ready_instances(&known);
         let view = Arc::new(known.view(boot_time()));
         self.relay_state.stream_origins.observe(&view);
         self.relay_state.view.store(view);
@@ -326,21 +338,30 @@
         self.changed.notify_waiters();
     }
 
-    /// Logs the ready instances if they have changed.
-    fn log_ready_instances(&self, known: &KnownState) {
+    /// Selects the aggregators and logs the ready instances, if these have changed.
+    fn update_ready_instances(&self, known: &KnownState) {
         let members = known.ready_members();
-        let ready = members.iter().map(|(name, _)| *name);
-        let mut logged_ready = self
-            .logged_ready
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if logged_ready.iter().eq(ready.clone()) {
+        let before = self.ready.load();
+        let known_before = before.iter().map(|(name, record)| (name, record));
+        if known_before.eq(members.iter().copied()) {
             return;
         }
-        *logged_ready = ready.cloned().collect();
-        self.log.emit(&Event::Instances {
-            ready: logged_ready.clone(),
-        });
+        let aggregators = Aggregators::select(members.iter().copied());
+        self.aggregators.store(Arc::new(aggregators));
+        let names_changed = !before
+            .iter()
+            .map(|(name, _)| name)
+            .eq(members.iter().map(|it| it.0));
+        let ready = members.iter();
+        let ready: Vec<_> = ready
+            .map(|(name, record)| ((*name).clone(), (*record).clone()))
+            .collect();
+        if names_changed {
+            self.log.emit(&Event::Instances {
+                ready: ready.iter().map(|(name, _)| name.clone()).collect(),
+            });
+        }
+        self.ready.store(Arc::new(ready));
     }
 
     /// Feed addresses of the other ready instances.
--- a/crates/entry/tests/place_owners.rs
+++ b/crates/entry/tests/place_owners.rs
@@ -3,7 +3,10 @@
 use {
     entry::Ownership,
     proptest::prelude::*,
-    std::{collections::HashSet, net::SocketAddr},
+    std::{
+        collections::{BTreeSet, HashSet},
+        net::SocketAddr,
+    },
 };
 
 fn places(count: u16) -> Vec<SocketAddr> {
@@ -32,6 +35,65 @@
     assert!(most <= Some(9), "{most:?} of 68");
 }
 
+/// Instances in three failure domains.
+fn in_domains(count: usize) -> Vec<(String, String)> {
+    let names = names(count).into_iter().enumerate();
+    names
+        .map(|(index, name)| (name, format!("domain-{}", index % 3)))
+        .collect()
+}
+
+/// Places in these domains and one without instances.
+fn places_in_domains(count: u16) -> Vec<(SocketAddr, String)> {
+    let places = places(count).into_iter().enumerate();
+    places
+        .map(|(index, place)| (place, format!("domain-{}", index % 4)))
+        .collect()
+}
+
+/// Guards against events that cross a boundary between failure domains though an instance is near.
+#[test]
+fn place_is_followed_in_its_own_domain() {
+    let (places, instances) = (places_in_domains(64), in_domains(128));
+    let given = || {
+        places
+            .iter()
+            .map(|(place, domain)| (*place, domain.as_str()))
+    };
+    let ownership = Ownership::within_domains(given(), &instances, &BTreeSet::new());
+    for (place, domain) in &places {
+        let owner = ownership.owner(*place).unwrap();
+        let (_, owner_domain) = instances.iter().find(|(name, _)| name == owner).unwrap();
+        assert!(owner_domain == domain || domain == "domain-3");
+        assert_eq!(ownership.follower(*place), Some(owner));
+    }
+    let in_domain = ownership.places_in("domain-1");
+    assert!(in_domain.len() >= 16, "{}", in_domain.len());
+    assert_eq!(ownership.places().len(), 64);
+}
+
+/// Guards against a place that every instance follows, or none, while its owner is silent.
+#[test]
+fn silent_owner_is_replaced_by_one_instance_of_the_domain() {
+    let (places, instances) = (places_in_domains(64), in_domains(128));
+    let given = || {
+        places
+            .iter()
+            .map(|(place, domain)| (*place, domain.as_str()))
+    };
+    let before = Ownership::within_domains(given(), &instances, &BTreeSet::new());
+    let silent: BTreeSet<String> = names(128).into_iter().step_by(3).take(30).collect();
+    let after = Ownership::within_domains(given(), &instances, &silent);
+    for (place, domain) in &places {
+        let (owner, follower) = (after.owner(*place), after.follower(*place).unwrap());
+        assert_eq!(owner, before.owner(*place), "it stays assigned");
+        assert!(!silent.contains(follower));
+        assert!(silent.contains(owner.unwrap()) || owner == Some(follower));
+        let (_, domain_of) = instances.iter().find(|(name, _)| name == follower).unwrap();
+        assert!(domain_of == domain || domain == "domain-3");
+    }
+}
+
 proptest! {
     #[test]
     fn each_place_has_one_owner_in_any_instance_order(count in 0_u16..40, instances in 1_usize..12, seed: u64) {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -128,6 +128,22 @@
         key.clone_into(&mut self.key);
         self
     }
+
+    /// Sends the call with a new request id to the instance at `address`; returns the status of its
+    /// answer.
+    pub fn send_to(&self, address: SocketAddr) -> impl Future<Output = Option<u16>> + use<> {
+        static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
+        let id = format!("call-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let mut request = Request::builder().method(&self.method).uri(&self.path);
+        request = request.header("host", "a.example").header("id", id);
+        for (name, value) in [("key", &self.key), ("parts", &self.parts)] {
+            if !value.is_empty() {
+                request = request.header(name, value);
+            }
+        }
+        let request = request.body(Full::from(self.body.clone())).unwrap();
+        async move { Some(send(address, request).await?.status) }
+    }
 }
 
 impl Instance {
@@ -209,18 +225,7 @@
 
     /// Sends a call as [`Instance::send`] does, without borrowing the instance.
     pub fn sent(&self, call: &OutgoingCall) -> impl Future<Output = Option<u16>> + use<> {
-        static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
-        let id = format!("call-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
-        let mut request = Request::builder().method(&call.method).uri(&call.path);
-        request = request.header("host", "a.example").header("id", id);
-        for (name, value) in [("key", &call.key), ("parts", &call.parts)] {
-            if !value.is_empty() {
-                request = request.header(name, value);
-            }
-        }
-        let request = request.body(Full::from(call.body.clone())).unwrap();
-        let address = self.settings.listen;
-        async move { Some(send(address, request).await?.status) }
+        call.send_to(self.settings.listen)
     }
 
     /// Begins a stream; returns the status of its answer, if that is whole.
--- a/crates/feed/src/batch.rs
+++ b/crates/feed/src/batch.rs
@@ -3,11 +3,12 @@
 use {
     balance::TargetLoad,
     parts::{Change, LinkUse, Position},
-    std::time::Duration,
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// The answer to one read of a feed.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Batch {
     /// Position from which to read next.
     pub position: Position,
@@ -20,4 +21,6 @@
     pub link_use: Vec<LinkUse>,
     /// Changes since the previous position, in order, or the whole state.
     pub changes: Vec<Change>,
+    /// Requested places that the instance follows, whose changes are therefore complete.
+    pub followed_places: Vec<SocketAddr>,
 }
--- a/crates/feed/src/former_batch.rs
+++ b/crates/feed/src/former_batch.rs
@@ -46,6 +46,7 @@
             loads: loads.collect(),
             link_use: batch.link_use,
             changes: batch.changes,
+            followed_places: Vec::new(),
         }
     }
 }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! A store or an engine answers only a few requests at a time, so each is followed by one instance,
 //! and the other instances read what that one has learned. [`Feed`] holds what an instance
-//! publishes, [`serve`] answers readers, and a [`FeedReader`] reads the feed of another instance. An
+//! publishes, [`serve`] answers readers, and a [`FeedReader`] reads the feed of another instance. In large
+//! fleets, an aggregator publishes what it has read of others as well, which [`MergedReports`] adds up. An
 //! [`OriginClient`] has another instance keep, and tell, where streams began. [`ask_service_gap`] asks
 //! one whether the key-value service was there, of which it keeps a [`ServiceContact`].
 //! The content is only hints, and a reader that missed changes gets the whole state.
@@ -28,14 +29,33 @@
 mod contact_question;
 mod error;
 mod feed_reader;
+mod feed_state;
 mod former_batch;
+mod merged_batch;
+mod merged_reports;
+mod merged_request;
 mod origin_client;
+mod place_report;
+mod places_request;
+mod scope;
 mod server;
 mod service;
 mod service_contact;
 mod source;
 
 pub use {
-    batch::Batch, contact_question::ask_service_gap, error::FeedError, feed_reader::FeedReader,
-    origin_client::OriginClient, server::serve, service_contact::ServiceContact, source::Feed,
+    batch::Batch,
+    contact_question::ask_service_gap,
+    error::FeedError,
+    feed_reader::FeedReader,
+    merged_batch::{MergedBatch, SilentInstance},
+    merged_reports::{MergedReports, SourceReport},
+    merged_request::MergedRequest,
+    origin_client::OriginClient,
+    place_report::PlaceReport,
+    places_request::PlacesRequest,
+    scope::Scope,
+    server::serve,
+    service_contact::ServiceContact,
+    source::Feed,
 };
--- /dev/null
+++ b/crates/feed/src/merged_request.rs
@@ -0,0 +1,23 @@
+//! A read of the merged feed of an aggregator.
+
+use {
+    crate::Scope,
+    catalog::InstanceId,
+    parts::Position,
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// A read of the merged feed of an aggregator, which is answered at once: loads change without a
+/// change at a place.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MergedRequest {
+    /// Instance that reads; its own loads are left out.
+    pub reader: InstanceId,
+    /// Instances that the answer covers.
+    pub scope: Scope,
+    /// Position of the previous batch; `None` requests the whole state.
+    pub since: Option<Position>,
+    /// Places whose whole state is sent, since the reader has skipped their changes so far.
+    pub added_places: Vec<SocketAddr>,
+}
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -1,11 +1,15 @@
 //! The server that answers the readers of a feed.
 
 use {
-    crate::{Feed, former_batch::FormerBatch, service::FeedService},
+    crate::{
+        Batch, Feed, MergedBatch, MergedRequest, PlacesRequest, former_batch::FormerBatch,
+        service::FeedService,
+    },
     cluster::{accept_connection, transport},
     futures::StreamExt,
     origins::{OriginKnowledge, OriginRecord, StreamKey},
     parts::Position,
+    relay::boot_time,
     std::{sync::Arc, time::Duration},
     tarpc::{
         context::Context,
@@ -88,4 +92,13 @@
     async fn service_gap(self, _: Context, within: Duration) -> Duration {
         self.feed.service_gap(within)
     }
+
+    async fn read_places(self, _: Context, request: PlacesRequest) -> Batch {
+        let wait = request.wait.min(MAX_WAIT);
+        self.feed.read_places_or_wait(&request, wait).await
+    }
+
+    async fn read_merged(self, _: Context, request: MergedRequest) -> Option<MergedBatch> {
+        self.feed.read_merged(&request, boot_time())
+    }
 }
--- a/crates/feed/src/service.rs
+++ b/crates/feed/src/service.rs
@@ -4,7 +4,7 @@
 #![allow(missing_docs)]
 
 use {
-    crate::former_batch::FormerBatch,
+    crate::{Batch, MergedBatch, MergedRequest, PlacesRequest, former_batch::FormerBatch},
     origins::{OriginKnowledge, OriginRecord, StreamKey},
     parts::Position,
     std::time::Duration,
@@ -25,4 +25,11 @@
     /// Returns the longest time without word from the key-value service in the last `within`; all
     /// of `within` if this instance cannot tell.
     async fn service_gap(within: Duration) -> Duration;
+
+    /// Returns what was learned of the requested places, and the calls in flight with their tokens.
+    async fn read_places(request: PlacesRequest) -> Batch;
+
+    /// Returns what this instance knows of the others in the requested scope; `None` if it reads no
+    /// other instances for its failure domain.
+    async fn read_merged(request: MergedRequest) -> Option<MergedBatch>;
 }
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -1,10 +1,13 @@
 //! The feed that an instance publishes to the others.
 
 use {
-    crate::{Batch, ServiceContact},
+    crate::{
+        Batch, MergedBatch, MergedRequest, PlaceReport, PlacesRequest, Scope, ServiceContact,
+        SourceReport, feed_state::FeedState,
+    },
     balance::TargetLoad,
     origins::{OriginKnowledge, OriginRecord, StreamKey},
-    parts::{Change, ChangeLog, Position},
+    parts::{Change, Position},
     relay::{RelayState, boot_time},
     std::{
         collections::HashSet,
@@ -15,33 +18,28 @@
     tokio::{sync::Notify, time::timeout},
 };
 
+/// Time after which an instance that has become an aggregator answers readers. Until then it has read
+/// few instances, and another aggregator answers better.
+const WARM_UP_TIME: Duration = Duration::from_millis(400);
+
 /// What an instance publishes: what it has learned about the places that it follows, which are
-/// stores and engines, and its calls in flight.
+/// stores and engines, and its calls in flight. An aggregator also publishes what it has read in
+/// other instances' feeds.
 #[derive(Debug)]
 pub struct Feed {
     relay_state: RelayState,
-    state: Mutex<State>,
+    state: Mutex<FeedState>,
     changed: Notify,
     service_contact: Mutex<ServiceContact>,
 }
 
-#[derive(Debug)]
-struct State {
-    log: ChangeLog,
-    followed_places: HashSet<SocketAddr>,
-}
-
 impl Feed {
     /// Creates a feed that publishes from `relay_state`, and applies each published change to it.
     #[must_use]
     pub fn new(relay_state: RelayState) -> Self {
-        let state = State {
-            log: ChangeLog::new(rand::random()),
-            followed_places: HashSet::new(),
-        };
         Self {
             relay_state,
-            state: Mutex::new(state),
+            state: Mutex::new(FeedState::new(rand::random())),
             changed: Notify::new(),
             service_contact: Mutex::default(),
         }
@@ -58,36 +56,153 @@
     pub fn unfollow(&self, place: SocketAddr) {
         let mut state = self.lock_state();
         state.followed_places.remove(&place);
-        state.log.push(Change::Cleared { place });
+        state.push_own(Change::Cleared { place });
         drop(state);
         self.changed.notify_waiters();
     }
 
+    /// Returns the places that this instance follows.
+    #[must_use]
+    pub fn followed_places(&self) -> HashSet<SocketAddr> {
+        self.lock_state().followed_places.clone()
+    }
+
     /// Applies and publishes what this instance has learned about a place that it follows.
     pub fn publish(&self, change: Change) {
         let mut state = self.lock_state();
         self.relay_state.cache_index().apply(&change, boot_time());
-        state.log.push(change);
+        state.push_own(change);
         drop(state);
         self.changed.notify_waiters();
     }
 
+    /// Applies what another instance's feed says of places. An aggregator publishes it as well.
+    pub fn apply(&self, report: PlaceReport, now: Duration) {
+        let mut state = self.lock_state();
+        let mut cache_index = self.relay_state.cache_index();
+        for change in report.changes {
+            let place = change.place();
+            if report.keeps_followed && state.followed_places.contains(&place) {
+                continue;
+            }
+            cache_index.apply(&change, now);
+            state.set_place_scope(place, report.scope);
+            state.push_read(report.scope, change);
+        }
+        let is_kept = |state: &FeedState, place: &SocketAddr| {
+            report.keeps_followed && state.followed_places.contains(place)
+        };
+        for (place, reported_at) in report.replaced_times {
+            if !is_kept(&state, &place) {
+                state.set_place_scope(place, report.scope);
+                cache_index.replace_reported(place, reported_at);
+            }
+        }
+        for (place, reported_at) in report.reported_times {
+            if !is_kept(&state, &place) {
+                state.set_place_scope(place, report.scope);
+                cache_index.set_reported(place, reported_at);
+            }
+        }
+    }
+
+    /// Becomes an aggregator, which publishes what it reads in other instances' feeds.
+    pub fn begin_aggregation(&self, now: Duration) {
+        self.lock_state().begin_aggregation(now);
+    }
+
+    /// Is no aggregator any more.
+    pub fn end_aggregation(&self) {
+        self.lock_state().aggregation = None;
+    }
+
+    /// Begins to read a source as an aggregator, as [`crate::MergedReports::add_source`] says.
+    pub fn add_source(&self, name: &str, scope: Scope, now: Duration) {
+        if let Some(aggregation) = &mut self.lock_state().aggregation {
+            aggregation.reports.add_source(name, scope, now);
+        }
+    }
+
+    /// Removes a source that is no longer read.
+    pub fn remove_source(&self, name: &str) {
+        if let Some(aggregation) = &mut self.lock_state().aggregation {
+            aggregation.reports.remove_source(name);
+        }
+    }
+
+    /// Replaces what a source in `scope` reported by its answer at `now`.
+    pub fn set_source(&self, name: &str, scope: Scope, report: SourceReport, now: Duration) {
+        if let Some(aggregation) = &mut self.lock_state().aggregation {
+            aggregation.reports.set(name, scope, report, now);
+        }
+    }
+
+    /// Records that a source doesn't answer.
+    pub fn set_source_unread(&self, name: &str) {
+        if let Some(aggregation) = &mut self.lock_state().aggregation {
+            aggregation.reports.set_unread(name);
+        }
+    }
+
     /// Returns what was learned since `since`, or the whole state if the changes since then are not
     /// known any more.
     #[must_use]
     pub fn read(&self, since: Option<Position>) -> Batch {
         let state = self.lock_state();
         let cache_index = self.relay_state.cache_index();
-        let changes = since.and_then(|since| state.log.since(since));
         Batch {
-            position: state.log.position(),
+            position: state.position(),
             clock: cache_index.clock(boot_time()),
             loads: self.in_flight_loads(),
             link_use: cache_index.link_use(),
-            changes: changes.unwrap_or_else(|| cache_index.snapshot(&state.followed_places)),
+            changes: state.own_changes(since, &cache_index),
+            followed_places: Vec::new(),
         }
     }
 
+    /// Returns what was learned of the requested places.
+    #[must_use]
+    pub fn read_places(&self, request: &PlacesRequest) -> Batch {
+        let state = self.lock_state();
+        let cache_index = self.relay_state.cache_index();
+        let places = request.places.iter().copied();
+        Batch {
+            position: state.position(),
+            clock: cache_index.clock(boot_time()),
+            loads: self.in_flight_loads(),
+            link_use: cache_index.link_use(),
+            changes: state.place_changes(request, &cache_index),
+            followed_places: places
+                .filter(|place| state.followed_places.contains(place))
+                .collect(),
+        }
+    }
+
+    /// Returns what is known of all instances in the requested scope; `None` if this instance is no
+    /// aggregator, or has been one only for a moment.
+    #[must_use]
+    pub fn read_merged(&self, request: &MergedRequest, now: Duration) -> Option<MergedBatch> {
+        let state = self.lock_state();
+        let aggregation = state.aggregation.as_ref()?;
+        if now < aggregation.since + WARM_UP_TIME {
+            return None;
+        }
+        let (reader, scope) = (request.reader.as_str(), request.scope);
+        let reports = &aggregation.reports;
+        let (loads, instances_count) = reports.loads(reader, scope, &self.in_flight_loads());
+        let cache_index = self.relay_state.cache_index();
+        Some(MergedBatch {
+            position: state.position(),
+            clock: cache_index.clock(now),
+            loads,
+            instances_count,
+            link_use: reports.link_use(reader, scope, &cache_index.link_use()),
+            changes: state.merged_changes(request, aggregation, &cache_index),
+            report_ages: state.report_ages(aggregation, scope, &cache_index, now),
+            silent_instances: reports.silent_instances(scope, now),
+        })
+    }
+
     /// Keeps the origins of streams that another instance has begun, and returns what this one knows
     /// of the streams in `asked`.
     pub(crate) fn exchange_origins(
@@ -123,9 +238,24 @@
         self.read(since)
     }
 
+    /// Reads like [`Self::read_places`], but waits up to `wait` for a change if there is none.
+    pub(crate) async fn read_places_or_wait(
+        &self,
+        request: &PlacesRequest,
+        wait: Duration,
+    ) -> Batch {
+        let change = self.changed.notified();
+        let batch = self.read_places(request);
+        let is_new = !batch.changes.is_empty() || request.since != Some(batch.position);
+        if is_new || wait.is_zero() || timeout(wait, change).await.is_err() {
+            return batch;
+        }
+        self.read_places(request)
+    }
+
     /// Locks the state. The lock is held for a few steps only and never across an await point. It
     /// is always taken before the one of the cache index, so that the two cannot deadlock.
-    fn lock_state(&self) -> MutexGuard<'_, State> {
+    fn lock_state(&self) -> MutexGuard<'_, FeedState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/parts/src/change_log.rs
+++ b/crates/parts/src/change_log.rs
@@ -20,13 +20,13 @@
 
 /// The latest changes. They are numbered from 0 on, in the order in which they were appended.
 #[derive(Clone, Debug)]
-pub struct ChangeLog {
+pub struct ChangeLog<Entry = Change> {
     start: u64,
     next: u64,
-    changes: VecDeque<Change>,
+    changes: VecDeque<Entry>,
 }
 
-impl ChangeLog {
+impl<Entry> ChangeLog<Entry> {
     /// Creates an empty log. `start` is a random number that identifies it.
     #[must_use]
     pub fn new(start: u64) -> Self {
@@ -38,7 +38,7 @@
     }
 
     /// Appends a change and drops the oldest one if the log is full.
-    pub fn push(&mut self, change: Change) {
+    pub fn push(&mut self, change: Entry) {
         if self.changes.len() >= MAX_CHANGES_COUNT {
             self.changes.pop_front();
         }
@@ -58,10 +58,19 @@
     /// Returns the changes from `position` on, or none if the log no longer has all of them or the
     /// position belongs to another log.
     #[must_use]
-    pub fn since(&self, position: Position) -> Option<Vec<Change>> {
+    pub fn since(&self, position: Position) -> Option<Vec<Entry>>
+    where
+        Entry: Clone,
+    {
+        Some(self.iter_since(position)?.cloned().collect())
+    }
+
+    /// Iterates over the changes that [`Self::since`] returns.
+    #[must_use]
+    pub fn iter_since(&self, position: Position) -> Option<impl Iterator<Item = &Entry>> {
         let missing_count = self.next.checked_sub(position.next)?;
         let missing_count = usize::try_from(missing_count).ok()?;
         let first_index = self.changes.len().checked_sub(missing_count)?;
-        (position.start == self.start).then(|| self.changes.range(first_index..).cloned().collect())
+        (position.start == self.start).then(|| self.changes.range(first_index..))
     }
 }
--- a/crates/parts/src/part_directory.rs
+++ b/crates/parts/src/part_directory.rs
@@ -102,6 +102,20 @@
         }
     }
 
+    /// Records when the report of a store was requested that replaces what was known of it, which may be
+    /// earlier than the one before.
+    pub fn replace_reported(&mut self, address: SocketAddr, requested_at: Duration) {
+        if let Some(store) = self.stores.get_mut(&address) {
+            store.reported_at = Some(requested_at);
+        }
+    }
+
+    /// Returns when the last report of each store was requested, without those of which there is none.
+    pub fn reported_times(&self) -> impl Iterator<Item = (SocketAddr, Duration)> {
+        let stores = self.stores.values();
+        stores.filter_map(|store| Some((store.address, store.reported_at?)))
+    }
+
     /// Applies a change that was reported at `now`.
     pub fn apply(&mut self, change: &Change, now: Duration) {
         match change {
