Instances of large deployments follow the key-value service through aggregators

Each instance held its own watch over all keys, so the calls to the service grew with the product of instances and changes (3.6 a second for each of 128 instances).

From 35 ready instances on, two aggregators of each failure domain watch the service, with a wait of 0.5 s, and keep the latest events (feed::ServiceLog). The others read them by the new call 'follow', from the revision that they have applied, and watch the service themselves while no aggregator serves them (entry::SourceChoice). The answer names the age of the service's last confirmation and the time for which the request was held, from which the age of the view follows. Registrations that repeat an earlier one are not passed on. Calls to the service are counted by kind; a change of the source is logged.

KvCalls counts waiting watches; the literal in idempotency's write_batching names the new field.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -1,24 +1,28 @@
-//! Follows the key-value service with one listing and then one watch over all keys. The watch's
-//! progress events confirm that the whole known state is current.
+//! Follows the key-value service with one listing and then the changes of all keys, by a watch or
+//! through another instance that has one. Progress events confirm that the whole known state is current.
+
+mod sources;
 
 use {
     crate::{
-        Item, ItemError, ItemName, Platform, SuspensionDetector, outage_check,
+        Item, ItemError, ItemName, Platform, SourceChoice, SuspensionDetector, TargetRegistration,
+        outage_check,
         own_keys::{parse_own_item, parse_own_key},
         shared::Shared,
     },
-    catalog::Revision,
+    catalog::{InstanceId, Revision, TargetId},
     eventlog::Event as LogEvent,
-    futures::StreamExt,
     keyvalue::{Event, Incarnation, KeyValue, KvError, KvPair},
+    rand::RngExt,
     relay::boot_time,
     routes::RouteConfig,
-    std::{collections::HashSet, pin::pin, sync::Arc, time::Duration},
-    supervisor::ChildResult,
-    tokio::{
-        task::JoinSet,
-        time::{interval, sleep},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+        time::Duration,
     },
+    supervisor::ChildResult,
+    tokio::{task::JoinSet, time::sleep},
     tokio_util::sync::CancellationToken,
 };
 
@@ -51,6 +55,13 @@
         incarnation: Incarnation::default(),
         applied_revision: None,
         known_names: HashSet::new(),
+        registrations: HashMap::new(),
+        confirmed_at: Duration::ZERO,
+        choice: SourceChoice::default(),
+        has_new_members: false,
+        logged_source: InstanceId::new(),
+        source_reason: String::new(),
+        trials: JoinSet::new(),
         available: true,
         outage_checks: JoinSet::new(),
     };
@@ -67,14 +78,18 @@
                 sleep(follower.shared.return_pace().read_delay()).await;
                 continue;
             }
-            error => follower.note_unavailable(&error),
+            error => {
+                follower.note_unavailable(&error);
+                follower.source_reason = error.to_string();
+                follower.choice.service_failed(boot_time());
+            }
         }
         retry_delay = if before == follower.applied_revision {
             (retry_delay * 2).min(MAX_RETRY_DELAY)
         } else {
             FIRST_RETRY_DELAY
         };
-        sleep(retry_delay).await;
+        sleep(follower.spread(retry_delay)).await;
     }
 }
 
@@ -87,6 +102,19 @@
     applied_revision: Option<Revision>,
     /// Items that existed at the last listing or were written since.
     known_names: HashSet<ItemName>,
+    /// Latest registration of each target, with its revision.
+    registrations: HashMap<TargetId, (TargetRegistration, Revision)>,
+    /// When the known state was last confirmed.
+    confirmed_at: Duration,
+    choice: SourceChoice,
+    /// Whether instances have changed since the choice was last updated.
+    has_new_members: bool,
+    /// Aggregator that was last logged as the source; empty for the service.
+    logged_source: InstanceId,
+    /// Why the source changes.
+    source_reason: String,
+    /// Asks aggregators whether they serve this instance, beside its own watch.
+    trials: JoinSet<(InstanceId, bool)>,
     available: bool,
     /// Finds out whether the last outage concerned this instance only.
     outage_checks: JoinSet<()>,
@@ -104,45 +132,14 @@
         if is_restored {
             self.applied_revision = None;
         }
-        let applied_revision = match self.applied_revision {
-            Some(applied_revision) => applied_revision,
-            None => match self.list(incarnation).await {
-                Ok(applied_revision) => applied_revision,
-                Err(error) => return error,
-            },
-        };
-        let shared = self.shared.clone();
-        let prefix = shared.format.watched_prefix();
-        let mut events = pin!(shared.kv.watch(prefix, applied_revision + 1));
-        // A watch that was opened in a later incarnation than the listing ends here.
-        let mut restored = pin!(shared.restored(incarnation));
-        let mut has_pending_changes = false;
-        let mut expiry = interval(EXPIRY_PERIOD);
+        if self.applied_revision.is_none()
+            && let Err(error) = self.list(incarnation).await
+        {
+            return error;
+        }
         loop {
-            let event = tokio::select! {
-                biased;
-                error = &mut restored => return error,
-                event = events.next() => event,
-                _ = expiry.tick() => {
-                    self.check_suspension();
-                    self.expire();
-                    continue;
-                }
-            };
-            match event {
-                Some(Ok(event)) => {
-                    let is_progress = matches!(event, Event::Progress(_));
-                    self.apply(event);
-                    if is_progress && has_pending_changes {
-                        sleep(BATCH_DELAY).await;
-                    }
-                    has_pending_changes = !is_progress;
-                }
-                Some(Err(error)) => return error,
-                None => {
-                    let reason = "the watch ended".to_owned();
-                    return KvError::Unknown { reason };
-                }
+            if let Err(error) = self.follow_source(incarnation).await {
+                return error;
             }
         }
     }
@@ -193,9 +190,27 @@
         }
     }
 
-    fn apply(&mut self, event: Event) {
+    /// Applies an event of this instance's own watch, and keeps it for those that follow the service
+    /// through this instance.
+    fn apply_watched(&mut self, event: Event) {
         self.note_available();
         self.check_suspension();
+        let log = &self.shared.feed.service_log;
+        if let Event::Progress(revision) = event {
+            self.applied_revision = self.applied_revision.max(Some(revision));
+            let confirmed_at = self.suspension.answer_received(boot_time());
+            log.confirm(revision, confirmed_at);
+            self.confirm(confirmed_at);
+            return;
+        }
+        let is_repetition = self.choice.is_aggregator() && self.repeats_registration(&event);
+        if !is_repetition {
+            log.push(&event);
+        }
+        self.apply_change(event);
+    }
+
+    fn apply_change(&mut self, event: Event) {
         match event {
             Event::Put(pair) => self.put(&pair),
             Event::Delete(key, revision) => {
@@ -204,11 +219,45 @@
                     self.delete(&name, revision);
                 }
             }
-            Event::Progress(revision) => {
-                self.applied_revision = self.applied_revision.max(Some(revision));
-                let confirmed_at = self.suspension.answer_received(boot_time());
-                self.confirm(confirmed_at);
+            Event::Progress(_) => {}
+        }
+    }
+
+    /// Whether an event only repeats an earlier registration of a target. Values are compared decoded,
+    /// since one field counts how often the target has written. The remaining cold time counts from
+    /// the writing, so a registration with one is never a repetition. Nor is one that the last listing
+    /// has delivered before the watch did, since those that listed earlier don't know it.
+    fn repeats_registration(&self, event: &Event) -> bool {
+        let Event::Put(pair) = event else {
+            return false;
+        };
+        let Some(name @ ItemName::Target(_)) = self.parse_key(&pair.key) else {
+            return false;
+        };
+        let ItemName::Target(target) = &name else {
+            return false;
+        };
+        let Ok(Item::Target(record)) = self.parse_item(&name, pair) else {
+            return false;
+        };
+        let known = self.registrations.get(target);
+        let is_known = known
+            .is_some_and(|(known, revision)| *known == record && *revision < pair.mod_revision);
+        is_known && record.cold_left.is_zero()
+    }
+
+    /// Keeps what the choice of a source and the comparison of registrations need of an item.
+    fn note_item(&mut self, name: &ItemName, item: Option<&Item>, revision: Revision) {
+        match (name, item) {
+            (ItemName::Member(_), _) => self.has_new_members = true,
+            (ItemName::Target(target), Some(Item::Target(record))) => {
+                let registration = (record.clone(), revision);
+                self.registrations.insert(target.clone(), registration);
             }
+            (ItemName::Target(target), _) => {
+                self.registrations.remove(target);
+            }
+            _ => {}
         }
     }
 
@@ -218,11 +267,13 @@
         };
         match self.parse_item(&name, pair) {
             Ok(item) => {
+                self.note_item(&name, Some(&item), pair.mod_revision);
                 self.log_change(&name, &item, pair.mod_revision);
                 self.shared.put(&name, item, pair.mod_revision);
             }
             Err(error) => {
                 log::warn!("{error}");
+                self.note_item(&name, None, pair.mod_revision);
                 self.log_gone(&name, pair.mod_revision);
                 self.shared.remove(&name);
             }
@@ -230,16 +281,28 @@
         self.known_names.insert(name);
     }
 
-    fn delete(&self, name: &ItemName, revision: Revision) {
+    fn delete(&mut self, name: &ItemName, revision: Revision) {
+        self.note_item(name, None, revision);
         self.log_gone(name, revision);
         self.shared.delete(name);
     }
 
     /// Applies that an older copy of the service lacks an item.
-    fn lapse(&self, name: &ItemName) {
+    fn lapse(&mut self, name: &ItemName) {
+        self.note_item(name, None, 0);
         self.shared.known().lapse(name, boot_time());
     }
 
+    /// Spreads a delay over the instances of a large deployment, all of which notice an outage at
+    /// the same time.
+    fn spread(&self, delay: Duration) -> Duration {
+        if self.choice.has_aggregators() {
+            delay.mul_f64(rand::rng().random_range(0.5..1.0))
+        } else {
+            delay
+        }
+    }
+
     fn log_gone(&self, name: &ItemName, revision: Revision) {
         if let ItemName::Target(target) = name {
             self.shared.log.emit(&LogEvent::Target {
@@ -253,15 +316,17 @@
         }
     }
 
-    fn confirm(&self, current_at: Duration) {
+    fn confirm(&mut self, current_at: Duration) {
+        self.confirmed_at = current_at;
         self.shared.feed.record_service_contact(current_at);
         self.shared.known().confirm(current_at);
         self.shared.publish();
     }
 
-    fn expire(&self) {
+    fn expire(&mut self) {
         let expired = self.shared.known().expire(boot_time());
         if expired {
+            self.has_new_members = true;
             self.shared.publish();
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,9 +20,11 @@
 
 mod aggregators;
 mod caller_addresses;
+mod counted_key_value;
 mod directory;
 mod drain;
 mod follower;
+mod follower_instance;
 mod follower_pace;
 mod item;
 mod known_incarnation;
@@ -51,6 +53,7 @@
 mod servers;
 mod settings;
 mod shared;
+mod source_choice;
 mod start;
 mod suspects;
 mod suspension_detector;
@@ -59,6 +62,7 @@
 pub use {
     aggregators::{Aggregator, Aggregators, MIN_INSTANCES_COUNT},
     caller_addresses::AddressQuery,
+    follower_instance::FollowerInstance,
     follower_pace::{FollowerPace, MAX_STARTED_COUNT, START_PERIOD},
     item::{
         HolderRecord, Item, ItemError, ItemName, LimitRecord, LoadingRecord, MemberRecord,
@@ -75,6 +79,7 @@
     },
     return_pace::ReturnPace,
     settings::{Settings, SettingsError},
+    source_choice::{FOLLOW_TIMEOUT, MAX_FOLLOWED_AGE, RETRY_PERIOD, Source, SourceChoice},
     start::{StartError, run},
     suspension_detector::SuspensionDetector,
 };
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         InstanceLease, Item, ItemName, KnownState, Ownership, ReturnPace, Settings,
-        caller_addresses::CallerAddress, known_incarnation::KnownIncarnation,
+        caller_addresses::CallerAddress, counted_key_value::CountedKeyValue,
+        known_incarnation::KnownIncarnation,
     },
     arc_swap::ArcSwap,
     balance::rendezvous,
@@ -37,7 +38,7 @@
     /// Settings of this instance.
     pub(crate) settings: Settings,
     /// Client of the key-value service.
-    pub(crate) kv: Kv,
+    pub(crate) kv: CountedKeyValue<Kv>,
     /// Translation of the platform's formats.
     pub(crate) format: Format,
     /// Event log.
@@ -73,13 +74,14 @@
     pub(crate) fn new(settings: Settings, kv: Kv, format: Format, log: EventLog) -> Self {
         let relay_state = RelayState::default();
         let incarnation = KnownIncarnation::new(kv.incarnation());
+        let meters = Meters::new();
         Self {
             settings,
-            kv,
+            kv: CountedKeyValue::new(kv, meters.clone()),
             incarnation: Mutex::new(incarnation),
             format,
             log,
-            meters: Meters::new(),
+            meters,
             caller_addresses: ArcSwap::default(),
             feed: Arc::new(Feed::new(relay_state.clone())),
             relay_state,
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod crashing_fleet;
 pub mod crashing_target;
 pub mod failing_target;
+pub mod follower_fleet;
 pub mod formats;
 pub mod late_target;
 pub mod part_store;
@@ -59,6 +60,16 @@
 #[derive(Clone, Default)]
 struct Lines(Arc<Mutex<Vec<u8>>>);
 
+impl Lines {
+    /// Returns the lines that contain `text`.
+    fn containing(&self, text: &str) -> Vec<String> {
+        let bytes = self.0.lock().unwrap();
+        let written = String::from_utf8_lossy(&bytes);
+        let lines = written.lines().filter(|line| line.contains(text));
+        lines.map(str::to_owned).collect()
+    }
+}
+
 impl Write for Lines {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.0.lock().unwrap().extend_from_slice(bytes);
@@ -165,10 +176,7 @@
 
     /// Returns the log lines that contain `text`.
     pub fn lines(&self, text: &str) -> Vec<String> {
-        let bytes = self.lines.0.lock().unwrap();
-        let written = String::from_utf8_lossy(&bytes);
-        let lines = written.lines().filter(|line| line.contains(text));
-        lines.map(str::to_owned).collect()
+        self.lines.containing(text)
     }
 
     pub async fn is_ready(&self) -> bool {
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -297,6 +297,15 @@
         /// What the process observed.
         reason: String,
     },
+    /// This instance reads changes in the key-value service from another source.
+    ServiceSource {
+        /// Instance through which it follows the service; empty if it watches the service itself.
+        through: String,
+        /// Whether other instances follow the service through this one.
+        aggregator: bool,
+        /// Why the source has changed.
+        reason: String,
+    },
     /// An outage of the key-value service has ended that may have let registrations expire.
     Outage {
         /// Time for which this instance had no word from the service, in milliseconds.
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -127,6 +127,11 @@
             asked_count: 0,
             witness: text(),
         },
+        Event::ServiceSource {
+            through: text(),
+            aggregator: false,
+            reason: text(),
+        },
         Event::Dropped { count: 0 },
         Event::Note {
             level: text(),
@@ -163,6 +168,7 @@
         Event::TargetStatement { .. } => 20,
         Event::Outage { .. } => 21,
         Event::Restored { .. } => 22,
+        Event::ServiceSource { .. } => 23,
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -5,7 +5,8 @@
 //! and the other instances read what that one has learned. [`Feed`] holds what an instance
 //! publishes, [`serve`] answers readers, and a [`FeedReader`] reads the feed of another instance. An
 //! [`OriginClient`] has another instance keep, and tell, where streams began. [`ask_service_gap`] asks
-//! one whether the key-value service was there, of which it keeps a [`ServiceContact`].
+//! one whether the key-value service was there, of which it keeps a [`ServiceContact`]. A [`FollowClient`]
+//! reads the changes in that service that another instance keeps in its [`ServiceLog`].
 //! The content is only hints, and a reader that missed changes gets the whole state.
 //!
 //! ```
@@ -28,13 +29,29 @@
 mod contact_question;
 mod error;
 mod feed_reader;
+mod follow_answer;
+mod follow_client;
+mod followed_event;
 mod origin_client;
 mod server;
 mod service;
 mod service_contact;
+mod service_log;
+mod shared_service_log;
 mod source;
 
 pub use {
-    batch::Batch, contact_question::ask_service_gap, error::FeedError, feed_reader::FeedReader,
-    origin_client::OriginClient, server::serve, service_contact::ServiceContact, source::Feed,
+    batch::Batch,
+    contact_question::ask_service_gap,
+    error::FeedError,
+    feed_reader::FeedReader,
+    follow_answer::{FollowAnswer, FollowedChanges},
+    follow_client::FollowClient,
+    followed_event::FollowedEvent,
+    origin_client::OriginClient,
+    server::serve,
+    service_contact::ServiceContact,
+    service_log::ServiceLog,
+    shared_service_log::SharedServiceLog,
+    source::Feed,
 };
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -1,7 +1,8 @@
 //! The server that answers the readers of a feed.
 
 use {
-    crate::{Batch, Feed, service::FeedService},
+    crate::{Batch, Feed, FollowAnswer, service::FeedService},
+    catalog::Revision,
     cluster::{accept_connection, transport},
     futures::StreamExt,
     origins::{OriginKnowledge, OriginRecord, StreamKey},
@@ -19,8 +20,8 @@
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
-/// Number of connections that are served at once; further ones wait. Each instance may have two: one
-/// reads the feed, the other exchanges the origins of streams.
+/// Number of connections that are served at once; further ones wait. Each instance may have three: one
+/// reads the feed, one exchanges the origins of streams, one follows the key-value service.
 const MAX_CONNECTIONS_COUNT: usize = 1_024;
 /// Number of calls that run at once on one connection. A reader makes only one at a time.
 const MAX_CALLS_COUNT: usize = 4;
@@ -87,4 +88,16 @@
     async fn service_gap(self, _: Context, within: Duration) -> Duration {
         self.feed.service_gap(within)
     }
+
+    async fn follow(
+        self,
+        _: Context,
+        incarnation: u64,
+        since: Revision,
+        wait: Duration,
+    ) -> FollowAnswer {
+        let log = &self.feed.service_log;
+        let wait = wait.min(MAX_WAIT);
+        log.answer_or_wait(incarnation, since, wait).await
+    }
 }
--- a/crates/feed/src/service.rs
+++ b/crates/feed/src/service.rs
@@ -4,7 +4,8 @@
 #![allow(missing_docs)]
 
 use {
-    crate::Batch,
+    crate::{Batch, FollowAnswer},
+    catalog::Revision,
     origins::{OriginKnowledge, OriginRecord, StreamKey},
     parts::Position,
     std::time::Duration,
@@ -25,4 +26,8 @@
     /// Returns the longest time without word from the key-value service in the last `within`; all
     /// of `within` if this instance cannot tell.
     async fn service_gap(within: Duration) -> Duration;
+
+    /// Returns the changes in the key-value service after revision `since` of an incarnation, if this
+    /// instance watches the service itself. Without changes it waits up to `wait` for one.
+    async fn follow(incarnation: u64, since: Revision, wait: Duration) -> FollowAnswer;
 }
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -1,7 +1,7 @@
 //! The feed that an instance publishes to the others.
 
 use {
-    crate::{Batch, ServiceContact},
+    crate::{Batch, ServiceContact, SharedServiceLog},
     balance::TargetLoad,
     origins::{OriginKnowledge, OriginRecord, StreamKey},
     parts::{Change, ChangeLog, Position},
@@ -19,6 +19,8 @@
 /// stores and engines, and its calls in flight.
 #[derive(Debug)]
 pub struct Feed {
+    /// The latest changes in the key-value service, for instances that follow it through this one.
+    pub service_log: SharedServiceLog,
     relay_state: RelayState,
     state: Mutex<State>,
     changed: Notify,
@@ -40,6 +42,7 @@
             followed_places: HashSet::new(),
         };
         Self {
+            service_log: SharedServiceLog::default(),
             relay_state,
             state: Mutex::new(state),
             changed: Notify::new(),
--- a/crates/idempotency/tests/write_batching.rs
+++ b/crates/idempotency/tests/write_batching.rs
@@ -33,6 +33,7 @@
         txn_count: after.txn_count - before.txn_count,
         lease_count: after.lease_count - before.lease_count,
         range_count: after.range_count - before.range_count,
+        watch_count: after.watch_count - before.watch_count,
     }
 }
 
--- a/crates/keyvalue/src/kv.rs
+++ b/crates/keyvalue/src/kv.rs
@@ -183,4 +183,16 @@
         prefix: &str,
         from: Revision,
     ) -> impl Stream<Item = Result<Event, KvError>> + Send + use<Self>;
+
+    /// Watches like [`Self::watch`], and reports progress at least every `wait` while there are no
+    /// changes, if the service can be told so.
+    fn watch_within(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> impl Stream<Item = Result<Event, KvError>> + Send + use<Self> {
+        let _ = wait;
+        self.watch(prefix, from)
+    }
 }
--- a/crates/keyvalue/src/memory_kv.rs
+++ b/crates/keyvalue/src/memory_kv.rs
@@ -28,6 +28,8 @@
     pub txn_count: u64,
     /// Lease calls: grants, renewals and revocations.
     pub lease_count: u64,
+    /// Waiting requests of watches, of which each answer with changes or progress ends one.
+    pub watch_count: u64,
 }
 
 /// State that all handles share.
@@ -230,6 +232,33 @@
         self.shared.changed.send_replace(());
     }
 
+    /// Opens a watch. With `wait`, it reports progress whenever there were no changes for that time;
+    /// its first request does not wait.
+    fn open_watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Option<Duration>,
+    ) -> impl Stream<Item = Result<Event, KvError>> + Send + use<> {
+        let cursor = WatchCursor {
+            kv: self.clone(),
+            prefix: prefix.to_owned(),
+            next_revision: from,
+            wait,
+            has_answer: false,
+            opened_in: self.faults.incarnations.current(),
+            cut: self.faults.watch_cut.subscribe(),
+            changed: self.shared.changed.subscribe(),
+            faults_changed: self.faults.changed.subscribe(),
+            ended: false,
+        };
+        stream::unfold(cursor, |mut cursor| async move {
+            let batch = cursor.next_batch().await?;
+            Some((stream::iter(batch), cursor))
+        })
+        .flatten()
+    }
+
     async fn wait_while_paused(&self) {
         let mut changed = self.faults.changed.subscribe();
         while self.faults().paused {
@@ -288,21 +317,16 @@
         prefix: &str,
         from: Revision,
     ) -> impl Stream<Item = Result<Event, KvError>> + Send + use<> {
-        let cursor = WatchCursor {
-            kv: self.clone(),
-            prefix: prefix.to_owned(),
-            next_revision: from,
-            opened_in: self.faults.incarnations.current(),
-            cut: self.faults.watch_cut.subscribe(),
-            changed: self.shared.changed.subscribe(),
-            faults_changed: self.faults.changed.subscribe(),
-            ended: false,
-        };
-        stream::unfold(cursor, |mut cursor| async move {
-            let batch = cursor.next_batch().await?;
-            Some((stream::iter(batch), cursor))
-        })
-        .flatten()
+        self.open_watch(prefix, from, None)
+    }
+
+    fn watch_within(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> impl Stream<Item = Result<Event, KvError>> + Send + use<> {
+        self.open_watch(prefix, from, Some(wait))
     }
 }
 
@@ -311,6 +335,10 @@
     kv: MemoryKv,
     prefix: String,
     next_revision: Revision,
+    /// Time after which progress is reported without changes; `None` reports it only with changes.
+    wait: Option<Duration>,
+    /// Whether a batch was delivered.
+    has_answer: bool,
     opened_in: Incarnation,
     cut: watch::Receiver<u64>,
     changed: watch::Receiver<()>,
@@ -325,16 +353,31 @@
         if self.ended {
             return None;
         }
+        self.kv.count_call(|calls| calls.watch_count += 1);
+        let wait = self.wait.filter(|_| self.has_answer);
+        let wait = wait.or(self.wait.map(|_| Duration::ZERO));
+        let answer_at = wait.map(|wait| Instant::now() + wait);
+        self.has_answer = true;
         loop {
             self.changed.mark_unchanged();
             self.faults_changed.mark_unchanged();
+            let is_due = answer_at.is_some_and(|at| Instant::now() >= at);
             match self.available_events() {
                 Err(error) => {
                     self.ended = true;
                     return Some(vec![Err(error)]);
                 }
                 Ok(events) if !events.is_empty() => return Some(self.advance(events)),
-                Ok(_) => self.wait_for_change().await,
+                Ok(_) if is_due && !self.kv.faults().watches_silent => {
+                    return Some(self.advance(Vec::new()));
+                }
+                Ok(_) => {
+                    let wake_at = answer_at.filter(|_| !is_due);
+                    tokio::select! {
+                        () = self.wait_for_change() => {}
+                        () = sleep_until_deadline(wake_at) => {}
+                    }
+                }
             }
         }
     }
@@ -365,7 +408,7 @@
             .iter()
             .map(event_revision)
             .max()
-            .unwrap_or(self.next_revision);
+            .unwrap_or(self.next_revision.saturating_sub(1));
         self.next_revision = last_revision + 1;
         let mut batch: Vec<Result<Event, KvError>> = events.into_iter().map(Ok).collect();
         batch.push(Ok(Event::Progress(last_revision)));
