Tests of a mass start, of recovery and of outages with aggregators

The first tests did not show that a start of 128 instances stays cheap, that failed aggregators serve again, and that members whose aggregators are cut off are in no outage.

--- a/crates/entry/tests/service_aggregators.rs
+++ b/crates/entry/tests/service_aggregators.rs
@@ -3,11 +3,12 @@
 mod support;
 
 use {
+    feed::{FollowAnswer, FollowClient, FollowedEvent},
     std::time::Duration,
     support::{
         delete,
         follower_fleet::{FleetMember, FollowerFleet},
-        put,
+        put, wait_until,
     },
     tokio::{io::AsyncReadExt, net::TcpListener, time::sleep},
 };
@@ -69,10 +70,28 @@
     check_calls(128, 3).await;
 }
 
+/// Guards against instances that wake on each other's registration: each of 128 instances would see
+/// up to 127 of them.
+#[tokio::test]
+async fn start_of_128_instances_wakes_few_watches() {
+    let (time, call_delay) = (Duration::from_millis(300), Duration::from_millis(20));
+    let fleet = FollowerFleet::start_within(time, call_delay, 128, 3).await;
+    let calls = fleet.kv.calls();
+    println!("128 instances that start within {time:?}: {calls:?}");
+    assert!(calls.watch_count < 128 * 5, "{calls:?}");
+    fleet.settle().await;
+    println!("settled: {:?}", fleet.kv.calls());
+}
+
 /// Fails aggregators of the first failure domain right before a configuration is written, and waits
-/// until that is in force everywhere else.
-async fn check_failure<Fail>(what: &str, failing_count: usize, fail: Fail)
-where
+/// until that is in force everywhere else. Then has them recover, if `recover` is given, and waits
+/// until it is in force there too.
+async fn check_failure<Fail>(
+    what: &str,
+    failing_count: usize,
+    fail: Fail,
+    recover: Option<fn(&FleetMember)>,
+) where
     Fail: Fn(&FleetMember),
 {
     let fleet = FollowerFleet::start(40, 4).await;
@@ -89,33 +108,45 @@
         sleep(Duration::from_millis(200)).await;
     }
     println!("{failing_count} aggregators {what}: in force after at most {longest:?}");
+    let Some(recover) = recover else {
+        return;
+    };
+    for member in failing {
+        recover(member);
+    }
+    let version = fleet.configure().await;
+    fleet.wait_for_version(version, &[]).await;
+    fleet.settle().await;
 }
 
 #[tokio::test]
 async fn configuration_is_in_force_though_aggregators_are_killed() {
-    check_failure("killed", 1, FleetMember::kill).await;
-    check_failure("killed", 2, FleetMember::kill).await;
+    check_failure("killed", 1, FleetMember::kill, None).await;
+    check_failure("killed", 2, FleetMember::kill, None).await;
 }
 
 #[tokio::test]
 async fn configuration_is_in_force_though_aggregators_are_suspended() {
     let suspend = |member: &FleetMember| member.suspend(SUSPENSION);
-    check_failure("suspended", 1, suspend).await;
-    check_failure("suspended", 2, suspend).await;
+    let resumes: Option<fn(&FleetMember)> = Some(|_| {});
+    check_failure("suspended", 1, suspend, resumes).await;
+    check_failure("suspended", 2, suspend, resumes).await;
 }
 
 #[tokio::test]
 async fn configuration_is_in_force_though_aggregators_are_cut_off() {
-    check_failure("cut off", 1, FleetMember::cut_off).await;
-    check_failure("cut off", 2, FleetMember::cut_off).await;
-    check_failure("cut off silently", 1, FleetMember::cut_off_silently).await;
-    check_failure("cut off silently", 2, FleetMember::cut_off_silently).await;
+    for count in [1, 2] {
+        let reconnect: Option<fn(&FleetMember)> = Some(FleetMember::reconnect);
+        check_failure("cut off", count, FleetMember::cut_off, reconnect).await;
+        let what = "cut off silently";
+        check_failure(what, count, FleetMember::cut_off_silently, reconnect).await;
+    }
 }
 
 #[tokio::test]
 async fn configuration_is_in_force_though_aggregators_drain_or_stop() {
-    check_failure("drained", 2, FleetMember::drain).await;
-    check_failure("stopped", 2, FleetMember::stop).await;
+    check_failure("drained", 2, FleetMember::drain, None).await;
+    check_failure("stopped", 2, FleetMember::stop, None).await;
 }
 
 /// Guards against instances that keep old state though an instance beside them has the new one.
@@ -139,6 +170,24 @@
     fleet.wait_for_version(version, &[]).await;
 }
 
+/// Guards against instances that keep targets that have left, since they take a cut of their aggregators
+/// for an outage of the service.
+#[tokio::test]
+async fn instances_whose_aggregators_are_cut_off_are_in_no_outage() {
+    let fleet = FollowerFleet::start(40, 4).await;
+    fleet.settle().await;
+    let cut_off = fleet.aggregators_of(0);
+    for member in cut_off {
+        member.cut_off();
+    }
+    let names = cut_off.map(|member| member.name.as_str());
+    sleep(SUSPENSION).await;
+    let version = fleet.configure().await;
+    fleet.wait_for_version(version, &names).await;
+    let lost = fleet.lines("\"available\":false").len();
+    assert_eq!(lost, cut_off.len(), "the cut off instances alone");
+}
+
 /// Guards against an end of the changes, or an older state, after the service was away.
 #[tokio::test]
 async fn all_instances_go_on_after_the_service_was_away() {
@@ -154,6 +203,10 @@
     }
     let took = fleet.wait_for_version(version, &[]).await;
     println!("in force {took:?} after the service was back");
+    wait_until("each instance notices the outage", async || {
+        fleet.lines("\"event\":\"outage\"").len() == fleet.members.len()
+    })
+    .await;
     fleet.settle().await;
 }
 
@@ -196,6 +249,30 @@
     fleet.wait_for_targets(&["one", "two"], &[]).await;
 }
 
+/// Guards against traffic to all instances for each renewal of a registration.
+#[tokio::test]
+async fn registration_that_is_written_again_unchanged_is_not_passed_on() {
+    let fleet = FollowerFleet::start(40, 4).await;
+    put(&fleet.kv, "targets/one", "127.0.0.1:9 1").await;
+    fleet.wait_for_targets(&["one"], &[]).await;
+    fleet.settle().await;
+    let since = fleet.kv.revision();
+    for _ in 0..10 {
+        put(&fleet.kv, "targets/one", "127.0.0.1:9 1").await;
+    }
+    put(&fleet.kv, "targets/one", "127.0.0.1:9 2").await;
+    let version = fleet.configure().await;
+    fleet.wait_for_version(version, &[]).await;
+    let mut client = FollowClient::new(fleet.aggregators_of(0)[0].feed);
+    let patience = Duration::from_secs(10);
+    let answer = client.follow(1, since, Duration::ZERO, patience).await;
+    let Ok(FollowAnswer::Changes(changes)) = answer else {
+        panic!("{answer:?}");
+    };
+    let of_target = |event: &&FollowedEvent| matches!(event, FollowedEvent::Put { key, .. } if key == "targets/one");
+    assert_eq!(changes.events.iter().filter(of_target).count(), 1);
+}
+
 /// Guards against instances without changes where the aggregators are of a build that passes none on.
 #[tokio::test]
 async fn configuration_is_in_force_though_aggregators_can_not_pass_it_on() {
--- a/crates/entry/tests/support/follower_fleet.rs
+++ b/crates/entry/tests/support/follower_fleet.rs
@@ -41,6 +41,8 @@
 /// A running instance.
 pub struct FleetMember {
     pub name: String,
+    /// Address of its feed.
+    pub feed: SocketAddr,
     /// Its connection to the service, with faults of its own.
     pub kv: MemoryKv,
     instance: Arc<FleetInstance>,
@@ -55,6 +57,7 @@
     pub members: Vec<FleetMember>,
     domains_count: usize,
     lines: super::Lines,
+    log: EventLog,
     next_version: AtomicU64,
     _running: MutexGuard<'static, ()>,
 }
@@ -66,8 +69,42 @@
         Self::start_beside(count, domains_count, async |_| {}).await
     }
 
+    /// Starts instances one after the other, within `time`. Each call to the service takes
+    /// `call_delay`.
+    pub async fn start_within(
+        time: Duration,
+        call_delay: Duration,
+        count: usize,
+        domains_count: usize,
+    ) -> Self {
+        let mut fleet = Self::prepare(domains_count, async |_| {}).await;
+        let began = Instant::now();
+        for index in 0..count {
+            let member = fleet.start_member(index, call_delay);
+            fleet.members.push(member);
+            let share =
+                f64::from(u32::try_from(index).unwrap()) / f64::from(u32::try_from(count).unwrap());
+            sleep(time.mul_f64(share).saturating_sub(began.elapsed())).await;
+        }
+        fleet.wait_for_start().await;
+        fleet
+    }
+
     /// Starts instances after `prepare` was done with the service.
     pub async fn start_beside<Prepare>(count: usize, domains_count: usize, prepare: Prepare) -> Self
+    where
+        Prepare: AsyncFnOnce(&MemoryKv),
+    {
+        let mut fleet = Self::prepare(domains_count, prepare).await;
+        let start = |index| fleet.start_member(index, Duration::ZERO);
+        let members: Vec<FleetMember> = (0..count).map(start).collect();
+        fleet.members = members;
+        fleet.wait_for_start().await;
+        fleet
+    }
+
+    /// A deployment without instances.
+    async fn prepare<Prepare>(domains_count: usize, prepare: Prepare) -> Self
     where
         Prepare: AsyncFnOnce(&MemoryKv),
     {
@@ -77,32 +114,38 @@
         prepare(&kv).await;
         let lines = super::Lines::default();
         let log = EventLog::start(lines.clone());
-        let start = |index| {
-            let is_fast = index < domains_count * AGGREGATORS_PER_DOMAIN_COUNT;
-            let link_mbps = if is_fast {
-                FAST_LINK_MBPS
-            } else {
-                SLOW_LINK_MBPS
-            };
-            let domain = format!("domain-{}", index % domains_count);
-            FleetMember::start(index, &domain, link_mbps, kv.peer(), log.clone())
-        };
-        let members: Vec<FleetMember> = (0..count).map(start).collect();
-        let fleet = Self {
+        Self {
             kv,
-            members,
+            members: Vec::new(),
             domains_count,
             lines,
+            log,
             next_version: AtomicU64::new(2),
             _running: running,
+        }
+    }
+
+    fn start_member(&self, index: usize, call_delay: Duration) -> FleetMember {
+        let is_fast = index < self.domains_count * AGGREGATORS_PER_DOMAIN_COUNT;
+        let link_mbps = if is_fast {
+            FAST_LINK_MBPS
+        } else {
+            SLOW_LINK_MBPS
         };
-        fleet.keep_changing();
+        let domain = format!("domain-{}", index % self.domains_count);
+        let kv = self.kv.peer();
+        kv.set_faults(|faults| faults.call_delay = call_delay);
+        FleetMember::start(index, &domain, link_mbps, kv, self.log.clone())
+    }
+
+    async fn wait_for_start(&self) {
+        let count = self.members.len();
+        self.keep_changing();
         wait_until("all instances know each other", async || {
-            let mut members = fleet.members.iter();
+            let mut members = self.members.iter();
             members.all(|it| it.instance.ready_count() >= count)
         })
         .await;
-        fleet
     }
 
     /// The two instances of a failure domain that are its aggregators while all are ready.
@@ -216,7 +259,8 @@
         let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
         listener.set_nonblocking(true).unwrap();
         let name = format!("entry-{index:03}");
-        let settings = settings(index, domain, link_mbps, listener.local_addr().unwrap());
+        let feed = listener.local_addr().unwrap();
+        let settings = settings(index, domain, link_mbps, feed);
         let formats = Formats::default();
         let instance = Arc::new(FollowerInstance::new(settings, kv.clone(), formats, log));
         let stop = CancellationToken::new();
@@ -232,6 +276,7 @@
         });
         Self {
             name,
+            feed,
             kv,
             instance,
             runtime: receiver.recv().unwrap(),
