--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -6,7 +6,8 @@
 //! publishes, [`serve`] answers readers, and a [`FeedReader`] reads the feed of another instance. In large
 //! fleets, an aggregator publishes what it has read of others as well, which [`MergedReports`] adds up. An
 //! [`OriginClient`] has another instance keep, and tell, where streams began. [`ask_service_gap`] asks
-//! one whether the key-value service was there, of which it keeps a [`ServiceContact`].
+//! one whether the key-value service was there, of which it keeps a [`ServiceContact`]. A [`FollowClient`]
+//! reads the changes in that service that another instance keeps in its [`ServiceLog`].
 //! The content is only hints, and a reader that missed changes gets the whole state.
 //!
 //! ```
@@ -30,6 +31,9 @@
 mod error;
 mod feed_reader;
 mod feed_state;
+mod follow_answer;
+mod follow_client;
+mod followed_event;
 mod former_batch;
 mod merged_batch;
 mod merged_reports;
@@ -41,6 +45,8 @@
 mod server;
 mod service;
 mod service_contact;
+mod service_log;
+mod shared_service_log;
 mod source;
 
 pub use {
@@ -48,6 +54,9 @@
     contact_question::ask_service_gap,
     error::FeedError,
     feed_reader::FeedReader,
+    follow_answer::{FollowAnswer, FollowedChanges},
+    follow_client::FollowClient,
+    followed_event::FollowedEvent,
     merged_batch::{MergedBatch, SilentInstance},
     merged_reports::{MergedReports, SourceReport},
     merged_request::MergedRequest,
@@ -57,5 +66,7 @@
     scope::Scope,
     server::serve,
     service_contact::ServiceContact,
+    service_log::ServiceLog,
+    shared_service_log::SharedServiceLog,
     source::Feed,
 };
