Calls are refused by pressure in fleets of 35 or more instances

Cause: the relay sends every call to a target, however many wait there. Change: before the first attempt of a call with a prompt, the relay asks the admission control of its pool. Refusals have the reasons Pressure and CannotStart, a Retry-After, the counters overload_refusals and overload_refusals_by_priority, and the fields pressure and predicted_start_ms in the call line. Nothing is refused with fewer instances than min_overload_instances_count, while half of the slots are free, while fewer than half of the instances have reported their loads within 1 s, or for streams that are resumed and calls that another instance passed on.

--- a/crates/entry/src/peer_watch.rs
+++ b/crates/entry/src/peer_watch.rs
@@ -117,6 +117,7 @@
             }
             let Ok(batch) = answer else {
                 self.shared.relay_state.peer_loads().remove(&self.name);
+                self.shared.relay_state.load_reports.remove(&self.name);
                 sleep(RETRY_DELAY).await;
                 continue;
             };
@@ -134,6 +135,10 @@
         let mut peer_loads = self.shared.relay_state.peer_loads();
         peer_loads.set(&self.name, batch.loads);
         drop(peer_loads);
+        self.shared
+            .relay_state
+            .load_reports
+            .record(&self.name, 1, now);
         let mut cache_index = self.shared.relay_state.cache_index();
         if let Some(clock) = batch.clock {
             cache_index.set_clock(clock, now);
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Platform, directory,
+        MIN_INSTANCES_COUNT, Platform, directory,
         listener::{self, ListenerControl},
         shared::Shared,
     },
@@ -43,6 +43,7 @@
         retry_bounds: settings.retries,
         stale_weights_grace: settings.version_bound.mul_f64(OLD_WEIGHTS_SHARE),
         max_buffered_bytes: settings.memory_bytes / 4,
+        min_overload_instances_count: u32::try_from(MIN_INSTANCES_COUNT).unwrap_or(u32::MAX),
     };
     Relay::new(
         relay_settings,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -121,6 +121,7 @@
     pub(crate) fn forget_peer(&self, instance: &str) {
         self.last_heard().remove(instance);
         self.relay_state.peer_loads().remove(instance);
+        self.relay_state.load_reports.remove(instance);
     }
 
     /// Returns the time since another instance last responded, or since reading its feed started;
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -112,6 +112,12 @@
     pub view_age_ms: u64,
     /// Number of instances known to share the retry budget.
     pub instances_count: u32,
+    /// Predicted start delay of a call at the mean target of the pool, relative to the latency
+    /// objective; `None` if it was not predicted.
+    pub pressure: Option<f64>,
+    /// Predicted start delay of the call at the target with the least work in flight, in milliseconds;
+    /// `None` if it was not predicted.
+    pub predicted_start_ms: Option<u64>,
     /// Id of the part because of which the call was refused, since it crashed targets; otherwise
     /// empty.
     pub quarantined_part: String,
--- a/crates/overload/src/account_shares.rs
+++ b/crates/overload/src/account_shares.rs
@@ -18,9 +18,9 @@
 
 impl AccountShares {
     /// Records that a call of `account` runs.
-    pub(crate) fn record(&mut self, account: &str, tokens_count: u32, now: Duration) {
+    pub(crate) fn record(&mut self, account: &str, work_tokens: f64, now: Duration) {
         if let Some(tokens) = self.tokens_by_account.get_mut(account) {
-            tokens.add(tokens_count.into(), now);
+            tokens.add(work_tokens, now);
             return;
         }
         if self.tokens_by_account.len() >= MAX_ACCOUNTS_COUNT {
@@ -28,7 +28,7 @@
             self.tokens_by_account.retain(|_, tokens| is_active(tokens));
         }
         let tokens = self.tokens_by_account.entry(account.to_owned());
-        tokens.or_default().add(tokens_count.into(), now);
+        tokens.or_default().add(work_tokens, now);
     }
 
     /// Work of `account` relative to the mean of the active accounts; 1 if it is the only one.
--- a/crates/overload/src/call_needs.rs
+++ b/crates/overload/src/call_needs.rs
@@ -22,6 +22,11 @@
 }
 
 impl CallNeeds<'_> {
+    /// Work that the call needs, in tokens; at least 1.
+    pub(crate) fn work_tokens(&self) -> f64 {
+        self.tokens_count.max(1).into()
+    }
+
     /// Largest share of the route's time limit that a call has left when it comes back after a
     /// refusal. Calls that come for the first time often have a little less than all of it.
     const MAX_RETURN_SHARE: f64 = 0.95;
--- a/crates/overload/src/overload_control.rs
+++ b/crates/overload/src/overload_control.rs
@@ -56,6 +56,20 @@
         class.pace.record(target_tokens, delay, now);
     }
 
+    /// Mean work of a call that came lately, in tokens; 0 before the first one. It turns a number of
+    /// calls in flight into tokens where these are not known.
+    #[must_use]
+    pub fn mean_tokens(&self, now: Duration) -> f64 {
+        let classes = self.classes.values();
+        let calls_count: f64 = classes.clone().map(|it| it.calls_count(now)).sum();
+        let tokens: f64 = classes.map(|it| it.offered_tokens(now)).sum();
+        if calls_count > 0.0 {
+            tokens / calls_count
+        } else {
+            0.0
+        }
+    }
+
     /// Decides whether `call` runs, and counts it.
     pub fn assess(
         &mut self,
--- a/crates/overload/src/priority_class.rs
+++ b/crates/overload/src/priority_class.rs
@@ -42,13 +42,18 @@
     pub(crate) fn record_call(&mut self, call: &CallNeeds<'_>, now: Duration) {
         self.latency_objective = call.latency_objective;
         self.calls_count.add(1.0, now);
-        self.offered_tokens.add(call.tokens_count.into(), now);
+        self.offered_tokens.add(call.work_tokens(), now);
     }
 
     /// Records that a call runs.
     pub(crate) fn record_run(&mut self, call: &CallNeeds<'_>, now: Duration) {
         self.admitted_count.add(1.0, now);
-        self.accounts.record(call.account, call.tokens_count, now);
+        self.accounts.record(call.account, call.work_tokens(), now);
+    }
+
+    /// Recent number of calls that came.
+    pub(crate) fn calls_count(&self, now: Duration) -> f64 {
+        self.calls_count.value(now)
     }
 
     /// Recent work of the calls that came.
@@ -89,7 +94,7 @@
     fn preference(&mut self, call: &CallNeeds<'_>, now: Duration) -> f64 {
         let calls_count = self.calls_count.value(now).max(f64::EPSILON);
         let mean_tokens = self.offered_tokens.value(now) / calls_count;
-        let relative_work = f64::from(call.tokens_count) / mean_tokens.max(1.0);
+        let relative_work = call.work_tokens() / mean_tokens.max(1.0);
         let relative_use = self.accounts.relative_use(call.account, now);
         let bounded = |factor: f64| factor.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
         let return_factor = if call.is_return() { RETURN_FACTOR } else { 1.0 };
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -10,6 +10,9 @@
 /// Retry delay for callers while the instance has no current configuration.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Priority number of the least urgent calls.
+const MAX_PRIORITY: u8 = 9;
+
 /// An admitted call with its route and client account.
 #[derive(Clone, Debug)]
 pub(crate) struct Admitted {
@@ -29,6 +32,13 @@
         self.call.time_limit.unwrap_or(self.route.time_limit)
     }
 
+    /// Priority of the call: the account's, or else the route's.
+    pub(crate) fn priority(&self) -> u8 {
+        let account_priority = self.account.as_ref().and_then(|it| it.priority);
+        let priority = account_priority.unwrap_or(self.route.priority);
+        priority.min(MAX_PRIORITY)
+    }
+
     /// Homes of the call, by the configuration that admitted it.
     pub(crate) fn homes(&self) -> Homes {
         Homes::of_call(&self.route, self.account.as_ref())
--- a/crates/relay/src/call_attempts.rs
+++ b/crates/relay/src/call_attempts.rs
@@ -58,6 +58,13 @@
             if self.has_reached_no_target() && self.is_cut_off() {
                 break;
             }
+            if last_event_id.is_none()
+                && self.tried_targets.is_empty()
+                && let Err(declined) = self.check_overload(recorder)
+            {
+                last_declined = declined;
+                break;
+            }
             let picked = match self.choose_target() {
                 Ok(picked) => picked,
                 Err(no_target) => {
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -7,6 +7,7 @@
     },
     eventlog::{AttemptLine, CallLine, Event, EventLog},
     meters::Meters,
+    overload::Assessment,
     parts::{Plan, PromptPart},
     quarantine::CallKey,
     std::{
@@ -146,6 +147,20 @@
             .count("turned_away_answers", turned_away.label());
     }
 
+    /// Enters the state of the call's pool in its log line.
+    pub(crate) fn record_assessment(&mut self, assessment: &Assessment) {
+        self.line.pressure = Some(assessment.pressure);
+        self.line.predicted_start_ms = Some(millis(assessment.predicted_start));
+    }
+
+    /// Counts a refusal under overload, by reason and by the call's priority.
+    pub(crate) fn count_overload_refusal(&self, reason: &'static str, priority: u8) {
+        self.meters.count("overload_refusals", reason);
+        let priority = priority.to_string();
+        self.meters
+            .count("overload_refusals_by_priority", &priority);
+    }
+
     /// Counts a refusal because of the call's homes.
     pub(crate) fn count_homes_refusal(&self, kind: &'static str) {
         self.meters.count("homes_refusals", kind);
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -120,7 +120,7 @@
     }
 
     /// Calls `choose` with the current view and the other inputs of a choice.
-    fn with_pick_context<Choice, Choose>(&self, choose: Choose) -> Choice
+    pub(crate) fn with_pick_context<Choice, Choose>(&self, choose: Choose) -> Choice
     where
         Choose: FnOnce(&View, &PickContext<'_>) -> Choice,
     {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,10 +42,13 @@
 mod forwarded_stream;
 mod header_format;
 mod limit_observation;
+mod load_reports;
 mod not_run;
 mod observations;
 mod observed_answer;
 mod outbound_metadata;
+mod overload_check;
+mod overload_controls;
 mod pass_on;
 mod peer_caller;
 mod pick;
@@ -63,6 +66,7 @@
 mod sent_attempt;
 mod shutdown;
 mod silent_target;
+mod start_observation;
 mod statement_log;
 mod stream_forwarder;
 mod stream_origins;
@@ -89,6 +93,7 @@
     call::{BadCall, Call, Part, PartId, Prompt},
     header_format::{HeaderFormat, OutboundMetadata, ReplyMetadata},
     limit_observation::LimitObservation,
+    load_reports::LoadReports,
     not_run::{NotRun, NotSent},
     refusal::{Declined, LostAnswer, Reason, Refusal},
     relay::{CallSource, Relay, RelaySettings, RelayState},
--- a/crates/relay/src/outbound_metadata.rs
+++ b/crates/relay/src/outbound_metadata.rs
@@ -33,18 +33,13 @@
         let version = prompt.and_then(|prompt| picked.target.version(&prompt.model));
         let view = self.inner.state.view();
         let salt = prompt.map(|_| salt(version.unwrap_or(0), &self.cache_scope(&view)));
-        let account_priority = account.and_then(|account| account.priority);
         OutboundMetadata {
             target: picked.target.id.clone(),
             account: account.map(|account| account.name.clone()),
             time_left: self.time_left(),
             version,
             salt,
-            priority: prompt.map(|_| {
-                account_priority
-                    .unwrap_or(self.admitted.route.priority)
-                    .min(9)
-            }),
+            priority: prompt.map(|_| self.admitted.priority()),
             last_event_id,
             fetch_deadline: self.fetch_deadline(plan),
             fetch_from: plan.fetch.clone(),
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -150,6 +150,20 @@
     }
 }
 
+/// Number of slots and estimated number of calls in flight of each target that may take the call.
+pub(crate) fn rooms(view: &View, pool: &str, context: &PickContext<'_>) -> Vec<(u32, f64)> {
+    let takes_calls = |target: &&Arc<TargetState>| {
+        takes_calls(view, target, context)
+            && !target.is_leaving()
+            && is_available(view, target, context)
+            && is_healthy(target, context)
+    };
+    let targets = context.reach.targets(pool).filter(takes_calls);
+    targets
+        .map(|it| (it.slots_count, in_flight_count(view, it, context)))
+        .collect()
+}
+
 /// Whether the target is neither paused nor loading weights.
 fn is_available(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
     !target.call_stats.is_paused(context.now) && !view.loading.contains(&target.id)
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -42,6 +42,10 @@
     /// A target refused the call without running it, for example because it is at capacity, or this
     /// instance buffers too many request bodies.
     Overloaded,
+    /// Too many calls wait for the targets, and refusing this one costs callers least.
+    Pressure,
+    /// The call would not start at any target before its time limit.
+    CannotStart,
     /// The call or a part of its prompt crashed targets, so the call is not sent to another one.
     Quarantined,
     /// The call resumes a stream that can have begun at one of several software versions, and it is
@@ -72,6 +76,8 @@
             | Self::NoHome
             | Self::OutsideHomes
             | Self::Overloaded
+            | Self::Pressure
+            | Self::CannotStart
             | Self::Quarantined
             | Self::OriginUnknown
             | Self::OriginGone
@@ -100,6 +106,12 @@
                 "no target is in a home of the call; add targets there, or add a region with targets to the homes"
             }
             Self::Overloaded => "all targets are full; come back later",
+            Self::Pressure => {
+                "too many calls wait for the targets; come back after the time in Retry-After, or add targets"
+            }
+            Self::CannotStart => {
+                "the call would not start before its time limit; come back after the time in Retry-After, or allow more time"
+            }
             Self::Quarantined => {
                 "the call, or a part of its prompt, crashed several targets; change it, or come back later"
             }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Answer, AnswerCutoff, HeaderFormat, Refusal, StreamOrigins, SuspectReports,
+        Answer, AnswerCutoff, HeaderFormat, LoadReports, Refusal, StreamOrigins, SuspectReports,
         TargetReachability, TruncatedAnswer, View,
         answer::{refused, streamed, whole},
         answer_times::AnswerTimes,
@@ -12,6 +12,7 @@
         event_forwarding::frames,
         forwarded_stream::ForwardedStream,
         not_run::NOT_RUN,
+        overload_controls::OverloadControls,
         peer_caller::PeerCaller,
         pool_bounds::PoolBounds,
         refusal::Unanswered,
@@ -56,6 +57,9 @@
     /// Maximum size of all request bodies buffered at the same time, in bytes. Answers that are read
     /// as a whole may take half as much besides.
     pub max_buffered_bytes: usize,
+    /// Number of ready instances from which calls are refused under overload. With fewer, calls wait at
+    /// the targets.
+    pub min_overload_instances_count: u32,
 }
 
 impl Default for RelaySettings {
@@ -67,6 +71,7 @@
             retry_bounds: RetryBounds::default(),
             stale_weights_grace: Duration::from_secs(7),
             max_buffered_bytes: 32 << 20,
+            min_overload_instances_count: u32::MAX,
         }
     }
 }
@@ -80,6 +85,8 @@
     pub cache_index: Arc<Mutex<PartDirectory>>,
     /// Calls that other instances have in flight.
     pub peer_loads: Arc<Mutex<PeerLoads>>,
+    /// How recently they have reported these.
+    pub load_reports: Arc<LoadReports>,
     /// What calls of this instance show of prompt parts and calls that may crash targets.
     pub suspect_reports: Arc<SuspectReports>,
     /// Which pools this instance can reach.
@@ -137,6 +144,7 @@
     pub(crate) state: RelayState,
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) pool_bounds: PoolBounds,
+    pub(crate) overload_controls: OverloadControls,
     pub(crate) unframed_pools: UnframedPools,
     pub(crate) answer_times: AnswerTimes,
     /// Start of the relay; times passed to `balance` are relative to it.
@@ -185,6 +193,7 @@
                 state,
                 retry_budgets,
                 pool_bounds: PoolBounds::default(),
+                overload_controls: OverloadControls::default(),
                 unframed_pools: UnframedPools::default(),
                 answer_times: AnswerTimes::new(),
                 origin: Instant::now(),
--- a/crates/relay/src/sent_attempt.rs
+++ b/crates/relay/src/sent_attempt.rs
@@ -36,6 +36,7 @@
         let plan = self.plan_part_transfers(picked, recorder);
         let metadata = self.outbound_metadata(picked, last_event_id, &plan);
         let sent = Instant::now();
+        let start = self.observe_start(picked);
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
@@ -106,6 +107,9 @@
             let now = self.inner.origin.elapsed();
             target.call_stats.record_start_delay(sent.elapsed(), now);
         }
+        if let Some(start) = start {
+            start.end(&outcome);
+        }
         if let AttemptOutcome::Answered(answer) = &outcome
             && answer.has_begun()
         {
--- a/crates/relay/tests/support/caller.rs
+++ b/crates/relay/tests/support/caller.rs
@@ -54,8 +54,13 @@
 
 /// Sends a call with this id and reads its response.
 pub async fn call_as(id: &str, relay: SocketAddr, path: &str) -> Response {
+    call_with(id, relay, path, "").await
+}
+
+/// Sends a call with this id and these headers, and reads its response.
+pub async fn call_with(id: &str, relay: SocketAddr, path: &str, headers: &str) -> Response {
     let mut stream = TcpStream::connect(relay).await.unwrap();
-    send_as(id, &mut stream, path, "").await;
+    send_as(id, &mut stream, path, headers).await;
     read_response(stream).await
 }
 
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -9,7 +9,7 @@
 
 use {
     arc_swap::ArcSwap,
-    balance::{RetryBounds, rendezvous},
+    balance::{PeerLoads, RetryBounds, rendezvous},
     eventlog::EventLog,
     header_format::TestHeaderFormat,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
@@ -17,8 +17,8 @@
     meters::Meters,
     parts::PartDirectory,
     relay::{
-        AnswerCutoff, CallSource, LoadedModel, Peer, Relay, RelaySettings, RelayState, Shutdown,
-        StreamOrigins, SuspectReports, TargetState, TargetStats, View, boot_time,
+        AnswerCutoff, CallSource, LoadReports, LoadedModel, Peer, Relay, RelaySettings, RelayState,
+        Shutdown, StreamOrigins, SuspectReports, TargetState, TargetStats, View, boot_time,
     },
     routes::{Account, Regions, RetryPolicy, Route, RouteConfig, RouteTable},
     scripted_target::ScriptedTarget,
@@ -35,11 +35,17 @@
 /// Key of the only client account.
 pub const KEY: &str = "key-of-chain";
 
+/// Number of ready instances from which calls are refused under overload.
+pub const MIN_OVERLOAD_INSTANCES_COUNT: u32 = 35;
+
 /// A listening relay and the state that it depends on.
 pub struct TestRelay {
     pub address: SocketAddr,
     pub view: WatchedView,
     pub cache_index: Arc<Mutex<PartDirectory>>,
+    pub peer_loads: Arc<Mutex<PeerLoads>>,
+    pub load_reports: Arc<LoadReports>,
+    pub meters: Meters,
     pub answer_cutoff: AnswerCutoff,
     pub suspect_reports: Arc<SuspectReports>,
 }
@@ -198,12 +204,16 @@
     ) -> Self {
         let view = WatchedView::new(view(targets));
         let cache_index = Arc::new(Mutex::new(PartDirectory::default()));
+        let peer_loads = Arc::<Mutex<PeerLoads>>::default();
+        let load_reports = Arc::<LoadReports>::default();
+        let meters = Meters::new();
         let answer_cutoff = AnswerCutoff::default();
         let suspect_reports = Arc::<SuspectReports>::default();
         let settings = RelaySettings {
             failure_domain: "here".to_owned(),
             regions: regions(),
             retry_bounds,
+            min_overload_instances_count: MIN_OVERLOAD_INSTANCES_COUNT,
             ..RelaySettings::default()
         };
         let relay = Relay::new(
@@ -214,12 +224,14 @@
                 view: view.view.clone(),
                 stream_origins: view.stream_origins.clone(),
                 cache_index: cache_index.clone(),
+                peer_loads: peer_loads.clone(),
+                load_reports: load_reports.clone(),
                 answer_cutoff: answer_cutoff.clone(),
                 suspect_reports: suspect_reports.clone(),
                 ..RelayState::default()
             },
             EventLog::start(std::io::sink()),
-            Meters::new(),
+            meters.clone(),
         );
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
@@ -238,6 +250,9 @@
             address,
             view,
             cache_index,
+            peer_loads,
+            load_reports,
+            meters,
             answer_cutoff,
             suspect_reports,
         }
