--- a/crates/overload/tests/load_comparison.rs
+++ b/crates/overload/tests/load_comparison.rs
@@ -118,6 +118,21 @@
     }
 }
 
+/// Guards against constants that fit one mix of calls only.
+#[test]
+fn refusals_are_worth_more_with_other_mixes_of_calls() {
+    for (long_share, peak_per_s) in [(0.1, 55.0), (0.1, 90.0), (0.9, 18.0), (0.9, 35.0)] {
+        let name = format!("{long_share} of the calls long, {peak_per_s} a second and engine");
+        let load = Load {
+            long_share,
+            peak_per_s,
+            normal_per_s: peak_per_s / 3.0,
+            ..load(1.0, LONG_PEAK_MS)
+        };
+        check(&name, &load);
+    }
+}
+
 /// Guards against refusals that only noise in the estimates causes.
 #[test]
 fn nothing_is_refused_while_there_is_room() {
