--- a/crates/balance/src/peer_loads.rs
+++ b/crates/balance/src/peer_loads.rs
@@ -3,7 +3,7 @@
 use {
     catalog::InstanceId,
     serde::{Deserialize, Serialize},
-    std::collections::HashMap,
+    std::{collections::HashMap, time::Duration},
 };
 
 /// Calls that instances have in flight at a target.
@@ -33,13 +33,16 @@
     loads: Vec<TargetLoad>,
     /// Number of instances whose loads the report adds up.
     instances_count: u32,
+    /// When the loads were reported.
+    at: Duration,
 }
 
 /// Calls in flight from the other instances to each target, as they last reported.
 ///
 /// An instance's own calls say little about the load of a target when thirty other instances send
 /// calls there too. Targets are identified by their rendezvous seeds. A source is another instance
-/// that reports its own loads, or an aggregator that reports those of many instances.
+/// that reports its own loads, or an aggregator that reports those of many instances. Times are by one
+/// clock.
 #[derive(Clone, Debug, Default)]
 pub struct PeerLoads {
     report_by_source: HashMap<InstanceId, LoadReport>,
@@ -48,14 +51,20 @@
 }
 
 impl PeerLoads {
-    /// Replaces the loads reported by `peer`, which are its own.
-    pub fn set(&mut self, peer: &str, loads: Vec<TargetLoad>) {
-        self.set_merged(peer, loads, 1);
+    /// Replaces the loads reported by `peer` at `now`, which are its own.
+    pub fn set(&mut self, peer: &str, loads: Vec<TargetLoad>, now: Duration) {
+        self.set_merged(peer, loads, 1, now);
     }
 
-    /// Replaces the loads reported by `source`, which are those of `instances_count` instances
-    /// together.
-    pub fn set_merged(&mut self, source: &str, loads: Vec<TargetLoad>, instances_count: u32) {
+    /// Replaces the loads reported by `source` at `now`, which are those of `instances_count`
+    /// instances together.
+    pub fn set_merged(
+        &mut self,
+        source: &str,
+        loads: Vec<TargetLoad>,
+        instances_count: u32,
+        now: Duration,
+    ) {
         self.remove(source);
         for load in &loads {
             let sum = self.sums.entry(load.target_seed).or_default();
@@ -68,6 +77,7 @@
         let report = LoadReport {
             loads,
             instances_count,
+            at: now,
         };
         self.report_by_source.insert(source.to_owned(), report);
     }
@@ -90,10 +100,12 @@
         }
     }
 
-    /// Number of other instances whose loads are known.
+    /// Number of other instances whose loads were reported within `max_age` before `now`.
     #[must_use]
-    pub fn covered_count(&self) -> u32 {
-        self.covered_count
+    pub fn covered_count(&self, max_age: Duration, now: Duration) -> u32 {
+        let reports = self.report_by_source.values();
+        let recent = reports.filter(|report| now.saturating_sub(report.at) <= max_age);
+        recent.map(|report| report.instances_count).sum()
     }
 
     /// Estimates the number of calls in flight to a target from all `instances_count` instances.
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -118,6 +118,12 @@
     /// Number of targets that were passed over since they were or might be cold and this instance might
     /// send them no call, in the choice that found no target; otherwise 0.
     pub cold_targets_count: u32,
+    /// Predicted start delay of a call at the mean target of the pool, relative to the latency
+    /// objective; `None` if it was not predicted.
+    pub pressure: Option<f64>,
+    /// Predicted start delay of the call at the target with the least work in flight, in milliseconds;
+    /// `None` if it was not predicted.
+    pub predicted_start_ms: Option<u64>,
     /// Id of the part because of which the call was refused, since it crashed targets; otherwise
     /// empty.
     pub quarantined_part: String,
