An answer that ends before its request is written is not whole; invalid statuses are no answers

Cause: a target can answer a long upload at once without length, send a part of the body and end its sending side while the upload is still being written; asked on the connection beside it, its process says that it still runs, and the part reached the caller as a whole answer. Statuses 101 and 600 to 999 were passed on. Interim answers without end were read at full speed until the time limit. A connection whose upload was answered early was kept, and the upload went on.

Change: a connection records whether its request was written when the target's last byte was read. If it was not, the end of an unframed body shows nothing: the outcome is unknown, and the call is retried where that is allowed. A status outside 200 to 599 is an unknown outcome too. Connections with unwritten bytes are not kept.

Not red: the part before a reset was never whole, since the write error breaks off the body here too; these tests stay.

--- a/crates/relay/tests/endless_answers.rs
+++ b/crates/relay/tests/endless_answers.rs
@@ -147,3 +147,48 @@
     let begin = "HTTP/1.1 500 Internal Server Error\r\nid: c1\r\nstamp: s\r\n\r\n";
     check(begin, "x").await;
 }
+
+#[tokio::test]
+async fn endless_status_line() {
+    check("HTTP/1.1 200 ", "x").await;
+}
+
+#[tokio::test]
+async fn endless_value_of_a_header() {
+    check("HTTP/1.1 200 OK\r\nid: c1\r\nx: ", "x").await;
+}
+
+#[tokio::test]
+async fn endless_interim_answers() {
+    check("", "HTTP/1.1 100 Continue\r\n\r\n").await;
+}
+
+#[tokio::test]
+async fn endless_length_of_a_chunk() {
+    check(&format!("{OK}transfer-encoding: chunked\r\n\r\n"), "0").await;
+}
+
+#[tokio::test]
+async fn endless_extension_of_a_chunk() {
+    check(&format!("{OK}transfer-encoding: chunked\r\n\r\n5;"), "x").await;
+}
+
+#[tokio::test]
+async fn endless_trailers() {
+    check(
+        &format!("{OK}transfer-encoding: chunked\r\n\r\n0\r\n"),
+        "x: y\r\n",
+    )
+    .await;
+}
+
+/// Guards against an event that is kept until its end, which never comes.
+#[tokio::test]
+async fn endless_event() {
+    check(&format!("{OK}\r\n"), "data: x\n").await;
+}
+
+#[tokio::test]
+async fn endless_bytes_that_are_no_text() {
+    check(&format!("{OK}\r\n"), "\u{0}\u{1}\u{fffd}").await;
+}
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -5,13 +5,15 @@
         IncarnationProbe, OpenWitness, Reply, SendError, StartTimeout, WitnessAhead,
         carried_ids::{CarriedIds, HashedId, IdHasher},
         error,
+        exchange_progress::ExchangeProgress,
+        tracked_stream::TrackedStream,
         witness_connection::Asked,
         witness_slot::{Keeping, WitnessSlots},
     },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
-        Request,
+        Request, StatusCode,
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
@@ -104,6 +106,7 @@
     requests_count: u32,
     /// Ids of those that have one.
     carried: CarriedIds,
+    progress: Arc<ExchangeProgress>,
     end: CancellationToken,
     _driver: AbortOnDropHandle<()>,
 }
@@ -129,6 +132,16 @@
         self.requests_count.saturating_sub(1)
     }
 
+    /// Whether the target had sent its last byte before the request was written.
+    pub(crate) fn has_ended_unwritten(&self) -> bool {
+        self.progress.has_ended_unwritten()
+    }
+
+    /// Whether it may carry requests after the one that was answered.
+    fn is_reusable(&self) -> bool {
+        !self.sender.is_closed() && !self.carried.is_full() && self.progress.is_written()
+    }
+
     /// Whether it may carry a request, with this id if it has one.
     fn may_carry(&self, id: Option<HashedId<'_>>) -> bool {
         id.is_none_or(|id| !self.carried.has(id))
@@ -302,7 +315,7 @@
         connection: Connection,
         keep_alive: Option<Duration>,
     ) {
-        if connection.sender.is_closed() || connection.carried.is_full() {
+        if !connection.is_reusable() {
             return;
         }
         let idle_time = keep_alive.map_or(self.settings.idle_timeout, |keep_alive| {
@@ -363,6 +376,8 @@
         if let Some(limit) = self.settings.unacknowledged_timeout {
             set_unacknowledged_timeout(&stream, limit)?;
         }
+        let progress = Arc::<ExchangeProgress>::default();
+        let stream = TrackedStream::new(stream, Arc::clone(&progress));
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -378,6 +393,7 @@
             opened: Instant::now(),
             requests_count: 0,
             carried: CarriedIds::default(),
+            progress,
             end,
             _driver: AbortOnDropHandle::new(driver),
         })
@@ -409,6 +425,7 @@
         let started = Instant::now();
         start_timeout.start();
         connection.requests_count += 1;
+        connection.progress.record_request();
         let mut sending = pin!(connection.sender.try_send_request(request));
         let sent = loop {
             match timeout(start_timeout.duration(), sending.as_mut()).await {
@@ -421,7 +438,12 @@
             }
         };
         match sent {
+            Ok(response) if !is_answer(response.status()) => {
+                let status = response.status().as_u16();
+                unknown(format!("it sent the invalid status {status}"), false)
+            }
             Ok(response) => {
+                connection.progress.record_head();
                 let reply = Reply::new(
                     self.clone(),
                     address,
@@ -468,6 +490,11 @@
     socket.set_tcp_user_timeout(Some(limit))
 }
 
+/// Whether an answer can have this status: no upgrade was asked for, and no others are defined.
+fn is_answer(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Error for a connection that was closed before a request was written.
 pub(crate) fn closed_unwritten(address: SocketAddr) -> SendError {
     let reason = "connection closed before the request was written";
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -236,6 +236,10 @@
 
     /// Has the target show that a body is complete that ended with its connection.
     async fn confirm_end(&mut self) -> Result<WholeBody, Unconfirmed> {
+        let connection = self.connection.as_ref();
+        if connection.is_some_and(Connection::has_ended_unwritten) {
+            return Err(Unconfirmed::Unwritten);
+        }
         let unframed = self.unframed.as_mut().ok_or(Unconfirmed::NoProbe)?;
         Ok(WholeBody::new(unframed.confirm().await?))
     }
--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -39,6 +39,9 @@
         "it ended with its connection, and nothing can show that it is complete; have the target send a length or chunks"
     ))]
     NoProbe,
+    /// The target can't have read the whole request.
+    #[snafu(display("it ended with its connection before the whole request was written"))]
+    Unwritten,
     /// The other connection to the process has ended too, or could not be opened.
     #[snafu(display("it ended with its connection, and so did the one beside it ({reason})"))]
     Gone { reason: String },
