Instances cut off with their aggregators follow one of another domain

Two aggregators of one domain that were both cut off asked each other for ever and logged each change of the source; they never learned of the newly selected ones. An instance that can't reach the service now also tries aggregators of other domains, after those of its own, and leaves them once its path is back or its domain has others. A source is logged only after it has served the instance, with the first problem since. Trials of an earlier watch no longer count.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -80,7 +80,7 @@
             }
             error => {
                 follower.note_unavailable(&error);
-                follower.source_reason = error.to_string();
+                follower.note_source_reason(&error.to_string());
                 follower.choice.service_failed(boot_time());
             }
         }
--- a/crates/entry/src/follower/sources.rs
+++ b/crates/entry/src/follower/sources.rs
@@ -6,19 +6,25 @@
         Aggregator, Aggregators, Platform, Source, SourceChoice,
         source_choice::{FOLLOW_TIMEOUT, MAX_FOLLOWED_AGE},
     },
+    balance::rendezvous,
     catalog::{InstanceId, Revision},
     eventlog::Event as LogEvent,
     feed::{FeedError, FollowAnswer, FollowClient, FollowedChanges},
     futures::{StreamExt, future::Either},
     keyvalue::{Event, Incarnation, KeyValue, KvError},
     relay::boot_time,
-    std::{mem, pin::pin, time::Duration},
-    tokio::time::{interval, sleep},
+    std::{cmp::Reverse, mem, pin::pin, time::Duration},
+    tokio::{
+        task::JoinSet,
+        time::{interval, sleep},
+    },
 };
 
 /// Longest time that an aggregator's watch waits for changes, so that what it passes on is
 /// confirmed twice a second.
 const AGGREGATOR_WAIT: Duration = Duration::from_millis(500);
+/// Reason of a change of the source without a failure.
+const SELECTED: &str = "selected by the ready instances";
 /// Delay after all aggregators have failed in turn.
 const FOLLOW_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Delay after a batch of changes while no aggregator serves this instance. Many instances may watch
@@ -34,7 +40,6 @@
     /// service fails.
     pub(super) async fn follow_source(&mut self, incarnation: Incarnation) -> Result<(), KvError> {
         self.update_choice();
-        self.log_source();
         match self.choice.source() {
             Source::Service => self.watch_service(incarnation).await,
             Source::Aggregator(aggregator) => {
@@ -46,6 +51,8 @@
     /// Watches the service itself.
     async fn watch_service(&mut self, incarnation: Incarnation) -> Result<(), KvError> {
         let shared = self.shared.clone();
+        // Trials of an earlier watch say nothing about the aggregators now.
+        self.trials = JoinSet::new();
         let revision = self.applied_revision.unwrap_or_default();
         let log = &shared.feed.service_log;
         log.open(shared.incarnation().number, revision);
@@ -68,6 +75,9 @@
                     Some(Ok(event)) => {
                         let is_progress = matches!(event, Event::Progress(_));
                         self.apply_watched(event);
+                        if is_progress {
+                            self.log_source();
+                        }
                         if is_progress && has_pending_changes {
                             sleep(self.batch_delay()).await;
                         }
@@ -86,6 +96,9 @@
                 }
                 Some(Ok((aggregator, serves))) = self.trials.join_next() => {
                     self.choice.trial_ended(&aggregator, serves, boot_time());
+                    if serves {
+                        self.note_source_reason("it serves this instance again");
+                    }
                 }
             }
             if !has_pending_changes {
@@ -93,7 +106,7 @@
                 let is_due = self.choice.source() != Source::Service
                     || self.choice.is_aggregator() != is_aggregator;
                 if is_due {
-                    "selected by the ready instances".clone_into(&mut self.source_reason);
+                    self.note_source_reason(SELECTED);
                     return Ok(());
                 }
             }
@@ -137,6 +150,7 @@
                 sleep(pause).await;
             }
             if source != Source::Aggregator(aggregator.clone()) {
+                self.note_source_reason(SELECTED);
                 return Ok(());
             }
             wait = SourceChoice::follow_wait(self.confirmed_at, boot_time());
@@ -161,7 +175,7 @@
         };
         self.choice
             .aggregator_failed(self.confirmed_at, boot_time());
-        self.source_reason = problem;
+        self.note_source_reason(&problem);
         self.retry_delay()
     }
 
@@ -195,9 +209,10 @@
             self.shared.publish();
         }
         if !self.choice.aggregator_answered(confirmed_at, now) {
-            "its last word from the service is too old".clone_into(&mut self.source_reason);
+            self.note_source_reason("its last word from the service is too old");
             return self.retry_delay();
         }
+        self.log_source();
         if has_changes {
             BATCH_DELAY
         } else {
@@ -240,13 +255,28 @@
         let known = self.shared.known();
         let aggregators = Aggregators::select(known.ready_members());
         drop(known);
-        let for_this = aggregators.for_reader(&settings.failure_domain, &settings.instance);
-        let for_this = for_this.into_iter().cloned().collect();
-        let is_aggregator = aggregators.contains(&settings.instance);
-        self.choice.set_aggregators(is_aggregator, for_this);
+        let (own_domain, own_name) = (&settings.failure_domain, &settings.instance);
+        let near = aggregators.for_reader(own_domain, own_name);
+        let near = near.into_iter().cloned().collect();
+        let mut domains: Vec<_> = aggregators.failure_domains().collect();
+        domains.retain(|it| *it != own_domain);
+        let key = rendezvous::key_seed(own_name.as_bytes());
+        domains.sort_by_key(|it| Reverse(rendezvous::score(key, rendezvous::member_seed(it))));
+        let remote = domains.iter();
+        let remote = remote.flat_map(|it| aggregators.for_reader(it, own_name));
+        let is_aggregator = aggregators.contains(own_name);
+        let remote = remote.cloned().collect();
+        self.choice.set_aggregators(is_aggregator, near, remote);
+    }
+
+    /// Keeps the first reason since a source last served this instance.
+    pub(super) fn note_source_reason(&mut self, reason: &str) {
+        if self.source_reason.is_empty() {
+            reason.clone_into(&mut self.source_reason);
+        }
     }
 
-    /// Logs the source if it has changed.
+    /// Logs the source, which has just served this instance, if it has changed.
     fn log_source(&mut self) {
         let source = match self.choice.source() {
             Source::Service => InstanceId::new(),
@@ -257,9 +287,10 @@
             self.shared.log.emit(&LogEvent::ServiceSource {
                 through: source,
                 aggregator: self.choice.is_aggregator(),
-                reason: mem::take(&mut self.source_reason),
+                reason: self.source_reason.clone(),
             });
         }
+        self.source_reason.clear();
     }
 }
 
--- a/crates/entry/src/source_choice.rs
+++ b/crates/entry/src/source_choice.rs
@@ -29,8 +29,9 @@
 /// Chooses the source of changes for one instance.
 ///
 /// Aggregators watch the service. Other instances follow the first aggregator of their failure domain
-/// that serves them, and watch the service themselves if none does. An aggregator that can't reach
-/// the service follows the other one for a while. All times are by one clock.
+/// that serves them, and watch the service themselves if none does. An instance that can't reach
+/// the service either, also an aggregator, follows any aggregator of any failure domain for a while.
+/// All times are by one clock.
 ///
 /// ```
 /// use entry::{Aggregator, Source, SourceChoice};
@@ -39,7 +40,7 @@
 /// let aggregator = Aggregator { name: "entry-1".into(), feed: ([127, 0, 0, 1], 9000).into() };
 /// let mut choice = SourceChoice::default();
 /// assert_eq!(choice.source(), Source::Service, "no aggregators");
-/// choice.set_aggregators(false, vec![aggregator.clone()]);
+/// choice.set_aggregators(false, vec![aggregator.clone()], Vec::new());
 /// assert_eq!(choice.source(), Source::Aggregator(aggregator));
 /// // It failed, and the last confirmation is too old.
 /// choice.aggregator_failed(Duration::ZERO, Duration::from_secs(2));
@@ -49,6 +50,8 @@
 pub struct SourceChoice {
     /// The aggregators other than this instance, in the order in which it tries them.
     aggregators: Vec<Aggregator>,
+    /// Number of these that are in its failure domain. They come first.
+    near_count: usize,
     is_aggregator: bool,
     mode: Mode,
     /// Index of the aggregator to try next while this instance watches the service.
@@ -67,6 +70,8 @@
         index: usize,
         /// Number of aggregators that have failed since one served this instance.
         failed_count: usize,
+        /// Whether this instance can't reach the service, and so tries those of other domains too.
+        is_cut_off: bool,
         /// Not before then does an aggregator that couldn't reach the service watch it again.
         since: Duration,
     },
@@ -74,21 +79,30 @@
 
 impl SourceChoice {
     /// Sets whether this instance is an aggregator, and the aggregators other than it in the order in
-    /// which it tries them.
-    pub fn set_aggregators(&mut self, is_aggregator: bool, aggregators: Vec<Aggregator>) {
-        let current = self.current().map(|it| it.name.clone());
+    /// which it tries them: `near` ones of its failure domain, and `remote` ones.
+    pub fn set_aggregators(
+        &mut self,
+        is_aggregator: bool,
+        near: Vec<Aggregator>,
+        remote: Vec<Aggregator>,
+    ) {
+        let current = self.current().cloned();
         let was_aggregator = mem::replace(&mut self.is_aggregator, is_aggregator);
-        let has_changed = self.aggregators != aggregators;
-        self.aggregators = aggregators;
-        if self.aggregators.is_empty() || (is_aggregator && !was_aggregator) {
+        let has_changed = self.aggregators[..self.near_count] != near;
+        self.near_count = near.len();
+        self.aggregators = [near, remote].concat();
+        let is_selected = is_aggregator && !was_aggregator;
+        if self.aggregators.is_empty() || is_selected {
             self.mode = Mode::Watching;
             return;
         }
         let mut kept = self.aggregators.iter();
-        let kept_index = kept.position(|it| current.as_ref() == Some(&it.name));
+        let kept_index =
+            kept.position(|it| current.as_ref().is_some_and(|was| was.name == it.name));
+        let is_near = |index: &usize| *index < self.near_count;
         match &mut self.mode {
-            Mode::Watching if is_aggregator => {}
-            Mode::Watching => self.follow(0, Duration::ZERO),
+            Mode::Watching if is_aggregator || self.near_count == 0 => {}
+            Mode::Watching => self.follow(0, false, Duration::ZERO),
             Mode::Fallback { retry_at } if has_changed => {
                 *retry_at = Duration::ZERO;
                 self.next_index = 0;
@@ -97,10 +111,16 @@
             Mode::Following {
                 index,
                 failed_count,
+                is_cut_off,
                 ..
             } => {
+                // Those of other domains serve only while no other does.
+                let kept_index = kept_index.filter(|it| is_near(it) || *is_cut_off && !has_changed);
                 let kept = kept_index.map(|kept_index| (kept_index, *failed_count));
                 (*index, *failed_count) = kept.unwrap_or_default();
+                if self.near_count == 0 && !*is_cut_off {
+                    self.mode = Mode::Watching;
+                }
             }
         }
     }
@@ -127,8 +147,15 @@
     /// Whether each aggregator has failed since one last served this instance.
     #[must_use]
     pub fn have_all_failed(&self) -> bool {
-        let count = self.aggregators.len();
-        matches!(self.mode, Mode::Following { failed_count, .. } if failed_count >= count)
+        let Mode::Following {
+            failed_count,
+            is_cut_off,
+            ..
+        } = self.mode
+        else {
+            return false;
+        };
+        failed_count >= self.tried_count(is_cut_off)
     }
 
     /// Whether this instance watches the service only because no aggregator serves it.
@@ -162,41 +189,57 @@
     /// this instance's state. While that is recent, the aggregators are tried in turn, since one may
     /// just have begun to watch the service.
     pub fn aggregator_failed(&mut self, confirmed_at: Duration, now: Duration) {
-        let count = self.aggregators.len();
-        let Mode::Following {
+        let Mode::Following { is_cut_off, .. } = self.mode else {
+            return;
+        };
+        let count = self.tried_count(is_cut_off);
+        if let Mode::Following {
             index,
             failed_count,
             ..
         } = &mut self.mode
-        else {
+        {
+            *failed_count += 1;
+            *index = (*index + 1) % count;
+        }
+        if !self.have_all_failed() || !is_too_old(confirmed_at, now) {
             return;
-        };
-        *failed_count += 1;
-        *index = (*index + 1) % count.max(1);
-        let is_hopeless = *failed_count >= count && is_too_old(confirmed_at, now);
-        if is_hopeless && self.is_aggregator {
-            self.mode = Mode::Watching;
-        } else if is_hopeless {
-            let retry_at = now + RETRY_PERIOD;
-            self.mode = Mode::Fallback { retry_at };
         }
+        self.mode = if self.is_aggregator {
+            Mode::Watching
+        } else {
+            let retry_at = now + RETRY_PERIOD;
+            Mode::Fallback { retry_at }
+        };
     }
 
     /// Records that the service can't be reached. An aggregator is tried if there is one.
     pub fn service_failed(&mut self, now: Duration) {
         if !self.aggregators.is_empty() && self.current().is_none() {
-            self.follow(self.next_index % self.aggregators.len(), now);
+            self.follow(self.next_index % self.near_count.max(1), true, now);
         }
     }
 
     /// Records that this instance reaches the service. An aggregator that followed another one
-    /// watches the service again.
+    /// watches the service again; other instances follow one of their failure domain.
     pub fn service_reached(&mut self, now: Duration) {
-        if let Mode::Following { since, .. } = self.mode
-            && self.is_aggregator
-            && now >= since + RETRY_PERIOD
-        {
+        let Mode::Following {
+            index,
+            is_cut_off: true,
+            since,
+            ..
+        } = self.mode
+        else {
+            return;
+        };
+        if now < since + RETRY_PERIOD {
+            return;
+        }
+        if self.is_aggregator || self.near_count == 0 {
             self.mode = Mode::Watching;
+        } else {
+            let near_index = if index < self.near_count { index } else { 0 };
+            self.follow(near_index, false, now);
         }
     }
 
@@ -207,8 +250,8 @@
         let Mode::Fallback { retry_at } = self.mode else {
             return None;
         };
-        let count = self.aggregators.len().max(1);
-        let aggregator = self.aggregators.get(self.next_index % count);
+        let near = &self.aggregators[..self.near_count];
+        let aggregator = near.get(self.next_index % self.near_count.max(1));
         aggregator.filter(|_| now >= retry_at)
     }
 
@@ -217,7 +260,7 @@
         let mut aggregators = self.aggregators.iter();
         let index = aggregators.position(|it| it.name == aggregator);
         match (&mut self.mode, index) {
-            (Mode::Fallback { .. }, Some(index)) if serves => self.follow(index, now),
+            (Mode::Fallback { .. }, Some(index)) if serves => self.follow(index, false, now),
             (Mode::Fallback { retry_at }, _) => {
                 *retry_at = now + RETRY_PERIOD;
                 self.next_index += 1;
@@ -226,10 +269,21 @@
         }
     }
 
-    fn follow(&mut self, index: usize, now: Duration) {
+    /// Number of aggregators that are tried in turn.
+    fn tried_count(&self, is_cut_off: bool) -> usize {
+        let count = if is_cut_off {
+            self.aggregators.len()
+        } else {
+            self.near_count
+        };
+        count.max(1)
+    }
+
+    fn follow(&mut self, index: usize, is_cut_off: bool, now: Duration) {
         self.mode = Mode::Following {
             index,
             failed_count: 0,
+            is_cut_off,
             since: now,
         };
     }
--- a/crates/entry/tests/service_aggregators.rs
+++ b/crates/entry/tests/service_aggregators.rs
@@ -184,8 +184,12 @@
     sleep(SUSPENSION).await;
     let version = fleet.configure().await;
     fleet.wait_for_version(version, &names).await;
-    let lost = fleet.lines("\"available\":false").len();
-    assert_eq!(lost, cut_off.len(), "the cut off instances alone");
+    for member in &fleet.members {
+        let is_cut_off = names.contains(&member.name.as_str());
+        assert_eq!(member.outages_count() > 0, is_cut_off, "{}", member.name);
+    }
+    // They learn of it through an aggregator of another domain.
+    fleet.wait_for_version(version, &[]).await;
 }
 
 /// Guards against an end of the changes, or an older state, after the service was away.
--- a/crates/entry/tests/source_choice.rs
+++ b/crates/entry/tests/source_choice.rs
@@ -23,7 +23,7 @@
 
 fn member() -> SourceChoice {
     let mut choice = SourceChoice::default();
-    choice.set_aggregators(false, aggregators(&["first", "second"]));
+    choice.set_aggregators(false, aggregators(&["first", "second"]), Vec::new());
     choice
 }
 
@@ -39,7 +39,7 @@
 #[test]
 fn instance_without_aggregators_always_watches_the_service() {
     let mut choice = SourceChoice::default();
-    choice.set_aggregators(false, Vec::new());
+    choice.set_aggregators(false, Vec::new(), Vec::new());
     choice.service_failed(ms(100));
     choice.service_reached(ms(200));
     assert_eq!(choice.source(), Source::Service);
@@ -50,7 +50,7 @@
 #[test]
 fn aggregator_watches_the_service_and_members_follow_it() {
     let mut choice = SourceChoice::default();
-    choice.set_aggregators(true, aggregators(&["second"]));
+    choice.set_aggregators(true, aggregators(&["second"]), Vec::new());
     assert_eq!(choice.source(), Source::Service);
     assert_eq!(member().source(), through("first"));
 }
@@ -59,9 +59,9 @@
 #[test]
 fn member_that_becomes_an_aggregator_watches_the_service() {
     let mut choice = member();
-    choice.set_aggregators(true, aggregators(&["second"]));
+    choice.set_aggregators(true, aggregators(&["second"]), Vec::new());
     assert_eq!(choice.source(), Source::Service);
-    choice.set_aggregators(false, aggregators(&["second", "third"]));
+    choice.set_aggregators(false, aggregators(&["second", "third"]), Vec::new());
     assert_eq!(choice.source(), through("second"));
 }
 
@@ -126,9 +126,9 @@
     let mut choice = member();
     choice.aggregator_failed(ms(0), ms(5_000));
     choice.aggregator_failed(ms(0), ms(5_000));
-    choice.set_aggregators(false, aggregators(&["first", "second"]));
+    choice.set_aggregators(false, aggregators(&["first", "second"]), Vec::new());
     assert_eq!(choice.trial(ms(5_100)), None, "the same ones");
-    choice.set_aggregators(false, aggregators(&["third", "second"]));
+    choice.set_aggregators(false, aggregators(&["third", "second"]), Vec::new());
     assert_eq!(choice.trial(ms(5_100)), Some(&aggregator("third")));
 }
 
@@ -145,7 +145,7 @@
 #[test]
 fn aggregator_that_can_not_reach_the_service_follows_the_other_one_for_a_while() {
     let mut choice = SourceChoice::default();
-    choice.set_aggregators(true, aggregators(&["second"]));
+    choice.set_aggregators(true, aggregators(&["second"]), Vec::new());
     choice.service_failed(ms(1_000));
     assert_eq!(choice.source(), through("second"));
     choice.service_reached(ms(1_000) + ms(2_999));
@@ -161,15 +161,65 @@
     assert_eq!(choice.source(), Source::Service, "nobody else serves it");
 }
 
+fn cut_off_member() -> SourceChoice {
+    let mut choice = SourceChoice::default();
+    let (near, remote) = (aggregators(&["first", "second"]), aggregators(&["third"]));
+    choice.set_aggregators(false, near, remote);
+    for now in [ms(5_000), ms(5_100)] {
+        choice.aggregator_failed(ms(0), now);
+    }
+    assert_eq!(
+        choice.source(),
+        Source::Service,
+        "not those of other domains at first"
+    );
+    choice.service_failed(ms(5_200));
+    for now in [ms(5_300), ms(5_400)] {
+        choice.aggregator_failed(ms(0), now);
+    }
+    choice
+}
+
+/// Guards against instances without news since they and the aggregators of their domain are cut off
+/// from the service.
+#[test]
+fn aggregator_of_another_domain_serves_an_instance_that_nobody_else_does() {
+    let mut choice = cut_off_member();
+    assert_eq!(choice.source(), through("third"));
+    assert!(choice.aggregator_answered(ms(5_400), ms(5_500)));
+    choice.service_reached(ms(5_600));
+    assert_eq!(
+        choice.source(),
+        through("third"),
+        "the lease was not yet renewed since"
+    );
+    choice.service_reached(ms(5_200) + RETRY_PERIOD);
+    assert_eq!(choice.source(), through("first"));
+    choice.aggregator_failed(ms(0), ms(9_000));
+    choice.aggregator_failed(ms(0), ms(9_000));
+    assert_eq!(choice.source(), Source::Service);
+}
+
+/// Guards against traffic between domains that is not needed any more.
+#[test]
+fn newly_selected_aggregator_replaces_that_of_another_domain() {
+    let mut choice = cut_off_member();
+    let (near, remote) = (aggregators(&["first", "second"]), aggregators(&["third"]));
+    choice.set_aggregators(false, near, remote.clone());
+    assert_eq!(choice.source(), through("third"), "nothing has changed");
+    choice.set_aggregators(false, aggregators(&["fourth", "second"]), remote);
+    assert_eq!(choice.source(), through("fourth"));
+}
+
 #[test]
 fn present_aggregator_is_kept_while_it_is_selected() {
     let mut choice = member();
     choice.aggregator_failed(ms(900), ms(1_000));
-    choice.set_aggregators(false, aggregators(&["third", "second"]));
+    choice.set_aggregators(false, aggregators(&["third", "second"]), Vec::new());
     assert_eq!(choice.source(), through("second"));
-    choice.set_aggregators(false, aggregators(&["third", "fourth"]));
+    choice.set_aggregators(false, aggregators(&["third", "fourth"]), Vec::new());
     assert_eq!(choice.source(), through("third"));
-    choice.set_aggregators(false, Vec::new());
+    choice.set_aggregators(false, Vec::new(), Vec::new());
     assert_eq!(choice.source(), Source::Service);
 }
 
--- a/crates/entry/tests/support/follower_fleet.rs
+++ b/crates/entry/tests/support/follower_fleet.rs
@@ -327,9 +327,19 @@
 
     /// Number of answers to its watches.
     pub fn watch_count(&self) -> u64 {
+        self.counter("service_calls", "watch")
+    }
+
+    /// How often the instance took the service for lost.
+    pub fn outages_count(&self) -> u64 {
+        self.counter("dependencies", "lost")
+    }
+
+    fn counter(&self, name: &str, kind: &str) -> u64 {
         let metrics = self.instance.metrics();
+        let kind = format!("\"{kind}\"");
         let mut lines = metrics.lines();
-        let line = lines.find(|line| line.contains("service_calls") && line.contains("\"watch\""));
+        let line = lines.find(|line| line.contains(name) && line.contains(&kind));
         let value = line.and_then(|line| line.split_whitespace().last());
         value.map_or(0, |value| value.parse().unwrap())
     }
