Memory that is taken permits refusals too, not call slots alone

Change: a target's room has the share of its memory that calls in flight take, from the tokens that instances report; half of either permits refusals.

--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -10,7 +10,7 @@
 //! use overload::{CallNeeds, Decision, OverloadControl, PoolState, TargetRoom};
 //! use std::time::Duration;
 //!
-//! let targets = [TargetRoom { slots_count: 48, calls_count: 12.0, tokens_count: 9_000.0 }];
+//! let targets = [TargetRoom { slots_count: 48, calls_count: 12.0, memory_share: 0.2, tokens_count: 9_000.0 }];
 //! let pool = PoolState { targets: &targets, covered_count: 40, instances_count: 40 };
 //! let call = CallNeeds {
 //!     priority: 0,
--- a/crates/overload/src/pool_state.rs
+++ b/crates/overload/src/pool_state.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// Smallest share of the call slots that are taken when a call is refused.
+/// Smallest share of the call slots, or of the memory, that is taken when a call is refused.
 const MIN_TAKEN_SHARE: f64 = 0.5;
 /// Smallest share of the instances whose loads are known when a call is refused.
 const MIN_COVERED_SHARE: f64 = 0.5;
@@ -14,6 +14,9 @@
     pub slots_count: u32,
     /// Estimated number of calls in flight.
     pub calls_count: f64,
+    /// Estimated share of the target's memory that these calls take, which exceeds 1 if some have to
+    /// wait for it; 0 if the memory is not known. Long prompts fill it while most slots are free.
+    pub memory_share: f64,
     /// Estimated number of tokens that these calls need, as [`crate::CallNeeds::tokens_count`].
     pub tokens_count: f64,
 }
@@ -34,27 +37,41 @@
     /// Age above which the loads of an instance no longer count as known.
     pub const MAX_LOADS_AGE: Duration = Duration::from_secs(1);
 
-    /// Whether enough is known, and enough call slots are taken, to refuse a call.
+    /// Whether enough is known, and enough room is taken, to refuse a call.
     #[must_use]
     pub fn permits_refusal(&self) -> bool {
-        let slots_count: f64 = self
-            .targets
-            .iter()
-            .map(|it| f64::from(it.slots_count))
-            .sum();
-        let calls_count: f64 = self.targets.iter().map(|it| it.calls_count).sum();
         let needed_count = f64::from(self.instances_count) * MIN_COVERED_SHARE;
         f64::from(self.covered_count) >= needed_count
-            && slots_count > 0.0
-            && calls_count >= slots_count * MIN_TAKEN_SHARE
+            && self.slots_share().max(self.memory_share()) >= MIN_TAKEN_SHARE
+    }
+
+    /// Share of the call slots that are taken.
+    fn slots_share(&self) -> f64 {
+        let slots = self.targets.iter().map(|it| f64::from(it.slots_count));
+        let slots_count: f64 = slots.sum();
+        let calls_count: f64 = self.targets.iter().map(|it| it.calls_count).sum();
+        if slots_count > 0.0 {
+            calls_count / slots_count
+        } else {
+            0.0
+        }
+    }
+
+    /// Mean share of the targets' memory that is taken.
+    fn memory_share(&self) -> f64 {
+        self.mean(|target| target.memory_share)
     }
 
     /// Mean number of tokens in flight at a target.
     pub(crate) fn mean_tokens(&self) -> f64 {
-        let tokens: f64 = self.targets.iter().map(|it| it.tokens_count).sum();
+        self.mean(|target| target.tokens_count)
+    }
+
+    fn mean(&self, value: fn(&TargetRoom) -> f64) -> f64 {
+        let sum: f64 = self.targets.iter().map(value).sum();
         #[allow(clippy::cast_precision_loss)]
         let targets_count = self.targets.len().max(1) as f64;
-        tokens / targets_count
+        sum / targets_count
     }
 
     /// Number of tokens in flight at the target that has the fewest.
--- a/crates/overload/tests/refusal_rules.rs
+++ b/crates/overload/tests/refusal_rules.rs
@@ -30,6 +30,7 @@
     [TargetRoom {
         slots_count: 10,
         calls_count,
+        memory_share: 0.0,
         tokens_count: calls_count * 100.0,
     }; 4]
 }
@@ -118,6 +119,20 @@
     }
 }
 
+/// Guards against engines whose memory long prompts have filled, at which calls queue while most slots are
+/// free.
+#[test]
+fn full_memory_permits_refusals_while_slots_are_free() {
+    let mut control = OverloadControl::default();
+    let now = observe(&mut control, OBJECTIVE * 100, 300);
+    let full = targets(4.9).map(|target| TargetRoom {
+        memory_share: 1.2,
+        ..target
+    });
+    let (count, _) = refused(&control, &pool(&full), &call(OTHER, "a", 0), now);
+    assert!(count > 0);
+}
+
 #[test]
 fn call_that_cannot_start_before_its_limit_is_refused() {
     let mut control = OverloadControl::default();
--- a/crates/overload/tests/support/engine.rs
+++ b/crates/overload/tests/support/engine.rs
@@ -6,7 +6,7 @@
 const PIECE_TOKENS: u32 = 512;
 const STEP_MS: Ms = 5.5;
 const STEP_MS_PER_CALL: Ms = 0.03;
-const MEMORY_TOKENS: u32 = 46_938;
+pub const MEMORY_TOKENS: u32 = 46_938;
 
 /// Order in which an engine starts calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/overload/tests/support/fleet.rs
+++ b/crates/overload/tests/support/fleet.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         caller::{Call, Kind, Ms},
-        engine::{Engine, Left, Order},
+        engine::{Engine, Left, MEMORY_TOKENS, Order},
         report::{End, Report},
     },
     overload::{CallNeeds, Decision, OverloadControl, PoolState, TargetRoom},
@@ -236,6 +236,7 @@
             .map(|(_, calls_count, tokens_count)| TargetRoom {
                 slots_count: self.load.slots_count,
                 calls_count: *calls_count,
+                memory_share: *tokens_count / f64::from(MEMORY_TOKENS),
                 tokens_count: *tokens_count,
             });
         let targets: Vec<_> = targets.collect();
--- a/crates/relay/src/overload_check.rs
+++ b/crates/relay/src/overload_check.rs
@@ -10,7 +10,7 @@
         start_observation::StartObservation,
     },
     balance::rendezvous,
-    overload::{Assessment, CallNeeds, Decision, PoolState, RefusalCause, TargetRoom},
+    overload::{Assessment, CallNeeds, Decision, PoolState, RefusalCause},
 };
 
 impl<Format> ActiveCall<Format>
@@ -66,8 +66,12 @@
         if !self.has_overload_control() {
             return None;
         }
-        let (rooms, instances_count) = self.with_pick_context(|view, context| {
-            (rooms(view, &self.pool, context), view.instances_count)
+        let now = self.inner.origin.elapsed();
+        let controls = &self.inner.overload_controls;
+        let mean_tokens = controls.with(&self.pool, |control| control.mean_tokens(now));
+        let (targets, instances_count) = self.with_pick_context(|view, context| {
+            let targets = rooms(view, &self.pool, context, mean_tokens);
+            (targets, view.instances_count)
         });
         let peer_loads = self.inner.state.peer_loads();
         let covered_count = peer_loads.covered_count(PoolState::MAX_LOADS_AGE, boot_time());
@@ -83,16 +87,7 @@
             time_left: self.time_left(),
             draw: rendezvous::key_seed(self.admitted.call.id.as_bytes()),
         };
-        let now = self.inner.origin.elapsed();
-        let controls = &self.inner.overload_controls;
         let assessment = controls.with(&self.pool, |control| {
-            let mean_tokens = control.mean_tokens(now);
-            let room = |(slots_count, calls_count)| TargetRoom {
-                slots_count,
-                calls_count,
-                tokens_count: calls_count * mean_tokens,
-            };
-            let targets: Vec<_> = rooms.into_iter().map(room).collect();
             let pool = PoolState {
                 targets: &targets,
                 covered_count: covered_count.saturating_add(1),
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -13,7 +13,9 @@
     },
     balance::{Candidate, PeerLoads, choose, rendezvous},
     catalog::{FailureDomainId, TargetId},
+    overload::TargetRoom,
     parts::{PartDirectory, PromptPart},
+    routes::PoolKind,
     std::{sync::Arc, time::Duration},
 };
 
@@ -180,18 +182,46 @@
     }
 }
 
-/// Number of slots and estimated number of calls in flight of each target that may take the call.
-pub(crate) fn rooms(view: &View, pool: &str, context: &PickContext<'_>) -> Vec<(u32, f64)> {
+/// Room of each target that may take the call. `mean_tokens` is the mean work of a call.
+pub(crate) fn rooms(
+    view: &View,
+    pool: &str,
+    context: &PickContext<'_>,
+    mean_tokens: f64,
+) -> Vec<TargetRoom> {
     let takes_calls = |target: &&Arc<TargetState>| {
         takes_calls(view, target, context)
             && !target.is_leaving()
             && is_available(view, target, context)
             && is_healthy(target, context)
     };
+    let memory_tokens = memory_tokens(view, pool);
+    let room = |target: &Arc<TargetState>| {
+        let calls_count = in_flight_count(view, target, context);
+        let own_tokens_count = target.call_stats.in_flight_tokens_count();
+        let loads = context.peer_loads;
+        let held_tokens =
+            loads.estimate_tokens(target.seed, own_tokens_count, view.instances_count);
+        TargetRoom {
+            slots_count: target.slots_count,
+            calls_count,
+            memory_share: memory_tokens.map_or(0.0, |it| held_tokens / it),
+            tokens_count: calls_count * mean_tokens,
+        }
+    };
     let targets = context.reach.targets(pool).filter(takes_calls);
-    targets
-        .map(|it| (it.slots_count, in_flight_count(view, it, context)))
-        .collect()
+    targets.map(room).collect()
+}
+
+/// Number of tokens that the memory of an engine of the pool holds; `None` if it is not known.
+fn memory_tokens(view: &View, pool: &str) -> Option<f64> {
+    let config = view.route_table.as_ref()?.config();
+    let PoolKind::Engine(engine) = &config.pools.get(pool)?.kind else {
+        return None;
+    };
+    #[allow(clippy::cast_precision_loss)]
+    let memory_tokens = engine.memory_tokens as f64;
+    (memory_tokens > 0.0).then_some(memory_tokens)
 }
 
 /// Whether the target is neither paused nor loading weights.
