A starting instance follows no place before the membership has settled

While a whole fleet starts, each instance knows few others at first and took nearly all stores and engines for its own: it listed them, published them, and was read by all. It now waits until it is registered and the ready instances have not changed for 20 ms each (at least 0.1 s, at most 0.7 s), but not longer than 3 s after its registration. A small fleet thus waits a moment only.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -34,6 +34,7 @@
 mod listener;
 mod logged_evacuations;
 mod membership;
+mod membership_settling;
 mod merged_follower;
 pub mod obsolete_parts;
 mod order_lock;
@@ -74,6 +75,10 @@
     },
     known_state::{KnownHolder, KnownState, OwnShutdown},
     known_targets::AnnouncedLimit,
+    membership_settling::{
+        MAX_QUIET_TIME, MAX_REGISTRATION_TIME, MAX_SETTLING_TIME, MIN_QUIET_TIME,
+        MembershipSettling,
+    },
     order_lock::{InstanceLease, OrderLock},
     ownership::Ownership,
     parts_by_salt::PartsBySalt,
--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -3,8 +3,8 @@
 
 use {
     crate::{
-        FollowerPace, Ownership, Platform, START_PERIOD, place_follower::PlaceFollower,
-        shared::Shared,
+        FollowerPace, MembershipSettling, Ownership, Platform, START_PERIOD,
+        place_follower::PlaceFollower, shared::Shared,
     },
     catalog::{FailureDomainId, InstanceId},
     parts::Store,
@@ -51,6 +51,7 @@
         instances: Vec::new(),
         silent: BTreeSet::new(),
         followers: HashMap::new(),
+        settling: MembershipSettling::default(),
         pace: FollowerPace::default(),
         tasks: JoinSet::new(),
         expires_at: boot_time() + EXPIRY_PERIOD,
@@ -58,12 +59,7 @@
     let shared = watch.shared.clone();
     loop {
         let changed = shared.changed.notified();
-        let follows_all = watch.update();
-        let period = if follows_all {
-            CHECK_PERIOD
-        } else {
-            START_PERIOD
-        };
+        let period = watch.update();
         tokio::select! {
             () = token.cancelled() => return Ok(()),
             () = changed => {}
@@ -89,6 +85,8 @@
     /// Those of them that don't answer, in a fleet with aggregators.
     silent: BTreeSet<InstanceId>,
     followers: HashMap<SocketAddr, CancellationToken>,
+    /// Delays the first followers until the instances that share the places are known.
+    settling: MembershipSettling,
     /// Limits how fast places are added to `followers`.
     pace: FollowerPace,
     /// Tasks of the followers, aborted on drop.
@@ -102,12 +100,27 @@
     Kv: Send + Sync + 'static,
     Format: Platform,
 {
-    /// Brings the followers in line with the view. Returns whether all places that this instance should
-    /// follow are followed; otherwise the rest have to wait.
-    fn update(&mut self) -> bool {
+    /// Brings the followers in line with the view. Returns the time until the next check.
+    fn update(&mut self) -> Duration {
         let view = self.shared.relay_state.view();
         let places_changed = self.update_places(&view);
         self.assign(places_changed);
+        let ready = self.shared.ready_members();
+        let members = ready.iter().map(|(name, _)| name);
+        let own = &self.shared.settings.instance;
+        if let Some(rest) = self.settling.update(members, own, boot_time()) {
+            return rest.min(CHECK_PERIOD);
+        }
+        if self.update_followers() {
+            CHECK_PERIOD
+        } else {
+            START_PERIOD
+        }
+    }
+
+    /// Brings the followers in line with the assignment. Returns whether all places that this instance
+    /// should follow are followed; otherwise the rest have to wait.
+    fn update_followers(&mut self) -> bool {
         let ownership = self.shared.ownership.load_full();
         let mut wanted: Vec<SocketAddr> = self
             .places
--- a/crates/entry/tests/support/part_store.rs
+++ b/crates/entry/tests/support/part_store.rs
@@ -8,7 +8,10 @@
     std::{
         fmt::Write,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::Instant,
     },
     tokio::net::TcpListener,
@@ -22,6 +25,8 @@
     started: Instant,
     changes: Arc<Mutex<Vec<String>>>,
     freed: Arc<Mutex<Vec<String>>>,
+    whole_reads_count: Arc<AtomicUsize>,
+    sent_bytes: Arc<AtomicUsize>,
 }
 
 impl PartStore {
@@ -33,6 +38,8 @@
             started: Instant::now(),
             changes: Arc::default(),
             freed: Arc::default(),
+            whole_reads_count: Arc::default(),
+            sent_bytes: Arc::default(),
         };
         let shared = store.clone();
         serve(listener, move |request| {
@@ -53,6 +60,16 @@
         self.freed.lock().unwrap().clone()
     }
 
+    /// Number of requests for all changes from the first one on.
+    pub fn whole_reads_count(&self) -> usize {
+        self.whole_reads_count.load(Ordering::Relaxed)
+    }
+
+    /// Bytes of the changes sent to instances.
+    pub fn sent_bytes(&self) -> usize {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if request.uri().path() == "/free" {
             let body = request.into_body().collect().await.unwrap().to_bytes();
@@ -62,12 +79,17 @@
             return respond(200, String::new());
         }
         let since = request.headers()["since"].to_str().unwrap();
+        let since: usize = since.parse().unwrap();
+        if since == 0 {
+            self.whole_reads_count.fetch_add(1, Ordering::Relaxed);
+        }
         let changes = self.changes.lock().unwrap();
         let clock_ms = self.started.elapsed().as_millis();
         let mut body = format!("{} {clock_ms}\n", changes.len());
-        for change in changes.iter().skip(since.parse().unwrap()) {
+        for change in changes.iter().skip(since) {
             writeln!(body, "{change}").unwrap();
         }
+        self.sent_bytes.fetch_add(body.len(), Ordering::Relaxed);
         respond(200, body)
     }
 }
