--- a/crates/relay/src/call_attempts.rs
+++ b/crates/relay/src/call_attempts.rs
@@ -59,7 +59,6 @@
                 break;
             }
             if last_event_id.is_none()
-                && self.tried_targets.is_empty()
                 && let Err(declined) = self.check_overload(recorder)
             {
                 last_declined = declined;
--- a/crates/relay/src/overload_check.rs
+++ b/crates/relay/src/overload_check.rs
@@ -18,11 +18,12 @@
     Format: HeaderFormat,
 {
     /// Refuses a call that costs callers least while its pool has too little room, or that cannot start
-    /// in time. Never refuses a call that resumes a stream, or that another instance passed on.
+    /// in time. Never refuses a call that was sent to a target, that resumes a stream, or that another
+    /// instance passed on.
     pub(crate) fn check_overload(&self, recorder: &mut CallRecorder) -> Result<(), Declined> {
         let call = &self.admitted.call;
         let resumes = call.last_event_id.is_some() || call.resumes.is_some();
-        if resumes || recorder.line.is_forwarded {
+        if !self.tried_targets.is_empty() || resumes || recorder.line.is_forwarded {
             return Ok(());
         }
         let Some(assessment) = self.assess_overload() else {
