One budget for the bytes that an instance holds of calls and answers

Cause: answers stopped counting once they were read, events of streams never counted, and one connection could read 408 KiB ahead and leave megabytes in the kernel.

Change: HeldBytes, three eighths of memory_mb, counts bodies of requests (two thirds at most), whole answers until their callers have taken them, and events handed to callers. Beyond half of it, a stream goes on once all that was read of it has been sent. An answer waits up to 2 s for memory; as before, one answer has a third of the budget at most. If a request or an answer finds none, the connections of the answers unread longest, at least 1 s, are closed. Connections to targets read 64 KiB ahead and have a receive buffer of 128 KiB; 64 KiB unsent in the kernel, to both sides. New gauge held_bytes.

The tests' relay passes its settings on and shows what it holds.

--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -9,13 +9,19 @@
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
-    relay::AnswerCutoff,
+    relay::{AnswerCutoff, Eviction},
     routes::CallLimits,
     socket2::SockRef,
-    std::{convert::Infallible, error::Error, future::Future, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        error::Error,
+        future::{Future, pending},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::Semaphore,
+        sync::{Semaphore, watch},
         time::sleep,
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -25,6 +31,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Longest time that bytes sent to a caller may stay unacknowledged.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes that the operating system takes for a caller ahead of those that can be sent.
+const MAX_UNSENT_BYTES: u32 = 64 << 10;
 
 /// Time to flush the last bytes of a response once responses are cut off.
 pub(crate) const FLUSH_TIME: Duration = Duration::from_millis(50);
@@ -108,17 +116,22 @@
     let socket = SockRef::from(&stream);
     let configured = stream
         .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)));
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)))
+        .and_then(|()| socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES));
     if let Err(error) = configured {
         log::debug!("failed to set socket options, closing the connection: {error}");
         return;
     }
     let (draining, framing) = (&control.draining, &AnswerFraming::default());
+    let eviction = &watch::Sender::new(Eviction::default());
     let service = service_fn(|request| {
         let version = request.version();
         let response_future = service(request);
         async move {
             let mut response = response_future.await;
+            if let Some(of_answer) = response.extensions_mut().remove::<Eviction>() {
+                eviction.send_replace(of_answer);
+            }
             framing.observe(version, &mut response);
             if draining.is_cancelled() {
                 close_after(version, &mut response);
@@ -145,6 +158,7 @@
         biased;
         outcome = served => outcome,
         () = answers_flushed(&control.answer_cutoff) => return,
+        () = evicted(eviction.subscribe()) => return,
     };
     if let Err(error) = outcome {
         log::debug!("connection ended with an error: {error}");
@@ -158,5 +172,18 @@
     sleep(FLUSH_TIME).await;
 }
 
+/// Waits until the latest answer must give up the memory that it holds.
+async fn evicted(mut eviction: watch::Receiver<Eviction>) {
+    loop {
+        let latest = eviction.borrow_and_update().clone();
+        tokio::select! {
+            () = latest.required() => return,
+            changed = eviction.changed() => if changed.is_err() {
+                return pending().await;
+            },
+        }
+    }
+}
+
 /// Smallest read buffer of a connection, in bytes.
 const MIN_BUFFER_BYTES: usize = 16 << 10;
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -42,7 +42,7 @@
         instance_seed: shared.instance_seed(),
         retry_bounds: settings.retries,
         stale_weights_grace: settings.version_bound.mul_f64(OLD_WEIGHTS_SHARE),
-        max_buffered_bytes: settings.memory_bytes / 4,
+        max_held_bytes: settings.memory_bytes / 8 * 3,
     };
     Relay::new(
         relay_settings,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -19,7 +19,7 @@
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
         time::Duration,
     },
     target::Reply,
@@ -315,6 +315,8 @@
         self.relay_state.view.store(view);
         let members = known.ready_members().into_iter();
         let mut addresses: Vec<CallerAddress> = members.map(|(_, record)| record.into()).collect();
+        let held = self.relay_state.held_bytes_count.load(Ordering::Relaxed);
+        self.meters.gauge("held_bytes", held as u64);
         self.meters.gauge("targets", known.targets().count() as u64);
         self.meters.gauge("instances", addresses.len() as u64);
         let own = CallerAddress {
--- a/crates/relay/src/accept.rs
+++ b/crates/relay/src/accept.rs
@@ -5,9 +5,9 @@
         CallSource, Declined, HeaderFormat, NotSent, Reason, Refusal, Relay, View,
         active_call::ActiveCall,
         admit::{Admitted, admit},
-        body_memory::BodyPermit,
         call_recorder::{CallRecorder, millis},
         discard_body::discard_body,
+        held_bytes::HeldPermit,
         peer_caller::CONFIGURATION,
     },
     bytes::Bytes,
@@ -31,7 +31,7 @@
     /// Whole body.
     pub(crate) body: Bytes,
     /// Memory reserved for the body.
-    pub(crate) body_permit: BodyPermit,
+    pub(crate) body_permit: HeldPermit,
 }
 
 impl<Format> Relay<Format>
@@ -107,7 +107,7 @@
         &self,
         admitted: &Admitted,
         body: &Incoming,
-    ) -> Result<BodyPermit, Declined> {
+    ) -> Result<HeldPermit, Declined> {
         let max_bytes = admitted.table.config().limits.max_body_bytes;
         let declared_length = body.size_hint().exact();
         let declared_length =
@@ -117,8 +117,8 @@
         }
         let length = declared_length.unwrap_or(ASSUMED_BODY_BYTES.min(max_bytes));
         self.inner
-            .body_memory
-            .reserve(length)
+            .held_bytes
+            .reserve_request(length)
             .ok_or_else(no_body_memory)
     }
 
@@ -130,7 +130,7 @@
         view: &View,
         head: &request::Parts,
         body: &Incoming,
-    ) -> Result<(Admitted, BodyPermit), Declined> {
+    ) -> Result<(Admitted, HeldPermit), Declined> {
         let call = self.inner.header_format.parse_call(head).map_err(|error| {
             log::info!("call refused: {error}");
             Declined::new(Reason::BadHead)
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -6,10 +6,10 @@
         accept::AcceptedCall,
         admit::{Admitted, called_host},
         attempt::TargetAnswer,
-        body_memory::BodyPermit,
         call_holder::CallHolder,
         call_origin::CallOrigin,
         call_recorder::CallRecorder,
+        held_bytes::HeldPermit,
         quarantined_calls::part_keys,
         reach::Reach,
         refusal::Unanswered,
@@ -42,7 +42,7 @@
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
     /// Memory reserved for the body, until the call has ended.
-    _body_permit: BodyPermit,
+    _body_permit: HeldPermit,
     /// When the call reached the relay.
     arrived: Instant,
     /// Keys of the prompt's parts that could be at fault if a target crashes.
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        CallSource, Refusal,
+        CallSource, Eviction, Refusal,
         not_run::{NOT_RUN, UNNAMED_CALL},
     },
     bytes::Bytes,
@@ -60,17 +60,20 @@
 }
 
 /// Creates an answer whose body is streamed. It states no length, since the rest of the stream may come
-/// from another target.
+/// from another target. Its connection must be closed on `eviction`.
 pub(crate) fn streamed<Events>(
     status: StatusCode,
     mut headers: HeaderMap,
+    eviction: Eviction,
     events: Events,
 ) -> Answer<Events>
 where
     Events: Stream<Item = Result<Frame<Bytes>, TruncatedAnswer>>,
 {
     headers.remove(CONTENT_LENGTH);
-    with_head(status, headers, Either::Right(StreamBody::new(events)))
+    let mut answer = with_head(status, headers, Either::Right(StreamBody::new(events)));
+    answer.extensions_mut().insert(eviction);
+    answer
 }
 
 fn with_head<Body>(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,11 +2,14 @@
 
 use {
     crate::{
-        HeaderFormat, NotRun, ReplyMetadata, TargetState, TurnedAway, body_memory::BodyMemory,
-        call_holder::HandedOver, event_stream::EventStream, pool_probe::incarnation_probe,
+        HeaderFormat, NotRun, ReplyMetadata, TargetState, TurnedAway,
+        call_holder::HandedOver,
+        event_stream::EventStream,
+        held_bytes::{HeldBytes, HeldFor},
+        pool_probe::incarnation_probe,
         unframed_pools::UnframedPools,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http_body_util::Full,
     hyper::{HeaderMap, Request, StatusCode},
     routes::{Pool, PoolId},
@@ -15,9 +18,10 @@
         time::{Duration, Instant},
     },
     target::{
-        AnswersRequest, Client, NamedRequest, Reply, Reuse, SendError, StartTimeout,
+        AnswersRequest, BodyPart, Client, NamedRequest, Reply, Reuse, SendError, StartTimeout,
         StreamPosition, WholeBody, WitnessAhead,
     },
+    tokio::time::timeout,
 };
 
 /// Longest body of a refusal that is read, in bytes.
@@ -25,6 +29,9 @@
 /// Timeout for reading the body of a refusal.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Most bytes that are reserved for a body before they arrive.
+const AHEAD_BYTES: usize = 256 << 10;
+
 /// Time within which a link that is cut ends all connections. The caller of a stream has its last event by then;
 /// that of a whole body would wait for it.
 const STREAM_CUT_SPREAD: Duration = Duration::from_millis(250);
@@ -134,7 +141,7 @@
     /// When an answer that is read as a whole must be complete.
     pub(crate) deadline: Instant,
     /// Memory for an answer that is read as a whole.
-    pub(crate) answer_memory: &'call BodyMemory,
+    pub(crate) held_bytes: &'call HeldBytes,
     /// Whether a successful answer is an event stream.
     pub(crate) stream: bool,
     /// Where the events of a stream must go on.
@@ -258,7 +265,7 @@
             .await
             .map(|events| Content::Events(Box::new(events)))
     } else {
-        read_whole(&mut reply, params.answer_memory, time_left)
+        read_whole(&mut reply, params.held_bytes, time_left)
             .await
             .map(|(body, whole)| Content::Whole(body, whole))
     };
@@ -273,23 +280,51 @@
     }
 }
 
-/// Reads a whole body within `time_left` and the memory for answers.
+/// Reads a whole body within `time_left`. What the call holds waits for memory.
 pub(crate) async fn read_whole(
     reply: &mut Reply,
-    answer_memory: &BodyMemory,
+    held_bytes: &HeldBytes,
     time_left: Duration,
 ) -> Result<(Bytes, WholeBody), SendError> {
     let address = reply.address();
-    let no_memory = || SendError::Unknown {
+    let unknown = |reason: String| SendError::Unknown {
         address,
-        reason: "there is no memory for the answer".to_owned(),
+        reason,
         disconnected: false,
     };
-    let mut permit = answer_memory.reserve(0).ok_or_else(no_memory)?;
-    reply
-        .body_with(time_left, |length| {
-            let has_memory = permit.resize(length);
-            has_memory.then_some(()).ok_or_else(no_memory)
-        })
-        .await
+    let read = timeout(time_left, read_held(reply, held_bytes)).await;
+    match read {
+        Ok(Ok(Some(whole))) => Ok(whole),
+        Ok(Ok(None)) => Err(unknown("there is no memory for the answer".to_owned())),
+        Ok(Err(error)) => Err(error),
+        Err(_) => {
+            let time_ms = time_left.as_millis();
+            Err(unknown(format!("no whole body in {time_ms} ms")))
+        }
+    }
+}
+
+/// Reads a whole body; `None` if there is no memory for it.
+async fn read_held(
+    reply: &mut Reply,
+    held_bytes: &HeldBytes,
+) -> Result<Option<(Bytes, WholeBody)>, SendError> {
+    let mut permit = held_bytes.hold(HeldFor::Answer, 0);
+    let stated_length = reply.stated_length().unwrap_or(0).min(AHEAD_BYTES);
+    if !permit.resize_soon(stated_length).await {
+        return Ok(None);
+    }
+    let mut body = BytesMut::new();
+    loop {
+        match reply.next_part().await? {
+            BodyPart::Data(data) => {
+                let length = stated_length.max(body.len() + data.len());
+                if !permit.resize_soon(length).await {
+                    return Ok(None);
+                }
+                body.extend_from_slice(&data);
+            }
+            BodyPart::End(whole) => return Ok(Some((permit.attach(body.freeze()), whole))),
+        }
+    }
 }
--- a/crates/relay/src/event_forwarding.rs
+++ b/crates/relay/src/event_forwarding.rs
@@ -1,7 +1,7 @@
 //! Body of a streamed answer to the caller.
 
 use {
-    crate::{TruncatedAnswer, call_recorder::CallRecorder},
+    crate::{TruncatedAnswer, call_recorder::CallRecorder, event_hold::EventHold},
     bytes::Bytes,
     futures::{Stream, stream},
     hyper::body::Frame,
@@ -31,17 +31,22 @@
     fn recorder(&mut self) -> &mut CallRecorder;
 }
 
-/// The frames of the answer to the caller. If the stream breaks off, the last one is an error.
+/// The frames of the answer to the caller, within the memory of `hold`. If the stream breaks off, the last one is an error.
 pub(crate) fn frames<Forwarding>(
     forwarding: Forwarding,
+    hold: EventHold,
 ) -> impl Stream<Item = Result<Frame<Bytes>, TruncatedAnswer>>
 where
     Forwarding: EventForwarding,
 {
-    stream::unfold(Some(Box::new(forwarding)), |forwarding| async move {
-        let mut forwarding = forwarding?;
+    stream::unfold(Some(Box::new((forwarding, hold))), |state| async move {
+        let mut state = state?;
+        let (forwarding, hold) = &mut *state;
         match forwarding.next().await {
-            Ok(Forwarded::Events(events)) => Some((Ok(Frame::data(events)), Some(forwarding))),
+            Ok(Forwarded::Events(events)) => {
+                let events = hold.hold(events).await;
+                Some((Ok(Frame::data(events)), Some(state)))
+            }
             Ok(Forwarded::End(whole)) => {
                 forwarding.recorder().end_stream(whole);
                 None
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,7 +26,6 @@
 mod answer;
 mod answer_times;
 mod attempt;
-mod body_memory;
 mod boot_clock;
 mod call;
 mod call_attempts;
@@ -38,9 +37,11 @@
 mod discard_body;
 mod ending_calls;
 mod event_forwarding;
+mod event_hold;
 mod event_stream;
 mod forwarded_stream;
 mod header_format;
+mod held_bytes;
 mod limit_observation;
 mod not_run;
 mod observations;
@@ -76,6 +77,7 @@
 mod turned_away;
 mod unframed_pools;
 mod unproven_body;
+mod unread_answers;
 mod view;
 mod wait_timer;
 mod wanted_versions;
@@ -101,6 +103,7 @@
     target_statements::{MalformedHeader, RetryAfter, Stated, TargetStatements},
     target_stats::{InFlightGuard, TargetStats},
     turned_away::TurnedAway,
+    unread_answers::Eviction,
     view::{Absence, LoadedModel, Named, Peer, TargetState, View},
     wanted_versions::{WantedVersion, WantedVersions},
 };
--- a/crates/relay/src/pass_on.rs
+++ b/crates/relay/src/pass_on.rs
@@ -62,7 +62,7 @@
             deadline: self.deadline(),
             is_stream: self.retry_policy().is_stream(),
             position: self.stream_position(None),
-            answer_memory: &self.inner.answer_memory,
+            held_bytes: &self.inner.held_bytes,
         };
         let (peer_caller, format) = (&self.inner.peer_caller, &self.inner.header_format);
         let answer = peer_caller
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -4,10 +4,10 @@
     crate::{
         Declined, HeaderFormat, LostAnswer, NotRun, Peer, Reason, TurnedAway,
         attempt::{Content, TargetAnswer, promises_not_run, read_whole},
-        body_memory::BodyMemory,
         call_holder::{CallHolder, HandedOver},
         call_recorder::CallRecorder,
         event_stream::EventStream,
+        held_bytes::HeldBytes,
         refusal::{NO_TARGET_RETRY_AFTER, Unanswered},
     },
     bytes::Bytes,
@@ -62,7 +62,7 @@
     /// Where the events of a stream must go on.
     pub(crate) position: StreamPosition,
     /// Memory for an answer that is read as a whole.
-    pub(crate) answer_memory: &'call BodyMemory,
+    pub(crate) held_bytes: &'call HeldBytes,
 }
 
 /// How it ended that an instance was asked to answer a call. Of older builds as well, only what
@@ -218,7 +218,7 @@
             Err(error) => return error.into(),
         }
     } else {
-        match read_whole(&mut reply, call.answer_memory, call.time_left()).await {
+        match read_whole(&mut reply, call.held_bytes, call.time_left()).await {
             Ok((body, whole)) => Content::Whole(body, whole),
             Err(error) => return error.into(),
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,10 +7,11 @@
         answer::{refused, streamed, whole},
         answer_times::AnswerTimes,
         attempt::Content,
-        body_memory::BodyMemory,
         call_recorder::CallRecorder,
         event_forwarding::frames,
+        event_hold::EventHold,
         forwarded_stream::ForwardedStream,
+        held_bytes::HeldBytes,
         not_run::NOT_RUN,
         peer_caller::PeerCaller,
         pool_bounds::PoolBounds,
@@ -34,7 +35,7 @@
     parts::PartDirectory,
     routes::Regions,
     std::{
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
         time::{Duration, Instant},
     },
     target::Client,
@@ -53,9 +54,8 @@
     pub retry_bounds: RetryBounds,
     /// Time after a newer version is requested during which older weights may still be used.
     pub stale_weights_grace: Duration,
-    /// Maximum size of all request bodies buffered at the same time, in bytes. Answers that are read
-    /// as a whole may take half as much besides.
-    pub max_buffered_bytes: usize,
+    /// Most bytes that are held of calls and answers together. Bodies of requests take at most two thirds.
+    pub max_held_bytes: usize,
 }
 
 impl Default for RelaySettings {
@@ -66,7 +66,7 @@
             instance_seed: 0,
             retry_bounds: RetryBounds::default(),
             stale_weights_grace: Duration::from_secs(7),
-            max_buffered_bytes: 32 << 20,
+            max_held_bytes: 48 << 20,
         }
     }
 }
@@ -86,6 +86,8 @@
     pub reachability: Arc<TargetReachability>,
     /// Where streams began that callers may take up.
     pub stream_origins: Arc<StreamOrigins>,
+    /// Bytes that the relay holds of calls and answers.
+    pub held_bytes_count: Arc<AtomicUsize>,
     /// Signal that ends all incomplete answers when this instance stops.
     pub answer_cutoff: AnswerCutoff,
 }
@@ -141,10 +143,7 @@
     pub(crate) answer_times: AnswerTimes,
     /// Start of the relay; times passed to `balance` are relative to it.
     pub(crate) origin: Instant,
-    /// Memory for request bodies.
-    pub(crate) body_memory: BodyMemory,
-    /// Memory for answers that are being read as a whole.
-    pub(crate) answer_memory: BodyMemory,
+    pub(crate) held_bytes: HeldBytes,
     pub(crate) log: EventLog,
     pub(crate) meters: Meters,
 }
@@ -173,8 +172,8 @@
         log: EventLog,
         meters: Meters,
     ) -> Self {
-        let body_memory = BodyMemory::new(settings.max_buffered_bytes);
-        let answer_memory = BodyMemory::new(settings.max_buffered_bytes / 2);
+        let total = Arc::clone(&state.held_bytes_count);
+        let held_bytes = HeldBytes::new(settings.max_held_bytes, total);
         let retry_budgets = RetryBudgets::new(settings.retry_bounds);
         Self {
             inner: Arc::new(Inner {
@@ -188,8 +187,7 @@
                 unframed_pools: UnframedPools::default(),
                 answer_times: AnswerTimes::new(),
                 origin: Instant::now(),
-                body_memory,
-                answer_memory,
+                held_bytes,
                 log,
                 meters,
             }),
@@ -233,22 +231,38 @@
         // Only an instance says this of a call, never a target.
         headers.remove(NOT_RUN);
         let status = answer.status;
+        let hold = EventHold::new(self.inner.held_bytes.clone());
         recorder.record_first_byte();
         match answer.content {
             Content::Whole(body, evidence) => {
                 recorder.end_whole(evidence, status.as_u16());
-                whole(status, headers, body)
+                let (body, eviction) = self.inner.held_bytes.hand_over(body);
+                let mut answer = whole(status, headers, body);
+                answer.extensions_mut().insert(eviction);
+                answer
             }
             Content::Events(events) => {
                 recorder.line.status = status.as_u16();
                 let forwarder = StreamForwarder::new(active_call, *events, recorder);
-                streamed(status, headers, Either::Left(frames(forwarder)))
+                let eviction = hold.eviction();
+                streamed(
+                    status,
+                    headers,
+                    eviction,
+                    Either::Left(frames(forwarder, hold)),
+                )
             }
             Content::Forwarded(events) => {
                 recorder.line.status = status.as_u16();
                 let deadline = active_call.deadline();
                 let forwarded = ForwardedStream::new(*events, recorder, answer_cutoff, deadline);
-                streamed(status, headers, Either::Right(frames(forwarded)))
+                let eviction = hold.eviction();
+                streamed(
+                    status,
+                    headers,
+                    eviction,
+                    Either::Right(frames(forwarded, hold)),
+                )
             }
         }
     }
--- a/crates/relay/src/sent_attempt.rs
+++ b/crates/relay/src/sent_attempt.rs
@@ -64,7 +64,7 @@
             reuse: Reuse::Allowed,
             start_timeout: &start_timeout,
             deadline: sent + time_left,
-            answer_memory: &self.inner.answer_memory,
+            held_bytes: &self.inner.held_bytes,
             stream: self.retry_policy().is_stream(),
             position: self.stream_position(last_event_id),
             observe,
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -25,7 +25,7 @@
     std::{
         convert::Infallible,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, atomic::AtomicUsize},
         time::Duration,
     },
     target::{Client, ClientSettings},
@@ -42,6 +42,7 @@
     pub cache_index: Arc<Mutex<PartDirectory>>,
     pub answer_cutoff: AnswerCutoff,
     pub suspect_reports: Arc<SuspectReports>,
+    pub held_bytes_count: Arc<AtomicUsize>,
 }
 
 /// The view of a relay, whose changes the relay's origins of streams are told of.
@@ -190,21 +191,42 @@
         relay
     }
 
+    /// Starts a relay in front of `targets` that holds at most so many bytes.
+    pub async fn start_holding(targets: &[&ScriptedTarget], max_held_bytes: usize) -> Self {
+        let settings = RelaySettings {
+            max_held_bytes,
+            ..RelaySettings::default()
+        };
+        Self::start_as(targets, settings, CallSource::Caller).await
+    }
+
     /// Starts a relay in front of `targets` with this retry budget, whose calls come from `source`.
     pub async fn start_all(
         targets: &[&ScriptedTarget],
         retry_bounds: RetryBounds,
         source: CallSource,
+    ) -> Self {
+        let settings = RelaySettings {
+            retry_bounds,
+            ..RelaySettings::default()
+        };
+        Self::start_as(targets, settings, source).await
+    }
+
+    async fn start_as(
+        targets: &[&ScriptedTarget],
+        settings: RelaySettings,
+        source: CallSource,
     ) -> Self {
         let view = WatchedView::new(view(targets));
         let cache_index = Arc::new(Mutex::new(PartDirectory::default()));
         let answer_cutoff = AnswerCutoff::default();
         let suspect_reports = Arc::<SuspectReports>::default();
+        let held_bytes_count = Arc::<AtomicUsize>::default();
         let settings = RelaySettings {
             failure_domain: "here".to_owned(),
             regions: regions(),
-            retry_bounds,
-            ..RelaySettings::default()
+            ..settings
         };
         let relay = Relay::new(
             settings,
@@ -216,6 +238,7 @@
                 cache_index: cache_index.clone(),
                 answer_cutoff: answer_cutoff.clone(),
                 suspect_reports: suspect_reports.clone(),
+                held_bytes_count: held_bytes_count.clone(),
                 ..RelayState::default()
             },
             EventLog::start(std::io::sink()),
@@ -240,6 +263,7 @@
             cache_index,
             answer_cutoff,
             suspect_reports,
+            held_bytes_count,
         }
     }
 
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -28,7 +28,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        net::TcpStream,
+        net::{TcpSocket, TcpStream},
         time::{timeout, timeout_at},
     },
     tokio_util::{sync::CancellationToken, task::AbortOnDropHandle},
@@ -36,6 +36,12 @@
 
 /// Idle connections kept for each address.
 const MAX_IDLE_COUNT: usize = 64;
+/// Longest head of an answer, and most that is read ahead of whoever reads an answer.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Buffer of the operating system for what a target sends: what 10 Mbit/s carry in a round trip of 100 ms.
+const RECEIVE_BUFFER_BYTES: u32 = 128 << 10;
+/// Bytes that the operating system takes ahead of those that can be sent.
+const MAX_UNSENT_BYTES: u32 = 64 << 10;
 /// Longest wait for the connection beside answers before a request is sent.
 const WITNESS_OPEN_TIME: Duration = Duration::from_millis(300);
 /// Time for the operating system to close all sockets of a process that is killed, from the first one
@@ -361,7 +367,7 @@
 
     /// Opens a connection, which carries nothing yet.
     pub(crate) async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
-        timeout(self.settings.connect_timeout, TcpStream::connect(address))
+        timeout(self.settings.connect_timeout, connect_bounded(address))
             .await
             .unwrap_or_else(|_| {
                 let reason = "connecting timed out";
@@ -378,7 +384,9 @@
         }
         let progress = Arc::<ExchangeProgress>::default();
         let stream = TrackedStream::new(stream, Arc::clone(&progress));
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let end = CancellationToken::new();
@@ -477,6 +485,19 @@
     }
 }
 
+/// Opens a connection of which the operating system holds few bytes, also while nobody reads them here or at the
+/// target.
+async fn connect_bounded(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    let stream = socket.connect(address).await?;
+    SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)?;
+    Ok(stream)
+}
+
 /// Has the operating system close the connection once sent bytes or keep-alive probes stay
 /// unacknowledged for `limit`.
 fn set_unacknowledged_timeout(stream: &TcpStream, limit: Duration) -> std::io::Result<()> {
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -295,11 +295,7 @@
 
     /// Reads the whole body, and calls `check` with its length so far before each part is kept. Returns it
     /// with what shows that it is complete.
-    ///
-    /// # Errors
-    /// What `check` returns; [`SendError::Unknown`] if the body is truncated or not complete within
-    /// `body_timeout`.
-    pub async fn body_with<Check>(
+    async fn body_with<Check>(
         &mut self,
         body_timeout: Duration,
         check: Check,
@@ -440,6 +436,13 @@
         }
     }
 
+    /// Length of the body as the target stated it; `None` if it did not.
+    #[must_use]
+    pub fn stated_length(&self) -> Option<usize> {
+        let length = self.response.body().size_hint().exact()?;
+        usize::try_from(length).ok()
+    }
+
     /// Whether the body has neither a length nor chunks, so that the end of the connection ends it.
     #[must_use]
     pub fn ends_with_connection(&self) -> bool {
