--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -43,7 +43,7 @@
         retry_bounds: settings.retries,
         cold_allowance: settings.cold_allowance,
         stale_weights_grace: settings.version_bound.mul_f64(OLD_WEIGHTS_SHARE),
-        max_buffered_bytes: settings.memory_bytes / 4,
+        max_held_bytes: settings.memory_bytes / 8 * 3,
         large_fleet_instances_count: u32::try_from(MIN_INSTANCES_COUNT).unwrap_or(u32::MAX),
     };
     Relay::new(
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,7 +26,6 @@
 mod answer;
 mod answer_times;
 mod attempt;
-mod body_memory;
 mod boot_clock;
 mod call;
 mod call_attempts;
@@ -41,9 +40,11 @@
 mod discard_body;
 mod ending_calls;
 mod event_forwarding;
+mod event_hold;
 mod event_stream;
 mod forwarded_stream;
 mod header_format;
+mod held_bytes;
 mod limit_observation;
 mod not_run;
 mod observations;
@@ -82,6 +83,7 @@
 mod turned_away;
 mod unframed_pools;
 mod unproven_body;
+mod unread_answers;
 mod view;
 mod wait_timer;
 mod wanted_versions;
@@ -109,6 +111,7 @@
     target_statements::{MalformedHeader, RetryAfter, Stated, TargetStatements},
     target_stats::{InFlightGuard, TargetStats},
     turned_away::TurnedAway,
+    unread_answers::Eviction,
     view::{Absence, LoadedModel, Named, Peer, TargetState, View},
     wanted_versions::{WantedVersion, WantedVersions},
 };
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -25,7 +25,7 @@
     std::{
         convert::Infallible,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, atomic::AtomicUsize},
         time::Duration,
     },
     target::{Client, ClientSettings},
@@ -53,6 +53,7 @@
     pub meters: Meters,
     pub answer_cutoff: AnswerCutoff,
     pub suspect_reports: Arc<SuspectReports>,
+    pub held_bytes_count: Arc<AtomicUsize>,
 }
 
 /// The view of a relay, whose changes the relay's origins of streams are told of.
@@ -201,11 +202,32 @@
         relay
     }
 
+    /// Starts a relay in front of `targets` that holds at most so many bytes.
+    pub async fn start_holding(targets: &[&ScriptedTarget], max_held_bytes: usize) -> Self {
+        let settings = RelaySettings {
+            max_held_bytes,
+            ..RelaySettings::default()
+        };
+        Self::start_as(targets, settings, CallSource::Caller).await
+    }
+
     /// Starts a relay in front of `targets` with this retry budget, whose calls come from `source`.
     pub async fn start_all(
         targets: &[&ScriptedTarget],
         retry_bounds: RetryBounds,
         source: CallSource,
+    ) -> Self {
+        let settings = RelaySettings {
+            retry_bounds,
+            ..RelaySettings::default()
+        };
+        Self::start_as(targets, settings, source).await
+    }
+
+    async fn start_as(
+        targets: &[&ScriptedTarget],
+        settings: RelaySettings,
+        source: CallSource,
     ) -> Self {
         let view = WatchedView::new(view(targets));
         let cache_index = Arc::new(Mutex::new(PartDirectory::default()));
@@ -213,13 +235,13 @@
         let meters = Meters::new();
         let answer_cutoff = AnswerCutoff::default();
         let suspect_reports = Arc::<SuspectReports>::default();
+        let held_bytes_count = Arc::<AtomicUsize>::default();
         let settings = RelaySettings {
             failure_domain: "here".to_owned(),
             regions: regions(),
-            retry_bounds,
             cold_allowance: Some(COLD_ALLOWANCE),
             large_fleet_instances_count: LARGE_FLEET_INSTANCES_COUNT,
-            ..RelaySettings::default()
+            ..settings
         };
         let relay = Relay::new(
             settings,
@@ -232,6 +254,7 @@
                 peer_loads: peer_loads.clone(),
                 answer_cutoff: answer_cutoff.clone(),
                 suspect_reports: suspect_reports.clone(),
+                held_bytes_count: held_bytes_count.clone(),
                 ..RelayState::default()
             },
             EventLog::start(std::io::sink()),
@@ -258,6 +281,7 @@
             meters,
             answer_cutoff,
             suspect_reports,
+            held_bytes_count,
         }
     }
 
