--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,9 +21,11 @@
 mod aggregator_choice;
 mod aggregators;
 mod caller_addresses;
+mod counted_key_value;
 mod directory;
 mod drain;
 mod follower;
+mod follower_instance;
 mod follower_pace;
 mod item;
 mod known_incarnation;
@@ -59,6 +61,7 @@
 mod settings;
 mod shared;
 mod silences;
+mod source_choice;
 mod start;
 mod suspects;
 mod suspension_detector;
@@ -68,6 +71,7 @@
     aggregator_choice::AggregatorChoice,
     aggregators::{Aggregator, Aggregators, MIN_INSTANCES_COUNT},
     caller_addresses::AddressQuery,
+    follower_instance::FollowerInstance,
     follower_pace::{FollowerPace, MAX_STARTED_COUNT, START_PERIOD},
     item::{
         HolderRecord, Item, ItemError, ItemName, LimitRecord, LoadingRecord, MemberRecord,
@@ -89,6 +93,7 @@
     reading_plan::{FeedSource, ReadingPlan},
     return_pace::ReturnPace,
     settings::{Settings, SettingsError},
+    source_choice::{FOLLOW_TIMEOUT, MAX_FOLLOWED_AGE, RETRY_PERIOD, Source, SourceChoice},
     start::{StartError, run},
     suspension_detector::SuspensionDetector,
 };
--- a/crates/entry/src/merged_follower.rs
+++ b/crates/entry/src/merged_follower.rs
@@ -178,7 +178,7 @@
         let silent = silent.map(|(name, time)| (name.clone(), now.saturating_sub(*time)));
         shared.silences().set_reported(&self.name, silent);
         let mut peer_loads = shared.relay_state.peer_loads();
-        peer_loads.set_merged(&self.name, batch.loads.clone(), batch.instances_count);
+        peer_loads.set_merged(&self.name, batch.loads.clone(), batch.instances_count, now);
         drop(peer_loads);
         let mut cache_index = shared.relay_state.cache_index();
         if let Some(clock) = batch.clock {
--- a/crates/entry/src/peer_follower.rs
+++ b/crates/entry/src/peer_follower.rs
@@ -114,7 +114,7 @@
         let shared = &self.shared;
         shared.note_heard(&self.name, now);
         let mut peer_loads = shared.relay_state.peer_loads();
-        peer_loads.set(&self.name, batch.loads.clone());
+        peer_loads.set(&self.name, batch.loads.clone(), now);
         drop(peer_loads);
         let mut cache_index = shared.relay_state.cache_index();
         if let Some(clock) = batch.clock {
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -118,6 +118,12 @@
     /// Number of targets that were passed over since they were or might be cold and this instance might
     /// send them no call, in the choice that found no target; otherwise 0.
     pub cold_targets_count: u32,
+    /// Predicted start delay of a call at the mean target of the pool, relative to the latency
+    /// objective; `None` if it was not predicted.
+    pub pressure: Option<f64>,
+    /// Predicted start delay of the call at the target with the least work in flight, in milliseconds;
+    /// `None` if it was not predicted.
+    pub predicted_start_ms: Option<u64>,
     /// Id of the part because of which the call was refused, since it crashed targets; otherwise
     /// empty.
     pub quarantined_part: String,
@@ -314,6 +320,15 @@
         /// What the process observed.
         reason: String,
     },
+    /// This instance reads changes in the key-value service from another source.
+    ServiceSource {
+        /// Instance through which it follows the service; empty if it watches the service itself.
+        through: String,
+        /// Whether other instances follow the service through this one.
+        aggregator: bool,
+        /// Why the source has changed.
+        reason: String,
+    },
     /// An outage of the key-value service has ended that may have let registrations expire.
     Outage {
         /// Time for which this instance had no word from the service, in milliseconds.
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -133,6 +133,11 @@
             asked_count: 0,
             witness: text(),
         },
+        Event::ServiceSource {
+            through: text(),
+            aggregator: false,
+            reason: text(),
+        },
         Event::Dropped { count: 0 },
         Event::Note {
             level: text(),
@@ -170,6 +175,7 @@
         Event::Outage { .. } => 21,
         Event::Restored { .. } => 22,
         Event::Evacuation { .. } => 23,
+        Event::ServiceSource { .. } => 24,
     }
 }
 
--- a/crates/feed/src/service.rs
+++ b/crates/feed/src/service.rs
@@ -4,7 +4,10 @@
 #![allow(missing_docs)]
 
 use {
-    crate::{Batch, MergedBatch, MergedRequest, PlacesRequest, former_batch::FormerBatch},
+    crate::{
+        Batch, FollowAnswer, MergedBatch, MergedRequest, PlacesRequest, former_batch::FormerBatch,
+    },
+    catalog::Revision,
     origins::{OriginKnowledge, OriginRecord, StreamKey},
     parts::Position,
     std::time::Duration,
@@ -32,4 +35,8 @@
     /// Returns what this instance knows of the others in the requested scope; `None` if it reads no
     /// other instances for its failure domain.
     async fn read_merged(request: MergedRequest) -> Option<MergedBatch>;
+
+    /// Returns the changes in the key-value service after revision `since` of an incarnation, if this
+    /// instance watches the service itself. Without changes it waits up to `wait` for one.
+    async fn follow(incarnation: u64, since: Revision, wait: Duration) -> FollowAnswer;
 }
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Batch, MergedBatch, MergedRequest, PlaceReport, PlacesRequest, Scope, ServiceContact,
-        SourceReport, feed_state::FeedState,
+        SharedServiceLog, SourceReport, feed_state::FeedState,
     },
     balance::TargetLoad,
     origins::{OriginKnowledge, OriginRecord, StreamKey},
@@ -27,6 +27,8 @@
 /// other instances' feeds.
 #[derive(Debug)]
 pub struct Feed {
+    /// The latest changes in the key-value service, for instances that follow it through this one.
+    pub service_log: SharedServiceLog,
     relay_state: RelayState,
     state: Mutex<FeedState>,
     changed: Notify,
@@ -38,6 +40,7 @@
     #[must_use]
     pub fn new(relay_state: RelayState) -> Self {
         Self {
+            service_log: SharedServiceLog::default(),
             relay_state,
             state: Mutex::new(FeedState::new(rand::random())),
             changed: Notify::new(),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,6 +12,7 @@
         event_forwarding::frames,
         forwarded_stream::ForwardedStream,
         not_run::NOT_RUN,
+        overload_controls::OverloadControls,
         peer_caller::PeerCaller,
         pool_bounds::PoolBounds,
         refusal::Unanswered,
@@ -151,6 +152,7 @@
     pub(crate) state: RelayState,
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) pool_bounds: PoolBounds,
+    pub(crate) overload_controls: OverloadControls,
     pub(crate) unframed_pools: UnframedPools,
     pub(crate) answer_times: AnswerTimes,
     /// Start of the relay; times passed to `balance` are relative to it.
@@ -199,6 +201,7 @@
                 state,
                 retry_budgets,
                 pool_bounds: PoolBounds::default(),
+                overload_controls: OverloadControls::default(),
                 unframed_pools: UnframedPools::default(),
                 answer_times: AnswerTimes::new(),
                 origin: Instant::now(),
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -9,7 +9,7 @@
 
 use {
     arc_swap::ArcSwap,
-    balance::{ColdAllowance, RetryBounds, rendezvous},
+    balance::{ColdAllowance, PeerLoads, RetryBounds, rendezvous},
     eventlog::EventLog,
     header_format::TestHeaderFormat,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
@@ -41,11 +41,16 @@
     slack_count: 5.0,
 };
 
+/// Number of ready instances from which the fleet counts as large.
+pub const LARGE_FLEET_INSTANCES_COUNT: u32 = 35;
+
 /// A listening relay and the state that it depends on.
 pub struct TestRelay {
     pub address: SocketAddr,
     pub view: WatchedView,
     pub cache_index: Arc<Mutex<PartDirectory>>,
+    pub peer_loads: Arc<Mutex<PeerLoads>>,
+    pub meters: Meters,
     pub answer_cutoff: AnswerCutoff,
     pub suspect_reports: Arc<SuspectReports>,
 }
@@ -204,6 +209,8 @@
     ) -> Self {
         let view = WatchedView::new(view(targets));
         let cache_index = Arc::new(Mutex::new(PartDirectory::default()));
+        let peer_loads = Arc::<Mutex<PeerLoads>>::default();
+        let meters = Meters::new();
         let answer_cutoff = AnswerCutoff::default();
         let suspect_reports = Arc::<SuspectReports>::default();
         let settings = RelaySettings {
@@ -211,6 +218,7 @@
             regions: regions(),
             retry_bounds,
             cold_allowance: Some(COLD_ALLOWANCE),
+            large_fleet_instances_count: LARGE_FLEET_INSTANCES_COUNT,
             ..RelaySettings::default()
         };
         let relay = Relay::new(
@@ -221,12 +229,13 @@
                 view: view.view.clone(),
                 stream_origins: view.stream_origins.clone(),
                 cache_index: cache_index.clone(),
+                peer_loads: peer_loads.clone(),
                 answer_cutoff: answer_cutoff.clone(),
                 suspect_reports: suspect_reports.clone(),
                 ..RelayState::default()
             },
             EventLog::start(std::io::sink()),
-            Meters::new(),
+            meters.clone(),
         );
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
@@ -245,6 +254,8 @@
             address,
             view,
             cache_index,
+            peer_loads,
+            meters,
             answer_cutoff,
             suspect_reports,
         }
