Feeds are counted, and takeovers of places are logged

Cause: nothing showed what part of a link the updates between instances take, which instance reads for which, or that an instance follows the places of a silent one. Change: counters news_bytes{served,read} and news_reads{instance,merged}; log event takeover, once at its beginning and once at its end. Sizes are estimated from the batch, since encoding it a second time would cost more than the figure is worth.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -65,6 +65,7 @@
 mod start;
 mod suspects;
 mod suspension_detector;
+mod takeovers;
 mod target_probe;
 
 pub use {
@@ -96,4 +97,5 @@
     source_choice::{FOLLOW_TIMEOUT, MAX_FOLLOWED_AGE, RETRY_PERIOD, Source, SourceChoice},
     start::{StartError, run},
     suspension_detector::SuspensionDetector,
+    takeovers::{TakeoverChange, Takeovers},
 };
--- a/crates/entry/src/merged_follower.rs
+++ b/crates/entry/src/merged_follower.rs
@@ -97,6 +97,7 @@
             }
             match answer {
                 Ok(Some(batch)) => {
+                    self.shared.feed.count_merged_read(&batch);
                     read.apply_batch(batch, wanted, self.scope, requested_at);
                     sleep(POLL_DELAY).await;
                 }
--- a/crates/entry/src/peer_follower.rs
+++ b/crates/entry/src/peer_follower.rs
@@ -82,6 +82,7 @@
                 sleep(RETRY_DELAY).await;
                 continue;
             };
+            self.shared.feed.count_read(&batch);
             self.position = Some(batch.position);
             self.places = wanted;
             self.apply_batch(batch, requested_at);
--- a/crates/entry/src/place_watch.rs
+++ b/crates/entry/src/place_watch.rs
@@ -3,10 +3,11 @@
 
 use {
     crate::{
-        FollowerPace, MembershipSettling, Ownership, Platform, START_PERIOD,
+        FollowerPace, MembershipSettling, Ownership, Platform, START_PERIOD, Takeovers,
         place_follower::PlaceFollower, shared::Shared,
     },
     catalog::{FailureDomainId, InstanceId},
+    eventlog::Event,
     parts::Store,
     relay::{View, boot_time},
     routes::{PoolKind, RouteTable, StoreProperties},
@@ -51,6 +52,7 @@
         instances: Vec::new(),
         silent: BTreeSet::new(),
         followers: HashMap::new(),
+        takeovers: Takeovers::default(),
         settling: MembershipSettling::default(),
         pace: FollowerPace::default(),
         tasks: JoinSet::new(),
@@ -85,6 +87,8 @@
     /// Those of them that don't answer, in a fleet with aggregators.
     silent: BTreeSet<InstanceId>,
     followers: HashMap<SocketAddr, CancellationToken>,
+    /// Places of silent instances that this one follows.
+    takeovers: Takeovers,
     /// Delays the first followers until the instances that share the places are known.
     settling: MembershipSettling,
     /// Limits how fast places are added to `followers`.
@@ -128,6 +132,7 @@
             .copied()
             .filter(|place| self.is_followed_here(&ownership, *place))
             .collect();
+        self.log_takeovers(&ownership, &wanted);
         // Calls use what stores hold before what other engines hold.
         wanted.sort_by_key(|place| !self.places[place].is_store);
         self.followers.retain(|place, stop| {
@@ -154,6 +159,20 @@
         follows_all
     }
 
+    /// Logs the takeovers of silent instances' places that have begun or ended.
+    fn log_takeovers(&mut self, ownership: &Ownership, followed: &[SocketAddr]) {
+        let own = &self.shared.settings.instance;
+        let owners = followed.iter().filter_map(|place| ownership.owner(*place));
+        let silent = owners.filter(|owner| *owner != own).cloned();
+        for change in self.takeovers.update(silent) {
+            self.shared.log.emit(&Event::Takeover {
+                instance: change.owner,
+                state: if change.has_begun { "begun" } else { "ended" },
+                places_count: change.places_count,
+            });
+        }
+    }
+
     /// Assigns the places to the instances, if any of these have changed.
     fn assign(&mut self, places_changed: bool) {
         let ready = self.shared.ready_members();
--- a/crates/entry/tests/merged_feeds.rs
+++ b/crates/entry/tests/merged_feeds.rs
@@ -62,6 +62,15 @@
     value.parse().unwrap()
 }
 
+/// Asserts that the instance has counted something under `name` and `kind`.
+async fn assert_counted(instance: &Instance, name: &str, kind: &str) {
+    let metrics = instance.metrics().await;
+    let series = format!("rattan_{name}_total{{kind=\"{kind}\"}} ");
+    let value = metrics.lines().find_map(|line| line.strip_prefix(&series));
+    let count = value.map_or(0, |value| value.parse().unwrap());
+    assert!(count > 0_u64, "{series}");
+}
+
 /// Waits until the instance knows about how many calls the senders have in flight.
 async fn wait_for_estimate(instance: &Instance) {
     #[allow(clippy::cast_precision_loss)]
@@ -124,6 +133,15 @@
         })
         .await;
     }
+    // Guards against counters that miss what goes through aggregators.
+    for reader in in_each_domain() {
+        assert_counted(reader, "news_reads", "merged").await;
+        assert_counted(reader, "news_bytes", "read").await;
+    }
+    for aggregator in &leaving {
+        assert_counted(aggregator, "news_reads", "instance").await;
+        assert_counted(aggregator, "news_bytes", "served").await;
+    }
     for instance in leaving {
         instance.stop.cancel();
     }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -213,6 +213,12 @@
         body.split_whitespace().map(str::to_owned).collect()
     }
 
+    /// Returns all metrics of the instance.
+    pub async fn metrics(&self) -> String {
+        let got = get(self.settings.directory_listen, "/metrics", &[]).await;
+        got.unwrap_or_default().body
+    }
+
     /// Sends a call; returns status and body.
     pub async fn call(&self, path: &str) -> Option<(u16, String)> {
         let got = self.answer(path).await?;
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -329,6 +329,16 @@
         /// Why the source has changed.
         reason: String,
     },
+    /// This instance follows the stores and engines of an instance that does not answer, or no longer
+    /// does.
+    Takeover {
+        /// Instance that they are assigned to.
+        instance: String,
+        /// `begun` or `ended`.
+        state: &'static str,
+        /// Number of these stores and engines.
+        places_count: usize,
+    },
     /// An outage of the key-value service has ended that may have let registrations expire.
     Outage {
         /// Time for which this instance had no word from the service, in milliseconds.
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -138,6 +138,11 @@
             aggregator: false,
             reason: text(),
         },
+        Event::Takeover {
+            instance: text(),
+            state: "",
+            places_count: 0,
+        },
         Event::Dropped { count: 0 },
         Event::Note {
             level: text(),
@@ -176,6 +181,7 @@
         Event::Restored { .. } => 22,
         Event::Evacuation { .. } => 23,
         Event::ServiceSource { .. } => 24,
+        Event::Takeover { .. } => 25,
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -28,6 +28,7 @@
 mod batch;
 mod connection;
 mod contact_question;
+mod encoded_size;
 mod error;
 mod feed_reader;
 mod feed_state;
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -78,6 +78,7 @@
 impl FeedService for FeedServer {
     async fn read(self, _: Context, since: Option<Position>, wait: Duration) -> FormerBatch {
         let batch = self.feed.read_or_wait(since, wait.min(MAX_WAIT)).await;
+        self.feed.count_served(batch.encoded_bytes());
         batch.into()
     }
 
@@ -96,11 +97,15 @@
 
     async fn read_places(self, _: Context, request: PlacesRequest) -> Batch {
         let wait = request.wait.min(MAX_WAIT);
-        self.feed.read_places_or_wait(&request, wait).await
+        let batch = self.feed.read_places_or_wait(&request, wait).await;
+        self.feed.count_served(batch.encoded_bytes());
+        batch
     }
 
     async fn read_merged(self, _: Context, request: MergedRequest) -> Option<MergedBatch> {
-        self.feed.read_merged(&request, boot_time())
+        let batch = self.feed.read_merged(&request, boot_time())?;
+        self.feed.count_served(batch.encoded_bytes());
+        Some(batch)
     }
 
     async fn follow(
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -6,6 +6,7 @@
         SharedServiceLog, SourceReport, feed_state::FeedState,
     },
     balance::TargetLoad,
+    meters::Meters,
     origins::{OriginKnowledge, OriginRecord, StreamKey},
     parts::{Change, Position},
     relay::{RelayState, boot_time},
@@ -21,6 +22,10 @@
 /// Time after which an instance that has become an aggregator answers readers. Until then it has read
 /// few instances, and another aggregator answers better.
 const WARM_UP_TIME: Duration = Duration::from_millis(400);
+/// Counter of the bytes of batches, by direction.
+const NEWS_BYTES: &str = "news_bytes";
+/// Counter of answered reads, by the kind of feed.
+const NEWS_READS: &str = "news_reads";
 
 /// What an instance publishes: what it has learned about the places that it follows, which are
 /// stores and engines, and its calls in flight. An aggregator also publishes what it has read in
@@ -33,13 +38,21 @@
     state: Mutex<FeedState>,
     changed: Notify,
     service_contact: Mutex<ServiceContact>,
+    meters: Meters,
 }
 
 impl Feed {
     /// Creates a feed that publishes from `relay_state`, and applies each published change to it.
     #[must_use]
     pub fn new(relay_state: RelayState) -> Self {
+        Self::with_meters(relay_state, Meters::new())
+    }
+
+    /// Creates a feed as [`Feed::new`] does, which counts what is served and read.
+    #[must_use]
+    pub fn with_meters(relay_state: RelayState, meters: Meters) -> Self {
         Self {
+            meters,
             service_log: SharedServiceLog::default(),
             relay_state,
             state: Mutex::new(FeedState::new(rand::random())),
@@ -206,6 +219,27 @@
         })
     }
 
+    /// Counts a batch that this instance has read in the feed of another one.
+    pub fn count_read(&self, batch: &Batch) {
+        self.meters.count(NEWS_READS, "instance");
+        self.count_bytes("read", batch.encoded_bytes());
+    }
+
+    /// Counts a batch that this instance has read in the merged feed of an aggregator.
+    pub fn count_merged_read(&self, batch: &MergedBatch) {
+        self.meters.count(NEWS_READS, "merged");
+        self.count_bytes("read", batch.encoded_bytes());
+    }
+
+    /// Counts the bytes of a batch that another instance has read here.
+    pub(crate) fn count_served(&self, bytes: usize) {
+        self.count_bytes("served", bytes);
+    }
+
+    fn count_bytes(&self, kind: &str, bytes: usize) {
+        self.meters.count_many(NEWS_BYTES, kind, bytes as u64);
+    }
+
     /// Keeps the origins of streams that another instance has begun, and returns what this one knows
     /// of the streams in `asked`.
     pub(crate) fn exchange_origins(
