--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -52,6 +52,7 @@
 mod place_follower;
 mod place_watch;
 mod platform;
+mod read_places;
 mod reading_plan;
 mod recent_versions;
 mod record_lease;
@@ -91,6 +92,7 @@
         HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, RunningRequests,
         TargetReport, VersionOrder,
     },
+    read_places::{MAX_ADDED_COUNT, PlaceGroup, ReadPlaces},
     reading_plan::{FeedSource, ReadingPlan},
     return_pace::ReturnPace,
     settings::{Settings, SettingsError},
--- a/crates/entry/src/merged_follower.rs
+++ b/crates/entry/src/merged_follower.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Aggregator, AggregatorChoice, Platform, link_use_reports::LinkUseReports,
-        peer_follower::AGGREGATOR_POLL_DELAY, shared::Shared,
+        Aggregator, AggregatorChoice, PlaceGroup, Platform, ReadPlaces,
+        link_use_reports::LinkUseReports, peer_follower::AGGREGATOR_POLL_DELAY, shared::Shared,
     },
     catalog::{FailureDomainId, InstanceId},
     feed::{FeedReader, MergedBatch, MergedRequest, PlaceReport, Scope, SourceReport},
@@ -27,7 +27,7 @@
     /// Position of the last batch; `None` before the first one.
     position: Option<Position>,
     /// Places that are read here.
-    places: HashSet<SocketAddr>,
+    places: ReadPlaces,
     link_use: LinkUseReports,
 }
 
@@ -76,16 +76,12 @@
                 continue;
             };
             let wanted = read.wanted_places(&self.failure_domain, self.scope);
-            let added_places = wanted.difference(&read.places).copied();
-            let added_places = match read.position {
-                Some(_) => added_places.collect(),
-                None => Vec::new(),
-            };
+            let group = read.places.next_group(&wanted);
             let request = MergedRequest {
                 reader: self.shared.settings.instance.clone(),
                 scope: self.scope,
                 since: read.position,
-                added_places,
+                added_places: group.added.clone(),
             };
             let requested_at = boot_time();
             let answer = read.reader.read_merged(&request).await;
@@ -98,8 +94,11 @@
             match answer {
                 Ok(Some(batch)) => {
                     self.shared.feed.count_merged_read(&batch);
-                    read.apply_batch(batch, wanted, self.scope, requested_at);
-                    sleep(POLL_DELAY).await;
+                    let has_more = group.has_more || batch.is_reset && !group.known.is_empty();
+                    read.apply_batch(batch, &group, self.scope, requested_at);
+                    if !has_more {
+                        sleep(POLL_DELAY).await;
+                    }
                 }
                 Ok(None) => {
                     self.choice.record_refusal(&read.name, boot_time());
@@ -141,7 +140,7 @@
             feed: aggregator.feed,
             reader: FeedReader::new(aggregator.feed),
             position: None,
-            places: HashSet::new(),
+            places: ReadPlaces::default(),
             link_use: LinkUseReports::default(),
         }
     }
@@ -167,13 +166,13 @@
     fn apply_batch(
         &mut self,
         batch: MergedBatch,
-        wanted: HashSet<SocketAddr>,
+        group: &PlaceGroup,
         scope: Scope,
         requested_at: Duration,
     ) {
         let now = boot_time();
         self.position = Some(batch.position);
-        let known_places = std::mem::replace(&mut self.places, wanted);
+        self.places.complete(group, batch.is_reset);
         let shared = &self.shared;
         let silent = batch.silent_instances.iter();
         let silent = silent.map(|(name, time)| (name.clone(), now.saturating_sub(*time)));
@@ -197,12 +196,12 @@
             shared.feed.set_source(&self.name, Scope::All, report, now);
         }
         let mut changes = batch.changes;
-        changes.retain(|change| self.places.contains(&change.place()));
+        changes.retain(|change| self.places.contains(change.place()));
         let ages = batch.report_ages.into_iter();
-        let ages = ages.filter(|(place, _)| self.places.contains(place));
+        let ages = ages.filter(|(place, _)| self.places.contains(*place));
         let times = ages.map(|(place, age)| (place, requested_at.saturating_sub(age)));
         let (reported_times, replaced_times) =
-            times.partition(|(place, _)| known_places.contains(place));
+            times.partition(|(place, _)| group.known.contains(place));
         let report = PlaceReport {
             scope: Scope::All,
             changes,
--- a/crates/entry/src/peer_follower.rs
+++ b/crates/entry/src/peer_follower.rs
@@ -1,12 +1,12 @@
 //! Reads the own feed of one other instance.
 
 use {
-    crate::{Platform, link_use_reports::LinkUseReports, shared::Shared},
+    crate::{PlaceGroup, Platform, ReadPlaces, link_use_reports::LinkUseReports, shared::Shared},
     catalog::InstanceId,
     feed::{Batch, FeedReader, PlaceReport, PlacesRequest, Scope, SourceReport},
     parts::Position,
     relay::boot_time,
-    std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -29,7 +29,7 @@
     reader: FeedReader,
     position: Option<Position>,
     /// Places that are read here.
-    places: HashSet<SocketAddr>,
+    places: ReadPlaces,
     link_use: LinkUseReports,
 }
 
@@ -48,7 +48,7 @@
             name,
             reader: FeedReader::new(address),
             position: None,
-            places: HashSet::new(),
+            places: ReadPlaces::default(),
             link_use: LinkUseReports::default(),
         }
     }
@@ -61,12 +61,13 @@
         let mut available = true;
         loop {
             let wanted = self.shared.ownership.load().places_of(&self.name);
-            let added_places = wanted.difference(&self.places).copied();
+            let group = self.places.next_group(&wanted);
+            let places = group.known.iter().chain(&group.added);
             let request = PlacesRequest {
                 since: self.position,
-                added_places: added_places.collect(),
-                places: wanted.iter().copied().collect(),
-                wait: self.wait(),
+                places: places.copied().collect(),
+                added_places: group.added.clone(),
+                wait: self.wait(&group),
             };
             let requested_at = boot_time();
             let answer = self.reader.read_places(&request).await;
@@ -84,16 +85,19 @@
             };
             self.shared.feed.count_read(&batch);
             self.position = Some(batch.position);
-            self.places = wanted;
+            self.places.complete(&group, batch.is_reset);
+            let has_more = group.has_more || batch.is_reset && !group.known.is_empty();
             self.apply_batch(batch, requested_at);
-            sleep(self.poll_delay()).await;
+            if !has_more {
+                sleep(self.poll_delay()).await;
+            }
         }
     }
 
     /// Longest time that the instance may hold a request. An aggregator does not wait for a change,
-    /// since loads change without one.
-    fn wait(&self) -> Duration {
-        if self.shared.has_aggregators() {
+    /// since loads change without one; nor does a reader with further places to read.
+    fn wait(&self, group: &PlaceGroup) -> Duration {
+        if group.has_more || self.shared.has_aggregators() {
             Duration::ZERO
         } else {
             LONG_POLL_WAIT
@@ -132,9 +136,9 @@
         let scope = Scope::Domain;
         shared.feed.set_source(&self.name, scope, report, now);
         let mut changes = batch.changes;
-        changes.retain(|change| self.places.contains(&change.place()));
+        changes.retain(|change| self.places.contains(change.place()));
         let followed = batch.followed_places.into_iter();
-        let followed = followed.filter(|place| self.places.contains(place));
+        let followed = followed.filter(|place| self.places.contains(*place));
         let reported_times = followed.map(|place| (place, requested_at));
         let report = PlaceReport {
             scope,
--- a/crates/feed/src/batch.rs
+++ b/crates/feed/src/batch.rs
@@ -19,8 +19,11 @@
     pub loads: Vec<TargetLoad>,
     /// Total time for which the instance has planned to use each store's link, since its start.
     pub link_use: Vec<LinkUse>,
-    /// Changes since the previous position, in order, or the whole state.
+    /// Changes since the previous position, in order, and the whole state of added places.
     pub changes: Vec<Change>,
+    /// Whether the changes since the requested position are not known any more or none was named, so
+    /// that `changes` has only the state of the added places.
+    pub is_reset: bool,
     /// Requested places that the instance follows, whose changes are therefore complete.
     pub followed_places: Vec<SocketAddr>,
 }
--- a/crates/feed/src/feed_state.rs
+++ b/crates/feed/src/feed_state.rs
@@ -30,6 +30,25 @@
     place_scopes: HashMap<SocketAddr, Scope>,
 }
 
+/// Changes that a reader requests.
+#[derive(Debug)]
+pub(crate) struct WantedChanges {
+    /// Changes in order, and the whole state of the added places.
+    pub(crate) changes: Vec<Change>,
+    /// Whether the changes to the other places are missing.
+    pub(crate) is_reset: bool,
+}
+
+impl WantedChanges {
+    /// Joins the changes since a position, if they are known, and the state of the added places.
+    fn new(changes: Option<Vec<Change>>, added: Vec<Change>) -> Self {
+        let is_reset = changes.is_none();
+        let mut changes = changes.unwrap_or_default();
+        changes.extend(added);
+        Self { changes, is_reset }
+    }
+}
+
 /// What an instance publishes.
 #[derive(Debug)]
 pub(crate) struct FeedState {
@@ -97,12 +116,12 @@
         changes.unwrap_or_else(|| cache_index.snapshot(&self.followed_places))
     }
 
-    /// Changes that a reader of some places requests.
+    /// Changes that a reader of some places requests, and the whole state of those that it adds.
     pub(crate) fn place_changes(
         &self,
         request: &PlacesRequest,
         cache_index: &PartDirectory,
-    ) -> Vec<Change> {
+    ) -> WantedChanges {
         let is_known = |place: &SocketAddr| {
             request.places.contains(place) && !request.added_places.contains(place)
         };
@@ -110,24 +129,19 @@
             let is_wanted = |it: &LogEntry| it.scope == Scope::Own && is_known(&it.change.place());
             self.changes_since(since, is_wanted)
         });
-        let whole_places = match changes {
-            Some(_) => &request.added_places,
-            None => &request.places,
-        };
-        let mut changes = changes.unwrap_or_default();
-        changes.extend(snapshot(whole_places, cache_index, |place| {
-            self.followed_places.contains(place)
-        }));
-        changes
+        let covers = |place: &SocketAddr| self.followed_places.contains(place);
+        let added = snapshot(&request.added_places, cache_index, covers);
+        WantedChanges::new(changes, added)
     }
 
-    /// Changes that a reader of the merged feed requests.
+    /// Changes that a reader of the merged feed requests, and the whole state of the places that it
+    /// adds.
     pub(crate) fn merged_changes(
         &self,
         request: &MergedRequest,
         aggregation: &Aggregation,
         cache_index: &PartDirectory,
-    ) -> Vec<Change> {
+    ) -> WantedChanges {
         let since = request
             .since
             .filter(|since| since.next >= aggregation.begin.next);
@@ -137,14 +151,8 @@
             })
         });
         let covers = |place: &SocketAddr| self.covers(aggregation, request.scope, *place);
-        let Some(mut changes) = changes else {
-            let read = aggregation.place_scopes.keys().copied();
-            let places: Vec<SocketAddr> =
-                read.chain(self.followed_places.iter().copied()).collect();
-            return snapshot(&places, cache_index, covers);
-        };
-        changes.extend(snapshot(&request.added_places, cache_index, covers));
-        changes
+        let added = snapshot(&request.added_places, cache_index, covers);
+        WantedChanges::new(changes, added)
     }
 
     /// Age at `now` of the last report of each store in `scope`, without those too old to act on.
--- a/crates/feed/src/former_batch.rs
+++ b/crates/feed/src/former_batch.rs
@@ -47,6 +47,7 @@
             loads: loads.collect(),
             link_use: batch.link_use,
             changes: batch.changes,
+            is_reset: false,
             followed_places: Vec::new(),
         }
     }
--- a/crates/feed/src/merged_batch.rs
+++ b/crates/feed/src/merged_batch.rs
@@ -27,8 +27,11 @@
     /// Total time for which the instances have planned to use each store's link. It falls when an
     /// instance leaves.
     pub link_use: Vec<LinkUse>,
-    /// Changes since the previous position, in order, or the whole state.
+    /// Changes since the previous position, in order, and the whole state of added places.
     pub changes: Vec<Change>,
+    /// Whether the changes since the requested position are not known any more or none was named, so
+    /// that `changes` has only the state of the added places.
+    pub is_reset: bool,
     /// Age of the last report of each store.
     pub report_ages: Vec<(SocketAddr, Duration)>,
     /// Instances that the aggregators can't read.
--- a/crates/feed/src/merged_request.rs
+++ b/crates/feed/src/merged_request.rs
@@ -16,8 +16,9 @@
     pub reader: InstanceId,
     /// Instances that the answer covers.
     pub scope: Scope,
-    /// Position of the previous batch; `None` requests the whole state.
+    /// Position of the previous batch; `None` if there is none.
     pub since: Option<Position>,
-    /// Places whose whole state is sent, since the reader has skipped their changes so far.
+    /// Places whose whole state is sent, since the reader has not read it here, or has
+    /// skipped their changes. A few, so that the answer arrives in time.
     pub added_places: Vec<SocketAddr>,
 }
--- a/crates/feed/src/places_request.rs
+++ b/crates/feed/src/places_request.rs
@@ -9,7 +9,7 @@
 /// A read of one instance's own feed.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PlacesRequest {
-    /// Position of the previous batch; `None` requests the whole state of all `places`.
+    /// Position of the previous batch; `None` if there is none.
     pub since: Option<Position>,
     /// Places of which the reader wants the changes.
     pub places: Vec<SocketAddr>,
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -172,6 +172,7 @@
             loads: self.in_flight_loads(),
             link_use: cache_index.link_use(),
             changes: state.own_changes(since, &cache_index),
+            is_reset: false,
             followed_places: Vec::new(),
         }
     }
@@ -182,12 +183,14 @@
         let state = self.lock_state();
         let cache_index = self.relay_state.cache_index();
         let places = request.places.iter().copied();
+        let wanted = state.place_changes(request, &cache_index);
         Batch {
             position: state.position(),
             clock: cache_index.clock(boot_time()),
             loads: self.in_flight_loads(),
             link_use: cache_index.link_use(),
-            changes: state.place_changes(request, &cache_index),
+            changes: wanted.changes,
+            is_reset: wanted.is_reset,
             followed_places: places
                 .filter(|place| state.followed_places.contains(place))
                 .collect(),
@@ -207,13 +210,15 @@
         let reports = &aggregation.reports;
         let (loads, instances_count) = reports.loads(reader, scope, &self.in_flight_loads());
         let cache_index = self.relay_state.cache_index();
+        let wanted = state.merged_changes(request, aggregation, &cache_index);
         Some(MergedBatch {
             position: state.position(),
             clock: cache_index.clock(now),
             loads,
             instances_count,
             link_use: reports.link_use(reader, scope, &cache_index.link_use()),
-            changes: state.merged_changes(request, aggregation, &cache_index),
+            changes: wanted.changes,
+            is_reset: wanted.is_reset,
             report_ages: state.report_ages(aggregation, scope, &cache_index, now),
             silent_instances: reports.silent_instances(scope, now),
         })
--- a/crates/feed/tests/encoded_sizes.rs
+++ b/crates/feed/tests/encoded_sizes.rs
@@ -80,6 +80,7 @@
             loads: loads(loads_count),
             link_use: link_use(stores_count),
             changes: changes(parts_count),
+            is_reset: false,
             followed_places,
         };
         check(batch.encoded_bytes(), sent_bytes(&batch));
@@ -90,6 +91,7 @@
             instances_count: 128,
             link_use: batch.link_use,
             changes: batch.changes,
+            is_reset: false,
             report_ages: link_use(stores_count),
             silent_instances: vec![("entry-1".to_owned(), Duration::from_millis(3_500))],
         };
