--- a/crates/overload/src/pool_state.rs
+++ b/crates/overload/src/pool_state.rs
@@ -4,9 +4,9 @@
 
 /// Smallest share of the call slots that are taken when a call is refused.
 const MIN_TAKEN_SHARE: f64 = 0.5;
-/// Share of the memory that the calls in flight need when a call is refused while most slots are free:
-/// from there on some of them wait for memory.
-const FULL_MEMORY_SHARE: f64 = 1.0;
+/// Share of the memory that the calls in flight take when a call is refused while most slots are free,
+/// so that some wait for memory. More than 1, since a part that calls share counts for each of them.
+const FULL_MEMORY_SHARE: f64 = 1.5;
 /// Smallest share of the instances whose loads are known when a call is refused.
 const MIN_COVERED_SHARE: f64 = 0.5;
 
