Shorter attempt functions; a remedy in the error for long heads

Change: the checks before an attempt and the records of a first event are functions of their own, in the same order. The error names the limit and what to do. Fields of `ExchangeProgress` have doc comments; RESTART_NEWS_TIME is REREGISTRATION_TIME.

--- a/crates/relay/src/call_attempts.rs
+++ b/crates/relay/src/call_attempts.rs
@@ -43,26 +43,8 @@
         let mut suspects = Vec::new();
         while self.tried_targets.len() < MAX_TRIED_TARGETS_COUNT && self.time_left() > MIN_TIME_LEFT
         {
-            // For a resumed stream, the stream forwarder has checked the time once, before this
-            // loop.
-            if last_event_id.is_none()
-                && let Err(declined) = self.check_shutdown(recorder)
-            {
-                last_declined = declined;
-                break;
-            }
-            if let Err(declined) = self.check_quarantine(recorder) {
-                last_declined = declined;
-                break;
-            }
-            if self.has_reached_no_target() && self.is_cut_off() {
-                break;
-            }
-            if last_event_id.is_none()
-                && self.tried_targets.is_empty()
-                && let Err(declined) = self.check_overload(recorder)
-            {
-                last_declined = declined;
+            if let Err(declined) = self.check_attempt(recorder, last_event_id) {
+                last_declined = declined.unwrap_or(last_declined);
                 break;
             }
             let picked = match self.choose_target() {
@@ -142,6 +124,27 @@
         Err(last_declined.into())
     }
 
+    /// Checks whether the call may be sent to a target now. Fails without a refusal of its own if this
+    /// instance reaches no target of the pool, so that the call is passed on.
+    fn check_attempt(
+        &self,
+        recorder: &mut CallRecorder,
+        last_event_id: Option<u64>,
+    ) -> Result<(), Option<Declined>> {
+        // For a resumed stream, the stream forwarder has checked the time once, before the attempts.
+        if last_event_id.is_none() {
+            self.check_shutdown(recorder)?;
+        }
+        self.check_quarantine(recorder)?;
+        if self.has_reached_no_target() && self.is_cut_off() {
+            return Err(None);
+        }
+        if last_event_id.is_none() && self.tried_targets.is_empty() {
+            self.check_overload(recorder)?;
+        }
+        Ok(())
+    }
+
     /// Records where the stream of the call began, if an event of it has arrived.
     fn record_origin(&mut self, picked: &PickedTarget, answer: &TargetAnswer) {
         if !matches!(answer.content, Content::Events(_)) || !answer.has_begun() {
--- a/crates/relay/src/cold_state.rs
+++ b/crates/relay/src/cold_state.rs
@@ -3,7 +3,7 @@
 use {crate::ColdPool, balance::ColdShare, catalog::Revision, std::time::Duration};
 
 /// Time from the restart of a target under its id until its new registration is known.
-pub(crate) const RESTART_NEWS_TIME: Duration = Duration::from_millis(2_500);
+pub(crate) const REREGISTRATION_TIME: Duration = Duration::from_millis(2_500);
 
 /// What a registration states of how long its target stays cold.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -61,7 +61,7 @@
         let until = now + registered.cold_left;
         let written_after = registered.written_after;
         let is_after_answer = self.answered_at.is_none_or(|answered| {
-            written_after.is_some_and(|written| answered + RESTART_NEWS_TIME <= written)
+            written_after.is_some_and(|written| answered + REREGISTRATION_TIME <= written)
         });
         let may_shorten = known.is_none() && is_after_answer && !registered.may_be_older_copy;
         self.stated_until = if may_shorten {
@@ -92,7 +92,7 @@
 
     /// Whether the target is cold, or may be since it may have restarted.
     pub(crate) fn is_cold(&self, pool: &ColdPool<'_>, now: Duration) -> bool {
-        let may_have_restarted = |at| pool.confirmed_at < at + RESTART_NEWS_TIME;
+        let may_have_restarted = |at| pool.confirmed_at < at + REREGISTRATION_TIME;
         now < self.stated_until || self.suspected_at.is_some_and(may_have_restarted)
     }
 
--- a/crates/relay/src/crash_check.rs
+++ b/crates/relay/src/crash_check.rs
@@ -7,7 +7,7 @@
     tokio::time::sleep,
 };
 
-/// Interval between looks whether the target's failure domain is evacuated.
+/// Interval between checks whether the target's failure domain is evacuated.
 const EVACUATION_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// Finds out whether a target has crashed that broke off a call.
@@ -23,8 +23,8 @@
 }
 
 impl CrashCheck {
-    /// Whether the target has crashed. Takes some seconds at most. A target in an evacuated failure domain
-    /// is not asked, so nothing is known of it.
+    /// Whether the target has crashed. Takes some seconds at most. A target in an evacuated failure
+    /// domain is not asked, so nothing is known of it.
     pub(crate) async fn has_crashed(&self) -> bool {
         let address = self.target.address;
         let evidence = tokio::select! {
--- a/crates/relay/src/sent_attempt.rs
+++ b/crates/relay/src/sent_attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        HeaderFormat, ReplyMetadata,
+        HeaderFormat, ReplyMetadata, TargetState,
         active_call::ActiveCall,
         attempt::{AttemptOutcome, AttemptParams, TargetAnswer, attempt},
         boot_time,
@@ -13,6 +13,7 @@
     },
     http_body_util::Full,
     hyper::Request,
+    parts::Plan,
     std::{sync::OnceLock, time::Instant},
     target::{AnswersRequest, Reply, Reuse},
 };
@@ -88,44 +89,47 @@
         {
             recorder.count_turned_away(*turned_away);
         }
-        if matches!(
+        let may_have_run = matches!(
             outcome,
             AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { .. }
-        ) {
+        );
+        if may_have_run {
             self.may_have_run_count += 1;
+            self.record_start_delay(target, sent);
         } else {
             self.sent_at.send_replace(None);
         }
-        let has_prompt = self.admitted.call.prompt.is_some();
-        if has_prompt
-            && matches!(
-                outcome,
-                AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { .. }
-            )
-        {
-            // An attempt without an answer shows that the start takes at least this long.
-            let now = self.inner.origin.elapsed();
-            target.call_stats.record_start_delay(sent.elapsed(), now);
-        }
         if let Some(start) = start {
             start.end(&outcome);
         }
-        if let AttemptOutcome::Answered(answer) = &outcome
-            && answer.has_begun()
-        {
+        match &outcome {
+            AttemptOutcome::Answered(answer) => self.record_first_event(answer, &plan, sent),
+            _ => self.in_flight = None,
+        }
+        outcome
+    }
+
+    /// Records how long a call with a prompt took to start at `target`. An attempt without an answer
+    /// shows that the start takes at least this long.
+    fn record_start_delay(&self, target: &TargetState, sent: Instant) {
+        if self.admitted.call.prompt.is_some() {
+            let now = self.inner.origin.elapsed();
+            target.call_stats.record_start_delay(sent.elapsed(), now);
+        }
+    }
+
+    /// Records that the first event of an answer, or the whole answer, has arrived.
+    fn record_first_event(&mut self, answer: &TargetAnswer, plan: &Plan, sent: Instant) {
+        if answer.has_begun() {
             if let Some(in_flight) = &mut self.in_flight {
                 in_flight.record_begun();
             }
             self.record_answered();
         }
-        if has_prompt && matches!(outcome, AttemptOutcome::Answered(_)) {
+        if self.admitted.call.prompt.is_some() {
             let mut cache_index = self.inner.state.cache_index();
-            cache_index.record_first_event(&plan, sent.elapsed(), boot_time());
+            cache_index.record_first_event(plan, sent.elapsed(), boot_time());
         }
-        if !matches!(outcome, AttemptOutcome::Answered(_)) {
-            self.in_flight = None;
-        }
-        outcome
     }
 }
 
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -4,7 +4,7 @@
     crate::{
         ColdPool, LimitObservation, NewStatement, RegisteredCold, TargetStatements,
         call_tokens::CallTokens,
-        cold_state::RESTART_NEWS_TIME,
+        cold_state::REREGISTRATION_TIME,
         observations::Observations,
         refusal_bound::KnownBound,
         target_conditions::{CallContext, NextCall},
@@ -219,7 +219,7 @@
     #[must_use]
     pub(crate) fn may_have_restarted(&self, confirmed_at: Duration) -> bool {
         let disconnected_at = self.lock().disconnected_at;
-        disconnected_at.is_some_and(|at| confirmed_at < at + RESTART_NEWS_TIME)
+        disconnected_at.is_some_and(|at| confirmed_at < at + REREGISTRATION_TIME)
     }
 
     /// Pauses the target until `until`, for example while it loads weights.
--- a/crates/target/src/exchange_progress.rs
+++ b/crates/target/src/exchange_progress.rs
@@ -1,17 +1,23 @@
-//! How far the bytes of an exchange have got on its connection.
+//! Which bytes of an exchange have been written and read on its connection.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-/// Most bytes that are read before the head of an answer is complete, interim answers included. Data of the body
-/// that is read together with the head counts too.
-const MAX_HEAD_BYTES: usize = 4 << 20;
+/// Most bytes that are read before the head of an answer is complete, interim answers included. Body
+/// data that is read together with the head counts too. Bounds what an endless head makes this instance
+/// read.
+pub(crate) const MAX_HEAD_BYTES: usize = 4 << 20;
 
-/// How far the bytes of an exchange have got on its connection. Shared with the task that reads and writes them.
+/// Which bytes of an exchange have been written and read. Shared by the caller and the task that owns
+/// the connection.
 #[derive(Debug, Default)]
 pub(crate) struct ExchangeProgress {
+    /// Whether bytes of a request may be left to be written.
     has_unwritten: AtomicBool,
+    /// Whether the peer sent its last byte before that.
     has_ended_unwritten: AtomicBool,
+    /// Whether the head of the answer is not complete.
     awaits_head: AtomicBool,
+    /// Number of bytes read since the request was sent, until the head is complete.
     head_bytes: AtomicUsize,
 }
 
--- a/crates/target/src/tracked_stream.rs
+++ b/crates/target/src/tracked_stream.rs
@@ -1,7 +1,7 @@
-//! A connection that records how far its exchange has got.
+//! A connection that records which bytes of an exchange have been written and read.
 
 use {
-    crate::exchange_progress::ExchangeProgress,
+    crate::exchange_progress::{ExchangeProgress, MAX_HEAD_BYTES},
     std::{
         io::{self, ErrorKind, IoSlice},
         pin::Pin,
@@ -14,8 +14,8 @@
     },
 };
 
-/// A connection that records how far its exchange has got. It relies on a writer that flushes once it has written
-/// all that it holds, and not before.
+/// A connection that records which bytes of an exchange have been written and read. It relies on a
+/// writer that flushes once it has written all that it holds, and not before.
 pub(crate) struct TrackedStream {
     stream: TcpStream,
     progress: Arc<ExchangeProgress>,
@@ -42,7 +42,10 @@
         if self.progress.record_read(length) {
             Poll::Ready(Ok(()))
         } else {
-            let reason = "the target sends more than the head of an answer may have";
+            let limit_mib = MAX_HEAD_BYTES >> 20;
+            let reason = format!(
+                "the head of its answer, interim answers included, exceeds {limit_mib} MiB; have the target send less"
+            );
             Poll::Ready(Err(io::Error::new(ErrorKind::InvalidData, reason)))
         }
     }
