Overload docs agree with the code

Cause: docs said that a call's own objective and an account's calls in flight decide, that loads carry no tokens, and that a fifth of the work is divided alike. The code averages over the priorities, uses recent work, and divides that fifth in proportion to the offered work.

Constants of `overload` have their reasons; MAX_RETRY_PART is RETRY_TIME_DIVISOR.

--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -119,7 +119,7 @@
     /// send them no call, in the choice that found no target; otherwise 0.
     pub cold_targets_count: u32,
     /// Predicted start delay of a call at the mean target of the pool, relative to the latency
-    /// objective; `None` if it was not predicted.
+    /// objective, averaged over the priorities; `None` if it was not predicted.
     pub pressure: Option<f64>,
     /// Predicted start delay of the call at the target with the least work in flight, in milliseconds;
     /// `None` if it was not predicted.
--- a/crates/overload/src/account_shares.rs
+++ b/crates/overload/src/account_shares.rs
@@ -5,7 +5,7 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// Number of accounts above which those without recent work are forgotten.
+/// Number of accounts from which on those without recent work are removed before another is added.
 const MAX_ACCOUNTS_COUNT: usize = 256;
 /// Work, in tokens, below which an account counts as idle.
 const MIN_ACTIVE_TOKENS: f64 = 1.0;
@@ -13,6 +13,7 @@
 /// Recent work of each client account at this instance.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AccountShares {
+    /// Tokens of the calls sent to targets.
     tokens_by_account: HashMap<String, DecayedSum>,
 }
 
--- a/crates/overload/src/assessment.rs
+++ b/crates/overload/src/assessment.rs
@@ -1,4 +1,4 @@
-//! Result of a decision.
+//! The decision on a call, and what it is based on.
 
 use std::time::Duration;
 
@@ -31,14 +31,14 @@
 pub struct Assessment {
     /// What becomes of the call.
     pub decision: Decision,
-    /// Predicted start delay at the mean target, relative to the call's latency objective. Calls are
-    /// refused from [`Assessment::MIN_PRESSURE`] on.
+    /// Predicted start delay at the mean target, relative to the latency objective, averaged over the
+    /// priorities by their admitted calls. Calls are refused from [`Assessment::MIN_PRESSURE`] on.
     pub pressure: f64,
-    /// Predicted start delay at the target with the fewest tokens in flight.
+    /// Predicted start delay of the call at the target with the fewest tokens in flight.
     pub predicted_start: Duration,
 }
 
 impl Assessment {
-    /// Pressure from which calls are refused.
+    /// Pressure from which calls are refused, as a share of the latency objective.
     pub const MIN_PRESSURE: f64 = 0.5;
 }
--- a/crates/overload/src/decayed_sum.rs
+++ b/crates/overload/src/decayed_sum.rs
@@ -1,13 +1,14 @@
-//! A sum that forgets.
+//! Exponentially decaying sum.
 
 use std::time::Duration;
 
 /// Time in which what was added loses half of its weight.
 const HALF_LIFE: Duration = Duration::from_secs(1);
 
-/// Exponentially decaying sum. `now` is always the time since a fixed origin.
+/// Sum in which each amount halves in [`HALF_LIFE`]. `now` is always the time since a fixed origin.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct DecayedSum {
+    /// Value at `updated_at`, in the unit of the amounts.
     value: f64,
     updated_at: Duration,
 }
--- a/crates/overload/src/overload_control.rs
+++ b/crates/overload/src/overload_control.rs
@@ -8,14 +8,18 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Smallest ratio of admitted work to the work that targets have lately started.
+/// Smallest ratio of admitted work to the work that targets have lately started. Keeps a single high
+/// prediction from refusing nearly all calls.
 const MIN_ADMISSION_RATIO: f64 = 0.5;
-/// Share of the admitted work that is divided among the classes alike, so that none starves.
+/// Share of the admitted work that is divided among the classes in proportion to what is offered of
+/// each, so that none starves.
 const COMMON_SHARE: f64 = 0.2;
-/// Smallest share of the calls that is served, however few have started lately.
+/// Smallest share of the calls that is served, however few have started lately, so that starts are
+/// observed again after a time without any.
 const MIN_SERVED_SHARE: f64 = 0.05;
-/// Largest part of the time left for which a refused caller is asked to wait.
-const MAX_RETRY_PART: u32 = 3;
+/// Divisor of the time left that gives the longest wait asked of a refused caller. A call that
+/// comes back by then has most of its time left.
+const RETRY_TIME_DIVISOR: u32 = 3;
 
 /// Decides which calls of a pool are refused, from the observations of this instance and the loads
 /// that all instances report.
@@ -121,7 +125,7 @@
     /// Share of the calls with this priority that is served.
     ///
     /// The work that targets have lately started, less if the pressure is high, is divided among the
-    /// classes: a part of it alike, and the rest to the most urgent ones first.
+    /// classes: a part of it in proportion to what is offered, the rest to the most urgent ones first.
     fn served_share(&self, priority: u8, pressure: f64, now: Duration) -> f64 {
         if pressure < Assessment::MIN_PRESSURE {
             return 1.0;
@@ -152,7 +156,7 @@
 /// that the objective leaves. Otherwise it is spread over the time in which the pool starts the calls in
 /// flight and those refused meanwhile.
 fn retry_after(call: &CallNeeds<'_>, mean_start: Duration, served_share: f64) -> Duration {
-    let max = call.time_left / MAX_RETRY_PART;
+    let max = call.time_left / RETRY_TIME_DIVISOR;
     let spare = call.latency_objective.saturating_sub(mean_start);
     let (earliest, latest) = if spare.is_zero() {
         let drain_s = mean_start.as_secs_f64() / served_share.max(MIN_SERVED_SHARE);
--- a/crates/overload/src/priority_class.rs
+++ b/crates/overload/src/priority_class.rs
@@ -8,9 +8,10 @@
     std::time::Duration,
 };
 
-/// Bounds of each factor by which a call is served more or less often than others of its class.
+/// Bounds of each factor by which a call is served more or less often than others of its class, so
+/// that no kind of call is always refused.
 const FACTOR_BOUNDS: (f64, f64) = (0.25, 4.0);
-/// Factor for a call that comes back after a refusal.
+/// Factor for a call that comes back after a refusal, so that few callers are refused twice.
 const RETURN_FACTOR: f64 = 1.5;
 /// Step by which [`PriorityClass::call_share`] approaches the share of the class.
 const FILL_STEP: f64 = 0.1;
@@ -75,8 +76,8 @@
         mean_start.as_secs_f64() / self.latency_objective.as_secs_f64()
     }
 
-    /// Probability that `call` is served if `served_share` of its class is: higher if the call needs less
-    /// work than the mean, if its account uses less than the mean, or if it comes back.
+    /// Probability that `call` is served if `served_share` of its class is: higher if the call needs
+    /// less work than the mean, if its account uses less than the mean, or if it comes back.
     pub(crate) fn call_share(
         &mut self,
         call: &CallNeeds<'_>,
