--- a/crates/entry/src/aggregators.rs
+++ b/crates/entry/src/aggregators.rs
@@ -47,7 +47,7 @@
     /// Selects the aggregators among the ready instances `members`; none if there are fewer than
     /// [`MIN_INSTANCES_COUNT`].
     ///
-    /// Instances with the fastest links come first, since an aggregator sends news to all of its
+    /// Instances with the fastest links come first, since an aggregator sends changes to all of its
     /// domain; rendezvous hashing orders those with equal links.
     #[must_use]
     pub fn select<'member, Members>(members: Members) -> Self
--- a/crates/entry/src/counted_key_value.rs
+++ b/crates/entry/src/counted_key_value.rs
@@ -9,7 +9,7 @@
     tokio::sync::watch,
 };
 
-/// Counter of calls by purpose.
+/// Metric that counts the calls by purpose.
 const CALLS: &str = "service_calls";
 
 /// A client of the key-value service that counts its calls.
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -49,22 +49,7 @@
     Kv: KeyValue,
     Format: Platform,
 {
-    let mut follower = Follower {
-        shared,
-        suspension: SuspensionDetector::new(boot_time()),
-        incarnation: Incarnation::default(),
-        applied_revision: None,
-        known_names: HashSet::new(),
-        registrations: HashMap::new(),
-        confirmed_at: Duration::ZERO,
-        choice: SourceChoice::default(),
-        has_new_members: false,
-        logged_source: InstanceId::new(),
-        source_reason: String::new(),
-        trials: JoinSet::new(),
-        available: true,
-        outage_checks: JoinSet::new(),
-    };
+    let mut follower = Follower::new(shared);
     let mut retry_delay = FIRST_RETRY_DELAY;
     loop {
         let before = follower.applied_revision;
@@ -125,6 +110,26 @@
     Kv: KeyValue,
     Format: Platform,
 {
+    /// Creates the follower of an instance that has not read anything from the service yet.
+    fn new(shared: Arc<Shared<Kv, Format>>) -> Self {
+        Self {
+            shared,
+            suspension: SuspensionDetector::new(boot_time()),
+            incarnation: Incarnation::default(),
+            applied_revision: None,
+            known_names: HashSet::new(),
+            registrations: HashMap::new(),
+            confirmed_at: Duration::ZERO,
+            choice: SourceChoice::default(),
+            has_new_members: false,
+            logged_source: InstanceId::new(),
+            source_reason: String::new(),
+            trials: JoinSet::new(),
+            available: true,
+            outage_checks: JoinSet::new(),
+        }
+    }
+
     /// Follows the service until a request fails.
     async fn run(&mut self) -> KvError {
         let incarnation = self.shared.incarnation();
--- a/crates/entry/src/follower/sources.rs
+++ b/crates/entry/src/follower/sources.rs
@@ -71,48 +71,45 @@
             tokio::select! {
                 biased;
                 error = &mut restored => return Err(error),
-                event = events.next() => match event {
-                    Some(Ok(event)) => {
-                        let is_progress = matches!(event, Event::Progress(_));
-                        self.apply_watched(event);
-                        if is_progress {
-                            self.log_source();
-                        }
-                        if is_progress && has_pending_changes {
-                            sleep(self.batch_delay()).await;
-                        }
-                        has_pending_changes = !is_progress;
+                event = events.next() => {
+                    let event = event.unwrap_or_else(|| Err(watch_ended()))?;
+                    let is_progress = matches!(event, Event::Progress(_));
+                    self.apply_watched(event);
+                    if is_progress {
+                        self.log_source();
                     }
-                    Some(Err(error)) => return Err(error),
-                    None => {
-                        let reason = "the watch ended".to_owned();
-                        return Err(KvError::Unknown { reason });
+                    if is_progress && has_pending_changes {
+                        sleep(self.batch_delay()).await;
                     }
-                },
+                    has_pending_changes = !is_progress;
+                }
                 _ = expiry.tick() => {
                     self.check_suspension();
                     self.expire();
                     self.start_trial();
                 }
                 Some(Ok((aggregator, serves))) = self.trials.join_next() => {
-                    self.choice.trial_ended(&aggregator, serves, boot_time());
-                    if serves {
-                        self.note_source_reason("it serves this instance again");
-                    }
+                    self.end_trial(&aggregator, serves);
                 }
             }
-            if !has_pending_changes {
-                self.update_choice();
-                let is_due = self.choice.source() != Source::Service
-                    || self.choice.is_aggregator() != is_aggregator;
-                if is_due {
-                    self.note_source_reason(SELECTED);
-                    return Ok(());
-                }
+            if !has_pending_changes && self.must_end_watch(is_aggregator) {
+                return Ok(());
             }
         }
     }
 
+    /// Updates the choice of the source. Returns whether this instance's watch has to end: it is to
+    /// follow an aggregator, or it has become or ceased to be one since the watch was opened.
+    fn must_end_watch(&mut self, was_aggregator: bool) -> bool {
+        self.update_choice();
+        let is_due = self.choice.source() != Source::Service
+            || self.choice.is_aggregator() != was_aggregator;
+        if is_due {
+            self.note_source_reason(SELECTED);
+        }
+        is_due
+    }
+
     /// Follows the service through an aggregator.
     async fn follow_aggregator(
         &mut self,
@@ -193,7 +190,7 @@
         let confirmed_at = confirmed_at(&changes, asked_at).min(now);
         let is_recent = now.saturating_sub(confirmed_at) <= MAX_FOLLOWED_AGE;
         if is_recent && confirmed_at > self.confirmed_at {
-            // The aggregator reached the service, so it is not away.
+            // The aggregator reached the service, so the service is available.
             self.note_available();
         }
         self.check_suspension();
@@ -209,7 +206,7 @@
             self.shared.publish();
         }
         if !self.choice.aggregator_answered(confirmed_at, now) {
-            self.note_source_reason("its last word from the service is too old");
+            self.note_source_reason("its last confirmation from the service is too old");
             return self.retry_delay();
         }
         self.log_source();
@@ -241,6 +238,14 @@
         }
     }
 
+    /// Records whether the aggregator that was asked serves this instance.
+    fn end_trial(&mut self, aggregator: &str, serves: bool) {
+        self.choice.trial_ended(aggregator, serves, boot_time());
+        if serves {
+            self.note_source_reason("it serves this instance again");
+        }
+    }
+
     /// Applies to the choice of the source what is known of the instances and of the service.
     fn update_choice(&mut self) {
         let now = boot_time();
@@ -294,6 +299,12 @@
     }
 }
 
+/// Error of a watch whose stream of events has ended.
+fn watch_ended() -> KvError {
+    let reason = "the watch ended".to_owned();
+    KvError::Unknown { reason }
+}
+
 /// Time as of which the state after these changes is current. The request was sent at `asked_at`,
 /// before the aggregator began to hold it.
 fn confirmed_at(changes: &FollowedChanges, asked_at: Duration) -> Duration {
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -382,9 +382,9 @@
         self.targets.at(address)
     }
 
-    /// Builds the view that the request path works with, with ready instances that are known since `now`.
-    /// Before the first confirmation its age is
-    /// unknown and counts as zero; the age is only logged.
+    /// Builds the view that the request path works with, with ready instances that are known since
+    /// `now`. Before the first confirmation its age is unknown and counts as zero; the age is only
+    /// logged.
     #[must_use]
     pub fn view(&self, now: Duration) -> View {
         let ready_members = self.members.values().filter(|member| member.record.ready);
--- a/crates/entry/src/silences.rs
+++ b/crates/entry/src/silences.rs
@@ -1,4 +1,4 @@
-//! For how long other instances have not answered.
+//! For how long other instances have not answered requests for their feeds.
 
 use {
     catalog::InstanceId,
--- a/crates/entry/src/source_choice.rs
+++ b/crates/entry/src/source_choice.rs
@@ -6,12 +6,13 @@
     std::{mem, time::Duration},
 };
 
-/// Age of the last confirmation from which on an aggregator's word is too old. Leaves time for the
-/// other aggregator and for a watch of one's own within the 3 s in which a change must be in force.
+/// Age of the last confirmation above which the changes of an aggregator are too old. Leaves time for
+/// the other aggregator and for this instance's own watch within the 3 s in which a change must be in force.
 pub const MAX_FOLLOWED_AGE: Duration = Duration::from_millis(1_200);
 /// Longest time that a request to an aggregator waits for changes there.
 const FOLLOW_WAIT: Duration = Duration::from_millis(400);
-/// Timeout of a request to an aggregator, connecting and waiting included.
+/// Timeout of a request to an aggregator, connecting and waiting included. Two of them in turn leave
+/// time for this instance's own watch within the same 3 s.
 pub const FOLLOW_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for which an instance that no aggregator serves watches the service itself before it tries
 /// them again, and for which an aggregator that can't reach the service follows another one.
@@ -22,7 +23,7 @@
 pub enum Source {
     /// The service, by a watch of its own.
     Service,
-    /// An aggregator of its failure domain.
+    /// An aggregator, of its failure domain unless it can't reach the service.
     Aggregator(Aggregator),
 }
 
@@ -72,7 +73,8 @@
         failed_count: usize,
         /// Whether this instance can't reach the service, and so tries those of other domains too.
         is_cut_off: bool,
-        /// Not before then does an aggregator that couldn't reach the service watch it again.
+        /// When following began. An instance that couldn't reach the service goes on for at least
+        /// [`RETRY_PERIOD`].
         since: Duration,
     },
 }
@@ -132,7 +134,7 @@
             .map_or(Source::Service, |it| Source::Aggregator(it.clone()))
     }
 
-    /// Whether other instances follow the service through this one.
+    /// Whether this instance is an aggregator, so that others follow the service through it.
     #[must_use]
     pub fn is_aggregator(&self) -> bool {
         self.is_aggregator
