--- a/crates/entry/src/peer_follower.rs
+++ b/crates/entry/src/peer_follower.rs
@@ -16,7 +16,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Delay between requests per ready instance, so that the request rate at an instance does not grow
 /// with the number of instances.
-const POLL_DELAY_PER_INSTANCE: Duration = Duration::from_millis(12);
+const POLL_DELAY_PER_INSTANCE: Duration = Duration::from_millis(6);
 /// Shortest delay between requests, so that changes arrive in batches.
 const MIN_POLL_DELAY: Duration = Duration::from_millis(60);
 /// Delay between requests of an aggregator.
