--- a/crates/entry/src/aggregators.rs
+++ b/crates/entry/src/aggregators.rs
@@ -12,8 +12,9 @@
     },
 };
 
-/// Number of ready instances from which aggregators are used. With fewer instances, direct reading
-/// costs each of them little, and no hop delays what they learn.
+/// Number of ready instances from which a fleet counts as large: aggregators are used, calls are refused
+/// under overload, and engines are compared by unread tokens. With fewer instances, direct reading costs
+/// each of them little, and each sees a fair part of the load itself.
 pub const MIN_INSTANCES_COUNT: usize = 35;
 /// Number of aggregators in each failure domain, so that the loss of one interrupts nothing.
 const AGGREGATORS_PER_DOMAIN_COUNT: usize = 2;
@@ -47,7 +48,7 @@
     /// Selects the aggregators among the ready instances `members`; none if there are fewer than
     /// [`MIN_INSTANCES_COUNT`].
     ///
-    /// Instances with the fastest links come first, since an aggregator sends news to all of its
+    /// Instances with the fastest links come first, since an aggregator sends changes to all of its
     /// domain; rendezvous hashing orders those with equal links.
     #[must_use]
     pub fn select<'member, Members>(members: Members) -> Self
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -52,6 +52,7 @@
 mod place_follower;
 mod place_watch;
 mod platform;
+mod read_places;
 mod reading_plan;
 mod recent_versions;
 mod record_lease;
@@ -65,6 +66,7 @@
 mod start;
 mod suspects;
 mod suspension_detector;
+mod takeovers;
 mod target_probe;
 
 pub use {
@@ -90,10 +92,12 @@
         HeldPart, OrderOutcome, PartChange, PartEvents, PartList, Platform, RunningRequests,
         TargetReport, VersionOrder,
     },
+    read_places::{MAX_ADDED_COUNT, PlaceGroup, ReadPlaces},
     reading_plan::{FeedSource, ReadingPlan},
     return_pace::ReturnPace,
     settings::{Settings, SettingsError},
     source_choice::{FOLLOW_TIMEOUT, MAX_FOLLOWED_AGE, RETRY_PERIOD, Source, SourceChoice},
     start::{StartError, run},
     suspension_detector::SuspensionDetector,
+    takeovers::{TakeoverChange, Takeovers},
 };
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -119,7 +119,7 @@
     /// send them no call, in the choice that found no target; otherwise 0.
     pub cold_targets_count: u32,
     /// Predicted start delay of a call at the mean target of the pool, relative to the latency
-    /// objective; `None` if it was not predicted.
+    /// objective, averaged over the priorities; `None` if it was not predicted.
     pub pressure: Option<f64>,
     /// Predicted start delay of the call at the target with the least work in flight, in milliseconds;
     /// `None` if it was not predicted.
@@ -329,6 +329,16 @@
         /// Why the source has changed.
         reason: String,
     },
+    /// This instance follows the stores and engines of an instance that does not answer, or no longer
+    /// does.
+    Takeover {
+        /// Instance that they are assigned to.
+        instance: String,
+        /// `begun` or `ended`.
+        state: &'static str,
+        /// Number of these stores and engines.
+        places_count: usize,
+    },
     /// An outage of the key-value service has ended that may have let registrations expire.
     Outage {
         /// Time for which this instance had no word from the service, in milliseconds.
