Both readers of feeds apply a report by one function

Cause: peer_follower and merged_follower each applied loads, clock and link use by the same steps. Change: Shared::apply_source_report; behaviour unchanged.

--- a/crates/entry/src/merged_follower.rs
+++ b/crates/entry/src/merged_follower.rs
@@ -177,22 +177,14 @@
         let silent = batch.silent_instances.iter();
         let silent = silent.map(|(name, time)| (name.clone(), now.saturating_sub(*time)));
         shared.silences().set_reported(&self.name, silent);
-        let mut peer_loads = shared.relay_state.peer_loads();
-        peer_loads.set_merged(&self.name, batch.loads.clone(), batch.instances_count, now);
-        drop(peer_loads);
-        let mut cache_index = shared.relay_state.cache_index();
-        if let Some(clock) = batch.clock {
-            cache_index.set_clock(clock, now);
-        }
-        self.link_use.apply(&batch.link_use, &mut cache_index, now);
-        drop(cache_index);
+        let report = SourceReport {
+            loads: batch.loads,
+            instances_count: batch.instances_count,
+            link_use: batch.link_use,
+            silent_instances: batch.silent_instances,
+        };
+        shared.apply_source_report(&self.name, &report, batch.clock, &mut self.link_use, now);
         if scope == Scope::Domain {
-            let report = SourceReport {
-                loads: batch.loads,
-                instances_count: batch.instances_count,
-                link_use: batch.link_use,
-                silent_instances: batch.silent_instances,
-            };
             shared.feed.set_source(&self.name, Scope::All, report, now);
         }
         let mut changes = batch.changes;
--- a/crates/entry/src/peer_follower.rs
+++ b/crates/entry/src/peer_follower.rs
@@ -118,21 +118,13 @@
         let now = boot_time();
         let shared = &self.shared;
         shared.note_heard(&self.name, now);
-        let mut peer_loads = shared.relay_state.peer_loads();
-        peer_loads.set(&self.name, batch.loads.clone(), now);
-        drop(peer_loads);
-        let mut cache_index = shared.relay_state.cache_index();
-        if let Some(clock) = batch.clock {
-            cache_index.set_clock(clock, now);
-        }
-        self.link_use.apply(&batch.link_use, &mut cache_index, now);
-        drop(cache_index);
         let report = SourceReport {
             loads: batch.loads,
             instances_count: 1,
             link_use: batch.link_use,
             silent_instances: Vec::new(),
         };
+        shared.apply_source_report(&self.name, &report, batch.clock, &mut self.link_use, now);
         let scope = Scope::Domain;
         shared.feed.set_source(&self.name, scope, report, now);
         let mut changes = batch.changes;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -6,14 +6,14 @@
     crate::{
         Aggregators, InstanceLease, KnownState, MemberRecord, Ownership, ReturnPace, Settings,
         caller_addresses::CallerAddress, counted_key_value::CountedKeyValue,
-        known_incarnation::KnownIncarnation, logged_evacuations::LoggedEvacuations,
-        silences::Silences,
+        known_incarnation::KnownIncarnation, link_use_reports::LinkUseReports,
+        logged_evacuations::LoggedEvacuations, silences::Silences,
     },
     arc_swap::ArcSwap,
     balance::rendezvous,
     catalog::InstanceId,
     eventlog::{Event, EventLog},
-    feed::Feed,
+    feed::{Feed, SourceReport},
     keyvalue::{Incarnation, KeyValue, KvError},
     meters::Meters,
     relay::{
@@ -127,6 +127,26 @@
         self.silences().note_heard(instance, now);
     }
 
+    /// Applies what the source `name` reported at `now` to what calls are placed by: its calls in flight,
+    /// the engines' clock, and the use of the stores' links since `link_use`.
+    pub(crate) fn apply_source_report(
+        &self,
+        name: &str,
+        report: &SourceReport,
+        clock: Option<Duration>,
+        link_use: &mut LinkUseReports,
+        now: Duration,
+    ) {
+        let mut peer_loads = self.relay_state.peer_loads();
+        peer_loads.set_merged(name, report.loads.clone(), report.instances_count, now);
+        drop(peer_loads);
+        let mut cache_index = self.relay_state.cache_index();
+        if let Some(clock) = clock {
+            cache_index.set_clock(clock, now);
+        }
+        link_use.apply(&report.link_use, &mut cache_index, now);
+    }
+
     /// Removes what is stored about an instance that is gone or not read any more.
     pub(crate) fn forget_peer(&self, instance: &str) {
         self.silences().forget(instance);
