A choice without cold targets looks for no free warm one

Cause: each choice asked for the load of usable targets until one was free, also where no target is cold. Change: only with cold targets at hand; behaviour unchanged.

--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -164,7 +164,7 @@
         in_flight_count(view, target, context) < f64::from(target.slots_count)
     };
     let is_warm_free = |target| is_preferred(target) && has_free_slot(target);
-    if !usable.iter().any(is_warm_free) {
+    if !cold.is_empty() && !usable.iter().any(is_warm_free) {
         usable.append(&mut cold);
     }
     if !returning.is_empty() && usable.iter().any(is_preferred) {
