A follower takes the aggregators that are selected already

Cause: the follower selected the aggregators from the membership records once more, although Shared keeps them since the same publication. Change: it loads those; behaviour unchanged, as each confirmation publishes before the choice is updated. Measured: service_aggregators 15, source_choice 14, aggregator_selection 4 pass.

--- a/crates/entry/src/follower/sources.rs
+++ b/crates/entry/src/follower/sources.rs
@@ -3,7 +3,7 @@
 use {
     super::{BATCH_DELAY, EXPIRY_PERIOD, Follower},
     crate::{
-        Aggregator, Aggregators, Platform, Source, SourceChoice,
+        Aggregator, Platform, Source, SourceChoice,
         source_choice::{FOLLOW_TIMEOUT, MAX_FOLLOWED_AGE},
     },
     balance::rendezvous,
@@ -257,9 +257,7 @@
             return;
         }
         let settings = &self.shared.settings;
-        let known = self.shared.known();
-        let aggregators = Aggregators::select(known.ready_members());
-        drop(known);
+        let aggregators = self.shared.aggregators.load();
         let (own_domain, own_name) = (&settings.failure_domain, &settings.instance);
         let near = aggregators.for_reader(own_domain, own_name);
         let near = near.into_iter().cloned().collect();
