The overload check does not look for lost connections once more

Cause: with cold targets bounded, every use of the choice's inputs locked the idle connections of each target; the check for overload did so right before the choice, and does not depend on it. Change: only the three callers of a choice do. Behaviour unchanged.

--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -10,7 +10,6 @@
             PickContext, PickedTarget, are_all_evacuated, has_origin, has_other_software, pick,
         },
         pool_bounds::PoolBound,
-        reach::Reach,
         refusal::{NO_TARGET_RETRY_AFTER, OVERLOADED_RETRY_AFTER},
         target_conditions::{CallContext, Obstacle},
         target_limit::Senders,
@@ -40,6 +39,7 @@
         let prompt = self.admitted.call.prompt.as_ref();
         let held_count = prompt.map_or(0, Prompt::expected_tokens);
         let (picked, in_flight) = self.with_pick_context(|view, context| {
+            self.note_lost_connections(context);
             // Another call may take the last right to a target between its choice and this one.
             loop {
                 let choice = pick(view, &self.pool, context);
@@ -143,6 +143,7 @@
     /// these, may take it.
     pub(crate) fn overloaded(&self) -> Declined {
         let wait = self.with_pick_context(|view, context| {
+            self.note_lost_connections(context);
             let choice = pick(view, &self.pool, context);
             choice.wait.filter(|_| choice.picked.is_none())
         });
@@ -151,14 +152,20 @@
 
     /// Whether there is a target that may take the call now.
     pub(crate) fn can_choose_target(&self) -> bool {
-        self.with_pick_context(|view, context| pick(view, &self.pool, context).picked.is_some())
+        self.with_pick_context(|view, context| {
+            self.note_lost_connections(context);
+            pick(view, &self.pool, context).picked.is_some()
+        })
     }
 
     /// Records which targets that bear few calls while they are cold may have restarted, since they have
-    /// ended idle connections.
-    fn note_lost_connections(&self, reach: &Reach<'_>) {
+    /// ended idle connections. To be called before a choice, since such a target counts as cold there.
+    fn note_lost_connections(&self, context: &PickContext<'_>) {
+        if context.cold_pool.is_none() {
+            return;
+        }
         let now = boot_time();
-        for target in reach.targets(&self.pool) {
+        for target in context.reach.targets(&self.pool) {
             if self.inner.client.has_lost_idle(target.address) {
                 target.call_stats.record_unreached(now);
             }
@@ -188,9 +195,6 @@
         let reach = self.reach(&view);
         let software_version = self.origin.software_version();
         let cold_pool = self.cold_pool(&view);
-        if cold_pool.is_some() {
-            self.note_lost_connections(&reach);
-        }
         let context = PickContext {
             call: &self.admitted.call,
             reach: &reach,
