One way to set the loads that a source reports

Cause: after both readers applied reports by one function, only tests called PeerLoads::set for single instances. Change: set_merged is set, and takes the number of instances; assertions unchanged.

--- a/crates/balance/src/peer_loads.rs
+++ b/crates/balance/src/peer_loads.rs
@@ -51,14 +51,9 @@
 }
 
 impl PeerLoads {
-    /// Replaces the loads reported by `peer` at `now`, which are its own.
-    pub fn set(&mut self, peer: &str, loads: Vec<TargetLoad>, now: Duration) {
-        self.set_merged(peer, loads, 1, now);
-    }
-
     /// Replaces the loads reported by `source` at `now`, which are those of `instances_count`
     /// instances together.
-    pub fn set_merged(
+    pub fn set(
         &mut self,
         source: &str,
         loads: Vec<TargetLoad>,
--- a/crates/balance/tests/peer_loads.rs
+++ b/crates/balance/tests/peer_loads.rs
@@ -30,12 +30,12 @@
         (loads.estimate_in_flight(7, 2, 5) - 10.0).abs() < 1e-9,
         "no instance has reported"
     );
-    loads.set("b", vec![load(7, 4, 100)], NOW);
+    loads.set("b", vec![load(7, 4, 100)], 1, NOW);
     assert!(
         (loads.estimate_in_flight(7, 2, 4) - 12.0).abs() < 1e-9,
         "two of four instances have six calls in flight"
     );
-    loads.set("b", vec![load(8, 1, 10)], NOW);
+    loads.set("b", vec![load(8, 1, 10)], 1, NOW);
     assert!(
         (loads.estimate_in_flight(7, 2, 2) - 2.0).abs() < 1e-9,
         "a new report replaces the old one"
@@ -46,14 +46,14 @@
 #[test]
 fn merged_report_counts_for_the_instances_that_it_covers() {
     let mut loads = PeerLoads::default();
-    loads.set_merged("aggregator", vec![load(7, 30, 3_000)], 9, NOW);
+    loads.set("aggregator", vec![load(7, 30, 3_000)], 9, NOW);
     assert!((loads.estimate_in_flight(7, 2, 10) - 32.0).abs() < 1e-9);
     assert!((loads.estimate_tokens(7, 200, 10) - 3_200.0).abs() < 1e-9);
     assert!(
         (loads.estimate_in_flight(7, 2, 20) - 64.0).abs() < 1e-9,
         "half of the instances are covered"
     );
-    loads.set("b", vec![load(7, 4, 400)], NOW);
+    loads.set("b", vec![load(7, 4, 400)], 1, NOW);
     assert_eq!(loads.covered_count(MAX_AGE, NOW), 10);
     loads.remove("aggregator");
     assert_eq!(loads.covered_count(MAX_AGE, NOW), 1);
@@ -74,7 +74,7 @@
         let mut latest = std::collections::HashMap::new();
         for (peer, counts) in reports {
             let counts: Vec<_> = counts.into_iter().map(|(seed, count)| load(seed, count, 3 * u64::from(count))).collect();
-            loads.set(&name(peer), counts.clone(), NOW);
+            loads.set(&name(peer), counts.clone(), 1, NOW);
             latest.insert(peer, counts);
         }
         loads.remove(&name(removed_peer));
@@ -95,8 +95,8 @@
 #[test]
 fn old_reports_cover_no_instances() {
     let mut loads = PeerLoads::default();
-    loads.set_merged("aggregator", vec![load(7, 30, 3_000)], 9, NOW);
-    loads.set("b", vec![load(7, 4, 400)], NOW + Duration::from_secs(2));
+    loads.set("aggregator", vec![load(7, 30, 3_000)], 9, NOW);
+    loads.set("b", vec![load(7, 4, 400)], 1, NOW + Duration::from_secs(2));
     let covered_count = |now| loads.covered_count(MAX_AGE, now);
     assert_eq!(covered_count(NOW + Duration::from_secs(1)), 10);
     assert_eq!(covered_count(NOW + Duration::from_secs(2)), 1);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -138,7 +138,7 @@
         now: Duration,
     ) {
         let mut peer_loads = self.relay_state.peer_loads();
-        peer_loads.set_merged(name, report.loads.clone(), report.instances_count, now);
+        peer_loads.set(name, report.loads.clone(), report.instances_count, now);
         drop(peer_loads);
         let mut cache_index = self.relay_state.cache_index();
         if let Some(clock) = clock {
--- a/crates/relay/tests/overloaded_pool.rs
+++ b/crates/relay/tests/overloaded_pool.rs
@@ -54,7 +54,7 @@
         unread_tokens_count: 0,
     };
     let mut peer_loads = relay.peer_loads.lock().unwrap();
-    peer_loads.set_merged("peer", vec![load], LARGE_FLEET_INSTANCES_COUNT - 1, at);
+    peer_loads.set("peer", vec![load], LARGE_FLEET_INSTANCES_COUNT - 1, at);
 }
 
 /// Sends calls one by one, and returns the refusals.
