--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::{
-        IncarnationProbe, OpenWitness, Reply, SendError, StartTimeout, WitnessAhead,
+        ClientSettings, IncarnationProbe, OpenWitness, Reply, SendError, StartTimeout,
+        WitnessAhead,
         carried_ids::{CarriedIds, HashedId, IdHasher},
         error,
         exchange_progress::ExchangeProgress,
+        socket_options::{connect_bounded, set_unacknowledged_timeout},
         tracked_stream::TrackedStream,
         witness_connection::Asked,
         witness_slot::{Keeping, WitnessSlots},
@@ -17,7 +19,6 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
-    socket2::{SockRef, TcpKeepalive},
     std::{
         collections::HashMap,
         error::Error,
@@ -28,7 +29,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        net::{TcpSocket, TcpStream},
+        net::TcpStream,
         time::{timeout, timeout_at},
     },
     tokio_util::{sync::CancellationToken, task::AbortOnDropHandle},
@@ -40,62 +41,12 @@
 const RECENT_USE_TIME: Duration = Duration::from_secs(2);
 /// Longest head of an answer, and most that is read ahead of whoever reads an answer.
 const READ_BUFFER_BYTES: usize = 64 << 10;
-/// Buffer of the operating system for what a target sends: what 10 Mbit/s carry in a round trip of 100 ms.
-const RECEIVE_BUFFER_BYTES: u32 = 128 << 10;
-/// Bytes that the operating system takes ahead of those that can be sent.
-const MAX_UNSENT_BYTES: u32 = 64 << 10;
 /// Longest wait for the connection beside answers before a request is sent.
 const WITNESS_OPEN_TIME: Duration = Duration::from_millis(300);
 /// Time for the operating system to close all sockets of a process that is killed, from the first one
 /// on.
 pub(crate) const PROCESS_EXIT_TIME: Duration = Duration::from_millis(20);
 
-/// Timeouts of connections.
-#[derive(Clone, Copy, Debug)]
-pub struct ClientSettings {
-    /// Timeout for opening a connection.
-    pub connect_timeout: Duration,
-    /// Longest time that a connection may be idle and still be reused. With a shorter timeout,
-    /// fewer requests hang on a connection whose state a middlebox on the path has dropped.
-    pub idle_timeout: Duration,
-    /// Longest time that sent bytes or keep-alive probes may stay unacknowledged before the
-    /// connection is closed; `None` keeps the limits of the operating system.
-    pub unacknowledged_timeout: Option<Duration>,
-}
-
-impl Default for ClientSettings {
-    fn default() -> Self {
-        Self {
-            connect_timeout: Duration::from_millis(500),
-            idle_timeout: Duration::from_secs(2),
-            unacknowledged_timeout: None,
-        }
-    }
-}
-
-impl ClientSettings {
-    /// Sets the timeout for opening a connection.
-    #[must_use]
-    pub fn connect_timeout(mut self, timeout: Duration) -> Self {
-        self.connect_timeout = timeout;
-        self
-    }
-
-    /// Sets the longest time that a connection may be idle and still be reused.
-    #[must_use]
-    pub fn idle_timeout(mut self, timeout: Duration) -> Self {
-        self.idle_timeout = timeout;
-        self
-    }
-
-    /// Sets the longest time that sent bytes may stay unacknowledged.
-    #[must_use]
-    pub fn unacknowledged_timeout(mut self, timeout: Duration) -> Self {
-        self.unacknowledged_timeout = Some(timeout);
-        self
-    }
-}
-
 /// Whether a request may be sent on a connection that served an earlier one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reuse {
@@ -501,32 +452,6 @@
     }
 }
 
-/// Opens a connection of which the operating system holds few bytes, also while nobody reads them here or at the
-/// target.
-async fn connect_bounded(address: SocketAddr) -> io::Result<TcpStream> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-    let stream = socket.connect(address).await?;
-    SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)?;
-    Ok(stream)
-}
-
-/// Has the operating system close the connection once sent bytes or keep-alive probes stay
-/// unacknowledged for `limit`.
-fn set_unacknowledged_timeout(stream: &TcpStream, limit: Duration) -> std::io::Result<()> {
-    let socket = SockRef::from(stream);
-    let probe_interval = (limit / 3).max(Duration::from_secs(1));
-    let probes = TcpKeepalive::new()
-        .with_time(probe_interval)
-        .with_interval(probe_interval)
-        .with_retries(2);
-    socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(limit))
-}
-
 /// Whether an answer can have this status: no upgrade was asked for, and no others are defined.
 fn is_answer(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -25,6 +25,7 @@
 mod body_framing;
 mod carried_ids;
 mod client;
+mod client_settings;
 mod crash_evidence;
 mod engine;
 mod engine_wire;
@@ -35,6 +36,7 @@
 mod reply;
 mod request;
 mod service;
+mod socket_options;
 mod sse_parser;
 mod start_timeout;
 mod store;
@@ -50,7 +52,8 @@
 pub use {
     answer_stream::{AnswerEvent, AnswerStream},
     answers_request::{AnswersRequest, Unattributed},
-    client::{Client, ClientSettings, NamedRequest, Reuse},
+    client::{Client, NamedRequest, Reuse},
+    client_settings::ClientSettings,
     crash_evidence::CrashEvidence,
     engine::EngineClient,
     engine_wire::{
