--- /dev/null
+++ b/crates/entry/src/fencing.rs
@@ -0,0 +1,54 @@
+//! Fencing tokens of orders: each holder of the order lock gets a higher one than those before.
+//!
+//! The key-value service keeps the highest token, in the same transaction in which the lock is acquired. It can
+//! lose that, if it comes back from an older copy. So a token is never lower than the time of day, and
+//! instances that have lived through the loss tell the others the highest token that they know.
+
+use {
+    keyvalue::Incarnation,
+    serde::{Deserialize, Serialize},
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// Number that orders carry. Targets that check it refuse one that is lower than one before.
+pub type FencingToken = u64;
+
+/// Highest token that every reader of JSON takes for the same whole number.
+const MAX_TOKEN: FencingToken = (1 << 53) - 1;
+/// Builds that made tokens from revisions alone put the number of the incarnation above these bits.
+const REVISION_BITS: u32 = 40;
+
+/// The highest token that was given to a holder, as stored in the service.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FencingRecord {
+    /// The token.
+    pub highest: FencingToken,
+}
+
+/// Returns the token of the next holder, which knows `highest` as the highest one before. `time_of_day` is the
+/// time since the Unix epoch.
+#[must_use]
+pub fn next_token(
+    highest: FencingToken,
+    incarnation: &Incarnation,
+    time_of_day: Duration,
+) -> FencingToken {
+    let now_ms = u64::try_from(time_of_day.as_millis()).unwrap_or(MAX_TOKEN);
+    let above_revisions = match incarnation.highest_number {
+        0 => 0,
+        number => number.saturating_add(1).saturating_mul(1 << REVISION_BITS),
+    };
+    let above_known = highest.saturating_add(1);
+    above_known.max(now_ms).max(above_revisions).min(MAX_TOKEN)
+}
+
+/// Whether a token that another instance or the service names can have been given to a holder.
+pub(crate) fn is_valid(token: FencingToken) -> bool {
+    token < MAX_TOKEN
+}
+
+/// Time since the Unix epoch.
+pub(crate) fn time_of_day() -> Duration {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.unwrap_or_default()
+}
--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -1,6 +1,7 @@
 //! Items of the key-value service, decoded.
 
 use {
+    crate::{FencingRecord, FencingToken},
     catalog::{FailureDomainId, InstanceId, ModelId, SoftwareVersion, TargetId},
     keyvalue::LeaseId,
     quarantine::{CrashId, SuspectKey},
@@ -84,6 +85,10 @@
     /// Rate of its link in bits per second; `None` if it is not known, also in records of older builds.
     #[serde(default)]
     pub link_bits_per_s: Option<u64>,
+    /// Highest fencing token that the instance knew when it wrote the record; 0 if none, also in records of
+    /// older builds.
+    #[serde(default)]
+    pub highest_fencing: FencingToken,
 }
 
 /// The holder of the order lock.
@@ -93,6 +98,9 @@
     pub instance: InstanceId,
     /// Lease of that instance, which the record is bound to.
     pub lease: LeaseId,
+    /// Fencing token of its orders; 0 in records of older builds.
+    #[serde(default)]
+    pub fencing: FencingToken,
 }
 
 /// Announces the targets that are being updated to new weights, so that instances send their calls
@@ -152,6 +160,8 @@
     Member(MemberRecord),
     /// The holder of the order lock.
     Holder(HolderRecord),
+    /// The highest fencing token that was given to a holder.
+    Fencing(FencingRecord),
     /// The targets that are loading new weights.
     Loading(LoadingRecord),
     /// A mark of a recently requested version.
@@ -186,6 +196,8 @@
     Member(InstanceId),
     /// The holder of the order lock.
     Holder,
+    /// The highest fencing token that was given to a holder.
+    Fencing,
     /// The targets that are loading new weights.
     Loading,
     /// The mark of a recently requested version of a model's weights.
@@ -209,6 +221,7 @@
             Self::Configuration | Self::Version(_) | Self::Target(_) | Self::Evacuation(_) => true,
             Self::Member(_)
             | Self::Holder
+            | Self::Fencing
             | Self::Loading
             | Self::Recent(..)
             | Self::Crash(..)
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -7,7 +7,8 @@
 use {
     self::outages::Outage,
     crate::{
-        AnnouncedLimit, HolderRecord, Item, ItemName, LoadingRecord, MemberRecord, RecentVersion,
+        AnnouncedLimit, FencingToken, HolderRecord, Item, ItemName, LoadingRecord, MemberRecord,
+        RecentVersion, fencing,
         known_targets::{KnownTargets, Writing},
     },
     balance::rendezvous,
@@ -60,6 +61,15 @@
     pub revision: Revision,
 }
 
+/// What is known of the fencing tokens that were given to holders of the order lock.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct KnownFencing {
+    /// Highest token known from any source; it never falls.
+    pub highest: FencingToken,
+    /// Revision of the record that the service keeps of it; `None` if it keeps none.
+    pub revision: Option<Revision>,
+}
+
 /// If the last confirmation is older than this, a change may have been made long before this
 /// instance learns of it. Longer than a watch request waits for changes.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(2_500);
@@ -77,6 +87,7 @@
     targets: KnownTargets,
     members: BTreeMap<InstanceId, KnownMember>,
     holder: Option<KnownHolder>,
+    fencing: KnownFencing,
     /// Targets that are loading new weights.
     loading: Option<LoadingRecord>,
     /// The last outage of the service, while registrations of targets that it let expire may be written
@@ -135,7 +146,12 @@
                 self.note_loaded(&record);
                 self.loading = Some(record);
             }
+            Item::Fencing(record) => {
+                self.note_fencing(record.highest);
+                self.fencing.revision = Some(revision);
+            }
             Item::Holder(record) => {
+                self.note_fencing(record.fencing);
                 self.holder = Some(KnownHolder { record, revision });
             }
             Item::Crash {
@@ -179,6 +195,7 @@
                 _ => drop(self.members.remove(id)),
             },
             ItemName::Holder => self.holder = None,
+            ItemName::Fencing => self.fencing.revision = None,
             ItemName::Loading => self.loading = None,
             ItemName::Recent(model, version) => {
                 if let Some(wanted) = self.wanted.get_mut(model) {
@@ -223,6 +240,19 @@
         &self.quarantine
     }
 
+    /// Records that a holder has, or had, this fencing token.
+    fn note_fencing(&mut self, token: FencingToken) {
+        if fencing::is_valid(token) {
+            self.fencing.highest = self.fencing.highest.max(token);
+        }
+    }
+
+    /// Returns what is known of fencing tokens.
+    #[must_use]
+    pub fn fencing(&self) -> KnownFencing {
+        self.fencing
+    }
+
     /// Records that everything was read in this incarnation of the service.
     pub fn set_incarnation(&mut self, incarnation: Incarnation) {
         self.incarnation = incarnation;
@@ -445,6 +475,7 @@
     /// Adds or updates an instance. An instance that was not ready when first seen gets no
     /// `unready_since`, since it may have been unready for long.
     fn put_member(&mut self, name: &str, record: MemberRecord, now: Duration) {
+        self.note_fencing(record.highest_fencing);
         let before = self.members.get(name);
         let unready_since = match before {
             _ if record.ready => None,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod counted_key_value;
 mod directory;
 mod drain;
+pub mod fencing;
 mod follower;
 mod follower_instance;
 mod follower_pace;
@@ -73,13 +74,14 @@
     aggregator_choice::AggregatorChoice,
     aggregators::{Aggregator, Aggregators, MIN_INSTANCES_COUNT},
     caller_addresses::AddressQuery,
+    fencing::{FencingRecord, FencingToken},
     follower_instance::FollowerInstance,
     follower_pace::{FollowerPace, MAX_STARTED_COUNT, START_PERIOD},
     item::{
         HolderRecord, Item, ItemError, ItemName, LimitRecord, LoadingRecord, MemberRecord,
         RecentVersion, SuspectRecord, TargetRegistration,
     },
-    known_state::{KnownHolder, KnownState, OwnShutdown},
+    known_state::{KnownFencing, KnownHolder, KnownState, OwnShutdown},
     known_targets::AnnouncedLimit,
     membership_settling::{
         MAX_QUIET_TIME, MAX_REGISTRATION_TIME, MAX_SETTLING_TIME, MIN_QUIET_TIME,
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -130,6 +130,7 @@
         feed: Some(shared.settings.feed_listen),
         peer_calls: shared.settings.peer_listen,
         link_bits_per_s: shared.settings.link_bits_per_s,
+        highest_fencing: shared.known().fencing().highest,
     };
     let value = serde_json::to_vec(&record).map_err(|error| KvError::Refused {
         reason: error.to_string(),
--- a/crates/entry/src/order_lock.rs
+++ b/crates/entry/src/order_lock.rs
@@ -1,10 +1,7 @@
 //! The order lock, which lets one instance at a time send orders to targets, and the lease that it
 //! is bound to.
 
-use {catalog::Revision, keyvalue::Incarnation, std::time::Duration};
-
-/// Bits of a fencing token that hold the revision; the ones above hold the incarnation.
-const REVISION_BITS: u32 = 40;
+use {crate::FencingToken, catalog::Revision, keyvalue::Incarnation, std::time::Duration};
 
 /// This instance's lease in the key-value service. Times are those of a clock that keeps running
 /// during suspension.
@@ -54,21 +51,28 @@
     /// Revision at which the lock was acquired.
     pub revision: Revision,
     /// Fencing token, which grows with each holder, also over incarnations.
-    pub fencing: u64,
+    pub fencing: FencingToken,
     /// No order is sent before this time, since the previous holder's last order may still be in
     /// transit.
     pub usable_from: Duration,
 }
 
 impl OrderLock {
-    /// Creates a lock that was acquired at `revision` and at `now`, and that allows orders after `gap`.
+    /// Creates a lock that was acquired at `revision` and at `now` with the token `fencing`, and that allows
+    /// orders after `gap`.
     #[must_use]
-    pub fn new(lease: &InstanceLease, revision: Revision, now: Duration, gap: Duration) -> Self {
+    pub fn new(
+        lease: &InstanceLease,
+        revision: Revision,
+        fencing: FencingToken,
+        now: Duration,
+        gap: Duration,
+    ) -> Self {
         Self {
             lease_id: lease.id,
             incarnation: lease.incarnation,
             revision,
-            fencing: fencing_token(&lease.incarnation, revision),
+            fencing,
             usable_from: now + gap,
         }
     }
@@ -97,18 +101,9 @@
         lease: &InstanceLease,
         now: Duration,
         margin: Duration,
-    ) -> Option<u64> {
+    ) -> Option<FencingToken> {
         let is_same = lease.id == self.lease_id && lease.incarnation.is_same(&self.incarnation);
         let is_own = is_same && lease.is_valid(now, margin);
         (is_own && self.time_until_usable(now).is_zero()).then_some(self.fencing)
     }
 }
-
-/// Returns the fencing token of a lock that was acquired at `revision`. The service gives revisions out
-/// again after it came back from an older copy, and carries over only the number of its incarnation.
-fn fencing_token(incarnation: &Incarnation, revision: Revision) -> u64 {
-    let first = incarnation
-        .highest_number
-        .saturating_mul(1 << REVISION_BITS);
-    first.saturating_add(revision)
-}
--- a/crates/entry/src/orders/lock.rs
+++ b/crates/entry/src/orders/lock.rs
@@ -3,10 +3,13 @@
 use {
     super::OrderIssuer,
     crate::{
-        HolderRecord, InstanceLease, Item, KnownHolder, OrderLock, Platform, membership::LEASE_TTL,
-        own_keys::HOLDER_KEY, shared::RANK_DELAY,
+        FencingRecord, HolderRecord, InstanceLease, Item, KnownFencing, KnownHolder, OrderLock,
+        Platform,
+        fencing::{next_token, time_of_day},
+        membership::LEASE_TTL,
+        own_keys::{FENCING_KEY, HOLDER_KEY},
+        shared::RANK_DELAY,
     },
-    catalog::Revision,
     eventlog::Event,
     keyvalue::{Compare, KeyValue, Op, Txn},
     relay::boot_time,
@@ -30,23 +33,29 @@
             return None;
         };
         let held_lock = held_lock.filter(|held| self.is_current(held));
-        if let Some(holder) = &holder {
-            let is_own_name = holder.record.instance == self.shared.settings.instance;
-            let is_own_lease = holder.record.lease == lease.id;
-            if is_own_name && is_own_lease {
+        match &holder {
+            Some(holder) if self.is_outdated(&lease, holder) => {
+                self.log_lock_lost(held_lock, "a higher fencing token is known");
+            }
+            Some(holder) if self.is_own(&lease, holder) => {
                 let kept = held_lock.filter(|held| held.revision == holder.revision);
                 // The key is ours but this task has no matching lock: the response to the request that
                 // acquired it was lost, or this task was restarted.
-                return Some(kept.unwrap_or_else(|| self.start_holding(&lease, holder.revision)));
+                return Some(
+                    kept.unwrap_or_else(|| {
+                        self.start_holding(&lease, holder, "it holds it already")
+                    }),
+                );
             }
-            self.log_lock_lost(held_lock, "another instance or an earlier lease holds it");
-            // A service that came back from an older copy may give a lease out again. A record that
-            // another instance bound to ours would stay as long as we renew it.
-            if !is_own_lease {
-                return None;
+            Some(holder) => {
+                self.log_lock_lost(held_lock, "another instance or an earlier lease holds it");
+                // A service that came back from an older copy may give a lease out again. A record that
+                // another instance bound to ours would stay as long as we renew it.
+                if holder.record.lease != lease.id {
+                    return None;
+                }
             }
-        } else {
-            self.log_lock_lost(held_lock, "its key is gone");
+            None => self.log_lock_lost(held_lock, "its key is gone"),
         }
         if !self.shared.is_ready() {
             return None;
@@ -80,34 +89,38 @@
     async fn acquire_lock(&self) -> Option<OrderLock> {
         sleep(RANK_DELAY * self.shared.rank()).await;
         let (lease, holder) = self.lease_and_holder()?;
-        let is_free = holder.as_ref().is_none_or(|holder| {
-            let is_own_name = holder.record.instance == self.shared.settings.instance;
-            holder.record.lease == lease.id && !is_own_name
+        let is_held = holder.as_ref().is_some_and(|holder| {
+            let is_own = self.is_own(&lease, holder);
+            let is_valid = is_own && !self.is_outdated(&lease, holder);
+            is_valid || holder.record.lease != lease.id
         });
-        if !is_free {
+        if is_held {
             return None;
         }
-        let condition = match holder {
-            Some(holder) => Compare::ModRevision(HOLDER_KEY.to_owned(), holder.revision),
-            None => Compare::Absent(HOLDER_KEY.to_owned()),
-        };
+        let is_replaced = holder.as_ref().is_some_and(|it| self.is_own(&lease, it));
+        let fencing = self.shared.known().fencing();
         let record = HolderRecord {
             instance: self.shared.settings.instance.clone(),
             lease: lease.id,
+            fencing: next_token(fencing.highest, &lease.incarnation, time_of_day()),
         };
-        let value = serde_json::to_vec(&record).ok()?;
-        let acquire = Txn {
-            compares: vec![condition],
-            success: vec![Op::Put(HOLDER_KEY.to_owned(), value.into(), Some(lease.id))],
-            ..Txn::default()
-        };
+        let acquire = acquire_txn(&record, holder.as_ref(), fencing)?;
         match self.shared.kv.txn(acquire).await {
             Ok(outcome) if outcome.succeeded => {
-                let holder = Item::Holder(record);
+                let revision = outcome.revision;
+                let highest = record.fencing;
+                let holder = KnownHolder { record, revision };
                 let mut known = self.shared.known();
-                known.put("", holder, outcome.revision, boot_time());
+                let now = boot_time();
+                known.put("", Item::Holder(holder.record.clone()), revision, now);
+                known.put("", Item::Fencing(FencingRecord { highest }), revision, now);
                 drop(known);
-                Some(self.start_holding(&lease, outcome.revision))
+                let reason = if is_replaced {
+                    "a higher fencing token is known"
+                } else {
+                    "nobody held it"
+                };
+                Some(self.start_holding(&lease, &holder, reason))
             }
             Ok(_) => None,
             Err(error) => {
@@ -117,12 +130,31 @@
         }
     }
 
+    /// Whether this instance wrote the lock's record, bound to its present lease.
+    fn is_own(&self, lease: &InstanceLease, holder: &KnownHolder) -> bool {
+        let is_own_name = holder.record.instance == self.shared.settings.instance;
+        is_own_name && holder.record.lease == lease.id
+    }
+
+    /// Whether this instance holds the lock with a fencing token that is lower than one that is known: the
+    /// service, and this instance, did not know the higher one when the lock was acquired.
+    fn is_outdated(&self, lease: &InstanceLease, holder: &KnownHolder) -> bool {
+        let highest = self.shared.known().fencing().highest;
+        self.is_own(lease, holder) && holder.record.fencing < highest
+    }
+
     /// Creates and logs a lock that becomes usable after the order gap, counted from now. Also used
     /// for a lock that this instance turns out to hold already.
-    fn start_holding(&self, lease: &InstanceLease, revision: Revision) -> OrderLock {
+    fn start_holding(
+        &self,
+        lease: &InstanceLease,
+        holder: &KnownHolder,
+        reason: &str,
+    ) -> OrderLock {
         let gap = self.shared.settings.order_gap + GAP_MARGIN;
-        let lock = OrderLock::new(lease, revision, boot_time(), gap);
-        self.log_holder(true, lock.fencing, "nobody held it");
+        let fencing = holder.record.fencing;
+        let lock = OrderLock::new(lease, holder.revision, fencing, boot_time(), gap);
+        self.log_holder(true, lock.fencing, reason);
         // A holder of the incarnation before may not have noticed yet, but its lease ends.
         let ttl = LEASE_TTL.max(self.shared.settings.min_lease);
         let since = self.shared.incarnation_since();
@@ -156,3 +188,35 @@
         });
     }
 }
+
+/// Builds the transaction that replaces `holder` by `record`, unless another instance has acquired the lock, or
+/// a higher fencing token has been given, since `holder` and `fencing` were read. Returns `None` if a record
+/// can't be written.
+fn acquire_txn(
+    record: &HolderRecord,
+    holder: Option<&KnownHolder>,
+    fencing: KnownFencing,
+) -> Option<Txn> {
+    let unchanged = |key: &str, revision| match revision {
+        Some(revision) => Compare::ModRevision(key.to_owned(), revision),
+        None => Compare::Absent(key.to_owned()),
+    };
+    let highest = record.fencing;
+    let holder_value = serde_json::to_vec(record).ok()?;
+    let fencing_value = serde_json::to_vec(&FencingRecord { highest }).ok()?;
+    Some(Txn {
+        compares: vec![
+            unchanged(HOLDER_KEY, holder.map(|it| it.revision)),
+            unchanged(FENCING_KEY, fencing.revision),
+        ],
+        success: vec![
+            Op::Put(
+                HOLDER_KEY.to_owned(),
+                holder_value.into(),
+                Some(record.lease),
+            ),
+            Op::Put(FENCING_KEY.to_owned(), fencing_value.into(), None),
+        ],
+        ..Txn::default()
+    })
+}
--- a/crates/entry/src/orders/replacing.rs
+++ b/crates/entry/src/orders/replacing.rs
@@ -197,6 +197,9 @@
         // report.
         let lease = self.shared.lease();
         let fencing = lease.and_then(|it| lock.usable_fencing(&it, boot_time(), ARRIVAL_MARGIN))?;
+        if fencing < self.shared.known().fencing().highest {
+            return None;
+        }
         let order = VersionOrder {
             target: target.id.clone(),
             model: candidate.model.clone(),
--- a/crates/entry/src/own_keys.rs
+++ b/crates/entry/src/own_keys.rs
@@ -10,6 +10,9 @@
 /// Key of the order lock.
 pub(crate) const HOLDER_KEY: &str = "rattan/orders/holder";
 
+/// Key of the highest fencing token. It is bound to no lease.
+pub(crate) const FENCING_KEY: &str = "rattan/orders/fencing";
+
 /// Key of the announcement of loading targets.
 pub(crate) const LOADING_KEY: &str = "rattan/orders/loading";
 
@@ -90,6 +93,9 @@
     if key == HOLDER_KEY {
         return Some(ItemName::Holder);
     }
+    if key == FENCING_KEY {
+        return Some(ItemName::Fencing);
+    }
     if key == LOADING_KEY {
         return Some(ItemName::Loading);
     }
@@ -116,6 +122,10 @@
     let item = match name {
         ItemName::Loading => serde_json::from_slice(value).map(Item::Loading),
         ItemName::Holder => serde_json::from_slice(value).map(Item::Holder),
+        // The next holder replaces a record that can't be read, for which it needs its revision.
+        ItemName::Fencing => Ok(Item::Fencing(
+            serde_json::from_slice(value).unwrap_or_default(),
+        )),
         ItemName::Recent(..) => serde_json::from_slice(value).map(Item::Recent),
         ItemName::Crash(suspect, crash) => {
             let record = serde_json::from_slice(value);
--- a/crates/entry/src/shared/known_changes.rs
+++ b/crates/entry/src/shared/known_changes.rs
@@ -146,6 +146,7 @@
         | ItemName::Recent(id, _) => id,
         ItemName::Configuration
         | ItemName::Holder
+        | ItemName::Fencing
         | ItemName::Loading
         | ItemName::Crash(..)
         | ItemName::Answered(_) => "",
--- a/crates/entry/tests/aggregator_selection.rs
+++ b/crates/entry/tests/aggregator_selection.rs
@@ -25,6 +25,7 @@
             } else {
                 SLOW_LINK_BITS_PER_S
             }),
+            highest_fencing: 0,
         };
         (format!("entry-{index:03}"), record)
     };
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -302,6 +302,7 @@
             feed: None,
             peer_calls: None,
             link_bits_per_s: None,
+            highest_fencing: 0,
         };
         known.put(name, Item::Member(record), 1, START);
     }
@@ -316,6 +317,7 @@
         feed: None,
         peer_calls: None,
         link_bits_per_s: None,
+        highest_fencing: 0,
     })
 }
 
--- a/crates/entry/tests/merged_feeds.rs
+++ b/crates/entry/tests/merged_feeds.rs
@@ -44,6 +44,7 @@
             feed: Some(settings.feed_listen),
             peer_calls: settings.peer_listen,
             link_bits_per_s: settings.link_bits_per_s,
+            highest_fencing: 0,
         };
         (settings.instance.clone(), record)
     });
--- a/crates/entry/tests/order_lock.rs
+++ b/crates/entry/tests/order_lock.rs
@@ -23,7 +23,7 @@
 #[test]
 fn new_holder_waits_for_the_previous_holders_orders() {
     let lease = InstanceLease::new(7, ms(0), Duration::from_mins(1));
-    let lock = OrderLock::new(&lease, 41, ms(100), GAP);
+    let lock = OrderLock::new(&lease, 7, 41, ms(100), GAP);
     assert_eq!(lock.usable_fencing(&lease, ms(3_000), MARGIN), None);
     assert_eq!(lock.usable_fencing(&lease, ms(3_100), MARGIN), Some(41));
 }
@@ -31,7 +31,7 @@
 #[test]
 fn suspended_holder_sends_no_order_after_resuming() {
     let lease = InstanceLease::new(7, ms(10_000), TTL);
-    let lock = OrderLock::new(&lease, 41, ms(0), GAP);
+    let lock = OrderLock::new(&lease, 7, 41, ms(0), GAP);
     assert_eq!(lock.usable_fencing(&lease, ms(11_400), MARGIN), Some(41));
     assert_eq!(
         lock.usable_fencing(&lease, ms(11_600), MARGIN),
@@ -56,7 +56,7 @@
 #[test]
 fn lock_of_an_earlier_lease_is_not_used() {
     let first = InstanceLease::new(7, ms(0), TTL);
-    let lock = OrderLock::new(&first, 41, ms(0), Duration::ZERO);
+    let lock = OrderLock::new(&first, 7, 41, ms(0), Duration::ZERO);
     let second = InstanceLease::new(8, ms(100), TTL);
     assert_eq!(lock.usable_fencing(&second, ms(200), MARGIN), None);
 }
@@ -107,7 +107,7 @@
 #[test]
 fn new_holder_waits_before_planning() {
     let lease = InstanceLease::new(7, ms(0), Duration::from_mins(1));
-    let lock = OrderLock::new(&lease, 41, ms(100), GAP);
+    let lock = OrderLock::new(&lease, 7, 41, ms(100), GAP);
     assert_eq!(lock.time_until_usable(ms(1_100)), ms(2_000));
     assert_eq!(lock.time_until_usable(ms(3_100)), Duration::ZERO);
 }
--- a/crates/entry/tests/promise_model/instance.rs
+++ b/crates/entry/tests/promise_model/instance.rs
@@ -179,6 +179,7 @@
             feed: Some(address(self.index)),
             peer_calls: Some(address(self.index)),
             link_bits_per_s: None,
+            highest_fencing: 0,
         }
     }
 
--- a/crates/entry/tests/reading_plans.rs
+++ b/crates/entry/tests/reading_plans.rs
@@ -21,6 +21,7 @@
             feed: Some(([127, 0, 0, 1], 9_000 + index).into()),
             peer_calls: None,
             link_bits_per_s: Some(if index < 6 { 200 } else { 10 }),
+            highest_fencing: 0,
         };
         (format!("entry-{index:03}"), record)
     };
--- a/crates/entry/tests/restored_instances.rs
+++ b/crates/entry/tests/restored_instances.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    entry::HolderRecord,
     keyvalue::{KeyValue, KvCopy, MemoryKv, Op, Txn},
     std::time::{Duration, Instant},
     support::{Instance, put, target::Target, wait_until},
@@ -259,10 +260,8 @@
         .remove(0);
     let text = String::from_utf8(holder.value.to_vec()).unwrap();
     let record = text.replace(&first.holder, "gone");
-    let lease: i64 = {
-        let digits = text.rsplit(':').next().unwrap().trim_end_matches('}');
-        digits.parse().unwrap()
-    };
+    let record_before: HolderRecord = serde_json::from_str(&text).unwrap();
+    let lease = record_before.lease;
     let write = Txn {
         success: vec![Op::Put(holder.key, record.into(), Some(lease))],
         ..Txn::default()
--- a/crates/entry/tests/restored_state.rs
+++ b/crates/entry/tests/restored_state.rs
@@ -3,7 +3,7 @@
 use {
     entry::{
         InstanceLease, Item, ItemName, KnownState, LimitRecord, MemberRecord, OrderLock,
-        SuspectRecord, TargetRegistration,
+        SuspectRecord, TargetRegistration, fencing,
     },
     keyvalue::Incarnation,
     quarantine::SuspectKey,
@@ -12,6 +12,8 @@
 };
 
 const START: Duration = Duration::from_secs(1_000);
+/// 2026-12-07, since the Unix epoch.
+const TIME_OF_DAY: Duration = Duration::from_secs(1_796_602_185);
 const TTL: Duration = Duration::from_secs(2);
 const MARGIN: Duration = Duration::from_millis(500);
 /// Time after which an entry that is still missing is to be treated as gone.
@@ -123,6 +125,7 @@
         feed: None,
         peer_calls: None,
         link_bits_per_s: None,
+        highest_fencing: 0,
     };
     known.put("one", Item::Member(record), 7, START);
     known.service_restored(at(1.0));
@@ -196,37 +199,39 @@
 fn lock_of_an_earlier_incarnation_is_not_used() {
     let lease = InstanceLease::new(7, START, TTL);
     let before = lease.incarnation(incarnation(1, 0));
-    let lock = OrderLock::new(&before, 41, START, Duration::ZERO);
+    let lock = OrderLock::new(&before, 7, 41, START, Duration::ZERO);
     assert!(lock.usable_fencing(&before, at(0.1), MARGIN).is_some());
     let after = lease.incarnation(incarnation(2, 1));
     assert_eq!(lock.usable_fencing(&after, at(0.1), MARGIN), None);
 }
 
-/// Guards against targets that refuse a new holder, or obey an old one.
+/// Guards against targets that refuse a new holder, or obey an old one, if nobody knows the token before.
 #[test]
 fn fencing_tokens_grow_over_incarnations() {
-    let fencing = |number, changes_count, revision| {
-        let lease = InstanceLease::new(7, START, TTL);
-        let lease = lease.incarnation(incarnation(number, changes_count));
-        OrderLock::new(&lease, revision, START, Duration::ZERO).fencing
+    let next = |number, changes_count| {
+        fencing::next_token(0, &incarnation(number, changes_count), TIME_OF_DAY)
     };
+    // Of builds that made tokens from revisions alone.
+    let former = |number: u64, revision| (number << 40) + revision;
     let tokens = [
-        fencing(0, 0, 900),
-        fencing(1, 0, 1_000_000_000),
-        fencing(2, 1, 41),
-        fencing(2, 1, 42),
-        fencing(3, 2, 41),
-        fencing(8_000, 3, 1),
+        former(0, 900),
+        next(0, 0),
+        former(1, 1_000_000_000_000),
+        next(1, 0),
+        former(2, 41),
+        next(2, 1),
+        former(3, 42),
+        next(3, 2),
+        next(8_000, 3),
     ];
     assert!(tokens.is_sorted_by(|a, b| a < b), "{tokens:?}");
-    assert_eq!(tokens[0], 900, "as before for a service that names none");
-    assert!(tokens[5] < 1 << 53);
+    assert!(tokens[8] < 1 << 53);
 }
 
 #[test]
 fn lock_waits_for_a_holder_of_the_incarnation_before() {
     let lease = InstanceLease::new(7, START, Duration::from_mins(1));
-    let lock = OrderLock::new(&lease, 41, START, Duration::ZERO).not_before(at(2.3));
+    let lock = OrderLock::new(&lease, 7, 41, START, Duration::ZERO).not_before(at(2.3));
     assert_eq!(lock.usable_fencing(&lease, at(2.2), MARGIN), None);
     assert_eq!(lock.usable_fencing(&lease, at(2.3), MARGIN), Some(41));
 }
--- a/crates/keyvalue/src/memory_copy.rs
+++ b/crates/keyvalue/src/memory_copy.rs
@@ -22,8 +22,8 @@
         }
     }
 
-    /// Brings the service back from a copy, as a new incarnation. All that was written since the copy is
-    /// gone; leases of the copy have the time left that they had then.
+    /// Brings the service back from a copy, as a new incarnation if it names any. All that was written since
+    /// the copy is gone; leases of the copy have the time left that they had then.
     pub fn restore(&self, copy: &KvCopy) {
         let age = copy.taken_at.elapsed();
         self.with_state(|state| state.replace(copy.state.clone(), age));
--- a/crates/keyvalue/src/memory_state.rs
+++ b/crates/keyvalue/src/memory_state.rs
@@ -53,9 +53,9 @@
 
     /// Becomes `copy`, which was taken `age` ago, as the next incarnation.
     pub(crate) fn replace(&mut self, copy: Self, age: Duration) {
-        let incarnation = self.incarnation.unwrap_or_default() + 1;
+        let incarnation = self.incarnation.map(|before| before + 1);
         *self = copy;
-        self.incarnation = Some(incarnation);
+        self.incarnation = incarnation;
         for lease in self.leases.values_mut() {
             lease.expires_at += age;
         }
