An unreadable record of the order lock does not keep it for good

Change: such a record names nobody; the next holder replaces it by its revision.

Result: entry fencing_tokens unreadable_records_of_the_lock_are_replaced, no order within 20 s on the code before, holds now.

--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -91,8 +91,8 @@
     pub highest_fencing: FencingToken,
 }
 
-/// The holder of the order lock.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// The holder of the order lock. The default names no instance, as nothing else that can't be read does.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HolderRecord {
     /// Instance that holds the lock.
     pub instance: InstanceId,
--- a/crates/entry/src/orders/lock.rs
+++ b/crates/entry/src/orders/lock.rs
@@ -51,7 +51,7 @@
                 self.log_lock_lost(held_lock, "another instance or an earlier lease holds it");
                 // A service that came back from an older copy may give a lease out again. A record that
                 // another instance bound to ours would stay as long as we renew it.
-                if holder.record.lease != lease.id {
+                if self.is_held(&lease, holder) {
                     return None;
                 }
             }
@@ -89,15 +89,10 @@
     async fn acquire_lock(&self) -> Option<OrderLock> {
         sleep(RANK_DELAY * self.shared.rank()).await;
         let (lease, holder) = self.lease_and_holder()?;
-        let is_held = holder.as_ref().is_some_and(|holder| {
-            let is_own = self.is_own(&lease, holder);
-            let is_valid = is_own && !self.is_outdated(&lease, holder);
-            is_valid || holder.record.lease != lease.id
-        });
-        if is_held {
+        if holder.as_ref().is_some_and(|it| self.is_held(&lease, it)) {
             return None;
         }
-        let is_replaced = holder.as_ref().is_some_and(|it| self.is_own(&lease, it));
+        let is_renewed = holder.as_ref().is_some_and(|it| self.is_own(&lease, it));
         let fencing = self.shared.known().fencing();
         let record = HolderRecord {
             instance: self.shared.settings.instance.clone(),
@@ -108,14 +103,9 @@
         match self.shared.kv.txn(acquire).await {
             Ok(outcome) if outcome.succeeded => {
                 let revision = outcome.revision;
-                let highest = record.fencing;
                 let holder = KnownHolder { record, revision };
-                let mut known = self.shared.known();
-                let now = boot_time();
-                known.put("", Item::Holder(holder.record.clone()), revision, now);
-                known.put("", Item::Fencing(FencingRecord { highest }), revision, now);
-                drop(known);
-                let reason = if is_replaced {
+                self.note_acquired(&holder);
+                let reason = if is_renewed {
                     "a higher fencing token is known"
                 } else {
                     "nobody held it"
@@ -130,6 +120,28 @@
         }
     }
 
+    /// Takes over what this instance has written, before it is delivered as a change.
+    fn note_acquired(&self, holder: &KnownHolder) {
+        let highest = holder.record.fencing;
+        let items = [
+            Item::Holder(holder.record.clone()),
+            Item::Fencing(FencingRecord { highest }),
+        ];
+        let mut known = self.shared.known();
+        for item in items {
+            known.put("", item, holder.revision, boot_time());
+        }
+    }
+
+    /// Whether an instance holds the lock by this record. Nobody does by one that can't be read, by one that
+    /// another instance bound to the lease of this one, or by an outdated one of its own.
+    fn is_held(&self, lease: &InstanceLease, holder: &KnownHolder) -> bool {
+        let names_nobody = holder.record.instance.is_empty();
+        let is_bound_to_other = holder.record.lease != lease.id;
+        let is_valid = self.is_own(lease, holder) && !self.is_outdated(lease, holder);
+        !names_nobody && (is_bound_to_other || is_valid)
+    }
+
     /// Whether this instance wrote the lock's record, bound to its present lease.
     fn is_own(&self, lease: &InstanceLease, holder: &KnownHolder) -> bool {
         let is_own_name = holder.record.instance == self.shared.settings.instance;
--- a/crates/entry/src/own_keys.rs
+++ b/crates/entry/src/own_keys.rs
@@ -121,8 +121,10 @@
     };
     let item = match name {
         ItemName::Loading => serde_json::from_slice(value).map(Item::Loading),
-        ItemName::Holder => serde_json::from_slice(value).map(Item::Holder),
         // The next holder replaces a record that can't be read, for which it needs its revision.
+        ItemName::Holder => Ok(Item::Holder(
+            serde_json::from_slice(value).unwrap_or_default(),
+        )),
         ItemName::Fencing => Ok(Item::Fencing(
             serde_json::from_slice(value).unwrap_or_default(),
         )),
--- a/crates/entry/tests/fencing_tokens.rs
+++ b/crates/entry/tests/fencing_tokens.rs
@@ -132,7 +132,7 @@
 /// Guards against a lock that nobody can acquire since what stands at its keys can't be read.
 #[tokio::test]
 async fn unreadable_records_of_the_lock_are_replaced() {
-    for key in ["rattan/orders/fencing"] {
+    for key in ["rattan/orders/fencing", "rattan/orders/holder"] {
         let mut fleet = Fleet::start(&[]).await;
         put(&fleet.kv, key, "*").await;
         fleet.start_instances(&["one"]);
