--- a/crates/relay/src/call_attempts.rs
+++ b/crates/relay/src/call_attempts.rs
@@ -7,7 +7,7 @@
         attempt::{AttemptOutcome, Content, TargetAnswer},
         boot_time,
         call_recorder::CallRecorder,
-        pick::PickedTarget,
+        picked_target::PickedTarget,
         refusal::{NO_TARGET_RETRY_AFTER, Unanswered},
         retry_budgets::RetryNeed,
         sent_attempt::describe_outcome,
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         AnswerCutoff, Call, LostAnswer, Stated, TurnedAway, answer_times::AnswerTimes,
-        observed_answer::ObservedAnswer, pick::PickedTarget,
+        observed_answer::ObservedAnswer, picked_target::PickedTarget,
     },
     eventlog::{AttemptLine, CallLine, Event, EventLog},
     meters::Meters,
--- a/crates/relay/src/choose_target.rs
+++ b/crates/relay/src/choose_target.rs
@@ -6,9 +6,9 @@
         active_call::ActiveCall,
         boot_time,
         call_tokens::CallTokens,
-        pick::{
-            PickContext, PickedTarget, are_all_evacuated, has_origin, has_other_software, pick,
-        },
+        pick::{are_all_evacuated, has_origin, has_other_software, pick},
+        pick_context::PickContext,
+        picked_target::PickedTarget,
         pool_bounds::PoolBound,
         refusal::{NO_TARGET_RETRY_AFTER, OVERLOADED_RETRY_AFTER},
         target_conditions::{CallContext, Obstacle},
--- a/crates/relay/src/outbound_metadata.rs
+++ b/crates/relay/src/outbound_metadata.rs
@@ -2,12 +2,9 @@
 
 use {
     crate::{
-        HeaderFormat, OutboundMetadata,
-        active_call::ActiveCall,
-        boot_time,
-        call_recorder::CallRecorder,
-        pick::{PickedTarget, shared_parts},
-        salt::salt,
+        HeaderFormat, OutboundMetadata, active_call::ActiveCall, boot_time,
+        call_recorder::CallRecorder, picked_target::PickedTarget, salt::salt,
+        shared_parts::shared_parts,
     },
     parts::{MAX_FETCH_TIME, Plan},
     std::time::Duration,
--- a/crates/relay/src/overload_check.rs
+++ b/crates/relay/src/overload_check.rs
@@ -2,11 +2,8 @@
 
 use {
     crate::{
-        Declined, HeaderFormat, Prompt, Reason,
-        active_call::ActiveCall,
-        boot_time,
-        call_recorder::CallRecorder,
-        pick::{PickedTarget, rooms},
+        Declined, HeaderFormat, Prompt, Reason, active_call::ActiveCall, boot_time,
+        call_recorder::CallRecorder, pick::rooms, picked_target::PickedTarget,
         start_observation::StartObservation,
     },
     balance::rendezvous,
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -2,112 +2,20 @@
 
 use {
     crate::{
-        Call, ColdPool, Prompt, TargetState, View, WantedVersions, boot_time,
-        pool_bounds::PoolBound,
+        TargetState, View, WantedVersions, boot_time,
+        pick_context::PickContext,
+        picked_target::{PickedTarget, PickedWeights},
         reach::Reach,
         refusal::OVERLOADED_RETRY_AFTER,
-        refusal_bound::KnownBound,
-        salt::{CacheScope, salt},
-        target_conditions::{CallContext, NextCall, Obstacle, PassedOver},
-        target_limit::Senders,
+        shared_parts::SharedPartsByVersion,
+        target_conditions::{NextCall, Obstacle, PassedOver},
     },
-    balance::{Candidate, PeerLoads, choose, rendezvous},
-    catalog::{FailureDomainId, TargetId},
+    balance::{Candidate, choose, rendezvous},
     overload::TargetRoom,
-    parts::{PartDirectory, PromptPart},
     routes::PoolKind,
     std::{sync::Arc, time::Duration},
 };
 
-/// Inputs of a choice besides the view.
-#[derive(Clone, Copy)]
-pub(crate) struct PickContext<'call> {
-    /// Metadata of the call.
-    pub(crate) call: &'call Call,
-    /// Where the call may go.
-    pub(crate) reach: &'call Reach<'call>,
-    /// Targets that were already tried for the call, including those that could not be reached.
-    pub(crate) tried_targets: &'call [TargetId],
-    /// Failure domain of this instance.
-    pub(crate) failure_domain: &'call FailureDomainId,
-    /// Time since the relay started.
-    pub(crate) now: Duration,
-    /// Time after a newer version is requested during which older weights may still be used.
-    pub(crate) stale_weights_grace: Duration,
-    /// Random number for the load balancer.
-    pub(crate) random: u64,
-    /// Index of the prompt parts that engines (targets that run prompts) hold in memory and that
-    /// stores (servers for cached parts) hold for them.
-    pub(crate) cache_index: &'call PartDirectory,
-    /// Calls that other instances have in flight.
-    pub(crate) peer_loads: &'call PeerLoads,
-    /// Whether targets are compared by prompt tokens besides calls.
-    pub(crate) weighs_tokens: bool,
-    /// Who may use the prompt's cached parts.
-    pub(crate) cache_scope: &'call CacheScope,
-    /// Software version that began the call's stream; no other may go on with it.
-    pub(crate) software_version: Option<&'call str>,
-    /// Whether the pool has targets of other versions, so that one which restarts may have another.
-    pub(crate) is_mixed: bool,
-    /// Instances among which the limits and places of targets are divided.
-    pub(crate) senders: Senders<'call>,
-    /// Refusals that a target of the pool has lately said it bears.
-    pub(crate) pool_bound: Option<PoolBound>,
-    /// What cold targets of the pool bear; `None` if their calls are not bounded.
-    pub(crate) cold_pool: Option<ColdPool<'call>>,
-}
-
-impl<'call> PickContext<'call> {
-    /// What the statements of `target` are weighed against at the moment.
-    pub(crate) fn target_context(&self, target: &TargetState) -> CallContext<'call> {
-        CallContext::new(target, self.senders, self.pool_bound, self.cold_pool)
-    }
-
-    /// Whether `target` is or may be cold, so that its calls are bounded.
-    fn is_cold(&self, target: &TargetState) -> bool {
-        let now = boot_time();
-        self.cold_pool.is_some_and(|pool| pool.is_cold(target, now))
-    }
-}
-
-/// The chosen target, with the inputs of the choice. They are logged, and the weights version is
-/// also needed if the target refuses the call because it has other weights.
-#[derive(Clone, Debug)]
-pub(crate) struct PickedTarget {
-    /// The chosen target.
-    pub(crate) target: Arc<TargetState>,
-    /// Estimated number of calls that all instances have in flight at the target.
-    pub(crate) in_flight_count: f64,
-    /// Number of calls that this instance has in flight there itself.
-    pub(crate) own_in_flight_count: u32,
-    /// Bound on the target's refusals; `None` if none is known.
-    pub(crate) refusal_bound: Option<KnownBound>,
-    /// Whether the target was or might be cold.
-    pub(crate) is_cold: bool,
-    /// Number of targets that were eligible.
-    pub(crate) candidates_count: usize,
-    /// Weights that the call is expected to run on, and the wanted version.
-    pub(crate) weights: PickedWeights,
-    /// Prompt tokens that the target has to read for the call.
-    pub(crate) unread_tokens_count: u64,
-}
-
-/// Weights of a chosen target, the wanted version, and the target's start delay. All fields have
-/// their defaults if the call has no prompt or no version of its model is wanted.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct PickedWeights {
-    /// Version that the target is assumed to have; 0 if it is not known.
-    pub(crate) version: u64,
-    /// Newest version that the operators have requested; 0 if none.
-    pub(crate) wanted_version: u64,
-    /// Upper bound on the time since the operators requested that version; `None` if unknown.
-    pub(crate) wanted_age: Option<Duration>,
-    /// Recent peak of the target's time to first event, an estimate of the delay until the call
-    /// starts to run. Zero if no version is wanted, since only the deadline for outdated weights
-    /// depends on it.
-    pub(crate) start_delay: Duration,
-}
-
 /// Result of a choice.
 #[derive(Debug)]
 pub(crate) struct Choice {
@@ -367,37 +275,6 @@
     }
 }
 
-/// The parts of a prompt that other calls may share: all but the last. Their cache keys include
-/// `salt`, which stands for the weights version and for who may use the parts.
-pub(crate) fn shared_parts(prompt: &Prompt, salt: &str) -> Vec<PromptPart> {
-    let [shared @ .., _] = prompt.parts.as_slice() else {
-        return Vec::new();
-    };
-    let parts = shared.iter();
-    parts
-        .map(|part| PromptPart::new(salt, &part.id, part.tokens))
-        .collect()
-}
-
-/// Shared parts of one call for each weights version, since their cache keys depend on the version.
-#[derive(Debug, Default)]
-struct SharedPartsByVersion {
-    by_version: Vec<(u64, Vec<PromptPart>)>,
-}
-
-impl SharedPartsByVersion {
-    /// Shared parts for weights `version`, computed at the first use.
-    fn for_version(&mut self, version: u64, prompt: &Prompt, scope: &CacheScope) -> &[PromptPart] {
-        let position = self.by_version.iter().position(|it| it.0 == version);
-        let index = position.unwrap_or_else(|| {
-            let salt = salt(version, scope);
-            self.by_version.push((version, shared_parts(prompt, &salt)));
-            self.by_version.len() - 1
-        });
-        &self.by_version[index].1
-    }
-}
-
 /// Describes `target` as a candidate for the load balancer.
 ///
 /// The preferred failure domain is that of this instance for a call without a prompt, and that of a
--- a/crates/relay/src/quarantined_calls.rs
+++ b/crates/relay/src/quarantined_calls.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Declined, HeaderFormat, Reason, active_call::ActiveCall, admit::called_host, boot_time,
-        call_recorder::CallRecorder, crash_check::CrashCheck, pick::PickedTarget,
+        call_recorder::CallRecorder, crash_check::CrashCheck, picked_target::PickedTarget,
         pool_probe::incarnation_probe,
     },
     hyper::http::uri::PathAndQuery,
--- a/crates/relay/src/sent_attempt.rs
+++ b/crates/relay/src/sent_attempt.rs
@@ -8,7 +8,7 @@
         boot_time,
         call_recorder::CallRecorder,
         observed_answer::ObservedAnswer,
-        pick::PickedTarget,
+        picked_target::PickedTarget,
         silent_target::AttemptTimeout,
     },
     http_body_util::Full,
--- a/crates/relay/src/target_feedback.rs
+++ b/crates/relay/src/target_feedback.rs
@@ -6,7 +6,7 @@
         active_call::ActiveCall,
         attempt::{AttemptOutcome, TargetAnswer},
         boot_time,
-        pick::PickedTarget,
+        picked_target::PickedTarget,
         sent_attempt::describe_outcome,
         statement_log,
     },
