The first word of a later process does not show that an answer is whole

What callers saw: a stream without framing ended as complete before its last event, after its target was killed and started again (ORDER).

Cause: the connection beside an answer may wait, so that its target speaks on it only after the answer has ended. The start that was said there first counted as that of the process which began the answer, and the registered start was not looked at. A process that was started since says its own start twice, and half an answer was whole by 'opened before'.

Change: what was said on that connection counts for an answer only if it was said while the answer was open; two processes do not listen at one address. Otherwise the registered start must agree, as beside the first answers of a pool.

Measured: target witness_states cut_answer_is_not_whole_because_a_later_process_speaks_on_a_connection_from_before failed before (1 of 1) and holds; a sound answer of a target that has restarted before its registration is whole before and after (answer_beside_a_late_word_of_a_target_that_has_restarted_is_whole).

--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -5,7 +5,7 @@
         EndEvidence, IncarnationProbe, SendError, WitnessAhead,
         client::PROCESS_EXIT_TIME,
         unframed_body::EndedAnswer,
-        witness_connection::{Answer, Asked, Successor, WitnessConnection},
+        witness_connection::{Answer, Asked, Shown, Successor, WitnessConnection},
         witness_slot::{Keeping, WitnessSlot},
     },
     snafu::Snafu,
@@ -290,19 +290,24 @@
     }
 
     /// Whether it is the process that began the answer that has said so: it states the start that it stated
-    /// before, or else the registered one.
+    /// while the answer was open, or else the registered one.
     fn judge(&self, evidence: EndEvidence, answer: &Answer) -> Result<EndEvidence, Unconfirmed> {
         let stated = answer.stated.clone()?;
         let expected = &self.probe.expected;
         let is_same = match answer.earlier.started_unix_ms {
-            Some(earlier) if stated.started_unix_ms == Some(earlier) => {
-                expected.is_same_target(&stated)
-            }
-            Some(_) => false,
-            None => expected.agrees_with(&stated),
+            Some(earlier) if stated.started_unix_ms != Some(earlier) => false,
+            Some(_) if self.came_beside(&answer.earlier) => expected.is_same_target(&stated),
+            Some(_) | None => expected.agrees_with(&stated),
         };
         shown_if(is_same, evidence)
     }
+
+    /// Whether the target has said that while the answer was open, so that the process which said it began the
+    /// answer: two do not listen at one address. What came later may be the word of one that was started since.
+    fn came_beside(&self, shown: &Shown) -> bool {
+        let answered_at = shown.answered_at;
+        answered_at.is_some_and(|it| it < self.answer.last_open)
+    }
 }
 
 fn shown_if(is_same: bool, evidence: EndEvidence) -> Result<EndEvidence, Unconfirmed> {
--- a/crates/target/tests/witness_states.rs
+++ b/crates/target/tests/witness_states.rs
@@ -9,10 +9,10 @@
         time::Duration,
     },
     support::{
-        asking_caller::{KEPT_AFTER, begin, call, client, get_known, one, read},
+        asking_caller::{KEPT_AFTER, begin, call, client, get_known, one, read, read_half},
         half_target::{Keeps, START_TIME, State, Target},
     },
-    target::{Client, EndEvidence, SendError},
+    target::{Client, EndEvidence, Reply, SendError},
     tokio::{net::TcpStream, time::sleep},
 };
 
@@ -240,3 +240,42 @@
     let later = failed.iter().filter(|(index, _)| *index > 0).count();
     assert_eq!(later, 0, "{failed:?}");
 }
+
+/// Begins an answer of a target with start 1 while the question which process it is waits for 600 ms. Whatever
+/// ends connections from then on leaves the one of the question open.
+async fn begin_beside_slow_word(target: &Target, client: &Client, path: &str) -> Reply {
+    *target.state.started_unix_ms.lock().unwrap() = Some(1);
+    target.state.slower_ms.store(600, Ordering::Relaxed);
+    target.state.staggered_ms.store(20_000, Ordering::Relaxed);
+    let later = async {
+        sleep(Duration::from_millis(200)).await;
+        target.state.staggered_ms.store(0, Ordering::Relaxed);
+    };
+    let registered = one().started_unix_ms(1);
+    let (reply, ()) = tokio::join!(begin(client, target, registered, path), later);
+    reply.unwrap()
+}
+
+/// Guards against the first word of a later process, on a connection that the end of the one before has not met,
+/// counting as that of the process which began the answer.
+#[tokio::test]
+async fn cut_answer_is_not_whole_because_a_later_process_speaks_on_a_connection_from_before() {
+    let (target, client) = (Target::start(Keeps::Always).await, client());
+    let mut reply = begin_beside_slow_word(&target, &client, "/5000").await;
+    read_half(&mut reply).await;
+    *target.state.started_unix_ms.lock().unwrap() = Some(2);
+    target.restart("one").await;
+    let answer = read(reply).await;
+    assert!(answer.is_err(), "{answer:?}");
+}
+
+/// Guards against a sound answer counting as broken off because its target says late which process it is, and has
+/// restarted before its registration.
+#[tokio::test]
+async fn answer_beside_a_late_word_of_a_target_that_has_restarted_is_whole() {
+    let (target, client) = (Target::start(Keeps::Always).await, client());
+    let reply = begin_beside_slow_word(&target, &client, "/1000").await;
+    *target.state.started_unix_ms.lock().unwrap() = Some(2);
+    let answer = read(reply).await;
+    assert!(answer.is_ok(), "{answer:?}");
+}
