--- a/crates/entry/tests/cold_registrations.rs
+++ b/crates/entry/tests/cold_registrations.rs
@@ -52,6 +52,14 @@
     pool.is_cold(&target(&view), now)
 }
 
+/// Guards against RECOVER: an instance that crashes by a registration which states the longest time.
+#[test]
+fn target_may_stay_cold_for_ever() {
+    let mut known = known();
+    known.put("a", registration(1, Duration::MAX), 2, at(0.0));
+    assert!(is_cold(&known, at(1e6)));
+}
+
 #[test]
 fn target_is_cold_for_as_long_as_its_registration_says() {
     let mut known = known();
--- a/crates/relay/src/cold_state.rs
+++ b/crates/relay/src/cold_state.rs
@@ -58,7 +58,7 @@
         if known.is_some_and(is_known) {
             return;
         }
-        let until = now + registered.cold_left;
+        let until = now.saturating_add(registered.cold_left);
         let written_after = registered.written_after;
         let is_after_answer = self.answered_at.is_none_or(|answered| {
             written_after.is_some_and(|written| answered + REREGISTRATION_TIME <= written)
@@ -79,7 +79,7 @@
             return false;
         }
         let is_new = self.stated_until <= now;
-        self.stated_until = self.stated_until.max(now + cold_left);
+        self.stated_until = self.stated_until.max(now.saturating_add(cold_left));
         self.answered_at = Some(now);
         is_new
     }
--- a/crates/relay/tests/cold_targets.rs
+++ b/crates/relay/tests/cold_targets.rs
@@ -296,6 +296,14 @@
     assert!(is_cold(&view, &target, now + ALMOST_COLD_TIME));
 }
 
+/// Guards against an instance that crashes by an answer which states the longest time.
+#[tokio::test]
+async fn target_may_state_that_it_stays_cold_for_ever() {
+    let (target, view, now) = cold_target(registered(Duration::ZERO, 5));
+    state_cold(&target, Duration::MAX);
+    assert!(is_cold(&view, &target, now + 1_000 * COLD_TIME));
+}
+
 const OWN_SEED: u64 = 0;
 
 /// Registers that `target` is cold for long.
