Fix ONE: holders do not share the largest fencing token

Found by review. Tokens end at 2^53 - 1, and a holder that would need a higher one took just that one, as every later holder did: all of them with one token (ONE, two holders with one epoch number).

Cause: a token of 2^53 - 2 in any member record (another writer, a broken build) was believed, and so was an incarnation above 8,190 (a service that counts them by the time), which both leave no room above them.

Change: no token within 2^40 of the end is believed or made from an incarnation; such an incarnation counts by the time of day and the tokens that are known.

--- a/crates/entry/src/fencing.rs
+++ b/crates/entry/src/fencing.rs
@@ -15,6 +15,8 @@
 
 /// Highest token that every reader of JSON takes for the same whole number.
 const MAX_TOKEN: FencingToken = (1 << 53) - 1;
+/// Highest token that is believed. Leaves room above it for the holders that follow.
+const MAX_BELIEVED_TOKEN: FencingToken = MAX_TOKEN - (1 << REVISION_BITS);
 /// Builds that made tokens from revisions alone put the number of the incarnation above these bits.
 const REVISION_BITS: u32 = 40;
 
@@ -38,13 +40,16 @@
         0 => 0,
         number => number.saturating_add(1).saturating_mul(1 << REVISION_BITS),
     };
+    // Large numbers leave no room for the tokens that follow.
+    let above_revisions = Some(above_revisions).filter(|it| is_valid(*it));
     let above_known = highest.saturating_add(1);
-    above_known.max(now_ms).max(above_revisions).min(MAX_TOKEN)
+    let above_all = above_known.max(now_ms).max(above_revisions.unwrap_or(0));
+    above_all.min(MAX_TOKEN)
 }
 
 /// Whether a token that another instance or the service names can have been given to a holder.
 pub(crate) fn is_valid(token: FencingToken) -> bool {
-    token < MAX_TOKEN
+    token <= MAX_BELIEVED_TOKEN
 }
 
 /// Time since the Unix epoch.
--- a/crates/entry/tests/fencing_tokens.rs
+++ b/crates/entry/tests/fencing_tokens.rs
@@ -6,6 +6,7 @@
     entry::{MemberRecord, fencing::next_token},
     keyvalue::{Incarnation, KeyValue, KvCopy, MemoryKv},
     proptest::prelude::proptest,
+    serde_json::json,
     std::time::Duration,
     support::{
         Instance, put,
@@ -140,6 +141,47 @@
     }
 }
 
+fn incarnation(number: u64) -> Incarnation {
+    Incarnation {
+        number,
+        highest_number: number,
+        changes_count: 0,
+    }
+}
+
+/// Guards against one token for all holders, where the service names its incarnations by large numbers.
+#[test]
+fn tokens_rise_in_incarnations_of_any_number() {
+    for number in [8_191, 1_796_602_303, u64::MAX] {
+        let now = Duration::from_millis(1_796_602_303_432);
+        let first = next_token(0, &incarnation(number), now);
+        let second = next_token(first, &incarnation(number), now);
+        assert!(second > first, "{number}: {first}, {second}");
+    }
+}
+
+/// Writes that an instance, which is not ready, knows `highest_fencing`.
+async fn put_member_that_knows(fleet: &Fleet, highest_fencing: u64) {
+    let record = json!({
+        "address": fleet.target.address, "failure_domain": "", "ready": false,
+        "highest_fencing": highest_fencing,
+    });
+    put(&fleet.kv, "rattan/members/other", &record.to_string()).await;
+}
+
+/// Guards against one token for all holders, once another writer has named the largest number as a token.
+#[tokio::test]
+async fn tokens_rise_though_a_record_names_the_largest() {
+    let mut fleet = Fleet::start(&["one"]).await;
+    fleet.order(2).await;
+    put_member_that_knows(&fleet, (1 << 53) - 2).await;
+    let first = fleet.order(3).await;
+    fleet.kill_instances().await;
+    fleet.start_instances(&["two"]);
+    let second = fleet.order(4).await;
+    assert!(second.fencing > first.fencing, "{first:?}, {second:?}");
+}
+
 proptest! {
     #[test]
     fn tokens_are_above_all_known_and_the_time(
