A key of etcd that is no text leaves the others alone

Seen: with a key of another writer under a prefix that instances read whose bytes are no UTF-8, no listing and no watch of that prefix succeeded as long as it stood: no configuration, no load slots.

Cause: such a key made the listing, or the message of a watch, an error.

Change: pairs and events with such a key are left out, with a warning; progress of a watch is still reported. Values may be any bytes as before.

--- a/crates/keyvalue/src/etcd_responses.rs
+++ b/crates/keyvalue/src/etcd_responses.rs
@@ -144,25 +144,12 @@
     Delete,
 }
 
-impl TryFrom<KeyValuePair> for KvPair {
-    type Error = KvError;
-
-    fn try_from(raw: KeyValuePair) -> Result<Self, KvError> {
-        let key = decode_base64(&raw.key)?;
-        Ok(Self {
-            key: String::from_utf8(key).map_err(malformed)?,
-            value: Bytes::from(decode_base64(&raw.value)?),
-            create_revision: raw.create_revision,
-            mod_revision: raw.mod_revision,
-        })
-    }
-}
-
 impl TryFrom<RangeResponse> for Range {
     type Error = KvError;
 
     fn try_from(raw: RangeResponse) -> Result<Self, KvError> {
-        let pairs = raw.kvs.into_iter().map(KvPair::try_from);
+        let pairs = raw.kvs.into_iter().map(decode_pair);
+        let pairs = pairs.filter_map(Result::transpose);
         Ok(Self {
             pairs: pairs.collect::<Result<_, _>>()?,
             revision: raw.header.revision,
@@ -209,7 +196,7 @@
         let carries_events = !self.events.is_empty();
         for event in self.events {
             last_revision = event.kv.mod_revision;
-            events.push(Event::try_from(event)?);
+            events.extend(decode_event(event)?);
         }
         let is_complete = !self.fragment && (carries_events || !self.created);
         if is_complete {
@@ -230,16 +217,31 @@
     }
 }
 
-impl TryFrom<WatchEvent> for Event {
-    type Error = KvError;
+/// Converts an event; `None` if its key is no text.
+fn decode_event(raw: WatchEvent) -> Result<Option<Event>, KvError> {
+    let pair = decode_pair(raw.kv)?;
+    Ok(pair.map(|pair| match raw.kind {
+        EventKind::Put => Event::Put(pair),
+        EventKind::Delete => Event::Delete(pair.key, pair.mod_revision),
+    }))
+}
 
-    fn try_from(raw: WatchEvent) -> Result<Self, KvError> {
-        let pair = KvPair::try_from(raw.kv)?;
-        Ok(match raw.kind {
-            EventKind::Put => Self::Put(pair),
-            EventKind::Delete => Self::Delete(pair.key, pair.mod_revision),
-        })
-    }
+/// Converts a pair; `None` if its key is no text. Other writers may use any bytes, keys of instances and
+/// operators are text.
+fn decode_pair(raw: KeyValuePair) -> Result<Option<KvPair>, KvError> {
+    let key = match String::from_utf8(decode_base64(&raw.key)?) {
+        Ok(key) => key,
+        Err(error) => {
+            log::warn!("ignoring a key of the key-value service: {error}");
+            return Ok(None);
+        }
+    };
+    Ok(Some(KvPair {
+        key,
+        value: Bytes::from(decode_base64(&raw.value)?),
+        create_revision: raw.create_revision,
+        mod_revision: raw.mod_revision,
+    }))
 }
 
 /// Error for a response that can't be parsed. The call may have taken effect, so the error is
--- a/crates/keyvalue/tests/etcd_faults.rs
+++ b/crates/keyvalue/tests/etcd_faults.rs
@@ -236,3 +236,28 @@
         });
     }
 }
+
+/// Guards against a configuration that can't be read while a key of another writer stands beside it.
+#[tokio::test]
+async fn keys_that_are_no_text_leave_the_others_alone() {
+    // The keys are `/a`, the byte 0xff and `/b`.
+    let range =
+        br#"{"header":{"revision":"9"},"kvs":[{"key":"L2E=","value":"eA==","mod_revision":"3"},
+        {"key":"/w==","value":"eA==","mod_revision":"4"},{"key":"L2I=","mod_revision":"5"}]}"#;
+    let watch = br#"{"result":{"header":{"revision":"9"},"events":[
+        {"kv":{"key":"/w==","mod_revision":"7"}},{"type":"DELETE","kv":{"key":"/w==","mod_revision":"8"}},
+        {"type":"DELETE","kv":{"key":"L2E=","mod_revision":"9"}}]}}"#;
+    let watch = [watch.to_vec(), b"\n".to_vec()].concat();
+    let watch = String::from_utf8(watch).unwrap().replace("\n  ", "");
+    let answers = vec![Step::Answer(range.to_vec())];
+    let events = vec![Step::Unframed(watch.into_bytes())];
+    let server = ScriptedServer::start(vec![answers, events]).await;
+    let listed = server.kv().range("").await.unwrap();
+    let keys: Vec<&str> = listed.pairs.iter().map(|pair| &*pair.key).collect();
+    assert_eq!((keys, listed.revision), (vec!["/a", "/b"], 9));
+
+    let events = server.kv().watch("", 1).take(2).collect::<Vec<_>>().await;
+    let events: Result<Vec<Event>, KvError> = events.into_iter().collect();
+    let deleted = Event::Delete("/a".to_owned(), 9);
+    assert_eq!(events, Ok(vec![deleted, Event::Progress(9)]));
+}
