An unreadable entry leaves the others in the instance list

Seen: one entry of another writer with a field missing, of another type, an unknown state or bytes that are no text made the instance list unreadable as long as it stood; an instance that had just started knew no peers and no states of targets.

Cause: the list was parsed as a whole.

Change: each entry is parsed by itself. The number of unreadable ones is logged when it changes.

--- a/crates/keyvalue/src/http_instance_list.rs
+++ b/crates/keyvalue/src/http_instance_list.rs
@@ -8,15 +8,25 @@
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Request, StatusCode, header::HOST},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    serde_json::value::RawValue,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
     tokio::time::Instant,
 };
 
-/// Reads the instance list with `GET /instances`.
+/// Reads the instance list with `GET /instances`. Entries that can't be read are left out.
 #[derive(Clone, Debug)]
 pub struct HttpInstanceList {
     pool: Arc<HttpPool>,
     timeout: Duration,
+    /// Number of entries that could not be read in the last list.
+    unreadable_count: Arc<AtomicUsize>,
 }
 
 impl HttpInstanceList {
@@ -26,6 +36,35 @@
         Self {
             pool: Arc::new(HttpPool::new(address)),
             timeout,
+            unreadable_count: Arc::default(),
+        }
+    }
+
+    /// Parses each entry by itself.
+    fn parse_list(&self, body: &[u8]) -> Result<Vec<Instance>, InstanceListError> {
+        let text = String::from_utf8_lossy(body);
+        let entries: Vec<&RawValue> =
+            serde_json::from_str(&text).map_err(|error| list_error(error.to_string()))?;
+        let mut instances = Vec::with_capacity(entries.len());
+        let mut last_error = None;
+        for entry in &entries {
+            match serde_json::from_str(entry.get()) {
+                Ok(instance) => instances.push(instance),
+                Err(error) => last_error = Some(error),
+            }
+        }
+        self.report_unreadable(entries.len() - instances.len(), last_error);
+        Ok(instances)
+    }
+
+    /// Logs how many entries could not be read, if the number has changed.
+    fn report_unreadable(&self, count: usize, last_error: Option<serde_json::Error>) {
+        let earlier_count = self.unreadable_count.swap(count, Ordering::Relaxed);
+        if let Some(error) = last_error.filter(|_| count != earlier_count) {
+            log::warn!(
+                "ignoring {count} unreadable entries of the instance list, the last one because of: {error}; \
+                 correct or remove them"
+            );
         }
     }
 }
@@ -44,7 +83,7 @@
         if response.status != StatusCode::OK {
             return Err(list_error(format!("status {}", response.status)));
         }
-        serde_json::from_slice(&response.body).map_err(|error| list_error(error.to_string()))
+        self.parse_list(&response.body)
     }
 }
 
--- a/crates/keyvalue/tests/instance_list.rs
+++ b/crates/keyvalue/tests/instance_list.rs
@@ -51,3 +51,36 @@
     assert_eq!(list.instances().await.unwrap().len(), 1);
     server.await.unwrap();
 }
+
+/// Guards against a list that can't be read while one entry of another writer stands in it.
+#[tokio::test]
+async fn unreadable_entries_leave_the_others_in_the_list() {
+    let odd_entries: [&[u8]; 6] = [
+        b"null",
+        br#"{"name":"x"}"#,
+        br#"{"name":7,"role":"entry","address":"127.0.0.1:1","region":"r","failure_domain":"d","state":"live"}"#,
+        br#"{"name":"x","role":"entry","address":"nowhere","region":"r","failure_domain":"d","state":"live"}"#,
+        br#"{"name":"x","role":"entry","address":"127.0.0.1:1","region":"r","failure_domain":"d","state":"odd"}"#,
+        b"{\"name\":\"\xff\"}",
+    ];
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let list = HttpInstanceList::new(listener.local_addr().unwrap(), Duration::from_secs(5));
+    let server = tokio::spawn(async move {
+        for odd in odd_entries {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut [0; 4096]).await.unwrap() > 0);
+            let sound = LIST[1..].as_bytes();
+            let body = [b"[", odd, b",", sound].concat();
+            let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: ";
+            let head = format!("{head}{}\r\n\r\n", body.len());
+            let answer = [head.as_bytes(), &body].concat();
+            stream.write_all(&answer).await.unwrap();
+        }
+    });
+    for _ in 0..6 {
+        let instances = list.instances().await.unwrap();
+        let names: Vec<&str> = instances.iter().map(|it| it.name.as_ref()).collect();
+        assert_eq!(names, ["e1"]);
+    }
+    server.await.unwrap();
+}
