An operator's command reaches the object that it names

Cause: the command line wrote names, selectors and request ids into paths as they were, so that what follows # or ? was no part of the name.

Change: the command line escapes them (percent-encoding). Ids of decisions are decoded.

--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -12,6 +12,7 @@
     },
     catalog::{ClientAccountId, RequestId},
     hyper::{Method, Request, body::Incoming, header::HeaderValue, http::request::Parts},
+    percent_encoding::percent_decode_str,
     serde_json::json,
 };
 
@@ -68,7 +69,8 @@
             return self.operator(&caller, &head, body).await;
         }
         if let Some(wanted_id) = path.strip_prefix(DECISION_PREFIX) {
-            return self.decision(&caller, &wanted_id.to_owned()).await;
+            let wanted_id = percent_decode_str(wanted_id).decode_utf8_lossy();
+            return self.decision(&caller, &wanted_id.into_owned()).await;
         }
         let account = require_client_account(caller)?;
         match (&head.method, path) {
--- /dev/null
+++ b/crates/gateway/tests/request_heads.rs
@@ -0,0 +1,17 @@
+//! Paths, queries and headers of requests reach the backend as the caller meant them.
+
+mod support;
+
+use {
+    gateway::GatewaySettings,
+    support::{KITCHENS_KEY, exchange, request, start},
+};
+
+/// Guards against a decision that is not found because its id came escaped.
+#[tokio::test]
+async fn escaped_request_ids_are_decoded() {
+    let (address, _) = start(GatewaySettings::default()).await;
+    let request_text = request("GET", "/v1/decisions/d%65cided", KITCHENS_KEY, "");
+    let response = exchange(address, request_text.as_bytes()).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -23,17 +23,23 @@
 pub const KITCHENS_KEY: &str = "key-of-kitchens";
 /// Key of the client account `stones`.
 pub const STONES_KEY: &str = "key-of-stones";
+/// Key of an operator.
+pub const OPERATOR_KEY: &str = "key-of-an-operator";
 /// Time after which a test that waits for a response fails.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Backend that returns every prompt as the answer and has the decision record `decided` of
 /// `kitchens`. Answers of the models `torn` and `panicking` end without [`CompletionEvent::End`], the
-/// latter by a panic; those of `failing` end with [`CompletionEvent::Failed`].
+/// latter by a panic; those of `failing` end with [`CompletionEvent::Failed`]. A call to a service without a
+/// body is answered with its path.
 #[derive(Clone)]
 pub struct EchoBackend;
 
 impl Backend for EchoBackend {
     fn caller(&self, key_digest: &str) -> Option<Caller> {
+        if digest_of(OPERATOR_KEY) == key_digest {
+            return Some(Caller::Operator);
+        }
         let accounts = [(KITCHENS_KEY, "kitchens"), (STONES_KEY, "stones")];
         accounts
             .iter()
@@ -65,9 +71,10 @@
     }
 
     async fn call_service(&self, job: ServiceJob) -> Result<ServiceResponse, Refusal> {
+        let is_empty = job.body.is_empty();
         Ok(ServiceResponse {
             status: 200,
-            body: job.body,
+            body: if is_empty { job.path.into() } else { job.body },
             ..ServiceResponse::default()
         })
     }
--- a/crates/operator/src/operator_route.rs
+++ b/crates/operator/src/operator_route.rs
@@ -3,6 +3,8 @@
 use {
     catalog::{InvalidField, ObjectKind},
     gateway::{OperatorRequest, Refusal, RefusalKind},
+    percent_encoding::percent_decode_str,
+    std::borrow::Cow,
 };
 
 /// Operation that a request asks for.
@@ -33,7 +35,9 @@
     ///
     /// Returns a [`Refusal`] if no operation has this method and path.
     pub fn parse(request: &OperatorRequest) -> Result<Self, Refusal> {
-        let segments: Vec<&str> = request.path.split('/').skip(1).collect();
+        let segments = request.path.split('/').skip(1).map(decode_segment);
+        let segments: Vec<Cow<'_, str>> = segments.collect::<Result<_, Refusal>>()?;
+        let segments: Vec<&str> = segments.iter().map(Cow::as_ref).collect();
         match (request.method.as_str(), segments.as_slice()) {
             ("GET", ["status"]) => Ok(Self::Status),
             ("POST", ["apply"]) => Ok(Self::Apply),
@@ -57,6 +61,12 @@
     }
 }
 
+/// Decodes one segment of a path. A slash that it names by an escape is part of the segment.
+fn decode_segment(segment: &str) -> Result<Cow<'_, str>, Refusal> {
+    let decoded = percent_decode_str(segment).decode_utf8();
+    decoded.map_err(|_| no_such_operation())
+}
+
 fn parse_kind(text: &str) -> Result<ObjectKind, Refusal> {
     text.parse()
         .map_err(|error: InvalidField| Refusal::not_run(RefusalKind::NotFound, error.to_string()))
--- a/crates/operator/tests/operator_requests.rs
+++ b/crates/operator/tests/operator_requests.rs
@@ -101,6 +101,26 @@
         .await;
 }
 
+/// Guards against a name or a selector that is not found because it came escaped.
+#[tokio::test(start_paused = true)]
+async fn escaped_names_are_decoded() {
+    let api = start_api();
+    let changes = json!([{"put": with_kind(target("t1"))}, {"put": with_kind(target("t2"))}]);
+    api.expect(request("POST", "/apply", &changes), 200).await;
+    let statuses = [
+        ("/target/t%31", 200),
+        ("/target/t1%2Flabels", 404),
+        ("/target/t1%3Fx", 404),
+        ("/target/t1%FF", 404),
+    ];
+    for (path, status) in statuses {
+        api.expect(request("GET", path, &json!(null)), status).await;
+    }
+    let path = "/target?sel%65ctor=pool%3Dt2";
+    let listed = api.expect(request("GET", path, &json!(null)), 200).await;
+    assert_eq!(listed["objects"].as_array().expect("array").len(), 1);
+}
+
 fn with_kind(mut object: Value) -> Value {
     object["kind"] = json!("target");
     object
--- a/crates/rattan/src/cli/edit.rs
+++ b/crates/rattan/src/cli/edit.rs
@@ -6,6 +6,7 @@
         client::Call,
         options::{Delete, Drain, Label},
         output::{print, print_json, print_note},
+        paths,
         show::parse_kind,
     },
     hyper::Method,
@@ -20,11 +21,7 @@
     format: Output,
 ) -> Result<Exit, ClientError> {
     let changes = parse_changes(&options.changes)?;
-    let path = format!(
-        "/v1/operator/{}/{}/labels",
-        parse_kind(&options.kind)?,
-        options.name
-    );
+    let path = paths::labels(parse_kind(&options.kind)?, &options.name);
     let call = Call::new(Method::PATCH, path, json!(changes));
     let reply = client.call(&call).await?;
     report(&format!("labelled {}", options.name), &reply, format);
@@ -37,7 +34,7 @@
     options: &Drain,
     format: Output,
 ) -> Result<Exit, ClientError> {
-    let path = format!("/v1/operator/target/{}/drain", options.target);
+    let path = paths::drain(&options.target);
     let call = Call::new(Method::POST, path, json!({}));
     let reply = client.call(&call).await?;
     report(&format!("draining {}", options.target), &reply, format);
@@ -50,11 +47,7 @@
     options: &Delete,
     format: Output,
 ) -> Result<Exit, ClientError> {
-    let path = format!(
-        "/v1/operator/{}/{}",
-        parse_kind(&options.kind)?,
-        options.name
-    );
+    let path = paths::object(parse_kind(&options.kind)?, &options.name);
     let found = client.call(&Call::get(path.clone())).await?;
     let mut call = Call::new(Method::DELETE, path, Value::Null);
     call.if_match = found["revision"].as_u64();
--- a/crates/rattan/src/cli/mod.rs
+++ b/crates/rattan/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod key;
 mod options;
 mod output;
+mod paths;
 mod show;
 mod trace;
 
--- a/crates/rattan/src/cli/show.rs
+++ b/crates/rattan/src/cli/show.rs
@@ -6,6 +6,7 @@
         client::Call,
         options::{Explain, Get},
         output::{outline, print, print_json, print_note, table},
+        paths,
     },
     catalog::{Object, ObjectKind, Selector, TargetKind},
     configuration::VersionedObject,
@@ -25,8 +26,8 @@
     let kind = parse_kind(&options.kind)?;
     let selector = parse_selector(options.selector.as_deref())?;
     let path = match &options.name {
-        Some(name) => format!("/v1/operator/{kind}/{name}"),
-        None => format!("/v1/operator/{kind}?selector={selector}"),
+        Some(name) => paths::object(kind, name),
+        None => paths::list(kind, &selector),
     };
     let reply = client.call(&Call::get(path)).await?;
     note_stale_reply(&reply);
@@ -58,7 +59,7 @@
     options: &Explain,
     format: Output,
 ) -> Result<Exit, ClientError> {
-    let path = format!("/v1/operator/decisions/{}", options.request_id);
+    let path = paths::decision(&options.request_id);
     let reply = client.call(&Call::get(path)).await?;
     match (format, reply["explanation"].as_str()) {
         (Output::Human, Some(text)) => print(text),
--- a/crates/rattan/src/gateway_backend.rs
+++ b/crates/rattan/src/gateway_backend.rs
@@ -12,6 +12,7 @@
     },
     keyvalue::KeyValue,
     operator::OperatorApi,
+    percent_encoding::percent_decode_str,
     serde_json::json,
     serving::{PeerDirectory, RequestHandler},
     std::{
@@ -104,7 +105,8 @@
 
     async fn handle_operator_request(&self, call: OperatorRequest) -> OperatorResponse {
         if let Some(request) = call.path.strip_prefix(DECISION_PREFIX) {
-            return self.explain_request(&request.to_owned()).await;
+            let request = percent_decode_str(request).decode_utf8_lossy();
+            return self.explain_request(&request.into_owned()).await;
         }
         let mut answer = self.operator.handle(&call).await;
         if call.path == STATUS_PATH && answer.status == 200 {
--- a/crates/rattan/tests/cli_session.rs
+++ b/crates/rattan/tests/cli_session.rs
@@ -98,6 +98,28 @@
     run(&system, "delete placement_rule night", "", 4).await;
 }
 
+/// Guards against a command that reaches another object than the one that it names.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reserved_characters_are_part_of_a_name() {
+    let system = system().await;
+    let file = r#"{"kind": "placement_rule", "name": "night", "precedence": -1}"#;
+    run(&system, "apply -f -", file, 0).await;
+    for name in ["night#old", "night?old", "%6eight", "night/", "nächt"] {
+        run(&system, &format!("get placement_rule {name}"), "", 4).await;
+        run(&system, &format!("delete placement_rule {name}"), "", 4).await;
+    }
+    run(
+        &system,
+        "label placement_rule night/labels?x shift=late",
+        "",
+        4,
+    )
+    .await;
+    run(&system, "drain engine-0/drain?x", "", 4).await;
+    run(&system, "explain status?x", "", 4).await;
+    run(&system, "get placement_rule night", "", 0).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn file_is_applied_atomically() {
     let system = system().await;
