The query of a call reaches the plain service

Seen: POST /v1/services/cut-orders/create?dry_run=1 reached the service as /create: the call ran without what its query asked for.

Cause: only the path of the request was passed on.

Change: the query goes with the path, as the caller escaped it, and is part of what an idempotency key stands for. Which calls are idempotent depends on the path alone, as before.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -103,7 +103,8 @@
     pub client_account: ClientAccountId,
     /// Name of the plain service.
     pub service: String,
-    /// Path of the call at the service, with a leading slash.
+    /// Path of the call at the service, with a leading slash, and its query if it has one. Both are as the
+    /// caller escaped them.
     pub path: String,
     /// Content type of the body; empty for none.
     pub content_type: String,
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -126,7 +126,7 @@
         account: ClientAccountId,
     ) -> Result<HttpResponse, Refusal> {
         let body = read_body(body, &self.settings).await?;
-        let job = service::parse_job(head.uri.path(), &head.headers, id.clone(), account, body)?;
+        let job = service::parse_job(&head.uri, &head.headers, id.clone(), account, body)?;
         let response = self.backend.call_service(job).await?;
         Ok(service::http_response(response))
     }
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -6,7 +6,10 @@
     },
     bytes::Bytes,
     catalog::{ClientAccountId, RequestId},
-    hyper::header::{HeaderMap, HeaderValue},
+    hyper::{
+        Uri,
+        header::{HeaderMap, HeaderValue},
+    },
 };
 
 /// Path prefix of calls to plain services.
@@ -15,15 +18,15 @@
 /// Largest idempotency key in bytes.
 const MAX_KEY_BYTES: usize = 255;
 
-/// Parses a request into a job for the backend. `path` is the path of the request.
+/// Parses a request into a job for the backend. `uri` is that of the request.
 pub(crate) fn parse_job(
-    path: &str,
+    uri: &Uri,
     headers: &HeaderMap,
     request: RequestId,
     client_account: ClientAccountId,
     body: Bytes,
 ) -> Result<ServiceJob, Refusal> {
-    let rest = path.strip_prefix(PREFIX).unwrap_or_default();
+    let rest = uri.path().strip_prefix(PREFIX).unwrap_or_default();
     let (service, call) = rest.split_once('/').unwrap_or((rest, ""));
     if service.is_empty() || call.is_empty() {
         return Err(Refusal::not_run(
@@ -31,11 +34,12 @@
             "the path names no call; use /v1/services/SERVICE/CALL",
         ));
     }
+    let query = uri.query().map(|query| format!("?{query}"));
     Ok(ServiceJob {
         request,
         client_account,
         service: service.to_owned(),
-        path: format!("/{call}"),
+        path: format!("/{call}{}", query.unwrap_or_default()),
         content_type: crate::request_reader::header_text(headers, "content-type")
             .unwrap_or_default(),
         body,
--- a/crates/gateway/tests/request_heads.rs
+++ b/crates/gateway/tests/request_heads.rs
@@ -7,6 +7,19 @@
     support::{KITCHENS_KEY, exchange, request, start},
 };
 
+/// Guards against a call that runs without what its query asks for.
+#[tokio::test]
+async fn query_reaches_the_service() {
+    let (address, _) = start(GatewaySettings::default()).await;
+    let path = "/v1/services/cut-orders/create?dry_run=1&note=a%20b";
+    let request_text = request("POST", path, KITCHENS_KEY, "");
+    let response = exchange(address, request_text.as_bytes()).await;
+    assert!(
+        response.ends_with("/create?dry_run=1&note=a%20b"),
+        "{response}"
+    );
+}
+
 /// Guards against a decision that is not found because its id came escaped.
 #[tokio::test]
 async fn escaped_request_ids_are_decoded() {
--- a/crates/serving/src/service_call.rs
+++ b/crates/serving/src/service_call.rs
@@ -292,8 +292,9 @@
         .collect()
 }
 
-/// Whether the target lists the call as idempotent.
+/// Whether the target lists the call as idempotent. `path` may have a query, which makes no difference.
 fn is_idempotent(target: &Target, path: &str) -> bool {
+    let path = path.split_once('?').map_or(path, |(path, _)| path);
     target
         .calls
         .iter()
--- a/crates/serving/tests/unframed_services.rs
+++ b/crates/serving/tests/unframed_services.rs
@@ -136,3 +136,13 @@
     let is_explained = |step: &Step| matches!(step, Step::Attempt { outcome: Outcome::Unknown, error, .. } if error.contains(REMEDY));
     assert!(steps.iter().any(is_explained), "{steps:?}");
 }
+
+/// Guards against a call that needs a key only because it has a query.
+#[tokio::test]
+async fn queries_leave_a_call_idempotent() {
+    let system = System::start().await;
+    let refusal = system.call("/status?job=4711", None).await.unwrap_err();
+    assert_may_have_run(&refusal);
+    let refusal = system.call("/status/?job=4711", None).await.unwrap_err();
+    assert_eq!(refusal.kind, RefusalKind::Invalid, "{refusal}");
+}
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -18,7 +18,7 @@
 /// A call to a plain service.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ServiceRequest {
-    /// Path at the service, with a leading slash.
+    /// Path at the service, with a leading slash, and query if there is one.
     pub path: String,
     /// Body that the caller sent.
     pub body: Bytes,
