Unreadable conditions and ids of a change refuse it

Seen: a change whose x-change-id, If-Match or If-None-Match held other bytes than visible ASCII was treated as one without that header: sent again after a lost answer, it was another change.

Cause: a header that can't be read counted as missing.

Change: such a change is refused with 400, not run.

--- a/crates/gateway/src/request_reader.rs
+++ b/crates/gateway/src/request_reader.rs
@@ -46,3 +46,16 @@
     let value = headers.get(name)?.to_str().ok()?;
     Some(value.to_owned())
 }
+
+/// Returns the text of a header; `None` if it is missing. Fails if it is not visible ASCII, since the request
+/// would mean something else without it.
+pub(crate) fn readable_header(headers: &HeaderMap, name: &str) -> Result<Option<String>, Refusal> {
+    let text = header_text(headers, name);
+    if text.is_none() && headers.contains_key(name) {
+        return Err(Refusal::not_run(
+            RefusalKind::Invalid,
+            format!("{name}: use visible ASCII characters"),
+        ));
+    }
+    Ok(text)
+}
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -6,7 +6,7 @@
         RefusalKind,
         completion::ResponseFormatter,
         keys,
-        request_reader::{header_text, read_body},
+        request_reader::{read_body, readable_header},
         respond::{self, HttpResponse},
         service,
     },
@@ -162,15 +162,18 @@
                 "this request needs an operator's key; send one",
             ));
         }
+        let if_match = readable_header(&head.headers, "if-match")?;
+        let if_none_match = readable_header(&head.headers, "if-none-match")?;
+        let change_id = readable_header(&head.headers, "x-change-id")?;
         let body = read_body(body, &self.settings).await?;
         let path = head.uri.path();
         let request = OperatorRequest {
             method: head.method.as_str().to_owned(),
             path: path[OPERATOR_PREFIX.len()..].to_owned(),
             query: head.uri.query().unwrap_or_default().to_owned(),
-            if_match: header_text(&head.headers, "if-match"),
-            if_none_match: header_text(&head.headers, "if-none-match"),
-            change_id: header_text(&head.headers, "x-change-id"),
+            if_match,
+            if_none_match,
+            change_id,
             body,
         };
         let response = self.backend.handle_operator_request(request).await;
