Fencing tokens of the own deployment rise though etcd forgets

After etcd had come back from an older copy, an instance that had just started gave orders with a lower token than the holder before: 201, then 1. Targets that check refused each until the revisions had caught up.

Change: next_token and its record move from entry to a crate of their own, fencing, which orders uses too. The highest token of each target is kept at the service without a lease, written in the transaction that creates the holder's key, and on condition that it is unchanged; a kept one that can't be used is replaced. A token that a target names in a refusal counts too. The key is deleted on condition of its last change, which is the holder's own write, in place of its creation.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,7 +24,6 @@
 mod counted_key_value;
 mod directory;
 mod drain;
-pub mod fencing;
 mod follower;
 mod follower_instance;
 mod follower_pace;
@@ -74,7 +73,7 @@
     aggregator_choice::AggregatorChoice,
     aggregators::{Aggregator, Aggregators, MIN_INSTANCES_COUNT},
     caller_addresses::AddressQuery,
-    fencing::{FencingRecord, FencingToken},
+    fencing::{self, FencingRecord, FencingToken},
     follower_instance::FollowerInstance,
     follower_pace::{FollowerPace, MAX_STARTED_COUNT, START_PERIOD},
     item::{
--- a/crates/entry/src/fencing.rs
+++ b/crates/fencing/src/lib.rs
@@ -3,6 +3,17 @@
 //! The key-value service keeps the highest token, in the same transaction in which the lock is acquired. It can
 //! lose that, if it comes back from an older copy. So a token is never lower than the time of day, and
 //! instances that have lived through the loss tell the others the highest token that they know.
+//!
+//! ```
+//! use {fencing::next_token, keyvalue::Incarnation, std::time::Duration};
+//!
+//! let time_of_day = Duration::from_millis(7_000);
+//! let first = next_token(0, &Incarnation::default(), time_of_day);
+//! assert_eq!(first, 7_000);
+//! // The clock of the next holder is behind.
+//! let second = next_token(first, &Incarnation::default(), Duration::ZERO);
+//! assert_eq!(second, 7_001);
+//! ```
 
 use {
     keyvalue::Incarnation,
@@ -42,13 +53,15 @@
     above_known.max(now_ms).max(above_revisions).min(MAX_TOKEN)
 }
 
-/// Whether a token that another instance or the service names can have been given to a holder.
-pub(crate) fn is_valid(token: FencingToken) -> bool {
+/// Whether a token that another instance, the service or a target names can have been given to a holder.
+#[must_use]
+pub fn is_valid(token: FencingToken) -> bool {
     token < MAX_TOKEN
 }
 
 /// Time since the Unix epoch.
-pub(crate) fn time_of_day() -> Duration {
+#[must_use]
+pub fn time_of_day() -> Duration {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     since_epoch.unwrap_or_default()
 }
--- a/crates/orders/src/holder_record.rs
+++ b/crates/orders/src/holder_record.rs
@@ -3,6 +3,7 @@
 use {
     bytes::Bytes,
     catalog::{InstanceId, TargetId},
+    fencing::FencingToken,
     keyvalue::{KvPair, LeaseId},
     serde::{Deserialize, Serialize},
 };
@@ -17,6 +18,9 @@
     pub(crate) instance: InstanceId,
     /// Lease to which the key is bound.
     pub(crate) lease: LeaseId,
+    /// Fencing token of the holder; 0 in records of builds that took the revision for it.
+    #[serde(default)]
+    pub(crate) fencing: FencingToken,
 }
 
 impl HolderRecord {
--- a/crates/orders/src/lease_holder.rs
+++ b/crates/orders/src/lease_holder.rs
@@ -1,8 +1,12 @@
 //! Leases on targets, which decide which instance may give orders to a target.
 
 use {
-    crate::holder_record::{HolderRecord, holder_key},
+    crate::{
+        holder_record::{HolderRecord, holder_key},
+        kept_token::{KeptToken, encode_token, fencing_key},
+    },
     catalog::{InstanceId, Revision, TargetId},
+    fencing::FencingToken,
     keyvalue::{Compare, KeyValue, KvError, KvPair, LeaseId, Op, Txn, TxnOutcome},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -13,6 +17,9 @@
 
 /// Number of target keys that one transaction creates or deletes.
 const MAX_KEYS_PER_TXN: usize = 64;
+/// Attempts to create a target's key in one call of [`LeaseHolder::sync`]. The first one may show a higher
+/// fencing token than this instance knows.
+const CREATE_ATTEMPTS_COUNT: usize = 2;
 
 /// Settings of a [`LeaseHolder`].
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -59,7 +66,9 @@
 /// A target that this instance holds.
 #[derive(Clone, Copy, Debug)]
 struct HeldTarget {
-    fencing_token: Revision,
+    fencing_token: FencingToken,
+    /// Revision at which this instance wrote the target's key.
+    revision: Revision,
     /// When orders may begin to a target that does not check fencing tokens.
     may_order_from: Instant,
 }
@@ -68,7 +77,7 @@
 /// instance.
 ///
 /// To hold a target is to have created its key in the key-value service. The key is created only if
-/// it is absent, and the revision of its creation is the fencing token. The holder relies only on
+/// it is absent, together with a fencing token above all that are known. The holder relies only on
 /// its own monotonic clock: it stops `margin` before its lease can expire, counted from the moment
 /// before the last renewal was sent. A new holder waits `ttl + margin` before it gives orders to a
 /// target that does not check fencing tokens: the previous holder may still rely on its lease, and
@@ -79,6 +88,8 @@
     settings: LeaseHolderSettings,
     lease: Option<GrantedLease>,
     held: BTreeMap<TargetId, HeldTarget>,
+    /// What is known of the highest fencing token of each target.
+    kept_tokens: BTreeMap<TargetId, KeptToken>,
     /// Targets for which it is unknown whether the key was created.
     unconfirmed: BTreeSet<TargetId>,
     /// Targets that are no longer wanted, or refused the fencing token, but whose key may still exist.
@@ -97,6 +108,7 @@
             settings,
             lease: None,
             held: BTreeMap::new(),
+            kept_tokens: BTreeMap::new(),
             unconfirmed: BTreeSet::new(),
             releasing: BTreeMap::new(),
         }
@@ -149,13 +161,17 @@
         let Some(lease) = self.lease else {
             return Ok(());
         };
-        let missing: Vec<TargetId> = wanted
+        let mut missing: Vec<TargetId> = wanted
             .iter()
             .filter(|target| !self.held.contains_key(*target))
             .cloned()
             .collect();
-        for group in missing.chunks(MAX_KEYS_PER_TXN) {
-            self.create_keys(lease, group).await?;
+        for _ in 0..CREATE_ATTEMPTS_COUNT {
+            let mut free = Vec::new();
+            for group in missing.chunks(MAX_KEYS_PER_TXN) {
+                free.extend(self.create_keys(lease, group).await?);
+            }
+            missing = free;
         }
         Ok(())
     }
@@ -163,7 +179,7 @@
     /// Returns the fencing token for an order that is sent now, or `None` if this instance may not
     /// give orders to the target. Call it immediately before each order.
     #[must_use]
-    pub fn fencing_token(&self, target: &TargetId, checks_fencing: bool) -> Option<Revision> {
+    pub fn fencing_token(&self, target: &TargetId, checks_fencing: bool) -> Option<FencingToken> {
         let now = Instant::now();
         if self.lease.is_none_or(|lease| now >= lease.stop_at) {
             return None;
@@ -173,11 +189,12 @@
         may_order.then_some(held.fencing_token)
     }
 
-    /// Drops a target that refused this instance's fencing token as stale. Its key is deleted, so that
-    /// whoever holds the target next has a higher token.
-    pub fn mark_lost(&mut self, target: &TargetId) {
+    /// Drops a target that refused this instance's fencing token as stale, since it has seen `newest`. Its
+    /// key is deleted, so that whoever holds the target next has a higher token.
+    pub fn mark_lost(&mut self, target: &TargetId, newest: FencingToken) {
+        self.kept_token(target).note(newest);
         if let Some(held) = self.held.remove(target) {
-            self.releasing.insert(target.clone(), held.fencing_token);
+            self.releasing.insert(target.clone(), held.revision);
         }
     }
 
@@ -222,6 +239,10 @@
         }
     }
 
+    fn kept_token(&mut self, target: &TargetId) -> &mut KeptToken {
+        self.kept_tokens.entry(target.clone()).or_default()
+    }
+
     /// Forgets the lease and all targets, without a call to the service.
     fn clear(&mut self) {
         self.lease = None;
@@ -236,7 +257,7 @@
         self.held.retain(|target, held| {
             let keep = wanted.contains(target);
             if !keep {
-                releasing.insert(target.clone(), held.fencing_token);
+                releasing.insert(target.clone(), held.revision);
             }
             keep
         });
@@ -249,7 +270,7 @@
         for group in releasing.chunks(MAX_KEYS_PER_TXN) {
             let deletes = group
                 .iter()
-                .map(|(target, fencing_token)| delete_txn(target, *fencing_token));
+                .map(|(target, revision)| delete_txn(target, *revision));
             self.kv.txn(combined_txn(deletes)).await?;
             for (target, _) in group {
                 self.releasing.remove(target);
@@ -259,18 +280,23 @@
     }
 
     /// Creates the keys of `group` under `lease` where they are absent. If the answer is lost, the
-    /// targets count as unconfirmed.
+    /// targets count as unconfirmed. Returns the targets that no instance holds although their key was not
+    /// created, since another fencing token is kept than this instance knew.
     async fn create_keys(
         &mut self,
         lease: GrantedLease,
         group: &[TargetId],
-    ) -> Result<(), KvError> {
-        let record = HolderRecord {
-            instance: self.settings.instance.clone(),
-            lease: lease.id,
-        };
-        let creates = group.iter().map(|target| create_txn(target, &record));
-        let outcome = match self.kv.txn(combined_txn(creates)).await {
+    ) -> Result<Vec<TargetId>, KvError> {
+        let tokens: Vec<FencingToken> = group
+            .iter()
+            .map(|target| self.kept_token(target).next_token())
+            .collect();
+        let creates = group
+            .iter()
+            .zip(&tokens)
+            .map(|(target, token)| self.create_txn(target, lease.id, *token));
+        let create = combined_txn(creates);
+        let outcome = match self.kv.txn(create).await {
             Ok(outcome) => outcome,
             Err(error) => {
                 if matches!(error, KvError::Unknown { .. }) {
@@ -279,55 +305,87 @@
                 return Err(error);
             }
         };
-        for (target, nested) in group.iter().zip(&outcome.nested) {
-            self.record_creation(target, nested, lease);
+        let mut free = Vec::new();
+        for ((target, token), nested) in group.iter().zip(tokens).zip(&outcome.nested) {
+            self.unconfirmed.remove(target);
+            if nested.succeeded {
+                self.kept_token(target).set_written(token, nested.revision);
+                self.record_held(target, token, nested.revision, lease);
+            } else if self.note_current(target, nested, lease) {
+                free.push(target.clone());
+            }
         }
-        Ok(())
+        Ok(free)
     }
 
-    /// Records a target as held if its key was created now, or earlier under the same lease.
-    fn record_creation(&mut self, target: &TargetId, outcome: &TxnOutcome, lease: GrantedLease) {
-        self.unconfirmed.remove(target);
-        let fencing_token = if outcome.succeeded {
-            Some(outcome.revision)
-        } else {
-            outcome
-                .pairs
-                .first()
-                .and_then(|pair| own_fencing_token(pair, lease.id))
+    /// Creates a target's key if it is absent and the kept fencing token is as known, and otherwise reads both.
+    fn create_txn(&mut self, target: &TargetId, lease: LeaseId, token: FencingToken) -> Txn {
+        let record = HolderRecord {
+            instance: self.settings.instance.clone(),
+            lease,
+            fencing: token,
         };
-        if let Some(fencing_token) = fencing_token {
-            let may_order_from = Instant::now() + lease.ttl + self.settings.margin;
-            let held = HeldTarget {
-                fencing_token,
-                may_order_from,
-            };
-            self.held.insert(target.clone(), held);
+        let holder_key = holder_key(target);
+        let fencing_key = fencing_key(target);
+        Txn {
+            compares: vec![
+                Compare::Absent(holder_key.clone()),
+                self.kept_token(target).unchanged(target),
+            ],
+            success: vec![
+                Op::Put(holder_key.clone(), record.encode(), Some(lease)),
+                Op::Put(fencing_key.clone(), encode_token(token), None),
+            ],
+            failure: vec![Op::Get(holder_key), Op::Get(fencing_key)],
         }
     }
-}
 
-/// Returns the fencing token of a target's key if the key was created under `lease`.
-fn own_fencing_token(pair: &KvPair, lease: LeaseId) -> Option<Revision> {
-    let record = HolderRecord::parse(pair)?;
-    (record.lease == lease).then_some(pair.create_revision)
-}
+    /// Takes over what the service has of a target whose key was not created now. It may have been created
+    /// earlier under the same lease. Returns whether no instance holds the target.
+    fn note_current(
+        &mut self,
+        target: &TargetId,
+        outcome: &TxnOutcome,
+        lease: GrantedLease,
+    ) -> bool {
+        let find = |key: String| outcome.pairs.iter().find(|pair| pair.key == key);
+        let holder = find(holder_key(target));
+        self.kept_token(target)
+            .set_record(find(fencing_key(target)));
+        if let Some((pair, record)) = holder.and_then(|pair| own_record(pair, lease.id)) {
+            self.record_held(target, record.fencing, pair.mod_revision, lease);
+        }
+        holder.is_none()
+    }
 
-/// Creates a target's key if it is absent, and otherwise reads it.
-fn create_txn(target: &TargetId, record: &HolderRecord) -> Txn {
-    let key = holder_key(target);
-    Txn {
-        compares: vec![Compare::Absent(key.clone())],
-        success: vec![Op::Put(key.clone(), record.encode(), Some(record.lease))],
-        failure: vec![Op::Get(key)],
+    /// Records a target as held.
+    fn record_held(
+        &mut self,
+        target: &TargetId,
+        fencing_token: FencingToken,
+        revision: Revision,
+        lease: GrantedLease,
+    ) {
+        let held = HeldTarget {
+            fencing_token,
+            revision,
+            may_order_from: Instant::now() + lease.ttl + self.settings.margin,
+        };
+        self.held.insert(target.clone(), held);
     }
 }
 
-/// Deletes a target's key unless another holder has created it anew.
-fn delete_txn(target: &TargetId, fencing_token: Revision) -> Txn {
+/// Returns the record of a target's key if it was written under `lease`.
+fn own_record(pair: &KvPair, lease: LeaseId) -> Option<(&KvPair, HolderRecord)> {
+    let record = HolderRecord::parse(pair)?;
+    (record.lease == lease).then_some((pair, record))
+}
+
+/// Deletes a target's key unless another holder has written it since `revision`.
+fn delete_txn(target: &TargetId, revision: Revision) -> Txn {
     let key = holder_key(target);
     Txn {
-        compares: vec![Compare::CreateRevision(key.clone(), fencing_token)],
+        compares: vec![Compare::ModRevision(key.clone(), revision)],
         success: vec![Op::Delete(key)],
         ..Txn::default()
     }
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod candidates;
 mod holder_record;
+mod kept_token;
 mod lease_holder;
 mod load_slots;
 mod order;
--- a/crates/orders/src/reconciler.rs
+++ b/crates/orders/src/reconciler.rs
@@ -6,6 +6,7 @@
         PlannedOrder, TargetControl, load_slots::LoadSlots, plan,
     },
     catalog::{Catalog, Revision, Target, TargetId, TargetKind},
+    fencing::FencingToken,
     futures::future::join_all,
     keyvalue::{KeyValue, KvError},
     std::{
@@ -51,7 +52,7 @@
     /// The order and its target.
     pub planned: PlannedOrder,
     /// Fencing token that was sent with the order.
-    pub fencing_token: Revision,
+    pub fencing_token: FencingToken,
     /// The target's answer.
     pub result: Result<(), OrderError>,
 }
@@ -270,9 +271,9 @@
         match result {
             Ok(()) | Err(OrderError::NoAnswer { .. }) => {}
             Err(OrderError::Refused { .. }) => self.remove_load(target),
-            Err(OrderError::StaleFencing { .. }) => {
+            Err(OrderError::StaleFencing { newest }) => {
                 self.remove_load(target);
-                self.holder.mark_lost(target);
+                self.holder.mark_lost(target, *newest);
             }
         }
     }
--- a/crates/orders/src/target_control.rs
+++ b/crates/orders/src/target_control.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{ObservedState, Order},
-    catalog::{Revision, Target},
+    catalog::Target,
+    fencing::FencingToken,
     snafu::Snafu,
     std::future::Future,
 };
@@ -18,7 +19,7 @@
     ))]
     StaleFencing {
         /// Highest fencing token that the target has seen.
-        newest: Revision,
+        newest: FencingToken,
     },
     /// The target refused the order and did nothing.
     #[snafu(display("target refused the order: {reason}; check that it knows the version"))]
@@ -47,7 +48,7 @@
     fn order(
         &self,
         target: &Target,
-        fencing_token: Revision,
+        fencing_token: FencingToken,
         order: &Order,
     ) -> impl Future<Output = Result<(), OrderError>> + Send;
 }
