The listing of a store goes on after any key, and ends

A page that named itself as the next was read for ever.

Cause: keys were written into paths and queries as they were, and nothing checked that a page moves on. The stand-ins did not decode queries and paths, which hid it.

Change: keys are escaped (percent-encoding); a next page that is not after this one is an error. The stand-ins decode queries as a form, and keys, runs and names in paths.

--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -15,8 +15,8 @@
 pub(super) async fn answer(engine: Arc<Engine>, request: Request<Incoming>) -> Answer {
     let path = request.uri().path().to_owned();
     let method = request.method().clone();
-    if let Some(id) = path.strip_prefix("/v1/runs/") {
-        return engine.answer_run(&request, id).await;
+    if let Some(id) = http::path_rest(&request, "/v1/runs/") {
+        return engine.answer_run(&request, &id).await;
     }
     match (method, path.as_str()) {
         (Method::POST, "/v1/completions") => engine.answer_completion(request).await,
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -9,6 +9,7 @@
         body::{Frame, Incoming},
         header::CONTENT_TYPE,
     },
+    percent_encoding::percent_decode_str,
     serde::{Serialize, de::DeserializeOwned},
     serde_json::json,
     snafu::Snafu,
@@ -126,18 +127,20 @@
     }
 }
 
-/// Query parameters by name. Values are not percent-decoded.
+/// Query parameters by name, decoded as a form.
 pub(crate) fn query(request: &Request<Incoming>) -> HashMap<String, String> {
-    request
-        .uri()
-        .query()
-        .unwrap_or_default()
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+    let query = request.uri().query().unwrap_or_default();
+    form_urlencoded::parse(query.as_bytes())
+        .into_owned()
         .collect()
 }
 
+/// The rest of a path after `prefix`, decoded; `None` if the path does not begin with it.
+pub(crate) fn path_rest(request: &Request<Incoming>, prefix: &str) -> Option<String> {
+    let rest = request.uri().path().strip_prefix(prefix)?;
+    Some(percent_decode_str(rest).decode_utf8_lossy().into_owned())
+}
+
 /// Value of a header, or an empty string if it is missing or not text.
 pub(crate) fn header(request: &Request<Incoming>, name: &str) -> String {
     request
--- a/crates/standin/src/instances.rs
+++ b/crates/standin/src/instances.rs
@@ -129,7 +129,7 @@
         if path == "/instances" {
             return http::ok(&self.shown());
         }
-        let Some(name) = path.strip_prefix("/instances/") else {
+        let Some(name) = http::path_rest(&request, "/instances/") else {
             return http::not_found();
         };
         match method {
@@ -138,9 +138,9 @@
                     Ok(entry) => entry,
                     Err(refused) => return Ok(refused),
                 };
-                self.change(name, Some(entry));
+                self.change(&name, Some(entry));
             }
-            Method::DELETE => self.change(name, None),
+            Method::DELETE => self.change(&name, None),
             _ => return http::not_found(),
         }
         http::empty(StatusCode::OK)
--- a/crates/standin/src/store/api.rs
+++ b/crates/standin/src/store/api.rs
@@ -24,11 +24,11 @@
 pub(super) async fn answer(store: Arc<Store>, request: Request<Incoming>) -> Answer {
     let path = request.uri().path().to_owned();
     let parameters = query(&request);
-    if let Some(key) = path.strip_prefix("/v1/blocks/") {
+    if let Some(key) = http::path_rest(&request, "/v1/blocks/") {
         return match *request.method() {
-            Method::PUT => store.answer_write(key, &parameters, request).await,
-            Method::GET => store.answer_read(key, &parameters).await,
-            Method::DELETE => store.answer_free(key, &parameters),
+            Method::PUT => store.answer_write(&key, &parameters, request).await,
+            Method::GET => store.answer_read(&key, &parameters).await,
+            Method::DELETE => store.answer_free(&key, &parameters),
             _ => http::not_found(),
         };
     }
--- a/crates/target/src/store.rs
+++ b/crates/target/src/store.rs
@@ -4,6 +4,7 @@
     crate::{Client, Reuse, SendError, request},
     catalog::ClientAccountId,
     hyper::{Method, StatusCode},
+    percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
 };
@@ -12,6 +13,12 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Blocks requested per page.
 const PAGE_BLOCK_COUNT: usize = 1_000;
+/// Bytes that are escaped in a key. The others mean themselves both in a URI and in a form.
+const ESCAPED_BYTES: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
 
 /// A block at a store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -74,6 +81,7 @@
     /// # Errors
     /// Any [`SendError`].
     pub async fn free(&self, key: &str, generation: u64) -> Result<(), SendError> {
+        let key = escape(key);
         let path = format!("/v1/blocks/{key}?generation={generation}");
         let request = request::without_body(Method::DELETE, &path, self.address);
         let mut reply = self
@@ -90,10 +98,20 @@
     /// Reads one page of the store's blocks, after the key `after` (empty for the first page).
     ///
     /// # Errors
-    /// Any [`SendError`].
+    /// Any [`SendError`], also if the next page would not be after this one, so that reading on would not
+    /// end.
     pub async fn blocks(&self, after: &str) -> Result<StoreBlocks, SendError> {
-        let path = format!("/v1/blocks?after={after}&limit={PAGE_BLOCK_COUNT}");
-        self.get(&path).await
+        let escaped = escape(after);
+        let path = format!("/v1/blocks?after={escaped}&limit={PAGE_BLOCK_COUNT}");
+        let page: StoreBlocks = self.get(&path).await?;
+        if page.next.as_deref().is_some_and(|next| next <= after) {
+            return Err(SendError::Failed {
+                address: self.address,
+                status: StatusCode::OK.as_u16(),
+                reason: format!("the list does not go on after {after:?}; check the store"),
+            });
+        }
+        Ok(page)
     }
 
     /// Reads the store's storage and link usage.
@@ -119,3 +137,7 @@
         sent?.json(CONTROL_TIMEOUT).await
     }
 }
+
+fn escape(key: &str) -> String {
+    utf8_percent_encode(key, ESCAPED_BYTES).to_string()
+}
