An unreadable entry of an engine or a store leaves the others

Cause: the answers were parsed as a whole.

Change: each entry is parsed by itself.

Not run: a daemon before an engine that serves such an event.

--- a/crates/rattan/src/control/engine_watch.rs
+++ b/crates/rattan/src/control/engine_watch.rs
@@ -66,23 +66,28 @@
     async fn read_events(&self, engine: &EngineClient, after: u64) -> Result<u64, SendError> {
         let events = engine.cache_events(after).await?;
         let was_restarted = events.last_seq < after;
-        if was_restarted || !self.apply(&events, after) {
-            return self.resync(engine).await;
+        if !was_restarted && self.apply(&events, after) {
+            let last_event = events.events.last();
+            return Ok(last_event.map_or(after, |event| event.seq.max(after)));
         }
-        Ok(events
-            .events
-            .last()
-            .map_or(after, |event| event.seq.max(after)))
+        if has_unreadable(&events) {
+            // The engine answers with the same events at once until its content includes them.
+            self.directory.lock().mark_uncertain(self.view.name());
+            sleep(RETRY_DELAY).await;
+        }
+        self.resync(engine).await
     }
 
-    /// Applies the events; returns whether they follow `after` without a gap.
+    /// Applies the events; returns whether they follow `after` without a gap. One that can't be read is a gap,
+    /// since it may have removed a block.
     fn apply(&self, events: &CacheEvents, after: u64) -> bool {
         let parsed: Vec<CacheEvent> = events.events.iter().filter_map(parse_event).collect();
         let now = self.directory.now();
         let mut directory = self.directory.lock();
         let applied = directory.apply_events(self.view.name(), after, &parsed, now);
         drop(directory);
-        let has_gap = matches!(applied, ApplyOutcome::Gap { .. }) || events.oldest_seq > after + 1;
+        let is_incomplete = matches!(applied, ApplyOutcome::Gap { .. }) || has_unreadable(events);
+        let has_gap = is_incomplete || events.oldest_seq > after + 1;
         if has_gap {
             log::info!(
                 "cache events of {} have a gap after {after}; reading its whole cache again",
@@ -111,6 +116,15 @@
     }
 }
 
+/// Whether some of the events, or the keys that they name, can't be read.
+fn has_unreadable(events: &CacheEvents) -> bool {
+    events.unreadable_count > 0
+        || events
+            .events
+            .iter()
+            .any(|event| parse_event(event).is_none())
+}
+
 fn parse_event(event: &target::CacheEvent) -> Option<CacheEvent> {
     Some(CacheEvent {
         seq: event.seq,
--- a/crates/target/src/engine_wire.rs
+++ b/crates/target/src/engine_wire.rs
@@ -1,6 +1,7 @@
 //! Request and response bodies of the engine protocol, as `docs/PROTOCOLS.md` specifies them.
 
 use {
+    crate::readable_entries::{ReadableEntries, deserialize_readable},
     catalog::{ClientAccountId, RequestId, VersionDigest},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -129,16 +130,37 @@
 }
 
 /// Cache events after a sequence number.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(from = "RawCacheEvents")]
 pub struct CacheEvents {
     /// Events in order.
     pub events: Vec<CacheEvent>,
+    /// Number of further events that can't be read. Each may have removed a block.
+    pub unreadable_count: usize,
     /// Sequence number of the oldest event that the engine still keeps.
     pub oldest_seq: u64,
     /// Sequence number of the newest event that the engine has published.
     pub last_seq: u64,
 }
 
+#[derive(Debug, Deserialize)]
+struct RawCacheEvents {
+    events: ReadableEntries<CacheEvent>,
+    oldest_seq: u64,
+    last_seq: u64,
+}
+
+impl From<RawCacheEvents> for CacheEvents {
+    fn from(raw: RawCacheEvents) -> Self {
+        Self {
+            events: raw.events.entries,
+            unreadable_count: raw.events.unreadable_count,
+            oldest_seq: raw.oldest_seq,
+            last_seq: raw.last_seq,
+        }
+    }
+}
+
 /// One block in engine memory.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CacheBlock {
@@ -154,7 +176,8 @@
 pub struct CacheBlocks {
     /// Sequence number of the last event that `blocks` includes.
     pub last_seq: u64,
-    /// Blocks in engine memory.
+    /// Blocks in engine memory, without those that can't be read.
+    #[serde(deserialize_with = "deserialize_readable")]
     pub blocks: Vec<CacheBlock>,
 }
 
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -33,6 +33,7 @@
 mod exchange_progress;
 mod incarnation;
 mod open_witness;
+mod readable_entries;
 mod reply;
 mod request;
 mod service;
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -385,7 +385,9 @@
             return Err(self.into_error(body_timeout, None).await);
         }
         let body = self.delimited_body(body_timeout).await?;
-        serde_json::from_slice(&body).map_err(|error| SendError::Failed {
+        // Bytes that are no text are replaced, so that only the entries that hold them can't be used.
+        let text = String::from_utf8_lossy(&body);
+        serde_json::from_str(&text).map_err(|error| SendError::Failed {
             address: self.address,
             status: self.status().as_u16(),
             reason: format!("unreadable answer: {error}"),
--- a/crates/target/src/store.rs
+++ b/crates/target/src/store.rs
@@ -1,7 +1,7 @@
 //! Client of one store instance.
 
 use {
-    crate::{Client, Reuse, SendError, request},
+    crate::{Client, Reuse, SendError, readable_entries::deserialize_readable, request},
     catalog::ClientAccountId,
     hyper::{Method, StatusCode},
     percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode},
@@ -38,7 +38,8 @@
 /// One page of a store's content.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StoreBlocks {
-    /// Blocks in key order.
+    /// Blocks in key order, without those that can't be read.
+    #[serde(deserialize_with = "deserialize_readable")]
     pub blocks: Vec<StoreBlock>,
     /// Key to continue after for the next page; `None` on the last page.
     #[serde(default)]
--- a/crates/target/tests/unreadable_entries.rs
+++ b/crates/target/tests/unreadable_entries.rs
@@ -1,11 +1,11 @@
-//! Listings of stores.
+//! Listings and events of targets that hold keys and entries which can't be read.
 
 use {
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
     },
-    target::{Client, ClientSettings, StoreClient},
+    target::{Client, ClientSettings, EngineClient, StoreClient},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
@@ -51,6 +51,10 @@
         StoreClient::new(Client::new(ClientSettings::default()), self.address)
     }
 
+    fn engine(&self) -> EngineClient {
+        EngineClient::new(Client::new(ClientSettings::default()), self.address)
+    }
+
     fn requests(&self) -> Vec<String> {
         self.requests.lock().unwrap().clone()
     }
@@ -87,3 +91,32 @@
         assert!(page.is_err(), "{page:?}");
     }
 }
+
+/// Guards against a store or an engine whose content stays unknown because of one entry.
+#[tokio::test]
+async fn unreadable_entries_leave_the_others() {
+    let odd_entries: [&[u8]; 5] = [
+        b"null",
+        b"{}",
+        br#"{"key":7}"#,
+        br#"{"key":"\ud800"}"#,
+        b"{\"key\":\"\xff\"}",
+    ];
+    for odd in odd_entries {
+        let body = |head: &str, sound: &str| {
+            [head.as_bytes(), odd, b",", sound.as_bytes(), b"]}"].concat()
+        };
+        let event = r#"{"seq":3,"kind":"stored","key":"0a"}"#;
+        let bodies = vec![
+            body(r#"{"blocks":["#, SOUND_BLOCK),
+            body(r#"{"last_seq":3,"blocks":["#, SOUND_BLOCK),
+            body(r#"{"oldest_seq":1,"last_seq":3,"events":["#, event),
+        ];
+        let target = Target::start(bodies).await;
+        assert_eq!(target.store().blocks("").await.unwrap().blocks.len(), 1);
+        let engine = target.engine();
+        assert_eq!(engine.cache_blocks().await.unwrap().blocks.len(), 1);
+        let events = engine.cache_events(0).await.unwrap();
+        assert_eq!((events.events.len(), events.unreadable_count), (1, 1));
+    }
+}
