--- a/crates/keyvalue/src/etcd_responses.rs
+++ b/crates/keyvalue/src/etcd_responses.rs
@@ -148,7 +148,7 @@
     type Error = KvError;
 
     fn try_from(raw: RangeResponse) -> Result<Self, KvError> {
-        let pairs = raw.kvs.into_iter().map(decode_pair);
+        let pairs = raw.kvs.iter().map(decode_pair);
         let pairs = pairs.filter_map(Result::transpose);
         Ok(Self {
             pairs: pairs.collect::<Result<_, _>>()?,
@@ -196,7 +196,7 @@
         let carries_events = !self.events.is_empty();
         for event in self.events {
             last_revision = event.kv.mod_revision;
-            events.extend(decode_event(event)?);
+            events.extend(decode_event(&event)?);
         }
         let is_complete = !self.fragment && (carries_events || !self.created);
         if is_complete {
@@ -218,8 +218,8 @@
 }
 
 /// Converts an event; `None` if its key is no text.
-fn decode_event(raw: WatchEvent) -> Result<Option<Event>, KvError> {
-    let pair = decode_pair(raw.kv)?;
+fn decode_event(raw: &WatchEvent) -> Result<Option<Event>, KvError> {
+    let pair = decode_pair(&raw.kv)?;
     Ok(pair.map(|pair| match raw.kind {
         EventKind::Put => Event::Put(pair),
         EventKind::Delete => Event::Delete(pair.key, pair.mod_revision),
@@ -228,7 +228,7 @@
 
 /// Converts a pair; `None` if its key is no text. Other writers may use any bytes, keys of instances and
 /// operators are text.
-fn decode_pair(raw: KeyValuePair) -> Result<Option<KvPair>, KvError> {
+fn decode_pair(raw: &KeyValuePair) -> Result<Option<KvPair>, KvError> {
     let key = match String::from_utf8(decode_base64(&raw.key)?) {
         Ok(key) => key,
         Err(error) => {
--- a/crates/keyvalue/tests/instance_list.rs
+++ b/crates/keyvalue/tests/instance_list.rs
@@ -69,7 +69,7 @@
         for odd in odd_entries {
             let (mut stream, _) = listener.accept().await.unwrap();
             assert!(stream.read(&mut [0; 4096]).await.unwrap() > 0);
-            let sound = LIST[1..].as_bytes();
+            let sound = &LIST.as_bytes()[1..];
             let body = [b"[", odd, b",", sound].concat();
             let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: ";
             let head = format!("{head}{}\r\n\r\n", body.len());
