--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -6,12 +6,13 @@
         RefusalKind,
         completion::ResponseFormatter,
         keys,
-        request_reader::{header_text, read_body},
+        request_reader::{read_body, readable_header},
         respond::{self, HttpResponse},
         service,
     },
     catalog::{ClientAccountId, RequestId},
     hyper::{Method, Request, body::Incoming, header::HeaderValue, http::request::Parts},
+    percent_encoding::percent_decode_str,
     serde_json::json,
 };
 
@@ -68,7 +69,8 @@
             return self.operator(&caller, &head, body).await;
         }
         if let Some(wanted_id) = path.strip_prefix(DECISION_PREFIX) {
-            return self.decision(&caller, &wanted_id.to_owned()).await;
+            let wanted_id = percent_decode_str(wanted_id).decode_utf8_lossy();
+            return self.decision(&caller, &wanted_id.into_owned()).await;
         }
         let account = require_client_account(caller)?;
         match (&head.method, path) {
@@ -124,7 +126,7 @@
         account: ClientAccountId,
     ) -> Result<HttpResponse, Refusal> {
         let body = read_body(body, &self.settings).await?;
-        let job = service::parse_job(head.uri.path(), &head.headers, id.clone(), account, body)?;
+        let job = service::parse_job(&head.uri, &head.headers, id.clone(), account, body)?;
         let response = self.backend.call_service(job).await?;
         Ok(service::http_response(response))
     }
@@ -160,15 +162,18 @@
                 "this request needs an operator's key; send one",
             ));
         }
+        let if_match = readable_header(&head.headers, "if-match")?;
+        let if_none_match = readable_header(&head.headers, "if-none-match")?;
+        let change_id = readable_header(&head.headers, "x-change-id")?;
         let body = read_body(body, &self.settings).await?;
         let path = head.uri.path();
         let request = OperatorRequest {
             method: head.method.as_str().to_owned(),
             path: path[OPERATOR_PREFIX.len()..].to_owned(),
             query: head.uri.query().unwrap_or_default().to_owned(),
-            if_match: header_text(&head.headers, "if-match"),
-            if_none_match: header_text(&head.headers, "if-none-match"),
-            change_id: header_text(&head.headers, "x-change-id"),
+            if_match,
+            if_none_match,
+            change_id,
             body,
         };
         let response = self.backend.handle_operator_request(request).await;
