A record of another writer does not keep a target without orders

Cause: the key was created only if it was absent.

Change: a record that names no lease is replaced on condition of its revision. One that names a lease stays: it may be that of another build, whose holder would not notice.

--- a/crates/orders/src/holder_record.rs
+++ b/crates/orders/src/holder_record.rs
@@ -23,12 +23,25 @@
     pub(crate) fencing: FencingToken,
 }
 
+/// The part of a record that builds have in common.
+#[derive(Deserialize)]
+struct LeaseOnly {
+    #[serde(rename = "lease")]
+    _lease: LeaseId,
+}
+
 impl HolderRecord {
     /// Decodes a record, or returns `None` if its value is malformed.
     pub(crate) fn parse(pair: &KvPair) -> Option<Self> {
         serde_json::from_slice(&pair.value).ok()
     }
 
+    /// Whether an instance can have written this: records of all builds name a lease. Another writer's record
+    /// holds nothing, and would stay, since no lease ends it.
+    pub(crate) fn is_of_instance(pair: &KvPair) -> bool {
+        serde_json::from_slice::<LeaseOnly>(&pair.value).is_ok()
+    }
+
     /// Encodes the record as the value to write.
     pub(crate) fn encode(&self) -> Bytes {
         serde_json::to_vec(self).unwrap_or_default().into()
--- a/crates/orders/src/lease_holder.rs
+++ b/crates/orders/src/lease_holder.rs
@@ -77,7 +77,7 @@
 /// instance.
 ///
 /// To hold a target is to have created its key in the key-value service. The key is created only if
-/// it is absent, together with a fencing token above all that are known. The holder relies only on
+/// no other instance has created it, together with a fencing token above all that are known. The holder relies only on
 /// its own monotonic clock: it stops `margin` before its lease can expire, counted from the moment
 /// before the last renewal was sent. A new holder waits `ttl + margin` before it gives orders to a
 /// target that does not check fencing tokens: the previous holder may still rely on its lease, and
@@ -90,6 +90,8 @@
     held: BTreeMap<TargetId, HeldTarget>,
     /// What is known of the highest fencing token of each target.
     kept_tokens: BTreeMap<TargetId, KeptToken>,
+    /// Targets at whose key another writer has written something, with its revision.
+    foreign_records: BTreeMap<TargetId, Revision>,
     /// Targets for which it is unknown whether the key was created.
     unconfirmed: BTreeSet<TargetId>,
     /// Targets that are no longer wanted, or refused the fencing token, but whose key may still exist.
@@ -109,6 +111,7 @@
             lease: None,
             held: BTreeMap::new(),
             kept_tokens: BTreeMap::new(),
+            foreign_records: BTreeMap::new(),
             unconfirmed: BTreeSet::new(),
             releasing: BTreeMap::new(),
         }
@@ -309,6 +312,7 @@
         for ((target, token), nested) in group.iter().zip(tokens).zip(&outcome.nested) {
             self.unconfirmed.remove(target);
             if nested.succeeded {
+                self.foreign_records.remove(target);
                 self.kept_token(target).set_written(token, nested.revision);
                 self.record_held(target, token, nested.revision, lease);
             } else if self.note_current(target, nested, lease) {
@@ -318,7 +322,8 @@
         Ok(free)
     }
 
-    /// Creates a target's key if it is absent and the kept fencing token is as known, and otherwise reads both.
+    /// Creates a target's key if no instance has created it and the kept fencing token is as known, and
+    /// otherwise reads both.
     fn create_txn(&mut self, target: &TargetId, lease: LeaseId, token: FencingToken) -> Txn {
         let record = HolderRecord {
             instance: self.settings.instance.clone(),
@@ -327,11 +332,12 @@
         };
         let holder_key = holder_key(target);
         let fencing_key = fencing_key(target);
+        let is_free = match self.foreign_records.get(target) {
+            Some(revision) => Compare::ModRevision(holder_key.clone(), *revision),
+            None => Compare::Absent(holder_key.clone()),
+        };
         Txn {
-            compares: vec![
-                Compare::Absent(holder_key.clone()),
-                self.kept_token(target).unchanged(target),
-            ],
+            compares: vec![is_free, self.kept_token(target).unchanged(target)],
             success: vec![
                 Op::Put(holder_key.clone(), record.encode(), Some(lease)),
                 Op::Put(fencing_key.clone(), encode_token(token), None),
@@ -355,7 +361,17 @@
         if let Some((pair, record)) = holder.and_then(|pair| own_record(pair, lease.id)) {
             self.record_held(target, record.fencing, pair.mod_revision, lease);
         }
-        holder.is_none()
+        self.foreign_records.remove(target);
+        let foreign = holder.filter(|pair| !HolderRecord::is_of_instance(pair));
+        if let Some(foreign) = foreign {
+            log::warn!(
+                "replacing what another writer has written at {}",
+                foreign.key
+            );
+            self.foreign_records
+                .insert(target.clone(), foreign.mod_revision);
+        }
+        holder.is_none() || foreign.is_some()
     }
 
     /// Records a target as held.
--- a/crates/orders/tests/fencing_tokens.rs
+++ b/crates/orders/tests/fencing_tokens.rs
@@ -97,3 +97,43 @@
     holder.mark_lost(&TARGET.to_owned(), u64::MAX);
     assert_eq!(acquire(&mut holder).await, newest + 2);
 }
+
+/// Guards against a target that nobody orders for good since another writer has written its holder's key.
+#[tokio::test(start_paused = true)]
+async fn records_that_no_instance_wrote_are_replaced() {
+    for record in [
+        "",
+        "null",
+        "{}",
+        r#"{"instance":"two"}"#,
+        r#"{"lease":"x"}"#,
+    ] {
+        let kv = MemoryKv::new();
+        put(&kv, "/rattan/holder/engine", record).await;
+        let mut first = holder(&kv, "one");
+        let before = acquire(&mut first).await;
+        first.resign().await;
+        let after = acquire(&mut holder(&kv, "two")).await;
+        assert!(after > before, "{record:?}");
+    }
+}
+
+/// Guards against two holders: a record with a lease may be that of another build.
+#[tokio::test(start_paused = true)]
+async fn records_with_a_lease_stay() {
+    let kv = MemoryKv::new();
+    put(
+        &kv,
+        "/rattan/holder/engine",
+        r#"{"lease":7,"holder":["two"]}"#,
+    )
+    .await;
+    let mut holder = holder(&kv, "one");
+    holder.renew().await.unwrap();
+    let target: TargetId = TARGET.to_owned();
+    holder
+        .sync(&BTreeSet::from([target.clone()]))
+        .await
+        .unwrap();
+    assert_eq!(holder.fencing_token(&target, true), None);
+}
