--- a/crates/configuration/src/follower_state.rs
+++ b/crates/configuration/src/follower_state.rs
@@ -39,7 +39,7 @@
     /// snapshot of the same revision still updates the time of confirmation.
     pub(crate) fn apply_peer_snapshot(
         &mut self,
-        snapshot: Snapshot,
+        mut snapshot: Snapshot,
         confirmed_at: Instant,
     ) -> bool {
         let has_current = self.current.is_some();
@@ -50,6 +50,9 @@
             self.confirm(confirmed_at);
             return false;
         }
+        if let Some(current) = &self.current {
+            snapshot.keep_unreadable_of(current);
+        }
         self.replace(snapshot);
         self.confirmed_at = Some(confirmed_at);
         true
--- a/crates/configuration/src/snapshot.rs
+++ b/crates/configuration/src/snapshot.rs
@@ -1,11 +1,12 @@
 //! All objects of the configuration at one revision, with the revision of each object.
 
 use {
-    crate::keys::{LAST_CHANGE_KEY, parse_object_key},
+    crate::keys::{CONFIG_PREFIX, LAST_CHANGE_KEY, parse_object_key},
     bytes::Bytes,
     catalog::{Catalog, Object, ObjectKind, Revision},
     keyvalue::{Event, KvPair, Range},
     serde::{Deserialize, Serialize},
+    serde_json::value::{RawValue, to_raw_value},
     snafu::{ResultExt, Snafu},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
@@ -19,7 +20,8 @@
     pub revisions: BTreeMap<(ObjectKind, String), Revision>,
     /// Revision up to which the objects are known to be unchanged; at least the catalog's revision.
     pub as_of: Revision,
-    /// Reasons why this version of the software cannot read the object at a key, by key.
+    /// Reasons why this version of the software, or that of the peer which it comes from, cannot read the
+    /// object at a key, by key.
     pub unreadable: BTreeMap<String, String>,
 }
 
@@ -36,7 +38,23 @@
     revision: Revision,
     as_of: Revision,
     confirmed_age_ms: u64,
-    objects: Vec<VersionedObject>,
+    /// Each a [`VersionedObject`], also of kinds that a later version has.
+    objects: Vec<Box<RawValue>>,
+    /// [`Snapshot::unreadable`]; earlier versions leave it out.
+    #[serde(default)]
+    unreadable: BTreeMap<String, String>,
+}
+
+/// The parts of an object that name its key.
+#[derive(Debug, Deserialize)]
+struct NamedObject {
+    object: ObjectName,
+}
+
+#[derive(Debug, Deserialize)]
+struct ObjectName {
+    kind: String,
+    name: String,
 }
 
 /// An object with the revision of its last change.
@@ -116,12 +134,14 @@
             .revisions
             .keys()
             .filter_map(|(kind, name)| self.object(*kind, name))
+            .map(|object| to_raw_value(&object).expect("objects can be serialized to JSON"))
             .collect();
         let dto = SnapshotDto {
             revision: self.catalog.revision,
             as_of: self.as_of,
             confirmed_age_ms: u64::try_from(confirmed_age.as_millis()).unwrap_or(u64::MAX),
             objects,
+            unreadable: self.unreadable.clone(),
         };
         let json = serde_json::to_vec(&dto).expect("snapshots can be serialized to JSON");
         Bytes::from(json)
@@ -132,24 +152,49 @@
     ///
     /// # Errors
     ///
-    /// The bytes are not a snapshot, or contain an object that this version cannot parse.
+    /// The bytes are not a snapshot. An object that this version cannot parse is left out, and recorded as
+    /// unreadable.
     pub fn from_json(json: &[u8]) -> Result<(Self, Duration), SnapshotError> {
         let dto: SnapshotDto = serde_json::from_slice(json).context(SnapshotSnafu)?;
         let mut snapshot = Self {
             as_of: dto.as_of.max(dto.revision),
+            unreadable: dto.unreadable,
             ..Self::default()
         };
         let mut objects = Vec::new();
-        for versioned in dto.objects {
-            let object = versioned.object;
-            let key = (object.kind(), object.name().to_owned());
-            snapshot.revisions.insert(key, versioned.revision);
-            objects.push(object);
+        for (index, raw) in dto.objects.iter().enumerate() {
+            match serde_json::from_str::<VersionedObject>(raw.get()) {
+                Ok(VersionedObject { revision, object }) => {
+                    let key = (object.kind(), object.name().to_owned());
+                    snapshot.revisions.insert(key, revision);
+                    objects.push(object);
+                }
+                Err(error) => {
+                    let key = unreadable_key(raw, index);
+                    snapshot.unreadable.insert(key, error.to_string());
+                }
+            }
         }
         snapshot.catalog = Arc::new(Catalog::from_objects(dto.revision, objects));
         Ok((snapshot, Duration::from_millis(dto.confirmed_age_ms)))
     }
 
+    /// Keeps the objects of an earlier snapshot that this one lacks only because they could not be read.
+    pub(crate) fn keep_unreadable_of(&mut self, earlier: &Self) {
+        let keys = self.unreadable.keys();
+        let names = keys.filter_map(|key| parse_object_key(key));
+        let lacking = names.filter(|(kind, name)| self.object(*kind, name).is_none());
+        let kept: Vec<VersionedObject> = lacking
+            .filter_map(|(kind, name)| earlier.object(kind, name))
+            .collect();
+        let catalog = Arc::make_mut(&mut self.catalog);
+        for VersionedObject { revision, object } in kept {
+            let key = (object.kind(), object.name().to_owned());
+            self.revisions.insert(key, revision);
+            catalog.put(object);
+        }
+    }
+
     /// Parses the object of a pair and records its revision. Returns `None` for the key of the last
     /// change, and for any other pair that is not a valid object; the latter is recorded in
     /// `unreadable`.
@@ -191,3 +236,11 @@
         catalog.remove(kind, name);
     }
 }
+
+/// Key of an object of a peer's snapshot that can't be read, or what stands for it.
+fn unreadable_key(raw: &RawValue, index: usize) -> String {
+    match serde_json::from_str(raw.get()) {
+        Ok(NamedObject { object }) => format!("{CONFIG_PREFIX}{}/{}", object.kind, object.name),
+        Err(_) => format!("object {index} of a peer's snapshot"),
+    }
+}
