A holder drops the targets whose key etcd has lost

Seen: after etcd had come back from an older copy that had an instance's lease but not the keys of its targets, the instance went on giving orders for as long as it renewed its lease, beside the one that had acquired them since.

Cause: a holder relied on its lease and never looked at its keys again.

--- a/crates/orders/src/lease_holder.rs
+++ b/crates/orders/src/lease_holder.rs
@@ -118,7 +118,8 @@
     }
 
     /// Renews the lease once a third of its time to live has passed, or requests a new one if there
-    /// is none.
+    /// is none. With a renewal, drops the held targets whose key the service has no more: one that came back
+    /// from an older copy may have the lease without them.
     ///
     /// # Errors
     /// Returns [`KvError`] if the service did not answer. Held targets then stay held until the
@@ -133,6 +134,8 @@
         }
         match self.kv.keep_alive(lease.id).await {
             Ok(renewed) => {
+                // Until this is known, the holder relies on the renewal before.
+                self.drop_lost_targets(lease.id).await?;
                 self.lease = Some(self.granted_lease(lease.id, renewed.ttl, sent_at));
                 Ok(())
             }
@@ -242,6 +245,43 @@
         }
     }
 
+    /// Drops the held targets whose key is no longer as this instance wrote it.
+    async fn drop_lost_targets(&mut self, lease: LeaseId) -> Result<(), KvError> {
+        let held: Vec<TargetId> = self.held.keys().cloned().collect();
+        for group in held.chunks(MAX_KEYS_PER_TXN) {
+            let reads = group.iter().map(|target| Op::Get(holder_key(target)));
+            let read = Txn {
+                success: reads.collect(),
+                ..Txn::default()
+            };
+            let pairs = self.kv.txn(read).await?.pairs;
+            for target in group {
+                let key = holder_key(target);
+                let current = pairs.iter().find(|pair| pair.key == key);
+                if !current.is_some_and(|pair| self.is_held_by(target, pair, lease)) {
+                    log::warn!(
+                        "the key-value service has lost the lease on {target}; giving no more orders to it"
+                    );
+                    self.held.remove(target);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether a target's key is as this instance wrote it when it acquired the target.
+    fn is_held_by(&self, target: &TargetId, pair: &KvPair, lease: LeaseId) -> bool {
+        let Some((_, record)) = own_record(pair, lease) else {
+            return false;
+        };
+        self.held.get(target).is_some_and(|held| {
+            let is_own_name = record.instance == self.settings.instance;
+            is_own_name
+                && pair.mod_revision == held.revision
+                && record.fencing == held.fencing_token
+        })
+    }
+
     fn kept_token(&mut self, target: &TargetId) -> &mut KeptToken {
         self.kept_tokens.entry(target.clone()).or_default()
     }
--- a/crates/orders/tests/fencing_tokens.rs
+++ b/crates/orders/tests/fencing_tokens.rs
@@ -6,6 +6,7 @@
     keyvalue::{KeyValue, MemoryKv, Op, Txn},
     orders::{LeaseHolder, LeaseHolderSettings},
     std::{collections::BTreeSet, time::Duration},
+    tokio::time::sleep,
 };
 
 const TARGET: &str = "engine";
@@ -137,3 +138,22 @@
         .unwrap();
     assert_eq!(holder.fencing_token(&target, true), None);
 }
+
+/// Guards against two holders: a service that came back may have the lease of one, but not its key.
+#[tokio::test(start_paused = true)]
+async fn holder_notices_that_its_key_is_gone() {
+    let kv = MemoryKv::new();
+    let target: TargetId = TARGET.to_owned();
+    let mut one = holder(&kv, "one");
+    one.renew().await.unwrap();
+    let with_lease_only = kv.take_copy();
+    acquire(&mut one).await;
+    kv.restore(&with_lease_only);
+    acquire(&mut holder(&kv, "two")).await;
+    // A third of the time to live.
+    sleep(Duration::from_secs(10)).await;
+    one.renew().await.unwrap();
+    assert_eq!(one.fencing_token(&target, true), None);
+    one.sync(&BTreeSet::from([target.clone()])).await.unwrap();
+    assert_eq!(one.fencing_token(&target, true), None);
+}
