--- a/crates/orders/tests/fencing_tokens.rs
+++ b/crates/orders/tests/fencing_tokens.rs
@@ -6,6 +6,7 @@
     keyvalue::{KeyValue, MemoryKv, Op, Txn},
     orders::{LeaseHolder, LeaseHolderSettings},
     std::{collections::BTreeSet, time::Duration},
+    tokio::time::sleep,
 };
 
 const TARGET: &str = "engine";
@@ -97,3 +98,62 @@
     holder.mark_lost(&TARGET.to_owned(), u64::MAX);
     assert_eq!(acquire(&mut holder).await, newest + 2);
 }
+
+/// Guards against a target that nobody orders for good since another writer has written its holder's key.
+#[tokio::test(start_paused = true)]
+async fn records_that_no_instance_wrote_are_replaced() {
+    for record in [
+        "",
+        "null",
+        "{}",
+        r#"{"instance":"two"}"#,
+        r#"{"lease":"x"}"#,
+    ] {
+        let kv = MemoryKv::new();
+        put(&kv, "/rattan/holder/engine", record).await;
+        let mut first = holder(&kv, "one");
+        let before = acquire(&mut first).await;
+        first.resign().await;
+        let after = acquire(&mut holder(&kv, "two")).await;
+        assert!(after > before, "{record:?}");
+    }
+}
+
+/// Guards against two holders: a record with a lease may be that of another build.
+#[tokio::test(start_paused = true)]
+async fn records_with_a_lease_stay() {
+    let kv = MemoryKv::new();
+    put(
+        &kv,
+        "/rattan/holder/engine",
+        r#"{"lease":7,"holder":["two"]}"#,
+    )
+    .await;
+    let mut holder = holder(&kv, "one");
+    holder.renew().await.unwrap();
+    let target: TargetId = TARGET.to_owned();
+    holder
+        .sync(&BTreeSet::from([target.clone()]))
+        .await
+        .unwrap();
+    assert_eq!(holder.fencing_token(&target, true), None);
+}
+
+/// Guards against two holders: a service that came back may have the lease of one, but not its key.
+#[tokio::test(start_paused = true)]
+async fn holder_notices_that_its_key_is_gone() {
+    let kv = MemoryKv::new();
+    let target: TargetId = TARGET.to_owned();
+    let mut one = holder(&kv, "one");
+    one.renew().await.unwrap();
+    let with_lease_only = kv.take_copy();
+    acquire(&mut one).await;
+    kv.restore(&with_lease_only);
+    acquire(&mut holder(&kv, "two")).await;
+    // A third of the time to live.
+    sleep(Duration::from_secs(10)).await;
+    one.renew().await.unwrap();
+    assert_eq!(one.fencing_token(&target, true), None);
+    one.sync(&BTreeSet::from([target.clone()])).await.unwrap();
+    assert_eq!(one.fencing_token(&target, true), None);
+}
