Histories of real processes whose key-value service comes back from a copy

Seen: no check played the two incidents of the users' machines: a service that comes back from an older copy without naming an incarnation, beside instances that start again, and entries of other writers in the list of targets.

Change: store_returns plays five instances, four engines that take version orders, three plain services and callers who keep connections open. The copy is 0.5 to 20 s old; the service is away for 0 to 5 s (refusals, closed or silent links); all instances are killed before or with it, or after it, or some, or none; leases of the copy run on or are gone; a watch beyond the end fails or waits. With copies from 8 s on all instances are often killed after the copy, so that another one gives orders by the time of the return. Weights and configurations are named before, and the same or newer ones written again at lower revisions. Verdict: those of the other soaks with ONE, and RECOVER (a quarter of the calls served from 12 s after everything is back), VERSION (all engines have the weights named last 15 s after it) and CONFIG (all instances have the last configuration). Two tests: no instance lives through the return, or some do.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -24,6 +24,8 @@
     "platform fleet_soak rules_hold_while_links_end_short_unframed_answers 4"
     "platform fleet_soak rules_hold_while_late_links_end_beside_restarts_and_stops 4"
     "platform fleet_soak rules_hold_while_copies_of_refusals_come_late 4"
+    "platform store_returns rules_hold_while_all_start_again_with_the_service 2"
+    "platform store_returns rules_hold_while_instances_live_through_the_return 2"
     "platform fleet_soak soak_shows_which_rule_a_broken_statement_breaks 1"
 )
 
