--- a/crates/entry/src/fencing.rs
+++ b/crates/entry/src/fencing.rs
@@ -5,6 +5,7 @@
 //! instances that have lived through the loss tell the others the highest token that they know.
 
 use {
+    catalog::InstanceId,
     keyvalue::Incarnation,
     serde::{Deserialize, Serialize},
     std::time::{Duration, SystemTime, UNIX_EPOCH},
@@ -21,10 +22,13 @@
 const REVISION_BITS: u32 = 40;
 
 /// The highest token that was given to a holder, as stored in the service.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FencingRecord {
     /// The token.
     pub highest: FencingToken,
+    /// Instance that it was given to; empty if that is not known.
+    #[serde(default)]
+    pub holder: InstanceId,
 }
 
 /// Returns the token of the next holder, which knows `highest` as the highest one before. `time_of_day` is the
--- a/crates/entry/src/item.rs
+++ b/crates/entry/src/item.rs
@@ -89,6 +89,9 @@
     /// older builds.
     #[serde(default)]
     pub highest_fencing: FencingToken,
+    /// Instance that this token was given to; empty if that is not known.
+    #[serde(default)]
+    pub fencing_holder: InstanceId,
 }
 
 /// The holder of the order lock. The default names no instance, as nothing else that can't be read does.
--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -62,10 +62,12 @@
 }
 
 /// What is known of the fencing tokens that were given to holders of the order lock.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct KnownFencing {
     /// Highest token known from any source; it never falls.
     pub highest: FencingToken,
+    /// Instance that it was given to; empty if that is not known.
+    pub holder: InstanceId,
     /// Revision of the record that the service keeps of it; `None` if it keeps none.
     pub revision: Option<Revision>,
 }
@@ -147,11 +149,11 @@
                 self.loading = Some(record);
             }
             Item::Fencing(record) => {
-                self.note_fencing(record.highest);
+                self.note_fencing(record.highest, &record.holder);
                 self.fencing.revision = Some(revision);
             }
             Item::Holder(record) => {
-                self.note_fencing(record.fencing);
+                self.note_fencing(record.fencing, &record.instance);
                 self.holder = Some(KnownHolder { record, revision });
             }
             Item::Crash {
@@ -240,17 +242,27 @@
         &self.quarantine
     }
 
-    /// Records that a holder has, or had, this fencing token.
-    fn note_fencing(&mut self, token: FencingToken) {
-        if fencing::is_valid(token) {
-            self.fencing.highest = self.fencing.highest.max(token);
+    /// Records that `holder` has, or had, this fencing token; `holder` is empty if it is not known. A service
+    /// that forgot a token may give it to another instance, and then the next higher one counts as known, so
+    /// that neither of them uses it.
+    fn note_fencing(&mut self, token: FencingToken, holder: &str) {
+        let known = &mut self.fencing;
+        if !fencing::is_valid(token) || token < known.highest {
+            return;
+        }
+        if token > known.highest || known.holder.is_empty() {
+            known.highest = token;
+            holder.clone_into(&mut known.holder);
+        } else if !holder.is_empty() && known.holder != holder {
+            known.highest = token + 1;
+            known.holder.clear();
         }
     }
 
     /// Returns what is known of fencing tokens.
     #[must_use]
-    pub fn fencing(&self) -> KnownFencing {
-        self.fencing
+    pub fn fencing(&self) -> &KnownFencing {
+        &self.fencing
     }
 
     /// Records that everything was read in this incarnation of the service.
@@ -475,7 +487,7 @@
     /// Adds or updates an instance. An instance that was not ready when first seen gets no
     /// `unready_since`, since it may have been unready for long.
     fn put_member(&mut self, name: &str, record: MemberRecord, now: Duration) {
-        self.note_fencing(record.highest_fencing);
+        self.note_fencing(record.highest_fencing, &record.fencing_holder);
         let before = self.members.get(name);
         let unready_since = match before {
             _ if record.ready => None,
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -123,6 +123,7 @@
 where
     Kv: KeyValue,
 {
+    let fencing = shared.known().fencing().clone();
     let record = MemberRecord {
         address: shared.settings.listen,
         failure_domain: shared.settings.failure_domain.clone(),
@@ -130,7 +131,8 @@
         feed: Some(shared.settings.feed_listen),
         peer_calls: shared.settings.peer_listen,
         link_bits_per_s: shared.settings.link_bits_per_s,
-        highest_fencing: shared.known().fencing().highest,
+        highest_fencing: fencing.highest,
+        fencing_holder: fencing.holder,
     };
     let value = serde_json::to_vec(&record).map_err(|error| KvError::Refused {
         reason: error.to_string(),
--- a/crates/entry/src/orders/lock.rs
+++ b/crates/entry/src/orders/lock.rs
@@ -93,13 +93,13 @@
             return None;
         }
         let is_renewed = holder.as_ref().is_some_and(|it| self.is_own(&lease, it));
-        let fencing = self.shared.known().fencing();
+        let fencing = self.shared.known().fencing().clone();
         let record = HolderRecord {
             instance: self.shared.settings.instance.clone(),
             lease: lease.id,
             fencing: next_token(fencing.highest, &lease.incarnation, time_of_day()),
         };
-        let acquire = acquire_txn(&record, holder.as_ref(), fencing)?;
+        let acquire = acquire_txn(&record, holder.as_ref(), &fencing)?;
         match self.shared.kv.txn(acquire).await {
             Ok(outcome) if outcome.succeeded => {
                 let revision = outcome.revision;
@@ -122,10 +122,10 @@
 
     /// Takes over what this instance has written, before it is delivered as a change.
     fn note_acquired(&self, holder: &KnownHolder) {
-        let highest = holder.record.fencing;
+        let record = &holder.record;
         let items = [
-            Item::Holder(holder.record.clone()),
-            Item::Fencing(FencingRecord { highest }),
+            Item::Holder(record.clone()),
+            Item::Fencing(fencing_record(record)),
         ];
         let mut known = self.shared.known();
         for item in items {
@@ -207,15 +207,14 @@
 fn acquire_txn(
     record: &HolderRecord,
     holder: Option<&KnownHolder>,
-    fencing: KnownFencing,
+    fencing: &KnownFencing,
 ) -> Option<Txn> {
     let unchanged = |key: &str, revision| match revision {
         Some(revision) => Compare::ModRevision(key.to_owned(), revision),
         None => Compare::Absent(key.to_owned()),
     };
-    let highest = record.fencing;
     let holder_value = serde_json::to_vec(record).ok()?;
-    let fencing_value = serde_json::to_vec(&FencingRecord { highest }).ok()?;
+    let fencing_value = serde_json::to_vec(&fencing_record(record)).ok()?;
     Some(Txn {
         compares: vec![
             unchanged(HOLDER_KEY, holder.map(|it| it.revision)),
@@ -232,3 +231,11 @@
         ..Txn::default()
     })
 }
+
+/// Returns what the service keeps of the token of a holder.
+fn fencing_record(holder: &HolderRecord) -> FencingRecord {
+    FencingRecord {
+        highest: holder.fencing,
+        holder: holder.instance.clone(),
+    }
+}
--- a/crates/entry/tests/aggregator_selection.rs
+++ b/crates/entry/tests/aggregator_selection.rs
@@ -26,6 +26,7 @@
                 SLOW_LINK_BITS_PER_S
             }),
             highest_fencing: 0,
+            fencing_holder: String::new(),
         };
         (format!("entry-{index:03}"), record)
     };
--- a/crates/entry/tests/fencing_tokens.rs
+++ b/crates/entry/tests/fencing_tokens.rs
@@ -122,6 +122,7 @@
     let other = MemberRecord {
         ready: false,
         highest_fencing: first.fencing + 1_000_000,
+        fencing_holder: String::new(),
         ..member
     };
     let record = serde_json::to_string(&other).unwrap();
@@ -182,6 +183,41 @@
     assert!(second.fencing > first.fencing, "{first:?}, {second:?}");
 }
 
+/// Waits until the record at `key` holds `text`.
+async fn wait_for_record(fleet: &Fleet, key: &str, text: &str) {
+    wait_until(&format!("{text} at {key}"), async || {
+        let pairs = fleet.kv.range(key).await.unwrap().pairs;
+        let mut values = pairs.iter().map(|it| String::from_utf8_lossy(&it.value));
+        values.any(|it| it.contains(text))
+    })
+    .await;
+}
+
+/// Guards against two holders with one token, where the service forgets that it was given to the first one.
+#[tokio::test]
+async fn token_that_the_service_forgot_is_not_used_by_another_holder() {
+    let mut fleet = Fleet::start(&[]).await;
+    // Ahead of the time of day, as after a step of a clock.
+    let ahead = json!({ "highest": 1_u64 << 42 });
+    put(&fleet.kv, "rattan/orders/fencing", &ahead.to_string()).await;
+    let copy = fleet.kv.take_copy();
+    for _ in 0..3 {
+        // The leases of the other instance get the ids of these.
+        fleet.kv.grant(Duration::from_mins(1)).await.unwrap();
+    }
+    fleet.start_instances(&["one"]);
+    let first = fleet.order(2).await;
+    let (_one, connection) = fleet.instances.remove(0);
+    connection.set_faults(|faults| faults.unreachable = true);
+    fleet.kv.restore(&copy);
+    fleet.start_instances(&["two"]);
+    wait_for_record(&fleet, "rattan/orders/holder", "two").await;
+    connection.set_faults(|faults| faults.unreachable = false);
+    wait_for_record(&fleet, "rattan/members/one", "ready").await;
+    let second = fleet.order(3).await;
+    assert!(second.fencing > first.fencing, "{first:?}, {second:?}");
+}
+
 proptest! {
     #[test]
     fn tokens_are_above_all_known_and_the_time(
--- a/crates/entry/tests/known_state.rs
+++ b/crates/entry/tests/known_state.rs
@@ -303,6 +303,7 @@
             peer_calls: None,
             link_bits_per_s: None,
             highest_fencing: 0,
+            fencing_holder: String::new(),
         };
         known.put(name, Item::Member(record), 1, START);
     }
@@ -318,6 +319,7 @@
         peer_calls: None,
         link_bits_per_s: None,
         highest_fencing: 0,
+        fencing_holder: String::new(),
     })
 }
 
--- a/crates/entry/tests/merged_feeds.rs
+++ b/crates/entry/tests/merged_feeds.rs
@@ -45,6 +45,7 @@
             peer_calls: settings.peer_listen,
             link_bits_per_s: settings.link_bits_per_s,
             highest_fencing: 0,
+            fencing_holder: String::new(),
         };
         (settings.instance.clone(), record)
     });
--- a/crates/entry/tests/promise_model/instance.rs
+++ b/crates/entry/tests/promise_model/instance.rs
@@ -180,6 +180,7 @@
             peer_calls: Some(address(self.index)),
             link_bits_per_s: None,
             highest_fencing: 0,
+            fencing_holder: String::new(),
         }
     }
 
--- a/crates/entry/tests/reading_plans.rs
+++ b/crates/entry/tests/reading_plans.rs
@@ -22,6 +22,7 @@
             peer_calls: None,
             link_bits_per_s: Some(if index < 6 { 200 } else { 10 }),
             highest_fencing: 0,
+            fencing_holder: String::new(),
         };
         (format!("entry-{index:03}"), record)
     };
--- a/crates/entry/tests/restored_state.rs
+++ b/crates/entry/tests/restored_state.rs
@@ -126,6 +126,7 @@
         peer_calls: None,
         link_bits_per_s: None,
         highest_fencing: 0,
+        fencing_holder: String::new(),
     };
     known.put("one", Item::Member(record), 7, START);
     known.service_restored(at(1.0));
