--- a/crates/orders/src/kept_token.rs
+++ b/crates/orders/src/kept_token.rs
@@ -63,7 +63,10 @@
 
 /// Encodes the record of the highest token as the value to write.
 pub(crate) fn encode_token(highest: FencingToken) -> Bytes {
-    serde_json::to_vec(&FencingRecord { highest })
-        .unwrap_or_default()
-        .into()
+    serde_json::to_vec(&FencingRecord {
+        highest,
+        ..FencingRecord::default()
+    })
+    .unwrap_or_default()
+    .into()
 }
