--- a/crates/entry/src/counted_key_value.rs
+++ b/crates/entry/src/counted_key_value.rs
@@ -33,6 +33,10 @@
         self.kv.incarnation()
     }
 
+    fn note_revision(&self, revision: Revision, incarnation: Incarnation) {
+        self.kv.note_revision(revision, incarnation);
+    }
+
     fn range(&self, prefix: &str) -> impl Future<Output = Result<Range, KvError>> + Send {
         self.meters.count(CALLS, "list");
         self.kv.range(prefix)
--- a/crates/entry/tests/fencing_tokens.rs
+++ b/crates/entry/tests/fencing_tokens.rs
@@ -63,18 +63,20 @@
 
     /// Writes what operators and targets have written before.
     async fn write_again(&self) {
-        put(&self.kv, "operators/configuration", "5").await;
-        put(
-            &self.kv,
-            "targets/t1",
-            &format!("{} 1", self.target.address),
-        )
-        .await;
+        self.write("operators/configuration", "5").await;
+        let registration = format!("{} 1", self.target.address);
+        self.write("targets/t1", &registration).await;
+    }
+
+    /// Writes a key with a connection that knows of no return.
+    async fn write(&self, key: &str, value: &str) {
+        put(&self.kv.peer(), key, value).await;
     }
 
     /// Has the target ordered to a version, and returns the order.
     async fn order(&self, version: u64) -> Order {
-        put(&self.kv, "operators/version/m", &version.to_string()).await;
+        self.write("operators/version/m", &version.to_string())
+            .await;
         let ordered = || {
             self.target
                 .orders()
@@ -90,7 +92,7 @@
 
     async fn write_changes(&self) {
         for number in 0..FORGOTTEN_CHANGES_COUNT {
-            put(&self.kv, "unused", &number.to_string()).await;
+            self.write("unused", &number.to_string()).await;
         }
     }
 }
@@ -147,7 +149,8 @@
         number in 0_u64..8_000,
         now_ms in 0_u64..1 << 52,
     ) {
-        let incarnation = Incarnation { number, highest_number: number, changes_count: 0 };
+        let highest_number = number;
+        let incarnation = Incarnation { number, highest_number, ..Incarnation::default() };
         let token = next_token(highest, &incarnation, Duration::from_millis(now_ms));
         assert!(token > highest && token >= now_ms && token < 1 << 53);
     }
--- a/crates/entry/tests/restored_state.rs
+++ b/crates/entry/tests/restored_state.rs
@@ -191,6 +191,7 @@
         number,
         highest_number: number,
         changes_count,
+        ..Incarnation::default()
     }
 }
 
--- a/crates/keyvalue/src/incarnation.rs
+++ b/crates/keyvalue/src/incarnation.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::KvError,
+    catalog::Revision,
     std::sync::{Mutex, MutexGuard, PoisonError},
     tokio::sync::watch,
 };
@@ -16,6 +17,18 @@
     pub highest_number: u64,
     /// Number of changes that this client has noticed.
     pub changes_count: u64,
+    /// What showed that this incarnation began, if the service did not name it.
+    pub fall: Option<RevisionFall>,
+}
+
+/// A revision that was answered to a call that was sent after a higher one was known. Answers never go back, so
+/// the service came back from an older copy between the two.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RevisionFall {
+    /// Highest revision that was known when the call was sent.
+    pub known: Revision,
+    /// Revision of the service in the answer.
+    pub answered: Revision,
 }
 
 impl Incarnation {
@@ -46,19 +59,22 @@
     }
 }
 
+/// What the answers of the present incarnation have told.
 #[derive(Debug, Default)]
-struct Named {
+struct Answers {
     /// Whether there was an answer.
     has_answer: bool,
     number: Option<u64>,
     /// Last value that was no number, since the number last changed.
     malformed: Option<String>,
+    /// Highest revision that the service is known to have reached.
+    highest_revision: Revision,
 }
 
 /// Finds out from the answers of the service when a new incarnation begins.
 #[derive(Debug, Default)]
 pub struct IncarnationTracker {
-    named: Mutex<Named>,
+    answers: Mutex<Answers>,
     current: watch::Sender<Incarnation>,
 }
 
@@ -89,6 +105,53 @@
         })
     }
 
+    /// Highest revision that the service is known to have reached in `incarnation`; 0 if that is not the current
+    /// one. Read it before each call whose answer is passed to [`Self::observe_revision`].
+    #[must_use]
+    pub fn highest_revision(&self, incarnation: Incarnation) -> Revision {
+        let answers = self.lock();
+        if self.require(incarnation).is_err() {
+            return 0;
+        }
+        answers.highest_revision
+    }
+
+    /// Takes note that the service has reached `revision` in `incarnation`. An answer that says so may be late.
+    pub fn note_revision(&self, revision: Revision, incarnation: Incarnation) {
+        let mut answers = self.lock();
+        if self.require(incarnation).is_ok() {
+            answers.highest_revision = answers.highest_revision.max(revision);
+        }
+    }
+
+    /// Takes note of the service's own revision in the answer to a call that was sent in `sent_in`, when the
+    /// service was known to have reached the revision `known`. Only for calls that are answered from the latest
+    /// state: a lower revision begins a new incarnation.
+    ///
+    /// # Errors
+    /// [`KvError::Restored`] as for [`Self::observe`].
+    pub fn observe_revision(
+        &self,
+        answered: Revision,
+        known: Revision,
+        sent_in: Incarnation,
+    ) -> Result<(), KvError> {
+        let mut answers = self.lock();
+        self.require(sent_in)?;
+        if answered >= known {
+            answers.highest_revision = answers.highest_revision.max(answered);
+            return Ok(());
+        }
+        log::error!(
+            "the key-value service answered with revision {answered} to a call that was sent after it had \
+             reached {known}, and named no other incarnation; taken as a return from an older copy"
+        );
+        answers.highest_revision = answered;
+        self.change(None, Some(RevisionFall { known, answered }));
+        drop(answers);
+        self.require(sent_in)
+    }
+
     /// Takes note of the incarnation named in the answer to a call that was sent in `sent_in`.
     ///
     /// # Errors
@@ -99,31 +162,33 @@
         answered: NamedIncarnation<'_>,
         sent_in: Incarnation,
     ) -> Result<(), KvError> {
-        let mut named = self.lock();
+        let mut answers = self.lock();
         match answered {
             NamedIncarnation::Missing => {}
-            NamedIncarnation::Number(number) => self.observe_number(&mut named, number, sent_in),
+            NamedIncarnation::Number(number) => self.observe_number(&mut answers, number, sent_in),
             NamedIncarnation::Malformed(text) => {
-                if named.malformed.as_deref() != Some(text) {
+                if answers.malformed.as_deref() != Some(text) {
                     log::error!(
                         "the key-value service names its incarnation {text:?}, which is not a whole \
                          number; taken as a new incarnation, check the service"
                     );
-                    named.malformed = Some(text.to_owned());
-                    self.change(None);
+                    answers.malformed = Some(text.to_owned());
+                    answers.highest_revision = 0;
+                    self.change(None, None);
                 }
             }
         }
-        named.has_answer = true;
-        drop(named);
+        answers.has_answer = true;
+        drop(answers);
         self.require(sent_in)
     }
 
-    fn observe_number(&self, named: &mut Named, number: u64, sent_in: Incarnation) {
-        let Some(known) = named.number else {
-            named.number = Some(number);
-            if named.has_answer {
-                self.change(Some(number));
+    fn observe_number(&self, answers: &mut Answers, number: u64, sent_in: Incarnation) {
+        let Some(known) = answers.number else {
+            answers.number = Some(number);
+            if answers.has_answer {
+                answers.highest_revision = 0;
+                self.change(Some(number), None);
             } else {
                 self.current.send_modify(|current| current.name(number));
             }
@@ -141,24 +206,25 @@
                  incarnation, check whether another service answers at its address"
             );
         }
-        *named = Named {
+        *answers = Answers {
             number: Some(number),
-            ..Named::default()
+            ..Answers::default()
         };
-        self.change(Some(number));
+        self.change(Some(number), None);
     }
 
-    fn change(&self, number: Option<u64>) {
+    fn change(&self, number: Option<u64>, fall: Option<RevisionFall>) {
         self.current.send_modify(|current| {
             current.changes_count += 1;
+            current.fall = fall;
             if let Some(number) = number {
                 current.name(number);
             }
         });
     }
 
-    fn lock(&self) -> MutexGuard<'_, Named> {
-        self.named.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Answers> {
+        self.answers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/keyvalue/src/kv.rs
+++ b/crates/keyvalue/src/kv.rs
@@ -160,6 +160,12 @@
     /// when a new one begins.
     fn incarnation(&self) -> watch::Receiver<Incarnation>;
 
+    /// Records that the service has reached `revision` in `incarnation`, as another client of it has learned. An
+    /// answer with a lower one to a later call shows that the service came back from an older copy.
+    fn note_revision(&self, revision: Revision, incarnation: Incarnation) {
+        let _ = (revision, incarnation);
+    }
+
     /// Reads every key that starts with `prefix`.
     fn range(&self, prefix: &str) -> impl Future<Output = Result<Range, KvError>> + Send;
 
--- a/crates/keyvalue/src/lib.rs
+++ b/crates/keyvalue/src/lib.rs
@@ -41,7 +41,7 @@
     etcd_kv::{EtcdKv, EtcdSettings},
     http_instance_list::HttpInstanceList,
     http_pool::{CallError, Connection, HttpPool, HttpResponse},
-    incarnation::{Incarnation, IncarnationTracker, NamedIncarnation},
+    incarnation::{Incarnation, IncarnationTracker, NamedIncarnation, RevisionFall},
     instance::{Instance, InstanceList, InstanceListError, InstanceState},
     kv::{Compare, Event, KeyValue, KvError, KvPair, Lease, LeaseId, Op, Range, Txn, TxnOutcome},
     kv_faults::KvFaults,
--- a/crates/keyvalue/src/memory_kv.rs
+++ b/crates/keyvalue/src/memory_kv.rs
@@ -154,6 +154,27 @@
         self.execute(outcome, operation).await
     }
 
+    /// Like [`Self::execute`], for a call whose answer has the service's own revision, as `revision_of` reads it.
+    async fn execute_observed<Output, Operation>(
+        &self,
+        outcome: CallOutcome,
+        operation: Operation,
+        revision_of: fn(&Output) -> Option<Revision>,
+    ) -> Result<Output, KvError>
+    where
+        Output: Send + 'static,
+        Operation: FnOnce(&mut MemoryState) -> Result<Output, KvError> + Send + 'static,
+    {
+        let incarnations = &self.faults.incarnations;
+        let sent_in = incarnations.current();
+        let known = incarnations.highest_revision(sent_in);
+        let answer = self.execute(outcome, operation).await?;
+        if let Some(revision) = revision_of(&answer) {
+            incarnations.observe_revision(revision, known, sent_in)?;
+        }
+        Ok(answer)
+    }
+
     /// Runs `operation` with the given outcome and the current delays.
     async fn execute<Output, Operation>(
         &self,
@@ -281,18 +302,30 @@
         self.faults.incarnations.subscribe()
     }
 
+    fn note_revision(&self, revision: Revision, incarnation: Incarnation) {
+        self.faults
+            .incarnations
+            .note_revision(revision, incarnation);
+    }
+
     async fn range(&self, prefix: &str) -> Result<Range, KvError> {
         self.count_call(|calls| calls.range_count += 1);
         self.wait_while_paused().await;
         let outcome = lock(&self.faults.active).next_read_outcome();
         let prefix = prefix.to_owned();
-        self.execute(outcome, move |state| Ok(state.range(&prefix)))
+        let read = move |state: &mut MemoryState| Ok(state.range(&prefix));
+        self.execute_observed(outcome, read, |range| Some(range.revision))
             .await
     }
 
     async fn txn(&self, txn: Txn) -> Result<TxnOutcome, KvError> {
         self.count_call(|calls| calls.txn_count += 1);
-        self.write(move |state| state.txn(&txn)).await
+        self.wait_while_paused().await;
+        let outcome = lock(&self.faults.active).next_write_outcome();
+        // A transaction whose conditions do not hold names no revision of the service.
+        let revision_of = |it: &TxnOutcome| it.succeeded.then_some(it.revision);
+        self.execute_observed(outcome, move |state| state.txn(&txn), revision_of)
+            .await
     }
 
     async fn grant(&self, ttl: Duration) -> Result<Lease, KvError> {
@@ -410,6 +443,8 @@
             .max()
             .unwrap_or(self.next_revision.saturating_sub(1));
         self.next_revision = last_revision + 1;
+        let incarnations = &self.kv.faults.incarnations;
+        incarnations.note_revision(last_revision, self.opened_in);
         let mut batch: Vec<Result<Event, KvError>> = events.into_iter().map(Ok).collect();
         batch.push(Ok(Event::Progress(last_revision)));
         batch
