--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -1,9 +1,11 @@
 //! Follows the key-value service with one listing and then the changes of all keys, by a watch or
 //! through another instance that has one. Progress events confirm that the whole known state is current.
 
+mod history;
 mod sources;
 
 use {
+    self::history::HistoryChecks,
     crate::{
         Item, ItemError, ItemName, Platform, SourceChoice, SuspensionDetector, TargetRegistration,
         outage_check,
@@ -60,6 +62,7 @@
         match error {
             KvError::Compacted { .. } => follower.applied_revision = None,
             KvError::Restored { .. } => {
+                follower.leave_history();
                 sleep(follower.shared.return_pace().read_delay()).await;
                 continue;
             }
@@ -101,6 +104,7 @@
     /// Asks aggregators whether they serve this instance, beside its own watch.
     trials: JoinSet<(InstanceId, bool)>,
     available: bool,
+    history: HistoryChecks,
     /// Finds out whether the last outage concerned this instance only.
     outage_checks: JoinSet<()>,
 }
@@ -126,6 +130,7 @@
             source_reason: String::new(),
             trials: JoinSet::new(),
             available: true,
+            history: HistoryChecks::default(),
             outage_checks: JoinSet::new(),
         }
     }
--- a/crates/entry/src/follower/sources.rs
+++ b/crates/entry/src/follower/sources.rs
@@ -54,6 +54,7 @@
         // Trials of an earlier watch say nothing about the aggregators now.
         self.trials = JoinSet::new();
         let revision = self.applied_revision.unwrap_or_default();
+        shared.kv.note_revision(revision, incarnation);
         let log = &shared.feed.service_log;
         log.open(shared.incarnation().number, revision);
         let is_aggregator = self.choice.is_aggregator();
@@ -119,6 +120,10 @@
         let shared = self.shared.clone();
         shared.feed.service_log.close();
         let mut restored = pin!(shared.restored(incarnation));
+        tokio::select! {
+            error = &mut restored => return Err(error),
+            () = sleep(self.time_until_others_noticed()) => {}
+        }
         let mut client = FollowClient::new(aggregator.feed);
         let mut expiry = interval(EXPIRY_PERIOD);
         let mut wait = Duration::ZERO;
@@ -173,6 +178,7 @@
         self.choice
             .aggregator_failed(self.confirmed_at, boot_time());
         self.note_source_reason(&problem);
+        self.check_history();
         self.retry_delay()
     }
 
@@ -194,6 +200,7 @@
             self.note_available();
         }
         self.check_suspension();
+        self.check_lag(changes.complete_until);
         let has_changes = !changes.events.is_empty();
         for event in changes.events {
             self.apply_change(event.into());
--- a/crates/entry/src/known_incarnation.rs
+++ b/crates/entry/src/known_incarnation.rs
@@ -1,7 +1,10 @@
 //! The incarnation of the key-value service that an instance works in, and how it takes a new one.
 
 use {
-    eventlog::Event, keyvalue::Incarnation, relay::boot_time, std::time::Duration,
+    eventlog::Event,
+    keyvalue::{Incarnation, RevisionFall},
+    relay::boot_time,
+    std::time::Duration,
     tokio::sync::watch::Receiver,
 };
 
@@ -18,6 +21,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Restore {
     before: u64,
+    /// What showed it, if the service did not name it.
+    fall: Option<RevisionFall>,
     had_lease: bool,
     /// Number of items that were read again and of those that the copy lacks, and when.
     read: Option<(usize, usize, Duration)>,
@@ -45,6 +50,7 @@
         if has_begun {
             self.restore = Some(Restore {
                 before: self.current.number,
+                fall: latest.fall,
                 had_lease,
                 read: None,
                 registered_at: None,
@@ -90,6 +96,8 @@
         Some(Event::Restored {
             incarnation_before: restore.before,
             incarnation: self.current.number,
+            revision_before: restore.fall.map_or(0, |fall| fall.known),
+            revision: restore.fall.map_or(0, |fall| fall.answered),
             lease_dropped: restore.had_lease,
             items_count,
             missing_count,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -234,6 +234,9 @@
             .unwrap_or_else(PoisonError::into_inner);
         if known.update(lease.is_some()) {
             self.meters.count("restores", "noticed");
+            if known.current().fall.is_some() {
+                self.meters.count("restores", "unnamed");
+            }
         }
         known
     }
--- a/crates/entry/tests/support/follower_fleet.rs
+++ b/crates/entry/tests/support/follower_fleet.rs
@@ -77,7 +77,8 @@
         count: usize,
         domains_count: usize,
     ) -> Self {
-        let mut fleet = Self::prepare(domains_count, async |_| {}).await;
+        let kv = MemoryKv::with_incarnation();
+        let mut fleet = Self::prepare(kv, domains_count, async |_| {}).await;
         let began = Instant::now();
         for index in 0..count {
             let member = fleet.start_member(index, call_delay);
@@ -95,21 +96,32 @@
     where
         Prepare: AsyncFnOnce(&MemoryKv),
     {
-        let mut fleet = Self::prepare(domains_count, prepare).await;
-        let start = |index| fleet.start_member(index, Duration::ZERO);
-        let members: Vec<FleetMember> = (0..count).map(start).collect();
-        fleet.members = members;
-        fleet.wait_for_start().await;
+        let kv = MemoryKv::with_incarnation();
+        let mut fleet = Self::prepare(kv, domains_count, prepare).await;
+        fleet.start_members(count).await;
         fleet
     }
 
-    /// A deployment without instances.
-    async fn prepare<Prepare>(domains_count: usize, prepare: Prepare) -> Self
+    /// Starts instances at once on a service that names no incarnation.
+    pub async fn start_unnamed(count: usize, domains_count: usize) -> Self {
+        let mut fleet = Self::prepare(MemoryKv::new(), domains_count, async |_| {}).await;
+        fleet.start_members(count).await;
+        fleet
+    }
+
+    async fn start_members(&mut self, count: usize) {
+        let start = |index| self.start_member(index, Duration::ZERO);
+        let members: Vec<FleetMember> = (0..count).map(start).collect();
+        self.members = members;
+        self.wait_for_start().await;
+    }
+
+    /// A deployment without instances on the service `kv`.
+    async fn prepare<Prepare>(kv: MemoryKv, domains_count: usize, prepare: Prepare) -> Self
     where
         Prepare: AsyncFnOnce(&MemoryKv),
     {
         let running = RUNNING.lock().await;
-        let kv = MemoryKv::with_incarnation();
         put(&kv, "operators/configuration", "1").await;
         prepare(&kv).await;
         let lines = super::Lines::default();
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -356,6 +356,10 @@
         incarnation_before: u64,
         /// Number of the present incarnation.
         incarnation: u64,
+        /// Highest revision that was known before, if the service named no other incarnation; otherwise 0.
+        revision_before: u64,
+        /// Lower revision with which the service answered then.
+        revision: u64,
         /// Whether this instance held a lease, which it dropped.
         lease_dropped: bool,
         /// Number of items that were read again.
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -122,6 +122,8 @@
         Event::Restored {
             incarnation_before: 0,
             incarnation: 0,
+            revision_before: 0,
+            revision: 0,
             lease_dropped: false,
             items_count: 0,
             missing_count: 0,
--- a/crates/feed/src/service_log.rs
+++ b/crates/feed/src/service_log.rs
@@ -33,6 +33,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServiceLog {
     open: Option<OpenLog>,
+    /// No instance is answered before.
+    answers_from: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -75,6 +77,12 @@
         self.open = None;
     }
 
+    /// Drops all changes, and passes none on before `until`, even if the log is opened again.
+    pub fn close_until(&mut self, until: Duration) {
+        self.open = None;
+        self.answers_from = until;
+    }
+
     /// Adds a change. It is passed on once it is covered by [`Self::confirm`].
     pub fn push(&mut self, event: FollowedEvent) {
         if let Some(log) = &mut self.open {
@@ -93,7 +101,8 @@
     /// Answers an instance that knows all changes up to `since` of an incarnation.
     #[must_use]
     pub fn answer(&self, incarnation: u64, since: Revision, now: Duration) -> FollowAnswer {
-        let Some(log) = &self.open else {
+        let open = self.open.as_ref().filter(|_| now >= self.answers_from);
+        let Some(log) = open else {
             return FollowAnswer::NotWatching;
         };
         if log.incarnation != incarnation {
--- a/crates/feed/src/shared_service_log.rs
+++ b/crates/feed/src/shared_service_log.rs
@@ -32,6 +32,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Drops all changes and answers nobody, as [`ServiceLog::close_until`] does.
+    pub fn close_until(&self, until: Duration) {
+        self.lock().close_until(until);
+        self.changed.notify_waiters();
+    }
+
     /// Adds an event of the watch. It is passed on after the next confirmation.
     pub fn push(&self, event: &Event) {
         if let Some(event) = FollowedEvent::from_event(event) {
--- a/crates/feed/tests/service_logs.rs
+++ b/crates/feed/tests/service_logs.rs
@@ -137,3 +137,20 @@
         }
     }
 }
+
+/// Guards against readers that do not notice that an aggregator has left a history of changes.
+#[test]
+fn log_that_left_a_history_answers_nobody_for_a_while() {
+    let mut log = ServiceLog::default();
+    log.open(0, 5);
+    log.confirm(7, NOW);
+    let until = NOW + Duration::from_secs(1);
+    log.close_until(until);
+    log.open(0, 5);
+    log.confirm(8, NOW);
+    assert_eq!(log.answer(0, 5, NOW), FollowAnswer::NotWatching);
+    let FollowAnswer::Changes(changes) = log.answer(0, 5, until) else {
+        panic!("the time is over");
+    };
+    assert_eq!(changes.complete_until, 8);
+}
