Fix RECOVER: a lease that is gone too early has everything read again

Seen: the service came back from an older copy, and its revisions passed the known ones before the instance got an answer.

Cause: the watch goes on at a revision that was given out again. That the lease was gone, though by this instance's clock its time to live was not over, was taken for an ordinary end.

Change: such an instance reads everything again, at its place among the others, and keeps missing items as after a return. It begins no new incarnation: in an outage the service may let leases expire, so this proves nothing. The lock was bound to the lease and is dropped with it, as before.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -104,6 +104,8 @@
     /// Asks aggregators whether they serve this instance, beside its own watch.
     trials: JoinSet<(InstanceId, bool)>,
     available: bool,
+    /// Whether changes may have been missed since the last listing.
+    is_doubtful: bool,
     history: HistoryChecks,
     /// Finds out whether the last outage concerned this instance only.
     outage_checks: JoinSet<()>,
@@ -130,6 +132,7 @@
             source_reason: String::new(),
             trials: JoinSet::new(),
             available: true,
+            is_doubtful: false,
             history: HistoryChecks::default(),
             outage_checks: JoinSet::new(),
         }
@@ -156,7 +159,7 @@
 
     /// Reads all items, in an `incarnation` that may be another than that of the last listing.
     async fn list(&mut self, incarnation: Incarnation) -> Result<Revision, KvError> {
-        let is_restored = !self.incarnation.is_same(&incarnation);
+        let is_restored = !self.incarnation.is_same(&incarnation) || self.is_doubtful;
         let asked_at = boot_time();
         let range = self
             .shared
@@ -185,6 +188,7 @@
             }
         }
         self.incarnation = incarnation;
+        self.is_doubtful = false;
         self.shared.known().set_incarnation(incarnation);
         self.shared
             .note_read(incarnation, range.pairs.len(), missing.len());
--- a/crates/entry/src/follower/history.rs
+++ b/crates/entry/src/follower/history.rs
@@ -5,10 +5,13 @@
     super::Follower,
     crate::{Platform, own_keys::HOLDER_KEY},
     catalog::Revision,
-    keyvalue::KeyValue,
+    keyvalue::{KeyValue, KvError},
     relay::boot_time,
     std::time::Duration,
-    tokio::{task::JoinSet, time::timeout},
+    tokio::{
+        task::JoinSet,
+        time::{sleep, timeout},
+    },
 };
 
 /// Time for which an aggregator answers nobody after it has noticed a return that the service does not name.
@@ -55,6 +58,15 @@
         (noticed_at + READERS_NOTICE_TIME).saturating_sub(boot_time())
     }
 
+    /// Has everything read again, since changes may have been missed. Returns the error that ends the source.
+    pub(super) async fn read_again(&mut self) -> KvError {
+        self.is_doubtful = true;
+        sleep(self.shared.return_pace().read_delay()).await;
+        KvError::Compacted {
+            revision: self.applied_revision.unwrap_or_default(),
+        }
+    }
+
     /// Reads the revision of the service, beside the source. If it is lower than what this instance has applied,
     /// the service came back from an older copy, and a new incarnation begins.
     pub(super) fn check_history(&mut self) {
--- a/crates/entry/src/follower/sources.rs
+++ b/crates/entry/src/follower/sources.rs
@@ -72,6 +72,7 @@
             tokio::select! {
                 biased;
                 error = &mut restored => return Err(error),
+                () = shared.doubted.notified() => return Err(self.read_again().await),
                 event = events.next() => {
                     let event = event.unwrap_or_else(|| Err(watch_ended()))?;
                     let is_progress = matches!(event, Event::Progress(_));
@@ -137,6 +138,9 @@
                     tokio::select! {
                         biased;
                         error = &mut restored => return Err(error),
+                        () = shared.doubted.notified() => {
+                            return Err(self.read_again().await);
+                        }
                         answer = &mut request => break answer,
                         _ = expiry.tick() => {
                             self.check_suspension();
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -95,7 +95,17 @@
         let sent_at = boot_time();
         match shared.kv.keep_alive(lease.id).await {
             Ok(renewed) => lease = lease_from(sent_at, renewed.ttl),
-            Err(error @ (KvError::Refused { .. } | KvError::Restored { .. })) => return error,
+            Err(error @ KvError::Refused { .. }) => {
+                if lease.is_valid(boot_time(), Duration::ZERO) {
+                    log::warn!(
+                        "lease {} is gone before its time to live is over; reading everything again",
+                        lease.id
+                    );
+                    shared.doubted.notify_one();
+                }
+                return error;
+            }
+            Err(error @ KvError::Restored { .. }) => return error,
             Err(error) if !lease.is_valid(boot_time(), Duration::ZERO) => return error,
             Err(error) => log::info!("failed to renew the lease, retrying: {error}"),
         }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -60,6 +60,8 @@
     pub(crate) aggregators: ArcSwap<Aggregators>,
     /// Notified whenever the known state has changed.
     pub(crate) changed: Notify,
+    /// Notified when there is reason to doubt that this instance knows the service's latest state.
+    pub(crate) doubted: Notify,
     /// Cancelled once this instance starts to drain.
     pub(crate) draining: CancellationToken,
     known: Mutex<KnownState>,
@@ -94,6 +96,7 @@
             ownership: ArcSwap::default(),
             aggregators: ArcSwap::default(),
             changed: Notify::new(),
+            doubted: Notify::new(),
             draining: CancellationToken::new(),
             known: Mutex::default(),
             lease: Mutex::default(),
--- a/crates/entry/tests/unnamed_returns.rs
+++ b/crates/entry/tests/unnamed_returns.rs
@@ -145,6 +145,31 @@
     fleet.wait_for_call_at(&second).await;
 }
 
+/// Guards against state that stays old where no answer shows the return: the revisions have passed those that
+/// were known, but the lease is gone.
+#[tokio::test]
+async fn lease_that_is_gone_too_early_has_everything_read_again() {
+    let fleet = Fleet::start(&["one"]).await;
+    fleet.write_changes(FORGOTTEN_CHANGES_COUNT).await;
+    sleep(Duration::from_millis(200)).await;
+    let second = Target::start(Duration::ZERO).await;
+    // The instance gets no answer until the revisions have passed those that it knows.
+    let set_silent = |is_silent| {
+        fleet.connections[0].set_faults(|faults| {
+            (faults.paused, faults.watches_silent) = (is_silent, is_silent);
+        });
+    };
+    set_silent(true);
+    fleet.kv.restore(&fleet.empty);
+    let registration = format!("{} 1", second.address);
+    put(&fleet.kv.peer(), "targets/t2", &registration).await;
+    fleet.write_again().await;
+    fleet.write_changes(2 * FORGOTTEN_CHANGES_COUNT).await;
+    set_silent(false);
+    fleet.wait_for_call_at(&second).await;
+    assert!(fleet.restored_lines().is_empty(), "nothing proves a return");
+}
+
 /// Guards against two instances that both give orders: one cut off from the service, which still relies
 /// on its lease, and one that acquired the lock that the service forgot.
 #[tokio::test]
