A listing below the revision that was reached is one of an older copy

What callers saw: when the key-value service came back from an older copy and named no incarnation, calls were refused with 503 from 0.2 s on, until targets had registered again; a registration of an earlier start took the place of a later one.

Cause: only the news of a later incarnation counted as a return. Without it the watch failed, as its revision lay beyond the end, and the listing after that was taken for the present state.

Change: the follower keeps the revision that it had reached when its watch failed; a listing of a lower one is treated as one of a later incarnation, with a warning in the log. Not covered: revisions that have overtaken the reached one before the watch asks again, and instances that start after the return.

Measured: entry restored_instances target_stays_though_a_copy_without_an_incarnation_lacks_it failed before (503 after 218 ms) and holds; all tests of the crate hold.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -58,7 +58,9 @@
             error = follower.run() => error,
         };
         match error {
-            KvError::Compacted { .. } => follower.applied_revision = None,
+            KvError::Compacted { .. } => {
+                follower.reached_revision = follower.applied_revision.take();
+            }
             KvError::Restored { .. } => {
                 sleep(follower.shared.return_pace().read_delay()).await;
                 continue;
@@ -85,6 +87,9 @@
     incarnation: Incarnation,
     /// All changes up to this revision have been applied; `None` before the first listing.
     applied_revision: Option<Revision>,
+    /// Up to which changes had been applied when the service did not know them any more; `None` otherwise. A later
+    /// listing of a lower revision is one of an older copy, from which the service has come back.
+    reached_revision: Option<Revision>,
     /// Items that existed at the last listing or were written since.
     known_names: HashSet<ItemName>,
     /// Latest registration of each target, with its revision.
@@ -117,6 +122,7 @@
             suspension: SuspensionDetector::new(boot_time()),
             incarnation: Incarnation::default(),
             applied_revision: None,
+            reached_revision: None,
             known_names: HashSet::new(),
             registrations: HashMap::new(),
             confirmed_at: Duration::ZERO,
@@ -164,6 +170,7 @@
             return Err(KvError::Restored { number });
         }
         self.note_available();
+        let is_restored = is_restored || self.has_gone_back(range.revision);
         if is_restored {
             self.shared.known().service_restored(boot_time());
         }
@@ -184,11 +191,24 @@
         self.shared
             .note_read(incarnation, range.pairs.len(), missing.len());
         self.applied_revision = Some(range.revision);
+        self.reached_revision = None;
         self.suspension = SuspensionDetector::new(boot_time());
         self.confirm(asked_at);
         Ok(range.revision)
     }
 
+    /// Whether a listing of this revision is one of an older copy, though the service names no later incarnation.
+    fn has_gone_back(&self, revision: Revision) -> bool {
+        let Some(reached) = self.reached_revision.filter(|it| revision < *it) else {
+            return false;
+        };
+        log::warn!(
+            "the key-value service has gone back from revision {reached} to {revision} and names no later incarnation; \
+             what it lacks holds until it can have been written again"
+        );
+        true
+    }
+
     fn check_suspension(&mut self) {
         if self.suspension.tick(boot_time()) {
             self.shared.known().note_suspension();
--- a/crates/entry/tests/restored_instances.rs
+++ b/crates/entry/tests/restored_instances.rs
@@ -31,7 +31,10 @@
 
 impl Fleet {
     async fn start() -> Self {
-        let kv = MemoryKv::with_incarnation();
+        Self::start_at(MemoryKv::with_incarnation()).await
+    }
+
+    async fn start_at(kv: MemoryKv) -> Self {
         let empty = kv.take_copy();
         let target = Target::start(Duration::ZERO).await;
         put(&kv, "operators/configuration", "5").await;
@@ -118,6 +121,30 @@
     .await;
 }
 
+/// Guards against a copy of the service that counts as the present state since no answer names an incarnation.
+#[tokio::test]
+async fn target_stays_though_a_copy_without_an_incarnation_lacks_it() {
+    let fleet = Fleet::start_at(MemoryKv::new()).await;
+    for number in 0..20 {
+        put(&fleet.kv, "unused", &number.to_string()).await;
+    }
+    sleep(LOOK_PERIOD * 5).await;
+    fleet.kv.restore(&fleet.empty);
+    let restored_at = Instant::now();
+    let mut is_written = false;
+    while restored_at.elapsed() < RETURN_TIME {
+        if !is_written && restored_at.elapsed() > REWRITE_DELAY {
+            fleet.write_again().await;
+            is_written = true;
+        }
+        for instance in &fleet.instances {
+            let status = instance.call("/x").await.map(|(status, _)| status);
+            assert_eq!(status, Some(200), "{:?}", restored_at.elapsed());
+        }
+        sleep(LOOK_PERIOD).await;
+    }
+}
+
 #[tokio::test]
 async fn instances_register_again_and_stay_among_the_addresses() {
     let fleet = Fleet::start().await;
