Holders in a test of fencing tokens have connections of their own

Since a connection to MemoryKv notices that the service came back by a lower revision; the second holder of this test, which is another instance, used the connection of the first one.

Change: each holder and each write of the test has a connection of its own. What it asserts is the same.

--- a/crates/orders/tests/fencing_tokens.rs
+++ b/crates/orders/tests/fencing_tokens.rs
@@ -19,11 +19,12 @@
         success: vec![write],
         ..Txn::default()
     };
-    kv.txn(write).await.unwrap();
+    kv.peer().txn(write).await.unwrap();
 }
 
+/// A holder of another instance, with a connection of its own to the service.
 fn holder(kv: &MemoryKv, instance: &str) -> LeaseHolder<MemoryKv> {
-    LeaseHolder::new(kv.clone(), LeaseHolderSettings::new(instance.to_owned()))
+    LeaseHolder::new(kv.peer(), LeaseHolderSettings::new(instance.to_owned()))
 }
 
 /// Has an instance acquire the target, and returns its fencing token.
