Take back: the first answers of a pool are whole only by the word of the process that began them

What callers saw: a stream without framing ended as complete before its last event (ORDER) in the first 0.1 s of a pool, behind a link that ends connections.

Cause: the commit asks the target beside the answer, and so that the question does not break off answers of targets that keep no connections, an end within 100 ms of an answer on that connection no longer counted as a cut. The cut of the link fell into that time.

--- a/crates/target/src/witness.rs
+++ b/crates/target/src/witness.rs
@@ -28,9 +28,6 @@
 const LATE_DATA_TIME: Duration = Duration::from_secs(2);
 /// How often it is checked beside a long answer whether the connection would soon end idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Time from its head after which a target is asked beside one of the first answers of a pool. Short answers end
-/// earlier, and cost no further question.
-const FIRST_QUESTION_PAUSE: Duration = Duration::from_millis(50);
 /// Time after which another connection is asked, if the one before it is still open.
 const SLOW_QUESTION_TIME: Duration = Duration::from_secs(2);
 
@@ -86,8 +83,6 @@
     ahead: WitnessAhead,
     cut_spread: Duration,
     _attending: AbortOnDropHandle<()>,
-    /// Asks beside one of the first answers of a pool.
-    asking: Option<AbortOnDropHandle<()>>,
     confirming: Option<AbortOnDropHandle<Result<EndEvidence, Unconfirmed>>>,
 }
 
@@ -100,15 +95,12 @@
         cut_spread: Duration,
     ) -> Self {
         let attending = tokio::spawn(attend(Arc::clone(&slot), probe.clone()));
-        let asking = matches!(ahead, WitnessAhead::NotNeeded)
-            .then(|| tokio::spawn(ask_beside(Arc::clone(&slot), probe.clone())));
         Self {
             slot,
             probe,
             ahead,
             cut_spread,
             _attending: AbortOnDropHandle::new(attending),
-            asking: asking.map(AbortOnDropHandle::new),
             confirming: None,
         }
     }
@@ -119,7 +111,6 @@
         &mut self,
         answer: EndedAnswer,
     ) -> Result<EndEvidence, Unconfirmed> {
-        self.asking = None;
         let confirming = self.confirming.get_or_insert_with(|| {
             let confirmation = Confirmation {
                 slot: Arc::clone(&self.slot),
@@ -134,18 +125,6 @@
     }
 }
 
-/// Asks once, on the connection beside an answer, which process is there, if the answer goes on for some time. What
-/// it says while the answer is open is the word of the process that began it, whatever start is registered.
-async fn ask_beside(slot: Arc<WitnessSlot>, probe: IncarnationProbe) {
-    sleep(FIRST_QUESTION_PAUSE).await;
-    if let Some(connection) = slot.current()
-        && !connection.has_ended()
-        && connection.shown().answered_at.is_none()
-    {
-        slot.ask_ahead(&connection, &probe);
-    }
-}
-
 /// Keeps a connection open beside an answer.
 async fn attend(slot: Arc<WitnessSlot>, probe: IncarnationProbe) {
     let [first_pause, longest_pause] = REOPEN_PAUSES;
@@ -233,13 +212,14 @@
         let connection = self.slot.open().await.ok_or_else(gone)?;
         let opened = connection.opened();
         let (answer, _) = self.ask(&connection).await?;
-        let was_beside = self.answer.last_data.is_some_and(|it| opened < it);
-        let evidence = if was_beside {
-            EndEvidence::OpenedBeside
-        } else {
-            EndEvidence::OpenedAfter
-        };
-        self.judge(evidence, &answer)
+        if self.answer.last_data.is_some_and(|it| opened < it) {
+            // Two processes do not listen at one address, and the start of this one may not be registered yet.
+            let is_same = self.probe.expected.is_same_target(&answer.stated?);
+            return shown_if(is_same, EndEvidence::OpenedBeside);
+        }
+        // What was stated on it before may be of a later process too.
+        let is_same = self.probe.expected.agrees_with(&answer.stated?);
+        shown_if(is_same, EndEvidence::OpenedAfter)
     }
 
     /// The newest connection that was beside the answer.
--- a/crates/target/src/witness_connection.rs
+++ b/crates/target/src/witness_connection.rs
@@ -153,12 +153,6 @@
         self.ended_at.get().copied().unwrap_or_else(Instant::now)
     }
 
-    /// Whether it has ended so soon after an answer on it that its target may not keep connections.
-    pub(crate) fn has_ended_answered(&self) -> bool {
-        let last_answer_at = *lock(&self.last_answer_at);
-        last_answer_at.is_some_and(|it| self.ended_at() < it + UNKEPT_TIME)
-    }
-
     /// When it was opened.
     pub(crate) fn opened(&self) -> Instant {
         self.opened
--- a/crates/target/src/witness_slot.rs
+++ b/crates/target/src/witness_slot.rs
@@ -103,11 +103,6 @@
 }
 
 impl SlotState {
-    /// Whether the target has ended this connection after an answer on it, as some do.
-    fn has_unkept(&self, ended: &WitnessConnection) -> bool {
-        self.keeping != Keeping::Kept && ended.has_ended_answered()
-    }
-
     /// Closes the connections that no call uses.
     fn close_all(&mut self) {
         self.current = None;
@@ -139,8 +134,7 @@
     /// When a connection ended last or could not be opened, if one ever did.
     pub(crate) fn last_end(&self) -> Option<Instant> {
         let state = lock(&self.state);
-        let current = state.current.as_ref();
-        let has_just_ended = current.is_some_and(|it| it.has_ended() && !state.has_unkept(it));
+        let has_just_ended = state.current.as_ref().is_some_and(|it| it.has_ended());
         if has_just_ended {
             return Some(Instant::now());
         }
@@ -416,8 +410,7 @@
         let mut state = lock(&self.state);
         let is_ended = |it: &Arc<WitnessConnection>| Arc::ptr_eq(it, &ended);
         let is_current = state.current.as_ref().is_some_and(is_ended);
-        let is_known = is_current || state.replaced.iter().any(is_ended);
-        if is_known && !state.has_unkept(&ended) {
+        if is_current || state.replaced.iter().any(is_ended) {
             state.last_end = Some(Instant::now());
         }
         if is_current {
