--- a/crates/configuration/src/writer.rs
+++ b/crates/configuration/src/writer.rs
@@ -264,10 +264,7 @@
 /// Condition that a key was last changed at `revision`, or does not exist if `revision` is 0, that
 /// is [`ABSENT`].
 pub(crate) fn revision_condition(key: String, revision: u64) -> Compare {
-    match revision {
-        ABSENT => Compare::Absent(key),
-        revision => Compare::ModRevision(key, revision),
-    }
+    Compare::unchanged(key, Some(revision).filter(|it| *it != ABSENT))
 }
 
 /// Determines the result of an attempt from the outcome of its transaction: committed now,
--- a/crates/entry/src/orders/lock.rs
+++ b/crates/entry/src/orders/lock.rs
@@ -209,16 +209,12 @@
     holder: Option<&KnownHolder>,
     fencing: &KnownFencing,
 ) -> Option<Txn> {
-    let unchanged = |key: &str, revision| match revision {
-        Some(revision) => Compare::ModRevision(key.to_owned(), revision),
-        None => Compare::Absent(key.to_owned()),
-    };
     let holder_value = serde_json::to_vec(record).ok()?;
     let fencing_value = serde_json::to_vec(&fencing_record(record)).ok()?;
     Some(Txn {
         compares: vec![
-            unchanged(HOLDER_KEY, holder.map(|it| it.revision)),
-            unchanged(FENCING_KEY, fencing.revision),
+            Compare::unchanged(HOLDER_KEY.to_owned(), holder.map(|it| it.revision)),
+            Compare::unchanged(FENCING_KEY.to_owned(), fencing.revision),
         ],
         success: vec![
             Op::Put(
--- a/crates/keyvalue/src/kv.rs
+++ b/crates/keyvalue/src/kv.rs
@@ -46,6 +46,17 @@
     CreateRevision(String, Revision),
 }
 
+impl Compare {
+    /// Condition that a key is still as it was read: last changed at `revision`, or absent if that is `None`.
+    #[must_use]
+    pub fn unchanged(key: String, revision: Option<Revision>) -> Self {
+        match revision {
+            Some(revision) => Self::ModRevision(key, revision),
+            None => Self::Absent(key),
+        }
+    }
+}
+
 /// One step of a transaction.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Op {
--- a/crates/orders/src/kept_token.rs
+++ b/crates/orders/src/kept_token.rs
@@ -49,10 +49,7 @@
 
     /// Condition that the record of `target` is unchanged.
     pub(crate) fn unchanged(&self, target: &TargetId) -> Compare {
-        match self.revision {
-            Some(revision) => Compare::ModRevision(fencing_key(target), revision),
-            None => Compare::Absent(fencing_key(target)),
-        }
+        Compare::unchanged(fencing_key(target), self.revision)
     }
 }
 
--- a/crates/orders/src/lease_holder.rs
+++ b/crates/orders/src/lease_holder.rs
@@ -372,10 +372,8 @@
         };
         let holder_key = holder_key(target);
         let fencing_key = fencing_key(target);
-        let is_free = match self.foreign_records.get(target) {
-            Some(revision) => Compare::ModRevision(holder_key.clone(), *revision),
-            None => Compare::Absent(holder_key.clone()),
-        };
+        let foreign_revision = self.foreign_records.get(target).copied();
+        let is_free = Compare::unchanged(holder_key.clone(), foreign_revision);
         Txn {
             compares: vec![is_free, self.kept_token(target).unchanged(target)],
             success: vec![
