--- a/crates/keyvalue/src/incarnation.rs
+++ b/crates/keyvalue/src/incarnation.rs
@@ -146,8 +146,8 @@
             "the key-value service answered with revision {answered} to a call that was sent after it had \
              reached {known}, and named no other incarnation; taken as a return from an older copy"
         );
-        answers.highest_revision = answered;
-        self.change(None, Some(RevisionFall { known, answered }));
+        let fall = RevisionFall { known, answered };
+        self.change(&mut answers, None, Some(fall));
         drop(answers);
         self.require(sent_in)
     }
@@ -173,8 +173,7 @@
                          number; taken as a new incarnation, check the service"
                     );
                     answers.malformed = Some(text.to_owned());
-                    answers.highest_revision = 0;
-                    self.change(None, None);
+                    self.change(&mut answers, None, None);
                 }
             }
         }
@@ -187,8 +186,7 @@
         let Some(known) = answers.number else {
             answers.number = Some(number);
             if answers.has_answer {
-                answers.highest_revision = 0;
-                self.change(Some(number), None);
+                self.change(answers, Some(number), None);
             } else {
                 self.current.send_modify(|current| current.name(number));
             }
@@ -210,10 +208,12 @@
             number: Some(number),
             ..Answers::default()
         };
-        self.change(Some(number), None);
+        self.change(answers, Some(number), None);
     }
 
-    fn change(&self, number: Option<u64>, fall: Option<RevisionFall>) {
+    /// Begins a new incarnation, of which no more is known than the revision that showed it.
+    fn change(&self, answers: &mut Answers, number: Option<u64>, fall: Option<RevisionFall>) {
+        answers.highest_revision = fall.map_or(0, |fall| fall.answered);
         self.current.send_modify(|current| {
             current.changes_count += 1;
             current.fall = fall;
