--- a/crates/fencing/src/lib.rs
+++ b/crates/fencing/src/lib.rs
@@ -51,17 +51,23 @@
     time_of_day: Duration,
 ) -> FencingToken {
     let now_ms = u64::try_from(time_of_day.as_millis()).unwrap_or(MAX_TOKEN);
-    let above_revisions = match incarnation.highest_number {
-        0 => 0,
-        number => number.saturating_add(1).saturating_mul(1 << REVISION_BITS),
-    };
-    // Large numbers leave no room for the tokens that follow.
-    let above_revisions = Some(above_revisions).filter(|it| is_valid(*it));
     let above_known = highest.saturating_add(1);
-    let above_all = above_known.max(now_ms).max(above_revisions.unwrap_or(0));
+    let above_revisions = above_revisions(incarnation.highest_number);
+    let above_all = above_known.max(now_ms).max(above_revisions);
     above_all.min(MAX_TOKEN)
 }
 
+/// Returns a token above all that builds before have made from revisions in the incarnation of this number; 0 if
+/// there is none, or none that leaves room for the tokens that follow.
+fn above_revisions(number: u64) -> FencingToken {
+    let above = number.saturating_add(1).saturating_mul(1 << REVISION_BITS);
+    if number > 0 && is_valid(above) {
+        above
+    } else {
+        0
+    }
+}
+
 /// Whether a token that another instance, the service or a target names can have been given to a holder.
 #[must_use]
 pub fn is_valid(token: FencingToken) -> bool {
