--- a/crates/entry/src/known_state.rs
+++ b/crates/entry/src/known_state.rs
@@ -7,8 +7,8 @@
 use {
     self::outages::Outage,
     crate::{
-        AnnouncedLimit, FencingToken, HolderRecord, Item, ItemName, LoadingRecord, MemberRecord,
-        RecentVersion, fencing,
+        AnnouncedLimit, HolderRecord, Item, ItemName, KnownFencing, LoadingRecord, MemberRecord,
+        RecentVersion,
         known_targets::{KnownTargets, Writing},
     },
     balance::rendezvous,
@@ -61,17 +61,6 @@
     pub revision: Revision,
 }
 
-/// What is known of the fencing tokens that were given to holders of the order lock.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct KnownFencing {
-    /// Highest token known from any source; it never falls.
-    pub highest: FencingToken,
-    /// Instance that it was given to; empty if that is not known.
-    pub holder: InstanceId,
-    /// Revision of the record that the service keeps of it; `None` if it keeps none.
-    pub revision: Option<Revision>,
-}
-
 /// If the last confirmation is older than this, a change may have been made long before this
 /// instance learns of it. Longer than a watch request waits for changes.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(2_500);
@@ -149,11 +138,10 @@
                 self.loading = Some(record);
             }
             Item::Fencing(record) => {
-                self.note_fencing(record.highest, &record.holder);
-                self.fencing.revision = Some(revision);
+                self.fencing.put(&record, revision);
             }
             Item::Holder(record) => {
-                self.note_fencing(record.fencing, &record.instance);
+                self.fencing.note(record.fencing, &record.instance);
                 self.holder = Some(KnownHolder { record, revision });
             }
             Item::Crash {
@@ -197,7 +185,7 @@
                 _ => drop(self.members.remove(id)),
             },
             ItemName::Holder => self.holder = None,
-            ItemName::Fencing => self.fencing.revision = None,
+            ItemName::Fencing => self.fencing.delete(),
             ItemName::Loading => self.loading = None,
             ItemName::Recent(model, version) => {
                 if let Some(wanted) = self.wanted.get_mut(model) {
@@ -242,23 +230,6 @@
         &self.quarantine
     }
 
-    /// Records that `holder` has, or had, this fencing token; `holder` is empty if it is not known. A service
-    /// that forgot a token may give it to another instance, and then the next higher one counts as known, so
-    /// that neither of them uses it.
-    fn note_fencing(&mut self, token: FencingToken, holder: &str) {
-        let known = &mut self.fencing;
-        if !fencing::is_valid(token) || token < known.highest {
-            return;
-        }
-        if token > known.highest || known.holder.is_empty() {
-            known.highest = token;
-            holder.clone_into(&mut known.holder);
-        } else if !holder.is_empty() && known.holder != holder {
-            known.highest = token + 1;
-            known.holder.clear();
-        }
-    }
-
     /// Returns what is known of fencing tokens.
     #[must_use]
     pub fn fencing(&self) -> &KnownFencing {
@@ -487,7 +458,8 @@
     /// Adds or updates an instance. An instance that was not ready when first seen gets no
     /// `unready_since`, since it may have been unready for long.
     fn put_member(&mut self, name: &str, record: MemberRecord, now: Duration) {
-        self.note_fencing(record.highest_fencing, &record.fencing_holder);
+        self.fencing
+            .note(record.highest_fencing, &record.fencing_holder);
         let before = self.members.get(name);
         let unready_since = match before {
             _ if record.ready => None,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod follower_instance;
 mod follower_pace;
 mod item;
+mod known_fencing;
 mod known_incarnation;
 mod known_state;
 mod known_targets;
@@ -80,7 +81,8 @@
         HolderRecord, Item, ItemError, ItemName, LimitRecord, LoadingRecord, MemberRecord,
         RecentVersion, SuspectRecord, TargetRegistration,
     },
-    known_state::{KnownFencing, KnownHolder, KnownState, OwnShutdown},
+    known_fencing::KnownFencing,
+    known_state::{KnownHolder, KnownState, OwnShutdown},
     known_targets::AnnouncedLimit,
     membership_settling::{
         MAX_QUIET_TIME, MAX_REGISTRATION_TIME, MAX_SETTLING_TIME, MIN_QUIET_TIME,
