--- a/crates/keyvalue/src/lib.rs
+++ b/crates/keyvalue/src/lib.rs
@@ -36,6 +36,7 @@
 mod memory_instances;
 mod memory_kv;
 mod memory_state;
+mod memory_watch;
 
 pub use {
     etcd_kv::{EtcdKv, EtcdSettings},
--- a/crates/keyvalue/src/memory_kv.rs
+++ b/crates/keyvalue/src/memory_kv.rs
@@ -3,9 +3,8 @@
 use {
     crate::{
         Event, Incarnation, IncarnationTracker, KeyValue, KvError, KvFaults, Lease, LeaseId, Range,
-        Txn, TxnOutcome,
-        kv_faults::CallOutcome,
-        memory_state::{MemoryState, event_revision},
+        Txn, TxnOutcome, kv_faults::CallOutcome, memory_state::MemoryState,
+        memory_watch::WatchCursor,
     },
     catalog::Revision,
     futures::{Stream, StreamExt, stream},
@@ -15,7 +14,7 @@
     },
     tokio::{
         sync::watch,
-        time::{Instant, sleep, sleep_until},
+        time::{Instant, sleep},
     },
 };
 
@@ -34,19 +33,19 @@
 
 /// State that all handles share.
 #[derive(Debug)]
-struct Shared {
-    state: Mutex<MemoryState>,
+pub(crate) struct Shared {
+    pub(crate) state: Mutex<MemoryState>,
     calls: Mutex<KvCalls>,
-    changed: watch::Sender<()>,
+    pub(crate) changed: watch::Sender<()>,
 }
 
 /// Faults that one handle and its clones share.
 #[derive(Debug)]
-struct HandleFaults {
+pub(crate) struct HandleFaults {
     active: Mutex<KvFaults>,
-    changed: watch::Sender<()>,
-    watch_cut: watch::Sender<u64>,
-    incarnations: IncarnationTracker,
+    pub(crate) changed: watch::Sender<()>,
+    pub(crate) watch_cut: watch::Sender<u64>,
+    pub(crate) incarnations: IncarnationTracker,
 }
 
 /// A key-value service in memory, for tests of code that uses [`KeyValue`].
@@ -56,8 +55,8 @@
 /// of another instance.
 #[derive(Clone, Debug)]
 pub struct MemoryKv {
-    shared: Arc<Shared>,
-    faults: Arc<HandleFaults>,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) faults: Arc<HandleFaults>,
 }
 
 impl Default for MemoryKv {
@@ -226,7 +225,7 @@
     }
 
     /// Expires due leases, applies `operation`, and wakes the watches if anything changed.
-    fn apply<Output, Operation>(&self, operation: Operation) -> Result<Output, KvError>
+    pub(crate) fn apply<Output, Operation>(&self, operation: Operation) -> Result<Output, KvError>
     where
         Operation: FnOnce(&mut MemoryState) -> Result<Output, KvError>,
     {
@@ -261,18 +260,7 @@
         from: Revision,
         wait: Option<Duration>,
     ) -> impl Stream<Item = Result<Event, KvError>> + Send + use<> {
-        let cursor = WatchCursor {
-            kv: self.clone(),
-            prefix: prefix.to_owned(),
-            next_revision: from,
-            wait,
-            has_answer: false,
-            opened_in: self.faults.incarnations.current(),
-            cut: self.faults.watch_cut.subscribe(),
-            changed: self.shared.changed.subscribe(),
-            faults_changed: self.faults.changed.subscribe(),
-            ended: false,
-        };
+        let cursor = WatchCursor::open(self.clone(), prefix.to_owned(), from, wait);
         stream::unfold(cursor, |mut cursor| async move {
             let batch = cursor.next_batch().await?;
             Some((stream::iter(batch), cursor))
@@ -289,7 +277,7 @@
         }
     }
 
-    fn count_call<Change>(&self, change: Change)
+    pub(crate) fn count_call<Change>(&self, change: Change)
     where
         Change: FnOnce(&mut KvCalls),
     {
@@ -363,117 +351,6 @@
     }
 }
 
-/// Position of one watch in the history of changes.
-struct WatchCursor {
-    kv: MemoryKv,
-    prefix: String,
-    next_revision: Revision,
-    /// Time after which progress is reported without changes; `None` reports it only with changes.
-    wait: Option<Duration>,
-    /// Whether a batch was delivered.
-    has_answer: bool,
-    opened_in: Incarnation,
-    cut: watch::Receiver<u64>,
-    changed: watch::Receiver<()>,
-    faults_changed: watch::Receiver<()>,
-    ended: bool,
-}
-
-impl WatchCursor {
-    /// Waits for the next changes and returns them, followed by their progress event; `None` once
-    /// the watch has ended.
-    async fn next_batch(&mut self) -> Option<Vec<Result<Event, KvError>>> {
-        if self.ended {
-            return None;
-        }
-        self.kv.count_call(|calls| calls.watch_count += 1);
-        let wait = self.wait.filter(|_| self.has_answer);
-        let wait = wait.or(self.wait.map(|_| Duration::ZERO));
-        let answer_at = wait.map(|wait| Instant::now() + wait);
-        self.has_answer = true;
-        loop {
-            self.changed.mark_unchanged();
-            self.faults_changed.mark_unchanged();
-            let is_due = answer_at.is_some_and(|at| Instant::now() >= at);
-            match self.available_events() {
-                Err(error) => {
-                    self.ended = true;
-                    return Some(vec![Err(error)]);
-                }
-                Ok(events) if !events.is_empty() => return Some(self.advance(events)),
-                Ok(_) if is_due && !self.kv.faults().watches_silent => {
-                    return Some(self.advance(Vec::new()));
-                }
-                Ok(_) => {
-                    let wake_at = answer_at.filter(|_| !is_due);
-                    tokio::select! {
-                        () = self.wait_for_change() => {}
-                        () = sleep_until_deadline(wake_at) => {}
-                    }
-                }
-            }
-        }
-    }
-
-    /// Returns the changes that can be delivered now, or the error that ends the watch.
-    fn available_events(&mut self) -> Result<Vec<Event>, KvError> {
-        if self.cut.has_changed().unwrap_or(true) {
-            return Err(no_answer());
-        }
-        let faults = self.kv.faults();
-        if faults.unreachable {
-            return Err(unreachable());
-        }
-        if faults.watches_silent {
-            return Ok(Vec::new());
-        }
-        let (prefix, from) = (self.prefix.clone(), self.next_revision);
-        let incarnations = &self.kv.faults.incarnations;
-        self.kv.apply(|state| {
-            incarnations.observe(state.named_incarnation(), self.opened_in)?;
-            state.events(&prefix, from)
-        })
-    }
-
-    /// Moves past `events` and appends the progress event.
-    fn advance(&mut self, events: Vec<Event>) -> Vec<Result<Event, KvError>> {
-        let last_revision = events
-            .iter()
-            .map(event_revision)
-            .max()
-            .unwrap_or(self.next_revision.saturating_sub(1));
-        self.next_revision = last_revision + 1;
-        let incarnations = &self.kv.faults.incarnations;
-        incarnations.note_revision(last_revision, self.opened_in);
-        let mut batch: Vec<Result<Event, KvError>> = events.into_iter().map(Ok).collect();
-        batch.push(Ok(Event::Progress(last_revision)));
-        batch
-    }
-
-    /// Waits until there may be new events: a change, a fault, a cut or an expiring lease.
-    async fn wait_for_change(&mut self) {
-        let expiry = lock(&self.kv.shared.state).next_expiry();
-        tokio::select! {
-            _ = self.changed.changed() => {}
-            _ = self.faults_changed.changed() => {}
-            () = cut_changed(self.cut.clone()) => {}
-            () = sleep_until_deadline(expiry) => {}
-        }
-    }
-}
-
-/// Waits for a cut. Takes a clone of the receiver, so that the watch itself still sees the cut.
-async fn cut_changed(mut cut: watch::Receiver<u64>) {
-    let _ = cut.changed().await;
-}
-
-async fn sleep_until_deadline(deadline: Option<Instant>) {
-    match deadline {
-        Some(deadline) => sleep_until(deadline).await,
-        None => std::future::pending().await,
-    }
-}
-
 async fn sleep_for(delay: Duration) {
     if !delay.is_zero() {
         sleep(delay).await;
@@ -489,19 +366,19 @@
     })
 }
 
-fn unreachable() -> KvError {
+pub(crate) fn unreachable() -> KvError {
     KvError::Unreachable {
         endpoint: "memory".to_owned(),
         reason: "switched off".to_owned(),
     }
 }
 
-fn no_answer() -> KvError {
+pub(crate) fn no_answer() -> KvError {
     KvError::Unknown {
         reason: "answer lost".to_owned(),
     }
 }
 
-fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+pub(crate) fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
