--- a/crates/orders/src/lease_holder.rs
+++ b/crates/orders/src/lease_holder.rs
@@ -271,7 +271,7 @@
 
     /// Whether a target's key is as this instance wrote it when it acquired the target.
     fn is_held_by(&self, target: &TargetId, pair: &KvPair, lease: LeaseId) -> bool {
-        let Some((_, record)) = own_record(pair, lease) else {
+        let Some(record) = own_record(pair, lease) else {
             return false;
         };
         self.held.get(target).is_some_and(|held| {
@@ -396,7 +396,9 @@
         let holder = find(holder_key(target));
         self.kept_token(target)
             .set_record(find(fencing_key(target)));
-        if let Some((pair, record)) = holder.and_then(|pair| own_record(pair, lease.id)) {
+        if let Some(pair) = holder
+            && let Some(record) = own_record(pair, lease.id)
+        {
             self.record_held(target, record.fencing, pair.mod_revision, lease);
         }
         self.foreign_records.remove(target);
@@ -430,9 +432,8 @@
 }
 
 /// Returns the record of a target's key if it was written under `lease`.
-fn own_record(pair: &KvPair, lease: LeaseId) -> Option<(&KvPair, HolderRecord)> {
-    let record = HolderRecord::parse(pair)?;
-    (record.lease == lease).then_some((pair, record))
+fn own_record(pair: &KvPair, lease: LeaseId) -> Option<HolderRecord> {
+    HolderRecord::parse(pair).filter(|record| record.lease == lease)
 }
 
 /// Deletes a target's key unless another holder has written it since `revision`.
