--- a/crates/rattan/src/control/engine_watch.rs
+++ b/crates/rattan/src/control/engine_watch.rs
@@ -9,7 +9,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    target::{CacheEvents, Client, EngineClient, SendError},
+    target::{Client, EngineClient, SendError},
     tokio::time::sleep,
 };
 
@@ -65,12 +65,15 @@
     /// Applies the events after number `after`; returns the number of the last one applied.
     async fn read_events(&self, engine: &EngineClient, after: u64) -> Result<u64, SendError> {
         let events = engine.cache_events(after).await?;
+        let parsed: Vec<CacheEvent> = events.events.iter().filter_map(parse_event).collect();
+        let has_unreadable = events.unreadable_count > 0 || parsed.len() < events.events.len();
+        let lacks_events = has_unreadable || events.oldest_seq > after + 1;
         let was_restarted = events.last_seq < after;
-        if !was_restarted && self.apply(&events, after) {
+        if !was_restarted && self.apply(&parsed, after, lacks_events) {
             let last_event = events.events.last();
             return Ok(last_event.map_or(after, |event| event.seq.max(after)));
         }
-        if has_unreadable(&events) {
+        if has_unreadable {
             // The engine answers with the same events at once until its content includes them.
             self.directory.lock().mark_uncertain(self.view.name());
             sleep(RETRY_DELAY).await;
@@ -78,16 +81,14 @@
         self.resync(engine).await
     }
 
-    /// Applies the events; returns whether they follow `after` without a gap. One that can't be read is a gap,
-    /// since it may have removed a block.
-    fn apply(&self, events: &CacheEvents, after: u64) -> bool {
-        let parsed: Vec<CacheEvent> = events.events.iter().filter_map(parse_event).collect();
+    /// Applies the events; returns whether they follow `after` without a gap. Lacking events, also those that
+    /// can't be read, are a gap, since each may have removed a block.
+    fn apply(&self, events: &[CacheEvent], after: u64, lacks_events: bool) -> bool {
         let now = self.directory.now();
         let mut directory = self.directory.lock();
-        let applied = directory.apply_events(self.view.name(), after, &parsed, now);
+        let applied = directory.apply_events(self.view.name(), after, events, now);
         drop(directory);
-        let is_incomplete = matches!(applied, ApplyOutcome::Gap { .. }) || has_unreadable(events);
-        let has_gap = is_incomplete || events.oldest_seq > after + 1;
+        let has_gap = lacks_events || matches!(applied, ApplyOutcome::Gap { .. });
         if has_gap {
             log::info!(
                 "cache events of {} have a gap after {after}; reading its whole cache again",
@@ -116,15 +117,6 @@
     }
 }
 
-/// Whether some of the events, or the keys that they name, can't be read.
-fn has_unreadable(events: &CacheEvents) -> bool {
-    events.unreadable_count > 0
-        || events
-            .events
-            .iter()
-            .any(|event| parse_event(event).is_none())
-}
-
 fn parse_event(event: &target::CacheEvent) -> Option<CacheEvent> {
     Some(CacheEvent {
         seq: event.seq,
