--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -65,6 +65,7 @@
     error::SendError,
     incarnation::{Incarnation, IncarnationProbe},
     open_witness::OpenWitness,
+    readable_entries::ReadableEntries,
     reply::Reply,
     service::{ServiceAnswer, ServiceClient, ServiceRequest},
     sse_parser::{EventBatch, SseParser, event_id},
--- a/crates/target/src/readable_entries.rs
+++ b/crates/target/src/readable_entries.rs
@@ -6,13 +6,13 @@
     std::char::REPLACEMENT_CHARACTER,
 };
 
-/// The entries of a list that could be read.
-#[derive(Debug)]
-pub(crate) struct ReadableEntries<Entry> {
+/// The entries that can be read of a list in an answer of a target. Those with bytes that are no text can't.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ReadableEntries<Entry> {
     /// Those that could be read, in order.
-    pub(crate) entries: Vec<Entry>,
+    pub entries: Vec<Entry>,
     /// Number of the others.
-    pub(crate) unreadable_count: usize,
+    pub unreadable_count: usize,
 }
 
 impl<'de, Entry> Deserialize<'de> for ReadableEntries<Entry>
