Tests of a returning service share one fleet

unnamed_returns had the fleet of restored_instances once more, and restored_instances one of its loops twice. Assertions are the same; each instance must have its line about a return, where the sum was counted before.

--- a/crates/entry/tests/restored_instances.rs
+++ b/crates/entry/tests/restored_instances.rs
@@ -4,9 +4,14 @@
 
 use {
     entry::HolderRecord,
-    keyvalue::{KeyValue, KvCopy, MemoryKv, Op, Txn},
+    keyvalue::{KeyValue, MemoryKv, Op, Txn},
     std::time::{Duration, Instant},
-    support::{Instance, put, target::Target, wait_until},
+    support::{
+        put,
+        returning_fleet::{ReturningFleet, cut},
+        target::Target,
+        wait_until,
+    },
     tokio::time::sleep,
 };
 
@@ -19,155 +24,76 @@
 /// Time to live of an instance's lease.
 const LEASE_TTL: Duration = Duration::from_secs(2);
 
-/// Three instances, each with a connection of its own to the service, before a target.
-struct Fleet {
-    kv: MemoryKv,
-    /// Copy of the service before anything was written.
-    empty: KvCopy,
-    connections: Vec<MemoryKv>,
-    instances: Vec<Instance>,
-    target: Target,
+/// Starts three instances on a service.
+async fn start_at(kv: MemoryKv) -> ReturningFleet {
+    ReturningFleet::start(kv, &["one", "two", "three"]).await
 }
 
-impl Fleet {
-    async fn start() -> Self {
-        Self::start_at(MemoryKv::with_incarnation()).await
-    }
-
-    async fn start_at(kv: MemoryKv) -> Self {
-        let empty = kv.take_copy();
-        let target = Target::start(Duration::ZERO).await;
-        put(&kv, "operators/configuration", "5").await;
-        put(&kv, "targets/t1", &format!("{} 1", target.address)).await;
-        let names = ["one", "two", "three"];
-        let connections: Vec<MemoryKv> = names.iter().map(|_| kv.peer()).collect();
-        let start = |(name, kv): (&&str, &MemoryKv)| Instance::start(name, kv.clone());
-        let instances = names.iter().zip(&connections).map(start).collect();
-        let fleet = Self {
-            kv,
-            empty,
-            connections,
-            instances,
-            target,
-        };
-        wait_until("all addresses", async || fleet.knows_all().await).await;
-        fleet
-    }
-
-    /// Writes what operators and targets have written before.
-    async fn write_again(&self) {
-        let writer = self.kv.peer();
-        put(&writer, "operators/configuration", "5").await;
-        put(&writer, "targets/t1", &format!("{} 1", self.target.address)).await;
-    }
+/// Starts three instances on a service that names its incarnation.
+async fn start() -> ReturningFleet {
+    start_at(MemoryKv::with_incarnation()).await
+}
 
-    /// Whether each instance tells callers the addresses of all.
-    async fn knows_all(&self) -> bool {
-        for instance in &self.instances {
-            if instance.addresses().await.len() != self.instances.len() {
-                return false;
-            }
+/// While a service returns, calls through each instance, after `look`; operators and targets write again.
+async fn check_calls_while_returning<Look>(fleet: &ReturningFleet, look: Look)
+where
+    Look: AsyncFn(Duration),
+{
+    let restored_at = Instant::now();
+    let mut is_written = false;
+    while restored_at.elapsed() < RETURN_TIME {
+        if !is_written && restored_at.elapsed() > REWRITE_DELAY {
+            fleet.write_again().await;
+            is_written = true;
         }
-        true
-    }
-
-    /// Whether the service holds the records of all instances.
-    async fn are_registered(&self) -> bool {
-        let members = self.kv.peer().range("rattan/members/").await;
-        members.is_ok_and(|members| members.pairs.len() == self.instances.len())
-    }
-
-    fn cut(&self, is_cut: bool) {
-        for connection in &self.connections {
-            cut(connection, is_cut);
+        look(restored_at.elapsed()).await;
+        for instance in &fleet.instances {
+            let status = instance.call("/x").await.map(|(status, _)| status);
+            assert_eq!(status, Some(200), "{:?}", restored_at.elapsed());
         }
-    }
-
-    fn restored_lines(&self) -> Vec<usize> {
-        let count = |it: &Instance| it.lines("\"event\":\"restored\"").len();
-        self.instances.iter().map(count).collect()
-    }
-}
-
-fn cut(connection: &MemoryKv, is_cut: bool) {
-    connection.set_faults(|faults| faults.unreachable = is_cut);
-    if is_cut {
-        connection.cut_watches();
+        sleep(LOOK_PERIOD).await;
     }
 }
 
 /// Guards against changes that are missed silently once their revisions are given out again.
 #[tokio::test]
 async fn what_is_written_at_revisions_given_out_again_is_seen() {
-    let fleet = Fleet::start().await;
+    let fleet = start().await;
     let copy = fleet.kv.take_copy();
-    for number in 0..20 {
-        put(&fleet.kv, "unused", &number.to_string()).await;
-    }
+    fleet.write_changes(20).await;
     sleep(LOOK_PERIOD * 5).await;
     fleet.kv.restore(&copy);
     let writer = fleet.kv.peer();
     let second = Target::start(Duration::ZERO).await;
     put(&writer, "targets/t2", &format!("{} 1", second.address)).await;
-    for number in 0..40 {
-        put(&writer, "unused", &number.to_string()).await;
-    }
-    wait_until("calls at the new target", async || {
-        for instance in &fleet.instances {
-            instance.call("/x").await;
-        }
-        second.calls_count() > 0
-    })
-    .await;
+    fleet.write_changes(40).await;
+    fleet.wait_for_call_at(&second).await;
 }
 
 /// Guards against a copy of the service that counts as the present state since no answer names an incarnation.
 #[tokio::test]
 async fn target_stays_though_a_copy_without_an_incarnation_lacks_it() {
-    let fleet = Fleet::start_at(MemoryKv::new()).await;
-    for number in 0..20 {
-        put(&fleet.kv, "unused", &number.to_string()).await;
-    }
+    let fleet = start_at(MemoryKv::new()).await;
+    fleet.write_changes(20).await;
     sleep(LOOK_PERIOD * 5).await;
     fleet.kv.restore(&fleet.empty);
-    let restored_at = Instant::now();
-    let mut is_written = false;
-    while restored_at.elapsed() < RETURN_TIME {
-        if !is_written && restored_at.elapsed() > REWRITE_DELAY {
-            fleet.write_again().await;
-            is_written = true;
-        }
-        for instance in &fleet.instances {
-            let status = instance.call("/x").await.map(|(status, _)| status);
-            assert_eq!(status, Some(200), "{:?}", restored_at.elapsed());
-        }
-        sleep(LOOK_PERIOD).await;
-    }
+    check_calls_while_returning(&fleet, async |_| {}).await;
 }
 
 #[tokio::test]
 async fn instances_register_again_and_stay_among_the_addresses() {
-    let fleet = Fleet::start().await;
+    let fleet = start().await;
     for _ in 0..2 {
         fleet.kv.restore(&fleet.empty);
-        let restored_at = Instant::now();
-        let mut is_written = false;
-        while restored_at.elapsed() < RETURN_TIME {
-            if !is_written && restored_at.elapsed() > REWRITE_DELAY {
-                fleet.write_again().await;
-                is_written = true;
-            }
-            assert!(fleet.knows_all().await, "{:?}", restored_at.elapsed());
-            for instance in &fleet.instances {
-                let status = instance.call("/x").await.map(|(status, _)| status);
-                assert_eq!(status, Some(200), "{:?}", restored_at.elapsed());
-            }
-            sleep(LOOK_PERIOD).await;
-        }
+        check_calls_while_returning(&fleet, async |elapsed| {
+            assert!(fleet.knows_all().await, "{elapsed:?}");
+        })
+        .await;
         assert!(fleet.are_registered().await);
     }
     wait_until("a line for each time", async || {
-        fleet.restored_lines() == [2, 2, 2]
+        let lines = fleet.restored_lines();
+        lines.iter().map(Vec::len).collect::<Vec<_>>() == [2, 2, 2]
     })
     .await;
     let line = &fleet.instances[0].lines("\"event\":\"restored\"")[1];
@@ -181,7 +107,7 @@
 /// Guards against calls at a target that is about to exit, since the copy says that it is ready.
 #[tokio::test]
 async fn target_that_was_leaving_gets_no_calls_after_a_return() {
-    let fleet = Fleet::start().await;
+    let fleet = start().await;
     let second = Target::start(Duration::ZERO).await;
     put(&fleet.kv, "targets/t2", &format!("{} 1", second.address)).await;
     let leaving = format!("{} 1 s 0", fleet.target.address);
@@ -204,7 +130,7 @@
 
 #[tokio::test]
 async fn outage_before_the_return_changes_nothing() {
-    let fleet = Fleet::start().await;
+    let fleet = start().await;
     let copy = fleet.kv.take_copy();
     put(&fleet.kv, "operators/configuration", "7").await;
     let has_newest = async || {
@@ -233,7 +159,7 @@
 /// on its lease, and one that acquired the lock that the service forgot.
 #[tokio::test]
 async fn holder_that_is_cut_off_and_the_next_one_never_both_give_orders() {
-    let fleet = Fleet::start().await;
+    let fleet = start().await;
     put(&fleet.kv, "operators/version/m", "2").await;
     wait_until("an order", async || !fleet.target.orders().is_empty()).await;
     let first = fleet.target.orders()[0].clone();
@@ -274,7 +200,7 @@
 /// of another instance, to which the service gave the same id again.
 #[tokio::test]
 async fn lock_bound_to_the_lease_of_another_instance_is_replaced() {
-    let fleet = Fleet::start().await;
+    let fleet = start().await;
     put(&fleet.kv, "operators/version/m", "2").await;
     wait_until("an order", async || !fleet.target.orders().is_empty()).await;
     let first = fleet.target.orders()[0].clone();
@@ -316,7 +242,7 @@
 #[tokio::test]
 async fn lock_is_acquired_once_after_writes_whose_answers_were_lost() {
     for lost in [LostWrite::Done, LostWrite::NotDone, LostWrite::DoneLater] {
-        let fleet = Fleet::start().await;
+        let fleet = start().await;
         fleet.kv.restore(&fleet.empty);
         for connection in &fleet.connections {
             connection.set_faults(|faults| match lost {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -10,6 +10,7 @@
 pub mod late_target;
 pub mod part_store;
 pub mod path_target;
+pub mod returning_fleet;
 pub mod stating_target;
 pub mod stream_target;
 pub mod target;
--- a/crates/entry/tests/unnamed_returns.rs
+++ b/crates/entry/tests/unnamed_returns.rs
@@ -3,10 +3,16 @@
 mod support;
 
 use {
-    keyvalue::{KeyValue, KvCopy, MemoryKv},
+    keyvalue::MemoryKv,
     serde_json::Value,
     std::time::{Duration, Instant},
-    support::{Instance, follower_fleet::FollowerFleet, put, target::Target, wait_until},
+    support::{
+        follower_fleet::FollowerFleet,
+        put,
+        returning_fleet::{ReturningFleet, cut},
+        target::Target,
+        wait_until,
+    },
     tokio::time::sleep,
 };
 
@@ -17,113 +23,29 @@
 /// Longer than an outage in which leases end.
 const OUTAGE: Duration = Duration::from_secs(3);
 
-/// Instances, each with a connection of its own to the service, before a target.
-struct Fleet {
-    kv: MemoryKv,
-    /// Copy of the service before anything was written.
-    empty: KvCopy,
-    connections: Vec<MemoryKv>,
-    instances: Vec<Instance>,
-    target: Target,
-}
-
-impl Fleet {
-    async fn start(names: &[&str]) -> Self {
-        let kv = MemoryKv::new();
-        let empty = kv.take_copy();
-        let target = Target::start(Duration::ZERO).await;
-        let connections: Vec<MemoryKv> = names.iter().map(|_| kv.peer()).collect();
-        let start = |(name, kv): (&&str, &MemoryKv)| Instance::start(name, kv.clone());
-        let instances = names.iter().zip(&connections).map(start).collect();
-        let fleet = Self {
-            kv,
-            empty,
-            connections,
-            instances,
-            target,
-        };
-        fleet.write_again().await;
-        wait_until("all addresses", async || fleet.knows_all().await).await;
-        fleet
-    }
-
-    /// Writes what operators and targets have written before, with a connection that knows of no return.
-    async fn write_again(&self) {
-        let writer = self.kv.peer();
-        put(&writer, "operators/configuration", "5").await;
-        put(&writer, "targets/t1", &format!("{} 1", self.target.address)).await;
-    }
-
-    async fn write_changes(&self, count: u32) {
-        let writer = self.kv.peer();
-        for number in 0..count {
-            put(&writer, "unused", &number.to_string()).await;
-        }
-    }
-
-    /// Whether each instance tells callers the addresses of all.
-    async fn knows_all(&self) -> bool {
-        for instance in &self.instances {
-            if instance.addresses().await.len() != self.instances.len() {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Whether the service holds the records of all instances.
-    async fn are_registered(&self) -> bool {
-        let members = self.kv.peer().range("rattan/members/").await;
-        members.is_ok_and(|members| members.pairs.len() == self.instances.len())
-    }
-
-    /// Calls through all instances until a target has got one.
-    async fn wait_for_call_at(&self, target: &Target) {
-        wait_until("a call at the target", async || {
-            for instance in &self.instances {
-                instance.call("/x").await;
-            }
-            target.calls_count() > 0
-        })
-        .await;
-    }
-
-    fn cut(&self, is_cut: bool) {
-        for connection in &self.connections {
-            cut(connection, is_cut);
-        }
-    }
-
-    fn restored_lines(&self) -> Vec<String> {
-        let lines = |it: &Instance| it.lines("\"event\":\"restored\"");
-        self.instances.iter().flat_map(lines).collect()
-    }
-}
-
-fn cut(connection: &MemoryKv, is_cut: bool) {
-    connection.set_faults(|faults| faults.unreachable = is_cut);
-    if is_cut {
-        connection.cut_watches();
-    }
+/// Starts instances on a service that names no incarnation.
+async fn start(names: &[&str]) -> ReturningFleet {
+    ReturningFleet::start(MemoryKv::new(), names).await
 }
 
 /// Guards against instances that live through a return and do not notice it.
 #[tokio::test]
 async fn instances_read_again_and_register_again() {
-    let fleet = Fleet::start(&["one", "two", "three"]).await;
+    let fleet = start(&["one", "two", "three"]).await;
     for returns_count in 1..=2 {
         fleet.write_changes(FORGOTTEN_CHANGES_COUNT).await;
         sleep(LEASE_TTL).await;
         fleet.kv.restore(&fleet.empty);
         wait_until("a line of each instance", async || {
-            fleet.restored_lines().len() == returns_count * fleet.instances.len()
+            let lines = fleet.restored_lines();
+            lines.iter().all(|lines| lines.len() == returns_count)
         })
         .await;
         assert!(fleet.are_registered().await);
         fleet.write_again().await;
         assert!(fleet.knows_all().await);
     }
-    for line in fleet.restored_lines() {
+    for line in fleet.restored_lines().concat() {
         let line: Value = serde_json::from_str(&line).unwrap();
         assert_eq!(line["incarnation"], 0, "{line}");
         let [before, after] = ["revision_before", "revision"].map(|it| line[it].as_u64().unwrap());
@@ -134,7 +56,7 @@
 /// Guards against changes that are missed silently once their revisions are given out again.
 #[tokio::test]
 async fn what_is_written_at_revisions_given_out_again_is_seen() {
-    let fleet = Fleet::start(&["one", "two"]).await;
+    let fleet = start(&["one", "two"]).await;
     let copy = fleet.kv.take_copy();
     fleet.write_changes(FORGOTTEN_CHANGES_COUNT).await;
     sleep(Duration::from_millis(200)).await;
@@ -149,7 +71,7 @@
 /// were known, but the lease is gone.
 #[tokio::test]
 async fn lease_that_is_gone_too_early_has_everything_read_again() {
-    let fleet = Fleet::start(&["one"]).await;
+    let fleet = start(&["one"]).await;
     fleet.write_changes(FORGOTTEN_CHANGES_COUNT).await;
     sleep(Duration::from_millis(200)).await;
     let second = Target::start(Duration::ZERO).await;
@@ -167,14 +89,15 @@
     fleet.write_changes(2 * FORGOTTEN_CHANGES_COUNT).await;
     set_silent(false);
     fleet.wait_for_call_at(&second).await;
-    assert!(fleet.restored_lines().is_empty(), "nothing proves a return");
+    let lines = fleet.restored_lines().concat();
+    assert!(lines.is_empty(), "nothing proves a return");
 }
 
 /// Guards against two instances that both give orders: one cut off from the service, which still relies
 /// on its lease, and one that acquired the lock that the service forgot.
 #[tokio::test]
 async fn next_holder_waits_for_one_that_is_cut_off() {
-    let fleet = Fleet::start(&["one", "two", "three"]).await;
+    let fleet = start(&["one", "two", "three"]).await;
     put(&fleet.kv, "operators/version/m", "2").await;
     wait_until("an order", async || !fleet.target.orders().is_empty()).await;
     let first = fleet.target.orders()[0].clone();
@@ -201,7 +124,7 @@
 /// Guards against a sound service that is taken for one that went back.
 #[tokio::test]
 async fn outage_in_which_leases_end_is_no_return() {
-    let fleet = Fleet::start(&["one", "two", "three"]).await;
+    let fleet = start(&["one", "two", "three"]).await;
     for connection in &fleet.connections {
         connection.set_faults(|faults| {
             faults.lost_answer_count = 2;
@@ -219,7 +142,7 @@
     fleet.kv.expire_leases();
     sleep(LEASE_TTL).await;
     wait_until("registered", async || fleet.are_registered().await).await;
-    assert_eq!(fleet.restored_lines(), Vec::<String>::new());
+    assert_eq!(fleet.restored_lines().concat(), Vec::<String>::new());
 }
 
 /// Guards against readers that go on with what an aggregator passes on of another history.
