--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -35,6 +35,7 @@
 mod open_witness;
 mod readable_entries;
 mod reply;
+mod reply_json;
 mod request;
 mod service;
 mod socket_options;
