--- a/crates/entry/tests/cold_targets.rs
+++ b/crates/entry/tests/cold_targets.rs
@@ -15,7 +15,7 @@
     },
     support::{
         Answer, Instance, keep_current, put, settings,
-        target::{Target, respond, serve_until},
+        target::{Target, most_in_window, respond, serve_until},
         wait_until,
     },
     tokio::{
@@ -116,17 +116,6 @@
     }
 }
 
-/// The largest number of `arrivals` within one second.
-fn most_in_window(arrivals: &[Instant]) -> usize {
-    let in_window_from = |first: &Instant| {
-        let window = arrivals.iter().filter(|at| *at >= first);
-        window
-            .filter(|at| at.duration_since(*first) < WINDOW)
-            .count()
-    };
-    arrivals.iter().map(in_window_from).max().unwrap_or(0)
-}
-
 #[tokio::test]
 async fn pool_that_returns_cold_serves_what_it_bears_and_no_more() {
     let (mut warm, mut cold) = (Vec::new(), Vec::new());
@@ -144,7 +133,7 @@
     let time = Duration::from_millis(COLD_MS - 1_000);
     let phase = fleet.call_for(time).await;
     for target in &cold {
-        let most = most_in_window(&target.arrivals());
+        let most = most_in_window(&target.arrivals(), WINDOW);
         assert!(most <= MAX_CALLS_COUNT, "{most} calls in a second");
     }
     let borne_count = COLD_PER_S * TARGETS.len() * usize::try_from(time.as_secs()).unwrap();
@@ -224,7 +213,7 @@
     let (after, _) = tokio::join!(restarts, fleet.call_for(AWAY_TIME + time));
     for target in &after {
         let arrivals = target.arrivals.lock().unwrap();
-        let most = most_in_window(&arrivals);
+        let most = most_in_window(&arrivals, WINDOW);
         println!("{most} calls in a second of {}", arrivals.len());
         assert!(most <= MAX_CALLS_COUNT, "{most} calls in a second");
         assert!(arrivals.len() > COLD_PER_S, "the target bears calls");
--- a/crates/entry/tests/limited_targets.rs
+++ b/crates/entry/tests/limited_targets.rs
@@ -7,7 +7,11 @@
     futures::future::join_all,
     keyvalue::{KeyValue, MemoryKv},
     std::time::{Duration, Instant},
-    support::{Instance, put, settings, target::Target, wait_until},
+    support::{
+        Instance, put, settings,
+        target::{self, Target},
+        wait_until,
+    },
     tokio::time::{interval, sleep},
 };
 
@@ -76,13 +80,7 @@
 fn most_in_window(target: &Target, since: Instant) -> usize {
     let mut arrivals = target.arrivals();
     arrivals.retain(|at| *at >= since);
-    let in_window_from = |first: &Instant| {
-        let window = arrivals.iter().filter(|at| *at >= first);
-        window
-            .filter(|at| at.duration_since(*first) < WINDOW)
-            .count()
-    };
-    arrivals.iter().map(in_window_from).max().unwrap_or(0)
+    target::most_in_window(&arrivals, WINDOW)
 }
 
 /// Calls that a target with a limit may get in one window.
--- a/crates/entry/tests/slow_readers.rs
+++ b/crates/entry/tests/slow_readers.rs
@@ -6,7 +6,7 @@
     futures::future::join_all,
     keyvalue::MemoryKv,
     std::{net::SocketAddr, time::Duration},
-    support::{Instance, put, settings, wait_until},
+    support::{Instance, path_target::read_path, put, settings, wait_until},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpSocket, TcpStream},
@@ -37,16 +37,11 @@
 
 /// Answers the first call of a connection: with a whole body, or with a stream that ends or does not.
 async fn serve(mut stream: TcpStream) {
-    let mut bytes = Vec::new();
-    while !bytes.windows(4).any(|it| it == b"\r\n\r\n") {
-        if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
-            return;
-        }
-    }
-    let head = String::from_utf8_lossy(&bytes);
-    let path = head.split(' ').nth(1).unwrap_or_default();
+    let Some(path) = read_path(&mut stream).await else {
+        return;
+    };
     let begin = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-    let answer = match path {
+    let answer = match path.as_str() {
         "/prompts/endless" => begin.to_owned(),
         "/prompts/short" => format!("{begin}{}0\r\n\r\n", event().repeat(EVENTS_COUNT)),
         _ => {
--- a/crates/entry/tests/support/path_target.rs
+++ b/crates/entry/tests/support/path_target.rs
@@ -38,16 +38,11 @@
 
 /// Answers the first call of a connection, then closes it.
 async fn serve(mut stream: TcpStream) {
-    let mut bytes = Vec::new();
-    while !bytes.windows(4).any(|it| it == b"\r\n\r\n") {
-        if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
-            return;
-        }
-    }
-    let head = String::from_utf8_lossy(&bytes);
-    let path = head.split(' ').nth(1).unwrap_or_default();
-    let _ = stream.write_all(answer(path).as_bytes()).await;
-    match path {
+    let Some(path) = read_path(&mut stream).await else {
+        return;
+    };
+    let _ = stream.write_all(answer(&path).as_bytes()).await;
+    match path.as_str() {
         "/prompts/endless" => pending().await,
         _ => sleep(BREAK_DELAY).await,
     }
@@ -77,3 +72,15 @@
     let event = format!("id: {id}\ndata: {data}\n\n");
     format!("{:x}\r\n{event}\r\n", event.len())
 }
+
+/// Reads the head of a call. Returns its path; `None` if the connection ends before.
+pub async fn read_path(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    while !bytes.windows(4).any(|it| it == b"\r\n\r\n") {
+        if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
+            return None;
+        }
+    }
+    let head = String::from_utf8_lossy(&bytes);
+    Some(head.split(' ').nth(1).unwrap_or_default().to_owned())
+}
--- a/crates/entry/tests/support/target.rs
+++ b/crates/entry/tests/support/target.rs
@@ -210,3 +210,14 @@
         tokio::spawn(async move { end.run_until_cancelled(served).await });
     }
 }
+
+/// The largest number of `arrivals` within one window.
+pub fn most_in_window(arrivals: &[Instant], window: Duration) -> usize {
+    let in_window_from = |first: &Instant| {
+        let later = arrivals.iter().filter(|at| *at >= first);
+        later
+            .filter(|at| at.duration_since(*first) < window)
+            .count()
+    };
+    arrivals.iter().map(in_window_from).max().unwrap_or(0)
+}
