The line of a call says how the origin of its stream is known, and which start of a target is meant

Cause: a stream that goes on at a version because nobody knows it looked in the log like one whose origin is known, and a target that started again under its id like the process before. Change: origin_source (kept, told, only_version) in the line of a call; started_unix_ms, as registered, in each of its attempts and in the events of targets.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -325,6 +325,7 @@
                 pool: String::new(),
                 address: String::new(),
                 software_version: String::new(),
+                started_unix_ms: 0,
                 revision,
             });
         }
@@ -406,6 +407,7 @@
                 pool: record.pool.clone(),
                 address: record.address.to_string(),
                 software_version: record.software_version.clone(),
+                started_unix_ms: record.started_unix_ms,
                 revision,
             },
             _ => return,
--- a/crates/eventlog/src/event.rs
+++ b/crates/eventlog/src/event.rs
@@ -25,6 +25,9 @@
     pub candidates_count: usize,
     /// Version of the target's software, as registered when it was chosen.
     pub software_version: String,
+    /// Start of the target's process, as registered when it was chosen, in milliseconds since the Unix epoch by its
+    /// own clock; 0 if it is not known.
+    pub started_unix_ms: u64,
     /// Version of the model weights that the target was assumed to have; 0 if the call needs none
     /// or none was named.
     pub version: u64,
@@ -73,6 +76,9 @@
     pub resumes: String,
     /// Software version at which that stream began; empty if it is not known or needs not be.
     pub origin_version: String,
+    /// How that is known: `kept` (by this instance), `told` (by another one) or `only_version` (nobody knows the stream,
+    /// and this instance knows no other version); empty if it is not known or needs not be.
+    pub origin_source: &'static str,
     /// Whether another instance passed the call on.
     pub is_forwarded: bool,
     /// Instance to which the call was passed on last; empty if to none.
@@ -199,6 +205,9 @@
         address: String,
         /// Version of its software; empty if it is gone.
         software_version: String,
+        /// Start of its process, in milliseconds since the Unix epoch by its own clock; 0 if it is gone, or the start is
+        /// not known.
+        started_unix_ms: u64,
         /// Revision of the key-value service at which this was read.
         revision: u64,
     },
--- a/crates/eventlog/src/trace.rs
+++ b/crates/eventlog/src/trace.rs
@@ -183,8 +183,8 @@
         if call["resumes"].as_str().is_some_and(|id| !id.is_empty()) {
             let _ = writeln!(
                 text,
-                "  it resumes the stream of {}, begun at software version {}",
-                call["resumes"], call["origin_version"],
+                "  it resumes the stream of {}, begun at software version {} ({})",
+                call["resumes"], call["origin_version"], call["origin_source"],
             );
         }
         for line in &self.state_events {
--- a/crates/eventlog/tests/event_page.rs
+++ b/crates/eventlog/tests/event_page.rs
@@ -49,6 +49,7 @@
             pool: text(),
             address: text(),
             software_version: String::new(),
+            started_unix_ms: 0,
             revision: 0,
         },
         Event::LeftOut {
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -7,7 +7,7 @@
         admit::{Admitted, called_host},
         attempt::TargetAnswer,
         call_holder::CallHolder,
-        call_origin::CallOrigin,
+        call_origin::{CallOrigin, OriginSource},
         call_recorder::CallRecorder,
         held_bytes::HeldPermit,
         quarantined_calls::part_keys,
@@ -194,6 +194,7 @@
         }
         let origin_version = self.origin.software_version().unwrap_or_default();
         origin_version.clone_into(&mut recorder.line.origin_version);
+        recorder.line.origin_source = self.origin.source().map_or("", OriginSource::label);
         let answer = self.run(recorder, None).await?;
         Ok(self.replace_unproven(answer, recorder).await)
     }
--- a/crates/relay/src/call_origin.rs
+++ b/crates/relay/src/call_origin.rs
@@ -18,11 +18,35 @@
 /// Time for which an origin is kept beyond the time that the caller waits.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(5);
 
+/// How the instance at which a stream is taken up knows where it began.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum OriginSource {
+    /// It keeps the origin itself.
+    Kept,
+    /// Another instance has told it.
+    Told,
+    /// It knows one version only, at which the stream can have begun.
+    OnlyVersion,
+}
+
+impl OriginSource {
+    /// Name in the log.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::Kept => "kept",
+            Self::Told => "told",
+            Self::OnlyVersion => "only_version",
+        }
+    }
+}
+
 /// Where the stream of a call began: the pool and software version to which it is bound.
 #[derive(Debug)]
 pub(crate) struct CallOrigin {
     origins: Arc<StreamOrigins>,
     origin: Option<Origin>,
+    /// How it is known; `None` if the stream begins with this call, or nothing is known.
+    source: Option<OriginSource>,
     is_recorded: bool,
 }
 
@@ -32,6 +56,7 @@
         Self {
             origins,
             origin: None,
+            source: None,
             is_recorded: false,
         }
     }
@@ -43,6 +68,11 @@
         Some(origin.software_version.as_str())
     }
 
+    /// How it is known where the stream began; `None` if it begins with this call, or nothing is known.
+    pub(crate) fn source(&self) -> Option<OriginSource> {
+        self.source
+    }
+
     /// Finds where the stream began that the call resumes, if it resumes one. Returns the pool to
     /// which the call is bound.
     ///
@@ -62,7 +92,7 @@
             possible,
             is_history_known,
         } = self.origins.of_route(&admitted.route);
-        let known = match &call.resumes {
+        let (known, source) = match &call.resumes {
             Some(request_id) => {
                 let is_undoubted = possible != PossibleOrigins::Several
                     && view.is_confirmed_within(MAX_VIEW_AGE)
@@ -74,16 +104,22 @@
                 };
                 // Even an undoubted view may lag behind that of the instance which began the stream.
                 let key = key(admitted, request_id);
-                self.origins.find(key, answer_timeout).await
+                match self.origins.known(key) {
+                    OriginKnowledge::Unknown => {
+                        let told = self.origins.ask(key, answer_timeout).await;
+                        (told, OriginSource::Told)
+                    }
+                    known => (known, OriginSource::Kept),
+                }
             }
-            None => OriginKnowledge::Unknown,
+            None => (OriginKnowledge::Unknown, OriginSource::Told),
         };
         match known {
             OriginKnowledge::Known(origin) => {
                 if !own_pools(&admitted.route).any(|pool| *pool == origin.pool) {
                     return Err(Reason::OriginGone.into());
                 }
-                Ok(Some(self.bind(origin)))
+                Ok(Some(self.bind(origin, source)))
             }
             // It may have begun at a version that left before this instance knew the pool.
             OriginKnowledge::Unknown
@@ -102,14 +138,15 @@
     fn bind_to_only(&mut self, possible: PossibleOrigins) -> Result<Option<PoolId>, Declined> {
         match possible {
             PossibleOrigins::None => Ok(None),
-            PossibleOrigins::One(origin) => Ok(Some(self.bind(origin))),
+            PossibleOrigins::One(origin) => Ok(Some(self.bind(origin, OriginSource::OnlyVersion))),
             PossibleOrigins::Several => Err(Reason::OriginUnknown.into()),
         }
     }
 
-    fn bind(&mut self, origin: Origin) -> PoolId {
+    fn bind(&mut self, origin: Origin, source: OriginSource) -> PoolId {
         let pool = origin.pool.clone();
         self.origin = Some(origin);
+        self.source = Some(source);
         pool
     }
 
--- a/crates/relay/src/call_recorder.rs
+++ b/crates/relay/src/call_recorder.rs
@@ -80,6 +80,7 @@
             is_cold: picked.is_cold,
             candidates_count: picked.candidates_count,
             software_version: picked.target.software_version.clone(),
+            started_unix_ms: picked.target.started_unix_ms,
             version: weights.version,
             wanted_version: weights.wanted_version,
             wanted_age_ms: weights.wanted_age.map(millis),
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -142,13 +142,8 @@
         }
     }
 
-    /// What is known of the origin of a stream, here or at the instances that keep it, which are given
-    /// `answer_timeout` to tell it.
-    pub(crate) async fn find(&self, key: StreamKey, answer_timeout: Duration) -> OriginKnowledge {
-        let known = self.known(key);
-        if known != OriginKnowledge::Unknown {
-            return known;
-        }
+    /// What the instances that keep the origin of a stream know of it. They are given `answer_timeout` to tell it.
+    pub(crate) async fn ask(&self, key: StreamKey, answer_timeout: Duration) -> OriginKnowledge {
         let (answer, answered) = oneshot::channel();
         if let Err(error) = self.questions.try_send(OriginQuestion { key, answer }) {
             log::warn!("cannot ask where a stream began, it counts as unknown: {error}");
