Fix ORDER: a stream that nobody knows is not taken up at the only version by want of another

What callers saw: events of two software versions in one stream, where all engines and all instances had been replaced at once and callers brought Last-Event-Id without naming the attempt that began the stream. Cause: such a call was bound at once to the only version that the instance knew, and nobody was asked. Of calls that do name the attempt three cases were the same: a view that lags while no instance answers, a pool without targets while the call waits, and what was known before the other instances were asked. Change: streams that may be resumed are kept under the key of the whole call too (the key by which a crashing call is known), so they are found without the attempt's id, and go on while several versions serve. An unknown stream goes on at the only version if the instance has known the pool for the route's time limit, and an instance that would keep the origin has answered, or the key-value service has confirmed the view after the call arrived. An empty pool refuses. Why it works: an instance in doubt tells the holders of the key; that one of them knows nothing, or a registration list from after the call, shows what the want of another version did not. Tests: relay unnamed_attempts, 4 of 6 fail with these checks taken out. stream_positions start their relays as known for long, since a relay that has just started refuses what nobody knows; no assertion is changed.

--- a/crates/entry/src/origin_exchange.rs
+++ b/crates/entry/src/origin_exchange.rs
@@ -5,13 +5,17 @@
     balance::rendezvous::member_seed,
     feed::OriginClient,
     futures::{StreamExt, stream::FuturesUnordered},
-    origins::{ASKED_COUNT, HOLDERS_COUNT, OriginKnowledge, OriginRecord, StreamKey, holders},
-    relay::{OriginQuestion, OriginRequests},
+    origins::{
+        ASKED_COUNT, HOLDERS_COUNT, OriginKnowledge, OriginRecord, StreamKey, has_holder_answered,
+        holders,
+    },
+    relay::{OriginQuestion, OriginRequests, ToldOrigin},
     std::{collections::HashMap, net::SocketAddr, sync::Arc},
     supervisor::ChildResult,
     tokio::{
         sync::{mpsc, oneshot},
         task::JoinSet,
+        time::timeout_at,
     },
     tokio_util::sync::CancellationToken,
 };
@@ -87,24 +91,34 @@
         }
     }
 
-    /// Passes a question on to the holders of its key. The first that knows the stream answers it.
+    /// Passes a question on to the holders of its key. The first that knows the stream answers it, or else all that
+    /// answer in time.
     fn ask(&mut self, question: OriginQuestion) {
         let mut answers = FuturesUnordered::new();
+        let deadline = question.deadline.into();
         for address in holders(question.key, &self.instances, ASKED_COUNT) {
             let (sender, answer) = oneshot::channel();
             self.send(address, Request::Tell(question.key, sender));
             answers.push(answer);
         }
         self.tasks.spawn(async move {
-            let mut known = OriginKnowledge::Unknown;
+            let asked_count = answers.len();
+            let (mut known, mut answered_count) = (OriginKnowledge::Unknown, 0);
             while known == OriginKnowledge::Unknown
-                && let Some(answer) = answers.next().await
+                && let Ok(Some(answer)) = timeout_at(deadline, answers.next()).await
             {
                 // An instance that does not answer knows nothing.
-                known = answer.unwrap_or(OriginKnowledge::Unknown);
+                if let Ok(answer) = answer {
+                    known = answer;
+                    answered_count += 1;
+                }
             }
+            let told = ToldOrigin {
+                known,
+                has_holder_answered: has_holder_answered(asked_count, answered_count),
+            };
             // The call may have ended.
-            let _ = question.answer.send(known);
+            let _ = question.answer.send(told);
         });
     }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -264,7 +264,7 @@
             update_cold_shares(&view, allowance, self.instance_seed(), now);
         }
         let view = Arc::new(view);
-        self.relay_state.stream_origins.observe(&view);
+        self.relay_state.stream_origins.observe(&view, now);
         self.relay_state.view.store(view);
         let instances_count = known.ready_members().len();
         self.meters.gauge("targets", known.targets().count() as u64);
--- a/crates/origins/src/holders.rs
+++ b/crates/origins/src/holders.rs
@@ -27,3 +27,19 @@
     let first = scored.into_iter().take(count);
     first.map(|(_, instance)| instance).collect()
 }
+
+/// Whether at least one of the [`HOLDERS_COUNT`] instances to which an origin was sent is among those that have
+/// answered, if so many were asked and so many answered.
+///
+/// ```
+/// use origins::has_holder_answered;
+///
+/// assert!(has_holder_answered(3, 2));
+/// assert!(!has_holder_answered(3, 1));
+/// assert!(!has_holder_answered(0, 0));
+/// ```
+#[must_use]
+pub fn has_holder_answered(asked_count: usize, answered_count: usize) -> bool {
+    let unanswered_count = asked_count.saturating_sub(answered_count);
+    answered_count > 0 && unanswered_count < HOLDERS_COUNT
+}
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -27,7 +27,7 @@
 mod pool_versions;
 
 pub use {
-    holders::{ASKED_COUNT, HOLDERS_COUNT, holders},
+    holders::{ASKED_COUNT, HOLDERS_COUNT, has_holder_answered, holders},
     origin::{Origin, OriginKnowledge, OriginRecord, StreamKey, stream_key},
     origin_table::{MAX_ORIGINS_COUNT, OriginTable},
     pool_versions::{PoolVersions, PossibleOrigins, VERSION_MEMORY},
--- a/crates/origins/src/origin.rs
+++ b/crates/origins/src/origin.rs
@@ -7,7 +7,8 @@
 };
 
 /// Key of a stream: the first 8 bytes of a digest over the client account and the request id of the
-/// attempt that brought the stream's first event. All instances derive the same key.
+/// attempt that brought the stream's first event, or over the whole call, for callers that do not name that
+/// attempt. All instances derive the same key.
 pub type StreamKey = u64;
 
 /// Derives the key of a stream. `account` is empty if the call needs no client account.
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -7,7 +7,7 @@
         admit::{Admitted, called_host},
         attempt::TargetAnswer,
         call_holder::CallHolder,
-        call_origin::{CallOrigin, OriginSource},
+        call_origin::CallOrigin,
         call_recorder::CallRecorder,
         held_bytes::HeldPermit,
         quarantined_calls::part_keys,
@@ -53,6 +53,8 @@
     pub(crate) pool: PoolId,
     /// Where the stream of the call began.
     pub(crate) origin: CallOrigin,
+    /// Whether that has been recorded.
+    pub(crate) is_origin_recorded: bool,
     /// Targets that were tried for the call, including those that could not be reached.
     pub(crate) tried_targets: Vec<TargetId>,
     /// Who has the call.
@@ -109,6 +111,7 @@
             call_key: OnceLock::new(),
             pool,
             origin,
+            is_origin_recorded: false,
             tried_targets: Vec::new(),
             holder: not_sent.into(),
             may_have_run_count: 0,
@@ -188,13 +191,7 @@
         &mut self,
         recorder: &mut CallRecorder,
     ) -> Result<TargetAnswer, Unanswered> {
-        let view = self.inner.state.view();
-        if let Some(pool) = self.origin.find(&self.admitted, &view).await? {
-            self.pool = pool;
-        }
-        let origin_version = self.origin.software_version().unwrap_or_default();
-        origin_version.clone_into(&mut recorder.line.origin_version);
-        recorder.line.origin_source = self.origin.source().map_or("", OriginSource::label);
+        self.find_origin(recorder).await?;
         let answer = self.run(recorder, None).await?;
         Ok(self.replace_unproven(answer, recorder).await)
     }
--- a/crates/relay/src/call_attempts.rs
+++ b/crates/relay/src/call_attempts.rs
@@ -4,10 +4,9 @@
     crate::{
         Declined, HeaderFormat, Reason,
         active_call::{ActiveCall, MIN_TIME_LEFT},
-        attempt::{AttemptOutcome, Content, TargetAnswer},
+        attempt::{AttemptOutcome, TargetAnswer},
         boot_time,
         call_recorder::CallRecorder,
-        picked_target::PickedTarget,
         refusal::{NO_TARGET_RETRY_AFTER, Unanswered},
         retry_budgets::RetryNeed,
         sent_attempt::describe_outcome,
@@ -145,17 +144,6 @@
         Ok(())
     }
 
-    /// Records where the stream of the call began, if an event of it has arrived.
-    fn record_origin(&mut self, picked: &PickedTarget, answer: &TargetAnswer) {
-        if !matches!(answer.content, Content::Events(_)) || !answer.has_begun() {
-            return;
-        }
-        let time_limit = self.admitted.caller_time_limit();
-        let software_version = &picked.target.software_version;
-        self.origin
-            .record(&self.admitted, &self.pool, software_version, time_limit);
-    }
-
     /// Whether another target should be tried because this one answered with an error status.
     fn should_try_another(&self, answer: &TargetAnswer) -> bool {
         answer.status.is_server_error()
--- a/crates/relay/src/call_origin.rs
+++ b/crates/relay/src/call_origin.rs
@@ -2,21 +2,24 @@
 
 use {
     crate::{
-        Declined, Reason, StreamOrigins, View,
+        Declined, Reason, RelayState, StreamOrigins,
         admit::Admitted,
+        boot_time,
+        refusal::NO_TARGET_RETRY_AFTER,
         route_pools::own_pools,
         stream_origins::{ANSWER_TIMEOUT, RouteOrigins, UNDOUBTED_TIMEOUT},
         view::MAX_VIEW_AGE,
     },
-    origins::{Origin, OriginKnowledge, OriginRecord, PossibleOrigins, stream_key},
-    routes::PoolId,
+    origins::{Origin, OriginKnowledge, OriginRecord, PossibleOrigins, StreamKey},
+    routes::{PoolId, Route},
     std::{sync::Arc, time::Duration},
+    tokio::time::{sleep, timeout},
 };
 
-/// Longest time for which an origin is kept after its stream began.
-const MAX_LIFETIME: Duration = Duration::from_mins(10);
-/// Time for which an origin is kept beyond the time that the caller waits.
-const LIFETIME_MARGIN: Duration = Duration::from_secs(5);
+/// Longest wait for word of the key-value service while nobody knows the stream.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(1);
+/// Interval between checks whether that word has come.
+const CONFIRMATION_CHECK_PERIOD: Duration = Duration::from_millis(20);
 
 /// How the instance at which a stream is taken up knows where it began.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,7 +50,6 @@
     origin: Option<Origin>,
     /// How it is known; `None` if the stream begins with this call, or nothing is known.
     source: Option<OriginSource>,
-    is_recorded: bool,
 }
 
 impl CallOrigin {
@@ -57,7 +59,6 @@
             origins,
             origin: None,
             source: None,
-            is_recorded: false,
         }
     }
 
@@ -73,73 +74,72 @@
         self.source
     }
 
-    /// Finds where the stream began that the call resumes, if it resumes one. Returns the pool to
-    /// which the call is bound.
+    /// Finds where the stream with this `key` began, which the call resumes. Returns the pool to which the call is
+    /// bound.
     ///
     /// Refuses the call if that is not known while it could have been one of several versions, or if
     /// the route does not lead to that pool any more.
     pub(crate) async fn find(
         &mut self,
+        key: StreamKey,
         admitted: &Admitted,
-        view: &View,
-    ) -> Result<Option<PoolId>, Declined> {
-        let call = &admitted.call;
-        let is_resumed = call.resumes.is_some() || call.last_event_id.is_some();
-        if !admitted.route.retry_policy.is_stream() || !is_resumed {
-            return Ok(None);
+        state: &RelayState,
+    ) -> Result<PoolId, Declined> {
+        let asked_at = boot_time();
+        let known = self.origins.known(key);
+        if known != OriginKnowledge::Unknown {
+            return self.bind_to_known(known, OriginSource::Kept, admitted);
         }
         let RouteOrigins {
             possible,
             is_history_known,
         } = self.origins.of_route(&admitted.route);
-        let (known, source) = match &call.resumes {
-            Some(request_id) => {
-                let is_undoubted = possible != PossibleOrigins::Several
-                    && view.is_confirmed_within(MAX_VIEW_AGE)
-                    && is_history_known;
-                let answer_timeout = if is_undoubted {
-                    UNDOUBTED_TIMEOUT
-                } else {
-                    ANSWER_TIMEOUT
-                };
-                // Even an undoubted view may lag behind that of the instance which began the stream.
-                let key = key(admitted, request_id);
-                match self.origins.known(key) {
-                    OriginKnowledge::Unknown => {
-                        let told = self.origins.ask(key, answer_timeout).await;
-                        (told, OriginSource::Told)
-                    }
-                    known => (known, OriginSource::Kept),
-                }
-            }
-            None => (OriginKnowledge::Unknown, OriginSource::Told),
+        let is_undoubted = possible != PossibleOrigins::Several
+            && state.view().is_confirmed_within(MAX_VIEW_AGE)
+            && is_history_known;
+        let answer_timeout = if is_undoubted {
+            UNDOUBTED_TIMEOUT
+        } else {
+            ANSWER_TIMEOUT
         };
-        match known {
-            OriginKnowledge::Known(origin) => {
-                if !own_pools(&admitted.route).any(|pool| *pool == origin.pool) {
-                    return Err(Reason::OriginGone.into());
-                }
-                Ok(Some(self.bind(origin, source)))
-            }
-            // It may have begun at a version that left before this instance knew the pool.
-            OriginKnowledge::Unknown
-                if call.resumes.is_some()
-                    && !is_history_known
-                    && possible != PossibleOrigins::None =>
-            {
-                Err(Reason::OriginUnknown.into())
-            }
-            OriginKnowledge::Unknown => self.bind_to_only(possible),
-            OriginKnowledge::Conflicting => Err(Reason::OriginUnknown.into()),
+        // Even an undoubted view may lag behind that of the instance which began the stream.
+        let told = self.origins.ask(key, answer_timeout).await;
+        if told.known != OriginKnowledge::Unknown {
+            return self.bind_to_known(told.known, OriginSource::Told, admitted);
+        }
+        // An instance in doubt would have told the holders.
+        if !told.has_holder_answered && !is_confirmed_since(state, asked_at).await {
+            return Err(Reason::OriginUnknown.into());
+        }
+        self.bind_to_only(self.origins.of_route(&admitted.route))
+    }
+
+    fn bind_to_known(
+        &mut self,
+        known: OriginKnowledge,
+        source: OriginSource,
+        admitted: &Admitted,
+    ) -> Result<PoolId, Declined> {
+        let OriginKnowledge::Known(origin) = known else {
+            return Err(Reason::OriginUnknown.into());
+        };
+        if !own_pools(&admitted.route).any(|pool| *pool == origin.pool) {
+            return Err(Reason::OriginGone.into());
         }
+        Ok(self.bind(origin, source))
     }
 
     /// Binds the call to the only possible origin, since others may appear while it is under way.
-    fn bind_to_only(&mut self, possible: PossibleOrigins) -> Result<Option<PoolId>, Declined> {
-        match possible {
-            PossibleOrigins::None => Ok(None),
-            PossibleOrigins::One(origin) => Ok(Some(self.bind(origin, OriginSource::OnlyVersion))),
-            PossibleOrigins::Several => Err(Reason::OriginUnknown.into()),
+    fn bind_to_only(&mut self, of_route: RouteOrigins) -> Result<PoolId, Declined> {
+        match of_route.possible {
+            PossibleOrigins::None => {
+                Err(Declined::new(Reason::NoTarget).retry_after(NO_TARGET_RETRY_AFTER))
+            }
+            PossibleOrigins::One(origin) if of_route.is_history_known => {
+                Ok(self.bind(origin, OriginSource::OnlyVersion))
+            }
+            // It may have begun at a version that left before this instance knew the pool.
+            PossibleOrigins::One(_) | PossibleOrigins::Several => Err(Reason::OriginUnknown.into()),
         }
     }
 
@@ -150,39 +150,45 @@
         pool
     }
 
-    /// Records that the stream goes on, or begins, at a target of this pool and software version.
-    /// `time_limit` is the time that the caller waits, from the call's arrival.
+    /// Records that the stream with these `keys` goes on, or begins, at a target of this pool and software version. Its
+    /// origin is kept for `lifetime`.
     pub(crate) fn record(
         &mut self,
-        admitted: &Admitted,
+        keys: &[StreamKey],
         pool: &PoolId,
         software_version: &str,
-        time_limit: Duration,
+        route: &Route,
+        lifetime: Duration,
     ) {
-        if self.is_recorded {
-            return;
-        }
-        self.is_recorded = true;
         let origin = self.origin.get_or_insert_with(|| Origin {
             pool: pool.clone(),
             software_version: software_version.to_owned(),
         });
-        let call = &admitted.call;
-        let request_id = call.resumes.as_ref().unwrap_or(&call.id);
-        let record = OriginRecord {
-            key: key(admitted, request_id),
-            origin: origin.clone(),
-            lifetime: time_limit.min(MAX_LIFETIME) + LIFETIME_MARGIN,
-        };
-        let of_route = self.origins.of_route(&admitted.route);
+        let of_route = self.origins.of_route(route);
         // Instances that know the route or its pools for a short time only need to be told.
         let is_sent = of_route.possible == PossibleOrigins::Several || !of_route.is_history_known;
-        self.origins.begin(record, is_sent);
+        for key in keys {
+            self.origins
+                .begin(origin_record(*key, origin, lifetime), is_sent);
+        }
     }
 }
 
-/// Key of the stream that the attempt `request_id` of this call's client account began.
-fn key(admitted: &Admitted, request_id: &str) -> origins::StreamKey {
-    let account = admitted.account.as_ref().map(|it| it.name.as_str());
-    stream_key(account.unwrap_or_default(), request_id)
+fn origin_record(key: StreamKey, origin: &Origin, lifetime: Duration) -> OriginRecord {
+    OriginRecord {
+        key,
+        origin: origin.clone(),
+        lifetime,
+    }
+}
+
+/// Waits until the key-value service has confirmed the view after `asked_at`, so that all registrations from before
+/// are known. Returns whether it has.
+async fn is_confirmed_since(state: &RelayState, asked_at: Duration) -> bool {
+    let confirmed = async {
+        while state.view().confirmed_at < asked_at {
+            sleep(CONFIRMATION_CHECK_PERIOD).await;
+        }
+    };
+    timeout(CONFIRMATION_TIME, confirmed).await.is_ok()
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -65,6 +65,7 @@
 mod refusal_bound;
 mod relay;
 mod requested_backoff;
+mod resumed_streams;
 mod retry_budgets;
 mod route_pools;
 mod salt;
@@ -108,7 +109,7 @@
     salt::salt_version,
     shutdown::{AnswerCutoff, KnownDuration, Shutdown},
     statement_log::record_report,
-    stream_origins::{OriginQuestion, OriginRequests, StreamOrigins},
+    stream_origins::{OriginQuestion, OriginRequests, StreamOrigins, ToldOrigin},
     suspect_reports::SuspectReports,
     target_reachability::TargetReachability,
     target_statements::{MalformedHeader, RetryAfter, Stated, TargetStatements},
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -8,7 +8,7 @@
     routes::Route,
     std::{
         sync::{Mutex, MutexGuard, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         sync::{mpsc, oneshot},
@@ -24,13 +24,37 @@
 /// instance that does not answer then holds up streams which almost always go on.
 pub(crate) const UNDOUBTED_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time in which what other instances have told by the deadline of a question reaches the call.
+const DELIVERY_TIME: Duration = Duration::from_millis(20);
+
 /// A question to the other instances: where a stream began.
 #[derive(Debug)]
 pub struct OriginQuestion {
     /// Key of the stream.
     pub key: StreamKey,
+    /// When those that have not answered by then count as silent.
+    pub deadline: Instant,
     /// Receives what they know.
-    pub answer: oneshot::Sender<OriginKnowledge>,
+    pub answer: oneshot::Sender<ToldOrigin>,
+}
+
+/// What other instances have told of the origin of a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ToldOrigin {
+    /// What they know.
+    pub known: OriginKnowledge,
+    /// Whether one that would keep it was among those that answered.
+    pub has_holder_answered: bool,
+}
+
+impl ToldOrigin {
+    /// Nobody has told anything.
+    fn nothing() -> Self {
+        Self {
+            known: OriginKnowledge::Unknown,
+            has_holder_answered: false,
+        }
+    }
 }
 
 /// Receives what this instance wants other instances to keep or to tell.
@@ -89,9 +113,8 @@
 
     /// Takes over the software versions of the targets and the pools of the routes in `view`. Sends the records
     /// of this instance's streams in the pools that have more than one version, or whose routes lead elsewhere,
-    /// from now on.
-    pub fn observe(&self, view: &View) {
-        let now = boot_time();
+    /// from `now` on, by [`boot_time`].
+    pub fn observe(&self, view: &View, now: Duration) {
         let pools = view.pools.iter();
         let targets = pools.flat_map(|(pool, targets)| {
             let versions = targets.iter().map(|it| it.software_version.as_str());
@@ -143,16 +166,21 @@
     }
 
     /// What the instances that keep the origin of a stream know of it. They are given `answer_timeout` to tell it.
-    pub(crate) async fn ask(&self, key: StreamKey, answer_timeout: Duration) -> OriginKnowledge {
+    pub(crate) async fn ask(&self, key: StreamKey, answer_timeout: Duration) -> ToldOrigin {
         let (answer, answered) = oneshot::channel();
-        if let Err(error) = self.questions.try_send(OriginQuestion { key, answer }) {
+        let question = OriginQuestion {
+            key,
+            deadline: Instant::now() + answer_timeout,
+            answer,
+        };
+        if let Err(error) = self.questions.try_send(question) {
             log::warn!("cannot ask where a stream began, it counts as unknown: {error}");
-            return OriginKnowledge::Unknown;
+            return ToldOrigin::nothing();
         }
-        match timeout(answer_timeout, answered).await {
-            Ok(Ok(known)) => known,
+        match timeout(answer_timeout + DELIVERY_TIME, answered).await {
+            Ok(Ok(told)) => told,
             // Nobody has told in time, or nobody is there to ask.
-            Ok(Err(_)) | Err(_) => OriginKnowledge::Unknown,
+            Ok(Err(_)) | Err(_) => ToldOrigin::nothing(),
         }
     }
 
