--- a/crates/origins/src/origin.rs
+++ b/crates/origins/src/origin.rs
@@ -24,6 +24,9 @@
     StreamKey::from_le_bytes(bytes)
 }
 
+/// Software version of a process that its target's registration does not name. No registration states it.
+const UNREGISTERED_VERSION: &str = "\0unregistered";
+
 /// Where a stream began.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Origin {
@@ -33,6 +36,24 @@
     pub software_version: SoftwareVersion,
 }
 
+impl Origin {
+    /// The origin of a stream that a process of `pool` began which no registration names. The stream goes on nowhere,
+    /// also if another version is told for it.
+    #[must_use]
+    pub fn unregistered(pool: &str) -> Self {
+        Self {
+            pool: pool.to_owned(),
+            software_version: UNREGISTERED_VERSION.to_owned(),
+        }
+    }
+
+    /// Whether a process began the stream that no registration names.
+    #[must_use]
+    pub fn is_unregistered(&self) -> bool {
+        self.software_version == UNREGISTERED_VERSION
+    }
+}
+
 /// The origin of one stream, as instances tell it each other.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct OriginRecord {
--- a/crates/relay/src/active_call.rs
+++ b/crates/relay/src/active_call.rs
@@ -13,6 +13,7 @@
         quarantined_calls::part_keys,
         reach::Reach,
         refusal::Unanswered,
+        registered_process::StreamProcess,
         relay::Inner,
         retry_budgets::RetryNeed,
         salt::CacheScope,
@@ -53,8 +54,8 @@
     pub(crate) pool: PoolId,
     /// Where the stream of the call began.
     pub(crate) origin: CallOrigin,
-    /// Whether that has been recorded.
-    pub(crate) is_origin_recorded: bool,
+    /// The process that began its stream, if that was with this call.
+    pub(crate) stream_process: Option<StreamProcess<Format>>,
     /// Targets that were tried for the call, including those that could not be reached.
     pub(crate) tried_targets: Vec<TargetId>,
     /// Who has the call.
@@ -111,7 +112,7 @@
             call_key: OnceLock::new(),
             pool,
             origin,
-            is_origin_recorded: false,
+            stream_process: None,
             tried_targets: Vec::new(),
             holder: not_sent.into(),
             may_have_run_count: 0,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -18,8 +18,8 @@
         time::{Duration, Instant},
     },
     target::{
-        AnswersRequest, BodyPart, Client, NamedRequest, Reply, Reuse, SendError, StartTimeout,
-        StreamPosition, WholeBody, WitnessAhead,
+        AnswersRequest, BodyPart, Client, NamedRequest, Reply, RequestPreparation, Reuse,
+        SendError, StartTimeout, StreamPosition, WholeBody, WitnessAhead,
     },
     tokio::time::timeout,
 };
@@ -58,6 +58,8 @@
     pub(crate) metadata: ReplyMetadata,
     /// Body of the answer.
     pub(crate) content: Content,
+    /// When its connection was opened.
+    pub(crate) connection_opened_at: Instant,
 }
 
 impl TargetAnswer {
@@ -123,7 +125,7 @@
 
 /// Parameters of one attempt.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct AttemptParams<'call, Timeout, Observe> {
+pub(crate) struct AttemptParams<'call, Timeout, Preparation, Observe> {
     /// The target.
     pub(crate) target: &'call TargetState,
     /// Pools of the configuration that admitted the call.
@@ -138,6 +140,8 @@
     pub(crate) reuse: Reuse,
     /// Timeout for the head of the answer. For a stream, it applies anew to its first event.
     pub(crate) start_timeout: &'call Timeout,
+    /// What is done before the call is sent on a connection.
+    pub(crate) preparation: &'call Preparation,
     /// When an answer that is read as a whole must be complete.
     pub(crate) deadline: Instant,
     /// Memory for an answer that is read as a whole.
@@ -152,16 +156,17 @@
 }
 
 /// Sends a call to a target once and reads its answer, or the first event of its stream.
-pub(crate) async fn attempt<Format, Timeout, Observe>(
+pub(crate) async fn attempt<Format, Timeout, Preparation, Observe>(
     client: &Client,
     header_format: &Format,
     request: Request<Full<Bytes>>,
-    params: AttemptParams<'_, Timeout, Observe>,
+    params: AttemptParams<'_, Timeout, Preparation, Observe>,
     _: HandedOver,
 ) -> AttemptOutcome<TargetAnswer>
 where
     Format: HeaderFormat,
     Timeout: StartTimeout,
+    Preparation: RequestPreparation,
     Observe: Fn(&Reply, &ReplyMetadata, Option<&AnswersRequest>),
 {
     let AttemptParams {
@@ -182,7 +187,8 @@
     {
         ahead = Box::pin(client.open_witness(address, &probe)).await;
     }
-    let sending = client.send_named(address, named, ahead.limit(reuse), start_timeout);
+    let reuse = ahead.limit(reuse);
+    let sending = client.send_prepared(address, named, reuse, start_timeout, params.preparation);
     let sent = match &ahead {
         // Rare, and too large to be part of every call.
         WitnessAhead::Open(_) => Box::pin(ahead.beside(sending)).await,
@@ -250,15 +256,16 @@
 }
 
 /// Reads the body of an answer, or the first event of its stream.
-async fn read_answer<Timeout, Observe>(
+async fn read_answer<Timeout, Preparation, Observe>(
     mut reply: Reply,
     metadata: ReplyMetadata,
-    params: &AttemptParams<'_, Timeout, Observe>,
+    params: &AttemptParams<'_, Timeout, Preparation, Observe>,
 ) -> AttemptOutcome<TargetAnswer>
 where
     Timeout: StartTimeout,
 {
     let (status, headers) = (reply.status(), reply.headers().clone());
+    let connection_opened_at = reply.connection_opened_at();
     let time_left = params.deadline.saturating_duration_since(Instant::now());
     let content = if params.stream && status.is_success() {
         EventStream::open(reply, params.start_timeout, params.position)
@@ -275,6 +282,7 @@
             headers,
             metadata,
             content,
+            connection_opened_at,
         }),
         Err(error) => error.into(),
     }
--- a/crates/relay/src/call_origin.rs
+++ b/crates/relay/src/call_origin.rs
@@ -123,6 +123,9 @@
         let OriginKnowledge::Known(origin) = known else {
             return Err(Reason::OriginUnknown.into());
         };
+        if origin.is_unregistered() {
+            return Err(Reason::OriginUnknown.into());
+        }
         if !own_pools(&admitted.route).any(|pool| *pool == origin.pool) {
             return Err(Reason::OriginGone.into());
         }
@@ -174,6 +177,19 @@
     }
 }
 
+/// Has the streams with these `keys`, which a process of `pool` began that is not the registered one, go on nowhere.
+pub(crate) fn record_unregistered(
+    origins: &StreamOrigins,
+    keys: &[StreamKey],
+    pool: &str,
+    lifetime: Duration,
+) {
+    let origin = Origin::unregistered(pool);
+    for key in keys {
+        origins.begin(origin_record(*key, &origin, lifetime), true);
+    }
+}
+
 fn origin_record(key: StreamKey, origin: &Origin, lifetime: Duration) -> OriginRecord {
     OriginRecord {
         key,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -63,6 +63,7 @@
 mod reach;
 mod refusal;
 mod refusal_bound;
+mod registered_process;
 mod relay;
 mod requested_backoff;
 mod resumed_streams;
--- a/crates/relay/src/peer_caller.rs
+++ b/crates/relay/src/peer_caller.rs
@@ -199,6 +199,7 @@
     Format: HeaderFormat,
 {
     let (status, headers) = (reply.status(), reply.headers().clone());
+    let connection_opened_at = reply.connection_opened_at();
     let metadata = header_format.parse_reply(&headers);
     let id = metadata.id.as_deref();
     // Targets repeat the request id. Some errors of targets bear no proof.
@@ -228,6 +229,7 @@
         headers,
         metadata,
         content,
+        connection_opened_at,
     }))
 }
 
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -210,6 +210,7 @@
 fn takes_calls(view: &View, target: &TargetState, context: &PickContext<'_>) -> bool {
     let began_stream = |version: &str| {
         target.software_version == version
+            && !target.call_stats.registered_process().is_replaced()
             && !(context.is_mixed && target.call_stats.may_have_restarted(view.confirmed_at))
     };
     !target.draining && context.software_version.is_none_or(began_stream)
--- a/crates/relay/src/pool_probe.rs
+++ b/crates/relay/src/pool_probe.rs
@@ -26,3 +26,21 @@
     }
     Some(probe)
 }
+
+/// Asks `target` of `pool` which process it is; `None` if its registration does not say that, or if it has no
+/// report, which alone says it.
+pub(crate) fn process_probe<Format>(
+    header_format: &Format,
+    target: &TargetState,
+    pools: &BTreeMap<PoolId, Pool>,
+    pool: &PoolId,
+) -> Option<IncarnationProbe>
+where
+    Format: HeaderFormat,
+{
+    let has_report = pools
+        .get(pool)
+        .is_none_or(|it| it.kind != PoolKind::Service);
+    let probe = has_report.then(|| header_format.incarnation_probe(target, ""))?;
+    probe.filter(|it| target.started_unix_ms > 0 && it.expected.started_unix_ms.is_some())
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -150,6 +150,8 @@
     pub(crate) settings: RelaySettings,
     pub(crate) header_format: Format,
     pub(crate) client: Client,
+    /// Asks targets which process they are, on connections of its own.
+    pub(crate) question_client: Client,
     pub(crate) peer_caller: PeerCaller,
     pub(crate) state: RelayState,
     pub(crate) retry_budgets: RetryBudgets,
@@ -195,6 +197,7 @@
             inner: Arc::new(Inner {
                 settings,
                 header_format,
+                question_client: client.with_own_connections(),
                 peer_caller: PeerCaller::new(client.with_own_connections()),
                 client,
                 state,
--- a/crates/relay/src/resumed_streams.rs
+++ b/crates/relay/src/resumed_streams.rs
@@ -4,14 +4,16 @@
     crate::{
         Declined, HeaderFormat,
         active_call::ActiveCall,
-        attempt::{Content, TargetAnswer},
-        call_origin::OriginSource,
+        attempt::{AttemptOutcome, Content, TargetAnswer},
+        call_origin::{OriginSource, record_unregistered},
         call_recorder::CallRecorder,
         picked_target::PickedTarget,
+        registered_process::{ANSWER_TIME, PATIENT_ANSWER_TIME, StreamProcess},
+        turned_away::TurnedAway,
     },
     origins::{StreamKey, stream_key},
     routes::RetryPolicy,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Longest time for which an origin is kept after its stream began.
@@ -61,7 +63,7 @@
     /// Records where the stream of the call began, if it may be resumed and an event of it has arrived.
     pub(crate) fn record_origin(&mut self, picked: &PickedTarget, answer: &TargetAnswer) {
         let has_begun = matches!(answer.content, Content::Events(_)) && answer.has_begun();
-        let is_recorded = self.is_origin_recorded;
+        let is_recorded = self.stream_process.is_some();
         if self.retry_policy() != RetryPolicy::ResumableStream || !has_begun || is_recorded {
             return;
         }
@@ -69,9 +71,67 @@
         let request_id = call.resumes.as_ref().unwrap_or(&call.id);
         let keys = [self.attempt_key(request_id), self.call_key()];
         let lifetime = self.admitted.caller_time_limit().min(MAX_LIFETIME) + LIFETIME_MARGIN;
+        let is_new = self.origin.software_version().is_none();
         let version = &picked.target.software_version;
         self.origin
             .record(&keys, &self.pool, version, &self.admitted.route, lifetime);
-        self.is_origin_recorded = true;
+        if is_new {
+            let check = self.process_check(&picked.target);
+            let process = StreamProcess::new(check, answer.connection_opened_at);
+            self.check_process(&process, keys, lifetime);
+            self.stream_process = Some(process);
+        }
+    }
+
+    /// Finds out beside the stream whether the registered process of its target began it, if that is not known.
+    fn check_process(
+        &self,
+        process: &StreamProcess<Format>,
+        keys: [StreamKey; 2],
+        lifetime: Duration,
+    ) {
+        if process.is_registered() {
+            return;
+        }
+        let (process, pool) = (process.clone(), self.pool.clone());
+        let origins = Arc::clone(&self.inner.state.stream_origins);
+        tokio::spawn(async move {
+            if !process.confirm(PATIENT_ANSWER_TIME).await {
+                record_unregistered(&origins, &keys, &pool, lifetime);
+            }
+        });
+    }
+
+    /// Whether it is known which software began the stream: the registered process of its target did, if it began with
+    /// this call.
+    pub(crate) async fn is_origin_confirmed(&self) -> bool {
+        match &self.stream_process {
+            Some(process) => process.confirm(ANSWER_TIME).await,
+            None => true,
+        }
+    }
+
+    /// Turns the answer of a target away with which a stream would go on, unless it is by the registered process.
+    pub(crate) async fn check_continuation(
+        &self,
+        picked: &PickedTarget,
+        outcome: AttemptOutcome<TargetAnswer>,
+    ) -> AttemptOutcome<TargetAnswer> {
+        let AttemptOutcome::Answered(answer) = &outcome else {
+            return outcome;
+        };
+        let goes_on = self.origin.software_version().is_some()
+            && matches!(answer.content, Content::Events(_));
+        if !goes_on {
+            return outcome;
+        }
+        let check = self.process_check(&picked.target);
+        if check
+            .confirm(answer.connection_opened_at, ANSWER_TIME)
+            .await
+        {
+            return outcome;
+        }
+        TurnedAway::OtherProcess.into()
     }
 }
--- a/crates/relay/src/sent_attempt.rs
+++ b/crates/relay/src/sent_attempt.rs
@@ -57,6 +57,7 @@
                 }
                 let _ = observed.set(ObservedAnswer::new(reply, metadata));
             };
+        let preparation = self.process_check(target);
         let params = AttemptParams {
             target,
             pools: &self.admitted.table.config().pools,
@@ -65,6 +66,7 @@
             id: &self.admitted.call.id,
             reuse: Reuse::Allowed,
             start_timeout: &start_timeout,
+            preparation: &preparation,
             deadline: sent + time_left,
             held_bytes: &self.inner.held_bytes,
             stream: self.retry_policy().is_stream(),
@@ -82,6 +84,7 @@
         if let Some(observed) = observed.get() {
             recorder.record_observed(observed);
         }
+        let outcome = self.check_continuation(picked, outcome).await;
         if let AttemptOutcome::Unknown {
             turned_away: Some(turned_away),
             ..
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -100,6 +100,9 @@
                 Err(NotResumed::NotTaken) => {
                     return Err(self.torn("no other target continued the stream"));
                 }
+                Err(NotResumed::OriginUnknown) => {
+                    return Err(self.torn("nothing shows which process began the stream"));
+                }
             }
         }
     }
@@ -309,6 +312,8 @@
     NotTaken,
     /// A target answered the call, but not with a stream.
     Unusable,
+    /// Nothing shows that the registered process of its target began the stream.
+    OriginUnknown,
 }
 
 /// Lets another target resume a stream after `last_event_id`.
@@ -320,6 +325,9 @@
 where
     Format: HeaderFormat,
 {
+    if !call.is_origin_confirmed().await {
+        return Err(NotResumed::OriginUnknown);
+    }
     let Ok(answer) = call.run(recorder, last_event_id).await else {
         return Err(NotResumed::NotTaken);
     };
--- a/crates/relay/src/target_stats.rs
+++ b/crates/relay/src/target_stats.rs
@@ -7,6 +7,7 @@
         cold_state::REREGISTRATION_TIME,
         observations::Observations,
         refusal_bound::KnownBound,
+        registered_process::RegisteredProcess,
         target_conditions::{CallContext, NextCall},
     },
     balance::{BoundedPlaces, CallOutcome},
@@ -33,6 +34,7 @@
     in_flight_tokens_count: AtomicU64,
     unread_tokens_count: AtomicU64,
     observations: Mutex<Observations>,
+    registered_process: RegisteredProcess,
 }
 
 impl TargetStats {
@@ -47,6 +49,11 @@
         }
     }
 
+    /// What is known of the process at the target's address.
+    pub(crate) fn registered_process(&self) -> &RegisteredProcess {
+        &self.registered_process
+    }
+
     /// Applies what the target's registration, known from `now` on, states of how long it stays cold.
     pub fn register_cold(&self, registered: RegisteredCold, now: Duration) {
         self.lock().conditions.cold.register(registered, now);
--- a/crates/relay/src/turned_away.rs
+++ b/crates/relay/src/turned_away.rs
@@ -19,6 +19,11 @@
     /// It is a success without proof of its target.
     #[snafu(display("the answer carries no proof of its target"))]
     NoProof,
+    /// A stream would go on with it, and nothing shows that it is by the process that its target's registration names.
+    #[snafu(display(
+        "nothing shows that it is by the registered process, whose software began the stream"
+    ))]
+    OtherProcess,
 }
 
 impl TurnedAway {
@@ -31,6 +36,7 @@
             },
             Self::NoWord => "no_word",
             Self::NoProof => "no_proof",
+            Self::OtherProcess => "other_process",
         }
     }
 }
--- a/crates/relay/tests/copied_refusals.rs
+++ b/crates/relay/tests/copied_refusals.rs
@@ -135,7 +135,7 @@
         while other.arrived().is_empty() {
             yield_now().await;
         }
-        let successor = ScriptedTarget::at("three", target.address);
+        let successor = target.rename("three");
         relay
             .view
             .store(Arc::new(support::view(&[&other, &successor])));
--- a/crates/relay/tests/support/scripted_target.rs
+++ b/crates/relay/tests/support/scripted_target.rs
@@ -117,6 +117,8 @@
     successor: watch::Sender<Option<Successor>>,
     /// How often all connections were ended.
     cuts_count: watch::Sender<u32>,
+    /// Name by which the target says which process it is, if that is not the one of its start.
+    other_name: Mutex<Option<String>>,
     /// Whether the target does not state its start time.
     hides_start: AtomicBool,
     /// Whether the target refuses to say which process it is, since it is full.
@@ -159,6 +161,8 @@
         self.identity_requests_count.fetch_add(1, Ordering::Relaxed);
         let delay_ms = self.identity_delay_ms.load(Ordering::Relaxed);
         sleep(Duration::from_millis(delay_ms)).await;
+        let other_name = self.other_name.lock().unwrap().clone();
+        let name = other_name.as_deref().unwrap_or(name);
         let is_hidden = self.hides_start.load(Ordering::Relaxed);
         let answer = if self.is_misdirected.load(Ordering::Relaxed) {
             answer("421 Misdirected Request", "not-run: 1\r\n", "")
@@ -235,6 +239,12 @@
         self
     }
 
+    /// Has the process at the target's address be known under this name from now on.
+    pub fn rename(&self, name: &str) -> Self {
+        *self.state.other_name.lock().unwrap() = Some(name.to_owned());
+        Self::at(name, self.address)
+    }
+
     /// Has the target take this time to say which process it is.
     pub fn slow(self, delay_ms: u64) -> Self {
         self.slow_down(delay_ms);
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        ClientSettings, IncarnationProbe, OpenWitness, Reply, SendError, StartTimeout,
-        WitnessAhead,
+        ClientSettings, IncarnationProbe, OpenWitness, Reply, RequestPreparation, SendError,
+        StartTimeout, WitnessAhead,
         carried_ids::{CarriedIds, HashedId, IdHasher},
         error,
         exchange_progress::ExchangeProgress,
@@ -169,7 +169,8 @@
     where
         Timeout: StartTimeout,
     {
-        self.send_as(address, request, None, reuse, timeout).await
+        self.send_as(address, request, None, reuse, timeout, &())
+            .await
     }
 
     /// Sends a request at most once and waits for the head of the answer until `timeout` gives up.
@@ -190,27 +191,50 @@
     where
         Timeout: StartTimeout,
     {
-        let id = self.id_hasher.hash(named.id);
-        self.send_as(address, named.request, Some(id), reuse, timeout)
+        self.send_prepared(address, named, reuse, timeout, &())
             .await
     }
 
-    async fn send_as<Timeout>(
+    /// The same as [`Client::send_named`], with `preparation` for the connection on which the request goes.
+    ///
+    /// # Errors
+    /// Like [`Client::send_named`].
+    pub async fn send_prepared<Timeout, Preparation>(
+        &self,
+        address: SocketAddr,
+        named: NamedRequest<'_>,
+        reuse: Reuse,
+        timeout: Timeout,
+        preparation: &Preparation,
+    ) -> Result<Reply, SendError>
+    where
+        Timeout: StartTimeout,
+        Preparation: RequestPreparation,
+    {
+        let id = Some(self.id_hasher.hash(named.id));
+        self.send_as(address, named.request, id, reuse, timeout, preparation)
+            .await
+    }
+
+    async fn send_as<Timeout, Preparation>(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         id: Option<HashedId<'_>>,
         reuse: Reuse,
         timeout: Timeout,
+        preparation: &Preparation,
     ) -> Result<Reply, SendError>
     where
         Timeout: StartTimeout,
+        Preparation: RequestPreparation,
     {
         if reuse == Reuse::Allowed {
             while let Some(mut connection) = self.take_idle(address, id) {
                 if !self.is_ready(&mut connection).await {
                     continue;
                 }
+                preparation.prepare(connection.opened()).await;
                 let exchange = self.exchange(address, connection, request, id, &timeout);
                 match exchange.await {
                     Exchange::Done(result) => return result,
@@ -219,6 +243,7 @@
             }
         }
         let connection = self.connect(address).await?;
+        preparation.prepare(connection.opened()).await;
         let exchange = self.exchange(address, connection, request, id, &timeout);
         match exchange.await {
             Exchange::Done(result) => result,
@@ -305,7 +330,11 @@
     }
 
     /// Takes the idle connection that was used last and may carry a request, with this id if it has one.
-    fn take_idle(&self, address: SocketAddr, id: Option<HashedId<'_>>) -> Option<Connection> {
+    pub(crate) fn take_idle(
+        &self,
+        address: SocketAddr,
+        id: Option<HashedId<'_>>,
+    ) -> Option<Connection> {
         let mut idle = self.lock_idle();
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -33,10 +33,12 @@
 mod exchange_progress;
 mod incarnation;
 mod open_witness;
+mod process_answer;
 mod readable_entries;
 mod reply;
 mod reply_json;
 mod request;
+mod request_preparation;
 mod service;
 mod socket_options;
 mod sse_parser;
@@ -66,8 +68,10 @@
     error::SendError,
     incarnation::{Incarnation, IncarnationProbe},
     open_witness::OpenWitness,
+    process_answer::ProcessAnswer,
     readable_entries::ReadableEntries,
     reply::Reply,
+    request_preparation::RequestPreparation,
     service::{ServiceAnswer, ServiceClient, ServiceRequest},
     sse_parser::{EventBatch, SseParser, event_id},
     start_timeout::StartTimeout,
--- a/crates/target/src/reply.rs
+++ b/crates/target/src/reply.rs
@@ -38,6 +38,7 @@
     body_state: BodyState,
     is_reusable: bool,
     connection_age: Duration,
+    connection_opened_at: Instant,
     earlier_requests_count: u32,
     /// Shows that the connection carried the request once; `None` if the request has no id.
     carried: Option<CarriedOnce>,
@@ -81,6 +82,7 @@
             client,
             address,
             connection_age: connection.age(),
+            connection_opened_at: connection.opened(),
             earlier_requests_count: connection.earlier_requests_count(),
             carried,
             connection: Some(connection),
@@ -115,6 +117,12 @@
         self.connection_age
     }
 
+    /// When the connection was opened.
+    #[must_use]
+    pub fn connection_opened_at(&self) -> Instant {
+        self.connection_opened_at
+    }
+
     /// Number of requests that the connection carried before this one.
     #[must_use]
     pub fn earlier_requests_count(&self) -> u32 {
