--- a/crates/relay/src/registered_process.rs
+++ b/crates/relay/src/registered_process.rs
@@ -98,7 +98,8 @@
         self.probe.is_none() || process.is_at_end_of(opened_at)
     }
 
-    /// The same, after the target was asked if that is not known yet. Takes `limit` at most.
+    /// The same, after the target was asked if that is not known yet. Takes `limit` at most. A target in an evacuated
+    /// failure domain is not asked.
     pub(crate) async fn confirm(&self, opened_at: Instant, limit: Duration) -> bool {
         let Some(probe) = &self.probe else {
             return true;
@@ -106,6 +107,9 @@
         if self.is_registered(opened_at) {
             return true;
         }
+        if self.inner.state.view().is_evacuated(&self.target) {
+            return false;
+        }
         let process = self.target.call_stats.registered_process();
         // Rare, and too large to be part of every call.
         let confirming = Box::pin(process.confirm(opened_at, self.ask(probe, limit)));
--- a/crates/relay/src/resumed_streams.rs
+++ b/crates/relay/src/resumed_streams.rs
@@ -44,13 +44,13 @@
     /// Key of the stream that the call resumes; `None` if it resumes none. Callers that do not name the attempt that
     /// began it send the same call again.
     fn resumed_stream(&self) -> Option<StreamKey> {
-        if self.retry_policy() != RetryPolicy::ResumableStream {
-            return None;
-        }
-        let call = &self.admitted.call;
+        let (call, policy) = (&self.admitted.call, self.retry_policy());
         match &call.resumes {
-            Some(request_id) => Some(self.attempt_key(request_id)),
-            None => call.last_event_id.map(|_| self.call_key()),
+            Some(request_id) if policy.is_stream() => Some(self.attempt_key(request_id)),
+            None if policy == RetryPolicy::ResumableStream => {
+                call.last_event_id.map(|_| self.call_key())
+            }
+            _ => None,
         }
     }
 
@@ -60,11 +60,11 @@
         stream_key(account.map_or("", |it| it.name.as_str()), request_id)
     }
 
-    /// Records where the stream of the call began, if it may be resumed and an event of it has arrived.
+    /// Records where the stream of the call began, if an event of it has arrived.
     pub(crate) fn record_origin(&mut self, picked: &PickedTarget, answer: &TargetAnswer) {
         let has_begun = matches!(answer.content, Content::Events(_)) && answer.has_begun();
         let is_recorded = self.stream_process.is_some();
-        if self.retry_policy() != RetryPolicy::ResumableStream || !has_begun || is_recorded {
+        if !has_begun || is_recorded {
             return;
         }
         let call = &self.admitted.call;
--- a/crates/relay/tests/registered_processes.rs
+++ b/crates/relay/tests/registered_processes.rs
@@ -147,3 +147,24 @@
     }
     assert_eq!(target.identity_requests_count(), 1);
 }
+
+#[tokio::test]
+async fn target_in_an_evacuated_domain_is_not_asked() {
+    let first = ScriptedTarget::start("first", vec![torn()]).await;
+    let first = first.slow(1_000).in_domain("near");
+    let other = ScriptedTarget::start("other", vec![rest()]).await;
+    let relay = TestRelay::start(&[&first]).await;
+    let connection = caller::send(relay.address, "/resumable/7", "").await;
+    let mut view = support::view(&[&first, &other]);
+    view.evacuated_domains.insert("near".to_owned());
+    while first.identity_requests_count() < 1 {
+        tokio::task::yield_now().await;
+    }
+    relay.view.store(Arc::new(view));
+    let response = caller::read_response(connection).await;
+    assert!(!response.is_complete, "{response:?}");
+    assert_eq!(
+        (first.identity_requests_count(), other.arrived().len()),
+        (1, 0)
+    );
+}
