Fix ORDER: the origin of a stream is told only once its process is known

Cause: the target had answered 'another process' before the call, and still the stream was recorded under the registered version at its first event, and taken back when the target had been asked once more. The caller took it up at another instance 2 ms after the record and before that (origin_source 'told', v1; begun at v2, the line of the first instance says 'another process than the one registered'). Change: a stream whose process is not known to be the registered one is recorded as begun at an unknown origin from the first, and the target is not asked again beside it.

--- a/crates/relay/src/call_origin.rs
+++ b/crates/relay/src/call_origin.rs
@@ -43,6 +43,17 @@
     }
 }
 
+/// The target at which an event of a stream has arrived.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Began<'target> {
+    /// Its pool.
+    pub(crate) pool: &'target PoolId,
+    /// Version of its software, as registered.
+    pub(crate) software_version: &'target str,
+    /// Whether its process is known to be the registered one.
+    pub(crate) is_registered: bool,
+}
+
 /// Where the stream of a call began: the pool and software version to which it is bound.
 #[derive(Debug)]
 pub(crate) struct CallOrigin {
@@ -153,51 +164,39 @@
         pool
     }
 
-    /// Records that the stream with these `keys` goes on, or begins, at a target of this pool and software version. Its
-    /// origin is kept for `lifetime`.
+    /// Records where the stream with these `keys` began, at this call or before it. Its origin is kept for `lifetime`.
     pub(crate) fn record(
         &mut self,
         keys: &[StreamKey],
-        pool: &PoolId,
-        software_version: &str,
+        began: Began<'_>,
         route: &Route,
         lifetime: Duration,
     ) {
         let origin = self.origin.get_or_insert_with(|| Origin {
-            pool: pool.clone(),
-            software_version: software_version.to_owned(),
+            pool: began.pool.clone(),
+            software_version: began.software_version.to_owned(),
         });
+        let origin = if began.is_registered {
+            origin.clone()
+        } else {
+            Origin::unregistered(began.pool)
+        };
         let of_route = self.origins.of_route(route);
         // Instances that know the route or its pools for a short time only need to be told.
-        let is_sent = of_route.possible == PossibleOrigins::Several || !of_route.is_history_known;
+        let is_sent = of_route.possible == PossibleOrigins::Several
+            || !of_route.is_history_known
+            || !began.is_registered;
         for key in keys {
-            self.origins
-                .begin(origin_record(*key, origin, lifetime), is_sent);
+            let record = OriginRecord {
+                key: *key,
+                origin: origin.clone(),
+                lifetime,
+            };
+            self.origins.begin(record, is_sent);
         }
     }
 }
 
-/// Has the streams with these `keys`, which a process of `pool` began that is not the registered one, go on nowhere.
-pub(crate) fn record_unregistered(
-    origins: &StreamOrigins,
-    keys: &[StreamKey],
-    pool: &str,
-    lifetime: Duration,
-) {
-    let origin = Origin::unregistered(pool);
-    for key in keys {
-        origins.begin(origin_record(*key, &origin, lifetime), true);
-    }
-}
-
-fn origin_record(key: StreamKey, origin: &Origin, lifetime: Duration) -> OriginRecord {
-    OriginRecord {
-        key,
-        origin: origin.clone(),
-        lifetime,
-    }
-}
-
 /// Waits until the key-value service has confirmed the view after `asked_at`, so that all registrations from before
 /// are known. Returns whether it has.
 async fn is_confirmed_since(state: &RelayState, asked_at: Duration) -> bool {
--- a/crates/relay/src/registered_process.rs
+++ b/crates/relay/src/registered_process.rs
@@ -15,8 +15,6 @@
 
 /// Time within which a target says which process it is while a call waits for it.
 pub(crate) const ANSWER_TIME: Duration = Duration::from_millis(300);
-/// The same while a stream is under way and nobody waits.
-pub(crate) const PATIENT_ANSWER_TIME: Duration = Duration::from_secs(4);
 
 /// What one registered start of a target has shown of the process at its address. Registrations lag behind: a
 /// target may have started again under its id, also with other software.
@@ -137,7 +135,7 @@
     Format: HeaderFormat,
 {
     async fn prepare(&self, opened_at: Instant) {
-        // Without an answer the call is sent all the same, and the target asked again beside its stream.
+        // Without an answer the call is sent all the same; its stream is not resumed at other instances then.
         self.confirm(opened_at, ANSWER_TIME).await;
     }
 }
--- a/crates/relay/src/resumed_streams.rs
+++ b/crates/relay/src/resumed_streams.rs
@@ -5,15 +5,15 @@
         Declined, HeaderFormat,
         active_call::ActiveCall,
         attempt::{AttemptOutcome, Content, TargetAnswer},
-        call_origin::{OriginSource, record_unregistered},
+        call_origin::{Began, OriginSource},
         call_recorder::CallRecorder,
         picked_target::PickedTarget,
-        registered_process::{ANSWER_TIME, PATIENT_ANSWER_TIME, StreamProcess},
+        registered_process::{ANSWER_TIME, StreamProcess},
         turned_away::TurnedAway,
     },
     origins::{StreamKey, stream_key},
     routes::RetryPolicy,
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
 };
 
 /// Longest time for which an origin is kept after its stream began.
@@ -71,35 +71,17 @@
         let request_id = call.resumes.as_ref().unwrap_or(&call.id);
         let keys = [self.attempt_key(request_id), self.call_key()];
         let lifetime = self.admitted.caller_time_limit().min(MAX_LIFETIME) + LIFETIME_MARGIN;
+        let check = self.process_check(&picked.target);
+        let process = StreamProcess::new(check, answer.connection_opened_at);
         let is_new = self.origin.software_version().is_none();
-        let version = &picked.target.software_version;
+        let began = Began {
+            pool: &self.pool,
+            software_version: &picked.target.software_version,
+            is_registered: !is_new || process.is_registered(),
+        };
         self.origin
-            .record(&keys, &self.pool, version, &self.admitted.route, lifetime);
-        if is_new {
-            let check = self.process_check(&picked.target);
-            let process = StreamProcess::new(check, answer.connection_opened_at);
-            self.check_process(&process, keys, lifetime);
-            self.stream_process = Some(process);
-        }
-    }
-
-    /// Finds out beside the stream whether the registered process of its target began it, if that is not known.
-    fn check_process(
-        &self,
-        process: &StreamProcess<Format>,
-        keys: [StreamKey; 2],
-        lifetime: Duration,
-    ) {
-        if process.is_registered() {
-            return;
-        }
-        let (process, pool) = (process.clone(), self.pool.clone());
-        let origins = Arc::clone(&self.inner.state.stream_origins);
-        tokio::spawn(async move {
-            if !process.confirm(PATIENT_ANSWER_TIME).await {
-                record_unregistered(&origins, &keys, &pool, lifetime);
-            }
-        });
+            .record(&keys, began, &self.admitted.route, lifetime);
+        self.stream_process = is_new.then_some(process);
     }
 
     /// Whether it is known which software began the stream: the registered process of its target did, if it began with
--- a/crates/relay/tests/registered_processes.rs
+++ b/crates/relay/tests/registered_processes.rs
@@ -168,3 +168,14 @@
         (1, 0)
     );
 }
+
+/// Guards against a moment in which other instances take a stream up at the registered version.
+#[tokio::test]
+async fn origin_of_an_unregistered_process_is_never_told_as_the_registered_one() {
+    let first = started_again("first", vec![torn()]).await;
+    let relay = TestRelay::start(&[&first]).await;
+    caller::call(relay.address, "/resumable/7", "").await;
+    let mut requests = relay.view.stream_origins().requests().await;
+    let record = requests.records.recv().await.unwrap();
+    assert!(record.origin.is_unregistered(), "{record:?}");
+}
