Fix LOST: the end of a sound stream is compared with the process that was there before it

Cause: the end of such an answer is compared with the start that its target stated on the connection beside it before, or else with the registered one, which the process has left behind. Change: where the target has stated its start after the connection of the call was opened, that is the process that must be there at the end. Test: relay registered_processes sound_stream_of_an_unregistered_process_ends_with_its_connection fails without the change.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -7,6 +7,7 @@
         event_stream::EventStream,
         held_bytes::{HeldBytes, HeldFor},
         pool_probe::incarnation_probe,
+        registered_process::ProcessCheck,
         unframed_pools::UnframedPools,
     },
     bytes::{Bytes, BytesMut},
@@ -18,8 +19,8 @@
         time::{Duration, Instant},
     },
     target::{
-        AnswersRequest, BodyPart, Client, NamedRequest, Reply, RequestPreparation, Reuse,
-        SendError, StartTimeout, StreamPosition, WholeBody, WitnessAhead,
+        AnswersRequest, BodyPart, Client, NamedRequest, Reply, Reuse, SendError, StartTimeout,
+        StreamPosition, WholeBody, WitnessAhead,
     },
     tokio::time::timeout,
 };
@@ -124,8 +125,8 @@
 }
 
 /// Parameters of one attempt.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct AttemptParams<'call, Timeout, Preparation, Observe> {
+#[derive(Clone, Copy)]
+pub(crate) struct AttemptParams<'call, Format, Timeout, Observe> {
     /// The target.
     pub(crate) target: &'call TargetState,
     /// Pools of the configuration that admitted the call.
@@ -140,8 +141,8 @@
     pub(crate) reuse: Reuse,
     /// Timeout for the head of the answer. For a stream, it applies anew to its first event.
     pub(crate) start_timeout: &'call Timeout,
-    /// What is done before the call is sent on a connection.
-    pub(crate) preparation: &'call Preparation,
+    /// Finds out which process answers the call, before it is sent.
+    pub(crate) process_check: &'call ProcessCheck<Format>,
     /// When an answer that is read as a whole must be complete.
     pub(crate) deadline: Instant,
     /// Memory for an answer that is read as a whole.
@@ -156,17 +157,16 @@
 }
 
 /// Sends a call to a target once and reads its answer, or the first event of its stream.
-pub(crate) async fn attempt<Format, Timeout, Preparation, Observe>(
+pub(crate) async fn attempt<Format, Timeout, Observe>(
     client: &Client,
     header_format: &Format,
     request: Request<Full<Bytes>>,
-    params: AttemptParams<'_, Timeout, Preparation, Observe>,
+    params: AttemptParams<'_, Format, Timeout, Observe>,
     _: HandedOver,
 ) -> AttemptOutcome<TargetAnswer>
 where
     Format: HeaderFormat,
     Timeout: StartTimeout,
-    Preparation: RequestPreparation,
     Observe: Fn(&Reply, &ReplyMetadata, Option<&AnswersRequest>),
 {
     let AttemptParams {
@@ -188,7 +188,7 @@
         ahead = Box::pin(client.open_witness(address, &probe)).await;
     }
     let reuse = ahead.limit(reuse);
-    let sending = client.send_prepared(address, named, reuse, start_timeout, params.preparation);
+    let sending = client.send_prepared(address, named, reuse, start_timeout, params.process_check);
     let sent = match &ahead {
         // Rare, and too large to be part of every call.
         WitnessAhead::Open(_) => Box::pin(ahead.beside(sending)).await,
@@ -229,6 +229,8 @@
             } else {
                 Duration::ZERO
             };
+            let opened_at = reply.connection_opened_at();
+            let probe = params.process_check.expect(probe, opened_at);
             reply.expect_incarnation(probe, ahead, cut_spread);
         }
     }
@@ -256,10 +258,10 @@
 }
 
 /// Reads the body of an answer, or the first event of its stream.
-async fn read_answer<Timeout, Preparation, Observe>(
+async fn read_answer<Format, Timeout, Observe>(
     mut reply: Reply,
     metadata: ReplyMetadata,
-    params: &AttemptParams<'_, Timeout, Preparation, Observe>,
+    params: &AttemptParams<'_, Format, Timeout, Observe>,
 ) -> AttemptOutcome<TargetAnswer>
 where
     Timeout: StartTimeout,
--- a/crates/relay/src/registered_process.rs
+++ b/crates/relay/src/registered_process.rs
@@ -29,8 +29,17 @@
 struct Shown {
     /// When the latest question was sent that the registered process has answered.
     asked_at: Option<Instant>,
-    /// Whether another process has answered since.
-    is_replaced: bool,
+    /// The process that has answered in its place since.
+    successor: Option<Successor>,
+}
+
+/// A process that answers in place of the registered one.
+#[derive(Clone, Copy, Debug)]
+struct Successor {
+    /// When the question was sent that it has answered.
+    asked_at: Instant,
+    /// Start that it states, in milliseconds since the Unix epoch; `None` if it states none, or is another target.
+    started_unix_ms: Option<u64>,
 }
 
 impl RegisteredProcess {
@@ -43,7 +52,15 @@
 
     /// Whether another process has answered in its place.
     pub(crate) fn is_replaced(&self) -> bool {
-        self.lock().is_replaced
+        self.lock().successor.is_some()
+    }
+
+    /// Start of the process in its place to which a connection leads that was opened at `opened_at`, as far as that has
+    /// stated it later.
+    fn successor_start(&self, opened_at: Instant) -> Option<u64> {
+        let successor = self.lock().successor?;
+        let is_later = opened_at <= successor.asked_at;
+        successor.started_unix_ms.filter(|_| is_later)
     }
 
     /// The same as [`RegisteredProcess::is_at_end_of`], with `ask` if that is not known yet.
@@ -61,11 +78,14 @@
         match answer {
             ProcessAnswer::Expected | ProcessAnswer::Unstated => {
                 shown.asked_at = Some(asked_at);
-                shown.is_replaced = false;
+                shown.successor = None;
                 true
             }
-            ProcessAnswer::Other => {
-                shown.is_replaced = true;
+            ProcessAnswer::Other(started_unix_ms) => {
+                shown.successor = Some(Successor {
+                    asked_at,
+                    started_unix_ms,
+                });
                 false
             }
             ProcessAnswer::Missing => false,
@@ -114,12 +134,26 @@
         timeout(limit, confirming).await.unwrap_or(false)
     }
 
+    /// Has `probe` expect the process to which a connection leads that was opened at `opened_at`, rather than the
+    /// registered one, if that is known to be another.
+    pub(crate) fn expect(
+        &self,
+        mut probe: IncarnationProbe,
+        opened_at: Instant,
+    ) -> IncarnationProbe {
+        let process = self.target.call_stats.registered_process();
+        if let Some(started_unix_ms) = process.successor_start(opened_at) {
+            probe.expected.started_unix_ms = Some(started_unix_ms);
+        }
+        probe
+    }
+
     async fn ask(&self, probe: &IncarnationProbe, limit: Duration) -> ProcessAnswer {
         let address = self.target.address;
         let client = &self.inner.question_client;
         let answer = client.ask_process(address, probe, limit).await;
         self.inner.meters.count("process_answers", answer.label());
-        if answer == ProcessAnswer::Other {
+        if matches!(answer, ProcessAnswer::Other(_)) {
             log::info!(
                 "another process than the one registered with start {} answers at target {}",
                 self.target.started_unix_ms,
--- a/crates/relay/src/sent_attempt.rs
+++ b/crates/relay/src/sent_attempt.rs
@@ -57,7 +57,7 @@
                 }
                 let _ = observed.set(ObservedAnswer::new(reply, metadata));
             };
-        let preparation = self.process_check(target);
+        let process_check = self.process_check(target);
         let params = AttemptParams {
             target,
             pools: &self.admitted.table.config().pools,
@@ -66,7 +66,7 @@
             id: &self.admitted.call.id,
             reuse: Reuse::Allowed,
             start_timeout: &start_timeout,
-            preparation: &preparation,
+            process_check: &process_check,
             deadline: sent + time_left,
             held_bytes: &self.inner.held_bytes,
             stream: self.retry_policy().is_stream(),
--- a/crates/relay/tests/registered_processes.rs
+++ b/crates/relay/tests/registered_processes.rs
@@ -6,7 +6,7 @@
     std::sync::Arc,
     support::{
         TestRelay, caller,
-        scripted_target::{STARTED_UNIX_MS, ScriptedTarget, Step, stream},
+        scripted_target::{STARTED_UNIX_MS, ScriptedTarget, Step, stream, unframed},
     },
 };
 
@@ -179,3 +179,16 @@
     let record = requests.records.recv().await.unwrap();
     assert!(record.origin.is_unregistered(), "{record:?}");
 }
+
+/// Guards against sound streams without framing that break off until their target has registered.
+#[tokio::test]
+async fn sound_stream_of_an_unregistered_process_ends_with_its_connection() {
+    let whole = Step::RespondThenClose(unframed("id: 1\ndata: a\n\n"));
+    let target = started_again("one", vec![whole; STREAMS_COUNT]).await;
+    let relay = TestRelay::start(&[&target]).await;
+    for index in 0..STREAMS_COUNT {
+        let id = format!("c{index}");
+        let response = caller::call_as(&id, relay.address, "/resumable/7").await;
+        assert!(response.is_complete, "{index}: {response:?}");
+    }
+}
--- a/crates/target/src/process_answer.rs
+++ b/crates/target/src/process_answer.rs
@@ -18,8 +18,8 @@
 pub enum ProcessAnswer {
     /// It is the expected one.
     Expected,
-    /// It is another one.
-    Other,
+    /// It is another one, which states that it started then, in milliseconds since the Unix epoch, if it states that.
+    Other(Option<u64>),
     /// It does not state its start, so that two starts cannot be told apart.
     Unstated,
     /// Nothing.
@@ -32,7 +32,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Expected => "expected",
-            Self::Other => "other",
+            Self::Other(_) => "other",
             Self::Unstated => "unstated",
             Self::Missing => "missing",
         }
@@ -82,7 +82,7 @@
         }
         match statement {
             Statement::Process(stated) => compare(&probe.expected, &stated),
-            Statement::OtherTarget => Some(ProcessAnswer::Other),
+            Statement::OtherTarget => Some(ProcessAnswer::Other(None)),
             Statement::OtherQuestion | Statement::Nothing => None,
         }
     }
@@ -93,7 +93,10 @@
     if *stated == Incarnation::default() {
         None
     } else if !expected.agrees_with(stated) {
-        Some(ProcessAnswer::Other)
+        let is_same_target = expected.is_same_target(stated);
+        Some(ProcessAnswer::Other(
+            stated.started_unix_ms.filter(|_| is_same_target),
+        ))
     } else if stated.started_unix_ms.is_none() {
         Some(ProcessAnswer::Unstated)
     } else {
