--- a/crates/relay/src/registered_process.rs
+++ b/crates/relay/src/registered_process.rs
@@ -98,7 +98,6 @@
 }
 
 /// Finds out whether the registered process of a target is at the other end of connections.
-#[derive(Clone)]
 pub(crate) struct ProcessCheck<Format> {
     inner: Arc<Inner<Format>>,
     target: Arc<TargetState>,
@@ -175,7 +174,6 @@
 }
 
 /// The process that has begun a stream.
-#[derive(Clone)]
 pub(crate) struct StreamProcess<Format> {
     check: ProcessCheck<Format>,
     /// When the connection of the stream was opened.
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -5,7 +5,7 @@
         ClientSettings, IncarnationProbe, OpenWitness, Reply, RequestPreparation, SendError,
         StartTimeout, WitnessAhead,
         carried_ids::{CarriedIds, HashedId, IdHasher},
-        error,
+        connection_errors::{closed_unwritten, is_disconnect},
         exchange_progress::ExchangeProgress,
         socket_options::{connect_bounded, set_unacknowledged_timeout},
         tracked_stream::TrackedStream,
@@ -21,7 +21,6 @@
     hyper_util::rt::TokioIo,
     std::{
         collections::HashMap,
-        error::Error,
         io::{self, ErrorKind},
         net::SocketAddr,
         pin::pin,
@@ -486,29 +485,6 @@
     (200..600).contains(&status.as_u16())
 }
 
-/// Error for a connection that was closed before a request was written.
-pub(crate) fn closed_unwritten(address: SocketAddr) -> SendError {
-    let reason = "connection closed before the request was written";
-    error::NotSentSnafu { address, reason }.build()
-}
-
-/// Whether the peer ended the connection, rather than the network or the protocol failing.
-pub(crate) fn is_disconnect(error: &hyper::Error) -> bool {
-    if error.is_incomplete_message() || error.is_closed() {
-        return true;
-    }
-    let source = error.source().and_then(|it| it.downcast_ref::<io::Error>());
-    source.is_some_and(|source| {
-        matches!(
-            source.kind(),
-            ErrorKind::ConnectionReset
-                | ErrorKind::ConnectionAborted
-                | ErrorKind::BrokenPipe
-                | ErrorKind::UnexpectedEof
-        )
-    })
-}
-
 /// Result of sending a request on one connection.
 pub(crate) enum Exchange {
     /// The request was answered, or may have been sent.
--- a/crates/target/src/incarnation.rs
+++ b/crates/target/src/incarnation.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         Client, SendError,
-        client::{Connection, Exchange, closed_unwritten},
+        client::{Connection, Exchange},
+        connection_errors::closed_unwritten,
     },
     bytes::Bytes,
     catalog::TargetId,
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -26,6 +26,7 @@
 mod carried_ids;
 mod client;
 mod client_settings;
+mod connection_errors;
 mod crash_evidence;
 mod engine;
 mod engine_wire;
