A stream that cannot go on by any word of the service is refused without waiting for it

Cause, found on reading the fix again: with no answer of other instances a call waited up to 1 s for the service to confirm the view, also where the instance has just started or knows several versions, so that it is refused in any case. Change: it waits only if the only known version would be taken. Measured: relay unnamed_attempts, software_versions, changed_routes green.

--- a/crates/relay/src/call_origin.rs
+++ b/crates/relay/src/call_origin.rs
@@ -119,7 +119,8 @@
             return self.bind_to_known(told.known, OriginSource::Told, admitted);
         }
         // An instance in doubt would have told the holders.
-        if !told.has_holder_answered && !is_confirmed_since(state, asked_at).await {
+        let may_go_on = self.origins.of_route(&admitted.route).is_sure();
+        if may_go_on && !told.has_holder_answered && !is_confirmed_since(state, asked_at).await {
             return Err(Reason::OriginUnknown.into());
         }
         self.bind_to_only(self.origins.of_route(&admitted.route))
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -92,6 +92,13 @@
     pub(crate) is_history_known: bool,
 }
 
+impl RouteOrigins {
+    /// Whether only one origin is possible, as far as this instance knows.
+    pub(crate) fn is_sure(&self) -> bool {
+        self.is_history_known && matches!(self.possible, PossibleOrigins::One(_))
+    }
+}
+
 impl Default for StreamOrigins {
     fn default() -> Self {
         let (record_sender, records) = mpsc::channel(MAX_WAITING_COUNT);
